--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,388 @@
+//! The closed list of reasons a request is not answered in full, and the answer for each.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+/// Whether a back end ran the request, as far as this program can vouch for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Ran {
+    /// No byte of the request was handed to a socket towards a back end, or the back end said so.
+    No,
+    /// A back end ran it, at least in part.
+    Yes,
+    /// A back end may have run it.
+    Unknown,
+}
+
+impl Ran {
+    /// Returns the word used in answers and explanations.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Yes => "yes",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Every reason a request ends without its whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// The body or a field of it cannot be understood.
+    Malformed,
+    /// The body is larger than the host takes.
+    TooLarge,
+    /// The caller sent its request too slowly.
+    TooSlow,
+    /// The caller's key is missing or unknown.
+    BadKey,
+    /// No such path, model or service.
+    NotFound,
+    /// The plan may not use this model or service.
+    NotAllowed,
+    /// The plan has used its share for now.
+    ShareSpent,
+    /// The backlog is too long to answer in time.
+    Overloaded,
+    /// No engine of the model takes work.
+    NoEngine,
+    /// The host cannot vouch for its view of the fleet.
+    CutOff,
+    /// The host is shutting down.
+    Stopping,
+    /// The key-value service is needed for this call and does not answer.
+    StoreDown,
+    /// The call may not repeat and carries no idempotency key.
+    KeyMissing,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// A call with this idempotency key is still running.
+    StillRunning,
+    /// A call with this idempotency key may have run and will not be run again.
+    MayHaveRun,
+    /// The record shard for this key holds as many records as it may.
+    RecordsFull,
+    /// This request was running on two engines when they died.
+    EngineKiller,
+    /// The engine failed and no other could continue.
+    EngineFailed,
+    /// The engine or service fell silent.
+    Silent,
+    /// The service could not be reached.
+    ServiceDown,
+    /// The service broke off its answer.
+    ServiceFailed,
+    /// The caller closed its connection.
+    CallerLeft,
+    /// A fault of this program.
+    Internal,
+}
+
+/// What a caller is told for one [`Kind`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable machine-readable name.
+    pub code: &'static str,
+    /// One sentence that tells the caller what to do.
+    pub title: &'static str,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back if the decision gave no better time; `None` where coming back is useless.
+    pub retry: Option<Duration>,
+}
+
+/// A kind and its answer.
+type Row = (Kind, Answer);
+
+const fn row(
+    kind: Kind,
+    status: u16,
+    code: &'static str,
+    ran: Ran,
+    secs: u64,
+    title: &'static str,
+) -> Row {
+    let retry = match secs {
+        0 => None,
+        secs => Some(Duration::from_secs(secs)),
+    };
+    let answer = Answer {
+        status,
+        code,
+        title,
+        ran,
+        retry,
+    };
+    (kind, answer)
+}
+
+/// One row a kind, in the order of [`Kind`]; a retry of 0 s means that coming back is useless.
+const TABLE: [Row; Kind::ALL.len()] = [
+    row(
+        Kind::Malformed,
+        400,
+        "malformed",
+        Ran::No,
+        0,
+        "Correct the request and send it again.",
+    ),
+    row(
+        Kind::TooLarge,
+        413,
+        "too-large",
+        Ran::No,
+        0,
+        "Send a smaller body.",
+    ),
+    row(
+        Kind::TooSlow,
+        408,
+        "too-slow",
+        Ran::No,
+        1,
+        "Send the whole request without pauses.",
+    ),
+    row(
+        Kind::BadKey,
+        401,
+        "bad-key",
+        Ran::No,
+        0,
+        "Send a valid key as a bearer token.",
+    ),
+    row(
+        Kind::NotFound,
+        404,
+        "not-found",
+        Ran::No,
+        0,
+        "Check the path, the model or the service name.",
+    ),
+    row(
+        Kind::NotAllowed,
+        403,
+        "not-allowed",
+        Ran::No,
+        0,
+        "Ask for this model or service to be added to your plan.",
+    ),
+    row(
+        Kind::ShareSpent,
+        429,
+        "share-spent",
+        Ran::No,
+        1,
+        "Your plan's share is used up for now; come back after the given time.",
+    ),
+    row(
+        Kind::Overloaded,
+        503,
+        "overloaded",
+        Ran::No,
+        2,
+        "The engines are busy; come back after the given time.",
+    ),
+    row(
+        Kind::NoEngine,
+        503,
+        "no-engine",
+        Ran::No,
+        5,
+        "No engine takes work for this model now; come back after the given time.",
+    ),
+    row(
+        Kind::CutOff,
+        503,
+        "cut-off",
+        Ran::No,
+        2,
+        "This host is cut off; come back after the given time.",
+    ),
+    row(
+        Kind::Stopping,
+        503,
+        "stopping",
+        Ran::No,
+        1,
+        "This host is shutting down; send the request again.",
+    ),
+    row(
+        Kind::StoreDown,
+        503,
+        "store-down",
+        Ran::No,
+        5,
+        "Calls that may not repeat are paused; come back after the given time.",
+    ),
+    row(
+        Kind::KeyMissing,
+        400,
+        "key-missing",
+        Ran::No,
+        0,
+        "Send an Idempotency-Key with a call that may not repeat.",
+    ),
+    row(
+        Kind::KeyReused,
+        422,
+        "key-reused",
+        Ran::No,
+        0,
+        "Use a new Idempotency-Key for a different request.",
+    ),
+    row(
+        Kind::StillRunning,
+        409,
+        "still-running",
+        Ran::Yes,
+        1,
+        "The call with this key is running; come back with the same key.",
+    ),
+    row(
+        Kind::MayHaveRun,
+        409,
+        "may-have-run",
+        Ran::Unknown,
+        0,
+        "The call may have run and will not be run again; check its effect.",
+    ),
+    row(
+        Kind::RecordsFull,
+        503,
+        "records-full",
+        Ran::No,
+        60,
+        "No record can be kept for this call now; come back after the given time.",
+    ),
+    row(
+        Kind::EngineKiller,
+        422,
+        "engine-killer",
+        Ran::Yes,
+        600,
+        "Engines died while running this request; change it before you send it again.",
+    ),
+    row(
+        Kind::EngineFailed,
+        502,
+        "engine-failed",
+        Ran::Yes,
+        1,
+        "The engine failed and the answer is not whole; send the request again.",
+    ),
+    row(
+        Kind::Silent,
+        504,
+        "silent",
+        Ran::Yes,
+        1,
+        "The back end fell silent and the answer is not whole; send the request again.",
+    ),
+    row(
+        Kind::ServiceDown,
+        502,
+        "service-down",
+        Ran::No,
+        2,
+        "The service cannot be reached; come back after the given time.",
+    ),
+    row(
+        Kind::ServiceFailed,
+        502,
+        "service-failed",
+        Ran::Unknown,
+        0,
+        "The service broke off; the call may have run.",
+    ),
+    row(
+        Kind::CallerLeft,
+        499,
+        "caller-left",
+        Ran::Unknown,
+        0,
+        "The caller closed its connection.",
+    ),
+    row(
+        Kind::Internal,
+        500,
+        "internal",
+        Ran::Unknown,
+        0,
+        "Report this request id to the operators.",
+    ),
+];
+
+impl Kind {
+    /// Every kind, in the order of the table.
+    pub const ALL: [Self; 24] = [
+        Self::Malformed,
+        Self::TooLarge,
+        Self::TooSlow,
+        Self::BadKey,
+        Self::NotFound,
+        Self::NotAllowed,
+        Self::ShareSpent,
+        Self::Overloaded,
+        Self::NoEngine,
+        Self::CutOff,
+        Self::Stopping,
+        Self::StoreDown,
+        Self::KeyMissing,
+        Self::KeyReused,
+        Self::StillRunning,
+        Self::MayHaveRun,
+        Self::RecordsFull,
+        Self::EngineKiller,
+        Self::EngineFailed,
+        Self::Silent,
+        Self::ServiceDown,
+        Self::ServiceFailed,
+        Self::CallerLeft,
+        Self::Internal,
+    ];
+
+    /// Returns the answer for this kind.
+    #[must_use]
+    pub const fn answer(self) -> Answer {
+        TABLE[self as usize].1
+    }
+
+    /// Returns the kind with this code.
+    #[must_use]
+    pub fn from_code(code: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.answer().code == code)
+    }
+}
+
+/// Builds the problem document (RFC 9457) for a request that was not answered in full.
+///
+/// `retry` is rounded up to whole seconds, as in the `Retry-After` header.
+#[must_use]
+pub fn problem(kind: Kind, ran: Ran, detail: &str, id: &str, retry: Option<Duration>) -> Value {
+    let answer = kind.answer();
+    let mut body = json!({
+        "type": format!("urn:chiveway:{}", answer.code),
+        "title": answer.title,
+        "status": answer.status,
+        "detail": detail,
+        "ran": ran.word(),
+        "request_id": id,
+    });
+    if let Some(retry) = retry {
+        body["retry_after"] = json!(whole_secs(retry));
+    }
+    body
+}
+
+/// Rounds up to whole seconds, at least one.
+#[must_use]
+pub fn whole_secs(time: Duration) -> u64 {
+    let secs = time.as_secs() + u64::from(time.subsec_nanos() > 0);
+    secs.max(1)
+}
--- /dev/null
+++ b/src/lists/mod.rs
@@ -0,0 +1,71 @@
+//! The operators' two lists: the customers' plans, and what each plan may use.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// BLAKE3 hash of a customer's key; the key itself is never stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyHash(pub [u8; 32]);
+
+/// Both lists at one revision.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Lists {
+    /// Grows by one with each accepted edit; 0 before the first.
+    pub revision: u64,
+    /// The customers' plans.
+    pub plans: Plans,
+    /// What each plan may use.
+    pub uses: Uses,
+}
+
+/// First list: which plan each customer is on.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Plans {
+    /// Customers by name.
+    pub customers: BTreeMap<Box<str>, Customer>,
+}
+
+/// One customer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Customer {
+    /// Name of the customer's plan.
+    pub plan: Box<str>,
+    /// Hashes of the keys that the customer may send.
+    pub keys: Vec<KeyHash>,
+}
+
+/// Second list: what each plan may use, and which service calls may be repeated.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Uses {
+    /// Allowances by plan name.
+    pub plans: BTreeMap<Box<str>, Allowance>,
+    /// Rules by service name.
+    pub services: BTreeMap<Box<str>, Vec<Rule>>,
+}
+
+/// What one plan may use, over all hosts and all its customers together.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Allowance {
+    /// Models by name.
+    pub models: BTreeSet<Box<str>>,
+    /// Services by name.
+    pub services: BTreeSet<Box<str>>,
+    /// Requests a second; `None` for no limit.
+    pub requests: Option<f64>,
+    /// Prompt and output tokens a second together; `None` for no limit.
+    pub tokens: Option<f64>,
+    /// Requests running at once; `None` for no limit.
+    pub running: Option<u32>,
+    /// Order in which the engines serve waiting requests; higher goes first, 0 to 9.
+    pub priority: u8,
+}
+
+/// Whether calls that match may be repeated; the first rule that matches decides.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rule {
+    /// HTTP method, upper case; `*` for any.
+    pub method: Box<str>,
+    /// Path below the service; a final `*` matches any rest.
+    pub path: Box<str>,
+    /// Whether a call may be run more than once.
+    pub repeat: bool,
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,6 @@
+//! The `chiveway` program.
+
+#[global_allocator]
+static ALLOC: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() {}
--- /dev/null
+++ b/src/web.rs
@@ -0,0 +1,158 @@
+//! HTTP/1.1 server shared by every listener: accept loop, limits, graceful stop.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use ntex::http::{HttpService, HttpServiceConfig, Request, Response, ResponseError, StatusCode};
+use ntex::service::cfg::SharedCfg;
+use ntex::service::{Pipeline, ServiceFactory, fn_service};
+use ntex::time::Seconds;
+use snafu::Snafu;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Most headers a request may carry; more get 431.
+const MAX_HEADERS: usize = 64;
+/// Most bytes of request line and headers together.
+const MAX_HEAD: usize = 32 * 1024;
+/// Time a caller has to send all headers before the connection is closed.
+const HEAD_TIME: Seconds = Seconds(10);
+/// Idle time after which a kept-alive connection is closed by this side.
+///
+/// Clients here drop idle connections after [`crate::web::CLIENT_IDLE`], which is shorter,
+/// so that a request is not written to a connection this side is closing.
+const SERVER_IDLE: Seconds = Seconds(75);
+/// Idle time after which clients in this program drop a pooled connection.
+pub const CLIENT_IDLE: Seconds = Seconds(4);
+
+/// A failure inside a handler; answered with 500 and never shown in detail.
+#[derive(Debug, Snafu)]
+#[snafu(display("the handler failed"))]
+pub struct HandlerError;
+
+impl ResponseError for HandlerError {}
+
+/// Counts open connections and open requests of one listener.
+#[derive(Debug, Clone, Default)]
+pub struct Gauge(Rc<Cell<usize>>);
+
+impl Gauge {
+    /// Returns the number of holds not yet dropped.
+    #[must_use]
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+
+    /// Counts one more until the returned hold is dropped.
+    #[must_use]
+    pub fn hold(&self) -> Hold {
+        self.0.set(self.0.get() + 1);
+        Hold(Rc::clone(&self.0))
+    }
+}
+
+/// One counted connection or request.
+#[derive(Debug)]
+pub struct Hold(Rc<Cell<usize>>);
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Opens a listener on `addr`; port 0 lets the kernel choose.
+///
+/// # Errors
+///
+/// Returns the error of the bind.
+pub async fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(addr).await
+}
+
+/// Serves connections of `listener` with `handler` until `stop` turns true or its sender is gone.
+///
+/// Each connection runs as its own task on this thread. Returning drops the listener, so that
+/// new connections are refused; connections already open go on until their caller closes them
+/// or the handler answers with `Connection: close`.
+pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handler: H)
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response> + 'static,
+{
+    let config = HttpServiceConfig::new()
+        .set_max_headers(MAX_HEADERS)
+        .set_max_buf_size(MAX_HEAD)
+        .set_client_timeout(HEAD_TIME)
+        .set_keepalive_timeout(SERVER_IDLE);
+    let cfg = SharedCfg::new("http").add(config).build();
+    let service = HttpService::h1(fn_service(move |req: Request| {
+        let answer = handler(req);
+        async move { Ok::<_, HandlerError>(answer.await) }
+    }));
+    let Ok(service) = service.create(cfg.clone()).await else {
+        return;
+    };
+    let service = Pipeline::new(service);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            changed = stop.changed() => {
+                if changed.is_err() || *stop.borrow() {
+                    return;
+                }
+                continue;
+            }
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of file descriptors, most often: accepting again at once would spin.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let io = stream
+            .set_nodelay(true)
+            .and_then(|()| stream.into_std())
+            .and_then(|stream| ntex::rt::from_tcp_stream(stream, cfg.clone()));
+        if let Ok(io) = io {
+            let call = service.call_static(io);
+            ntex::rt::spawn(async move {
+                if let Err(err) = call.await {
+                    log::debug!("connection closed: {err}");
+                }
+            });
+        }
+    }
+}
+
+/// Reads a request body of at most `limit` bytes within `time`.
+///
+/// # Errors
+///
+/// Returns the status to answer with: 413 for too many bytes, 408 for a slow sender, 400 for a
+/// body cut short.
+pub async fn read_body(
+    req: &mut Request,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, StatusCode> {
+    let mut payload = req.take_payload();
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(part) = ntex::util::stream_recv(&mut payload).await {
+            let part = part.map_err(|_cut| StatusCode::BAD_REQUEST)?;
+            if body.len() + part.len() > limit {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    };
+    timeout(time, read)
+        .await
+        .unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+}
