Call engines and services, and tell whether a call may have run

Cause: the core needs streamed answers, load, cache events, orders and plain calls, each with a truthful word on whether the request ran.

Ruled out: reading it from the library's error. ntex reports a connection lost before the answer as ConnectError::Disconnected, the same as one never made. Ruled out too: no limit on pooled connections; with limit 0 the pool never wakes callers that wait while a connection is being made (its check is "acquired < limit").

Change: the request's body notes when the library asks for its size, which it does once it holds a connection and before the first byte is written. Redirects, default headers and the library's coarse timers are off. Event parser bounded in line and event size.

--- /dev/null
+++ b/src/backend/client.rs
@@ -0,0 +1,318 @@
+//! HTTP client with every default set, and the classification of its failures.
+
+use std::cell::Cell;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use ntex::client::{ClientResponse, Connector};
+use ntex::http::Method;
+use ntex::http::body::{Body, BodySize, MessageBody};
+use ntex::http::header::RETRY_AFTER;
+use ntex::io::IoConfig;
+use ntex::service::cfg::SharedCfg;
+use ntex::time::{Millis, Seconds};
+use snafu::Snafu;
+use tokio::time::timeout;
+
+use crate::error::Ran;
+use crate::web::CLIENT_IDLE;
+
+/// Header by which a back end says that it did not run a request.
+pub(super) const RAN_HEADER: &str = "x-ran";
+/// Connections in all; the library's meaning of 0, no limit, leaves waiting callers asleep.
+const CONNECTIONS: usize = 65_536;
+/// Most bytes kept of the body of an answer other than 200 to a streamed call.
+const REFUSAL_LIMIT: usize = 64 * 1024;
+
+/// Times and limits of a [`Client`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Time to get a connection, pooled or new.
+    pub connect: Duration,
+    /// Time from the request's first byte to the answer's head.
+    pub head: Duration,
+    /// Time from the answer's head to the end of a collected body.
+    pub body: Duration,
+    /// Age at which a connection is no longer reused; whole seconds, at least 1.
+    pub age: Duration,
+    /// Most bytes of a collected body.
+    pub limit: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            head: Duration::from_secs(30),
+            body: Duration::from_secs(30),
+            age: Duration::from_mins(1),
+            limit: 8 * 1024 * 1024,
+        }
+    }
+}
+
+/// Why a call has no answer that can be used.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum OpenError {
+    /// The address, path or a header cannot be written as HTTP.
+    #[snafu(display("the request cannot be written as HTTP"))]
+    Invalid,
+    /// No connection was made; no byte of the request was handed to a socket.
+    #[snafu(display("no connection was made"))]
+    Connect,
+    /// The connection broke after the request was handed to it and before the whole answer.
+    #[snafu(display("the connection broke before the answer was whole"))]
+    Lost,
+    /// No whole answer came in time.
+    #[snafu(display("no answer came in time"))]
+    Late,
+    /// The answer is longer than the client takes, or not in the form of the protocol.
+    #[snafu(display("the answer cannot be read"))]
+    Unreadable,
+    /// The back end answered with a status other than the one that opens a stream.
+    #[snafu(display("the back end answered {status}"))]
+    Status {
+        /// HTTP status.
+        status: u16,
+        /// [`Ran::No`] if the back end said so.
+        ran: Ran,
+        /// When the back end asks to come back.
+        retry: Option<Duration>,
+        /// Body, cut at 64 KiB.
+        body: Bytes,
+    },
+}
+
+impl OpenError {
+    /// Returns whether the request ran, as far as this side can know.
+    #[must_use]
+    pub fn ran(&self) -> Ran {
+        match self {
+            Self::Invalid | Self::Connect => Ran::No,
+            Self::Lost | Self::Late => Ran::Unknown,
+            Self::Unreadable => Ran::Yes,
+            Self::Status { ran, .. } => *ran,
+        }
+    }
+
+    /// Returns the HTTP status, if there was an answer.
+    #[must_use]
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            Self::Status { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+}
+
+/// One call.
+#[derive(Debug, Clone)]
+pub struct Call<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Address of the back end.
+    pub addr: SocketAddr,
+    /// Path with query, beginning with a slash.
+    pub path: &'a str,
+    /// Names and values.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// Body; may be empty.
+    pub body: Bytes,
+}
+
+/// A whole answer of a back end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status; redirects are given as they came.
+    pub status: u16,
+    /// Names in lower case and values, in the order they came.
+    pub headers: Vec<(Box<str>, Box<str>)>,
+    /// Body.
+    pub body: Bytes,
+    /// [`Ran::No`] if the back end said so.
+    pub ran: Ran,
+}
+
+/// Pool of connections to back ends; belongs to one thread.
+#[derive(Debug, Clone)]
+pub struct Client {
+    http: ntex::client::Client,
+    opts: Options,
+}
+
+impl Client {
+    /// Builds a client; must run inside the runtime it will be used in.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if the connector cannot be made.
+    pub async fn new(opts: Options) -> Result<Self, ntex::client::error::ClientBuilderError> {
+        let age = u16::try_from(opts.age.as_secs().max(1)).unwrap_or(u16::MAX);
+        let connector = Connector::new()
+            .limit(CONNECTIONS)
+            .keep_alive(CLIENT_IDLE)
+            .lifetime(Seconds(age));
+        let io = IoConfig::new().set_connect_timeout(millis(opts.connect));
+        let http = ntex::client::Client::builder()
+            .connector::<()>(connector)
+            .disable_redirects()
+            .no_default_headers()
+            // Times are kept here, on timers finer than the library's.
+            .disable_timeout()
+            .response_payload_limit(opts.limit)
+            .response_payload_timeout(Millis::ZERO)
+            .build(SharedCfg::new("backend").add(io).build())
+            .await?;
+        Ok(Self { http, opts })
+    }
+
+    /// Sends a call and collects its answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer.
+    pub async fn call(&self, call: Call<'_>) -> Result<Answer, OpenError> {
+        let response = self.send(call).await?;
+        let headers = response
+            .headers()
+            .iter()
+            .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
+            .collect();
+        let (status, ran) = (response.status().as_u16(), ran(&response));
+        let body = collect(response, self.opts.limit);
+        let body = timeout(self.opts.body, body).await;
+        let body = body.unwrap_or(Err(OpenError::Late))?;
+        Ok(Answer {
+            status,
+            headers,
+            body,
+            ran,
+        })
+    }
+
+    /// Sends a call and returns the answer's head with the body still to be read.
+    pub(super) async fn send(&self, call: Call<'_>) -> Result<ClientResponse, OpenError> {
+        let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
+            return Err(OpenError::Invalid);
+        };
+        let url = format!("http://{}{}", call.addr, call.path);
+        let mut request = self.http.request(method, url).address(call.addr);
+        for (name, value) in call.headers {
+            request = request.header(*name, *value);
+        }
+        let handed = Rc::new(Cell::new(Handed::No));
+        let body = Watched {
+            body: call.body,
+            handed: Rc::clone(&handed),
+        };
+        let send = request.send_body(Body::from_message(body));
+        tokio::pin!(send);
+        let early = timeout(self.opts.connect, send.as_mut()).await;
+        let result = match (early, handed.get()) {
+            (Ok(result), _) => result,
+            (Err(_), Handed::No) => return Err(OpenError::Connect),
+            (Err(_), Handed::Yes) => timeout(self.opts.head, send)
+                .await
+                .map_err(|_late| OpenError::Late)?,
+        };
+        result.map_err(|err| match (handed.get(), err) {
+            (Handed::No, ntex::client::error::ClientError::Connect(_)) => OpenError::Connect,
+            (Handed::No, _) => OpenError::Invalid,
+            (Handed::Yes, _) => OpenError::Lost,
+        })
+    }
+}
+
+/// Whether a request was handed to a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Handed {
+    No,
+    Yes,
+}
+
+/// A body that notes when the library takes the request to a connection.
+///
+/// The library reports a connection lost before the answer with the same error as a connection
+/// never made; taken at its word, a request that ran would be called "not run". It asks a body
+/// for its size only once it holds a connection and before it writes the first byte, so that a
+/// body never asked belongs to a request of which no byte was written.
+struct Watched {
+    body: Bytes,
+    handed: Rc<Cell<Handed>>,
+}
+
+impl MessageBody for Watched {
+    fn size(&self) -> BodySize {
+        self.handed.set(Handed::Yes);
+        if self.body.is_empty() {
+            BodySize::Empty
+        } else {
+            BodySize::Sized(self.body.len() as u64)
+        }
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<ntex::util::Bytes, Rc<dyn Error>>>> {
+        let body = std::mem::take(&mut self.body);
+        if body.is_empty() {
+            return Poll::Ready(None);
+        }
+        Poll::Ready(Some(Ok(ntex::util::Bytes::copy_from_slice(&body))))
+    }
+}
+
+/// Returns what the answer's head says about the request.
+fn ran(response: &ClientResponse) -> Ran {
+    match response.header(RAN_HEADER) {
+        Some(value) if value.as_bytes() == b"no" => Ran::No,
+        _ if response.status().is_success() => Ran::Yes,
+        _ => Ran::Unknown,
+    }
+}
+
+/// Turns an answer that opens no stream into an error.
+pub(super) async fn refusal(response: ClientResponse, time: Duration) -> OpenError {
+    let status = response.status().as_u16();
+    let ran = ran(&response);
+    let retry = response
+        .header(RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .map(Duration::from_secs);
+    let body = timeout(time, collect(response, REFUSAL_LIMIT)).await;
+    OpenError::Status {
+        status,
+        ran,
+        retry,
+        body: body.map_or(Bytes::new(), Result::unwrap_or_default),
+    }
+}
+
+async fn collect(mut response: ClientResponse, limit: usize) -> Result<Bytes, OpenError> {
+    let mut body = BytesMut::new();
+    while let Some(part) = ntex::util::stream_recv(&mut response).await {
+        let part = part.map_err(|_broken| OpenError::Lost)?;
+        if body.len() + part.len() > limit {
+            return Err(OpenError::Unreadable);
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
+
+fn millis(time: Duration) -> Millis {
+    Millis(u32::try_from(time.as_millis()).unwrap_or(u32::MAX))
+}
+
+impl Client {
+    /// Returns the options the client was built with.
+    #[must_use]
+    pub fn options(&self) -> &Options {
+        &self.opts
+    }
+}
--- /dev/null
+++ b/src/backend/stream.rs
@@ -0,0 +1,204 @@
+//! A streamed answer of an engine, chunk by chunk.
+
+use std::borrow::Cow;
+use std::fmt;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use ntex::client::ClientResponse;
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu};
+
+use super::client::{Call, Client, OpenError, refusal};
+use super::sse::{Event, Parser, SseError};
+
+/// Header that names the attempt.
+pub(super) const ATTEMPT_HEADER: &str = "x-attempt-id";
+/// Header that names the offset to resume from.
+const RESUME_HEADER: &str = "last-event-id";
+/// Header that names the priority; it outranks the field of the same name in the body.
+const PRIORITY_HEADER: &str = "x-priority";
+/// Data of the event that ends a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// Why a stream cannot be read on.
+#[derive(Debug, Snafu)]
+pub enum ReadError {
+    /// The connection broke.
+    #[snafu(display("the connection broke"))]
+    Lost,
+    /// The answer ended without the event that ends a stream.
+    #[snafu(display("the stream ended early"))]
+    Short,
+    /// The stream is not made of events.
+    #[snafu(display("the stream cannot be read: {source}"))]
+    Broken {
+        /// What is wrong with it.
+        source: SseError,
+    },
+    /// The data of an event is not a chunk of an answer.
+    #[snafu(display("an event of the stream is no chunk"))]
+    BadChunk,
+}
+
+/// One chunk of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Chunk {
+    /// Offset of the token that follows this chunk.
+    pub offset: u64,
+    /// The event's data: the chunk as JSON.
+    pub data: Bytes,
+    /// Whether the chunk carries the finish reason.
+    pub end: bool,
+}
+
+/// A streamed answer; dropping it closes its connection, which cancels the attempt.
+pub struct Stream {
+    response: ClientResponse,
+    parser: Parser,
+    attempt: Box<str>,
+    state: State,
+    foreign: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Open,
+    Done,
+}
+
+/// The fields of a chunk that this side reads.
+#[derive(Deserialize)]
+struct Head<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    finish_reason: Option<Cow<'a, str>>,
+}
+
+/// Opens a streamed answer.
+///
+/// `resume` is the offset of the next token wanted of an attempt that is already running or
+/// finished on this engine; without it the engine starts the attempt.
+///
+/// # Errors
+///
+/// Returns why no stream was opened, and with it whether the request ran.
+pub async fn open(
+    client: &Client,
+    addr: SocketAddr,
+    path: &str,
+    body: Bytes,
+    attempt: &str,
+    resume: Option<u64>,
+    priority: i64,
+) -> Result<Stream, OpenError> {
+    let priority = priority.to_string();
+    let resume = resume.map(|offset| offset.to_string());
+    let mut headers = vec![
+        ("content-type", "application/json"),
+        ("accept", "text/event-stream"),
+        (ATTEMPT_HEADER, attempt),
+        (PRIORITY_HEADER, &priority),
+    ];
+    if let Some(offset) = &resume {
+        headers.push((RESUME_HEADER, offset));
+    }
+    let call = Call {
+        method: "POST",
+        addr,
+        path,
+        headers: &headers,
+        body,
+    };
+    let response = client.send(call).await?;
+    if response.status() != ntex::http::StatusCode::OK {
+        return Err(refusal(response, client.options().body).await);
+    }
+    Ok(Stream {
+        response,
+        parser: Parser::new(),
+        attempt: attempt.into(),
+        state: State::Open,
+        foreign: 0,
+    })
+}
+
+impl Stream {
+    /// Returns the next chunk in order of arrival, or `None` after the event that ends the stream.
+    ///
+    /// Chunks of other attempts are left out and counted; repeated and reordered chunks are
+    /// given as they came.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream cannot be read on; it must be dropped then.
+    pub async fn next(&mut self) -> Result<Option<Chunk>, ReadError> {
+        while self.state == State::Open {
+            while let Some(event) = self.parser.pop() {
+                if event.data == DONE {
+                    self.finish();
+                    return Ok(None);
+                }
+                if let Some(chunk) = self.chunk(event)? {
+                    return Ok(Some(chunk));
+                }
+            }
+            match ntex::util::stream_recv(&mut self.response).await {
+                Some(Ok(part)) => self.parser.push(&part).context(BrokenSnafu)?,
+                Some(Err(_broken)) => return Err(ReadError::Lost),
+                None => return Err(ReadError::Short),
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the number of chunks of other attempts that were left out.
+    #[must_use]
+    pub fn foreign(&self) -> u64 {
+        self.foreign
+    }
+
+    fn chunk(&mut self, event: Event) -> Result<Option<Chunk>, ReadError> {
+        let Ok(head) = serde_json::from_slice::<Head<'_>>(&event.data) else {
+            return Err(ReadError::BadChunk);
+        };
+        // A chunk of another attempt inside this stream would end up in the wrong caller's
+        // answer; the caller would see words that do not belong to its request.
+        if *head.id != *self.attempt {
+            self.foreign += 1;
+            return Ok(None);
+        }
+        let end = head.choices.iter().any(|c| c.finish_reason.is_some());
+        let offset = event.id.ok_or(ReadError::BadChunk)?;
+        let data = event.data;
+        Ok(Some(Chunk { offset, data, end }))
+    }
+
+    /// Reads the end of the body, so that the connection goes back to the pool.
+    fn finish(&mut self) {
+        self.state = State::Done;
+        let rest = ntex::util::stream_recv(&mut self.response);
+        // The end of the body is most often in the same packet; a back end that holds it back
+        // costs a connection, not the answer.
+        if let Some(Some(Ok(_))) = futures_util::FutureExt::now_or_never(rest) {
+            log::debug!("data after the end of a stream");
+        }
+    }
+}
+
+impl fmt::Debug for Stream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Stream")
+            .field("attempt", &self.attempt)
+            .field("state", &self.state)
+            .field("foreign", &self.foreign)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/backend/tests.rs
@@ -0,0 +1,83 @@
+//! Tests of the parser of server-sent events.
+
+use proptest::prelude::*;
+
+use super::sse::{Event, Parser, SseError};
+
+fn parse(parts: &[&[u8]]) -> Result<Vec<Event>, SseError> {
+    let mut parser = Parser::new();
+    let mut events = Vec::new();
+    for part in parts {
+        parser.push(part)?;
+        events.extend(std::iter::from_fn(|| parser.pop()));
+    }
+    Ok(events)
+}
+
+type Owned = Result<Vec<(Option<u64>, String)>, SseError>;
+
+fn owned(want: Result<Vec<(Option<u64>, &str)>, SseError>) -> Owned {
+    Ok(want?
+        .into_iter()
+        .map(|(id, data)| (id, data.to_owned()))
+        .collect())
+}
+
+macro_rules! cases {
+    ($($name:ident: $input:expr => $want:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let got = parse(&[$input.as_ref()]).map(|events| {
+                events
+                    .into_iter()
+                    .map(|e| (e.id, String::from_utf8_lossy(&e.data).into_owned()))
+                    .collect::<Vec<_>>()
+            });
+            let want = owned($want);
+            assert_eq!(got, want);
+        }
+    )*};
+}
+
+cases! {
+    nothing: "" => Ok(vec![]);
+    one_event: "id: 1\ndata: a\n\n" => Ok(vec![(Some(1), "a")]);
+    carriage_returns: "id: 1\rdata: a\r\r" => Ok(vec![(Some(1), "a")]);
+    both_line_ends: "id: 1\r\ndata: a\r\n\r\n" => Ok(vec![(Some(1), "a")]);
+    many_data_lines: "data: a\ndata:b\ndata\n\n" => Ok(vec![(None, "a\nb\n")]);
+    id_is_kept: "id: 1\ndata: a\n\ndata: b\n\n" => Ok(vec![(Some(1), "a"), (Some(1), "b")]);
+    id_without_data: "id: 4\n\ndata: a\n\n" => Ok(vec![(Some(4), "a")]);
+    comments_and_others: ": ping\nevent: x\nretry: 9\ndata: a\n\n" => Ok(vec![(None, "a")]);
+    only_one_space_goes: "data:  a \n\n" => Ok(vec![(None, " a ")]);
+    byte_order_mark: "\u{feff}data: a\n\n" => Ok(vec![(None, "a")]);
+    cut_short: "data: a\n\ndata: b\n" => Ok(vec![(None, "a")]);
+    bad_id: "id: x1\n" => Err(SseError::BadId);
+    signed_id: "id: +1\n" => Err(SseError::BadId);
+    huge_id: "id: 18446744073709551616\n" => Err(SseError::BadId);
+    longest_line: format!("data:{}\n\n", "a".repeat(65_531)) => Ok(vec![(None, &*"a".repeat(65_531))]);
+    line_too_long: format!("data:{}\n\n", "a".repeat(65_532)) => Err(SseError::LongLine);
+    unended_line_too_long: "a".repeat(65_537) => Err(SseError::LongLine);
+    event_too_long: format!("data:{}\n", "a".repeat(60_000)).repeat(5) => Err(SseError::LongEvent);
+}
+
+proptest! {
+    #[test]
+    fn splits_do_not_matter(
+        text in proptest::collection::vec(
+            "((id: [0-9]{1,3})|(data: ?[a-z]{0,3})|(:[a-z]?)|x)?((\r\n)|\n|\r){1,2}", 0..12),
+        cuts in proptest::collection::vec(0_usize..200, 0..12),
+    ) {
+        let text = text.concat();
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(text.len())).collect();
+        cuts.extend([0, text.len()]);
+        cuts.sort_unstable();
+        let parts: Vec<&[u8]> = cuts.windows(2).map(|w| &text.as_bytes()[w[0]..w[1]]).collect();
+        prop_assert_eq!(parse(&parts), parse(&[text.as_bytes()]));
+    }
+
+    #[test]
+    fn any_bytes_end_in_events_or_an_error(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let ones: Vec<&[u8]> = bytes.chunks(1).collect();
+        prop_assert_eq!(parse(&ones), parse(&[&bytes]));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Serves language-model requests from a fixed fleet of engines and explains what became of each.
 
+pub mod backend;
 pub mod error;
 pub mod lists;
 pub mod settings;
