Add stand-ins for engines and plain services

Cause: tests and trials need engines that batch, cache, resume, cancel, take fenced orders and fail on demand, and services that count their calls.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod error;
 pub mod lists;
 pub mod settings;
+pub mod standin;
 pub mod web;
--- /dev/null
+++ b/src/standin/engine/mod.rs
@@ -0,0 +1,180 @@
+//! Stand-in for a model engine.
+//!
+//! It speaks the completions protocol with streamed, resumable answers, batches continuously,
+//! caches prompt prefixes, exports and imports prompts, takes orders, and fails on demand.
+
+mod answer;
+mod batch;
+mod cache;
+mod options;
+mod orders;
+mod reader;
+mod routes;
+mod state;
+mod wire;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, sleep, sleep_until};
+
+pub use answer::{expected, pieces, prompt_tokens};
+pub use cache::CacheOptions;
+pub use options::{Answers, Costs, Crash, Fencing, Options, Pace, Role};
+pub use wire::chat_prompt;
+
+use self::batch::{End, Plan};
+use self::state::{State, Timer};
+use crate::backend::Client;
+use crate::web;
+
+/// Time by which the batch may be behind its clock and still catch up.
+const CATCH_UP: Duration = Duration::from_millis(5);
+/// Time between two tries to listen again after a crash.
+const LISTEN_AGAIN: Duration = Duration::from_millis(20);
+
+/// What the engine's tasks share.
+struct Shared {
+    state: RefCell<State>,
+    /// Woken when work arrives.
+    work: Notify,
+    /// Woken when a timer is set.
+    timer: Notify,
+    /// Woken when the engine crashes.
+    crash: Notify,
+    client: Client,
+}
+
+impl Shared {
+    /// Ends the process, or forgets everything and has the listener closed for a while.
+    fn crash(&self) {
+        if self.state.borrow().opts.crash == Crash::Exit {
+            std::process::exit(1);
+        }
+        self.state.borrow_mut().wipe();
+        self.crash.notify_one();
+    }
+}
+
+/// Closes all connections when the engine's future is dropped, as the end of a process would.
+struct Closer(Rc<Shared>);
+
+impl Drop for Closer {
+    fn drop(&mut self) {
+        self.0.state.borrow_mut().wipe();
+    }
+}
+
+/// Serves until dropped; must run inside an ntex system.
+pub async fn run(listener: TcpListener, opts: Options) {
+    let Ok(addr) = listener.local_addr() else {
+        return;
+    };
+    let Ok(client) = Client::new(crate::backend::Options::default()).await else {
+        return;
+    };
+    let shared = Rc::new(Shared {
+        state: RefCell::new(State::new(opts)),
+        work: Notify::new(),
+        timer: Notify::new(),
+        crash: Notify::new(),
+        client,
+    });
+    let _closer = Closer(Rc::clone(&shared));
+    let mut listener = Some(listener);
+    loop {
+        let open = match listener.take() {
+            Some(open) => open,
+            None => listen_again(addr).await,
+        };
+        let (_stop, stopped) = watch::channel(false);
+        let handler = {
+            let shared = Rc::clone(&shared);
+            move |req| routes::handle(Rc::clone(&shared), req)
+        };
+        tokio::select! {
+            () = web::serve(open, stopped, handler) => return,
+            () = steps(&shared) => {}
+            () = timers(&shared) => {}
+            () = shared.crash.notified() => {}
+        }
+        let crash = shared.state.borrow().opts.crash;
+        if let Crash::Restart(time) = crash {
+            sleep(time).await;
+        }
+    }
+}
+
+async fn listen_again(addr: SocketAddr) -> TcpListener {
+    loop {
+        match web::listen(addr).await {
+            Ok(listener) => return listener,
+            Err(_taken) => sleep(LISTEN_AGAIN).await,
+        }
+    }
+}
+
+/// Runs the batch until the engine crashes.
+async fn steps(shared: &Shared) {
+    let mut due = Instant::now();
+    loop {
+        let plan = shared.state.borrow_mut().plan();
+        match plan {
+            Plan::Idle => {
+                shared.work.notified().await;
+                due = Instant::now();
+            }
+            Plan::Crash => {
+                shared.crash();
+                return;
+            }
+            Plan::Step(step) => {
+                if step.time.is_zero() {
+                    tokio::task::yield_now().await;
+                } else {
+                    due = due.max(Instant::now().checked_sub(CATCH_UP).unwrap_or(due)) + step.time;
+                    sleep_until(due).await;
+                }
+                shared.state.borrow_mut().apply(&step);
+            }
+        }
+    }
+}
+
+/// Runs the engine's timers until one of them crashes it.
+async fn timers(shared: &Shared) {
+    loop {
+        let next = shared.state.borrow().timers.keys().next().copied();
+        let Some((at, _)) = next else {
+            shared.timer.notified().await;
+            continue;
+        };
+        tokio::select! {
+            () = sleep_until(at) => {}
+            () = shared.timer.notified() => continue,
+        }
+        let mut state = shared.state.borrow_mut();
+        match state.timers.pop_first().map(|(_, timer)| timer) {
+            Some(Timer::Orphan(key, opened)) => {
+                let run = state.batch.runs.get(key);
+                if run.is_some_and(|run| run.readers == 0 && run.opened == opened) {
+                    state.end(key, End::Cancelled);
+                }
+            }
+            Some(Timer::Half(n))
+                if state.changing(n) && state.faults.crash_mid_change == Some(true) =>
+            {
+                state.faults.crash_mid_change = None;
+                drop(state);
+                shared.crash();
+                return;
+            }
+            Some(Timer::Changed(n)) if state.changing(n) => state.finish_change(),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/options.rs
@@ -0,0 +1,188 @@
+//! What a stand-in engine is told at its start, and the faults it is told later.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::cache::CacheOptions;
+
+/// Part of the work an engine takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Prompts and answers.
+    Both,
+    /// Prompts only, for export.
+    Prefill,
+    /// Answers to imported prompts only.
+    Decode,
+}
+
+impl Role {
+    /// Returns the role's name in the protocol.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Both => "both",
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        }
+    }
+
+    /// Returns the role of that name.
+    #[must_use]
+    pub fn parse(word: &str) -> Option<Self> {
+        [Self::Both, Self::Prefill, Self::Decode]
+            .into_iter()
+            .find(|role| role.word() == word)
+    }
+}
+
+/// How long work takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Pace {
+    /// No time at all.
+    Instant,
+    /// Steps of a batch.
+    Steps(Costs),
+}
+
+/// Time of the parts of one step of a batch.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Costs {
+    /// Each step.
+    pub base: Duration,
+    /// Each prompt token worked through in the step.
+    pub prefill: Duration,
+    /// Each running answer, which gains one token in the step.
+    pub decode: Duration,
+    /// Each imported prompt token, before the request joins the queue.
+    pub import: Duration,
+    /// Divides all times.
+    pub speed: f64,
+}
+
+/// What an engine does with orders that carry an old fencing number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fencing {
+    /// Refuses them.
+    Checks,
+    /// Carries out every order.
+    Ignores,
+}
+
+/// What an answer depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answers {
+    /// Model and prompt.
+    Same,
+    /// Model, prompt and the engine's name.
+    Diverge,
+}
+
+/// What a crash does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Crash {
+    /// Ends the process with code 1.
+    Exit,
+    /// Closes all connections, forgets everything, and listens again after this time.
+    Restart(Duration),
+}
+
+/// What a stand-in engine is told at its start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name, shown in answers.
+    pub name: Box<str>,
+    /// Model loaded at the start.
+    pub model: Box<str>,
+    /// Role at the start.
+    pub role: Role,
+    /// How long work takes.
+    pub pace: Pace,
+    /// Requests in the batch at most.
+    pub slots: usize,
+    /// Requests waiting at most; more get 503.
+    pub queue: usize,
+    /// Prefix cache.
+    pub cache: CacheOptions,
+    /// Age of load reports.
+    pub lag: Duration,
+    /// Time a change of role, model, adapter or version takes.
+    pub change: Duration,
+    /// Time an attempt without a reader goes on.
+    pub grace: Duration,
+    /// Time a finished attempt can still be resumed.
+    pub keep: Duration,
+    /// Orders with old fencing numbers.
+    pub fencing: Fencing,
+    /// What answers depend on.
+    pub answers: Answers,
+    /// What a crash does.
+    pub crash: Crash,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            name: "engine".into(),
+            model: "model".into(),
+            role: Role::Both,
+            pace: Pace::Instant,
+            slots: 32,
+            queue: 10_000,
+            cache: CacheOptions::default(),
+            lag: Duration::ZERO,
+            change: Duration::from_secs(2),
+            grace: Duration::from_millis(500),
+            keep: Duration::from_mins(1),
+            fencing: Fencing::Checks,
+            answers: Answers::Same,
+            crash: Crash::Restart(Duration::from_millis(500)),
+        }
+    }
+}
+
+/// Faults, set by `POST /fault` with any subset of the fields.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct Faults {
+    /// The engine crashes when a prompt with this text joins the batch; empty for none.
+    pub crash_on: Option<Box<str>>,
+    /// The engine crashes halfway through its next change.
+    pub crash_mid_change: Option<bool>,
+    /// Connections open now go silent for good.
+    pub silent: Option<bool>,
+    /// Divides all times, in place of the option.
+    pub speed: Option<f64>,
+    /// New work is refused with 503.
+    pub refuse: Option<bool>,
+    /// The next stream that has sent this many tokens is closed, once; 0 for none.
+    pub drop_after: Option<u64>,
+    /// Every chunk is sent twice.
+    pub repeat_chunk: Option<bool>,
+    /// Chunks are sent in pairs, the later one first.
+    pub reorder_chunks: Option<bool>,
+    /// Each stream begins with a chunk of another attempt.
+    pub wrong_attempt: Option<bool>,
+}
+
+impl Faults {
+    pub fn update(&mut self, new: Self) {
+        self.crash_on = new.crash_on.or(self.crash_on.take());
+        self.crash_mid_change = new.crash_mid_change.or(self.crash_mid_change);
+        self.silent = new.silent.or(self.silent);
+        self.speed = new.speed.or(self.speed);
+        self.refuse = new.refuse.or(self.refuse);
+        self.drop_after = new.drop_after.or(self.drop_after);
+        self.repeat_chunk = new.repeat_chunk.or(self.repeat_chunk);
+        self.reorder_chunks = new.reorder_chunks.or(self.reorder_chunks);
+        self.wrong_attempt = new.wrong_attempt.or(self.wrong_attempt);
+    }
+
+    /// Returns whether a prompt crashes the engine.
+    pub fn kills(&self, prompt: &str) -> bool {
+        let text = self.crash_on.as_deref().unwrap_or("");
+        !text.is_empty() && prompt.contains(text)
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,4 @@
+//! Stand-ins for outside systems, for tests, demonstrations and load trials.
+
+pub mod engine;
+pub mod service;
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,163 @@
+//! Stand-in for a plain service that counts each call.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::web;
+
+/// Most bytes of a call's body.
+const BODY_LIMIT: usize = 1024 * 1024;
+/// Time a caller has to send a body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Header that names a call which may not repeat.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// What a stand-in service is told at its start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name, shown in its answers.
+    pub name: Box<str>,
+}
+
+/// Faults, set by `POST /fault` with any subset of the fields.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Faults {
+    /// Time before each answer, in milliseconds.
+    slow_ms: Option<u64>,
+    /// Calls still to be answered with 503 and not counted.
+    fail_next: Option<u64>,
+    /// Calls still to be counted and then closed without an answer.
+    lose_answers: Option<u64>,
+    /// Whether calls are counted and answered with a redirect to the same path.
+    redirect: Option<bool>,
+}
+
+impl Faults {
+    fn update(&mut self, new: &Self) {
+        self.slow_ms = new.slow_ms.or(self.slow_ms);
+        self.fail_next = new.fail_next.or(self.fail_next);
+        self.lose_answers = new.lose_answers.or(self.lose_answers);
+        self.redirect = new.redirect.or(self.redirect);
+    }
+}
+
+/// What is done with one call after its faults are looked up.
+enum Fate {
+    Answer,
+    Fail,
+    Lose,
+    Redirect,
+}
+
+struct State {
+    name: Box<str>,
+    faults: Faults,
+    /// Calls by method, path and idempotency key, parted by spaces; a missing key is `-`.
+    counts: BTreeMap<Box<str>, u64>,
+}
+
+impl State {
+    fn fate(&mut self) -> Fate {
+        if take(&mut self.faults.fail_next) {
+            Fate::Fail
+        } else if take(&mut self.faults.lose_answers) {
+            Fate::Lose
+        } else if self.faults.redirect == Some(true) {
+            Fate::Redirect
+        } else {
+            Fate::Answer
+        }
+    }
+}
+
+/// Takes one from a number of calls that is not yet used up.
+fn take(left: &mut Option<u64>) -> bool {
+    match left {
+        Some(n) if *n > 0 => {
+            *n -= 1;
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Serves until dropped; must run inside an ntex system.
+///
+/// `GET /counts` gives the number of calls by `METHOD PATH KEY`; `POST /fault` sets faults; all
+/// else is counted and answered with an echo.
+pub async fn run(listener: TcpListener, opts: Options) {
+    let state = Rc::new(RefCell::new(State {
+        name: opts.name,
+        faults: Faults::default(),
+        counts: BTreeMap::new(),
+    }));
+    let (_stop, stopped) = watch::channel(false);
+    web::serve(listener, stopped, move |req| handle(Rc::clone(&state), req)).await;
+}
+
+async fn handle(state: Rc<RefCell<State>>, mut req: Request) -> Response {
+    let body = match web::read_body(&mut req, BODY_LIMIT, BODY_TIME).await {
+        Ok(body) => body,
+        Err(status) => return Response::new(status),
+    };
+    match (req.method(), req.path()) {
+        (&Method::GET, "/counts") => Response::Ok().json(&state.borrow().counts),
+        (&Method::POST, "/fault") => match serde_json::from_slice(&body) {
+            Ok(faults) => {
+                state.borrow_mut().faults.update(&faults);
+                Response::NoContent().finish()
+            }
+            Err(err) => Response::BadRequest().json(&json!({"error": err.to_string()})),
+        },
+        _ => call(&state, &req, &body).await,
+    }
+}
+
+async fn call(state: &RefCell<State>, req: &Request, body: &[u8]) -> Response {
+    let (method, path) = (req.method().as_str(), req.path());
+    let key = req.headers().get(KEY_HEADER).and_then(|v| v.to_str().ok());
+    let (fate, slow) = {
+        let mut state = state.borrow_mut();
+        let slow = state.faults.slow_ms.unwrap_or(0);
+        (state.fate(), Duration::from_millis(slow))
+    };
+    if !slow.is_zero() {
+        tokio::time::sleep(slow).await;
+    }
+    if matches!(fate, Fate::Fail) {
+        return Response::build(StatusCode::SERVICE_UNAVAILABLE)
+            .header("x-ran", "no")
+            .json(&json!({"error": "unavailable"}));
+    }
+    let count = {
+        let mut state = state.borrow_mut();
+        let name = format!("{method} {path} {}", key.unwrap_or("-"));
+        let count = state.counts.entry(name.into()).or_default();
+        *count += 1;
+        *count
+    };
+    match fate {
+        Fate::Lose => {
+            if let Some(io) = req.io() {
+                io.terminate();
+            }
+            Response::InternalServerError().finish()
+        }
+        Fate::Redirect => Response::build(StatusCode::TEMPORARY_REDIRECT)
+            .header("location", path)
+            .finish(),
+        Fate::Answer | Fate::Fail => Response::Ok().json(&json!({
+            "service": state.borrow().name, "method": method, "path": path, "key": key,
+            "count": count, "body_hash": blake3::hash(body).to_hex().as_str(),
+        })),
+    }
+}
