Read settings and the operators' lists, and report every fault

Cause: the types had no reader; a host must refuse to start on settings that are wrong anywhere, and operators must see all faults of a list at once. Ruled out: a reader per section, which would repeat bounds in code, message and help; chunks of fixed size, where an edit renames every later chunk. Change: one table of sections and keys with form, bounds and default drives the checks; canonical text, cross check, differences, key index, repeat rules and content-named chunks for the lists; the hosts' secret hides from Debug.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,9 @@
 //! Serves language-model requests from a fixed fleet of engines and explains what became of each.
 
 pub mod error;
+pub mod form;
 pub mod lists;
+pub mod sections;
 pub mod settings;
+pub mod units;
 pub mod web;
--- /dev/null
+++ b/src/lists/diff.rs
@@ -0,0 +1,127 @@
+//! What changed between two versions of the lists, as lines for people.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Debug;
+
+use super::{Allowance, Customer, KeyHash, Lists, Plans, Rule, Uses};
+use crate::units;
+
+/// Digits of a key's hash that are shown: enough to tell a customer's keys apart.
+const SHOWN: usize = 12;
+
+/// Returns one line for each difference; empty for equal lists.
+#[must_use]
+pub fn diff(old: &Lists, new: &Lists) -> Vec<Box<str>> {
+    let mut lines = diff_plans(&old.plans, &new.plans);
+    lines.extend(diff_uses(&old.uses, &new.uses));
+    lines
+}
+
+/// Returns one line for each difference of the customers' plans.
+#[must_use]
+pub fn diff_plans(old: &Plans, new: &Plans) -> Vec<Box<str>> {
+    maps("customer", &old.customers, &new.customers, |name, pair| {
+        changed_customer(name, pair)
+    })
+}
+
+/// Returns one line for each difference in what plans may use.
+#[must_use]
+pub fn diff_uses(old: &Uses, new: &Uses) -> Vec<Box<str>> {
+    let mut lines = maps("plan", &old.plans, &new.plans, changed_allowance);
+    lines.extend(maps("service", &old.services, &new.services, changed_rules));
+    lines
+}
+
+/// An old and a new value under one name.
+type Pair<'a, T> = (&'a T, &'a T);
+
+/// Compares two maps: names that left, names that came, and the `changed` of the others.
+fn maps<T: PartialEq + Debug>(
+    word: &str,
+    old: &BTreeMap<Box<str>, T>,
+    new: &BTreeMap<Box<str>, T>,
+    changed: impl Fn(&str, Pair<'_, T>) -> Vec<Box<str>>,
+) -> Vec<Box<str>> {
+    let names: BTreeSet<_> = old.keys().chain(new.keys()).collect();
+    let mut lines = Vec::new();
+    for name in names {
+        match (old.get(name), new.get(name)) {
+            (Some(_), None) => lines.push(format!("- {word} {name}").into()),
+            (None, Some(_)) => lines.push(format!("+ {word} {name}").into()),
+            (Some(old), Some(new)) if old != new => lines.extend(changed(name, (old, new))),
+            _ => {}
+        }
+    }
+    lines
+}
+
+fn changed_customer(name: &str, (old, new): Pair<'_, Customer>) -> Vec<Box<str>> {
+    let mut lines = Vec::new();
+    let field = |field: &str, old: &str, new: &str| field_line("customer", name, field, old, new);
+    lines.extend(field("plan", &old.plan, &new.plan));
+    lines.extend(field("keys", &keys(&old.keys), &keys(&new.keys)));
+    lines
+}
+
+fn changed_allowance(name: &str, (old, new): Pair<'_, Allowance>) -> Vec<Box<str>> {
+    let fields = [
+        ("models", words(&old.models), words(&new.models)),
+        ("services", words(&old.services), words(&new.services)),
+        ("requests", rate(old.requests), rate(new.requests)),
+        ("tokens", rate(old.tokens), rate(new.tokens)),
+        ("running", limit(old.running), limit(new.running)),
+        (
+            "priority",
+            old.priority.to_string(),
+            new.priority.to_string(),
+        ),
+    ];
+    fields
+        .into_iter()
+        .filter_map(|(field, old, new)| field_line("plan", name, field, &old, &new))
+        .collect()
+}
+
+fn changed_rules(name: &str, (old, new): Pair<'_, Vec<Rule>>) -> Vec<Box<str>> {
+    let line = field_line("service", name, "rules", &rules(old), &rules(new));
+    line.into_iter().collect()
+}
+
+fn field_line(word: &str, name: &str, field: &str, old: &str, new: &str) -> Option<Box<str>> {
+    let shown = |value: &str| {
+        if value.is_empty() {
+            "nothing".to_owned()
+        } else {
+            value.to_owned()
+        }
+    };
+    (old != new)
+        .then(|| format!("~ {word} {name}: {field} {} -> {}", shown(old), shown(new)).into())
+}
+
+fn keys(keys: &[KeyHash]) -> String {
+    let short = |key: &KeyHash| key.to_string()[..SHOWN].to_owned();
+    keys.iter().map(short).collect::<Vec<_>>().join(", ")
+}
+
+fn words(words: &BTreeSet<Box<str>>) -> String {
+    let words: Vec<_> = words.iter().map(|word| &**word).collect();
+    words.join(", ")
+}
+
+fn rate(rate: Option<f64>) -> String {
+    rate.map_or("none".to_owned(), |rate| units::show_rate(rate).into())
+}
+
+fn limit(limit: Option<u32>) -> String {
+    limit.map_or("none".to_owned(), |limit| limit.to_string())
+}
+
+fn rules(rules: &[Rule]) -> String {
+    let show = |rule: &Rule| {
+        let key = if rule.repeat { "repeat" } else { "once" };
+        format!("{key} {} {}", rule.method, rule.path)
+    };
+    rules.iter().map(show).collect::<Vec<_>>().join(", ")
+}
--- /dev/null
+++ b/src/lists/index.rs
@@ -0,0 +1,86 @@
+//! Lookups that every request needs.
+
+use std::collections::BTreeMap;
+
+use super::{KeyHash, Lists, Uses};
+
+/// Customer and plan behind one key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// Name of the customer.
+    pub customer: Box<str>,
+    /// Name of the customer's plan.
+    pub plan: Box<str>,
+}
+
+/// Customers by the hashes of their keys.
+#[derive(Debug, Clone, Default)]
+pub struct Index {
+    holders: BTreeMap<KeyHash, Holder>,
+}
+
+impl Index {
+    /// Builds the index of both lists.
+    #[must_use]
+    pub fn new(lists: &Lists) -> Self {
+        let mut holders = BTreeMap::new();
+        for (name, customer) in &lists.plans.customers {
+            for key in &customer.keys {
+                let holder = Holder {
+                    customer: name.clone(),
+                    plan: customer.plan.clone(),
+                };
+                holders.insert(*key, holder);
+            }
+        }
+        Self { holders }
+    }
+
+    /// Returns whose key has this hash.
+    #[must_use]
+    pub fn get(&self, key: KeyHash) -> Option<&Holder> {
+        self.holders.get(&key)
+    }
+
+    /// Returns whose key this is.
+    #[must_use]
+    pub fn find(&self, key: &str) -> Option<&Holder> {
+        self.get(KeyHash::of(key))
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Tells whether there are no keys.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+}
+
+impl Uses {
+    /// Tells whether a call to `service` may be repeated; `path` is below the service.
+    ///
+    /// Without a matching rule GET and HEAD may be repeated and everything else may not.
+    #[must_use]
+    pub fn rule(&self, service: &str, method: &str, path: &str) -> bool {
+        let rules = self.services.get(service);
+        let rule = rules.and_then(|rules| {
+            rules
+                .iter()
+                .find(|rule| matches(&rule.method, method) && matches(&rule.path, path))
+        });
+        rule.map_or(matches!(method, "GET" | "HEAD"), |rule| rule.repeat)
+    }
+}
+
+/// Compares with a pattern whose final `*` matches any rest.
+fn matches(pattern: &str, text: &str) -> bool {
+    match pattern.strip_suffix('*') {
+        Some(start) => text.starts_with(start),
+        None => pattern == text,
+    }
+}
--- a/src/lists/mod.rs
+++ b/src/lists/mod.rs
@@ -1,11 +1,41 @@
 //! The operators' two lists: the customers' plans, and what each plan may use.
 
+mod check;
+mod chunk;
+mod diff;
+mod index;
+pub mod keys;
+mod parse;
+#[cfg(test)]
+mod tests;
+mod write;
+
+pub use check::check;
+pub use chunk::{Chunk, JoinError, chunks, join};
+pub use diff::{diff, diff_plans, diff_uses};
+pub use index::{Holder, Index};
+
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 /// BLAKE3 hash of a customer's key; the key itself is never stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct KeyHash(pub [u8; 32]);
 
+impl KeyHash {
+    /// Returns the hash of a key.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
 /// Both lists at one revision.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Lists {
--- /dev/null
+++ b/src/lists/write.rs
@@ -0,0 +1,86 @@
+//! The canonical text of both lists, as shown, stored and sent between hosts.
+//!
+//! Reading it gives the same list back, and equal lists have equal texts.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use super::{Allowance, Customer, Plans, Rule, Uses};
+use crate::units;
+
+impl fmt::Display for Plans {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (name, customer) in &self.customers {
+            section(f, "customer", name)?;
+            write_customer(f, customer)?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Uses {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (name, allowance) in &self.plans {
+            section(f, "plan", name)?;
+            write_allowance(f, allowance)?;
+        }
+        for (name, rules) in &self.services {
+            section(f, "service", name)?;
+            write_rules(f, rules)?;
+        }
+        Ok(())
+    }
+}
+
+fn section(f: &mut fmt::Formatter<'_>, word: &str, name: &str) -> fmt::Result {
+    writeln!(f, "[{word} {name}]")
+}
+
+fn write_customer(f: &mut fmt::Formatter<'_>, customer: &Customer) -> fmt::Result {
+    writeln!(f, "plan = {}", customer.plan)?;
+    if !customer.keys.is_empty() {
+        writeln!(f, "keys = {}", joined(&customer.keys))?;
+    }
+    writeln!(f)
+}
+
+fn write_allowance(f: &mut fmt::Formatter<'_>, allowance: &Allowance) -> fmt::Result {
+    write_words(f, "models", &allowance.models)?;
+    write_words(f, "services", &allowance.services)?;
+    if let Some(rate) = allowance.requests {
+        writeln!(f, "requests = {}", units::show_rate(rate))?;
+    }
+    if let Some(rate) = allowance.tokens {
+        writeln!(f, "tokens = {}", units::show_rate(rate))?;
+    }
+    if let Some(running) = allowance.running {
+        writeln!(f, "running = {running}")?;
+    }
+    writeln!(f, "priority = {}", allowance.priority)?;
+    writeln!(f)
+}
+
+fn write_words(f: &mut fmt::Formatter<'_>, key: &str, words: &BTreeSet<Box<str>>) -> fmt::Result {
+    if words.is_empty() {
+        return Ok(());
+    }
+    writeln!(f, "{key} = {}", joined(words))
+}
+
+/// Writes rules in their order, neighbours of one kind on one line.
+fn write_rules(f: &mut fmt::Formatter<'_>, rules: &[Rule]) -> fmt::Result {
+    for run in rules.chunk_by(|a, b| a.repeat == b.repeat) {
+        let key = if run[0].repeat { "repeat" } else { "once" };
+        let calls: Vec<_> = run
+            .iter()
+            .map(|rule| format!("{} {}", rule.method, rule.path))
+            .collect();
+        writeln!(f, "{key} = {}", calls.join(", "))?;
+    }
+    writeln!(f)
+}
+
+fn joined<T: ToString>(items: impl IntoIterator<Item = T>) -> String {
+    let items: Vec<_> = items.into_iter().map(|item| item.to_string()).collect();
+    items.join(", ")
+}
--- /dev/null
+++ b/src/sections.rs
@@ -0,0 +1,315 @@
+//! INI text checked against a table of sections and keys; every fault is reported.
+
+use std::collections::BTreeSet;
+use std::fmt;
+
+use ini::{Ini, ParseOption};
+
+use crate::form::Form;
+
+/// One fault of a settings or list file, shown on one line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// File or other origin of the text.
+    pub file: Box<str>,
+    /// Section header; empty outside any section.
+    pub section: Box<str>,
+    /// Key; empty where the section itself is at fault.
+    pub key: Box<str>,
+    /// What was given; never a secret.
+    pub given: Box<str>,
+    /// What is allowed in its place.
+    pub allowed: Box<str>,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:", self.file)?;
+        if !self.section.is_empty() {
+            write!(f, " [{}]", self.section.escape_debug())?;
+        }
+        if !self.key.is_empty() {
+            write!(f, " {}", self.key.escape_debug())?;
+        }
+        write!(f, " given {}, allowed {}", self.given, self.allowed)
+    }
+}
+
+/// What follows the first word of a section header.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Label {
+    /// Nothing; the section stands once, and its defaults hold where it is absent.
+    None,
+    /// A name without spaces.
+    Word,
+    /// A name that may hold spaces.
+    Title,
+}
+
+/// One kind of section.
+#[derive(Debug)]
+pub struct Kind {
+    /// First word of the header.
+    pub word: &'static str,
+    /// What follows it.
+    pub label: Label,
+    /// Keys the section may hold.
+    pub keys: &'static [Key],
+}
+
+/// One key of a section.
+#[derive(Debug)]
+pub struct Key {
+    /// Name of the key.
+    pub key: &'static str,
+    /// What its value may be.
+    pub form: Form,
+    /// Value where the key is absent; `None` where it must be given.
+    pub default: Option<&'static str>,
+    /// What the key is for.
+    pub about: &'static str,
+}
+
+/// A section as read, its values already of the form their keys ask for.
+#[derive(Debug)]
+pub struct Section {
+    kind: &'static Kind,
+    /// Name after the first word; empty for [`Label::None`].
+    pub name: Box<str>,
+    /// Keys and values in the order given.
+    pub pairs: Vec<(Box<str>, Box<str>)>,
+}
+
+impl Section {
+    /// Returns the first word of the header.
+    #[must_use]
+    pub fn word(&self) -> &'static str {
+        self.kind.word
+    }
+
+    /// Returns the value of `key`, or its default; empty where neither is there.
+    #[must_use]
+    pub fn get(&self, key: &str) -> &str {
+        let given = self.pairs.iter().find(|(name, _)| &**name == key);
+        let default = || {
+            self.kind
+                .keys
+                .iter()
+                .find(|known| known.key == key)?
+                .default
+        };
+        given
+            .map(|(_, value)| &**value)
+            .or_else(default)
+            .unwrap_or_default()
+    }
+
+    /// Reads the value of `key`.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the key's form allows what `read` refuses, or where the document has faults.
+    pub fn read<T>(&self, key: &str, read: impl Fn(&str) -> Option<T>) -> T {
+        let value = read(self.get(key));
+        value.expect("the value was checked against its form")
+    }
+}
+
+/// Text read against a table, with the faults found.
+#[derive(Debug)]
+pub struct Document {
+    file: Box<str>,
+    /// Sections in the order given, then those absent that have defaults.
+    pub sections: Vec<Section>,
+    /// Every fault found so far.
+    pub faults: Vec<Fault>,
+}
+
+impl Document {
+    /// Reads `text`, which came from `file`, against `kinds`.
+    #[must_use]
+    pub fn read(text: &str, file: &str, kinds: &'static [Kind]) -> Self {
+        let mut doc = Self {
+            file: file.into(),
+            sections: Vec::new(),
+            faults: Vec::new(),
+        };
+        let option = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        match Ini::load_from_str_opt(text, option) {
+            Ok(ini) => doc.take(&ini, kinds),
+            Err(err) => {
+                let given = format!("text that ends or breaks at line {}", err.line);
+                doc.fault("", "", &given, "[section] headers and key = value lines");
+            }
+        }
+        doc
+    }
+
+    /// Adds a fault.
+    pub fn fault(&mut self, section: &str, key: &str, given: &str, allowed: &str) {
+        self.faults.push(Fault {
+            file: self.file.clone(),
+            section: section.into(),
+            key: key.into(),
+            given: given.into(),
+            allowed: allowed.into(),
+        });
+    }
+
+    fn take(&mut self, ini: &Ini, kinds: &'static [Kind]) {
+        let mut seen = BTreeSet::new();
+        for (header, props) in ini {
+            let pairs: Vec<_> = props.iter().collect();
+            let Some(header) = header else {
+                for (key, value) in pairs {
+                    self.loose(key, value);
+                }
+                continue;
+            };
+            let Some((kind, name)) = self.kind(header, kinds) else {
+                continue;
+            };
+            if !seen.insert((kind.word, name)) {
+                self.fault(header, "", "the section twice", "each section once");
+            }
+            let pairs = self.pairs(header, kind, pairs);
+            self.sections.push(Section {
+                kind,
+                name: name.into(),
+                pairs,
+            });
+        }
+        for kind in kinds.iter().filter(|kind| kind.label == Label::None) {
+            if !seen.contains(&(kind.word, "")) {
+                let pairs = self.pairs(kind.word, kind, Vec::new());
+                self.sections.push(Section {
+                    kind,
+                    name: "".into(),
+                    pairs,
+                });
+            }
+        }
+    }
+
+    /// Reports a pair before the first section.
+    fn loose(&mut self, key: &str, value: &str) {
+        if let Some(key) = self.key("", key) {
+            let key = key.to_owned();
+            self.fault("", &key, &quoted(value), "keys inside a section only");
+        }
+    }
+
+    /// Finds the kind of a header and the name in it.
+    fn kind<'t>(
+        &mut self,
+        header: &'t str,
+        kinds: &'static [Kind],
+    ) -> Option<(&'static Kind, &'t str)> {
+        let (word, name) = header
+            .split_once(char::is_whitespace)
+            .map_or((header, ""), |(word, name)| (word, name.trim()));
+        let Some(kind) = kinds.iter().find(|kind| kind.word == word) else {
+            let known: Vec<_> = kinds.iter().map(Kind::header).collect();
+            self.fault(header, "", "an unknown section", &known.join(", "));
+            return None;
+        };
+        let form = match kind.label {
+            Label::None if name.is_empty() => return Some((kind, name)),
+            Label::None => {
+                self.fault(header, "", &quoted(name), &kind.header());
+                return None;
+            }
+            Label::Word => Form::Word,
+            Label::Title => Form::Title,
+        };
+        if !form.allows(name) {
+            let allowed = format!("{} with {}", kind.header(), form.allowed());
+            self.fault(header, "", &quoted(name), &allowed);
+            return None;
+        }
+        Some((kind, name))
+    }
+
+    /// Returns the key of a pair after reporting what the parser swallowed before it.
+    ///
+    /// The parser takes a line without `=` as the start of the next line's key. Without this the
+    /// next key would be reported as unknown under a name of two lines.
+    fn key<'t>(&mut self, header: &str, raw: &'t str) -> Option<&'t str> {
+        let mut lines = raw.lines().map(str::trim).filter(|line| !line.is_empty());
+        let key = lines.next_back()?;
+        for line in lines.filter(|line| !line.starts_with(['#', ';'])) {
+            self.fault(header, "", &quoted(line), "key = value on one line");
+        }
+        (!key.starts_with(['#', ';'])).then_some(key)
+    }
+
+    /// Checks the pairs of one section.
+    fn pairs(
+        &mut self,
+        header: &str,
+        kind: &Kind,
+        given: Vec<(&str, &str)>,
+    ) -> Vec<(Box<str>, Box<str>)> {
+        let mut pairs: Vec<(Box<str>, Box<str>)> = Vec::with_capacity(given.len());
+        for (raw, value) in given {
+            let Some(name) = self.key(header, raw) else {
+                continue;
+            };
+            let Some(key) = kind.keys.iter().find(|known| known.key == name) else {
+                let known: Vec<_> = kind.keys.iter().map(|known| known.key).collect();
+                let allowed = format!("only the keys {}", known.join(", "));
+                self.fault(header, name, "an unknown key", &allowed);
+                continue;
+            };
+            if !key.form.repeats() && pairs.iter().any(|(earlier, _)| &**earlier == name) {
+                self.fault(header, name, "the key twice", "each key once in a section");
+            }
+            if !key.form.allows(value) {
+                self.fault(header, name, &key.form.shown(value), &key.form.allowed());
+            }
+            pairs.push((name.into(), value.into()));
+        }
+        for key in kind.keys.iter().filter(|key| key.default.is_none()) {
+            if !pairs.iter().any(|(name, _)| &**name == key.key) {
+                self.fault(header, key.key, "nothing", &key.form.allowed());
+            }
+        }
+        pairs
+    }
+}
+
+impl Kind {
+    /// Returns the header as it is to be written.
+    #[must_use]
+    pub fn header(&self) -> Box<str> {
+        match self.label {
+            Label::None => format!("[{}]", self.word),
+            Label::Word | Label::Title => format!("[{} NAME]", self.word),
+        }
+        .into()
+    }
+}
+
+impl Form {
+    /// Returns a faulty value for display; a secret only by its length.
+    fn shown(self, value: &str) -> Box<str> {
+        match self {
+            Self::Secret => format!("{} bytes", value.len()).into(),
+            _ => quoted(value),
+        }
+    }
+}
+
+/// Most characters of a faulty value that are shown.
+const MAX_SHOWN: usize = 80;
+
+fn quoted(value: &str) -> Box<str> {
+    let short: String = value.chars().take(MAX_SHOWN).collect();
+    let rest = if short.len() < value.len() { "..." } else { "" };
+    format!("\"{}{rest}\"", short.escape_debug()).into()
+}
--- /dev/null
+++ b/src/settings/keys.rs
@@ -0,0 +1,253 @@
+//! Every section and key of the settings, with its bounds and its default.
+
+use std::time::Duration;
+
+use crate::form::Form;
+use crate::sections::{Key, Kind, Label};
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const MINUTE: Duration = Duration::from_mins(1);
+const HOUR: Duration = Duration::from_hours(1);
+/// Weights and token rates above this are slips of the keyboard.
+const MANY: f64 = 1e6;
+
+/// Key that has no default.
+const fn need(key: &'static str, form: Form, about: &'static str) -> Key {
+    Key {
+        key,
+        form,
+        default: None,
+        about,
+    }
+}
+
+/// Key with a default.
+const fn key(key: &'static str, form: Form, default: &'static str, about: &'static str) -> Key {
+    Key {
+        key,
+        form,
+        default: Some(default),
+        about,
+    }
+}
+
+/// Sections of a host's settings.
+pub const KINDS: &[Kind] = &[
+    Kind {
+        word: "host",
+        label: Label::None,
+        keys: HOST,
+    },
+    Kind {
+        word: "platform",
+        label: Label::None,
+        keys: PLATFORM,
+    },
+    Kind {
+        word: "limits",
+        label: Label::None,
+        keys: LIMITS,
+    },
+    Kind {
+        word: "pool",
+        label: Label::Word,
+        keys: POOL,
+    },
+    Kind {
+        word: "service",
+        label: Label::Word,
+        keys: SERVICE,
+    },
+    Kind {
+        word: "log",
+        label: Label::None,
+        keys: LOG,
+    },
+];
+
+const HOST: &[Key] = &[
+    need(
+        "name",
+        Form::Word,
+        "name of this host, unique in the deployment",
+    ),
+    need("region", Form::Word, "region the host stands in"),
+    need("domain", Form::Word, "failure domain the host stands in"),
+    need("callers", Form::Address, "listener for callers"),
+    need("operators", Form::Address, "listener for operators"),
+    need(
+        "peers",
+        Form::Address,
+        "listener for peers; peers are told this address",
+    ),
+    need("secret", Form::Secret, "secret shared by all hosts"),
+    need(
+        "operator-key-hash",
+        Form::Hash,
+        "BLAKE3 hash of the operators' key",
+    ),
+];
+
+const PLATFORM: &[Key] = &[
+    need("kv", Form::Addresses, "endpoints of the key-value service"),
+    need(
+        "list",
+        Form::Address,
+        "endpoint of the list of hosts and backend servers",
+    ),
+    key(
+        "prefix",
+        Form::Word,
+        "chiveway/",
+        "prefix of every key this deployment writes",
+    ),
+    key(
+        "refresh",
+        Form::Time(Duration::from_millis(100), MINUTE),
+        "1s",
+        "time between two reads of the list",
+    ),
+    key(
+        "lease",
+        Form::Time(SECOND, HOUR),
+        "10s",
+        "life of a lease in the key-value service",
+    ),
+];
+
+const LIMITS: &[Key] = &[
+    key(
+        "body",
+        Form::Size(1 << 10, 256 << 20),
+        "8MiB",
+        "most bytes of a caller's body",
+    ),
+    key(
+        "body-time",
+        Form::Time(SECOND, HOUR),
+        "30s",
+        "time a caller has to send its body",
+    ),
+    key(
+        "first-silence",
+        Form::Time(SECOND, HOUR),
+        "30s",
+        "time until the first token before a stream counts as silent",
+    ),
+    key(
+        "token-silence",
+        Form::Time(Duration::from_millis(100), HOUR),
+        "10s",
+        "time between tokens before a stream counts as silent",
+    ),
+    key(
+        "stop",
+        Form::Time(SECOND, HOUR),
+        "2m",
+        "time a planned stop may take",
+    ),
+    key(
+        "cut-off",
+        Form::Time(SECOND, HOUR),
+        "10s",
+        "time without store and peers after which the host takes no new work",
+    ),
+    key(
+        "drain",
+        Form::Time(SECOND, HOUR),
+        "2m",
+        "time a withdrawn engine may finish its streams",
+    ),
+    key(
+        "requests",
+        Form::Count(1, 1_000_000),
+        "4096",
+        "most requests a host holds open at once",
+    ),
+];
+
+const POOL: &[Key] = &[
+    need("model", Form::Word, "model name that callers use"),
+    need(
+        "fencing",
+        Form::Choice(&["checks", "ignores"]),
+        "whether the engines refuse an order with an old fencing number",
+    ),
+    key(
+        "first-token",
+        Form::Time(MILLISECOND, HOUR),
+        "780ms",
+        "wanted time to the first token, for 95 in 100",
+    ),
+    key(
+        "between",
+        Form::Time(MILLISECOND, MINUTE),
+        "49ms",
+        "wanted time between tokens, for 95 in 100",
+    ),
+    key(
+        "split",
+        Form::Choice(&["yes", "no"]),
+        "no",
+        "whether engines are split between prefill and decode",
+    ),
+    key(
+        "goodput",
+        Form::Number(0.0, MANY),
+        "1",
+        "weight of goodput in role decisions",
+    ),
+    key(
+        "change",
+        Form::Number(0.0, MANY),
+        "5",
+        "weight of one role change in role decisions, in engine seconds",
+    ),
+    key(
+        "prefill",
+        Form::Number(1.0, MANY),
+        "8000",
+        "prompt tokens a second of an engine of nominal speed",
+    ),
+    key(
+        "decode",
+        Form::Number(1.0, MANY),
+        "1000",
+        "generated tokens a second of an engine of nominal speed, over all its streams",
+    ),
+    key(
+        "slots",
+        Form::Count(1, 10_000),
+        "16",
+        "streams an engine decodes at once",
+    ),
+    key(
+        "piece",
+        Form::Count(1, 1_000_000),
+        "2000",
+        "tokens in one piece of an engine's prefix cache",
+    ),
+];
+
+const SERVICE: &[Key] = &[key(
+    "timeout",
+    Form::Time(MILLISECOND, HOUR),
+    "30s",
+    "time a call may take",
+)];
+
+const LOG: &[Key] = &[
+    key(
+        "level",
+        Form::Choice(&["off", "error", "warn", "info", "debug", "trace"]),
+        "info",
+        "least level written",
+    ),
+    key(
+        "form",
+        Form::Choice(&["text", "json"]),
+        "text",
+        "form of the lines",
+    ),
+];
--- a/src/settings.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,12 @@
 //! Settings of one host, read from INI and checked as a whole.
 
+pub mod keys;
+mod parse;
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,11 +43,35 @@
     /// Listener for peers; also the address peers are told.
     pub peers: SocketAddr,
     /// Secret shared by all hosts; at least 16 bytes.
-    pub secret: Box<str>,
+    pub secret: Secret,
     /// BLAKE3 hash of the operators' key.
     pub operator_hash: [u8; 32],
 }
 
+/// Text that must not appear in logs or messages.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Box<str>);
+
+impl Secret {
+    /// Wraps a secret.
+    #[must_use]
+    pub fn new(secret: &str) -> Self {
+        Self(secret.into())
+    }
+
+    /// Returns the secret itself; keep it out of messages.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(hidden)")
+    }
+}
+
 /// Section `[platform]`.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlatformSettings {
--- /dev/null
+++ b/src/units/mod.rs
@@ -0,0 +1,116 @@
+//! Values with units: times, sizes, rates and plain numbers, read and written.
+
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+/// Time units, largest first: suffix and nanoseconds.
+const TIMES: [(&str, u64); 5] = [
+    ("h", 3_600_000_000_000),
+    ("m", 60_000_000_000),
+    ("s", 1_000_000_000),
+    ("ms", 1_000_000),
+    ("us", 1_000),
+];
+
+/// Size units, largest first: suffix and bytes.
+const SIZES: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+/// Suffix of a rate.
+const PER_SECOND: &str = "/s";
+
+/// Reads a time such as `250ms` or `14s`; the units are `us`, `ms`, `s`, `m` and `h`.
+#[must_use]
+pub fn time(text: &str) -> Option<Duration> {
+    whole(text, &TIMES).map(Duration::from_nanos)
+}
+
+/// Writes a time in the largest unit that needs no fraction.
+///
+/// Parts below a microsecond are dropped.
+#[must_use]
+pub fn show_time(time: Duration) -> Box<str> {
+    let nanos = u64::try_from(time.as_nanos()).unwrap_or(u64::MAX);
+    show(nanos - nanos % 1_000, &TIMES, "s")
+}
+
+/// Reads a size such as `64MiB`; the units are `B`, `KiB`, `MiB` and `GiB`.
+#[must_use]
+pub fn size(text: &str) -> Option<usize> {
+    whole(text, &SIZES).and_then(|size| usize::try_from(size).ok())
+}
+
+/// Writes a size in the largest unit that needs no fraction.
+#[must_use]
+pub fn show_size(size: usize) -> Box<str> {
+    show(size as u64, &SIZES, "B")
+}
+
+/// Reads a rate such as `50/s` or `0.5/s`, in events a second.
+#[must_use]
+pub fn rate(text: &str) -> Option<f64> {
+    number(text.strip_suffix(PER_SECOND)?.trim_end())
+}
+
+/// Writes a rate so that [`rate`] reads the same value back.
+#[must_use]
+pub fn show_rate(rate: f64) -> Box<str> {
+    format!("{rate}{PER_SECOND}").into()
+}
+
+/// Reads a decimal number of digits with at most one point; no sign, no exponent.
+#[must_use]
+pub fn number(text: &str) -> Option<f64> {
+    let plain = |c: char| c.is_ascii_digit() || c == '.';
+    let starts = text.starts_with(|c: char| c.is_ascii_digit());
+    if !starts || !text.chars().all(plain) {
+        return None;
+    }
+    text.parse().ok().filter(|value: &f64| value.is_finite())
+}
+
+/// Reads a whole number of digits only.
+#[must_use]
+pub fn count(text: &str) -> Option<usize> {
+    digits(text).and_then(|value| usize::try_from(value).ok())
+}
+
+/// Reads `yes` or `no`.
+#[must_use]
+pub fn yes(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+fn digits(text: &str) -> Option<u64> {
+    if !text.chars().all(|c| c.is_ascii_digit()) {
+        return None;
+    }
+    text.parse().ok()
+}
+
+/// Reads a whole number followed by one of `units`; `None` also where it overflows.
+fn whole(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let split = text.find(|c: char| !c.is_ascii_digit())?;
+    let (value, suffix) = text.split_at(split);
+    let suffix = suffix.trim_start();
+    let (_, scale) = units.iter().find(|(unit, _)| *unit == suffix)?;
+    digits(value)?.checked_mul(*scale)
+}
+
+fn show(value: u64, units: &[(&str, u64)], zero: &str) -> Box<str> {
+    let fits = |(_, scale): &&(&str, u64)| value >= *scale && value.is_multiple_of(*scale);
+    match units.iter().find(fits) {
+        Some((unit, scale)) => format!("{}{unit}", value / scale).into(),
+        None => format!("0{zero}").into(),
+    }
+}
