Add the command line, operators' commands, logs and example deployments

Cause: nothing could be started, checked or asked from a shell. Ruled out: an option parser for each command, which would write defaults and bounds a second time in its help; opening an editor from "edit", since no process starts another. Change: a table of commands and options drives parsing, messages and help; plans, use, explain and status speak to the operators' listener of a host; an edit that meets itself after a lost answer counts as accepted; log events show their fields in text as in JSON; both deployments' settings and lists. host, standin, try and load answer that they are not in this build yet. The operators' commands have no test yet: they follow. Conclusion: parsing and checking are usable; the client is not proved yet.

--- /dev/null
+++ b/src/cli/help.rs
@@ -0,0 +1,76 @@
+//! Help texts, written from the table of commands.
+
+use super::topics::{Opt, TOPICS, Topic};
+use crate::output::columns;
+
+const INTRO: &str = "\
+Serves language-model requests from a fixed fleet of engines and explains what became of each.
+
+Usage: chiveway COMMAND [OPTIONS]
+
+Commands:";
+
+const OUTRO: &str = "\
+Options:
+  --help     Print help; after a command, help on it
+  --version  Print the version
+
+Exit codes: 0 done, 1 failed, 2 wrong usage.";
+
+/// Returns the help for a command, or an overview of all that start with `words`.
+#[must_use]
+pub fn help(words: &str) -> Box<str> {
+    match TOPICS.iter().find(|topic| topic.words == words) {
+        Some(topic) => topic_help(topic),
+        None => overview(words),
+    }
+}
+
+/// Returns the commands that start with `words`, all where it is empty.
+pub(super) fn commands(words: &str) -> impl Iterator<Item = &'static Topic> {
+    TOPICS.iter().filter(move |topic| {
+        let rest = topic.words.strip_prefix(words);
+        words.is_empty() || rest.is_some_and(|rest| rest.starts_with(' '))
+    })
+}
+
+fn overview(words: &str) -> Box<str> {
+    let rows = commands(words).map(|topic| [topic.words.into(), topic.about.into()]);
+    format!("{INTRO}\n{}\n{OUTRO}", columns(rows)).into()
+}
+
+fn topic_help(topic: &Topic) -> Box<str> {
+    let rest = match topic.rest {
+        "" => String::new(),
+        rest => format!(" {rest}"),
+    };
+    let rows = topic.opts.iter().map(|opt| [usage(opt), about(opt)]);
+    let common = [
+        ["--help".into(), "Print this help".into()],
+        ["--version".into(), "Print the version".into()],
+    ];
+    format!(
+        "{}.\n\nUsage: chiveway {}{rest} [OPTIONS]\n\nOptions:\n{}",
+        topic.about,
+        topic.words,
+        columns(rows.chain(common))
+    )
+    .into()
+}
+
+fn usage(opt: &Opt) -> Box<str> {
+    match opt.value {
+        "" => opt.name.into(),
+        value => format!("{} {value}", opt.name).into(),
+    }
+}
+
+/// Returns what an option is for, starting with a capital, and its default.
+fn about(opt: &Opt) -> Box<str> {
+    let (first, rest) = opt.about.split_at(1);
+    let about = format!("{}{rest}", first.to_ascii_uppercase());
+    match opt.default {
+        Some(default) => format!("{about} [default: {default}]").into(),
+        None => about.into(),
+    }
+}
--- /dev/null
+++ b/src/cli/topics.rs
@@ -0,0 +1,406 @@
+//! Every command and option, with its form, its default and its help.
+
+use std::time::Duration;
+
+use crate::form::Form;
+
+/// One option of a command.
+#[derive(Debug)]
+pub struct Opt {
+    /// Long name with its dashes.
+    pub name: &'static str,
+    /// Name of the value in help; empty for a switch.
+    pub value: &'static str,
+    /// What the value may be.
+    pub form: Form,
+    /// Value where the option is absent.
+    pub default: Option<&'static str>,
+    /// What the option is for.
+    pub about: &'static str,
+}
+
+/// One command.
+#[derive(Debug)]
+pub struct Topic {
+    /// Words that select the command.
+    pub words: &'static str,
+    /// Arguments that are not options.
+    pub rest: &'static str,
+    /// What the command does.
+    pub about: &'static str,
+    /// Its options.
+    pub opts: &'static [&'static Opt],
+}
+
+const ANY_TIME: Form = Form::Time(Duration::ZERO, Duration::from_hours(1));
+const ANY_COUNT: Form = Form::Count(1, 1_000_000_000);
+/// A revision is a number that the hosts gave out.
+const REVISIONS: Form = Form::Count(0, usize::MAX);
+/// More hosts than this in one process are no trial.
+const MAX_HOSTS: usize = 16;
+/// Slowest and fastest engine against one of nominal speed.
+const SPEEDS: Form = Form::Number(0.01, 100.0);
+
+const fn opt(
+    name: &'static str,
+    value: &'static str,
+    form: Form,
+    default: Option<&'static str>,
+    about: &'static str,
+) -> Opt {
+    Opt {
+        name,
+        value,
+        form,
+        default,
+        about,
+    }
+}
+
+const fn switch(name: &'static str, about: &'static str) -> Opt {
+    opt(name, "", Form::Text, None, about)
+}
+
+/// `--config`
+pub const CONFIG: Opt = opt(
+    "--config",
+    "FILE",
+    Form::Text,
+    None,
+    "settings of the host; also -c",
+);
+/// `--listen`
+pub const LISTEN: Opt = opt(
+    "--listen",
+    "IP:PORT",
+    Form::Address,
+    Some("127.0.0.1:0"),
+    "listener; port 0 lets the kernel choose, and the address is printed",
+);
+/// `--name`
+pub const NAME: Opt = opt(
+    "--name",
+    "NAME",
+    Form::Word,
+    Some("standin"),
+    "name in the list and logs",
+);
+/// `--model`
+pub const MODEL: Opt = opt("--model", "NAME", Form::Word, Some("small"), "model served");
+/// `--domain`
+pub const DOMAIN: Opt = opt(
+    "--domain",
+    "NAME",
+    Form::Word,
+    Some("local"),
+    "failure domain",
+);
+/// `--register`
+pub const REGISTER: Opt = opt(
+    "--register",
+    "IP:PORT",
+    Form::Address,
+    None,
+    "list of backend servers to register with; without it the stand-in stays unlisted",
+);
+/// `--fencing`
+pub const FENCING: Opt = opt(
+    "--fencing",
+    "checks|ignores",
+    Form::Choice(&["checks", "ignores"]),
+    Some("checks"),
+    "whether orders with an old fencing number are refused",
+);
+/// `--speed`
+pub const SPEED: Opt = opt(
+    "--speed",
+    "N",
+    SPEEDS,
+    Some("1"),
+    "speed against a nominal engine",
+);
+/// `--prefill-cost`
+pub const PREFILL: Opt = opt(
+    "--prefill-cost",
+    "TIME",
+    ANY_TIME,
+    Some("125us"),
+    "time to prefill one prompt token",
+);
+/// `--decode-cost`
+pub const DECODE: Opt = opt(
+    "--decode-cost",
+    "TIME",
+    ANY_TIME,
+    Some("20ms"),
+    "time of one decode step of a full batch",
+);
+/// `--slots`
+pub const SLOTS: Opt = opt(
+    "--slots",
+    "N",
+    ANY_COUNT,
+    Some("16"),
+    "streams decoded at once",
+);
+/// `--piece`
+pub const PIECE: Opt = opt(
+    "--piece",
+    "N",
+    ANY_COUNT,
+    Some("2000"),
+    "tokens in one piece of the prefix cache",
+);
+/// `--lag`
+pub const LAG: Opt = opt(
+    "--lag",
+    "TIME",
+    ANY_TIME,
+    Some("0s"),
+    "age of what is reported",
+);
+/// `--instant`
+pub const INSTANT: Opt = switch("--instant", "answer without the modelled costs");
+/// `--once`
+pub const ONCE: Opt = switch(
+    "--once",
+    "send one request and one call, check both and their explanations, and end",
+);
+/// `--hosts`
+pub const HOSTS: Opt = opt(
+    "--hosts",
+    "N",
+    Form::Count(1, MAX_HOSTS),
+    Some("3"),
+    "hosts to run",
+);
+/// `--operators`
+pub const OPERATORS: Opt = opt(
+    "--operators",
+    "IP:PORT",
+    Form::Address,
+    None,
+    "operators' listener of any host",
+);
+/// `--key-file`
+pub const KEY_FILE: Opt = opt(
+    "--key-file",
+    "FILE",
+    Form::Text,
+    None,
+    "file with the operators' key; without it CHIVEWAY_OPERATOR_KEY is read",
+);
+/// `--file`
+pub const FILE: Opt = opt("--file", "FILE", Form::Text, None, "file of the list");
+/// `--revision`
+pub const REVISION: Opt = opt(
+    "--revision",
+    "N",
+    REVISIONS,
+    None,
+    "revision the edit started from; without it the comment that edit left in the file",
+);
+/// `--wait`
+pub const WAIT: Opt = switch(
+    "--wait",
+    "wait until the revision is in force on every host, and print the hosts",
+);
+/// `--json`
+pub const JSON: Opt = switch("--json", "print JSON");
+/// `--target`
+pub const TARGET: Opt = opt(
+    "--target",
+    "IP:PORT",
+    Form::Address,
+    None,
+    "callers' listener of a host",
+);
+/// `--key`
+pub const KEY: Opt = opt(
+    "--key",
+    "KEY",
+    Form::Text,
+    None,
+    "key of a customer made for trials",
+);
+/// `--requests`
+pub const REQUESTS: Opt = opt(
+    "--requests",
+    "N",
+    ANY_COUNT,
+    Some("100"),
+    "requests to send",
+);
+/// `--concurrency`
+pub const CONCURRENCY: Opt = opt(
+    "--concurrency",
+    "N",
+    Form::Count(1, 10_000),
+    Some("8"),
+    "requests open at once",
+);
+/// `--prompt-tokens`
+pub const PROMPT: Opt = opt(
+    "--prompt-tokens",
+    "N",
+    ANY_COUNT,
+    Some("200"),
+    "tokens of each prompt",
+);
+/// `--output-tokens`
+pub const OUTPUT: Opt = opt(
+    "--output-tokens",
+    "N",
+    ANY_COUNT,
+    Some("50"),
+    "tokens of each answer",
+);
+/// `--stream`
+pub const STREAM: Opt = switch("--stream", "ask for streamed answers");
+
+const ACCESS: &[&Opt] = &[&OPERATORS, &KEY_FILE];
+const ANSWER: &[&Opt] = &[&JSON, &OPERATORS, &KEY_FILE];
+const FETCH: &[&Opt] = &[&FILE, &OPERATORS, &KEY_FILE];
+const APPLY: &[&Opt] = &[&FILE, &REVISION, &WAIT, &OPERATORS, &KEY_FILE];
+const ENGINE: &[&Opt] = &[
+    &LISTEN, &REGISTER, &NAME, &MODEL, &DOMAIN, &FENCING, &SPEED, &PREFILL, &DECODE, &SLOTS,
+    &PIECE, &LAG, &INSTANT,
+];
+const LOAD: &[&Opt] = &[
+    &TARGET,
+    &KEY,
+    &MODEL,
+    &REQUESTS,
+    &CONCURRENCY,
+    &PROMPT,
+    &OUTPUT,
+    &STREAM,
+];
+
+const fn topic(
+    words: &'static str,
+    rest: &'static str,
+    opts: &'static [&'static Opt],
+    about: &'static str,
+) -> Topic {
+    Topic {
+        words,
+        rest,
+        about,
+        opts,
+    }
+}
+
+/// Every command, in the order of the help.
+pub const TOPICS: &[Topic] = &[
+    topic("host", "", &[&CONFIG], "Runs one host"),
+    topic(
+        "check",
+        "FILE...",
+        &[],
+        "Checks settings files and prints every fault",
+    ),
+    topic(
+        "plans get",
+        "",
+        ACCESS,
+        "Prints the customers' plans in force",
+    ),
+    topic(
+        "plans edit",
+        "",
+        FETCH,
+        "Fetches the customers' plans into a file for editing",
+    ),
+    topic(
+        "plans check",
+        "",
+        FETCH,
+        "Checks a file of customers' plans; with --operators also against the other list",
+    ),
+    topic(
+        "plans diff",
+        "",
+        FETCH,
+        "Shows how a file differs from the customers' plans in force",
+    ),
+    topic(
+        "plans apply",
+        "",
+        APPLY,
+        "Puts a file of customers' plans in force",
+    ),
+    topic("use get", "", ACCESS, "Prints what each plan may use"),
+    topic(
+        "use edit",
+        "",
+        FETCH,
+        "Fetches what each plan may use into a file for editing",
+    ),
+    topic(
+        "use check",
+        "",
+        FETCH,
+        "Checks a file of what plans may use; with --operators also against the other list",
+    ),
+    topic(
+        "use diff",
+        "",
+        FETCH,
+        "Shows how a file differs from the uses in force",
+    ),
+    topic(
+        "use apply",
+        "",
+        APPLY,
+        "Puts a file of what plans may use in force",
+    ),
+    topic(
+        "explain",
+        "ID",
+        ANSWER,
+        "Tells what became of a request, and why",
+    ),
+    topic(
+        "status",
+        "",
+        ANSWER,
+        "Shows hosts, engines, the revision in force and the store's health",
+    ),
+    topic(
+        "hash",
+        "",
+        &[],
+        "Reads a key from standard input and prints its BLAKE3 hash",
+    ),
+    topic(
+        "try",
+        "",
+        &[&ONCE, &HOSTS],
+        "Runs hosts and stand-ins in one process on loopback",
+    ),
+    topic(
+        "standin kv",
+        "",
+        &[&LISTEN, &LAG],
+        "Runs a stand-in of the key-value service, for trials",
+    ),
+    topic(
+        "standin engine",
+        "",
+        ENGINE,
+        "Runs a stand-in of an engine, for trials",
+    ),
+    topic(
+        "standin service",
+        "",
+        &[&LISTEN, &REGISTER, &NAME, &DOMAIN],
+        "Runs a stand-in of a plain service, for trials",
+    ),
+    topic(
+        "load",
+        "",
+        LOAD,
+        "Sends requests to a host and prints times, for trials",
+    ),
+];
--- a/src/form.rs
+++ b/src/form.rs
@@ -20,6 +20,8 @@
     Title,
     /// Words with commas between them; may be empty.
     Words,
+    /// Any text that is not empty.
+    Text,
     /// A secret; its value is never shown.
     Secret,
     /// A BLAKE3 hash in hexadecimal.
@@ -56,6 +58,7 @@
             Self::Word => is_word(text),
             Self::Title => is_title(text),
             Self::Words => items(text).all(is_word),
+            Self::Text => !text.is_empty(),
             Self::Secret => text.len() >= MIN_SECRET && !text.chars().any(char::is_control),
             Self::Hash => hash(text).is_some(),
             Self::Hashes => items(text).all(|item| hash(item).is_some()),
@@ -87,6 +90,7 @@
                 format!("a name of 1 to {MAX_NAME} bytes without brackets, \\ or control characters")
             }
             Self::Words => "names with commas between them, such as one, two".to_owned(),
+            Self::Text => "a text that is not empty".to_owned(),
             Self::Secret => format!("at least {MIN_SECRET} bytes on one line"),
             Self::Hash => "64 hexadecimal digits; make them with: chiveway hash".to_owned(),
             Self::Hashes => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,13 @@
 //! Serves language-model requests from a fixed fleet of engines and explains what became of each.
 
+pub mod cli;
 pub mod error;
 pub mod form;
 pub mod lists;
+pub mod logs;
+pub mod operate;
+pub mod output;
+pub mod run;
 pub mod sections;
 pub mod settings;
 pub mod units;
--- /dev/null
+++ b/src/operate/client.rs
@@ -0,0 +1,160 @@
+//! HTTP client for the operators' listener of one host.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use ntex::client::{Client, ClientRequest, ClientResponse};
+use ntex::http::header;
+use ntex::service::cfg::SharedCfg;
+use ntex::time::Millis;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::{OperateError, key};
+use crate::cli::Access;
+use crate::settings::Secret;
+
+/// Time for the head of an answer: an edit waits for the key-value service, which can be slow.
+const HEAD_TIME: Millis = Millis(15_000);
+/// Time for the body of an answer.
+const BODY_TIME: Millis = Millis(30_000);
+/// Most bytes of an answer: room for the lists at several times the size designed for.
+const MAX_BODY: usize = 64 << 20;
+
+/// Connection to one host.
+#[derive(Debug)]
+pub(super) struct Console {
+    client: Client,
+    addr: SocketAddr,
+    key: Secret,
+}
+
+/// An answer read whole.
+#[derive(Debug)]
+pub(super) struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Revision from the `ETag` header.
+    pub revision: Option<u64>,
+    /// Body as text.
+    pub body: Box<str>,
+}
+
+impl Console {
+    /// Makes a client with the operators' key; no connection is opened yet.
+    pub async fn open(access: &Access) -> Result<Self, OperateError> {
+        let key = key(access.key_file.as_deref())?;
+        let addr = access.addr;
+        // A redirect would send the key and the edit to an address nobody gave.
+        let builder = Client::builder()
+            .disable_redirects()
+            .response_timeout(HEAD_TIME)
+            .response_payload_limit(MAX_BODY)
+            .response_payload_timeout(BODY_TIME);
+        let client = builder.build(SharedCfg::new("operators")).await;
+        let client = client.map_err(|err| no_answer(addr, &err.to_string()))?;
+        Ok(Self { client, addr, key })
+    }
+
+    /// Returns the address for messages.
+    pub fn addr(&self) -> Box<str> {
+        self.addr.to_string().into()
+    }
+
+    /// Gets a path; any status but 200 is an error.
+    pub async fn get(&self, path: &str) -> Result<Answer, OperateError> {
+        let sent = self.request(self.client.get(self.url(path))).send().await;
+        let response = sent.map_err(|err| no_answer(self.addr, &err.to_string()))?;
+        let answer = read(response).await;
+        let answer = answer.map_err(|problem| no_answer(self.addr, &problem))?;
+        if answer.status == 200 {
+            Ok(answer)
+        } else {
+            Err(self.refused(&answer))
+        }
+    }
+
+    /// Puts a text where `revision` is in force; `Err` holds why no answer came.
+    pub async fn put(&self, path: &str, revision: u64, text: &str) -> Result<Answer, Box<str>> {
+        let request = self.request(self.client.put(self.url(path)));
+        let request = request
+            .header(header::IF_MATCH, format!("\"{revision}\""))
+            .content_type("text/plain; charset=utf-8");
+        let sent = request.send_body(text.to_owned()).await;
+        read(sent.map_err(|err| Box::from(err.to_string()))?).await
+    }
+
+    /// Reads an answer as JSON.
+    pub fn json<T: DeserializeOwned>(
+        &self,
+        answer: &Answer,
+        wanted: &'static str,
+    ) -> Result<T, OperateError> {
+        let addr = self.addr();
+        serde_json::from_str(&answer.body)
+            .map_err(|_strange| OperateError::Strange { addr, wanted })
+    }
+
+    /// Returns the error for an answer that refuses.
+    pub fn refused(&self, answer: &Answer) -> OperateError {
+        let problem: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+        let parts: Vec<_> = ["title", "detail"]
+            .iter()
+            .filter_map(|field| problem.get(field)?.as_str())
+            .filter(|part| !part.is_empty())
+            .collect();
+        let problem = match (parts.is_empty(), answer.status) {
+            (false, _) => parts.join(" "),
+            (true, 401) => "the operators' key is wrong".to_owned(),
+            (true, 404) => "nothing is known under this name".to_owned(),
+            (true, _) => "no reason given".to_owned(),
+        };
+        OperateError::Refused {
+            addr: self.addr(),
+            status: answer.status,
+            problem: problem.into(),
+        }
+    }
+
+    fn request(&self, request: ClientRequest) -> ClientRequest {
+        request.bearer_auth(self.key.expose())
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.addr)
+    }
+}
+
+async fn read(response: ClientResponse) -> Result<Answer, Box<str>> {
+    let tag = response.header(header::ETAG);
+    let tag = tag.and_then(|tag| tag.to_str().ok());
+    let revision = tag.and_then(|tag| tag.trim_matches('"').parse().ok());
+    let body = response.body().await;
+    let body = body.map_err(|err| Box::from(err.to_string()))?;
+    let body = str::from_utf8(&body).map_err(|_binary| Box::from("the body is no text"))?;
+    Ok(Answer {
+        status: response.status().as_u16(),
+        revision,
+        body: body.into(),
+    })
+}
+
+fn no_answer(addr: SocketAddr, problem: &str) -> OperateError {
+    OperateError::NoAnswer {
+        addr: addr.to_string().into(),
+        problem: problem.into(),
+    }
+}
+
+/// Writes text as one segment of a path.
+pub(super) fn escape(text: &str) -> Box<str> {
+    let mut path = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte) {
+            path.push(char::from(byte));
+        } else {
+            let _ = write!(path, "%{byte:02X}");
+        }
+    }
+    path.into()
+}
--- /dev/null
+++ b/src/operate/mod.rs
@@ -0,0 +1,163 @@
+//! Operators' and support engineers' commands, carried out at the operators' listener of a host.
+
+mod client;
+mod lists;
+
+use std::env;
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+
+pub use lists::list;
+
+use self::client::Console;
+use crate::cli::{Access, AnswerForm, ExplainOptions, StatusOptions};
+use crate::output;
+use crate::settings::Secret;
+
+/// Environment variable with the operators' key.
+pub const KEY_VARIABLE: &str = "CHIVEWAY_OPERATOR_KEY";
+
+/// Why a command could not be carried out.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum OperateError {
+    /// No key was given.
+    #[snafu(display("no operators' key: set {KEY_VARIABLE} or give --key-file FILE"))]
+    NoKey,
+    /// A file could not be read or written.
+    #[snafu(display("cannot use {}: {source}", path.display()))]
+    File {
+        /// The file.
+        path: Box<Path>,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// Standard output could not be written.
+    #[snafu(display("cannot write the output: {source}"))]
+    Print {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The host was not reached or did not answer.
+    #[snafu(display("no answer from {addr}: {problem}; try another host"))]
+    NoAnswer {
+        /// The operators' listener.
+        addr: Box<str>,
+        /// What the client says.
+        problem: Box<str>,
+    },
+    /// An edit was sent and its answer is lost.
+    #[snafu(display(
+        "no answer from {addr}: {problem}; the edit may have been accepted: \
+         compare with \"chiveway {list} diff\" before you apply it again"
+    ))]
+    Unsure {
+        /// The operators' listener.
+        addr: Box<str>,
+        /// What the client says.
+        problem: Box<str>,
+        /// Word of the list.
+        list: &'static str,
+    },
+    /// The host refused.
+    #[snafu(display("{addr} refused with status {status}: {problem}"))]
+    Refused {
+        /// The operators' listener.
+        addr: Box<str>,
+        /// HTTP status.
+        status: u16,
+        /// What the host says.
+        problem: Box<str>,
+    },
+    /// The host's answer does not follow the protocol.
+    #[snafu(display(
+        "{addr} sent an answer without {wanted}; is it a chiveway operators' listener?"
+    ))]
+    Strange {
+        /// The operators' listener.
+        addr: Box<str>,
+        /// What is missing.
+        wanted: &'static str,
+    },
+    /// The list has faults.
+    #[snafu(display("correct these faults and try again:\n{faults}"))]
+    Faulty {
+        /// One fault a line.
+        faults: Box<str>,
+    },
+    /// The file does not tell which revision it was fetched at.
+    #[snafu(display(
+        "the file has no line \"{}N\": fetch it with \"edit\" or give --revision N",
+        lists::REVISION_LINE
+    ))]
+    NoRevision,
+    /// Another edit came first.
+    #[snafu(display(
+        "revision {revision} came first; nothing was changed. It changed:\n{diff}\n\
+         Fetch the list again with \"edit\" and repeat your change."
+    ))]
+    Conflict {
+        /// Revision now in force.
+        revision: u64,
+        /// What the other edit changed.
+        diff: Box<str>,
+    },
+    /// The revision is accepted, but not all hosts were seen to have it.
+    #[snafu(display(
+        "revision {revision} is accepted, but after {secs} s these hosts were not seen to have it: {missing}"
+    ))]
+    Late {
+        /// Accepted revision.
+        revision: u64,
+        /// Time waited.
+        secs: u64,
+        /// Names of the hosts.
+        missing: Box<str>,
+    },
+}
+
+/// Tells what became of a request.
+///
+/// # Errors
+///
+/// Returns why the host did not tell it.
+pub async fn explain(options: ExplainOptions) -> Result<(), OperateError> {
+    let path = format!("/explain/{}", client::escape(&options.id));
+    show(&options.access, &path, options.form).await
+}
+
+/// Shows the state of the deployment.
+///
+/// # Errors
+///
+/// Returns why the host did not tell it.
+pub async fn status(options: StatusOptions) -> Result<(), OperateError> {
+    show(&options.access, "/status", options.form).await
+}
+
+async fn show(access: &Access, path: &str, form: AnswerForm) -> Result<(), OperateError> {
+    let console = Console::open(access).await?;
+    let answer = console.get(path).await?;
+    let value: Value = console.json(&answer, "a JSON document")?;
+    let text = match form {
+        AnswerForm::Json => format!("{value:#}"),
+        AnswerForm::Text => output::tree(&value),
+    };
+    output::say(&text).context(PrintSnafu)
+}
+
+/// Reads the operators' key from its file or from the environment.
+fn key(file: Option<&Path>) -> Result<Secret, OperateError> {
+    let key = match file {
+        Some(path) => fs::read_to_string(path).context(FileSnafu { path })?,
+        None => env::var(KEY_VARIABLE).unwrap_or_default(),
+    };
+    match key.trim() {
+        "" => NoKeySnafu.fail(),
+        key => Ok(Secret::new(key)),
+    }
+}
--- /dev/null
+++ b/src/output.rs
@@ -0,0 +1,170 @@
+//! Output for people: aligned columns, trees of values, colour only on a terminal.
+
+use std::fmt::Write as _;
+use std::io::{self, IsTerminal, Write as _, stderr, stdout};
+
+use serde_json::Value;
+
+/// Spaces before each line.
+const INDENT: usize = 2;
+/// Spaces between columns.
+const GAP: usize = 2;
+
+/// Writes rows with their columns aligned and indented.
+#[must_use]
+pub fn columns<const N: usize>(rows: impl IntoIterator<Item = [Box<str>; N]>) -> String {
+    let rows: Vec<Vec<Box<str>>> = rows.into_iter().map(Vec::from).collect();
+    table(&rows, INDENT)
+}
+
+fn table(rows: &[Vec<Box<str>>], indent: usize) -> String {
+    let width = rows.iter().map(Vec::len).max().unwrap_or_default();
+    let width_of = |column: usize| {
+        let cells = rows.iter().filter_map(|row| row.get(column));
+        cells
+            .map(|cell| cell.chars().count())
+            .max()
+            .unwrap_or_default()
+    };
+    let widths: Vec<_> = (0..width).map(width_of).collect();
+    let mut text = String::new();
+    for row in rows {
+        let mut line = " ".repeat(indent);
+        for (cell, width) in row.iter().zip(&widths) {
+            let _ = write!(line, "{cell:<width$}", width = width + GAP);
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+/// Writes a JSON value as indented lines: `key  value`, lists of objects as tables.
+#[must_use]
+pub fn tree(value: &Value) -> String {
+    let mut text = String::new();
+    branch(&mut text, value, 0);
+    text
+}
+
+fn branch(text: &mut String, value: &Value, indent: usize) {
+    match value {
+        Value::Object(map) => {
+            let flat = |value: &&Value| leaf(value).is_some();
+            let width = map.iter().filter(|(_, value)| flat(value));
+            let width = width.map(|(key, _)| key.chars().count()).max().unwrap_or(0);
+            for (key, value) in map {
+                let start = " ".repeat(indent);
+                if let Some(leaf) = leaf(value) {
+                    let width = width + GAP;
+                    let _ = writeln!(text, "{start}{key:<width$}{leaf}");
+                } else {
+                    let _ = writeln!(text, "{start}{key}:");
+                    branch(text, value, indent + INDENT);
+                }
+            }
+        }
+        Value::Array(items) => list(text, items, indent),
+        other => {
+            let leaf = leaf(other).unwrap_or_default();
+            let _ = writeln!(text, "{}{leaf}", " ".repeat(indent));
+        }
+    }
+}
+
+/// Writes a list: as a table where every item is an object of plain values.
+fn list(text: &mut String, items: &[Value], indent: usize) {
+    let Some(rows) = rows(items) else {
+        for item in items {
+            let mut part = String::new();
+            branch(&mut part, item, indent + INDENT);
+            let dash = format!("{}- ", " ".repeat(indent));
+            text.push_str(&dash);
+            text.push_str(part.get(dash.len()..).unwrap_or_default());
+        }
+        return;
+    };
+    text.push_str(&table(&rows, indent));
+}
+
+fn rows(items: &[Value]) -> Option<Vec<Vec<Box<str>>>> {
+    let mut names: Vec<&str> = Vec::new();
+    for item in items {
+        for (name, value) in item.as_object()? {
+            leaf(value)?;
+            if !names.contains(&name.as_str()) {
+                names.push(name);
+            }
+        }
+    }
+    let cell =
+        |item: &Value, name: &str| item.get(name).and_then(leaf).unwrap_or_else(|| "-".into());
+    let head = names.iter().map(|name| (*name).into()).collect();
+    let body = items
+        .iter()
+        .map(|item| names.iter().map(|name| cell(item, name)).collect());
+    Some([head].into_iter().chain(body).collect())
+}
+
+/// Returns a value that fits on a line; `None` for objects and for lists of them.
+fn leaf(value: &Value) -> Option<Box<str>> {
+    match value {
+        Value::Null => Some("-".into()),
+        Value::Bool(true) => Some("yes".into()),
+        Value::Bool(false) => Some("no".into()),
+        Value::Number(number) => Some(number.to_string().into()),
+        Value::String(text) => Some(plain(text)),
+        Value::Array(items) if items.is_empty() => Some("none".into()),
+        Value::Array(items) if items.iter().all(Value::is_string) => {
+            let items: Vec<_> = items.iter().filter_map(leaf).collect();
+            Some(items.join(", ").into())
+        }
+        Value::Array(_) | Value::Object(_) => None,
+    }
+}
+
+/// Returns text without control characters.
+///
+/// Explanations hold what callers sent; an escape sequence in it would otherwise reach the support
+/// engineer's terminal and could hide or change lines.
+fn plain(text: &str) -> Box<str> {
+    let shown = |c: char| if c.is_control() { '\u{fffd}' } else { c };
+    text.chars().map(shown).collect::<String>().into()
+}
+
+/// What a message on standard error is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tone {
+    /// The command failed.
+    Error,
+    /// The command goes on.
+    Warning,
+}
+
+/// Prints a message to standard error, its first word coloured on a terminal.
+pub fn complain(tone: Tone, message: &str) {
+    let (word, colour) = match tone {
+        Tone::Error => ("error", "\x1b[1;31m"),
+        Tone::Warning => ("warning", "\x1b[1;33m"),
+    };
+    if stderr().is_terminal() {
+        eprintln!("{colour}{word}\x1b[0m: {message}");
+    } else {
+        eprintln!("{word}: {message}");
+    }
+}
+
+/// Prints text to standard output; a reader that has gone away is no error.
+///
+/// # Errors
+///
+/// Returns the error of the write.
+pub fn say(text: &str) -> io::Result<()> {
+    let mut out = stdout().lock();
+    let line_end = if text.ends_with('\n') { "" } else { "\n" };
+    let done = write!(out, "{text}{line_end}").and_then(|()| out.flush());
+    match done {
+        Err(err) if err.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        done => done,
+    }
+}
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -104,7 +104,7 @@
 fn pool(section: &Section) -> PoolSettings {
     PoolSettings {
         model: section.get("model").into(),
-        fencing: section.read("fencing", fencing),
+        fencing: section.read("fencing", Fencing::from_word),
         first_token: time(section, "first-token"),
         between: time(section, "between"),
         split: section.read("split", units::yes),
@@ -136,12 +136,15 @@
     form::items(text).map(form::address).collect()
 }
 
-/// Reads what the engines do with fencing numbers.
-pub(crate) fn fencing(text: &str) -> Option<Fencing> {
-    match text {
-        "checks" => Some(Fencing::Checks),
-        "ignores" => Some(Fencing::Ignores),
-        _ => None,
+impl Fencing {
+    /// Reads `checks` or `ignores`.
+    #[must_use]
+    pub fn from_word(word: &str) -> Option<Self> {
+        match word {
+            "checks" => Some(Self::Checks),
+            "ignores" => Some(Self::Ignores),
+            _ => None,
+        }
     }
 }
 
