--- /dev/null
+++ b/src/core/event.rs
@@ -0,0 +1,406 @@
+//! Everything that can happen to a host.
+
+use std::net::SocketAddr;
+
+use super::key::{AskKey, AttemptKey, HostKey, PoolKey, RequestKey, ShardKey};
+use super::message::Message;
+use crate::error::Ran;
+use crate::lists::KeyHash;
+use crate::store::{Range, TxnReply};
+
+/// One event.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// The adapters are ready; the first event.
+    Start,
+    /// A caller or a back end did something about a request.
+    Request(RequestEvent),
+    /// A peer did something.
+    Peer(PeerEvent),
+    /// The key-value service did something.
+    Store(StoreEvent),
+    /// The platform's list or a back end's report arrived.
+    Fleet(FleetEvent),
+    /// An operator asked something.
+    Operator(OperatorEvent),
+    /// A time that was asked for has come.
+    Timer(Timer),
+    /// A planned stop goes on.
+    Stop(StopEvent),
+}
+
+/// A time that a part asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// Send beats to peers and check on them.
+    Beat,
+    /// Renew this host's registration.
+    Register,
+    /// Fetch lists that are known to be newer.
+    Fetch,
+    /// Read the platform's list.
+    Listing,
+    /// Read the back ends' load reports.
+    Reports,
+    /// A request has waited long enough for what it waits for.
+    Request(RequestKey),
+    /// Look whether an attempt has fallen silent.
+    Silence(AttemptKey),
+    /// Refill, lend and expire loans.
+    Shares,
+    /// Write grouped records and expire old ones.
+    Once,
+    /// Renew authority and go on with orders.
+    Orders,
+    /// Copy records to peers.
+    Traces,
+    /// An operator's question has waited long enough.
+    Ask(AskKey),
+    /// The planned stop has reached its bound.
+    Stop,
+}
+
+/// What a caller wants.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Number by which the adapter knows the request until it has a key.
+    pub tag: u64,
+    /// Hash of the customer's key.
+    pub caller: KeyHash,
+    /// What the request is for.
+    pub want: Want,
+    /// The caller's idempotency key.
+    pub idem: Option<Box<str>>,
+    /// First half of the BLAKE3 hash of target and body.
+    pub print: Print,
+}
+
+/// Fingerprint of a request's target and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub struct Print(pub [u8; 16]);
+
+/// What a request is for.
+#[derive(Debug, Clone)]
+pub enum Want {
+    /// A completion.
+    Model(ModelWant),
+    /// A call of a plain service.
+    Service(ServiceWant),
+}
+
+/// A completion that a caller wants.
+#[derive(Debug, Clone)]
+pub struct ModelWant {
+    /// Model name.
+    pub model: Box<str>,
+    /// Estimated prompt tokens.
+    pub prompt: u32,
+    /// Most tokens to generate.
+    pub output: u32,
+    /// Hashes of the prompt's pieces, each over everything up to its end.
+    pub pieces: Vec<u64>,
+}
+
+/// A service call that a caller wants.
+#[derive(Debug, Clone)]
+pub struct ServiceWant {
+    /// Service name.
+    pub service: Box<str>,
+    /// HTTP method, upper case.
+    pub method: Box<str>,
+    /// Path below the service, without the query.
+    pub path: Box<str>,
+}
+
+/// Something about a request.
+#[derive(Debug, Clone)]
+pub enum RequestEvent {
+    /// A caller sent a request.
+    Arrived(Box<Arrival>),
+    /// The caller closed its connection.
+    Left(RequestKey),
+    /// The engine or service took the request and began to answer.
+    Began(AttemptKey),
+    /// A piece of the answer arrived: tokens from `offset` on.
+    Chunk {
+        /// The attempt it came in on.
+        attempt: AttemptKey,
+        /// Position of the first token of the piece in the whole answer.
+        offset: u64,
+        /// Tokens in the piece; 0 for a piece that carries none, such as the end marker.
+        tokens: u32,
+    },
+    /// The end marker arrived: the answer is whole.
+    Whole(AttemptKey),
+    /// The service's whole answer arrived.
+    Answered {
+        /// The attempt it came in on.
+        attempt: AttemptKey,
+        /// The answer.
+        result: Stored,
+    },
+    /// The attempt ended without a whole answer.
+    Broke {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Whether the back end ran the request.
+        ran: Ran,
+        /// How it ended.
+        end: Break,
+        /// What the adapter saw, for the explanation.
+        detail: Box<str>,
+    },
+}
+
+/// How an attempt ended without a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Break {
+    /// No connection could be opened.
+    Unreachable,
+    /// The back end refused before it started.
+    Refused,
+    /// The back end answered that the request is at fault.
+    Rejected,
+    /// The connection ended before the end marker.
+    Cut,
+}
+
+/// The answer of a service, as it is kept for repeats.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Stored {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub media: Box<str>,
+    /// Body.
+    pub body: Box<[u8]>,
+}
+
+/// Something about a peer.
+#[derive(Debug, Clone)]
+pub enum PeerEvent {
+    /// A message arrived from a peer that proved who it is.
+    Message {
+        /// Name the peer proved.
+        from: Box<str>,
+        /// The message.
+        message: Message,
+    },
+    /// The connection to a peer could not be opened or broke.
+    Down(HostKey),
+}
+
+/// Something about the key-value service.
+#[derive(Debug, Clone)]
+pub enum StoreEvent {
+    /// Watched keys have these values now; keys are without the deployment's prefix.
+    Watched(Vec<Watched>),
+    /// A job ended.
+    Reply(StoreReply),
+    /// The service began to answer, or stopped answering.
+    Health(Health),
+}
+
+/// Whether the key-value service answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It answers and the watch is open.
+    Up,
+    /// It does not answer or the watch broke.
+    Down,
+}
+
+/// A watched key.
+#[derive(Debug, Clone)]
+pub struct Watched {
+    /// Key without the deployment's prefix and the watched folder.
+    pub key: Box<str>,
+    /// Value; `None` when the key is gone.
+    pub value: Option<Box<[u8]>>,
+    /// Revision of the key-value service at which it changed.
+    pub modified: i64,
+}
+
+/// What a call to the key-value service is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Job {
+    /// Register this host; numbered by the try.
+    Register(u64),
+    /// Put new lists in force for an operator.
+    Apply(AskKey),
+    /// Read the chunks of new lists, for this revision.
+    Chunk(u64),
+    /// Read or write a shard of records.
+    Record(ShardKey),
+    /// Take, renew or give back the authority over a pool.
+    Holder(PoolKey),
+    /// Read or write the intended orders of a pool.
+    Intent(PoolKey),
+    /// Write the routing state of a pool.
+    Route(PoolKey),
+}
+
+/// End of a job.
+#[derive(Debug, Clone)]
+pub struct StoreReply {
+    /// The job.
+    pub job: Job,
+    /// What came of it.
+    pub result: StoreResult,
+}
+
+/// What came of a call to the key-value service.
+#[derive(Debug, Clone)]
+pub enum StoreResult {
+    /// A read's answer.
+    Read(Range),
+    /// A transaction's answer.
+    Txn(TxnReply),
+    /// A lease was granted or renewed; 0 when it has lapsed.
+    Lease(i64),
+    /// The call surely had no effect.
+    Refused,
+    /// The call may have taken effect.
+    Unknown,
+}
+
+/// Something about back ends.
+#[derive(Debug, Clone)]
+pub enum FleetEvent {
+    /// The platform's list was read.
+    Listed(Vec<Entry>),
+    /// A back end's load report was read.
+    Report {
+        /// Name of the back end.
+        name: Box<str>,
+        /// The report; `None` when the back end did not answer.
+        report: Option<Report>,
+    },
+    /// An order was answered.
+    Ordered {
+        /// Name of the engine.
+        name: Box<str>,
+        /// Fencing number the order carried.
+        fence: u64,
+        /// Number of the order.
+        order: u64,
+        /// What came of it.
+        result: Ordered,
+    },
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ordered {
+    /// The engine carried it out.
+    Done,
+    /// The engine knows a higher fencing number.
+    Fenced(u64),
+    /// The engine surely did not see it.
+    Unsent,
+    /// The engine may have seen it.
+    Unknown,
+}
+
+/// One line of the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Name.
+    pub name: Box<str>,
+    /// What it is.
+    pub kind: EntryKind,
+    /// Pool or service it belongs to.
+    pub pool: Box<str>,
+    /// Address it listens on.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: Box<str>,
+    /// Whether it is on its way out.
+    pub leaving: bool,
+}
+
+/// What a line of the platform's list names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryKind {
+    /// An entry host.
+    Host,
+    /// A model engine.
+    Engine,
+    /// An instance of a plain service.
+    Service,
+}
+
+/// Which part of a request an engine does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum Role {
+    /// Prefill and decode.
+    #[default]
+    Both,
+    /// Prefill only.
+    Prefill,
+    /// Decode only.
+    Decode,
+}
+
+/// An engine's load, late by some unknown time.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Report {
+    /// Streams being decoded.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Prompt tokens waiting to be prefilled.
+    pub prefill: u64,
+    /// Role the engine has.
+    pub role: Role,
+    /// Age that the engine gives for its figures, in milliseconds.
+    pub age: u32,
+}
+
+/// Something an operator asks.
+#[derive(Debug, Clone)]
+pub enum OperatorEvent {
+    /// What became of a request.
+    Explain {
+        /// Question.
+        ask: AskKey,
+        /// Request id.
+        id: Box<str>,
+    },
+    /// Put a list in force.
+    Apply {
+        /// Question.
+        ask: AskKey,
+        /// The edit.
+        edit: Edit,
+    },
+}
+
+/// An operator's edit of one list.
+#[derive(Debug, Clone)]
+pub struct Edit {
+    /// Which list.
+    pub list: Which,
+    /// Whole new text.
+    pub text: Box<str>,
+    /// Revision that was edited.
+    pub base: u64,
+}
+
+/// One of the two lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Which {
+    /// The customers' plans.
+    Plans,
+    /// What each plan may use.
+    Uses,
+}
+
+/// Something about a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopEvent {
+    /// Stop in good order.
+    Begin,
+    /// Every open connection has been served.
+    Idle,
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,311 @@
+//! Engines and services: the platform's list, load reports, and this host's own counts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use super::effect::{Effect, log_event};
+use super::event::{Entry, EntryKind, FleetEvent, Report, Role, Timer};
+use super::key::{BackendKey, PoolKey};
+use super::{Core, Effects, Time, order};
+use crate::settings::{PoolSettings, Settings};
+
+/// Time between two reads of a back end's load report.
+const REPORT_EVERY: Duration = Duration::from_secs(1);
+/// First time a back end that failed gets no new work; doubled with each failure after it.
+const BACKOFF: Duration = Duration::from_millis(250);
+/// Longest time a back end that failed gets no new work.
+const BACKOFF_MOST: Duration = Duration::from_secs(8);
+
+/// Whether new work goes to a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Standing {
+    /// It takes new work.
+    #[default]
+    Serving,
+    /// It is being withdrawn for a change and finishes what it has.
+    Withdrawn,
+    /// The platform's list says it is leaving, or no longer names it.
+    Leaving,
+}
+
+/// A pool of engines and its settings.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    /// Name.
+    pub name: Box<str>,
+    /// Settings.
+    pub settings: PoolSettings,
+    /// Its engines, in name order.
+    pub engines: Vec<BackendKey>,
+}
+
+/// An engine or a service instance.
+#[derive(Debug, Clone)]
+pub struct Backend {
+    /// Name.
+    pub name: Box<str>,
+    /// Whether it is an engine or a service.
+    pub kind: EntryKind,
+    /// Pool or service it belongs to.
+    pub pool: Box<str>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: Box<str>,
+    /// What the platform's list says.
+    pub listed: Standing,
+    /// What the pool's routing state says.
+    pub routed: Standing,
+    /// Role by the pool's routing state.
+    pub role: Role,
+    /// Streams and calls of this host that run there now.
+    pub streams: u32,
+    /// Prompt tokens this host sent there that have brought no first token yet.
+    pub prefill: u64,
+    /// Tokens this host's streams there may still generate.
+    pub decode: u64,
+    /// Last load report and when it was read.
+    pub report: Option<(Time, Report)>,
+    /// Seconds a prompt token took there, measured over this host's requests; 0 before the first.
+    pub pace: f64,
+    /// Failures since the last success.
+    pub fails: u32,
+    /// It gets no new work before this time.
+    pub retry: Time,
+}
+
+impl Backend {
+    /// Returns whether new work may go there.
+    #[must_use]
+    pub fn takes(&self, now: Time) -> bool {
+        self.listed == Standing::Serving && self.routed == Standing::Serving && now >= self.retry
+    }
+}
+
+/// Engines and services as this host knows them.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Engines and services.
+    pub arena: SlotMap<BackendKey, Backend>,
+    names: BTreeMap<Box<str>, BackendKey>,
+    /// Pools, in name order; a [`PoolKey`] is a position here.
+    pub pools: Vec<Pool>,
+    /// Service instances by service name.
+    pub services: BTreeMap<Box<str>, Vec<BackendKey>>,
+    /// Hosts that the platform's list calls leaving.
+    pub leaving: BTreeSet<Box<str>>,
+}
+
+impl Fleet {
+    /// Creates the state of a host that has not read the list yet.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Self {
+        let pools = settings.pools.iter().map(|(name, settings)| Pool {
+            name: name.clone(),
+            settings: settings.clone(),
+            engines: Vec::new(),
+        });
+        let services = settings.services.keys().cloned();
+        Self {
+            arena: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            pools: pools.collect(),
+            services: services.map(|name| (name, Vec::new())).collect(),
+            leaving: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the pool with this name.
+    #[must_use]
+    pub fn pool(&self, name: &str) -> Option<PoolKey> {
+        let at = self.pools.iter().position(|pool| &*pool.name == name)?;
+        u16::try_from(at).ok().map(PoolKey)
+    }
+
+    /// Returns the pools that serve a model.
+    pub fn serving(&self, model: &str) -> impl Iterator<Item = &Pool> {
+        self.pools
+            .iter()
+            .filter(move |pool| &*pool.settings.model == model)
+    }
+
+    /// Returns the key of a back end.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<BackendKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Counts work sent to a back end.
+    pub fn sent(&mut self, key: BackendKey, prompt: u64, output: u64) {
+        if let Some(backend) = self.arena.get_mut(key) {
+            backend.streams += 1;
+            backend.prefill += prompt;
+            backend.decode += output;
+        }
+    }
+
+    /// Counts work that ended at a back end.
+    pub fn ended(&mut self, key: BackendKey, prompt: u64, output: u64) {
+        if let Some(backend) = self.arena.get_mut(key) {
+            backend.streams = backend.streams.saturating_sub(1);
+            backend.prefill = backend.prefill.saturating_sub(prompt);
+            backend.decode = backend.decode.saturating_sub(output);
+        }
+    }
+
+    /// Notes that a back end answered.
+    pub fn works(&mut self, key: BackendKey) {
+        if let Some(backend) = self.arena.get_mut(key) {
+            backend.fails = 0;
+        }
+    }
+
+    /// Notes that a back end failed: it gets no new work for a while.
+    pub fn failed(&mut self, key: BackendKey, now: Time) {
+        if let Some(backend) = self.arena.get_mut(key) {
+            let factor = 2_u32.saturating_pow(backend.fails.min(8));
+            backend.fails += 1;
+            backend.retry = now.after((BACKOFF * factor).min(BACKOFF_MOST));
+        }
+    }
+
+    /// Brings pools and services in line with the arena.
+    fn regroup(&mut self) {
+        for pool in &mut self.pools {
+            pool.engines.clear();
+        }
+        for instances in self.services.values_mut() {
+            instances.clear();
+        }
+        for &key in self.names.values() {
+            let backend = &self.arena[key];
+            match backend.kind {
+                EntryKind::Engine => {
+                    let pool = self.pools.iter_mut().find(|pool| pool.name == backend.pool);
+                    if let Some(pool) = pool {
+                        pool.engines.push(key);
+                    }
+                }
+                EntryKind::Service => {
+                    if let Some(instances) = self.services.get_mut(&backend.pool) {
+                        instances.push(key);
+                    }
+                }
+                EntryKind::Host => {}
+            }
+        }
+    }
+}
+
+/// Reads the list at once and the reports soon after.
+pub fn start(core: &mut Core, out: &mut Effects) {
+    timer(core, Timer::Listing, out);
+    timer(core, Timer::Reports, out);
+}
+
+/// Reads the list or the reports.
+pub fn timer(core: &mut Core, timer: Timer, out: &mut Effects) {
+    let every = if timer == Timer::Listing {
+        out.push(Effect::List);
+        core.settings.platform.refresh
+    } else {
+        let engines = core.fleet.arena.values();
+        let engines = engines.filter(|backend| backend.kind == EntryKind::Engine);
+        out.extend(engines.map(|engine| Effect::Load {
+            name: engine.name.clone(),
+            addr: engine.addr,
+        }));
+        REPORT_EVERY
+    };
+    out.push(Effect::Wake {
+        at: core.now.after(every),
+        timer,
+    });
+}
+
+/// Takes in a list, a report or an order's answer.
+pub fn step(core: &mut Core, event: FleetEvent, out: &mut Effects) {
+    match event {
+        FleetEvent::Listed(entries) => listed(core, entries, out),
+        FleetEvent::Report { name, report } => {
+            if let (Some(key), Some(report)) = (core.fleet.find(&name), report) {
+                core.fleet.arena[key].report = Some((core.now, report));
+            }
+        }
+        FleetEvent::Ordered {
+            name,
+            fence,
+            order,
+            result,
+        } => order::ordered(core, &name, fence, order, result, out),
+    }
+}
+
+/// Takes in the platform's list: what it no longer names gets no new work.
+fn listed(core: &mut Core, entries: Vec<Entry>, out: &mut Effects) {
+    let fleet = &mut core.fleet;
+    let mut gone: BTreeSet<Box<str>> = fleet.names.keys().cloned().collect();
+    fleet.leaving.clear();
+    for entry in entries {
+        if entry.kind == EntryKind::Host {
+            if entry.leaving {
+                fleet.leaving.insert(entry.name);
+            }
+            continue;
+        }
+        gone.remove(&entry.name);
+        take_entry(fleet, entry, out);
+    }
+    for name in gone {
+        let key = fleet.names[&name];
+        if fleet.arena[key].streams == 0 {
+            fleet.names.remove(&name);
+            fleet.arena.remove(key);
+        } else {
+            fleet.arena[key].listed = Standing::Leaving;
+        }
+    }
+    fleet.regroup();
+    order::fleet_changed(core, out);
+}
+
+fn take_entry(fleet: &mut Fleet, entry: Entry, out: &mut Effects) {
+    let listed = if entry.leaving {
+        Standing::Leaving
+    } else {
+        Standing::Serving
+    };
+    if let Some(&key) = fleet.names.get(&entry.name) {
+        let backend = &mut fleet.arena[key];
+        if backend.listed != listed {
+            let text = format!("{} is {listed:?} by the platform's list", entry.name);
+            out.push(log_event(log::Level::Info, "backend.listed", text));
+        }
+        backend.listed = listed;
+        backend.addr = entry.addr;
+        backend.domain = entry.domain;
+        return;
+    }
+    let name = entry.name.clone();
+    let key = fleet.arena.insert(Backend {
+        name: entry.name,
+        kind: entry.kind,
+        pool: entry.pool,
+        addr: entry.addr,
+        domain: entry.domain,
+        listed,
+        routed: Standing::Serving,
+        role: Role::Both,
+        streams: 0,
+        prefill: 0,
+        decode: 0,
+        report: None,
+        pace: 0.0,
+        fails: 0,
+        retry: Time::default(),
+    });
+    fleet.names.insert(name, key);
+}
--- /dev/null
+++ b/src/core/member.rs
@@ -0,0 +1,474 @@
+//! The hosts of this deployment: registration, beats, and what each host vouches for.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use slotmap::SlotMap;
+
+use super::effect::{Effect, log_event};
+use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
+use super::key::HostKey;
+use super::message::{Beat, Message};
+use super::{Core, Effects, Time, config, killer, once, order, share, trace};
+use crate::settings::HostSettings;
+use crate::store::{Op, Txn};
+
+/// First word of the watched keys that name hosts.
+pub const WORD: &str = "host";
+/// Time between two beats to a peer.
+const BEAT_EVERY: Duration = Duration::from_secs(1);
+/// Beats a peer may leave unechoed before the connection to it is opened anew.
+///
+/// A connection can go silent for good while new ones work; the peer then still beats on its own
+/// connection, but its echo stands still.
+const UNECHOED: u64 = 4;
+/// Silence after which a peer counts as unheard.
+pub const UNHEARD: Duration = Duration::from_secs(4);
+
+/// A host of this deployment other than this one.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Name.
+    pub name: Box<str>,
+    /// Where it listens for peers.
+    pub addr: SocketAddr,
+    /// Region.
+    pub region: Box<str>,
+    /// Failure domain.
+    pub domain: Box<str>,
+    /// Wall clock at the start of its process, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// When it was last heard.
+    pub heard: Option<Time>,
+    /// Its last beat.
+    pub beat: Beat,
+    /// Number of the last beat sent to it.
+    pub sent: u64,
+    /// Number of the first beat sent on the present connection.
+    opened: u64,
+}
+
+/// The hosts, and this host's own standing among them.
+#[derive(Debug)]
+pub struct Members {
+    /// Other hosts.
+    pub arena: SlotMap<HostKey, Member>,
+    names: BTreeMap<Box<str>, HostKey>,
+    /// This host's name.
+    pub name: Box<str>,
+    incarnation: u64,
+    /// Hash of the names and incarnations of all hosts, this one included when registered.
+    pub view: u64,
+    /// When the view last changed.
+    pub settled: Time,
+    /// Whether this host stands among the registered hosts.
+    pub registered: bool,
+    /// Lease of the registration; 0 for none.
+    lease: i64,
+    tries: u64,
+    /// Whether the key-value service answers.
+    pub store: Health,
+    /// When the key-value service last answered.
+    pub store_heard: Option<Time>,
+}
+
+impl Members {
+    /// Creates the state of a host that knows no other.
+    #[must_use]
+    pub fn new(host: &HostSettings, incarnation: u64) -> Self {
+        Self {
+            arena: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            name: host.name.clone(),
+            incarnation,
+            view: 0,
+            settled: Time::default(),
+            registered: false,
+            lease: 0,
+            tries: 0,
+            store: Health::Down,
+            store_heard: None,
+        }
+    }
+
+    /// Returns the keys of all other hosts, in name order.
+    pub fn peers(&self) -> impl Iterator<Item = HostKey> + '_ {
+        self.names.values().copied()
+    }
+
+    /// Returns when this process started; milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the key of a host.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<HostKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Returns the number of hosts, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.names.len() + 1
+    }
+
+    /// Returns whether a peer was heard lately.
+    #[must_use]
+    pub fn hears(&self, host: HostKey, now: Time) -> bool {
+        self.arena
+            .get(host)
+            .and_then(|member| member.heard)
+            .is_some_and(|heard| now.since(heard) < UNHEARD)
+    }
+
+    /// Returns the host that `what` falls to by rendezvous hashing; `None` for this host.
+    ///
+    /// Hosts that are stopping are passed over, so that what they have is taken over before they
+    /// are gone.
+    #[must_use]
+    pub fn home(&self, what: &str) -> Option<HostKey> {
+        let mine = (weight(&self.name, what), None);
+        self.names
+            .iter()
+            .filter(|(_, key)| !self.arena[**key].beat.stopping)
+            .map(|(name, key)| (weight(name, what), Some(*key)))
+            .fold(mine, std::cmp::max)
+            .1
+    }
+
+    fn changed(&mut self, now: Time) {
+        let mut hasher = blake3::Hasher::new();
+        let mut all: BTreeMap<&str, u64> = self
+            .names
+            .iter()
+            .map(|(name, key)| (&**name, self.arena[*key].incarnation))
+            .collect();
+        if self.registered {
+            all.insert(&self.name, self.incarnation);
+        }
+        for (name, incarnation) in all {
+            hasher.update(format!("{name}\n{incarnation}\n").as_bytes());
+        }
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        let view = u64::from_le_bytes(first);
+        if view != self.view {
+            self.view = view;
+            self.settled = now;
+        }
+    }
+}
+
+fn weight(name: &str, what: &str) -> u64 {
+    let hash = blake3::hash(format!("{name}\n{what}").as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// Returns up to `count` peers that keep copies of this host's records, other failure domains
+/// first.
+#[must_use]
+pub fn keepers(core: &Core, count: usize) -> Vec<HostKey> {
+    let members = &core.members;
+    let mut peers: Vec<HostKey> = members
+        .peers()
+        .filter(|&host| members.hears(host, core.now))
+        .collect();
+    peers.sort_by_key(|&host| {
+        let peer = &members.arena[host];
+        let near = peer.domain == core.settings.host.domain;
+        (near, peer.beat.stopping, weight(&peer.name, &members.name))
+    });
+    peers.truncate(count);
+    peers
+}
+
+/// Returns whether this host has been cut off for too long to take new work.
+///
+/// A host that hears neither the key-value service nor any other host may act on a routing view
+/// from which an engine was withdrawn long ago. After the bound it refuses, so that the others
+/// may count it out.
+#[must_use]
+pub fn cut_off(core: &Core) -> bool {
+    let bound = core.settings.limits.cut_off;
+    let members = &core.members;
+    let store = members.store_heard;
+    let recent = |heard: Option<Time>| heard.is_some_and(|at| core.now.since(at) < bound);
+    if members.store == Health::Up || recent(store) {
+        return false;
+    }
+    let peers = members.names.len();
+    let heard = members
+        .peers()
+        .filter(|&host| recent(members.arena[host].heard))
+        .count();
+    peers == 0 || heard * 2 < peers
+}
+
+/// Starts beats and registration.
+pub fn start(core: &mut Core, out: &mut Effects) {
+    wake(core, Timer::Beat, BEAT_EVERY, out);
+    register(core, out);
+}
+
+/// Sends beats, or goes on with the registration.
+pub fn timer(core: &mut Core, timer: Timer, out: &mut Effects) {
+    match timer {
+        Timer::Beat => {
+            beats(core, out);
+            wake(core, Timer::Beat, BEAT_EVERY, out);
+        }
+        Timer::Register => register(core, out),
+        _ => {}
+    }
+}
+
+fn wake(core: &Core, timer: Timer, after: Duration, out: &mut Effects) {
+    out.push(Effect::Wake {
+        at: core.now.after(after),
+        timer,
+    });
+}
+
+/// Sends a beat to every peer at once, out of turn.
+pub fn beats(core: &mut Core, out: &mut Effects) {
+    let view = core.members.view;
+    let settled = core.now.since(core.members.settled);
+    let settled = u64::try_from(settled.as_millis()).unwrap_or(u64::MAX);
+    let revision = core.config.revision();
+    let stopping = core.stop.begun();
+    for (to, peer) in &mut core.members.arena {
+        let lost = peer.sent.saturating_sub(peer.beat.echo.max(peer.opened));
+        if lost >= UNECHOED {
+            peer.opened = peer.sent;
+            out.push(Effect::Reconnect(to));
+        }
+        peer.sent += 1;
+        let beat = Beat {
+            number: peer.sent,
+            echo: peer.beat.number,
+            view,
+            settled,
+            revision,
+            stopping,
+        };
+        out.push(Effect::Send {
+            to,
+            message: Message::Beat(beat),
+        });
+    }
+}
+
+/// Gets a lease if there is none, renews it otherwise.
+fn register(core: &mut Core, out: &mut Effects) {
+    if core.stop.begun() {
+        return;
+    }
+    core.members.tries += 1;
+    let job = Job::Register(core.members.tries);
+    let life = core.settings.platform.lease;
+    if core.members.lease == 0 {
+        out.push(Effect::Grant { job, life });
+    } else {
+        let lease = core.members.lease;
+        out.push(Effect::Renew { job, lease });
+    }
+    wake(core, Timer::Register, life / 3, out);
+}
+
+/// Goes on with the registration when the key-value service has answered.
+pub fn reply(core: &mut Core, reply: &StoreReply, out: &mut Effects) {
+    match reply.result {
+        StoreResult::Lease(0) => {
+            core.members.lease = 0;
+            core.members.registered = false;
+            register(core, out);
+        }
+        StoreResult::Lease(lease) if lease != core.members.lease || !core.members.registered => {
+            core.members.lease = lease;
+            let txn = registration(core, lease);
+            out.push(Effect::Txn {
+                job: reply.job,
+                txn,
+            });
+        }
+        // Whether a lost write took effect shows when the watch names this host; the next
+        // renewal tries again if it does not.
+        _ => {}
+    }
+}
+
+fn registration(core: &Core, lease: i64) -> Txn {
+    let host = &core.settings.host;
+    let value = json!({
+        "addr": host.peers.to_string(),
+        "region": &*host.region,
+        "domain": &*host.domain,
+        "incarnation": core.members.incarnation,
+    });
+    Txn {
+        compare: Vec::new(),
+        then: vec![Op::Put {
+            key: format!("w/{WORD}/{}", host.name).into(),
+            value: value.to_string().into(),
+            lease,
+        }],
+        otherwise: Vec::new(),
+    }
+}
+
+/// Gives the registration back, so that the others need not wait for the lease to lapse.
+pub fn unregister(core: &mut Core, out: &mut Effects) {
+    let lease = std::mem::take(&mut core.members.lease);
+    if lease != 0 {
+        out.push(Effect::Revoke(lease));
+    }
+}
+
+/// Takes in a change of one host's registration.
+pub fn watched(core: &mut Core, name: &str, pair: &Watched, out: &mut Effects) {
+    let entry = pair.value.as_deref().and_then(|bytes| parse(name, bytes));
+    if *name == *core.members.name {
+        let incarnation = core.members.incarnation;
+        core.members.registered = entry.is_some_and(|entry| entry.incarnation == incarnation);
+        core.members.changed(core.now);
+        return;
+    }
+    match entry {
+        Some(entry) => joined(core, entry, out),
+        None => left(core, name, out),
+    }
+    core.members.changed(core.now);
+    share::moved(core, out);
+    once::moved(core, out);
+}
+
+fn joined(core: &mut Core, entry: Member, out: &mut Effects) {
+    if let Some(key) = core.members.find(&entry.name) {
+        let known = &core.members.arena[key];
+        if known.incarnation == entry.incarnation && known.addr == entry.addr {
+            return;
+        }
+        left(core, &entry.name.clone(), out);
+    }
+    let (name, addr) = (entry.name.clone(), entry.addr);
+    let text = format!("host {name} at {addr} joined");
+    out.push(log_event(log::Level::Info, "host.joined", text));
+    let host = core.members.arena.insert(entry);
+    core.members.names.insert(name.clone(), host);
+    out.push(Effect::Peer { host, name, addr });
+}
+
+fn left(core: &mut Core, name: &str, out: &mut Effects) {
+    if let Some(key) = core.members.names.remove(name) {
+        core.members.arena.remove(key);
+        let text = format!("host {name} left");
+        out.push(log_event(log::Level::Info, "host.left", text));
+        out.push(Effect::Unpeer(key));
+    }
+}
+
+fn parse(name: &str, bytes: &[u8]) -> Option<Member> {
+    let value: Value = serde_json::from_slice(bytes).ok()?;
+    Some(Member {
+        name: name.into(),
+        addr: value["addr"].as_str()?.parse().ok()?,
+        region: value["region"].as_str()?.into(),
+        domain: value["domain"].as_str()?.into(),
+        incarnation: value["incarnation"].as_u64()?,
+        heard: None,
+        beat: Beat::default(),
+        sent: 0,
+        opened: 0,
+    })
+}
+
+/// Takes in whether the key-value service answers.
+pub fn health(core: &mut Core, health: Health, out: &mut Effects) {
+    if core.members.store != health {
+        let (level, name) = match health {
+            Health::Up => (log::Level::Info, "store.up"),
+            Health::Down => (log::Level::Warn, "store.down"),
+        };
+        out.push(log_event(
+            level,
+            name,
+            "the key-value service changed state",
+        ));
+    }
+    core.members.store = health;
+    core.members.store_heard = match health {
+        Health::Up => Some(core.now),
+        Health::Down => core.members.store_heard.map(|_| core.now),
+    };
+    once::health(core, health, out);
+    order::health(core, health, out);
+}
+
+/// Takes in a message or the loss of a connection.
+pub fn step(core: &mut Core, event: PeerEvent, out: &mut Effects) {
+    match event {
+        PeerEvent::Down(host) => {
+            if let Some(peer) = core.members.arena.get_mut(host) {
+                peer.opened = peer.sent;
+            }
+            once::peer_down(core, host, out);
+        }
+        PeerEvent::Message { from, message } => {
+            // A host that is not registered is not heard: what it says may be of a life that
+            // ended long ago.
+            let Some(host) = core.members.find(&from) else {
+                return;
+            };
+            core.members.arena[host].heard = Some(core.now);
+            message_from(core, host, message, out);
+        }
+    }
+}
+
+fn message_from(core: &mut Core, from: HostKey, message: Message, out: &mut Effects) {
+    match message {
+        Message::Beat(beat) => beat_from(core, from, beat, out),
+        Message::Borrow(borrow) => share::asked(core, from, &borrow, out),
+        Message::Lend(lend) => share::lent(core, from, &lend, out),
+        Message::Begin(begin) => once::asked(core, from, begin, out),
+        Message::Begun {
+            round,
+            state,
+            request,
+        } => once::begun(core, round, state, request, out),
+        Message::Done(done) => once::done_asked(core, from, done, out),
+        Message::Recorded { round, durable } => once::recorded(core, round, durable, out),
+        Message::Traces(records) => trace::copied(core, records),
+        Message::Ask { round, id } => trace::asked(core, from, round, &id, out),
+        Message::Told { round, record, .. } => trace::told(core, from, round, record, out),
+        Message::Fetch(revision) => config::asked(core, from, revision, out),
+        Message::Lists {
+            revision,
+            plans,
+            uses,
+        } => config::told(core, revision, &plans, &uses, out),
+        Message::Confirm(confirm) => order::confirmed(core, from, &confirm, out),
+        Message::Suspect(suspect) => killer::told(core, suspect),
+    }
+}
+
+fn beat_from(core: &mut Core, from: HostKey, beat: Beat, out: &mut Effects) {
+    let peer = &mut core.members.arena[from];
+    if beat.number <= peer.beat.number {
+        return;
+    }
+    let stopping = beat.stopping != peer.beat.stopping;
+    let revision = beat.revision;
+    peer.beat = beat;
+    if stopping {
+        share::moved(core, out);
+        once::moved(core, out);
+    }
+    config::heard(core, from, revision, out);
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,178 @@
+//! The decisions of a host: one reducer over all events, with effects as data.
+//!
+//! Nothing here does I/O, reads a clock or draws from the operating system's randomness: time
+//! comes with each event and the random seed with [`Core::new`], so that the same events give the
+//! same effects. The adapters in [`crate::host`] feed events in and carry effects out.
+
+pub mod admit;
+pub mod config;
+pub mod effect;
+pub mod event;
+pub mod fleet;
+pub mod key;
+pub mod killer;
+pub mod member;
+pub mod message;
+pub mod once;
+pub mod order;
+pub mod request;
+pub mod route;
+pub mod share;
+pub mod stop;
+pub mod time;
+pub mod trace;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+pub use effect::Effect;
+pub use event::Event;
+pub use time::Time;
+
+use crate::settings::Settings;
+
+/// Effects of one event, in the order they are to be carried out.
+pub type Effects = Vec<Effect>;
+
+/// Everything a host knows and has decided.
+#[derive(Debug)]
+pub struct Core {
+    /// Checked settings; they do not change while the host runs.
+    pub settings: Settings,
+    /// Time of the event in hand.
+    pub now: Time,
+    /// Milliseconds since the Unix epoch at [`Time`] zero.
+    pub epoch: u64,
+    /// Source of all random choices.
+    pub rng: SmallRng,
+    /// The lists in force.
+    pub config: config::Config,
+    /// The hosts.
+    pub members: member::Members,
+    /// Engines and services.
+    pub fleet: fleet::Fleet,
+    /// Requests being served.
+    pub requests: request::Requests,
+    /// What each plan may still use here.
+    pub shares: share::Shares,
+    /// Calls that may not repeat.
+    pub once: once::Once,
+    /// Orders to engines.
+    pub orders: order::Orders,
+    /// Requests that engines died of.
+    pub killers: killer::Killers,
+    /// What became of requests.
+    pub traces: trace::Traces,
+    /// Planned stop of this host.
+    pub stop: stop::Stop,
+}
+
+impl Core {
+    /// Creates the state of a host that has heard nothing yet.
+    ///
+    /// `epoch` is the wall clock, in milliseconds since the Unix epoch, at [`Time`] zero. `seed`
+    /// decides every random choice.
+    #[must_use]
+    pub fn new(settings: Settings, now: Time, epoch: u64, seed: u64) -> Self {
+        let incarnation = epoch + now.millis();
+        Self {
+            members: member::Members::new(&settings.host, incarnation),
+            traces: trace::Traces::new(&settings.host, incarnation),
+            fleet: fleet::Fleet::new(&settings),
+            settings,
+            now,
+            epoch,
+            rng: SmallRng::seed_from_u64(seed),
+            config: config::Config::default(),
+            requests: request::Requests::default(),
+            shares: share::Shares::default(),
+            once: once::Once::default(),
+            orders: order::Orders,
+            killers: killer::Killers::default(),
+            stop: stop::Stop::default(),
+        }
+    }
+
+    /// Returns the wall clock at the event in hand, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn wall(&self) -> u64 {
+        self.epoch + self.now.millis()
+    }
+
+    /// Takes in one event and appends its effects to `out`.
+    pub fn reduce(&mut self, at: Time, event: Event, out: &mut Effects) {
+        // Time never runs backwards here, whatever order adapters read the clock in.
+        self.now = self.now.max(at);
+        match event {
+            Event::Start => self.start(out),
+            Event::Request(event) => request::step(self, event, out),
+            Event::Peer(event) => member::step(self, event, out),
+            Event::Store(event) => self.store(event, out),
+            Event::Fleet(event) => fleet::step(self, event, out),
+            Event::Operator(event) => self.operator(event, out),
+            Event::Timer(timer) => self.timer(timer, out),
+            Event::Stop(event) => stop::step(self, event, out),
+        }
+    }
+
+    fn start(&mut self, out: &mut Effects) {
+        member::start(self, out);
+        config::start(self, out);
+        fleet::start(self, out);
+        order::start(self, out);
+        trace::start(self, out);
+    }
+
+    fn timer(&mut self, timer: event::Timer, out: &mut Effects) {
+        use event::Timer;
+        match timer {
+            Timer::Beat | Timer::Register => member::timer(self, timer, out),
+            Timer::Fetch => config::timer(self, out),
+            Timer::Listing | Timer::Reports => fleet::timer(self, timer, out),
+            Timer::Request(_) | Timer::Silence(_) => request::timer(self, timer, out),
+            Timer::Shares => share::timer(self, out),
+            Timer::Once => once::timer(self, out),
+            Timer::Orders => order::timer(self, out),
+            Timer::Traces | Timer::Ask(_) => trace::timer(self, timer, out),
+            Timer::Stop => stop::timer(self, out),
+        }
+    }
+
+    fn store(&mut self, event: event::StoreEvent, out: &mut Effects) {
+        use event::{Job, StoreEvent};
+        match event {
+            StoreEvent::Watched(pairs) => self.watched(pairs, out),
+            StoreEvent::Health(up) => member::health(self, up, out),
+            StoreEvent::Reply(reply) => match reply.job {
+                Job::Register(_) => member::reply(self, &reply, out),
+                Job::Apply(_) | Job::Chunk(_) => config::reply(self, reply, out),
+                Job::Record(_) => once::reply(self, reply, out),
+                Job::Holder(_) | Job::Intent(_) | Job::Route(_) => order::reply(self, reply, out),
+            },
+        }
+    }
+
+    /// Hands each watched key to the part that its first word belongs to.
+    fn watched(&mut self, pairs: Vec<event::Watched>, out: &mut Effects) {
+        for pair in pairs {
+            let Some((word, rest)) = pair.key.split_once('/') else {
+                continue;
+            };
+            match word {
+                member::WORD => member::watched(self, rest, &pair, out),
+                config::WORD => config::watched(self, &pair, out),
+                order::ROUTE => order::route_watched(self, rest, &pair, out),
+                order::HOLDER => order::holder_watched(self, rest, &pair, out),
+                _ => {}
+            }
+        }
+    }
+
+    fn operator(&mut self, event: event::OperatorEvent, out: &mut Effects) {
+        use event::OperatorEvent;
+        match event {
+            OperatorEvent::Explain { ask, id } => trace::explain(self, ask, id, out),
+            OperatorEvent::Apply { ask, edit } => config::apply(self, ask, &edit, out),
+        }
+    }
+}
--- /dev/null
+++ b/src/core/trace.rs
@@ -0,0 +1,371 @@
+//! What became of requests: kept here, copied to peers in other failure domains, told to operators.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use super::effect::{Effect, OperatorAnswer};
+use super::event::Timer;
+use super::key::{AskKey, HostKey};
+use super::member;
+use super::message::Message;
+use super::{Core, Effects};
+use crate::error::Ran;
+use crate::settings::HostSettings;
+
+/// Records a host keeps of requests it served itself.
+const KEEP_OWN: usize = 16_384;
+/// Records a host keeps for its peers.
+const KEEP_COPIES: usize = 32_768;
+/// Time between two batches of copies.
+///
+/// A host that is killed takes with it what it has not yet copied: at most this much of its last
+/// decisions.
+const COPY_EVERY: Duration = Duration::from_millis(200);
+/// Peers that get a copy of each record.
+const COPIES: usize = 2;
+/// Most records in one message, so that a frame stays well under its bound.
+const BATCH: usize = 256;
+/// Time an operator's question waits for peers.
+const ASK_TIME: Duration = Duration::from_millis(1500);
+
+/// What became of one request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Record {
+    /// Request id.
+    pub id: Box<str>,
+    /// Customer; empty when the caller's key was unknown.
+    pub customer: Box<str>,
+    /// Plan; empty when the caller's key was unknown.
+    pub plan: Box<str>,
+    /// Model, or service with method and path.
+    pub target: Box<str>,
+    /// Host that served it.
+    pub host: Box<str>,
+    /// Arrival; milliseconds since the Unix epoch.
+    pub arrived: u64,
+    /// Milliseconds from arrival to the end; meaningful when `outcome` is set.
+    pub lasted: u64,
+    /// `answered`, or the code of the refusal; empty while it runs.
+    pub outcome: Box<str>,
+    /// Whether it ran.
+    pub ran: Option<Ran>,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Tokens delivered.
+    pub output: u32,
+    /// Idempotency key.
+    pub key: Box<str>,
+    /// Attempts, in order.
+    pub attempts: Vec<Attempt>,
+    /// Decisions and their reasons, in order.
+    pub notes: Vec<Note>,
+}
+
+/// One attempt at one back end.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Attempt {
+    /// Name of the back end.
+    pub backend: Box<str>,
+    /// Milliseconds from the request's arrival.
+    pub began: u64,
+    /// Milliseconds from the request's arrival; meaningful when `end` is set.
+    pub ended: u64,
+    /// How it ended; empty while it runs.
+    pub end: Box<str>,
+    /// Tokens it delivered.
+    pub tokens: u32,
+    /// Whether the back end ran it; `None` while it runs.
+    pub ran: Option<Ran>,
+}
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Note {
+    /// Milliseconds from the request's arrival.
+    pub at: u64,
+    /// What was decided and why.
+    pub text: Box<str>,
+}
+
+/// A bounded set of records that forgets the oldest first.
+#[derive(Debug, Default)]
+struct Shelf {
+    records: BTreeMap<Box<str>, Record>,
+    order: VecDeque<Box<str>>,
+    /// Arrival of the newest record forgotten.
+    forgot: u64,
+}
+
+impl Shelf {
+    fn put(&mut self, record: Record, most: usize) {
+        let id = record.id.clone();
+        if self.records.insert(id.clone(), record).is_none() {
+            self.order.push_back(id);
+        }
+        while self.order.len() > most {
+            let Some(oldest) = self.order.pop_front() else {
+                break;
+            };
+            if let Some(record) = self.records.remove(&oldest) {
+                self.forgot = self.forgot.max(record.arrived);
+            }
+        }
+    }
+}
+
+/// An operator's question on its way round the peers.
+#[derive(Debug)]
+struct Search {
+    ask: AskKey,
+    id: Box<str>,
+    waiting: BTreeSet<HostKey>,
+    /// Unfinished record heard so far; a finished one ends the search.
+    best: Option<Box<Record>>,
+}
+
+/// Records of requests, own and copied.
+#[derive(Debug)]
+pub struct Traces {
+    host: Box<str>,
+    tag: Box<str>,
+    next: u64,
+    since: u64,
+    own: Shelf,
+    copies: Shelf,
+    /// Own records changed since the last batch of copies.
+    dirty: BTreeSet<Box<str>>,
+    searches: BTreeMap<u64, Search>,
+    rounds: u64,
+}
+
+impl Traces {
+    /// Creates an empty store of records.
+    ///
+    /// `incarnation` is the wall clock at the start of this process, in milliseconds, so that a
+    /// host which comes back under its old name gives out other ids.
+    #[must_use]
+    pub fn new(host: &HostSettings, incarnation: u64) -> Self {
+        Self {
+            host: host.name.clone(),
+            tag: tag(&host.name, incarnation),
+            next: 0,
+            since: incarnation,
+            own: Shelf::default(),
+            copies: Shelf::default(),
+            dirty: BTreeSet::new(),
+            searches: BTreeMap::new(),
+            rounds: 0,
+        }
+    }
+
+    /// Returns a new record with its own id: host tag, arrival and count, in hexadecimal.
+    pub fn open(&mut self, wall: u64) -> Record {
+        self.next += 1;
+        Record {
+            id: format!("{}-{wall:x}-{:x}", self.tag, self.next).into(),
+            host: self.host.clone(),
+            arrived: wall,
+            ..Record::default()
+        }
+    }
+
+    /// Keeps the record as it is now; the next batch copies it to peers.
+    pub fn keep(&mut self, record: Record) {
+        self.dirty.insert(record.id.clone());
+        self.own.put(record, KEEP_OWN);
+    }
+
+    /// Returns the record of a request, own or copied.
+    #[must_use]
+    pub fn find(&self, id: &str) -> Option<&Record> {
+        self.own
+            .records
+            .get(id)
+            .or_else(|| self.copies.records.get(id))
+    }
+
+    /// Returns how many own records and copies are kept.
+    #[must_use]
+    pub fn count(&self) -> (usize, usize) {
+        (self.own.records.len(), self.copies.records.len())
+    }
+
+    /// Returns the time since which every record this host was given is kept.
+    fn complete_since(&self) -> u64 {
+        self.since.max(self.own.forgot).max(self.copies.forgot)
+    }
+}
+
+/// Returns the first part of the ids that a host gives out in one life.
+#[must_use]
+pub fn tag(host: &str, incarnation: u64) -> Box<str> {
+    let hash = blake3::hash(format!("{host}\n{incarnation}").as_bytes());
+    hash.to_hex()[..8].into()
+}
+
+/// Returns the arrival that an id names, in milliseconds since the Unix epoch.
+#[must_use]
+pub fn arrival_of(id: &str) -> Option<u64> {
+    let mut parts = id.split('-');
+    let (tag, wall, count) = (parts.next()?, parts.next()?, parts.next()?);
+    let fits = tag.len() == 8 && !count.is_empty() && parts.next().is_none();
+    fits.then(|| u64::from_str_radix(wall, 16).ok())?
+}
+
+/// Starts the batches of copies.
+pub fn start(core: &mut Core, out: &mut Effects) {
+    out.push(Effect::Wake {
+        at: core.now.after(COPY_EVERY),
+        timer: Timer::Traces,
+    });
+}
+
+/// Sends a batch, or gives up waiting for peers.
+pub fn timer(core: &mut Core, timer: Timer, out: &mut Effects) {
+    match timer {
+        Timer::Traces => {
+            flush(core, out);
+            start(core, out);
+        }
+        Timer::Ask(ask) => {
+            let round = core
+                .traces
+                .searches
+                .iter()
+                .find(|(_, search)| search.ask == ask)
+                .map(|(round, _)| *round);
+            if let Some(round) = round {
+                conclude(core, round, out);
+            }
+        }
+        _ => {}
+    }
+}
+
+/// Copies every changed record to its peers.
+pub fn flush(core: &mut Core, out: &mut Effects) {
+    if core.traces.dirty.is_empty() {
+        return;
+    }
+    let keepers = member::keepers(core, COPIES);
+    let dirty = std::mem::take(&mut core.traces.dirty);
+    let records: Vec<Record> = dirty
+        .iter()
+        .filter_map(|id| core.traces.own.records.get(id).cloned())
+        .collect();
+    for to in keepers {
+        for batch in records.chunks(BATCH) {
+            out.push(Effect::Send {
+                to,
+                message: Message::Traces(batch.to_vec()),
+            });
+        }
+    }
+}
+
+/// Keeps copies for a peer.
+pub fn copied(core: &mut Core, records: Vec<Record>) {
+    for record in records {
+        core.traces.copies.put(record, KEEP_COPIES);
+    }
+}
+
+/// Answers an operator from what is here, or asks every peer.
+pub fn explain(core: &mut Core, ask: AskKey, id: Box<str>, out: &mut Effects) {
+    let found = core.traces.find(&id).cloned().map(Box::new);
+    let finished = found
+        .as_ref()
+        .is_some_and(|record| !record.outcome.is_empty());
+    let peers: BTreeSet<HostKey> = core.members.peers().collect();
+    if finished || peers.is_empty() {
+        let answer = match found {
+            Some(record) => OperatorAnswer::Record(record),
+            None => missing(core, &id),
+        };
+        out.push(Effect::Answer { ask, answer });
+        return;
+    }
+    core.traces.rounds += 1;
+    let round = core.traces.rounds;
+    for &to in &peers {
+        let id = id.clone();
+        out.push(Effect::Send {
+            to,
+            message: Message::Ask { round, id },
+        });
+    }
+    let search = Search {
+        ask,
+        id,
+        waiting: peers,
+        best: found,
+    };
+    core.traces.searches.insert(round, search);
+    out.push(Effect::Wake {
+        at: core.now.after(ASK_TIME),
+        timer: Timer::Ask(ask),
+    });
+}
+
+/// Answers a peer's question.
+pub fn asked(core: &mut Core, from: HostKey, round: u64, id: &str, out: &mut Effects) {
+    let record = core.traces.find(id).cloned().map(Box::new);
+    let since = core.traces.complete_since();
+    out.push(Effect::Send {
+        to: from,
+        message: Message::Told {
+            round,
+            record,
+            since,
+        },
+    });
+}
+
+/// Takes in a peer's answer.
+pub fn told(
+    core: &mut Core,
+    from: HostKey,
+    round: u64,
+    record: Option<Box<Record>>,
+    out: &mut Effects,
+) {
+    let Some(search) = core.traces.searches.get_mut(&round) else {
+        return;
+    };
+    search.waiting.remove(&from);
+    let finished = record
+        .as_ref()
+        .is_some_and(|record| !record.outcome.is_empty());
+    if record.is_some() && (finished || search.best.is_none()) {
+        search.best = record;
+    }
+    if finished || search.waiting.is_empty() {
+        conclude(core, round, out);
+    }
+}
+
+fn conclude(core: &mut Core, round: u64, out: &mut Effects) {
+    let Some(search) = core.traces.searches.remove(&round) else {
+        return;
+    };
+    let answer = match search.best {
+        Some(record) => OperatorAnswer::Record(record),
+        None => missing(core, &search.id),
+    };
+    out.push(Effect::Answer {
+        ask: search.ask,
+        answer,
+    });
+}
+
+fn missing(core: &Core, id: &str) -> OperatorAnswer {
+    let why = match arrival_of(id) {
+        None => "this is not a request id of this system",
+        Some(arrived) if arrived > core.wall() => "no request of this id has arrived yet",
+        Some(arrived) if arrived <= core.traces.complete_since() => {
+            "the record has aged out, or the hosts that kept it are gone"
+        }
+        Some(_) => "no host that answered has a record of this id",
+    };
+    OperatorAnswer::NoRecord { why: why.into() }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -16,6 +16,14 @@
 }
 
 impl Ran {
+    /// Returns the value that [`Ran::word`] gives this word for.
+    #[must_use]
+    pub fn from_word(word: &str) -> Option<Self> {
+        [Self::No, Self::Yes, Self::Unknown]
+            .into_iter()
+            .find(|ran| ran.word() == word)
+    }
+
     /// Returns the word used in answers and explanations.
     #[must_use]
     pub fn word(self) -> &'static str {
--- /dev/null
+++ b/src/host/backends.rs
@@ -0,0 +1,272 @@
+//! Engines and services: streams, calls, load reports, orders, and the platform's list.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::node::{Node, Prepared};
+use super::timer;
+use crate::backend::{self, OpenError, OrderError};
+use crate::core::Event;
+use crate::core::effect::{self, Open};
+use crate::core::event::{
+    Break, Entry, EntryKind, FleetEvent, Ordered, Report, RequestEvent, Role, Stored,
+};
+use crate::core::key::{AttemptKey, RequestKey};
+use crate::error::Ran;
+use crate::store::{ListedKind, ListedState};
+
+/// Time a load report may take.
+const LOAD_TIME: Duration = Duration::from_secs(2);
+
+/// Opens a stream and reports it piece by piece until it ends or `ended` closes.
+pub async fn stream(node: Rc<Node>, open: Open, ended: oneshot::Receiver<()>) {
+    let attempt = open.attempt;
+    tokio::select! {
+        biased;
+        _ = ended => {}
+        event = follow(&node, &open) => {
+            node.attempt_ended(attempt);
+            node.apply(Event::Request(event));
+        }
+    }
+}
+
+/// Follows a stream to its end, and returns how it ended.
+async fn follow(node: &Rc<Node>, open: &Open) -> RequestEvent {
+    let attempt = open.attempt;
+    let Some(prepared) = node.prepared(open.request) else {
+        return broke(attempt, Ran::No, Break::Refused, "the request has ended");
+    };
+    let Prepared::Completion(completion) = &*prepared else {
+        return broke(attempt, Ran::No, Break::Rejected, "not a completion");
+    };
+    // A resumed stream goes on by itself; another engine needs the text delivered so far.
+    let done = match open.resume {
+        Some(_) => Vec::new(),
+        None => node.pieces(open.request),
+    };
+    let body = completion.body(open.priority, &done, open.delivered);
+    let path = completion.form.path();
+    let priority = i64::from(open.priority);
+    let opened = backend::open(
+        &node.backends,
+        open.addr,
+        path,
+        body,
+        &open.label,
+        open.resume,
+        priority,
+    );
+    let mut stream = match opened.await {
+        Ok(stream) => stream,
+        Err(err) => return unopened(attempt, &err, open.resume),
+    };
+    node.apply(Event::Request(RequestEvent::Began(attempt)));
+    loop {
+        match stream.next().await {
+            Ok(Some(chunk)) => {
+                // An event's id is the offset of the token after it; the last event has none.
+                let tokens = u32::from(!chunk.end);
+                let offset = chunk.offset.saturating_sub(u64::from(tokens));
+                node.chunk(attempt, offset, tokens, chunk.data);
+            }
+            Ok(None) => return RequestEvent::Whole(attempt),
+            Err(err) => return broke(attempt, Ran::Yes, Break::Cut, &err.to_string()),
+        }
+    }
+}
+
+fn broke(attempt: AttemptKey, ran: Ran, end: Break, detail: &str) -> RequestEvent {
+    RequestEvent::Broke {
+        attempt,
+        ran,
+        end,
+        detail: detail.into(),
+    }
+}
+
+fn unopened(attempt: AttemptKey, err: &OpenError, resume: Option<u64>) -> RequestEvent {
+    let ran = err.ran();
+    let end = match (err, err.status()) {
+        (_, Some(404)) if resume.is_some() => Break::Refused,
+        (_, Some(status)) if (400..500).contains(&status) && ran != Ran::No => Break::Rejected,
+        _ if ran == Ran::No && err.status().is_some() => Break::Refused,
+        (OpenError::Connect | OpenError::Invalid, _) => Break::Unreachable,
+        _ => Break::Cut,
+    };
+    broke(attempt, ran, end, &err.to_string())
+}
+
+/// Calls a service and reports its answer, unless `ended` closes first.
+pub async fn call(
+    node: Rc<Node>,
+    request: RequestKey,
+    attempt: AttemptKey,
+    addr: SocketAddr,
+    time: Duration,
+    ended: oneshot::Receiver<()>,
+) {
+    let Some(prepared) = node.prepared(request) else {
+        return;
+    };
+    let Prepared::Call(call) = &*prepared else {
+        return;
+    };
+    let headers: Vec<(&str, &str)> = call
+        .headers
+        .iter()
+        .map(|(name, value)| (&**name, &**value))
+        .collect();
+    let sent = node.backends.call(backend::Call {
+        method: &call.method,
+        addr,
+        path: &call.path,
+        headers: &headers,
+        body: call.body.clone(),
+    });
+    let event = tokio::select! {
+        biased;
+        _ = ended => return,
+        answer = timeout(time, sent) => match answer {
+            Ok(Ok(answer)) => answered(attempt, &answer),
+            Ok(Err(err)) => service_broke(attempt, &err),
+            Err(_late) => broke(attempt, Ran::Unknown, Break::Cut, "no answer in time"),
+        },
+    };
+    node.attempt_ended(attempt);
+    node.apply(Event::Request(event));
+}
+
+fn answered(attempt: AttemptKey, answer: &backend::Answer) -> RequestEvent {
+    if answer.ran == Ran::No {
+        let detail = format!("the service refused with {}", answer.status);
+        return broke(attempt, Ran::No, Break::Refused, &detail);
+    }
+    let media = answer
+        .headers
+        .iter()
+        .find(|(name, _)| &**name == "content-type");
+    let result = Stored {
+        status: answer.status,
+        media: media.map(|(_, value)| value.clone()).unwrap_or_default(),
+        body: answer.body.to_vec().into(),
+    };
+    RequestEvent::Answered { attempt, result }
+}
+
+fn service_broke(attempt: AttemptKey, err: &OpenError) -> RequestEvent {
+    let end = match err.ran() {
+        Ran::No => Break::Unreachable,
+        Ran::Yes | Ran::Unknown => Break::Cut,
+    };
+    broke(attempt, err.ran(), end, &err.to_string())
+}
+
+/// Reads the platform's list.
+pub async fn list(node: Rc<Node>) {
+    let list = node.look(|core| core.settings.platform.list);
+    match node.store.hosts(list).await {
+        Ok(listed) => {
+            let entries = listed.into_iter().map(|entry| Entry {
+                name: entry.name,
+                kind: match entry.kind {
+                    ListedKind::Host => EntryKind::Host,
+                    ListedKind::Engine => EntryKind::Engine,
+                    ListedKind::Service => EntryKind::Service,
+                },
+                pool: entry.pool,
+                addr: entry.addr,
+                domain: entry.domain,
+                leaving: entry.state == ListedState::Leaving,
+            });
+            let entries = entries.collect();
+            node.apply(Event::Fleet(FleetEvent::Listed(entries)));
+        }
+        Err(err) => log::debug!("the platform's list: {err}"),
+    }
+}
+
+/// Reads an engine's load report.
+pub async fn load(node: Rc<Node>, name: Box<str>, addr: SocketAddr) {
+    let read = timeout(LOAD_TIME, backend::load(&node.backends, addr)).await;
+    let report = match read {
+        Ok(Ok(load)) => Some(Report {
+            running: small(load.running),
+            waiting: small(load.waiting),
+            prefill: load.prefill_tokens,
+            role: role(&load.role),
+            age: small(load.age_ms),
+        }),
+        _ => None,
+    };
+    node.apply(Event::Fleet(FleetEvent::Report { name, report }));
+}
+
+fn small(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
+
+fn role(word: &str) -> Role {
+    match word {
+        "prefill" => Role::Prefill,
+        "decode" => Role::Decode,
+        _ => Role::Both,
+    }
+}
+
+/// Gives an order, unless the right to give it has ended.
+pub async fn order(node: Rc<Node>, order: effect::Order) {
+    let result = if timer::now() >= order.until {
+        Ordered::Unsent
+    } else {
+        let action = match &order.action {
+            effect::Action::Role(role) => backend::Action::Role {
+                role: role_word(*role).into(),
+            },
+            effect::Action::Model(name) => load_action("model", name),
+            effect::Action::Adapter(name) => load_action("adapter", name),
+            effect::Action::Version(name) => load_action("version", name),
+        };
+        let sent = backend::order(
+            &node.backends,
+            order.addr,
+            order.fence,
+            order.order,
+            &order.holder,
+            &action,
+        );
+        match sent.await {
+            Ok(()) => Ordered::Done,
+            Err(OrderError::Fenced { fence }) => Ordered::Fenced(fence),
+            Err(OrderError::Call { source }) => match source.ran() {
+                Ran::No => Ordered::Unsent,
+                Ran::Yes | Ran::Unknown => Ordered::Unknown,
+            },
+        }
+    };
+    node.apply(Event::Fleet(FleetEvent::Ordered {
+        name: order.engine,
+        fence: order.fence,
+        order: order.order,
+        result,
+    }));
+}
+
+fn load_action(what: &str, name: &str) -> backend::Action {
+    backend::Action::Load {
+        what: what.into(),
+        name: name.into(),
+    }
+}
+
+fn role_word(role: Role) -> &'static str {
+    match role {
+        Role::Both => "both",
+        Role::Prefill => "prefill",
+        Role::Decode => "decode",
+    }
+}
--- /dev/null
+++ b/src/host/link.rs
@@ -0,0 +1,128 @@
+//! A connection to a peer: opened at the first message, opened anew when it fails.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout;
+
+use super::node::Node;
+use super::peers::{self, Codes, PeerError, Side, Wire};
+use crate::core::Event;
+use crate::core::event::PeerEvent;
+use crate::core::key::HostKey;
+use crate::core::message::Message;
+use crate::wire::Frame;
+
+/// Messages that wait for a connection; more are dropped, as if the network had lost them.
+const QUEUE: usize = 4096;
+/// Time until unacknowledged bytes are given up by the kernel.
+///
+/// Bytes left in a socket's buffer can be sent again when a partition heals, long after what they
+/// say has stopped being true; the kernel drops them even while this process is suspended.
+const UNACKED: Duration = Duration::from_secs(5);
+/// Time between a failure and the next try.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// A peer's connection; dropping it closes the connection once its queue is empty.
+#[derive(Debug)]
+pub struct Link {
+    tx: mpsc::Sender<Message>,
+    again: Rc<Notify>,
+}
+
+/// Who is at the other end.
+struct Target {
+    host: HostKey,
+    name: Box<str>,
+    addr: SocketAddr,
+}
+
+impl Link {
+    /// Starts the connection's task.
+    pub fn start(node: &Rc<Node>, host: HostKey, name: Box<str>, addr: SocketAddr) -> Self {
+        let (tx, rx) = mpsc::channel(QUEUE);
+        let again = Rc::new(Notify::new());
+        let target = Target { host, name, addr };
+        ntex::rt::spawn(run(Rc::clone(node), target, rx, Rc::clone(&again)));
+        Self { tx, again }
+    }
+
+    /// Puts a message in the queue.
+    pub fn send(&self, message: Message) {
+        if self.tx.try_send(message).is_err() {
+            log::debug!("a message to a peer was dropped: its queue is full");
+        }
+    }
+
+    /// Closes the connection; the next message opens a new one.
+    pub fn reconnect(&self) {
+        self.again.notify_one();
+    }
+}
+
+async fn run(node: Rc<Node>, target: Target, mut rx: mpsc::Receiver<Message>, again: Rc<Notify>) {
+    while let Some(first) = rx.recv().await {
+        let Err(err) = speak(&node, &target, first, &mut rx, &again).await else {
+            return;
+        };
+        log::debug!("connection to {}: {err}", target.name);
+        // What waited was meant for the moment it was sent.
+        while rx.try_recv().is_ok() {}
+        node.apply(Event::Peer(PeerEvent::Down(target.host)));
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+/// Sends messages until the queue closes.
+async fn speak(
+    node: &Rc<Node>,
+    target: &Target,
+    first: Message,
+    rx: &mut mpsc::Receiver<Message>,
+    again: &Notify,
+) -> Result<(), PeerError> {
+    let (mut wire, mut codes) = timeout(peers::PROOF_TIME, connect(node, target))
+        .await
+        .unwrap_or(Err(PeerError::Slow))?;
+    wire.feed(seal(&mut codes, first)).await?;
+    loop {
+        while let Ok(message) = rx.try_recv() {
+            wire.feed(seal(&mut codes, message)).await?;
+        }
+        SinkExt::<Bytes>::flush(&mut wire).await?;
+        tokio::select! {
+            message = rx.recv() => match message {
+                Some(message) => wire.feed(seal(&mut codes, message)).await?,
+                None => return Ok(()),
+            },
+            // The peer says nothing on this connection; its end is all there is to read.
+            _ = wire.next() => return Err(PeerError::Closed),
+            () = again.notified() => return Err(PeerError::Slow),
+        }
+    }
+}
+
+fn seal(codes: &mut Codes, message: Message) -> Bytes {
+    codes.seal(&Frame::Message(message))
+}
+
+async fn connect(node: &Rc<Node>, target: &Target) -> Result<(Wire, Codes), PeerError> {
+    let (name, secret) = node.look(|core| {
+        let host = &core.settings.host;
+        (host.name.clone(), host.secret.clone())
+    });
+    let stream = TcpStream::connect(target.addr).await?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKED))?;
+    let mut wire = peers::frame(stream)?;
+    let (other, codes) = peers::prove(&mut wire, Side::Opener, &name, secret.expose()).await?;
+    if other != target.name {
+        return Err(PeerError::Unproved);
+    }
+    Ok((wire, codes))
+}
--- /dev/null
+++ b/src/host/mod.rs
@@ -0,0 +1,157 @@
+//! A running host: the adapters that feed events to the core and carry out its effects.
+//!
+//! Everything runs on one thread. A host serves a few dozen requests and a few thousand tokens a
+//! second; one thread does that without locks, and the core is then simply a value.
+
+mod backends;
+mod callers;
+mod completion;
+mod keeper;
+mod link;
+mod logs;
+mod meters;
+mod node;
+mod operators;
+mod peers;
+mod problem;
+mod report;
+mod timer;
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::core::Event;
+use crate::core::event::StopEvent;
+use crate::settings::Settings;
+use crate::web;
+
+pub use node::Node;
+
+/// Why a host cannot start.
+#[derive(Debug, Snafu)]
+pub enum HostError {
+    /// A listener cannot be opened.
+    #[snafu(display("cannot listen on {addr}; choose a free address in [host]"))]
+    Listen {
+        /// Address that was asked for.
+        addr: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The HTTP client cannot be made.
+    #[snafu(display("the HTTP client cannot be made"))]
+    Client,
+    /// The meters cannot be made.
+    #[snafu(display("the meters cannot be made"))]
+    Meters,
+    /// Signals cannot be listened for.
+    #[snafu(display("signals cannot be listened for"))]
+    Signals {
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// A host's open listeners.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners that the settings name, and writes the ports that the kernel chose
+    /// into the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns the address that cannot be listened on.
+    pub async fn open(settings: &mut Settings) -> Result<Self, HostError> {
+        let host = &mut settings.host;
+        Ok(Self {
+            callers: listen(&mut host.callers).await?,
+            operators: listen(&mut host.operators).await?,
+            peers: listen(&mut host.peers).await?,
+        })
+    }
+}
+
+impl Listeners {
+    /// Takes listeners that are open already.
+    #[must_use]
+    pub fn from_parts(callers: TcpListener, operators: TcpListener, peers: TcpListener) -> Self {
+        Self {
+            callers,
+            operators,
+            peers,
+        }
+    }
+}
+
+async fn listen(addr: &mut SocketAddr) -> Result<TcpListener, HostError> {
+    let listener = web::listen(*addr)
+        .await
+        .context(ListenSnafu { addr: *addr })?;
+    if let Ok(bound) = listener.local_addr() {
+        *addr = bound;
+    }
+    Ok(listener)
+}
+
+/// Serves until a planned stop is complete.
+///
+/// The stop begins when `stop` turns true or its sender is gone.
+///
+/// # Errors
+///
+/// Returns why the host cannot start.
+pub async fn run(
+    settings: Settings,
+    listeners: Listeners,
+    mut stop: watch::Receiver<bool>,
+) -> Result<(), HostError> {
+    let node = Node::new(settings).await?;
+    let (close, closed) = watch::channel(false);
+    node.on_close(close);
+
+    let callers = Rc::clone(&node);
+    ntex::rt::spawn(web::serve(listeners.callers, closed.clone(), move |req| {
+        callers::handle(Rc::clone(&callers), req)
+    }));
+    let (ended, running) = watch::channel(false);
+    let operators = Rc::clone(&node);
+    ntex::rt::spawn(web::serve(
+        listeners.operators,
+        running.clone(),
+        move |req| operators::handle(Rc::clone(&operators), req),
+    ));
+    ntex::rt::spawn(peers::accept(Rc::clone(&node), listeners.peers, running));
+    ntex::rt::spawn(timer::run(Rc::clone(&node)));
+    ntex::rt::spawn(keeper::watch(Rc::clone(&node)));
+    node.apply(Event::Start);
+
+    let exit = node.exited();
+    tokio::pin!(exit);
+    loop {
+        tokio::select! {
+            () = &mut exit => break,
+            changed = stop.changed() => {
+                let begin = changed.is_err() || *stop.borrow();
+                if begin {
+                    node.apply(Event::Stop(StopEvent::Begin));
+                    exit.await;
+                    break;
+                }
+            }
+        }
+    }
+    node.flush().await;
+    drop(ended);
+    Ok(())
+}
--- /dev/null
+++ b/src/host/node.rs
@@ -0,0 +1,378 @@
+//! The core with its adapters around it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, mpsc, oneshot, watch};
+
+use super::backends;
+use super::completion::Completion;
+use super::keeper;
+use super::link::Link;
+use super::meters::Meters;
+use super::timer::{self, Timers};
+use super::{HostError, logs};
+use crate::backend;
+use crate::core::effect::{OperatorAnswer, Refusal};
+use crate::core::event::{Arrival, OperatorEvent, RequestEvent, StopEvent, Stored};
+use crate::core::key::{AskKey, AttemptKey, HostKey, RequestKey};
+use crate::core::{Core, Effect, Effects, Event};
+use crate::settings::Settings;
+use crate::store::Store;
+use crate::web::Gauge;
+
+/// Time one call to the key-value service may take at one endpoint.
+const STORE_TIME: Duration = Duration::from_secs(2);
+/// Time messages to peers may take to leave at the end of a planned stop.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// What the handler of a request is told.
+#[derive(Debug)]
+pub enum Part {
+    /// The next piece of the answer: one event's data.
+    Piece(Bytes),
+    /// The answer is whole.
+    Whole,
+    /// A service's answer, and the request that ran it where that was an earlier one.
+    Reply(Stored, Option<Box<str>>),
+    /// There will be no whole answer.
+    Refused(Refusal),
+}
+
+/// What a request asks of a back end, as it is to be written.
+#[derive(Debug)]
+pub enum Prepared {
+    /// A completion.
+    Completion(Completion),
+    /// A service call.
+    Call(ServiceCall),
+}
+
+/// A call to a service, as it is to be written.
+#[derive(Debug, Clone)]
+pub struct ServiceCall {
+    /// HTTP method.
+    pub method: Box<str>,
+    /// Path with query.
+    pub path: Box<str>,
+    /// Headers passed on.
+    pub headers: Vec<(Box<str>, Box<str>)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A request whose handler is still there.
+#[derive(Debug)]
+pub struct Live {
+    tx: mpsc::UnboundedSender<Part>,
+    /// What it asks of a back end.
+    pub prepared: Rc<Prepared>,
+    /// Pieces passed on so far, kept for an engine that must continue.
+    pub pieces: Vec<Bytes>,
+}
+
+/// A request that was taken in.
+#[derive(Debug)]
+pub struct Taken {
+    /// Its key.
+    pub request: RequestKey,
+    /// Its id.
+    pub id: Box<str>,
+    /// What its handler is told.
+    pub parts: mpsc::UnboundedReceiver<Part>,
+}
+
+/// A host's core and adapters.
+#[derive(Debug)]
+pub struct Node {
+    core: RefCell<Core>,
+    /// Times that were asked for.
+    pub timers: Timers,
+    /// Client of the key-value service.
+    pub store: Store,
+    /// Client of engines and services.
+    pub backends: backend::Client,
+    /// Counts and histograms.
+    pub meters: Meters,
+    /// Open requests of callers.
+    pub open: Gauge,
+    live: RefCell<SecondaryMap<RequestKey, Live>>,
+    attempts: RefCell<SecondaryMap<AttemptKey, oneshot::Sender<()>>>,
+    /// The request being taken in.
+    arriving: RefCell<Option<Live>>,
+    arrived: RefCell<Option<(RequestKey, Box<str>)>>,
+    /// The piece whose arrival is being told to the core.
+    piece: RefCell<Option<Bytes>>,
+    links: RefCell<SecondaryMap<HostKey, Link>>,
+    asks: RefCell<BTreeMap<AskKey, oneshot::Sender<OperatorAnswer>>>,
+    count: Cell<u64>,
+    close: RefCell<Option<watch::Sender<bool>>>,
+    exit: Notify,
+}
+
+impl Node {
+    /// Creates the node of a host that has heard nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns which of its parts cannot be made.
+    pub async fn new(settings: Settings) -> Result<Rc<Self>, HostError> {
+        let now = timer::now();
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let wall = u64::try_from(wall.as_millis()).unwrap_or(0);
+        let store = Store::new(settings.platform.kv.clone(), STORE_TIME).await;
+        let client = backend::Client::new(backend::Options::default()).await;
+        let meters = Meters::new(&settings).map_err(|_otel| HostError::Meters)?;
+        let epoch = wall.saturating_sub(now.millis());
+        let core = Core::new(settings, now, epoch, rand::random());
+        Ok(Rc::new(Self {
+            core: RefCell::new(core),
+            timers: Timers::default(),
+            store,
+            backends: client.map_err(|_builder| HostError::Client)?,
+            meters,
+            open: Gauge::default(),
+            live: RefCell::default(),
+            attempts: RefCell::default(),
+            arriving: RefCell::default(),
+            arrived: RefCell::default(),
+            piece: RefCell::default(),
+            links: RefCell::default(),
+            asks: RefCell::default(),
+            count: Cell::new(0),
+            close: RefCell::default(),
+            exit: Notify::new(),
+        }))
+    }
+
+    /// Looks at the core.
+    pub fn look<T>(&self, look: impl FnOnce(&Core) -> T) -> T {
+        look(&self.core.borrow())
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn settings(&self) -> Settings {
+        self.look(|core| core.settings.clone())
+    }
+
+    /// Sets what a planned stop closes the callers' listener with.
+    pub fn on_close(&self, close: watch::Sender<bool>) {
+        *self.close.borrow_mut() = Some(close);
+    }
+
+    /// Waits for the end of a planned stop.
+    pub async fn exited(&self) {
+        self.exit.notified().await;
+    }
+
+    /// Gives messages to peers time to leave.
+    pub async fn flush(&self) {
+        self.links.borrow_mut().clear();
+        tokio::time::sleep(FLUSH_TIME).await;
+    }
+
+    /// Feeds one event to the core and carries out its effects.
+    pub fn apply(self: &Rc<Self>, event: Event) {
+        let mut effects = Effects::new();
+        self.core
+            .borrow_mut()
+            .reduce(timer::now(), event, &mut effects);
+        for effect in effects {
+            self.carry(effect);
+        }
+    }
+
+    /// Takes in a request.
+    pub fn take(self: &Rc<Self>, mut arrival: Arrival, prepared: Prepared) -> Option<Taken> {
+        let (tx, parts) = mpsc::unbounded_channel();
+        *self.arriving.borrow_mut() = Some(Live {
+            tx,
+            prepared: Rc::new(prepared),
+            pieces: Vec::new(),
+        });
+        arrival.tag = self.number();
+        self.apply(Event::Request(RequestEvent::Arrived(Box::new(arrival))));
+        let (request, id) = self.arrived.borrow_mut().take()?;
+        Some(Taken { request, id, parts })
+    }
+
+    /// Tells the core that a piece of an answer arrived.
+    pub fn chunk(self: &Rc<Self>, attempt: AttemptKey, offset: u64, tokens: u32, data: Bytes) {
+        *self.piece.borrow_mut() = Some(data);
+        self.apply(Event::Request(RequestEvent::Chunk {
+            attempt,
+            offset,
+            tokens,
+        }));
+        self.piece.borrow_mut().take();
+    }
+
+    /// Puts an operator's question.
+    pub async fn ask(
+        self: &Rc<Self>,
+        event: impl FnOnce(AskKey) -> OperatorEvent,
+    ) -> Option<OperatorAnswer> {
+        let ask = AskKey(self.number());
+        let (tx, rx) = oneshot::channel();
+        self.asks.borrow_mut().insert(ask, tx);
+        self.apply(Event::Operator(event(ask)));
+        rx.await.ok()
+    }
+
+    fn number(&self) -> u64 {
+        let number = self.count.get() + 1;
+        self.count.set(number);
+        number
+    }
+
+    /// Returns what a request asks of a back end.
+    #[must_use]
+    pub fn prepared(&self, request: RequestKey) -> Option<Rc<Prepared>> {
+        let live = self.live.borrow();
+        live.get(request).map(|live| Rc::clone(&live.prepared))
+    }
+
+    /// Returns the pieces passed on so far.
+    #[must_use]
+    pub fn pieces(&self, request: RequestKey) -> Vec<Bytes> {
+        let live = self.live.borrow();
+        live.get(request)
+            .map(|live| live.pieces.clone())
+            .unwrap_or_default()
+    }
+
+    fn tell(&self, request: RequestKey, part: Part) {
+        if let Some(live) = self.live.borrow().get(request) {
+            // A handler that is gone tells the core itself.
+            drop(live.tx.send(part));
+        }
+    }
+
+    fn end(&self, request: RequestKey, part: Part) {
+        self.tell(request, part);
+        self.live.borrow_mut().remove(request);
+    }
+
+    /// Tells the core when a planned stop has no open request left.
+    pub fn idle(self: &Rc<Self>) {
+        let stopping = self.look(|core| core.stop.begun());
+        if stopping && self.open.get() == 0 {
+            self.apply(Event::Stop(StopEvent::Idle));
+        }
+    }
+
+    fn carry(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Opened { request, id, .. } => {
+                if let Some(live) = self.arriving.borrow_mut().take() {
+                    self.live.borrow_mut().insert(request, live);
+                }
+                *self.arrived.borrow_mut() = Some((request, id));
+            }
+            Effect::Deliver { request } => self.deliver(request),
+            Effect::Finish(request) => self.end(request, Part::Whole),
+            Effect::Reply {
+                request,
+                result,
+                first,
+            } => self.end(request, Part::Reply(result, first)),
+            Effect::Refuse { request, refusal } => self.end(request, Part::Refused(refusal)),
+            Effect::Open(open) => {
+                let ended = self.attempt(open.attempt);
+                ntex::rt::spawn(backends::stream(Rc::clone(self), open, ended));
+            }
+            Effect::Call {
+                request,
+                attempt,
+                addr,
+                timeout,
+            } => {
+                let ended = self.attempt(attempt);
+                let call = backends::call(Rc::clone(self), request, attempt, addr, timeout, ended);
+                ntex::rt::spawn(call);
+            }
+            Effect::Cancel(attempt) => {
+                self.attempts.borrow_mut().remove(attempt);
+            }
+            Effect::Wake { at, timer } => self.timers.wake(at, timer),
+            Effect::Meter(meter) => self.meters.count(&meter),
+            Effect::Log(event) => logs::write(&event),
+            Effect::Answer { ask, answer } => {
+                if let Some(tx) = self.asks.borrow_mut().remove(&ask) {
+                    drop(tx.send(answer));
+                }
+            }
+            Effect::Close => {
+                self.close.borrow_mut().take();
+                self.idle();
+            }
+            Effect::Exit => self.exit.notify_one(),
+            other => self.carry_out(other),
+        }
+    }
+
+    /// Carries out effects towards peers and the platform.
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => {
+                if let Some(link) = self.links.borrow().get(to) {
+                    link.send(message);
+                }
+            }
+            Effect::Peer { host, name, addr } => self.link(host, name, addr),
+            Effect::Unpeer(host) => {
+                self.links.borrow_mut().remove(host);
+            }
+            Effect::Reconnect(host) => {
+                if let Some(link) = self.links.borrow().get(host) {
+                    link.reconnect();
+                }
+            }
+            Effect::List => {
+                ntex::rt::spawn(backends::list(Rc::clone(self)));
+            }
+            Effect::Load { name, addr } => {
+                ntex::rt::spawn(backends::load(Rc::clone(self), name, addr));
+            }
+            Effect::Order(order) => {
+                ntex::rt::spawn(backends::order(Rc::clone(self), order));
+            }
+            other => keeper::carry(self, other),
+        }
+    }
+
+    fn attempt(&self, attempt: AttemptKey) -> oneshot::Receiver<()> {
+        let (tx, rx) = oneshot::channel();
+        self.attempts.borrow_mut().insert(attempt, tx);
+        rx
+    }
+
+    /// Forgets an attempt whose task has ended.
+    pub fn attempt_ended(&self, attempt: AttemptKey) {
+        self.attempts.borrow_mut().remove(attempt);
+    }
+
+    fn link(self: &Rc<Self>, host: HostKey, name: Box<str>, addr: SocketAddr) {
+        let link = Link::start(self, host, name, addr);
+        self.links.borrow_mut().insert(host, link);
+    }
+
+    fn deliver(&self, request: RequestKey) {
+        let Some(data) = self.piece.borrow_mut().take() else {
+            return;
+        };
+        let mut live = self.live.borrow_mut();
+        if let Some(live) = live.get_mut(request) {
+            live.pieces.push(data.clone());
+            drop(live.tx.send(Part::Piece(data)));
+        }
+    }
+}
--- /dev/null
+++ b/src/host/operators.rs
@@ -0,0 +1,202 @@
+//! The operators' listener: lists, explanations, state, metrics, health.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+
+use super::node::Node;
+use super::problem;
+use super::report;
+use crate::core::effect::{OperatorAnswer, Refusal};
+use crate::core::event::{Edit, OperatorEvent, Which};
+use crate::error::Kind;
+use crate::lists::{Lists, Plans, Uses, diff};
+use crate::web;
+
+/// Most bytes of a list.
+const LIST_LIMIT: usize = 16 * 1024 * 1024;
+/// Time an operator has to send a list.
+const LIST_TIME: Duration = Duration::from_secs(30);
+
+/// Serves one request.
+pub async fn handle(node: Rc<Node>, req: Request) -> Response {
+    let path = req.path().to_owned();
+    if req.method() == Method::GET {
+        match path.as_str() {
+            "/healthz" => return text(StatusCode::OK, "ok\n"),
+            "/readyz" => return ready(&node),
+            _ => {}
+        }
+    }
+    if !admitted(&node, &req) {
+        let detail = "the operators' key is missing or wrong";
+        return problem::answer(&Refusal::new(Kind::BadKey, detail), "");
+    }
+    let get = req.method() == Method::GET;
+    match path.trim_start_matches('/').split_once('/') {
+        Some(("lists", "force")) if get => force(&node, &req),
+        Some(("lists", list)) => match which(list) {
+            Some(which) if get => show(&node, which),
+            Some(which) if req.method() == Method::PUT => apply(&node, req, which).await,
+            _ => nothing(),
+        },
+        Some(("explain", id)) if get => explain(&node, id).await,
+        None if get && path == "/status" => json_answer(StatusCode::OK, &node.look(report::status)),
+        None if get && path == "/metrics" => metrics(&node),
+        _ => nothing(),
+    }
+}
+
+fn nothing() -> Response {
+    let refusal = Refusal::new(Kind::NotFound, "there is nothing at this path");
+    problem::answer(&refusal, "")
+}
+
+fn which(list: &str) -> Option<Which> {
+    match list {
+        "plans" => Some(Which::Plans),
+        "use" => Some(Which::Uses),
+        _ => None,
+    }
+}
+
+fn text(status: StatusCode, text: &str) -> Response {
+    Response::build(status)
+        .content_type("text/plain; charset=utf-8")
+        .body(text.to_owned())
+}
+
+fn json_answer(status: StatusCode, value: &Value) -> Response {
+    Response::build(status)
+        .content_type("application/json")
+        .body(value.to_string())
+}
+
+fn ready(node: &Rc<Node>) -> Response {
+    match node.look(report::ready) {
+        Ok(()) => text(StatusCode::OK, "ready\n"),
+        Err(why) => text(StatusCode::SERVICE_UNAVAILABLE, &format!("{why}\n")),
+    }
+}
+
+/// Checks the operators' key; hashes are compared in constant time.
+fn admitted(node: &Rc<Node>, req: &Request) -> bool {
+    let key = req.headers().get("authorization");
+    let key = key.and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+    let wanted = node.look(|core| core.settings.host.operator_hash);
+    key.is_some_and(|key| blake3::hash(key.trim().as_bytes()) == blake3::Hash::from_bytes(wanted))
+}
+
+fn show(node: &Rc<Node>, which: Which) -> Response {
+    let (revision, body) = node.look(|core| {
+        let lists = &core.config.lists;
+        let body = match which {
+            Which::Plans => lists.plans.to_string(),
+            Which::Uses => lists.uses.to_string(),
+        };
+        (lists.revision, body)
+    });
+    Response::build(StatusCode::OK)
+        .content_type("text/plain; charset=utf-8")
+        .header("etag", format!("\"{revision}\""))
+        .body(body)
+}
+
+async fn apply(node: &Rc<Node>, mut req: Request, list: Which) -> Response {
+    let base = req.headers().get("if-match");
+    let base = base.and_then(|value| value.to_str().ok()?.trim_matches('"').parse().ok());
+    let Some(base) = base else {
+        let detail = "If-Match does not name the revision that was edited";
+        return problem::answer(&Refusal::new(Kind::Malformed, detail), "");
+    };
+    let bytes = match web::read_body(&mut req, LIST_LIMIT, LIST_TIME).await {
+        Ok(bytes) => bytes,
+        Err(status) => return text(status, "the list could not be read\n"),
+    };
+    let Ok(body) = std::str::from_utf8(&bytes) else {
+        let refusal = Refusal::new(Kind::Malformed, "the list is not UTF-8");
+        return problem::answer(&refusal, "");
+    };
+    let edit = Edit {
+        list,
+        text: body.into(),
+        base,
+    };
+    let answer = node.ask(|ask| OperatorEvent::Apply { ask, edit }).await;
+    match answer {
+        Some(OperatorAnswer::Accepted(revision)) => {
+            json_answer(StatusCode::OK, &json!({"revision": revision}))
+        }
+        Some(OperatorAnswer::Conflict {
+            revision,
+            text: theirs,
+        }) => {
+            let diff = changes(list, body, &theirs);
+            json_answer(
+                StatusCode::CONFLICT,
+                &json!({"revision": revision, "diff": diff}),
+            )
+        }
+        Some(OperatorAnswer::Faults(faults)) => {
+            json_answer(StatusCode::UNPROCESSABLE_ENTITY, &json!({"faults": faults}))
+        }
+        Some(OperatorAnswer::StoreDown) => {
+            let detail = "the key-value service does not answer; the edit had no effect";
+            problem::answer(&Refusal::new(Kind::StoreDown, detail), "")
+        }
+        _ => {
+            let detail = "whether the edit was accepted is not known; get the list and look";
+            problem::answer(&Refusal::new(Kind::Internal, detail), "")
+        }
+    }
+}
+
+/// Returns the lines by which the list in force differs from an operator's edit.
+fn changes(list: Which, mine: &str, theirs: &str) -> String {
+    let read = |text: &str| {
+        let mut lists = Lists::default();
+        match list {
+            Which::Plans => lists.plans = Plans::parse(text, "plans").unwrap_or_default(),
+            Which::Uses => lists.uses = Uses::parse(text, "use").unwrap_or_default(),
+        }
+        lists
+    };
+    diff(&read(mine), &read(theirs)).join("\n")
+}
+
+fn force(node: &Rc<Node>, req: &Request) -> Response {
+    let query = req.uri().query().unwrap_or_default();
+    let revision = query.strip_prefix("revision=");
+    let Some(revision) = revision.and_then(|number| number.parse().ok()) else {
+        let refusal = Refusal::new(Kind::Malformed, "ask with ?revision=NUMBER");
+        return problem::answer(&refusal, "");
+    };
+    json_answer(
+        StatusCode::OK,
+        &node.look(|core| report::force(core, revision)),
+    )
+}
+
+async fn explain(node: &Rc<Node>, id: &str) -> Response {
+    let id = id.into();
+    let answer = node.ask(|ask| OperatorEvent::Explain { ask, id }).await;
+    match answer {
+        Some(OperatorAnswer::Record(record)) => {
+            json_answer(StatusCode::OK, &report::record(&record))
+        }
+        Some(OperatorAnswer::NoRecord { why }) => {
+            problem::answer(&Refusal::new(Kind::NotFound, why), "")
+        }
+        _ => problem::answer(&Refusal::new(Kind::Internal, "no answer"), ""),
+    }
+}
+
+fn metrics(node: &Rc<Node>) -> Response {
+    node.meters.store(&node.store.calls());
+    match node.meters.text() {
+        Some(body) => text(StatusCode::OK, &body),
+        None => problem::answer(&Refusal::new(Kind::Internal, "the metrics are lost"), ""),
+    }
+}
--- /dev/null
+++ b/src/host/timer.rs
@@ -0,0 +1,78 @@
+//! The timer service: parts of the core ask for a time and get an event when it has come.
+//!
+//! It stands on tokio's timers: the HTTP library's own wheel is coarse.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use rustix::time::{ClockId, clock_gettime};
+use tokio::sync::Notify;
+
+use super::node::Node;
+use crate::core::event::Timer;
+use crate::core::{Event, Time};
+
+/// Reads a clock that keeps running while the machine is suspended.
+///
+/// A lease's holder that slept must find its lease lapsed when it wakes; the ordinary monotonic
+/// clock stands still meanwhile.
+#[must_use]
+pub fn now() -> Time {
+    let now = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(now.tv_sec).unwrap_or(0);
+    let micros = u64::try_from(now.tv_nsec / 1000).unwrap_or(0);
+    Time::from_micros(secs * 1_000_000 + micros)
+}
+
+/// Times that were asked for.
+#[derive(Debug, Default)]
+pub struct Timers {
+    queue: RefCell<BTreeMap<(Time, u64), Timer>>,
+    count: Cell<u64>,
+    sooner: Notify,
+}
+
+impl Timers {
+    /// Asks for an event.
+    pub fn wake(&self, at: Time, timer: Timer) {
+        let count = self.count.get();
+        self.count.set(count + 1);
+        let mut queue = self.queue.borrow_mut();
+        let first = queue.first_key_value().map(|(key, _)| *key);
+        queue.insert((at, count), timer);
+        if first.is_none_or(|first| at < first.0) {
+            self.sooner.notify_one();
+        }
+    }
+
+    fn due(&self, now: Time) -> Option<Timer> {
+        let mut queue = self.queue.borrow_mut();
+        let entry = queue.first_entry()?;
+        (entry.key().0 <= now).then(|| entry.remove())
+    }
+
+    fn next(&self) -> Option<Time> {
+        self.queue.borrow().first_key_value().map(|(key, _)| key.0)
+    }
+}
+
+/// Turns due times into events until the process ends.
+pub async fn run(node: Rc<Node>) {
+    loop {
+        while let Some(timer) = node.timers.due(now()) {
+            node.apply(Event::Timer(timer));
+        }
+        let next = node.timers.next();
+        let wait = async {
+            match next {
+                Some(at) => tokio::time::sleep(at.since(now())).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = wait => {}
+            () = node.timers.sooner.notified() => {}
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod backend;
 pub mod cli;
+pub mod core;
 pub mod error;
 pub mod form;
+pub mod host;
 pub mod lists;
 pub mod logs;
 pub mod operate;
@@ -11,6 +13,10 @@
 pub mod run;
 pub mod sections;
 pub mod settings;
+pub mod site;
 pub mod standin;
+pub mod store;
+pub mod trial;
 pub mod units;
 pub mod web;
+pub mod wire;
--- a/src/run.rs
+++ b/src/run.rs
@@ -2,16 +2,32 @@
 
 use std::fs;
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use ntex::rt::{DefaultRuntime, System};
 use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
-use crate::cli::{CheckOptions, Command};
+use crate::cli::{CheckOptions, Command, HostOptions, Pace, StandinKind, StandinOptions};
+use crate::host::{self, HostError, Listeners};
 use crate::lists::KeyHash;
+use crate::logs::{self, LogError};
 use crate::operate::{self, OperateError};
 use crate::output;
-use crate::settings::Settings;
+use crate::settings::{Fencing, Settings};
+use crate::standin::{engine, kv, service};
+use crate::trial::{self, TrialError};
+use crate::web;
+
+/// Exit code of a host that a second signal ended before its planned stop was complete.
+const ENDED_BY_SIGNAL: i32 = 130;
+/// Fixed time of a stand-in engine's step.
+const STEP: Duration = Duration::from_millis(5);
+/// How much faster a stand-in engine imports a prompt token's KV cache than it prefills it.
+const IMPORT_GAIN: u32 = 20;
 
 /// Why a command failed.
 #[derive(Debug, Snafu)]
@@ -45,6 +61,32 @@
     /// No key came on standard input.
     #[snafu(display("no key on standard input; give one: printf %s KEY | chiveway hash"))]
     NoKey,
+    /// A host cannot run.
+    #[snafu(transparent)]
+    Host {
+        /// Why.
+        source: HostError,
+    },
+    /// A stand-in cannot listen.
+    #[snafu(display("cannot listen on {addr}: {source}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The log cannot be set up.
+    #[snafu(transparent)]
+    Log {
+        /// Why.
+        source: LogError,
+    },
+    /// A trial failed.
+    #[snafu(transparent)]
+    Trial {
+        /// What was not as it should be.
+        source: TrialError,
+    },
     /// An operators' command failed.
     #[snafu(transparent)]
     Operate {
@@ -67,9 +109,9 @@
         Command::List(options) => Ok(block_on(operate::list(options))?),
         Command::Explain(options) => Ok(block_on(operate::explain(options))?),
         Command::Status(options) => Ok(block_on(operate::status(options))?),
-        Command::Host(_) => UnavailableSnafu { what: "host" }.fail(),
-        Command::Standin(_) => UnavailableSnafu { what: "standin" }.fail(),
-        Command::Try(_) => UnavailableSnafu { what: "try" }.fail(),
+        Command::Host(options) => serve(&options),
+        Command::Standin(options) => block_on(stand_in(options)),
+        Command::Try(options) => Ok(block_on(trial::run(options))?),
         Command::Load(_) => UnavailableSnafu { what: "load" }.fail(),
     }
 }
@@ -82,6 +124,103 @@
     system.block_on(task)
 }
 
+/// Runs a host until a planned stop is complete.
+fn serve(options: &HostOptions) -> Result<(), RunError> {
+    let mut settings = read_settings(&options.config)?;
+    logs::start(&settings.log)?;
+    block_on(async move {
+        let listeners = Listeners::open(&mut settings).await?;
+        let host = &settings.host;
+        output::say(&format!(
+            "{}: callers {}, operators {}, peers {}",
+            host.name, host.callers, host.operators, host.peers
+        ))
+        .context(StreamSnafu)?;
+        let (stop, stopped) = watch::channel(false);
+        ntex::rt::spawn(signals(stop));
+        Ok(host::run(settings, listeners, stopped).await?)
+    })
+}
+
+/// Begins a planned stop at the first signal and ends the process at the second.
+async fn signals(stop: watch::Sender<bool>) {
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    let mut count = 0;
+    loop {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        count += 1;
+        if count > 1 {
+            std::process::exit(ENDED_BY_SIGNAL);
+        }
+        stop.send_replace(true);
+    }
+}
+
+fn read_settings(path: &Path) -> Result<Settings, RunError> {
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    Settings::parse(&text, &path.display().to_string()).map_err(|faults| {
+        for fault in &faults {
+            output::complain(output::Tone::Error, &fault.to_string());
+        }
+        RunError::Faults {
+            count: faults.len(),
+        }
+    })
+}
+
+/// Runs a stand-in until it is ended.
+async fn stand_in(options: StandinOptions) -> Result<(), RunError> {
+    let addr = options.listen;
+    let listener = web::listen(addr).await.context(ListenSnafu { addr })?;
+    let addr = listener.local_addr().context(ListenSnafu { addr })?;
+    output::say(&format!("{} listens on {addr}", options.name)).context(StreamSnafu)?;
+    match options.kind {
+        StandinKind::Kv => kv::run(listener, kv::Options::default()).await,
+        StandinKind::Engine => engine::run(listener, engine_options(options)).await,
+        StandinKind::Service => {
+            let name = options.name;
+            service::run(listener, service::Options { name }).await;
+        }
+    }
+    Ok(())
+}
+
+fn engine_options(options: StandinOptions) -> engine::Options {
+    let pace = match options.pace {
+        Pace::Instant => engine::Pace::Instant,
+        Pace::Modelled => engine::Pace::Steps(engine::Costs {
+            base: STEP,
+            prefill: options.prefill,
+            decode: options.decode,
+            import: options.prefill / IMPORT_GAIN,
+            speed: options.speed,
+        }),
+    };
+    let mut engine = engine::Options {
+        name: options.name,
+        model: options.model,
+        pace,
+        slots: options.slots,
+        lag: options.lag,
+        fencing: match options.fencing {
+            Fencing::Checks => engine::Fencing::Checks,
+            Fencing::Ignores => engine::Fencing::Ignores,
+        },
+        crash: engine::Crash::Exit,
+        ..engine::Options::default()
+    };
+    engine.cache.piece = options.piece as u64;
+    engine
+}
+
 /// Reads a key, without the line end, and prints its hash.
 fn hash() -> Result<(), RunError> {
     let text = io::read_to_string(io::stdin()).context(StreamSnafu)?;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,4 +1,5 @@
 //! Stand-ins for outside systems, for tests, demonstrations and load trials.
 
 pub mod engine;
+pub mod kv;
 pub mod service;
--- /dev/null
+++ b/src/wire/convert.rs
@@ -0,0 +1,368 @@
+//! Conversions between the core's messages and the generated types.
+
+use super::generated::{self as wire, frame::Kind};
+use super::{WireError, array};
+use crate::core::event::{Print, Stored};
+use crate::core::message::{
+    Beat, Begin, BeginState, Borrow, Confirm, Done, DoneState, Lend, Message, Suspect,
+};
+use crate::core::trace::{Attempt, Note, Record};
+use crate::error::Ran;
+
+pub(super) fn to_kind(message: &Message) -> Kind {
+    match message {
+        Message::Beat(beat) => Kind::Beat(wire::Beat {
+            number: beat.number,
+            echo: beat.echo,
+            view: beat.view,
+            settled: beat.settled,
+            revision: beat.revision,
+            stopping: beat.stopping,
+        }),
+        Message::Borrow(borrow) => Kind::Borrow(wire::Borrow {
+            plan: borrow.plan.to_string(),
+            round: borrow.round,
+            view: borrow.view,
+            requests: borrow.requests,
+            tokens: borrow.tokens,
+            running: borrow.running,
+            held: borrow.held,
+        }),
+        Message::Lend(lend) => Kind::Lend(wire::Lend {
+            plan: lend.plan.to_string(),
+            round: lend.round,
+            requests: lend.requests,
+            tokens: lend.tokens,
+            running: lend.running,
+            life: lend.life,
+            wait: lend.wait,
+        }),
+        Message::Begin(begin) => Kind::Begin(wire::Begin {
+            round: begin.round,
+            customer: begin.customer.to_string(),
+            key: begin.key.to_string(),
+            body: begin.print.0.to_vec(),
+            request: begin.request.to_string(),
+        }),
+        Message::Begun {
+            round,
+            state,
+            request,
+        } => to_begun(*round, state, request),
+        Message::Done(done) => to_done(done),
+        Message::Recorded { round, durable } => Kind::Recorded(wire::Recorded {
+            round: *round,
+            durable: *durable,
+        }),
+        Message::Traces(records) => Kind::Traces(wire::Traces {
+            traces: records.iter().map(to_trace).collect(),
+        }),
+        Message::Ask { round, id } => Kind::Ask(wire::Ask {
+            round: *round,
+            id: id.to_string(),
+        }),
+        Message::Told {
+            round,
+            record,
+            since,
+        } => Kind::Told(wire::Told {
+            round: *round,
+            trace: record.as_deref().map(to_trace),
+            since: *since,
+        }),
+        Message::Fetch(revision) => Kind::Fetch(wire::Fetch {
+            revision: *revision,
+        }),
+        Message::Lists {
+            revision,
+            plans,
+            uses,
+        } => Kind::Lists(wire::Lists {
+            revision: *revision,
+            plans: plans.to_string(),
+            uses: uses.to_string(),
+        }),
+        Message::Confirm(confirm) => to_confirm(confirm),
+        Message::Suspect(suspect) => Kind::Suspect(wire::Suspect {
+            print: suspect.print.0.to_vec(),
+            engine: suspect.engine.to_string(),
+            at: suspect.at,
+            request: suspect.request.to_string(),
+        }),
+    }
+}
+
+pub(super) fn from_kind(kind: Kind) -> Result<Message, WireError> {
+    Ok(match kind {
+        Kind::Hello(_) | Kind::Proof(_) => return Err(WireError::Field { field: "kind" }),
+        Kind::Beat(beat) => Message::Beat(Beat {
+            number: beat.number,
+            echo: beat.echo,
+            view: beat.view,
+            settled: beat.settled,
+            revision: beat.revision,
+            stopping: beat.stopping,
+        }),
+        Kind::Borrow(borrow) => from_borrow(borrow)?,
+        Kind::Lend(lend) => from_lend(lend)?,
+        Kind::Begin(begin) => Message::Begin(Begin {
+            round: begin.round,
+            customer: begin.customer.into(),
+            key: begin.key.into(),
+            print: Print(array(&begin.body, "body")?),
+            request: begin.request.into(),
+        }),
+        Kind::Begun(begun) => from_begun(begun)?,
+        Kind::Done(done) => from_done(done)?,
+        Kind::Recorded(recorded) => Message::Recorded {
+            round: recorded.round,
+            durable: recorded.durable,
+        },
+        Kind::Traces(traces) => {
+            let records: Result<Vec<_>, _> = traces.traces.into_iter().map(from_trace).collect();
+            Message::Traces(records?)
+        }
+        Kind::Ask(ask) => Message::Ask {
+            round: ask.round,
+            id: ask.id.into(),
+        },
+        Kind::Told(told) => Message::Told {
+            round: told.round,
+            record: told.trace.map(from_trace).transpose()?.map(Box::new),
+            since: told.since,
+        },
+        Kind::Fetch(fetch) => Message::Fetch(fetch.revision),
+        Kind::Lists(lists) => Message::Lists {
+            revision: lists.revision,
+            plans: lists.plans.into(),
+            uses: lists.uses.into(),
+        },
+        Kind::Confirm(confirm) => from_confirm(confirm),
+        Kind::Suspect(suspect) => Message::Suspect(Suspect {
+            print: Print(array(&suspect.print, "print")?),
+            engine: suspect.engine.into(),
+            at: suspect.at,
+            request: suspect.request.into(),
+        }),
+    })
+}
+
+fn amount(value: f64, field: &'static str) -> Result<f64, WireError> {
+    if value.is_finite() && value >= 0.0 {
+        Ok(value)
+    } else {
+        Err(WireError::Field { field })
+    }
+}
+
+fn from_borrow(borrow: wire::Borrow) -> Result<Message, WireError> {
+    Ok(Message::Borrow(Borrow {
+        plan: borrow.plan.into(),
+        round: borrow.round,
+        view: borrow.view,
+        requests: amount(borrow.requests, "requests")?,
+        tokens: amount(borrow.tokens, "tokens")?,
+        running: borrow.running,
+        held: borrow.held,
+    }))
+}
+
+fn from_lend(lend: wire::Lend) -> Result<Message, WireError> {
+    Ok(Message::Lend(Lend {
+        plan: lend.plan.into(),
+        round: lend.round,
+        requests: amount(lend.requests, "requests")?,
+        tokens: amount(lend.tokens, "tokens")?,
+        running: lend.running,
+        life: lend.life,
+        wait: lend.wait,
+    }))
+}
+
+pub(super) fn to_stored(stored: &Stored) -> wire::Stored {
+    wire::Stored {
+        status: u32::from(stored.status),
+        media: stored.media.to_string(),
+        body: stored.body.to_vec(),
+    }
+}
+
+pub(super) fn from_stored(stored: wire::Stored) -> Result<Stored, WireError> {
+    let status =
+        u16::try_from(stored.status).map_err(|_range| WireError::Field { field: "status" })?;
+    Ok(Stored {
+        status,
+        media: stored.media.into(),
+        body: stored.body.into(),
+    })
+}
+
+fn to_begun(round: u64, state: &BeginState, request: &str) -> Kind {
+    let (state, result) = match state {
+        BeginState::Started => (0, None),
+        BeginState::Done(result) => (1, Some(to_stored(result))),
+        BeginState::Running => (2, None),
+        BeginState::MayHaveRun => (3, None),
+        BeginState::OtherBody => (4, None),
+        BeginState::StoreDown => (5, None),
+        BeginState::Full => (6, None),
+        BeginState::NotOwner => (7, None),
+    };
+    Kind::Begun(wire::Begun {
+        round,
+        state,
+        result,
+        request: request.to_owned(),
+    })
+}
+
+fn from_begun(begun: wire::Begun) -> Result<Message, WireError> {
+    let state = match (begun.state, begun.result) {
+        (0, _) => BeginState::Started,
+        (1, Some(result)) => BeginState::Done(from_stored(result)?),
+        (2, _) => BeginState::Running,
+        (3, _) => BeginState::MayHaveRun,
+        (4, _) => BeginState::OtherBody,
+        (5, _) => BeginState::StoreDown,
+        (6, _) => BeginState::Full,
+        (7, _) => BeginState::NotOwner,
+        _ => return Err(WireError::Field { field: "state" }),
+    };
+    Ok(Message::Begun {
+        round: begun.round,
+        state,
+        request: begun.request.into(),
+    })
+}
+
+fn to_done(done: &Done) -> Kind {
+    let (outcome, result) = match &done.outcome {
+        DoneState::Result(result) => (0, Some(to_stored(result))),
+        DoneState::NotRun => (1, None),
+        DoneState::MayHaveRun => (2, None),
+    };
+    Kind::Done(wire::Done {
+        round: done.round,
+        customer: done.customer.to_string(),
+        key: done.key.to_string(),
+        request: done.request.to_string(),
+        outcome,
+        result,
+    })
+}
+
+fn from_done(done: wire::Done) -> Result<Message, WireError> {
+    let outcome = match (done.outcome, done.result) {
+        (0, Some(result)) => DoneState::Result(from_stored(result)?),
+        (1, _) => DoneState::NotRun,
+        (2, _) => DoneState::MayHaveRun,
+        _ => return Err(WireError::Field { field: "outcome" }),
+    };
+    Ok(Message::Done(Done {
+        round: done.round,
+        customer: done.customer.into(),
+        key: done.key.into(),
+        request: done.request.into(),
+        outcome,
+    }))
+}
+
+fn to_confirm(confirm: &Confirm) -> Kind {
+    let streams = confirm.streams.iter().map(|(engine, count)| wire::Streams {
+        engine: engine.to_string(),
+        count: *count,
+    });
+    Kind::Confirm(wire::Confirm {
+        pool: confirm.pool.to_string(),
+        revision: confirm.revision,
+        streams: streams.collect(),
+    })
+}
+
+fn from_confirm(confirm: wire::Confirm) -> Message {
+    let streams = confirm.streams.into_iter();
+    Message::Confirm(Confirm {
+        pool: confirm.pool.into(),
+        revision: confirm.revision,
+        streams: streams.map(|s| (s.engine.into(), s.count)).collect(),
+    })
+}
+
+fn to_ran(ran: Option<Ran>) -> String {
+    ran.map(Ran::word).unwrap_or_default().to_owned()
+}
+
+fn from_ran(word: &str) -> Result<Option<Ran>, WireError> {
+    if word.is_empty() {
+        return Ok(None);
+    }
+    Ran::from_word(word)
+        .map(Some)
+        .ok_or(WireError::Field { field: "ran" })
+}
+
+fn to_trace(record: &Record) -> wire::Trace {
+    let attempts = record.attempts.iter().map(|attempt| wire::Attempt {
+        backend: attempt.backend.to_string(),
+        began: attempt.began,
+        ended: attempt.ended,
+        end: attempt.end.to_string(),
+        tokens: attempt.tokens,
+        ran: to_ran(attempt.ran),
+    });
+    let notes = record.notes.iter().map(|note| wire::Note {
+        at: note.at,
+        text: note.text.to_string(),
+    });
+    wire::Trace {
+        id: record.id.to_string(),
+        customer: record.customer.to_string(),
+        plan: record.plan.to_string(),
+        target: record.target.to_string(),
+        host: record.host.to_string(),
+        arrived: record.arrived,
+        lasted: record.lasted,
+        outcome: record.outcome.to_string(),
+        ran: to_ran(record.ran),
+        prompt: record.prompt,
+        output: record.output,
+        attempts: attempts.collect(),
+        notes: notes.collect(),
+        key: record.key.to_string(),
+    }
+}
+
+fn from_trace(trace: wire::Trace) -> Result<Record, WireError> {
+    let attempts: Result<Vec<_>, _> = trace.attempts.into_iter().map(from_attempt).collect();
+    let notes = trace.notes.into_iter().map(|note| Note {
+        at: note.at,
+        text: note.text.into(),
+    });
+    Ok(Record {
+        id: trace.id.into(),
+        customer: trace.customer.into(),
+        plan: trace.plan.into(),
+        target: trace.target.into(),
+        host: trace.host.into(),
+        arrived: trace.arrived,
+        lasted: trace.lasted,
+        outcome: trace.outcome.into(),
+        ran: from_ran(&trace.ran)?,
+        prompt: trace.prompt,
+        output: trace.output,
+        key: trace.key.into(),
+        attempts: attempts?,
+        notes: notes.collect(),
+    })
+}
+
+fn from_attempt(attempt: wire::Attempt) -> Result<Attempt, WireError> {
+    Ok(Attempt {
+        backend: attempt.backend.into(),
+        began: attempt.began,
+        ended: attempt.ended,
+        end: attempt.end.into(),
+        tokens: attempt.tokens,
+        ran: from_ran(&attempt.ran)?,
+    })
+}
--- /dev/null
+++ b/src/wire/shard.rs
@@ -0,0 +1,61 @@
+//! The value of one shard of records of calls that may not repeat.
+
+use prost::Message as _;
+
+use super::convert::{from_stored, to_stored};
+use super::{array, generated};
+use crate::core::event::Print;
+use crate::core::once::{Call, CallName, CallState, Calls};
+
+const STARTED: u32 = 0;
+const DONE: u32 = 1;
+
+/// Returns the bytes of a shard.
+#[must_use]
+pub fn encode_shard(calls: &Calls) -> Vec<u8> {
+    let calls = calls.iter().map(|((customer, key), call)| {
+        let (state, result) = match &call.state {
+            CallState::Started => (STARTED, None),
+            CallState::Done(result) => (DONE, Some(to_stored(result))),
+            CallState::MayHaveRun => (2, None),
+        };
+        generated::Call {
+            customer: customer.to_string(),
+            key: key.to_string(),
+            print: call.print.0.to_vec(),
+            request: call.request.to_string(),
+            state,
+            result,
+            at: call.at,
+        }
+    });
+    let shard = generated::Shard {
+        calls: calls.collect(),
+    };
+    shard.encode_to_vec()
+}
+
+/// Reads a shard; `None` when the bytes are not one.
+///
+/// Taking an unreadable shard for an empty one would let recorded calls run again.
+#[must_use]
+pub fn decode_shard(bytes: &[u8]) -> Option<Calls> {
+    let shard = generated::Shard::decode(bytes).ok()?;
+    shard.calls.into_iter().map(call).collect()
+}
+
+fn call(call: generated::Call) -> Option<(CallName, Call)> {
+    let state = match (call.state, call.result) {
+        (STARTED, _) => CallState::Started,
+        (DONE, Some(result)) => CallState::Done(from_stored(result).ok()?),
+        _ => CallState::MayHaveRun,
+    };
+    let name = (call.customer.into(), call.key.into());
+    let call = Call {
+        print: Print(array(&call.print, "print").ok()?),
+        request: call.request.into(),
+        state,
+        at: call.at,
+    };
+    Some((name, call))
+}
