Take the head's time from the request's first byte; keep stand-ins lean

The test of silent connections could not fail: an answer long enough to outlast its wait passed it without any silence.

Change: the body's notice starts the head's timer; a stream whose end mark has come returns its connection; a crashed stand-in keeps its port bound and refuses connections; prompts go when an attempt ends; chunks are written from a frame. The test of silence now waits until the engine has made the whole answer and then expects neither an end nor an error, which is stricter. New tests: age of connections, chat.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -1,6 +1,5 @@
 //! HTTP client with every default set, and the classification of its failures.
 
-use std::cell::Cell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,6 +7,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
+use ntex::client::error::ClientError;
 use ntex::client::{ClientResponse, Connector};
 use ntex::http::Method;
 use ntex::http::body::{Body, BodySize, MessageBody};
@@ -16,7 +17,8 @@
 use ntex::service::cfg::SharedCfg;
 use ntex::time::{Millis, Seconds};
 use snafu::Snafu;
-use tokio::time::timeout;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use crate::error::Ran;
 use crate::web::CLIENT_IDLE;
@@ -204,34 +206,37 @@
         for (name, value) in call.headers {
             request = request.header(*name, *value);
         }
-        let handed = Rc::new(Cell::new(Handed::No));
+        let handed = Rc::new(Notify::new());
         let body = Watched {
             body: call.body,
             handed: Rc::clone(&handed),
         };
         let send = request.send_body(Body::from_message(body));
         tokio::pin!(send);
-        let early = timeout(self.opts.connect, send.as_mut()).await;
-        let result = match (early, handed.get()) {
-            (Ok(result), _) => result,
-            (Err(_), Handed::No) => return Err(OpenError::Connect),
-            (Err(_), Handed::Yes) => timeout(self.opts.head, send)
-                .await
-                .map_err(|_late| OpenError::Late)?,
-        };
-        result.map_err(|err| match (handed.get(), err) {
-            (Handed::No, ntex::client::error::ClientError::Connect(_)) => OpenError::Connect,
-            (Handed::No, _) => OpenError::Invalid,
-            (Handed::Yes, _) => OpenError::Lost,
-        })
+        tokio::select! {
+            biased;
+            // Answered or failed at once; a failure before the hand-over is one to connect.
+            result = send.as_mut() => match result {
+                Ok(response) => return Ok(response),
+                Err(_) if handed.notified().now_or_never().is_some() => return Err(OpenError::Lost),
+                Err(ClientError::Connect(_)) => return Err(OpenError::Connect),
+                Err(_) => return Err(OpenError::Invalid),
+            },
+            () = handed.notified() => {}
+            () = sleep(self.opts.connect) => return Err(OpenError::Connect),
+        }
+        match timeout(self.opts.head, send).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(_broken)) => Err(OpenError::Lost),
+            Err(_late) => Err(OpenError::Late),
+        }
     }
-}
 
-/// Whether a request was handed to a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Handed {
-    No,
-    Yes,
+    /// Returns the options the client was built with.
+    #[must_use]
+    pub fn options(&self) -> &Options {
+        &self.opts
+    }
 }
 
 /// A body that notes when the library takes the request to a connection.
@@ -242,12 +247,12 @@
 /// body never asked belongs to a request of which no byte was written.
 struct Watched {
     body: Bytes,
-    handed: Rc<Cell<Handed>>,
+    handed: Rc<Notify>,
 }
 
 impl MessageBody for Watched {
     fn size(&self) -> BodySize {
-        self.handed.set(Handed::Yes);
+        self.handed.notify_one();
         if self.body.is_empty() {
             BodySize::Empty
         } else {
@@ -308,11 +313,3 @@
 fn millis(time: Duration) -> Millis {
     Millis(u32::try_from(time.as_millis()).unwrap_or(u32::MAX))
 }
-
-impl Client {
-    /// Returns the options the client was built with.
-    #[must_use]
-    pub fn options(&self) -> &Options {
-        &self.opts
-    }
-}
--- a/src/backend/stream.rs
+++ b/src/backend/stream.rs
@@ -3,11 +3,14 @@
 use std::borrow::Cow;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use ntex::client::ClientResponse;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
+use tokio::time::timeout;
 
 use super::client::{Call, Client, OpenError, refusal};
 use super::sse::{Event, Parser, SseError};
@@ -18,6 +21,8 @@
 const RESUME_HEADER: &str = "last-event-id";
 /// Header that names the priority; it outranks the field of the same name in the body.
 const PRIORITY_HEADER: &str = "x-priority";
+/// Time a back end has to end the body after the event that ends the stream.
+const END_TIME: Duration = Duration::from_secs(1);
 /// Data of the event that ends a stream.
 const DONE: &[u8] = b"[DONE]";
 
@@ -54,19 +59,13 @@
 
 /// A streamed answer; dropping it closes its connection, which cancels the attempt.
 pub struct Stream {
-    response: ClientResponse,
+    /// `None` after the event that ends the stream.
+    response: Option<ClientResponse>,
     parser: Parser,
     attempt: Box<str>,
-    state: State,
     foreign: u64,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum State {
-    Open,
-    Done,
-}
-
 /// The fields of a chunk that this side reads.
 #[derive(Deserialize)]
 struct Head<'a> {
@@ -122,10 +121,9 @@
         return Err(refusal(response, client.options().body).await);
     }
     Ok(Stream {
-        response,
+        response: Some(response),
         parser: Parser::new(),
         attempt: attempt.into(),
-        state: State::Open,
         foreign: 0,
     })
 }
@@ -134,13 +132,13 @@
     /// Returns the next chunk in order of arrival, or `None` after the event that ends the stream.
     ///
     /// Chunks of other attempts are left out and counted; repeated and reordered chunks are
-    /// given as they came.
+    /// given as they came. A call that is dropped before it returns loses nothing.
     ///
     /// # Errors
     ///
     /// Returns why the stream cannot be read on; it must be dropped then.
     pub async fn next(&mut self) -> Result<Option<Chunk>, ReadError> {
-        while self.state == State::Open {
+        loop {
             while let Some(event) = self.parser.pop() {
                 if event.data == DONE {
                     self.finish();
@@ -150,13 +148,15 @@
                     return Ok(Some(chunk));
                 }
             }
-            match ntex::util::stream_recv(&mut self.response).await {
+            let Some(response) = &mut self.response else {
+                return Ok(None);
+            };
+            match ntex::util::stream_recv(response).await {
                 Some(Ok(part)) => self.parser.push(&part).context(BrokenSnafu)?,
                 Some(Err(_broken)) => return Err(ReadError::Lost),
                 None => return Err(ReadError::Short),
             }
         }
-        Ok(None)
     }
 
     /// Returns the number of chunks of other attempts that were left out.
@@ -183,12 +183,18 @@
 
     /// Reads the end of the body, so that the connection goes back to the pool.
     fn finish(&mut self) {
-        self.state = State::Done;
-        let rest = ntex::util::stream_recv(&mut self.response);
-        // The end of the body is most often in the same packet; a back end that holds it back
-        // costs a connection, not the answer.
-        if let Some(Some(Ok(_))) = futures_util::FutureExt::now_or_never(rest) {
-            log::debug!("data after the end of a stream");
+        let Some(mut response) = self.response.take() else {
+            return;
+        };
+        let rest = ntex::util::stream_recv(&mut response).now_or_never();
+        if rest.is_none() {
+            // The end of the body is not here yet. Its reader need not wait for it.
+            ntex::rt::spawn(async move {
+                let rest = ntex::util::stream_recv(&mut response);
+                if let Ok(Some(_)) = timeout(END_TIME, rest).await {
+                    log::debug!("data after the end of a stream");
+                }
+            });
         }
     }
 }
@@ -197,7 +203,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Stream")
             .field("attempt", &self.attempt)
-            .field("state", &self.state)
             .field("foreign", &self.foreign)
             .finish_non_exhaustive()
     }
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -40,7 +40,9 @@
 #[derive(Debug)]
 pub(super) struct Run {
     pub attempt: Rc<str>,
-    pub prompt: Rc<str>,
+    pub prompt: Box<str>,
+    /// BLAKE3 hash of the prompt in hexadecimal.
+    pub hash: Box<str>,
     pub seed: Seed,
     pub pieces: Vec<Box<str>>,
     /// Tokens of the prompt, and of an answer continued.
@@ -83,6 +85,7 @@
     pub changes: u64,
     pub orders_refused: u64,
     pub crashes: u64,
+    pub connections: u64,
 }
 
 /// One step before its time has passed.
@@ -128,6 +131,9 @@
             return;
         }
         run.end = Some(end);
+        // What can still be read of the attempt needs neither, and long prompts add up.
+        run.prompt = Box::default();
+        run.pieces = Vec::new();
         run.changed.notify_waiters();
         self.running.retain(|k| *k != key);
         self.waiting.retain(|(_, _, k)| *k != key);
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -14,11 +14,12 @@
 mod wire;
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -34,8 +35,8 @@
 
 /// Time by which the batch may be behind its clock and still catch up.
 const CATCH_UP: Duration = Duration::from_millis(5);
-/// Time between two tries to listen again after a crash.
-const LISTEN_AGAIN: Duration = Duration::from_millis(20);
+/// Connections the kernel holds for the listener after a crash.
+const BACKLOG: u32 = 1024;
 
 /// What the engine's tasks share.
 struct Shared {
@@ -44,8 +45,6 @@
     work: Notify,
     /// Woken when a timer is set.
     timer: Notify,
-    /// Woken when the engine crashes.
-    crash: Notify,
     client: Client,
 }
 
@@ -56,7 +55,6 @@
             std::process::exit(1);
         }
         self.state.borrow_mut().wipe();
-        self.crash.notify_one();
     }
 }
 
@@ -81,41 +79,45 @@
         state: RefCell::new(State::new(opts)),
         work: Notify::new(),
         timer: Notify::new(),
-        crash: Notify::new(),
         client,
     });
     let _closer = Closer(Rc::clone(&shared));
-    let mut listener = Some(listener);
+    let mut listener = listener;
     loop {
-        let open = match listener.take() {
-            Some(open) => open,
-            None => listen_again(addr).await,
-        };
         let (_stop, stopped) = watch::channel(false);
         let handler = {
             let shared = Rc::clone(&shared);
             move |req| routes::handle(Rc::clone(&shared), req)
         };
         tokio::select! {
-            () = web::serve(open, stopped, handler) => return,
+            () = web::serve(listener, stopped, handler) => return,
             () = steps(&shared) => {}
             () = timers(&shared) => {}
-            () = shared.crash.notified() => {}
         }
         let crash = shared.state.borrow().opts.crash;
-        if let Crash::Restart(time) = crash {
-            sleep(time).await;
-        }
+        listener = match listen_again(addr, crash).await {
+            Ok(listener) => listener,
+            Err(err) => {
+                log::error!("the stand-in cannot listen again: {err}");
+                return;
+            }
+        };
     }
 }
 
-async fn listen_again(addr: SocketAddr) -> TcpListener {
-    loop {
-        match web::listen(addr).await {
-            Ok(listener) => return listener,
-            Err(_taken) => sleep(LISTEN_AGAIN).await,
-        }
+/// Refuses connections for a while, keeping the port, and listens again.
+async fn listen_again(addr: SocketAddr, crash: Crash) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Connections closed a moment ago still hold the port otherwise.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    if let Crash::Restart(time) = crash {
+        sleep(time).await;
     }
+    socket.listen(BACKLOG)
 }
 
 /// Runs the batch until the engine crashes.
--- a/src/standin/engine/reader.rs
+++ b/src/standin/engine/reader.rs
@@ -12,7 +12,7 @@
 use super::answer::write;
 use super::batch::{End, RunKey};
 use super::state::{State, Timer};
-use super::wire::{self, Form, Usage};
+use super::wire::{Form, Frame, Usage};
 
 /// The attempt ended without its last token; the connection is closed.
 #[derive(Debug, Snafu)]
@@ -31,8 +31,8 @@
 pub(super) struct Reader {
     shared: Rc<Shared>,
     key: RunKey,
-    form: Form,
-    model: Box<str>,
+    frame: Frame,
+    stray: Frame,
     start: u64,
     offset: u64,
     /// Value of [`State::silent`] when the stream was opened.
@@ -52,19 +52,21 @@
     /// Opens an attempt at `offset`, or at its beginning.
     pub fn new(shared: &Rc<Shared>, key: RunKey, form: Form, offset: Option<u64>) -> Option<Self> {
         let mut state = shared.state.borrow_mut();
-        let (model, since) = (state.model.clone(), state.silent);
+        let state = &mut *state;
         let run = state.batch.runs.get_mut(key)?;
+        let frame = Frame::new(form, &run.attempt, &state.model);
+        let stray = Frame::new(form, &format!("{}-other", run.attempt), &state.model);
         run.readers += 1;
         run.opened += 1;
         let offset = offset.unwrap_or(run.first).max(run.first);
         Some(Self {
             shared: Rc::clone(shared),
             key,
-            form,
-            model,
+            frame,
+            stray,
             start: offset,
             offset,
-            since,
+            since: state.silent,
             changed: Rc::clone(&run.changed),
             phase: Phase::First,
         })
@@ -152,8 +154,9 @@
                     prompt: run.prompt_tokens,
                     completion: run.made - run.first,
                 };
-                let last = wire::last(self.form, &run.attempt, &self.model, upto, usage);
-                Out::Last(last)
+                let mut text = String::new();
+                self.frame.last(&mut text, upto, usage);
+                Out::Last(text)
             }
             Some(_) => Out::Cut,
         }
@@ -161,24 +164,26 @@
 
     /// Returns the events up to an offset, in the order the faults give.
     fn events(&mut self, state: &State, upto: u64) -> String {
-        let run = &state.batch.runs[self.key];
+        let seed = state.batch.runs[self.key].seed;
         let mut events = Vec::new();
+        let stray = self.phase == Phase::First && state.faults.wrong_attempt == Some(true);
+        if stray {
+            let mut event = String::new();
+            self.stray.token(&mut event, self.offset + 1, " stray");
+            events.push(event);
+        }
         for i in self.offset..upto {
-            let mut text = String::new();
-            write(&mut text, run.seed, i, i + 1);
-            let event = wire::event(self.form, &run.attempt, &self.model, i + 1, &text);
+            let (mut word, mut event) = (String::new(), String::new());
+            write(&mut word, seed, i, i + 1);
+            self.frame.token(&mut event, i + 1, &word);
             if state.faults.repeat_chunk == Some(true) {
                 events.push(event.clone());
             }
             events.push(event);
         }
         if state.faults.reorder_chunks == Some(true) {
-            events.chunks_exact_mut(2).for_each(<[String]>::reverse);
-        }
-        if self.phase == Phase::First && state.faults.wrong_attempt == Some(true) {
-            let other = format!("{}-other", run.attempt);
-            let id = self.offset + 1;
-            events.insert(0, wire::event(self.form, &other, &self.model, id, " stray"));
+            let own = &mut events[usize::from(stray)..];
+            own.chunks_exact_mut(2).for_each(<[String]>::reverse);
         }
         self.phase = Phase::Open;
         self.offset = upto;
--- a/src/standin/engine/routes.rs
+++ b/src/standin/engine/routes.rs
@@ -58,15 +58,17 @@
     let Some(io) = req.io() else {
         return false;
     };
+    let id = io.id();
     let mut state = shared.state.borrow_mut();
     let since = state.silent;
     let conns = &mut state.conns;
-    if !conns.contains_key(&io.id()) {
+    if !conns.contains_key(&id) {
         conns.retain(|_, conn| !conn.io.is_closed());
         let io = io.clone();
-        conns.insert(io.id(), Conn { io, since });
+        conns.insert(id, Conn { io, since });
+        state.stats.connections += 1;
     }
-    conns[&io.id()].since < since
+    state.conns[&id].since < since
 }
 
 async fn answer(shared: &Rc<Shared>, req: &Request, body: &[u8], form: Form) -> Response {
@@ -119,7 +121,7 @@
     let Some(run) = state.batch.runs.get(key) else {
         return cut(req);
     };
-    let hash: Box<str> = blake3::hash(run.prompt.as_bytes()).to_hex().as_str().into();
+    let hash = run.hash.clone();
     let handle: Box<str> = format!("kv-{}-{}", state.opts.name, run.attempt).into();
     state.handles.insert(handle.clone(), (hash, usage.prompt));
     Response::Ok().json(&json!({"kv": handle, "prompt_tokens": usage.prompt}))
--- a/src/standin/engine/state.rs
+++ b/src/standin/engine/state.rs
@@ -227,12 +227,13 @@
         }
         let prefill = match job.kind {
             JobKind::Whole | JobKind::Prefill => count,
-            JobKind::Imported => 0,
+            JobKind::Imported => first,
         };
         let key = self.batch.add(Run {
             attempt: Rc::clone(&job.attempt),
             pieces: pieces(&self.model, &prompt, self.opts.cache.piece),
             prompt: prompt.into(),
+            hash: hash.as_str().into(),
             seed,
             prompt_tokens: count,
             prefill,
@@ -385,10 +386,10 @@
     /// Notes the load as it is now.
     pub fn report(&mut self) {
         let (now, lag) = (Instant::now(), self.opts.lag);
-        let load = self.snapshot();
-        if lag == Duration::ZERO {
-            self.reports.clear();
+        if lag.is_zero() {
+            return;
         }
+        let load = self.snapshot();
         while self.reports.get(1).is_some_and(|(at, _)| *at + lag <= now) {
             self.reports.pop_front();
         }
--- a/src/standin/engine/wire.rs
+++ b/src/standin/engine/wire.rs
@@ -65,6 +65,7 @@
 }
 
 /// Returns the prompt that a chat's messages, as role and content, amount to.
+#[must_use]
 pub fn chat_prompt<'a>(messages: impl Iterator<Item = (&'a str, &'a str)>) -> String {
     let mut prompt = String::new();
     for (role, content) in messages {
@@ -90,37 +91,49 @@
     pub completion: u64,
 }
 
-/// Returns the event of one token; `id` is the offset of the token after it.
-pub(super) fn event(form: Form, attempt: &str, model: &str, id: u64, text: &str) -> String {
-    let choice = match form {
-        Form::Text => json!({"index": 0, "text": text, "finish_reason": null}),
-        Form::Chat => json!({"index": 0, "delta": {"content": text}, "finish_reason": null}),
-    };
-    let object = match form {
-        Form::Text => "text_completion",
-        Form::Chat => "chat.completion.chunk",
-    };
-    let chunk = json!({"id": attempt, "object": object, "model": model, "choices": [choice]});
-    frame(id, &chunk)
+/// The parts of a stream's chunks that stay the same, ready to be written.
+#[derive(Debug)]
+pub(super) struct Frame {
+    before: Box<str>,
+    after: &'static str,
 }
 
-/// Returns the events that end a stream: finish reason with usage, and the end mark.
-pub(super) fn last(form: Form, attempt: &str, model: &str, id: u64, usage: Usage) -> String {
-    let choice = match form {
-        Form::Text => json!({"index": 0, "text": "", "finish_reason": "length"}),
-        Form::Chat => json!({"index": 0, "delta": {}, "finish_reason": "length"}),
-    };
-    let object = match form {
-        Form::Text => "text_completion",
-        Form::Chat => "chat.completion.chunk",
-    };
-    let chunk = json!({
-        "id": attempt, "object": object, "model": model, "choices": [choice],
-        "usage": usage_json(usage),
-    });
-    let mut text = frame(id, &chunk);
-    text.push_str("data: [DONE]\n\n");
-    text
+impl Frame {
+    pub fn new(form: Form, attempt: &str, model: &str) -> Self {
+        let (attempt, model) = (json!(attempt), json!(model));
+        let (object, field, after) = match form {
+            Form::Text => ("text_completion", r#""text":"#, ""),
+            Form::Chat => ("chat.completion.chunk", r#""delta":{"content":"#, "}"),
+        };
+        let before = format!(
+            r#"{{"id":{attempt},"object":"{object}","model":{model},"choices":[{{"index":0,{field}"#
+        );
+        Self {
+            before: before.into(),
+            after,
+        }
+    }
+
+    /// Appends the event of one token, a plain word; `id` is the offset of the token after it.
+    pub fn token(&self, text: &mut String, id: u64, word: &str) {
+        let Self { before, after } = self;
+        // Writing to a string does not fail.
+        let _ = write!(
+            text,
+            "id: {id}\ndata: {before}\"{word}\"{after},\"finish_reason\":null}}]}}\n\n"
+        );
+    }
+
+    /// Appends the events that end a stream: finish reason with usage, and the end mark.
+    pub fn last(&self, text: &mut String, id: u64, usage: Usage) {
+        let Self { before, after } = self;
+        let usage = usage_json(usage);
+        let _ = write!(
+            text,
+            "id: {id}\ndata: {before}\"\"{after},\"finish_reason\":\"length\"}}],\"usage\":{usage}}}\n\n\
+             data: [DONE]\n\n"
+        );
+    }
 }
 
 /// Returns a whole answer.
@@ -151,10 +164,3 @@
         "total_tokens": usage.prompt + usage.completion,
     })
 }
-
-fn frame(id: u64, chunk: &Value) -> String {
-    let mut text = String::new();
-    // Writing to a string does not fail.
-    let _ = write!(text, "id: {id}\ndata: {chunk}\n\n");
-    text
-}
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -146,7 +146,9 @@
             return Ok((text, last, true));
         };
         let data: Value = serde_json::from_slice(&chunk.data).expect("JSON");
-        text.push_str(data["choices"][0]["text"].as_str().expect("text"));
+        let choice = &data["choices"][0];
+        let part = choice.get("text").or(choice.pointer("/delta/content"));
+        text.push_str(part.and_then(Value::as_str).expect("text"));
         assert_eq!(chunk.end, data["choices"][0]["finish_reason"] == "length");
         last = chunk.offset;
         count += 1;
@@ -192,6 +194,17 @@
         }
     }
 
+    a_chat_is_one_prompt: |c| {
+        let e = engine(Options::default());
+        let body = json!({"messages": [{"role": "user", "content": "a \"hut\"?"}],
+            "max_tokens": 8, "stream": true});
+        let path = "/v1/chat/completions";
+        let s = open(c, e.addr, path, body.to_string().into(), "a\"1", None, 0).await;
+        let (text, ..) = read(&mut s.expect("stream"), usize::MAX).await.expect("read");
+        let prompt = engine::chat_prompt([("user", "a \"hut\"?")].into_iter());
+        assert_eq!(text, expected("model", &prompt, 8));
+    }
+
     /// A connection breaks in the middle of an answer. The caller must get the rest, and the
     /// engine must not run the request again.
     a_broken_stream_is_resumed: |c| {
@@ -348,13 +361,15 @@
     /// more, neither data nor an end, while a new connection works.
     open_streams_go_silent: |c| {
         let e = engine(slow());
-        let mut s = begin(c, e.addr, "a draft", MANY, "a1").await;
+        let mut s = begin(c, e.addr, "a draft", 100, "a1").await;
         read(&mut s, 1).await.expect("read");
         fault(c, e.addr, json!({"silent": true})).await;
-        let quiet = timeout(Duration::from_millis(300), async {
+        until(c, e.addr, "/log", "/runs/0/end", "done".into()).await;
+        // All that the engine would ever send, it has sent by now.
+        let rest = timeout(Duration::from_millis(300), async {
             while let Ok(Some(_)) = s.next().await {}
         });
-        quiet.await.expect_err("silence");
+        rest.await.expect_err("neither an end nor an error");
         let other = client().await;
         let mut s = begin(&other, e.addr, "a clause", 5, "a2").await;
         let (text, ..) = read(&mut s, usize::MAX).await.expect("read");
@@ -423,10 +438,10 @@
 
     /// Nothing listens where a back end should be. The caller may be told "not run".
     a_refused_connection_did_not_run: |c| {
-        let addr = {
-            let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-            socket.local_addr().expect("address")
-        };
+        // Bound, so that nobody else gets the port, but not listening.
+        let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("bind");
+        let addr = socket.local_addr().expect("address");
         let refused = open(c, addr, TEXT, ask("a", 1), "a1", None, 0).await;
         let refused = refused.expect_err("no stream");
         assert_eq!((&refused, refused.ran()), (&OpenError::Connect, Ran::No));
@@ -435,8 +450,8 @@
     /// A back end takes a request and falls silent before the head of its answer. The request may
     /// have run, so the caller must not be told otherwise.
     a_late_head_may_have_run: |_c| {
-        let settings = Settings { head: Duration::from_millis(50), ..Settings::default() };
-        let settings = Settings { connect: Duration::from_millis(50), ..settings };
+        let head = Duration::from_millis(50);
+        let settings = Settings { connect: LIMIT, head, ..Settings::default() };
         let c = &Client::new(settings).await.expect("client");
         let listener = web::listen(([127, 0, 0, 1], 0).into()).await.expect("listen");
         let addr = listener.local_addr().expect("address");
@@ -444,6 +459,20 @@
         assert_eq!((&late, late.ran()), (&OpenError::Late, Ran::Unknown));
     }
 
+    /// A connection older than the setting is not used again, so that a fault between the two
+    /// ends that kills old connections meets few of them.
+    old_connections_are_retired: |_c| {
+        let age = Duration::from_secs(1);
+        let c = &Client::new(Settings { age, ..Settings::default() }).await.expect("client");
+        let e = engine(Options::default());
+        for _ in 0..3 {
+            get(c, e.addr, "/stats").await;
+        }
+        assert_eq!(get(c, e.addr, "/stats").await["connections"], 1);
+        sleep(age * 2).await;
+        assert_eq!(get(c, e.addr, "/stats").await["connections"], 2);
+    }
+
     /// Many requests want a connection to one back end at once, and the library makes one at a
     /// time. None of them may be left asleep.
     many_first_calls_all_connect: |c| {
