Prove the commands with the real program and a fake operators' listener

Cause: the operators' client, the messages and the logs had no test. Change: a builder that runs the program, a fake listener that holds two lists under one revision, and cases for help, wrong usage, check, edit, apply, races, a lost answer, refusals and explanations; log lines are tested against forged line ends.

--- a/src/logs.rs
+++ b/src/logs/mod.rs
@@ -10,6 +10,9 @@
 //!
 //! No secret and nothing that a caller wrote in a body goes into an event.
 
+#[cfg(test)]
+mod tests;
+
 use std::fmt::Write as _;
 
 use log::kv::{Error, Key, Value, VisitSource};
@@ -116,7 +119,7 @@
 ///
 /// Control characters are escaped: a name or path from outside with a line end in it would
 /// otherwise forge a log line of its own.
-pub(crate) fn line(record: &Record<'_>) -> Box<str> {
+fn line(record: &Record<'_>) -> Box<str> {
     let mut fields = Fields(record.args().to_string());
     // Writing to a string does not fail, and neither does the visitor.
     let _ = record.key_values().visit(&mut fields);
--- /dev/null
+++ b/src/logs/tests.rs
@@ -0,0 +1,33 @@
+//! Tests of log lines.
+
+use log::Record;
+
+use super::line;
+
+#[test]
+fn fields_follow_the_message() {
+    let fields = [("host", "dk-øst-1"), ("revision", "7")];
+    let record = Record::builder()
+        .args(format_args!("an edit is accepted"))
+        .key_values(&fields)
+        .build();
+    assert_eq!(
+        &*line(&record),
+        "an edit is accepted host=dk-øst-1 revision=7"
+    );
+}
+
+/// A caller puts a line end into a path that is logged. Without escaping the rest would stand in
+/// the log as an event that never happened, and a support engineer would believe it.
+#[test]
+fn line_ends_in_fields_forge_no_line() {
+    let fields = [("path", "/a\n2026 INFO chiveway::stopped")];
+    let record = Record::builder()
+        .args(format_args!("refused\u{1b}"))
+        .key_values(&fields)
+        .build();
+    assert_eq!(
+        &*line(&record),
+        "refused\\u{1b} path=/a\\n2026 INFO chiveway::stopped"
+    );
+}
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,248 @@
+//! Whole-program tests of the commands, against a fake operators' listener where one is needed.
+
+mod common;
+
+use std::fs;
+use std::path::PathBuf;
+
+use common::chiveway;
+use common::console::{Console, Fault, KEY};
+
+const PLANS: &str = "[customer Sønderborg Kunstforening]\nplan = guld\n";
+const USES: &str = "[plan guld]\nrequests = 50/s\n";
+
+/// Returns a file of this test in the build's own folder for temporary files.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+/// Names each case: arguments and what must be on standard output.
+macro_rules! prints {
+    ($($name:ident: $args:literal => $text:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            chiveway().args($args).succeeds().stdout_contains($text);
+        })+
+    };
+}
+
+prints! {
+    help_lists_commands: "--help" => "explain          Tells what became of a request, and why\n";
+    short_help: "-h" => "Exit codes: 0 done, 1 failed, 2 wrong usage.";
+    help_of_a_noun: "plans --help" => "  plans apply  Puts a file of customers' plans in force\n";
+    help_of_host: "host --help" => "  --config FILE  Settings of the host; also -c\n";
+    help_shows_defaults: "try --help" => "  --hosts N  Hosts to run [default: 3]\n";
+    help_after_arguments: "plans apply --file x --help" => "Usage: chiveway plans apply [OPTIONS]";
+    version: "--version" => concat!("chiveway ", env!("CARGO_PKG_VERSION"), "\n");
+    version_of_a_command: "status --version" => concat!("chiveway ", env!("CARGO_PKG_VERSION"));
+    fristvagt_settings: "check examples/fristvagt/host.ini" => "examples/fristvagt/host.ini: no fault\n";
+    buzkulube_settings: "check examples/buzkulube/host.ini" => "examples/buzkulube/host.ini: no fault\n";
+    fristvagt_plans: "plans check --file examples/fristvagt/plans.ini" => "no fault";
+    fristvagt_uses: "use check --file examples/fristvagt/use.ini" => "no fault";
+    buzkulube_plans: "plans check --file examples/buzkulube/plans.ini" => "no fault";
+    buzkulube_uses: "use check --file examples/buzkulube/use.ini" => "no fault";
+}
+
+/// Names each case: wrong arguments and what must be on standard error.
+macro_rules! misused {
+    ($($name:ident: $args:literal => $text:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let done = chiveway().args($args).ends(2).stderr_contains($text);
+            assert_eq!(done.stdout(), "");
+        })+
+    };
+}
+
+misused! {
+    no_command: "" => "error: Name one of the commands: host, check, plans get,";
+    unknown_command: "serve" => "Unknown command \"serve\"; use one of host, check,";
+    unknown_verb: "plans put" => "use one of plans get, plans edit, plans check, plans diff, plans apply.\nFor help: chiveway plans --help\n";
+    no_verb: "use" => "Name one of the commands: use get,";
+    unknown_option: "status --jsn" => "For help: chiveway status --help";
+    option_of_another_kind: "standin kv --speed 1" => "Unknown option \"--speed\"; use --listen, --lag.";
+    option_twice: "try --hosts 1 --hosts 2" => "Give --hosts once.";
+    value_missing: "host -c" => "Give -c a value.";
+    value_is_an_option: "plans apply --file --wait" => "Give --file a value.";
+    value_out_of_range: "try --hosts 0" => "--hosts given \"0\", allowed a whole number from 1 to 16.";
+    value_without_unit: "standin kv --lag 2" => "--lag given \"2\", allowed a time with its unit";
+    settings_missing: "host" => "Name the settings: -c FILE.";
+    extra_argument: "hash key" => "Leave out key.";
+    files_missing: "check" => "Name at least one settings file.";
+    two_ids: "explain a b --operators 127.0.0.1:1" => "Give one request id.";
+    address_missing: "status" => "Give --operators IP:PORT, operators' listener of any host.";
+}
+
+#[test]
+fn check_prints_every_fault_of_every_file() {
+    let one = file(
+        "check-one.ini",
+        "[host]\nname = ærø\nnom = x\n[pool a]\nmodel = m\nfencing = maybe\n",
+    );
+    let two = file("check-two.ini", "[platform\n");
+    let done = chiveway()
+        .args("check")
+        .arg(one.to_str().unwrap())
+        .arg(two.to_str().unwrap())
+        .ends(1)
+        .stdout_contains(
+            "check-one.ini: [host] nom given an unknown key, allowed only the keys name,",
+        )
+        .stdout_contains(
+            "check-one.ini: [pool a] fencing given \"maybe\", allowed one of checks, ignores\n",
+        )
+        .stdout_contains("check-one.ini: [platform] kv given nothing, allowed")
+        .stdout_contains("check-two.ini: given text that ends or breaks at line 2, allowed")
+        .stderr_contains("error: 12 faults; correct them and check again\n");
+    assert_eq!(done.stdout().lines().count(), 12);
+}
+
+#[test]
+fn check_names_a_file_that_is_not_there() {
+    let done = chiveway().args("check no-such.ini").ends(1);
+    done.stderr_contains("error: cannot read no-such.ini: ");
+}
+
+#[test]
+fn hash_reads_a_key_without_its_line_end() {
+    let hash = blake3::hash("nøgle".as_bytes()).to_hex();
+    let done = chiveway().args("hash").stdin("nøgle\n").succeeds();
+    assert_eq!(done.stdout(), format!("{hash}\n"));
+    chiveway()
+        .args("hash")
+        .ends(1)
+        .stderr_contains("no key on standard input");
+}
+
+#[test]
+fn list_is_fetched_edited_compared_and_applied() {
+    let console = Console::start(PLANS, USES, Fault::None);
+    let access = console.access();
+    let path = file("edited.ini", "");
+    let on_file = |verb: &str| {
+        let run = chiveway().args(&format!("plans {verb} {access} --file"));
+        run.arg(path.to_str().unwrap()).key(KEY)
+    };
+    on_file("edit")
+        .succeeds()
+        .stdout_contains("fetched revision 1 into");
+    let text = fs::read_to_string(&path).unwrap();
+    assert!(text.starts_with("# revision 1\n"), "{text}");
+    on_file("diff")
+        .succeeds()
+        .stdout_contains("no difference\n");
+
+    fs::write(&path, format!("{text}\n[customer Çıldır]\nplan = sølv\n")).unwrap();
+    on_file("diff")
+        .succeeds()
+        .stdout_contains("+ customer Çıldır\n");
+    on_file("check")
+        .ends(1)
+        .stderr_contains("plans: [customer Çıldır] plan given the unknown plan sølv, allowed");
+    fs::write(&path, format!("{text}\n[customer Çıldır]\nplan = guld\n")).unwrap();
+    on_file("check").succeeds().stdout_contains("no fault");
+    on_file("apply --wait")
+        .succeeds()
+        .stdout_contains("revision 2 is accepted\nin force on\n  dk-øst-1  2\n  dk-øst-2  2\n");
+    let get = chiveway().args(&format!("plans get {access}")).key(KEY);
+    get.succeeds()
+        .stdout_contains("[customer Çıldır]\nplan = guld\n");
+}
+
+/// Two operators fetch the same revision and both apply. If the second went through, the first
+/// edit would vanish without a word; the second operator must see what came first.
+#[test]
+fn second_of_two_racing_edits_is_told_what_changed() {
+    let console = Console::start(PLANS, USES, Fault::None);
+    let apply = |path: &PathBuf| {
+        let run = chiveway().args(&format!("plans apply {} --file", console.access()));
+        run.arg(path.to_str().unwrap()).key(KEY)
+    };
+    let first = file("first.ini", "# revision 1\n[customer Ærø]\nplan = guld\n");
+    let second = file(
+        "second.ini",
+        "# revision 1\n[customer Ålborg]\nplan = guld\n",
+    );
+    apply(&first)
+        .succeeds()
+        .stdout_contains("revision 2 is accepted\n");
+    apply(&second)
+        .ends(1)
+        .stderr_contains("error: revision 2 came first; nothing was changed.")
+        .stderr_contains("+ customer Ærø\n");
+}
+
+/// The host takes an edit and its answer is lost. The operator applies the file again and would
+/// see a conflict with a rival who does not exist.
+#[test]
+fn edit_whose_answer_was_lost_can_be_applied_again() {
+    let console = Console::start(PLANS, USES, Fault::LostAnswer);
+    let path = file("lost.ini", "# revision 1\n[customer Ærø]\nplan = guld\n");
+    let apply = || {
+        let run = chiveway().args(&format!("plans apply {} --file", console.access()));
+        run.arg(path.to_str().unwrap()).key(KEY)
+    };
+    apply()
+        .ends(1)
+        .stderr_contains("the edit may have been accepted");
+    apply()
+        .succeeds()
+        .stdout_contains("revision 2 is accepted\n");
+}
+
+/// Names each case: a file, how the host answers, the exit code's message.
+macro_rules! refused {
+    ($($name:ident: $text:literal, $fault:ident, $key:expr => $message:literal;)+) => {
+        $(#[test]
+        fn $name() {
+            let console = Console::start(PLANS, USES, Fault::$fault);
+            let path = file(concat!(stringify!($name), ".ini"), $text);
+            chiveway()
+                .args(&format!("plans apply {} --file", console.access()))
+                .arg(path.to_str().unwrap())
+                .key($key)
+                .ends(1)
+                .stderr_contains($message);
+            let get = chiveway().args(&format!("plans get {}", console.access()));
+            assert_eq!(get.key(KEY).succeeds().stdout(), PLANS);
+        })+
+    };
+}
+
+refused! {
+    faults_found_by_the_host: "# revision 1\n[customer a]\nplan = b\n", Faults, KEY =>
+        "correct these faults and try again:\nplans: first fault\nplans: second fault\n";
+    faults_found_before_sending: "# revision 1\n[customer a]\n", None, KEY =>
+        "[customer a] plan given nothing, allowed";
+    edit_while_the_store_is_down: "# revision 1\n[customer a]\nplan = b\n", StoreDown, KEY =>
+        "refused with status 503: Edits are paused. The store is down.";
+    wrong_key: "# revision 1\n[customer a]\nplan = b\n", None, "other" =>
+        "refused with status 401: the operators' key is wrong";
+    no_key: "# revision 1\n[customer a]\nplan = b\n", None, "" =>
+        "error: no operators' key: set CHIVEWAY_OPERATOR_KEY or give --key-file FILE";
+    no_revision: "[customer a]\nplan = b\n", None, KEY =>
+        "the file has no line \"# revision N\"";
+}
+
+#[test]
+fn explanation_is_printed_as_text_or_json() {
+    let console = Console::start(PLANS, USES, Fault::None);
+    let key_file = file("key.txt", &format!("{KEY}\n"));
+    let explain = |args: &str| {
+        let run = chiveway().args(&format!("explain {args} {} --key-file", console.access()));
+        run.arg(key_file.to_str().unwrap())
+    };
+    explain("rød/7")
+        .succeeds()
+        .stdout_contains("attempts:\n  engine       ms  reason\n  raadgiver-1  12  least work\n")
+        .stdout_contains("ran   yes\n")
+        .stdout_contains("said  a\u{fffd}[2Jb\n");
+    let json = explain("rød/7 --json").succeeds().stdout();
+    let value: serde_json::Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(value["id"], "rød/7");
+    explain("gone")
+        .ends(1)
+        .stderr_contains("refused with status 404: The id has aged out.");
+}
