--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Serves language-model requests from a fixed fleet of engines and explains what became of each.
 
+pub mod backend;
 pub mod cli;
 pub mod error;
 pub mod form;
@@ -10,5 +11,6 @@
 pub mod run;
 pub mod sections;
 pub mod settings;
+pub mod standin;
 pub mod units;
 pub mod web;
