Add a stand-in for the key-value service and the lagging list

Cause: nothing of the platform may run in tests, and the failures that decide the design (an outage, a lost answer, a silent watch, a lapsed lease) must be made on purpose. Ruled out: a trait with an in-memory store, which would leave the HTTP client and its timeouts untested. Fields that the stand-in does not know are refused, for ignoring one would answer something else than etcd does.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod error;
 pub mod lists;
 pub mod settings;
+pub mod standin;
 pub mod web;
--- /dev/null
+++ b/src/standin/kv/hosts.rs
@@ -0,0 +1,67 @@
+//! The platform's list of live and leaving hosts and backend servers, shown late.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// One entry of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Name, one of its kind.
+    pub name: Box<str>,
+    /// `host`, `engine` or `service`.
+    pub kind: Kind,
+    /// Model pool or service that the entry serves; empty for hosts.
+    #[serde(default)]
+    pub pool: Box<str>,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Failure domain it stands in.
+    pub domain: Box<str>,
+    /// Whether it stays.
+    pub state: State,
+}
+
+/// What an entry is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// One of this program's hosts.
+    Host,
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// Whether an entry stays.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// It takes work.
+    Live,
+    /// It is about to go.
+    Leaving,
+}
+
+/// The true lists of the past, oldest first.
+#[derive(Debug, Default)]
+pub(super) struct Hosts(Vec<(Instant, Vec<Entry>)>);
+
+impl Hosts {
+    pub(super) fn set(&mut self, list: Vec<Entry>, now: Instant) {
+        self.0.push((now, list));
+    }
+
+    /// Returns the list as it was `lag` ago.
+    pub(super) fn shown(&self, lag: Duration, now: Instant) -> &[Entry] {
+        self.0
+            .iter()
+            .rev()
+            .find(|(at, _)| *at + lag <= now)
+            .map_or(&[], |(_, list)| list)
+    }
+}
--- /dev/null
+++ b/src/standin/kv/wire.rs
@@ -0,0 +1,256 @@
+//! JSON forms of etcd's v3 gateway: base64 bytes, 64-bit integers as strings, defaults left out.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use ntex::http::StatusCode;
+use serde::{Deserialize, Deserializer};
+use serde_json::{Map, Value, json};
+
+use super::data::Entry;
+
+/// Bytes that travel as base64.
+pub(super) type Raw = Vec<u8>;
+
+/// A refusal in the gateway's form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Fail {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// gRPC code the status stands for.
+    pub code: u8,
+    /// Text as etcd words it.
+    pub message: &'static str,
+}
+
+impl Fail {
+    pub(super) const NO_LEADER: Self = Self {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: 14,
+        message: "etcdserver: no leader",
+    };
+    pub(super) const TOO_LARGE: Self = Self::invalid("etcdserver: request is too large");
+    pub(super) const DUPLICATE: Self =
+        Self::invalid("etcdserver: duplicate key given in txn request");
+    pub(super) const NO_KEY: Self = Self::invalid("etcdserver: key is not provided");
+    pub(super) const BAD_JSON: Self = Self::invalid("the request is not understood");
+    pub(super) const LEASE_EXISTS: Self = Self {
+        status: StatusCode::PRECONDITION_FAILED,
+        code: 9,
+        message: "etcdserver: lease already exists",
+    };
+    pub(super) const NO_LEASE: Self = Self {
+        status: StatusCode::NOT_FOUND,
+        code: 5,
+        message: "etcdserver: requested lease not found",
+    };
+    pub(super) const NO_PATH: Self = Self {
+        status: StatusCode::NOT_FOUND,
+        code: 5,
+        message: "Not Found",
+    };
+
+    const fn invalid(message: &'static str) -> Self {
+        Self {
+            status: StatusCode::BAD_REQUEST,
+            code: 3,
+            message,
+        }
+    }
+
+    pub(super) fn body(self) -> Value {
+        json!({"error": self.message, "code": self.code, "message": self.message})
+    }
+}
+
+fn raw<'de, D: Deserializer<'de>>(from: D) -> Result<Raw, D::Error> {
+    let text = Box::<str>::deserialize(from)?;
+    STANDARD
+        .decode(&*text)
+        .map_err(|err| serde::de::Error::custom(err.to_string()))
+}
+
+fn raw_option<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Raw>, D::Error> {
+    raw(from).map(Some)
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Int {
+    Number(i64),
+    Text(Box<str>),
+}
+
+fn int<'de, D: Deserializer<'de>>(from: D) -> Result<i64, D::Error> {
+    match Int::deserialize(from)? {
+        Int::Number(n) => Ok(n),
+        Int::Text(text) => text
+            .parse()
+            .map_err(|err| serde::de::Error::custom(format!("{err}"))),
+    }
+}
+
+fn int_option<'de, D: Deserializer<'de>>(from: D) -> Result<Option<i64>, D::Error> {
+    int(from).map(Some)
+}
+
+/// One key, or the keys from `key` up to `range_end`.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Keys {
+    #[serde(deserialize_with = "raw")]
+    pub key: Raw,
+    #[serde(default, alias = "rangeEnd", deserialize_with = "raw")]
+    pub range_end: Raw,
+}
+
+impl Keys {
+    /// Tells whether `key` is among the keys meant; an end of one zero byte means no end.
+    pub(super) fn holds(&self, key: &[u8]) -> bool {
+        match &*self.range_end {
+            [] => *key == *self.key,
+            [0] => *key >= *self.key,
+            end => *key >= *self.key && *key < *end,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Put {
+    #[serde(deserialize_with = "raw")]
+    pub key: Raw,
+    #[serde(default, deserialize_with = "raw")]
+    pub value: Raw,
+    #[serde(default, deserialize_with = "int")]
+    pub lease: i64,
+}
+
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(super) enum Relation {
+    #[default]
+    Equal,
+    Greater,
+    Less,
+    NotEqual,
+}
+
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "SCREAMING_SNAKE_CASE")]
+pub(super) enum Target {
+    #[default]
+    Version,
+    Create,
+    Mod,
+    Value,
+    Lease,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Compare {
+    #[serde(default)]
+    pub result: Relation,
+    #[serde(default)]
+    pub target: Target,
+    #[serde(deserialize_with = "raw")]
+    pub key: Raw,
+    #[serde(default, deserialize_with = "raw_option")]
+    pub value: Option<Raw>,
+    #[serde(default, deserialize_with = "int_option")]
+    pub version: Option<i64>,
+    #[serde(default, alias = "createRevision", deserialize_with = "int_option")]
+    pub create_revision: Option<i64>,
+    #[serde(default, alias = "modRevision", deserialize_with = "int_option")]
+    pub mod_revision: Option<i64>,
+    #[serde(default, deserialize_with = "int_option")]
+    pub lease: Option<i64>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) enum Step {
+    #[serde(rename = "requestRange", alias = "request_range")]
+    Range(Keys),
+    #[serde(rename = "requestPut", alias = "request_put")]
+    Put(Put),
+    #[serde(rename = "requestDeleteRange", alias = "request_delete_range")]
+    Delete(Keys),
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Txn {
+    #[serde(default)]
+    pub compare: Vec<Compare>,
+    #[serde(default)]
+    pub success: Vec<Step>,
+    #[serde(default)]
+    pub failure: Vec<Step>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct LeaseCall {
+    #[serde(rename = "TTL", default, deserialize_with = "int")]
+    pub ttl: i64,
+    #[serde(rename = "ID", default, deserialize_with = "int")]
+    pub id: i64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct WatchCall {
+    #[serde(alias = "createRequest")]
+    pub create_request: WatchCreate,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct WatchCreate {
+    #[serde(deserialize_with = "raw")]
+    pub key: Raw,
+    #[serde(default, alias = "rangeEnd", deserialize_with = "raw")]
+    pub range_end: Raw,
+    #[serde(default, alias = "startRevision", deserialize_with = "int")]
+    pub start_revision: i64,
+    #[serde(default, alias = "progressNotify")]
+    pub progress_notify: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Compaction {
+    #[serde(deserialize_with = "int")]
+    pub revision: i64,
+}
+
+/// Writes `n` as the gateway does: as text, and not at all when zero.
+pub(super) fn set_int(map: &mut Map<String, Value>, name: &str, n: i64) {
+    if n != 0 {
+        map.insert(name.into(), Value::String(n.to_string()));
+    }
+}
+
+/// The header every answer carries.
+pub(super) fn header(revision: i64) -> Value {
+    json!({
+        "cluster_id": "1",
+        "member_id": "1",
+        "revision": revision.to_string(),
+        "raft_term": "1",
+    })
+}
+
+/// One key and its value.
+pub(super) fn pair(key: &[u8], entry: &Entry) -> Value {
+    let mut map = Map::new();
+    map.insert("key".into(), STANDARD.encode(key).into());
+    set_int(&mut map, "create_revision", entry.created);
+    set_int(&mut map, "mod_revision", entry.modified);
+    set_int(&mut map, "version", entry.version);
+    if !entry.value.is_empty() {
+        map.insert("value".into(), STANDARD.encode(&entry.value).into());
+    }
+    set_int(&mut map, "lease", entry.lease);
+    Value::Object(map)
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins for the systems around the program, for tests and trials only.
+
+pub mod kv;
