Add the client of the key-value service

Cause: what must last goes into the platform's service; a write can take effect while its answer is lost, and open connections go silent. Ruled out: repeating a write inside the client (only the caller knows how to find out by reading); the HTTP library's defaults. A pool of 8 is used up by watches. A pool without limit (0) never wakes a call that waits for another call's connection attempt. "Disconnected" without a cause comes also after the request went out, so it does not prove that nothing happened. Change: reads, transactions, leases, watches and the host list over etcd's v3 JSON gateway; endpoints in turn; errors that tell "surely not" from "unknown"; a silence bound on watches; counts of attempts.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod lists;
 pub mod settings;
 pub mod standin;
+pub mod store;
 pub mod web;
