--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -1,7 +1,10 @@
 //! Help texts, written from the table of commands.
 
+use std::fmt::Write as _;
+
 use super::topics::{Opt, TOPICS, Topic};
 use crate::output::columns;
+use crate::{lists, settings};
 
 const INTRO: &str = "\
 Serves language-model requests from a fixed fleet of engines and explains what became of each.
@@ -44,20 +47,48 @@
         "" => String::new(),
         rest => format!(" {rest}"),
     };
-    let rows = topic.opts.iter().map(|opt| [usage(opt), about(opt)]);
+    let rows = topic
+        .opts
+        .iter()
+        .map(|opt| [usage(opt), described(opt.about, opt.default)]);
     let common = [
         ["--help".into(), "Print this help".into()],
         ["--version".into(), "Print the version".into()],
     ];
     format!(
-        "{}.\n\nUsage: chiveway {}{rest} [OPTIONS]\n\nOptions:\n{}",
+        "{}.\n\nUsage: chiveway {}{rest} [OPTIONS]\n\nOptions:\n{}{}",
         topic.about,
         topic.words,
-        columns(rows.chain(common))
+        columns(rows.chain(common)),
+        file_help(topic.words)
     )
     .into()
 }
 
+/// Returns the sections and keys of the file that a command checks.
+fn file_help(words: &str) -> String {
+    let kinds = match words {
+        "check" => settings::keys::KINDS,
+        "plans check" => lists::keys::PLANS,
+        "use check" => lists::keys::USES,
+        _ => return String::new(),
+    };
+    let mut text = "\nSections and keys of the file:\n".to_owned();
+    for kind in kinds {
+        let rows = kind.keys.iter().map(|key| {
+            let about = described(key.about, key.default);
+            let need = if key.default.is_none() {
+                " [required]"
+            } else {
+                ""
+            };
+            [key.key.into(), format!("{about}{need}").into()]
+        });
+        let _ = write!(text, "\n{}\n{}", kind.header(), columns(rows));
+    }
+    text
+}
+
 fn usage(opt: &Opt) -> Box<str> {
     match opt.value {
         "" => opt.name.into(),
@@ -65,12 +96,12 @@
     }
 }
 
-/// Returns what an option is for, starting with a capital, and its default.
-fn about(opt: &Opt) -> Box<str> {
-    let (first, rest) = opt.about.split_at(1);
+/// Returns what something is for, starting with a capital, and its default.
+fn described(about: &str, default: Option<&str>) -> Box<str> {
+    let (first, rest) = about.split_at(1);
     let about = format!("{}{rest}", first.to_ascii_uppercase());
-    match opt.default {
+    match default {
+        Some("") | None => about.into(),
         Some(default) => format!("{about} [default: {default}]").into(),
-        None => about.into(),
     }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,8 @@
 
 mod help;
 mod parse;
+#[cfg(test)]
+mod tests;
 pub mod topics;
 
 use std::net::SocketAddr;
