Show explanations and status in the order a support engineer reads them

Cause: tried against running hosts, explain printed its fields in alphabetical order, times as milliseconds since 1970 and an empty key as nothing; a lost race listed the operator's own new customers as removed by the other edit; a refusal printed advice meant for callers. Ruled out: a fixed layout for each document, which would hide fields that a newer host adds. Change: known names come first, plain values before parts, times carry their unit or the UTC date; the conflict says from what to what it compares; a refusal shows the host's detail and its title only without one. The test of the refusal asks for the whole detail, and that of the race for both lines.

--- a/src/operate/client.rs
+++ b/src/operate/client.rs
@@ -98,16 +98,16 @@
     /// Returns the error for an answer that refuses.
     pub fn refused(&self, answer: &Answer) -> OperateError {
         let problem: Value = serde_json::from_str(&answer.body).unwrap_or_default();
-        let parts: Vec<_> = ["title", "detail"]
+        // The title is advice to callers; what the host saw stands in the detail.
+        let said = ["detail", "title"]
             .iter()
             .filter_map(|field| problem.get(field)?.as_str())
-            .filter(|part| !part.is_empty())
-            .collect();
-        let problem = match (parts.is_empty(), answer.status) {
-            (false, _) => parts.join(" "),
-            (true, 401) => "the operators' key is wrong".to_owned(),
-            (true, 404) => "nothing is known under this name".to_owned(),
-            (true, _) => "no reason given".to_owned(),
+            .find(|said| !said.is_empty());
+        let problem = match (said, answer.status) {
+            (Some(said), _) => said,
+            (None, 401) => "the operators' key is wrong",
+            (None, 404) => "nothing is known under this name",
+            (None, _) => "no reason given",
         };
         OperateError::Refused {
             addr: self.addr(),
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -21,6 +21,38 @@
 /// Environment variable with the operators' key.
 pub const KEY_VARIABLE: &str = "CHIVEWAY_OPERATOR_KEY";
 
+/// Names in an explanation and in the state of a deployment, as a support engineer reads them:
+/// whose request it was, what became of it, and then each attempt.
+const ORDER: &[&str] = &[
+    "id",
+    "customer",
+    "plan",
+    "target",
+    "outcome",
+    "ran",
+    "arrived_ms",
+    "lasted_ms",
+    "at_ms",
+    "text",
+    "name",
+    "backend",
+    "began_ms",
+    "ended_ms",
+    "end",
+    "host",
+    "ready",
+    "why",
+    "revision",
+    "store",
+    "pool",
+    "domain",
+    "role",
+    "hosts",
+    "backends",
+    "attempts",
+    "notes",
+];
+
 /// Why a command could not be carried out.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -97,13 +129,13 @@
     NoRevision,
     /// Another edit came first.
     #[snafu(display(
-        "revision {revision} came first; nothing was changed. It changed:\n{diff}\n\
-         Fetch the list again with \"edit\" and repeat your change."
+        "revision {revision} came first; nothing was changed. From your file to the list in \
+         force:\n{diff}\nFetch the list again with \"edit\" and repeat your change."
     ))]
     Conflict {
         /// Revision now in force.
         revision: u64,
-        /// What the other edit changed.
+        /// Differences from the file to the list in force.
         diff: Box<str>,
     },
     /// The revision is accepted, but not all hosts were seen to have it.
@@ -145,7 +177,7 @@
     let value: Value = console.json(&answer, "a JSON document")?;
     let text = match form {
         AnswerForm::Json => format!("{value:#}"),
-        AnswerForm::Text => output::tree(&value),
+        AnswerForm::Text => output::tree(&value, ORDER),
     };
     output::say(&text).context(PrintSnafu)
 }
--- a/src/output.rs
+++ b/src/output/mod.rs
@@ -1,9 +1,15 @@
 //! Output for people: aligned columns, trees of values, colour only on a terminal.
 
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::io::{self, IsTerminal, Write as _, stderr, stdout};
 
-use serde_json::Value;
+use serde_json::{Map, Value};
+
+use crate::units;
 
 /// Spaces before each line.
 const INDENT: usize = 2;
@@ -39,32 +45,21 @@
     text
 }
 
-/// Writes a JSON value as indented lines: `key  value`, lists of objects as tables.
+/// Writes a JSON value as indented lines: names with plain values first, then what has parts, and
+/// lists of objects as tables.
+///
+/// Names in `order` come first and in that order, at each depth; the others follow alphabetically.
 #[must_use]
-pub fn tree(value: &Value) -> String {
+pub fn tree(value: &Value, order: &[&str]) -> String {
     let mut text = String::new();
-    branch(&mut text, value, 0);
+    branch(&mut text, value, 0, order);
     text
 }
 
-fn branch(text: &mut String, value: &Value, indent: usize) {
+fn branch(text: &mut String, value: &Value, indent: usize, order: &[&str]) {
     match value {
-        Value::Object(map) => {
-            let flat = |value: &&Value| leaf(value).is_some();
-            let width = map.iter().filter(|(_, value)| flat(value));
-            let width = width.map(|(key, _)| key.chars().count()).max().unwrap_or(0);
-            for (key, value) in map {
-                let start = " ".repeat(indent);
-                if let Some(leaf) = leaf(value) {
-                    let width = width + GAP;
-                    let _ = writeln!(text, "{start}{key:<width$}{leaf}");
-                } else {
-                    let _ = writeln!(text, "{start}{key}:");
-                    branch(text, value, indent + INDENT);
-                }
-            }
-        }
-        Value::Array(items) => list(text, items, indent),
+        Value::Object(map) => object(text, map, indent, order),
+        Value::Array(items) => list(text, items, indent, order),
         other => {
             let leaf = leaf(other).unwrap_or_default();
             let _ = writeln!(text, "{}{leaf}", " ".repeat(indent));
@@ -72,40 +67,85 @@
     }
 }
 
-/// Writes a list: as a table where every item is an object of plain values.
-fn list(text: &mut String, items: &[Value], indent: usize) {
-    let Some(rows) = rows(items) else {
-        for item in items {
-            let mut part = String::new();
-            branch(&mut part, item, indent + INDENT);
-            let dash = format!("{}- ", " ".repeat(indent));
-            text.push_str(&dash);
-            text.push_str(part.get(dash.len()..).unwrap_or_default());
+fn object(text: &mut String, map: &Map<String, Value>, indent: usize, order: &[&str]) {
+    let mut leaves = Vec::new();
+    let mut parts = Vec::new();
+    for name in sorted(map.keys(), order) {
+        match field(name, &map[name]) {
+            Some(leaf) => leaves.push(vec![label(name), leaf]),
+            None => parts.push(name),
         }
+    }
+    text.push_str(&table(&leaves, indent));
+    for name in parts {
+        let _ = writeln!(text, "{}{}:", " ".repeat(indent), label(name));
+        branch(text, &map[name], indent + INDENT, order);
+    }
+}
+
+/// Writes a list: as a table where every item is an object of plain values.
+fn list(text: &mut String, items: &[Value], indent: usize, order: &[&str]) {
+    if let Some(rows) = rows(items, order) {
+        text.push_str(&table(&rows, indent));
         return;
-    };
-    text.push_str(&table(&rows, indent));
+    }
+    for item in items {
+        let mut part = String::new();
+        branch(&mut part, item, indent + INDENT, order);
+        let dash = format!("{}- ", " ".repeat(indent));
+        text.push_str(&dash);
+        text.push_str(part.get(dash.len()..).unwrap_or_default());
+    }
 }
 
-fn rows(items: &[Value]) -> Option<Vec<Vec<Box<str>>>> {
-    let mut names: Vec<&str> = Vec::new();
+fn rows(items: &[Value], order: &[&str]) -> Option<Vec<Vec<Box<str>>>> {
+    let mut names = BTreeSet::new();
     for item in items {
         for (name, value) in item.as_object()? {
-            leaf(value)?;
-            if !names.contains(&name.as_str()) {
-                names.push(name);
-            }
+            field(name, value)?;
+            names.insert(name);
         }
     }
-    let cell =
-        |item: &Value, name: &str| item.get(name).and_then(leaf).unwrap_or_else(|| "-".into());
-    let head = names.iter().map(|name| (*name).into()).collect();
+    let names = sorted(names, order);
+    let cell = |item: &Value, name: &str| {
+        let value = item.get(name).unwrap_or(&Value::Null);
+        field(name, value).unwrap_or_default()
+    };
+    let head = names.iter().map(|name| label(name)).collect();
     let body = items
         .iter()
         .map(|item| names.iter().map(|name| cell(item, name)).collect());
     Some([head].into_iter().chain(body).collect())
 }
 
+/// Returns the names in `order` first, then the others as they come.
+fn sorted<'a>(names: impl IntoIterator<Item = &'a String>, order: &[&str]) -> Vec<&'a str> {
+    let mut names: Vec<&str> = names.into_iter().map(String::as_str).collect();
+    let place = |name: &&str| order.iter().position(|known| known == name);
+    names.sort_by_key(|name| place(name).unwrap_or(usize::MAX));
+    names
+}
+
+/// End of the names of times.
+const MILLIS: &str = "_ms";
+/// Least milliseconds that are a time of day, not a length of time: half a century.
+const EPOCH: u64 = 50 * 365 * 24 * 3_600_000;
+
+/// Returns a name as people read it.
+fn label(name: &str) -> Box<str> {
+    let name = name.strip_suffix(MILLIS).unwrap_or(name);
+    plain(&name.replace('_', " "))
+}
+
+/// Returns a named value that fits on a line; times get their unit.
+fn field(name: &str, value: &Value) -> Option<Box<str>> {
+    match value.as_u64().filter(|_| name.ends_with(MILLIS)) {
+        Some(millis) if millis >= EPOCH => Some(units::show_utc(millis)),
+        Some(millis) => Some(format!("{millis} ms").into()),
+        None => leaf(value),
+    }
+}
+
 /// Returns a value that fits on a line; `None` for objects and for lists of them.
 fn leaf(value: &Value) -> Option<Box<str>> {
     match value {
@@ -113,6 +153,7 @@
         Value::Bool(true) => Some("yes".into()),
         Value::Bool(false) => Some("no".into()),
         Value::Number(number) => Some(number.to_string().into()),
+        Value::String(text) if text.is_empty() => Some("-".into()),
         Value::String(text) => Some(plain(text)),
         Value::Array(items) if items.is_empty() => Some("none".into()),
         Value::Array(items) if items.iter().all(Value::is_string) => {
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -40,6 +40,36 @@
     show(nanos - nanos % 1_000, &TIMES, "s")
 }
 
+/// Writes a time of day in UTC, given in milliseconds since 1970.
+#[must_use]
+pub fn show_utc(millis: u64) -> Box<str> {
+    let (secs, millis) = (millis / 1_000, millis % 1_000);
+    let (days, secs) = (secs / 86_400, secs % 86_400);
+    let (year, month, day) = date(days);
+    let (hour, minute, secs) = (secs / 3_600, secs / 60 % 60, secs % 60);
+    format!("{year}-{month:02}-{day:02} {hour:02}:{minute:02}:{secs:02}.{millis:03} UTC").into()
+}
+
+/// Returns year, month and day of a day since 1970 (Gregorian calendar).
+///
+/// Counts in years that start in March, so that the leap day comes last, and in eras of 400 years.
+fn date(days: u64) -> (u64, u64, u64) {
+    const ERA: u64 = 146_097;
+    const MARCH_OF_YEAR_0: u64 = 719_468;
+    let days = days + MARCH_OF_YEAR_0;
+    let (era, day) = (days / ERA, days % ERA);
+    let year = (day - day / 1_460 + day / 36_524 - day / 146_096) / 365;
+    let day = day - (365 * year + year / 4 - year / 100);
+    let month = (5 * day + 2) / 153;
+    let day = day - (153 * month + 2) / 5 + 1;
+    let (month, later) = if month < 10 {
+        (month + 3, 0)
+    } else {
+        (month - 9, 1)
+    };
+    (400 * era + year + later, month, day)
+}
+
 /// Reads a size such as `64MiB`; the units are `B`, `KiB`, `MiB` and `GiB`.
 #[must_use]
 pub fn size(text: &str) -> Option<usize> {
--- a/src/units/tests.rs
+++ b/src/units/tests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{count, number, rate, show_rate, show_size, show_time, size, time};
+use super::{count, number, rate, show_rate, show_size, show_time, show_utc, size, time};
 
 /// Names each case: a value read from text.
 macro_rules! read {
@@ -64,5 +64,10 @@
     whole_size: show_size(8 << 20) => "8MiB";
     odd_size: show_size(1025) => "1025B";
     no_size: show_size(0) => "0B";
+    first_day: show_utc(0) => "1970-01-01 00:00:00.000 UTC";
+    leap_day: show_utc(951_782_400_000) => "2000-02-29 00:00:00.000 UTC";
+    day_after_leap_day: show_utc(951_868_800_000) => "2000-03-01 00:00:00.000 UTC";
+    last_moment_of_a_year: show_utc(1_798_761_599_999) => "2026-12-31 23:59:59.999 UTC";
+    no_leap_day_in_2100: show_utc(4_107_542_400_000) => "2100-03-01 00:00:00.000 UTC";
     shown_rate: show_rate(0.1) => "0.1/s";
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -172,8 +172,8 @@
         .stdout_contains("revision 2 is accepted\n");
     apply(&second)
         .ends(1)
-        .stderr_contains("error: revision 2 came first; nothing was changed.")
-        .stderr_contains("+ customer Ærø\n");
+        .stderr_contains("error: revision 2 came first; nothing was changed. From your file to")
+        .stderr_contains("- customer Ålborg\n+ customer Ærø\n");
 }
 
 /// The host takes an edit and its answer is lost. The operator applies the file again and would
@@ -219,7 +219,7 @@
     faults_found_before_sending: "# revision 1\n[customer a]\n", None, KEY =>
         "[customer a] plan given nothing, allowed";
     edit_while_the_store_is_down: "# revision 1\n[customer a]\nplan = b\n", StoreDown, KEY =>
-        "refused with status 503: Edits are paused. The store is down.";
+        "refused with status 503: The store is down.\n";
     wrong_key: "# revision 1\n[customer a]\nplan = b\n", None, "other" =>
         "refused with status 401: the operators' key is wrong";
     no_key: "# revision 1\n[customer a]\nplan = b\n", None, "" =>
@@ -238,9 +238,10 @@
     };
     explain("rød/7")
         .succeeds()
-        .stdout_contains("attempts:\n  engine       ms  reason\n  raadgiver-1  12  least work\n")
-        .stdout_contains("ran   yes\n")
-        .stdout_contains("said  a\u{fffd}[2Jb\n");
+        .stdout_contains("id    rød/7\nran   yes\nsaid  a\u{fffd}[2Jb\n")
+        .stdout_contains(
+            "attempts:\n  backend      ended  reason\n  raadgiver-1  12 ms  least work\n",
+        );
     let json = explain("rød/7 --json").succeeds().stdout();
     let value: serde_json::Value = serde_json::from_str(&json).unwrap();
     assert_eq!(value["id"], "rød/7");
--- a/tests/common/console.rs
+++ b/tests/common/console.rs
@@ -117,7 +117,7 @@
         (&Method::PUT, "/lists/plans") => edit(&mut state, &tag, &body),
         (&Method::GET, "/lists/force") => force(&mut state),
         (&Method::GET, "/explain/r%C3%B8d%2F7") => {
-            let attempt = json!({"engine": "raadgiver-1", "reason": "least work", "ms": 12});
+            let attempt = json!({"backend": "raadgiver-1", "reason": "least work", "ended_ms": 12});
             let value =
                 json!({"id": "rød/7", "ran": "yes", "attempts": [attempt], "said": "a\u{1b}[2Jb"});
             reply(StatusCode::OK, &value)
