--- a/src/store/watch.rs
+++ b/src/store/watch.rs
@@ -87,7 +87,7 @@
         // A connection that some box on the way has forgotten stays open and says nothing, so
         // changes are missed without any error; progress notifications tell it from a quiet one.
         let bound = self.silence;
-        let deadline = self.heard + bound * 1000;
+        let deadline = self.heard + bound;
         let told = timeout_at(deadline, self.read())
             .await
             .unwrap_or(Err(StoreError::Silent { bound }))?;
