--- a/src/standin/kv/tests.rs
+++ b/src/standin/kv/tests.rs
@@ -138,6 +138,14 @@
         {"requestPut": {"key": "YQ=="}}, {"request_put": {"key": "YQ=="}},
     ]});
     assert_matches!(state.ask(Sort::Txn, &both, now), Err(Fail::DUPLICATE));
+    let many = json!({"success": vec![json!({"requestRange": {"key": "YQ=="}}); 129]});
+    assert_matches!(state.ask(Sort::Txn, &many, now), Err(Fail::TOO_MANY));
+    let long = "A".repeat(1024 * 1024);
+    let large = json!({"success": [
+        {"requestPut": {"key": "YQ==", "value": long}},
+        {"requestPut": {"key": "Yg==", "value": long}},
+    ]});
+    assert_matches!(state.ask(Sort::Txn, &large, now), Err(Fail::TOO_LARGE));
     let odd = json!({"key": "YQ==", "serializable": true});
     assert_matches!(state.ask(Sort::Range, &odd, now), Err(Fail::BAD_JSON));
 }
--- a/src/standin/kv/wire.rs
+++ b/src/standin/kv/wire.rs
@@ -31,6 +31,8 @@
     pub(super) const TOO_LARGE: Self = Self::invalid("etcdserver: request is too large");
     pub(super) const DUPLICATE: Self =
         Self::invalid("etcdserver: duplicate key given in txn request");
+    pub(super) const TOO_MANY: Self =
+        Self::invalid("etcdserver: too many operations in txn request");
     pub(super) const NO_KEY: Self = Self::invalid("etcdserver: key is not provided");
     pub(super) const BAD_JSON: Self = Self::invalid("the request is not understood");
     pub(super) const LEASE_EXISTS: Self = Self {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -422,7 +422,7 @@
         }
     }
 
-    /// Watches keys from revision `from` on.
+    /// Watches keys from revision `from` on; 0 for what comes after now.
     ///
     /// # Errors
     ///
