--- /dev/null
+++ b/src/run.rs
@@ -0,0 +1,255 @@
+//! Carries out a command.
+
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use ntex::rt::{DefaultRuntime, System};
+use snafu::{ResultExt, Snafu};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::cli::{CheckOptions, Command, HostOptions, Pace, StandinKind, StandinOptions};
+use crate::host::{self, HostError, Listeners};
+use crate::lists::KeyHash;
+use crate::logs::{self, LogError};
+use crate::operate::{self, OperateError};
+use crate::output;
+use crate::settings::{Fencing, Settings};
+use crate::standin::{engine, kv, service};
+use crate::trial::{self, TrialError};
+use crate::web;
+
+/// Exit code of a host that a second signal ended before its planned stop was complete.
+const ENDED_BY_SIGNAL: i32 = 130;
+/// Fixed time of a stand-in engine's step.
+const STEP: Duration = Duration::from_millis(5);
+/// How much faster a stand-in engine imports a prompt token's KV cache than it prefills it.
+const IMPORT_GAIN: u32 = 20;
+
+/// Why a command failed.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// The command is not part of this build.
+    #[snafu(display("{what} is not available in this build"))]
+    Unavailable {
+        /// Name of the command.
+        what: &'static str,
+    },
+    /// A file could not be read.
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    Read {
+        /// The file.
+        path: Box<Path>,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// Settings have faults, which were printed.
+    #[snafu(display("{count} faults; correct them and check again"))]
+    Faults {
+        /// How many were found.
+        count: usize,
+    },
+    /// Standard input or output failed.
+    #[snafu(display("cannot use standard input or output: {source}"))]
+    Stream {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// No key came on standard input.
+    #[snafu(display("no key on standard input; give one: printf %s KEY | chiveway hash"))]
+    NoKey,
+    /// A host cannot run.
+    #[snafu(transparent)]
+    Host {
+        /// Why.
+        source: HostError,
+    },
+    /// A stand-in cannot listen.
+    #[snafu(display("cannot listen on {addr}: {source}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The log cannot be set up.
+    #[snafu(transparent)]
+    Log {
+        /// Why.
+        source: LogError,
+    },
+    /// A trial failed.
+    #[snafu(transparent)]
+    Trial {
+        /// What was not as it should be.
+        source: TrialError,
+    },
+    /// An operators' command failed.
+    #[snafu(transparent)]
+    Operate {
+        /// Why.
+        source: OperateError,
+    },
+}
+
+/// Carries out a command to its end.
+///
+/// # Errors
+///
+/// Returns why it failed, in words that tell the user what to do.
+pub fn run(command: Command) -> Result<(), RunError> {
+    match command {
+        Command::Help(text) => output::say(&text).context(StreamSnafu),
+        Command::Version => output::say(VERSION).context(StreamSnafu),
+        Command::Hash => hash(),
+        Command::Check(options) => check(&options),
+        Command::List(options) => Ok(block_on(operate::list(options))?),
+        Command::Explain(options) => Ok(block_on(operate::explain(options))?),
+        Command::Status(options) => Ok(block_on(operate::status(options))?),
+        Command::Host(options) => serve(&options),
+        Command::Standin(options) => block_on(stand_in(options)),
+        Command::Try(options) => Ok(block_on(trial::run(options))?),
+        Command::Load(_) => UnavailableSnafu { what: "load" }.fail(),
+    }
+}
+
+/// Name and version of the program.
+const VERSION: &str = concat!("chiveway ", env!("CARGO_PKG_VERSION"));
+
+fn block_on<R: 'static>(task: impl Future<Output = R> + 'static) -> R {
+    let system = System::build().name("chiveway").build(DefaultRuntime);
+    system.block_on(task)
+}
+
+/// Runs a host until a planned stop is complete.
+fn serve(options: &HostOptions) -> Result<(), RunError> {
+    let mut settings = read_settings(&options.config)?;
+    logs::start(&settings.log)?;
+    block_on(async move {
+        let listeners = Listeners::open(&mut settings).await?;
+        let host = &settings.host;
+        output::say(&format!(
+            "{}: callers {}, operators {}, peers {}",
+            host.name, host.callers, host.operators, host.peers
+        ))
+        .context(StreamSnafu)?;
+        let (stop, stopped) = watch::channel(false);
+        ntex::rt::spawn(signals(stop));
+        Ok(host::run(settings, listeners, stopped).await?)
+    })
+}
+
+/// Begins a planned stop at the first signal and ends the process at the second.
+async fn signals(stop: watch::Sender<bool>) {
+    let (Ok(mut term), Ok(mut int)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    let mut count = 0;
+    loop {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        count += 1;
+        if count > 1 {
+            std::process::exit(ENDED_BY_SIGNAL);
+        }
+        stop.send_replace(true);
+    }
+}
+
+fn read_settings(path: &Path) -> Result<Settings, RunError> {
+    let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+    Settings::parse(&text, &path.display().to_string()).map_err(|faults| {
+        for fault in &faults {
+            output::complain(output::Tone::Error, &fault.to_string());
+        }
+        RunError::Faults {
+            count: faults.len(),
+        }
+    })
+}
+
+/// Runs a stand-in until it is ended.
+async fn stand_in(options: StandinOptions) -> Result<(), RunError> {
+    let addr = options.listen;
+    let listener = web::listen(addr).await.context(ListenSnafu { addr })?;
+    let addr = listener.local_addr().context(ListenSnafu { addr })?;
+    output::say(&format!("{} listens on {addr}", options.name)).context(StreamSnafu)?;
+    match options.kind {
+        StandinKind::Kv => kv::run(listener, kv::Options::default()).await,
+        StandinKind::Engine => engine::run(listener, engine_options(options)).await,
+        StandinKind::Service => {
+            let name = options.name;
+            service::run(listener, service::Options { name }).await;
+        }
+    }
+    Ok(())
+}
+
+fn engine_options(options: StandinOptions) -> engine::Options {
+    let pace = match options.pace {
+        Pace::Instant => engine::Pace::Instant,
+        Pace::Modelled => engine::Pace::Steps(engine::Costs {
+            base: STEP,
+            prefill: options.prefill,
+            // The option is the cost of a full batch; the stand-in counts each answer.
+            decode: options.decode / u32::try_from(options.slots).unwrap_or(u32::MAX),
+            import: options.prefill / IMPORT_GAIN,
+            speed: options.speed,
+        }),
+    };
+    let mut engine = engine::Options {
+        name: options.name,
+        model: options.model,
+        pace,
+        slots: options.slots,
+        lag: options.lag,
+        fencing: match options.fencing {
+            Fencing::Checks => engine::Fencing::Checks,
+            Fencing::Ignores => engine::Fencing::Ignores,
+        },
+        crash: engine::Crash::Exit,
+        ..engine::Options::default()
+    };
+    engine.cache.piece = options.piece as u64;
+    engine
+}
+
+/// Reads a key, without the line end, and prints its hash.
+fn hash() -> Result<(), RunError> {
+    let text = io::read_to_string(io::stdin()).context(StreamSnafu)?;
+    match text.trim() {
+        "" => NoKeySnafu.fail(),
+        key => output::say(&KeyHash::of(key).to_string()).context(StreamSnafu),
+    }
+}
+
+/// Checks settings files and prints every fault of each.
+fn check(options: &CheckOptions) -> Result<(), RunError> {
+    let mut count = 0;
+    for path in &options.files {
+        let text = fs::read_to_string(path).context(ReadSnafu {
+            path: path.as_path(),
+        })?;
+        let file = path.display().to_string();
+        let faults = Settings::parse(&text, &file).err().unwrap_or_default();
+        for fault in &faults {
+            output::say(&fault.to_string()).context(StreamSnafu)?;
+        }
+        if faults.is_empty() {
+            output::say(&format!("{file}: no fault")).context(StreamSnafu)?;
+        }
+        count += faults.len();
+    }
+    if count == 0 {
+        return Ok(());
+    }
+    FaultsSnafu { count }.fail()
+}
--- /dev/null
+++ b/src/standin/engine/wire.rs
@@ -0,0 +1,166 @@
+//! Bodies and chunks of the completions protocol.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+/// Tokens of an answer when the request names none.
+const DEFAULT_TOKENS: u64 = 64;
+/// Tokens of an answer at most.
+pub(super) const MAX_TOKENS: u64 = 100_000;
+
+/// Body of a request for an answer or a prefill.
+#[derive(Debug, Deserialize)]
+pub(super) struct Body {
+    pub model: Option<Box<str>>,
+    pub prompt: Option<Box<str>>,
+    pub messages: Option<Vec<Message>>,
+    #[serde(default)]
+    pub stream: bool,
+    pub max_tokens: Option<u64>,
+    #[serde(default)]
+    pub priority: i64,
+    pub continue_from: Option<Continue>,
+    pub kv_transfer: Option<Transfer>,
+}
+
+/// One message of a chat.
+#[derive(Debug, Deserialize)]
+pub(super) struct Message {
+    pub role: Box<str>,
+    pub content: Box<str>,
+}
+
+/// The part of an answer that was delivered before.
+#[derive(Debug, Deserialize)]
+pub(super) struct Continue {
+    pub text: Box<str>,
+    pub tokens: u64,
+}
+
+/// Where a prompt was worked through.
+#[derive(Debug, Deserialize)]
+pub(super) struct Transfer {
+    pub source: SocketAddr,
+    pub handle: Box<str>,
+}
+
+impl Body {
+    /// Returns the prompt, or for a chat its messages, each as `role: content` and a line feed.
+    pub fn prompt(&self) -> Option<String> {
+        if let Some(prompt) = &self.prompt {
+            return Some(prompt.to_string());
+        }
+        let messages = self.messages.as_ref()?;
+        Some(chat_prompt(
+            messages.iter().map(|m| (&*m.role, &*m.content)),
+        ))
+    }
+
+    pub fn max_tokens(&self) -> u64 {
+        self.max_tokens.unwrap_or(DEFAULT_TOKENS).min(MAX_TOKENS)
+    }
+}
+
+/// Returns the prompt that a chat's messages, as role and content, amount to.
+#[must_use]
+pub fn chat_prompt<'a>(messages: impl Iterator<Item = (&'a str, &'a str)>) -> String {
+    let mut prompt = String::new();
+    for (role, content) in messages {
+        prompt.push_str(role);
+        prompt.push_str(": ");
+        prompt.push_str(content);
+        prompt.push('\n');
+    }
+    prompt
+}
+
+/// Form of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Form {
+    Text,
+    Chat,
+}
+
+/// Counts of one answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Usage {
+    pub prompt: u64,
+    pub completion: u64,
+}
+
+/// The parts of a stream's chunks that stay the same, ready to be written.
+#[derive(Debug)]
+pub(super) struct Frame {
+    before: Box<str>,
+    after: &'static str,
+}
+
+impl Frame {
+    pub fn new(form: Form, attempt: &str, model: &str) -> Self {
+        let (attempt, model) = (json!(attempt), json!(model));
+        let (object, field, after) = match form {
+            Form::Text => ("text_completion", r#""text":"#, ""),
+            Form::Chat => ("chat.completion.chunk", r#""delta":{"content":"#, "}"),
+        };
+        let before = format!(
+            r#"{{"id":{attempt},"object":"{object}","model":{model},"choices":[{{"index":0,{field}"#
+        );
+        Self {
+            before: before.into(),
+            after,
+        }
+    }
+
+    /// Appends the event of one token, a plain word; `id` is the offset of the token after it.
+    pub fn token(&self, text: &mut String, id: u64, word: &str) {
+        let Self { before, after } = self;
+        // Writing to a string does not fail.
+        let _ = write!(
+            text,
+            "id: {id}\ndata: {before}\"{word}\"{after},\"finish_reason\":null}}]}}\n\n"
+        );
+    }
+
+    /// Appends the events that end a stream: finish reason with usage, and the end mark.
+    pub fn last(&self, text: &mut String, id: u64, usage: Usage) {
+        let Self { before, after } = self;
+        let usage = usage_json(usage);
+        let _ = write!(
+            text,
+            "id: {id}\ndata: {before}\"\"{after},\"finish_reason\":\"length\"}}],\"usage\":{usage}}}\n\n\
+             data: [DONE]\n\n"
+        );
+    }
+}
+
+/// Returns a whole answer.
+pub(super) fn whole(form: Form, attempt: &str, model: &str, text: &str, usage: Usage) -> Value {
+    let (object, choice) = match form {
+        Form::Text => (
+            "text_completion",
+            json!({"index": 0, "text": text, "finish_reason": "length"}),
+        ),
+        Form::Chat => (
+            "chat.completion",
+            json!({
+                "index": 0, "message": {"role": "assistant", "content": text},
+                "finish_reason": "length",
+            }),
+        ),
+    };
+    json!({
+        "id": attempt, "object": object, "model": model, "choices": [choice],
+        "usage": usage_json(usage),
+    })
+}
+
+fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt,
+        "completion_tokens": usage.completion,
+        "total_tokens": usage.prompt + usage.completion,
+    })
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,3 +1,5 @@
-//! Small stand-ins for the systems around the program, for tests and trials only.
+//! Stand-ins for outside systems, for tests, demonstrations and load trials.
 
+pub mod engine;
 pub mod kv;
+pub mod service;
