--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -25,7 +25,8 @@
 
 /// Header by which a back end says that it did not run a request.
 pub(super) const RAN_HEADER: &str = "x-ran";
-/// Connections in all; the library's meaning of 0, no limit, leaves waiting callers asleep.
+/// Connections in all. With the library's 0, no limit, a caller that comes while a connection to
+/// the same back end is being made is never woken.
 const CONNECTIONS: usize = 65_536;
 /// Most bytes kept of the body of an answer other than 200 to a streamed call.
 const REFUSAL_LIMIT: usize = 64 * 1024;
