Add a load tool and a bare pass-through to compare with

Cause: what a host adds to a request can only be judged beside the engine itself and beside the least that these libraries add, in the same run. Change: 'chiveway load' sends requests to several targets in turn, checks every answer against the stand-in's own and prints times; 'standin hop' passes requests on unchanged; stand-ins can add themselves to the list.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -60,6 +60,8 @@
     Engine,
     /// A plain service.
     Service,
+    /// A bare pass-through, to compare with.
+    Hop,
 }
 
 /// Whether a stand-in engine takes the time an engine would.
@@ -82,6 +84,10 @@
     pub register: Option<SocketAddr>,
     /// Name in the list.
     pub name: Box<str>,
+    /// Pool or service it belongs to in the list; `None` for the model.
+    pub pool: Option<Box<str>>,
+    /// Where a hop passes requests on to.
+    pub target: Option<SocketAddr>,
     /// Model served.
     pub model: Box<str>,
     /// Failure domain.
@@ -222,11 +228,20 @@
     pub files: Vec<PathBuf>,
 }
 
+/// One of the addresses that `load` sends to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Name in the table of results.
+    pub name: Box<str>,
+    /// Where it listens for callers.
+    pub addr: SocketAddr,
+}
+
 /// Options of `load`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadOptions {
-    /// Callers' listener of a host.
-    pub target: SocketAddr,
+    /// What to send to; requests go to each in turn.
+    pub targets: Vec<Target>,
     /// Customer's key.
     pub key: Box<str>,
     /// Model to ask.
--- a/src/cli/parse.rs
+++ b/src/cli/parse.rs
@@ -10,7 +10,7 @@
 use super::topics::{self, Opt, TOPICS, Topic};
 use super::{
     Access, Action, AnswerForm, ApplyOptions, CheckOptions, Command, ExplainOptions, HostOptions,
-    ListName, ListOptions, LoadOptions, Pace, StandinKind, StandinOptions, StatusOptions,
+    ListName, ListOptions, LoadOptions, Pace, StandinKind, StandinOptions, StatusOptions, Target,
     TryOptions, UsageError, help,
 };
 use crate::form;
@@ -93,6 +93,7 @@
             "standin kv" => self.standin(StandinKind::Kv),
             "standin engine" => self.standin(StandinKind::Engine),
             "standin service" => self.standin(StandinKind::Service),
+            "standin hop" => self.standin(StandinKind::Hop),
             "hash" => self.end().map(|()| Command::Hash),
             words => {
                 let (noun, verb) = words.split_once(' ').unwrap_or((words, ""));
@@ -155,7 +156,7 @@
 
     fn load(mut self) -> Parsed<Command> {
         let options = LoadOptions {
-            target: self.need(&topics::TARGET, form::address)?,
+            targets: self.need(&topics::TARGET, targets)?,
             key: self.need(&topics::KEY, owned)?,
             model: self.need(&topics::MODEL, owned)?,
             requests: self.need(&topics::REQUESTS, units::count)?,
@@ -175,6 +176,8 @@
             listen: self.need(&topics::LISTEN, form::address)?,
             register: self.read(&topics::REGISTER, form::address)?,
             name: self.need(&topics::NAME, owned)?,
+            pool: self.read(&topics::POOL, owned)?,
+            target: self.read(&topics::BEHIND, form::address)?,
             model: self.need(&topics::MODEL, owned)?,
             domain: self.need(&topics::DOMAIN, owned)?,
             fencing: self.need(&topics::FENCING, Fencing::from_word)?,
@@ -336,3 +339,15 @@
 fn owned(text: &str) -> Option<Box<str>> {
     Some(text.into())
 }
+
+/// Reads addresses with commas between them, each with a name before it or named by itself.
+fn targets(text: &str) -> Option<Vec<Target>> {
+    let read = |item: &str| {
+        let (name, addr) = item.split_once('=').unwrap_or((item, item));
+        Some(Target {
+            name: name.trim().into(),
+            addr: form::address(addr.trim())?,
+        })
+    };
+    form::items(text).map(read).collect()
+}
--- a/src/cli/tests.rs
+++ b/src/cli/tests.rs
@@ -25,6 +25,8 @@
         listen: "127.0.0.1:0".parse().unwrap(),
         register: None,
         name: "standin".into(),
+        pool: None,
+        target: None,
         model: "raadgiver".into(),
         domain: "local".into(),
         fencing: Fencing::Ignores,
--- a/src/cli/topics.rs
+++ b/src/cli/topics.rs
@@ -209,11 +209,27 @@
 pub const JSON: Opt = switch("--json", "print JSON");
 /// `--target`
 pub const TARGET: Opt = opt(
+    "--target",
+    "[NAME=]IP:PORT,...",
+    Form::Text,
+    None,
+    "callers' listeners of hosts, engines or hops; each gets the same share of requests",
+);
+/// `--target` of a hop
+pub const BEHIND: Opt = opt(
     "--target",
     "IP:PORT",
     Form::Address,
     None,
-    "callers' listener of a host",
+    "where requests are passed on to",
+);
+/// `--pool`
+pub const POOL: Opt = opt(
+    "--pool",
+    "NAME",
+    Form::Word,
+    None,
+    "pool or service it is listed under; without it the model or the name",
 );
 /// `--key`
 pub const KEY: Opt = opt(
@@ -263,7 +279,7 @@
 const FETCH: &[&Opt] = &[&FILE, &OPERATORS, &KEY_FILE];
 const APPLY: &[&Opt] = &[&FILE, &REVISION, &WAIT, &OPERATORS, &KEY_FILE];
 const ENGINE: &[&Opt] = &[
-    &LISTEN, &REGISTER, &NAME, &MODEL, &DOMAIN, &FENCING, &SPEED, &PREFILL, &DECODE, &SLOTS,
+    &LISTEN, &REGISTER, &NAME, &POOL, &MODEL, &DOMAIN, &FENCING, &SPEED, &PREFILL, &DECODE, &SLOTS,
     &PIECE, &LAG, &INSTANT,
 ];
 const LOAD: &[&Opt] = &[
@@ -394,9 +410,15 @@
     topic(
         "standin service",
         "",
-        &[&LISTEN, &REGISTER, &NAME, &DOMAIN],
+        &[&LISTEN, &REGISTER, &NAME, &POOL, &DOMAIN],
         "Runs a stand-in of a plain service, for trials",
     ),
+    topic(
+        "standin hop",
+        "",
+        &[&LISTEN, &BEHIND],
+        "Passes requests on as they are, to compare with, for trials",
+    ),
     topic(
         "load",
         "",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod form;
 pub mod host;
 pub mod lists;
+pub mod load;
 pub mod logs;
 pub mod operate;
 pub mod output;
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,351 @@
+//! `chiveway load`: sends requests to hosts, checks every answer, and prints times.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use ntex::client::{Client, Connector};
+use ntex::service::cfg::SharedCfg;
+use serde_json::{Value, json};
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::backend::Parser;
+use crate::cli::{LoadOptions, Target};
+use crate::output;
+use crate::standin::engine::expected;
+use crate::web::CLIENT_IDLE;
+
+/// Bytes of a prompt for each token, as the stand-in engines count.
+const TOKEN_BYTES: usize = 4;
+/// Time without a part of an answer after which a request counts as lost.
+const SILENCE: Duration = Duration::from_secs(30);
+/// Connections at most.
+const CONNECTIONS: usize = 10_000;
+/// Largest value of a histogram, in microseconds.
+const LONGEST: u64 = 600_000_000;
+/// Head of the table of results.
+const HEADER: [&str; 8] = [
+    "target",
+    "whole",
+    "first p50",
+    "first p99",
+    "between p50",
+    "between p99",
+    "whole p50",
+    "whole p99",
+];
+
+/// Why load could not be sent.
+#[derive(Debug, Snafu)]
+pub enum LoadError {
+    /// The HTTP client cannot be made.
+    #[snafu(display("the HTTP client cannot be made"))]
+    NoClient,
+    /// Standard output failed.
+    #[snafu(display("cannot write to standard output: {source}"))]
+    Output {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Answers were lost or wrong.
+    #[snafu(display("{count} answers were lost or wrong"))]
+    Lost {
+        /// How many.
+        count: u64,
+    },
+}
+
+/// How one request ended.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum End {
+    /// The whole right answer.
+    Whole,
+    /// An answer that does not belong to the request.
+    Wrong,
+    /// No end marker.
+    Short,
+    /// No answer.
+    Lost,
+    /// Refused with this code.
+    Refused(Box<str>),
+}
+
+/// What the requests to one target met.
+#[derive(Debug)]
+struct Tally {
+    target: Target,
+    ends: BTreeMap<End, u64>,
+    first: Histogram<u64>,
+    whole: Histogram<u64>,
+    between: Histogram<u64>,
+}
+
+impl Tally {
+    fn new(target: Target) -> Self {
+        let histogram =
+            || Histogram::new_with_bounds(1, LONGEST, 3).expect("the bounds are in order");
+        Self {
+            target,
+            ends: BTreeMap::new(),
+            first: histogram(),
+            whole: histogram(),
+            between: histogram(),
+        }
+    }
+}
+
+/// Sends the requests and prints what became of them.
+///
+/// # Errors
+///
+/// Returns how many answers were lost or wrong, if any; a refusal is neither.
+pub async fn run(options: LoadOptions) -> Result<(), LoadError> {
+    let connector = Connector::new().limit(CONNECTIONS).keep_alive(CLIENT_IDLE);
+    let client = Client::builder()
+        .connector::<()>(connector)
+        .disable_redirects()
+        .no_default_headers()
+        .disable_timeout()
+        .build(SharedCfg::new("load"))
+        .await
+        .map_err(|_builder| LoadError::NoClient)?;
+    let tallies: Vec<_> = options
+        .targets
+        .iter()
+        .map(|target| Rc::new(RefCell::new(Tally::new(target.clone()))))
+        .collect();
+    let options = Rc::new(options);
+    let next = Rc::new(Cell::new(0));
+    let began = Instant::now();
+    let tasks: Vec<_> = (0..options.concurrency)
+        .map(|_| {
+            let worker = work(
+                client.clone(),
+                Rc::clone(&options),
+                Rc::clone(&next),
+                tallies.clone(),
+            );
+            ntex::rt::spawn(worker)
+        })
+        .collect();
+    for task in tasks {
+        if task.await.is_err() {
+            log::error!("a worker did not end");
+        }
+    }
+    let lasted = began.elapsed();
+    let tallies: Vec<_> = tallies.iter().map(|tally| tally.borrow()).collect();
+    report(&tallies, &options, lasted)
+}
+
+async fn work(
+    client: Client,
+    options: Rc<LoadOptions>,
+    next: Rc<Cell<usize>>,
+    tallies: Vec<Rc<RefCell<Tally>>>,
+) {
+    loop {
+        let number = next.get();
+        if number >= options.requests {
+            return;
+        }
+        next.set(number + 1);
+        let tally = &tallies[number % tallies.len()];
+        let addr = tally.borrow().target.addr;
+        let end = ask(&client, &options, addr, number, tally).await;
+        *tally.borrow_mut().ends.entry(end).or_default() += 1;
+    }
+}
+
+/// Returns a prompt that differs from that of every other number, of the wanted length.
+fn prompt(number: usize, tokens: usize) -> String {
+    let mut text = format!("request {number}: ");
+    while text.len() < tokens * TOKEN_BYTES {
+        text.push_str("what does the funder expect? ");
+    }
+    text.truncate(tokens * TOKEN_BYTES);
+    text
+}
+
+async fn ask(
+    client: &Client,
+    options: &LoadOptions,
+    addr: SocketAddr,
+    number: usize,
+    tally: &RefCell<Tally>,
+) -> End {
+    let prompt = prompt(number, options.prompt);
+    let body = json!({
+        "model": options.model,
+        "prompt": prompt,
+        "max_tokens": options.output,
+        "stream": options.stream,
+    });
+    let began = Instant::now();
+    let sent = client
+        .post(format!("http://{addr}/v1/completions"))
+        .address(addr)
+        .header("authorization", format!("Bearer {}", options.key))
+        .header("content-type", "application/json")
+        .send_body(body.to_string());
+    let Ok(Ok(mut answer)) = tokio::time::timeout(SILENCE, sent).await else {
+        return End::Lost;
+    };
+    let status = answer.status().as_u16();
+    let mut reader = Reader::new(options.stream && status == 200);
+    loop {
+        let part = ntex::util::stream_recv(&mut answer);
+        let part = match tokio::time::timeout(SILENCE, part).await {
+            Ok(Some(Ok(part))) => part,
+            Ok(None) => break,
+            Ok(Some(Err(_))) | Err(_) => return End::Short,
+        };
+        if !reader.take(&part, &mut tally.borrow_mut(), began) {
+            return End::Wrong;
+        }
+    }
+    if status != 200 {
+        return reader.refusal(status);
+    }
+    let Some(text) = reader.text() else {
+        return End::Short;
+    };
+    let tokens = options.output as u64;
+    if text != expected(&options.model, &prompt, tokens) {
+        return End::Wrong;
+    }
+    let lasted = micros(began.elapsed());
+    tally.borrow_mut().whole.saturating_record(lasted);
+    End::Whole
+}
+
+/// Reads an answer part by part.
+struct Reader {
+    stream: bool,
+    parser: Parser,
+    body: Vec<u8>,
+    text: String,
+    done: bool,
+    last: Option<Instant>,
+}
+
+impl Reader {
+    fn new(stream: bool) -> Self {
+        Self {
+            stream,
+            parser: Parser::new(),
+            body: Vec::new(),
+            text: String::new(),
+            done: false,
+            last: None,
+        }
+    }
+
+    /// Takes in a part; returns whether it can be read.
+    fn take(&mut self, part: &[u8], tally: &mut Tally, began: Instant) -> bool {
+        let now = Instant::now();
+        if !self.stream {
+            self.body.extend_from_slice(part);
+            return true;
+        }
+        if self.parser.push(part).is_err() {
+            return false;
+        }
+        while let Some(event) = self.parser.pop() {
+            if &*event.data == b"[DONE]" {
+                self.done = true;
+                continue;
+            }
+            let Ok(chunk) = serde_json::from_slice::<Value>(&event.data) else {
+                return false;
+            };
+            let piece = chunk["choices"][0]["text"].as_str().unwrap_or_default();
+            if piece.is_empty() {
+                continue;
+            }
+            self.text.push_str(piece);
+            match self.last.replace(now) {
+                None => tally.first.saturating_record(micros(now - began)),
+                Some(last) => tally.between.saturating_record(micros(now - last)),
+            }
+        }
+        true
+    }
+
+    /// Returns the answer's text; `None` for one that is not whole.
+    fn text(self) -> Option<String> {
+        if self.stream {
+            return self.done.then_some(self.text);
+        }
+        let answer: Value = serde_json::from_slice(&self.body).ok()?;
+        answer["choices"][0]["text"].as_str().map(str::to_owned)
+    }
+
+    fn refusal(&self, status: u16) -> End {
+        let problem: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        let code = problem["type"].as_str();
+        let code = code.and_then(|code| code.strip_prefix("urn:chiveway:"));
+        End::Refused(code.map_or_else(|| status.to_string().into(), Box::from))
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+fn millis(micros: u64) -> Box<str> {
+    format!("{:.3}", micros as f64 / 1000.0).into()
+}
+
+/// Returns the row of one target in the table.
+fn row(tally: &Tally) -> [Box<str>; 8] {
+    let whole = tally.ends.get(&End::Whole).copied().unwrap_or(0);
+    let at = |times: &Histogram<u64>, part| millis(times.value_at_quantile(part));
+    [
+        tally.target.name.clone(),
+        whole.to_string().into(),
+        at(&tally.first, 0.5),
+        at(&tally.first, 0.99),
+        at(&tally.between, 0.5),
+        at(&tally.between, 0.99),
+        at(&tally.whole, 0.5),
+        at(&tally.whole, 0.99),
+    ]
+}
+
+fn report(
+    tallies: &[std::cell::Ref<'_, Tally>],
+    options: &LoadOptions,
+    lasted: Duration,
+) -> Result<(), LoadError> {
+    let mut rows = vec![HEADER.map(Box::from)];
+    rows.extend(tallies.iter().map(|tally| row(tally)));
+    let mut lines = vec![output::columns(rows).trim_end().to_owned()];
+    let mut fine = 0;
+    for tally in tallies {
+        for (end, count) in &tally.ends {
+            let name = &tally.target.name;
+            match end {
+                End::Whole => fine += count,
+                End::Refused(code) => {
+                    fine += count;
+                    lines.push(format!("{name}: {count} refused as {code}"));
+                }
+                other => lines.push(format!("{name}: {count} {other:?}")),
+            }
+        }
+    }
+    let sent = options.requests as u64;
+    let rate = options.requests as f64 / lasted.as_secs_f64();
+    lines.push(format!(
+        "times in ms; {sent} requests in {lasted:.2?}, {rate:.0} a second"
+    ));
+    output::say(&lines.join("\n")).context(OutputSnafu)?;
+    // A worker that panicked has left its request uncounted.
+    let count = sent.saturating_sub(fine);
+    ensure!(count == 0, LostSnafu { count });
+    Ok(())
+}
--- a/src/run.rs
+++ b/src/run.rs
@@ -7,18 +7,21 @@
 use std::time::Duration;
 
 use ntex::rt::{DefaultRuntime, System};
-use snafu::{ResultExt, Snafu};
+use serde_json::json;
+use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
+use crate::backend;
 use crate::cli::{CheckOptions, Command, HostOptions, Pace, StandinKind, StandinOptions};
 use crate::host::{self, HostError, Listeners};
 use crate::lists::KeyHash;
+use crate::load::{self, LoadError};
 use crate::logs::{self, LogError};
 use crate::operate::{self, OperateError};
 use crate::output;
 use crate::settings::{Fencing, Settings};
-use crate::standin::{engine, kv, service};
+use crate::standin::{engine, hop, kv, service};
 use crate::trial::{self, TrialError};
 use crate::web;
 
@@ -32,12 +35,25 @@
 /// Why a command failed.
 #[derive(Debug, Snafu)]
 pub enum RunError {
-    /// The command is not part of this build.
-    #[snafu(display("{what} is not available in this build"))]
-    Unavailable {
-        /// Name of the command.
-        what: &'static str,
+    /// Load could not be sent.
+    #[snafu(transparent)]
+    Load {
+        /// Why.
+        source: LoadError,
+    },
+    /// A stand-in could not be listed.
+    #[snafu(display("cannot add {name} to the list at {addr}: {problem}"))]
+    Register {
+        /// Name of the stand-in.
+        name: Box<str>,
+        /// Address of the list.
+        addr: SocketAddr,
+        /// What was met.
+        problem: Box<str>,
     },
+    /// A hop was not told where to pass requests on to.
+    #[snafu(display("no --target; give the address that requests are passed on to"))]
+    NoTarget,
     /// A file could not be read.
     #[snafu(display("cannot read {}: {source}", path.display()))]
     Read {
@@ -112,7 +128,7 @@
         Command::Host(options) => serve(&options),
         Command::Standin(options) => block_on(stand_in(options)),
         Command::Try(options) => Ok(block_on(trial::run(options))?),
-        Command::Load(_) => UnavailableSnafu { what: "load" }.fail(),
+        Command::Load(options) => Ok(block_on(load::run(options))?),
     }
 }
 
@@ -181,8 +197,15 @@
     let addr = options.listen;
     let listener = web::listen(addr).await.context(ListenSnafu { addr })?;
     let addr = listener.local_addr().context(ListenSnafu { addr })?;
+    if let Some(list) = options.register {
+        register(&options, list, addr).await?;
+    }
     output::say(&format!("{} listens on {addr}", options.name)).context(StreamSnafu)?;
     match options.kind {
+        StandinKind::Hop => {
+            let target = options.target.context(NoTargetSnafu)?;
+            hop::run(listener, target).await;
+        }
         StandinKind::Kv => kv::run(listener, kv::Options::default()).await,
         StandinKind::Engine => engine::run(listener, engine_options(options)).await,
         StandinKind::Service => {
@@ -193,6 +216,46 @@
     Ok(())
 }
 
+/// Adds a stand-in to the list of hosts and backend servers.
+async fn register(
+    options: &StandinOptions,
+    list: SocketAddr,
+    addr: SocketAddr,
+) -> Result<(), RunError> {
+    let (kind, pool) = match options.kind {
+        StandinKind::Engine => ("engine", &options.model),
+        _ => ("service", &options.name),
+    };
+    let entry = json!({
+        "name": options.name,
+        "kind": kind,
+        "pool": options.pool.as_ref().unwrap_or(pool),
+        "addr": addr.to_string(),
+        "domain": options.domain,
+        "state": "live",
+    });
+    let failed = |problem: String| RunError::Register {
+        name: options.name.clone(),
+        addr: list,
+        problem: problem.into(),
+    };
+    let client = backend::Client::new(backend::Options::default()).await;
+    let client = client.map_err(|err| failed(err.to_string()))?;
+    let call = backend::Call {
+        method: "POST",
+        addr: list,
+        path: "/hosts",
+        headers: &[("content-type", "application/json")],
+        body: entry.to_string().into(),
+    };
+    let answer = client.call(call).await;
+    let answer = answer.map_err(|err| failed(err.to_string()))?;
+    match answer.status {
+        204 => Ok(()),
+        status => Err(failed(format!("answered {status}"))),
+    }
+}
+
 fn engine_options(options: StandinOptions) -> engine::Options {
     let pace = match options.pace {
         Pace::Instant => engine::Pace::Instant,
--- /dev/null
+++ b/src/standin/hop.rs
@@ -0,0 +1,70 @@
+//! A bare pass-through: the same HTTP server and client as a host, and nothing between them.
+//!
+//! What it adds to a request is the least that any program on these libraries adds, and the
+//! measure of what a host adds.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use ntex::client::{Client, Connector};
+use ntex::http::{Request, Response, StatusCode};
+use ntex::service::cfg::SharedCfg;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::web::{self, CLIENT_IDLE, HandlerError};
+
+/// Most bytes of a request.
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+/// Time a caller has to send its body.
+const BODY_TIME: std::time::Duration = std::time::Duration::from_secs(30);
+/// Connections to the target at most.
+const CONNECTIONS: usize = 10_000;
+
+/// Passes requests on to `target` until dropped; must run inside an ntex system.
+pub async fn run(listener: TcpListener, target: SocketAddr) {
+    let connector = Connector::new().limit(CONNECTIONS).keep_alive(CLIENT_IDLE);
+    let client = Client::builder()
+        .connector::<()>(connector)
+        .disable_redirects()
+        .no_default_headers()
+        .disable_timeout()
+        .build(SharedCfg::new("hop"))
+        .await;
+    let Ok(client) = client else {
+        return;
+    };
+    let (_stop, stopped) = watch::channel(false);
+    web::serve(listener, stopped, move |req| {
+        pass(client.clone(), target, req)
+    })
+    .await;
+}
+
+async fn pass(client: Client, target: SocketAddr, mut req: Request) -> Response {
+    let body = match web::read_body(&mut req, BODY_LIMIT, BODY_TIME).await {
+        Ok(body) => body,
+        Err(status) => return Response::new(status),
+    };
+    let url = format!("http://{target}{}", req.path());
+    let mut onward = client.request(req.method().clone(), url).address(target);
+    for name in ["content-type", "authorization"] {
+        if let Some(value) = req.headers().get(name) {
+            onward = onward.header(name, value.clone());
+        }
+    }
+    match onward
+        .send_body(ntex::util::Bytes::copy_from_slice(&body))
+        .await
+    {
+        Ok(answer) => {
+            let mut response = Response::build(answer.status());
+            if let Some(media) = answer.header("content-type") {
+                response.content_type(media.clone());
+            }
+            response.streaming(answer.map(|part| part.map_err(|_broken| HandlerError)))
+        }
+        Err(_) => Response::build(StatusCode::BAD_GATEWAY).body(Bytes::new().to_vec()),
+    }
+}
--- a/src/standin/kv/hosts.rs
+++ b/src/standin/kv/hosts.rs
@@ -56,6 +56,15 @@
         self.0.push((now, list));
     }
 
+    /// Adds an entry, in place of one with its name.
+    pub(super) fn add(&mut self, entry: Entry, now: Instant) {
+        let newest = self.0.last();
+        let mut list = newest.map_or_else(Vec::new, |(_, list)| list.clone());
+        list.retain(|other| other.name != entry.name);
+        list.push(entry);
+        self.set(list, now);
+    }
+
     /// Returns the list as it was `lag` ago.
     pub(super) fn shown(&self, lag: Duration, now: Instant) -> &[Entry] {
         self.0
--- a/src/standin/kv/mod.rs
+++ b/src/standin/kv/mod.rs
@@ -3,7 +3,8 @@
 //! Speaks the JSON-over-HTTP gateway form of etcd's published v3 API as far as the program uses
 //! it; fields it does not know are refused rather than ignored. Beside it:
 //!
-//! * `GET /hosts` shows the list as it was `lag_ms` ago, `PUT /hosts` replaces the true one.
+//! * `GET /hosts` shows the list as it was `lag_ms` ago, `PUT /hosts` replaces the true one,
+//!   `POST /hosts` adds one entry to it.
 //! * `POST /fault` sets the switches, any subset of: `down` (`false`, `true` or `"refuse"` for
 //!   503 at once, `"hang"` for no answer), `slow_ms` (delay of each answer; the call itself takes
 //!   effect at once), `lose_answers` (that many of the next changes of keys take effect and the
@@ -358,6 +359,13 @@
             }
             json(StatusCode::OK, &state.hosts.shown(state.faults.lag, now))
         }
+        ("POST", "/hosts") => match parse(body) {
+            Ok(entry) => {
+                state.hosts.add(entry, now);
+                Response::new(StatusCode::NO_CONTENT)
+            }
+            Err(err) => fail(err),
+        },
         ("PUT", "/hosts") => match parse(body) {
             Ok(list) => {
                 state.hosts.set(list, now);
