Split the socket tests by subject; show late reports and a crash in a change

Change: tests/engine/ with the harness, the cases of engines and the cases of calls; two new cases. No check was changed.

--- /dev/null
+++ b/tests/engine/calls.rs
@@ -0,0 +1,132 @@
+//! Calls that fail, and what the client may say of them.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiveway::backend::{Call, Client, OpenError, Options as Settings, load, open};
+use chiveway::error::Ran;
+use chiveway::standin::engine::Options;
+use chiveway::web;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{sleep, timeout};
+
+use super::{LIMIT, TEXT, ask, call, client, engine, fault, get, plain};
+
+cases! {
+    a_service_counts_calls: |c| {
+        let s = plain();
+        for count in 1..=2 {
+            let body = json!({"hut": 4});
+            let answer = call(c, s.addr, "POST", "/book", &body).await;
+            let echo: Value = serde_json::from_slice(&answer.body).expect("JSON");
+            assert_eq!((&echo["count"], &echo["key"]), (&json!(count), &json!("k1")));
+        }
+        fault(c, s.addr, json!({"fail_next": 1})).await;
+        let failed = call(c, s.addr, "POST", "/book", &Value::Null).await;
+        assert_eq!((failed.status, failed.ran), (503, Ran::No));
+        assert_eq!(get(c, s.addr, "/counts").await, json!({"POST /book k1": 2}));
+    }
+
+    /// A service does its work and the connection breaks before the answer. A client that tried
+    /// again by itself would book twice; one that took the broken connection for one never made
+    /// would say "not run".
+    a_lost_answer_is_not_retried: |c| {
+        let s = plain();
+        // The second call uses a pooled connection, where libraries like to try again.
+        for count in 1..=2 {
+            get(c, s.addr, "/counts").await;
+            fault(c, s.addr, json!({"lose_answers": 1})).await;
+            let (addr, body) = (s.addr, Bytes::from_static(b"{}"));
+            let call = Call { method: "POST", addr, path: "/charge", headers: &[], body };
+            let lost = c.call(call).await.expect_err("no answer");
+            assert_eq!((&lost, lost.ran()), (&OpenError::Lost, Ran::Unknown));
+            let counts = get(c, s.addr, "/counts").await;
+            assert_eq!(counts, json!({"POST /charge -": count}));
+        }
+    }
+
+    /// A service answers with a redirect. Following it would repeat a call that may not repeat.
+    a_redirect_is_not_followed: |c| {
+        let s = plain();
+        fault(c, s.addr, json!({"redirect": true})).await;
+        let answer = call(c, s.addr, "POST", "/charge", &json!({})).await;
+        assert_eq!(answer.status, 307);
+        assert_eq!(get(c, s.addr, "/counts").await, json!({"POST /charge k1": 1}));
+    }
+
+    /// Nothing listens where a back end should be. The caller may be told "not run".
+    a_refused_connection_did_not_run: |c| {
+        // Bound, so that nobody else gets the port, but not listening.
+        let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("bind");
+        let addr = socket.local_addr().expect("address");
+        let refused = open(c, addr, TEXT, ask("a", 1), "a1", None, 0).await;
+        let refused = refused.expect_err("no stream");
+        assert_eq!((&refused, refused.ran()), (&OpenError::Connect, Ran::No));
+    }
+
+    /// A back end takes a request and falls silent before the head of its answer. The request may
+    /// have run, so the caller must not be told otherwise.
+    a_late_head_may_have_run: |_c| {
+        let head = Duration::from_millis(50);
+        let settings = Settings { connect: LIMIT, head, ..Settings::default() };
+        let c = &Client::new(settings).await.expect("client");
+        let listener = web::listen(([127, 0, 0, 1], 0).into()).await.expect("listen");
+        let addr = listener.local_addr().expect("address");
+        let late = open(c, addr, TEXT, ask("a", 1), "a1", None, 0).await.expect_err("late");
+        assert_eq!((&late, late.ran()), (&OpenError::Late, Ran::Unknown));
+    }
+
+    /// A connection older than the setting is not used again, so that a fault between the two
+    /// ends that kills old connections meets few of them.
+    old_connections_are_retired: |c| {
+        let age = Duration::from_secs(1);
+        let young = &Client::new(Settings { age, ..Settings::default() }).await.expect("client");
+        let e = engine(Options::default());
+        for (client, count) in [(c, 1), (young, 2)] {
+            assert_eq!(get(client, e.addr, "/stats").await["connections"], count);
+        }
+        sleep(age * 2).await;
+        for (client, count) in [(c, 2), (young, 3)] {
+            assert_eq!(get(client, e.addr, "/stats").await["connections"], count);
+        }
+    }
+
+    /// Many requests want a connection to one back end at once, and the library makes one at a
+    /// time. None of them may be left asleep.
+    many_first_calls_all_connect: |c| {
+        let e = engine(Options::default());
+        let calls = (0..50).map(async |turn| {
+            // Some come while the library is making a connection for those before.
+            for _ in 0..turn {
+                tokio::task::yield_now().await;
+            }
+            load(c, e.addr).await
+        });
+        let all = timeout(LIMIT, futures_util::future::join_all(calls));
+        let all = all.await.expect("all answers in time");
+        assert!(all.iter().all(Result::is_ok));
+    }
+
+    /// Two requests want connections while the back end closes each before it answers. Both were
+    /// written, so neither may be called "not run".
+    a_closed_connection_may_have_run: |c| {
+        let listener = web::listen(([127, 0, 0, 1], 0).into()).await.expect("listen");
+        let addr = listener.local_addr().expect("address");
+        let closer = async {
+            for _ in 0..2 {
+                let (mut socket, _) = listener.accept().await.expect("accept");
+                let mut head = [0; 4];
+                socket.read_exact(&mut head).await.expect("read");
+                socket.shutdown().await.expect("close");
+            }
+        };
+        let one = open(c, addr, TEXT, ask("a", 1), "a1", None, 0);
+        let two = open(c, addr, TEXT, ask("b", 1), "a2", None, 0);
+        let (one, two, ()) = tokio::join!(one, two, closer);
+        for lost in [one, two] {
+            assert_eq!(lost.expect_err("no stream").ran(), Ran::Unknown);
+        }
+    }
+}
--- /dev/null
+++ b/tests/engine/main.rs
@@ -0,0 +1,174 @@
+//! The client towards back ends against the stand-ins, over real sockets.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chiveway::backend::{Answer, Call, Client, Options as Settings, ReadError, Stream, open};
+use chiveway::standin::engine::{self, Costs, Options, Pace};
+use chiveway::standin::service;
+use ntex::rt::{DefaultRuntime, System};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident: |$c:ident| $body:block)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            ntex::rt::System::new("test", ntex::rt::DefaultRuntime).block_on(async {
+                let $c = &client().await;
+                $body
+            });
+        }
+    )*};
+}
+
+mod answers;
+mod calls;
+
+/// Generous bound of any wait in a test.
+const LIMIT: Duration = Duration::from_secs(20);
+const TEXT: &str = "/v1/completions";
+/// Long enough that no test finishes an answer it means to interrupt.
+const MANY: u64 = 5000;
+
+/// A stand-in on a thread of its own; dropping it ends it like a killed process.
+struct Standin {
+    addr: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Drop for Standin {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            thread.join().expect("the stand-in panicked");
+        }
+    }
+}
+
+fn start<F, R>(serve: F) -> Standin
+where
+    F: FnOnce(tokio::net::TcpListener) -> R + Send + 'static,
+    R: Future<Output = ()>,
+{
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = socket.local_addr().expect("address");
+    socket.set_nonblocking(true).expect("nonblocking");
+    let (stop, stopped) = oneshot::channel::<()>();
+    let thread = thread::spawn(move || {
+        System::new("standin", DefaultRuntime).block_on(async move {
+            let listener = tokio::net::TcpListener::from_std(socket).expect("listener");
+            tokio::select! {
+                () = serve(listener) => {}
+                _ = stopped => {}
+            }
+        });
+    });
+    Standin {
+        addr,
+        stop: Some(stop),
+        thread: Some(thread),
+    }
+}
+
+fn engine(opts: Options) -> Standin {
+    start(move |listener| engine::run(listener, opts))
+}
+
+fn plain() -> Standin {
+    let name = "bookings".into();
+    start(move |listener| service::run(listener, service::Options { name }))
+}
+
+/// One millisecond a step, so that answers take a while.
+fn slow() -> Options {
+    let costs = Costs {
+        base: Duration::from_millis(1),
+        prefill: Duration::ZERO,
+        decode: Duration::ZERO,
+        import: Duration::ZERO,
+        speed: 1.0,
+    };
+    Options {
+        pace: Pace::Steps(costs),
+        grace: Duration::from_millis(50),
+        ..Options::default()
+    }
+}
+
+async fn client() -> Client {
+    Client::new(Settings::default()).await.expect("client")
+}
+
+async fn call(client: &Client, addr: SocketAddr, method: &str, path: &str, body: &Value) -> Answer {
+    let body = match body {
+        Value::Null => Bytes::new(),
+        body => body.to_string().into(),
+    };
+    let headers = &[("idempotency-key", "k1")];
+    let call = Call {
+        method,
+        addr,
+        path,
+        headers,
+        body,
+    };
+    client.call(call).await.expect("answer")
+}
+
+async fn get(client: &Client, addr: SocketAddr, path: &str) -> Value {
+    let answer = call(client, addr, "GET", path, &Value::Null).await;
+    serde_json::from_slice(&answer.body).expect("JSON")
+}
+
+async fn fault(client: &Client, addr: SocketAddr, fault: Value) {
+    let answer = call(client, addr, "POST", "/fault", &fault).await;
+    assert_eq!(answer.status, 204);
+}
+
+fn ask(prompt: &str, tokens: u64) -> Bytes {
+    let body = json!({"model": "model", "prompt": prompt, "max_tokens": tokens, "stream": true});
+    body.to_string().into()
+}
+
+async fn begin(client: &Client, addr: SocketAddr, prompt: &str, n: u64, attempt: &str) -> Stream {
+    let body = ask(prompt, n);
+    let stream = open(client, addr, TEXT, body, attempt, None, 0).await;
+    stream.expect("stream")
+}
+
+/// Reads up to `n` tokens, or to the end; returns the text, the last offset and the end reached.
+async fn read(stream: &mut Stream, n: usize) -> Result<(String, u64, bool), ReadError> {
+    let (mut text, mut last, mut count) = (String::new(), 0, 0);
+    while count < n {
+        let next = timeout(LIMIT, stream.next())
+            .await
+            .expect("a chunk in time")?;
+        let Some(chunk) = next else {
+            return Ok((text, last, true));
+        };
+        let data: Value = serde_json::from_slice(&chunk.data).expect("JSON");
+        let choice = &data["choices"][0];
+        let part = choice.get("text").or(choice.pointer("/delta/content"));
+        text.push_str(part.and_then(Value::as_str).expect("text"));
+        assert_eq!(chunk.end, data["choices"][0]["finish_reason"] == "length");
+        last = chunk.offset;
+        count += 1;
+    }
+    Ok((text, last, false))
+}
+
+/// Waits until a field of an engine's figures has a value.
+async fn until(client: &Client, addr: SocketAddr, path: &str, field: &str, value: Value) {
+    let reached = async {
+        while get(client, addr, path).await.pointer(field) != Some(&value) {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(LIMIT, reached).await.expect("the figure in time");
+}
