--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -1,5 +1,7 @@
 //! Help texts, written from the table of commands.
 
+use std::fmt::Write as _;
+
 use super::topics::{Opt, TOPICS, Topic};
 use crate::output::columns;
 use crate::{lists, settings};
@@ -74,13 +76,15 @@
     let mut text = "\nSections and keys of the file:\n".to_owned();
     for kind in kinds {
         let rows = kind.keys.iter().map(|key| {
-            let about = described(key.about, key.default.or(Some("none, must be given")));
-            [key.key.into(), about]
+            let about = described(key.about, key.default);
+            let need = if key.default.is_none() {
+                " [required]"
+            } else {
+                ""
+            };
+            [key.key.into(), format!("{about}{need}").into()]
         });
-        text += "\n";
-        text += &kind.header();
-        text += "\n";
-        text += &columns(rows);
+        let _ = write!(text, "\n{}\n{}", kind.header(), columns(rows));
     }
     text
 }
