Read what a refused operator sends before the answer closes the connection

Cause: an answer given before the body is read closes a connection with unread bytes; the reset that follows can overtake the answer, and the caller sees 'Disconnected' in place of 401. Ruled out: the client (it reports what it met). Change: refusals to operators first read and drop the body, within bounds.

--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -20,8 +20,11 @@
 /// Time an operator has to send a list.
 const LIST_TIME: Duration = Duration::from_secs(30);
 
+/// Time a caller that is refused has to send the rest of its body.
+const REFUSE_TIME: Duration = Duration::from_secs(2);
+
 /// Serves one request.
-pub async fn handle(node: Rc<Node>, req: Request) -> Response {
+pub async fn handle(node: Rc<Node>, mut req: Request) -> Response {
     let path = req.path().to_owned();
     if req.method() == Method::GET {
         match path.as_str() {
@@ -31,6 +34,7 @@
         }
     }
     if !admitted(&node, &req) {
+        web::discard(&mut req, LIST_LIMIT, REFUSE_TIME).await;
         let detail = "the operators' key is missing or wrong";
         return problem::answer(&Refusal::new(Kind::BadKey, detail), "");
     }
--- a/src/web.rs
+++ b/src/web.rs
@@ -129,6 +129,26 @@
     }
 }
 
+/// Reads and drops a request's body, as far as `limit` bytes and `time` go.
+///
+/// A connection closed with bytes still unread is reset, and a reset can overtake the answer: the
+/// caller then sees a broken connection in place of the refusal. Reading what it sends first
+/// prevents this for callers that keep to the bounds.
+pub async fn discard(req: &mut Request, limit: usize, time: Duration) {
+    let mut payload = req.take_payload();
+    let drain = async {
+        let mut read = 0;
+        while let Some(Ok(part)) = ntex::util::stream_recv(&mut payload).await {
+            read += part.len();
+            if read > limit {
+                break;
+            }
+        }
+    };
+    // Past its bounds the caller gets whatever its system makes of the reset.
+    timeout(time, drain).await.unwrap_or_default();
+}
+
 /// Reads a request body of at most `limit` bytes within `time`.
 ///
 /// # Errors
--- a/tests/common/console.rs
+++ b/tests/common/console.rs
@@ -105,6 +105,7 @@
         value.unwrap_or_default().to_owned()
     };
     if header(&req, "authorization") != format!("Bearer {KEY}") {
+        web::discard(&mut req, MAX_BODY, BODY_TIME).await;
         return Response::new(StatusCode::UNAUTHORIZED);
     }
     let tag = header(&req, "if-match");
