Send a prompt to a prefill engine and its answer to a decode engine

A pool that is split between roles had no path: only engines that do both were candidates, and a decode engine was never chosen. The choice is now one engine, or one that prefills and one that decodes. Backlog is counted at both, the prefill engine is released when the answer's stream opens, and a failure before that is the prefill engine's. The adapter prefills first and passes the handle of the KV cache on as kv_transfer.

--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -9,7 +9,7 @@
     Arrival, Break, ModelWant, Print, RequestEvent, ServiceWant, Stored, Timer, Want,
 };
 use super::key::{AttemptKey, BackendKey, RequestKey};
-use super::route::Need;
+use super::route::{Choice, Need};
 use super::trace::{self, Note, Record};
 use super::{Core, Effects, Time, admit, killer, member, once, route, share};
 use crate::error::{Kind, Ran};
@@ -81,6 +81,8 @@
     pub request: RequestKey,
     /// The back end.
     pub backend: BackendKey,
+    /// Engine that prefills for the back end, until it is done.
+    prefill: Option<BackendKey>,
     /// Name at the back end.
     label: Box<str>,
     /// When it was sent, or last brought something.
@@ -343,10 +345,10 @@
         }
         Want::Service(want) => {
             let (service, avoid) = (want.service.clone(), request.avoid.clone());
-            route::instance(core, &service, &avoid)
+            route::instance(core, &service, &avoid).map(Choice::whole)
         }
     };
-    let Some(backend) = chosen else {
+    let Some(choice) = chosen else {
         let request = &core.requests.arena[key];
         let kind = match &request.want {
             Want::Model(_) => Kind::NoEngine,
@@ -358,17 +360,18 @@
         return;
     };
     core.requests.arena[key].tries += 1;
-    attempt(core, key, backend, None, out);
+    attempt(core, key, choice, None, out);
 }
 
 /// Opens an attempt at a back end; `label` resumes the one of that name.
 fn attempt(
     core: &mut Core,
     key: RequestKey,
-    backend: BackendKey,
+    choice: Choice,
     label: Option<Box<str>>,
     out: &mut Effects,
 ) {
+    let backend = choice.engine;
     let request = &mut core.requests.arena[key];
     let resume = label.is_some().then_some(request.delivered);
     let fresh = || format!("{}.{}", request.record.id, request.tries).into();
@@ -380,6 +383,7 @@
     let attempt = core.requests.attempts.insert(Attempt {
         request: key,
         backend,
+        prefill: choice.prefill,
         label: label.clone(),
         last: core.now,
         began: false,
@@ -411,7 +415,7 @@
                 resume,
                 delivered: request.delivered,
                 priority,
-                prefill: None,
+                prefill: choice.prefill.map(|key| core.fleet.arena[key].addr),
             }));
             out.push(Effect::Wake {
                 at: core.now.after(core.settings.limits.first_silence),
@@ -428,7 +432,12 @@
             });
         }
     }
-    core.fleet.sent(backend, prompt, output);
+    if let Some(prefill) = choice.prefill {
+        core.fleet.sent(prefill, prompt, 0);
+        core.fleet.sent(backend, 0, output);
+    } else {
+        core.fleet.sent(backend, prompt, output);
+    }
     core.traces.keep(core.requests.arena[key].record.clone());
 }
 
@@ -436,6 +445,11 @@
     if let Some(attempt) = core.requests.attempts.get_mut(attempt) {
         attempt.last = core.now;
         core.fleet.works(attempt.backend);
+        if let Some(prefill) = attempt.prefill.take() {
+            core.fleet.works(prefill);
+            core.fleet
+                .ended(prefill, std::mem::take(&mut attempt.prompt), 0);
+        }
     }
 }
 
@@ -542,7 +556,12 @@
     let Some(attempt) = core.requests.attempts.get(key) else {
         return;
     };
-    let (request, backend, label) = (attempt.request, attempt.backend, attempt.label.clone());
+    // Until the prefill is done, it is the engine that prefills which failed.
+    let (backend, split) = match attempt.prefill {
+        Some(prefill) => (prefill, true),
+        None => (attempt.backend, false),
+    };
+    let (request, label) = (attempt.request, attempt.label.clone());
     out.push(Effect::Cancel(key));
     close_attempt(core, key, detail, ran);
     if how != Break::Rejected {
@@ -558,7 +577,7 @@
         refuse(core, request, refusal, out);
         return;
     }
-    if how == Break::Cut && entry.resumes < RESUMES {
+    if how == Break::Cut && entry.resumes < RESUMES && !split {
         entry.resumes += 1;
         note(
             core,
@@ -586,7 +605,7 @@
     out: &mut Effects,
 ) {
     if core.fleet.arena.contains_key(backend) {
-        attempt(core, request, backend, Some(label), out);
+        attempt(core, request, Choice::whole(backend), Some(label), out);
     } else {
         dispatch(core, request, out);
     }
@@ -705,8 +724,13 @@
     let Some(attempt) = core.requests.attempts.remove(key) else {
         return;
     };
-    core.fleet
-        .ended(attempt.backend, attempt.prompt, attempt.output);
+    if let Some(prefill) = attempt.prefill {
+        core.fleet.ended(prefill, attempt.prompt, 0);
+        core.fleet.ended(attempt.backend, 0, attempt.output);
+    } else {
+        core.fleet
+            .ended(attempt.backend, attempt.prompt, attempt.output);
+    }
     let request = &mut core.requests.arena[attempt.request];
     request.attempt = None;
     let ended = millis(core.now.since(request.arrived));
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -31,12 +31,46 @@
     pub avoid: Vec<BackendKey>,
 }
 
-/// Returns the engine for a request; `None` where none takes work.
+/// Where a request goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice {
+    /// Engine that generates the answer, or instance that takes the call.
+    pub engine: BackendKey,
+    /// Engine that prefills first, where the pool is split.
+    pub prefill: Option<BackendKey>,
+}
+
+impl Choice {
+    /// Returns the choice of one back end for the whole request.
+    #[must_use]
+    pub fn whole(engine: BackendKey) -> Self {
+        Self {
+            engine,
+            prefill: None,
+        }
+    }
+}
+
+/// Returns the engine, or the two engines, for a request; `None` where none takes work.
 #[must_use]
-pub fn engine(core: &mut Core, need: &Need) -> Option<BackendKey> {
-    let candidates = candidates(core, need);
-    let home = affine(core, need, &candidates);
-    let best = two_choices(core, &candidates, need)?;
+pub fn engine(core: &mut Core, need: &Need) -> Option<Choice> {
+    let both = candidates(core, need, Role::Both);
+    if let Some(engine) = best(core, &both, need) {
+        return Some(Choice::whole(engine));
+    }
+    let prefills = candidates(core, need, Role::Prefill);
+    let decodes = candidates(core, need, Role::Decode);
+    let prefill = best(core, &prefills, need)?;
+    let engine = least_streams(core, &decodes)?;
+    Some(Choice {
+        engine,
+        prefill: Some(prefill),
+    })
+}
+
+fn best(core: &mut Core, candidates: &[BackendKey], need: &Need) -> Option<BackendKey> {
+    let home = affine(core, need, candidates);
+    let best = two_choices(core, candidates, need)?;
     let Some(home) = home else {
         return Some(best);
     };
@@ -45,15 +79,30 @@
     Some(if stays { home } else { best })
 }
 
-/// Returns the engines that take this request: of the host's region, if any there do.
-fn candidates(core: &Core, need: &Need) -> Vec<BackendKey> {
+/// Returns the one of two engines drawn at random that decodes fewer streams.
+fn least_streams(core: &mut Core, candidates: &[BackendKey]) -> Option<BackendKey> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let one = candidates[core.rng.random_range(0..candidates.len())];
+    let two = candidates[core.rng.random_range(0..candidates.len())];
+    let streams = |key: BackendKey| core.fleet.arena[key].streams;
+    Some(if streams(two) < streams(one) {
+        two
+    } else {
+        one
+    })
+}
+
+/// Returns the engines of one role that take this request.
+fn candidates(core: &Core, need: &Need, role: Role) -> Vec<BackendKey> {
     let fleet = &core.fleet;
     let mut keys: Vec<BackendKey> = fleet
         .serving(&need.model)
         .flat_map(|pool| pool.engines.iter().copied())
         .filter(|&key| {
             let engine = &fleet.arena[key];
-            engine.takes(core.now) && engine.role != Role::Decode && !need.avoid.contains(&key)
+            engine.takes(core.now) && engine.role == role && !need.avoid.contains(&key)
         })
         .collect();
     keys.sort_unstable();
--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -49,7 +49,17 @@
         Some(_) => Vec::new(),
         None => node.pieces(open.request),
     };
-    let body = completion.body(open.priority, &done, open.delivered);
+    let body = |kv| completion.body(open.priority, &done, open.delivered, kv);
+    let body = match open.prefill {
+        None => body(None),
+        Some(source) => {
+            let done = backend::prefill(&node.backends, source, body(None), &open.label).await;
+            match done {
+                Ok(prefilled) => body(Some((source, &prefilled.kv))),
+                Err(err) => return unopened(attempt, &err, open.resume),
+            }
+        }
+    };
     let path = completion.form.path();
     let priority = i64::from(open.priority);
     let opened = backend::open(
--- a/src/host/completion.rs
+++ b/src/host/completion.rs
@@ -1,5 +1,7 @@
 //! Completions: what a caller's body asks for, what an engine is sent, what a caller gets back.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use serde_json::{Map, Value, json};
 
@@ -168,9 +170,15 @@
 
 impl Completion {
     /// Returns the body for an engine that goes on after `tokens` tokens, the text of which is in
-    /// the pieces `done`.
+    /// the pieces `done`; with `kv`, it takes the KV cache of the prompt from there.
     #[must_use]
-    pub fn body(&self, priority: u8, done: &[Bytes], tokens: u64) -> Bytes {
+    pub fn body(
+        &self,
+        priority: u8,
+        done: &[Bytes],
+        tokens: u64,
+        kv: Option<(SocketAddr, &str)>,
+    ) -> Bytes {
         let mut body = self.body.clone();
         body.insert("priority".into(), json!(priority));
         if !done.is_empty() {
@@ -180,6 +188,12 @@
                 json!({"text": text, "tokens": tokens}),
             );
         }
+        if let Some((source, handle)) = kv {
+            body.insert(
+                "kv_transfer".into(),
+                json!({"source": source.to_string(), "handle": handle}),
+            );
+        }
         Value::Object(body).to_string().into()
     }
 
