Add a harness that runs several cores under a seeded schedule

Cause: promises about several hosts had no test below whole processes, where a schedule of lost, late, repeated and reordered messages cannot be chosen. Change: World feeds events to cores and puts their effects on their way through one bag ordered by due time; FakeStore does compare-and-swap, leases, watched keys, refusals and lost answers; hosts are killed, restarted under their names, frozen and cut off one way.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -20,6 +20,8 @@
 pub mod route;
 pub mod share;
 pub mod stop;
+#[cfg(test)]
+mod tests;
 pub mod time;
 pub mod trace;
 
--- a/src/core/once.rs
+++ b/src/core/once.rs
@@ -114,6 +114,12 @@
 }
 
 impl Once {
+    /// Returns how many shards are held in memory.
+    #[must_use]
+    pub fn loaded(&self) -> usize {
+        self.shards.len()
+    }
+
     /// Returns whether no record is on its way.
     #[must_use]
     pub fn idle(&self) -> bool {
@@ -125,7 +131,7 @@
     }
 }
 
-fn shard_of(customer: &str, key: &str) -> ShardKey {
+pub(super) fn shard_of(customer: &str, key: &str) -> ShardKey {
     let hash = blake3::hash(format!("{customer}\n{key}").as_bytes());
     let bytes = hash.as_bytes();
     ShardKey(u16::from_le_bytes([bytes[0], bytes[1]]) % SHARDS)
--- /dev/null
+++ b/src/core/tests/mod.rs
@@ -0,0 +1,504 @@
+//! Several cores under a seeded schedule: messages, calls of the key-value service and calls of
+//! services are delivered late, twice, out of order or not at all.
+//!
+//! Everything that is on its way lies in one bag, ordered by the time it falls due. The same seed
+//! gives the same run.
+
+mod once;
+#[expect(dead_code, reason = "each subject uses its part of the fake")]
+mod store;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::effect::Refusal;
+use super::event::{
+    Arrival, Break, Entry, EntryKind, FleetEvent, PeerEvent, Print, RequestEvent, ServiceWant,
+    StoreEvent, Stored, Want,
+};
+use super::key::{AttemptKey, HostKey, RequestKey};
+use super::message::Message;
+use super::{Core, Effect, Effects, Event, Time, config};
+use crate::error::Ran;
+use crate::lists::KeyHash;
+use crate::settings::Settings;
+
+pub use store::FakeStore;
+
+/// Customer of every request.
+pub const CUSTOMER: &str = "Ærø";
+const CUSTOMER_KEY: &str = "key";
+/// Service of every call.
+pub const SERVICE: &str = "fristportal";
+/// Wall clock at time zero, in milliseconds since the Unix epoch.
+const EPOCH: u64 = 1_700_000_000_000;
+/// Life of a host's registration.
+const LEASE: Duration = Duration::from_secs(2);
+
+/// What goes wrong on the way, in parts of one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Odds {
+    /// Messages between hosts that never arrive.
+    pub drop: f64,
+    /// Messages between hosts that arrive twice.
+    pub twice: f64,
+    /// Calls of the key-value service whose answer is lost.
+    pub lose: f64,
+    /// Calls of the service whose answer is lost.
+    pub cut: f64,
+    /// Calls that the service refuses before it runs them.
+    pub refuse: f64,
+}
+
+/// What a caller got.
+#[derive(Debug, Clone)]
+pub enum Got {
+    Reply(Stored),
+    Refused(Refusal),
+}
+
+/// A call as its caller sees it.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    pub key: Box<str>,
+    pub id: Box<str>,
+    pub got: Option<Got>,
+}
+
+/// A host: its core, and what its process would hold.
+#[derive(Debug)]
+pub struct Host {
+    pub name: Box<str>,
+    pub core: Core,
+    pub frozen: bool,
+    pub dead: bool,
+    /// Number of the process under this name.
+    life: u64,
+    peers: BTreeMap<HostKey, Box<str>>,
+    calls: BTreeMap<RequestKey, usize>,
+    held: Vec<Event>,
+    /// When the last watched change reached it, so that changes stay in order.
+    watched: Time,
+}
+
+/// Something on its way.
+#[derive(Debug, Clone)]
+enum Due {
+    /// An event for a host, in this life.
+    Event(usize, u64, Box<Event>),
+    /// A call of the key-value service.
+    Store(usize, u64, Box<Effect>),
+    /// A call of the service.
+    Call(Called),
+}
+
+#[derive(Debug, Clone)]
+struct Called {
+    host: usize,
+    life: u64,
+    attempt: AttemptKey,
+    key: Box<str>,
+    id: Box<str>,
+}
+
+/// The hosts and everything around them.
+#[derive(Debug)]
+pub struct World {
+    pub now: Time,
+    pub rng: SmallRng,
+    pub odds: Odds,
+    pub hosts: Vec<Host>,
+    pub store: FakeStore,
+    pub sent: Vec<Sent>,
+    /// Runs of the service by idempotency key.
+    pub runs: BTreeMap<Box<str>, u32>,
+    /// Runs of the service by request id.
+    pub ran: BTreeMap<Box<str>, u32>,
+    /// Effects that nothing here carries out, for tests to read.
+    pub other: Vec<(usize, Effect)>,
+    /// Time the service takes.
+    pub work: Duration,
+    /// Pairs of hosts: nothing passes from the first to the second.
+    pub cut: Vec<(usize, usize)>,
+    bag: BTreeMap<(Time, u64), Due>,
+    count: u64,
+}
+
+fn settings(name: &str) -> Settings {
+    let text = format!(
+        "[host]\nname = {name}\nregion = r\ndomain = d-{name}\ncallers = 127.0.0.1:1\n\
+         operators = 127.0.0.1:2\npeers = 127.0.0.1:3\nsecret = sixteen-bytes-ok\n\
+         operator-key-hash = af1349b9f5f9a1a6a0404dea36dcc9499bcb25c9adc112b7cc9a93cae41f3262\n\
+         [platform]\nkv = 127.0.0.1:4\nlist = 127.0.0.1:4\nlease = {}s\n\
+         [pool raadgiver]\nmodel = raadgiver\nfencing = checks\n[service {SERVICE}]\n",
+        LEASE.as_secs()
+    );
+    Settings::parse(&text, "test").expect("the settings are right")
+}
+
+#[expect(dead_code, reason = "each subject uses its part of the harness")]
+impl World {
+    /// Starts `count` hosts and runs until they know each other.
+    pub fn new(count: usize, seed: u64) -> Self {
+        let mut world = Self {
+            now: Time::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            odds: Odds::default(),
+            hosts: Vec::new(),
+            store: FakeStore::default(),
+            sent: Vec::new(),
+            runs: BTreeMap::new(),
+            ran: BTreeMap::new(),
+            other: Vec::new(),
+            work: Duration::from_millis(20),
+            cut: Vec::new(),
+            bag: BTreeMap::new(),
+            count: 0,
+        };
+        for at in 0..count {
+            let name = format!("host-{at}");
+            world.hosts.push(Host {
+                core: Core::new(settings(&name), world.now, EPOCH, seed),
+                name: name.into(),
+                frozen: false,
+                dead: false,
+                life: 0,
+                peers: BTreeMap::new(),
+                calls: BTreeMap::new(),
+                held: Vec::new(),
+                watched: Time::default(),
+            });
+            world.boot(at);
+        }
+        world.run(Duration::from_secs(2));
+        world
+    }
+
+    /// Starts a host's process anew, under the same name and with nothing kept.
+    pub fn restart(&mut self, at: usize) {
+        let seed = self.rng.random();
+        let host = &mut self.hosts[at];
+        host.core = Core::new(settings(&host.name), self.now, EPOCH, seed);
+        host.life += 1;
+        host.dead = false;
+        host.frozen = false;
+        host.peers.clear();
+        host.calls.clear();
+        host.held.clear();
+        host.watched = self.now;
+        self.boot(at);
+    }
+
+    /// Ends a host's process; what it sent before is still on its way.
+    pub fn kill(&mut self, at: usize) {
+        self.hosts[at].dead = true;
+        self.hosts[at].life += 1;
+    }
+
+    /// Suspends a host's process.
+    pub fn freeze(&mut self, at: usize) {
+        self.hosts[at].frozen = true;
+    }
+
+    /// Lets a suspended process go on; what came meanwhile is taken in at once, in order.
+    pub fn thaw(&mut self, at: usize) {
+        self.hosts[at].frozen = false;
+        for event in std::mem::take(&mut self.hosts[at].held) {
+            self.feed(at, event);
+        }
+    }
+
+    /// Begins or ends an outage of the key-value service.
+    pub fn outage(&mut self, down: bool) {
+        self.store.down = down;
+        for at in 0..self.hosts.len() {
+            if down {
+                self.post(
+                    at,
+                    Event::Store(StoreEvent::Health(super::event::Health::Down)),
+                );
+            } else {
+                self.open_watch(at);
+            }
+        }
+    }
+
+    fn boot(&mut self, at: usize) {
+        let plans = format!(
+            "[customer {CUSTOMER}]\nplan = p\nkeys = {}\n",
+            KeyHash::of(CUSTOMER_KEY)
+        );
+        let uses = format!(
+            "[plan p]\nmodels = raadgiver\nservices = {SERVICE}\n\
+             [service {SERVICE}]\nrepeat = GET *\nonce = POST *\n"
+        );
+        self.feed(at, Event::Start);
+        let mut out = Effects::new();
+        config::told(&mut self.hosts[at].core, 1, &plans, &uses, &mut out);
+        self.carry_all(at, out);
+        let entries = (1..=2).map(|number| Entry {
+            name: format!("{SERVICE}-{number}").into(),
+            kind: EntryKind::Service,
+            pool: SERVICE.into(),
+            addr: ([127, 0, 0, 1], 100 + number).into(),
+            domain: "d".into(),
+            leaving: false,
+        });
+        self.feed(at, Event::Fleet(FleetEvent::Listed(entries.collect())));
+        if !self.store.down {
+            self.open_watch(at);
+        }
+    }
+
+    fn open_watch(&mut self, at: usize) {
+        let pairs = self.store.watched();
+        self.post(
+            at,
+            Event::Store(StoreEvent::Health(super::event::Health::Up)),
+        );
+        self.post(at, Event::Store(StoreEvent::Watched(pairs)));
+    }
+
+    /// Puts an event on its way to a host, after everything watched that is on its way there.
+    fn post(&mut self, at: usize, event: Event) {
+        let due = self.soon().max(self.hosts[at].watched);
+        self.hosts[at].watched = due;
+        let life = self.hosts[at].life;
+        self.put(due, Due::Event(at, life, Box::new(event)));
+    }
+
+    fn soon(&mut self) -> Time {
+        let micros = self.rng.random_range(200..4000);
+        self.now.after(Duration::from_micros(micros))
+    }
+
+    fn put(&mut self, due: Time, what: Due) {
+        self.count += 1;
+        self.bag.insert((due, self.count), what);
+    }
+
+    /// Sends a call that may not repeat to a host; returns its number.
+    pub fn call(&mut self, at: usize, key: &str, body: u8) -> usize {
+        let tag = self.sent.len();
+        self.sent.push(Sent {
+            key: key.into(),
+            id: "".into(),
+            got: None,
+        });
+        let arrival = Arrival {
+            tag: tag as u64,
+            caller: KeyHash::of(CUSTOMER_KEY),
+            want: Want::Service(ServiceWant {
+                service: SERVICE.into(),
+                method: "POST".into(),
+                path: "/extensions".into(),
+            }),
+            idem: Some(key.into()),
+            print: Print([body; 16]),
+        };
+        let event = RequestEvent::Arrived(Box::new(arrival));
+        if !self.hosts[at].dead {
+            self.feed(at, Event::Request(event));
+        }
+        tag
+    }
+
+    /// Runs until `span` has passed.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now.after(span);
+        while let Some((&(due, number), _)) = self.bag.first_key_value() {
+            if due > end {
+                break;
+            }
+            let what = self.bag.remove(&(due, number)).expect("it was there");
+            self.now = self.now.max(due);
+            self.happen(what);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, what: Due) {
+        match what {
+            Due::Event(at, life, event) => {
+                if self.hosts[at].life == life && !self.hosts[at].dead {
+                    self.feed(at, *event);
+                }
+            }
+            Due::Store(at, life, effect) => self.store_call(at, life, *effect),
+            Due::Call(called) => self.service(called),
+        }
+        for pair in self.store.changes(self.now) {
+            for at in 0..self.hosts.len() {
+                if !self.store.down {
+                    self.post(at, Event::Store(StoreEvent::Watched(vec![pair.clone()])));
+                }
+            }
+        }
+    }
+
+    /// Feeds an event to a host and puts what follows on its way.
+    pub fn feed(&mut self, at: usize, event: Event) {
+        if self.hosts[at].frozen {
+            self.hosts[at].held.push(event);
+            return;
+        }
+        let mut out = Effects::new();
+        self.hosts[at].core.reduce(self.now, event, &mut out);
+        self.carry_all(at, out);
+    }
+
+    fn carry_all(&mut self, at: usize, out: Effects) {
+        for effect in out {
+            self.carry(at, effect);
+        }
+    }
+
+    fn carry(&mut self, at: usize, effect: Effect) {
+        let life = self.hosts[at].life;
+        match effect {
+            Effect::Opened { tag, request, id } => {
+                let tag = usize::try_from(tag).expect("a small number");
+                self.sent[tag].id = id;
+                self.hosts[at].calls.insert(request, tag);
+            }
+            Effect::Reply {
+                request, result, ..
+            } => self.got(at, request, &Got::Reply(result)),
+            Effect::Refuse { request, refusal } => self.got(at, request, &Got::Refused(refusal)),
+            Effect::Wake { at: due, timer } => {
+                self.put(due, Due::Event(at, life, Box::new(Event::Timer(timer))));
+            }
+            Effect::Peer { host, name, .. } => {
+                self.hosts[at].peers.insert(host, name);
+            }
+            Effect::Unpeer(host) => {
+                self.hosts[at].peers.remove(&host);
+            }
+            Effect::Send { to, message } => self.message(at, to, &message),
+            Effect::Read { .. }
+            | Effect::Txn { .. }
+            | Effect::Grant { .. }
+            | Effect::Renew { .. }
+            | Effect::Revoke(_) => {
+                let due = self.soon();
+                self.put(due, Due::Store(at, life, Box::new(effect)));
+            }
+            Effect::Call {
+                request, attempt, ..
+            } => {
+                let call = &self.sent[self.hosts[at].calls[&request]];
+                let (key, id) = (call.key.clone(), call.id.clone());
+                let called = Called {
+                    host: at,
+                    life,
+                    attempt,
+                    key,
+                    id,
+                };
+                let due = self.soon();
+                self.put(due, Due::Call(called));
+            }
+            Effect::Meter(_) | Effect::Log(_) | Effect::List | Effect::Load { .. } => {}
+            other => self.other.push((at, other)),
+        }
+    }
+
+    fn got(&mut self, at: usize, request: RequestKey, got: &Got) {
+        if let Some(tag) = self.hosts[at].calls.get(&request) {
+            self.sent[*tag].got = Some(got.clone());
+        }
+    }
+
+    fn message(&mut self, at: usize, to: HostKey, message: &Message) {
+        let name = self.hosts[at].peers.get(&to);
+        let Some(target) = self.hosts.iter().position(|host| Some(&host.name) == name) else {
+            return;
+        };
+        if self.cut.contains(&(at, target)) {
+            return;
+        }
+        let from = self.hosts[at].name.clone();
+        let life = self.hosts[target].life;
+        let copies = u8::from(!self.rng.random_bool(self.odds.drop))
+            + u8::from(self.rng.random_bool(self.odds.twice));
+        for _ in 0..copies {
+            let due = self.soon();
+            let event = Event::Peer(PeerEvent::Message {
+                from: from.clone(),
+                message: message.clone(),
+            });
+            self.put(due, Due::Event(target, life, Box::new(event)));
+        }
+    }
+
+    fn store_call(&mut self, at: usize, life: u64, effect: Effect) {
+        let write = matches!(effect, Effect::Txn { .. });
+        let lost = self.rng.random_bool(self.odds.lose);
+        let Some(mut reply) = self.store.carry(self.now, effect) else {
+            return;
+        };
+        if lost || write && self.store.lose(reply.job) {
+            reply.result = super::event::StoreResult::Unknown;
+        }
+        let due = self.soon();
+        let event = Event::Store(StoreEvent::Reply(reply));
+        self.put(due, Due::Event(at, life, Box::new(event)));
+    }
+
+    fn service(&mut self, called: Called) {
+        let attempt = called.attempt;
+        let broke = |ran, end| RequestEvent::Broke {
+            attempt,
+            ran,
+            end,
+            detail: "on purpose".into(),
+        };
+        let event = if self.rng.random_bool(self.odds.refuse) {
+            broke(Ran::No, Break::Refused)
+        } else {
+            *self.runs.entry(called.key.clone()).or_default() += 1;
+            *self.ran.entry(called.id).or_default() += 1;
+            if self.rng.random_bool(self.odds.cut) {
+                broke(Ran::Unknown, Break::Cut)
+            } else {
+                RequestEvent::Answered {
+                    attempt,
+                    result: Stored {
+                        status: 200,
+                        media: "text/plain".into(),
+                        body: called.key.as_bytes().into(),
+                    },
+                }
+            }
+        };
+        let due = self.soon().after(self.work);
+        let event = Event::Request(event);
+        self.put(due, Due::Event(called.host, called.life, Box::new(event)));
+    }
+
+    /// Fails unless what every caller was told is true and no key ran twice.
+    pub fn check(&self, what: &str) {
+        for (key, runs) in &self.runs {
+            assert!(*runs <= 1, "{what}: {key} ran {runs} times");
+        }
+        for sent in &self.sent {
+            let ran = self.ran.contains_key(&sent.id);
+            match &sent.got {
+                Some(Got::Refused(refusal)) if refusal.ran == Ran::No => {
+                    assert!(!ran, "{what}: {} ran and was told that it did not", sent.id);
+                }
+                Some(Got::Reply(result)) => {
+                    assert_eq!(
+                        *result.body,
+                        *sent.key.as_bytes(),
+                        "{what}: another's answer"
+                    );
+                }
+                _ => {}
+            }
+        }
+    }
+}
