Give each pool one holder, and planned changes their steps

Cause: nobody could order an engine; order.rs was an empty frame.

A host that slept past its lease takes no new work until it sees its registration anew; the cut-off bound runs from the last word of the key-value service and is never under a lease's life.

Outside this subject: event.rs (report fields, probe), effect.rs (probe), host/backends.rs and host/node.rs (both carried out), member.rs (cut-off, woke, joined, left), mod.rs.

Ruled out: a fencing number kept in the leased key alone, for it vanishes with the lease and the next number would repeat.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -122,6 +122,8 @@
     },
     /// Give an order to an engine.
     Order(Order),
+    /// Try to connect, to see whether a process listens there.
+    Probe(SocketAddr),
     /// Ask for a timer event.
     Wake {
         /// When.
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -276,6 +276,13 @@
         /// The report; `None` when the back end did not answer.
         report: Option<Report>,
     },
+    /// A try to connect ended.
+    Probed {
+        /// Where.
+        addr: SocketAddr,
+        /// What it met.
+        probe: Probe,
+    },
     /// An order was answered.
     Ordered {
         /// Name of the engine.
@@ -289,6 +296,15 @@
     },
 }
 
+/// What a try to connect met.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Probe {
+    /// No process listens there.
+    Refused,
+    /// A process listens there, or nothing is known.
+    Open,
+}
+
 /// What came of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ordered {
@@ -342,6 +358,25 @@
     Decode,
 }
 
+impl Role {
+    /// Returns the role's name in protocols and documents.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Both => "both",
+            Self::Prefill => "prefill",
+            Self::Decode => "decode",
+        }
+    }
+
+    /// Returns the role of that name.
+    #[must_use]
+    pub fn from_word(word: &str) -> Option<Self> {
+        let all = [Self::Both, Self::Prefill, Self::Decode];
+        all.into_iter().find(|role| role.word() == word)
+    }
+}
+
 /// An engine's load, late by some unknown time.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Report {
@@ -355,6 +390,12 @@
     pub role: Role,
     /// Age that the engine gives for its figures, in milliseconds.
     pub age: u32,
+    /// Whether a change is under way there.
+    pub changing: bool,
+    /// Highest fencing number it has seen; 0 for none.
+    pub fence: u64,
+    /// Highest order number it has seen with that fencing number; 0 for none.
+    pub order: u64,
 }
 
 /// Something an operator asks.
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -95,8 +95,12 @@
     pub pools: Vec<Pool>,
     /// Service instances by service name.
     pub services: BTreeMap<Box<str>, Vec<BackendKey>>,
+    /// Hosts that the platform's list names.
+    pub hosts: BTreeSet<Box<str>>,
     /// Hosts that the platform's list calls leaving.
     pub leaving: BTreeSet<Box<str>>,
+    /// Prompt and output tokens sent to each pool since its holder was last told.
+    pub taken: BTreeMap<Box<str>, (u64, u64)>,
 }
 
 impl Fleet {
@@ -114,7 +118,9 @@
             names: BTreeMap::new(),
             pools: pools.collect(),
             services: services.map(|name| (name, Vec::new())).collect(),
+            hosts: BTreeSet::new(),
             leaving: BTreeSet::new(),
+            taken: BTreeMap::new(),
         }
     }
 
@@ -144,6 +150,11 @@
             backend.streams += 1;
             backend.prefill += prompt;
             backend.decode += output;
+            if backend.kind == EntryKind::Engine {
+                let taken = self.taken.entry(backend.pool.clone()).or_default();
+                taken.0 += prompt;
+                taken.1 += output;
+            }
         }
     }
 
@@ -235,6 +246,7 @@
                 core.fleet.arena[key].report = Some((core.now, report));
             }
         }
+        FleetEvent::Probed { addr, probe } => order::probed(core, addr, probe),
         FleetEvent::Ordered {
             name,
             fence,
@@ -249,8 +261,10 @@
     let fleet = &mut core.fleet;
     let mut gone: BTreeSet<Box<str>> = fleet.names.keys().cloned().collect();
     fleet.leaving.clear();
+    fleet.hosts.clear();
     for entry in entries {
         if entry.kind == EntryKind::Host {
+            fleet.hosts.insert(entry.name.clone());
             if entry.leaving {
                 fleet.leaving.insert(entry.name);
             }
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -65,6 +65,8 @@
     pub settled: Time,
     /// Whether this host stands among the registered hosts.
     pub registered: bool,
+    /// Whether this host has seen itself registered since it started or last slept.
+    pub proven: bool,
     /// Lease of the registration; 0 for none.
     lease: i64,
     tries: u64,
@@ -86,6 +88,7 @@
             view: 0,
             settled: Time::default(),
             registered: false,
+            proven: false,
             lease: 0,
             tries: 0,
             store: Health::Down,
@@ -195,11 +198,13 @@
 /// may count it out.
 #[must_use]
 pub fn cut_off(core: &Core) -> bool {
-    let bound = core.settings.limits.cut_off;
+    let bound = cut_off_bound(core);
     let members = &core.members;
-    let store = members.store_heard;
     let recent = |heard: Option<Time>| heard.is_some_and(|at| core.now.since(at) < bound);
-    if members.store == Health::Up || recent(store) {
+    if !members.proven {
+        return true;
+    }
+    if recent(members.store_heard) {
         return false;
     }
     let peers = members.names.len();
@@ -210,6 +215,33 @@
     peers == 0 || heard * 2 < peers
 }
 
+/// Returns the time without store and peers after which a host takes no new work.
+///
+/// Not under the life of a lease: renewals, which show that the service answers, come thrice in
+/// that time.
+#[must_use]
+pub fn cut_off_bound(core: &Core) -> Duration {
+    let settings = &core.settings;
+    settings.limits.cut_off.max(settings.platform.lease)
+}
+
+/// Notes that this process did nothing for a while.
+///
+/// A process that slept past its lease may have been counted out, and what waits in its sockets
+/// is from before: a watch that tells of the past and beats that sound fresh. It takes no new
+/// work until the key-value service shows its registration anew, and with it all that came
+/// before. The renewal that is due by now asks for that.
+pub fn woke(core: &mut Core, gap: Duration, out: &mut Effects) {
+    if gap < core.settings.platform.lease || !core.members.proven {
+        return;
+    }
+    core.members.proven = false;
+    core.members.registered = false;
+    core.members.store_heard = None;
+    let text = format!("nothing happened here for {} ms", gap.as_millis());
+    out.push(log_event(log::Level::Warn, "host.woke", text));
+}
+
 /// Starts beats and registration.
 pub fn start(core: &mut Core, out: &mut Effects) {
     wake(core, Timer::Beat, BEAT_EVERY, out);
@@ -283,6 +315,9 @@
 
 /// Goes on with the registration when the key-value service has answered.
 pub fn reply(core: &mut Core, reply: &StoreReply, out: &mut Effects) {
+    if matches!(reply.result, StoreResult::Lease(_) | StoreResult::Txn(_)) {
+        core.members.store_heard = Some(core.now);
+    }
     match reply.result {
         StoreResult::Lease(0) => {
             core.members.lease = 0;
@@ -336,6 +371,7 @@
     if *name == *core.members.name {
         let incarnation = core.members.incarnation;
         core.members.registered = entry.is_some_and(|entry| entry.incarnation == incarnation);
+        core.members.proven |= core.members.registered;
         core.members.changed(core.now);
         return;
     }
@@ -361,12 +397,14 @@
     out.push(log_event(log::Level::Info, "host.joined", text));
     let host = core.members.arena.insert(entry);
     core.members.names.insert(name.clone(), host);
+    order::joined(core, &name);
     out.push(Effect::Peer { host, name, addr });
 }
 
 fn left(core: &mut Core, name: &str, out: &mut Effects) {
     if let Some(key) = core.members.names.remove(name) {
         core.members.arena.remove(key);
+        order::left(core, name);
         let text = format!("host {name} left");
         out.push(log_event(log::Level::Info, "host.left", text));
         out.push(Effect::Unpeer(key));
@@ -402,10 +440,9 @@
         ));
     }
     core.members.store = health;
-    core.members.store_heard = match health {
-        Health::Up => Some(core.now),
-        Health::Down => core.members.store_heard.map(|_| core.now),
-    };
+    if health == Health::Up {
+        core.members.store_heard = Some(core.now);
+    }
     once::health(core, health, out);
     order::health(core, health, out);
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -80,6 +80,7 @@
             members: member::Members::new(&settings.host, incarnation),
             traces: trace::Traces::new(&settings.host, incarnation),
             fleet: fleet::Fleet::new(&settings),
+            orders: order::Orders::new(&settings),
             settings,
             now,
             epoch,
@@ -88,7 +89,6 @@
             requests: request::Requests::default(),
             shares: share::Shares::default(),
             once: once::Once::default(),
-            orders: order::Orders,
             killers: killer::Killers::default(),
             stop: stop::Stop::default(),
         }
@@ -102,8 +102,10 @@
 
     /// Takes in one event and appends its effects to `out`.
     pub fn reduce(&mut self, at: Time, event: Event, out: &mut Effects) {
+        let gap = at.since(self.now);
         // Time never runs backwards here, whatever order adapters read the clock in.
         self.now = self.now.max(at);
+        member::woke(self, gap, out);
         match event {
             Event::Start => self.start(out),
             Event::Request(event) => request::step(self, event, out),
--- /dev/null
+++ b/src/core/order/change.rs
@@ -0,0 +1,556 @@
+//! A planned change of an engine: withdrawn, free of work, ordered, back to work.
+//!
+//! Nothing here is forced. While hosts have streams on the engine, or a host does not confirm the
+//! withdrawal, no order goes out; after a bound the change is called off and the engine works on.
+//! Only once an order is recorded must the engine get to what was intended, for the order may
+//! reach it at any time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::drain::{self, Word};
+use super::intent::{self, Call, Intent, Intents};
+use super::route::{self, Place, Route};
+use super::{DEMAND_AGE, name, suspect};
+use crate::core::effect::{Action, Effect, Meter, Order, log_event};
+use crate::core::event::{Ordered, Role};
+use crate::core::fleet::{Backend, Standing};
+use crate::core::key::PoolKey;
+use crate::core::role::{Engine, Memory, View};
+use crate::core::{Core, Effects, Time};
+
+/// Time every host has to confirm a withdrawal before the change is called off.
+const CONFIRM_TIME: Duration = Duration::from_secs(5);
+/// Time between two sendings of an order.
+const RESEND: Duration = Duration::from_secs(1);
+/// Sendings of an order that was answered and did not come into force, before it is given up.
+const TRIES: u32 = 3;
+/// Time between two decisions on a pool's roles.
+const DECIDE_EVERY: Duration = Duration::from_secs(1);
+/// Time an engine must report another role than routing assumes before routing follows it.
+///
+/// Longer than a report is old, so that a report from before a change does not undo it.
+const ODD_TIME: Duration = Duration::from_secs(3);
+
+/// What a pool's holder has under way.
+#[derive(Debug, Default)]
+pub struct Work {
+    /// Routing state as stored, with its revision there; `None` until it is read.
+    pub route: Option<(Route, i64)>,
+    /// Call about the routing state on its way.
+    pub(super) route_call: Option<route::Call>,
+    /// Intended orders as stored; `None` until they are read.
+    pub intents: Option<Intents>,
+    /// Call about intended orders on its way.
+    pub(super) intent_call: Option<Call>,
+    /// Nothing is sent to the key-value service before this time.
+    pub(super) next: Time,
+    /// The change under way.
+    pub change: Option<Change>,
+    /// Number of the last order under the present fencing number.
+    number: u64,
+    decided: Time,
+    memory: Memory,
+    /// Since when engines report another role than routing assumes.
+    odd: BTreeMap<Box<str>, Time>,
+}
+
+/// One engine's change.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    /// Name of the engine.
+    pub engine: Box<str>,
+    /// Its new role.
+    pub role: Role,
+    /// How far the change is.
+    pub step: Step,
+    /// Whether it can still be called off.
+    bound: Bound,
+    since: Time,
+    /// Since when no host has work there.
+    free: Option<Time>,
+    tries: u32,
+    /// The order is not sent again before this time.
+    resend: Time,
+}
+
+/// Whether a change can still be called off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Bound {
+    /// No order is recorded yet.
+    Open,
+    /// An order is recorded and may reach the engine.
+    Recorded,
+}
+
+/// How far a change is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// The engine is withdrawn and finishes its streams.
+    Drain,
+    /// The order is being recorded.
+    Record,
+    /// The order is to be sent.
+    Order,
+    /// The order is on its way.
+    Sent,
+    /// The order was answered at this time; the engine's report must show it.
+    Settle(Time),
+    /// The record is being taken away; then the engine serves in this role.
+    Close(Role),
+    /// The engine goes back to work in this role.
+    Restore(Role),
+}
+
+/// Goes on with the holder's work on a pool.
+pub(super) fn look(core: &mut Core, pool: PoolKey, out: &mut Effects) {
+    let now = core.now;
+    let work = &core.orders.desk(pool).work;
+    if now < work.next {
+        return;
+    }
+    if work.route.is_none() && work.route_call.is_none() {
+        route::read(core, pool, out);
+    }
+    let work = &core.orders.desk(pool).work;
+    if work.intents.is_none() && work.intent_call.is_none() {
+        intent::read(core, pool, out);
+    }
+    let work = &core.orders.desk(pool).work;
+    if work.route.is_none() || work.intents.is_none() {
+        return;
+    }
+    notice(core, pool);
+    if core.orders.desk(pool).work.change.is_none() {
+        let change = inherited(core, pool).or_else(|| decided(core, pool, out));
+        core.orders.desk_mut(pool).work.change = change;
+    }
+    if let Some(change) = core.orders.desk_mut(pool).work.change.take() {
+        let change = advance(core, pool, change, out);
+        core.orders.desk_mut(pool).work.change = change;
+    }
+    publish(core, pool, out);
+}
+
+/// Returns the change that an earlier holder's recorded order calls for.
+fn inherited(core: &Core, pool: PoolKey) -> Option<Change> {
+    let intents = core.orders.desk(pool).work.intents.as_ref()?;
+    let mut listed = intents
+        .iter()
+        .filter(|(engine, _)| core.fleet.find(engine).is_some());
+    let (engine, (intent, _)) = listed.next()?;
+    Some(Change::new(engine, intent.role, Bound::Recorded, core.now))
+}
+
+/// Returns the change that the demand calls for.
+fn decided(core: &mut Core, pool: PoolKey, out: &mut Effects) -> Option<Change> {
+    let now = core.now;
+    let at = usize::from(pool.0);
+    let work = &core.orders.desk(pool).work;
+    let due = now.since(work.decided) >= DECIDE_EVERY;
+    let split = core.fleet.pools[at].settings.split;
+    if !split || !due || !drain::settled(core) || !suspect::clear(core, pool) {
+        return None;
+    }
+    let engines = core.fleet.pools[at].engines.iter();
+    let engines: Vec<Engine> = engines
+        .map(|&key| engine_view(core, key, &core.fleet.arena[key]))
+        .collect();
+    let decide = core.orders.decide;
+    let settings = core.fleet.pools[at].settings.clone();
+    let desk = core.orders.desk_mut(pool);
+    desk.work.decided = now;
+    let fresh = desk
+        .demand
+        .values()
+        .filter(|(when, _)| now.since(*when) < DEMAND_AGE);
+    let (prompt, output) = fresh.fold((0.0, 0.0), |sum, (_, demand)| {
+        (sum.0 + demand.prompt, sum.1 + demand.output)
+    });
+    let view = View {
+        now,
+        settings: &settings,
+        engines: &engines,
+        prompt,
+        output,
+    };
+    let wish = decide(&view, &mut desk.work.memory)?;
+    let engine = core.fleet.arena.get(wish.engine)?;
+    if engine.role == wish.role || engine.listed != Standing::Serving {
+        return None;
+    }
+    let (name, role) = (engine.name.clone(), wish.role);
+    let text = format!("{name} is to become {}", role.word());
+    out.push(log_event(log::Level::Info, "change.begun", text));
+    Some(Change::new(&name, role, Bound::Open, now))
+}
+
+fn engine_view(core: &Core, key: crate::core::key::BackendKey, engine: &Backend) -> Engine {
+    let nominal = core.fleet.pool(&engine.pool).map_or(1.0, |pool| {
+        core.fleet.pools[usize::from(pool.0)].settings.prefill
+    });
+    let speed = if engine.pace > 0.0 {
+        1.0 / (engine.pace * nominal)
+    } else {
+        1.0
+    };
+    let reported = engine.report.as_ref().map_or(0, |(_, one)| one.running);
+    Engine {
+        key,
+        domain: engine.domain.clone(),
+        role: engine.role,
+        serving: engine.takes(core.now),
+        streams: engine.streams.max(reported),
+        speed,
+    }
+}
+
+impl Change {
+    fn new(engine: &str, role: Role, bound: Bound, now: Time) -> Self {
+        Self {
+            engine: engine.into(),
+            role,
+            step: Step::Drain,
+            bound,
+            since: now,
+            free: None,
+            tries: 0,
+            resend: now,
+        }
+    }
+
+    fn at(mut self, step: Step) -> Self {
+        self.step = step;
+        self
+    }
+}
+
+/// Takes a change as far as it goes now; `None` once it is over.
+fn advance(core: &mut Core, pool: PoolKey, change: Change, out: &mut Effects) -> Option<Change> {
+    // An engine that the list no longer names is nobody's concern; a recorded order is taken up
+    // again should it come back.
+    core.fleet.find(&change.engine)?;
+    match change.step {
+        Step::Drain => Some(drained(core, pool, change, out)),
+        Step::Record => Some(record(core, pool, change, out)),
+        Step::Order => Some(give(core, pool, change, out)),
+        Step::Sent => Some(change),
+        Step::Settle(at) => Some(settle(core, change, at)),
+        Step::Close(role) => Some(close(core, pool, change, role, out)),
+        Step::Restore(role) => {
+            let work = &core.orders.desk(pool).work;
+            let place = work.route.as_ref()?.0.place(&change.engine);
+            let serving = Standing::Serving;
+            let done = place
+                == Place {
+                    standing: serving,
+                    role,
+                };
+            (!done).then_some(change)
+        }
+    }
+}
+
+/// Waits until the engine has no work, or calls the change off.
+fn drained(core: &mut Core, pool: PoolKey, mut change: Change, out: &mut Effects) -> Change {
+    let now = core.now;
+    let desk = core.orders.desk_mut(pool);
+    let Some((route, modified)) = &desk.work.route else {
+        return change;
+    };
+    let revision = route.revision;
+    let withdrawn = route.place(&change.engine).standing == Standing::Withdrawn;
+    // Only when this host's own watch shows the withdrawal does it know every host that
+    // registered before it; a host that registers later starts from it.
+    let word = if !withdrawn || desk.applied.modified < *modified {
+        Word::Missing
+    } else if desk.applied.modified > *modified {
+        // Nobody else writes it, so what was read is from before this host became the holder.
+        desk.work.route = None;
+        Word::Missing
+    } else {
+        drain::word(core, pool, &change.engine, revision)
+    };
+    if word != Word::Free {
+        change.free = None;
+        return if change.bound == Bound::Open {
+            call_off(core, pool, change, word, out)
+        } else {
+            change
+        };
+    }
+    let free = *change.free.get_or_insert(now);
+    let idle = drain::report(core, &change.engine).is_some_and(|(at, report)| {
+        at > free.millis() && report.running == 0 && report.waiting == 0
+    });
+    if idle && suspect::clear(core, pool) {
+        return change.at(Step::Record);
+    }
+    if change.bound == Bound::Open && now.since(change.since) >= core.settings.limits.drain {
+        return call_off(core, pool, change, word, out);
+    }
+    change
+}
+
+/// Puts the engine back to work where the change has taken too long.
+fn call_off(
+    core: &mut Core,
+    pool: PoolKey,
+    change: Change,
+    word: Word,
+    out: &mut Effects,
+) -> Change {
+    let waited = core.now.since(change.since);
+    let (bound, why) = match word {
+        Word::Missing => (CONFIRM_TIME, "a host did not confirm the withdrawal"),
+        Word::Busy => (core.settings.limits.drain, "streams outlasted the drain"),
+        Word::Free => (
+            core.settings.limits.drain,
+            "its report does not show it idle",
+        ),
+    };
+    let leaving = core.fleet.find(&change.engine);
+    let leaving = leaving.is_some_and(|key| core.fleet.arena[key].listed != Standing::Serving);
+    if waited < bound.min(core.settings.limits.drain) && !leaving {
+        return change;
+    }
+    let why = if leaving { "it is leaving" } else { why };
+    let text = format!("the change of {} is called off: {why}", change.engine);
+    out.push(log_event(log::Level::Warn, "change.called_off", text));
+    let stored = core.orders.desk(pool).work.route.as_ref();
+    let role = stored.map_or(Role::Both, |(route, _)| route.place(&change.engine).role);
+    change.at(Step::Restore(role))
+}
+
+/// Records the order as the engine's one intended order.
+fn record(core: &mut Core, pool: PoolKey, mut change: Change, out: &mut Effects) -> Change {
+    change.bound = Bound::Recorded;
+    let desk = core.orders.desk_mut(pool);
+    let fence = desk.hold.fence;
+    let known = desk
+        .work
+        .intents
+        .as_ref()
+        .and_then(|all| all.get(&change.engine));
+    if known.is_some_and(|(intent, _)| intent.fence == fence) {
+        return change.at(Step::Order);
+    }
+    if desk.work.intent_call.is_some() {
+        return change;
+    }
+    desk.work.number += 1;
+    let intent = Intent {
+        fence,
+        order: desk.work.number,
+        role: change.role,
+    };
+    let call = Call::Put(change.engine.clone(), intent);
+    intent::write(core, pool, call, out);
+    change
+}
+
+/// Sends the order, provided that the engine is still free of work.
+fn give(core: &mut Core, pool: PoolKey, mut change: Change, out: &mut Effects) -> Change {
+    let now = core.now;
+    let desk = core.orders.desk(pool);
+    let intents = desk.work.intents.as_ref();
+    let Some((intent, _)) = intents.and_then(|all| all.get(&change.engine)).copied() else {
+        return change.at(Step::Record);
+    };
+    if now < change.resend {
+        return change;
+    }
+    let seen = drain::report(core, &change.engine);
+    if seen.is_some_and(|(_, r)| (r.fence, r.order) == (intent.fence, intent.order)) {
+        return change.at(Step::Settle(now));
+    }
+    let revision = desk
+        .work
+        .route
+        .as_ref()
+        .map_or(0, |(route, _)| route.revision);
+    if !suspect::clear(core, pool)
+        || drain::word(core, pool, &change.engine, revision) != Word::Free
+    {
+        change.free = None;
+        return change.at(Step::Drain);
+    }
+    let Some(key) = core.fleet.find(&change.engine) else {
+        return change;
+    };
+    let order = Order {
+        engine: change.engine.clone(),
+        addr: core.fleet.arena[key].addr,
+        fence: intent.fence,
+        order: intent.order,
+        holder: core.members.name.clone(),
+        action: Action::Role(change.role),
+        until: desk.hold.until,
+    };
+    let text = format!(
+        "{} is ordered to become {} by order {}.{}",
+        order.engine,
+        change.role.word(),
+        order.fence,
+        order.order
+    );
+    out.push(log_event(log::Level::Info, "change.ordered", text));
+    let pool_name = name(core, pool);
+    out.push(Effect::Meter(Meter::Ordered { pool: pool_name }));
+    out.push(Effect::Order(order));
+    core.orders.desk_mut(pool).hold.flies();
+    change.resend = now.after(RESEND);
+    change.at(Step::Sent)
+}
+
+/// Takes in an order's answer.
+pub(super) fn ordered(
+    core: &mut Core,
+    pool: PoolKey,
+    engine: &str,
+    number: (u64, u64),
+    result: Ordered,
+    out: &mut Effects,
+) {
+    let now = core.now;
+    let reported = drain::report(core, engine).map(|(_, report)| report.role);
+    let work = &mut core.orders.desk_mut(pool).work;
+    let intents = work.intents.as_ref().and_then(|all| all.get(engine));
+    let current = intents.is_some_and(|(one, _)| (one.fence, one.order) == number);
+    let Some(change) = work
+        .change
+        .as_mut()
+        .filter(|change| current && *change.engine == *engine && change.step == Step::Sent)
+    else {
+        return;
+    };
+    change.step = match result {
+        Ordered::Done => Step::Settle(now),
+        // The same order again: an engine that has carried it out knows it, and to one that
+        // takes any order it says the same.
+        Ordered::Unsent | Ordered::Unknown => Step::Order,
+        Ordered::Fenced(fence) => {
+            let text = format!("{engine} has seen the fencing number {fence}");
+            out.push(log_event(log::Level::Error, "change.fenced", text));
+            Step::Close(reported.unwrap_or_default())
+        }
+    };
+}
+
+/// Waits until the engine's report shows what became of the order.
+fn settle(core: &Core, mut change: Change, at: Time) -> Change {
+    let Some((told, report)) = drain::report(core, &change.engine) else {
+        return change;
+    };
+    if told <= at.millis() || report.changing {
+        return change;
+    }
+    if report.role == change.role {
+        return change.at(Step::Close(report.role));
+    }
+    // It crashed halfway, and forgot the order with everything else.
+    change.tries += 1;
+    if change.tries < TRIES {
+        return change.at(Step::Order);
+    }
+    let role = report.role;
+    change.at(Step::Close(role))
+}
+
+/// Takes the record away.
+fn close(core: &mut Core, pool: PoolKey, change: Change, role: Role, out: &mut Effects) -> Change {
+    let work = &core.orders.desk(pool).work;
+    let intents = work.intents.as_ref();
+    if intents.is_some_and(|all| !all.contains_key(&change.engine)) {
+        let text = format!("{} goes back to work as {}", change.engine, role.word());
+        out.push(log_event(log::Level::Info, "change.done", text));
+        return change.at(Step::Restore(role));
+    }
+    if work.intent_call.is_none() {
+        let call = Call::Delete(change.engine.clone());
+        intent::write(core, pool, call, out);
+    }
+    change
+}
+
+/// Notes which engines report another role than routing assumes, and since when.
+fn notice(core: &mut Core, pool: PoolKey) {
+    let now = core.now;
+    let Some((route, _)) = &core.orders.desk(pool).work.route else {
+        return;
+    };
+    let mut odd = BTreeMap::new();
+    for &key in &core.fleet.pools[usize::from(pool.0)].engines {
+        let engine = &core.fleet.arena[key];
+        let Some((_, report)) = &engine.report else {
+            continue;
+        };
+        if !report.changing && report.role != route.place(&engine.name).role {
+            let since = core.orders.desk(pool).work.odd.get(&engine.name);
+            odd.insert(engine.name.clone(), since.copied().unwrap_or(now));
+        }
+    }
+    core.orders.desk_mut(pool).work.odd = odd;
+}
+
+/// Writes the routing state where it is not what it should be.
+fn publish(core: &mut Core, pool: PoolKey, out: &mut Effects) {
+    let work = &core.orders.desk(pool).work;
+    let Some((route, _)) = &work.route else {
+        return;
+    };
+    let engines = wanted(core, pool, route);
+    if engines == route.engines || work.route_call.is_some() || core.now < work.next {
+        return;
+    }
+    let route = Route {
+        revision: route.revision + 1,
+        engines,
+    };
+    route::write(core, pool, route, out);
+}
+
+/// Returns the routing state as it should be.
+fn wanted(core: &Core, pool: PoolKey, route: &Route) -> BTreeMap<Box<str>, Place> {
+    let work = &core.orders.desk(pool).work;
+    let mut engines = route.engines.clone();
+    // What the list no longer names is forgotten, but for engines with a recorded order.
+    let recorded = |name: &str| {
+        work.intents
+            .as_ref()
+            .is_some_and(|all| all.contains_key(name))
+    };
+    engines.retain(|name, _| recorded(name) || core.fleet.find(name).is_some());
+    for &key in &core.fleet.pools[usize::from(pool.0)].engines {
+        let engine = &core.fleet.arena[key];
+        let mut place = route.place(&engine.name);
+        place.standing = Standing::Serving;
+        let change = work.change.as_ref();
+        match change.filter(|change| change.engine == engine.name) {
+            Some(Change {
+                step: Step::Restore(role),
+                ..
+            }) => place.role = *role,
+            Some(_) => place.standing = Standing::Withdrawn,
+            None if recorded(&engine.name) => place.standing = Standing::Withdrawn,
+            None => follow(core, pool, engine, &mut place),
+        }
+        if place == Place::default() {
+            engines.remove(&engine.name);
+        } else {
+            engines.insert(engine.name.clone(), place);
+        }
+    }
+    engines
+}
+
+/// Lets routing follow an engine that has long reported another role: it restarted.
+fn follow(core: &Core, pool: PoolKey, engine: &Backend, place: &mut Place) {
+    let odd = &core.orders.desk(pool).work.odd;
+    let long = odd
+        .get(&engine.name)
+        .is_some_and(|since| core.now.since(*since) >= ODD_TIME);
+    if let Some((_, report)) = engine.report.as_ref().filter(|_| long) {
+        place.role = report.role;
+    }
+}
--- /dev/null
+++ b/src/core/order/drain.rs
@@ -0,0 +1,141 @@
+//! Whether a withdrawn engine is free of work: every host's own word, then the engine's report.
+//!
+//! Reports lag, so that a busy engine can look idle, and an order cuts what runs there. Hosts
+//! know their own streams exactly. The report is asked for last, because a host that is counted
+//! out after its cut-off bound may still have streams there, which only the engine knows of.
+
+use std::time::Duration;
+
+use super::name;
+use super::route::Told;
+use crate::core::effect::Effect;
+use crate::core::event::Report;
+use crate::core::fleet::Standing;
+use crate::core::key::{HostKey, PoolKey};
+use crate::core::message::{Confirm, Message};
+use crate::core::{Core, Effects, Time};
+
+/// Time between two words to the holder while engines are withdrawn.
+const TELL_EVERY: Duration = Duration::from_secs(1);
+/// Time after a host's cut-off bound before it is counted out.
+///
+/// Peers that have not yet seen that its registration is gone still send it beats, by which it
+/// thinks itself among them.
+const GONE_SLACK: Duration = Duration::from_secs(1);
+
+/// A host's last word on withdrawn engines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Heard {
+    revision: u64,
+    streams: Vec<(Box<str>, u32)>,
+}
+
+/// What the hosts say of a withdrawn engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Word {
+    /// No host has a stream there, and none will open one.
+    Free,
+    /// A host has streams there.
+    Busy,
+    /// A host has not said that it acts on the withdrawal.
+    Missing,
+}
+
+/// Tells the holder how many streams run here on withdrawn engines.
+pub(super) fn confirm(core: &mut Core, pool: PoolKey, out: &mut Effects) {
+    let streams = withdrawn(core, pool);
+    if streams.is_empty() {
+        return;
+    }
+    let now = core.now;
+    let pool_name = name(core, pool);
+    let desk = core.orders.desk_mut(pool);
+    let revision = desk.applied.route.revision;
+    let Some(holder) = desk.hold.host().map(Box::<str>::from) else {
+        return;
+    };
+    let Some(to) = core.members.find(&holder) else {
+        return;
+    };
+    let applied = &mut core.orders.desk_mut(pool).applied;
+    let told = applied.told.as_ref();
+    if told.is_some_and(|told| {
+        told.holder == holder
+            && told.revision == revision
+            && told.streams == streams
+            && now.since(told.at) < TELL_EVERY
+    }) {
+        return;
+    }
+    applied.told = Some(Told {
+        holder,
+        revision,
+        streams: streams.clone(),
+        at: now,
+    });
+    let confirm = Confirm {
+        pool: pool_name,
+        revision,
+        streams,
+    };
+    let message = Message::Confirm(confirm);
+    out.push(Effect::Send { to, message });
+}
+
+/// Returns this host's streams on each withdrawn engine of a pool.
+fn withdrawn(core: &Core, pool: PoolKey) -> Vec<(Box<str>, u32)> {
+    let engines = core.fleet.pools[usize::from(pool.0)].engines.iter();
+    let engines = engines.map(|&key| &core.fleet.arena[key]);
+    engines
+        .filter(|engine| engine.routed == Standing::Withdrawn)
+        .map(|engine| (engine.name.clone(), engine.streams))
+        .collect()
+}
+
+/// Keeps a host's word.
+pub(super) fn heard(core: &mut Core, pool: PoolKey, from: HostKey, confirm: &Confirm) {
+    let heard = Heard {
+        revision: confirm.revision,
+        streams: confirm.streams.clone(),
+    };
+    core.orders.desk_mut(pool).heard.insert(from, heard);
+}
+
+/// Returns what the hosts say of an engine that is withdrawn since this revision.
+pub(super) fn word(core: &Core, pool: PoolKey, engine: &str, revision: u64) -> Word {
+    if !settled(core) {
+        return Word::Missing;
+    }
+    let own = core.fleet.find(engine).map(|key| &core.fleet.arena[key]);
+    let mut busy = own.is_none_or(|engine| engine.streams > 0);
+    let desk = core.orders.desk(pool);
+    for host in core.members.peers() {
+        let heard = desk.heard.get(&host);
+        let heard = heard.filter(|heard| heard.revision >= revision);
+        let count =
+            heard.and_then(|heard| heard.streams.iter().find(|(name, _)| **name == *engine));
+        match count {
+            Some((_, count)) => busy |= *count > 0,
+            None => return Word::Missing,
+        }
+    }
+    if busy { Word::Busy } else { Word::Free }
+}
+
+/// Returns whether every host that is not registered has surely stopped taking new work.
+///
+/// A host whose registration is gone may be cut off and act on an old routing state; it stops by
+/// itself after the cut-off bound. A holder that has only just started does not know whose
+/// registration went before.
+pub(super) fn settled(core: &Core) -> bool {
+    let bound = crate::core::member::cut_off_bound(core) + GONE_SLACK;
+    let old = |at: &Time| core.now.since(*at) >= bound;
+    core.orders.known.as_ref().is_some_and(old) && core.orders.gone.values().all(old)
+}
+
+/// Returns an engine's report and the time it tells of, by the engine's own word on its age.
+pub(super) fn report<'a>(core: &'a Core, engine: &str) -> Option<(u64, &'a Report)> {
+    let engine = &core.fleet.arena[core.fleet.find(engine)?];
+    let (read, report) = engine.report.as_ref()?;
+    Some((read.millis().saturating_sub(report.age.into()), report))
+}
--- /dev/null
+++ b/src/core/order/mod.rs
@@ -0,0 +1,281 @@
+//! Orders to engines: who may give them, and the routing state of each pool.
+//!
+//! One host at a time holds the authority over a pool ([`hold`]). It withdraws an engine through
+//! the routing state ([`route`]), waits until no host has work there ([`drain`]), records the
+//! order it intends ([`intent`]), gives it, and puts the engine back to work ([`change`]). Where
+//! engines take any order, the processes that held the authority before must be known dead first
+//! ([`suspect`]).
+
+pub mod change;
+mod drain;
+pub mod hold;
+pub mod intent;
+pub mod route;
+mod suspect;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::effect::Effect;
+use super::event::{Health, Job, Ordered, StoreReply, Timer, Watched};
+use super::key::{HostKey, PoolKey};
+use super::message::{Confirm, Demand, Message};
+use super::role::{self, Change, Memory, View};
+use super::{Core, Effects, Time};
+use crate::settings::Settings;
+
+use change::Work;
+use drain::Heard;
+use hold::Hold;
+use route::Applied;
+
+/// First word of the watched keys with a pool's routing state.
+pub const ROUTE: &str = "route";
+/// First word of the watched keys that name a pool's holder.
+pub const HOLDER: &str = "holder";
+/// Time between two looks at authority, orders and confirmations.
+const TICK: Duration = Duration::from_millis(250);
+/// Time between two words to a pool's holder on the work taken in.
+const DEMAND_EVERY: Duration = Duration::from_secs(1);
+/// Age from which a host's word on its demand is no longer counted.
+const DEMAND_AGE: Duration = Duration::from_secs(4);
+/// Time without effect after a call to the key-value service failed.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// How a pool's role change is chosen.
+pub type Decide = fn(&View<'_>, &mut Memory) -> Option<Change>;
+
+/// What this host knows and does about the orders of one pool.
+#[derive(Debug, Default)]
+pub struct Desk {
+    /// Authority.
+    pub hold: Hold,
+    /// Routing state that this host acts on.
+    pub applied: Applied,
+    /// What the holder has under way.
+    pub work: Work,
+    /// What hosts said about withdrawn engines.
+    heard: BTreeMap<HostKey, Heard>,
+    demand: BTreeMap<HostKey, (Time, Demand)>,
+}
+
+/// Authority over pools and orders on their way.
+#[derive(Debug)]
+pub struct Orders {
+    desks: Vec<Desk>,
+    /// When this host first stood among the registered hosts.
+    known: Option<Time>,
+    /// Hosts whose registration is gone, and since when.
+    gone: BTreeMap<Box<str>, Time>,
+    /// When demand was last told.
+    told: Time,
+    /// How role changes are chosen.
+    pub decide: Decide,
+}
+
+impl Orders {
+    /// Creates the state of a host that holds nothing.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Self {
+        let desks = settings.pools.iter().map(|_| Desk::default());
+        Self {
+            desks: desks.collect(),
+            known: None,
+            gone: BTreeMap::new(),
+            told: Time::default(),
+            decide: role::decide,
+        }
+    }
+
+    /// Returns what is known about a pool.
+    #[must_use]
+    pub fn desk(&self, pool: PoolKey) -> &Desk {
+        &self.desks[usize::from(pool.0)]
+    }
+
+    fn desk_mut(&mut self, pool: PoolKey) -> &mut Desk {
+        &mut self.desks[usize::from(pool.0)]
+    }
+
+    fn pools(&self) -> impl Iterator<Item = PoolKey> + use<> {
+        let count = u16::try_from(self.desks.len()).unwrap_or(u16::MAX);
+        (0..count).map(PoolKey)
+    }
+}
+
+fn name(core: &Core, pool: PoolKey) -> Box<str> {
+    core.fleet.pools[usize::from(pool.0)].name.clone()
+}
+
+/// Starts looking for pools without a holder.
+pub fn start(core: &mut Core, out: &mut Effects) {
+    timer(core, out);
+}
+
+/// Goes on with authority and orders.
+pub fn timer(core: &mut Core, out: &mut Effects) {
+    if core.orders.known.is_none() && core.members.registered {
+        core.orders.known = Some(core.now);
+    }
+    for pool in core.orders.pools() {
+        look(core, pool, out);
+    }
+    tell_demand(core, out);
+    out.push(Effect::Wake {
+        at: core.now.after(TICK),
+        timer: Timer::Orders,
+    });
+}
+
+/// Goes on with one pool as far as it goes without waiting.
+fn look(core: &mut Core, pool: PoolKey, out: &mut Effects) {
+    hold::look(core, pool, out);
+    suspect::look(core, pool, out);
+    drain::confirm(core, pool, out);
+    if hold::holds(core, pool) {
+        change::look(core, pool, out);
+    }
+}
+
+/// Takes in a pool's routing state.
+pub fn route_watched(core: &mut Core, pool: &str, pair: &Watched, out: &mut Effects) {
+    if let Some(pool) = core.fleet.pool(pool) {
+        route::watched(core, pool, pair);
+        look(core, pool, out);
+    }
+}
+
+/// Takes in a pool's holder.
+pub fn holder_watched(core: &mut Core, pool: &str, pair: &Watched, out: &mut Effects) {
+    if let Some(pool) = core.fleet.pool(pool) {
+        hold::watched(core, pool, pair, out);
+    }
+}
+
+/// Takes in the end of a job.
+pub fn reply(core: &mut Core, reply: StoreReply, out: &mut Effects) {
+    let StoreReply { job, result } = reply;
+    let pool = match job {
+        Job::Holder(pool) => {
+            hold::reply(core, pool, result, out);
+            pool
+        }
+        Job::Intent(pool) => {
+            intent::reply(core, pool, result);
+            pool
+        }
+        Job::Route(pool) => {
+            route::reply(core, pool, result);
+            pool
+        }
+        _ => return,
+    };
+    look(core, pool, out);
+}
+
+/// Takes in whether the key-value service answers.
+pub fn health(core: &mut Core, health: Health, _out: &mut Effects) {
+    if health == Health::Up {
+        for desk in &mut core.orders.desks {
+            desk.hold.noticed(core.now);
+        }
+    }
+}
+
+/// Takes in the platform's list.
+pub fn fleet_changed(core: &mut Core, _out: &mut Effects) {
+    for pool in core.orders.pools() {
+        route::apply(core, pool);
+    }
+}
+
+/// Takes in an order's answer.
+pub fn ordered(
+    core: &mut Core,
+    name: &str,
+    fence: u64,
+    order: u64,
+    result: Ordered,
+    out: &mut Effects,
+) {
+    for pool in core.orders.pools() {
+        let now = core.now;
+        if core.orders.desk_mut(pool).hold.landed(fence, result, now) {
+            change::ordered(core, pool, name, (fence, order), result, out);
+            look(core, pool, out);
+        }
+    }
+}
+
+/// Takes in whether an address refuses connections.
+pub fn probed(core: &mut Core, addr: std::net::SocketAddr, probe: super::event::Probe) {
+    let now = core.now;
+    for desk in &mut core.orders.desks {
+        suspect::probed(&mut desk.hold, addr, probe, now);
+    }
+}
+
+/// Takes in a host's word on a withdrawal.
+pub fn confirmed(core: &mut Core, from: HostKey, confirm: &Confirm, out: &mut Effects) {
+    if let Some(pool) = core.fleet.pool(&confirm.pool) {
+        drain::heard(core, pool, from, confirm);
+        look(core, pool, out);
+    }
+}
+
+/// Takes in the work a host took in for a pool.
+pub fn demanded(core: &mut Core, from: HostKey, demand: &Demand) {
+    if let Some(pool) = core.fleet.pool(&demand.pool) {
+        let now = core.now;
+        let desk = core.orders.desk_mut(pool);
+        desk.demand.insert(from, (now, demand.clone()));
+    }
+}
+
+/// Notes that a host's registration is gone.
+pub fn left(core: &mut Core, host: &str) {
+    core.orders.gone.insert(host.into(), core.now);
+}
+
+/// Notes that a host registered.
+pub fn joined(core: &mut Core, host: &str) {
+    core.orders.gone.remove(host);
+}
+
+/// Gives authority back.
+pub fn release(core: &mut Core, out: &mut Effects) {
+    for pool in core.orders.pools() {
+        hold::release(core, pool, out);
+    }
+}
+
+/// Tells the holder of each split pool what this host took in since the last time.
+fn tell_demand(core: &mut Core, out: &mut Effects) {
+    let since = core.now.since(core.orders.told);
+    if since < DEMAND_EVERY {
+        return;
+    }
+    core.orders.told = core.now;
+    let taken = std::mem::take(&mut core.fleet.taken);
+    for pool in core.orders.pools() {
+        if !core.fleet.pools[usize::from(pool.0)].settings.split {
+            continue;
+        }
+        let name = name(core, pool);
+        let (prompt, output) = taken.get(&name).copied().unwrap_or_default();
+        let second = since.as_secs_f64();
+        let demand = Demand {
+            pool: name,
+            prompt: prompt as f64 / second,
+            output: output as f64 / second,
+            refused: 0.0,
+        };
+        let desk = core.orders.desk_mut(pool);
+        if let Some(to) = desk.hold.host().and_then(|host| core.members.find(host)) {
+            let message = Message::Demand(demand);
+            out.push(Effect::Send { to, message });
+        } else {
+            desk.demand.insert(HostKey::default(), (core.now, demand));
+        }
+    }
+}
--- /dev/null
+++ b/src/core/order/route.rs
@@ -0,0 +1,200 @@
+//! The routing state of a pool: which engines take new work, and their roles.
+//!
+//! The holder writes it by compare-and-swap; every host applies it as the watch tells it.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use super::{ROUTE, hold, name};
+use crate::core::effect::Effect;
+use crate::core::event::{Job, Role, StoreResult, Watched};
+use crate::core::fleet::Standing;
+use crate::core::key::PoolKey;
+use crate::core::{Core, Effects, Time};
+use crate::store::{Compare, Op, Span, Txn};
+
+/// What the routing state says of one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Place {
+    /// Serving or withdrawn.
+    pub standing: Standing,
+    /// Role that routing assumes.
+    pub role: Role,
+}
+
+/// A pool's routing state; engines that are not named serve in both roles.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Route {
+    /// Grows with each write.
+    pub revision: u64,
+    /// Engines by name.
+    pub engines: BTreeMap<Box<str>, Place>,
+}
+
+/// The routing state that a host acts on.
+#[derive(Debug, Default)]
+pub struct Applied {
+    /// The state.
+    pub route: Route,
+    /// Revision of the key-value service at which it was written.
+    pub modified: i64,
+    /// Last word to the holder.
+    pub(super) told: Option<Told>,
+}
+
+/// A word to the holder on withdrawn engines.
+#[derive(Debug)]
+pub(super) struct Told {
+    pub holder: Box<str>,
+    pub revision: u64,
+    pub streams: Vec<(Box<str>, u32)>,
+    pub at: Time,
+}
+
+/// A call about the routing state that is on its way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Call {
+    /// It is read.
+    Read,
+    /// This is written.
+    Write(Route),
+}
+
+impl Route {
+    /// Returns what it says of an engine.
+    #[must_use]
+    pub fn place(&self, engine: &str) -> Place {
+        self.engines.get(engine).copied().unwrap_or_default()
+    }
+
+    /// Writes it as JSON.
+    #[must_use]
+    pub fn write(&self) -> Vec<u8> {
+        let engines: BTreeMap<&str, Value> = self
+            .engines
+            .iter()
+            .map(|(name, place)| {
+                let state = match place.standing {
+                    Standing::Serving => "serving",
+                    Standing::Withdrawn | Standing::Leaving => "withdrawn",
+                };
+                let role = place.role.word();
+                (&**name, json!({"state": state, "role": role}))
+            })
+            .collect();
+        json!({"revision": self.revision, "engines": engines})
+            .to_string()
+            .into_bytes()
+    }
+
+    /// Reads it from JSON.
+    #[must_use]
+    pub fn parse(bytes: &[u8]) -> Option<Self> {
+        let value: Value = serde_json::from_slice(bytes).ok()?;
+        let engines = value["engines"].as_object()?.iter().map(|(name, place)| {
+            let standing = match place["state"].as_str()? {
+                "serving" => Standing::Serving,
+                _ => Standing::Withdrawn,
+            };
+            let role = Role::from_word(place["role"].as_str()?)?;
+            Some((Box::from(name.as_str()), Place { standing, role }))
+        });
+        Some(Self {
+            revision: value["revision"].as_u64()?,
+            engines: engines.collect::<Option<_>>()?,
+        })
+    }
+}
+
+pub(super) fn key(pool: &str) -> Box<str> {
+    format!("w/{ROUTE}/{pool}").into()
+}
+
+/// Takes in the routing state that the watch shows.
+pub(super) fn watched(core: &mut Core, pool: PoolKey, pair: &Watched) {
+    let route = match &pair.value {
+        Some(bytes) => Route::parse(bytes),
+        None => Some(Route::default()),
+    };
+    let applied = &mut core.orders.desk_mut(pool).applied;
+    if let Some(route) = route.filter(|_| pair.modified >= applied.modified) {
+        applied.route = route;
+        applied.modified = pair.modified;
+        apply(core, pool);
+    }
+}
+
+/// Brings the engines in line with the routing state.
+pub(super) fn apply(core: &mut Core, pool: PoolKey) {
+    let route = &core.orders.desk(pool).applied.route;
+    for &key in &core.fleet.pools[usize::from(pool.0)].engines {
+        let engine = &mut core.fleet.arena[key];
+        let place = route.place(&engine.name);
+        engine.routed = place.standing;
+        engine.role = place.role;
+    }
+}
+
+/// Asks for the state as it is stored.
+pub(super) fn read(core: &mut Core, pool: PoolKey, out: &mut Effects) {
+    let span = Span::Key(key(&name(core, pool)));
+    core.orders.desk_mut(pool).work.route_call = Some(Call::Read);
+    let job = Job::Route(pool);
+    out.push(Effect::Read { job, span });
+}
+
+/// Writes a new state on top of the one that is stored, provided that this host is the holder.
+pub(super) fn write(core: &mut Core, pool: PoolKey, route: Route, out: &mut Effects) {
+    let pool_name = name(core, pool);
+    let desk = core.orders.desk_mut(pool);
+    let Some((_, modified)) = desk.work.route else {
+        return;
+    };
+    let txn = Txn {
+        compare: vec![
+            Compare::Value {
+                key: hold::key(&pool_name),
+                is: desk.hold.value.clone(),
+            },
+            Compare::Modified {
+                key: key(&pool_name),
+                at: modified,
+            },
+        ],
+        then: vec![Op::Put {
+            key: key(&pool_name),
+            value: route.write().into(),
+            lease: 0,
+        }],
+        otherwise: Vec::new(),
+    };
+    desk.work.route_call = Some(Call::Write(route));
+    let job = Job::Route(pool);
+    out.push(Effect::Txn { job, txn });
+}
+
+/// Takes in the end of a read or write.
+///
+/// Whatever is not a plain success is settled by reading what is stored: a write whose answer was
+/// lost may stand there or not, and the next write compares with what was found.
+pub(super) fn reply(core: &mut Core, pool: PoolKey, result: StoreResult) {
+    let now = core.now;
+    let work = &mut core.orders.desk_mut(pool).work;
+    match (work.route_call.take(), result) {
+        (Some(Call::Read), StoreResult::Read(range)) => {
+            let pair = range.pairs.first();
+            let route = pair.map_or(Some(Route::default()), |pair| Route::parse(&pair.value));
+            work.route = route.map(|route| (route, pair.map_or(0, |pair| pair.modified)));
+        }
+        (Some(Call::Write(route)), StoreResult::Txn(txn)) if txn.succeeded => {
+            work.route = Some((route, txn.revision));
+        }
+        // The call was made under an earlier hold of the authority.
+        (None, _) => {}
+        _ => {
+            work.route = None;
+            work.next = now.after(super::RETRY);
+        }
+    }
+}
--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -13,7 +13,7 @@
 use crate::core::Event;
 use crate::core::effect::{self, Open};
 use crate::core::event::{
-    Break, Entry, EntryKind, FleetEvent, Ordered, Report, RequestEvent, Role, Stored,
+    Break, Entry, EntryKind, FleetEvent, Ordered, Probe, Report, RequestEvent, Role, Stored,
 };
 use crate::core::key::{AttemptKey, RequestKey};
 use crate::error::Ran;
@@ -21,6 +21,8 @@
 
 /// Time a load report may take.
 const LOAD_TIME: Duration = Duration::from_secs(2);
+/// Time a try to connect may take.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 
 /// Opens a stream and reports it piece by piece until it ends or `ended` closes.
 pub async fn stream(node: Rc<Node>, open: Open, ended: oneshot::Receiver<()>) {
@@ -198,8 +200,11 @@
             running: small(load.running),
             waiting: small(load.waiting),
             prefill: load.prefill_tokens,
-            role: role(&load.role),
+            role: Role::from_word(&load.role).unwrap_or_default(),
             age: small(load.age_ms),
+            changing: load.changing,
+            fence: load.fence_seen,
+            order: load.order_seen,
         }),
         _ => None,
     };
@@ -210,12 +215,14 @@
     u32::try_from(value).unwrap_or(u32::MAX)
 }
 
-fn role(word: &str) -> Role {
-    match word {
-        "prefill" => Role::Prefill,
-        "decode" => Role::Decode,
-        _ => Role::Both,
-    }
+/// Tries to connect, to see whether a process listens at an address.
+pub async fn probe(node: Rc<Node>, addr: SocketAddr) {
+    let tried = timeout(PROBE_TIME, tokio::net::TcpStream::connect(addr)).await;
+    let probe = match tried {
+        Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+        _ => Probe::Open,
+    };
+    node.apply(Event::Fleet(FleetEvent::Probed { addr, probe }));
 }
 
 /// Gives an order, unless the right to give it has ended.
@@ -225,7 +232,7 @@
     } else {
         let action = match &order.action {
             effect::Action::Role(role) => backend::Action::Role {
-                role: role_word(*role).into(),
+                role: role.word().into(),
             },
             effect::Action::Model(name) => load_action("model", name),
             effect::Action::Adapter(name) => load_action("adapter", name),
@@ -262,11 +269,3 @@
         name: name.into(),
     }
 }
-
-fn role_word(role: Role) -> &'static str {
-    match role {
-        Role::Both => "both",
-        Role::Prefill => "prefill",
-        Role::Decode => "decode",
-    }
-}
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -342,6 +342,9 @@
             Effect::Load { name, addr } => {
                 ntex::rt::spawn(backends::load(Rc::clone(self), name, addr));
             }
+            Effect::Probe(addr) => {
+                ntex::rt::spawn(backends::probe(Rc::clone(self), addr));
+            }
             Effect::Order(order) => {
                 ntex::rt::spawn(backends::order(Rc::clone(self), order));
             }
