--- a/tests/fleet/path.rs
+++ b/tests/fleet/path.rs
@@ -1,5 +1,7 @@
 //! The whole path through separate processes.
 
+use std::process::Command;
+
 use chiveway::standin::engine::expected;
 use chiveway::trial::stream_text;
 
@@ -35,3 +37,34 @@
         });
     }
 }
+
+/// The one command of the README's first page, on a machine with nothing else set up.
+#[test]
+fn the_trial_finds_everything_as_it_should_be() {
+    let output = Command::new(env!("CARGO_BIN_EXE_chiveway"))
+        .args(["try", "--once"])
+        .output()
+        .expect("the program runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert_eq!(text.matches("Explained by host-3").count(), 2, "{text}");
+}
+
+/// The users' hosts forbid `io_uring`; a library that falls back to it would open a ring.
+#[test]
+fn a_host_that_serves_opens_no_ring() {
+    let fleet = Fleet::start(Plan::default());
+    let answer = complete(fleet.hosts[0].callers, "a clause", 4, true).expect("an answer");
+    assert_eq!(answer.status, 200);
+    let folder = format!("/proc/{}/fd", fleet.hosts[0].process.id());
+    let targets: Vec<String> = std::fs::read_dir(folder)
+        .expect("the process can be looked at")
+        .filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok())
+        .map(|target| target.to_string_lossy().into_owned())
+        .collect();
+    assert!(targets.iter().any(|target| target.contains("eventpoll")));
+    assert!(
+        !targets.iter().any(|target| target.contains("io_uring")),
+        "{targets:?}"
+    );
+}
--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -81,6 +81,10 @@
             .unwrap_or_else(|| panic!("no address after {word} in {:?}", self.line))
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).expect("a process id");
         let pid = Pid::from_raw(pid).expect("a process id");
