--- a/tests/fleet/path.rs
+++ b/tests/fleet/path.rs
@@ -5,7 +5,10 @@
 use chiveway::standin::engine::expected;
 use chiveway::trial::stream_text;
 
-use crate::support::{CUSTOMER, Fleet, MODEL, Plan, call, complete, runs, wait_for};
+use serde_json::json;
+
+use crate::support::http::send;
+use crate::support::{CUSTOMER, CUSTOMER_KEY, Fleet, MODEL, Plan, call, complete, runs, wait_for};
 
 /// Everything works: a streamed and a collected answer, a call of the service, and each is
 /// explained by a host that did not serve it.
@@ -68,3 +71,55 @@
         "{targets:?}"
     );
 }
+
+/// Client libraries of the usual kind ask for the models first and then chat.
+#[test]
+fn models_are_listed_and_chats_are_answered() {
+    let fleet = Fleet::start(Plan::default());
+    let host = &fleet.hosts[0];
+    let auth = format!("Bearer {CUSTOMER_KEY}");
+    let headers = [("authorization", auth.as_str())];
+
+    let models = send(host.callers, "GET", "/v1/models", &headers, &[]).expect("an answer");
+    assert_eq!(models.json()["data"][0]["id"], MODEL);
+
+    let wanted = expected(MODEL, "user: Hvad mangler vi?\n", 12);
+    for stream in [true, false] {
+        let body = json!({
+            "model": MODEL,
+            "messages": [{"role": "user", "content": "Hvad mangler vi?"}],
+            "max_tokens": 12,
+            "stream": stream,
+        });
+        let body = body.to_string();
+        let path = "/v1/chat/completions";
+        let answer = send(host.callers, "POST", path, &headers, body.as_bytes());
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let text = if stream {
+            stream_text(&answer.body).expect("an end marker")
+        } else {
+            let text = &answer.json()["choices"][0]["message"]["content"];
+            text.as_str().unwrap_or_default().to_owned()
+        };
+        assert_eq!(text, wanted);
+    }
+}
+
+/// A request leaves its traces in the histograms that operators look at.
+#[test]
+fn metrics_tell_of_a_request() {
+    let fleet = Fleet::start(Plan::default());
+    complete(fleet.hosts[0].callers, "a clause", 4, true).expect("an answer");
+    let metrics = fleet.operator(0, "/metrics").expect("an answer").text();
+    for name in [
+        "chiveway_first_token_seconds_count",
+        "chiveway_between_tokens_seconds_count",
+        "chiveway_queued_seconds_count",
+        "chiveway_requests_seconds_count",
+        "chiveway_store_calls_total",
+    ] {
+        assert!(metrics.contains(name), "no {name} in {metrics}");
+    }
+    assert!(metrics.contains("outcome=\"answered\""), "{metrics}");
+}
