--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -256,6 +256,10 @@
     pub output: usize,
     /// Ask for streamed answers.
     pub stream: bool,
+    /// Time to the first token of a good answer.
+    pub first: Duration,
+    /// Time between tokens of a good answer, for 95 in 100.
+    pub between: Duration,
 }
 
 /// A command line that cannot be understood.
--- a/src/cli/parse.rs
+++ b/src/cli/parse.rs
@@ -164,6 +164,8 @@
             prompt: self.need(&topics::PROMPT, units::count)?,
             output: self.need(&topics::OUTPUT, units::count)?,
             stream: self.switch(&topics::STREAM),
+            first: self.time(&topics::FIRST)?,
+            between: self.time(&topics::BETWEEN)?,
         };
         self.end()?;
         Ok(Command::Load(options))
--- a/src/cli/topics.rs
+++ b/src/cli/topics.rs
@@ -274,6 +274,23 @@
 /// `--stream`
 pub const STREAM: Opt = switch("--stream", "ask for streamed answers");
 
+/// `--first`
+pub const FIRST: Opt = opt(
+    "--first",
+    "TIME",
+    ANY_TIME,
+    Some("780ms"),
+    "time to the first token of an answer that counts as good",
+);
+/// `--between`
+pub const BETWEEN: Opt = opt(
+    "--between",
+    "TIME",
+    ANY_TIME,
+    Some("49ms"),
+    "time between tokens, for 95 in 100, of an answer that counts as good",
+);
+
 const ACCESS: &[&Opt] = &[&OPERATORS, &KEY_FILE];
 const ANSWER: &[&Opt] = &[&JSON, &OPERATORS, &KEY_FILE];
 const FETCH: &[&Opt] = &[&FILE, &OPERATORS, &KEY_FILE];
@@ -291,6 +308,8 @@
     &PROMPT,
     &OUTPUT,
     &STREAM,
+    &FIRST,
+    &BETWEEN,
 ];
 
 const fn topic(
--- a/src/load.rs
+++ b/src/load.rs
@@ -26,16 +26,19 @@
 const CONNECTIONS: usize = 10_000;
 /// Largest value of a histogram, in microseconds.
 const LONGEST: u64 = 600_000_000;
+/// Part of the gaps between tokens, in hundredths, that must be within the wanted time.
+const PART: usize = 95;
 /// Head of the table of results.
-const HEADER: [&str; 8] = [
+const HEADER: [&str; 9] = [
     "target",
     "whole",
+    "good",
     "first p50",
+    "first p95",
     "first p99",
     "between p50",
+    "between p95",
     "between p99",
-    "whole p50",
-    "whole p99",
 ];
 
 /// Why load could not be sent.
@@ -78,8 +81,9 @@
 struct Tally {
     target: Target,
     ends: BTreeMap<End, u64>,
+    /// Whole answers within the wanted times.
+    good: u64,
     first: Histogram<u64>,
-    whole: Histogram<u64>,
     between: Histogram<u64>,
 }
 
@@ -90,8 +94,8 @@
         Self {
             target,
             ends: BTreeMap::new(),
+            good: 0,
             first: histogram(),
-            whole: histogram(),
             between: histogram(),
         }
     }
@@ -210,6 +214,7 @@
     if status != 200 {
         return reader.refusal(status);
     }
+    let good = reader.good(options);
     let Some(text) = reader.text() else {
         return End::Short;
     };
@@ -217,8 +222,9 @@
     if text != expected(&options.model, &prompt, tokens) {
         return End::Wrong;
     }
-    let lasted = micros(began.elapsed());
-    tally.borrow_mut().whole.saturating_record(lasted);
+    if good {
+        tally.borrow_mut().good += 1;
+    }
     End::Whole
 }
 
@@ -229,7 +235,9 @@
     body: Vec<u8>,
     text: String,
     done: bool,
+    first: Option<Duration>,
     last: Option<Instant>,
+    gaps: Vec<Duration>,
 }
 
 impl Reader {
@@ -240,7 +248,9 @@
             body: Vec::new(),
             text: String::new(),
             done: false,
+            first: None,
             last: None,
+            gaps: Vec::new(),
         }
     }
 
@@ -268,13 +278,27 @@
             }
             self.text.push_str(piece);
             match self.last.replace(now) {
-                None => tally.first.saturating_record(micros(now - began)),
-                Some(last) => tally.between.saturating_record(micros(now - last)),
+                None => {
+                    self.first = Some(now - began);
+                    tally.first.saturating_record(micros(now - began));
+                }
+                Some(last) => {
+                    self.gaps.push(now - last);
+                    tally.between.saturating_record(micros(now - last));
+                }
             }
         }
         true
     }
 
+    /// Returns whether a streamed answer came within the wanted times.
+    fn good(&mut self, options: &LoadOptions) -> bool {
+        self.gaps.sort_unstable();
+        let at = self.gaps.len() * PART / 100;
+        let gap = self.gaps.get(at).copied().unwrap_or_default();
+        self.first.is_some_and(|first| first <= options.first) && gap <= options.between
+    }
+
     /// Returns the answer's text; `None` for one that is not whole.
     fn text(self) -> Option<String> {
         if self.stream {
@@ -301,18 +325,19 @@
 }
 
 /// Returns the row of one target in the table.
-fn row(tally: &Tally) -> [Box<str>; 8] {
+fn row(tally: &Tally) -> [Box<str>; 9] {
     let whole = tally.ends.get(&End::Whole).copied().unwrap_or(0);
     let at = |times: &Histogram<u64>, part| millis(times.value_at_quantile(part));
     [
         tally.target.name.clone(),
         whole.to_string().into(),
+        tally.good.to_string().into(),
         at(&tally.first, 0.5),
+        at(&tally.first, 0.95),
         at(&tally.first, 0.99),
         at(&tally.between, 0.5),
+        at(&tally.between, 0.95),
         at(&tally.between, 0.99),
-        at(&tally.whole, 0.5),
-        at(&tally.whole, 0.99),
     ]
 }
 
