Keep streams whole across silent pools, reordered chunks and slow callers

Change: chunks are put in order before they reach the core, up to 64 ahead of a missing one. A resumed stream, and every stream to that address while the pool may hold connections of that time, opens a connection of its own. An engine that does not know an attempt after a silence is alive: the request starts again there. The host keeps the text passed on in place of the events. An end marker without the finish reason is not the end, and a second finish reason is not passed on. A 400 of an engine is the request's fault and is not tried at each engine. A lost stream that is resumed does not take its engine out.

Ruled out: ntex does drop handler and body of a caller that left (caller_leaves_in_the_middle passed on the code before).

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -44,6 +44,17 @@
     pub age: Duration,
     /// Most bytes of a collected body.
     pub limit: usize,
+    /// Whether connections are kept for further calls.
+    pub reuse: Reuse,
+}
+
+/// Whether connections are kept for further calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// They are, until they are too old or were idle for too long.
+    Pooled,
+    /// Each call opens its own and closes it.
+    Never,
 }
 
 impl Default for Options {
@@ -54,6 +65,7 @@
             body: Duration::from_secs(30),
             age: Duration::from_mins(1),
             limit: 8 * 1024 * 1024,
+            reuse: Reuse::Pooled,
         }
     }
 }
@@ -204,6 +216,9 @@
         };
         let url = format!("http://{}{}", call.addr, call.path);
         let mut request = self.http.request(method, url).address(call.addr);
+        if self.opts.reuse == Reuse::Never {
+            request = request.force_close();
+        }
         for (name, value) in call.headers {
             request = request.header(*name, *value);
         }
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -10,7 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use client::{Answer, Call, Client, OpenError, Options};
+pub use client::{Answer, Call, Client, OpenError, Options, Reuse};
 pub use engine::{
     Action, CacheEvent, CacheOp, Load, OrderError, Prefilled, events, load, order, prefill,
 };
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -121,6 +121,8 @@
     Left(RequestKey),
     /// The engine or service took the request and began to answer.
     Began(AttemptKey),
+    /// The caller does not take what came; nothing more is read until it does.
+    Held(AttemptKey),
     /// A piece of the answer arrived: tokens from `offset` on.
     Chunk {
         /// The attempt it came in on.
@@ -163,6 +165,10 @@
     Rejected,
     /// The connection ended before the end marker.
     Cut,
+    /// The connection stayed open and brought nothing for too long.
+    Silent,
+    /// The back end does not know the attempt that was to be resumed.
+    Forgotten,
 }
 
 /// The answer of a service, as it is kept for repeats.
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -69,11 +69,24 @@
     pub result: Option<Stored>,
     /// Whether the caller has closed its connection.
     pub left: bool,
+    /// Whether the piece with the finish reason was passed on.
+    finished: bool,
+    /// How the last attempt was lost, while the same engine is asked to go on with it.
+    lost: Option<Break>,
     tries: u8,
     resumes: u8,
     class: Box<str>,
 }
 
+/// Why an attempt brings nothing at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flow {
+    /// The engine has nothing yet, or its connection is lost.
+    Open,
+    /// The caller does not take what came; nothing is read from the engine.
+    Held,
+}
+
 /// One attempt at one back end.
 #[derive(Debug)]
 pub struct Attempt {
@@ -87,6 +100,7 @@
     last: Time,
     /// Whether anything of the answer arrived.
     began: bool,
+    flow: Flow,
     /// Tokens counted into the back end's backlog.
     prompt: u64,
     output: u64,
@@ -108,7 +122,7 @@
         Self {
             arena: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
-            budget: RETRY_MOST / 4.0,
+            budget: RETRY_MOST,
         }
     }
 }
@@ -130,6 +144,7 @@
         RequestEvent::Arrived(arrival) => arrived(core, *arrival, out),
         RequestEvent::Left(request) => left(core, request, out),
         RequestEvent::Began(attempt) => began(core, attempt),
+        RequestEvent::Held(attempt) => held(core, attempt),
         RequestEvent::Chunk {
             attempt,
             offset,
@@ -199,6 +214,8 @@
         avoid: Vec::new(),
         result: None,
         left: false,
+        finished: false,
+        lost: None,
         tries: 0,
         resumes: 0,
         class,
@@ -383,6 +400,7 @@
         label: label.clone(),
         last: core.now,
         began: false,
+        flow: Flow::Open,
         prompt,
         output,
     });
@@ -435,10 +453,21 @@
 fn began(core: &mut Core, attempt: AttemptKey) {
     if let Some(attempt) = core.requests.attempts.get_mut(attempt) {
         attempt.last = core.now;
+        attempt.flow = Flow::Open;
         core.fleet.works(attempt.backend);
     }
 }
 
+/// Notes that the caller does not take what the engine brings.
+///
+/// Reading on would pile the answer up here, and a few callers on a weak signal would end the
+/// host. The engine is not silent meanwhile: it is not read.
+fn held(core: &mut Core, attempt: AttemptKey) {
+    if let Some(attempt) = core.requests.attempts.get_mut(attempt) {
+        attempt.flow = Flow::Held;
+    }
+}
+
 /// Passes a piece on if it is the next one of the attempt in hand.
 ///
 /// Pieces may come late, twice or out of order, and those of an attempt that was given up may
@@ -449,8 +478,9 @@
         return;
     };
     attempt.last = core.now;
+    attempt.flow = Flow::Open;
     let request = &mut core.requests.arena[attempt.request];
-    if request.attempt != Some(key) || offset < request.delivered {
+    if request.attempt != Some(key) || offset < request.delivered || request.finished {
         return;
     }
     if offset > request.delivered {
@@ -462,6 +492,7 @@
         request: attempt.request,
     });
     if tokens == 0 {
+        request.finished = true;
         return;
     }
     let class = request.class.clone();
@@ -499,6 +530,11 @@
     if core.requests.arena[request].attempt != Some(key) {
         return;
     }
+    if !core.requests.arena[request].finished {
+        let detail = "the end marker came before the end of the answer";
+        broke(core, key, Ran::Yes, Break::Cut, detail, out);
+        return;
+    }
     core.fleet.works(attempt.backend);
     close_attempt(core, key, "whole", Ran::Yes);
     out.push(Effect::Finish(request));
@@ -545,11 +581,9 @@
     let (request, backend, label) = (attempt.request, attempt.backend, attempt.label.clone());
     out.push(Effect::Cancel(key));
     close_attempt(core, key, detail, ran);
-    if how != Break::Rejected {
-        core.fleet.failed(backend, core.now);
-    }
     let entry = &mut core.requests.arena[request];
     if matches!(entry.want, Want::Service(_)) {
+        core.fleet.failed(backend, core.now);
         service_broke(core, request, backend, ran, how, detail, out);
         return;
     }
@@ -558,8 +592,9 @@
         refuse(core, request, refusal, out);
         return;
     }
-    if how == Break::Cut && entry.resumes < RESUMES {
+    if matches!(how, Break::Cut | Break::Silent) && entry.resumes < RESUMES {
         entry.resumes += 1;
+        entry.lost = Some(how);
         note(
             core,
             request,
@@ -568,13 +603,24 @@
         attempt_again(core, request, backend, label, out);
         return;
     }
-    // It cut this stream and now neither answers nor knows it: it died while running it.
-    if entry.resumes > 0 && matches!(how, Break::Unreachable | Break::Refused) {
-        killer::suspect(core, request, backend, out);
+    if how == Break::Forgotten {
+        core.fleet.works(backend);
+    } else {
+        core.fleet.failed(backend, core.now);
     }
     let entry = &mut core.requests.arena[request];
-    entry.avoid.push(backend);
+    // It closed this stream and now neither answers nor knows it: it died while running it. After
+    // a silence the same shows only that the connection or the network is lost.
+    let gone = matches!(how, Break::Unreachable | Break::Forgotten);
+    let died = gone && entry.lost.take() == Some(Break::Cut);
+    if died || how != Break::Forgotten {
+        entry.avoid.push(backend);
+    }
     entry.resumes = 0;
+    entry.lost = None;
+    if died {
+        killer::suspect(core, request, backend, out);
+    }
     again(core, request, detail, Kind::EngineFailed, out);
 }
 
@@ -623,7 +669,7 @@
     request.avoid.push(backend);
     let kind = match how {
         Break::Unreachable | Break::Refused => Kind::ServiceDown,
-        Break::Cut | Break::Rejected => Kind::ServiceFailed,
+        Break::Cut | Break::Silent | Break::Forgotten | Break::Rejected => Kind::ServiceFailed,
     };
     if ran == Ran::No || request.repeat {
         again(core, key, detail, kind, out);
@@ -689,7 +735,11 @@
     } else {
         limits.first_silence
     };
-    let due = attempt.last.after(bound);
+    let last = match attempt.flow {
+        Flow::Open => attempt.last,
+        Flow::Held => core.now,
+    };
+    let due = last.after(bound);
     if due > core.now {
         out.push(Effect::Wake {
             at: due,
@@ -698,7 +748,7 @@
         return;
     }
     let detail = format!("silent for {} ms", millis(core.now.since(attempt.last)));
-    broke(core, key, Ran::Unknown, Break::Cut, &detail, out);
+    broke(core, key, Ran::Unknown, Break::Silent, &detail, out);
 }
 
 fn close_attempt(core: &mut Core, key: AttemptKey, how: &str, ran: Ran) {
--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -1,5 +1,6 @@
 //! Engines and services: streams, calls, load reports, orders, and the platform's list.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 
 use super::node::{Node, Prepared};
 use super::timer;
-use crate::backend::{self, OpenError, OrderError};
+use crate::backend::{self, Chunk, OpenError, OrderError};
 use crate::core::Event;
 use crate::core::effect::{self, Open};
 use crate::core::event::{
@@ -21,6 +22,10 @@
 
 /// Time a load report may take.
 const LOAD_TIME: Duration = Duration::from_secs(2);
+/// Chunks of one stream that may come before one that is missing.
+const AHEAD: usize = 64;
+/// Time a caller may take nothing of an answer that waits for it.
+const CALLER_TIME: Duration = Duration::from_mins(1);
 
 /// Opens a stream and reports it piece by piece until it ends or `ended` closes.
 pub async fn stream(node: Rc<Node>, open: Open, ended: oneshot::Receiver<()>) {
@@ -45,15 +50,16 @@
         return broke(attempt, Ran::No, Break::Rejected, "not a completion");
     };
     // A resumed stream goes on by itself; another engine needs the text delivered so far.
-    let done = match open.resume {
-        Some(_) => Vec::new(),
-        None => node.pieces(open.request),
+    let (done, tokens) = match open.resume {
+        Some(_) => (String::new(), 0),
+        None => (node.text(open.request), open.delivered),
     };
-    let body = completion.body(open.priority, &done, open.delivered);
+    let body = completion.body(open.priority, &done, tokens);
     let path = completion.form.path();
     let priority = i64::from(open.priority);
+    let client = node.client(open.addr, open.resume);
     let opened = backend::open(
-        &node.backends,
+        client,
         open.addr,
         path,
         body,
@@ -66,13 +72,21 @@
         Err(err) => return unopened(attempt, &err, open.resume),
     };
     node.apply(Event::Request(RequestEvent::Began(attempt)));
+    let mut order = InOrder::new(open.delivered);
     loop {
         match stream.next().await {
             Ok(Some(chunk)) => {
-                // An event's id is the offset of the token after it; the last event has none.
-                let tokens = u32::from(!chunk.end);
-                let offset = chunk.offset.saturating_sub(u64::from(tokens));
-                node.chunk(attempt, offset, tokens, chunk.data);
+                if !order.put(chunk) {
+                    let detail = format!("tokens from {} on are missing", order.next);
+                    return broke(attempt, Ran::Yes, Break::Cut, &detail);
+                }
+                while let Some((offset, chunk)) = order.pop() {
+                    let tokens = u32::from(!chunk.end);
+                    node.chunk(attempt, offset, tokens, chunk.data);
+                }
+                if let Some(event) = room(node, open).await {
+                    return event;
+                }
             }
             Ok(None) => return RequestEvent::Whole(attempt),
             Err(err) => return broke(attempt, Ran::Yes, Break::Cut, &err.to_string()),
@@ -80,6 +94,79 @@
     }
 }
 
+/// Waits until the caller has taken enough of what came; returns the event that ends the attempt
+/// where it takes nothing for too long.
+async fn room(node: &Rc<Node>, open: &Open) -> Option<RequestEvent> {
+    let queue = node.queue(open.request)?;
+    if !queue.is_full() {
+        return None;
+    }
+    node.apply(Event::Request(RequestEvent::Held(open.attempt)));
+    while queue.is_full() {
+        let taken = queue.taken();
+        if timeout(CALLER_TIME, queue.room()).await.is_err() && queue.taken() == taken {
+            queue.close();
+            return Some(RequestEvent::Left(open.request));
+        }
+    }
+    node.apply(Event::Request(RequestEvent::Began(open.attempt)));
+    None
+}
+
+/// Puts the chunks of one stream into the order of their offsets.
+///
+/// Chunks overtake each other on their way, and one may come twice. Passed on as they come, the
+/// caller would read a scrambled answer; cut at the first gap, it would wait for a new stream
+/// each time.
+#[derive(Debug)]
+struct InOrder {
+    /// Offset of the next token.
+    next: u64,
+    ended: bool,
+    ahead: BTreeMap<u64, Chunk>,
+}
+
+impl InOrder {
+    fn new(next: u64) -> Self {
+        Self {
+            next,
+            ended: false,
+            ahead: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a chunk; returns whether there is still room for those that come too early.
+    fn put(&mut self, chunk: Chunk) -> bool {
+        let start = start(&chunk);
+        if start >= self.next {
+            // The end marker starts where the token after it would.
+            let place = start * 2 + u64::from(chunk.end);
+            self.ahead.entry(place).or_insert(chunk);
+        }
+        self.ahead.len() <= AHEAD || start == self.next
+    }
+
+    /// Returns the next chunk and the offset of its first token, once it is there.
+    fn pop(&mut self) -> Option<(u64, Chunk)> {
+        let entry = self.ahead.first_entry()?;
+        let offset = start(entry.get());
+        if offset != self.next || self.ended {
+            return None;
+        }
+        let chunk = entry.remove();
+        self.ended = chunk.end;
+        self.next = chunk.offset;
+        Some((offset, chunk))
+    }
+}
+
+/// Returns the offset of a chunk's first token.
+///
+/// An event's id is the offset of the token after it; the last event has none.
+fn start(chunk: &Chunk) -> u64 {
+    chunk.offset.saturating_sub(u64::from(!chunk.end))
+}
+
 fn broke(attempt: AttemptKey, ran: Ran, end: Break, detail: &str) -> RequestEvent {
     RequestEvent::Broke {
         attempt,
@@ -92,10 +179,14 @@
 fn unopened(attempt: AttemptKey, err: &OpenError, resume: Option<u64>) -> RequestEvent {
     let ran = err.ran();
     let end = match (err, err.status()) {
-        (_, Some(404)) if resume.is_some() => Break::Refused,
+        (_, Some(404)) if resume.is_some() => Break::Forgotten,
+        // Every engine would say the same; tried at each, one bad request would put them all
+        // under suspicion.
+        (_, Some(400 | 413 | 422)) => Break::Rejected,
         (_, Some(status)) if (400..500).contains(&status) && ran != Ran::No => Break::Rejected,
         _ if ran == Ran::No && err.status().is_some() => Break::Refused,
         (OpenError::Connect | OpenError::Invalid, _) => Break::Unreachable,
+        (OpenError::Late, _) => Break::Silent,
         _ => Break::Cut,
     };
     broke(attempt, ran, end, &err.to_string())
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -8,11 +8,11 @@
 use futures_util::Stream;
 use ntex::http::{Method, Request, Response, StatusCode};
 use serde_json::json;
-use tokio::sync::mpsc;
 
 use super::completion::{self, Completion, Delivery, Form};
 use super::node::{Node, Part, Prepared, ServiceCall, Taken};
 use super::problem::{self, REQUEST_ID};
+use super::queue;
 use crate::core::Event;
 use crate::core::effect::Refusal;
 use crate::core::event::{Arrival, Print, RequestEvent, ServiceWant, Stored, Want};
@@ -72,7 +72,7 @@
 
 /// A request's parts, as they come.
 struct Parts {
-    queue: mpsc::UnboundedReceiver<Part>,
+    queue: queue::Parts,
     // Dropped in this order: the core first hears that the caller left.
     presence: Presence,
     _open: Open,
@@ -93,7 +93,7 @@
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Part> {
-        let part = match self.queue.poll_recv(cx) {
+        let part = match self.queue.poll(cx) {
             Poll::Ready(part) => part,
             Poll::Pending => return Poll::Pending,
         };
@@ -226,7 +226,7 @@
         print: print(form.path(), &bytes),
     };
     let copy = completion.clone();
-    let Some(taken) = node.take(arrival, Prepared::Completion(copy)) else {
+    let Some(taken) = node.take(arrival, Prepared::Completion(copy), req.io().cloned()) else {
         return refuse(Kind::Internal, "the request was lost");
     };
     let id = taken.id.clone();
@@ -305,10 +305,13 @@
 }
 
 async fn collected(mut parts: Parts, completion: &Completion, id: &str) -> Response {
-    let mut pieces = Vec::new();
+    let (mut text, mut last) = (String::new(), Bytes::new());
     loop {
         match parts.next().await {
-            Part::Piece(data) => pieces.push(data),
+            Part::Piece(data) => {
+                text.push_str(&completion.text_of(&data));
+                last = data;
+            }
             Part::Refused(refusal) => return problem::answer(&refusal, id),
             Part::Whole | Part::Reply(..) => break,
         }
@@ -316,7 +319,7 @@
     Response::build(StatusCode::OK)
         .content_type("application/json")
         .header(REQUEST_ID, id)
-        .body(completion.document(id, &pieces).to_string())
+        .body(completion.document(id, &text, &last).to_string())
 }
 
 fn models(node: &Rc<Node>, req: &Request) -> Response {
@@ -377,7 +380,7 @@
         }),
         idem,
     };
-    let Some(taken) = node.take(arrival, Prepared::Call(call)) else {
+    let Some(taken) = node.take(arrival, Prepared::Call(call), req.io().cloned()) else {
         return refuse(Kind::Internal, "the request was lost");
     };
     let id = taken.id.clone();
--- a/src/host/completion.rs
+++ b/src/host/completion.rs
@@ -167,24 +167,24 @@
 }
 
 impl Completion {
-    /// Returns the body for an engine that goes on after `tokens` tokens, the text of which is in
-    /// the pieces `done`.
+    /// Returns the body for an engine that goes on after `tokens` tokens, the text of which is
+    /// `done`.
     #[must_use]
-    pub fn body(&self, priority: u8, done: &[Bytes], tokens: u64) -> Bytes {
+    pub fn body(&self, priority: u8, done: &str, tokens: u64) -> Bytes {
         let mut body = self.body.clone();
         body.insert("priority".into(), json!(priority));
-        if !done.is_empty() {
-            let text: String = done.iter().map(|piece| self.text_of(piece)).collect();
+        if tokens > 0 {
             body.insert(
                 "continue_from".into(),
-                json!({"text": text, "tokens": tokens}),
+                json!({"text": done, "tokens": tokens}),
             );
         }
         Value::Object(body).to_string().into()
     }
 
     /// Returns the text in one piece of an answer.
-    fn text_of(&self, piece: &[u8]) -> String {
+    #[must_use]
+    pub fn text_of(&self, piece: &[u8]) -> String {
         let value: Value = serde_json::from_slice(piece).unwrap_or_default();
         let choice = &value["choices"][0];
         let text = match self.form {
@@ -194,13 +194,10 @@
         text.as_str().unwrap_or_default().to_owned()
     }
 
-    /// Puts the pieces of an answer together into one document.
+    /// Makes one document of an answer's text and its last piece.
     #[must_use]
-    pub fn document(&self, id: &str, pieces: &[Bytes]) -> Value {
-        let text: String = pieces.iter().map(|piece| self.text_of(piece)).collect();
-        let last = pieces.last().map_or(Value::Null, |piece| {
-            serde_json::from_slice(piece).unwrap_or_default()
-        });
+    pub fn document(&self, id: &str, text: &str, last: &[u8]) -> Value {
+        let last: Value = serde_json::from_slice(last).unwrap_or_default();
         let reason = &last["choices"][0]["finish_reason"];
         let (object, choice) = match self.form {
             Form::Text => (
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -14,6 +14,7 @@
 mod operators;
 mod peers;
 mod problem;
+mod queue;
 mod report;
 mod timer;
 
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -7,24 +7,26 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
+use ntex::io::IoRef;
 use slotmap::SecondaryMap;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::backends;
 use super::completion::Completion;
 use super::keeper;
 use super::link::Link;
 use super::meters::Meters;
+use super::queue::{self, Parts, Queue};
 use super::timer::{self, Timers};
 use super::{HostError, logs};
 use crate::backend;
 use crate::core::effect::{OperatorAnswer, Refusal};
 use crate::core::event::{Arrival, OperatorEvent, RequestEvent, StopEvent, Stored};
 use crate::core::key::{AskKey, AttemptKey, HostKey, RequestKey};
-use crate::core::{Core, Effect, Effects, Event};
+use crate::core::{Core, Effect, Effects, Event, Time};
 use crate::settings::Settings;
 use crate::store::Store;
-use crate::web::Gauge;
+use crate::web::{CLIENT_IDLE, Gauge};
 
 /// Time one call to the key-value service may take at one endpoint.
 const STORE_TIME: Duration = Duration::from_secs(2);
@@ -69,11 +71,11 @@
 /// A request whose handler is still there.
 #[derive(Debug)]
 pub struct Live {
-    tx: mpsc::UnboundedSender<Part>,
+    queue: Queue,
     /// What it asks of a back end.
     pub prepared: Rc<Prepared>,
-    /// Pieces passed on so far, kept for an engine that must continue.
-    pub pieces: Vec<Bytes>,
+    /// Text passed on so far, kept for an engine that must continue.
+    pub text: String,
 }
 
 /// A request that was taken in.
@@ -84,7 +86,7 @@
     /// Its id.
     pub id: Box<str>,
     /// What its handler is told.
-    pub parts: mpsc::UnboundedReceiver<Part>,
+    pub parts: Parts,
 }
 
 /// A host's core and adapters.
@@ -97,6 +99,10 @@
     pub store: Store,
     /// Client of engines and services.
     pub backends: backend::Client,
+    /// Client that opens a connection for each call.
+    fresh: backend::Client,
+    /// Back ends to which a connection was lost, with the time until which none is reused.
+    wary: RefCell<BTreeMap<SocketAddr, Time>>,
     /// Counts and histograms.
     pub meters: Meters,
     /// Open requests of callers.
@@ -129,6 +135,11 @@
         let wall = u64::try_from(wall.as_millis()).unwrap_or(0);
         let store = Store::new(settings.platform.kv.clone(), STORE_TIME).await;
         let client = backend::Client::new(backend::Options::default()).await;
+        let fresh = backend::Client::new(backend::Options {
+            reuse: backend::Reuse::Never,
+            ..backend::Options::default()
+        });
+        let fresh = fresh.await;
         let meters = Meters::new(&settings).map_err(|_otel| HostError::Meters)?;
         let epoch = wall.saturating_sub(now.millis());
         let core = Core::new(settings, now, epoch, rand::random());
@@ -137,6 +148,8 @@
             timers: Timers::default(),
             store,
             backends: client.map_err(|_builder| HostError::Client)?,
+            wary: RefCell::default(),
+            fresh: fresh.map_err(|_builder| HostError::Client)?,
             meters,
             open: Gauge::default(),
             live: RefCell::default(),
@@ -190,13 +203,18 @@
         }
     }
 
-    /// Takes in a request.
-    pub fn take(self: &Rc<Self>, mut arrival: Arrival, prepared: Prepared) -> Option<Taken> {
-        let (tx, parts) = mpsc::unbounded_channel();
+    /// Takes in a request that came on this connection.
+    pub fn take(
+        self: &Rc<Self>,
+        mut arrival: Arrival,
+        prepared: Prepared,
+        io: Option<IoRef>,
+    ) -> Option<Taken> {
+        let (queue, parts) = queue::queue(io);
         *self.arriving.borrow_mut() = Some(Live {
-            tx,
+            queue,
             prepared: Rc::new(prepared),
-            pieces: Vec::new(),
+            text: String::new(),
         });
         arrival.tag = self.number();
         self.apply(Event::Request(RequestEvent::Arrived(Box::new(arrival))));
@@ -240,25 +258,46 @@
         live.get(request).map(|live| Rc::clone(&live.prepared))
     }
 
-    /// Returns the pieces passed on so far.
+    /// Returns the client for a stream at a back end.
+    ///
+    /// Whatever made a connection fall silent may have silenced every one of its time. A resumed
+    /// stream that went out on a kept connection would hang again, and so would the next request;
+    /// so that none is reused until the pool has dropped all that were idle then.
+    pub fn client(&self, addr: SocketAddr, resume: Option<u64>) -> &backend::Client {
+        let now = timer::now();
+        let mut wary = self.wary.borrow_mut();
+        if resume.is_some() {
+            let idle = Duration::from_secs(CLIENT_IDLE.0.into());
+            wary.insert(addr, now.after(idle));
+        }
+        wary.retain(|_, until| *until > now);
+        if wary.contains_key(&addr) {
+            &self.fresh
+        } else {
+            &self.backends
+        }
+    }
+
+    /// Returns the text passed on so far.
     #[must_use]
-    pub fn pieces(&self, request: RequestKey) -> Vec<Bytes> {
+    pub fn text(&self, request: RequestKey) -> String {
         let live = self.live.borrow();
         live.get(request)
-            .map(|live| live.pieces.clone())
+            .map(|live| live.text.clone())
             .unwrap_or_default()
     }
 
-    fn tell(&self, request: RequestKey, part: Part) {
-        if let Some(live) = self.live.borrow().get(request) {
-            // A handler that is gone tells the core itself.
-            drop(live.tx.send(part));
-        }
+    /// Returns what waits for a request's caller.
+    #[must_use]
+    pub fn queue(&self, request: RequestKey) -> Option<Queue> {
+        let live = self.live.borrow();
+        live.get(request).map(|live| live.queue.clone())
     }
 
     fn end(&self, request: RequestKey, part: Part) {
-        self.tell(request, part);
-        self.live.borrow_mut().remove(request);
+        if let Some(live) = self.live.borrow_mut().remove(request) {
+            live.queue.end(part);
+        }
     }
 
     /// Tells the core when a planned stop has no open request left.
@@ -371,8 +410,10 @@
         };
         let mut live = self.live.borrow_mut();
         if let Some(live) = live.get_mut(request) {
-            live.pieces.push(data.clone());
-            drop(live.tx.send(Part::Piece(data)));
+            if let Prepared::Completion(completion) = &*live.prepared {
+                live.text.push_str(&completion.text_of(&data));
+            }
+            live.queue.piece(data);
         }
     }
 }
--- a/tests/fleet/support/http.rs
+++ b/tests/fleet/support/http.rs
@@ -143,3 +143,69 @@
 ) -> Option<Answer> {
     open(addr, method, path, headers, body).map(Open::rest)
 }
+
+/// A connection on which a test writes what it likes.
+#[derive(Debug)]
+pub struct Raw {
+    stream: TcpStream,
+}
+
+impl Raw {
+    pub fn connect(addr: SocketAddr) -> Self {
+        let stream = TcpStream::connect_timeout(&addr, LIMIT).expect("a connection");
+        stream.set_read_timeout(Some(LIMIT)).expect("a time");
+        Self { stream }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    /// Asks for a completion without waiting for anything.
+    pub fn completion(&mut self, prompt: &str, tokens: u64, stream: bool) {
+        let body = serde_json::json!({
+            "model": super::MODEL, "prompt": prompt, "max_tokens": tokens, "stream": stream,
+        });
+        let body = body.to_string();
+        let key = super::CUSTOMER_KEY;
+        let length = body.len();
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\
+             content-length: {length}\r\n\r\n"
+        );
+        assert!(self.write(head.as_bytes()) && self.write(body.as_bytes()));
+    }
+
+    /// Reads until the other side closes.
+    pub fn rest(mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        drop(self.stream.read_to_end(&mut bytes));
+        bytes
+    }
+
+    /// Reads one answer with a length, and keeps the connection.
+    pub fn answer(&mut self) -> Option<Answer> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.stream.read_exact(&mut byte).ok()?;
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        let headers: Vec<_> = head
+            .lines()
+            .filter_map(|line| line.split_once(": "))
+            .map(|(name, value)| (name.to_lowercase(), value.to_owned()))
+            .collect();
+        let length = headers.iter().find(|(name, _)| name == "content-length");
+        let mut body = vec![0; length.and_then(|(_, n)| n.parse().ok()).unwrap_or(0)];
+        self.stream.read_exact(&mut body).ok()?;
+        Some(Answer {
+            status,
+            headers,
+            body,
+            whole: true,
+        })
+    }
+}
--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -81,6 +81,15 @@
             .unwrap_or_else(|| panic!("no address after {word} in {:?}", self.line))
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process has ended by itself or was killed.
+    pub fn is_over(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).expect("a process id");
         let pid = Pid::from_raw(pid).expect("a process id");
