--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -14,7 +14,7 @@
 use crate::core::Event;
 use crate::core::effect::{self, Open};
 use crate::core::event::{
-    Break, Entry, EntryKind, FleetEvent, Ordered, Report, RequestEvent, Role, Stored,
+    Break, Entry, EntryKind, FleetEvent, Ordered, Probe, Report, RequestEvent, Role, Stored,
 };
 use crate::core::key::{AttemptKey, RequestKey};
 use crate::error::Ran;
@@ -26,6 +26,8 @@
 const AHEAD: usize = 64;
 /// Time a caller may take nothing of an answer that waits for it.
 const CALLER_TIME: Duration = Duration::from_mins(1);
+/// Time a try to connect may take.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 
 /// Opens a stream and reports it piece by piece until it ends or `ended` closes.
 pub async fn stream(node: Rc<Node>, open: Open, ended: oneshot::Receiver<()>) {
@@ -54,7 +56,17 @@
         Some(_) => (String::new(), 0),
         None => (node.text(open.request), open.delivered),
     };
-    let body = completion.body(open.priority, &done, tokens);
+    let body = |kv| completion.body(open.priority, &done, tokens, kv);
+    let body = match open.prefill {
+        None => body(None),
+        Some(source) => {
+            let done = backend::prefill(&node.backends, source, body(None), &open.label).await;
+            match done {
+                Ok(prefilled) => body(Some((source, &prefilled.kv))),
+                Err(err) => return unopened(attempt, &err, open.resume),
+            }
+        }
+    };
     let path = completion.form.path();
     let priority = i64::from(open.priority);
     let client = node.client(open.addr, open.resume);
@@ -289,8 +301,11 @@
             running: small(load.running),
             waiting: small(load.waiting),
             prefill: load.prefill_tokens,
-            role: role(&load.role),
+            role: Role::from_word(&load.role).unwrap_or_default(),
             age: small(load.age_ms),
+            changing: load.changing,
+            fence: load.fence_seen,
+            order: load.order_seen,
         }),
         _ => None,
     };
@@ -301,12 +316,14 @@
     u32::try_from(value).unwrap_or(u32::MAX)
 }
 
-fn role(word: &str) -> Role {
-    match word {
-        "prefill" => Role::Prefill,
-        "decode" => Role::Decode,
-        _ => Role::Both,
-    }
+/// Tries to connect, to see whether a process listens at an address.
+pub async fn probe(node: Rc<Node>, addr: SocketAddr) {
+    let tried = timeout(PROBE_TIME, tokio::net::TcpStream::connect(addr)).await;
+    let probe = match tried {
+        Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+        _ => Probe::Open,
+    };
+    node.apply(Event::Fleet(FleetEvent::Probed { addr, probe }));
 }
 
 /// Gives an order, unless the right to give it has ended.
@@ -316,7 +333,7 @@
     } else {
         let action = match &order.action {
             effect::Action::Role(role) => backend::Action::Role {
-                role: role_word(*role).into(),
+                role: role.word().into(),
             },
             effect::Action::Model(name) => load_action("model", name),
             effect::Action::Adapter(name) => load_action("adapter", name),
@@ -353,11 +370,3 @@
         name: name.into(),
     }
 }
-
-fn role_word(role: Role) -> &'static str {
-    match role {
-        Role::Both => "both",
-        Role::Prefill => "prefill",
-        Role::Decode => "decode",
-    }
-}
