Send each order on a connection of its own that drops late bytes

Cause: a pooled connection keeps sending what was written to it long after a partition, also when the process that wrote it is dead, and the right to order was checked before the connection was made.

Change: backend::Client::fresh makes one connection for one call, sets TCP_USER_TIMEOUT on it, and asks whether the right still lasts after the connection stands and before the first byte. host/backends.rs uses it.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use super::fresh::{self, Fresh};
 use crate::error::Ran;
 use crate::web::CLIENT_IDLE;
 
@@ -159,6 +160,25 @@
             .limit(CONNECTIONS)
             .keep_alive(CLIENT_IDLE)
             .lifetime(Seconds(age));
+        Self::with(opts, connector).await
+    }
+
+    /// Builds a client for one call, on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if the connector cannot be made.
+    pub async fn fresh(
+        opts: Options,
+        fresh: Fresh,
+    ) -> Result<Self, ntex::client::error::ClientBuilderError> {
+        Self::with(opts, fresh::connector(fresh, opts.connect)).await
+    }
+
+    async fn with(
+        opts: Options,
+        connector: Connector,
+    ) -> Result<Self, ntex::client::error::ClientBuilderError> {
         let io = IoConfig::new().set_connect_timeout(millis(opts.connect));
         let http = ntex::client::Client::builder()
             .connector::<()>(connector)
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod engine;
+mod fresh;
 mod sse;
 mod stream;
 #[cfg(test)]
@@ -14,5 +15,6 @@
 pub use engine::{
     Action, CacheEvent, CacheOp, Load, OrderError, Prefilled, events, load, order, prefill,
 };
+pub use fresh::{Fresh, Gate};
 pub use sse::{Event, Parser, SseError};
 pub use stream::{Chunk, ReadError, Stream, open};
--- a/src/core/order/mod.rs
+++ b/src/core/order/mod.rs
@@ -26,6 +26,7 @@
 
 use change::Work;
 use drain::Heard;
+pub use hold::FLIGHT;
 use hold::Hold;
 use route::Applied;
 
--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -10,17 +10,29 @@
 use super::node::{Node, Prepared};
 use super::timer;
 use crate::backend::{self, OpenError, OrderError};
-use crate::core::Event;
 use crate::core::effect::{self, Open};
 use crate::core::event::{
     Break, Entry, EntryKind, FleetEvent, Ordered, Probe, Report, RequestEvent, Role, Stored,
 };
 use crate::core::key::{AttemptKey, RequestKey};
+use crate::core::{Event, Time};
 use crate::error::Ran;
 use crate::store::{ListedKind, ListedState};
 
 /// Time a load report may take.
 const LOAD_TIME: Duration = Duration::from_secs(2);
+/// Time the kernel goes on trying to deliver an order.
+///
+/// With the time to connect it stays under [`crate::core::order::FLIGHT`].
+const ORDER_LIFE: Duration = Duration::from_secs(2);
+/// Times and limits of an order's call.
+const ORDER_OPTIONS: backend::Options = backend::Options {
+    connect: Duration::from_millis(500),
+    head: Duration::from_secs(2),
+    body: Duration::from_secs(2),
+    age: Duration::from_secs(1),
+    limit: 64 * 1024,
+};
 /// Time a try to connect may take.
 const PROBE_TIME: Duration = Duration::from_secs(1);
 
@@ -227,9 +239,12 @@
 
 /// Gives an order, unless the right to give it has ended.
 pub async fn order(node: Rc<Node>, order: effect::Order) {
-    let result = if timer::now() >= order.until {
-        Ordered::Unsent
-    } else {
+    let fresh = backend::Fresh {
+        life: ORDER_LIFE,
+        gate: |until| timer::now() < Time::from_micros(until),
+        until: order.until.micros(),
+    };
+    let result = if let Ok(client) = backend::Client::fresh(ORDER_OPTIONS, fresh).await {
         let action = match &order.action {
             effect::Action::Role(role) => backend::Action::Role {
                 role: role.word().into(),
@@ -239,7 +254,7 @@
             effect::Action::Version(name) => load_action("version", name),
         };
         let sent = backend::order(
-            &node.backends,
+            &client,
             order.addr,
             order.fence,
             order.order,
@@ -254,6 +269,8 @@
                 Ran::Yes | Ran::Unknown => Ordered::Unknown,
             },
         }
+    } else {
+        Ordered::Unsent
     };
     node.apply(Event::Fleet(FleetEvent::Ordered {
         name: order.engine,
