Bound what one request can take to two engines, wherever it arrives

Cause: a suspicion counted engines by name and was checked only on arrival; the request went on to its next engine, other hosts ran their own copies at the same moment, and a new host knew nothing.

Change: every dispatch checks the suspicions, and one after the loss of an engine first waits 100 ms for what other hosts say. Requests with the same fingerprint go to the same two engines from every host (the one with the prompt's prefix and the first by hash) while these are not busy; once one has died of it, to the same single one. A death is counted by engine and time. A suspect whose answer had begun is cleared by one of the same death whose answer had not. A host tells a new peer the cases it knows, on the first beat. Connections that fell silent are no deaths.

Weighed: running suspects alone on an engine needs a reservation across hosts; refusing after the first death would refuse every innocent that shared the engine. Neither was taken.

--- a/src/core/killer.rs
+++ b/src/core/killer.rs
@@ -1,12 +1,22 @@
 //! Requests that engines died of: refused everywhere once two engines are lost.
+//!
+//! An engine that dies takes every request down that it was running, and one of them may be the
+//! cause. Each is a suspect at every host. Those that it had begun to answer are cleared as soon
+//! as there is a suspect of the same death that it had not: engines die when they take a request
+//! up, and the innocent among long answers would otherwise be refused when the one that kills
+//! follows them to their next engine.
+//!
+//! Requests with the same fingerprint go to the same two engines wherever they arrive, so that
+//! copies sent to several hosts at once cannot take one engine for each host.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::effect::{Effect, Refusal, log_event};
-use super::event::Print;
-use super::key::{BackendKey, RequestKey};
+use super::event::{Print, Role};
+use super::key::{BackendKey, HostKey, RequestKey};
 use super::message::{Message, Suspect};
+use super::route::{self, Need};
 use super::{Core, Effects};
 use crate::error::Kind;
 
@@ -16,20 +26,67 @@
 const KEEP: Duration = Duration::from_mins(10);
 /// Fingerprints kept; the oldest are forgotten first.
 const MOST: usize = 4096;
+/// Suspicions told to a host that is new, the latest ones.
+const TOLD: usize = 512;
+/// Reports of an engine's death within this time, by the hosts' clocks, are of the same death.
+const SAME: u64 = 5_000;
+/// Most of the wanted time to the first token that copies of a request wait for the engines that
+/// the first of them may have gone to; past it they spread over all.
+const PATIENCE: f64 = 0.5;
+
+/// One engine lost while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Death {
+    engine: Box<str>,
+    /// Milliseconds since the Unix epoch.
+    at: u64,
+    /// Whether it had begun to answer the request.
+    answering: bool,
+}
 
 /// What is known of one fingerprint.
 #[derive(Debug, Clone, Default)]
 struct Case {
-    engines: BTreeSet<Box<str>>,
-    /// Last death; milliseconds since the Unix epoch.
-    at: u64,
+    deaths: Vec<Death>,
     request: Box<str>,
 }
 
+impl Case {
+    /// Returns the time of the last death.
+    fn last(&self) -> u64 {
+        self.deaths.iter().map(|death| death.at).max().unwrap_or(0)
+    }
+}
+
 /// Fingerprints under suspicion.
 #[derive(Debug, Default)]
 pub struct Killers {
     cases: BTreeMap<Print, Case>,
+    /// Engine and time of deaths with a suspect that the engine had not begun to answer.
+    taking: BTreeMap<Box<str>, Vec<u64>>,
+}
+
+impl Killers {
+    /// Returns the case of a fingerprint, unless it is too old to count.
+    fn case(&self, print: Print, wall: u64) -> Option<&Case> {
+        let case = self.cases.get(&print)?;
+        let age = Duration::from_millis(wall.saturating_sub(case.last()));
+        (age < KEEP).then_some(case)
+    }
+
+    /// Returns whether a death counts against the request.
+    fn counts(&self, death: &Death) -> bool {
+        let taking = self.taking.get(&death.engine);
+        let other = |at: &u64| at.abs_diff(death.at) < SAME;
+        !death.answering || !taking.is_some_and(|times| times.iter().any(other))
+    }
+
+    /// Returns the deaths that count against a fingerprint.
+    fn counted(&self, print: Print, wall: u64) -> Vec<&Death> {
+        let deaths = self.case(print, wall).map(|case| case.deaths.iter());
+        let deaths = deaths.into_iter().flatten();
+        deaths.filter(|death| self.counts(death)).collect()
+    }
 }
 
 /// Checks whether a request may run.
@@ -39,16 +96,17 @@
 /// Returns [`Kind::EngineKiller`] when engines died of this fingerprint, with the time until it
 /// may be tried again.
 pub fn check(core: &Core, print: Print) -> Result<(), Refusal> {
-    let Some(case) = core.killers.cases.get(&print) else {
+    let wall = core.wall();
+    let Some(case) = core.killers.case(print, wall) else {
         return Ok(());
     };
-    let age = Duration::from_millis(core.wall().saturating_sub(case.at));
-    if case.engines.len() < ENGINES || age >= KEEP {
+    let count = core.killers.counted(print, wall).len();
+    if count < ENGINES {
         return Ok(());
     }
+    let age = Duration::from_millis(wall.saturating_sub(case.last()));
     let detail = format!(
-        "{} engines died while running this request, last as {}",
-        case.engines.len(),
+        "{count} engines died while running this request, last as {}",
         case.request
     );
     Err(Refusal::new(Kind::EngineKiller, detail)
@@ -56,6 +114,68 @@
         .retry(KEEP.saturating_sub(age)))
 }
 
+/// Adds to `need` the engines that a request with this fingerprint must not go to.
+///
+/// A request of which an engine died goes to one engine, the same from every host. Others go to
+/// one of two as long as these are not busy: the one that has the prompt's prefix and the first
+/// by fingerprint.
+pub fn narrow(core: &Core, need: &mut Need, print: Print) {
+    let takers = takers(core, need);
+    let dead: BTreeSet<Box<str>> = {
+        let deaths = core.killers.counted(print, core.wall());
+        deaths.iter().map(|death| death.engine.clone()).collect()
+    };
+    let mut allowed = BTreeSet::new();
+    for role in [Role::Both, Role::Prefill, Role::Decode] {
+        let of_role = |key: &BackendKey| core.fleet.arena[*key].role == role;
+        let mut keys: Vec<BackendKey> = takers.iter().copied().filter(of_role).collect();
+        keys.retain(|key| !dead.contains(&core.fleet.arena[*key].name));
+        keys.sort_by_key(|&key| rank(print, &core.fleet.arena[key].name));
+        if dead.is_empty() {
+            let chosen = pair(core, need, &keys);
+            allowed.extend(chosen);
+        } else {
+            allowed.extend(keys.first());
+        }
+    }
+    need.avoid
+        .extend(takers.into_iter().filter(|key| !allowed.contains(key)));
+}
+
+fn takers(core: &Core, need: &Need) -> Vec<BackendKey> {
+    let engines = core.fleet.serving(&need.model);
+    let engines = engines.flat_map(|pool| pool.engines.iter().copied());
+    engines
+        .filter(|&key| core.fleet.arena[key].takes(core.now) && !need.avoid.contains(&key))
+        .collect()
+}
+
+/// Returns the two engines for a fingerprint, or all where these are busy.
+fn pair(core: &Core, need: &Need, keys: &[BackendKey]) -> Vec<BackendKey> {
+    let home = route::affine(core, need, keys);
+    let others = keys.iter().copied().filter(|key| Some(*key) != home);
+    let two: Vec<BackendKey> = home.into_iter().chain(others).take(ENGINES).collect();
+    let busy = |key: &BackendKey| {
+        let engine = &core.fleet.arena[*key];
+        let pool = core.fleet.pool(&engine.pool);
+        let pool = pool.map(|pool| &core.fleet.pools[usize::from(pool.0)].settings);
+        let most = pool.map_or(0.0, |pool| pool.first_token.as_secs_f64() * PATIENCE);
+        route::wait(core, *key) > most
+    };
+    if two.iter().all(busy) {
+        keys.to_vec()
+    } else {
+        two
+    }
+}
+
+fn rank(print: Print, engine: &str) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&print.0);
+    hasher.update(engine.as_bytes());
+    *hasher.finalize().as_bytes()
+}
+
 /// Notes that an engine died while running a request, here and at every peer.
 pub fn suspect(core: &mut Core, key: RequestKey, backend: BackendKey, out: &mut Effects) {
     let Some(engine) = core
@@ -72,6 +192,7 @@
         engine,
         at: core.wall(),
         request: request.record.id.clone(),
+        answering: request.answering(),
     };
     let text = format!("{} died while running {}", suspect.engine, suspect.request);
     out.push(log_event(log::Level::Warn, "engine.died", text));
@@ -82,17 +203,74 @@
     told(core, suspect);
 }
 
+/// Tells a host that is new what this one knows: it would run each suspect once more otherwise.
+pub fn welcome(core: &Core, to: HostKey, out: &mut Effects) {
+    let wall = core.wall();
+    let killers = &core.killers;
+    let cases = killers.cases.keys();
+    let cases = cases.filter_map(|print| Some((*print, killers.case(*print, wall)?)));
+    let suspects = cases.flat_map(|(print, case)| {
+        let suspect = move |death: &Death| Suspect {
+            print,
+            engine: death.engine.clone(),
+            at: death.at,
+            request: case.request.clone(),
+            answering: death.answering,
+        };
+        case.deaths.iter().map(suspect)
+    });
+    let mut suspects: Vec<Suspect> = suspects.collect();
+    suspects.sort_by_key(|suspect| std::cmp::Reverse(suspect.at));
+    suspects.truncate(TOLD);
+    out.extend(suspects.into_iter().map(|suspect| Effect::Send {
+        to,
+        message: Message::Suspect(suspect),
+    }));
+}
+
 /// Takes in a suspicion, own or a peer's.
 pub fn told(core: &mut Core, suspect: Suspect) {
-    let cases = &mut core.killers.cases;
-    let case = cases.entry(suspect.print).or_default();
-    case.engines.insert(suspect.engine);
-    case.at = case.at.max(suspect.at);
+    // A clock that runs ahead must not make a suspicion last longer.
+    let at = suspect.at.min(core.wall());
+    let killers = &mut core.killers;
+    if !suspect.answering {
+        let times = killers.taking.entry(suspect.engine.clone()).or_default();
+        times.retain(|time| at.saturating_sub(*time) < millis(KEEP));
+        if !times.iter().any(|time| time.abs_diff(at) < SAME) {
+            times.push(at);
+        }
+    }
+    let case = killers.cases.entry(suspect.print).or_default();
+    let known = case
+        .deaths
+        .iter_mut()
+        .find(|death| death.engine == suspect.engine && death.at.abs_diff(at) < SAME);
+    if let Some(death) = known {
+        death.answering &= suspect.answering;
+    } else {
+        case.deaths.push(Death {
+            engine: suspect.engine,
+            at,
+            answering: suspect.answering,
+        });
+    }
     case.request = suspect.request;
-    if cases.len() > MOST {
-        let oldest = cases.iter().min_by_key(|(_, case)| case.at);
+    forget(killers);
+}
+
+/// Forgets the oldest cases where there are too many.
+fn forget(killers: &mut Killers) {
+    if killers.cases.len() > MOST {
+        let oldest = killers.cases.iter().min_by_key(|(_, case)| case.last());
         if let Some(print) = oldest.map(|(print, _)| *print) {
-            cases.remove(&print);
+            killers.cases.remove(&print);
         }
     }
+    if killers.taking.len() > MOST {
+        killers.taking.pop_first();
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -503,7 +503,11 @@
     }
     let stopping = beat.stopping != peer.beat.stopping;
     let revision = beat.revision;
+    let first = peer.beat.number == 0;
     peer.beat = beat;
+    if first {
+        killer::welcome(core, from, out);
+    }
     if stopping {
         share::moved(core, out);
         once::moved(core, out);
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -221,4 +221,6 @@
     pub at: u64,
     /// Request id.
     pub request: Box<str>,
+    /// Whether the engine had begun to answer it.
+    pub answering: bool,
 }
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -22,6 +22,11 @@
 const RETRY_SHARE: f64 = 0.1;
 /// Repeats that may be saved up: enough for every stream of a few engines that die at once.
 const RETRY_MOST: f64 = 64.0;
+/// Time between the loss of an engine and the next try elsewhere.
+///
+/// The request may be what the engine died of. Another host may have lost an engine to it in the
+/// same moment, and what that host says is on its way.
+const HOLD_OFF: Duration = Duration::from_millis(100);
 /// Time a request waits for its plan's share.
 const SHARE_TIME: Duration = Duration::from_millis(400);
 
@@ -32,6 +37,8 @@
     Share,
     /// The record that it starts.
     Starting,
+    /// What other hosts know of the engine that was lost.
+    Pause,
     /// A back end.
     Running,
     /// The record of its end.
@@ -71,6 +78,7 @@
     pub left: bool,
     /// Whether the piece with the finish reason was passed on.
     finished: bool,
+    heard: Heard,
     /// How the last attempt was lost, while the same engine is asked to go on with it.
     lost: Option<Break>,
     tries: u8,
@@ -78,6 +86,13 @@
     class: Box<str>,
 }
 
+/// What the engine in hand has brought of the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    Nothing,
+    Tokens,
+}
+
 /// Why an attempt brings nothing at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Flow {
@@ -217,6 +232,7 @@
         result: None,
         left: false,
         finished: false,
+        heard: Heard::Nothing,
         lost: None,
         tries: 0,
         resumes: 0,
@@ -340,7 +356,10 @@
     let Some(request) = core.requests.arena.get(key) else {
         return;
     };
-    if request.phase == Phase::Share {
+    if request.phase == Phase::Pause {
+        core.requests.arena[key].phase = Phase::Running;
+        dispatch(core, key, out);
+    } else if request.phase == Phase::Share {
         share::forget(core, key);
         let detail = "no host lent a part of the plan's share in time";
         refuse(core, key, Refusal::new(Kind::ShareSpent, detail), out);
@@ -350,14 +369,21 @@
 /// Sends a request to a back end.
 pub fn dispatch(core: &mut Core, key: RequestKey, out: &mut Effects) {
     let request = &core.requests.arena[key];
+    if let Err(refusal) = killer::check(core, request.print) {
+        let ran = request.ran();
+        give_up(core, key, refusal.ran(ran), out);
+        return;
+    }
     let chosen = match &request.want {
         Want::Model(want) => {
-            let need = Need {
+            let mut need = Need {
                 model: want.model.clone(),
                 prompt: want.prompt,
                 prefix: want.pieces.first().copied().unwrap_or(0),
                 avoid: request.avoid.clone(),
             };
+            let print = request.print;
+            killer::narrow(core, &mut need, print);
             route::engine(core, &need)
         }
         Want::Service(want) => {
@@ -376,7 +402,9 @@
         give_up(core, key, Refusal::new(kind, detail).ran(ran), out);
         return;
     };
-    core.requests.arena[key].tries += 1;
+    let request = &mut core.requests.arena[key];
+    request.tries += 1;
+    request.heard = Heard::Nothing;
     attempt(core, key, choice, None, out);
 }
 
@@ -530,6 +558,7 @@
         }
     }
     request.last = Some(core.now);
+    request.heard = Heard::Tokens;
     request.delivered += u64::from(tokens);
     if let Some(record) = request.record.attempts.last_mut() {
         record.tokens += tokens;
@@ -631,7 +660,8 @@
     // It closed this stream and now neither answers nor knows it: it died while running it. After
     // a silence the same shows only that the connection or the network is lost.
     let gone = matches!(how, Break::Unreachable | Break::Forgotten);
-    let died = gone && entry.lost.take() == Some(Break::Cut);
+    // While it prefills for another there is nothing to resume, and so nothing more to ask it.
+    let died = gone && entry.lost == Some(Break::Cut) || split && how == Break::Cut;
     if died || how != Break::Forgotten {
         entry.avoid.push(backend);
     }
@@ -640,7 +670,11 @@
     if died {
         killer::suspect(core, request, backend, out);
     }
-    again(core, request, detail, Kind::EngineFailed, out);
+    let pause = match how {
+        Break::Refused | Break::Forgotten if !died => Duration::ZERO,
+        _ => HOLD_OFF,
+    };
+    again(core, request, detail, Kind::EngineFailed, pause, out);
 }
 
 fn attempt_again(
@@ -658,7 +692,14 @@
 }
 
 /// Tries elsewhere if tries and the budget of repeats allow, and gives the request up otherwise.
-fn again(core: &mut Core, key: RequestKey, detail: &str, kind: Kind, out: &mut Effects) {
+fn again(
+    core: &mut Core,
+    key: RequestKey,
+    detail: &str,
+    kind: Kind,
+    pause: Duration,
+    out: &mut Effects,
+) {
     let request = &core.requests.arena[key];
     let ran = request.ran();
     if request.tries >= TRIES {
@@ -668,7 +709,15 @@
         let class = core.requests.arena[key].class.clone();
         out.push(Effect::Meter(Meter::Retried { class }));
         note(core, key, format!("{detail}; tried elsewhere"));
-        dispatch(core, key, out);
+        if pause.is_zero() {
+            dispatch(core, key, out);
+        } else {
+            core.requests.arena[key].phase = Phase::Pause;
+            out.push(Effect::Wake {
+                at: core.now.after(pause),
+                timer: Timer::Request(key),
+            });
+        }
     } else {
         let refusal = Refusal::new(kind, format!("{detail}; too many repeats just now")).ran(ran);
         give_up(core, key, refusal, out);
@@ -691,7 +740,7 @@
         Break::Cut | Break::Silent | Break::Forgotten | Break::Rejected => Kind::ServiceFailed,
     };
     if ran == Ran::No || request.repeat {
-        again(core, key, detail, kind, out);
+        again(core, key, detail, kind, Duration::ZERO, out);
     } else {
         let refusal = Refusal::new(kind, detail).ran(ran);
         give_up(core, key, refusal, out);
@@ -834,6 +883,12 @@
         if all_refused { Ran::No } else { Ran::Unknown }
     }
 
+    /// Returns whether the engine in hand has brought tokens.
+    #[must_use]
+    pub fn answering(&self) -> bool {
+        self.heard == Heard::Tokens
+    }
+
     /// Returns the model that the caller wants.
     #[must_use]
     pub fn model(&self) -> Option<&ModelWant> {
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -110,7 +110,7 @@
 }
 
 /// Returns the engine that prompts with this first piece go to, so that its cache has it.
-fn affine(core: &Core, need: &Need, candidates: &[BackendKey]) -> Option<BackendKey> {
+pub(super) fn affine(core: &Core, need: &Need, candidates: &[BackendKey]) -> Option<BackendKey> {
     if need.prefix == 0 {
         return None;
     }
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -4,7 +4,9 @@
 //! Everything that is on its way lies in one bag, ordered by the time it falls due. The same seed
 //! gives the same run.
 
+mod killer;
 mod once;
+mod request;
 #[expect(dead_code, reason = "each subject uses its part of the fake")]
 mod store;
 
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -94,6 +94,7 @@
             engine: suspect.engine.to_string(),
             at: suspect.at,
             request: suspect.request.to_string(),
+            answering: suspect.answering,
         }),
     }
 }
@@ -155,6 +156,7 @@
             engine: suspect.engine.into(),
             at: suspect.at,
             request: suspect.request.into(),
+            answering: suspect.answering,
         }),
     })
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -320,6 +320,9 @@
     pub at: u64,
     #[prost(string, tag = "4")]
     pub request: ::prost::alloc::string::String,
+    /// The engine had begun to answer it.
+    #[prost(bool, tag = "5")]
+    pub answering: bool,
 }
 /// Value of one record shard in the key-value service.
 #[derive(Clone, PartialEq, ::prost::Message)]
