Measure the policy against fake engines in virtual time

There was no figure for the decisions under load and a shifting mix. The bench feeds the real cores of all hosts (admission, routing, retries) and the role decision at their interfaces: batching engines with separate prefill and decode cost, a cache of pieces of 2,000 tokens, lagging reports, five seconds for a role change, callers who follow a time to come back or do not. Baselines: best fixed split in hindsight, threshold controller, round robin, random, least reported load, and an oracle with exact routing and the best of several plans of roles that know the trace.

Ruled out: running the stand-in engines, which keep real time; a simulator of hosts or networks, which is not wanted.

--- /dev/null
+++ b/benches/policy/hosts.rs
@@ -0,0 +1,189 @@
+//! The real core of each host, started and fed at its interface.
+
+use std::net::SocketAddr;
+
+use chiveway::core::event::{
+    Entry, EntryKind, Event, FleetEvent, Health, Report, Role, StoreEvent, Watched,
+};
+use chiveway::core::fleet::Standing;
+use chiveway::core::{Core, Effects, Time};
+use chiveway::lists::{Index, KeyHash, Lists, Plans, Uses};
+use chiveway::settings::Settings;
+
+use crate::engine::{DECODE, Load, PIECE, PREFILL, SLOTS};
+use crate::trace::{CUSTOMERS, Case, PLANS};
+
+/// Wall clock at the start of a run; any will do.
+const EPOCH: u64 = 1_700_000_000_000;
+/// Requests a second that the plan of the hot customer may use.
+const HOT_LIMIT: f64 = 16.0;
+/// Failure domains.
+const DOMAINS: usize = 3;
+
+/// Returns the name of a host.
+pub fn host_name(at: usize) -> String {
+    format!("host-{at}")
+}
+
+/// Returns the address of an engine.
+pub fn engine_addr(at: usize) -> SocketAddr {
+    let port = u16::try_from(9000 + at).expect("few engines");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Returns the engine at an address.
+pub fn engine_at(addr: SocketAddr) -> usize {
+    usize::from(addr.port()) - 9000
+}
+
+/// Returns the name of an engine.
+pub fn engine_name(at: usize) -> String {
+    format!("engine-{at:04}")
+}
+
+/// Returns the key hash of a customer.
+pub fn key(customer: usize) -> KeyHash {
+    KeyHash::of(&format!("customer-{customer}-key"))
+}
+
+/// Returns the position of a customer's plan.
+pub fn plan(customer: usize) -> usize {
+    if customer + 1 == CUSTOMERS {
+        PLANS.len() - 1
+    } else {
+        customer % (PLANS.len() - 1)
+    }
+}
+
+fn domain(at: usize) -> String {
+    format!("domain-{}", at % DOMAINS)
+}
+
+/// Creates the settings of one host.
+pub fn settings(case: &Case, at: usize) -> Settings {
+    let site = case.site;
+    let text = format!(
+        "[host]\nname = {}\nregion = region\ndomain = {}\ncallers = 127.0.0.1:{}\n\
+         operators = 127.0.0.1:{}\npeers = 127.0.0.1:{}\n\
+         secret = a-secret-for-one-process-only\noperator-key-hash = {}\n\
+         [platform]\nkv = 127.0.0.1:2379\nlist = 127.0.0.1:8500\n\
+         [pool {}]\nmodel = {}\nfencing = checks\nsplit = yes\ngoodput = {}\nchange = {}\n\
+         prefill = {PREFILL}\ndecode = {DECODE}\nslots = {SLOTS}\npiece = {PIECE}\n",
+        host_name(at),
+        domain(at),
+        10_000 + at,
+        11_000 + at,
+        12_000 + at,
+        KeyHash::of("operator"),
+        site.model,
+        site.model,
+        site.goodput,
+        site.change,
+    );
+    Settings::parse(&text, "bench").expect("the bench writes sound settings")
+}
+
+/// Creates the two lists.
+pub fn lists(case: &Case) -> Lists {
+    let customers = (0..CUSTOMERS).map(|at| {
+        let (plan, key) = (PLANS[plan(at)], key(at));
+        format!("[customer c{at}]\nplan = {plan}\nkeys = {key}\n")
+    });
+    let plans = PLANS.iter().enumerate().map(|(at, name)| {
+        let model = case.site.model;
+        let limit = if case.hot > 0.0 && at == plan(CUSTOMERS - 1) {
+            format!("requests = {HOT_LIMIT}/s\n")
+        } else {
+            String::new()
+        };
+        format!("[plan {name}]\nmodels = {model}\nservices =\npriority = 5\n{limit}")
+    });
+    Lists {
+        revision: 1,
+        plans: Plans::parse(&customers.collect::<String>(), "bench").expect("sound plans"),
+        uses: Uses::parse(&plans.collect::<String>(), "bench").expect("sound uses"),
+    }
+}
+
+/// Starts the cores of all hosts; their effects go to `out` with the host's position.
+pub fn start(case: &Case, seed: u64, out: &mut Vec<(usize, Effects)>) -> Vec<Core> {
+    let lists = lists(case);
+    let mut cores: Vec<Core> = (0..case.site.hosts)
+        .map(|at| {
+            let settings = settings(case, at);
+            let mut core = Core::new(settings, Time::default(), EPOCH, seed + at as u64);
+            core.config.index = Index::new(&lists);
+            core.config.lists = lists.clone();
+            core
+        })
+        .collect();
+    let registered: Vec<Watched> = cores.iter().map(registration).collect();
+    for (at, core) in cores.iter_mut().enumerate() {
+        let mut effects = Effects::new();
+        let now = Time::default();
+        core.reduce(now, Event::Start, &mut effects);
+        core.reduce(
+            now,
+            Event::Store(StoreEvent::Health(Health::Up)),
+            &mut effects,
+        );
+        let watched = StoreEvent::Watched(registered.clone());
+        core.reduce(now, Event::Store(watched), &mut effects);
+        out.push((at, effects));
+    }
+    cores
+}
+
+fn registration(core: &Core) -> Watched {
+    let host = &core.settings.host;
+    let value = format!(
+        "{{\"addr\":\"{}\",\"region\":\"{}\",\"domain\":\"{}\",\"incarnation\":{}}}",
+        host.peers,
+        host.region,
+        host.domain,
+        core.members.incarnation()
+    );
+    Watched {
+        key: format!("host/{}", host.name).into(),
+        value: Some(value.into_bytes().into()),
+        modified: 1,
+    }
+}
+
+/// Returns the platform's list.
+pub fn listing(case: &Case, leaving: &[bool]) -> FleetEvent {
+    let entries = leaving.iter().enumerate().map(|(at, &leaving)| Entry {
+        name: engine_name(at).into(),
+        kind: EntryKind::Engine,
+        pool: case.site.model.into(),
+        addr: engine_addr(at),
+        domain: domain(at).into(),
+        leaving,
+    });
+    FleetEvent::Listed(entries.collect())
+}
+
+/// Returns an engine's report.
+pub fn report(at: usize, load: Load, role: Role, age: u32) -> FleetEvent {
+    let report = Report {
+        running: load.running,
+        waiting: load.waiting,
+        prefill: load.prefill,
+        role,
+        age,
+        ..Report::default()
+    };
+    FleetEvent::Report {
+        name: engine_name(at).into(),
+        report: Some(report),
+    }
+}
+
+/// Puts a pool's routing state for one engine in force at a host.
+pub fn route(core: &mut Core, engine: usize, routed: Standing, role: Role) {
+    if let Some(key) = core.fleet.find(&engine_name(engine)) {
+        let engine = &mut core.fleet.arena[key];
+        engine.routed = routed;
+        engine.role = role;
+    }
+}
--- /dev/null
+++ b/benches/policy/table.rs
@@ -0,0 +1,87 @@
+//! The table of results.
+
+use crate::Policy;
+use crate::tally::Tally;
+use crate::trace::Class;
+
+/// Result of one policy on one case.
+#[derive(Debug)]
+pub struct Row {
+    /// Name of the case.
+    pub case: &'static str,
+    /// Policy.
+    pub policy: Policy,
+    /// Counts.
+    pub tally: Tally,
+}
+
+impl Policy {
+    /// Returns the name in the table and the bounds.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Ours => "ours",
+            Self::Static => "static",
+            Self::Threshold => "threshold",
+            Self::Turn => "round-robin",
+            Self::Random => "random",
+            Self::Report => "least-report",
+            Self::Oracle => "oracle",
+        }
+    }
+}
+
+/// Returns the row of one policy on one case.
+pub fn find<'a>(rows: &'a [Row], case: &str, policy: Policy) -> Option<&'a Row> {
+    rows.iter()
+        .find(|row| row.case == case && row.policy == policy)
+}
+
+/// Returns a policy's goodput as a part of the oracle's.
+pub fn of_oracle(rows: &[Row], row: &Row) -> f64 {
+    let oracle = find(rows, row.case, Policy::Oracle).map_or(1.0, |row| row.tally.goodput());
+    row.tally.goodput() / oracle
+}
+
+/// Prints all rows.
+pub fn print(rows: &[Row]) {
+    println!(
+        "{:<18} {:<12} {:>6} {:>7} {:>6} {:>6} {:>6} {:>7} {:>7} {:>6} {:>6} {:>6} {:>6} {:>6}",
+        "case",
+        "policy",
+        "asked",
+        "good %",
+        "of or.",
+        "long",
+        "short",
+        "changes",
+        "lost s",
+        "refus.",
+        "named",
+        "kept %",
+        "fair",
+        "hits %"
+    );
+    for row in rows {
+        let tally = &row.tally;
+        let asked: u32 = tally.asked.iter().sum();
+        println!(
+            "{:<18} {:<12} {asked:>6} {:>7.2} {:>6.3} {:>6.3} {:>6.3} {:>7} {:>7.1} {:>6} {:>6} \
+             {:>6.1} {:>6.3} {:>6.1} r{:.3}",
+            row.case,
+            row.policy.word(),
+            tally.goodput() * 100.0,
+            of_oracle(rows, row),
+            tally.class(Class::Long),
+            tally.class(Class::Short),
+            tally.changes,
+            tally.lost,
+            tally.refused,
+            tally.named,
+            tally.truth() * 100.0,
+            tally.fairness(),
+            tally.hit_part() * 100.0,
+            tally.repeats(),
+        );
+    }
+}
