Stop a host without losing a request that is on its way to it

Cause: the listener was closed in the same moment as the readiness check began to fail, connections that the kernel had accepted were reset, requests on kept connections were refused, and the end of the process cut what the last answers had still to write.

Change: readiness fails first, new connections are refused a second later. What the kernel accepted is still taken, and open connections are served on for a second, each answer with Connection: close; then each connection without a request in hand is closed. The stop ends when every connection is closed, so that the last bytes have been written, in place of when the last handler returned. A request that the stopping host can serve is served; one whose share was handed over is told to come again.

--- a/src/core/request/arrive.rs
+++ b/src/core/request/arrive.rs
@@ -79,9 +79,6 @@
 
 /// Checks everything that needs no other host and costs no share.
 fn check(core: &mut Core, key: RequestKey) -> Result<(), Refusal> {
-    if core.stop.begun() {
-        return Err(Refusal::new(Kind::Stopping, "this host is shutting down"));
-    }
     if member::cut_off(core) {
         let detail = "this host hears neither the key-value service nor its peers";
         return Err(Refusal::new(Kind::CutOff, detail));
@@ -137,6 +134,12 @@
 fn take_share(core: &mut Core, key: RequestKey, out: &mut Effects) {
     match share::take(core, key, out) {
         share::Answer::Taken => go(core, key, out),
+        // The share that is not here is not used up: it was handed to the other hosts.
+        _ if core.stop.begun() => {
+            share::forget(core, key);
+            let detail = "this host is shutting down";
+            refuse(core, key, Refusal::new(Kind::Stopping, detail), out);
+        }
         share::Answer::Wait => out.push(Effect::Wake {
             at: core.now.after(SHARE_TIME),
             timer: Timer::Request(key),
--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -1,13 +1,22 @@
 //! Planned stop of this host: no new work, every request finished, then the end.
 
+use std::time::Duration;
+
 use super::effect::{Effect, log_event};
 use super::event::{StopEvent, Timer};
 use super::{Core, Effects, Time, member, order, share, trace};
 
+/// Time between the first word of the stop and the end of new connections.
+///
+/// The balancer hears of it from the readiness check, which it asks about once a second; closed
+/// at once, the listener would refuse callers whom the balancer still sends here.
+const NOTICE: Duration = Duration::from_secs(1);
+
 /// How far a planned stop is.
 #[derive(Debug, Default)]
 pub struct Stop {
     since: Option<Time>,
+    closed: bool,
     idle: bool,
     done: bool,
 }
@@ -39,9 +48,9 @@
         "host.stopping",
         "a planned stop began",
     ));
-    out.push(Effect::Close);
+    let notice = NOTICE.min(core.settings.limits.stop / 4);
     out.push(Effect::Wake {
-        at: core.now.after(core.settings.limits.stop),
+        at: core.now.after(notice),
         timer: Timer::Stop,
     });
     // Peers pass this host over from now on; shards and loans move while it still answers.
@@ -63,9 +72,19 @@
     }
 }
 
-/// The stop has reached its bound.
+/// The notice is over, or the stop has reached its bound.
 pub fn timer(core: &mut Core, out: &mut Effects) {
-    if core.stop.begun() && !core.stop.done {
+    let Some(since) = core.stop.since else {
+        return;
+    };
+    if !core.stop.closed {
+        core.stop.closed = true;
+        out.push(Effect::Close);
+        out.push(Effect::Wake {
+            at: since.after(core.settings.limits.stop),
+            timer: Timer::Stop,
+        });
+    } else if !core.stop.done {
         let left = core.requests.arena.len();
         let text = format!("the bound is reached with {left} requests running");
         out.push(log_event(log::Level::Error, "host.stop_bound", text));
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -19,7 +19,7 @@
 use crate::core::key::RequestKey;
 use crate::error::Kind;
 use crate::lists::KeyHash;
-use crate::web::{self, HandlerError, Hold};
+use crate::web::{self, HandlerError};
 
 /// Longest idempotency key.
 const KEY_LIMIT: usize = 255;
@@ -32,28 +32,6 @@
 /// Piece size where no pool names one, in tokens.
 const PIECE: usize = 2000;
 
-/// Counts a caller's open request; when it is dropped a planned stop may go on.
-struct Open {
-    node: Rc<Node>,
-    hold: Option<Hold>,
-}
-
-impl Open {
-    fn new(node: &Rc<Node>) -> Self {
-        Self {
-            node: Rc::clone(node),
-            hold: Some(node.open.hold()),
-        }
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.hold.take();
-        self.node.idle();
-    }
-}
-
 /// Tells the core that the caller left, unless its request has ended.
 struct Presence {
     node: Rc<Node>,
@@ -73,13 +51,11 @@
 /// A request's parts, as they come.
 struct Parts {
     queue: queue::Parts,
-    // Dropped in this order: the core first hears that the caller left.
     presence: Presence,
-    _open: Open,
 }
 
 impl Parts {
-    fn new(node: &Rc<Node>, taken: Taken, open: Open) -> Self {
+    fn new(node: &Rc<Node>, taken: Taken) -> Self {
         let presence = Presence {
             node: Rc::clone(node),
             request: taken.request,
@@ -88,7 +64,6 @@
         Self {
             queue: taken.parts,
             presence,
-            _open: open,
         }
     }
 
@@ -111,25 +86,21 @@
 
 /// Serves one request.
 pub async fn handle(node: Rc<Node>, req: Request) -> Response {
-    let open = Open::new(&node);
-    let stopping = node.look(|core| core.stop.begun());
-    let mut response = route(&node, req, open).await;
-    if stopping {
+    let mut response = route(&node, req).await;
+    if node.look(|core| core.stop.begun()) {
         // The next request of this caller is to go to another host.
-        response
-            .head_mut()
-            .set_connection_type(ntex::http::ConnectionType::Close);
+        close(&mut response);
     }
     response
 }
 
-async fn route(node: &Rc<Node>, req: Request, open: Open) -> Response {
+async fn route(node: &Rc<Node>, req: Request) -> Response {
     let path = req.path().to_owned();
     match (req.method(), path.as_str()) {
-        (&Method::POST, "/v1/completions") => complete(node, req, Form::Text, open).await,
-        (&Method::POST, "/v1/chat/completions") => complete(node, req, Form::Chat, open).await,
+        (&Method::POST, "/v1/completions") => complete(node, req, Form::Text).await,
+        (&Method::POST, "/v1/chat/completions") => complete(node, req, Form::Chat).await,
         (&Method::GET, "/v1/models") => models(node, &req),
-        (_, path) if path.starts_with(SERVICES) => serve(node, req, open).await,
+        (_, path) if path.starts_with(SERVICES) => serve(node, req).await,
         _ => refuse(Kind::NotFound, "there is nothing at this path"),
     }
 }
@@ -199,7 +170,7 @@
     Print(print)
 }
 
-async fn complete(node: &Rc<Node>, mut req: Request, form: Form, open: Open) -> Response {
+async fn complete(node: &Rc<Node>, mut req: Request, form: Form) -> Response {
     let idem = match idem(&req) {
         Ok(idem) => idem,
         Err(response) => return response,
@@ -230,7 +201,7 @@
         return refuse(Kind::Internal, "the request was lost");
     };
     let id = taken.id.clone();
-    let parts = Parts::new(node, taken, open);
+    let parts = Parts::new(node, taken);
     match completion.delivery {
         Delivery::Stream => streamed(parts, id).await,
         Delivery::Whole => collected(parts, &completion, &id).await,
@@ -343,7 +314,7 @@
         .body(json!({"object": "list", "data": data}).to_string())
 }
 
-async fn serve(node: &Rc<Node>, mut req: Request, open: Open) -> Response {
+async fn serve(node: &Rc<Node>, mut req: Request) -> Response {
     let idem = match idem(&req) {
         Ok(idem) => idem,
         Err(response) => return response,
@@ -384,7 +355,7 @@
         return refuse(Kind::Internal, "the request was lost");
     };
     let id = taken.id.clone();
-    let mut parts = Parts::new(node, taken, open);
+    let mut parts = Parts::new(node, taken);
     loop {
         match parts.next().await {
             Part::Reply(result, first) => return replied(&result, first.as_deref(), &id),
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -122,9 +122,14 @@
     node.on_close(close);
 
     let callers = Rc::clone(&node);
-    ntex::rt::spawn(web::serve(listeners.callers, closed.clone(), move |req| {
+    let serve = web::serve(listeners.callers, closed, move |req| {
         callers::handle(Rc::clone(&callers), req)
-    }));
+    });
+    let served = Rc::clone(&node);
+    ntex::rt::spawn(async move {
+        serve.await;
+        served.apply(Event::Stop(StopEvent::Idle));
+    });
     let (ended, running) = watch::channel(false);
     let operators = Rc::clone(&node);
     ntex::rt::spawn(web::serve(
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -21,12 +21,12 @@
 use super::{HostError, logs};
 use crate::backend;
 use crate::core::effect::{OperatorAnswer, Refusal};
-use crate::core::event::{Arrival, OperatorEvent, RequestEvent, StopEvent, Stored};
+use crate::core::event::{Arrival, OperatorEvent, RequestEvent, Stored};
 use crate::core::key::{AskKey, AttemptKey, HostKey, RequestKey};
 use crate::core::{Core, Effect, Effects, Event, Time};
 use crate::settings::Settings;
 use crate::store::Store;
-use crate::web::{CLIENT_IDLE, Gauge};
+use crate::web::CLIENT_IDLE;
 
 /// Time one call to the key-value service may take at one endpoint.
 const STORE_TIME: Duration = Duration::from_secs(2);
@@ -105,8 +105,6 @@
     wary: RefCell<BTreeMap<SocketAddr, Time>>,
     /// Counts and histograms.
     pub meters: Meters,
-    /// Open requests of callers.
-    pub open: Gauge,
     live: RefCell<SecondaryMap<RequestKey, Live>>,
     attempts: RefCell<SecondaryMap<AttemptKey, oneshot::Sender<()>>>,
     /// The request being taken in.
@@ -151,7 +149,6 @@
             wary: RefCell::default(),
             fresh: fresh.map_err(|_builder| HostError::Client)?,
             meters,
-            open: Gauge::default(),
             live: RefCell::default(),
             attempts: RefCell::default(),
             arriving: RefCell::default(),
@@ -300,14 +297,6 @@
         }
     }
 
-    /// Tells the core when a planned stop has no open request left.
-    pub fn idle(self: &Rc<Self>) {
-        let stopping = self.look(|core| core.stop.begun());
-        if stopping && self.open.get() == 0 {
-            self.apply(Event::Stop(StopEvent::Idle));
-        }
-    }
-
     fn carry(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Opened { request, id, .. } => {
@@ -349,10 +338,7 @@
                     drop(tx.send(answer));
                 }
             }
-            Effect::Close => {
-                self.close.borrow_mut().take();
-                self.idle();
-            }
+            Effect::Close => drop(self.close.borrow_mut().take()),
             Effect::Exit => self.exit.notify_one(),
             other => self.carry_out(other),
         }
--- a/src/web.rs
+++ b/src/web.rs
@@ -8,8 +8,9 @@
 
 use bytes::{Bytes, BytesMut};
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response, ResponseError, StatusCode};
+use ntex::io::Io;
 use ntex::service::cfg::SharedCfg;
-use ntex::service::{Pipeline, ServiceFactory, fn_service};
+use ntex::service::{Pipeline, Service, ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -27,6 +28,8 @@
 /// Clients here drop idle connections after [`crate::web::CLIENT_IDLE`], which is shorter,
 /// so that a request is not written to a connection this side is closing.
 const SERVER_IDLE: Seconds = Seconds(75);
+/// Time that connections are served on after their listener was closed.
+const GRACE: Duration = Duration::from_secs(1);
 /// Idle time after which clients in this program drop a pooled connection.
 pub const CLIENT_IDLE: Seconds = Seconds(4);
 
@@ -75,11 +78,13 @@
     TcpListener::bind(addr).await
 }
 
-/// Serves connections of `listener` with `handler` until `stop` turns true or its sender is gone.
+/// Serves connections of `listener` with `handler` until `stop` turns true or its sender is gone,
+/// and then until every connection is closed.
 ///
-/// Each connection runs as its own task on this thread. Returning drops the listener, so that
-/// new connections are refused; connections already open go on until their caller closes them
-/// or the handler answers with `Connection: close`.
+/// Each connection runs as its own task on this thread. Once it stops, new connections are
+/// refused. Those already open, and those the kernel had accepted by then, are served on for
+/// [`GRACE`], so that a request sent in the same moment is not lost; then each is closed as soon
+/// as it has no request in hand. Dropping this future closes nothing.
 pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handler: H)
 where
     H: Fn(Request) -> F + Clone + 'static,
@@ -104,7 +109,7 @@
             accepted = listener.accept() => accepted,
             changed = stop.changed() => {
                 if changed.is_err() || *stop.borrow() {
-                    return;
+                    break;
                 }
                 continue;
             }
@@ -114,18 +119,48 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        let io = stream
-            .set_nodelay(true)
-            .and_then(|()| stream.into_std())
-            .and_then(|stream| ntex::rt::from_tcp_stream(stream, cfg.clone()));
-        if let Ok(io) = io {
-            let call = service.call_static(io);
-            ntex::rt::spawn(async move {
-                if let Err(err) = call.await {
-                    log::debug!("connection closed: {err}");
-                }
-            });
-        }
+        open(&service, &cfg, stream.into_std());
+    }
+    drain(&service, &cfg, listener);
+    tokio::time::sleep(GRACE).await;
+    service.shutdown().await;
+}
+
+/// Serves one connection.
+fn open<S>(service: &Pipeline<S>, cfg: &SharedCfg, stream: io::Result<std::net::TcpStream>)
+where
+    S: Service<Io> + 'static,
+    S::Error: std::fmt::Display,
+{
+    let io = stream.and_then(|stream| {
+        stream.set_nodelay(true)?;
+        ntex::rt::from_tcp_stream(stream, cfg.clone())
+    });
+    if let Ok(io) = io {
+        let call = service.call_static(io);
+        ntex::rt::spawn(async move {
+            if let Err(err) = call.await {
+                log::debug!("connection closed: {err}");
+            }
+        });
+    }
+}
+
+/// Closes a listener after it has taken what the kernel accepted.
+///
+/// The kernel answers a connection before the program takes it. Closed without this, the listener
+/// would reset those that wait, and their callers would not know what became of their requests.
+fn drain<S>(service: &Pipeline<S>, cfg: &SharedCfg, listener: TcpListener)
+where
+    S: Service<Io> + 'static,
+    S::Error: std::fmt::Display,
+{
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        open(service, cfg, stream);
     }
 }
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod killer;
 mod path;
+mod stop;
 mod streams;
 #[expect(dead_code, reason = "each subject uses its part of the harness")]
 mod support;
--- a/tests/fleet/support/http.rs
+++ b/tests/fleet/support/http.rs
@@ -157,6 +157,13 @@
         Self { stream }
     }
 
+    /// Connects, unless the connection is refused.
+    pub fn try_connect(addr: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&addr, LIMIT).ok()?;
+        stream.set_read_timeout(Some(LIMIT)).ok()?;
+        Some(Self { stream })
+    }
+
     pub fn write(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).is_ok()
     }
@@ -173,7 +180,18 @@
             "POST /v1/completions HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {key}\r\n\
              content-length: {length}\r\n\r\n"
         );
-        assert!(self.write(head.as_bytes()) && self.write(body.as_bytes()));
+        self.write([head.as_bytes(), body.as_bytes()].concat().as_slice());
+    }
+
+    /// Sends a call that may not repeat without waiting for anything.
+    pub fn filing(&mut self, name: &str) {
+        let (service, key) = (super::SERVICE, super::CUSTOMER_KEY);
+        let head = format!(
+            "POST /services/{service}/extensions HTTP/1.1\r\nhost: h\r\n\
+             authorization: Bearer {key}\r\nidempotency-key: {name}\r\n\
+             content-length: 2\r\n\r\n{{}}"
+        );
+        self.write(head.as_bytes());
     }
 
     /// Reads until the other side closes.
