Turn strangers away before their body is read, and prove who gets in

Cause: a caller without a customer's key could have a host read, parse and hash bodies of 8 MiB; a host without lists told every caller that its key is wrong.

Change: the key is checked first, what is sent is read and dropped up to 64 KiB and a second, and the connection is closed. Without lists the answer is 503 "cut-off". Tests of the doors: callers', operators' and peers' keys, malformed and oversized requests, garbage at the peers' listener, no key, secret or body in the logs at levels debug and trace. Proptests of the decoder of callers' bodies and of the order of chunks.

With a mechanism taken out: the headers of callers logged at debug, no_secret_in_the_log failed; proof and message codes both unchecked, peer_without_the_secret_is_not_heard failed (either alone still refuses). Libraries' logs at trace: no_secret_in_the_log still passed, so that the cap on their level is not shown to be needed.

--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -144,7 +144,7 @@
 /// caller would read a scrambled answer; cut at the first gap, it would wait for a new stream
 /// each time.
 #[derive(Debug)]
-struct InOrder {
+pub(super) struct InOrder {
     /// Offset of the next token.
     next: u64,
     ended: bool,
@@ -152,7 +152,7 @@
 }
 
 impl InOrder {
-    fn new(next: u64) -> Self {
+    pub(super) fn new(next: u64) -> Self {
         Self {
             next,
             ended: false,
@@ -161,7 +161,7 @@
     }
 
     /// Takes a chunk; returns whether there is still room for those that come too early.
-    fn put(&mut self, chunk: Chunk) -> bool {
+    pub(super) fn put(&mut self, chunk: Chunk) -> bool {
         let start = start(&chunk);
         if start >= self.next {
             // The end marker starts where the token after it would.
@@ -172,7 +172,7 @@
     }
 
     /// Returns the next chunk and the offset of its first token, once it is there.
-    fn pop(&mut self) -> Option<(u64, Chunk)> {
+    pub(super) fn pop(&mut self) -> Option<(u64, Chunk)> {
         let entry = self.ahead.first_entry()?;
         let offset = start(entry.get());
         if offset != self.next || self.ended {
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -14,7 +15,7 @@
 use super::problem::{self, REQUEST_ID};
 use super::queue;
 use crate::core::Event;
-use crate::core::effect::Refusal;
+use crate::core::effect::{Meter, Refusal};
 use crate::core::event::{Arrival, Print, RequestEvent, ServiceWant, Stored, Want};
 use crate::core::key::RequestKey;
 use crate::error::Kind;
@@ -27,6 +28,10 @@
 const KEY_HEADER: &str = "idempotency-key";
 /// Headers of a service call that are passed on.
 const PASSED: [&str; 4] = ["content-type", "accept", "accept-language", KEY_HEADER];
+/// Most bytes read of a body that is not wanted.
+const DISCARD_LIMIT: usize = 64 * 1024;
+/// Time a caller has to send a body that is not wanted.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Prefix of the paths of services.
 const SERVICES: &str = "/services/";
 /// Piece size where no pool names one, in tokens.
@@ -132,6 +137,36 @@
     }
 }
 
+/// Turns away whoever has no customer's key before its body is read.
+///
+/// Anyone could have this host read and parse bodies for nothing otherwise.
+async fn known(node: &Rc<Node>, req: &mut Request) -> Result<(), Response> {
+    let caller = caller(req);
+    let refusal = node.look(|core| {
+        if core.config.revision() == 0 {
+            let detail = "this host has no lists yet";
+            Some(Refusal::new(Kind::CutOff, detail))
+        } else if core.config.index.get(caller).is_none() {
+            Some(Refusal::new(Kind::BadKey, "no customer has this key"))
+        } else {
+            None
+        }
+    });
+    let Some(refusal) = refusal else {
+        return Ok(());
+    };
+    node.meters.count(&Meter::Ended {
+        class: "".into(),
+        customer: "".into(),
+        outcome: refusal.kind.answer().code,
+        lasted: Duration::ZERO,
+    });
+    web::discard(req, DISCARD_LIMIT, DISCARD_TIME).await;
+    let mut response = problem::answer(&refusal, "");
+    close(&mut response);
+    Err(response)
+}
+
 async fn body(node: &Rc<Node>, req: &mut Request) -> Result<Bytes, Response> {
     let (limit, time) = node.look(|core| {
         let limits = &core.settings.limits;
@@ -171,6 +206,9 @@
 }
 
 async fn complete(node: &Rc<Node>, mut req: Request, form: Form) -> Response {
+    if let Err(response) = known(node, &mut req).await {
+        return response;
+    }
     let idem = match idem(&req) {
         Ok(idem) => idem,
         Err(response) => return response,
@@ -315,6 +353,9 @@
 }
 
 async fn serve(node: &Rc<Node>, mut req: Request) -> Response {
+    if let Err(response) = known(node, &mut req).await {
+        return response;
+    }
     let idem = match idem(&req) {
         Ok(idem) => idem,
         Err(response) => return response,
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -16,6 +16,8 @@
 mod problem;
 mod queue;
 mod report;
+#[cfg(test)]
+mod tests;
 mod timer;
 
 use std::io;
--- /dev/null
+++ b/tests/fleet/doors.rs
@@ -0,0 +1,236 @@
+//! Who gets in, and what becomes of those who do not belong or do not keep to the protocol.
+
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpStream};
+
+use chiveway::standin::engine::expected;
+use chiveway::trial::stream_text;
+use serde_json::json;
+
+use crate::support::http::{Answer, Raw, send};
+use crate::support::{
+    CUSTOMER_KEY, Fleet, MODEL, OPERATOR_KEY, Plan, SECRET, call, complete, runs, wait_for,
+};
+
+/// A prompt that must not be seen in any log.
+const PRIVATE: &str = "the member's whole grant agreement";
+/// Limit of a caller's body in these tests, in bytes.
+const BODY: usize = 1 << 20;
+
+fn plan(hosts: usize) -> Plan {
+    Plan {
+        hosts,
+        engines: 1,
+        services: 1,
+        limits: "body = 1MiB\nbody-time = 1s\n".into(),
+        ..Plan::default()
+    }
+}
+
+fn started(fleet: &Fleet) -> u64 {
+    let stats = |addr| send(addr, "GET", "/stats", &[], &[]).map(|answer| answer.json());
+    let engines = fleet.engines();
+    let counts = engines.filter_map(|engine| stats(engine.addr)?["started"].as_u64());
+    counts.sum()
+}
+
+fn post(addr: SocketAddr, key: Option<&str>, body: &[u8]) -> Answer {
+    let auth = key.map(|key| format!("Bearer {key}"));
+    let headers: Vec<_> = auth.iter().map(|auth| ("authorization", &**auth)).collect();
+    send(addr, "POST", "/v1/completions", &headers, body).expect("an answer")
+}
+
+fn body(prompt: &str) -> Vec<u8> {
+    json!({"model": MODEL, "prompt": prompt, "max_tokens": 4})
+        .to_string()
+        .into()
+}
+
+/// Writes bytes as they are and returns the status of the answer, 0 for none.
+fn raw(addr: SocketAddr, bytes: &[u8]) -> u16 {
+    let mut raw = Raw::connect(addr);
+    raw.write(bytes);
+    raw.answer().map_or(0, |answer| answer.status)
+}
+
+fn headers(count: usize, size: usize) -> Vec<u8> {
+    let mut head = b"GET /v1/models HTTP/1.1\r\nhost: h\r\n".to_vec();
+    for at in 0..count {
+        let value = "v".repeat(size);
+        write!(head, "x-{at}: {value}\r\n").expect("memory takes it");
+    }
+    head.extend(b"\r\n");
+    head
+}
+
+/// Makes one test of each bad request: its status, and that the next caller is served.
+macro_rules! turned_away {
+    ($($name:ident: $send:expr => $status:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let fleet = Fleet::start(plan(1));
+            let addr = fleet.hosts[0].callers;
+            let send: fn(SocketAddr) -> u16 = $send;
+            assert_eq!(send(addr), $status);
+            assert_eq!(started(&fleet), 0, "no engine saw it");
+            let good = complete(addr, "a good one", 4, true).expect("an answer");
+            assert_eq!(stream_text(&good.body), Some(expected(MODEL, "a good one", 4)));
+        }
+    )*};
+}
+
+turned_away! {
+    no_key: |addr| post(addr, None, &body("p")).status => 401,
+    wrong_key: |addr| post(addr, Some("wrong"), &body("p")).status => 401,
+    operators_key: |addr| post(addr, Some(OPERATOR_KEY), &body("p")).status => 401,
+    bad_json: |addr| post(addr, Some(CUSTOMER_KEY), b"{\"model\": ").status => 400,
+    not_utf8: |addr| post(addr, Some(CUSTOMER_KEY), b"{\"model\": \"\xff\xfe\"}").status => 400,
+    deep_json: |addr| {
+        post(addr, Some(CUSTOMER_KEY), "[".repeat(500_000).as_bytes()).status
+    } => 400,
+    unknown_model: |addr| {
+        let body = json!({"model": "nobody's", "prompt": "p"}).to_string();
+        post(addr, Some(CUSTOMER_KEY), body.as_bytes()).status
+    } => 404,
+    too_many_tokens: |addr| {
+        let body = json!({"model": MODEL, "prompt": "p", "max_tokens": u64::MAX}).to_string();
+        post(addr, Some(CUSTOMER_KEY), body.as_bytes()).status
+    } => 400,
+    long_body: |addr| post(addr, Some(CUSTOMER_KEY), &body(&"p".repeat(BODY))).status => 413,
+    slow_body: |addr| {
+        let auth = format!("authorization: Bearer {CUSTOMER_KEY}");
+        let head = "POST /v1/completions HTTP/1.1\r\nhost: h\r\ncontent-length: 100";
+        raw(addr, format!("{head}\r\n{auth}\r\n\r\n{{").as_bytes())
+    } => 408,
+    wrong_key_is_not_waited_for: |addr| {
+        raw(addr, b"POST /v1/completions HTTP/1.1\r\nhost: h\r\nauthorization: Bearer wrong\r\n\
+            content-length: 100\r\n\r\n{")
+    } => 401,
+    many_headers: |addr| raw(addr, &headers(200, 1)) => 431,
+    long_headers: |addr| raw(addr, &headers(60, 4096)) => 431,
+    not_http: |addr| raw(addr, b"\x16\x03\x01 hello\r\n\r\n") => 400,
+    two_lengths: |addr| {
+        raw(addr, b"POST /v1/completions HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\
+            content-length: 2\r\n\r\n{}")
+    } => 400,
+}
+
+/// Someone who found the operators' listener tries its paths without the key, with a customer's,
+/// and with a wrong one.
+#[test]
+fn operators_door_is_shut() {
+    let fleet = Fleet::start(plan(1));
+    let addr = fleet.hosts[0].operators;
+    let before = fleet.status(0)["revision"].clone();
+    for (method, path) in [
+        ("GET", "/status"),
+        ("GET", "/explain/1"),
+        ("GET", "/lists/plans"),
+        ("PUT", "/lists/plans"),
+        ("GET", "/lists/force"),
+        ("GET", "/anything"),
+    ] {
+        for key in [
+            "",
+            "Bearer wrong",
+            &format!("Bearer {CUSTOMER_KEY}"),
+            OPERATOR_KEY,
+        ] {
+            let answer = send(addr, method, path, &[("authorization", key)], b"[plan x]\n");
+            let status = answer.map(|answer| answer.status);
+            assert_eq!(status, Some(401), "{method} {path} with {key:?}");
+        }
+    }
+    assert_eq!(fleet.status(0)["revision"], before);
+}
+
+/// A process that does not know the secret registers as a host and speaks to the others. Heard,
+/// it could lend shares that do not exist or call requests engine-killers.
+#[test]
+fn peer_without_the_secret_is_not_heard() {
+    let mut fleet = Fleet::start(plan(2));
+    let text = fleet
+        .settings("host-9")
+        .replace(SECRET, "another secret of a stranger");
+    fleet.add_host_with("host-9", &text);
+    wait_for("the stranger was refused", || {
+        fleet.log("host-1").contains("did not prove who it is")
+    });
+    let hosts = fleet.status(0)["hosts"].clone();
+    let stranger = hosts.as_array().into_iter().flatten();
+    let mut stranger = stranger.filter(|host| host["name"] == "host-9");
+    assert!(stranger.all(|host| host["heard_ms"].is_null()), "{hosts}");
+    let good = complete(fleet.hosts[0].callers, "still", 4, true).expect("an answer");
+    assert!(stream_text(&good.body).is_some());
+}
+
+/// Connections to the peers' listener that send garbage, a frame of four gigabytes, or nothing,
+/// more of them than are let in at once. The peers must go on to hear each other.
+#[test]
+fn garbage_at_the_peers_door() {
+    let fleet = Fleet::start(plan(2));
+    let addr = fleet.hosts[0].peers;
+    let mut open = Vec::new();
+    for at in 0..200 {
+        let Ok(mut stream) = TcpStream::connect(addr) else {
+            continue;
+        };
+        let bytes: &[u8] = match at % 3 {
+            0 => b"GET / HTTP/1.1\r\n\r\n",
+            1 => b"\xff\xff\xff\xff",
+            _ => b"",
+        };
+        drop(stream.write_all(bytes));
+        open.push(stream);
+    }
+    let number = |fleet: &Fleet| {
+        let status = fleet.status(0);
+        let hosts = status["hosts"].as_array().cloned().unwrap_or_default();
+        let peer = hosts.iter().find(|host| host["name"] == "host-2").cloned();
+        peer.and_then(|peer| peer["heard_ms"].as_u64())
+    };
+    for _ in 0..3 {
+        wait_for("the peer is heard", || {
+            number(&fleet).is_some_and(|ms| ms < 1500)
+        });
+    }
+    let good = complete(fleet.hosts[0].callers, "still", 4, true).expect("an answer");
+    assert!(stream_text(&good.body).is_some());
+}
+
+/// An operator turns the log up to find a fault, and the log is read by people who may not see
+/// keys or what members wrote.
+#[test]
+fn no_secret_in_the_log() {
+    for level in ["debug", "trace"] {
+        let mut fleet = Fleet::start(Plan {
+            limits: format!("[log]\nlevel = {level}\n"),
+            ..plan(2)
+        });
+        let addr = fleet.hosts[0].callers;
+        assert!(complete(addr, PRIVATE, 8, true).is_some());
+        assert!(complete(addr, PRIVATE, 8, false).is_some());
+        assert!(call(addr, "POST", "/extensions", "private-key", PRIVATE).is_some());
+        assert_eq!(runs(&fleet, "private-key"), 1);
+        post(addr, Some("a wrong caller's key"), &body(PRIVATE));
+        post(addr, Some(CUSTOMER_KEY), PRIVATE.as_bytes());
+        fleet.backends[0].process.kill();
+        complete(addr, PRIVATE, 8, true);
+        fleet.hosts[0].process.term();
+        fleet.hosts[0].process.ended();
+        for name in ["host-1", "host-2"] {
+            let log = fleet.log(name);
+            assert!(log.contains("host.stopp") || name == "host-2", "{log}");
+            for secret in [
+                CUSTOMER_KEY,
+                OPERATOR_KEY,
+                SECRET,
+                PRIVATE,
+                "a wrong caller's key",
+            ] {
+                let line = log.lines().find(|line| line.contains(secret));
+                assert_eq!(line, None, "{secret:?} at level {level}");
+            }
+        }
+    }
+}
--- a/tests/fleet/support/mod.rs
+++ b/tests/fleet/support/mod.rs
@@ -222,6 +222,11 @@
         self.add_host_with(name, &text);
     }
 
+    /// Returns what a host has logged so far.
+    pub fn log(&self, name: &str) -> String {
+        self.folder.read(&format!("{name}.log"))
+    }
+
     /// Starts a host with settings of its own.
     pub fn add_host_with(&mut self, name: &str, settings: &str) {
         let path = self.folder.write(&format!("{name}.ini"), settings);
--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -33,6 +33,14 @@
     }
 }
 
+impl Folder {
+    /// Returns what a file holds, as far as it was written.
+    pub fn read(&self, name: &str) -> String {
+        let bytes = std::fs::read(self.0.join(name)).expect("a file of the test");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
 impl Drop for Folder {
     fn drop(&mut self) {
         drop(std::fs::remove_dir_all(&self.0));
