Mend seven faults in the records of calls that may not repeat

The answer of a write that was on its way when the shard moved away was taken for that of the read after it moved back, and the shard for empty. Calls to the store now carry a number. - a_late_release_does_not_undo_a_result: 'k ran 2 times'. A repeated 'not run' removed a result. - an_answer_for_a_former_life_starts_nothing: a restarted host counted its questions from 1 again and took the answer to its former self's question for its own: 1 attempt, 0 allowed. Also: a shard that is almost full keeps that a call ran without its answer, since a value over the store's megabyte could never be written again; 'still running' no longer claims that the call ran, for the first request may yet be given up unsent; paths and methods that are not in their canonical form are refused, since rules match bytes and a service might read another path. Ruled out: letting the owner take an unsure start back, for another owner may have let it run.

--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -230,8 +230,8 @@
     Apply(AskKey),
     /// Read the chunks of new lists, for this revision.
     Chunk(u64),
-    /// Read or write a shard of records.
-    Record(ShardKey),
+    /// Read or write a shard of records; numbered, since shards move away and back.
+    Record(ShardKey, u64),
     /// Take, renew or give back the authority over a pool.
     Holder(PoolKey),
     /// Read or write the intended orders of a pool.
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -154,6 +154,8 @@
     OtherBody,
     /// The key-value service does not answer; nothing was recorded for this request.
     StoreDown,
+    /// The key-value service did not answer; the start may have been recorded.
+    Unclear,
     /// The shard is full.
     Full,
     /// The peer does not own the shard by its view.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -89,7 +89,7 @@
             config: config::Config::default(),
             requests: request::Requests::default(),
             shares: share::Shares::default(),
-            once: once::Once::default(),
+            once: once::Once::new(incarnation),
             orders: order::Orders,
             killers: killer::Killers::default(),
             stop: stop::Stop::default(),
@@ -149,7 +149,7 @@
             StoreEvent::Reply(reply) => match reply.job {
                 Job::Register(_) => member::reply(self, &reply, out),
                 Job::Apply(_) | Job::Chunk(_) => config::reply(self, reply, out),
-                Job::Record(_) => once::reply(self, reply, out),
+                Job::Record(..) => once::reply(self, reply, out),
                 Job::Holder(_) | Job::Intent(_) | Job::Route(_) => order::reply(self, reply, out),
             },
         }
--- /dev/null
+++ b/src/core/once/owner.rs
@@ -0,0 +1,355 @@
+//! The side of a shard's owner: reads the shard, writes what is wished, answers.
+
+use std::time::Duration;
+
+use super::record::{self, Calls};
+use super::{SWEEP_EVERY, Wish, ask, home, look_after};
+use crate::core::effect::{Effect, log_event};
+use crate::core::event::{Health, Job, StoreReply, StoreResult};
+use crate::core::key::{HostKey, ShardKey};
+use crate::core::message::{Begin, BeginState, Done, Message};
+use crate::core::{Core, Effects, Time};
+use crate::store::{Compare, Op, Range, Span, Txn};
+use crate::wire;
+
+/// Time after which an unused shard leaves the memory.
+const IDLE: Duration = Duration::from_mins(1);
+/// Most bytes of unused shards kept in memory; a host's whole budget is 64 MB.
+const LOADED: usize = 8 * 1024 * 1024;
+
+/// A wish and where its answer goes; `None` for this host.
+#[derive(Debug, Clone)]
+pub(super) struct Queued {
+    pub(super) from: Option<HostKey>,
+    pub(super) wish: Wish,
+}
+
+/// A shard that this host owns by its view.
+#[derive(Debug, Default)]
+pub(super) struct Shard {
+    pub(super) calls: Calls,
+    /// Bytes of the value, about.
+    pub(super) bytes: usize,
+    /// Revision of the value in the key-value service that `calls` grew from; `None` before it
+    /// was read.
+    read: Option<i64>,
+    /// Number of the read or write on its way.
+    ///
+    /// A shard can move away and back while a call is on its way. Without a number the answer of
+    /// an old write would be taken for that of a new read, and the records for none.
+    job: Option<u64>,
+    /// Wishes in the write on its way, with their answers.
+    writing: Vec<(Queued, Message)>,
+    /// Wishes not looked at yet.
+    queue: Vec<Queued>,
+    used: Time,
+}
+
+impl Shard {
+    /// Returns whether nothing waits for this shard.
+    pub(super) fn idle(&self) -> bool {
+        self.job.is_none() && self.queue.is_empty() && self.writing.is_empty()
+    }
+}
+
+fn shard_key(shard: ShardKey) -> Box<str> {
+    format!("d/once/{}", shard.0).into()
+}
+
+/// Gives up shards that fall to another host.
+pub(super) fn yield_shards(core: &mut Core, out: &mut Effects) {
+    let shards = core.once.shards.keys().copied();
+    let gone: Vec<ShardKey> = shards.filter(|&key| home(core, key).is_some()).collect();
+    for key in gone {
+        let Some(shard) = core.once.shards.remove(&key) else {
+            continue;
+        };
+        let writing = shard.writing.into_iter().map(|(queued, _)| queued);
+        for queued in writing.chain(shard.queue) {
+            refer(core, &queued, out);
+        }
+    }
+}
+
+/// Tells a peer that this host does not own the shard.
+fn refer(core: &mut Core, queued: &Queued, out: &mut Effects) {
+    if let (Some(_), Wish::Begin(begin)) = (queued.from, &queued.wish) {
+        let message = begun(begin, BeginState::NotOwner);
+        answer(core, queued, message, out);
+    }
+}
+
+/// When the key-value service is back, reads what waits.
+pub fn health(core: &mut Core, health: Health, out: &mut Effects) {
+    if health == Health::Up {
+        let shards: Vec<ShardKey> = core.once.shards.keys().copied().collect();
+        for shard in shards {
+            push(core, shard, out);
+        }
+    }
+}
+
+/// A peer asks for the record of a start.
+pub fn asked(core: &mut Core, from: HostKey, begin: Begin, out: &mut Effects) {
+    let (from, wish) = (Some(from), Wish::Begin(begin));
+    take(core, Queued { from, wish }, out);
+}
+
+/// A peer asks for the record of an end.
+pub fn done_asked(core: &mut Core, from: HostKey, done: Done, out: &mut Effects) {
+    let (from, wish) = (Some(from), Wish::Done(done));
+    take(core, Queued { from, wish }, out);
+}
+
+/// Takes a wish into the queue of its shard.
+pub(super) fn take(core: &mut Core, queued: Queued, out: &mut Effects) {
+    let key = queued.wish.shard();
+    if queued.from.is_some() && home(core, key).is_some() {
+        refer(core, &queued, out);
+        return;
+    }
+    if core.members.store == Health::Down
+        && let Wish::Begin(begin) = &queued.wish
+    {
+        let message = begun(begin, BeginState::StoreDown);
+        answer(core, &queued, message, out);
+        return;
+    }
+    let now = core.now;
+    let shard = core.once.shards.entry(key).or_default();
+    shard.used = now;
+    let sent = shard.writing.iter().map(|(other, _)| other);
+    let mut known = shard.queue.iter().chain(sent);
+    if !known.any(|other| other.wish == queued.wish) {
+        shard.queue.push(queued);
+    }
+    push(core, key, out);
+    look_after(core, SWEEP_EVERY, out);
+}
+
+/// Reads the shard if need be, then writes what the queue changes.
+fn push(core: &mut Core, key: ShardKey, out: &mut Effects) {
+    // Ends wait here for the service to come back; asking meanwhile would only add to its load.
+    if core.members.store == Health::Down {
+        return;
+    }
+    let now = core.wall();
+    let Some(shard) = core.once.shards.get_mut(&key) else {
+        return;
+    };
+    if shard.job.is_some() || shard.queue.is_empty() {
+        return;
+    }
+    let Some(read) = shard.read else {
+        let span = Span::Key(shard_key(key));
+        let job = start(core, key);
+        out.push(Effect::Read { job, span });
+        return;
+    };
+    record::expire(&mut shard.calls, now);
+    for queued in std::mem::take(&mut shard.queue) {
+        consider(core, key, queued, out);
+    }
+    write(core, key, read, out);
+}
+
+fn start(core: &mut Core, key: ShardKey) -> Job {
+    core.once.jobs += 1;
+    let number = core.once.jobs;
+    if let Some(shard) = core.once.shards.get_mut(&key) {
+        shard.job = Some(number);
+    }
+    Job::Record(key, number)
+}
+
+/// Applies a wish to the records in memory; it is answered when the change is written.
+///
+/// What changes nothing is answered at once, but for what this very write is about: that is
+/// looked at again when the write is done.
+fn consider(core: &mut Core, key: ShardKey, queued: Queued, out: &mut Effects) {
+    let (changed, message) = match &queued.wish {
+        Wish::Begin(begin) => {
+            let (changed, state, first) = record::look_begin(core, key, begin, out);
+            let message = Message::Begun {
+                round: begin.round,
+                state,
+                request: first,
+            };
+            (changed, message)
+        }
+        Wish::Done(done) => {
+            let changed = record::look_done(core, key, done);
+            let round = done.round;
+            let durable = true;
+            (changed, Message::Recorded { round, durable })
+        }
+    };
+    let Some(shard) = core.once.shards.get_mut(&key) else {
+        return;
+    };
+    let name = queued.wish.name();
+    let mut writing = shard.writing.iter();
+    if changed {
+        shard.writing.push((queued, message));
+    } else if writing.any(|(other, _)| other.wish.name() == name) {
+        shard.queue.push(queued);
+    } else {
+        answer(core, &queued, message, out);
+    }
+}
+
+fn write(core: &mut Core, key: ShardKey, read: i64, out: &mut Effects) {
+    let Some(shard) = core.once.shards.get_mut(&key) else {
+        return;
+    };
+    if shard.writing.is_empty() {
+        return;
+    }
+    let value = wire::encode_shard(&shard.calls);
+    shard.bytes = value.len();
+    let at = shard_key(key);
+    let compare = match read {
+        0 => Compare::Absent { key: at.clone() },
+        modified => Compare::Modified {
+            key: at.clone(),
+            at: modified,
+        },
+    };
+    let put = Op::Put {
+        key: at,
+        value: value.into(),
+        lease: 0,
+    };
+    let job = start(core, key);
+    let txn = Txn {
+        compare: vec![compare],
+        then: vec![put],
+        otherwise: Vec::new(),
+    };
+    out.push(Effect::Txn { job, txn });
+}
+
+/// Goes on with a shard that was read or written.
+pub fn reply(core: &mut Core, reply: StoreReply, out: &mut Effects) {
+    let Job::Record(key, number) = reply.job else {
+        return;
+    };
+    let Some(shard) = core.once.shards.get_mut(&key) else {
+        return;
+    };
+    if shard.job != Some(number) {
+        return;
+    }
+    shard.job = None;
+    match reply.result {
+        StoreResult::Read(range) => read(core, key, &range, out),
+        StoreResult::Txn(txn) if txn.succeeded => {
+            shard.read = Some(txn.revision);
+            for (queued, message) in std::mem::take(&mut shard.writing) {
+                answer(core, &queued, message, out);
+            }
+            push(core, key, out);
+        }
+        // Another host wrote the shard: read it anew and look at each wish again.
+        StoreResult::Txn(_) => {
+            again_later(shard);
+            push(core, key, out);
+        }
+        StoreResult::Refused => {
+            again_later(shard);
+            refuse_begins(core, key, &BeginState::StoreDown, out);
+        }
+        _ => {
+            let wrote = !shard.writing.is_empty();
+            again_later(shard);
+            let state = if wrote {
+                BeginState::Unclear
+            } else {
+                BeginState::StoreDown
+            };
+            refuse_begins(core, key, &state, out);
+        }
+    }
+}
+
+fn read(core: &mut Core, key: ShardKey, range: &Range, out: &mut Effects) {
+    let pair = range.pairs.first();
+    let calls = pair.map_or(Some(Calls::new()), |pair| wire::decode_shard(&pair.value));
+    let (Some(calls), Some(shard)) = (calls, core.once.shards.get_mut(&key)) else {
+        let text = format!("record shard {} cannot be read", key.0);
+        out.push(log_event(log::Level::Error, "once.unreadable", text));
+        refuse_begins(core, key, &BeginState::StoreDown, out);
+        return;
+    };
+    shard.read = Some(pair.map_or(0, |pair| pair.modified));
+    shard.bytes = pair.map_or(0, |pair| pair.value.len());
+    shard.calls = calls;
+    push(core, key, out);
+}
+
+fn again_later(shard: &mut Shard) {
+    shard.read = None;
+    let writing = std::mem::take(&mut shard.writing);
+    let queue = std::mem::take(&mut shard.queue);
+    let before = writing.into_iter().map(|(queued, _)| queued);
+    shard.queue = before.chain(queue).collect();
+}
+
+/// The key-value service did not answer: callers are told at once, ends are kept for later.
+fn refuse_begins(core: &mut Core, key: ShardKey, state: &BeginState, out: &mut Effects) {
+    let Some(shard) = core.once.shards.get_mut(&key) else {
+        return;
+    };
+    let queue = std::mem::take(&mut shard.queue).into_iter();
+    let (begins, dones): (Vec<Queued>, Vec<Queued>) =
+        queue.partition(|queued| matches!(queued.wish, Wish::Begin(_)));
+    shard.queue = dones;
+    for queued in begins {
+        if let Wish::Begin(begin) = &queued.wish {
+            let message = begun(begin, state.clone());
+            answer(core, &queued, message, out);
+        }
+    }
+}
+
+fn begun(begin: &Begin, state: BeginState) -> Message {
+    Message::Begun {
+        round: begin.round,
+        state,
+        request: begin.request.clone(),
+    }
+}
+
+fn answer(core: &mut Core, queued: &Queued, message: Message, out: &mut Effects) {
+    match (queued.from, message) {
+        (Some(to), message) => out.push(Effect::Send { to, message }),
+        (
+            None,
+            Message::Begun {
+                round,
+                state,
+                request,
+            },
+        ) => ask::begun(core, round, state, request, out),
+        (None, Message::Recorded { round, durable }) => ask::recorded(core, round, durable, out),
+        (None, _) => {}
+    }
+}
+
+/// Unloads shards that nobody uses, those unused for longest first.
+pub(super) fn sweep(core: &mut Core) {
+    let now = core.now;
+    let shards = &mut core.once.shards;
+    shards.retain(|_, shard| !shard.idle() || now.since(shard.used) < IDLE);
+    let mut loaded: usize = shards.values().map(|shard| shard.bytes).sum();
+    while loaded > LOADED {
+        let idle = shards.iter().filter(|(_, shard)| shard.idle());
+        let Some(key) = idle
+            .min_by_key(|(_, shard)| shard.used)
+            .map(|(key, _)| *key)
+        else {
+            break;
+        };
+        loaded -= shards.remove(&key).map_or(0, |shard| shard.bytes);
+    }
+}
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -139,7 +139,6 @@
     Settings::parse(&text, "test").expect("the settings are right")
 }
 
-#[expect(dead_code, reason = "each subject uses its part of the harness")]
 impl World {
     /// Starts `count` hosts and runs until they know each other.
     pub fn new(count: usize, seed: u64) -> Self {
@@ -351,9 +350,7 @@
     }
 
     fn carry_all(&mut self, at: usize, out: Effects) {
-        for effect in out {
-            self.carry(at, effect);
-        }
+        out.into_iter().for_each(|effect| self.carry(at, effect));
     }
 
     fn carry(&mut self, at: usize, effect: Effect) {
--- a/src/core/trace.rs
+++ b/src/core/trace.rs
@@ -184,6 +184,12 @@
             .or_else(|| self.copies.records.get(id))
     }
 
+    /// Returns this host's own record of a request.
+    #[must_use]
+    pub fn own(&self, id: &str) -> Option<&Record> {
+        self.own.records.get(id)
+    }
+
     /// Returns how many own records and copies are kept.
     #[must_use]
     pub fn count(&self) -> (usize, usize) {
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -17,6 +17,7 @@
 use crate::core::effect::Refusal;
 use crate::core::event::{Arrival, Print, RequestEvent, ServiceWant, Stored, Want};
 use crate::core::key::RequestKey;
+use crate::core::once;
 use crate::error::Kind;
 use crate::lists::KeyHash;
 use crate::web::{self, HandlerError, Hold};
@@ -353,6 +354,11 @@
     let query = req.uri().query();
     let full = query.map_or_else(|| path.to_owned(), |query| format!("{path}?{query}"));
     let method: Box<str> = req.method().as_str().into();
+    if !once::canonical(&method, path) {
+        let detail = "the method or path is not in its one canonical form: no empty or dot \
+                      segments, no needless escapes, capitals in escapes and in the method";
+        return refuse(Kind::Malformed, detail);
+    }
     let bytes = match body(node, &mut req).await {
         Ok(bytes) => bytes,
         Err(response) => return response,
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -219,6 +219,7 @@
         BeginState::StoreDown => (5, None),
         BeginState::Full => (6, None),
         BeginState::NotOwner => (7, None),
+        BeginState::Unclear => (8, None),
     };
     Kind::Begun(wire::Begun {
         round,
@@ -238,6 +239,7 @@
         (5, _) => BeginState::StoreDown,
         (6, _) => BeginState::Full,
         (7, _) => BeginState::NotOwner,
+        (8, _) => BeginState::Unclear,
         _ => return Err(WireError::Field { field: "state" }),
     };
     Ok(Message::Begun {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -141,7 +141,8 @@
 pub struct Begun {
     #[prost(uint64, tag = "1")]
     pub round: u64,
-    /// 0 started, 1 done, 2 running, 3 may have run, 4 other body, 5 store down, 6 full, 7 not owner
+    /// 0 started, 1 done, 2 running, 3 may have run, 4 other body, 5 store down, 6 full, 7 not owner,
+    /// 8 unclear
     #[prost(uint32, tag = "2")]
     pub state: u32,
     #[prost(message, optional, tag = "3")]
