--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -210,7 +210,7 @@
         }
     }
 
-    /// Begins or ends an outage of the key-value service.
+    /// Begins or ends an outage of the store.
     pub fn outage(&mut self, down: bool) {
         self.store.down = down;
         for at in 0..self.hosts.len() {
@@ -350,7 +350,9 @@
     }
 
     fn carry_all(&mut self, at: usize, out: Effects) {
-        out.into_iter().for_each(|effect| self.carry(at, effect));
+        for effect in out {
+            self.carry(at, effect);
+        }
     }
 
     fn carry(&mut self, at: usize, effect: Effect) {
