--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use super::fresh::{self, Fresh};
 use crate::error::Ran;
 use crate::web::CLIENT_IDLE;
 
@@ -44,6 +45,17 @@
     pub age: Duration,
     /// Most bytes of a collected body.
     pub limit: usize,
+    /// Whether connections are kept for further calls.
+    pub reuse: Reuse,
+}
+
+/// Whether connections are kept for further calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// They are, until they are too old or were idle for too long.
+    Pooled,
+    /// Each call opens its own and closes it.
+    Never,
 }
 
 impl Default for Options {
@@ -54,6 +66,7 @@
             body: Duration::from_secs(30),
             age: Duration::from_mins(1),
             limit: 8 * 1024 * 1024,
+            reuse: Reuse::Pooled,
         }
     }
 }
@@ -159,6 +172,25 @@
             .limit(CONNECTIONS)
             .keep_alive(CLIENT_IDLE)
             .lifetime(Seconds(age));
+        Self::with(opts, connector).await
+    }
+
+    /// Builds a client for one call, on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error if the connector cannot be made.
+    pub async fn fresh(
+        opts: Options,
+        fresh: Fresh,
+    ) -> Result<Self, ntex::client::error::ClientBuilderError> {
+        Self::with(opts, fresh::connector(fresh, opts.connect)).await
+    }
+
+    async fn with(
+        opts: Options,
+        connector: Connector,
+    ) -> Result<Self, ntex::client::error::ClientBuilderError> {
         let io = IoConfig::new().set_connect_timeout(millis(opts.connect));
         let http = ntex::client::Client::builder()
             .connector::<()>(connector)
@@ -204,6 +236,9 @@
         };
         let url = format!("http://{}{}", call.addr, call.path);
         let mut request = self.http.request(method, url).address(call.addr);
+        if self.opts.reuse == Reuse::Never {
+            request = request.force_close();
+        }
         for (name, value) in call.headers {
             request = request.header(*name, *value);
         }
--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -1,5 +1,6 @@
 //! Engines and services: streams, calls, load reports, orders, and the platform's list.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,18 +10,37 @@
 
 use super::node::{Node, Prepared};
 use super::timer;
-use crate::backend::{self, OpenError, OrderError};
-use crate::core::Event;
+use crate::backend::{self, Chunk, OpenError, OrderError};
 use crate::core::effect::{self, Open};
 use crate::core::event::{
-    Break, Entry, EntryKind, FleetEvent, Ordered, Report, RequestEvent, Role, Stored,
+    Break, Entry, EntryKind, FleetEvent, Ordered, Probe, Report, RequestEvent, Role, Stored,
 };
 use crate::core::key::{AttemptKey, RequestKey};
+use crate::core::{Event, Time};
 use crate::error::Ran;
 use crate::store::{ListedKind, ListedState};
 
 /// Time a load report may take.
 const LOAD_TIME: Duration = Duration::from_secs(2);
+/// Chunks of one stream that may come before one that is missing.
+const AHEAD: usize = 64;
+/// Time a caller may take nothing of an answer that waits for it.
+const CALLER_TIME: Duration = Duration::from_mins(1);
+/// Time the kernel goes on trying to deliver an order.
+///
+/// With the time to connect it stays under [`crate::core::order::FLIGHT`].
+const ORDER_LIFE: Duration = Duration::from_secs(2);
+/// Times and limits of an order's call.
+const ORDER_OPTIONS: backend::Options = backend::Options {
+    connect: Duration::from_millis(500),
+    head: Duration::from_secs(2),
+    body: Duration::from_secs(2),
+    age: Duration::from_secs(1),
+    limit: 64 * 1024,
+    reuse: backend::Reuse::Never,
+};
+/// Time a try to connect may take.
+const PROBE_TIME: Duration = Duration::from_secs(1);
 
 /// Opens a stream and reports it piece by piece until it ends or `ended` closes.
 pub async fn stream(node: Rc<Node>, open: Open, ended: oneshot::Receiver<()>) {
@@ -45,15 +65,26 @@
         return broke(attempt, Ran::No, Break::Rejected, "not a completion");
     };
     // A resumed stream goes on by itself; another engine needs the text delivered so far.
-    let done = match open.resume {
-        Some(_) => Vec::new(),
-        None => node.pieces(open.request),
+    let (done, tokens) = match open.resume {
+        Some(_) => (String::new(), 0),
+        None => (node.text(open.request), open.delivered),
+    };
+    let body = |kv| completion.body(open.priority, &done, tokens, kv);
+    let body = match open.prefill {
+        None => body(None),
+        Some(source) => {
+            let done = backend::prefill(&node.backends, source, body(None), &open.label).await;
+            match done {
+                Ok(prefilled) => body(Some((source, &prefilled.kv))),
+                Err(err) => return unopened(attempt, &err, open.resume),
+            }
+        }
     };
-    let body = completion.body(open.priority, &done, open.delivered);
     let path = completion.form.path();
     let priority = i64::from(open.priority);
+    let client = node.client(open.addr, open.resume);
     let opened = backend::open(
-        &node.backends,
+        client,
         open.addr,
         path,
         body,
@@ -66,13 +97,21 @@
         Err(err) => return unopened(attempt, &err, open.resume),
     };
     node.apply(Event::Request(RequestEvent::Began(attempt)));
+    let mut order = InOrder::new(open.delivered);
     loop {
         match stream.next().await {
             Ok(Some(chunk)) => {
-                // An event's id is the offset of the token after it; the last event has none.
-                let tokens = u32::from(!chunk.end);
-                let offset = chunk.offset.saturating_sub(u64::from(tokens));
-                node.chunk(attempt, offset, tokens, chunk.data);
+                if !order.put(chunk) {
+                    let detail = format!("tokens from {} on are missing", order.next);
+                    return broke(attempt, Ran::Yes, Break::Cut, &detail);
+                }
+                while let Some((offset, chunk)) = order.pop() {
+                    let tokens = u32::from(!chunk.end);
+                    node.chunk(attempt, offset, tokens, chunk.data);
+                }
+                if let Some(event) = room(node, open).await {
+                    return event;
+                }
             }
             Ok(None) => return RequestEvent::Whole(attempt),
             Err(err) => return broke(attempt, Ran::Yes, Break::Cut, &err.to_string()),
@@ -80,6 +119,79 @@
     }
 }
 
+/// Waits until the caller has taken enough of what came; returns the event that ends the attempt
+/// where it takes nothing for too long.
+async fn room(node: &Rc<Node>, open: &Open) -> Option<RequestEvent> {
+    let queue = node.queue(open.request)?;
+    if !queue.is_full() {
+        return None;
+    }
+    node.apply(Event::Request(RequestEvent::Held(open.attempt)));
+    while queue.is_full() {
+        let taken = queue.taken();
+        if timeout(CALLER_TIME, queue.room()).await.is_err() && queue.taken() == taken {
+            queue.close();
+            return Some(RequestEvent::Left(open.request));
+        }
+    }
+    node.apply(Event::Request(RequestEvent::Began(open.attempt)));
+    None
+}
+
+/// Puts the chunks of one stream into the order of their offsets.
+///
+/// Chunks overtake each other on their way, and one may come twice. Passed on as they come, the
+/// caller would read a scrambled answer; cut at the first gap, it would wait for a new stream
+/// each time.
+#[derive(Debug)]
+struct InOrder {
+    /// Offset of the next token.
+    next: u64,
+    ended: bool,
+    ahead: BTreeMap<u64, Chunk>,
+}
+
+impl InOrder {
+    fn new(next: u64) -> Self {
+        Self {
+            next,
+            ended: false,
+            ahead: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a chunk; returns whether there is still room for those that come too early.
+    fn put(&mut self, chunk: Chunk) -> bool {
+        let start = start(&chunk);
+        if start >= self.next {
+            // The end marker starts where the token after it would.
+            let place = start * 2 + u64::from(chunk.end);
+            self.ahead.entry(place).or_insert(chunk);
+        }
+        self.ahead.len() <= AHEAD || start == self.next
+    }
+
+    /// Returns the next chunk and the offset of its first token, once it is there.
+    fn pop(&mut self) -> Option<(u64, Chunk)> {
+        let entry = self.ahead.first_entry()?;
+        let offset = start(entry.get());
+        if offset != self.next || self.ended {
+            return None;
+        }
+        let chunk = entry.remove();
+        self.ended = chunk.end;
+        self.next = chunk.offset;
+        Some((offset, chunk))
+    }
+}
+
+/// Returns the offset of a chunk's first token.
+///
+/// An event's id is the offset of the token after it; the last event has none.
+fn start(chunk: &Chunk) -> u64 {
+    chunk.offset.saturating_sub(u64::from(!chunk.end))
+}
+
 fn broke(attempt: AttemptKey, ran: Ran, end: Break, detail: &str) -> RequestEvent {
     RequestEvent::Broke {
         attempt,
@@ -92,10 +204,14 @@
 fn unopened(attempt: AttemptKey, err: &OpenError, resume: Option<u64>) -> RequestEvent {
     let ran = err.ran();
     let end = match (err, err.status()) {
-        (_, Some(404)) if resume.is_some() => Break::Refused,
+        (_, Some(404)) if resume.is_some() => Break::Forgotten,
+        // Every engine would say the same; tried at each, one bad request would put them all
+        // under suspicion.
+        (_, Some(400 | 413 | 422)) => Break::Rejected,
         (_, Some(status)) if (400..500).contains(&status) && ran != Ran::No => Break::Rejected,
         _ if ran == Ran::No && err.status().is_some() => Break::Refused,
         (OpenError::Connect | OpenError::Invalid, _) => Break::Unreachable,
+        (OpenError::Late, _) => Break::Silent,
         _ => Break::Cut,
     };
     broke(attempt, ran, end, &err.to_string())
@@ -198,8 +314,11 @@
             running: small(load.running),
             waiting: small(load.waiting),
             prefill: load.prefill_tokens,
-            role: role(&load.role),
+            role: Role::from_word(&load.role).unwrap_or_default(),
             age: small(load.age_ms),
+            changing: load.changing,
+            fence: load.fence_seen,
+            order: load.order_seen,
         }),
         _ => None,
     };
@@ -210,29 +329,34 @@
     u32::try_from(value).unwrap_or(u32::MAX)
 }
 
-fn role(word: &str) -> Role {
-    match word {
-        "prefill" => Role::Prefill,
-        "decode" => Role::Decode,
-        _ => Role::Both,
-    }
+/// Tries to connect, to see whether a process listens at an address.
+pub async fn probe(node: Rc<Node>, addr: SocketAddr) {
+    let tried = timeout(PROBE_TIME, tokio::net::TcpStream::connect(addr)).await;
+    let probe = match tried {
+        Ok(Err(err)) if err.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+        _ => Probe::Open,
+    };
+    node.apply(Event::Fleet(FleetEvent::Probed { addr, probe }));
 }
 
 /// Gives an order, unless the right to give it has ended.
 pub async fn order(node: Rc<Node>, order: effect::Order) {
-    let result = if timer::now() >= order.until {
-        Ordered::Unsent
-    } else {
+    let fresh = backend::Fresh {
+        life: ORDER_LIFE,
+        gate: |until| timer::now() < Time::from_micros(until),
+        until: order.until.micros(),
+    };
+    let result = if let Ok(client) = backend::Client::fresh(ORDER_OPTIONS, fresh).await {
         let action = match &order.action {
             effect::Action::Role(role) => backend::Action::Role {
-                role: role_word(*role).into(),
+                role: role.word().into(),
             },
             effect::Action::Model(name) => load_action("model", name),
             effect::Action::Adapter(name) => load_action("adapter", name),
             effect::Action::Version(name) => load_action("version", name),
         };
         let sent = backend::order(
-            &node.backends,
+            &client,
             order.addr,
             order.fence,
             order.order,
@@ -247,6 +371,8 @@
                 Ran::Yes | Ran::Unknown => Ordered::Unknown,
             },
         }
+    } else {
+        Ordered::Unsent
     };
     node.apply(Event::Fleet(FleetEvent::Ordered {
         name: order.engine,
@@ -262,11 +388,3 @@
         name: name.into(),
     }
 }
-
-fn role_word(role: Role) -> &'static str {
-    match role {
-        Role::Both => "both",
-        Role::Prefill => "prefill",
-        Role::Decode => "decode",
-    }
-}
