--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
 mod killer;
+mod once;
 mod path;
 mod streams;
 #[expect(dead_code, reason = "each subject uses its part of the harness")]
