Write unusual and unrepeatable explanations to the key-value service

Cause: explanations lived in hosts' memory only; the loss of all hosts lost what became of a filing, a request whose host died stayed 'running' for ever, memory was bounded by records of any size, and a missing record was not told from an aged-out one. Ways weighed: an index of ids in the service (a write and a read more a record); a segment a host and minute with the ids in its key; a folder named by what each id says (host tag and arrival). Change: the third. Shelves are bounded by bytes (12 and 20 MiB). An unfinished record of a host that is gone is told as lost. An answer to a former process's question is told by its id.

--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -238,6 +238,10 @@
     Chunk(u64),
     /// Read or write a shard of records; numbered, since shards move away and back.
     Record(ShardKey, u64),
+    /// Write explanations, or get the lease they go with.
+    Segment,
+    /// Read explanations for the question of this number.
+    Find(u64),
     /// Take, renew or give back the authority over a pool.
     Holder(PoolKey),
     /// Read or write the intended orders of a pool.
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -483,7 +483,11 @@
         Message::Recorded { round, durable } => once::recorded(core, round, durable, out),
         Message::Traces(records) => trace::copied(core, records),
         Message::Ask { round, id } => trace::asked(core, from, round, &id, out),
-        Message::Told { round, record, .. } => trace::told(core, from, round, record, out),
+        Message::Told {
+            round,
+            record,
+            since,
+        } => trace::told(core, from, round, record, since, out),
         Message::Fetch(revision) => config::asked(core, from, revision, out),
         Message::Lists {
             revision,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -152,6 +152,8 @@
                 Job::Register(_) => member::reply(self, &reply, out),
                 Job::Apply(_) | Job::Chunk(_) => config::reply(self, reply, out),
                 Job::Record(..) => once::reply(self, reply, out),
+                Job::Segment => trace::written(self, &reply, out),
+                Job::Find(round) => trace::found(self, round, reply, out),
                 Job::Holder(_) | Job::Intent(_) | Job::Route(_) => order::reply(self, reply, out),
             },
         }
@@ -176,7 +178,7 @@
     fn operator(&mut self, event: event::OperatorEvent, out: &mut Effects) {
         use event::OperatorEvent;
         match event {
-            OperatorEvent::Explain { ask, id } => trace::explain(self, ask, id, out),
+            OperatorEvent::Explain { ask, id } => trace::explain(self, ask, &id, out),
             OperatorEvent::Apply { ask, edit } => config::apply(self, ask, &edit, out),
         }
     }
--- a/src/core/once/ask.rs
+++ b/src/core/once/ask.rs
@@ -9,7 +9,7 @@
 use crate::core::key::{HostKey, RequestKey};
 use crate::core::message::{Begin, BeginState, Done, DoneState};
 use crate::core::request::{self, Phase};
-use crate::core::{Core, Effects, stop};
+use crate::core::{Core, Effects, stop, trace};
 use crate::error::{Kind, Ran};
 
 /// Largest answer kept with a record; a longer one is answered once and then only named.
@@ -298,7 +298,7 @@
     match state {
         BeginState::Started => {
             core.requests.arena[key].phase = Phase::Running;
-            request::note(core, key, "recorded as started");
+            request::note(core, key, trace::RECORDED);
             request::dispatch(core, key, out);
         }
         BeginState::Done(result) => {
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -8,8 +8,8 @@
 mod once;
 mod order;
 mod request;
-#[expect(dead_code, reason = "each subject uses its part of the fake")]
 mod store;
+mod trace;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -201,6 +201,18 @@
         self.hosts[at].life += 1;
     }
 
+    /// Replaces every host by a new process after `span`, in which nothing happens.
+    pub fn sleep(&mut self, span: Duration) {
+        for at in 0..self.hosts.len() {
+            self.kill(at);
+        }
+        self.run(span);
+        for at in 0..self.hosts.len() {
+            self.restart(at);
+        }
+        self.run(Duration::from_secs(2));
+    }
+
     /// Suspends a host's process.
     pub fn freeze(&mut self, at: usize) {
         self.hosts[at].frozen = true;
@@ -285,6 +297,11 @@
 
     /// Sends a call that may not repeat to a host; returns its number.
     pub fn call(&mut self, at: usize, key: &str, body: u8) -> usize {
+        self.send(at, "POST", key, body)
+    }
+
+    /// Sends a call to a host; returns its number.
+    pub fn send(&mut self, at: usize, method: &str, key: &str, body: u8) -> usize {
         let tag = self.sent.len();
         self.sent.push(Sent {
             key: key.into(),
@@ -296,7 +313,7 @@
             caller: KeyHash::of(CUSTOMER_KEY),
             want: Want::Service(ServiceWant {
                 service: SERVICE.into(),
-                method: "POST".into(),
+                method: method.into(),
                 path: "/extensions".into(),
             }),
             idem: Some(key.into()),
--- a/src/core/tests/once.rs
+++ b/src/core/tests/once.rs
@@ -280,11 +280,11 @@
     let mut world = World::new(2, 13);
     world.call(0, "k", 1);
     world.run(Duration::from_secs(1));
-    world.run(KEEP.saturating_sub(Duration::from_mins(1)));
+    world.sleep(KEEP.saturating_sub(Duration::from_mins(1)));
     world.call(1, "k", 1);
     world.run(Duration::from_secs(1));
     assert_eq!(world.runs["k"], 1);
-    world.run(Duration::from_mins(2));
+    world.sleep(Duration::from_mins(2));
     world.call(1, "k", 1);
     world.run(Duration::from_secs(1));
     assert_eq!(world.runs["k"], 2);
--- a/src/core/trace.rs
+++ b/src/core/trace/mod.rs
@@ -1,21 +1,35 @@
 //! What became of requests: kept here, copied to peers in other failure domains, told to operators.
+//!
+//! Every record is copied to two peers. What is unusual or must not repeat goes to the key-value
+//! service as well, in batches, so that it outlives the hosts.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod search;
+mod segment;
+mod shelf;
+
+pub use search::{asked, explain, found, told};
+pub use segment::{RETENTION, written};
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::effect::{Effect, OperatorAnswer};
+use super::effect::Effect;
 use super::event::Timer;
-use super::key::{AskKey, HostKey};
 use super::member;
 use super::message::Message;
 use super::{Core, Effects};
 use crate::error::Ran;
 use crate::settings::HostSettings;
-
-/// Records a host keeps of requests it served itself.
-const KEEP_OWN: usize = 16_384;
-/// Records a host keeps for its peers.
-const KEEP_COPIES: usize = 32_768;
+use search::Search;
+use segment::Segments;
+use shelf::Shelf;
+
+/// Bytes of records a host keeps of requests it served itself.
+const KEEP_OWN: usize = 12 * 1024 * 1024;
+/// Bytes of records a host keeps for its peers.
+const KEEP_COPIES: usize = 20 * 1024 * 1024;
+/// Note on a call that may not repeat, once its start is recorded.
+pub const RECORDED: &str = "recorded as started";
 /// Time between two batches of copies.
 ///
 /// A host that is killed takes with it what it has not yet copied: at most this much of its last
@@ -25,9 +39,6 @@
 const COPIES: usize = 2;
 /// Most records in one message, so that a frame stays well under its bound.
 const BATCH: usize = 256;
-/// Time an operator's question waits for peers.
-const ASK_TIME: Duration = Duration::from_millis(1500);
-
 /// What became of one request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Record {
@@ -87,42 +98,6 @@
     pub text: Box<str>,
 }
 
-/// A bounded set of records that forgets the oldest first.
-#[derive(Debug, Default)]
-struct Shelf {
-    records: BTreeMap<Box<str>, Record>,
-    order: VecDeque<Box<str>>,
-    /// Arrival of the newest record forgotten.
-    forgot: u64,
-}
-
-impl Shelf {
-    fn put(&mut self, record: Record, most: usize) {
-        let id = record.id.clone();
-        if self.records.insert(id.clone(), record).is_none() {
-            self.order.push_back(id);
-        }
-        while self.order.len() > most {
-            let Some(oldest) = self.order.pop_front() else {
-                break;
-            };
-            if let Some(record) = self.records.remove(&oldest) {
-                self.forgot = self.forgot.max(record.arrived);
-            }
-        }
-    }
-}
-
-/// An operator's question on its way round the peers.
-#[derive(Debug)]
-struct Search {
-    ask: AskKey,
-    id: Box<str>,
-    waiting: BTreeSet<HostKey>,
-    /// Unfinished record heard so far; a finished one ends the search.
-    best: Option<Box<Record>>,
-}
-
 /// Records of requests, own and copied.
 #[derive(Debug)]
 pub struct Traces {
@@ -136,6 +111,7 @@
     dirty: BTreeSet<Box<str>>,
     searches: BTreeMap<u64, Search>,
     rounds: u64,
+    segments: Segments,
 }
 
 impl Traces {
@@ -155,6 +131,7 @@
             dirty: BTreeSet::new(),
             searches: BTreeMap::new(),
             rounds: 0,
+            segments: Segments::default(),
         }
     }
 
@@ -172,33 +149,31 @@
     /// Keeps the record as it is now; the next batch copies it to peers.
     pub fn keep(&mut self, record: Record) {
         self.dirty.insert(record.id.clone());
+        self.segments.offer(&record);
         self.own.put(record, KEEP_OWN);
     }
 
     /// Returns the record of a request, own or copied.
     #[must_use]
     pub fn find(&self, id: &str) -> Option<&Record> {
-        self.own
-            .records
-            .get(id)
-            .or_else(|| self.copies.records.get(id))
+        self.own.get(id).or_else(|| self.copies.get(id))
     }
 
     /// Returns this host's own record of a request.
     #[must_use]
     pub fn own(&self, id: &str) -> Option<&Record> {
-        self.own.records.get(id)
+        self.own.get(id)
     }
 
     /// Returns how many own records and copies are kept.
     #[must_use]
     pub fn count(&self) -> (usize, usize) {
-        (self.own.records.len(), self.copies.records.len())
+        (self.own.len(), self.copies.len())
     }
 
     /// Returns the time since which every record this host was given is kept.
     fn complete_since(&self) -> u64 {
-        self.since.max(self.own.forgot).max(self.copies.forgot)
+        self.since.max(self.own.forgot()).max(self.copies.forgot())
     }
 }
 
@@ -231,25 +206,19 @@
     match timer {
         Timer::Traces => {
             flush(core, out);
+            segment::tick(core, out);
             start(core, out);
         }
-        Timer::Ask(ask) => {
-            let round = core
-                .traces
-                .searches
-                .iter()
-                .find(|(_, search)| search.ask == ask)
-                .map(|(round, _)| *round);
-            if let Some(round) = round {
-                conclude(core, round, out);
-            }
-        }
+        Timer::Ask(ask) => search::late(core, ask, out),
         _ => {}
     }
 }
 
 /// Copies every changed record to its peers.
 pub fn flush(core: &mut Core, out: &mut Effects) {
+    if core.stop.begun() {
+        segment::write(core, out);
+    }
     if core.traces.dirty.is_empty() {
         return;
     }
@@ -257,7 +226,7 @@
     let dirty = std::mem::take(&mut core.traces.dirty);
     let records: Vec<Record> = dirty
         .iter()
-        .filter_map(|id| core.traces.own.records.get(id).cloned())
+        .filter_map(|id| core.traces.own.get(id).cloned())
         .collect();
     for to in keepers {
         for batch in records.chunks(BATCH) {
@@ -275,103 +244,3 @@
         core.traces.copies.put(record, KEEP_COPIES);
     }
 }
-
-/// Answers an operator from what is here, or asks every peer.
-pub fn explain(core: &mut Core, ask: AskKey, id: Box<str>, out: &mut Effects) {
-    let found = core.traces.find(&id).cloned().map(Box::new);
-    let finished = found
-        .as_ref()
-        .is_some_and(|record| !record.outcome.is_empty());
-    let peers: BTreeSet<HostKey> = core.members.peers().collect();
-    if finished || peers.is_empty() {
-        let answer = match found {
-            Some(record) => OperatorAnswer::Record(record),
-            None => missing(core, &id),
-        };
-        out.push(Effect::Answer { ask, answer });
-        return;
-    }
-    core.traces.rounds += 1;
-    let round = core.traces.rounds;
-    for &to in &peers {
-        let id = id.clone();
-        out.push(Effect::Send {
-            to,
-            message: Message::Ask { round, id },
-        });
-    }
-    let search = Search {
-        ask,
-        id,
-        waiting: peers,
-        best: found,
-    };
-    core.traces.searches.insert(round, search);
-    out.push(Effect::Wake {
-        at: core.now.after(ASK_TIME),
-        timer: Timer::Ask(ask),
-    });
-}
-
-/// Answers a peer's question.
-pub fn asked(core: &mut Core, from: HostKey, round: u64, id: &str, out: &mut Effects) {
-    let record = core.traces.find(id).cloned().map(Box::new);
-    let since = core.traces.complete_since();
-    out.push(Effect::Send {
-        to: from,
-        message: Message::Told {
-            round,
-            record,
-            since,
-        },
-    });
-}
-
-/// Takes in a peer's answer.
-pub fn told(
-    core: &mut Core,
-    from: HostKey,
-    round: u64,
-    record: Option<Box<Record>>,
-    out: &mut Effects,
-) {
-    let Some(search) = core.traces.searches.get_mut(&round) else {
-        return;
-    };
-    search.waiting.remove(&from);
-    let finished = record
-        .as_ref()
-        .is_some_and(|record| !record.outcome.is_empty());
-    if record.is_some() && (finished || search.best.is_none()) {
-        search.best = record;
-    }
-    if finished || search.waiting.is_empty() {
-        conclude(core, round, out);
-    }
-}
-
-fn conclude(core: &mut Core, round: u64, out: &mut Effects) {
-    let Some(search) = core.traces.searches.remove(&round) else {
-        return;
-    };
-    let answer = match search.best {
-        Some(record) => OperatorAnswer::Record(record),
-        None => missing(core, &search.id),
-    };
-    out.push(Effect::Answer {
-        ask: search.ask,
-        answer,
-    });
-}
-
-fn missing(core: &Core, id: &str) -> OperatorAnswer {
-    let why = match arrival_of(id) {
-        None => "this is not a request id of this system",
-        Some(arrived) if arrived > core.wall() => "no request of this id has arrived yet",
-        Some(arrived) if arrived <= core.traces.complete_since() => {
-            "the record has aged out, or the hosts that kept it are gone"
-        }
-        Some(_) => "no host that answered has a record of this id",
-    };
-    OperatorAnswer::NoRecord { why: why.into() }
-}
--- /dev/null
+++ b/src/core/trace/search.rs
@@ -0,0 +1,257 @@
+//! An operator's question: what is here, what peers have, what the key-value service has.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::{Note, Record, arrival_of, segment, tag};
+use crate::core::effect::{Effect, OperatorAnswer};
+use crate::core::event::{StoreReply, StoreResult, Timer};
+use crate::core::key::{AskKey, HostKey};
+use crate::core::message::Message;
+use crate::core::{Core, Effects};
+use crate::error::Ran;
+use crate::wire;
+
+/// Time a question waits for peers, and then for the key-value service.
+const ASK_TIME: Duration = Duration::from_millis(1500);
+/// Outcome of a request whose host is gone.
+const LOST: &str = "lost";
+
+/// Where a question looks now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Stage {
+    /// At these peers, which have not answered yet.
+    Peers(BTreeSet<HostKey>),
+    /// In the key-value service.
+    Segments,
+}
+
+/// An operator's question on its way.
+#[derive(Debug)]
+pub(super) struct Search {
+    ask: AskKey,
+    id: Box<str>,
+    stage: Stage,
+    /// Unfinished record heard so far; a finished one ends the search.
+    best: Option<Box<Record>>,
+    /// Time since which every host that answered has kept what it was given.
+    since: u64,
+    /// Hosts that did not answer, the key-value service counted as one.
+    silent: usize,
+}
+
+fn finished(record: Option<&Record>) -> bool {
+    record.is_some_and(|record| !record.outcome.is_empty())
+}
+
+/// Answers an operator from what is here, or asks every peer.
+pub fn explain(core: &mut Core, ask: AskKey, id: &str, out: &mut Effects) {
+    let best = core.traces.find(id).cloned().map(Box::new);
+    let peers: BTreeSet<HostKey> = core.members.peers().collect();
+    core.traces.rounds += 1;
+    let round = core.traces.rounds;
+    let search = Search {
+        ask,
+        id: id.into(),
+        stage: Stage::Peers(peers.clone()),
+        since: core.traces.complete_since(),
+        silent: 0,
+        best,
+    };
+    let here = finished(search.best.as_deref());
+    core.traces.searches.insert(round, search);
+    if here || arrival_of(id).is_none() {
+        conclude(core, round, out);
+        return;
+    }
+    if peers.is_empty() {
+        look_further(core, round, out);
+        return;
+    }
+    for to in peers {
+        let id = id.into();
+        let message = Message::Ask { round, id };
+        out.push(Effect::Send { to, message });
+    }
+    wait(core, ask, out);
+}
+
+fn wait(core: &Core, ask: AskKey, out: &mut Effects) {
+    out.push(Effect::Wake {
+        at: core.now.after(ASK_TIME),
+        timer: Timer::Ask(ask),
+    });
+}
+
+/// Answers a peer's question.
+pub fn asked(core: &mut Core, from: HostKey, round: u64, id: &str, out: &mut Effects) {
+    let record = core.traces.find(id).cloned().map(Box::new);
+    let since = core.traces.complete_since();
+    let message = Message::Told {
+        round,
+        record,
+        since,
+    };
+    out.push(Effect::Send { to: from, message });
+}
+
+/// Takes in a peer's answer.
+pub fn told(
+    core: &mut Core,
+    from: HostKey,
+    round: u64,
+    record: Option<Box<Record>>,
+    since: u64,
+    out: &mut Effects,
+) {
+    let Some(search) = core.traces.searches.get_mut(&round) else {
+        return;
+    };
+    let Stage::Peers(waiting) = &mut search.stage else {
+        return;
+    };
+    waiting.remove(&from);
+    let last = waiting.is_empty();
+    search.since = search.since.max(since);
+    search.hear(record.map(|record| *record));
+    if finished(search.best.as_deref()) {
+        conclude(core, round, out);
+    } else if last {
+        look_further(core, round, out);
+    }
+}
+
+impl Search {
+    /// Keeps the record that tells most.
+    ///
+    /// A host that was restarted under its name may answer a question that its former self was
+    /// put, so the id is compared.
+    fn hear(&mut self, record: Option<Record>) {
+        let Some(record) = record.filter(|record| record.id == self.id) else {
+            return;
+        };
+        let known = self.best.as_deref();
+        let more = |known: &Record| record.attempts.len() >= known.attempts.len();
+        if finished(Some(&record)) || !finished(known) && known.is_none_or(more) {
+            self.best = Some(Box::new(record));
+        }
+    }
+}
+
+/// A question has waited long enough for what it waits for.
+pub(super) fn late(core: &mut Core, ask: AskKey, out: &mut Effects) {
+    let mut searches = core.traces.searches.iter_mut();
+    let Some((&round, search)) = searches.find(|(_, search)| search.ask == ask) else {
+        return;
+    };
+    match &search.stage {
+        Stage::Peers(waiting) => {
+            search.silent += waiting.len();
+            look_further(core, round, out);
+        }
+        Stage::Segments => {
+            search.silent += 1;
+            conclude(core, round, out);
+        }
+    }
+}
+
+/// Looks in the key-value service, which keeps what is unusual or must not repeat.
+fn look_further(core: &mut Core, round: u64, out: &mut Effects) {
+    let Some(search) = core.traces.searches.get_mut(&round) else {
+        return;
+    };
+    let Some(folder) = segment::folder(&search.id) else {
+        return;
+    };
+    search.stage = Stage::Segments;
+    let ask = search.ask;
+    segment::read(round, folder, out);
+    wait(core, ask, out);
+}
+
+/// Takes in what the key-value service has.
+pub fn found(core: &mut Core, round: u64, reply: StoreReply, out: &mut Effects) {
+    let Some(search) = core.traces.searches.get_mut(&round) else {
+        return;
+    };
+    if let StoreResult::Read(range) = reply.result {
+        for pair in &range.pairs {
+            for record in wire::decode_records(&pair.value).unwrap_or_default() {
+                search.hear(Some(record));
+            }
+        }
+    } else {
+        search.silent += 1;
+    }
+    conclude(core, round, out);
+}
+
+fn conclude(core: &mut Core, round: u64, out: &mut Effects) {
+    let Some(mut search) = core.traces.searches.remove(&round) else {
+        return;
+    };
+    let answer = match search.best.take() {
+        Some(mut record) => {
+            mark_lost(core, &mut record);
+            OperatorAnswer::Record(record)
+        }
+        None => missing(core, &search),
+    };
+    let ask = search.ask;
+    out.push(Effect::Answer { ask, answer });
+}
+
+/// Returns whether the host that gave out an id is among the hosts, in the same life.
+fn serves(core: &Core, id: &str) -> bool {
+    let wanted = id.split('-').next().unwrap_or_default();
+    let members = &core.members;
+    let mut peers = members.arena.values();
+    *tag(&members.name, members.incarnation()) == *wanted
+        || peers.any(|peer| *tag(&peer.name, peer.incarnation) == *wanted)
+}
+
+/// Says so where a request can no longer end because its host is gone.
+///
+/// Its last copy still says "running"; a support engineer would wait for an end that never comes.
+fn mark_lost(core: &Core, record: &mut Record) {
+    if !record.outcome.is_empty() || serves(core, &record.id) {
+        return;
+    }
+    record.outcome = LOST.into();
+    record.ran = Some(Ran::Unknown);
+    let text = format!(
+        "{} is gone; what it decided after the last copy of this record is lost",
+        record.host
+    );
+    let text = text.into();
+    let at = record.notes.last().map_or(0, |note| note.at);
+    record.notes.push(Note { at, text });
+}
+
+fn missing(core: &Core, search: &Search) -> OperatorAnswer {
+    let hours = segment::RETENTION.as_secs() / 3600;
+    let keep = u64::try_from(segment::RETENTION.as_millis()).unwrap_or(u64::MAX);
+    let why: Box<str> = match arrival_of(&search.id) {
+        None => "this is not a request id of this system".into(),
+        Some(arrived) if arrived > core.wall() => "no request of this id has arrived yet".into(),
+        Some(arrived) if arrived + keep < core.wall() => {
+            format!("the record has aged out: none is kept for sure after {hours} hours").into()
+        }
+        Some(_) if search.silent > 0 => {
+            let silent = search.silent;
+            format!("{silent} of those who may have the record did not answer; ask again").into()
+        }
+        Some(_) if !serves(core, &search.id) => {
+            "the host that served it is gone; a record that nothing unusual was in goes with it \
+             and with the two hosts that kept copies"
+                .into()
+        }
+        Some(arrived) if arrived <= search.since => {
+            "the record has aged out: nothing unusual was in it, and newer ones took its place"
+                .into()
+        }
+        Some(_) => "no host has a record of this id".into(),
+    };
+    OperatorAnswer::NoRecord { why }
+}
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -317,7 +317,7 @@
         .ok_or(WireError::Field { field: "ran" })
 }
 
-fn to_trace(record: &Record) -> wire::Trace {
+pub(super) fn to_trace(record: &Record) -> wire::Trace {
     let attempts = record.attempts.iter().map(|attempt| wire::Attempt {
         backend: attempt.backend.to_string(),
         began: attempt.began,
@@ -348,7 +348,7 @@
     }
 }
 
-fn from_trace(trace: wire::Trace) -> Result<Record, WireError> {
+pub(super) fn from_trace(trace: wire::Trace) -> Result<Record, WireError> {
     let attempts: Result<Vec<_>, _> = trace.attempts.into_iter().map(from_attempt).collect();
     let notes = trace.notes.into_iter().map(|note| Note {
         at: note.at,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,7 +9,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use shard::{decode_shard, encode_shard};
+pub use shard::{decode_records, decode_shard, encode_records, encode_shard};
 
 use bytes::{Buf, BytesMut};
 use prost::Message as _;
--- a/src/wire/shard.rs
+++ b/src/wire/shard.rs
@@ -1,11 +1,12 @@
-//! The value of one shard of records of calls that may not repeat.
+//! Values in the key-value service: shards of recorded calls, and batches of explanations.
 
 use prost::Message as _;
 
-use super::convert::{from_stored, to_stored};
+use super::convert::{from_stored, from_trace, to_stored, to_trace};
 use super::{array, generated};
 use crate::core::event::Print;
 use crate::core::once::{Call, CallName, CallState, Calls};
+use crate::core::trace::Record;
 
 const STARTED: u32 = 0;
 const DONE: u32 = 1;
@@ -59,3 +60,20 @@
     };
     Some((name, call))
 }
+
+/// Returns the bytes of explanations.
+#[must_use]
+pub fn encode_records(records: &[Record]) -> Vec<u8> {
+    let traces = records.iter().map(to_trace).collect();
+    generated::Traces { traces }.encode_to_vec()
+}
+
+/// Reads explanations; `None` when the bytes are not some.
+#[must_use]
+pub fn decode_records(bytes: &[u8]) -> Option<Vec<Record>> {
+    let traces = generated::Traces::decode(bytes).ok()?.traces;
+    traces
+        .into_iter()
+        .map(|trace| from_trace(trace).ok())
+        .collect()
+}
