--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -393,10 +393,16 @@
         }
         StoreResult::Txn(txn) => {
             // When the answer to the first swap was lost, the second finds its own head there.
+            let token = &pending.head.token;
             let own = found(txn)
-                .filter_map(|pair| parse_head(&pair.value))
-                .any(|head| head.token == pending.head.token);
-            finish(core, ask, txn.succeeded || own, out);
+                .find(|pair| parse_head(&pair.value).is_some_and(|head| head.token == *token))
+                .map(|pair| pair.modified);
+            let stands = if txn.succeeded {
+                Some(txn.revision)
+            } else {
+                own
+            };
+            finish(core, ask, stands, out);
         }
         // The same swap again settles it: it succeeds, or finds its own head, or another's.
         StoreResult::Unknown if pending.tries < EDIT_TRIES => {
@@ -424,12 +430,19 @@
         .flatten()
 }
 
-fn finish(core: &mut Core, ask: AskKey, accepted: bool, out: &mut Effects) {
+/// Ends an edit whose head stands in the key-value service at this revision of it, if it does.
+fn finish(core: &mut Core, ask: AskKey, stands: Option<i64>, out: &mut Effects) {
     let Some(pending) = core.config.pending.remove(&ask) else {
         return;
     };
-    let answer = if accepted {
+    let answer = if let Some(stood) = stands {
         let revision = pending.lists.revision;
+        // An operator's next edit may come before the watch brings this head; it must not be
+        // taken for one on top of the head before.
+        if pending.head.revision > core.config.head.revision {
+            core.config.head = pending.head;
+            core.config.stood = stood;
+        }
         enforce(core, pending.lists, out);
         OperatorAnswer::Accepted(revision)
     } else {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -9,7 +9,7 @@
 use super::effect::{Effect, log_event};
 use super::event::{Entry, EntryKind, FleetEvent, Report, Role, Timer};
 use super::key::{BackendKey, PoolKey};
-use super::{Core, Effects, Time, order};
+use super::{Core, Effects, Time, order, share};
 use crate::settings::{PoolSettings, Settings};
 
 /// Time between two reads of a back end's load report.
@@ -246,6 +246,8 @@
 
 /// Takes in the platform's list: what it no longer names gets no new work.
 fn listed(core: &mut Core, entries: Vec<Entry>, out: &mut Effects) {
+    let hosts = entries.iter().filter(|entry| entry.kind == EntryKind::Host);
+    share::listed(core, hosts.map(|entry| &*entry.name));
     let fleet = &mut core.fleet;
     let mut gone: BTreeSet<Box<str>> = fleet.names.keys().cloned().collect();
     fleet.leaving.clear();
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -10,7 +10,7 @@
 use super::effect::{Effect, log_event};
 use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
 use super::key::HostKey;
-use super::message::{Beat, Message};
+use super::message::{Beat, Message, View};
 use super::{Core, Effects, Time, config, killer, once, order, share, trace};
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
@@ -18,12 +18,14 @@
 /// First word of the watched keys that name hosts.
 pub const WORD: &str = "host";
 /// Time between two beats to a peer.
-const BEAT_EVERY: Duration = Duration::from_secs(1);
+///
+/// With 16 hosts this costs each 3 KB a second; pledges of shares run out after six of them.
+const BEAT_EVERY: Duration = Duration::from_millis(250);
 /// Beats a peer may leave unechoed before the connection to it is opened anew.
 ///
 /// A connection can go silent for good while new ones work; the peer then still beats on its own
 /// connection, but its echo stands still.
-const UNECHOED: u64 = 4;
+const UNECHOED: u64 = 16;
 /// Silence after which a peer counts as unheard.
 pub const UNHEARD: Duration = Duration::from_secs(4);
 
@@ -70,8 +72,12 @@
     tries: u64,
     /// Whether the key-value service answers.
     pub store: Health,
-    /// When the key-value service last answered.
-    pub store_heard: Option<Time>,
+    /// When the call was sent by which the registration was last renewed.
+    ///
+    /// A host that was paused counts from before the call: the lease may have lapsed and the
+    /// others gone on without it before the answer is read.
+    pub renewed: Option<Time>,
+    asked: Time,
 }
 
 impl Members {
@@ -89,7 +95,8 @@
             lease: 0,
             tries: 0,
             store: Health::Down,
-            store_heard: None,
+            renewed: None,
+            asked: Time::default(),
         }
     }
 
@@ -163,7 +170,8 @@
     }
 }
 
-fn weight(name: &str, what: &str) -> u64 {
+/// Returns the weight of a host for `what` in rendezvous hashing.
+pub(super) fn weight(name: &str, what: &str) -> u64 {
     let hash = blake3::hash(format!("{name}\n{what}").as_bytes());
     let mut first = [0; 8];
     first.copy_from_slice(&hash.as_bytes()[..8]);
@@ -195,11 +203,10 @@
 /// may count it out.
 #[must_use]
 pub fn cut_off(core: &Core) -> bool {
-    let bound = core.settings.limits.cut_off;
+    let bound = cut_off_bound(core);
     let members = &core.members;
-    let store = members.store_heard;
     let recent = |heard: Option<Time>| heard.is_some_and(|at| core.now.since(at) < bound);
-    if members.store == Health::Up || recent(store) {
+    if recent(members.renewed) {
         return false;
     }
     let peers = members.names.len();
@@ -210,6 +217,15 @@
     peers == 0 || heard * 2 < peers
 }
 
+/// Returns the time without store and peers after which a host is cut off.
+///
+/// A lease is renewed three times in its life; a shorter time would pass between two renewals.
+#[must_use]
+pub fn cut_off_bound(core: &Core) -> Duration {
+    let settings = &core.settings;
+    settings.limits.cut_off.max(settings.platform.lease)
+}
+
 /// Starts beats and registration.
 pub fn start(core: &mut Core, out: &mut Effects) {
     wake(core, Timer::Beat, BEAT_EVERY, out);
@@ -220,6 +236,7 @@
 pub fn timer(core: &mut Core, timer: Timer, out: &mut Effects) {
     match timer {
         Timer::Beat => {
+            share::beat(core);
             beats(core, out);
             wake(core, Timer::Beat, BEAT_EVERY, out);
         }
@@ -237,25 +254,35 @@
 
 /// Sends a beat to every peer at once, out of turn.
 pub fn beats(core: &mut Core, out: &mut Effects) {
-    let view = core.members.view;
-    let settled = core.now.since(core.members.settled);
-    let settled = u64::try_from(settled.as_millis()).unwrap_or(u64::MAX);
     let revision = core.config.revision();
     let stopping = core.stop.begun();
-    for (to, peer) in &mut core.members.arena {
+    let (mut views, hosts) = (share::views(core), share::hosts(core));
+    let newest = if views.is_empty() {
+        View::default()
+    } else {
+        views.remove(0)
+    };
+    let peers: Vec<HostKey> = core.members.peers().collect();
+    for to in peers {
+        let number = core.members.arena[to].sent + 1;
+        let pledged = share::sending(core, to, number);
+        let peer = &mut core.members.arena[to];
         let lost = peer.sent.saturating_sub(peer.beat.echo.max(peer.opened));
         if lost >= UNECHOED {
             peer.opened = peer.sent;
             out.push(Effect::Reconnect(to));
         }
-        peer.sent += 1;
+        peer.sent = number;
         let beat = Beat {
             number: peer.sent,
             echo: peer.beat.number,
-            view,
-            settled,
+            view: newest.hash,
+            settled: newest.age,
             revision,
             stopping,
+            views: views.clone(),
+            pledged: u64::try_from(pledged.as_millis()).unwrap_or(u64::MAX),
+            hosts,
         };
         out.push(Effect::Send {
             to,
@@ -270,6 +297,7 @@
         return;
     }
     core.members.tries += 1;
+    core.members.asked = core.now;
     let job = Job::Register(core.members.tries);
     let life = core.settings.platform.lease;
     if core.members.lease == 0 {
@@ -283,6 +311,11 @@
 
 /// Goes on with the registration when the key-value service has answered.
 pub fn reply(core: &mut Core, reply: &StoreReply, out: &mut Effects) {
+    // The answer to an earlier try does not show when that try was sent.
+    let last = reply.job == Job::Register(core.members.tries);
+    if last && matches!(reply.result, StoreResult::Lease(1..)) {
+        core.members.renewed = Some(core.members.asked);
+    }
     match reply.result {
         StoreResult::Lease(0) => {
             core.members.lease = 0;
@@ -336,13 +369,19 @@
     if *name == *core.members.name {
         let incarnation = core.members.incarnation;
         core.members.registered = entry.is_some_and(|entry| entry.incarnation == incarnation);
-        core.members.changed(core.now);
         return;
     }
     match entry {
         Some(entry) => joined(core, entry, out),
         None => left(core, name, out),
     }
+}
+
+/// Acts on the hosts as they are after a batch of changes.
+///
+/// What comes in one batch is one change of the view: acting on each host in turn would move
+/// shares to hosts and away again.
+pub fn moved(core: &mut Core, out: &mut Effects) {
     core.members.changed(core.now);
     share::moved(core, out);
     once::moved(core, out);
@@ -356,6 +395,7 @@
         }
         left(core, &entry.name.clone(), out);
     }
+    share::joined(core, &entry.name, entry.incarnation);
     let (name, addr) = (entry.name.clone(), entry.addr);
     let text = format!("host {name} at {addr} joined");
     out.push(log_event(log::Level::Info, "host.joined", text));
@@ -366,7 +406,9 @@
 
 fn left(core: &mut Core, name: &str, out: &mut Effects) {
     if let Some(key) = core.members.names.remove(name) {
-        core.members.arena.remove(key);
+        if let Some(member) = core.members.arena.remove(key) {
+            share::left(core, &member);
+        }
         let text = format!("host {name} left");
         out.push(log_event(log::Level::Info, "host.left", text));
         out.push(Effect::Unpeer(key));
@@ -402,10 +444,6 @@
         ));
     }
     core.members.store = health;
-    core.members.store_heard = match health {
-        Health::Up => Some(core.now),
-        Health::Down => core.members.store_heard.map(|_| core.now),
-    };
     once::health(core, health, out);
     order::health(core, health, out);
 }
@@ -433,7 +471,7 @@
 
 fn message_from(core: &mut Core, from: HostKey, message: Message, out: &mut Effects) {
     match message {
-        Message::Beat(beat) => beat_from(core, from, beat, out),
+        Message::Beat(beat) => beat_from(core, from, &beat, out),
         Message::Borrow(borrow) => share::asked(core, from, &borrow, out),
         Message::Lend(lend) => share::lent(core, from, &lend, out),
         Message::Begin(begin) => once::asked(core, from, begin, out),
@@ -459,16 +497,16 @@
     }
 }
 
-fn beat_from(core: &mut Core, from: HostKey, beat: Beat, out: &mut Effects) {
+fn beat_from(core: &mut Core, from: HostKey, beat: &Beat, out: &mut Effects) {
     let peer = &mut core.members.arena[from];
     if beat.number <= peer.beat.number {
         return;
     }
     let stopping = beat.stopping != peer.beat.stopping;
     let revision = beat.revision;
-    peer.beat = beat;
+    peer.beat = beat.clone();
+    share::heard(core, from, beat);
     if stopping {
-        share::moved(core, out);
         once::moved(core, out);
     }
     config::heard(core, from, revision, out);
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -78,48 +78,83 @@
     pub echo: u64,
     /// Hash of the member set the sender acts on.
     pub view: u64,
-    /// Milliseconds the sender has been at that view.
+    /// Milliseconds the sender has been at that view; more where no other came before it.
     pub settled: u64,
     /// Revision of the lists in force at the sender.
     pub revision: u64,
     /// The sender is shutting down.
     pub stopping: bool,
+    /// Views the sender acted on before, newest first, while they may still matter.
+    pub views: Vec<View>,
+    /// Milliseconds the sender has let the recipient lend the sender's part of each share.
+    pub pledged: u64,
+    /// Hosts that may be alive, as far as the sender knows.
+    pub hosts: u32,
 }
 
-/// Wish for a loan.
-#[derive(Debug, Clone, PartialEq)]
+/// Member set that a host acted on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct View {
+    /// Hash of the names and incarnations.
+    pub hash: u64,
+    /// Milliseconds since the sender began to act on it.
+    pub age: u64,
+}
+
+/// Wishes for loans, sent to the home of their plans' shares.
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Borrow {
-    /// Plan.
-    pub plan: Box<str>,
     /// Number of the question.
     pub round: u64,
-    /// Hash of the member set the sender acts on.
-    pub view: u64,
+    /// One wish a plan.
+    pub wishes: Vec<Wish>,
+}
+
+/// Wish for a loan of one plan's share; see the protocol's definition of the fields.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Wish {
+    /// Plan.
+    pub plan: Box<str>,
     /// Requests wanted.
     pub requests: f64,
     /// Tokens wanted.
     pub tokens: f64,
     /// Places for running requests wanted.
     pub running: u32,
-    /// Requests of this plan now running at the sender.
+    /// Tokens without which the first waiting request cannot go.
+    pub least: f64,
+    /// Requests waiting for the answer.
+    pub waiting: u32,
+    /// Places that the sender has, used or idle.
     pub held: u32,
+    /// Requests given back.
+    pub back_requests: f64,
+    /// Tokens given back.
+    pub back_tokens: f64,
 }
 
-/// A loan.
-#[derive(Debug, Clone, PartialEq)]
+/// Answer to [`Borrow`].
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Lend {
-    /// Plan.
-    pub plan: Box<str>,
     /// Number of the question.
     pub round: u64,
+    /// Life in milliseconds from when the question was sent.
+    pub life: u32,
+    /// One loan a wish.
+    pub loans: Vec<Loan>,
+}
+
+/// Loan of one plan's share.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Loan {
+    /// Plan.
+    pub plan: Box<str>,
     /// Requests lent.
     pub requests: f64,
     /// Tokens lent.
     pub tokens: f64,
     /// Places for running requests lent.
     pub running: u32,
-    /// Life in milliseconds from receipt.
-    pub life: u32,
     /// If nothing was lent: milliseconds until it is worth asking again.
     pub wait: u32,
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -155,18 +155,25 @@
 
     /// Hands each watched key to the part that its first word belongs to.
     fn watched(&mut self, pairs: Vec<event::Watched>, out: &mut Effects) {
+        let mut moved = false;
         for pair in pairs {
             let Some((word, rest)) = pair.key.split_once('/') else {
                 continue;
             };
             match word {
-                member::WORD => member::watched(self, rest, &pair, out),
+                member::WORD => {
+                    member::watched(self, rest, &pair, out);
+                    moved = true;
+                }
                 config::WORD => config::watched(self, &pair, out),
                 order::ROUTE => order::route_watched(self, rest, &pair, out),
                 order::HOLDER => order::holder_watched(self, rest, &pair, out),
                 _ => {}
             }
         }
+        if moved {
+            member::moved(self, out);
+        }
     }
 
     fn operator(&mut self, event: event::OperatorEvent, out: &mut Effects) {
--- /dev/null
+++ b/src/core/share/pledge.rs
@@ -0,0 +1,512 @@
+//! Which host may lend how much of a plan's share.
+//!
+//! The home of a plan's share is found by rendezvous hashing over the registered hosts. Hosts may
+//! disagree on who is registered, so a home may lend only the parts that hosts pledge to it: one
+//! part in as many as there are hosts that may be alive. A host pledges its part to one home at a
+//! time and lets an older pledge run out before the next one counts. Every pledge falls due by
+//! itself, so that the parts lent by all homes together never exceed the whole, whoever is cut
+//! off, paused or replaced.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use crate::core::key::HostKey;
+use crate::core::member::{self, Member};
+use crate::core::message::{Beat, View};
+use crate::core::{Core, Time};
+
+/// Age at which a pledge counts no more, from when the beat that it echoes was sent.
+///
+/// Six beats: two may be lost, and a host may pause for half a second, before its part rests.
+pub const PLEDGE: Duration = Duration::from_millis(1500);
+/// Life of a loan, from when it was asked for.
+pub const LOAN: Duration = Duration::from_millis(750);
+/// Time that a host has pledged to a home before the pledge counts there: an older pledge to
+/// another home may be in use for one pledge's life, and what was lent on it for one loan's life.
+pub const SETTLE: Duration = Duration::from_millis(2250);
+/// Time without a change of any pledge after which a share that nobody used counts as saved up.
+const CALM: Duration = Duration::from_secs(1);
+/// Time after which a host counts as gone whose lease has lapsed and that the platform has
+/// withdrawn, beyond the time after which a host that is cut off takes no new work.
+const QUARANTINE: Duration = Duration::from_secs(30);
+/// Views remembered.
+const VIEWS: usize = 8;
+/// Views told in a beat: enough to cover [`SETTLE`] unless hosts come and go faster.
+const TOLD: usize = 3;
+/// Beats whose time of sending is remembered.
+const SENT: usize = 16;
+
+/// A set of registered hosts that this host acted on.
+#[derive(Debug)]
+struct Seen {
+    hash: u64,
+    begun: Time,
+    names: Vec<Box<str>>,
+}
+
+/// A host that is not registered any more and may still act.
+#[derive(Debug)]
+struct Ghost {
+    since: Time,
+    /// It said that it stops, and takes no new work since.
+    stopped: bool,
+    listed: bool,
+}
+
+/// What this host knows of one peer's pledge, and of its own to that peer.
+#[derive(Debug, Default)]
+struct Peer {
+    /// Numbers and times of the last beats sent.
+    sent: VecDeque<(u64, Time)>,
+    /// When the beat was sent that the peer's last beat echoes.
+    echoed: Option<Time>,
+    /// Since when this host pledges to the peer.
+    given: Option<Time>,
+    /// Since when it does not.
+    withdrawn: Time,
+}
+
+/// How a member stands to this host as home of one plan.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stand {
+    /// Its pledge counts.
+    Counts,
+    /// It has pledged to this host alone, for too short a time or too long ago to count.
+    Rests,
+    /// It may have pledged to another home lately.
+    Elsewhere,
+}
+
+/// Sum of the pledges to this host for one plan.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Pledged {
+    /// Part of the share that may be lent, 0 to 1.
+    pub part: f64,
+    /// Whether every host that may be alive pledges.
+    pub whole: bool,
+    /// Whether none has pledged to another home lately.
+    pub alone: bool,
+}
+
+/// The pledges to and by this host.
+#[derive(Debug, Default)]
+pub struct Pledges {
+    views: VecDeque<Seen>,
+    peers: SecondaryMap<HostKey, Peer>,
+    ghosts: BTreeMap<Box<str>, Ghost>,
+    /// Hosts that act on views with this host in them, by name and incarnation.
+    aware: BTreeSet<(Box<str>, u64)>,
+    /// Peers that have not confirmed what this host holds of plans that moved to them.
+    untold: BTreeSet<HostKey>,
+    started: Option<Time>,
+    count: usize,
+    calm: Time,
+    /// Whether all hosts had settled at a view with this host in it.
+    settled: bool,
+}
+
+/// Takes in a change of the view; returns whether there was one.
+pub fn moved(core: &mut Core) -> bool {
+    let hash = core.members.view;
+    let pledges = &mut core.shares.pledges;
+    if pledges.views.front().is_some_and(|seen| seen.hash == hash) {
+        return false;
+    }
+    let mut names: Vec<Box<str>> = core
+        .members
+        .arena
+        .values()
+        .map(|m| m.name.clone())
+        .collect();
+    if core.members.registered {
+        names.push(core.members.name.clone());
+        pledges.started.get_or_insert(core.now);
+    }
+    pledges.views.push_front(Seen {
+        hash,
+        begun: core.now,
+        names,
+    });
+    pledges.views.truncate(VIEWS);
+    pledges.calm = core.now;
+    true
+}
+
+/// Notes that a host is not registered any more.
+pub fn left(core: &mut Core, member: &Member) {
+    let ghost = Ghost {
+        since: core.now,
+        stopped: member.beat.stopping,
+        listed: false,
+    };
+    core.shares
+        .pledges
+        .ghosts
+        .insert(member.name.clone(), ghost);
+}
+
+/// Notes that a host is registered: an earlier process of its name is dead, or is this one.
+///
+/// A host that registers after this one finds this one registered.
+pub fn joined(core: &mut Core, name: &str, incarnation: u64) {
+    let registered = core.members.registered;
+    let pledges = &mut core.shares.pledges;
+    pledges.ghosts.remove(name);
+    if registered && pledges.started.is_some() {
+        pledges.aware.insert((name.into(), incarnation));
+    }
+}
+
+/// Takes in the names of the hosts on the platform's list.
+///
+/// A host that starts during trouble learns only from the list of hosts whose leases lapsed before
+/// it came and that serve on.
+pub fn listed<'a>(core: &mut Core, names: impl Iterator<Item = &'a str>) {
+    let now = core.now;
+    let pledges = &mut core.shares.pledges;
+    for ghost in pledges.ghosts.values_mut() {
+        ghost.listed = false;
+    }
+    for name in names {
+        if *name == *core.members.name || core.members.find(name).is_some() {
+            continue;
+        }
+        let ghost = pledges.ghosts.entry(name.into()).or_insert(Ghost {
+            since: now,
+            stopped: false,
+            listed: true,
+        });
+        ghost.listed = true;
+    }
+}
+
+/// Notes a beat on its way to a peer, and returns since when this host pledges to it.
+pub fn sending(core: &mut Core, to: HostKey, number: u64) -> Duration {
+    let may = pledging(core);
+    let now = core.now;
+    let pledges = &mut core.shares.pledges;
+    let untold = pledges.untold.contains(&to);
+    let Some(peer) = pledges
+        .peers
+        .entry(to)
+        .map(slotmap::secondary::Entry::or_default)
+    else {
+        return Duration::ZERO;
+    };
+    peer.sent.push_front((number, now));
+    peer.sent.truncate(SENT);
+    match peer.given {
+        Some(given) if may && !untold => now.since(given),
+        _ => Duration::ZERO,
+    }
+}
+
+/// Returns whether this host pledges at all.
+///
+/// One that was not registered from the start of its process pledges nothing until every host
+/// that may be alive counts it; otherwise the parts of a new host and of those that do not know it
+/// would add up to more than the whole.
+fn pledging(core: &Core) -> bool {
+    let pledges = &core.shares.pledges;
+    let members = &core.members;
+    // The process that had this name before may have pledged until its end.
+    let fresh = |at| core.now.since(at) < PLEDGE;
+    if !members.registered || core.stop.begun() || pledges.started.is_none_or(fresh) {
+        return false;
+    }
+    // A peer that knows of more hosts knows one that this host does not count, and that may not
+    // count this host.
+    let count = hosts(core);
+    let more = |member: &Member| member.beat.hosts > count;
+    if members.arena.values().any(more) {
+        return false;
+    }
+    let aware = |name: &str| pledges.aware.iter().any(|(known, _)| **known == *name);
+    let known = |member: &Member| {
+        let key = (member.name.clone(), member.incarnation);
+        pledges.aware.contains(&key)
+    };
+    members.arena.values().all(known) && pledges.ghosts.keys().all(|name| aware(name))
+}
+
+/// Returns the views this host acted on in the last [`SETTLE`], newest first.
+#[must_use]
+pub fn views(core: &Core) -> Vec<View> {
+    let pledges = &core.shares.pledges;
+    let mut views = Vec::new();
+    for seen in pledges.views.iter().take(TOLD) {
+        let age = age(pledges, seen, core.now);
+        let hash = seen.hash;
+        views.push(View { hash, age });
+        if Duration::from_millis(age) >= SETTLE {
+            break;
+        }
+    }
+    views
+}
+
+/// Returns for how long a view has been the only one that this host pledged by.
+///
+/// Before the first view with this host in it there was no pledge to run out.
+fn age(pledges: &Pledges, seen: &Seen, now: Time) -> u64 {
+    let first = pledges.started.is_some_and(|at| seen.begun <= at);
+    let begun = now.since(seen.begun);
+    millis(if first { begun + SETTLE } else { begun })
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the number of hosts that may be alive, as far as this host knows.
+#[must_use]
+pub fn hosts(core: &Core) -> u32 {
+    let count = core.members.count() + core.shares.pledges.ghosts.len();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+/// Takes in a peer's beat.
+pub fn heard(core: &mut Core, from: HostKey, beat: &Beat) {
+    let now = core.now;
+    let here = core.members.view;
+    let registered = core.members.registered;
+    let pledges = &mut core.shares.pledges;
+    let Some(peer) = pledges
+        .peers
+        .entry(from)
+        .map(slotmap::secondary::Entry::or_default)
+    else {
+        return;
+    };
+    let sent = peer.sent.iter().find(|(number, _)| *number == beat.echo);
+    peer.echoed = sent.map(|(_, at)| *at).or(peer.echoed);
+    // Heard in time at first, this host has not used its part on its own yet.
+    let begun = pledges.views.front().map_or(now, |seen| seen.begun);
+    let first = peer.withdrawn == Time::default() && now.since(begun) < SETTLE;
+    peer.given.get_or_insert(if first { begun } else { now });
+    if registered && beat.view == here {
+        let member = &core.members.arena[from];
+        let key = (member.name.clone(), member.incarnation);
+        pledges.aware.insert(key);
+    }
+}
+
+/// Withdraws pledges to homes that fell silent, forgets hosts that are gone, and notes changes.
+pub fn look(core: &mut Core) {
+    let now = core.now;
+    let hold = member::cut_off_bound(core) + QUARANTINE;
+    let hears: Vec<(HostKey, bool)> = core
+        .members
+        .arena
+        .iter()
+        .map(|(key, member)| (key, member.heard.is_some_and(|at| now.since(at) < PLEDGE)))
+        .collect();
+    let pledges = &mut core.shares.pledges;
+    for (key, hears) in hears {
+        let Some(peer) = pledges.peers.get_mut(key) else {
+            continue;
+        };
+        if !hears && peer.given.take().is_some() {
+            peer.withdrawn = now;
+        }
+    }
+    let arena = &core.members.arena;
+    pledges.peers.retain(|key, _| arena.contains_key(key));
+    pledges.untold.retain(|key| arena.contains_key(*key));
+    pledges.ghosts.retain(|_, ghost| {
+        let passed = now.since(ghost.since);
+        let gone = !ghost.listed && passed >= hold;
+        let stopped = ghost.stopped && passed >= SETTLE;
+        !gone && !stopped
+    });
+    let count = arena.keys().filter(|&key| settled(core, key)).count();
+    let long = now.since(core.members.settled) >= SETTLE + PLEDGE / 3;
+    let settled = long && calm(core) && pledging(core);
+    let hosts = hosts(core) as usize;
+    let pledges = &mut core.shares.pledges;
+    pledges.settled |= settled;
+    let count = count + hosts;
+    if pledges.count != count {
+        pledges.count = count;
+        pledges.calm = now;
+    }
+}
+
+/// Returns whether a peer has pledged to this host, at the same view, for long enough.
+fn settled(core: &Core, key: HostKey) -> bool {
+    let beat = &core.members.arena[key].beat;
+    let same = beat.view == core.members.view;
+    same && fresh(core, key) && Duration::from_millis(beat.pledged) >= SETTLE
+}
+
+fn fresh(core: &Core, key: HostKey) -> bool {
+    let peer = core.shares.pledges.peers.get(key);
+    let echoed = peer.and_then(|peer| peer.echoed);
+    echoed.is_some_and(|at| core.now.since(at) < PLEDGE)
+}
+
+/// Returns whether a share that nobody used may count as saved up.
+#[must_use]
+pub fn calm(core: &Core) -> bool {
+    core.now.since(core.shares.pledges.calm) >= CALM
+}
+
+/// Returns what hosts pledge to this one as the home of `plan`.
+pub fn pledged(core: &Core, plan: &str) -> Pledged {
+    let pledges = &core.shares.pledges;
+    let mine: Vec<bool> = pledges
+        .views
+        .iter()
+        .map(|seen| home(&seen.names, plan) == Some(&*core.members.name))
+        .collect();
+    let mut hosts = hosts(core);
+    let mut count = u32::from(own(core, &mine));
+    let mut alone = true;
+    for (key, member) in &core.members.arena {
+        let stand = stand(core, key, &member.beat, &mine);
+        alone &= stand != Stand::Elsewhere;
+        if stand == Stand::Counts {
+            count += 1;
+            hosts = hosts.max(member.beat.hosts);
+        }
+    }
+    Pledged {
+        part: f64::from(count) / f64::from(hosts.max(count).max(1)),
+        whole: count >= hosts,
+        alone,
+    }
+}
+
+fn own(core: &Core, mine: &[bool]) -> bool {
+    let pledges = &core.shares.pledges;
+    let ages = pledges
+        .views
+        .iter()
+        .map(|seen| age(pledges, seen, core.now));
+    pledging(core) && chain(ages.zip(mine.iter().map(|mine| Some(*mine))))
+}
+
+fn stand(core: &Core, key: HostKey, beat: &Beat, mine: &[bool]) -> Stand {
+    let views = &core.shares.pledges.views;
+    let newest = View {
+        hash: beat.view,
+        age: beat.settled,
+    };
+    let known = std::iter::once(&newest).chain(&beat.views).map(|view| {
+        let at = views.iter().position(|seen| seen.hash == view.hash);
+        (view.age, at.map(|at| mine[at]))
+    });
+    if !chain(known) {
+        return Stand::Elsewhere;
+    }
+    let long = Duration::from_millis(beat.pledged) >= SETTLE;
+    if long && fresh(core, key) {
+        Stand::Counts
+    } else {
+        Stand::Rests
+    }
+}
+
+/// Returns whether all views of the last [`SETTLE`], newest first, have this host as the home.
+fn chain(views: impl Iterator<Item = (u64, Option<bool>)>) -> bool {
+    for (age, mine) in views {
+        if mine != Some(true) {
+            return false;
+        }
+        if Duration::from_millis(age) >= SETTLE {
+            return true;
+        }
+    }
+    false
+}
+
+fn home<'a>(names: &'a [Box<str>], plan: &str) -> Option<&'a str> {
+    names
+        .iter()
+        .map(|name| &**name)
+        .max_by_key(|name| member::weight(name, plan))
+}
+
+/// Where a request's share comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// This host is the home.
+    Own,
+    /// A peer is.
+    Peer(HostKey),
+    /// The home is silent for so long that this host has its own part back.
+    Part,
+    /// The home is silent; this host has its own part back after this time.
+    Silent(Duration),
+}
+
+/// Returns where the share of a plan comes from.
+#[must_use]
+pub fn source(core: &Core, plan: &str) -> Source {
+    let pledges = &core.shares.pledges;
+    let Some(seen) = pledges.views.front() else {
+        return Source::Silent(SETTLE);
+    };
+    let Some(name) = home(&seen.names, plan) else {
+        return Source::Silent(SETTLE);
+    };
+    if *name == *core.members.name {
+        return Source::Own;
+    }
+    let Some(key) = core.members.find(name) else {
+        return Source::Silent(SETTLE);
+    };
+    let Some(peer) = pledges.peers.get(key) else {
+        return Source::Silent(SETTLE);
+    };
+    if peer.given.is_some() {
+        return Source::Peer(key);
+    }
+    // The home may count the last pledge for one pledge's life, and this host's own views may have
+    // named another home until lately.
+    let since = core.now.since(peer.withdrawn.max(seen.begun));
+    match SETTLE.checked_sub(since) {
+        Some(left) if left > Duration::ZERO => Source::Silent(left),
+        _ => Source::Part,
+    }
+}
+
+/// Returns this host's own part of every share.
+#[must_use]
+pub fn own_part(core: &Core) -> f64 {
+    if pledging(core) {
+        1.0 / f64::from(hosts(core))
+    } else {
+        0.0
+    }
+}
+
+/// Notes that a peer became the home of a plan of which this host holds places.
+pub fn owe(core: &mut Core, to: HostKey) {
+    core.shares.pledges.untold.insert(to);
+}
+
+/// Notes that a peer answered; once it knows every place held here, this host pledges to it.
+pub fn told(core: &mut Core, to: HostKey) {
+    let source = Some(Source::Peer(to));
+    let mut parts = core.shares.parts.values();
+    let open = parts.any(|part| part.source == source && part.places > 0 && part.told.is_none());
+    if !open {
+        core.shares.pledges.untold.remove(&to);
+    }
+}
+
+/// Returns whether a host may hold places lent by this one.
+pub fn may_hold(core: &Core, name: &str) -> bool {
+    *name == *core.members.name
+        || core.members.find(name).is_some()
+        || core.shares.pledges.ghosts.contains_key(name)
+}
+
+/// Returns whether this host has pledged, and every older pledge by its view has run out.
+#[must_use]
+pub fn settled_in(core: &Core) -> bool {
+    core.shares.pledges.settled
+}
--- /dev/null
+++ b/src/core/share/tests/site.rs
@@ -0,0 +1,523 @@
+//! Several cores in virtual time, joined by a network and a store that fail on command.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::core::event::{
+    Arrival, Entry, EntryKind, FleetEvent, Health, ModelWant, PeerEvent, Print, RequestEvent,
+    ServiceWant, StoreEvent, StoreReply, StoreResult, Stored, Want, Watched,
+};
+use crate::core::key::{AttemptKey, RequestKey};
+use crate::core::message::Message;
+use crate::core::share::pledge::{self, Source};
+use crate::core::{Core, Effect, Effects, Event, Time, config};
+use crate::error::Kind;
+use crate::lists::KeyHash;
+use crate::settings::Settings;
+use crate::store::{Op, TxnReply};
+use crate::wire::{Frame, encode};
+
+/// Life of a registration without renewal.
+const LEASE: Duration = Duration::from_secs(2);
+const TICK: Duration = Duration::from_millis(100);
+/// Bytes that tell the length of a frame.
+const LENGTH: usize = 4;
+const KEY: &str = "key";
+
+/// Something at a point in virtual time.
+#[derive(Debug)]
+enum Item {
+    Event {
+        host: usize,
+        life: u32,
+        event: Event,
+    },
+    Arrive {
+        host: usize,
+    },
+    Tick,
+}
+
+/// One host.
+#[derive(Debug)]
+pub struct Host {
+    pub core: Option<Core>,
+    pub name: Box<str>,
+    life: u32,
+    /// Arrivals a second.
+    pub load: f64,
+    pub store: bool,
+    pub paused: Time,
+    /// The watch tells changes in order.
+    told: Time,
+}
+
+/// Something that was let in.
+#[derive(Debug, Clone, Copy)]
+pub struct Admitted {
+    pub at: Time,
+    pub requests: f64,
+    pub tokens: f64,
+}
+
+/// What every request asks.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    pub prompt: u32,
+    /// Most tokens, as asked for, and tokens generated.
+    pub output: u32,
+    pub made: u32,
+    /// Time a request runs.
+    pub lasts: Duration,
+}
+
+#[derive(Debug)]
+pub struct Site {
+    pub now: Time,
+    pub rng: SmallRng,
+    pub hosts: Vec<Host>,
+    pub admitted: Vec<Admitted>,
+    pub arrived: usize,
+    pub refused: usize,
+    /// Requests running, by host, life and key; and the most there were at once.
+    running: BTreeSet<(usize, u32, RequestKey)>,
+    pub most: usize,
+    /// Bytes of frames sent between hosts.
+    pub bytes: usize,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub load: Load,
+    uses: Box<str>,
+    registered: BTreeMap<Box<str>, (Box<[u8]>, Time)>,
+    queue: BTreeMap<(Time, u64), Item>,
+    count: u64,
+    tag: u64,
+}
+
+impl Site {
+    pub fn new(hosts: usize, uses: &str, load: Load, seed: u64) -> Self {
+        let mut site = Self {
+            now: Time::from_millis(10_000),
+            rng: SmallRng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            admitted: Vec::new(),
+            arrived: 0,
+            refused: 0,
+            running: BTreeSet::new(),
+            most: 0,
+            bytes: 0,
+            cut: BTreeSet::new(),
+            load,
+            uses: format!(
+                "[plan p]\nmodels = m\nservices = s\n{uses}\n[service s]\nrepeat = GET *\n"
+            )
+            .into(),
+            registered: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            count: 0,
+            tag: 0,
+        };
+        for at in 0..hosts {
+            site.start(&format!("host-{at}"));
+        }
+        site.push(site.now, Item::Tick);
+        site
+    }
+
+    /// Starts a host, in place of one of the same name where there is one.
+    pub fn start(&mut self, name: &str) {
+        let settings = settings(name);
+        let mut core = Core::new(settings, self.now, 1_000_000, self.rng.random());
+        let mut out = Effects::new();
+        let key = KeyHash::of(KEY);
+        let plans = format!("[customer c]\nplan = p\nkeys = {key}\n");
+        config::told(&mut core, 1, &plans, &self.uses, &mut out);
+        let found = self.hosts.iter().position(|host| *host.name == *name);
+        let at = found.unwrap_or(self.hosts.len());
+        if found.is_none() {
+            self.hosts.push(Host {
+                core: None,
+                name: name.into(),
+                life: 0,
+                load: 0.0,
+                store: true,
+                paused: Time::default(),
+                told: Time::default(),
+            });
+            self.push(self.now, Item::Arrive { host: at });
+        }
+        let host = &mut self.hosts[at];
+        host.core = Some(core);
+        host.paused = Time::default();
+        self.feed(at, Event::Start);
+        self.feed(at, Event::Fleet(FleetEvent::Listed(entries())));
+        self.snapshot(at);
+    }
+
+    /// Ends a host's process at once.
+    pub fn kill(&mut self, at: usize) {
+        self.hosts[at].core = None;
+        self.hosts[at].life += 1;
+        self.running.retain(|(host, _, _)| *host != at);
+    }
+
+    /// Joins a host to the store again, or cuts it off.
+    pub fn set_store(&mut self, at: usize, reached: bool) {
+        if reached && !self.hosts[at].store {
+            self.hosts[at].store = true;
+            self.snapshot(at);
+        }
+        if !reached && self.hosts[at].store {
+            self.later(at, Event::Store(StoreEvent::Health(Health::Down)));
+        }
+        self.hosts[at].store = reached;
+    }
+
+    fn snapshot(&mut self, at: usize) {
+        if !self.hosts[at].store {
+            return;
+        }
+        let names: BTreeSet<Box<str>> = self.hosts.iter().map(|host| host.name.clone()).collect();
+        let pairs = names.into_iter().map(|name| self.watched(&name)).collect();
+        self.later(at, Event::Store(StoreEvent::Health(Health::Up)));
+        self.watch(at, pairs);
+    }
+
+    fn watched(&self, name: &str) -> Watched {
+        Watched {
+            key: format!("host/{name}").into(),
+            value: self.registered.get(name).map(|(value, _)| value.clone()),
+            modified: 1,
+        }
+    }
+
+    fn push(&mut self, at: Time, item: Item) {
+        self.count += 1;
+        self.queue.insert((at, self.count), item);
+    }
+
+    fn feed(&mut self, host: usize, event: Event) {
+        let life = self.hosts[host].life;
+        let at = self.now;
+        self.push(at, Item::Event { host, life, event });
+    }
+
+    /// Feeds an event after the time a message takes.
+    fn later(&mut self, host: usize, event: Event) {
+        let life = self.hosts[host].life;
+        let at = self
+            .now
+            .after(Duration::from_micros(self.rng.random_range(500..2500)));
+        self.push(at, Item::Event { host, life, event });
+    }
+
+    fn watch(&mut self, host: usize, pairs: Vec<Watched>) {
+        let life = self.hosts[host].life;
+        let lag = Duration::from_micros(self.rng.random_range(500..2500));
+        let at = self.now.after(lag).max(self.hosts[host].told);
+        self.hosts[host].told = at;
+        let event = Event::Store(StoreEvent::Watched(pairs));
+        self.push(at, Item::Event { host, life, event });
+    }
+
+    /// Runs for a time.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now.after(span);
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), item) = entry.remove_entry();
+            self.now = at;
+            self.step(item);
+        }
+        self.now = end;
+    }
+
+    fn step(&mut self, item: Item) {
+        match item {
+            Item::Tick => {
+                self.lapse();
+                self.push(self.now.after(TICK), Item::Tick);
+            }
+            Item::Arrive { host } => self.arrive(host),
+            Item::Event { host, life, event } => self.event(host, life, event),
+        }
+    }
+
+    fn lapse(&mut self) {
+        let now = self.now;
+        let lapsed: Vec<Box<str>> = self
+            .registered
+            .iter()
+            .filter(|(_, (_, renewed))| now.since(*renewed) > LEASE)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in lapsed {
+            self.registered.remove(&name);
+            self.tell(&name);
+        }
+    }
+
+    fn tell(&mut self, name: &str) {
+        for at in 0..self.hosts.len() {
+            if self.hosts[at].store {
+                let pairs = vec![self.watched(name)];
+                self.watch(at, pairs);
+            }
+        }
+    }
+
+    fn arrive(&mut self, host: usize) {
+        let load = self.hosts[host].load;
+        let wait = if load > 0.0 {
+            let draw: f64 = self.rng.random_range(0.0001..1.0);
+            Duration::from_secs_f64((-draw.ln() / load).min(1.0))
+        } else {
+            TICK
+        };
+        self.push(self.now.after(wait), Item::Arrive { host });
+        let alive = self.hosts[host].core.is_some() && self.hosts[host].paused <= self.now;
+        if load <= 0.0 || !alive {
+            return;
+        }
+        self.tag += 1;
+        self.arrived += 1;
+        let target = if self.load.prompt > 0 {
+            Want::Model(ModelWant {
+                model: "m".into(),
+                prompt: self.load.prompt,
+                output: self.load.output,
+                pieces: Vec::new(),
+            })
+        } else {
+            Want::Service(ServiceWant {
+                service: "s".into(),
+                method: "GET".into(),
+                path: "/".into(),
+            })
+        };
+        let arrival = Arrival {
+            tag: self.tag,
+            caller: KeyHash::of(KEY),
+            want: target,
+            idem: None,
+            print: Print(u128::from(self.tag).to_le_bytes()),
+        };
+        self.feed(
+            host,
+            Event::Request(RequestEvent::Arrived(Box::new(arrival))),
+        );
+    }
+
+    fn event(&mut self, at: usize, life: u32, event: Event) {
+        let host = &mut self.hosts[at];
+        if host.life != life {
+            return;
+        }
+        if host.paused > self.now {
+            let until = host.paused;
+            self.push(
+                until,
+                Item::Event {
+                    host: at,
+                    life,
+                    event,
+                },
+            );
+            return;
+        }
+        let Some(core) = host.core.as_mut() else {
+            return;
+        };
+        let mut out = Effects::new();
+        core.reduce(self.now, event, &mut out);
+        for effect in out {
+            self.carry(at, effect);
+        }
+    }
+
+    fn carry(&mut self, at: usize, effect: Effect) {
+        let life = self.hosts[at].life;
+        match effect {
+            Effect::Wake { at: when, timer } => self.push(
+                when,
+                Item::Event {
+                    host: at,
+                    life,
+                    event: Event::Timer(timer),
+                },
+            ),
+            Effect::Send { to, message } => {
+                let core = self.hosts[at].core.as_ref().expect("a host that acts");
+                let Some(name) = core.members.arena.get(to).map(|member| member.name.clone())
+                else {
+                    return;
+                };
+                let mut bytes = BytesMut::new();
+                encode(&Frame::Message(message.clone()), &mut bytes);
+                // What requests leave behind is counted elsewhere.
+                if !matches!(message, Message::Traces(_)) {
+                    self.bytes += bytes.len() + LENGTH;
+                }
+                let found = self.hosts.iter().position(|host| host.name == name);
+                let Some(other) = found.filter(|&other| !self.cut.contains(&(at, other))) else {
+                    return;
+                };
+                let from = self.hosts[at].name.clone();
+                self.later(other, Event::Peer(PeerEvent::Message { from, message }));
+            }
+            Effect::Grant { job, .. } => {
+                self.reply(at, job, StoreResult::Lease(i64::from(life) + 7));
+            }
+            Effect::Renew { job, lease } => {
+                let (now, store) = (self.now, self.hosts[at].store);
+                let entry = self
+                    .registered
+                    .get_mut(&self.hosts[at].name)
+                    .filter(|_| store);
+                let kept = entry.map(|entry| entry.1 = now).map_or(0, |()| lease);
+                self.reply(at, job, StoreResult::Lease(kept));
+            }
+            Effect::Txn { job, txn } => self.write(at, job, &txn.then),
+            Effect::Call {
+                request, attempt, ..
+            } => self.let_in(at, request, attempt, None),
+            Effect::Open(open) => {
+                self.let_in(at, open.request, open.attempt, Some(self.load.made));
+            }
+            Effect::Reply { request, .. } | Effect::Finish(request) => {
+                self.running.remove(&(at, life, request));
+            }
+            Effect::Refuse { refusal, .. } => {
+                self.refused += 1;
+                let kinds = [Kind::ShareSpent, Kind::CutOff];
+                assert!(kinds.contains(&refusal.kind), "refused for {refusal:?}");
+            }
+            _ => {}
+        }
+    }
+
+    fn reply(&mut self, at: usize, job: crate::core::event::Job, result: StoreResult) {
+        let result = if self.hosts[at].store {
+            result
+        } else {
+            StoreResult::Unknown
+        };
+        self.later(
+            at,
+            Event::Store(StoreEvent::Reply(StoreReply { job, result })),
+        );
+    }
+
+    fn write(&mut self, at: usize, job: crate::core::event::Job, ops: &[Op]) {
+        let Some(Op::Put { value, .. }) = ops.first().filter(|_| self.hosts[at].store) else {
+            return;
+        };
+        let name = self.hosts[at].name.clone();
+        let value = value.to_vec().into();
+        self.registered.insert(name.clone(), (value, self.now));
+        let done = TxnReply {
+            succeeded: true,
+            revision: 1,
+            replies: Vec::new(),
+        };
+        self.reply(at, job, StoreResult::Txn(done));
+        self.tell(&name);
+    }
+
+    fn let_in(&mut self, at: usize, request: RequestKey, attempt: AttemptKey, made: Option<u32>) {
+        let life = self.hosts[at].life;
+        self.running.insert((at, life, request));
+        self.most = self.most.max(self.running.len());
+        self.admitted.push(Admitted {
+            at: self.now,
+            requests: 1.0,
+            tokens: made.map_or(0.0, |made| f64::from(self.load.prompt + made)),
+        });
+        let end = self.now.after(self.load.lasts);
+        let events = match made {
+            None => vec![RequestEvent::Answered {
+                attempt,
+                result: Stored::default(),
+            }],
+            Some(tokens) => vec![
+                RequestEvent::Chunk {
+                    attempt,
+                    offset: 0,
+                    tokens,
+                },
+                RequestEvent::Whole(attempt),
+            ],
+        };
+        for event in events {
+            let event = Event::Request(event);
+            self.push(
+                end,
+                Item::Event {
+                    host: at,
+                    life,
+                    event,
+                },
+            );
+        }
+    }
+
+    /// Returns the sum of the parts that hosts may lend or use now.
+    pub fn parts(&mut self) -> f64 {
+        let now = self.now;
+        let awake = self.hosts.iter_mut().filter(|host| host.paused <= now);
+        let cores = awake.filter_map(|host| host.core.as_mut());
+        let parts = cores.map(|core| {
+            core.now = now;
+            match pledge::source(core, "p") {
+                Source::Own => pledge::pledged(core, "p").part,
+                Source::Part => pledge::own_part(core),
+                Source::Peer(_) | Source::Silent(_) => 0.0,
+            }
+        });
+        parts.sum()
+    }
+
+    /// Returns the most by which any window's total went beyond `rate` times its length.
+    pub fn over(&self, rate: f64, what: impl Fn(&Admitted) -> f64) -> f64 {
+        let (mut total, mut least, mut over) = (0.0_f64, f64::INFINITY, 0.0_f64);
+        for admitted in &self.admitted {
+            let due = rate * admitted.at.micros() as f64 / 1e6;
+            least = least.min(total - due);
+            total += what(admitted);
+            over = over.max(total - due - least);
+        }
+        over
+    }
+}
+
+fn entries() -> Vec<Entry> {
+    let entry = |name: &str, kind, pool: &str| Entry {
+        name: name.into(),
+        kind,
+        pool: pool.into(),
+        addr: "127.0.0.1:9".parse().expect("an address"),
+        domain: "d".into(),
+        leaving: false,
+    };
+    vec![
+        entry("m-1", EntryKind::Engine, "m"),
+        entry("s-1", EntryKind::Service, "s"),
+    ]
+}
+
+fn settings(name: &str) -> Settings {
+    let hash = KeyHash::of("operator");
+    let text = format!(
+        "[host]\nname = {name}\nregion = r\ndomain = d\ncallers = 127.0.0.1:1\n\
+         operators = 127.0.0.1:2\npeers = 127.0.0.1:3\nsecret = sixteen-bytes-ok\n\
+         operator-key-hash = {hash}\n[platform]\nkv = 127.0.0.1:4\nlist = 127.0.0.1:5\n\
+         lease = 2s\n[limits]\nrequests = 100000\n[pool m]\nmodel = m\nfencing = checks\n\
+         prefill = 1000000\ndecode = 1000000\n[service s]\n"
+    );
+    Settings::parse(&text, "host.ini").expect("settings without a fault")
+}
--- a/src/host/report.rs
+++ b/src/host/report.rs
@@ -4,8 +4,8 @@
 
 use crate::core::Core;
 use crate::core::event::Health;
-use crate::core::member;
 use crate::core::trace::Record;
+use crate::core::{member, share};
 use crate::error::Ran;
 
 /// Returns the record of a request as a document.
@@ -56,6 +56,8 @@
         Err("no lists in force yet")
     } else if !core.members.registered {
         Err("not registered among the hosts yet")
+    } else if !share::settled(core) {
+        Err("not counted among the hosts that share yet")
     } else if member::cut_off(core) {
         Err("cut off from the key-value service and the peers")
     } else {
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -4,7 +4,8 @@
 use super::{WireError, array};
 use crate::core::event::{Print, Stored};
 use crate::core::message::{
-    Beat, Begin, BeginState, Borrow, Confirm, Demand, Done, DoneState, Lend, Message, Suspect,
+    Beat, Begin, BeginState, Borrow, Confirm, Demand, Done, DoneState, Lend, Loan, Message,
+    Suspect, View, Wish,
 };
 use crate::core::trace::{Attempt, Note, Record};
 use crate::error::Ran;
@@ -18,24 +19,18 @@
             settled: beat.settled,
             revision: beat.revision,
             stopping: beat.stopping,
+            views: beat.views.iter().map(to_view).collect(),
+            pledged: beat.pledged,
+            hosts: beat.hosts,
         }),
         Message::Borrow(borrow) => Kind::Borrow(wire::Borrow {
-            plan: borrow.plan.to_string(),
             round: borrow.round,
-            view: borrow.view,
-            requests: borrow.requests,
-            tokens: borrow.tokens,
-            running: borrow.running,
-            held: borrow.held,
+            wishes: borrow.wishes.iter().map(to_wish).collect(),
         }),
         Message::Lend(lend) => Kind::Lend(wire::Lend {
-            plan: lend.plan.to_string(),
             round: lend.round,
-            requests: lend.requests,
-            tokens: lend.tokens,
-            running: lend.running,
             life: lend.life,
-            wait: lend.wait,
+            loans: lend.loans.iter().map(to_loan).collect(),
         }),
         Message::Begin(begin) => Kind::Begin(wire::Begin {
             round: begin.round,
@@ -108,6 +103,9 @@
             settled: beat.settled,
             revision: beat.revision,
             stopping: beat.stopping,
+            views: beat.views.iter().map(from_view).collect(),
+            pledged: beat.pledged,
+            hosts: beat.hosts,
         }),
         Kind::Borrow(borrow) => from_borrow(borrow)?,
         Kind::Lend(lend) => from_lend(lend)?,
@@ -167,30 +165,85 @@
     }
 }
 
+fn to_view(view: &View) -> wire::View {
+    wire::View {
+        hash: view.hash,
+        age: view.age,
+    }
+}
+
+fn from_view(view: &wire::View) -> View {
+    View {
+        hash: view.hash,
+        age: view.age,
+    }
+}
+
+fn to_wish(wish: &Wish) -> wire::Wish {
+    wire::Wish {
+        plan: wish.plan.to_string(),
+        requests: wish.requests,
+        tokens: wish.tokens,
+        running: wish.running,
+        least: wish.least,
+        waiting: wish.waiting,
+        held: wish.held,
+        back_requests: wish.back_requests,
+        back_tokens: wish.back_tokens,
+    }
+}
+
+fn to_loan(loan: &Loan) -> wire::Loan {
+    wire::Loan {
+        plan: loan.plan.to_string(),
+        requests: loan.requests,
+        tokens: loan.tokens,
+        running: loan.running,
+        wait: loan.wait,
+    }
+}
+
 fn from_borrow(borrow: wire::Borrow) -> Result<Message, WireError> {
+    let wishes: Result<Vec<_>, _> = borrow.wishes.into_iter().map(from_wish).collect();
     Ok(Message::Borrow(Borrow {
-        plan: borrow.plan.into(),
         round: borrow.round,
-        view: borrow.view,
-        requests: amount(borrow.requests, "requests")?,
-        tokens: amount(borrow.tokens, "tokens")?,
-        running: borrow.running,
-        held: borrow.held,
+        wishes: wishes?,
     }))
 }
 
+fn from_wish(wish: wire::Wish) -> Result<Wish, WireError> {
+    Ok(Wish {
+        plan: wish.plan.into(),
+        requests: amount(wish.requests, "requests")?,
+        tokens: amount(wish.tokens, "tokens")?,
+        running: wish.running,
+        least: amount(wish.least, "least")?,
+        waiting: wish.waiting,
+        held: wish.held,
+        back_requests: amount(wish.back_requests, "back_requests")?,
+        back_tokens: amount(wish.back_tokens, "back_tokens")?,
+    })
+}
+
 fn from_lend(lend: wire::Lend) -> Result<Message, WireError> {
+    let loans: Result<Vec<_>, _> = lend.loans.into_iter().map(from_loan).collect();
     Ok(Message::Lend(Lend {
-        plan: lend.plan.into(),
         round: lend.round,
-        requests: amount(lend.requests, "requests")?,
-        tokens: amount(lend.tokens, "tokens")?,
-        running: lend.running,
         life: lend.life,
-        wait: lend.wait,
+        loans: loans?,
     }))
 }
 
+fn from_loan(loan: wire::Loan) -> Result<Loan, WireError> {
+    Ok(Loan {
+        plan: loan.plan.into(),
+        requests: amount(loan.requests, "requests")?,
+        tokens: amount(loan.tokens, "tokens")?,
+        running: loan.running,
+        wait: loan.wait,
+    })
+}
+
 pub(super) fn to_stored(stored: &Stored) -> wire::Stored {
     wire::Stored {
         status: u32::from(stored.status),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -64,7 +64,7 @@
     pub mac: ::prost::alloc::vec::Vec<u8>,
 }
 /// Sent to each peer at an interval, also when nothing else is.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Beat {
     /// Counts beats to this peer.
     #[prost(uint64, tag = "1")]
@@ -73,9 +73,9 @@
     #[prost(uint64, tag = "2")]
     pub echo: u64,
     /// Hash of the member set the sender acts on.
-    #[prost(uint64, tag = "3")]
+    #[prost(fixed64, tag = "3")]
     pub view: u64,
-    /// Milliseconds the sender has been at that view.
+    /// Milliseconds the sender has been at that view; more where no other came before it.
     #[prost(uint64, tag = "4")]
     pub settled: u64,
     /// Revision of the lists in force at the sender.
@@ -84,43 +84,82 @@
     /// The sender is shutting down.
     #[prost(bool, tag = "6")]
     pub stopping: bool,
+    /// Views the sender acted on before, newest first, while they may still matter.
+    #[prost(message, repeated, tag = "7")]
+    pub views: ::prost::alloc::vec::Vec<View>,
+    /// Milliseconds the sender has let the recipient lend the sender's part of each plan's share.
+    #[prost(uint64, tag = "8")]
+    pub pledged: u64,
+    /// Hosts that may be alive, as far as the sender knows.
+    #[prost(uint32, tag = "9")]
+    pub hosts: u32,
+}
+/// Member set that a host acted on.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct View {
+    #[prost(fixed64, tag = "1")]
+    pub hash: u64,
+    /// Milliseconds since the sender began to act on it.
+    #[prost(uint64, tag = "2")]
+    pub age: u64,
 }
-/// Asks the home of a plan's share for a part of it.
+/// Asks the home of plans' shares for parts of them, and gives back what was not used.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Borrow {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub wishes: ::prost::alloc::vec::Vec<Wish>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Wish {
     #[prost(string, tag = "1")]
     pub plan: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "2")]
-    pub round: u64,
-    #[prost(uint64, tag = "3")]
-    pub view: u64,
-    #[prost(double, tag = "4")]
+    /// Wanted in all.
+    #[prost(double, tag = "2")]
     pub requests: f64,
-    #[prost(double, tag = "5")]
+    #[prost(double, tag = "3")]
     pub tokens: f64,
-    #[prost(uint32, tag = "6")]
+    #[prost(uint32, tag = "4")]
     pub running: u32,
-    /// Requests of this plan now running at the borrower.
+    /// Tokens without which the first waiting request cannot go.
+    #[prost(double, tag = "5")]
+    pub least: f64,
+    /// Requests of this plan waiting for the answer.
+    #[prost(uint32, tag = "6")]
+    pub waiting: u32,
+    /// Places of this plan that the sender has, used or idle.
     #[prost(uint32, tag = "7")]
     pub held: u32,
+    /// Given back.
+    #[prost(double, tag = "8")]
+    pub back_requests: f64,
+    #[prost(double, tag = "9")]
+    pub back_tokens: f64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Lend {
+    /// Round of the question.
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    /// Life of the loans in milliseconds, counted from when the question was sent.
+    #[prost(uint32, tag = "2")]
+    pub life: u32,
+    #[prost(message, repeated, tag = "3")]
+    pub loans: ::prost::alloc::vec::Vec<Loan>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Loan {
     #[prost(string, tag = "1")]
     pub plan: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "2")]
-    pub round: u64,
-    #[prost(double, tag = "3")]
+    #[prost(double, tag = "2")]
     pub requests: f64,
-    #[prost(double, tag = "4")]
+    #[prost(double, tag = "3")]
     pub tokens: f64,
-    #[prost(uint32, tag = "5")]
+    #[prost(uint32, tag = "4")]
     pub running: u32,
-    /// Life of the loan in milliseconds from its receipt.
-    #[prost(uint32, tag = "6")]
-    pub life: u32,
     /// If nothing was lent: milliseconds until it is worth asking again.
-    #[prost(uint32, tag = "7")]
+    #[prost(uint32, tag = "5")]
     pub wait: u32,
 }
 /// Asks the owner of a record shard to record that a call starts.
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -5,7 +5,7 @@
 
 use super::{Frame, Hello, VERSION, decode, decode_shard, encode, encode_shard};
 use crate::core::event::{Print, Stored};
-use crate::core::message::{Begin, BeginState, Done, DoneState, Lend, Message};
+use crate::core::message::{Begin, BeginState, Done, DoneState, Lend, Loan, Message};
 use crate::core::once::{Call, CallState, Calls};
 use crate::core::trace::{Attempt, Note, Record};
 use crate::error::Ran;
@@ -100,14 +100,15 @@
 #[test]
 fn loan_of_no_size_is_refused() {
     for requests in [f64::NAN, f64::INFINITY, -1.0] {
-        let lend = Lend {
+        let loan = Loan {
             plan: "p".into(),
-            round: 1,
             requests,
-            tokens: 0.0,
-            running: 0,
+            ..Loan::default()
+        };
+        let lend = Lend {
+            round: 1,
             life: 1,
-            wait: 0,
+            loans: vec![loan],
         };
         let mut bytes = BytesMut::new();
         encode(&Frame::Message(Message::Lend(lend)), &mut bytes);
