--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -67,17 +67,15 @@
     pub settled: Time,
     /// Whether this host stands among the registered hosts.
     pub registered: bool,
+    /// Whether this host has seen itself registered since it started or last slept.
+    pub proven: bool,
     /// Lease of the registration; 0 for none.
     lease: i64,
     tries: u64,
     /// Whether the key-value service answers.
     pub store: Health,
-    /// When the call was sent by which the registration was last renewed.
-    ///
-    /// A host that was paused counts from before the call: the lease may have lapsed and the
-    /// others gone on without it before the answer is read.
-    pub renewed: Option<Time>,
-    asked: Time,
+    /// When the key-value service last answered.
+    pub store_heard: Option<Time>,
 }
 
 impl Members {
@@ -92,11 +90,11 @@
             view: 0,
             settled: Time::default(),
             registered: false,
+            proven: false,
             lease: 0,
             tries: 0,
             store: Health::Down,
-            renewed: None,
-            asked: Time::default(),
+            store_heard: None,
         }
     }
 
@@ -206,7 +204,10 @@
     let bound = cut_off_bound(core);
     let members = &core.members;
     let recent = |heard: Option<Time>| heard.is_some_and(|at| core.now.since(at) < bound);
-    if recent(members.renewed) {
+    if !members.proven {
+        return true;
+    }
+    if recent(members.store_heard) {
         return false;
     }
     let peers = members.names.len();
@@ -217,15 +218,33 @@
     peers == 0 || heard * 2 < peers
 }
 
-/// Returns the time without store and peers after which a host is cut off.
+/// Returns the time without store and peers after which a host takes no new work.
 ///
-/// A lease is renewed three times in its life; a shorter time would pass between two renewals.
+/// Not under the life of a lease: renewals, which show that the service answers, come thrice in
+/// that time.
 #[must_use]
 pub fn cut_off_bound(core: &Core) -> Duration {
     let settings = &core.settings;
     settings.limits.cut_off.max(settings.platform.lease)
 }
 
+/// Notes that this process did nothing for a while.
+///
+/// A process that slept past its lease may have been counted out, and what waits in its sockets
+/// is from before: a watch that tells of the past and beats that sound fresh. It takes no new
+/// work until the key-value service shows its registration anew, and with it all that came
+/// before. The renewal that is due by now asks for that.
+pub fn woke(core: &mut Core, gap: Duration, out: &mut Effects) {
+    if gap < core.settings.platform.lease || !core.members.proven {
+        return;
+    }
+    core.members.proven = false;
+    core.members.registered = false;
+    core.members.store_heard = None;
+    let text = format!("nothing happened here for {} ms", gap.as_millis());
+    out.push(log_event(log::Level::Warn, "host.woke", text));
+}
+
 /// Starts beats and registration.
 pub fn start(core: &mut Core, out: &mut Effects) {
     wake(core, Timer::Beat, BEAT_EVERY, out);
@@ -297,7 +316,6 @@
         return;
     }
     core.members.tries += 1;
-    core.members.asked = core.now;
     let job = Job::Register(core.members.tries);
     let life = core.settings.platform.lease;
     if core.members.lease == 0 {
@@ -311,10 +329,8 @@
 
 /// Goes on with the registration when the key-value service has answered.
 pub fn reply(core: &mut Core, reply: &StoreReply, out: &mut Effects) {
-    // The answer to an earlier try does not show when that try was sent.
-    let last = reply.job == Job::Register(core.members.tries);
-    if last && matches!(reply.result, StoreResult::Lease(1..)) {
-        core.members.renewed = Some(core.members.asked);
+    if matches!(reply.result, StoreResult::Lease(_) | StoreResult::Txn(_)) {
+        core.members.store_heard = Some(core.now);
     }
     match reply.result {
         StoreResult::Lease(0) => {
@@ -369,6 +385,7 @@
     if *name == *core.members.name {
         let incarnation = core.members.incarnation;
         core.members.registered = entry.is_some_and(|entry| entry.incarnation == incarnation);
+        core.members.proven |= core.members.registered;
         return;
     }
     match entry {
@@ -401,6 +418,7 @@
     out.push(log_event(log::Level::Info, "host.joined", text));
     let host = core.members.arena.insert(entry);
     core.members.names.insert(name.clone(), host);
+    order::joined(core, &name);
     out.push(Effect::Peer { host, name, addr });
 }
 
@@ -409,6 +427,7 @@
         if let Some(member) = core.members.arena.remove(key) {
             share::left(core, &member);
         }
+        order::left(core, name);
         let text = format!("host {name} left");
         out.push(log_event(log::Level::Info, "host.left", text));
         out.push(Effect::Unpeer(key));
@@ -444,6 +463,9 @@
         ));
     }
     core.members.store = health;
+    if health == Health::Up {
+        core.members.store_heard = Some(core.now);
+    }
     once::health(core, health, out);
     order::health(core, health, out);
 }
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -9,7 +9,7 @@
     Arrival, Break, ModelWant, Print, RequestEvent, ServiceWant, Stored, Timer, Want,
 };
 use super::key::{AttemptKey, BackendKey, RequestKey};
-use super::route::Need;
+use super::route::{Choice, Need};
 use super::trace::{self, Note, Record};
 use super::{Core, Effects, Time, admit, killer, member, once, route, share};
 use crate::error::{Kind, Ran};
@@ -69,11 +69,24 @@
     pub result: Option<Stored>,
     /// Whether the caller has closed its connection.
     pub left: bool,
+    /// Whether the piece with the finish reason was passed on.
+    finished: bool,
+    /// How the last attempt was lost, while the same engine is asked to go on with it.
+    lost: Option<Break>,
     tries: u8,
     resumes: u8,
     class: Box<str>,
 }
 
+/// Why an attempt brings nothing at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flow {
+    /// The engine has nothing yet, or its connection is lost.
+    Open,
+    /// The caller does not take what came; nothing is read from the engine.
+    Held,
+}
+
 /// One attempt at one back end.
 #[derive(Debug)]
 pub struct Attempt {
@@ -81,12 +94,15 @@
     pub request: RequestKey,
     /// The back end.
     pub backend: BackendKey,
+    /// Engine that prefills for the back end, until it is done.
+    prefill: Option<BackendKey>,
     /// Name at the back end.
     label: Box<str>,
     /// When it was sent, or last brought something.
     last: Time,
     /// Whether anything of the answer arrived.
     began: bool,
+    flow: Flow,
     /// Tokens counted into the back end's backlog.
     prompt: u64,
     output: u64,
@@ -108,7 +124,7 @@
         Self {
             arena: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
-            budget: RETRY_MOST / 4.0,
+            budget: RETRY_MOST,
         }
     }
 }
@@ -130,6 +146,7 @@
         RequestEvent::Arrived(arrival) => arrived(core, *arrival, out),
         RequestEvent::Left(request) => left(core, request, out),
         RequestEvent::Began(attempt) => began(core, attempt),
+        RequestEvent::Held(attempt) => held(core, attempt),
         RequestEvent::Chunk {
             attempt,
             offset,
@@ -199,6 +216,8 @@
         avoid: Vec::new(),
         result: None,
         left: false,
+        finished: false,
+        lost: None,
         tries: 0,
         resumes: 0,
         class,
@@ -343,10 +362,10 @@
         }
         Want::Service(want) => {
             let (service, avoid) = (want.service.clone(), request.avoid.clone());
-            route::instance(core, &service, &avoid)
+            route::instance(core, &service, &avoid).map(Choice::whole)
         }
     };
-    let Some(backend) = chosen else {
+    let Some(choice) = chosen else {
         let request = &core.requests.arena[key];
         let kind = match &request.want {
             Want::Model(_) => Kind::NoEngine,
@@ -358,17 +377,18 @@
         return;
     };
     core.requests.arena[key].tries += 1;
-    attempt(core, key, backend, None, out);
+    attempt(core, key, choice, None, out);
 }
 
 /// Opens an attempt at a back end; `label` resumes the one of that name.
 fn attempt(
     core: &mut Core,
     key: RequestKey,
-    backend: BackendKey,
+    choice: Choice,
     label: Option<Box<str>>,
     out: &mut Effects,
 ) {
+    let backend = choice.engine;
     let request = &mut core.requests.arena[key];
     let resume = label.is_some().then_some(request.delivered);
     let fresh = || format!("{}.{}", request.record.id, request.tries).into();
@@ -380,9 +400,11 @@
     let attempt = core.requests.attempts.insert(Attempt {
         request: key,
         backend,
+        prefill: choice.prefill,
         label: label.clone(),
         last: core.now,
         began: false,
+        flow: Flow::Open,
         prompt,
         output,
     });
@@ -411,7 +433,7 @@
                 resume,
                 delivered: request.delivered,
                 priority,
-                prefill: None,
+                prefill: choice.prefill.map(|key| core.fleet.arena[key].addr),
             }));
             out.push(Effect::Wake {
                 at: core.now.after(core.settings.limits.first_silence),
@@ -428,14 +450,35 @@
             });
         }
     }
-    core.fleet.sent(backend, prompt, output);
+    if let Some(prefill) = choice.prefill {
+        core.fleet.sent(prefill, prompt, 0);
+        core.fleet.sent(backend, 0, output);
+    } else {
+        core.fleet.sent(backend, prompt, output);
+    }
     core.traces.keep(core.requests.arena[key].record.clone());
 }
 
 fn began(core: &mut Core, attempt: AttemptKey) {
     if let Some(attempt) = core.requests.attempts.get_mut(attempt) {
         attempt.last = core.now;
+        attempt.flow = Flow::Open;
         core.fleet.works(attempt.backend);
+        if let Some(prefill) = attempt.prefill.take() {
+            core.fleet.works(prefill);
+            core.fleet
+                .ended(prefill, std::mem::take(&mut attempt.prompt), 0);
+        }
+    }
+}
+
+/// Notes that the caller does not take what the engine brings.
+///
+/// Reading on would pile the answer up here, and a few callers on a weak signal would end the
+/// host. The engine is not silent meanwhile: it is not read.
+fn held(core: &mut Core, attempt: AttemptKey) {
+    if let Some(attempt) = core.requests.attempts.get_mut(attempt) {
+        attempt.flow = Flow::Held;
     }
 }
 
@@ -449,8 +492,9 @@
         return;
     };
     attempt.last = core.now;
+    attempt.flow = Flow::Open;
     let request = &mut core.requests.arena[attempt.request];
-    if request.attempt != Some(key) || offset < request.delivered {
+    if request.attempt != Some(key) || offset < request.delivered || request.finished {
         return;
     }
     if offset > request.delivered {
@@ -462,6 +506,7 @@
         request: attempt.request,
     });
     if tokens == 0 {
+        request.finished = true;
         return;
     }
     let class = request.class.clone();
@@ -499,6 +544,11 @@
     if core.requests.arena[request].attempt != Some(key) {
         return;
     }
+    if !core.requests.arena[request].finished {
+        let detail = "the end marker came before the end of the answer";
+        broke(core, key, Ran::Yes, Break::Cut, detail, out);
+        return;
+    }
     core.fleet.works(attempt.backend);
     close_attempt(core, key, "whole", Ran::Yes);
     out.push(Effect::Finish(request));
@@ -542,14 +592,17 @@
     let Some(attempt) = core.requests.attempts.get(key) else {
         return;
     };
-    let (request, backend, label) = (attempt.request, attempt.backend, attempt.label.clone());
+    // Until the prefill is done, it is the engine that prefills which failed.
+    let (backend, split) = match attempt.prefill {
+        Some(prefill) => (prefill, true),
+        None => (attempt.backend, false),
+    };
+    let (request, label) = (attempt.request, attempt.label.clone());
     out.push(Effect::Cancel(key));
     close_attempt(core, key, detail, ran);
-    if how != Break::Rejected {
-        core.fleet.failed(backend, core.now);
-    }
     let entry = &mut core.requests.arena[request];
     if matches!(entry.want, Want::Service(_)) {
+        core.fleet.failed(backend, core.now);
         service_broke(core, request, backend, ran, how, detail, out);
         return;
     }
@@ -558,8 +611,9 @@
         refuse(core, request, refusal, out);
         return;
     }
-    if how == Break::Cut && entry.resumes < RESUMES {
+    if matches!(how, Break::Cut | Break::Silent) && entry.resumes < RESUMES && !split {
         entry.resumes += 1;
+        entry.lost = Some(how);
         note(
             core,
             request,
@@ -568,13 +622,24 @@
         attempt_again(core, request, backend, label, out);
         return;
     }
-    // It cut this stream and now neither answers nor knows it: it died while running it.
-    if entry.resumes > 0 && matches!(how, Break::Unreachable | Break::Refused) {
-        killer::suspect(core, request, backend, out);
+    if how == Break::Forgotten {
+        core.fleet.works(backend);
+    } else {
+        core.fleet.failed(backend, core.now);
     }
     let entry = &mut core.requests.arena[request];
-    entry.avoid.push(backend);
+    // It closed this stream and now neither answers nor knows it: it died while running it. After
+    // a silence the same shows only that the connection or the network is lost.
+    let gone = matches!(how, Break::Unreachable | Break::Forgotten);
+    let died = gone && entry.lost.take() == Some(Break::Cut);
+    if died || how != Break::Forgotten {
+        entry.avoid.push(backend);
+    }
     entry.resumes = 0;
+    entry.lost = None;
+    if died {
+        killer::suspect(core, request, backend, out);
+    }
     again(core, request, detail, Kind::EngineFailed, out);
 }
 
@@ -586,7 +651,7 @@
     out: &mut Effects,
 ) {
     if core.fleet.arena.contains_key(backend) {
-        attempt(core, request, backend, Some(label), out);
+        attempt(core, request, Choice::whole(backend), Some(label), out);
     } else {
         dispatch(core, request, out);
     }
@@ -623,7 +688,7 @@
     request.avoid.push(backend);
     let kind = match how {
         Break::Unreachable | Break::Refused => Kind::ServiceDown,
-        Break::Cut | Break::Rejected => Kind::ServiceFailed,
+        Break::Cut | Break::Silent | Break::Forgotten | Break::Rejected => Kind::ServiceFailed,
     };
     if ran == Ran::No || request.repeat {
         again(core, key, detail, kind, out);
@@ -689,7 +754,11 @@
     } else {
         limits.first_silence
     };
-    let due = attempt.last.after(bound);
+    let last = match attempt.flow {
+        Flow::Open => attempt.last,
+        Flow::Held => core.now,
+    };
+    let due = last.after(bound);
     if due > core.now {
         out.push(Effect::Wake {
             at: due,
@@ -698,15 +767,20 @@
         return;
     }
     let detail = format!("silent for {} ms", millis(core.now.since(attempt.last)));
-    broke(core, key, Ran::Unknown, Break::Cut, &detail, out);
+    broke(core, key, Ran::Unknown, Break::Silent, &detail, out);
 }
 
 fn close_attempt(core: &mut Core, key: AttemptKey, how: &str, ran: Ran) {
     let Some(attempt) = core.requests.attempts.remove(key) else {
         return;
     };
-    core.fleet
-        .ended(attempt.backend, attempt.prompt, attempt.output);
+    if let Some(prefill) = attempt.prefill {
+        core.fleet.ended(prefill, attempt.prompt, 0);
+        core.fleet.ended(attempt.backend, 0, attempt.output);
+    } else {
+        core.fleet
+            .ended(attempt.backend, attempt.prompt, attempt.output);
+    }
     let request = &mut core.requests.arena[attempt.request];
     request.attempt = None;
     let ended = millis(core.now.since(request.arrived));
--- a/src/core/share/tests/site.rs
+++ b/src/core/share/tests/site.rs
@@ -450,6 +450,11 @@
                     offset: 0,
                     tokens,
                 },
+                RequestEvent::Chunk {
+                    attempt,
+                    offset: u64::from(tokens),
+                    tokens: 0,
+                },
                 RequestEvent::Whole(attempt),
             ],
         };
