--- a/src/core/member.rs
+++ b/src/core/member/mod.rs
@@ -1,5 +1,7 @@
 //! The hosts of this deployment: registration, beats, and what each host vouches for.
 
+mod beat;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,22 +12,15 @@
 use super::effect::{Effect, log_event};
 use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
 use super::key::HostKey;
-use super::message::{Beat, Message, View};
+use super::message::{Beat, Message};
 use super::{Core, Effects, Time, config, killer, once, order, share, trace};
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
 
+pub use beat::beats;
+
 /// First word of the watched keys that name hosts.
 pub const WORD: &str = "host";
-/// Time between two beats to a peer.
-///
-/// With 16 hosts this costs each 3 KB a second; pledges of shares run out after six of them.
-const BEAT_EVERY: Duration = Duration::from_millis(250);
-/// Beats a peer may leave unechoed before the connection to it is opened anew.
-///
-/// A connection can go silent for good while new ones work; the peer then still beats on its own
-/// connection, but its echo stands still.
-const UNECHOED: u64 = 16;
 /// Silence after which a peer counts as unheard.
 pub const UNHEARD: Duration = Duration::from_secs(4);
 
@@ -247,7 +242,7 @@
 
 /// Starts beats and registration.
 pub fn start(core: &mut Core, out: &mut Effects) {
-    wake(core, Timer::Beat, BEAT_EVERY, out);
+    wake(core, Timer::Beat, beat::EVERY, out);
     register(core, out);
 }
 
@@ -257,7 +252,7 @@
         Timer::Beat => {
             share::beat(core);
             beats(core, out);
-            wake(core, Timer::Beat, BEAT_EVERY, out);
+            wake(core, Timer::Beat, beat::EVERY, out);
         }
         Timer::Register => register(core, out),
         _ => {}
@@ -271,45 +266,6 @@
     });
 }
 
-/// Sends a beat to every peer at once, out of turn.
-pub fn beats(core: &mut Core, out: &mut Effects) {
-    let revision = core.config.revision();
-    let stopping = core.stop.begun();
-    let (mut views, hosts) = (share::views(core), share::hosts(core));
-    let newest = if views.is_empty() {
-        View::default()
-    } else {
-        views.remove(0)
-    };
-    let peers: Vec<HostKey> = core.members.peers().collect();
-    for to in peers {
-        let number = core.members.arena[to].sent + 1;
-        let pledged = share::sending(core, to, number);
-        let peer = &mut core.members.arena[to];
-        let lost = peer.sent.saturating_sub(peer.beat.echo.max(peer.opened));
-        if lost >= UNECHOED {
-            peer.opened = peer.sent;
-            out.push(Effect::Reconnect(to));
-        }
-        peer.sent = number;
-        let beat = Beat {
-            number: peer.sent,
-            echo: peer.beat.number,
-            view: newest.hash,
-            settled: newest.age,
-            revision,
-            stopping,
-            views: views.clone(),
-            pledged: u64::try_from(pledged.as_millis()).unwrap_or(u64::MAX),
-            hosts,
-        };
-        out.push(Effect::Send {
-            to,
-            message: Message::Beat(beat),
-        });
-    }
-}
-
 /// Gets a lease if there is none, renews it otherwise.
 fn register(core: &mut Core, out: &mut Effects) {
     if core.stop.begun() {
@@ -493,7 +449,7 @@
 
 fn message_from(core: &mut Core, from: HostKey, message: Message, out: &mut Effects) {
     match message {
-        Message::Beat(beat) => beat_from(core, from, &beat, out),
+        Message::Beat(beat) => beat::heard(core, from, &beat, out),
         Message::Borrow(borrow) => share::asked(core, from, &borrow, out),
         Message::Lend(lend) => share::lent(core, from, &lend, out),
         Message::Begin(begin) => once::asked(core, from, begin, out),
@@ -518,18 +474,3 @@
         Message::Suspect(suspect) => killer::told(core, suspect),
     }
 }
-
-fn beat_from(core: &mut Core, from: HostKey, beat: &Beat, out: &mut Effects) {
-    let peer = &mut core.members.arena[from];
-    if beat.number <= peer.beat.number {
-        return;
-    }
-    let stopping = beat.stopping != peer.beat.stopping;
-    let revision = beat.revision;
-    peer.beat = beat.clone();
-    share::heard(core, from, beat);
-    if stopping {
-        once::moved(core, out);
-    }
-    config::heard(core, from, revision, out);
-}
--- a/src/core/share/mod.rs
+++ b/src/core/share/mod.rs
@@ -355,9 +355,9 @@
     pledge::look(core);
 }
 
-/// Returns whether this host has been counted among the hosts that share.
+/// Returns whether the hosts have settled with this one since its start.
 ///
-/// Until then it has nothing to give out and would refuse every caller with a limit.
+/// Until then no home may lend and this host would refuse every caller with a limit.
 #[must_use]
 pub fn settled(core: &Core) -> bool {
     pledge::settled_in(core)
--- a/src/core/share/pledge.rs
+++ b/src/core/share/pledge.rs
@@ -315,15 +315,18 @@
     let arena = &core.members.arena;
     pledges.peers.retain(|key, _| arena.contains_key(key));
     pledges.untold.retain(|key| arena.contains_key(*key));
+    // Hosts that are fewer than the others, and cut off, refuse all work by then. If they are more,
+    // they may hear enough of each other to go on without the store.
+    let fewer = pledges.ghosts.len() <= core.members.arena.len() + 1;
     pledges.ghosts.retain(|_, ghost| {
         let passed = now.since(ghost.since);
-        let gone = !ghost.listed && passed >= hold;
+        let gone = fewer && !ghost.listed && passed >= hold;
         let stopped = ghost.stopped && passed >= SETTLE;
         !gone && !stopped
     });
     let count = arena.keys().filter(|&key| settled(core, key)).count();
     let long = now.since(core.members.settled) >= SETTLE + PLEDGE / 3;
-    let settled = long && calm(core) && pledging(core);
+    let settled = long && calm(core);
     let hosts = hosts(core) as usize;
     let pledges = &mut core.shares.pledges;
     pledges.settled |= settled;
@@ -505,7 +508,7 @@
         || core.shares.pledges.ghosts.contains_key(name)
 }
 
-/// Returns whether this host has pledged, and every older pledge by its view has run out.
+/// Returns whether pledges by a view with this host in it have counted since its start.
 #[must_use]
 pub fn settled_in(core: &Core) -> bool {
     core.shares.pledges.settled
