Show late orders, take-overs and crashes through real processes

Cause: the seeded tests use a fake engine and a fake store; what the kernel does with a paused process's bytes shows only with processes.

Change: tests/fleet/orders.rs: an order is held back in a socket, its sender paused past its lease, a second host takes over; engines that check refuse the late order, and at engines that ignore the successor gives none while the paused process lives. Also two take-overs with lost answers, a crash halfway, an outage halfway, a long answer on an engine that is to change. An order left behind that has taken effect is closed without another one. The shared harness can cut one host off the key-value service without its noticing.

--- a/src/core/order/change.rs
+++ b/src/core/order/change.rs
@@ -287,7 +287,12 @@
         at > free.millis() && report.running == 0 && report.waiting == 0
     });
     if idle && suspect::clear(core, pool) {
-        return change.at(Step::Record);
+        return if in_force(core, pool, &change) {
+            let role = change.role;
+            change.at(Step::Close(role))
+        } else {
+            change.at(Step::Record)
+        };
     }
     if change.bound == Bound::Open && now.since(change.since) >= core.settings.limits.drain {
         return call_off(core, pool, change, word, out);
@@ -295,6 +300,20 @@
     change
 }
 
+/// Returns whether an earlier holder's order has done what it was to do.
+fn in_force(core: &Core, pool: PoolKey, change: &Change) -> bool {
+    let intents = core.orders.desk(pool).work.intents.as_ref();
+    let intent = intents.and_then(|all| all.get(&change.engine));
+    let report = drain::report(core, &change.engine);
+    intent
+        .zip(report)
+        .is_some_and(|((intent, _), (_, report))| {
+            (intent.fence, intent.order) == (report.fence, report.order)
+                && report.role == intent.role
+                && !report.changing
+        })
+}
+
 /// Puts the engine back to work where the change has taken too long.
 fn call_off(
     core: &mut Core,
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -9,7 +9,7 @@
 #[expect(dead_code, reason = "each subject uses its part of the fake")]
 mod store;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -18,7 +18,7 @@
 use super::effect::Refusal;
 use super::event::{
     Arrival, Break, Entry, EntryKind, FleetEvent, PeerEvent, Print, RequestEvent, ServiceWant,
-    StoreEvent, Stored, Want,
+    StoreEvent, StoreReply, StoreResult, Stored, Want,
 };
 use super::key::{AttemptKey, HostKey, RequestKey};
 use super::message::Message;
@@ -124,6 +124,8 @@
     pub work: Duration,
     /// Pairs of hosts: nothing passes from the first to the second.
     pub cut: Vec<(usize, usize)>,
+    /// Hosts that the key-value service does not reach, though they do not notice.
+    pub deaf: BTreeSet<usize>,
     bag: BTreeMap<(Time, u64), Due>,
     count: u64,
 }
@@ -156,6 +158,7 @@
             other: Vec::new(),
             work: Duration::from_millis(20),
             cut: Vec::new(),
+            deaf: BTreeSet::new(),
             bag: BTreeMap::new(),
             count: 0,
         };
@@ -254,7 +257,8 @@
         }
     }
 
-    fn open_watch(&mut self, at: usize) {
+    /// Opens a host's watch anew.
+    pub fn open_watch(&mut self, at: usize) {
         let pairs = self.store.watched();
         self.post(
             at,
@@ -265,6 +269,9 @@
 
     /// Puts an event on its way to a host, after everything watched that is on its way there.
     fn post(&mut self, at: usize, event: Event) {
+        if self.deaf.contains(&at) {
+            return;
+        }
         let due = self.soon().max(self.hosts[at].watched);
         self.hosts[at].watched = due;
         let life = self.hosts[at].life;
@@ -438,6 +445,10 @@
     fn store_call(&mut self, at: usize, life: u64, effect: Effect) {
         let write = matches!(effect, Effect::Txn { .. });
         let lost = self.rng.random_bool(self.odds.lose);
+        if self.deaf.contains(&at) {
+            self.unheard(at, life, &effect);
+            return;
+        }
         let Some(mut reply) = self.store.carry(self.now, effect) else {
             return;
         };
@@ -449,6 +460,24 @@
         self.put(due, Due::Event(at, life, Box::new(event)));
     }
 
+    /// A call that the key-value service never got ends without an answer.
+    fn unheard(&mut self, at: usize, life: u64, effect: &Effect) {
+        let (Effect::Read { job, .. }
+        | Effect::Txn { job, .. }
+        | Effect::Grant { job, .. }
+        | Effect::Renew { job, .. }) = effect
+        else {
+            return;
+        };
+        let reply = StoreReply {
+            job: *job,
+            result: StoreResult::Unknown,
+        };
+        let due = self.soon();
+        let event = Event::Store(StoreEvent::Reply(reply));
+        self.put(due, Due::Event(at, life, Box::new(event)));
+    }
+
     fn service(&mut self, called: Called) {
         let attempt = called.attempt;
         let broke = |ran, end| RequestEvent::Broke {
--- a/src/core/tests/order.rs
+++ b/src/core/tests/order.rs
@@ -82,6 +82,15 @@
     })
 }
 
+/// Wishes every engine for prompts only.
+fn all_prefill(view: &View<'_>, _memory: &mut Memory) -> Option<Change> {
+    let engine = view.engines.iter().find(|one| one.role == Role::Both)?;
+    Some(Change {
+        engine: engine.key,
+        role: Role::Prefill,
+    })
+}
+
 fn never(_view: &View<'_>, _memory: &mut Memory) -> Option<Change> {
     None
 }
@@ -430,6 +439,18 @@
             site.decide(alternate);
             site.list();
         }
+        22 => {
+            site.world.deaf.insert(host);
+            for other in 0..3 {
+                site.world.cut.extend([(host, other), (other, host)]);
+            }
+        }
+        23..=27 if !site.world.deaf.is_empty() => {
+            site.world.cut.clear();
+            for host in std::mem::take(&mut site.world.deaf) {
+                site.world.open_watch(host);
+            }
+        }
         14 => site.world.outage(true),
         15..=20 if site.world.store.down => site.world.outage(false),
         21 => {
@@ -485,7 +506,7 @@
     let other = (holder + 1) % 3;
     // Its lease is kept alive: it is slow, not gone.
     site.world.cut = vec![(other, holder)];
-    site.decide(alternate);
+    site.decide(all_prefill);
     site.until("the engine is withdrawn", |site| {
         (0..ENGINES).any(|at| site.withdrawn(other, at))
     });
@@ -504,7 +525,7 @@
     for at in 0..ENGINES {
         assert!(site.open(0, at, Duration::from_mins(5)));
     }
-    site.decide(alternate);
+    site.decide(all_prefill);
     site.run(Duration::from_secs(100));
     assert!(site.engines.iter().all(|engine| engine.applied.is_empty()));
     assert!((0..ENGINES).any(|at| !site.withdrawn(0, at)));
@@ -520,7 +541,7 @@
     for at in 0..ENGINES {
         assert!(site.open(1, at, Duration::from_secs(10)));
     }
-    site.decide(alternate);
+    site.decide(all_prefill);
     // An order before the streams end fails the engine's own check.
     site.until("an engine changes", |site| {
         site.engines.iter().any(|engine| !engine.applied.is_empty())
@@ -528,13 +549,41 @@
     assert!(site.streams.iter().any(|stream| stream.over));
 }
 
+/// A host loses the key-value service and its peers without noticing, and goes on sending work by
+/// what it knew, until its bound. Its streams would be cut by a change that did not wait for that.
+#[test]
+fn a_host_that_is_cut_off_loses_no_stream() {
+    for seed in 20..30 {
+        let mut site = Site::new(3, Fencing::Checks, seed);
+        site.run(Duration::from_secs(15));
+        let holder = site.holder().expect("a host holds the pool");
+        let other = (holder + 1) % 3;
+        site.world.deaf.insert(other);
+        for peer in 0..3 {
+            site.world.cut.extend([(other, peer), (peer, other)]);
+        }
+        site.decide(all_prefill);
+        let mut opened = 0;
+        for _ in 0..400 {
+            for engine in 0..ENGINES {
+                let span = Duration::from_millis(site.world.rng.random_range(20..400));
+                opened += u32::from(site.open(other, engine, span));
+            }
+            site.run(LOOK);
+        }
+        assert!(opened > 0, "the host had no work");
+        let changed = site.engines.iter().filter(|one| !one.applied.is_empty());
+        assert!(changed.count() > 0, "no engine changed in the end");
+    }
+}
+
 /// The holder is paused with an order recorded and on its way, past its lease; another takes
 /// over. To an engine that takes any order the first one may still come, so the successor gives
 /// none while the paused process lives, and goes on once it is known dead.
 #[test]
 fn a_paused_holder_keeps_its_successor_from_engines_that_ignore() {
     let mut site = Site::new(3, Fencing::Ignores, 9);
-    site.decide(alternate);
+    site.decide(all_prefill);
     site.slow = Duration::from_secs(1000);
     site.until("an order is on its way", |site| !site.flight.is_empty());
     let first = site.holder().expect("it gave the order");
@@ -548,11 +597,17 @@
 
     site.world.hosts[first].frozen = false;
     site.world.kill(first);
-    site.flight.clear();
+    // Its last bytes are still on their way when it dies.
+    let last = site.world.now.after(Duration::from_millis(2500));
+    for late in &mut site.flight {
+        late.0 = last;
+    }
     site.slow = Duration::from_millis(100);
     site.until("the successor goes on", |site| {
-        site.engines.iter().any(|engine| !engine.applied.is_empty())
+        let mut applied = site.engines.iter().flat_map(|engine| &engine.applied);
+        applied.any(|order| order.0 > 1)
     });
+    site.check("the last bytes of a dead holder");
 }
 
 /// The same with engines that check: the successor orders, the paused one's order comes late, and
@@ -560,7 +615,7 @@
 #[test]
 fn a_paused_holders_order_is_refused_by_engines_that_check() {
     let mut site = Site::new(3, Fencing::Checks, 10);
-    site.decide(alternate);
+    site.decide(all_prefill);
     site.slow = Duration::from_secs(1000);
     site.until("an order is on its way", |site| !site.flight.is_empty());
     let first = site.holder().expect("it gave the order");
@@ -605,7 +660,7 @@
 #[test]
 fn lost_answers_end_no_authority_for_good() {
     let mut site = Site::new(3, Fencing::Checks, 12);
-    site.decide(alternate);
+    site.decide(all_prefill);
     site.world.odds.lose = 1.0;
     site.run(LEASE * 5);
     assert_eq!(site.holder(), None);
@@ -626,7 +681,7 @@
     site.engines[0].crashes = true;
     site.engines[1].crashes = true;
     site.engines[2].crashes = true;
-    site.decide(alternate);
+    site.decide(all_prefill);
     site.until("the engine has its role", |site| {
         site.engines
             .iter()
@@ -642,7 +697,7 @@
 #[test]
 fn an_outage_halfway_through_a_change_is_made_good() {
     let mut site = Site::new(3, Fencing::Checks, 14);
-    site.decide(alternate);
+    site.decide(all_prefill);
     site.until("an order is carried out", |site| {
         site.engines.iter().any(|engine| !engine.applied.is_empty())
     });
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
+mod orders;
 mod path;
 #[expect(dead_code, reason = "each subject uses its part of the harness")]
 mod support;
