Let peers tell a host that is cut off from the list who is leaving

Cause: a host that cannot read the platform's list went on sending work to back ends that the others knew to be leaving.

Ruled out: the names in every beat (most seconds have none to tell); a word that calls a back end leaving for good (an early try of this test did so: the list of the stand-in is empty for as long as it lags after the switch, and the cut-off host took all four back ends for leaving and answered 503); letting any peer call it back (one that never knew of it does not name it either).

Change: Message::Listing with the names and the age of the sender's list, sent with each read for ten minutes after the last change; the word of a newer list counts, and only the peer that gave it takes it back. A host that hears neither the list nor most of its peers for its cut-off bound takes no new work.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -8,7 +8,8 @@
 
 use super::effect::{Effect, log_event};
 use super::event::{Entry, EntryKind, FleetEvent, Report, Role, Timer};
-use super::key::{BackendKey, PoolKey};
+use super::key::{BackendKey, HostKey, PoolKey};
+use super::message::{Listing, Message};
 use super::{Core, Effects, Time, order};
 use crate::settings::{PoolSettings, Settings};
 
@@ -19,6 +20,11 @@
 /// Longest time a back end that failed gets no new work.
 const BACKOFF_MOST: Duration = Duration::from_secs(8);
 
+/// Time peers are told of back ends that are leaving, after the last that began or ceased to.
+const TELL_GONE: Duration = Duration::from_mins(10);
+/// Most back ends that peers are told of.
+const GONE_MOST: usize = 256;
+
 /// Whether new work goes to a back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Standing {
@@ -99,6 +105,14 @@
     pub hosts: BTreeSet<Box<str>>,
     /// Hosts that the platform's list calls leaving.
     pub leaving: BTreeSet<Box<str>>,
+    /// When the platform's list was last read.
+    pub read: Option<Time>,
+    /// Back ends that the list called leaving or no longer named.
+    gone: BTreeSet<Box<str>>,
+    /// When that set last changed.
+    changed: Time,
+    /// Which peer said that a back end is leaving, where this host's own list does not say so.
+    words: BTreeMap<Box<str>, HostKey>,
     /// Prompt and output tokens sent to each pool since its holder was last told.
     pub taken: BTreeMap<Box<str>, (u64, u64)>,
 }
@@ -120,6 +134,10 @@
             services: services.map(|name| (name, Vec::new())).collect(),
             hosts: BTreeSet::new(),
             leaving: BTreeSet::new(),
+            read: None,
+            gone: BTreeSet::new(),
+            changed: Time::default(),
+            words: BTreeMap::new(),
             taken: BTreeMap::new(),
         }
     }
@@ -221,6 +239,7 @@
 pub fn timer(core: &mut Core, timer: Timer, out: &mut Effects) {
     let every = if timer == Timer::Listing {
         out.push(Effect::List);
+        tell(core, out);
         core.settings.platform.refresh
     } else {
         let engines = core.fleet.arena.values();
@@ -258,7 +277,10 @@
 
 /// Takes in the platform's list: what it no longer names gets no new work.
 fn listed(core: &mut Core, entries: Vec<Entry>, out: &mut Effects) {
+    let now = core.now;
     let fleet = &mut core.fleet;
+    fleet.read = Some(now);
+    fleet.words.clear();
     let mut gone: BTreeSet<Box<str>> = fleet.names.keys().cloned().collect();
     fleet.leaving.clear();
     fleet.hosts.clear();
@@ -271,10 +293,21 @@
             continue;
         }
         gone.remove(&entry.name);
+        let changed = if entry.leaving {
+            fleet.gone.insert(entry.name.clone())
+        } else {
+            fleet.gone.remove(&entry.name)
+        };
+        if changed {
+            fleet.changed = now;
+        }
         take_entry(fleet, entry, out);
     }
     for name in gone {
         let key = fleet.names[&name];
+        if fleet.gone.insert(name.clone()) {
+            fleet.changed = now;
+        }
         if fleet.arena[key].streams == 0 {
             fleet.names.remove(&name);
             fleet.arena.remove(key);
@@ -286,6 +319,60 @@
     order::fleet_changed(core, out);
 }
 
+/// Tells peers which back ends are leaving: one of them may be cut off from the list.
+fn tell(core: &mut Core, out: &mut Effects) {
+    let now = core.now;
+    let fleet = &mut core.fleet;
+    let Some(read) = fleet.read.filter(|_| now.since(fleet.changed) < TELL_GONE) else {
+        return;
+    };
+    let age = u64::try_from(now.since(read).as_millis()).unwrap_or(u64::MAX);
+    let listing = Listing {
+        age,
+        leaving: fleet.gone.iter().take(GONE_MOST).cloned().collect(),
+    };
+    for to in core.members.peers() {
+        let message = Message::Listing(listing.clone());
+        out.push(Effect::Send { to, message });
+    }
+}
+
+/// Takes a peer's word on back ends that are leaving, where its list is newer than this host's.
+///
+/// Only the peer that called a back end leaving may call it back: another that never knew of it
+/// does not name it either.
+pub fn told(core: &mut Core, from: HostKey, listing: &Listing, out: &mut Effects) {
+    let own = core.fleet.read;
+    let own = own.map_or(u128::MAX, |read| core.now.since(read).as_millis());
+    if u128::from(listing.age) >= own {
+        return;
+    }
+    let fleet = &mut core.fleet;
+    let back: Vec<Box<str>> = fleet
+        .words
+        .iter()
+        .filter(|(name, host)| **host == from && !listing.leaving.contains(name))
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in back {
+        fleet.words.remove(&name);
+        if let Some(key) = fleet.find(&name) {
+            fleet.arena[key].listed = Standing::Serving;
+        }
+    }
+    for name in &listing.leaving {
+        let Some(key) = fleet.find(name) else {
+            continue;
+        };
+        if fleet.arena[key].listed != Standing::Leaving {
+            let text = format!("{name} is leaving by a peer's list");
+            out.push(log_event(log::Level::Info, "backend.listed", text));
+            fleet.arena[key].listed = Standing::Leaving;
+            fleet.words.insert(name.clone(), from);
+        }
+    }
+}
+
 fn take_entry(fleet: &mut Fleet, entry: Entry, out: &mut Effects) {
     let listed = if entry.leaving {
         Standing::Leaving
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -11,7 +11,7 @@
 use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
 use super::key::HostKey;
 use super::message::{Beat, Message};
-use super::{Core, Effects, Time, config, killer, once, order, share, trace};
+use super::{Core, Effects, Time, config, fleet, killer, once, order, share, trace};
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
 
@@ -204,15 +204,29 @@
     if !members.proven {
         return true;
     }
+    // Peers pass on which back ends are leaving; a host that hears neither the list nor them may
+    // send work to one that left long ago.
+    let peers = members.names.len();
+    if peers > 0 && !recent(core.fleet.read) && !most(core, bound) {
+        return true;
+    }
     if recent(members.store_heard) {
         return false;
     }
-    let peers = members.names.len();
+    peers == 0 || !most(core, bound)
+}
+
+/// Returns whether most peers were heard within this time.
+fn most(core: &Core, bound: Duration) -> bool {
+    let members = &core.members;
     let heard = members
         .peers()
-        .filter(|&host| recent(members.arena[host].heard))
+        .filter(|&host| {
+            let heard = members.arena[host].heard;
+            heard.is_some_and(|at| core.now.since(at) < bound)
+        })
         .count();
-    peers == 0 || heard * 2 < peers
+    heard * 2 >= members.names.len()
 }
 
 /// Returns the time without store and peers after which a host takes no new work.
@@ -491,6 +505,7 @@
             uses,
         } => config::told(core, revision, &plans, &uses, out),
         Message::Confirm(confirm) => order::confirmed(core, from, &confirm, out),
+        Message::Listing(listing) => fleet::told(core, from, &listing, out),
         Message::Demand(demand) => order::demanded(core, from, &demand),
         Message::Suspect(suspect) => killer::told(core, suspect),
     }
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -65,6 +65,8 @@
     Confirm(Confirm),
     /// Work the sender took in for a pool.
     Demand(Demand),
+    /// Back ends that are leaving by the platform's list.
+    Listing(Listing),
     /// An engine died while this request ran on it.
     Suspect(Suspect),
 }
@@ -210,6 +212,15 @@
     pub refused: f64,
 }
 
+/// Back ends that the platform's list calls leaving, or no longer names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Milliseconds since the sender read the list.
+    pub age: u64,
+    /// Names.
+    pub leaving: Vec<Box<str>>,
+}
+
 /// A request that was running on an engine when it died.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -4,13 +4,18 @@
 use super::{WireError, array};
 use crate::core::event::{Print, Stored};
 use crate::core::message::{
-    Beat, Begin, BeginState, Borrow, Confirm, Demand, Done, DoneState, Lend, Message, Suspect,
+    Beat, Begin, BeginState, Borrow, Confirm, Demand, Done, DoneState, Lend, Listing, Message,
+    Suspect,
 };
 use crate::core::trace::{Attempt, Note, Record};
 use crate::error::Ran;
 
 pub(super) fn to_kind(message: &Message) -> Kind {
     match message {
+        Message::Listing(listing) => Kind::Listing(wire::Listing {
+            age: listing.age,
+            leaving: listing.leaving.iter().map(ToString::to_string).collect(),
+        }),
         Message::Beat(beat) => Kind::Beat(wire::Beat {
             number: beat.number,
             echo: beat.echo,
@@ -102,6 +107,10 @@
 pub(super) fn from_kind(kind: Kind) -> Result<Message, WireError> {
     Ok(match kind {
         Kind::Hello(_) | Kind::Proof(_) => return Err(WireError::Field { field: "kind" }),
+        Kind::Listing(listing) => Message::Listing(Listing {
+            age: listing.age,
+            leaving: listing.leaving.into_iter().map(Into::into).collect(),
+        }),
         Kind::Beat(beat) => Message::Beat(Beat {
             number: beat.number,
             echo: beat.echo,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 40"
     )]
     pub kind: ::core::option::Option<frame::Kind>,
 }
@@ -45,6 +45,8 @@
         Suspect(super::Suspect),
         #[prost(message, tag = "17")]
         Demand(super::Demand),
+        #[prost(message, tag = "40")]
+        Listing(super::Listing),
     }
 }
 /// First frame of each side of a connection.
@@ -349,3 +351,13 @@
     #[prost(uint64, tag = "7")]
     pub at: u64,
 }
+/// Back ends that the platform's list calls leaving, or no longer names.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Listing {
+    /// Milliseconds since the sender read the list.
+    #[prost(uint64, tag = "1")]
+    pub age: u64,
+    /// Names.
+    #[prost(string, repeated, tag = "2")]
+    pub leaving: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
+mod drain;
 mod killer;
 mod orders;
 mod path;
