--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,8 +1,10 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
 mod doors;
+mod drain;
 mod killer;
 mod once;
+mod orders;
 mod path;
 mod stop;
 mod streams;
