--- a/src/core/member.rs
+++ b/src/core/member/mod.rs
@@ -1,5 +1,7 @@
 //! The hosts of this deployment: registration, beats, and what each host vouches for.
 
+mod beat;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,15 +17,10 @@
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
 
+pub use beat::beats;
+
 /// First word of the watched keys that name hosts.
 pub const WORD: &str = "host";
-/// Time between two beats to a peer.
-const BEAT_EVERY: Duration = Duration::from_secs(1);
-/// Beats a peer may leave unechoed before the connection to it is opened anew.
-///
-/// A connection can go silent for good while new ones work; the peer then still beats on its own
-/// connection, but its echo stands still.
-const UNECHOED: u64 = 4;
 /// Silence after which a peer counts as unheard.
 pub const UNHEARD: Duration = Duration::from_secs(4);
 
@@ -166,7 +163,8 @@
     }
 }
 
-fn weight(name: &str, what: &str) -> u64 {
+/// Returns the weight of a host for `what` in rendezvous hashing.
+pub(super) fn weight(name: &str, what: &str) -> u64 {
     let hash = blake3::hash(format!("{name}\n{what}").as_bytes());
     let mut first = [0; 8];
     first.copy_from_slice(&hash.as_bytes()[..8]);
@@ -244,7 +242,7 @@
 
 /// Starts beats and registration.
 pub fn start(core: &mut Core, out: &mut Effects) {
-    wake(core, Timer::Beat, BEAT_EVERY, out);
+    wake(core, Timer::Beat, beat::EVERY, out);
     register(core, out);
 }
 
@@ -252,8 +250,9 @@
 pub fn timer(core: &mut Core, timer: Timer, out: &mut Effects) {
     match timer {
         Timer::Beat => {
+            share::beat(core);
             beats(core, out);
-            wake(core, Timer::Beat, BEAT_EVERY, out);
+            wake(core, Timer::Beat, beat::EVERY, out);
         }
         Timer::Register => register(core, out),
         _ => {}
@@ -267,35 +266,6 @@
     });
 }
 
-/// Sends a beat to every peer at once, out of turn.
-pub fn beats(core: &mut Core, out: &mut Effects) {
-    let view = core.members.view;
-    let settled = core.now.since(core.members.settled);
-    let settled = u64::try_from(settled.as_millis()).unwrap_or(u64::MAX);
-    let revision = core.config.revision();
-    let stopping = core.stop.begun();
-    for (to, peer) in &mut core.members.arena {
-        let lost = peer.sent.saturating_sub(peer.beat.echo.max(peer.opened));
-        if lost >= UNECHOED {
-            peer.opened = peer.sent;
-            out.push(Effect::Reconnect(to));
-        }
-        peer.sent += 1;
-        let beat = Beat {
-            number: peer.sent,
-            echo: peer.beat.number,
-            view,
-            settled,
-            revision,
-            stopping,
-        };
-        out.push(Effect::Send {
-            to,
-            message: Message::Beat(beat),
-        });
-    }
-}
-
 /// Gets a lease if there is none, renews it otherwise.
 fn register(core: &mut Core, out: &mut Effects) {
     if core.stop.begun() {
@@ -372,13 +342,19 @@
         let incarnation = core.members.incarnation;
         core.members.registered = entry.is_some_and(|entry| entry.incarnation == incarnation);
         core.members.proven |= core.members.registered;
-        core.members.changed(core.now);
         return;
     }
     match entry {
         Some(entry) => joined(core, entry, out),
         None => left(core, name, out),
     }
+}
+
+/// Acts on the hosts as they are after a batch of changes.
+///
+/// What comes in one batch is one change of the view: acting on each host in turn would move
+/// shares to hosts and away again.
+pub fn moved(core: &mut Core, out: &mut Effects) {
     core.members.changed(core.now);
     share::moved(core, out);
     once::moved(core, out);
@@ -392,6 +368,7 @@
         }
         left(core, &entry.name.clone(), out);
     }
+    share::joined(core, &entry.name, entry.incarnation);
     let (name, addr) = (entry.name.clone(), entry.addr);
     let text = format!("host {name} at {addr} joined");
     out.push(log_event(log::Level::Info, "host.joined", text));
@@ -403,7 +380,9 @@
 
 fn left(core: &mut Core, name: &str, out: &mut Effects) {
     if let Some(key) = core.members.names.remove(name) {
-        core.members.arena.remove(key);
+        if let Some(member) = core.members.arena.remove(key) {
+            share::left(core, &member);
+        }
         order::left(core, name);
         let text = format!("host {name} left");
         out.push(log_event(log::Level::Info, "host.left", text));
@@ -470,7 +449,7 @@
 
 fn message_from(core: &mut Core, from: HostKey, message: Message, out: &mut Effects) {
     match message {
-        Message::Beat(beat) => beat_from(core, from, beat, out),
+        Message::Beat(beat) => beat::heard(core, from, &beat, out),
         Message::Borrow(borrow) => share::asked(core, from, &borrow, out),
         Message::Lend(lend) => share::lent(core, from, &lend, out),
         Message::Begin(begin) => once::asked(core, from, begin, out),
@@ -483,7 +462,11 @@
         Message::Recorded { round, durable } => once::recorded(core, round, durable, out),
         Message::Traces(records) => trace::copied(core, records),
         Message::Ask { round, id } => trace::asked(core, from, round, &id, out),
-        Message::Told { round, record, .. } => trace::told(core, from, round, record, out),
+        Message::Told {
+            round,
+            record,
+            since,
+        } => trace::told(core, from, round, record, since, out),
         Message::Fetch(revision) => config::asked(core, from, revision, out),
         Message::Lists {
             revision,
@@ -495,22 +478,3 @@
         Message::Suspect(suspect) => killer::told(core, suspect),
     }
 }
-
-fn beat_from(core: &mut Core, from: HostKey, beat: Beat, out: &mut Effects) {
-    let peer = &mut core.members.arena[from];
-    if beat.number <= peer.beat.number {
-        return;
-    }
-    let stopping = beat.stopping != peer.beat.stopping;
-    let revision = beat.revision;
-    let first = peer.beat.number == 0;
-    peer.beat = beat;
-    if first {
-        killer::welcome(core, from, out);
-    }
-    if stopping {
-        share::moved(core, out);
-        once::moved(core, out);
-    }
-    config::heard(core, from, revision, out);
-}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod doors;
 mod killer;
+mod once;
 mod path;
 mod stop;
 mod streams;
