--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,10 +1,12 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
 mod accounting;
+mod doors;
 mod killer;
 mod notrun;
 mod once;
 mod path;
+mod stop;
 mod streams;
 #[expect(dead_code, reason = "each subject uses its part of the harness")]
 mod support;
