--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,9 +2,11 @@
 
 mod accounting;
 mod doors;
+mod drain;
 mod killer;
 mod notrun;
 mod once;
+mod orders;
 mod path;
 mod stop;
 mod streams;
