--- a/src/core/once/owner.rs
+++ b/src/core/once/owner.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::record::{self, Calls};
+use super::record::{self, CallState, Calls};
 use super::{SWEEP_EVERY, Wish, ask, home, look_after};
 use crate::core::effect::{Effect, log_event};
 use crate::core::event::{Health, Job, StoreReply, StoreResult};
@@ -14,6 +14,8 @@
 
 /// Time after which an unused shard leaves the memory.
 const IDLE: Duration = Duration::from_mins(1);
+/// Time for which what was read about a running call is passed on without reading it again.
+const FRESH: Duration = Duration::from_secs(1);
 /// Most bytes of unused shards kept in memory; a host's whole budget is 64 MB.
 const LOADED: usize = 8 * 1024 * 1024;
 
@@ -43,6 +45,8 @@
     /// Wishes not looked at yet.
     queue: Vec<Queued>,
     used: Time,
+    /// When the key-value service last confirmed what is here.
+    fresh: Time,
 }
 
 impl Shard {
@@ -133,13 +137,16 @@
     if core.members.store == Health::Down {
         return;
     }
-    let now = core.wall();
+    let (now, time) = (core.wall(), core.now);
     let Some(shard) = core.once.shards.get_mut(&key) else {
         return;
     };
     if shard.job.is_some() || shard.queue.is_empty() {
         return;
     }
+    if time.since(shard.fresh) > FRESH && unsure(shard) {
+        shard.read = None;
+    }
     let Some(read) = shard.read else {
         let span = Span::Key(shard_key(key));
         let job = start(core, key);
@@ -153,6 +160,20 @@
     write(core, key, read, out);
 }
 
+/// Returns whether a start is about another request's call that had started when the shard was last read.
+///
+/// Another host may have owned the shard since, while this one was suspended or cut off, and have
+/// written the call's end. Callers would be told "running" for as long as this host remembers.
+fn unsure(shard: &Shard) -> bool {
+    shard.queue.iter().any(|queued| {
+        let Wish::Begin(begin) = &queued.wish else {
+            return false;
+        };
+        let call = shard.calls.get(&queued.wish.name());
+        call.is_some_and(|call| call.state == CallState::Started && call.request != begin.request)
+    })
+}
+
 fn start(core: &mut Core, key: ShardKey) -> Job {
     core.once.jobs += 1;
     let number = core.once.jobs;
@@ -245,6 +266,7 @@
         StoreResult::Read(range) => read(core, key, &range, out),
         StoreResult::Txn(txn) if txn.succeeded => {
             shard.read = Some(txn.revision);
+            shard.fresh = core.now;
             for (queued, message) in std::mem::take(&mut shard.writing) {
                 answer(core, &queued, message, out);
             }
@@ -282,6 +304,7 @@
         return;
     };
     shard.read = Some(pair.map_or(0, |pair| pair.modified));
+    shard.fresh = core.now;
     shard.bytes = pair.map_or(0, |pair| pair.value.len());
     shard.calls = calls;
     push(core, key, out);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,8 +1,10 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
+mod accounting;
 mod doors;
 mod drain;
 mod killer;
+mod notrun;
 mod once;
 mod orders;
 mod path;
