--- a/src/core/order/change.rs
+++ b/src/core/order/change.rs
@@ -241,14 +241,12 @@
         Step::Settle(at) => Some(settle(core, pool, change, at)),
         Step::Close(role) => Some(close(core, pool, change, role, out)),
         Step::Restore(role) => {
-            let work = &core.orders.desk(pool).work;
-            let place = work.route.as_ref()?.0.place(&change.engine);
-            let serving = Standing::Serving;
-            let done = place
-                == Place {
-                    standing: serving,
-                    role,
-                };
+            let wanted = Place {
+                standing: Standing::Serving,
+                role,
+            };
+            let stored = core.orders.desk(pool).work.route.as_ref();
+            let done = stored.is_some_and(|(route, _)| route.place(&change.engine) == wanted);
             (!done).then_some(change)
         }
     }
--- a/src/core/tests/order.rs
+++ b/src/core/tests/order.rs
@@ -657,6 +657,24 @@
     site.check("a paused holder");
 }
 
+/// The holder is stopped as planned. It gives the pool back and takes its name out of the record,
+/// so that the next holder need not wait for a lease to lapse nor for the process to be known
+/// dead, also where engines take any order.
+#[test]
+fn a_planned_stop_gives_the_pool_back() {
+    let mut site = Site::new(3, Fencing::Ignores, 17);
+    site.run(Duration::from_secs(15));
+    let first = site.holder().expect("a host holds the pool");
+    let stop = Event::Stop(crate::core::event::StopEvent::Begin);
+    site.world.feed(first, stop);
+    assert_eq!(site.holder(), None);
+    site.until("another holds the pool", |site| site.holder().is_some());
+    let next = site.holder().expect("it was there");
+    assert_ne!(next, first);
+    let hold = &site.world.hosts[next].core.orders.desk(POOL).hold;
+    assert!(hold.suspects.is_empty(), "{:?}", hold.suspects);
+}
+
 /// Two holders in a row lose the pool before they gave an order. Each take-over has its own
 /// fencing number, also after the leased key has vanished.
 #[test]
--- a/tests/engine/calls.rs
+++ b/tests/engine/calls.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chiveway::backend::{Call, Client, OpenError, Options as Settings, load, open};
+use chiveway::backend::{
+    Action, Call, Client, Fresh, OpenError, Options as Settings, OrderError, load, open, order,
+};
 use chiveway::error::Ran;
 use chiveway::standin::engine::Options;
 use chiveway::web;
@@ -46,6 +48,23 @@
         }
     }
 
+    /// The right to order ends while the connection is being made. The engine must get no byte;
+    /// the next order, given in time, arrives.
+    an_order_past_its_time_is_not_written: |c| {
+        let e = engine(Options::default());
+        for (until, wanted) in [(0, Err(OpenError::Connect)), (1, Ok(()))] {
+            let fresh = Fresh { life: LIMIT, gate: |until| until > 0, until };
+            let once = Client::fresh(Settings::default(), fresh).await.expect("a client");
+            let action = Action::Role { role: "decode".into() };
+            let sent = order(&once, e.addr, 3, until + 1, "host-1", &action).await;
+            let wanted = wanted.map_err(|source| OrderError::Call { source });
+            assert_eq!(sent, wanted);
+        }
+        let log = get(c, e.addr, "/log").await;
+        assert_eq!(log["orders"].as_array().map(Vec::len), Some(1));
+        assert_eq!(log["orders"][0]["order"], 2);
+    }
+
     /// A service answers with a redirect. Following it would repeat a call that may not repeat.
     a_redirect_is_not_followed: |c| {
         let s = plain();
