--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -14,12 +15,13 @@
 use super::problem::{self, REQUEST_ID};
 use super::queue;
 use crate::core::Event;
-use crate::core::effect::Refusal;
+use crate::core::effect::{Meter, Refusal};
 use crate::core::event::{Arrival, Print, RequestEvent, ServiceWant, Stored, Want};
 use crate::core::key::RequestKey;
+use crate::core::once;
 use crate::error::Kind;
 use crate::lists::KeyHash;
-use crate::web::{self, HandlerError, Hold};
+use crate::web::{self, HandlerError};
 
 /// Longest idempotency key.
 const KEY_LIMIT: usize = 255;
@@ -27,33 +29,15 @@
 const KEY_HEADER: &str = "idempotency-key";
 /// Headers of a service call that are passed on.
 const PASSED: [&str; 4] = ["content-type", "accept", "accept-language", KEY_HEADER];
+/// Most bytes read of a body that is not wanted.
+const DISCARD_LIMIT: usize = 64 * 1024;
+/// Time a caller has to send a body that is not wanted.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Prefix of the paths of services.
 const SERVICES: &str = "/services/";
 /// Piece size where no pool names one, in tokens.
 const PIECE: usize = 2000;
 
-/// Counts a caller's open request; when it is dropped a planned stop may go on.
-struct Open {
-    node: Rc<Node>,
-    hold: Option<Hold>,
-}
-
-impl Open {
-    fn new(node: &Rc<Node>) -> Self {
-        Self {
-            node: Rc::clone(node),
-            hold: Some(node.open.hold()),
-        }
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.hold.take();
-        self.node.idle();
-    }
-}
-
 /// Tells the core that the caller left, unless its request has ended.
 struct Presence {
     node: Rc<Node>,
@@ -73,13 +57,11 @@
 /// A request's parts, as they come.
 struct Parts {
     queue: queue::Parts,
-    // Dropped in this order: the core first hears that the caller left.
     presence: Presence,
-    _open: Open,
 }
 
 impl Parts {
-    fn new(node: &Rc<Node>, taken: Taken, open: Open) -> Self {
+    fn new(node: &Rc<Node>, taken: Taken) -> Self {
         let presence = Presence {
             node: Rc::clone(node),
             request: taken.request,
@@ -88,7 +70,6 @@
         Self {
             queue: taken.parts,
             presence,
-            _open: open,
         }
     }
 
@@ -111,25 +92,21 @@
 
 /// Serves one request.
 pub async fn handle(node: Rc<Node>, req: Request) -> Response {
-    let open = Open::new(&node);
-    let stopping = node.look(|core| core.stop.begun());
-    let mut response = route(&node, req, open).await;
-    if stopping {
+    let mut response = route(&node, req).await;
+    if node.look(|core| core.stop.begun()) {
         // The next request of this caller is to go to another host.
-        response
-            .head_mut()
-            .set_connection_type(ntex::http::ConnectionType::Close);
+        close(&mut response);
     }
     response
 }
 
-async fn route(node: &Rc<Node>, req: Request, open: Open) -> Response {
+async fn route(node: &Rc<Node>, req: Request) -> Response {
     let path = req.path().to_owned();
     match (req.method(), path.as_str()) {
-        (&Method::POST, "/v1/completions") => complete(node, req, Form::Text, open).await,
-        (&Method::POST, "/v1/chat/completions") => complete(node, req, Form::Chat, open).await,
+        (&Method::POST, "/v1/completions") => complete(node, req, Form::Text).await,
+        (&Method::POST, "/v1/chat/completions") => complete(node, req, Form::Chat).await,
         (&Method::GET, "/v1/models") => models(node, &req),
-        (_, path) if path.starts_with(SERVICES) => serve(node, req, open).await,
+        (_, path) if path.starts_with(SERVICES) => serve(node, req).await,
         _ => refuse(Kind::NotFound, "there is nothing at this path"),
     }
 }
@@ -161,6 +138,36 @@
     }
 }
 
+/// Turns away whoever has no customer's key before its body is read.
+///
+/// Anyone could have this host read and parse bodies for nothing otherwise.
+async fn known(node: &Rc<Node>, req: &mut Request) -> Result<(), Response> {
+    let caller = caller(req);
+    let refusal = node.look(|core| {
+        if core.config.revision() == 0 {
+            let detail = "this host has no lists yet";
+            Some(Refusal::new(Kind::CutOff, detail))
+        } else if core.config.index.get(caller).is_none() {
+            Some(Refusal::new(Kind::BadKey, "no customer has this key"))
+        } else {
+            None
+        }
+    });
+    let Some(refusal) = refusal else {
+        return Ok(());
+    };
+    node.meters.count(&Meter::Ended {
+        class: "".into(),
+        customer: "".into(),
+        outcome: refusal.kind.answer().code,
+        lasted: Duration::ZERO,
+    });
+    web::discard(req, DISCARD_LIMIT, DISCARD_TIME).await;
+    let mut response = problem::answer(&refusal, "");
+    close(&mut response);
+    Err(response)
+}
+
 async fn body(node: &Rc<Node>, req: &mut Request) -> Result<Bytes, Response> {
     let (limit, time) = node.look(|core| {
         let limits = &core.settings.limits;
@@ -199,7 +206,10 @@
     Print(print)
 }
 
-async fn complete(node: &Rc<Node>, mut req: Request, form: Form, open: Open) -> Response {
+async fn complete(node: &Rc<Node>, mut req: Request, form: Form) -> Response {
+    if let Err(response) = known(node, &mut req).await {
+        return response;
+    }
     let idem = match idem(&req) {
         Ok(idem) => idem,
         Err(response) => return response,
@@ -230,7 +240,7 @@
         return refuse(Kind::Internal, "the request was lost");
     };
     let id = taken.id.clone();
-    let parts = Parts::new(node, taken, open);
+    let parts = Parts::new(node, taken);
     match completion.delivery {
         Delivery::Stream => streamed(parts, id).await,
         Delivery::Whole => collected(parts, &completion, &id).await,
@@ -343,7 +353,10 @@
         .body(json!({"object": "list", "data": data}).to_string())
 }
 
-async fn serve(node: &Rc<Node>, mut req: Request, open: Open) -> Response {
+async fn serve(node: &Rc<Node>, mut req: Request) -> Response {
+    if let Err(response) = known(node, &mut req).await {
+        return response;
+    }
     let idem = match idem(&req) {
         Ok(idem) => idem,
         Err(response) => return response,
@@ -356,6 +369,11 @@
     let query = req.uri().query();
     let full = query.map_or_else(|| path.to_owned(), |query| format!("{path}?{query}"));
     let method: Box<str> = req.method().as_str().into();
+    if !once::canonical(&method, path) {
+        let detail = "the method or path is not in its one canonical form: no empty or dot \
+                      segments, no needless escapes, capitals in escapes and in the method";
+        return refuse(Kind::Malformed, detail);
+    }
     let bytes = match body(node, &mut req).await {
         Ok(bytes) => bytes,
         Err(response) => return response,
@@ -384,7 +402,7 @@
         return refuse(Kind::Internal, "the request was lost");
     };
     let id = taken.id.clone();
-    let mut parts = Parts::new(node, taken, open);
+    let mut parts = Parts::new(node, taken);
     loop {
         match parts.next().await {
             Part::Reply(result, first) => return replied(&result, first.as_deref(), &id),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,9 +1,12 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
+mod doors;
 mod drain;
 mod killer;
+mod once;
 mod orders;
 mod path;
+mod stop;
 mod streams;
 #[expect(dead_code, reason = "each subject uses its part of the harness")]
 mod support;
