Renew a registration by one clock, however often its lease lapsed

Cause: when a renewal found the lease lapsed, the host asked for a new one through the function that also sets the next renewal, beside the renewal already set.

Change: asking and setting the next time are two functions.

--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -280,8 +280,15 @@
     });
 }
 
-/// Gets a lease if there is none, renews it otherwise.
+/// Asks for a lease or its renewal, and does so again in time.
 fn register(core: &mut Core, out: &mut Effects) {
+    ask(core, out);
+    let life = core.settings.platform.lease;
+    wake(core, Timer::Register, life / 3, out);
+}
+
+/// Gets a lease if there is none, renews it otherwise.
+fn ask(core: &mut Core, out: &mut Effects) {
     if core.stop.begun() {
         return;
     }
@@ -294,7 +301,6 @@
         let lease = core.members.lease;
         out.push(Effect::Renew { job, lease });
     }
-    wake(core, Timer::Register, life / 3, out);
 }
 
 /// Goes on with the registration when the key-value service has answered.
@@ -306,7 +312,9 @@
         StoreResult::Lease(0) => {
             core.members.lease = 0;
             core.members.registered = false;
-            register(core, out);
+            // Not with a time of its own: with each lapse there would be one more that asks, and
+            // each of them would add another at the next.
+            ask(core, out);
         }
         StoreResult::Lease(lease) if lease != core.members.lease || !core.members.registered => {
             core.members.lease = lease;
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -5,6 +5,7 @@
 //! gives the same run.
 
 mod killer;
+mod lease;
 mod once;
 mod order;
 mod request;
--- a/src/core/tests/store.rs
+++ b/src/core/tests/store.rs
@@ -29,6 +29,8 @@
     pub refuse_records: u32,
     /// Transactions carried out, by the first key they write.
     pub writes: BTreeMap<Box<str>, u32>,
+    /// Leases granted and renewed.
+    pub renewals: u32,
     values: BTreeMap<Box<str>, Value>,
     leases: BTreeMap<i64, (Duration, Time)>,
     revision: i64,
@@ -96,6 +98,8 @@
 
     /// Carries out a call; `None` where no answer is wanted.
     pub fn carry(&mut self, now: Time, effect: Effect) -> Option<StoreReply> {
+        let renewal = matches!(effect, Effect::Grant { .. } | Effect::Renew { .. });
+        self.renewals += u32::from(renewal);
         let (job, result) = match effect {
             Effect::Revoke(lease) => {
                 if !self.down {
