Show that the holder's watch must have caught up before hosts are counted

Change: the shared harness can let a host's watch lag; a host joins unseen by the holder just before an engine is withdrawn.

--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -129,6 +129,8 @@
     pub cut: Vec<(usize, usize)>,
     /// Hosts that the key-value service does not reach, though they do not notice.
     pub deaf: BTreeSet<usize>,
+    /// Hosts whose watch lags, and by how much.
+    pub lags: BTreeMap<usize, Duration>,
     bag: BTreeMap<(Time, u64), Due>,
     count: u64,
 }
@@ -162,6 +164,7 @@
             work: Duration::from_millis(20),
             cut: Vec::new(),
             deaf: BTreeSet::new(),
+            lags: BTreeMap::new(),
             bag: BTreeMap::new(),
             count: 0,
         };
@@ -287,7 +290,8 @@
         if self.deaf.contains(&at) {
             return;
         }
-        let due = self.soon().max(self.hosts[at].watched);
+        let lag = self.lags.get(&at).copied().unwrap_or_default();
+        let due = self.soon().after(lag).max(self.hosts[at].watched);
         self.hosts[at].watched = due;
         let life = self.hosts[at].life;
         self.put(due, Due::Event(at, life, Box::new(event)));
--- a/src/core/tests/order.rs
+++ b/src/core/tests/order.rs
@@ -601,6 +601,35 @@
     }
 }
 
+/// A host starts and takes work just before an engine is withdrawn, and the holder's own watch
+/// lags, so that it knows the withdrawal stands but not that there is one host more. It must not
+/// count hosts before its watch has caught up, or it would cut the new host's streams.
+#[test]
+fn a_host_that_joined_unseen_loses_no_stream() {
+    let mut site = Site::new(3, Fencing::Checks, 18);
+    site.run(Duration::from_secs(5));
+    let holder = site.holder().expect("a host holds the pool");
+    let other = (holder + 1) % 3;
+    site.world.kill(other);
+    site.run(Duration::from_secs(20));
+    assert_eq!(site.holder(), Some(holder));
+
+    site.world.lags.insert(holder, LEASE * 2);
+    site.world.restart(other);
+    site.decide(never);
+    site.list();
+    site.until("the new host is registered", |site| {
+        !member::cut_off(&site.world.hosts[other].core)
+    });
+    site.world.lags.insert(other, LEASE);
+    site.decide(all_prefill);
+    for _ in 0..200 {
+        site.tempt(&[other]);
+        site.run(LOOK);
+    }
+    assert!(site.engines.iter().any(|one| !one.applied.is_empty()));
+}
+
 /// The holder is paused with an order recorded and on its way, past its lease; another takes
 /// over. To an engine that takes any order the first one may still come, so the successor gives
 /// none while the paused process lives, and goes on once it is known dead.
