--- a/src/core/killer.rs
+++ b/src/core/killer.rs
@@ -16,7 +16,7 @@
 use super::event::{Print, Role};
 use super::key::{BackendKey, HostKey, RequestKey};
 use super::message::{Message, Suspect};
-use super::route::{self, Need};
+use super::route::{self, Choice, Need};
 use super::{Core, Effects};
 use crate::error::Kind;
 
@@ -30,9 +30,10 @@
 const TOLD: usize = 512;
 /// Reports of an engine's death within this time, by the hosts' clocks, are of the same death.
 const SAME: u64 = 5_000;
-/// Most of the wanted time to the first token that copies of a request wait for the engines that
-/// the first of them may have gone to; past it they spread over all.
-const PATIENCE: f64 = 0.5;
+/// Seconds longer that a request may wait for one of its two engines than for another.
+///
+/// With 2 ms, copies sent to several hosts at once took a third engine in one of three runs.
+const SLACK: f64 = 15e-3;
 
 /// One engine lost while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -114,17 +115,40 @@
         .retry(KEEP.saturating_sub(age)))
 }
 
-/// Adds to `need` the engines that a request with this fingerprint must not go to.
+/// Returns where a request with this fingerprint goes.
 ///
 /// A request of which an engine died goes to one engine, the same from every host. Others go to
-/// one of two as long as these are not busy: the one that has the prompt's prefix and the first
-/// by fingerprint.
-pub fn narrow(core: &Core, need: &mut Need, print: Print) {
-    let takers = takers(core, need);
-    let dead: BTreeSet<Box<str>> = {
-        let deaths = core.killers.counted(print, core.wall());
-        deaths.iter().map(|death| death.engine.clone()).collect()
+/// one of two, wherever they arrive: the one that has the prompt's prefix and the first by
+/// fingerprint; unless both would have it wait for long, while another would not.
+#[must_use]
+pub fn choose(core: &mut Core, need: &Need, print: Print) -> Option<Choice> {
+    let deaths = core.killers.counted(print, core.wall());
+    let dead: BTreeSet<Box<str>> = deaths.iter().map(|death| death.engine.clone()).collect();
+    if !dead.is_empty() {
+        let need = narrow(core, need, print, &dead);
+        return route::engine(core, &need);
+    }
+    let few = narrow(core, need, print, &dead);
+    let free = route::engine(core, need)?;
+    if !few.avoid.contains(&free.engine) {
+        return Some(free);
+    }
+    let Some(fixed) = route::engine(core, &few) else {
+        return Some(free);
     };
+    let near = wait(core, need, fixed) <= wait(core, need, free) + SLACK;
+    Some(if near { fixed } else { free })
+}
+
+/// Returns the seconds until an engine has worked through the prompt.
+fn wait(core: &Core, need: &Need, choice: Choice) -> f64 {
+    let key = choice.prefill.unwrap_or(choice.engine);
+    route::wait(core, key) + f64::from(need.prompt) * route::pace(core, key)
+}
+
+/// Returns the need with all engines avoided but those of this fingerprint.
+fn narrow(core: &Core, need: &Need, print: Print, dead: &BTreeSet<Box<str>>) -> Need {
+    let takers = takers(core, need);
     let mut allowed = BTreeSet::new();
     for role in [Role::Both, Role::Prefill, Role::Decode] {
         let of_role = |key: &BackendKey| core.fleet.arena[*key].role == role;
@@ -132,14 +156,17 @@
         keys.retain(|key| !dead.contains(&core.fleet.arena[*key].name));
         keys.sort_by_key(|&key| rank(print, &core.fleet.arena[key].name));
         if dead.is_empty() {
-            let chosen = pair(core, need, &keys);
-            allowed.extend(chosen);
+            let home = route::affine(core, need, &keys);
+            let others = keys.iter().copied().filter(|key| Some(*key) != home);
+            allowed.extend(home.into_iter().chain(others).take(ENGINES));
         } else {
             allowed.extend(keys.first());
         }
     }
+    let mut need = need.clone();
     need.avoid
         .extend(takers.into_iter().filter(|key| !allowed.contains(key)));
+    need
 }
 
 fn takers(core: &Core, need: &Need) -> Vec<BackendKey> {
@@ -150,25 +177,6 @@
         .collect()
 }
 
-/// Returns the two engines for a fingerprint, or all where these are busy.
-fn pair(core: &Core, need: &Need, keys: &[BackendKey]) -> Vec<BackendKey> {
-    let home = route::affine(core, need, keys);
-    let others = keys.iter().copied().filter(|key| Some(*key) != home);
-    let two: Vec<BackendKey> = home.into_iter().chain(others).take(ENGINES).collect();
-    let busy = |key: &BackendKey| {
-        let engine = &core.fleet.arena[*key];
-        let pool = core.fleet.pool(&engine.pool);
-        let pool = pool.map(|pool| &core.fleet.pools[usize::from(pool.0)].settings);
-        let most = pool.map_or(0.0, |pool| pool.first_token.as_secs_f64() * PATIENCE);
-        route::wait(core, *key) > most
-    };
-    if two.iter().all(busy) {
-        keys.to_vec()
-    } else {
-        two
-    }
-}
-
 fn rank(print: Print, engine: &str) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&print.0);
--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -20,15 +20,14 @@
     }
     let chosen = match &request.want {
         Want::Model(want) => {
-            let mut need = Need {
+            let need = Need {
                 model: want.model.clone(),
                 prompt: want.prompt,
                 prefix: want.pieces.first().copied().unwrap_or(0),
                 avoid: request.avoid.clone(),
             };
             let print = request.print;
-            killer::narrow(core, &mut need, print);
-            route::engine(core, &need)
+            killer::choose(core, &need, print)
         }
         Want::Service(want) => {
             let (service, avoid) = (want.service.clone(), request.avoid.clone());
