--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -90,7 +90,7 @@
             config: config::Config::default(),
             requests: request::Requests::default(),
             shares: share::Shares::default(),
-            once: once::Once::default(),
+            once: once::Once::new(incarnation),
             killers: killer::Killers::default(),
             stop: stop::Stop::default(),
         }
@@ -151,7 +151,9 @@
             StoreEvent::Reply(reply) => match reply.job {
                 Job::Register(_) => member::reply(self, &reply, out),
                 Job::Apply(_) | Job::Chunk(_) => config::reply(self, reply, out),
-                Job::Record(_) => once::reply(self, reply, out),
+                Job::Record(..) => once::reply(self, reply, out),
+                Job::Segment => trace::written(self, &reply, out),
+                Job::Find(round) => trace::found(self, round, reply, out),
                 Job::Holder(_) | Job::Intent(_) | Job::Route(_) => order::reply(self, reply, out),
             },
         }
@@ -183,7 +185,7 @@
     fn operator(&mut self, event: event::OperatorEvent, out: &mut Effects) {
         use event::OperatorEvent;
         match event {
-            OperatorEvent::Explain { ask, id } => trace::explain(self, ask, id, out),
+            OperatorEvent::Explain { ask, id } => trace::explain(self, ask, &id, out),
             OperatorEvent::Apply { ask, edit } => config::apply(self, ask, &edit, out),
         }
     }
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -274,6 +274,7 @@
         BeginState::StoreDown => (5, None),
         BeginState::Full => (6, None),
         BeginState::NotOwner => (7, None),
+        BeginState::Unclear => (8, None),
     };
     Kind::Begun(wire::Begun {
         round,
@@ -293,6 +294,7 @@
         (5, _) => BeginState::StoreDown,
         (6, _) => BeginState::Full,
         (7, _) => BeginState::NotOwner,
+        (8, _) => BeginState::Unclear,
         _ => return Err(WireError::Field { field: "state" }),
     };
     Ok(Message::Begun {
@@ -368,7 +370,7 @@
         .ok_or(WireError::Field { field: "ran" })
 }
 
-fn to_trace(record: &Record) -> wire::Trace {
+pub(super) fn to_trace(record: &Record) -> wire::Trace {
     let attempts = record.attempts.iter().map(|attempt| wire::Attempt {
         backend: attempt.backend.to_string(),
         began: attempt.began,
@@ -399,7 +401,7 @@
     }
 }
 
-fn from_trace(trace: wire::Trace) -> Result<Record, WireError> {
+pub(super) fn from_trace(trace: wire::Trace) -> Result<Record, WireError> {
     let attempts: Result<Vec<_>, _> = trace.attempts.into_iter().map(from_attempt).collect();
     let notes = trace.notes.into_iter().map(|note| Note {
         at: note.at,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,7 +1,10 @@
 //! Real processes on loopback: hosts and stand-ins, with failures caused on purpose.
 
+mod doors;
 mod killer;
+mod once;
 mod path;
+mod stop;
 mod streams;
 #[expect(dead_code, reason = "each subject uses its part of the harness")]
 mod support;
