--- a/src/core/config/edit.rs
+++ b/src/core/config/edit.rs
@@ -4,7 +4,7 @@
     CHUNK_LIMIT, CHUNKS, HEAD, Head, enforce, fetch, name, parse_head, read_plans, write_head,
 };
 use crate::core::effect::{Effect, OperatorAnswer};
-use crate::core::event::{Edit, Job, StoreResult, Which};
+use crate::core::event::{Edit, Health, Job, StoreResult, Which};
 use crate::core::key::AskKey;
 use crate::core::{Core, Effects};
 use crate::lists::{self, Chunk, Lists, Uses};
@@ -35,7 +35,15 @@
 }
 
 /// Takes an operator's edit in hand.
+///
+/// While the key-value service is known to be down, an edit is refused at once: nothing of it was
+/// sent, and an operator need not wait to learn that.
 pub fn apply(core: &mut Core, ask: AskKey, edit: &Edit, out: &mut Effects) {
+    if core.members.store == Health::Down {
+        let answer = OperatorAnswer::StoreDown;
+        out.push(Effect::Answer { ask, answer });
+        return;
+    }
     match prepare(core, edit) {
         Ok(pending) => {
             core.config.pending.insert(ask, pending);
--- a/src/core/request/arrive.rs
+++ b/src/core/request/arrive.rs
@@ -11,8 +11,8 @@
 use super::{Heard, Phase, RETRY_MOST, RETRY_SHARE, Request};
 use crate::error::Kind;
 
-/// Time a request waits for its plan's share.
-const SHARE_TIME: Duration = Duration::from_millis(400);
+/// Time a request waits for its plan's share: longer than hosts need to settle after a change.
+const SHARE_TIME: Duration = Duration::from_secs(4);
 
 pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
     let mut record = core.traces.open(core.wall());
--- a/src/core/share/borrow.rs
+++ b/src/core/share/borrow.rs
@@ -5,7 +5,9 @@
 
 use super::ledger::Ledger;
 use super::pledge::{self, LOAN, Pledged, Source};
-use super::{AHEAD, Open, Part, Taken, allowance, cost, refuse, serve, source, wake, wish};
+use super::{
+    AHEAD, Open, Part, Taken, allowance, cost, refuse, serve, serve_own, source, wake, wish,
+};
 use crate::core::effect::Effect;
 use crate::core::key::HostKey;
 use crate::core::message::{Borrow, Lend, Loan, Message, Wish};
@@ -165,12 +167,15 @@
             Source::Peer(home) => {
                 homes.insert(home);
             }
-            Source::Own => give_back(core, &plan, now),
-            Source::Part | Source::Silent(_) => {
-                if let Some(part) = core.shares.parts.get_mut(&plan) {
-                    part.lapsing(now);
-                }
+            Source::Own => {
+                give_back(core, &plan, now);
+                serve_own(core, &plan, out);
             }
+            Source::Part => {
+                lapse(core, &plan);
+                serve_own(core, &plan, out);
+            }
+            Source::Silent(_) => lapse(core, &plan),
         }
     }
     for home in homes {
@@ -182,6 +187,13 @@
     }
 }
 
+fn lapse(core: &mut Core, plan: &str) {
+    let now = core.now;
+    if let Some(part) = core.shares.parts.get_mut(plan) {
+        part.lapsing(now);
+    }
+}
+
 fn give_back(core: &mut Core, plan: &str, now: Time) {
     let Some(allowance) = allowance(core, plan) else {
         return;
@@ -287,12 +299,15 @@
             part.spent = now.after(wait.min(SPENT_MOST));
         }
         serve(core, &loan.plan, out);
-        if loan.wait > 0 {
-            let wait = Duration::from_millis(u64::from(loan.wait));
+        let wait = Duration::from_millis(u64::from(loan.wait));
+        let limits = allowance(core, &loan.plan).unwrap_or_default();
+        let part = core.shares.parts.get(&loan.plan);
+        if !part.is_some_and(|part| part.holds(&limits, wait)) {
             refuse(core, &loan.plan, wait, out);
         }
+        let some = loan.requests + loan.tokens + f64::from(loan.running) > 0.0;
         let part = core.shares.parts.get(&loan.plan);
-        short |= part.is_some_and(|part| !part.waiting.is_empty());
+        short |= some && part.is_some_and(|part| !part.waiting.is_empty());
     }
     pledge::told(core, from);
     if short {
--- a/src/core/share/ledger.rs
+++ b/src/core/share/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::pledge::{LOAN, Pledged};
+use super::pledge::Pledged;
 use crate::core::Time;
 use crate::core::message::{Loan, Wish};
 use crate::lists::Allowance;
@@ -100,6 +100,10 @@
             running,
             ..Loan::default()
         };
+        if self.part <= 0.0 {
+            // Hosts have not settled yet: what asks waits, since nothing is used up.
+            return loan;
+        }
         let wait = self.wait(wish, allowance, running);
         if wait > 0.0 {
             let millis = Duration::from_secs_f64(wait.clamp(WAIT_LEAST, WAIT_MOST)).as_millis();
@@ -122,9 +126,6 @@
     ///
     /// A request larger than what can be saved up goes when everything is saved up, and is owed.
     fn wait(&self, wish: &Wish, allowance: &Allowance, running: u32) -> f64 {
-        if self.part <= 0.0 {
-            return LOAN.as_secs_f64();
-        }
         let until = |need: f64, most: f64, have: f64, rate: Option<f64>| {
             let rate = rate? * self.part;
             Some((need.min(most * self.part) - have) / rate)
--- a/src/core/share/mod.rs
+++ b/src/core/share/mod.rs
@@ -35,6 +35,10 @@
 const RECENT: f64 = 0.2;
 /// Time without use after which a plan costs nothing any more.
 const UNUSED: Duration = Duration::from_secs(5);
+/// Longest wait for which a request is held back rather than refused.
+const HOLD: Duration = Duration::from_millis(150);
+/// Requests held at any rate.
+const HELD: f64 = 2.0;
 /// Remaining life at which what was not used goes back.
 const GIVE_BACK: Duration = Duration::from_millis(150);
 
@@ -139,6 +143,16 @@
         true
     }
 
+    /// Returns whether requests are rather held than refused.
+    ///
+    /// A wait that is shorter than the caller's own next try would be is not worth a refusal; the
+    /// queue is kept as short as the wait.
+    fn holds(&self, allowance: &Allowance, wait: Duration) -> bool {
+        let rate = allowance.requests.unwrap_or(0.0);
+        let most = HOLD.as_secs_f64() * rate + HELD;
+        wait.is_zero() || wait <= HOLD && (self.waiting.len() as f64) < most
+    }
+
     fn have(&self) -> (f64, f64) {
         let requests = self.lots.iter().map(|lot| lot.requests).sum();
         let tokens: f64 = self.lots.iter().map(|lot| lot.tokens).sum();
@@ -224,11 +238,18 @@
             let part = core.shares.parts.entry(plan).or_default();
             if part.pay(cost, now) {
                 core.requests.arena[key].taken = cost;
-                return Answer::Taken;
+                Answer::Taken
+            } else if part.holds(&allowance, wait) {
+                part.waiting.push_back(key);
+                Answer::Wait
+            } else {
+                Answer::Spent(wait)
             }
-            Answer::Spent(wait)
         }
-        Source::Silent(left) => Answer::Spent(left),
+        Source::Silent(_) => {
+            part.waiting.push_back(key);
+            Answer::Wait
+        }
         Source::Peer(_) if part.spent > now => Answer::Spent(part.spent.since(now)),
         Source::Peer(home) => {
             part.waiting.push_back(key);
@@ -321,6 +342,25 @@
     core.shares.parts.get(plan)?.waiting.front().copied()
 }
 
+/// Draws for the waiting requests of a plan that this host lends to itself.
+fn serve_own(core: &mut Core, plan: &str, out: &mut Effects) {
+    let Some(allowance) = allowance(core, plan) else {
+        return;
+    };
+    while let Some(key) = first(core, plan) {
+        let cost = cost(core, key, &allowance);
+        let wait = borrow::draw(core, plan, &allowance, cost);
+        serve(core, plan, out);
+        if first(core, plan) == Some(key) {
+            let part = core.shares.parts.get(plan);
+            if !part.is_some_and(|part| part.holds(&allowance, wait)) {
+                refuse(core, plan, wait, out);
+            }
+            return;
+        }
+    }
+}
+
 /// Refuses the waiting requests of a plan.
 fn refuse(core: &mut Core, plan: &str, wait: Duration, out: &mut Effects) {
     while let Some(part) = core.shares.parts.get_mut(plan)
--- a/src/core/tests/lists.rs
+++ b/src/core/tests/lists.rs
@@ -30,15 +30,14 @@
 
 /// Returns what the operator was told.
 fn answer(world: &World, ask: u64) -> Option<&OperatorAnswer> {
-    let found = world
+    world
         .other
         .iter()
         .rev()
         .find_map(|(_, effect)| match effect {
             Effect::Answer { ask: asked, answer } if *asked == AskKey(ask) => Some(answer),
             _ => None,
-        });
-    found
+        })
 }
 
 fn accepted(world: &World, ask: u64) -> bool {
