--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -13,7 +13,7 @@
 use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
 use super::key::HostKey;
 use super::message::{Beat, Message};
-use super::{Core, Effects, Time, config, killer, once, order, share, trace};
+use super::{Core, Effects, Time, config, fleet, killer, once, order, share, trace};
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
 
@@ -202,15 +202,29 @@
     if !members.proven {
         return true;
     }
+    // Peers pass on which back ends are leaving; a host that hears neither the list nor them may
+    // send work to one that left long ago.
+    let peers = members.names.len();
+    if peers > 0 && !recent(core.fleet.read) && !most(core, bound) {
+        return true;
+    }
     if recent(members.store_heard) {
         return false;
     }
-    let peers = members.names.len();
+    peers == 0 || !most(core, bound)
+}
+
+/// Returns whether most peers were heard within this time.
+fn most(core: &Core, bound: Duration) -> bool {
+    let members = &core.members;
     let heard = members
         .peers()
-        .filter(|&host| recent(members.arena[host].heard))
+        .filter(|&host| {
+            let heard = members.arena[host].heard;
+            heard.is_some_and(|at| core.now.since(at) < bound)
+        })
         .count();
-    peers == 0 || heard * 2 < peers
+    heard * 2 >= members.names.len()
 }
 
 /// Returns the time without store and peers after which a host takes no new work.
@@ -266,8 +280,15 @@
     });
 }
 
-/// Gets a lease if there is none, renews it otherwise.
+/// Asks for a lease or its renewal, and does so again in time.
 fn register(core: &mut Core, out: &mut Effects) {
+    ask(core, out);
+    let life = core.settings.platform.lease;
+    wake(core, Timer::Register, life / 3, out);
+}
+
+/// Gets a lease if there is none, renews it otherwise.
+fn ask(core: &mut Core, out: &mut Effects) {
     if core.stop.begun() {
         return;
     }
@@ -280,7 +301,6 @@
         let lease = core.members.lease;
         out.push(Effect::Renew { job, lease });
     }
-    wake(core, Timer::Register, life / 3, out);
 }
 
 /// Goes on with the registration when the key-value service has answered.
@@ -292,7 +312,9 @@
         StoreResult::Lease(0) => {
             core.members.lease = 0;
             core.members.registered = false;
-            register(core, out);
+            // Not with a time of its own: with each lapse there would be one more that asks, and
+            // each of them would add another at the next.
+            ask(core, out);
         }
         StoreResult::Lease(lease) if lease != core.members.lease || !core.members.registered => {
             core.members.lease = lease;
@@ -474,6 +496,7 @@
             uses,
         } => config::told(core, revision, &plans, &uses, out),
         Message::Confirm(confirm) => order::confirmed(core, from, &confirm, out),
+        Message::Listing(listing) => fleet::told(core, from, &listing, out),
         Message::Demand(demand) => order::demanded(core, from, &demand),
         Message::Suspect(suspect) => killer::told(core, suspect),
     }
--- a/src/core/order/change.rs
+++ b/src/core/order/change.rs
@@ -241,14 +241,12 @@
         Step::Settle(at) => Some(settle(core, pool, change, at)),
         Step::Close(role) => Some(close(core, pool, change, role, out)),
         Step::Restore(role) => {
-            let work = &core.orders.desk(pool).work;
-            let place = work.route.as_ref()?.0.place(&change.engine);
-            let serving = Standing::Serving;
-            let done = place
-                == Place {
-                    standing: serving,
-                    role,
-                };
+            let wanted = Place {
+                standing: Standing::Serving,
+                role,
+            };
+            let stored = core.orders.desk(pool).work.route.as_ref();
+            let done = stored.is_some_and(|(route, _)| route.place(&change.engine) == wanted);
             (!done).then_some(change)
         }
     }
@@ -287,7 +285,12 @@
         at > free.millis() && report.running == 0 && report.waiting == 0
     });
     if idle && suspect::clear(core, pool) {
-        return change.at(Step::Record);
+        return if in_force(core, pool, &change) {
+            let role = change.role;
+            change.at(Step::Close(role))
+        } else {
+            change.at(Step::Record)
+        };
     }
     if change.bound == Bound::Open && now.since(change.since) >= core.settings.limits.drain {
         return call_off(core, pool, change, word, out);
@@ -295,6 +298,20 @@
     change
 }
 
+/// Returns whether an earlier holder's order has done what it was to do.
+fn in_force(core: &Core, pool: PoolKey, change: &Change) -> bool {
+    let intents = core.orders.desk(pool).work.intents.as_ref();
+    let intent = intents.and_then(|all| all.get(&change.engine));
+    let report = drain::report(core, &change.engine);
+    intent
+        .zip(report)
+        .is_some_and(|((intent, _), (_, report))| {
+            (intent.fence, intent.order) == (report.fence, report.order)
+                && report.role == intent.role
+                && !report.changing
+        })
+}
+
 /// Puts the engine back to work where the change has taken too long.
 fn call_off(
     core: &mut Core,
--- a/src/core/request/arrive.rs
+++ b/src/core/request/arrive.rs
@@ -134,12 +134,6 @@
 fn take_share(core: &mut Core, key: RequestKey, out: &mut Effects) {
     match share::take(core, key, out) {
         share::Answer::Taken => go(core, key, out),
-        // The share that is not here is not used up: it was handed to the other hosts.
-        _ if core.stop.begun() => {
-            share::forget(core, key);
-            let detail = "this host is shutting down";
-            refuse(core, key, Refusal::new(Kind::Stopping, detail), out);
-        }
         share::Answer::Wait => out.push(Effect::Wake {
             at: core.now.after(SHARE_TIME),
             timer: Timer::Request(key),
--- a/src/core/share/borrow.rs
+++ b/src/core/share/borrow.rs
@@ -77,7 +77,7 @@
         .or_insert_with(|| Ledger::new(now));
     ledger.allot(now, pledged);
     if fresh && calm {
-        ledger.saved(allowance);
+        ledger.saved(allowance, pledge::CALM);
     }
     ledger.fill(allowance);
     ledger.lend(host, wish, allowance, now)
@@ -309,7 +309,6 @@
         let part = core.shares.parts.get(&loan.plan);
         short |= some && part.is_some_and(|part| !part.waiting.is_empty());
     }
-    pledge::told(core, from);
     if short {
         ask(core, from, out);
     }
--- a/src/core/share/ledger.rs
+++ b/src/core/share/ledger.rs
@@ -52,10 +52,12 @@
         }
     }
 
-    /// Counts everything as saved up.
-    pub fn saved(&mut self, allowance: &Allowance) {
-        self.requests = requests_most(allowance) * self.part;
-        self.tokens = tokens_most(allowance) * self.part;
+    /// Counts as saved up what came in over a time that is known to have been quiet.
+    pub fn saved(&mut self, allowance: &Allowance, quiet: Duration) {
+        let seconds = quiet.as_secs_f64() * self.part;
+        self.requests = allowance.requests.unwrap_or(0.0) * seconds;
+        self.tokens = allowance.tokens.unwrap_or(0.0) * seconds;
+        self.clamp(allowance);
     }
 
     /// Takes in what is pledged now.
@@ -168,7 +170,9 @@
     pub fn idle(&self, allowance: &Allowance, now: Time) -> bool {
         let full = self.requests >= requests_most(allowance) * self.part
             && self.tokens >= tokens_most(allowance) * self.part;
-        let unasked = now.since(self.used) >= IDLE;
+        // At less than a request or so a second, what is saved up could not be told again.
+        let slow = allowance.requests.is_some_and(|rate| rate * SAVED < 1.0);
+        let unasked = !slow && now.since(self.used) >= IDLE;
         let places = self.whole && self.places.is_empty();
         unasked && full && (allowance.running.is_none() || places)
     }
--- a/src/core/share/mod.rs
+++ b/src/core/share/mod.rs
@@ -271,11 +271,6 @@
         if source != Source::Part {
             core.shares.own.remove(plan);
         }
-        if let Source::Peer(home) = source
-            && part.places > 0
-        {
-            pledge::owe(core, home);
-        }
     }
     source
 }
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -5,6 +5,7 @@
 //! gives the same run.
 
 mod killer;
+mod lease;
 mod lists;
 mod once;
 mod order;
@@ -12,7 +13,7 @@
 mod store;
 mod trace;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -21,7 +22,7 @@
 use super::effect::Refusal;
 use super::event::{
     Arrival, Break, Entry, EntryKind, FleetEvent, PeerEvent, Print, RequestEvent, ServiceWant,
-    StoreEvent, Stored, Want,
+    StoreEvent, StoreReply, StoreResult, Stored, Want,
 };
 use super::key::{AttemptKey, HostKey, RequestKey};
 use super::message::Message;
@@ -127,6 +128,10 @@
     pub work: Duration,
     /// Pairs of hosts: nothing passes from the first to the second.
     pub cut: Vec<(usize, usize)>,
+    /// Hosts that the key-value service does not reach, though they do not notice.
+    pub deaf: BTreeSet<usize>,
+    /// Hosts whose watch lags, and by how much.
+    pub lags: BTreeMap<usize, Duration>,
     bag: BTreeMap<(Time, u64), Due>,
     count: u64,
 }
@@ -159,6 +164,8 @@
             other: Vec::new(),
             work: Duration::from_millis(20),
             cut: Vec::new(),
+            deaf: BTreeSet::new(),
+            lags: BTreeMap::new(),
             bag: BTreeMap::new(),
             count: 0,
         };
@@ -269,7 +276,8 @@
         }
     }
 
-    fn open_watch(&mut self, at: usize) {
+    /// Opens a host's watch anew.
+    pub fn open_watch(&mut self, at: usize) {
         let pairs = self.store.watched();
         self.post(
             at,
@@ -280,7 +288,11 @@
 
     /// Puts an event on its way to a host, after everything watched that is on its way there.
     fn post(&mut self, at: usize, event: Event) {
-        let due = self.soon().max(self.hosts[at].watched);
+        if self.deaf.contains(&at) {
+            return;
+        }
+        let lag = self.lags.get(&at).copied().unwrap_or_default();
+        let due = self.soon().after(lag).max(self.hosts[at].watched);
         self.hosts[at].watched = due;
         let life = self.hosts[at].life;
         self.put(due, Due::Event(at, life, Box::new(event)));
@@ -458,6 +470,10 @@
     fn store_call(&mut self, at: usize, life: u64, effect: Effect) {
         let write = matches!(effect, Effect::Txn { .. });
         let lost = self.rng.random_bool(self.odds.lose);
+        if self.deaf.contains(&at) {
+            self.unheard(at, life, &effect);
+            return;
+        }
         let Some(mut reply) = self.store.carry(self.now, effect) else {
             return;
         };
@@ -469,6 +485,24 @@
         self.put(due, Due::Event(at, life, Box::new(event)));
     }
 
+    /// A call that the key-value service never got ends without an answer.
+    fn unheard(&mut self, at: usize, life: u64, effect: &Effect) {
+        let (Effect::Read { job, .. }
+        | Effect::Txn { job, .. }
+        | Effect::Grant { job, .. }
+        | Effect::Renew { job, .. }) = effect
+        else {
+            return;
+        };
+        let reply = StoreReply {
+            job: *job,
+            result: StoreResult::Unknown,
+        };
+        let due = self.soon();
+        let event = Event::Store(StoreEvent::Reply(reply));
+        self.put(due, Due::Event(at, life, Box::new(event)));
+    }
+
     fn service(&mut self, called: Called) {
         let attempt = called.attempt;
         let broke = |ran, end| RequestEvent::Broke {
