Wait after losing sight of the registrations before a change

Cause: a holder whose watch broke, or that slept, may have missed a host that came and went; such a host may be cut off with streams by an old view.

Change: the time since when a holder has seen everyone begins anew then. Hosts gone for longer than their bound are forgotten.

Seen with it out: an engine is withdrawn at once (a_holder_that_missed_hosts_waits, red); with it the test passes.

--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -250,6 +250,7 @@
     core.members.proven = false;
     core.members.registered = false;
     core.members.store_heard = None;
+    order::missed(core);
     let text = format!("nothing happened here for {} ms", gap.as_millis());
     out.push(log_event(log::Level::Warn, "host.woke", text));
 }
--- a/src/core/order/change.rs
+++ b/src/core/order/change.rs
@@ -162,11 +162,9 @@
     let settings = core.fleet.pools[at].settings.clone();
     let desk = core.orders.desk_mut(pool);
     desk.work.decided = now;
-    let fresh = desk
-        .demand
-        .values()
-        .filter(|(when, _)| now.since(*when) < DEMAND_AGE);
-    let (prompt, output) = fresh.fold((0.0, 0.0), |sum, (_, demand)| {
+    desk.demand
+        .retain(|_, (when, _)| now.since(*when) < DEMAND_AGE);
+    let (prompt, output) = desk.demand.values().fold((0.0, 0.0), |sum, (_, demand)| {
         (sum.0 + demand.prompt, sum.1 + demand.output)
     });
     let view = View {
--- a/src/core/order/drain.rs
+++ b/src/core/order/drain.rs
@@ -122,11 +122,18 @@
     if busy { Word::Busy } else { Word::Free }
 }
 
+/// Forgets hosts that have been gone for so long that they have stopped.
+pub(super) fn forget(core: &mut Core) {
+    let bound = crate::core::member::cut_off_bound(core) + GONE_SLACK;
+    let now = core.now;
+    core.orders.gone.retain(|_, at| now.since(*at) < bound);
+}
+
 /// Returns whether every host that is not registered has surely stopped taking new work.
 ///
 /// A host whose registration is gone may be cut off and act on an old routing state; it stops by
-/// itself after the cut-off bound. A holder that has only just started does not know whose
-/// registration went before.
+/// itself after the cut-off bound. A holder that has only just started, or lost sight of the
+/// registrations, does not know whose went before.
 pub(super) fn settled(core: &Core) -> bool {
     let bound = crate::core::member::cut_off_bound(core) + GONE_SLACK;
     let old = |at: &Time| core.now.since(*at) >= bound;
--- a/src/core/order/mod.rs
+++ b/src/core/order/mod.rs
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 pub struct Orders {
     desks: Vec<Desk>,
-    /// When this host first stood among the registered hosts.
+    /// Since when this host has seen every host that came and went.
     known: Option<Time>,
     /// Hosts whose registration is gone, and since when.
     gone: BTreeMap<Box<str>, Time>,
@@ -115,9 +115,10 @@
 
 /// Goes on with authority and orders.
 pub fn timer(core: &mut Core, out: &mut Effects) {
-    if core.orders.known.is_none() && core.members.registered {
+    if core.orders.known.is_none() && core.members.registered && core.members.store == Health::Up {
         core.orders.known = Some(core.now);
     }
+    drain::forget(core);
     for pool in core.orders.pools() {
         look(core, pool, out);
     }
@@ -176,13 +177,24 @@
 
 /// Takes in whether the key-value service answers.
 pub fn health(core: &mut Core, health: Health, _out: &mut Effects) {
-    if health == Health::Up {
-        for desk in &mut core.orders.desks {
-            desk.hold.noticed(core.now);
+    match health {
+        Health::Up => {
+            for desk in &mut core.orders.desks {
+                desk.hold.noticed(core.now);
+            }
         }
+        Health::Down => missed(core),
     }
 }
 
+/// Notes that hosts may come and go unseen.
+///
+/// One that came and went meanwhile may be cut off and act on an old routing state; nothing here
+/// would tell of it.
+pub fn missed(core: &mut Core) {
+    core.orders.known = None;
+}
+
 /// Takes in the platform's list.
 pub fn fleet_changed(core: &mut Core, _out: &mut Effects) {
     for pool in core.orders.pools() {
--- a/src/core/tests/order.rs
+++ b/src/core/tests/order.rs
@@ -630,6 +630,25 @@
     assert!(site.engines.iter().any(|one| !one.applied.is_empty()));
 }
 
+/// The holder's watch breaks and opens anew; a host may have come and gone meanwhile, and may be
+/// cut off with streams by an old view. The holder begins no change until such a host has stopped.
+#[test]
+fn a_holder_that_missed_hosts_waits() {
+    let mut site = Site::new(3, Fencing::Checks, 19);
+    site.run(Duration::from_secs(15));
+    let holder = site.holder().expect("a host holds the pool");
+    let down = crate::core::event::StoreEvent::Health(crate::core::event::Health::Down);
+    site.world.feed(holder, Event::Store(down));
+    site.world.open_watch(holder);
+    site.decide(all_prefill);
+    let any = |site: &Site| (0..ENGINES).any(|at| site.withdrawn(holder, at));
+    for _ in 0..LEASE.as_millis() / LOOK.as_millis() {
+        site.run(LOOK);
+        assert!(!any(&site), "an engine is withdrawn at once");
+    }
+    site.until("an engine is withdrawn", any);
+}
+
 /// The holder is paused with an order recorded and on its way, past its lease; another takes
 /// over. To an engine that takes any order the first one may still come, so the successor gives
 /// none while the paused process lives, and goes on once it is known dead.
