--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -277,9 +277,9 @@
 
 /// Takes in the platform's list: what it no longer names gets no new work.
 fn listed(core: &mut Core, entries: Vec<Entry>, out: &mut Effects) {
-    let now = core.now;
     let hosts = entries.iter().filter(|entry| entry.kind == EntryKind::Host);
     share::listed(core, hosts.map(|entry| &*entry.name));
+    let now = core.now;
     let fleet = &mut core.fleet;
     fleet.read = Some(now);
     fleet.words.clear();
