Let only a registration made after waking prove that a host is up to date

Cause: a host that slept takes no work until it sees its registration anew; but an answer of the watch that waited in its sockets shows its own old registration, and it took work by the view of before.

Change: each registration carries a growing round; after a sleep only a later round counts.

--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -64,6 +64,8 @@
     pub registered: bool,
     /// Whether this host has seen itself registered since it started or last slept.
     pub proven: bool,
+    /// Registrations of rounds before this one are from before this host last slept.
+    floor: u64,
     /// Lease of the registration; 0 for none.
     lease: i64,
     tries: u64,
@@ -86,6 +88,7 @@
             settled: Time::default(),
             registered: false,
             proven: false,
+            floor: 0,
             lease: 0,
             tries: 0,
             store: Health::Down,
@@ -248,6 +251,8 @@
         return;
     }
     core.members.proven = false;
+    // What waits in its sockets may show its own registration, as it was before.
+    core.members.floor = core.members.tries + 1;
     core.members.registered = false;
     core.members.store_heard = None;
     order::missed(core);
@@ -331,13 +336,15 @@
     }
 }
 
-fn registration(core: &Core, lease: i64) -> Txn {
+fn registration(core: &mut Core, lease: i64) -> Txn {
+    core.members.tries += 1;
     let host = &core.settings.host;
     let value = json!({
         "addr": host.advertise.unwrap_or(host.peers).to_string(),
         "region": &*host.region,
         "domain": &*host.domain,
         "incarnation": core.members.incarnation,
+        "round": core.members.tries,
     });
     Txn {
         compare: Vec::new(),
@@ -362,8 +369,10 @@
 pub fn watched(core: &mut Core, name: &str, pair: &Watched, out: &mut Effects) {
     let entry = pair.value.as_deref().and_then(|bytes| parse(name, bytes));
     if *name == *core.members.name {
-        let incarnation = core.members.incarnation;
-        core.members.registered = entry.is_some_and(|entry| entry.incarnation == incarnation);
+        let (incarnation, floor) = (core.members.incarnation, core.members.floor);
+        let round = pair.value.as_deref().map_or(0, round);
+        core.members.registered =
+            round >= floor && entry.is_some_and(|entry| entry.incarnation == incarnation);
         core.members.proven |= core.members.registered;
         return;
     }
@@ -413,6 +422,11 @@
     }
 }
 
+fn round(bytes: &[u8]) -> u64 {
+    let value: Value = serde_json::from_slice(bytes).unwrap_or_default();
+    value["round"].as_u64().unwrap_or(0)
+}
+
 fn parse(name: &str, bytes: &[u8]) -> Option<Member> {
     let value: Value = serde_json::from_slice(bytes).ok()?;
     Some(Member {
--- a/src/core/tests/order.rs
+++ b/src/core/tests/order.rs
@@ -494,6 +494,7 @@
 }
 
 shuffles! {
+    a_host_wakes_to_its_own_old_registration: 163..164, Fencing::Checks;
     no_conflicting_order_at_engines_that_check: 1..7, Fencing::Checks;
     no_conflicting_order_at_engines_that_ignore: 101..107, Fencing::Ignores;
 }
@@ -806,9 +807,12 @@
     let mut site = Site::new(3, Fencing::Checks, 15);
     site.run(Duration::from_secs(5));
     assert!(!member::cut_off(&site.world.hosts[1].core));
+    let before = crate::core::event::StoreEvent::Watched(site.world.store.watched());
     site.world.freeze(1);
+    site.world.feed(1, Event::Store(before));
     site.run(LEASE * 3);
-    // All that waited in its sockets is taken in at this moment, and sounds like news.
+    // All that waited in its sockets is taken in at this moment, and sounds like news; so does
+    // its own registration, read just before it slept.
     site.world.thaw(1);
     assert!(member::cut_off(&site.world.hosts[1].core));
     site.until("it is registered anew", |site| {
