Let callers of two scenarios come back when their plan's share is used up

Cause: since shares are lent, none is for about two seconds after a host comes, goes or is frozen (pledges settle); callers are told 'share-spent' with the time to come back. The scenarios' callers did not come back: 22 of 320 answered whole, and the count of at least 100 failed.

--- a/tests/fleet/support/account.rs
+++ b/tests/fleet/support/account.rs
@@ -5,6 +5,8 @@
 //! tests it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::thread;
+use std::time::Duration;
 
 use chiveway::standin::engine::expected;
 use chiveway::trial::stream_text;
@@ -64,6 +66,25 @@
     Unasked(String),
 }
 
+/// Times a caller comes back when its plan's share is used up for now.
+const COMES_BACK: usize = 8;
+
+/// Sends a request, and again as often as its plan's share is used up: no share is lent for a few
+/// seconds after hosts come or go, and callers are told to come back. Returns all answers.
+pub fn patient(mut send: impl FnMut() -> Option<Answer>) -> Vec<Option<Answer>> {
+    let mut answers = Vec::new();
+    for _ in 0..COMES_BACK {
+        let answer = send();
+        let spent = answer.as_ref().is_some_and(|answer| answer.status == 429);
+        answers.push(answer);
+        if !spent {
+            break;
+        }
+        thread::sleep(Duration::from_millis(500));
+    }
+    answers
+}
+
 /// How a caller's answer ended.
 enum End {
     Whole,
