--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod accounting;
 mod doors;
 mod drain;
+mod explain;
 mod killer;
 mod notrun;
 mod once;
