--- a/src/core/tests/order.rs
+++ b/src/core/tests/order.rs
@@ -601,6 +601,35 @@
     }
 }
 
+/// A host starts and takes work just before an engine is withdrawn, and the holder's own watch
+/// lags, so that it knows the withdrawal stands but not that there is one host more. It must not
+/// count hosts before its watch has caught up, or it would cut the new host's streams.
+#[test]
+fn a_host_that_joined_unseen_loses_no_stream() {
+    let mut site = Site::new(3, Fencing::Checks, 18);
+    site.run(Duration::from_secs(5));
+    let holder = site.holder().expect("a host holds the pool");
+    let other = (holder + 1) % 3;
+    site.world.kill(other);
+    site.run(Duration::from_secs(20));
+    assert_eq!(site.holder(), Some(holder));
+
+    site.world.lags.insert(holder, LEASE * 2);
+    site.world.restart(other);
+    site.decide(never);
+    site.list();
+    site.until("the new host is registered", |site| {
+        !member::cut_off(&site.world.hosts[other].core)
+    });
+    site.world.lags.insert(other, LEASE);
+    site.decide(all_prefill);
+    for _ in 0..200 {
+        site.tempt(&[other]);
+        site.run(LOOK);
+    }
+    assert!(site.engines.iter().any(|one| !one.applied.is_empty()));
+}
+
 /// The holder is paused with an order recorded and on its way, past its lease; another takes
 /// over. To an engine that takes any order the first one may still come, so the successor gives
 /// none while the paused process lives, and goes on once it is known dead.
@@ -657,6 +686,24 @@
     site.check("a paused holder");
 }
 
+/// The holder is stopped as planned. It gives the pool back and takes its name out of the record,
+/// so that the next holder need not wait for a lease to lapse nor for the process to be known
+/// dead, also where engines take any order.
+#[test]
+fn a_planned_stop_gives_the_pool_back() {
+    let mut site = Site::new(3, Fencing::Ignores, 17);
+    site.run(Duration::from_secs(15));
+    let first = site.holder().expect("a host holds the pool");
+    let stop = Event::Stop(crate::core::event::StopEvent::Begin);
+    site.world.feed(first, stop);
+    assert_eq!(site.holder(), None);
+    site.until("another holds the pool", |site| site.holder().is_some());
+    let next = site.holder().expect("it was there");
+    assert_ne!(next, first);
+    let hold = &site.world.hosts[next].core.orders.desk(POOL).hold;
+    assert!(hold.suspects.is_empty(), "{:?}", hold.suspects);
+}
+
 /// Two holders in a row lose the pool before they gave an order. Each take-over has its own
 /// fencing number, also after the leased key has vanished.
 #[test]
