--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -72,15 +72,21 @@
 ];
 
 fn main() -> ExitCode {
-    let wanted = std::env::args().skip(1).find(|arg| !arg.starts_with('-'));
-    let wanted = wanted.unwrap_or_default();
+    // Words narrow the table down: a part of a case's name, then a part of a policy's.
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let mut words = words.iter().filter(|word| !word.starts_with('-'));
+    let (case, policy) = (words.next(), words.next());
     let cases: Vec<&Case> = cases::CASES
         .iter()
-        .filter(|case| case.name.contains(&*wanted))
+        .filter(|known| case.is_none_or(|word| known.name.contains(&**word)))
+        .collect();
+    let policies = POLICIES.into_iter();
+    let policies: Vec<Policy> = policies
+        .filter(|known| policy.is_none_or(|word| known.word().contains(&**word)))
         .collect();
     let groups: Vec<(&Case, Policy)> = cases
         .iter()
-        .flat_map(|&case| POLICIES.map(|policy| (case, policy)))
+        .flat_map(|&case| policies.iter().map(move |&policy| (case, policy)))
         .collect();
     let jobs: Vec<(usize, Setup)> = groups
         .iter()
--- a/benches/policy/world/callers.rs
+++ b/benches/policy/world/callers.rs
@@ -10,6 +10,8 @@
 use crate::hosts;
 use crate::trace::{Call, Case, Manner};
 
+/// Part of a refused request that counts as demand; its caller asks again.
+const REFUSED: f64 = 0.5;
 /// Time without a first token after which an eager caller sends again.
 const EAGER_WAIT: u64 = 2_000_000;
 /// Tries of one caller.
@@ -34,8 +36,6 @@
         caller.request = None;
         caller.attempt = None;
         self.tally.tries += 1;
-        self.prompt += u64::from(call.prompt);
-        self.output += f64::from(call.most) * self.ratio.0 / self.ratio.1;
         if call.manner == Manner::Eager {
             self.push(self.now + EAGER_WAIT, Ev::GiveUp(at));
         }
@@ -69,6 +69,7 @@
     }
 
     pub(super) fn refused(&mut self, at: usize, retry: Option<Duration>) {
+        self.demand(at, REFUSED);
         self.tally.refused += 1;
         self.tally.named += u32::from(retry.is_some());
         let caller = &mut self.callers[at];
@@ -95,8 +96,16 @@
         self.push(self.now + after, Ev::Try(at));
     }
 
+    /// Counts what is asked for, as hosts do.
+    fn demand(&mut self, at: usize, part: f64) {
+        let call = &self.calls[at];
+        self.prompt += part * f64::from(call.prompt);
+        self.output += part * f64::from(call.most) * self.ratio.0 / self.ratio.1;
+    }
+
     /// A request was taken: an engine has it.
     pub(super) fn taken(&mut self, at: usize) {
+        self.demand(at, 1.0);
         if std::mem::take(&mut self.callers[at].follows) {
             self.tally.back += 1;
             self.tally.kept += 1;
--- a/benches/policy/world/front.rs
+++ b/benches/policy/world/front.rs
@@ -122,6 +122,7 @@
             self.tokens(run, 1, gaps);
         }
         if let Some(key) = self.runs[run].key {
+            self.tokens(run, gaps + 1, 0);
             self.reduce(host, Event::Request(RequestEvent::Whole(key)));
         }
         self.answered(call, slow, gaps);
--- a/benches/policy/world/mod.rs
+++ b/benches/policy/world/mod.rs
@@ -164,7 +164,7 @@
     requests: BTreeMap<(usize, RequestKey), usize>,
     attempts: BTreeMap<(usize, AttemptKey), usize>,
     turns: Vec<usize>,
-    prompt: u64,
+    prompt: f64,
     output: f64,
     /// Part of the tokens allowed that answers have, by the answers so far.
     ratio: (f64, f64),
@@ -203,7 +203,7 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             turns: vec![0; case.site.hosts],
-            prompt: 0,
+            prompt: 0.0,
             output: 0.0,
             ratio: (1.0, 2.0),
             tally: Tally::default(),
--- a/benches/policy/world/shifts.rs
+++ b/benches/policy/world/shifts.rs
@@ -35,7 +35,7 @@
             second: self.now / SECOND,
             settings: &self.settings,
             engines: &seen,
-            prompt: std::mem::take(&mut self.prompt) as f64,
+            prompt: std::mem::take(&mut self.prompt),
             output: std::mem::take(&mut self.output),
         };
         let Some((change, role)) = self.setup.roles.decide(&pool) else {
--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -8,8 +8,8 @@
 
 use super::effect::{Effect, log_event};
 use super::event::{Entry, EntryKind, FleetEvent, Report, Role, Timer};
-use super::key::{BackendKey, PoolKey};
-use super::{Core, Effects, Time, order};
+use super::key::{BackendKey, HostKey, PoolKey};
+use super::{Core, Effects, Time, load, order};
 use crate::settings::{PoolSettings, Settings};
 
 /// Time between two reads of a back end's load report.
@@ -40,6 +40,8 @@
     pub settings: PoolSettings,
     /// Its engines, in name order.
     pub engines: Vec<BackendKey>,
+    /// Tokens that answers had and that their callers allowed, older ones counted less.
+    pub length: (f64, f64),
 }
 
 /// An engine or a service instance.
@@ -71,6 +73,14 @@
     pub report: Option<(Time, Report)>,
     /// Seconds a prompt token took there, measured over this host's requests; 0 before the first.
     pub pace: f64,
+    /// What else this host has measured of it.
+    pub measured: load::Measured,
+    /// Streams of other hosts there, as far as they told.
+    pub others: BTreeMap<HostKey, u32>,
+    /// Streams of this host there when the last report was read.
+    pub told: u32,
+    /// Low half of the hash of the name.
+    pub seed: u32,
     /// Failures since the last success.
     pub fails: u32,
     /// It gets no new work before this time.
@@ -111,6 +121,7 @@
             name: name.clone(),
             settings: settings.clone(),
             engines: Vec::new(),
+            length: (0.0, 0.0),
         });
         let services = settings.services.keys().cloned();
         Self {
@@ -243,7 +254,11 @@
         FleetEvent::Listed(entries) => listed(core, entries, out),
         FleetEvent::Report { name, report } => {
             if let (Some(key), Some(report)) = (core.fleet.find(&name), report) {
-                core.fleet.arena[key].report = Some((core.now, report));
+                let backend = &mut core.fleet.arena[key];
+                backend.report = Some((core.now, report));
+                if backend.others.is_empty() {
+                    backend.told = backend.streams;
+                }
             }
         }
         FleetEvent::Probed { addr, probe } => order::probed(core, addr, probe),
@@ -304,6 +319,10 @@
         return;
     }
     let name = entry.name.clone();
+    let hash = name
+        .bytes()
+        .fold(0, |hash, byte| load::mix(hash ^ u64::from(byte)));
+    let seed = u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default();
     let key = fleet.arena.insert(Backend {
         name: entry.name,
         kind: entry.kind,
@@ -318,6 +337,10 @@
         decode: 0,
         report: None,
         pace: 0.0,
+        measured: load::Measured::default(),
+        others: BTreeMap::new(),
+        told: 0,
+        seed,
         fails: 0,
         retry: Time::default(),
     });
--- /dev/null
+++ b/src/core/load.rs
@@ -0,0 +1,306 @@
+//! What a host knows of the load of engines.
+//!
+//! A host knows its own work at each engine exactly. That of other hosts it knows by what they
+//! tell, as long as they are few enough to tell each other, and otherwise by the engines' reports,
+//! which lag, and by how long its own requests took.
+
+use std::time::Duration;
+
+use super::effect::Effect;
+use super::fleet::Backend;
+use super::key::{BackendKey, HostKey};
+use super::message::{Message, Sent};
+use super::{Core, Effects, Time};
+use crate::settings::PoolSettings;
+
+/// Age at which what is known of other hosts' work at an engine is worth half, in seconds.
+///
+/// Reports lag, so that a busy engine can look idle to every host at once. A backlog of prompts
+/// is gone within a second or so, whatever a report of it says.
+const HALF_AGE: f64 = 0.5;
+/// Streams that each other host has begun at an engine since it told, for each that this one has:
+/// callers reach all hosts alike.
+const GROW: f64 = 1.0;
+/// Part of the wanted time between tokens up to which streams are given to an engine.
+const FULL: f64 = 0.9;
+/// Prompt tokens below which a prefill says nothing about an engine's speed: other times hide it.
+const TELLING: u64 = 1000;
+/// Part of the way that the measured pace goes towards each measurement.
+const LEARN: f64 = 0.1;
+/// Least pace against the nominal one: a cache never saves more than this for long.
+const CACHED: f64 = 0.4;
+/// Part of the way that the measured slowness between tokens goes towards each answer's.
+const SLOWNESS: f64 = 0.1;
+/// Part of what is known of answers' lengths that one more answer leaves in force.
+const FORGET: f64 = 0.99;
+/// Time between tokens of an empty batch, as a part of that of a full one.
+const EMPTY: f64 = 0.25;
+/// Prompt tokens sent to an engine after which the other hosts are told.
+///
+/// They are about 60 ms of an engine's work: finer news would cost more than it is worth.
+const TELL: u64 = 1000;
+/// Peers up to which hosts tell each other what they send: the messages grow with the hosts'
+/// number, and beyond it only reports and measured times speak of other hosts' work.
+const TELL_PEERS: usize = 16;
+
+/// What this host has measured of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Measured {
+    /// Prompt tokens waiting there at a time, of all hosts as far as they told.
+    queue: f64,
+    at: Time,
+    /// Prompt tokens of this host that the others were not told of yet.
+    untold: u64,
+    /// Time between tokens against that of an engine of nominal speed; 0 before the first.
+    slowness: f64,
+}
+
+/// Returns the seconds until an engine gets to a new prompt, by this host's reckoning.
+#[must_use]
+pub fn wait(engine: &Backend, settings: &PoolSettings, now: Time) -> f64 {
+    backlog(engine, settings, now) * pace(engine, settings)
+}
+
+/// Returns the prompt tokens waiting at an engine: what hosts sent, less what it has worked
+/// through since, and what its report adds.
+fn backlog(engine: &Backend, settings: &PoolSettings, now: Time) -> f64 {
+    let passed = now.since(engine.measured.at).as_secs_f64();
+    let left = engine.measured.queue - passed / pace(engine, settings);
+    let known = left.max(engine.prefill as f64);
+    let Some((read, report)) = &engine.report else {
+        return known;
+    };
+    let age = now.since(*read).as_secs_f64() + f64::from(report.age) / 1000.0;
+    let worth = 0.5_f64.powf(age / HALF_AGE);
+    known + worth * (report.prefill as f64 - known).max(0.0)
+}
+
+/// Returns the prompt tokens waiting at an engine, by this host's reckoning.
+#[must_use]
+pub fn queued(core: &Core, key: BackendKey) -> u64 {
+    let engine = &core.fleet.arena[key];
+    settings(core, key).map_or(0, |settings| whole(backlog(engine, settings, core.now)))
+}
+
+/// Counts a prompt that this host sends to an engine, and tells the others.
+pub fn sent(core: &mut Core, key: BackendKey, prompt: u64, out: &mut Effects) {
+    queue(core, key, prompt);
+    let engine = &mut core.fleet.arena[key];
+    engine.measured.untold += prompt;
+    if engine.measured.untold < TELL || core.members.count() > TELL_PEERS {
+        return;
+    }
+    let prompt = std::mem::take(&mut engine.measured.untold);
+    let sent = Sent {
+        engine: engine.seed,
+        prompt: u32::try_from(prompt).unwrap_or(u32::MAX),
+    };
+    out.extend(core.members.peers().map(|to| Effect::Send {
+        to,
+        message: Message::Sent(sent),
+    }));
+}
+
+/// Takes in what another host sent to an engine.
+pub fn told(core: &mut Core, sent: Sent) {
+    let engines = core.fleet.arena.iter();
+    let engine = engines
+        .filter(|(_, engine)| engine.seed == sent.engine)
+        .map(|(key, _)| key)
+        .next();
+    if let Some(key) = engine {
+        queue(core, key, u64::from(sent.prompt));
+    }
+}
+
+/// Tells the other hosts how many streams this host has at each engine.
+pub fn tell_streams(core: &mut Core, out: &mut Effects) {
+    if core.members.count() > TELL_PEERS {
+        return;
+    }
+    for engine in core.fleet.arena.values_mut() {
+        engine.told = engine.streams;
+    }
+    let engines = core.fleet.pools.iter().flat_map(|pool| &pool.engines);
+    let streams: Vec<(u32, u32)> = engines
+        .map(|&key| &core.fleet.arena[key])
+        .filter(|engine| engine.streams > 0)
+        .map(|engine| (engine.seed, engine.streams))
+        .collect();
+    out.extend(core.members.peers().map(|to| Effect::Send {
+        to,
+        message: Message::Running(streams.clone()),
+    }));
+}
+
+/// Takes in how many streams another host has at each engine.
+pub fn told_streams(core: &mut Core, from: HostKey, streams: &[(u32, u32)]) {
+    for engine in core.fleet.arena.values_mut() {
+        let told = streams.iter().find(|(seed, _)| *seed == engine.seed);
+        // An engine without streams of the sender still has its word: none.
+        engine
+            .others
+            .insert(from, told.map_or(0, |(_, count)| *count));
+    }
+}
+
+/// Forgets what a host told that is gone.
+pub fn forget(core: &mut Core, host: HostKey) {
+    for engine in core.fleet.arena.values_mut() {
+        engine.others.remove(&host);
+    }
+}
+
+/// Adds a prompt to what waits at an engine.
+fn queue(core: &mut Core, key: BackendKey, prompt: u64) {
+    let now = core.now;
+    let Some(pace) = settings(core, key).map(|settings| pace(&core.fleet.arena[key], settings))
+    else {
+        return;
+    };
+    let measured = &mut core.fleet.arena[key].measured;
+    let passed = now.since(measured.at).as_secs_f64();
+    measured.queue = (measured.queue - passed / pace).max(0.0) + prompt as f64;
+    measured.at = now;
+}
+
+/// Returns the seconds between tokens at an engine that gets one more stream; infinite where it
+/// decodes as many as it can.
+#[must_use]
+pub fn gap(engine: &Backend, settings: &PoolSettings) -> f64 {
+    let streams = streams(engine) + 1.0;
+    let slots = settings.slots as f64;
+    if streams > slots {
+        return f64::INFINITY;
+    }
+    slowness(engine) * nominal(streams, settings)
+}
+
+/// Returns the streams that an engine can take before its time between tokens is too long.
+#[must_use]
+pub fn free(engine: &Backend, settings: &PoolSettings) -> f64 {
+    let slots = settings.slots as f64;
+    let slowness = slowness(engine);
+    let full = slots / settings.decode;
+    let wanted = settings.between.as_secs_f64() * FULL / slowness;
+    let most = slots * (wanted / full - EMPTY) / (1.0 - EMPTY);
+    most.min(slots) - streams(engine)
+}
+
+fn slowness(engine: &Backend) -> f64 {
+    if engine.measured.slowness > 0.0 {
+        engine.measured.slowness
+    } else {
+        1.0
+    }
+}
+
+/// Returns the seconds between tokens at an engine of nominal speed.
+fn nominal(streams: f64, settings: &PoolSettings) -> f64 {
+    let slots = settings.slots as f64;
+    slots / settings.decode * (EMPTY + (1.0 - EMPTY) * streams / slots)
+}
+
+/// Returns the streams of all hosts at an engine, by its report and this host's own count.
+fn streams(engine: &Backend) -> f64 {
+    let own = f64::from(engine.streams);
+    if !engine.others.is_empty() {
+        let growth = own - f64::from(engine.told);
+        let grown = GROW * growth.max(0.0) * engine.others.len() as f64;
+        return own + grown + f64::from(engine.others.values().sum::<u32>());
+    }
+    let Some((_, report)) = &engine.report else {
+        return own;
+    };
+    let reported = f64::from(report.running + report.waiting);
+    let others = (reported - f64::from(engine.told)).max(0.0);
+    own + others
+}
+
+/// Returns the seconds that a prompt token takes at an engine, pieces in its cache counted as
+/// tokens that take none.
+#[must_use]
+pub fn pace(engine: &Backend, settings: &PoolSettings) -> f64 {
+    if engine.pace > 0.0 {
+        engine.pace
+    } else {
+        1.0 / settings.prefill
+    }
+}
+
+/// Learns from a prompt that has been worked through: `ahead` tokens, its own among them, were
+/// to be worked through from `sent` on.
+pub fn filled(core: &mut Core, key: BackendKey, sent: Time, ahead: u64) {
+    let now = core.now;
+    let Some(nominal) = settings(core, key).map(|settings| 1.0 / settings.prefill) else {
+        return;
+    };
+    if ahead < TELLING {
+        return;
+    }
+    let engine = &mut core.fleet.arena[key];
+    let before = if engine.pace > 0.0 {
+        engine.pace
+    } else {
+        nominal
+    };
+    let seen = now.since(sent).as_secs_f64() / ahead as f64;
+    engine.pace = (before + LEARN * (seen - before)).max(nominal * CACHED);
+}
+
+/// Returns the tokens that an answer is likely to have whose caller allows this many.
+#[must_use]
+pub fn expected(core: &Core, key: BackendKey, most: u32) -> u64 {
+    let pool = core.fleet.pool(&core.fleet.arena[key].pool);
+    let (had, allowed) = pool.map_or((0.0, 0.0), |pool| {
+        core.fleet.pools[usize::from(pool.0)].length
+    });
+    let part = if allowed > 0.0 { had / allowed } else { 1.0 };
+    whole(f64::from(most) * part)
+}
+
+/// Learns from a whole answer: `tokens` of `most` tokens allowed took `span` from the first to
+/// the last.
+pub fn decoded(core: &mut Core, key: BackendKey, span: Duration, tokens: u64, most: u32) {
+    if let Some(pool) = core.fleet.pool(&core.fleet.arena[key].pool) {
+        let (had, allowed) = &mut core.fleet.pools[usize::from(pool.0)].length;
+        *had = *had * FORGET + tokens as f64;
+        *allowed = *allowed * FORGET + f64::from(most);
+    }
+    if tokens < 2 {
+        return;
+    }
+    let seen = span.as_secs_f64() / (tokens - 1) as f64;
+    let Some(nominal) = settings(core, key).map(|settings| {
+        let streams = streams(&core.fleet.arena[key]).min(settings.slots as f64);
+        nominal(streams, settings)
+    }) else {
+        return;
+    };
+    let slowness = &mut core.fleet.arena[key].measured.slowness;
+    let before = if *slowness > 0.0 { *slowness } else { 1.0 };
+    *slowness = before + SLOWNESS * (seen / nominal - before);
+}
+
+fn settings(core: &Core, key: BackendKey) -> Option<&PoolSettings> {
+    let pool = core.fleet.pool(&core.fleet.arena.get(key)?.pool)?;
+    Some(&core.fleet.pools[usize::from(pool.0)].settings)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "token counts are positive and far below the bound of the type"
+)]
+fn whole(tokens: f64) -> u64 {
+    tokens as u64
+}
+
+/// Returns a number that looks random and depends on every bit of `value` (`SplitMix64`).
+#[must_use]
+pub fn mix(value: u64) -> u64 {
+    let mut value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/src/core/member.rs
+++ b/src/core/member.rs
@@ -11,7 +11,7 @@
 use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
 use super::key::HostKey;
 use super::message::{Beat, Message};
-use super::{Core, Effects, Time, config, killer, once, order, share, trace};
+use super::{Core, Effects, Time, config, killer, load, once, order, share, trace};
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
 
@@ -253,6 +253,7 @@
     match timer {
         Timer::Beat => {
             beats(core, out);
+            load::tell_streams(core, out);
             wake(core, Timer::Beat, BEAT_EVERY, out);
         }
         Timer::Register => register(core, out),
@@ -404,6 +405,7 @@
 fn left(core: &mut Core, name: &str, out: &mut Effects) {
     if let Some(key) = core.members.names.remove(name) {
         core.members.arena.remove(key);
+        load::forget(core, key);
         order::left(core, name);
         let text = format!("host {name} left");
         out.push(log_event(log::Level::Info, "host.left", text));
@@ -492,6 +494,8 @@
         } => config::told(core, revision, &plans, &uses, out),
         Message::Confirm(confirm) => order::confirmed(core, from, &confirm, out),
         Message::Demand(demand) => order::demanded(core, from, &demand),
+        Message::Sent(sent) => load::told(core, sent),
+        Message::Running(streams) => load::told_streams(core, from, &streams),
         Message::Suspect(suspect) => killer::told(core, suspect),
     }
 }
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -65,6 +65,11 @@
     Confirm(Confirm),
     /// Work the sender took in for a pool.
     Demand(Demand),
+    /// Prompts the sender sent to an engine.
+    Sent(Sent),
+    /// The sender's streams at each engine where it has any: low half of the hash of the
+    /// engine's name, and count.
+    Running(Vec<(u32, u32)>),
     /// An engine died while this request ran on it.
     Suspect(Suspect),
 }
@@ -210,6 +215,15 @@
     pub refused: f64,
 }
 
+/// Prompts that a host has sent to an engine since it last told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// Low half of the hash of the engine's name.
+    pub engine: u32,
+    /// Prompt tokens.
+    pub prompt: u32,
+}
+
 /// A request that was running on an engine when it died.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod key;
 pub mod killer;
+pub mod load;
 pub mod member;
 pub mod message;
 pub mod once;
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -11,7 +11,7 @@
 use super::key::{AttemptKey, BackendKey, RequestKey};
 use super::route::{Choice, Need};
 use super::trace::{self, Note, Record};
-use super::{Core, Effects, Time, admit, killer, member, once, route, share};
+use super::{Core, Effects, Time, admit, killer, load, member, once, route, share};
 use crate::error::{Kind, Ran};
 
 /// Most attempts at one request, resumed streams not counted.
@@ -98,6 +98,12 @@
     prefill: Option<BackendKey>,
     /// Name at the back end.
     label: Box<str>,
+    /// When it was sent.
+    sent: Time,
+    /// When it brought the first token.
+    first: Time,
+    /// Prompt tokens that the engine had then, by this host's reckoning, its own among them.
+    ahead: u64,
     /// When it was sent, or last brought something.
     last: Time,
     /// Whether anything of the answer arrived.
@@ -263,8 +269,8 @@
     allowed(core, key)?;
     let request = &core.requests.arena[key];
     killer::check(core, request.print)?;
-    if let Want::Model(want) = &request.want {
-        admit::check(core, want)?;
+    if let Some(need) = need(request) {
+        admit::check(core, &need)?;
     }
     Ok(())
 }
@@ -350,20 +356,11 @@
 /// Sends a request to a back end.
 pub fn dispatch(core: &mut Core, key: RequestKey, out: &mut Effects) {
     let request = &core.requests.arena[key];
-    let chosen = match &request.want {
-        Want::Model(want) => {
-            let need = Need {
-                model: want.model.clone(),
-                prompt: want.prompt,
-                prefix: want.pieces.first().copied().unwrap_or(0),
-                avoid: request.avoid.clone(),
-            };
-            route::engine(core, &need)
-        }
-        Want::Service(want) => {
-            let (service, avoid) = (want.service.clone(), request.avoid.clone());
-            route::instance(core, &service, &avoid).map(Choice::whole)
-        }
+    let chosen = if let Some(need) = need(request) {
+        route::engine(core, &need)
+    } else {
+        let (service, avoid) = (request.class.clone(), request.avoid.clone());
+        route::instance(core, &service, &avoid).map(Choice::whole)
     };
     let Some(choice) = chosen else {
         let request = &core.requests.arena[key];
@@ -380,6 +377,18 @@
     attempt(core, key, choice, None, out);
 }
 
+/// Returns what a completion needs of an engine; `None` for a call of a service.
+fn need(request: &Request) -> Option<Need> {
+    let want = request.model()?;
+    Some(Need {
+        model: want.model.clone(),
+        prompt: want.prompt,
+        output: want.output,
+        prefix: want.pieces.first().copied().unwrap_or(0),
+        avoid: request.avoid.clone(),
+    })
+}
+
 /// Opens an attempt at a back end; `label` resumes the one of that name.
 fn attempt(
     core: &mut Core,
@@ -389,18 +398,25 @@
     out: &mut Effects,
 ) {
     let backend = choice.engine;
+    let queued = load::queued(core, choice.prefill.unwrap_or(backend));
+    let (prompt, output) = match &core.requests.arena[key].want {
+        Want::Model(want) => {
+            let output = load::expected(core, backend, want.output);
+            (u64::from(want.prompt), output)
+        }
+        Want::Service(_) => (0, 0),
+    };
     let request = &mut core.requests.arena[key];
     let resume = label.is_some().then_some(request.delivered);
     let fresh = || format!("{}.{}", request.record.id, request.tries).into();
     let label = label.unwrap_or_else(fresh);
-    let (prompt, output) = match &request.want {
-        Want::Model(want) => (u64::from(want.prompt), u64::from(want.output)),
-        Want::Service(_) => (0, 0),
-    };
     let attempt = core.requests.attempts.insert(Attempt {
         request: key,
         backend,
         prefill: choice.prefill,
+        sent: core.now,
+        first: core.now,
+        ahead: prompt + queued,
         label: label.clone(),
         last: core.now,
         began: false,
@@ -450,6 +466,7 @@
             });
         }
     }
+    load::sent(core, choice.prefill.unwrap_or(backend), prompt, out);
     if let Some(prefill) = choice.prefill {
         core.fleet.sent(prefill, prompt, 0);
         core.fleet.sent(backend, 0, output);
@@ -468,6 +485,8 @@
             core.fleet.works(prefill);
             core.fleet
                 .ended(prefill, std::mem::take(&mut attempt.prompt), 0);
+            let (sent, ahead) = (attempt.sent, attempt.ahead);
+            load::filled(core, prefill, sent, ahead);
         }
     }
 }
@@ -522,18 +541,25 @@
             after,
         }));
     }
-    if !attempt.began {
+    let filled = (!attempt.began).then(|| {
         attempt.began = true;
+        attempt.first = core.now;
         let prompt = std::mem::take(&mut attempt.prompt);
         if let Some(backend) = core.fleet.arena.get_mut(attempt.backend) {
             backend.prefill = backend.prefill.saturating_sub(prompt);
         }
-    }
+        (attempt.backend, attempt.sent, attempt.ahead, prompt)
+    });
     request.last = Some(core.now);
     request.delivered += u64::from(tokens);
     if let Some(record) = request.record.attempts.last_mut() {
         record.tokens += tokens;
     }
+    if let Some((backend, sent, ahead, prompt)) = filled
+        && prompt > 0
+    {
+        load::filled(core, backend, sent, ahead);
+    }
 }
 
 fn whole(core: &mut Core, key: AttemptKey, out: &mut Effects) {
@@ -549,7 +575,14 @@
         broke(core, key, Ran::Yes, Break::Cut, detail, out);
         return;
     }
-    core.fleet.works(attempt.backend);
+    let (backend, span) = (attempt.backend, core.now.since(attempt.first));
+    core.fleet.works(backend);
+    let record = core.requests.arena[request].record.attempts.last();
+    let tokens = record.map_or(0, |record| u64::from(record.tokens));
+    let most = core.requests.arena[request]
+        .model()
+        .map_or(0, |want| want.output);
+    load::decoded(core, backend, span, tokens, most);
     close_attempt(core, key, "whole", Ran::Yes);
     out.push(Effect::Finish(request));
     end(core, request, "answered", Ran::Yes, out);
--- a/src/core/role.rs
+++ b/src/core/role.rs
@@ -1,4 +1,8 @@
 //! Which engine of a pool should change its role, if any.
+//!
+//! Demand is what the hosts took in, not what lagging reports say. A change is worth making when
+//! the answers it would save within a horizon outweigh what the engine's absence costs and what
+//! the deployment holds against each change; all are counted in engine seconds.
 
 use super::Time;
 use super::event::Role;
@@ -37,9 +41,77 @@
     pub output: f64,
 }
 
+/// Seconds over which demand is averaged.
+///
+/// Longer than a change takes, so that a swing which would be over before the engine is back is
+/// not followed.
+const SHORT: f64 = 12.0;
+/// Seconds over which demand is averaged to see its trend.
+const LONG: f64 = 45.0;
+/// Seconds ahead for which demand is forecast: about what a change takes with its drain.
+const AHEAD: f64 = 8.0;
+/// Seconds over which what a change saves is counted.
+const HORIZON: f64 = 60.0;
+/// Seconds that an engine is away for a change, its drain counted.
+const AWAY: f64 = 10.0;
+/// Part of the prefill engines' time above which prompts begin to wait too long.
+const PREFILL_FULL: f64 = 0.9;
+/// Part of the decode engines' streams above which answers begin to wait.
+const DECODE_FULL: f64 = 0.95;
+/// Seconds for which a change must have looked worth making.
+const STEADY: f64 = 7.0;
+/// Seconds after a change during which none is made in the other direction, where only the
+/// weight of changes counts; less, the more goodput weighs.
+const REST: f64 = 60.0;
+/// What a change costs in goodput, in engine seconds, as far as that rest is concerned.
+const REST_SHARE: f64 = 5.0;
+/// Engines of a pool for each of which one may be away at a time.
+const ABREAST: usize = 20;
+
 /// What the decision remembers between calls.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct Memory;
+pub struct Memory {
+    seen: Option<Time>,
+    short: Work,
+    long: Work,
+    /// Role that looked worth taking on, and since when.
+    wish: Option<(Role, Time)>,
+    /// Role last taken on, and when.
+    last: Option<(Role, Time)>,
+}
+
+/// Engine seconds asked for a second.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+struct Work {
+    prefill: f64,
+    decode: f64,
+}
+
+impl Work {
+    /// Returns the average after `part` of the way from here to `other`.
+    fn towards(self, other: Self, part: f64) -> Self {
+        Self {
+            prefill: self.prefill + part * (other.prefill - self.prefill),
+            decode: self.decode + part * (other.decode - self.decode),
+        }
+    }
+
+    /// Returns the engine seconds a second whose answers come late or not at all where the
+    /// engines of each role have these speeds in sum.
+    fn lost(self, speeds: Work) -> f64 {
+        let all = self.prefill + self.decode;
+        let late = |work: f64, speed: f64| {
+            if work > 0.0 {
+                (1.0 - speed / work).max(0.0)
+            } else {
+                0.0
+            }
+        };
+        let prefill = late(self.prefill, speeds.prefill * PREFILL_FULL);
+        let decode = late(self.decode, speeds.decode * DECODE_FULL);
+        all * prefill.max(decode)
+    }
+}
 
 /// A change worth making.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +124,151 @@
 
 /// Returns the change worth making now, if any; called about once a second by a pool's holder.
 #[must_use]
-pub fn decide(_view: &View<'_>, _memory: &mut Memory) -> Option<Change> {
-    None
+pub fn decide(view: &View<'_>, memory: &mut Memory) -> Option<Change> {
+    if !view.settings.split {
+        return None;
+    }
+    let work = learn(view, memory);
+    let away = view.engines.iter().filter(|engine| !engine.serving);
+    if away.count() > view.engines.len() / ABREAST {
+        return None;
+    }
+    let speeds = speeds(view);
+    if let Some(change) = part(view, work, speeds) {
+        return Some(change);
+    }
+    let best = [Role::Prefill, Role::Decode]
+        .into_iter()
+        .filter_map(|role| worth(view, work, speeds, role))
+        .max_by(|one, other| one.0.total_cmp(&other.0));
+    let Some((_, change)) = best else {
+        memory.wish = None;
+        return None;
+    };
+    let since = match memory.wish {
+        Some((role, since)) if role == change.role => since,
+        _ => view.now,
+    };
+    memory.wish = Some((change.role, since));
+    let passed = |at: Time| view.now.since(at).as_secs_f64();
+    let back = memory
+        .last
+        .is_some_and(|(role, at)| role != change.role && passed(at) < rest(view.settings));
+    if back || passed(since) < STEADY {
+        return None;
+    }
+    memory.wish = None;
+    memory.last = Some((change.role, view.now));
+    Some(change)
+}
+
+/// Returns the seconds after a change during which none is made in the other direction.
+///
+/// A deployment that weighs goodput takes a change back soon where it was wrong; one that weighs
+/// changes rather waits whether the mix swings back.
+fn rest(settings: &PoolSettings) -> f64 {
+    let change = settings.change;
+    REST * change / (change + REST_SHARE * settings.goodput).max(f64::EPSILON)
+}
+
+/// Takes in the demand of the last second, and returns the forecast.
+fn learn(view: &View<'_>, memory: &mut Memory) -> Work {
+    let now = Work {
+        prefill: view.prompt / view.settings.prefill,
+        decode: view.output / view.settings.decode,
+    };
+    let Some(seen) = memory.seen.replace(view.now) else {
+        memory.short = now;
+        memory.long = now;
+        return now;
+    };
+    let passed = view.now.since(seen).as_secs_f64();
+    let part = |over: f64| 1.0 - (-passed / over).exp();
+    memory.short = memory.short.towards(now, part(SHORT));
+    memory.long = memory.long.towards(now, part(LONG));
+    let ahead = memory.short.towards(memory.long, -AHEAD / (LONG - SHORT));
+    Work {
+        prefill: ahead.prefill.max(0.0),
+        decode: ahead.decode.max(0.0),
+    }
+}
+
+/// Returns the speeds of the serving engines of each role in sum.
+fn speeds(view: &View<'_>) -> Work {
+    let of = |role: Role| -> f64 {
+        let engines = view.engines.iter();
+        let engines = engines.filter(|engine| engine.serving && engine.role == role);
+        engines.map(|engine| engine.speed).sum()
+    };
+    Work {
+        prefill: of(Role::Prefill),
+        decode: of(Role::Decode),
+    }
+}
+
+/// Gives an engine that does both the role that is shorter of engines: a split pool has none.
+fn part(view: &View<'_>, work: Work, speeds: Work) -> Option<Change> {
+    let engine = idlest(view, Role::Both)?;
+    let prefill = (work.prefill + f64::EPSILON) / (speeds.prefill + f64::EPSILON);
+    let decode = (work.decode + f64::EPSILON) / (speeds.decode + f64::EPSILON);
+    let role = if prefill > decode {
+        Role::Prefill
+    } else {
+        Role::Decode
+    };
+    Some(Change {
+        engine: engine.key,
+        role,
+    })
+}
+
+/// Returns what it is worth that one more engine takes on a role, and which; `None` where it is
+/// not worth a change.
+fn worth(view: &View<'_>, work: Work, speeds: Work, role: Role) -> Option<(f64, Change)> {
+    let (from, count) = match role {
+        Role::Prefill => (Role::Decode, speeds.decode),
+        Role::Decode => (Role::Prefill, speeds.prefill),
+        Role::Both => return None,
+    };
+    let engine = idlest(view, from)?;
+    if count <= engine.speed {
+        return None;
+    }
+    let (mut without, mut with) = (speeds, speeds);
+    match role {
+        Role::Prefill => {
+            without.decode -= engine.speed;
+            with.decode -= engine.speed;
+            with.prefill += engine.speed;
+        }
+        Role::Decode | Role::Both => {
+            without.prefill -= engine.speed;
+            with.prefill -= engine.speed;
+            with.decode += engine.speed;
+        }
+    }
+    let now = work.lost(speeds);
+    let saved = (now - work.lost(with)) * HORIZON;
+    let spent = (work.lost(without) - now) * AWAY;
+    let worth = (saved - spent) * view.settings.goodput - view.settings.change;
+    let change = Change {
+        engine: engine.key,
+        role,
+    };
+    (worth > 0.0).then_some((worth, change))
+}
+
+/// Returns the serving engine of a role with the fewest streams.
+///
+/// The failure domain with the most engines of the role gives one up, so that the loss of a
+/// failure domain takes no role from the pool.
+fn idlest<'a>(view: &View<'a>, role: Role) -> Option<&'a Engine> {
+    let of_role = || {
+        let engines = view.engines.iter();
+        engines.filter(move |engine| engine.serving && engine.role == role)
+    };
+    of_role().min_by_key(|engine| {
+        let beside = of_role().filter(|other| other.domain == engine.domain);
+        (std::cmp::Reverse(beside.count()), engine.streams)
+    })
 }
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -1,22 +1,37 @@
 //! Which back end a request goes to.
+//!
+//! A host knows its own work at each engine exactly and that of other hosts only by reports that
+//! lag and by how long its own requests took. Both grow stale, so that the choice weighs them by
+//! age, and no host's choice is that of every other.
+
+use std::time::Duration;
 
 use rand::RngExt;
+use rand::rngs::SmallRng;
 
 use super::event::Role;
-use super::fleet::Backend;
+use super::fleet::Fleet;
 use super::key::BackendKey;
+use super::load::{free, gap, mix, pace, wait};
 use super::{Core, Time};
-
-/// Seconds a prompt token takes at an engine that was never measured.
-const PACE: f64 = 0.0;
-/// How much longer the wait at the engine that has the prompt's prefix may be, in parts of the
-/// prompt's own prefill, before another engine is taken.
-const STICK: f64 = 1.0;
-/// Age at which a load report is worth half.
+use crate::settings::PoolSettings;
+
+/// Free streams that an engine must have, since other hosts send to it at the same time.
+const MARGIN: f64 = 3.0;
+/// Cost that puts an engine that looks full behind every other.
+const LAST: f64 = 1e6;
+/// Random part of the cost in seconds, so that hosts that know the same do not all choose the
+/// same engine.
+const JITTER: f64 = 0.02;
+/// Least weight of an engine that looks full, against one with that many free streams.
 ///
-/// Reports lag, so that a busy engine can look idle to every host at once. This host's own counts
-/// are exact; the report only adds what others sent, and less the older it is.
-const HALF_AGE: f64 = 2.0;
+/// The report may be old, and every host that believes it would leave the engine idle.
+const LOOKS_FULL: f64 = 0.25;
+/// Engines that are weighed for one request at most, drawn at random from larger pools.
+const SAMPLE: usize = 48;
+/// Part of a prompt's first piece that the engine chosen by the piece's hash will have in its
+/// cache, by expectation.
+const AFFINITY: f64 = 0.8;
 
 /// What a request needs, as far as the choice is concerned.
 #[derive(Debug, Clone)]
@@ -25,6 +40,8 @@
     pub model: Box<str>,
     /// Prompt tokens.
     pub prompt: u32,
+    /// Most tokens to generate.
+    pub output: u32,
     /// Hash of the prompt's first piece; 0 for a prompt shorter than a piece.
     pub prefix: u64,
     /// Back ends not to take again.
@@ -51,127 +68,164 @@
     }
 }
 
+/// The best engines of one pool for one request, and what they promise.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Offer {
+    /// The engines.
+    pub choice: Choice,
+    /// Seconds until the prompt is worked through.
+    pub first: f64,
+    /// Seconds between tokens; infinite where no stream is free.
+    pub between: f64,
+}
+
 /// Returns the engine, or the two engines, for a request; `None` where none takes work.
 #[must_use]
 pub fn engine(core: &mut Core, need: &Need) -> Option<Choice> {
-    let both = candidates(core, need, Role::Both);
-    if let Some(engine) = best(core, &both, need) {
-        return Some(Choice::whole(engine));
-    }
-    let prefills = candidates(core, need, Role::Prefill);
-    let decodes = candidates(core, need, Role::Decode);
-    let prefill = best(core, &prefills, need)?;
-    let engine = least_streams(core, &decodes)?;
-    Some(Choice {
-        engine,
-        prefill: Some(prefill),
-    })
-}
-
-fn best(core: &mut Core, candidates: &[BackendKey], need: &Need) -> Option<BackendKey> {
-    let home = affine(core, need, candidates);
-    let best = two_choices(core, candidates, need)?;
-    let Some(home) = home else {
-        return Some(best);
-    };
-    let slack = STICK * f64::from(need.prompt) * pace(core, home);
-    let stays = wait(core, home) <= wait(core, best) + slack;
-    Some(if stays { home } else { best })
+    offer(core, need).map(|offer| offer.choice)
 }
 
-/// Returns the one of two engines drawn at random that decodes fewer streams.
-fn least_streams(core: &mut Core, candidates: &[BackendKey]) -> Option<BackendKey> {
-    if candidates.is_empty() {
-        return None;
-    }
-    let one = candidates[core.rng.random_range(0..candidates.len())];
-    let two = candidates[core.rng.random_range(0..candidates.len())];
-    let streams = |key: BackendKey| core.fleet.arena[key].streams;
-    Some(if streams(two) < streams(one) {
-        two
-    } else {
-        one
-    })
+/// Returns what the engines of the model offer; `None` where none takes work.
+#[must_use]
+pub fn offer(core: &mut Core, need: &Need) -> Option<Offer> {
+    let Core {
+        fleet, rng, now, ..
+    } = core;
+    let domain = &core.settings.host.domain;
+    let offers = fleet.serving(&need.model).filter_map(|pool| {
+        let scan = Scan {
+            fleet,
+            settings: &pool.settings,
+            engines: &pool.engines,
+            domain,
+            need,
+            now: *now,
+        };
+        scan.offer(rng)
+    });
+    offers.min_by(|one, other| one.first.total_cmp(&other.first))
 }
 
-/// Returns the engines of one role that take this request.
-fn candidates(core: &Core, need: &Need, role: Role) -> Vec<BackendKey> {
-    let fleet = &core.fleet;
-    let mut keys: Vec<BackendKey> = fleet
-        .serving(&need.model)
-        .flat_map(|pool| pool.engines.iter().copied())
-        .filter(|&key| {
-            let engine = &fleet.arena[key];
-            engine.takes(core.now) && engine.role == role && !need.avoid.contains(&key)
-        })
-        .collect();
-    keys.sort_unstable();
-    keys
+/// One look over a pool.
+struct Scan<'a> {
+    fleet: &'a Fleet,
+    settings: &'a PoolSettings,
+    engines: &'a [BackendKey],
+    domain: &'a str,
+    need: &'a Need,
+    now: Time,
 }
 
-/// Returns the engine that prompts with this first piece go to, so that its cache has it.
-fn affine(core: &Core, need: &Need, candidates: &[BackendKey]) -> Option<BackendKey> {
-    if need.prefix == 0 {
-        return None;
+/// Cheapest engine so far.
+type Best = Option<(f64, BackendKey)>;
+
+impl Scan<'_> {
+    fn offer(&self, rng: &mut SmallRng) -> Option<Offer> {
+        let home = self.home();
+        let (mut both, mut prefill, mut decode) = (None, None, None);
+        let count = self.engines.len();
+        for at in 0..count.min(SAMPLE) {
+            let at = if count > SAMPLE {
+                rng.random_range(0..count)
+            } else {
+                at
+            };
+            self.weigh(
+                self.engines[at],
+                home,
+                rng,
+                [&mut both, &mut prefill, &mut decode],
+            );
+        }
+        let whole = both.map(|(_, engine)| self.promise(Choice::whole(engine)));
+        let split = prefill.zip(decode).map(|((_, prefill), (_, engine))| {
+            self.promise(Choice {
+                engine,
+                prefill: Some(prefill),
+            })
+        });
+        match (whole, split) {
+            (Some(whole), Some(split)) if split.first < whole.first => Some(split),
+            (whole, split) => whole.or(split),
+        }
     }
-    candidates.iter().copied().max_by_key(|&key| {
-        let hash =
-            blake3::hash(format!("{}\n{}", need.prefix, core.fleet.arena[key].name).as_bytes());
-        *hash.as_bytes()
-    })
-}
 
-/// Returns the better of two engines drawn at random.
-///
-/// Taking the best of all by late reports would send every host to the same engine.
-fn two_choices(core: &mut Core, candidates: &[BackendKey], need: &Need) -> Option<BackendKey> {
-    if candidates.is_empty() {
-        return None;
+    /// Weighs one engine for the part of the request that its role does.
+    fn weigh(&self, key: BackendKey, home: Best, rng: &mut SmallRng, best: [&mut Best; 3]) {
+        let engine = &self.fleet.arena[key];
+        if !engine.takes(self.now) || self.need.avoid.contains(&key) {
+            return;
+        }
+        let [both, prefill, decode] = best;
+        let near = if *engine.domain == *self.domain {
+            0.0
+        } else {
+            FAR.as_secs_f64()
+        };
+        let noise = JITTER * rng.random::<f64>() + near;
+        let fill = || {
+            let saved = match home {
+                Some((_, home)) if home == key => AFFINITY * self.settings.piece as f64,
+                _ => 0.0,
+            };
+            let prompt = (f64::from(self.need.prompt) - saved).max(0.0);
+            wait(engine, self.settings, self.now) + prompt * pace(engine, self.settings) + noise
+        };
+        let (slot, cost) = match engine.role {
+            Role::Both => (both, fill() + gap(engine, self.settings)),
+            Role::Prefill => (prefill, fill()),
+            Role::Decode => {
+                // Each engine's draw is distributed so that it wins with a probability in
+                // proportion to its free streams: hosts that believe the same late report
+                // then share the work out as it says, and do not all go to one engine.
+                let free = free(engine, self.settings);
+                let draw = -(1.0 - rng.random::<f64>()).ln();
+                let last = if free < MARGIN { LAST } else { 0.0 };
+                (decode, draw / free.max(LOOKS_FULL) + last)
+            }
+        };
+        if slot.is_none_or(|(least, _)| cost < least) {
+            *slot = Some((cost, key));
+        }
     }
-    let one = candidates[core.rng.random_range(0..candidates.len())];
-    let two = candidates[core.rng.random_range(0..candidates.len())];
-    let cost = |key: BackendKey| {
-        let far = core.fleet.arena[key].domain != core.settings.host.domain;
-        let near = u8::from(far);
-        (
-            wait(core, key) + f64::from(need.prompt) * pace(core, key),
-            near,
-        )
-    };
-    Some(if cost(two) < cost(one) { two } else { one })
-}
 
-/// Returns the seconds until an engine gets to a new prompt, by this host's reckoning.
-#[must_use]
-pub fn wait(core: &Core, key: BackendKey) -> f64 {
-    let engine = &core.fleet.arena[key];
-    let own = engine.prefill as f64 * pace(core, key);
-    own + reported(engine, core.now) + f64::from(engine.streams) * 1e-3
-}
-
-/// Returns the wait that an engine's own report adds, weighed by its age.
-fn reported(engine: &Backend, now: Time) -> f64 {
-    let Some((read, report)) = &engine.report else {
-        return 0.0;
-    };
-    let age = now.since(*read).as_secs_f64() + f64::from(report.age) / 1000.0;
-    let weight = 0.5_f64.powf(age / HALF_AGE);
-    let others = f64::from(report.running + report.waiting) - f64::from(engine.streams);
-    weight * others.max(0.0) * 1e-3
-}
+    /// Returns the engine that prompts with this first piece go to, so that its cache has it.
+    fn home(&self) -> Best {
+        if self.need.prefix == 0 {
+            return None;
+        }
+        let mut best: Option<(u64, BackendKey)> = None;
+        for &key in self.engines {
+            let engine = &self.fleet.arena[key];
+            if engine.role == Role::Decode || !engine.takes(self.now) {
+                continue;
+            }
+            let weight = mix(self.need.prefix ^ u64::from(engine.seed));
+            if best.is_none_or(|(most, _)| weight > most) {
+                best = Some((weight, key));
+            }
+        }
+        best.map(|(_, key)| (0.0, key))
+    }
 
-/// Returns the seconds that a prompt token takes at an engine.
-#[must_use]
-pub fn pace(core: &Core, key: BackendKey) -> f64 {
-    let engine = &core.fleet.arena[key];
-    if engine.pace > 0.0 {
-        return engine.pace;
+    fn promise(&self, choice: Choice) -> Offer {
+        let fill = &self.fleet.arena[choice.prefill.unwrap_or(choice.engine)];
+        let prompt = f64::from(self.need.prompt) * pace(fill, self.settings);
+        Offer {
+            choice,
+            first: wait(fill, self.settings, self.now) + prompt,
+            between: if free(&self.fleet.arena[choice.engine], self.settings) < MARGIN {
+                f64::INFINITY
+            } else {
+                gap(&self.fleet.arena[choice.engine], self.settings)
+            },
+        }
     }
-    core.fleet.pool(&engine.pool).map_or(PACE, |pool| {
-        1.0 / core.fleet.pools[usize::from(pool.0)].settings.prefill
-    })
 }
 
+/// Time a hop to another failure domain takes longer than one within a failure domain.
+const FAR: Duration = Duration::from_micros(1500);
+
 /// Returns the instance for a service call: the one with the fewest calls of this host.
 #[must_use]
 pub fn instance(core: &mut Core, service: &str, avoid: &[BackendKey]) -> Option<BackendKey> {
--- a/src/wire/convert.rs
+++ b/src/wire/convert.rs
@@ -4,7 +4,7 @@
 use super::{WireError, array};
 use crate::core::event::{Print, Stored};
 use crate::core::message::{
-    Beat, Begin, BeginState, Borrow, Confirm, Demand, Done, DoneState, Lend, Message, Suspect,
+    Beat, Begin, BeginState, Borrow, Confirm, Demand, Done, DoneState, Lend, Message, Sent, Suspect,
 };
 use crate::core::trace::{Attempt, Note, Record};
 use crate::error::Ran;
@@ -89,6 +89,14 @@
             output: demand.output,
             refused: demand.refused,
         }),
+        Message::Sent(sent) => Kind::Sent(wire::Sent {
+            engine: sent.engine,
+            prompt: sent.prompt,
+        }),
+        Message::Running(streams) => Kind::Running(wire::Running {
+            engines: streams.iter().map(|(engine, _)| *engine).collect(),
+            counts: streams.iter().map(|(_, count)| *count).collect(),
+        }),
         Message::Suspect(suspect) => Kind::Suspect(wire::Suspect {
             print: suspect.print.0.to_vec(),
             engine: suspect.engine.to_string(),
@@ -150,6 +158,13 @@
             output: amount(demand.output, "output")?,
             refused: amount(demand.refused, "refused")?,
         }),
+        Kind::Sent(sent) => Message::Sent(Sent {
+            engine: sent.engine,
+            prompt: sent.prompt,
+        }),
+        Kind::Running(streams) => {
+            Message::Running(streams.engines.into_iter().zip(streams.counts).collect())
+        }
         Kind::Suspect(suspect) => Message::Suspect(Suspect {
             print: Print(array(&suspect.print, "print")?),
             engine: suspect.engine.into(),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -3,7 +3,7 @@
 pub struct Frame {
     #[prost(
         oneof = "frame::Kind",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub kind: ::core::option::Option<frame::Kind>,
 }
@@ -45,6 +45,10 @@
         Suspect(super::Suspect),
         #[prost(message, tag = "17")]
         Demand(super::Demand),
+        #[prost(message, tag = "18")]
+        Sent(super::Sent),
+        #[prost(message, tag = "19")]
+        Running(super::Running),
     }
 }
 /// First frame of each side of a connection.
@@ -308,6 +312,25 @@
     #[prost(double, tag = "4")]
     pub refused: f64,
 }
+/// Prompts the sender has sent to an engine since it last told.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Sent {
+    /// Low half of the hash of the engine's name.
+    #[prost(fixed32, tag = "1")]
+    pub engine: u32,
+    #[prost(uint32, tag = "2")]
+    pub prompt: u32,
+}
+/// Streams of the sender at each engine where it has any.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Running {
+    /// Low halves of the hashes of the engines' names.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub engines: ::prost::alloc::vec::Vec<u32>,
+    /// Streams at each of them.
+    #[prost(uint32, repeated, tag = "2")]
+    pub counts: ::prost::alloc::vec::Vec<u32>,
+}
 /// An engine died while this request was running on it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Suspect {
