Tell refused callers to come back in their own slot, and take them first then

All were told the same second or so, and whichever host they reached knew nothing of the promise.

Change: the fingerprint of a request names one of eight slots of a second. A refused caller is told when its slot comes next; a request that comes in its slot is taken up to 0.9 of the wanted time to the first token and the last free stream, any other up to 0.65 and three free streams. Hosts share no state for it.

Ruled out: a ledger of promises (a caller comes back to another host), telling peers of each promise (its bytes grow with refusals), a ticket in the answer (callers follow Retry-After, not a header of ours).

At and above capacity more callers come back than can be served, and the aim is missed.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -3,21 +3,24 @@
 use std::time::Duration;
 
 use super::effect::Refusal;
+use super::event::Print;
 use super::key::BackendKey;
-use super::route::{self, Need};
+use super::route::{self, MARGIN, Need};
 use super::{Core, load};
 use crate::error::Kind;
 use crate::settings::PoolSettings;
 
-/// How far past the wanted time to the first token a request is still taken, as a factor.
+/// Part of the wanted time to the first token that an answer may take by this host's reckoning.
+///
+/// The reckoning misses what is on its way from other hosts, so that a request which is taken
+/// at the very bound often comes late.
 const PATIENCE: f64 = 0.65;
-/// How far past the wanted time between tokens a request is still taken, as a factor.
-const STRETCH: f64 = 1.0;
+/// The same for a request that comes when it was told to come back.
+const DUE_PATIENCE: f64 = 0.9;
+/// Slots of a second over which refused callers are spread.
+const SLOTS: u64 = 8;
 /// Times that a refused caller asks, the first one counted.
 const ASKED: u64 = 2;
-/// Least time a refused caller is told to stay away.
-const RETRY_LEAST: Duration = Duration::from_secs(1);
-
 /// Returns why a completion is not taken, if it is not.
 ///
 /// # Errors
@@ -25,7 +28,7 @@
 /// Returns [`Kind::NoEngine`] when no engine of the model takes work, and [`Kind::Overloaded`]
 /// when an answer would come later than wanted: such an answer is of no use to its caller and
 /// makes the next ones late, too.
-pub fn check(core: &mut Core, need: &Need) -> Result<(), Refusal> {
+pub fn check(core: &mut Core, need: &Need, print: Print) -> Result<(), Refusal> {
     let Some(offer) = route::offer(core, need) else {
         return Err(Refusal::new(
             Kind::NoEngine,
@@ -35,27 +38,48 @@
     let Some(settings) = settings(core, need) else {
         return Ok(());
     };
+    let second = core.wall() / 1000;
+    let (patience, margin) = if due(print, second) {
+        (DUE_PATIENCE, 0.0)
+    } else {
+        (PATIENCE, MARGIN)
+    };
     // A prompt that takes longer than wanted even at an idle engine is not refused for it.
     let alone = f64::from(need.prompt) / settings.prefill;
-    let bound = settings.first_token.as_secs_f64().max(alone * 2.0) * PATIENCE;
-    let late = offer.first > bound;
-    let full = offer.between > settings.between.as_secs_f64() * STRETCH;
-    if late || full {
-        demand(core, offer.choice.engine, need);
-    }
-    if late {
-        let over = Duration::from_secs_f64(offer.first - bound).max(RETRY_LEAST);
-        let detail = format!(
+    let bound = settings.first_token.as_secs_f64().max(alone * 2.0) * patience;
+    let detail = if offer.first > bound {
+        format!(
             "the first token would come after {:.2} s, more than the {bound:.2} s that are taken",
             offer.first
-        );
-        return Err(Refusal::new(Kind::Overloaded, detail).retry(over));
-    }
-    if full {
-        let detail = "every engine generates as many answers as it can in time";
-        return Err(Refusal::new(Kind::Overloaded, detail).retry(RETRY_LEAST));
-    }
-    Ok(())
+        )
+    } else if offer.free < margin || offer.between > settings.between.as_secs_f64() {
+        "every engine generates as many answers as it can in time".into()
+    } else {
+        return Ok(());
+    };
+    demand(core, offer.choice.engine, need);
+    Err(Refusal::new(Kind::Overloaded, detail).retry(back(print, second)))
+}
+
+/// Returns whether a request comes in its slot, or so little after it as clocks and networks
+/// make it.
+///
+/// Slots are how hosts that share nothing keep a promise: a refused caller is told to come back
+/// in the slot that its request's fingerprint names, and whichever host it then reaches takes it
+/// before those whose slot it is not. Hosts' clocks agree within a second.
+fn due(print: Print, second: u64) -> bool {
+    let slot = slot(print);
+    second % SLOTS == slot || (second + SLOTS - 1) % SLOTS == slot
+}
+
+/// Returns the time until a request's slot, at least a second.
+fn back(print: Print, second: u64) -> Duration {
+    let ahead = (slot(print) + SLOTS - second % SLOTS) % SLOTS;
+    Duration::from_secs(if ahead == 0 { SLOTS } else { ahead })
+}
+
+fn slot(print: Print) -> u64 {
+    u64::from(print.0[0]) % SLOTS
 }
 
 /// Counts a refused request into the demand that role changes follow, as a part: its caller asks
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -268,9 +268,10 @@
     }
     allowed(core, key)?;
     let request = &core.requests.arena[key];
-    killer::check(core, request.print)?;
+    let print = request.print;
+    killer::check(core, print)?;
     if let Some(need) = need(request) {
-        admit::check(core, &need)?;
+        admit::check(core, &need, print)?;
     }
     Ok(())
 }
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -17,7 +17,7 @@
 use crate::settings::PoolSettings;
 
 /// Free streams that an engine must have, since other hosts send to it at the same time.
-const MARGIN: f64 = 3.0;
+pub const MARGIN: f64 = 3.0;
 /// Cost that puts an engine that looks full behind every other.
 const LAST: f64 = 1e6;
 /// Random part of the cost in seconds, so that hosts that know the same do not all choose the
@@ -77,6 +77,8 @@
     pub first: f64,
     /// Seconds between tokens; infinite where no stream is free.
     pub between: f64,
+    /// Streams that the engine can still take.
+    pub free: f64,
 }
 
 /// Returns the engine, or the two engines, for a request; `None` where none takes work.
@@ -211,14 +213,12 @@
     fn promise(&self, choice: Choice) -> Offer {
         let fill = &self.fleet.arena[choice.prefill.unwrap_or(choice.engine)];
         let prompt = f64::from(self.need.prompt) * pace(fill, self.settings);
+        let engine = &self.fleet.arena[choice.engine];
         Offer {
             choice,
             first: wait(fill, self.settings, self.now) + prompt,
-            between: if free(&self.fleet.arena[choice.engine], self.settings) < MARGIN {
-                f64::INFINITY
-            } else {
-                gap(&self.fleet.arena[choice.engine], self.settings)
-            },
+            between: gap(engine, self.settings),
+            free: free(engine, self.settings),
         }
     }
 }
