--- /dev/null
+++ b/benches/core/main.rs
@@ -0,0 +1,164 @@
+//! What one decision costs, and what the state of one thing takes.
+//!
+//! `cargo bench --bench core` prints the time of each decision by criterion at several sizes and,
+//! first, the memory of one engine, account, live request and peer, counted by the allocator.
+
+mod memory;
+mod site;
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use chiveway::core::event::{Event, FleetEvent, PeerEvent, Report, RequestEvent};
+use chiveway::core::message::{Beat, Message, Sent};
+use chiveway::core::route::{self, Need};
+use chiveway::core::{Effects, Time, admit};
+use chiveway::wire::{self, Frame};
+use criterion::{BenchmarkId, Criterion};
+use site::Site;
+
+#[global_allocator]
+static COUNTED: memory::Counted = memory::Counted;
+
+/// Engines of the sites measured: a small one, a middle one, and the size designed for.
+const ENGINES: [usize; 3] = [21, 200, 1_300];
+/// Accounts of the sites measured.
+const ACCOUNTS: [usize; 3] = [100, 3_000, 31_000];
+/// Hosts of the sites measured, beside this one.
+const PEERS: [usize; 3] = [8, 39, 369];
+
+fn main() {
+    memory::print();
+    // Slopes over sizes matter here, not the last digit: samples are few and short.
+    let mut criterion = Criterion::default()
+        .without_plots()
+        .sample_size(20)
+        .warm_up_time(Duration::from_millis(100))
+        .measurement_time(Duration::from_millis(400))
+        .configure_from_args();
+    by_engines(&mut criterion);
+    by_accounts(&mut criterion);
+    by_peers(&mut criterion);
+    criterion.final_summary();
+}
+
+fn by_engines(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("engines");
+    for count in ENGINES {
+        let mut site = Site::new(count, 100, 8);
+        let need = need();
+        group.bench_function(BenchmarkId::new("route", count), |bench| {
+            bench.iter(|| route::engine(&mut site.core, &need));
+        });
+        group.bench_function(BenchmarkId::new("admit", count), |bench| {
+            let print = chiveway::core::event::Print::default();
+            bench.iter(|| admit::check(&mut site.core, &need, print));
+        });
+        let mut out = Effects::new();
+        group.bench_function(BenchmarkId::new("report", count), |bench| {
+            bench.iter(|| {
+                out.clear();
+                let event = Event::Fleet(FleetEvent::Report {
+                    name: site::engine(7),
+                    report: Some(Report::default()),
+                });
+                site.core.reduce(Time::from_millis(10), event, &mut out);
+            });
+        });
+        group.bench_function(BenchmarkId::new("prompt-told", count), |bench| {
+            bench.iter(|| {
+                out.clear();
+                let message = Message::Sent(Sent {
+                    engine: 7,
+                    prompt: 1_000,
+                });
+                site.core
+                    .reduce(Time::from_millis(10), from_peer(message), &mut out);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn by_accounts(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("accounts");
+    for count in ACCOUNTS {
+        let mut site = Site::new(21, count, 8);
+        group.bench_function(BenchmarkId::new("request", count), |bench| {
+            let mut tag = 0;
+            bench.iter(|| {
+                tag += 1;
+                site.serve(tag, usize::try_from(tag).unwrap_or(0) % count);
+            });
+        });
+        let mut stream = site.open(0, 0);
+        let mut out = Effects::new();
+        group.bench_function(BenchmarkId::new("token", count), |bench| {
+            bench.iter(|| {
+                out.clear();
+                let event = RequestEvent::Chunk {
+                    attempt: stream.attempt,
+                    offset: stream.offset,
+                    tokens: 1,
+                };
+                stream.offset += 1;
+                site.core
+                    .reduce(Time::from_millis(20), Event::Request(event), &mut out);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn by_peers(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("peers");
+    for count in PEERS {
+        let mut site = Site::new(21, 100, count);
+        let mut out = Effects::new();
+        let mut bytes = BytesMut::new();
+        let frame = Frame::Message(Message::Beat(Beat::default()));
+        wire::encode(&frame, &mut bytes);
+        group.bench_function(BenchmarkId::new("frame-read", count), |bench| {
+            bench.iter(|| wire::decode(&*bytes));
+        });
+        let mut number = 0;
+        group.bench_function(BenchmarkId::new("beat-received", count), |bench| {
+            bench.iter(|| {
+                out.clear();
+                number += 1;
+                let beat = Beat {
+                    number,
+                    revision: 1,
+                    ..Beat::default()
+                };
+                let event = from_peer(Message::Beat(beat));
+                site.core.reduce(Time::from_millis(10), event, &mut out);
+            });
+        });
+        group.bench_function(BenchmarkId::new("beats-sent", count), |bench| {
+            bench.iter(|| {
+                out.clear();
+                let event = Event::Timer(chiveway::core::event::Timer::Beat);
+                site.core.reduce(Time::from_millis(10), event, &mut out);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn from_peer(message: Message) -> Event {
+    Event::Peer(PeerEvent::Message {
+        from: site::host(1),
+        message,
+    })
+}
+
+fn need() -> Need {
+    Need {
+        model: site::MODEL.into(),
+        prompt: 4_000,
+        output: 500,
+        prefix: 1_234_567,
+        avoid: Vec::new(),
+    }
+}
--- /dev/null
+++ b/benches/core/memory.rs
@@ -0,0 +1,72 @@
+//! Memory by a counting allocator.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use crate::site::Site;
+
+static HELD: AtomicUsize = AtomicUsize::new(0);
+
+/// The system's allocator, with the bytes held counted.
+#[derive(Debug)]
+pub struct Counted;
+
+// SAFETY: every call is passed on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counted {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+/// Prints the bytes that one more of each thing takes.
+pub fn print() {
+    println!(
+        "{:<24} {:>8} {:>12}",
+        "memory of one", "count", "bytes each"
+    );
+    let rows = [
+        ("engine", 1_279, grown(|site| site.set_engines(1_300))),
+        ("account", 30_900, grown(|site| site.set_accounts(31_000))),
+        ("peer", 361, grown(|site| site.set_peers(369))),
+        ("live request", 1_000, grown(|site| open(site, 1_000))),
+        (
+            "ended request's record",
+            1_000,
+            grown(|site| serve(site, 1_000)),
+        ),
+    ];
+    for (name, count, bytes) in rows {
+        println!(
+            "{name:<24} {count:>8} {:>12.0}",
+            bytes as f64 / f64::from(count)
+        );
+    }
+}
+
+/// Returns the bytes by which a small site grows.
+fn grown(grow: impl FnOnce(&mut Site)) -> usize {
+    let mut site = Site::new(21, 100, 8);
+    let before = HELD.load(Ordering::Relaxed);
+    grow(&mut site);
+    HELD.load(Ordering::Relaxed).saturating_sub(before)
+}
+
+fn open(site: &mut Site, count: u64) {
+    for tag in 0..count {
+        site.open(tag, 0);
+    }
+}
+
+fn serve(site: &mut Site, count: u64) {
+    for tag in 0..count {
+        site.serve(tag, 0);
+    }
+}
