--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -123,6 +123,8 @@
     changed: Time,
     /// Which peer said that a back end is leaving, where this host's own list does not say so.
     words: BTreeMap<Box<str>, HostKey>,
+    /// When the other hosts were last told of this host's streams.
+    pub streams_told: Time,
     /// Prompt and output tokens sent to each pool since its holder was last told.
     pub taken: BTreeMap<Box<str>, (u64, u64)>,
 }
@@ -149,6 +151,7 @@
             gone: BTreeSet::new(),
             changed: Time::default(),
             words: BTreeMap::new(),
+            streams_told: Time::default(),
             taken: BTreeMap::new(),
         }
     }
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -22,6 +22,8 @@
 /// Streams that each other host has begun at an engine since it told, for each that this one has:
 /// callers reach all hosts alike.
 const GROW: f64 = 1.0;
+/// Least time between two tellings of streams, most of which last for seconds.
+const TELL_EVERY: Duration = Duration::from_millis(900);
 /// Free streams below which an engine counts as busy.
 const CROWDED: f64 = 8.0;
 /// Part of the wanted time between tokens up to which streams are given to an engine.
@@ -44,7 +46,7 @@
 const TELL: f64 = 0.0625;
 /// Peers up to which hosts tell each other what they send: the messages grow with the hosts'
 /// number, and beyond it only reports and measured times speak of other hosts' work.
-const TELL_PEERS: usize = 16;
+const TELL_PEERS: usize = 12;
 
 /// What this host has measured of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -135,9 +137,11 @@
 
 /// Tells the other hosts how many streams this host has at each engine.
 pub fn tell_streams(core: &mut Core, out: &mut Effects) {
-    if core.members.count() > TELL_PEERS {
+    let passed = core.now.since(core.fleet.streams_told);
+    if core.members.count() > TELL_PEERS || passed < TELL_EVERY {
         return;
     }
+    core.fleet.streams_told = core.now;
     for engine in core.fleet.arena.values_mut() {
         engine.told = engine.streams;
     }
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -9,6 +9,8 @@
 mod once;
 mod order;
 mod request;
+mod role;
+mod route;
 mod store;
 mod trace;
 
--- /dev/null
+++ b/src/core/tests/route.rs
@@ -0,0 +1,94 @@
+//! Which engine a request goes to, and when it is refused.
+
+use std::time::Duration;
+
+use crate::core::event::{Entry, EntryKind, Event, FleetEvent, Print, Role};
+use crate::core::load;
+use crate::core::message::Sent;
+use crate::core::route::{self, Need};
+use crate::core::{Core, Effects, Time, admit};
+
+/// Prompt tokens that keep an engine busy for long.
+const MUCH: u32 = 1_000_000;
+
+fn core(engines: usize) -> Core {
+    let mut core = Core::new(super::settings("host"), Time::default(), 0, 1);
+    let entries = (0..engines).map(|at| Entry {
+        name: format!("engine-{at}").into(),
+        kind: EntryKind::Engine,
+        pool: "raadgiver".into(),
+        addr: ([127, 0, 1, 1], 200).into(),
+        domain: "d".into(),
+        leaving: false,
+    });
+    let listed = FleetEvent::Listed(entries.collect());
+    core.reduce(
+        Time::from_millis(1),
+        Event::Fleet(listed),
+        &mut Effects::new(),
+    );
+    core
+}
+
+fn need() -> Need {
+    Need {
+        model: "raadgiver".into(),
+        prompt: 100,
+        output: 100,
+        prefix: 0,
+        avoid: Vec::new(),
+    }
+}
+
+fn told(core: &mut Core, engine: &str) {
+    let key = core.fleet.find(engine).expect("a listed engine");
+    let sent = Sent {
+        engine: core.fleet.arena[key].seed,
+        prompt: MUCH,
+    };
+    load::told(core, sent);
+}
+
+/// Another host has just sent much to an engine whose report still says idle. Whoever believed
+/// the report would wait behind it.
+#[test]
+fn engine_that_another_host_filled_is_left_alone() {
+    let mut core = core(3);
+    let busy = core.fleet.find("engine-1");
+    told(&mut core, "engine-1");
+    for _ in 0..50 {
+        let choice = route::engine(&mut core, &need()).expect("an engine");
+        assert_ne!(Some(choice.engine), busy);
+    }
+}
+
+/// A split pool needs an engine of each role; the prompt goes to one and the answer comes from
+/// the other. Without one of them there is nowhere to send a request.
+#[test]
+fn split_pool_needs_both_roles() {
+    let mut core = core(2);
+    let keys = ["engine-0", "engine-1"].map(|name| core.fleet.find(name).expect("listed"));
+    core.fleet.arena[keys[0]].role = Role::Prefill;
+    core.fleet.arena[keys[1]].role = Role::Decode;
+    let choice = route::engine(&mut core, &need()).expect("two engines");
+    assert_eq!((choice.prefill, choice.engine), (Some(keys[0]), keys[1]));
+    core.fleet.arena[keys[1]].role = Role::Prefill;
+    assert_eq!(route::engine(&mut core, &need()), None);
+}
+
+/// Every engine is busy: the caller is told at once when to come back. Callers of many requests
+/// must not all be told the same second, or they would find each other there.
+#[test]
+fn refused_callers_are_spread() {
+    let mut core = core(1);
+    told(&mut core, "engine-0");
+    let times = (0..64_u8).map(|first| {
+        let mut print = Print::default();
+        print.0[0] = first;
+        let refusal = admit::check(&mut core, &need(), print).expect_err("no room");
+        refusal.retry.expect("a time to come back")
+    });
+    let times: std::collections::BTreeSet<Duration> = times.collect();
+    assert_eq!(times.len(), 8);
+    assert!(times.iter().all(|time| (1..=8).contains(&time.as_secs())));
+}
