--- a/src/core/killer.rs
+++ b/src/core/killer.rs
@@ -15,6 +15,7 @@
 use super::effect::{Effect, Refusal, log_event};
 use super::event::{Print, Role};
 use super::key::{BackendKey, HostKey, RequestKey};
+use super::load;
 use super::message::{Message, Suspect};
 use super::route::{self, Need};
 use super::{Core, Effects};
@@ -152,16 +153,10 @@
 
 /// Returns the two engines for a fingerprint, or all where these are busy.
 fn pair(core: &Core, need: &Need, keys: &[BackendKey]) -> Vec<BackendKey> {
-    let home = route::affine(core, need, keys);
+    let home = route::home(core, need, keys);
     let others = keys.iter().copied().filter(|key| Some(*key) != home);
     let two: Vec<BackendKey> = home.into_iter().chain(others).take(ENGINES).collect();
-    let busy = |key: &BackendKey| {
-        let engine = &core.fleet.arena[*key];
-        let pool = core.fleet.pool(&engine.pool);
-        let pool = pool.map(|pool| &core.fleet.pools[usize::from(pool.0)].settings);
-        let most = pool.map_or(0.0, |pool| pool.first_token.as_secs_f64() * PATIENCE);
-        route::wait(core, *key) > most
-    };
+    let busy = |key: &BackendKey| load::busy(core, *key, PATIENCE);
     if two.iter().all(busy) {
         keys.to_vec()
     } else {
--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -13,7 +13,7 @@
 use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
 use super::key::HostKey;
 use super::message::{Beat, Message};
-use super::{Core, Effects, Time, config, fleet, killer, once, order, share, trace};
+use super::{Core, Effects, Time, config, fleet, killer, load, once, order, share, trace};
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
 
@@ -272,6 +272,7 @@
         Timer::Beat => {
             share::beat(core);
             beats(core, out);
+            load::tell_streams(core, out);
             wake(core, Timer::Beat, beat::EVERY, out);
         }
         Timer::Register => register(core, out),
@@ -415,6 +416,7 @@
         if let Some(member) = core.members.arena.remove(key) {
             share::left(core, &member);
         }
+        load::forget(core, key);
         order::left(core, name);
         let text = format!("host {name} left");
         out.push(log_event(log::Level::Info, "host.left", text));
@@ -513,6 +515,8 @@
         Message::Confirm(confirm) => order::confirmed(core, from, &confirm, out),
         Message::Listing(listing) => fleet::told(core, from, &listing, out),
         Message::Demand(demand) => order::demanded(core, from, &demand),
+        Message::Sent(sent) => load::told(core, sent),
+        Message::Running(streams) => load::told_streams(core, from, &streams),
         Message::Suspect(suspect) => killer::told(core, suspect),
     }
 }
--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -65,6 +65,11 @@
     Confirm(Confirm),
     /// Work the sender took in for a pool.
     Demand(Demand),
+    /// Prompts the sender sent to an engine.
+    Sent(Sent),
+    /// The sender's streams at each engine where it has any: low half of the hash of the
+    /// engine's name, and count.
+    Running(Vec<(u32, u32)>),
     /// Back ends that are leaving by the platform's list.
     Listing(Listing),
     /// An engine died while this request ran on it.
@@ -249,6 +254,15 @@
     pub refused: f64,
 }
 
+/// Prompts that a host has sent to an engine since it last told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// Low half of the hash of the engine's name.
+    pub engine: u32,
+    /// Prompt tokens.
+    pub prompt: u32,
+}
+
 /// Back ends that the platform's list calls leaving, or no longer names.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
--- a/src/core/share/tests/site.rs
+++ b/src/core/share/tests/site.rs
@@ -522,7 +522,7 @@
          operators = 127.0.0.1:2\npeers = 127.0.0.1:3\nsecret = sixteen-bytes-ok\n\
          operator-key-hash = {hash}\n[platform]\nkv = 127.0.0.1:4\nlist = 127.0.0.1:5\n\
          lease = 2s\n[limits]\nrequests = 100000\n[pool m]\nmodel = m\nfencing = checks\n\
-         prefill = 1000000\ndecode = 1000000\n[service s]\n"
+         prefill = 1000000\ndecode = 1000000\nslots = 10000\n[service s]\n"
     );
     Settings::parse(&text, "host.ini").expect("settings without a fault")
 }
--- a/src/core/tests/mod.rs
+++ b/src/core/tests/mod.rs
@@ -11,6 +11,8 @@
 mod once;
 mod order;
 mod request;
+mod role;
+mod route;
 mod store;
 mod trace;
 
