--- a/src/core/share/ledger.rs
+++ b/src/core/share/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::pledge::{LOAN, Pledged};
+use super::pledge::Pledged;
 use crate::core::Time;
 use crate::core::message::{Loan, Wish};
 use crate::lists::Allowance;
@@ -52,10 +52,12 @@
         }
     }
 
-    /// Counts everything as saved up.
-    pub fn saved(&mut self, allowance: &Allowance) {
-        self.requests = requests_most(allowance) * self.part;
-        self.tokens = tokens_most(allowance) * self.part;
+    /// Counts as saved up what came in over a time that is known to have been quiet.
+    pub fn saved(&mut self, allowance: &Allowance, quiet: Duration) {
+        let seconds = quiet.as_secs_f64() * self.part;
+        self.requests = allowance.requests.unwrap_or(0.0) * seconds;
+        self.tokens = allowance.tokens.unwrap_or(0.0) * seconds;
+        self.clamp(allowance);
     }
 
     /// Takes in what is pledged now.
@@ -100,6 +102,10 @@
             running,
             ..Loan::default()
         };
+        if self.part <= 0.0 {
+            // Hosts have not settled yet: what asks waits, since nothing is used up.
+            return loan;
+        }
         let wait = self.wait(wish, allowance, running);
         if wait > 0.0 {
             let millis = Duration::from_secs_f64(wait.clamp(WAIT_LEAST, WAIT_MOST)).as_millis();
@@ -122,9 +128,6 @@
     ///
     /// A request larger than what can be saved up goes when everything is saved up, and is owed.
     fn wait(&self, wish: &Wish, allowance: &Allowance, running: u32) -> f64 {
-        if self.part <= 0.0 {
-            return LOAN.as_secs_f64();
-        }
         let until = |need: f64, most: f64, have: f64, rate: Option<f64>| {
             let rate = rate? * self.part;
             Some((need.min(most * self.part) - have) / rate)
@@ -167,7 +170,9 @@
     pub fn idle(&self, allowance: &Allowance, now: Time) -> bool {
         let full = self.requests >= requests_most(allowance) * self.part
             && self.tokens >= tokens_most(allowance) * self.part;
-        let unasked = now.since(self.used) >= IDLE;
+        // At less than a request or so a second, what is saved up could not be told again.
+        let slow = allowance.requests.is_some_and(|rate| rate * SAVED < 1.0);
+        let unasked = !slow && now.since(self.used) >= IDLE;
         let places = self.whole && self.places.is_empty();
         unasked && full && (allowance.running.is_none() || places)
     }
--- a/src/core/tests/order.rs
+++ b/src/core/tests/order.rs
@@ -494,6 +494,7 @@
 }
 
 shuffles! {
+    a_host_wakes_to_its_own_old_registration: 163..164, Fencing::Checks;
     no_conflicting_order_at_engines_that_check: 1..7, Fencing::Checks;
     no_conflicting_order_at_engines_that_ignore: 101..107, Fencing::Ignores;
 }
@@ -630,6 +631,25 @@
     assert!(site.engines.iter().any(|one| !one.applied.is_empty()));
 }
 
+/// The holder's watch breaks and opens anew; a host may have come and gone meanwhile, and may be
+/// cut off with streams by an old view. The holder begins no change until such a host has stopped.
+#[test]
+fn a_holder_that_missed_hosts_waits() {
+    let mut site = Site::new(3, Fencing::Checks, 19);
+    site.run(Duration::from_secs(15));
+    let holder = site.holder().expect("a host holds the pool");
+    let down = crate::core::event::StoreEvent::Health(crate::core::event::Health::Down);
+    site.world.feed(holder, Event::Store(down));
+    site.world.open_watch(holder);
+    site.decide(all_prefill);
+    let any = |site: &Site| (0..ENGINES).any(|at| site.withdrawn(holder, at));
+    for _ in 0..LEASE.as_millis() / LOOK.as_millis() {
+        site.run(LOOK);
+        assert!(!any(&site), "an engine is withdrawn at once");
+    }
+    site.until("an engine is withdrawn", any);
+}
+
 /// The holder is paused with an order recorded and on its way, past its lease; another takes
 /// over. To an engine that takes any order the first one may still come, so the successor gives
 /// none while the paused process lives, and goes on once it is known dead.
@@ -787,9 +807,12 @@
     let mut site = Site::new(3, Fencing::Checks, 15);
     site.run(Duration::from_secs(5));
     assert!(!member::cut_off(&site.world.hosts[1].core));
+    let before = crate::core::event::StoreEvent::Watched(site.world.store.watched());
     site.world.freeze(1);
+    site.world.feed(1, Event::Store(before));
     site.run(LEASE * 3);
-    // All that waited in its sockets is taken in at this moment, and sounds like news.
+    // All that waited in its sockets is taken in at this moment, and sounds like news; so does
+    // its own registration, read just before it slept.
     site.world.thaw(1);
     assert!(member::cut_off(&site.world.hosts[1].core));
     site.until("it is registered anew", |site| {
