--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -10,7 +10,7 @@
 use super::event::{Entry, EntryKind, FleetEvent, Report, Role, Timer};
 use super::key::{BackendKey, HostKey, PoolKey};
 use super::message::{Listing, Message};
-use super::{Core, Effects, Time, order, share};
+use super::{Core, Effects, Time, load, order, share};
 use crate::settings::{PoolSettings, Settings};
 
 /// Time between two reads of a back end's load report.
@@ -46,6 +46,8 @@
     pub settings: PoolSettings,
     /// Its engines, in name order.
     pub engines: Vec<BackendKey>,
+    /// Tokens that answers had and that their callers allowed, older ones counted less.
+    pub length: (f64, f64),
 }
 
 /// An engine or a service instance.
@@ -77,6 +79,14 @@
     pub report: Option<(Time, Report)>,
     /// Seconds a prompt token took there, measured over this host's requests; 0 before the first.
     pub pace: f64,
+    /// What else this host has measured of it.
+    pub measured: load::Measured,
+    /// Streams of other hosts there, as far as they told.
+    pub others: BTreeMap<HostKey, u32>,
+    /// Streams of this host there when the last report was read.
+    pub told: u32,
+    /// Low half of the hash of the name.
+    pub seed: u32,
     /// Failures since the last success.
     pub fails: u32,
     /// It gets no new work before this time.
@@ -113,6 +123,8 @@
     changed: Time,
     /// Which peer said that a back end is leaving, where this host's own list does not say so.
     words: BTreeMap<Box<str>, HostKey>,
+    /// When the other hosts were last told of this host's streams.
+    pub streams_told: Time,
     /// Prompt and output tokens sent to each pool since its holder was last told.
     pub taken: BTreeMap<Box<str>, (u64, u64)>,
 }
@@ -125,6 +137,7 @@
             name: name.clone(),
             settings: settings.clone(),
             engines: Vec::new(),
+            length: (0.0, 0.0),
         });
         let services = settings.services.keys().cloned();
         Self {
@@ -138,6 +151,7 @@
             gone: BTreeSet::new(),
             changed: Time::default(),
             words: BTreeMap::new(),
+            streams_told: Time::default(),
             taken: BTreeMap::new(),
         }
     }
@@ -262,7 +276,11 @@
         FleetEvent::Listed(entries) => listed(core, entries, out),
         FleetEvent::Report { name, report } => {
             if let (Some(key), Some(report)) = (core.fleet.find(&name), report) {
-                core.fleet.arena[key].report = Some((core.now, report));
+                let backend = &mut core.fleet.arena[key];
+                backend.report = Some((core.now, report));
+                if backend.others.is_empty() {
+                    backend.told = backend.streams;
+                }
             }
         }
         FleetEvent::Probed { addr, probe } => order::probed(core, addr, probe),
@@ -393,6 +411,10 @@
         return;
     }
     let name = entry.name.clone();
+    let hash = name
+        .bytes()
+        .fold(0, |hash, byte| load::mix(hash ^ u64::from(byte)));
+    let seed = u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default();
     let key = fleet.arena.insert(Backend {
         name: entry.name,
         kind: entry.kind,
@@ -407,6 +429,10 @@
         decode: 0,
         report: None,
         pace: 0.0,
+        measured: load::Measured::default(),
+        others: BTreeMap::new(),
+        told: 0,
+        seed,
         fails: 0,
         retry: Time::default(),
     });
--- a/src/core/request/arrive.rs
+++ b/src/core/request/arrive.rs
@@ -6,7 +6,7 @@
 use super::super::event::{Arrival, Timer, Want};
 use super::super::key::RequestKey;
 use super::super::{Core, Effects, admit, killer, member, once, share};
-use super::attempt::dispatch;
+use super::attempt::{dispatch, need};
 use super::end::refuse;
 use super::{Heard, Phase, RETRY_MOST, RETRY_SHARE, Request};
 use crate::error::Kind;
@@ -90,9 +90,10 @@
     }
     allowed(core, key)?;
     let request = &core.requests.arena[key];
-    killer::check(core, request.print)?;
-    if let Want::Model(want) = &request.want {
-        admit::check(core, want)?;
+    let print = request.print;
+    killer::check(core, print)?;
+    if let Some(need) = need(request) {
+        admit::check(core, &need, print)?;
     }
     Ok(())
 }
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -105,6 +105,12 @@
     pub backend: BackendKey,
     /// Engine that prefills for the back end, until it is done.
     prefill: Option<BackendKey>,
+    /// When it was sent.
+    sent: Time,
+    /// When it brought the first token.
+    first: Time,
+    /// Prompt tokens that the engine had then, by this host's reckoning, its own among them.
+    ahead: u64,
     /// Name at the back end.
     label: Box<str>,
     /// When it was sent, or last brought something.
