--- a/src/core/order/change.rs
+++ b/src/core/order/change.rs
@@ -11,7 +11,7 @@
 use super::drain::{self, Word};
 use super::intent::{self, Call, Intent, Intents};
 use super::route::{self, Place, Route};
-use super::{DEMAND_AGE, name, suspect};
+use super::{DEMAND_AGE, name, publish, suspect};
 use crate::core::effect::{Action, Effect, Meter, Order, log_event};
 use crate::core::event::{Ordered, Role};
 use crate::core::fleet::{Backend, Standing};
@@ -27,10 +27,6 @@
 const TRIES: u32 = 3;
 /// Time between two decisions on a pool's roles.
 const DECIDE_EVERY: Duration = Duration::from_secs(1);
-/// Time an engine must report another role than routing assumes before routing follows it.
-///
-/// Longer than a report is old, so that a report from before a change does not undo it.
-const ODD_TIME: Duration = Duration::from_secs(3);
 
 /// What a pool's holder has under way.
 #[derive(Debug, Default)]
@@ -52,7 +48,7 @@
     decided: Time,
     memory: Memory,
     /// Since when engines report another role than routing assumes.
-    odd: BTreeMap<Box<str>, Time>,
+    pub(super) odd: BTreeMap<Box<str>, Time>,
 }
 
 /// One engine's change.
@@ -122,7 +118,7 @@
     if work.route.is_none() || work.intents.is_none() {
         return;
     }
-    notice(core, pool);
+    publish::notice(core, pool);
     if core.orders.desk(pool).work.change.is_none() {
         let change = inherited(core, pool).or_else(|| decided(core, pool, out));
         core.orders.desk_mut(pool).work.change = change;
@@ -131,7 +127,7 @@
         let change = advance(core, pool, change, out);
         core.orders.desk_mut(pool).work.change = change;
     }
-    publish(core, pool, out);
+    publish::publish(core, pool, out);
 }
 
 /// Returns the change that an earlier holder's recorded order calls for.
@@ -493,85 +489,3 @@
     }
     change
 }
-
-/// Notes which engines report another role than routing assumes, and since when.
-fn notice(core: &mut Core, pool: PoolKey) {
-    let now = core.now;
-    let Some((route, _)) = &core.orders.desk(pool).work.route else {
-        return;
-    };
-    let mut odd = BTreeMap::new();
-    for &key in &core.fleet.pools[usize::from(pool.0)].engines {
-        let engine = &core.fleet.arena[key];
-        let Some((_, report)) = &engine.report else {
-            continue;
-        };
-        if !report.changing && report.role != route.place(&engine.name).role {
-            let since = core.orders.desk(pool).work.odd.get(&engine.name);
-            odd.insert(engine.name.clone(), since.copied().unwrap_or(now));
-        }
-    }
-    core.orders.desk_mut(pool).work.odd = odd;
-}
-
-/// Writes the routing state where it is not what it should be.
-fn publish(core: &mut Core, pool: PoolKey, out: &mut Effects) {
-    let work = &core.orders.desk(pool).work;
-    let Some((route, _)) = &work.route else {
-        return;
-    };
-    let engines = wanted(core, pool, route);
-    if engines == route.engines || work.route_call.is_some() || core.now < work.next {
-        return;
-    }
-    let route = Route {
-        revision: route.revision + 1,
-        engines,
-    };
-    route::write(core, pool, route, out);
-}
-
-/// Returns the routing state as it should be.
-fn wanted(core: &Core, pool: PoolKey, route: &Route) -> BTreeMap<Box<str>, Place> {
-    let work = &core.orders.desk(pool).work;
-    let mut engines = route.engines.clone();
-    // What the list no longer names is forgotten, but for engines with a recorded order.
-    let recorded = |name: &str| {
-        work.intents
-            .as_ref()
-            .is_some_and(|all| all.contains_key(name))
-    };
-    engines.retain(|name, _| recorded(name) || core.fleet.find(name).is_some());
-    for &key in &core.fleet.pools[usize::from(pool.0)].engines {
-        let engine = &core.fleet.arena[key];
-        let mut place = route.place(&engine.name);
-        place.standing = Standing::Serving;
-        let change = work.change.as_ref();
-        match change.filter(|change| change.engine == engine.name) {
-            Some(Change {
-                step: Step::Restore(role),
-                ..
-            }) => place.role = *role,
-            Some(_) => place.standing = Standing::Withdrawn,
-            None if recorded(&engine.name) => place.standing = Standing::Withdrawn,
-            None => follow(core, pool, engine, &mut place),
-        }
-        if place == Place::default() {
-            engines.remove(&engine.name);
-        } else {
-            engines.insert(engine.name.clone(), place);
-        }
-    }
-    engines
-}
-
-/// Lets routing follow an engine that has long reported another role: it restarted.
-fn follow(core: &Core, pool: PoolKey, engine: &Backend, place: &mut Place) {
-    let odd = &core.orders.desk(pool).work.odd;
-    let long = odd
-        .get(&engine.name)
-        .is_some_and(|since| core.now.since(*since) >= ODD_TIME);
-    if let Some((_, report)) = engine.report.as_ref().filter(|_| long) {
-        place.role = report.role;
-    }
-}
--- a/src/core/order/hold.rs
+++ b/src/core/order/hold.rs
@@ -4,20 +4,21 @@
 //! the highest fencing number and the processes that may still have orders on their way; both are
 //! written in the same transaction, so that a number never comes twice.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
 use rand::RngExt;
 use serde_json::{Value, json};
 
+use super::record::{Record, both, fence_key, key, pairs, put, record_in};
 use super::suspect::{Process, Suspect};
-use super::{HOLDER, RETRY, name};
+use super::{RETRY, name};
 use crate::core::effect::{Effect, log_event};
 use crate::core::event::{Health, Job, Ordered, StoreResult, Watched};
 use crate::core::key::PoolKey;
 use crate::core::{Core, Effects, Time};
-use crate::store::{Compare, Op, Pair, Range, Reply, Span, Txn, TxnReply};
+use crate::store::{Compare, Op, Range, Reply, Span, Txn, TxnReply};
 
 /// Part of the lease's life that the holder uses.
 ///
@@ -54,17 +55,6 @@
     Leaving,
 }
 
-/// What the key without a lease says.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Record {
-    /// Highest fencing number given out.
-    pub fence: u64,
-    /// Token of the take-over that it was given out in.
-    pub token: Box<str>,
-    /// Processes that may have orders on their way.
-    pub processes: Vec<Process>,
-}
-
 /// The authority over one pool, as one host sees it.
 #[derive(Debug, Default)]
 pub struct Hold {
@@ -144,15 +134,6 @@
     hold.stage == Stage::Held && core.now < hold.until && !core.stop.begun()
 }
 
-/// Returns the key of a pool's holder.
-pub(super) fn key(pool: &str) -> Box<str> {
-    format!("w/{HOLDER}/{pool}").into()
-}
-
-fn fence_key(pool: &str) -> Box<str> {
-    format!("d/fence/{pool}").into()
-}
-
 /// Goes on with the authority over a pool.
 pub(super) fn look(core: &mut Core, pool: PoolKey, out: &mut Effects) {
     let now = core.now;
@@ -204,13 +185,6 @@
     out.push(effect);
 }
 
-fn both(pool: &str) -> Vec<Op> {
-    vec![
-        Op::Get(Span::Key(key(pool))),
-        Op::Get(Span::Key(fence_key(pool))),
-    ]
-}
-
 /// Reads both keys at one revision.
 fn read(core: &mut Core, pool: PoolKey, out: &mut Effects) {
     let txn = Txn {
@@ -252,14 +226,6 @@
     }
 }
 
-fn pairs(txn: &TxnReply) -> impl Iterator<Item = &Pair> {
-    let got = txn.replies.iter().filter_map(|reply| match reply {
-        Reply::Got(pairs) => Some(pairs),
-        Reply::Put | Reply::Deleted(_) => None,
-    });
-    got.flatten()
-}
-
 /// Takes in what was read before a take-over, and asks for a lease if there is no holder.
 fn found(core: &mut Core, pool: PoolKey, txn: &TxnReply, out: &mut Effects) {
     let name = name(core, pool);
@@ -279,14 +245,6 @@
     call(core, pool, Effect::Grant { job, life }, out);
 }
 
-/// Returns the record and its revision; `None` when it cannot be read.
-fn record_in(txn: &TxnReply, name: &str) -> Option<(Record, i64)> {
-    match pairs(txn).find(|pair| pair.key == fence_key(name)) {
-        Some(pair) => Some((Record::parse(&pair.value)?, pair.modified)),
-        None => Some((Record::default(), 0)),
-    }
-}
-
 /// Writes both keys, provided that nobody did so since they were read.
 fn swap(core: &mut Core, pool: PoolKey, lease: i64, out: &mut Effects) {
     let name = name(core, pool);
@@ -337,14 +295,6 @@
     call(core, pool, Effect::Txn { job, txn }, out);
 }
 
-fn put(name: &str, record: &Record) -> Op {
-    Op::Put {
-        key: fence_key(name),
-        value: record.write().into(),
-        lease: 0,
-    }
-}
-
 /// Reads back whether a write whose answer was lost took effect: only it has this token.
 fn settle(core: &mut Core, pool: PoolKey, txn: &TxnReply, out: &mut Effects) {
     let name = name(core, pool);
@@ -538,42 +488,3 @@
     let job = Job::Holder(pool);
     out.push(Effect::Txn { job, txn });
 }
-
-impl Record {
-    fn write(&self) -> Vec<u8> {
-        let processes: Vec<Value> = self
-            .processes
-            .iter()
-            .map(|process| {
-                json!({
-                    "host": &*process.host,
-                    "incarnation": process.incarnation,
-                    "addr": process.addr.to_string(),
-                })
-            })
-            .collect();
-        let value = json!({
-            "fence": self.fence,
-            "token": &*self.token,
-            "processes": processes,
-        });
-        value.to_string().into_bytes()
-    }
-
-    fn parse(bytes: &[u8]) -> Option<Self> {
-        let value: Value = serde_json::from_slice(bytes).ok()?;
-        let processes = value["processes"].as_array()?.iter().map(|process| {
-            Some(Process {
-                host: process["host"].as_str()?.into(),
-                incarnation: process["incarnation"].as_u64()?,
-                addr: process["addr"].as_str()?.parse().ok()?,
-            })
-        });
-        let processes: Option<BTreeSet<Process>> = processes.collect();
-        Some(Self {
-            fence: value["fence"].as_u64()?,
-            token: value["token"].as_str()?.into(),
-            processes: processes?.into_iter().collect(),
-        })
-    }
-}
--- a/src/core/order/intent.rs
+++ b/src/core/order/intent.rs
@@ -8,7 +8,7 @@
 
 use serde_json::{Value, json};
 
-use super::{hold, name};
+use super::{name, record};
 use crate::core::effect::Effect;
 use crate::core::event::{Job, Role, StoreResult};
 use crate::core::key::PoolKey;
@@ -76,7 +76,7 @@
     let txn = Txn {
         compare: vec![
             Compare::Value {
-                key: hold::key(&pool_name),
+                key: record::key(&pool_name),
                 is: desk.hold.value.clone(),
             },
             Compare::Modified {
--- a/src/core/order/mod.rs
+++ b/src/core/order/mod.rs
@@ -10,6 +10,8 @@
 mod drain;
 pub mod hold;
 pub mod intent;
+mod publish;
+mod record;
 pub mod route;
 mod suspect;
 
--- /dev/null
+++ b/src/core/order/record.rs
@@ -0,0 +1,105 @@
+//! What the key-value service keeps of a pool's holders for good.
+
+use std::collections::BTreeSet;
+
+use serde_json::{Value, json};
+
+use super::HOLDER;
+use super::suspect::Process;
+use crate::store::{Op, Pair, Reply, Span, TxnReply};
+
+/// What the key without a lease says.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Record {
+    /// Highest fencing number given out.
+    pub fence: u64,
+    /// Token of the take-over that it was given out in.
+    pub token: Box<str>,
+    /// Processes that may have orders on their way.
+    pub processes: Vec<Process>,
+}
+
+impl Record {
+    /// Writes it as JSON.
+    pub(super) fn write(&self) -> Vec<u8> {
+        let processes: Vec<Value> = self
+            .processes
+            .iter()
+            .map(|process| {
+                json!({
+                    "host": &*process.host,
+                    "incarnation": process.incarnation,
+                    "addr": process.addr.to_string(),
+                })
+            })
+            .collect();
+        let value = json!({
+            "fence": self.fence,
+            "token": &*self.token,
+            "processes": processes,
+        });
+        value.to_string().into_bytes()
+    }
+
+    /// Reads it from JSON.
+    pub(super) fn parse(bytes: &[u8]) -> Option<Self> {
+        let value: Value = serde_json::from_slice(bytes).ok()?;
+        let processes = value["processes"].as_array()?.iter().map(|process| {
+            Some(Process {
+                host: process["host"].as_str()?.into(),
+                incarnation: process["incarnation"].as_u64()?,
+                addr: process["addr"].as_str()?.parse().ok()?,
+            })
+        });
+        let processes: Option<BTreeSet<Process>> = processes.collect();
+        Some(Self {
+            fence: value["fence"].as_u64()?,
+            token: value["token"].as_str()?.into(),
+            processes: processes?.into_iter().collect(),
+        })
+    }
+}
+
+/// Returns the key of a pool's holder.
+pub(super) fn key(pool: &str) -> Box<str> {
+    format!("w/{HOLDER}/{pool}").into()
+}
+
+/// Returns the key of the record, which has no lease.
+pub(super) fn fence_key(pool: &str) -> Box<str> {
+    format!("d/fence/{pool}").into()
+}
+
+/// Returns the steps that read both keys.
+pub(super) fn both(pool: &str) -> Vec<Op> {
+    vec![
+        Op::Get(Span::Key(key(pool))),
+        Op::Get(Span::Key(fence_key(pool))),
+    ]
+}
+
+/// Returns what the reads of a transaction found.
+pub(super) fn pairs(txn: &TxnReply) -> impl Iterator<Item = &Pair> {
+    let got = txn.replies.iter().filter_map(|reply| match reply {
+        Reply::Got(pairs) => Some(pairs),
+        Reply::Put | Reply::Deleted(_) => None,
+    });
+    got.flatten()
+}
+
+/// Returns the record and its revision; `None` when it cannot be read.
+pub(super) fn record_in(txn: &TxnReply, name: &str) -> Option<(Record, i64)> {
+    match pairs(txn).find(|pair| pair.key == fence_key(name)) {
+        Some(pair) => Some((Record::parse(&pair.value)?, pair.modified)),
+        None => Some((Record::default(), 0)),
+    }
+}
+
+/// Returns the step that writes the record.
+pub(super) fn put(name: &str, record: &Record) -> Op {
+    Op::Put {
+        key: fence_key(name),
+        value: record.write().into(),
+        lease: 0,
+    }
+}
--- a/src/core/order/route.rs
+++ b/src/core/order/route.rs
@@ -6,7 +6,7 @@
 
 use serde_json::{Value, json};
 
-use super::{ROUTE, hold, name};
+use super::{ROUTE, name, record};
 use crate::core::effect::Effect;
 use crate::core::event::{Job, Role, StoreResult, Watched};
 use crate::core::fleet::Standing;
@@ -154,7 +154,7 @@
     let txn = Txn {
         compare: vec![
             Compare::Value {
-                key: hold::key(&pool_name),
+                key: record::key(&pool_name),
                 is: desk.hold.value.clone(),
             },
             Compare::Modified {
