--- a/src/core/request/arrive.rs
+++ b/src/core/request/arrive.rs
@@ -6,13 +6,13 @@
 use super::super::event::{Arrival, Timer, Want};
 use super::super::key::RequestKey;
 use super::super::{Core, Effects, admit, killer, member, once, share};
-use super::attempt::dispatch;
+use super::attempt::{dispatch, need};
 use super::end::refuse;
 use super::{Heard, Phase, RETRY_MOST, RETRY_SHARE, Request};
 use crate::error::Kind;
 
-/// Time a request waits for its plan's share.
-const SHARE_TIME: Duration = Duration::from_millis(400);
+/// Time a request waits for its plan's share: longer than hosts need to settle after a change.
+const SHARE_TIME: Duration = Duration::from_secs(4);
 
 pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
     let mut record = core.traces.open(core.wall());
@@ -90,9 +90,10 @@
     }
     allowed(core, key)?;
     let request = &core.requests.arena[key];
-    killer::check(core, request.print)?;
-    if let Want::Model(want) = &request.want {
-        admit::check(core, want)?;
+    let print = request.print;
+    killer::check(core, print)?;
+    if let Some(need) = need(request) {
+        admit::check(core, &need, print)?;
     }
     Ok(())
 }
@@ -134,12 +135,6 @@
 fn take_share(core: &mut Core, key: RequestKey, out: &mut Effects) {
     match share::take(core, key, out) {
         share::Answer::Taken => go(core, key, out),
-        // The share that is not here is not used up: it was handed to the other hosts.
-        _ if core.stop.begun() => {
-            share::forget(core, key);
-            let detail = "this host is shutting down";
-            refuse(core, key, Refusal::new(Kind::Stopping, detail), out);
-        }
         share::Answer::Wait => out.push(Effect::Wake {
             at: core.now.after(SHARE_TIME),
             timer: Timer::Request(key),
--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -4,10 +4,10 @@
 use super::super::event::{Break, Stored, Timer, Want};
 use super::super::key::{AttemptKey, RequestKey};
 use super::super::route::{self, Choice, Need};
-use super::super::{Core, Effects, killer, once, trace};
+use super::super::{Core, Effects, killer, load, once, trace};
 use super::end::{close_attempt, end, give_up, reply};
 use super::lost::broke;
-use super::{Attempt, Flow, Heard, Phase, millis};
+use super::{Attempt, Flow, Heard, Phase, Request, millis};
 use crate::error::{Kind, Ran};
 
 /// Sends a request to a back end.
@@ -18,22 +18,13 @@
         give_up(core, key, refusal.ran(ran), out);
         return;
     }
-    let chosen = match &request.want {
-        Want::Model(want) => {
-            let mut need = Need {
-                model: want.model.clone(),
-                prompt: want.prompt,
-                prefix: want.pieces.first().copied().unwrap_or(0),
-                avoid: request.avoid.clone(),
-            };
-            let print = request.print;
-            killer::narrow(core, &mut need, print);
-            route::engine(core, &need)
-        }
-        Want::Service(want) => {
-            let (service, avoid) = (want.service.clone(), request.avoid.clone());
-            route::instance(core, &service, &avoid).map(Choice::whole)
-        }
+    let print = request.print;
+    let chosen = if let Some(mut need) = need(request) {
+        killer::narrow(core, &mut need, print);
+        route::engine(core, &need)
+    } else {
+        let (service, avoid) = (request.class.clone(), request.avoid.clone());
+        route::instance(core, &service, &avoid).map(Choice::whole)
     };
     let Some(choice) = chosen else {
         let request = &core.requests.arena[key];
@@ -52,6 +43,18 @@
     attempt(core, key, choice, None, out);
 }
 
+/// Returns what a completion needs of an engine; `None` for a call of a service.
+pub(super) fn need(request: &Request) -> Option<Need> {
+    let want = request.model()?;
+    Some(Need {
+        model: want.model.clone(),
+        prompt: want.prompt,
+        output: want.output,
+        prefix: want.pieces.first().copied().unwrap_or(0),
+        avoid: request.avoid.clone(),
+    })
+}
+
 /// Opens an attempt at a back end; `label` resumes the one of that name.
 pub(super) fn attempt(
     core: &mut Core,
@@ -61,18 +64,26 @@
     out: &mut Effects,
 ) {
     let backend = choice.engine;
+    let filler = choice.prefill.unwrap_or(backend);
+    let queued = load::queued(core, filler);
+    let (prompt, output) = match &core.requests.arena[key].want {
+        Want::Model(want) => {
+            let output = load::expected(core, backend, want.output);
+            (u64::from(want.prompt), output)
+        }
+        Want::Service(_) => (0, 0),
+    };
     let request = &mut core.requests.arena[key];
     let resume = label.is_some().then_some(request.delivered);
     let fresh = || format!("{}.{}", request.record.id, request.tries).into();
     let label = label.unwrap_or_else(fresh);
-    let (prompt, output) = match &request.want {
-        Want::Model(want) => (u64::from(want.prompt), u64::from(want.output)),
-        Want::Service(_) => (0, 0),
-    };
     let attempt = core.requests.attempts.insert(Attempt {
         request: key,
         backend,
         prefill: choice.prefill,
+        sent: core.now,
+        first: core.now,
+        ahead: prompt + queued,
         label: label.clone(),
         last: core.now,
         began: false,
@@ -122,6 +133,7 @@
             });
         }
     }
+    load::sent(core, filler, prompt, out);
     if let Some(prefill) = choice.prefill {
         core.fleet.sent(prefill, prompt, 0);
         core.fleet.sent(backend, 0, output);
@@ -140,6 +152,8 @@
             core.fleet.works(prefill);
             core.fleet
                 .ended(prefill, std::mem::take(&mut attempt.prompt), 0);
+            let (sent, ahead) = (attempt.sent, attempt.ahead);
+            load::filled(core, prefill, sent, ahead);
         }
     }
 }
@@ -194,19 +208,26 @@
             after,
         }));
     }
-    if !attempt.began {
+    let filled = (!attempt.began).then(|| {
         attempt.began = true;
+        attempt.first = core.now;
         let prompt = std::mem::take(&mut attempt.prompt);
         if let Some(backend) = core.fleet.arena.get_mut(attempt.backend) {
             backend.prefill = backend.prefill.saturating_sub(prompt);
         }
-    }
+        (attempt.backend, attempt.sent, attempt.ahead, prompt)
+    });
     request.last = Some(core.now);
     request.heard = Heard::Tokens;
     request.delivered += u64::from(tokens);
     if let Some(record) = request.record.attempts.last_mut() {
         record.tokens += tokens;
     }
+    if let Some((backend, sent, ahead, prompt)) = filled
+        && prompt > 0
+    {
+        load::filled(core, backend, sent, ahead);
+    }
 }
 
 pub(super) fn whole(core: &mut Core, key: AttemptKey, out: &mut Effects) {
@@ -222,7 +243,13 @@
         broke(core, key, Ran::Yes, Break::Cut, detail, out);
         return;
     }
-    core.fleet.works(attempt.backend);
+    let (backend, span) = (attempt.backend, core.now.since(attempt.first));
+    core.fleet.works(backend);
+    let entry = &core.requests.arena[request];
+    let record = entry.record.attempts.last();
+    let tokens = record.map_or(0, |record| u64::from(record.tokens));
+    let most = entry.model().map_or(0, |want| want.output);
+    load::decoded(core, backend, span, tokens, most);
     close_attempt(core, key, "whole", Ran::Yes);
     out.push(Effect::Finish(request));
     end(core, request, "answered", Ran::Yes, out);
