--- a/src/core/request/arrive.rs
+++ b/src/core/request/arrive.rs
@@ -11,8 +11,8 @@
 use super::{Heard, Phase, RETRY_MOST, RETRY_SHARE, Request};
 use crate::error::Kind;
 
-/// Time a request waits for its plan's share.
-const SHARE_TIME: Duration = Duration::from_millis(400);
+/// Time a request waits for its plan's share: longer than hosts need to settle after a change.
+const SHARE_TIME: Duration = Duration::from_secs(4);
 
 pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
     let mut record = core.traces.open(core.wall());
@@ -135,12 +135,6 @@
 fn take_share(core: &mut Core, key: RequestKey, out: &mut Effects) {
     match share::take(core, key, out) {
         share::Answer::Taken => go(core, key, out),
-        // The share that is not here is not used up: it was handed to the other hosts.
-        _ if core.stop.begun() => {
-            share::forget(core, key);
-            let detail = "this host is shutting down";
-            refuse(core, key, Refusal::new(Kind::Stopping, detail), out);
-        }
         share::Answer::Wait => out.push(Effect::Wake {
             at: core.now.after(SHARE_TIME),
             timer: Timer::Request(key),
--- a/src/core/share/pledge.rs
+++ b/src/core/share/pledge.rs
@@ -27,7 +27,7 @@
 /// another home may be in use for one pledge's life, and what was lent on it for one loan's life.
 pub const SETTLE: Duration = Duration::from_millis(2250);
 /// Time without a change of any pledge after which a share that nobody used counts as saved up.
-const CALM: Duration = Duration::from_secs(1);
+pub const CALM: Duration = Duration::from_secs(1);
 /// Time after which a host counts as gone whose lease has lapsed and that the platform has
 /// withdrawn, beyond the time after which a host that is cut off takes no new work.
 const QUARANTINE: Duration = Duration::from_secs(30);
@@ -98,8 +98,6 @@
     ghosts: BTreeMap<Box<str>, Ghost>,
     /// Hosts that act on views with this host in them, by name and incarnation.
     aware: BTreeSet<(Box<str>, u64)>,
-    /// Peers that have not confirmed what this host holds of plans that moved to them.
-    untold: BTreeSet<HostKey>,
     started: Option<Time>,
     count: usize,
     calm: Time,
@@ -184,10 +182,9 @@
 
 /// Notes a beat on its way to a peer, and returns since when this host pledges to it.
 pub fn sending(core: &mut Core, to: HostKey, number: u64) -> Duration {
-    let may = pledging(core);
+    let may = pledging(core) && !untold(core, to);
     let now = core.now;
     let pledges = &mut core.shares.pledges;
-    let untold = pledges.untold.contains(&to);
     let Some(peer) = pledges
         .peers
         .entry(to)
@@ -198,7 +195,7 @@
     peer.sent.push_front((number, now));
     peer.sent.truncate(SENT);
     match peer.given {
-        Some(given) if may && !untold => now.since(given),
+        Some(given) if may => now.since(given),
         _ => Duration::ZERO,
     }
 }
@@ -314,7 +311,6 @@
     }
     let arena = &core.members.arena;
     pledges.peers.retain(|key, _| arena.contains_key(key));
-    pledges.untold.retain(|key| arena.contains_key(*key));
     // Hosts that are fewer than the others, and cut off, refuse all work by then. If they are more,
     // they may hear enough of each other to go on without the store.
     let fewer = pledges.ghosts.len() <= core.members.arena.len() + 1;
@@ -486,19 +482,11 @@
     }
 }
 
-/// Notes that a peer became the home of a plan of which this host holds places.
-pub fn owe(core: &mut Core, to: HostKey) {
-    core.shares.pledges.untold.insert(to);
-}
-
-/// Notes that a peer answered; once it knows every place held here, this host pledges to it.
-pub fn told(core: &mut Core, to: HostKey) {
+/// Returns whether a peer is the home of a plan of which it does not know what this host holds.
+fn untold(core: &Core, to: HostKey) -> bool {
     let source = Some(Source::Peer(to));
     let mut parts = core.shares.parts.values();
-    let open = parts.any(|part| part.source == source && part.places > 0 && part.told.is_none());
-    if !open {
-        core.shares.pledges.untold.remove(&to);
-    }
+    parts.any(|part| part.source == source && part.places > 0 && part.told.is_none())
 }
 
 /// Returns whether a host may hold places lent by this one.
