--- a/src/core/order/mod.rs
+++ b/src/core/order/mod.rs
@@ -1,10 +1,10 @@
 //! Orders to engines: who may give them, and the routing state of each pool.
 //!
 //! One host at a time holds the authority over a pool ([`hold`]). It withdraws an engine through
-//! the routing state ([`route`]), waits until no host has work there ([`drain`]), records the
+//! the routing state ([`route`]), waits until no host has work there (`drain`), records the
 //! order it intends ([`intent`]), gives it, and puts the engine back to work ([`change`]). Where
 //! engines take any order, the processes that held the authority before must be known dead first
-//! ([`suspect`]).
+//! (`suspect`).
 
 pub mod change;
 mod drain;
--- a/src/web.rs
+++ b/src/web.rs
@@ -83,7 +83,7 @@
 ///
 /// Each connection runs as its own task on this thread. Once it stops, new connections are
 /// refused. Those already open, and those the kernel had accepted by then, are served on for
-/// [`GRACE`], so that a request sent in the same moment is not lost; then each is closed as soon
+/// a second, so that a request sent in the same moment is not lost; then each is closed as soon
 /// as it has no request in hand. Dropping this future closes nothing.
 pub async fn serve<H, F>(listener: TcpListener, mut stop: watch::Receiver<bool>, handler: H)
 where
