Try an idle engine now and then, whatever other hosts tell of it

Cause: in the run of 10,000 streamed requests through three hosts nearly all were refused as overloaded, though the engines stood idle. Hosts reckon with the prompts that others tell at the pace they have measured, which could not fall below 0.4 of the settings' pace; the script's engines answer at once and its settings called them nominal. A host that refused everything measured nothing and would have refused for ever. Change: the measured pace may fall to 0.02 of the settings' pace, and an engine that reports nothing waiting gets one prompt from a host that has sent it none for a second. Test: idle_engine_is_tried_whatever_others_tell, red with the change taken out.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -57,6 +57,9 @@
     } else {
         return Ok(());
     };
+    if load::untried(core, offer.choice.prefill.unwrap_or(offer.choice.engine)) {
+        return Ok(());
+    }
     demand(core, offer.choice.engine, need);
     Err(Refusal::new(Kind::Overloaded, detail).retry(back(print, second)))
 }
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -33,8 +33,14 @@
 const TELLING: f64 = 0.0625;
 /// Part of the way that the measured pace goes towards each measurement.
 const LEARN: f64 = 0.1;
-/// Least pace against the nominal one: a cache never saves more than this for long.
-const CACHED: f64 = 0.4;
+/// Least pace against the nominal one.
+///
+/// Low, because settings may call an engine far slower than it is.
+const LEAST_PACE: f64 = 0.02;
+/// Time without a prompt of this host after which an idle engine is tried in spite of all words.
+const UNTRIED: Duration = Duration::from_secs(1);
+/// Age up to which a report of an idle engine is believed.
+const FRESH: Duration = Duration::from_millis(1500);
 /// Part of the way that the measured slowness between tokens goes towards each answer's.
 const SLOWNESS: f64 = 0.1;
 /// Part of what is known of answers' lengths that one more answer leaves in force.
@@ -54,6 +60,8 @@
     /// Prompt tokens waiting there at a time, of all hosts as far as they told.
     queue: f64,
     at: Time,
+    /// When this host last sent a prompt there.
+    sent: Time,
     /// Prompt tokens of this host that the others were not told of yet.
     untold: u64,
     /// Time between tokens against that of an engine of nominal speed; 0 before the first.
@@ -100,13 +108,32 @@
     settings(core, key).map_or(0, |settings| whole(backlog(engine, settings, core.now)))
 }
 
+/// Returns whether an engine reports that nothing waits there and this host has sent it nothing
+/// for a while.
+///
+/// What other hosts tell is reckoned at the pace this host has measured. Where the settings call
+/// an engine far slower than it is, a host that refused every request would never measure it, and
+/// would refuse for ever beside hosts that are served; one request now and then finds out.
+#[must_use]
+pub fn untried(core: &Core, key: BackendKey) -> bool {
+    let engine = &core.fleet.arena[key];
+    let idle = |(read, report): &(Time, super::event::Report)| {
+        let age = core.now.since(*read) + Duration::from_millis(u64::from(report.age));
+        report.waiting == 0 && age <= FRESH
+    };
+    let unused = core.now.since(engine.measured.sent) >= UNTRIED;
+    unused && engine.streams == 0 && engine.report.as_ref().is_some_and(idle)
+}
+
 /// Counts a prompt that this host sends to an engine, and tells the others.
 pub fn sent(core: &mut Core, key: BackendKey, prompt: u64, out: &mut Effects) {
     queue(core, key, prompt);
     let Some(nominal) = settings(core, key).map(|settings| 1.0 / settings.prefill) else {
         return;
     };
+    let now = core.now;
     let engine = &mut core.fleet.arena[key];
+    engine.measured.sent = now;
     engine.measured.untold += prompt;
     let untold = engine.measured.untold as f64 * nominal;
     if untold < TELL || core.members.count() > TELL_PEERS {
@@ -269,7 +296,7 @@
         nominal
     };
     let seen = now.since(sent).as_secs_f64() / ahead as f64;
-    engine.pace = (before + LEARN * (seen - before)).max(nominal * CACHED);
+    engine.pace = (before + LEARN * (seen - before)).max(nominal * LEAST_PACE);
 }
 
 /// Returns the tokens that an answer is likely to have whose caller allows this many.
--- a/src/core/tests/route.rs
+++ b/src/core/tests/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::core::event::{Entry, EntryKind, Event, FleetEvent, Print, Role};
+use crate::core::event::{Entry, EntryKind, Event, FleetEvent, Print, Report, Role};
 use crate::core::load;
 use crate::core::message::Sent;
 use crate::core::route::{self, Need};
@@ -92,3 +92,31 @@
     assert_eq!(times.len(), 8);
     assert!(times.iter().all(|time| (1..=8).contains(&time.as_secs())));
 }
+
+/// The settings call an engine far slower than it is, and another host is served by it all the
+/// time. By what that host tells, the engine is full for ever; a host that believed it alone would
+/// refuse every caller beside an engine that reports it is idle.
+#[test]
+fn idle_engine_is_tried_whatever_others_tell() {
+    let mut core = core(1);
+    told(&mut core, "engine-0");
+    let report = |core: &mut Core, waiting, at| {
+        let report = FleetEvent::Report {
+            name: "engine-0".into(),
+            report: Some(Report {
+                waiting,
+                ..Report::default()
+            }),
+        };
+        core.reduce(at, Event::Fleet(report), &mut Effects::new());
+    };
+    let refused = |core: &mut Core| admit::check(core, &need(), Print::default()).is_err();
+    assert!(refused(&mut core), "no report yet");
+    report(&mut core, 4, Time::from_millis(2000));
+    assert!(refused(&mut core), "others wait there");
+    report(&mut core, 0, Time::from_millis(3000));
+    assert!(!refused(&mut core), "it is idle");
+    let key = core.fleet.find("engine-0").expect("a listed engine");
+    load::sent(&mut core, key, 100, &mut Effects::new());
+    assert!(refused(&mut core), "it was tried just now");
+}
