Read the text of each token without building a whole document

Cause: a profile of a host under load had 4.7 % of its user time in text_of, which parsed each event into a JSON document to take one field. Change: the field is read into a borrowed struct.

--- a/src/host/completion.rs
+++ b/src/host/completion.rs
@@ -1,8 +1,10 @@
 //! Completions: what a caller's body asks for, what an engine is sent, what a caller gets back.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use serde::Deserialize;
 use serde_json::{Map, Value, json};
 
 use crate::core::event::ModelWant;
@@ -14,6 +16,28 @@
 /// Most tokens a caller may ask for.
 const MOST_OUTPUT: u64 = 1_000_000;
 
+/// The fields of a piece that hold its text; read for every token, so nothing is copied that can
+/// be borrowed.
+#[derive(Debug, Default, Deserialize)]
+struct Piece<'a> {
+    #[serde(borrow, default)]
+    choices: Vec<PieceChoice<'a>>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct PieceChoice<'a> {
+    #[serde(borrow, default)]
+    text: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    delta: Delta<'a>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta<'a> {
+    #[serde(borrow, default)]
+    content: Option<Cow<'a, str>>,
+}
+
 /// Form of a completion.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Form {
@@ -198,14 +222,14 @@
 
     /// Returns the text in one piece of an answer.
     #[must_use]
-    pub fn text_of(&self, piece: &[u8]) -> String {
-        let value: Value = serde_json::from_slice(piece).unwrap_or_default();
-        let choice = &value["choices"][0];
+    pub fn text_of<'a>(&self, piece: &'a [u8]) -> Cow<'a, str> {
+        let piece: Piece<'a> = serde_json::from_slice(piece).unwrap_or_default();
+        let choice = piece.choices.into_iter().next().unwrap_or_default();
         let text = match self.form {
-            Form::Text => &choice["text"],
-            Form::Chat => &choice["delta"]["content"],
+            Form::Text => choice.text,
+            Form::Chat => choice.delta.content,
         };
-        text.as_str().unwrap_or_default().to_owned()
+        text.unwrap_or_default()
     }
 
     /// Makes one document of an answer's text and its last piece.
