--- a/src/core/member/mod.rs
+++ b/src/core/member/mod.rs
@@ -1,6 +1,7 @@
 //! The hosts of this deployment: registration, beats, and what each host vouches for.
 
 mod beat;
+mod inbox;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,8 +13,8 @@
 use super::effect::{Effect, log_event};
 use super::event::{Health, Job, PeerEvent, StoreReply, StoreResult, Timer, Watched};
 use super::key::HostKey;
-use super::message::{Beat, Message};
-use super::{Core, Effects, Time, config, fleet, killer, load, once, order, share, trace};
+use super::message::Beat;
+use super::{Core, Effects, Time, load, once, order, share};
 use crate::settings::HostSettings;
 use crate::store::{Op, Txn};
 
@@ -481,42 +482,7 @@
                 return;
             };
             core.members.arena[host].heard = Some(core.now);
-            message_from(core, host, message, out);
+            inbox::message_from(core, host, message, out);
         }
     }
 }
-
-fn message_from(core: &mut Core, from: HostKey, message: Message, out: &mut Effects) {
-    match message {
-        Message::Beat(beat) => beat::heard(core, from, &beat, out),
-        Message::Borrow(borrow) => share::asked(core, from, &borrow, out),
-        Message::Lend(lend) => share::lent(core, from, &lend, out),
-        Message::Begin(begin) => once::asked(core, from, begin, out),
-        Message::Begun {
-            round,
-            state,
-            request,
-        } => once::begun(core, round, state, request, out),
-        Message::Done(done) => once::done_asked(core, from, done, out),
-        Message::Recorded { round, durable } => once::recorded(core, round, durable, out),
-        Message::Traces(records) => trace::copied(core, records),
-        Message::Ask { round, id } => trace::asked(core, from, round, &id, out),
-        Message::Told {
-            round,
-            record,
-            since,
-        } => trace::told(core, from, round, record, since, out),
-        Message::Fetch(revision) => config::asked(core, from, revision, out),
-        Message::Lists {
-            revision,
-            plans,
-            uses,
-        } => config::told(core, revision, &plans, &uses, out),
-        Message::Confirm(confirm) => order::confirmed(core, from, &confirm, out),
-        Message::Listing(listing) => fleet::told(core, from, &listing, out),
-        Message::Demand(demand) => order::demanded(core, from, &demand),
-        Message::Sent(sent) => load::told(core, sent),
-        Message::Running(streams) => load::told_streams(core, from, &streams),
-        Message::Suspect(suspect) => killer::told(core, suspect),
-    }
-}
