--- a/src/load.rs
+++ b/src/load.rs
@@ -7,23 +7,20 @@
 use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
-use ntex::client::{Client, Connector};
-use ntex::service::cfg::SharedCfg;
+use ntex::client::Client;
 use serde_json::{Value, json};
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 
 use crate::backend::Parser;
 use crate::cli::{LoadOptions, Target};
 use crate::output;
 use crate::standin::engine::expected;
-use crate::web::CLIENT_IDLE;
+use crate::web;
 
 /// Bytes of a prompt for each token, as the stand-in engines count.
 const TOKEN_BYTES: usize = 4;
 /// Time without a part of an answer after which a request counts as lost.
 const SILENCE: Duration = Duration::from_secs(30);
-/// Connections at most.
-const CONNECTIONS: usize = 10_000;
 /// Largest value of a histogram, in microseconds.
 const LONGEST: u64 = 600_000_000;
 /// Part of the gaps between tokens, in hundredths, that must be within the wanted time.
@@ -107,15 +104,7 @@
 ///
 /// Returns how many answers were lost or wrong, if any; a refusal is neither.
 pub async fn run(options: LoadOptions) -> Result<(), LoadError> {
-    let connector = Connector::new().limit(CONNECTIONS).keep_alive(CLIENT_IDLE);
-    let client = Client::builder()
-        .connector::<()>(connector)
-        .disable_redirects()
-        .no_default_headers()
-        .disable_timeout()
-        .build(SharedCfg::new("load"))
-        .await
-        .map_err(|_builder| LoadError::NoClient)?;
+    let client = web::client("load").await.context(NoClientSnafu)?;
     let tallies: Vec<_> = options
         .targets
         .iter()
--- a/src/standin/hop.rs
+++ b/src/standin/hop.rs
@@ -7,32 +7,21 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use ntex::client::{Client, Connector};
+use ntex::client::Client;
 use ntex::http::{Request, Response, StatusCode};
-use ntex::service::cfg::SharedCfg;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::web::{self, CLIENT_IDLE, HandlerError};
+use crate::web::{self, HandlerError};
 
 /// Most bytes of a request.
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
 /// Time a caller has to send its body.
 const BODY_TIME: std::time::Duration = std::time::Duration::from_secs(30);
-/// Connections to the target at most.
-const CONNECTIONS: usize = 10_000;
 
 /// Passes requests on to `target` until dropped; must run inside an ntex system.
 pub async fn run(listener: TcpListener, target: SocketAddr) {
-    let connector = Connector::new().limit(CONNECTIONS).keep_alive(CLIENT_IDLE);
-    let client = Client::builder()
-        .connector::<()>(connector)
-        .disable_redirects()
-        .no_default_headers()
-        .disable_timeout()
-        .build(SharedCfg::new("hop"))
-        .await;
-    let Ok(client) = client else {
+    let Some(client) = web::client("hop").await else {
         return;
     };
     let (_stop, stopped) = watch::channel(false);
--- a/src/web.rs
+++ b/src/web.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use ntex::client::{Client, Connector};
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response, ResponseError, StatusCode};
 use ntex::io::Io;
 use ntex::service::cfg::SharedCfg;
@@ -33,6 +34,9 @@
 /// Idle time after which clients in this program drop a pooled connection.
 pub const CLIENT_IDLE: Seconds = Seconds(4);
 
+/// Connections at most of a client for trials.
+const TRIAL_CONNECTIONS: usize = 10_000;
+
 /// A failure inside a handler; answered with 500 and never shown in detail.
 #[derive(Debug, Snafu)]
 #[snafu(display("the handler failed"))]
@@ -164,6 +168,24 @@
     }
 }
 
+/// Makes a client for trials that follows no redirect, adds no header and sets no time limit;
+/// `None` when the library cannot make one.
+pub async fn client(name: &'static str) -> Option<Client> {
+    // Not 0, which means no limit: the pool then leaves calls asleep that wait for another's
+    // connection.
+    let connector = Connector::new()
+        .limit(TRIAL_CONNECTIONS)
+        .keep_alive(CLIENT_IDLE);
+    Client::builder()
+        .connector::<()>(connector)
+        .disable_redirects()
+        .no_default_headers()
+        .disable_timeout()
+        .build(SharedCfg::new(name))
+        .await
+        .ok()
+}
+
 /// Reads and drops a request's body, as far as `limit` bytes and `time` go.
 ///
 /// A connection closed with bytes still unread is reset, and a reset can overtake the answer: the
