Look up a plan's limits without copying its names, and drop what nothing calls

Cause: each look-up of a plan's share, several a request, copied the allowance whole, with both sets of model and service names. Node::settings, HostError::Signals and config::start were never used or did nothing. Ruled out: one Role for core and stand-in: the stand-in is an outside system and checks the core's words by its own. One read for intents and routes: the two differ in span, job and field. Change: lists::Quota holds the three limits and is copied by value; the dead pieces are gone. No bound or check changed. The time saved was not measured.

--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -86,9 +86,6 @@
     }
 }
 
-/// Nothing to start: the watch brings the head.
-pub fn start(_core: &mut Core, _out: &mut Effects) {}
-
 /// Takes in the head as the key-value service has it.
 pub fn watched(core: &mut Core, pair: &Watched, out: &mut Effects) {
     let Some(head) = pair.value.as_deref().and_then(parse_head) else {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -123,7 +123,6 @@
 
     fn start(&mut self, out: &mut Effects) {
         member::start(self, out);
-        config::start(self, out);
         fleet::start(self, out);
         order::start(self, out);
         trace::start(self, out);
--- a/src/core/share/borrow.rs
+++ b/src/core/share/borrow.rs
@@ -12,7 +12,7 @@
 use crate::core::key::HostKey;
 use crate::core::message::{Borrow, Lend, Loan, Message, Wish};
 use crate::core::{Core, Effects, Time};
-use crate::lists::Allowance;
+use crate::lists::Quota;
 
 /// Time after which a question without an answer is put anew.
 const ANSWER: Duration = Duration::from_millis(250);
@@ -24,7 +24,7 @@
 
 /// Draws from this host's own ledger what a request costs; returns when to come back if there is
 /// not enough.
-pub fn draw(core: &mut Core, plan: &str, allowance: &Allowance, cost: Taken) -> Duration {
+pub fn draw(core: &mut Core, plan: &str, allowance: &Quota, cost: Taken) -> Duration {
     let now = core.now;
     let name = core.members.name.clone();
     let part = core.shares.parts.entry(plan.into()).or_default();
@@ -49,7 +49,7 @@
 }
 
 /// Lends from the ledger that this host keeps of a plan.
-fn lend(core: &mut Core, plan: &str, host: &str, wish: &Wish, allowance: &Allowance) -> Loan {
+fn lend(core: &mut Core, plan: &str, host: &str, wish: &Wish, allowance: &Quota) -> Loan {
     let now = core.now;
     let apart = core
         .shares
--- a/src/core/share/ledger.rs
+++ b/src/core/share/ledger.rs
@@ -6,7 +6,7 @@
 use super::pledge::Pledged;
 use crate::core::Time;
 use crate::core::message::{Loan, Wish};
-use crate::lists::Allowance;
+use crate::lists::Quota;
 
 /// Seconds of its rate that a plan may save up at its home.
 ///
@@ -53,7 +53,7 @@
     }
 
     /// Counts as saved up what came in over a time that is known to have been quiet.
-    pub fn saved(&mut self, allowance: &Allowance, quiet: Duration) {
+    pub fn saved(&mut self, allowance: &Quota, quiet: Duration) {
         let seconds = quiet.as_secs_f64() * self.part;
         self.requests = allowance.requests.unwrap_or(0.0) * seconds;
         self.tokens = allowance.tokens.unwrap_or(0.0) * seconds;
@@ -76,7 +76,7 @@
     }
 
     /// Fills up at the allowance's rate.
-    pub fn fill(&mut self, allowance: &Allowance) {
+    pub fn fill(&mut self, allowance: &Quota) {
         let passed = std::mem::take(&mut self.passed);
         let requests = allowance.requests.unwrap_or(0.0);
         let tokens = allowance.tokens.unwrap_or(0.0);
@@ -85,13 +85,13 @@
         self.clamp(allowance);
     }
 
-    fn clamp(&mut self, allowance: &Allowance) {
+    fn clamp(&mut self, allowance: &Quota) {
         self.requests = self.requests.min(requests_most(allowance) * self.part);
         self.tokens = self.tokens.min(tokens_most(allowance) * self.part);
     }
 
     /// Lends what a host asks for, as far as there is.
-    pub fn lend(&mut self, host: &str, wish: &Wish, allowance: &Allowance, now: Time) -> Loan {
+    pub fn lend(&mut self, host: &str, wish: &Wish, allowance: &Quota, now: Time) -> Loan {
         self.used = now;
         self.requests += wish.back_requests;
         self.tokens += wish.back_tokens;
@@ -127,7 +127,7 @@
     /// Returns the time until the first waiting request could go; 0 when it can.
     ///
     /// A request larger than what can be saved up goes when everything is saved up, and is owed.
-    fn wait(&self, wish: &Wish, allowance: &Allowance, running: u32) -> f64 {
+    fn wait(&self, wish: &Wish, allowance: &Quota, running: u32) -> f64 {
         let until = |need: f64, most: f64, have: f64, rate: Option<f64>| {
             let rate = rate? * self.part;
             Some((need.min(most * self.part) - have) / rate)
@@ -145,7 +145,7 @@
     }
 
     /// Lends places for running requests.
-    fn seat(&mut self, host: &str, wish: &Wish, allowance: &Allowance) -> u32 {
+    fn seat(&mut self, host: &str, wish: &Wish, allowance: &Quota) -> u32 {
         let Some(most) = allowance.running else {
             return 0;
         };
@@ -167,7 +167,7 @@
 
     /// Returns whether nothing would be lost by forgetting the ledger.
     #[must_use]
-    pub fn idle(&self, allowance: &Allowance, now: Time) -> bool {
+    pub fn idle(&self, allowance: &Quota, now: Time) -> bool {
         let full = self.requests >= requests_most(allowance) * self.part
             && self.tokens >= tokens_most(allowance) * self.part;
         // At less than a request or so a second, what is saved up could not be told again.
@@ -183,12 +183,12 @@
     wish.requests.min(f64::from(wish.waiting.min(1)))
 }
 
-fn requests_most(allowance: &Allowance) -> f64 {
+fn requests_most(allowance: &Quota) -> f64 {
     allowance
         .requests
         .map_or(0.0, |rate| (rate * SAVED).max(1.0))
 }
 
-fn tokens_most(allowance: &Allowance) -> f64 {
+fn tokens_most(allowance: &Quota) -> f64 {
     allowance.tokens.map_or(0.0, |rate| rate * SAVED)
 }
--- a/src/core/share/mod.rs
+++ b/src/core/share/mod.rs
@@ -20,7 +20,7 @@
 use super::key::{HostKey, RequestKey};
 use super::message::Wish;
 use super::{Core, Effects, Time, request};
-use crate::lists::Allowance;
+use crate::lists::Quota;
 use ledger::Ledger;
 use pledge::{LOAN, Pledges, Source};
 
@@ -147,7 +147,7 @@
     ///
     /// A wait that is shorter than the caller's own next try would be is not worth a refusal; the
     /// queue is kept as short as the wait.
-    fn holds(&self, allowance: &Allowance, wait: Duration) -> bool {
+    fn holds(&self, allowance: &Quota, wait: Duration) -> bool {
         let rate = allowance.requests.unwrap_or(0.0);
         let most = HOLD.as_secs_f64() * rate + HELD;
         wait.is_zero() || wait <= HOLD && (self.waiting.len() as f64) < most
@@ -197,7 +197,7 @@
     }
 }
 
-fn cost(core: &Core, key: RequestKey, allowance: &Allowance) -> Taken {
+fn cost(core: &Core, key: RequestKey, allowance: &Quota) -> Taken {
     let tokens = match &core.requests.arena[key].want {
         Want::Model(want) => f64::from(want.prompt) + f64::from(want.output),
         Want::Service(_) => 0.0,
@@ -209,11 +209,8 @@
     }
 }
 
-fn allowance(core: &Core, plan: &str) -> Option<Allowance> {
-    let allowance = core.config.lists.uses.plans.get(plan)?;
-    let limited =
-        allowance.requests.is_some() || allowance.tokens.is_some() || allowance.running.is_some();
-    limited.then(|| allowance.clone())
+fn allowance(core: &Core, plan: &str) -> Option<Quota> {
+    core.config.lists.uses.plans.get(plan)?.quota()
 }
 
 /// Takes a request's share.
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -52,12 +52,6 @@
     /// The meters cannot be made.
     #[snafu(display("the meters cannot be made"))]
     Meters,
-    /// Signals cannot be listened for.
-    #[snafu(display("signals cannot be listened for"))]
-    Signals {
-        /// What the system said.
-        source: io::Error,
-    },
 }
 
 /// A host's open listeners.
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -167,12 +167,6 @@
         look(&self.core.borrow())
     }
 
-    /// Returns the settings.
-    #[must_use]
-    pub fn settings(&self) -> Settings {
-        self.look(|core| core.settings.clone())
-    }
-
     /// Sets what a planned stop closes the callers' listener with.
     pub fn on_close(&self, close: watch::Sender<bool>) {
         *self.close.borrow_mut() = Some(close);
--- a/src/lists/mod.rs
+++ b/src/lists/mod.rs
@@ -90,6 +90,30 @@
     pub priority: u8,
 }
 
+/// The limits of an allowance, without its names: looked up for every request.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Quota {
+    /// Requests a second; `None` for no limit.
+    pub requests: Option<f64>,
+    /// Prompt and output tokens a second together; `None` for no limit.
+    pub tokens: Option<f64>,
+    /// Requests running at once; `None` for no limit.
+    pub running: Option<u32>,
+}
+
+impl Allowance {
+    /// Returns the limits; `None` where there is none.
+    #[must_use]
+    pub fn quota(&self) -> Option<Quota> {
+        let quota = Quota {
+            requests: self.requests,
+            tokens: self.tokens,
+            running: self.running,
+        };
+        (quota != Quota::default()).then_some(quota)
+    }
+}
+
 /// Whether calls that match may be repeated; the first rule that matches decides.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Rule {
