Learn the shortest time apart from an engine's pace

Cause: every engine's first token takes a fixed time (about 65 ms), so that the pace learned from short prompts grew to 8 on engines of ordinary speed. Change: the shortest time is learned by service and stage, the pace only from prompts long enough.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -25,7 +25,7 @@
     };
     let (call, engine) = (attempt.call, attempt.backend);
     let took = millis(now.since(attempt.sent));
-    load::measured(core, key, took);
+    load::measured(core, key, took, out);
     close(core, key);
     if let Some(instance) = core.relay.instances.arena.get_mut(engine) {
         instance.works();
@@ -46,7 +46,7 @@
     };
     let (call, backend) = (attempt.call, attempt.backend);
     let took = millis(core.now.since(attempt.sent));
-    load::measured(core, key, took);
+    load::measured(core, key, took, out);
     close(core, key);
     let failed = status >= FAILURES;
     if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
@@ -85,7 +85,7 @@
     attempt.began = true;
     attempt.last = now;
     if first {
-        load::measured(core, key, took);
+        load::measured(core, key, took, out);
         count_prefilled(core, key);
         if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
             instance.works();
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -207,6 +207,7 @@
         sent: now,
         work: choice.work,
         expected: choice.expected,
+        ahead: choice.ahead,
         began: false,
         last: now,
     });
--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -39,6 +39,8 @@
     pub work: Work,
     /// Milliseconds until the first of the answer.
     pub expected: f64,
+    /// Prompt tokens that are to be read there before its first token, its own among them.
+    pub ahead: u64,
     /// Urgency at an engine.
     pub urgency: Option<u8>,
     /// Whether it can no longer be in time.
@@ -156,6 +158,7 @@
             ..Work::default()
         },
         expected,
+        ahead: 0,
         urgency: None,
         late: false,
         silence,
@@ -173,6 +176,8 @@
     urgent: f64,
     /// The same if it gives way to all others.
     patient: f64,
+    /// Tokens to be read there before it, if it is urgent and if it gives way.
+    ahead: (u64, u64),
     /// Milliseconds until its own part is done there.
     here: (f64, f64),
     /// What it costs, in milliseconds of delay.
@@ -227,6 +232,7 @@
         task,
         work,
         expected: here,
+        ahead: way.tokens + if late { way.ahead.1 } else { way.ahead.0 },
         urgency: Some(urgency(call, late)),
         late,
         silence: Some(span(here * 3.0 + 300.0)),
@@ -255,9 +261,10 @@
     let tokens = load::unread(instance, prompt);
     let work = instance.work();
     let own = load::reading(instance, tokens);
+    let base = core.relay.rates.base(&call.service, stage);
     let (base, after) = match stage {
-        Stage::Prefill => (load::PREFILL_BASE * instance.pace, handover),
-        Stage::Decode => (load::WHOLE_BASE * instance.pace + waiting(instance), 0.0),
+        Stage::Prefill => (base, handover),
+        Stage::Decode => (base + waiting(instance), 0.0),
     };
     let urgent = base + own + load::reading(instance, work.urgent);
     let patient = base + own + load::reading(instance, work.tokens);
@@ -269,6 +276,7 @@
         tokens,
         urgent: urgent + after,
         patient: patient + after,
+        ahead: (work.urgent, work.tokens),
         here: (urgent, patient),
         cost: (urgent + after + own * policy.work) * errors + crossing,
     }
@@ -351,6 +359,7 @@
             ..Work::default()
         },
         expected,
+        ahead: 0,
         urgency: Some(urgency(call, call.late)),
         late: call.late,
         silence: Some(span(expected * 3.0 + 300.0)),
--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -55,6 +55,13 @@
     Changed(Changes),
     /// The watch of the store began to work, or broke.
     Watch(Watch),
+    /// An engine told of its state.
+    Reported {
+        /// The engine's id.
+        instance: Box<str>,
+        /// Its state; `None` where it did not answer.
+        report: Option<EngineReport>,
+    },
     /// An engine answered an order.
     Ordered {
         /// The engine's id.
@@ -127,8 +134,6 @@
     pub leaving: bool,
     /// Part of a request that it does; `None` for a plain service.
     pub stage: Option<Stage>,
-    /// Orders that it has accepted.
-    pub orders: u64,
     /// Wall clock at its start, in milliseconds since the Unix epoch; 0 where it did not say.
     pub born: u64,
 }
@@ -218,6 +223,13 @@
         /// Name of the KV cache.
         handle: Box<str>,
     },
+    /// Ask an engine for its state.
+    Report {
+        /// Its id.
+        instance: Box<str>,
+        /// Where it listens.
+        addr: SocketAddr,
+    },
     /// Have an engine change its stage.
     Order(StageOrder),
     /// Ask a doubted backend server for its health.
@@ -298,6 +310,17 @@
     pub until: Time,
 }
 
+/// An engine's state by its own report, some hundred milliseconds old.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Stage that it has.
+    pub stage: Stage,
+    /// Whether it carries out an order.
+    pub busy: bool,
+    /// Orders that it has accepted since its start.
+    pub orders: u64,
+}
+
 /// What came of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderResult {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -42,8 +42,6 @@
     pub leaving: bool,
     /// Stage it has, if it is an engine.
     pub stage: Option<Stage>,
-    /// Orders that it has accepted.
-    pub orders: u64,
     /// Wall clock at its start, in milliseconds since the Unix epoch.
     pub born: u64,
     /// When its entry was first missed after the watch was interrupted.
@@ -124,7 +122,6 @@
             slots: entry.slots.max(1),
             leaving: entry.leaving,
             stage: entry.stage,
-            orders: entry.orders,
             born: entry.born,
             missed: None,
             misplaced: false,
@@ -284,7 +281,6 @@
             instance.leaving = entry.leaving;
             instance.missed = None;
             instance.stage = entry.stage;
-            instance.orders = entry.orders;
             instance.slots = entry.slots.max(1);
             return;
         }
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -3,25 +3,29 @@
 //! Engines report their load late, and a report costs a call. Every host knows what it sent
 //! itself, and the others tell what they sent; what an engine still has to do follows from both.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::super::Core;
+use super::super::{Core, Effects};
 use super::super::key::AttemptKey;
 use super::super::time::Time;
 use super::event::{Prompt, Stage, Task};
 use super::instance::Instance;
-use super::{Attempt, Call, millis, span};
+use super::{Attempt, Call, millis, note, span};
 
-/// Milliseconds until an idle engine of pace 1 has prefilled the shortest prompt.
-pub const PREFILL_BASE: f64 = 15.0;
 /// Milliseconds a prompt token takes at an engine of pace 1 that prefills.
 ///
 /// Engines differ in speed and are not described; the pace of each is learned within a few
 /// requests. This is where learning starts: 40 tokens a millisecond.
 pub const PREFILL_TOKEN: f64 = 0.025;
-/// Milliseconds until an idle engine of pace 1 that decodes brings the first token of the shortest
-/// prompt.
-pub const WHOLE_BASE: f64 = 25.0;
+/// Milliseconds until an idle engine has read the shortest prompt, before any was measured.
+const BASE: f64 = 50.0;
+/// Weight of a measurement above and below what is known of the shortest time: queues make it
+/// longer now and then, nothing makes it shorter.
+const BASE_STEP: (f64, f64) = (0.01, 0.2);
+/// Milliseconds of reading from which on a measurement tells of an engine's pace, and below which
+/// it tells of the shortest time.
+const TELLING: f64 = 25.0;
 /// Milliseconds a prompt token takes at an engine of pace 1 that decodes: it reads at about half
 /// the speed, in shorter pieces, between the tokens of others.
 pub const WHOLE_TOKEN: f64 = 0.06;
@@ -46,10 +50,23 @@
 /// What requests took lately, over all backend servers.
 #[derive(Debug, Default)]
 pub struct Rates {
-    /// Milliseconds of engine time that prompts sent to engines that prefill need, to date.
-    pub prefill: f64,
-    /// The same for prompts that are read where they are answered.
-    pub whole: f64,
+    /// Milliseconds until an idle engine has read the shortest prompt, by service and stage.
+    bases: BTreeMap<(Box<str>, Stage), f64>,
+}
+
+impl Rates {
+    /// Returns the milliseconds until an idle engine has read the shortest prompt.
+    #[must_use]
+    pub fn base(&self, service: &str, stage: Stage) -> f64 {
+        let known = self.bases.get(&(service.into(), stage));
+        known.copied().unwrap_or(BASE)
+    }
+
+    fn learn(&mut self, service: &str, stage: Stage, took: f64) {
+        let base = self.bases.entry((service.into(), stage)).or_insert(took);
+        let step = if took > *base { BASE_STEP.0 } else { BASE_STEP.1 };
+        *base += (took - *base) * step;
+    }
 }
 
 /// Returns the tokens of a prompt that an engine has yet to read.
@@ -116,24 +133,39 @@
 }
 
 /// Learns from the time an attempt took to bring the first of its answer.
-pub fn measured(core: &mut Core, key: AttemptKey, took: f64) {
+pub fn measured(core: &mut Core, key: AttemptKey, took: f64, out: &mut Effects) {
     let Some(attempt) = core.relay.attempts.get(key) else {
         return;
     };
-    if attempt.began && !matches!(attempt.task, Task::Prefill) && took > 0.0 {
-        // Only the first of an answer tells of the engine.
-    }
-    let (expected, engine) = (attempt.expected, attempt.work.tokens > 0);
+    let (expected, ahead) = (attempt.expected, attempt.ahead);
     let task = attempt.task.clone();
+    let id = core.relay.calls.get(attempt.call).map(|call| call.id.clone());
     let Some(instance) = core.relay.instances.arena.get_mut(attempt.backend) else {
         return;
     };
+    note(out, log::Level::Info, "attempt.first", vec![
+        ("id", id.unwrap_or_default()),
+        ("backend", instance.id.clone()),
+        ("task", super::call::task_word(&task).into()),
+        ("took_ms", format!("{took:.0}").into()),
+        ("expected_ms", format!("{expected:.0}").into()),
+        ("pace", format!("{:.2}", instance.pace).into()),
+    ]);
     if instance.stage.is_none() {
         let old = latency(instance);
         instance.latency = old + (took - old) * LATENCY_STEP;
-    } else if engine && matches!(task, Task::Prefill | Task::Whole) && expected > 0.0 {
-        let seen = (instance.pace * took / expected).clamp(PACE.0, PACE.1);
-        instance.pace += (seen - instance.pace) * PACE_STEP;
+    } else if let Some(stage) = instance.stage
+        && matches!(task, Task::Prefill | Task::Whole)
+    {
+        let base = core.relay.rates.base(&instance.service, stage);
+        let nominal = reading(instance, ahead) / instance.pace;
+        if nominal >= TELLING {
+            let seen = ((took - base) / nominal).clamp(PACE.0, PACE.1);
+            instance.pace += (seen - instance.pace) * PACE_STEP;
+        } else {
+            let took = took - nominal * instance.pace;
+            core.relay.rates.learn(&instance.service.clone(), stage, took);
+        }
     }
 }
 
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -146,6 +146,8 @@
     pub work: instance::Work,
     /// Milliseconds after which the first of the answer was expected.
     pub expected: f64,
+    /// Prompt tokens that were to be read there before its first token, its own among them.
+    pub ahead: u64,
     /// Whether anything of the answer arrived.
     pub began: bool,
     /// When anything last arrived.
@@ -222,6 +224,9 @@
         } => answer::broke(core, attempt, ran, end, &detail, out),
         RelayEvent::Changed(changes) => changed(core, changes, out),
         RelayEvent::Watch(watch) => watched(core, watch, out),
+        RelayEvent::Reported { instance, report } => {
+            split::reported(core, &instance, report, out);
+        }
         RelayEvent::Ordered {
             instance,
             fence,
--- a/src/core/relay/split.rs
+++ b/src/core/relay/split.rs
@@ -4,6 +4,7 @@
 //! is the fencing number of its orders. It counts its lease from before it asked for it, on a
 //! clock that runs on while the process is suspended, so that it stops before another can begin.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -11,9 +12,10 @@
 
 use super::super::effect::Effect;
 use super::super::event::{Job, StoreReply, StoreResult};
+use super::super::key::BackendKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::{Changes, OrderResult, RelayEffect, Stage, StageOrder};
+use super::event::{Changes, EngineReport, OrderResult, RelayEffect, Stage, StageOrder};
 use super::{RelayJob, RelayTimer, note, wake};
 use crate::store::{Compare, Op, Txn};
 
@@ -28,6 +30,9 @@
 /// Time for which an engine that was ordered gets no other order: it may be carried out late.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// Time without a change of their number after which the engines are planned for.
+const STEADY: Duration = Duration::from_millis(1500);
+
 /// The authority to give orders and what was done with it.
 #[derive(Debug, Default)]
 pub struct Split {
@@ -43,8 +48,10 @@
     until: Time,
     /// A renewal or a take-over is on its way.
     asked: bool,
-    /// Engines that were ordered, and when.
-    ordered: BTreeMap<Box<str>, Time>,
+    /// Engines that were asked to change, to which stage, and when.
+    changes: BTreeMap<Box<str>, (Stage, Time)>,
+    /// Number of engines, and since when.
+    count: (usize, Time),
 }
 
 /// Begins to look for the authority.
@@ -175,12 +182,11 @@
     }
 }
 
-/// Orders one engine to change, where the stages are not as wanted.
+/// Asks an engine that should change for its state, where the stages are not as wanted.
 fn order(core: &mut Core, out: &mut Effects) {
     let Some(catalog) = &core.relay.catalog else {
         return;
     };
-    let part = core.settings.relay.as_ref().map_or(0.5, |relay| relay.policy.prefill);
     let services: Vec<Box<str>> = catalog
         .services
         .iter()
@@ -188,33 +194,27 @@
         .map(|(name, _)| name.clone())
         .collect();
     for service in services {
-        let keys = core.relay.instances.of(&service);
-        let now = core.now;
-        let live = keys.iter().filter(|key| {
-            let instance = &core.relay.instances.arena[**key];
-            !instance.leaving && !instance.misplaced && instance.missed.is_none()
-        });
-        let live: Vec<_> = live.copied().collect();
-        let prefill = live.iter().filter(|key| {
+        let live = live(core, &service);
+        if !steady(core, live.len()) {
+            continue;
+        }
+        let prefills = |key: &&BackendKey| {
             core.relay.instances.arena[**key].stage == Some(Stage::Prefill)
-        });
-        let have = prefill.count();
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a share of a few engines")]
-        let want = (live.len() as f64 * part).round() as usize;
+        };
+        let have = live.iter().filter(prefills).count();
+        let want = wanted(core, live.len());
         let stage = match have.cmp(&want) {
-            std::cmp::Ordering::Less => Stage::Prefill,
-            std::cmp::Ordering::Equal => continue,
-            std::cmp::Ordering::Greater => Stage::Decode,
+            Ordering::Less => Stage::Prefill,
+            Ordering::Equal => continue,
+            Ordering::Greater => Stage::Decode,
         };
-        let split = &core.relay.split;
-        let busy = |id: &str| split.ordered.get(id).is_some_and(|at| now.since(*at) < SETTLE);
-        let pending = live.iter().filter(|key| busy(&core.relay.instances.arena[**key].id)).count();
-        if pending >= have.abs_diff(want) {
+        let busy = |key: &&BackendKey| busy(core, **key);
+        if live.iter().filter(busy).count() >= have.abs_diff(want) {
             continue;
         }
         let candidates = live.iter().filter(|key| {
             let instance = &core.relay.instances.arena[**key];
-            instance.stage.is_some() && instance.stage != Some(stage) && !busy(&instance.id)
+            instance.stage.is_some() && instance.stage != Some(stage) && !busy(key)
         });
         // The one with the least to do loses least by the change.
         let chosen = candidates.min_by_key(|key| {
@@ -223,26 +223,92 @@
         });
         let Some(&chosen) = chosen else { continue };
         let instance = &core.relay.instances.arena[chosen];
-        let order = StageOrder {
-            instance: instance.id.clone(),
-            addr: instance.addr,
-            stage,
-            holder: core.settings.host.name.clone(),
-            fence: split.fence,
-            expected: instance.orders,
-            until: split.until,
-        };
-        note(out, log::Level::Info, "engine.ordered", vec![
-            ("backend", order.instance.clone()),
+        let (id, addr) = (instance.id.clone(), instance.addr);
+        note(out, log::Level::Info, "engine.to_change", vec![
+            ("backend", id.clone()),
             ("stage", format!("{stage:?}").into()),
-            ("fence", order.fence.to_string().into()),
             ("have", have.to_string().into()),
             ("want", want.to_string().into()),
             ("engines", live.len().to_string().into()),
         ]);
-        core.relay.split.ordered.insert(order.instance.clone(), now);
-        out.push(Effect::Relay(RelayEffect::Order(order)));
+        core.relay.split.changes.insert(id.clone(), (stage, core.now));
+        out.push(Effect::Relay(RelayEffect::Report { instance: id, addr }));
+    }
+}
+
+/// Returns the engines of a service that stay.
+fn live(core: &Core, service: &str) -> Vec<BackendKey> {
+    let keys = core.relay.instances.of(service).iter().copied();
+    keys.filter(|key| {
+        let instance = &core.relay.instances.arena[*key];
+        !instance.leaving && !instance.misplaced && instance.missed.is_none()
+    })
+    .collect()
+}
+
+/// Tells whether the number of engines has not changed for a while.
+///
+/// They register one after the other: a plan for the first few would order some that the plan for
+/// all of them orders back.
+fn steady(core: &mut Core, count: usize) -> bool {
+    let now = core.now;
+    let split = &mut core.relay.split;
+    if split.count.0 != count {
+        split.count = (count, now);
     }
+    now.since(split.count.1) >= STEADY
+}
+
+/// Returns how many engines should prefill.
+fn wanted(core: &Core, engines: usize) -> usize {
+    let part = core.settings.relay.as_ref().map_or(0.5, |relay| relay.policy.prefill);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of a few engines"
+    )]
+    let count = (engines as f64 * part).round() as usize;
+    count.clamp(usize::from(engines > 1), engines.saturating_sub(1))
+}
+
+/// Tells whether an engine was asked to change a moment ago.
+fn busy(core: &Core, key: BackendKey) -> bool {
+    let id = &core.relay.instances.arena[key].id;
+    let change = core.relay.split.changes.get(id);
+    change.is_some_and(|(_, at)| core.now.since(*at) < SETTLE)
+}
+
+/// Orders an engine to change, now that its state is known.
+pub fn reported(core: &mut Core, id: &str, report: Option<EngineReport>, out: &mut Effects) {
+    let split = &mut core.relay.split;
+    let Some((stage, _)) = split.changes.get(id).copied() else {
+        return;
+    };
+    let authority = split.fence != 0 && core.now < split.until;
+    let key = core.relay.instances.find(id);
+    let (Some(report), Some(key), true) = (report, key, authority) else {
+        return;
+    };
+    if report.busy || report.stage == stage {
+        return;
+    }
+    let instance = &core.relay.instances.arena[key];
+    let order = StageOrder {
+        instance: instance.id.clone(),
+        addr: instance.addr,
+        stage,
+        holder: core.settings.host.name.clone(),
+        fence: split.fence,
+        expected: report.orders,
+        until: split.until,
+    };
+    note(out, log::Level::Info, "engine.ordered", vec![
+        ("backend", order.instance.clone()),
+        ("stage", format!("{stage:?}").into()),
+        ("fence", order.fence.to_string().into()),
+        ("expected", order.expected.to_string().into()),
+    ]);
+    out.push(Effect::Relay(RelayEffect::Order(order)));
 }
 
 /// Takes in what came of an order.
@@ -260,7 +326,7 @@
             split.lease = 0;
         }
         OrderResult::Unsent => {
-            split.ordered.remove(id);
+            split.changes.remove(id);
         }
         _ => {}
     }
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -257,6 +257,24 @@
     }
 }
 
+/// Asks an engine for its state.
+pub async fn report(node: Rc<Node>, instance: Box<str>, addr: SocketAddr) {
+    let path = engine::REPORT_PATH;
+    let call = side_call(addr, hyper::Method::GET, path, &instance, Vec::new());
+    let report = match node.relay.channels.call(&call, CALL, PREFILLED).await {
+        Ok((200, body)) => engine::report(&body),
+        Ok((status, _)) => {
+            log::debug!("{instance} answered {status} when asked for its state");
+            None
+        }
+        Err(err) => {
+            log::debug!("{instance} did not tell its state: {err}");
+            None
+        }
+    };
+    tell(&node, RelayEvent::Reported { instance, report });
+}
+
 /// Gives an order.
 pub async fn order(node: Rc<Node>, order: StageOrder) {
     let call = side_call(
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -203,6 +203,9 @@
         } => {
             ntex::rt::spawn(backends::free(Rc::clone(node), instance, addr, handle));
         }
+        RelayEffect::Report { instance, addr } => {
+            ntex::rt::spawn(backends::report(Rc::clone(node), instance, addr));
+        }
         RelayEffect::Order(order) => {
             ntex::rt::spawn(backends::order(Rc::clone(node), order));
         }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -2,8 +2,8 @@
 
 use serde_json::{Value, json};
 
-use super::entry;
-use crate::core::relay::event::{OrderResult, StageOrder};
+use super::{entry, whole};
+use crate::core::relay::event::{EngineReport, OrderResult, StageOrder};
 
 /// Path of orders.
 pub const ORDER_PATH: &str = "/v1/order";
@@ -12,6 +12,19 @@
 /// Path of an engine's own report of its state.
 pub const REPORT_PATH: &str = "/v1/report";
 
+/// Reads an engine's report.
+#[must_use]
+pub fn report(body: &[u8]) -> Option<EngineReport> {
+    let value: Value = serde_json::from_slice(body).ok()?;
+    Some(EngineReport {
+        stage: entry::stage(value["stage"].as_str()?)?,
+        busy: value["busy"].as_bool().unwrap_or(false),
+        // Here the field counts accepted orders; in a registered entry the same name counts
+        // heartbeats.
+        orders: whole(&value["sequence"])?,
+    })
+}
+
 /// Returns the body of an order.
 #[must_use]
 pub fn order(order: &StageOrder) -> Vec<u8> {
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -32,16 +32,11 @@
         slots: u32::try_from(whole(&value["slots"])?).ok()?,
         leaving,
         stage,
-        // The name says little: it counts the orders that the engine has accepted.
-        orders: match &value["sequence"] {
-            Value::Null => 0,
-            count => whole(count)?,
-        },
         born: whole(&value["born"]).unwrap_or(0),
     })
 }
 
-fn stage(word: &str) -> Option<Stage> {
+pub(super) fn stage(word: &str) -> Option<Stage> {
     match word {
         PREFILL => Some(Stage::Prefill),
         DECODE => Some(Stage::Decode),
