--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -134,6 +134,17 @@
         }
     }
 
+    /// Ends an answer that cannot be completed so that it looks cut.
+    ///
+    /// The library ends a failed body by writing an answer of its own into it, which no caller
+    /// could read; with the connection closed first, nothing more is written.
+    fn cut(&self, call: CallKey) {
+        if let Some(queue) = self.queue(call) {
+            queue.close();
+        }
+        self.end(call, Part::Cut);
+    }
+
     fn pass(&self, call: CallKey) {
         if let Some(Hand::Answer(head, body)) = self.hand.borrow_mut().take() {
             self.end(call, Part::Answer(head, body));
@@ -194,7 +205,7 @@
         RelayEffect::Deliver(call) => ports.deliver(call),
         RelayEffect::Pass(call) => ports.pass(call),
         RelayEffect::Finish(call) => ports.end(call, Part::Whole),
-        RelayEffect::Cut(call) => ports.end(call, Part::Cut),
+        RelayEffect::Cut(call) => ports.cut(call),
         RelayEffect::Refuse { call, refusal } => ports.end(call, Part::Refused(refusal)),
         RelayEffect::Free {
             instance,
