Read the settings again at SIGHUP

Change: the settings are read again at the signal and every five seconds; a faulty file changes nothing.

--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -9,6 +9,7 @@
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::time::Time;
 use crate::error::Ran;
+use crate::settings::Settings;
 
 /// One event about relayed requests.
 #[derive(Debug, Clone)]
@@ -78,6 +79,8 @@
         /// Whether it answered that it is well.
         well: bool,
     },
+    /// The settings were read again.
+    Reloaded(Box<Settings>),
     /// Another host told of its work.
     Told(Box<Word>),
 }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -28,6 +28,7 @@
 use super::key::{AttemptKey, BackendKey, CallKey};
 use super::time::Time;
 use super::{Core, Effects};
+use crate::settings::Settings;
 use budget::Budget;
 use catalog::{Catalog, Repeat};
 use event::{Changes, Prompt, RelayEvent, Task, Watch};
@@ -233,6 +234,7 @@
             result,
         } => split::ordered(core, &instance, fence, result, out),
         RelayEvent::Probed { instance, well } => probed(core, &instance, well),
+        RelayEvent::Reloaded(settings) => reloaded(core, *settings, out),
         RelayEvent::Told(word) => peers::told(core, *word, out),
     }
 }
@@ -306,6 +308,13 @@
     note(out, level, name, Vec::new());
 }
 
+/// Puts settings in force that were read again; listeners and the name stay as they are.
+fn reloaded(core: &mut Core, settings: Settings, out: &mut Effects) {
+    core.settings.relay = settings.relay;
+    core.settings.limits = settings.limits;
+    note(out, log::Level::Info, "host.reloaded", Vec::new());
+}
+
 /// Takes in whether a doubted backend server is well.
 fn probed(core: &mut Core, id: &str, well: bool) {
     if let Some(key) = core.relay.instances.find(id) {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -27,10 +27,11 @@
 
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::core::Event;
 use crate::core::event::StopEvent;
+use crate::core::relay::event::RelayEvent;
 use crate::settings::Settings;
 use crate::web;
 
@@ -104,7 +105,8 @@
 
 /// Serves a host that relays requests until a planned stop is complete.
 ///
-/// The stop begins when `stop` turns true or its sender is gone.
+/// The stop begins when `stop` turns true or its sender is gone. Settings that come by `reloads`
+/// replace those in force, but for the listeners.
 ///
 /// # Errors
 ///
@@ -112,6 +114,7 @@
 pub async fn run_relay(
     settings: Settings,
     mut stop: watch::Receiver<bool>,
+    mut reloads: mpsc::Receiver<Settings>,
 ) -> Result<(), HostError> {
     let Some(relay) = settings.relay.clone() else {
         return Err(HostError::Client);
@@ -150,6 +153,12 @@
     ntex::rt::spawn(relay::datagrams::receive(Rc::clone(&node), socket));
     ntex::rt::spawn(timer::run(Rc::clone(&node)));
     ntex::rt::spawn(relay::keeper::watch(Rc::clone(&node)));
+    let reloaded = Rc::clone(&node);
+    ntex::rt::spawn(async move {
+        while let Some(settings) = reloads.recv().await {
+            reloaded.apply(Event::Relay(RelayEvent::Reloaded(Box::new(settings))));
+        }
+    });
     node.apply(Event::Start);
     finish(&node, &mut stop).await;
     drop(ended);
--- a/src/run.rs
+++ b/src/run.rs
@@ -3,14 +3,14 @@
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use ntex::rt::{DefaultRuntime, System};
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::backend;
 use crate::cli::{CheckOptions, Command, HostOptions, Pace, StandinKind, StandinOptions};
@@ -28,6 +28,8 @@
 
 /// Exit code of a host that a second signal ended before its planned stop was complete.
 const ENDED_BY_SIGNAL: i32 = 130;
+/// Time between two looks at the settings file.
+const REREAD: Duration = Duration::from_secs(5);
 /// Fixed time of a stand-in engine's step.
 const STEP: Duration = Duration::from_millis(5);
 /// How much faster a stand-in engine imports a prompt token's KV cache than it prefills it.
@@ -145,11 +147,14 @@
 fn serve(options: &HostOptions) -> Result<(), RunError> {
     let mut settings = read_settings(&options.config)?;
     logs::start(&settings.log)?;
+    let path = options.config.clone();
     block_on(async move {
         if settings.relay.is_some() {
             let (stop, stopped) = watch::channel(false);
             ntex::rt::spawn(signals(stop));
-            return Ok(host::run_relay(settings, stopped).await?);
+            let (tx, reloads) = mpsc::channel(1);
+            ntex::rt::spawn(reread(path, tx));
+            return Ok(host::run_relay(settings, stopped, reloads).await?);
         }
         let listeners = Listeners::open(&mut settings).await?;
         let host = &settings.host;
@@ -164,6 +169,42 @@
     })
 }
 
+/// Reads the settings again at SIGHUP, and now and then since they may change without one.
+async fn reread(path: PathBuf, tx: mpsc::Sender<Settings>) {
+    let Ok(mut hup) = signal(SignalKind::hangup()) else {
+        log::warn!(target: "chiveway::settings.no_signal", "SIGHUP cannot be waited for");
+        return;
+    };
+    let mut before = fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        tokio::select! {
+            _ = hup.recv() => {}
+            () = tokio::time::sleep(REREAD) => {}
+        }
+        let text = match fs::read_to_string(&path) {
+            Ok(text) if text != before => text,
+            Ok(_) => continue,
+            Err(err) => {
+                log::warn!(target: "chiveway::settings.unreadable", "the old ones stay: {err}");
+                continue;
+            }
+        };
+        match parse_settings(&text, &path.display().to_string()) {
+            Ok(settings) => {
+                if tx.send(settings).await.is_err() {
+                    return;
+                }
+            }
+            Err(faults) => {
+                for fault in faults {
+                    log::warn!(target: "chiveway::settings.fault", "the old ones stay: {fault}");
+                }
+            }
+        }
+        before = text;
+    }
+}
+
 /// Begins a planned stop at the first signal and ends the process at the second.
 async fn signals(stop: watch::Sender<bool>) {
     let (Ok(mut term), Ok(mut int)) = (
