--- a/src/backend/channel.rs
+++ b/src/backend/channel.rs
@@ -105,7 +105,9 @@
 
 impl std::fmt::Debug for Answer {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Answer").field("addr", &self.addr).finish_non_exhaustive()
+        f.debug_struct("Answer")
+            .field("addr", &self.addr)
+            .finish_non_exhaustive()
     }
 }
 
@@ -172,13 +174,14 @@
                 },
             }
         }
-        let (mut sender, guard) = timeout(connect, open(call.addr))
-            .await
-            .unwrap_or_else(|_late| {
-                Err(ChannelError::Connect {
-                    reason: "the other side does not answer".into(),
-                })
-            })?;
+        let (mut sender, guard) =
+            timeout(connect, open(call.addr))
+                .await
+                .unwrap_or_else(|_late| {
+                    Err(ChannelError::Connect {
+                        reason: "the other side does not answer".into(),
+                    })
+                })?;
         match sender.try_send_request(request).await {
             Ok(response) => Ok(Answer {
                 response,
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -13,12 +13,7 @@
 const FAILURES: u16 = 500;
 
 /// Takes in that an engine holds the KV cache of a prompt: another one goes on from it.
-pub(super) fn prefilled(
-    core: &mut Core,
-    key: AttemptKey,
-    handle: Box<str>,
-    out: &mut Effects,
-) {
+pub(super) fn prefilled(core: &mut Core, key: AttemptKey, handle: Box<str>, out: &mut Effects) {
     let now = core.now;
     let Some(attempt) = core.relay.attempts.get(key) else {
         return;
@@ -62,7 +57,13 @@
     }
     if core.relay.calls[call].delivered {
         // A resumed stream cannot go on with an answer of another kind.
-        give_up(core, call, Kind::EngineFailed, "the stream could not go on", out);
+        give_up(
+            core,
+            call,
+            Kind::EngineFailed,
+            "the stream could not go on",
+            out,
+        );
         return;
     }
     core.relay.killers.cleared(core.relay.calls[call].print);
@@ -102,12 +103,12 @@
     }
     if let Some(last) = call.last {
         out.push(Effect::Meter(Meter::Between {
-            class: call.route.clone(),
+            class: call.route.name.clone(),
             gap: now.since(last),
         }));
     } else {
         out.push(Effect::Meter(Meter::First {
-            class: call.route.clone(),
+            class: call.route.name.clone(),
             customer: "".into(),
             after: now.since(call.arrived),
         }));
@@ -143,15 +144,30 @@
     out.push(Effect::Relay(RelayEffect::Cancel(key)));
     let (call, backend) = (attempt.call, attempt.backend);
     blame(core, backend, how, out);
-    note(out, log::Level::Info, "attempt.broke", vec![
-        ("id", core.relay.calls[call].id.clone()),
-        ("backend", core.relay.instances.arena.get(backend).map_or("".into(), |i| i.id.clone())),
-        ("task", super::call::task_word(&attempt.task).into()),
-        ("how", format!("{how:?}").into()),
-        ("ran", ran.word().into()),
-        ("after_ms", format!("{:.0}", millis(core.now.since(attempt.sent))).into()),
-        ("detail", detail.into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "attempt.broke",
+        vec![
+            ("id", core.relay.calls[call].id.clone()),
+            (
+                "backend",
+                core.relay
+                    .instances
+                    .arena
+                    .get(backend)
+                    .map_or("".into(), |i| i.id.clone()),
+            ),
+            ("task", super::call::task_word(&attempt.task).into()),
+            ("how", format!("{how:?}").into()),
+            ("ran", ran.word().into()),
+            (
+                "after_ms",
+                format!("{:.0}", millis(core.now.since(attempt.sent))).into(),
+            ),
+            ("detail", detail.into()),
+        ],
+    );
     if how == Break::Cut {
         super::killer::suspect(core, call, backend, out);
     }
@@ -180,7 +196,11 @@
                 note_retry(core, call, detail, out);
                 go_on(core, call, detail, out);
             } else {
-                let kind = if how == Break::Silent { Kind::Silent } else { Kind::ServiceFailed };
+                let kind = if how == Break::Silent {
+                    Kind::Silent
+                } else {
+                    Kind::ServiceFailed
+                };
                 give_up(core, call, kind, detail, out);
             }
         }
@@ -206,9 +226,12 @@
         Break::Cut | Break::Silent | Break::Forgotten => instance.failed(now),
     }
     if matches!(how, Break::Unreachable) && instance.fails == 2 {
-        note(out, log::Level::Warn, "backend.unreachable", vec![
-            ("backend", instance.id.clone()),
-        ]);
+        note(
+            out,
+            log::Level::Warn,
+            "backend.unreachable",
+            vec![("backend", instance.id.clone())],
+        );
         drop(health);
     }
 }
@@ -216,7 +239,7 @@
 /// Tells whether a request that may have run may be sent once more.
 fn may_repeat(core: &Core, key: CallKey) -> bool {
     let call = &core.relay.calls[key];
-    call.repeat == Repeat::Idempotent && call.runs < call.most
+    call.route.repeat == Repeat::Idempotent && call.runs < call.route.attempts
 }
 
 /// Tells whether there is time for another attempt.
@@ -237,13 +260,18 @@
 fn note_retry(core: &Core, key: CallKey, detail: &str, out: &mut Effects) {
     let call = &core.relay.calls[key];
     out.push(Effect::Meter(Meter::Retried {
-        class: call.route.clone(),
+        class: call.route.name.clone(),
     }));
-    note(out, log::Level::Info, "request.repeated", vec![
-        ("id", call.id.clone()),
-        ("runs", call.runs.to_string().into()),
-        ("why", detail.into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "request.repeated",
+        vec![
+            ("id", call.id.clone()),
+            ("runs", call.runs.to_string().into()),
+            ("why", detail.into()),
+        ],
+    );
 }
 
 /// An attempt has brought nothing for as long as is taken.
@@ -258,7 +286,12 @@
     let bound = load::silence(call, attempt);
     let waited = core.now.since(attempt.last);
     if waited < bound {
-        super::wake(core, bound.saturating_sub(waited), super::RelayTimer::Silence(key), out);
+        super::wake(
+            core,
+            bound.saturating_sub(waited),
+            super::RelayTimer::Silence(key),
+            out,
+        );
         return;
     }
     let may = matches!(attempt.task, Task::Prefill) || may_repeat(core, attempt.call);
--- a/src/core/relay/budget.rs
+++ b/src/core/relay/budget.rs
@@ -42,7 +42,10 @@
     /// Tells whether one more repeat may be sent, and counts it if so.
     pub fn spend(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> bool {
         let old = |times: &mut VecDeque<Time>| {
-            while times.front().is_some_and(|at| now.since(*at) > rules.window) {
+            while times
+                .front()
+                .is_some_and(|at| now.since(*at) > rules.window)
+            {
                 times.pop_front();
             }
         };
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -32,41 +32,14 @@
     let (route, service) = match found {
         Ok(found) => found,
         Err(refusal) => {
-            turn_away(core, &arrival, refusal, out);
+            turn_away(core, arrival, refusal, out);
             return;
         }
     };
     let wait = arrival.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let key = core.relay.calls.insert(Call {
-        id: arrival.id,
-        route: route.name,
-        service: service.clone(),
-        streaming: route.streaming,
-        repeat: route.repeat,
-        resumable: route.resumable,
-        target: route.target,
-        gap: route.gap,
-        rank: route.rank,
-        most: route.attempts,
-        prompt: arrival.prompt,
-        bytes: arrival.bytes,
-        print: print(&arrival.print),
-        arrived: core.now,
-        end: core.now.after(wait),
-        attempt: None,
-        runs: 0,
-        arrivals: 0,
-        prefills: 0,
-        tried: Vec::new(),
-        seen: arrival.resume.filter(|_| route.streaming),
-        delivered: false,
-        cache: None,
-        late: false,
-        last: None,
-    });
+    let key = open(core, arrival, route, service.clone(), wait, out);
     let budget = core.relay.budgets.entry(service).or_default();
     budget.request(core.now);
-    out.push(Effect::Relay(RelayEffect::Opened(key)));
     if core.relay.calls.len() > MOST {
         let detail = format!("this host holds {MOST} requests");
         refuse(core, key, Refusal::new(Kind::Overloaded, detail), out);
@@ -113,36 +86,49 @@
 }
 
 /// Refuses a request that has no route here.
-fn turn_away(core: &mut Core, arrival: &Arrival, refusal: Refusal, out: &mut Effects) {
+fn turn_away(core: &mut Core, arrival: Arrival, refusal: Refusal, out: &mut Effects) {
+    let key = open(
+        core,
+        arrival,
+        Route::default(),
+        "".into(),
+        Duration::ZERO,
+        out,
+    );
+    refuse(core, key, refusal, out);
+}
+
+/// Takes a request into the books; it must have its final answer after `wait`.
+fn open(
+    core: &mut Core,
+    arrival: Arrival,
+    route: Route,
+    service: Box<str>,
+    wait: Duration,
+    out: &mut Effects,
+) -> CallKey {
     let key = core.relay.calls.insert(Call {
-        id: arrival.id.clone(),
-        route: "".into(),
-        service: "".into(),
-        streaming: false,
-        repeat: super::Repeat::Once,
-        resumable: false,
-        target: Duration::ZERO,
-        gap: Duration::ZERO,
-        rank: 0,
-        most: 1,
-        prompt: None,
-        bytes: 0,
-        print: 0,
+        id: arrival.id,
+        service,
+        prompt: arrival.prompt,
+        bytes: arrival.bytes,
+        print: print(&arrival.print),
         arrived: core.now,
-        end: core.now,
+        end: core.now.after(wait),
         attempt: None,
         runs: 0,
         arrivals: 0,
         prefills: 0,
         tried: Vec::new(),
-        seen: None,
+        seen: arrival.resume.filter(|_| route.streaming),
         delivered: false,
         cache: None,
         late: false,
         last: None,
+        route,
     });
     out.push(Effect::Relay(RelayEffect::Opened(key)));
-    refuse(core, key, refusal, out);
+    key
 }
 
 /// Sends a request to a backend server, or refuses it where none can serve it.
@@ -155,7 +141,7 @@
         return;
     }
     match choose::choose(core, key) {
-        Ok(choice) => send(core, key, choice, out),
+        Ok(choice) => send(core, key, &choice, out),
         Err(refusal) => refuse(core, key, refusal, out),
     }
 }
@@ -179,7 +165,7 @@
     budget.spend(core.now, &settings.budget, hosts)
 }
 
-fn send(core: &mut Core, key: CallKey, choice: Choice, out: &mut Effects) {
+fn send(core: &mut Core, key: CallKey, choice: &Choice, out: &mut Effects) {
     if !afford(core, key, &choice.task) {
         let detail = "repeats use up their budget";
         let refusal = Refusal::new(Kind::Overloaded, detail).retry(COME_BACK);
@@ -190,7 +176,7 @@
     let idle = idle(core, choice.backend);
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
-    match choice.task {
+    match &choice.task {
         Task::Prefill => call.prefills += 1,
         Task::Whole | Task::Decode { .. } => {
             call.arrivals += 1;
@@ -216,15 +202,20 @@
         let parts = call.prompt.as_ref().map(|prompt| &prompt.parts);
         core.relay.peers.sent(parts, instance.short);
     }
-    note(out, log::Level::Info, "request.sent", vec![
-        ("id", call.id.clone()),
-        ("backend", instance.id.clone()),
-        ("task", task_word(&choice.task).into()),
-        ("expected_ms", format!("{:.0}", choice.expected).into()),
-        ("calls", instance.work().calls.to_string().into()),
-        ("tokens", instance.work().tokens.to_string().into()),
-        ("arrivals", call.arrivals.to_string().into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "request.sent",
+        vec![
+            ("id", call.id.clone()),
+            ("backend", instance.id.clone()),
+            ("task", task_word(&choice.task).into()),
+            ("expected_ms", format!("{:.0}", choice.expected).into()),
+            ("calls", instance.work().calls.to_string().into()),
+            ("tokens", instance.work().tokens.to_string().into()),
+            ("arrivals", call.arrivals.to_string().into()),
+        ],
+    );
     out.push(Effect::Relay(RelayEffect::Send(Box::new(Outgoing {
         call: key,
         attempt,
@@ -234,7 +225,7 @@
         left: call.end.since(now),
         urgency: choice.urgency,
         resume: call.seen,
-        streaming: call.streaming && !matches!(choice.task, Task::Prefill),
+        streaming: call.route.streaming && !matches!(choice.task, Task::Prefill),
         idle,
     }))));
     if let Some(silence) = choice.silence {
@@ -342,16 +333,24 @@
 }
 
 fn answer_with(core: &mut Core, key: CallKey, refusal: Refusal, out: &mut Effects) {
-    let (code, ran) = (refusal.kind.answer().code, refusal.ran);
-    note(out, log::Level::Info, "request.refused", vec![
-        ("id", core.relay.calls[key].id.clone()),
-        ("code", code.into()),
-        ("ran", ran.word().into()),
-        ("retry_ms", refusal.retry.map_or(0.0, millis).to_string().into()),
-        ("detail", refusal.detail.clone()),
-    ]);
+    let (word, ran) = (refusal.kind.answer().code, refusal.ran);
+    note(
+        out,
+        log::Level::Info,
+        "request.refused",
+        vec![
+            ("id", core.relay.calls[key].id.clone()),
+            ("code", word.into()),
+            ("ran", ran.word().into()),
+            (
+                "retry_ms",
+                refusal.retry.map_or(0.0, millis).to_string().into(),
+            ),
+            ("detail", refusal.detail.clone()),
+        ],
+    );
     out.push(Effect::Relay(RelayEffect::Refuse { call: key, refusal }));
-    end(core, key, code, ran, out);
+    end(core, key, word, ran, out);
 }
 
 /// Forgets a request, closes its attempt and gives back what was made for it.
@@ -378,19 +377,24 @@
     }
     let lasted = core.now.since(call.arrived);
     out.push(Effect::Meter(super::super::effect::Meter::Ended {
-        class: call.route.clone(),
+        class: call.route.name.clone(),
         customer: "".into(),
         outcome,
         lasted,
     }));
-    note(out, log::Level::Info, "request.ended", vec![
-        ("id", call.id),
-        ("route", call.route),
-        ("outcome", outcome.into()),
-        ("ran", ran.word().into()),
-        ("lasted_ms", format!("{:.0}", millis(lasted)).into()),
-        ("runs", call.runs.to_string().into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "request.ended",
+        vec![
+            ("id", call.id),
+            ("route", call.route.name),
+            ("outcome", outcome.into()),
+            ("ran", ran.word().into()),
+            ("lasted_ms", format!("{:.0}", millis(lasted)).into()),
+            ("runs", call.runs.to_string().into()),
+        ],
+    );
     super::super::stop::look(core, out);
 }
 
--- a/src/core/relay/catalog.rs
+++ b/src/core/relay/catalog.rs
@@ -17,16 +17,17 @@
 }
 
 /// What may be done with a request whose outcome is unknown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Repeat {
     /// It may run again.
     Idempotent,
     /// It runs at most once.
+    #[default]
     Once,
 }
 
 /// Requests of one host name and path prefix.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Route {
     /// Name, for logs.
     pub name: Box<str>,
--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -114,7 +114,11 @@
 fn none(core: &mut Core, key: CallKey) -> Refusal {
     let service = core.relay.calls[key].service.clone();
     let retry = come_back(core, 0.0);
-    Refusal::new(Kind::NoEngine, format!("nothing that serves {service} takes work")).retry(retry)
+    Refusal::new(
+        Kind::NoEngine,
+        format!("nothing that serves {service} takes work"),
+    )
+    .retry(retry)
 }
 
 /// Chooses for a plain service: the one expected to answer first.
@@ -148,8 +152,8 @@
         let retry = come_back(core, expected / 2.0);
         return Err(Refusal::new(Kind::Overloaded, detail).retry(retry));
     }
-    let silence = (call.repeat == Repeat::Idempotent)
-        .then(|| call.target.max(span(expected * 3.0)));
+    let silence = (call.route.repeat == Repeat::Idempotent)
+        .then(|| call.route.target.max(span(expected * 3.0)));
     Ok(Choice {
         backend,
         task: Task::Whole,
@@ -210,11 +214,11 @@
     };
     let call = &core.relay.calls[key];
     let spent = millis(core.now.since(call.arrived));
-    let late = way.urgent + spent > millis(call.target) * policy.patience;
+    let late = way.urgent + spent > millis(call.route.target) * policy.patience;
     let expected = if late { way.patient } else { way.urgent };
     if expected > millis(call.end.since(core.now)) * HOPE {
         let detail = format!("the first token would come after {expected:.0} ms");
-        let retry = come_back(core, expected - millis(core.relay.calls[key].target));
+        let retry = come_back(core, expected - millis(core.relay.calls[key].route.target));
         return Err(Refusal::new(Kind::Overloaded, detail).retry(retry));
     }
     let here = if late { way.here.1 } else { way.here.0 };
@@ -243,7 +247,7 @@
     if late {
         LATE
     } else {
-        (URGENT + call.rank).min(LATE - 1)
+        (URGENT + call.route.rank).min(LATE - 1)
     }
 }
 
@@ -302,7 +306,9 @@
 /// decodes.
 fn handover(core: &Core, call: &Call, prompt: &Prompt) -> Option<f64> {
     let takers = takers(core, call, Some(Stage::Decode));
-    let waits = takers.iter().map(|key| waiting(&core.relay.instances.arena[*key]));
+    let waits = takers
+        .iter()
+        .map(|key| waiting(&core.relay.instances.arena[*key]));
     let least = waits.min_by(f64::total_cmp)?;
     Some(least + load::HANDOVER + transfer(core, call, prompt))
 }
--- a/src/core/relay/killer.rs
+++ b/src/core/relay/killer.rs
@@ -17,7 +17,7 @@
 /// Backend servers that may die of a request before it is refused.
 const DEATHS: usize = 2;
 /// Time a suspicion lasts after the last death.
-const KEEP: Duration = Duration::from_secs(60);
+const KEEP: Duration = Duration::from_mins(1);
 /// Fingerprints kept; the oldest are forgotten first.
 const MOST: usize = 1024;
 /// Times a death is told to the other hosts: datagrams are lost now and then.
@@ -68,7 +68,7 @@
     }
 
     /// Returns the deaths that other hosts are to be told of now.
-    pub fn to_tell(&mut self) -> Vec<DeathWord> {
+    pub fn take_untold(&mut self) -> Vec<DeathWord> {
         let words = self.tell.iter().map(|(word, _)| *word).collect();
         for (_, left) in &mut self.tell {
             *left -= 1;
@@ -88,10 +88,12 @@
         print: call.print,
         instance: instance.short,
     };
-    note(out, log::Level::Info, "request.suspect", vec![
-        ("id", call.id.clone()),
-        ("backend", instance.id.clone()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "request.suspect",
+        vec![("id", call.id.clone()), ("backend", instance.id.clone())],
+    );
     core.relay.killers.tell.push((word, TOLD));
     core.relay.killers.died(word, core.now);
 }
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -6,9 +6,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::super::{Core, Effects};
 use super::super::key::AttemptKey;
 use super::super::time::Time;
+use super::super::{Core, Effects};
 use super::event::{Prompt, Stage, Task};
 use super::instance::Instance;
 use super::{Attempt, Call, millis, note, span};
@@ -64,7 +64,11 @@
 
     fn learn(&mut self, service: &str, stage: Stage, took: f64) {
         let base = self.bases.entry((service.into(), stage)).or_insert(took);
-        let step = if took > *base { BASE_STEP.0 } else { BASE_STEP.1 };
+        let step = if took > *base {
+            BASE_STEP.0
+        } else {
+            BASE_STEP.1
+        };
         *base += (took - *base) * step;
     }
 }
@@ -139,18 +143,27 @@
     };
     let (expected, ahead) = (attempt.expected, attempt.ahead);
     let task = attempt.task.clone();
-    let id = core.relay.calls.get(attempt.call).map(|call| call.id.clone());
+    let id = core
+        .relay
+        .calls
+        .get(attempt.call)
+        .map(|call| call.id.clone());
     let Some(instance) = core.relay.instances.arena.get_mut(attempt.backend) else {
         return;
     };
-    note(out, log::Level::Info, "attempt.first", vec![
-        ("id", id.unwrap_or_default()),
-        ("backend", instance.id.clone()),
-        ("task", super::call::task_word(&task).into()),
-        ("took_ms", format!("{took:.0}").into()),
-        ("expected_ms", format!("{expected:.0}").into()),
-        ("pace", format!("{:.2}", instance.pace).into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "attempt.first",
+        vec![
+            ("id", id.unwrap_or_default()),
+            ("backend", instance.id.clone()),
+            ("task", super::call::task_word(&task).into()),
+            ("took_ms", format!("{took:.0}").into()),
+            ("expected_ms", format!("{expected:.0}").into()),
+            ("pace", format!("{:.2}", instance.pace).into()),
+        ],
+    );
     if instance.stage.is_none() {
         let old = latency(instance);
         instance.latency = old + (took - old) * LATENCY_STEP;
@@ -164,7 +177,9 @@
             instance.pace += (seen - instance.pace) * PACE_STEP;
         } else {
             let took = took - nominal * instance.pace;
-            core.relay.rates.learn(&instance.service.clone(), stage, took);
+            core.relay
+                .rates
+                .learn(&instance.service.clone(), stage, took);
         }
     }
 }
@@ -173,13 +188,13 @@
 #[must_use]
 pub fn silence(call: &Call, attempt: &Attempt) -> Duration {
     if attempt.began {
-        return (call.gap * 4).max(GAP_LEAST);
+        return (call.route.gap * 4).max(GAP_LEAST);
     }
     let expected = span(attempt.expected * SILENCE);
     if call.prompt.is_none() {
-        return expected.max(call.target);
+        return expected.max(call.route.target);
     }
-    expected + span(millis(call.target).mul_add(0.5, SILENCE_LEAST))
+    expected + span(millis(call.route.target).mul_add(0.5, SILENCE_LEAST))
 }
 
 /// Times the expected time after which an attempt is taken for silent.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -30,7 +30,7 @@
 use super::{Core, Effects};
 use crate::settings::Settings;
 use budget::Budget;
-use catalog::{Catalog, Repeat};
+use catalog::{Catalog, Repeat, Route};
 use event::{Changes, Prompt, RelayEvent, Task, Watch};
 use instance::Instances;
 
@@ -69,24 +69,10 @@
 pub struct Call {
     /// Id of the attempt, as the caller sent it.
     pub id: Box<str>,
-    /// Name of its route.
-    pub route: Box<str>,
+    /// Its route.
+    pub route: Route,
     /// Service it goes to.
     pub service: Box<str>,
-    /// Whether the answer is a stream of events.
-    pub streaming: bool,
-    /// Whether it may run again.
-    pub repeat: Repeat,
-    /// Whether its stream may go on at another backend server.
-    pub resumable: bool,
-    /// Time within which the answer, or its first event, is wanted.
-    pub target: Duration,
-    /// Longest wanted pause between two events.
-    pub gap: Duration,
-    /// Rank of its route.
-    pub rank: u8,
-    /// Most backend servers that may run it.
-    pub most: u32,
     /// Prompt and output.
     pub prompt: Option<Prompt>,
     /// Bytes of its body.
@@ -203,9 +189,12 @@
 pub fn start(core: &mut Core, out: &mut Effects) {
     peers::start(core, out);
     split::start(core, out);
-    note(out, log::Level::Info, "host.started", vec![
-        ("incarnation", core.members.incarnation().to_string().into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "host.started",
+        vec![("incarnation", core.members.incarnation().to_string().into())],
+    );
 }
 
 /// Takes in one event.
@@ -252,10 +241,10 @@
 }
 
 /// Takes in an answer of the store.
-pub fn reply(core: &mut Core, job: RelayJob, reply: StoreReply, out: &mut Effects) {
+pub fn reply(core: &mut Core, job: RelayJob, reply: &StoreReply, out: &mut Effects) {
     match job {
-        RelayJob::Lease | RelayJob::Register => peers::reply(core, job, &reply, out),
-        RelayJob::AuthorityLease(_) | RelayJob::Authority => split::reply(core, job, &reply, out),
+        RelayJob::Lease | RelayJob::Register => peers::reply(core, job, reply, out),
+        RelayJob::AuthorityLease(_) | RelayJob::Authority => split::reply(core, job, reply, out),
     }
 }
 
@@ -267,10 +256,12 @@
     }
     let beliefs = core.relay.instances.changed(&mut changes, core.now);
     for belief in beliefs {
-        note(out, log::Level::Info, "backend.listed", vec![
-            ("backend", belief.id),
-            ("state", belief.what.into()),
-        ]);
+        note(
+            out,
+            log::Level::Info,
+            "backend.listed",
+            vec![("backend", belief.id), ("state", belief.what.into())],
+        );
     }
     peers::changed(core, &changes, out);
     split::changed(core, &changes, out);
@@ -285,11 +276,16 @@
     if old.is_some_and(|old| old >= catalog.version) {
         return;
     }
-    note(out, log::Level::Info, "config.in_force", vec![
-        ("version", catalog.version.to_string().into()),
-        ("before", old.unwrap_or(0).to_string().into()),
-        ("routes", catalog.routes.len().to_string().into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "config.in_force",
+        vec![
+            ("version", catalog.version.to_string().into()),
+            ("before", old.unwrap_or(0).to_string().into()),
+            ("routes", catalog.routes.len().to_string().into()),
+        ],
+    );
     core.relay.catalog = Some(catalog);
 }
 
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -202,17 +202,24 @@
         demand: Demand::default(),
     });
     peers.names.insert(name.into(), key);
-    note(out, log::Level::Info, "host.joined", vec![
-        ("host", name.into()),
-        ("addr", addr.to_string().into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "host.joined",
+        vec![("host", name.into()), ("addr", addr.to_string().into())],
+    );
 }
 
 fn left(core: &mut Core, name: &str, out: &mut Effects) {
     if let Some(key) = core.relay.peers.names.remove(name) {
         core.relay.peers.arena.remove(key);
         core.relay.instances.told(key, &[]);
-        note(out, log::Level::Info, "host.left", vec![("host", name.into())]);
+        note(
+            out,
+            log::Level::Info,
+            "host.left",
+            vec![("host", name.into())],
+        );
     }
 }
 
@@ -221,7 +228,10 @@
     wake(core, EVERY, RelayTimer::Tell, out);
     expire(core);
     let memory = core.relay.catalog.as_ref().and_then(|catalog| {
-        let engines = catalog.services.values().filter_map(|service| service.engine.as_ref());
+        let engines = catalog
+            .services
+            .values()
+            .filter_map(|service| service.engine.as_ref());
         engines.map(|engine| engine.memory).max()
     });
     for instance in core.relay.instances.arena.values_mut() {
@@ -238,7 +248,7 @@
             tokens: u32::try_from(instance.own.tokens).unwrap_or(u32::MAX),
         })
         .collect();
-    let deaths = core.relay.killers.to_tell();
+    let deaths = core.relay.killers.take_untold();
     let peers = &mut core.relay.peers;
     let same = loads == peers.last && peers.parts.is_empty() && deaths.is_empty();
     if same && peers.quiet < QUIET {
@@ -252,7 +262,11 @@
         host: core.settings.host.name.clone(),
         incarnation: core.members.incarnation(),
         number: peers.number,
-        version: core.relay.catalog.as_ref().map_or(0, |catalog| catalog.version),
+        version: core
+            .relay
+            .catalog
+            .as_ref()
+            .map_or(0, |catalog| catalog.version),
         loads,
         parts: std::mem::take(&mut peers.parts),
         deaths,
--- a/src/core/relay/split.rs
+++ b/src/core/relay/split.rs
@@ -25,8 +25,8 @@
 const EVERY: Duration = Duration::from_millis(500);
 /// Part of the lease's life after which it is renewed.
 const RENEW: u32 = 3;
-/// Part of the lease's life that is not used: the store may count faster.
-const MARGIN: u32 = 10;
+/// Part of the lease's life that is used: the store may count a little faster.
+const USED: f64 = 0.9;
 /// Time for which an engine that was ordered gets no other order: it may be carried out late.
 const SETTLE: Duration = Duration::from_secs(4);
 
@@ -61,7 +61,9 @@
 
 fn life(core: &Core) -> Duration {
     let relay = core.settings.relay.as_ref();
-    relay.map_or(Duration::from_secs(3), |relay| relay.lease.max(relay.lease_least))
+    relay.map_or(Duration::from_secs(3), |relay| {
+        relay.lease.max(relay.lease_least)
+    })
 }
 
 /// Takes in who holds the authority.
@@ -72,14 +74,23 @@
         split.holder = 0;
     }
     for change in changes.keys.iter().filter(|change| &*change.key == KEY) {
-        split.holder = if change.value.is_some() { change.revision } else { 0 };
+        split.holder = if change.value.is_some() {
+            change.revision
+        } else {
+            0
+        };
     }
     let revision = u64::try_from(split.holder).unwrap_or(0);
     if split.fence != 0 && revision > split.fence {
-        note(out, log::Level::Warn, "planner.lost", vec![
-            ("fence", split.fence.to_string().into()),
-            ("holder", revision.to_string().into()),
-        ]);
+        note(
+            out,
+            log::Level::Warn,
+            "planner.lost",
+            vec![
+                ("fence", split.fence.to_string().into()),
+                ("holder", revision.to_string().into()),
+            ],
+        );
         split.fence = 0;
         split.lease = 0;
     }
@@ -90,7 +101,10 @@
     let noise = core.rng.random_range(0.8..1.2);
     wake(core, EVERY.mul_f64(noise), RelayTimer::Plan, out);
     let engines = core.relay.catalog.as_ref().is_some_and(|catalog| {
-        catalog.services.values().any(|service| service.engine.is_some())
+        catalog
+            .services
+            .values()
+            .any(|service| service.engine.is_some())
     });
     if !engines || core.stop.begun() {
         return;
@@ -101,9 +115,12 @@
         return;
     }
     if split.fence != 0 {
-        note(out, log::Level::Warn, "planner.lapsed", vec![
-            ("fence", split.fence.to_string().into()),
-        ]);
+        note(
+            out,
+            log::Level::Warn,
+            "planner.lapsed",
+            vec![("fence", split.fence.to_string().into())],
+        );
         split.fence = 0;
         split.lease = 0;
         split.asked = false;
@@ -111,7 +128,10 @@
     if split.known && split.holder == 0 && !split.asked {
         split.asked = true;
         let job = Job::Relay(RelayJob::AuthorityLease(core.now));
-        out.push(Effect::Grant { job, life: life(core) });
+        out.push(Effect::Grant {
+            job,
+            life: life(core),
+        });
     }
 }
 
@@ -122,7 +142,10 @@
         return;
     }
     let job = Job::Relay(RelayJob::AuthorityLease(core.now));
-    out.push(Effect::Renew { job, lease: split.lease });
+    out.push(Effect::Renew {
+        job,
+        lease: split.lease,
+    });
     wake(core, life(core) / RENEW, RelayTimer::Authority, out);
 }
 
@@ -132,7 +155,7 @@
     let split = &mut core.relay.split;
     match (job, &reply.result) {
         (RelayJob::AuthorityLease(asked), StoreResult::Lease(lease)) if *lease != 0 => {
-            let until = asked.after(life - life / MARGIN);
+            let until = asked.after(life.mul_f64(USED));
             if split.lease == *lease {
                 split.until = until;
                 return;
@@ -150,9 +173,12 @@
             split.fence = u64::try_from(done.revision).unwrap_or(0);
             split.holder = done.revision;
             split.asked = false;
-            note(out, log::Level::Info, "planner.taken", vec![
-                ("fence", split.fence.to_string().into()),
-            ]);
+            note(
+                out,
+                log::Level::Info,
+                "planner.taken",
+                vec![("fence", split.fence.to_string().into())],
+            );
             wake(core, life / RENEW, RelayTimer::Authority, out);
         }
         (RelayJob::Authority, _) => {
@@ -162,7 +188,7 @@
             split.asked = false;
             out.push(Effect::Revoke(lease));
         }
-        _ => split.asked = split.lease != 0 && split.fence == 0 && false,
+        _ => split.asked = false,
     }
 }
 
@@ -198,9 +224,8 @@
         if !steady(core, live.len()) {
             continue;
         }
-        let prefills = |key: &&BackendKey| {
-            core.relay.instances.arena[**key].stage == Some(Stage::Prefill)
-        };
+        let prefills =
+            |key: &&BackendKey| core.relay.instances.arena[**key].stage == Some(Stage::Prefill);
         let have = live.iter().filter(prefills).count();
         let want = wanted(core, live.len());
         let stage = match have.cmp(&want) {
@@ -224,14 +249,22 @@
         let Some(&chosen) = chosen else { continue };
         let instance = &core.relay.instances.arena[chosen];
         let (id, addr) = (instance.id.clone(), instance.addr);
-        note(out, log::Level::Info, "engine.to_change", vec![
-            ("backend", id.clone()),
-            ("stage", format!("{stage:?}").into()),
-            ("have", have.to_string().into()),
-            ("want", want.to_string().into()),
-            ("engines", live.len().to_string().into()),
-        ]);
-        core.relay.split.changes.insert(id.clone(), (stage, core.now));
+        note(
+            out,
+            log::Level::Info,
+            "engine.to_change",
+            vec![
+                ("backend", id.clone()),
+                ("stage", format!("{stage:?}").into()),
+                ("have", have.to_string().into()),
+                ("want", want.to_string().into()),
+                ("engines", live.len().to_string().into()),
+            ],
+        );
+        core.relay
+            .split
+            .changes
+            .insert(id.clone(), (stage, core.now));
         out.push(Effect::Relay(RelayEffect::Report { instance: id, addr }));
     }
 }
@@ -261,7 +294,11 @@
 
 /// Returns how many engines should prefill.
 fn wanted(core: &Core, engines: usize) -> usize {
-    let part = core.settings.relay.as_ref().map_or(0.5, |relay| relay.policy.prefill);
+    let part = core
+        .settings
+        .relay
+        .as_ref()
+        .map_or(0.5, |relay| relay.policy.prefill);
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -302,22 +339,32 @@
         expected: report.orders,
         until: split.until,
     };
-    note(out, log::Level::Info, "engine.ordered", vec![
-        ("backend", order.instance.clone()),
-        ("stage", format!("{stage:?}").into()),
-        ("fence", order.fence.to_string().into()),
-        ("expected", order.expected.to_string().into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "engine.ordered",
+        vec![
+            ("backend", order.instance.clone()),
+            ("stage", format!("{stage:?}").into()),
+            ("fence", order.fence.to_string().into()),
+            ("expected", order.expected.to_string().into()),
+        ],
+    );
     out.push(Effect::Relay(RelayEffect::Order(order)));
 }
 
 /// Takes in what came of an order.
 pub fn ordered(core: &mut Core, id: &str, fence: u64, result: OrderResult, out: &mut Effects) {
-    note(out, log::Level::Info, "engine.order_answered", vec![
-        ("backend", id.into()),
-        ("fence", fence.to_string().into()),
-        ("result", format!("{result:?}").into()),
-    ]);
+    note(
+        out,
+        log::Level::Info,
+        "engine.order_answered",
+        vec![
+            ("backend", id.into()),
+            ("fence", fence.to_string().into()),
+            ("result", format!("{result:?}").into()),
+        ],
+    );
     let split = &mut core.relay.split;
     match result {
         OrderResult::Fenced if split.fence == fence => {
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -104,14 +104,21 @@
         .map(|(name, value)| (name.as_str(), value.as_bytes()))
         .collect();
     let reply = header::replied(status, &headers);
-    let id = prepared.headers.iter().find(|(name, _)| header::is_attempt(name));
+    let id = prepared
+        .headers
+        .iter()
+        .find(|(name, _)| header::is_attempt(name));
     let echoed = match (&reply.id, id) {
         (Some(echo), Some((_, sent))) => echo.as_bytes() == &**sent,
         _ => false,
     };
     if reply.refused {
         keep(node, answer, out, reply.idle).await;
-        let end = if status == 421 { Break::Rejected } else { Break::Refused };
+        let end = if status == 421 {
+            Break::Rejected
+        } else {
+            Break::Refused
+        };
         return Err(Lost::new(Ran::No, end, format!("refused with {status}")));
     }
     if !echoed {
@@ -165,10 +172,13 @@
         let detail = format!("answered {status} to a prefill");
         return Err(Lost::new(Ran::Unknown, Break::Cut, detail));
     };
-    tell(node, RelayEvent::Prefilled {
-        attempt: out.attempt,
-        handle,
-    });
+    tell(
+        node,
+        RelayEvent::Prefilled {
+            attempt: out.attempt,
+            handle,
+        },
+    );
     release(node, answer, out, idle).await;
     Ok(())
 }
@@ -182,10 +192,14 @@
 ) -> Result<(), Lost> {
     let body = channel::collect(&mut answer, ANSWER).await?;
     let status = head.status;
-    tell_with(node, Hand::Answer(head, body), RelayEvent::Answered {
-        attempt: out.attempt,
-        status,
-    });
+    tell_with(
+        node,
+        Hand::Answer(head, body),
+        RelayEvent::Answered {
+            attempt: out.attempt,
+            status,
+        },
+    );
     release(node, answer, out, idle).await;
     Ok(())
 }
@@ -294,11 +308,14 @@
             Err(_) => OrderResult::Unknown,
         }
     };
-    tell(&node, RelayEvent::Ordered {
-        instance: order.instance,
-        fence: order.fence,
-        result,
-    });
+    tell(
+        &node,
+        RelayEvent::Ordered {
+            instance: order.instance,
+            fence: order.fence,
+            result,
+        },
+    );
 }
 
 /// Asks a backend server whether it is well.
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -62,7 +62,9 @@
     let mut response = serve(&node, req).await;
     if node.look(|core| core.stop.begun()) {
         // The next request of this caller is to go to another host.
-        response.head_mut().set_connection_type(ConnectionType::Close);
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
     }
     response
 }
@@ -81,7 +83,9 @@
         Ok(()) => (StatusCode::OK, "ready"),
         Err(why) => (StatusCode::SERVICE_UNAVAILABLE, why),
     };
-    Response::build(status).content_type("text/plain").body(text.to_owned())
+    Response::build(status)
+        .content_type("text/plain")
+        .body(text.to_owned())
 }
 
 async fn serve(node: &Rc<Node>, mut req: Request) -> Response {
@@ -104,8 +108,14 @@
     let Ok(method) = hyper::Method::from_bytes(req.method().as_str().as_bytes()) else {
         return refused(&Refusal::new(Kind::Malformed, "no such method"), &id);
     };
-    let target = req.uri().path_and_query().map_or("/", |target| target.as_str());
-    let host = req.headers().get("host").and_then(|host| host.to_str().ok());
+    let target = req
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let host = req
+        .headers()
+        .get("host")
+        .and_then(|host| host.to_str().ok());
     let arrival = Arrival {
         id: id.clone(),
         host: host.unwrap_or_default().into(),
@@ -145,7 +155,9 @@
         _ => (Kind::Malformed, "the body was cut short"),
     };
     let mut response = refused(&Refusal::new(kind, detail), id);
-    response.head_mut().set_connection_type(ConnectionType::Close);
+    response
+        .head_mut()
+        .set_connection_type(ConnectionType::Close);
     response
 }
 
@@ -162,7 +174,10 @@
     match std::future::poll_fn(|cx| parts.poll(cx)).await {
         Part::Refused(refusal) => refused(&refusal, id),
         Part::Answer(head, body) => build(head).body(body.to_vec()),
-        Part::Head(head) => build(head).streaming(Events { parts, ended: false }),
+        Part::Head(head) => build(head).streaming(Events {
+            parts,
+            ended: false,
+        }),
         Part::Piece(_) | Part::Whole | Part::Cut => {
             refused(&Refusal::new(Kind::Internal, "the answer was lost"), id)
         }
@@ -201,7 +216,7 @@
     if let Some(retry) = refusal.retry {
         response.header("retry-after", format!("{:.2}", retry.as_secs_f64()));
     }
-    response.body(problem::document(refusal, id).to_string())
+    response.body(problem::document(refusal, id))
 }
 
 /// A streamed answer.
--- a/src/host/relay/events.rs
+++ b/src/host/relay/events.rs
@@ -54,7 +54,7 @@
     /// Returns the length of the first event with its empty line.
     fn end(&mut self) -> Option<usize> {
         let from = self.seen.saturating_sub(3);
-        let bytes = &self.buffer[..];
+        let bytes = &*self.buffer;
         for at in from..bytes.len() {
             let rest = &bytes[at..];
             if rest.starts_with(b"\n\n") {
--- a/src/host/relay/journal.rs
+++ b/src/host/relay/journal.rs
@@ -27,7 +27,11 @@
     if at != second {
         RATE.set((second, 0, 0));
         if lost > 0 {
-            line("log.left_out", now.millis(), &[("lines", lost.to_string().into())]);
+            line(
+                "log.left_out",
+                now.millis(),
+                &[("lines", lost.to_string().into())],
+            );
         }
     } else if lines >= MOST {
         RATE.set((second, lines, lost + 1));
--- a/src/host/relay/keeper.rs
+++ b/src/host/relay/keeper.rs
@@ -65,7 +65,11 @@
     }
 }
 
-async fn ask(node: &Rc<Node>, call: store::Call, time: Duration) -> Result<(u16, bytes::Bytes), Trouble> {
+async fn ask(
+    node: &Rc<Node>,
+    call: store::Call,
+    time: Duration,
+) -> Result<(u16, bytes::Bytes), Trouble> {
     let addr = node.look(|core| core.settings.relay.as_ref().map(|relay| relay.store));
     let Some(addr) = addr else {
         return Err(Trouble::Unreadable);
@@ -154,7 +158,9 @@
     let full = |key: &str| -> Box<str> { format!("{}{key}", platform::OWN).into() };
     for compare in &mut txn.compare {
         match compare {
-            Compare::Modified { key, .. } | Compare::Absent { key } | Compare::Value { key, .. } => {
+            Compare::Modified { key, .. }
+            | Compare::Absent { key }
+            | Compare::Value { key, .. } => {
                 *key = full(key);
             }
         }
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -18,9 +18,9 @@
     let value: Value = serde_json::from_slice(bytes).ok()?;
     let routes = value["routes"].as_array()?;
     let services = value["services"].as_array()?;
-    let services = services.iter().filter_map(|service| {
-        Some((service["name"].as_str()?.into(), self::service(service)))
-    });
+    let services = services
+        .iter()
+        .filter_map(|service| Some((service["name"].as_str()?.into(), self::service(service))));
     let mut limits = InputLimits::default();
     if let Some(body) = whole(&value["limits"]["maxBodyBytes"]) {
         limits.body = usize::try_from(body).unwrap_or(limits.body);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -68,9 +68,13 @@
 fn whole(value: &Value) -> Option<u64> {
     value.as_u64().or_else(|| {
         let number = value.as_f64()?;
-        let fits = number >= 0.0 && number < 9e15 && number.fract() == 0.0;
+        let fits = (0.0..9e15).contains(&number) && number.fract() == 0.0;
         // The range was checked.
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked")]
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "checked"
+        )]
         fits.then_some(number as u64)
     })
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -162,7 +162,10 @@
 }
 
 fn bytes(item: &Value) -> Option<Bytes> {
-    STANDARD.decode(item["value"].as_str()?).ok().map(Bytes::from)
+    STANDARD
+        .decode(item["value"].as_str()?)
+        .ok()
+        .map(Bytes::from)
 }
 
 /// Reads the answer to [`watch`].
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -47,20 +47,54 @@
 
 /// Sections of such a host's settings.
 pub const KINDS: &[Kind] = &[
-    Kind { word: "relay", label: Label::None, keys: RELAY },
-    Kind { word: "store", label: Label::None, keys: STORE },
-    Kind { word: "bounds", label: Label::None, keys: BOUNDS },
-    Kind { word: "limits", label: Label::None, keys: super::keys::LIMITS },
-    Kind { word: "policy", label: Label::None, keys: POLICY },
-    Kind { word: "log", label: Label::None, keys: super::keys::LOG },
+    Kind {
+        word: "relay",
+        label: Label::None,
+        keys: RELAY,
+    },
+    Kind {
+        word: "store",
+        label: Label::None,
+        keys: STORE,
+    },
+    Kind {
+        word: "bounds",
+        label: Label::None,
+        keys: BOUNDS,
+    },
+    Kind {
+        word: "limits",
+        label: Label::None,
+        keys: super::keys::LIMITS,
+    },
+    Kind {
+        word: "policy",
+        label: Label::None,
+        keys: POLICY,
+    },
+    Kind {
+        word: "log",
+        label: Label::None,
+        keys: super::keys::LOG,
+    },
 ];
 
 const fn need(key: &'static str, form: Form, about: &'static str) -> Key {
-    Key { key, form, default: None, about }
+    Key {
+        key,
+        form,
+        default: None,
+        about,
+    }
 }
 
 const fn key(key: &'static str, form: Form, default: &'static str, about: &'static str) -> Key {
-    Key { key, form, default: Some(default), about }
+    Key {
+        key,
+        form,
+        default: Some(default),
+        about,
+    }
 }
 
 /// Longest time that makes sense in these settings.
@@ -71,36 +105,109 @@
 const MANY: f64 = 1e6;
 
 const RELAY: &[Key] = &[
-    need("name", Form::Word, "name of this host, unique in the deployment"),
+    need(
+        "name",
+        Form::Word,
+        "name of this host, unique in the deployment",
+    ),
     need("region", Form::Word, "region the host stands in"),
     need("domain", Form::Word, "failure domain the host stands in"),
     need("callers", Form::Address, "listener for callers"),
-    need("readiness", Form::Address, "listener for the readiness check"),
+    need(
+        "readiness",
+        Form::Address,
+        "listener for the readiness check",
+    ),
     need("peers", Form::Address, "address for other hosts (UDP)"),
     need("metrics", Form::Address, "listener for metrics"),
 ];
 
 const STORE: &[Key] = &[
     need("addr", Form::Address, "where the store listens"),
-    key("lease-least", Form::Span(LEAST, MOST), "1s", "shortest life of a lease"),
-    key("writes", Form::Number(0.0, MANY), "400", "writes a second, all hosts together"),
-    key("reads", Form::Number(0.0, MANY), "2000", "reads a second, all hosts together"),
+    key(
+        "lease-least",
+        Form::Span(LEAST, MOST),
+        "1s",
+        "shortest life of a lease",
+    ),
+    key(
+        "writes",
+        Form::Number(0.0, MANY),
+        "400",
+        "writes a second, all hosts together",
+    ),
+    key(
+        "reads",
+        Form::Number(0.0, MANY),
+        "2000",
+        "reads a second, all hosts together",
+    ),
 ];
 
 const BOUNDS: &[Key] = &[
-    key("grace", Form::Span(LEAST, MOST), "8s", "time a planned stop may take"),
-    key("config", Form::Span(LEAST, MOST), "2s", "time until a configuration is in force"),
-    key("lease", Form::Span(LEAST, MOST), "3s", "life of the authority to give orders"),
-    key("repeat-ratio", Form::Number(0.0, 1.0), "0.2", "repeats for each request"),
-    key("repeat-window", Form::Span(LEAST, MOST), "10s", "span over which repeats are counted"),
-    key("repeat-slack", Form::Number(0.0, MANY), "50", "repeats beyond the ratio"),
+    key(
+        "grace",
+        Form::Span(LEAST, MOST),
+        "8s",
+        "time a planned stop may take",
+    ),
+    key(
+        "config",
+        Form::Span(LEAST, MOST),
+        "2s",
+        "time until a configuration is in force",
+    ),
+    key(
+        "lease",
+        Form::Span(LEAST, MOST),
+        "3s",
+        "life of the authority to give orders",
+    ),
+    key(
+        "repeat-ratio",
+        Form::Number(0.0, 1.0),
+        "0.2",
+        "repeats for each request",
+    ),
+    key(
+        "repeat-window",
+        Form::Span(LEAST, MOST),
+        "10s",
+        "span over which repeats are counted",
+    ),
+    key(
+        "repeat-slack",
+        Form::Number(0.0, MANY),
+        "50",
+        "repeats beyond the ratio",
+    ),
 ];
 
 const POLICY: &[Key] = &[
-    key("prefill", Form::Number(0.0, 1.0), "0.5", "part of the engines that prefill at first"),
-    key("crossing", Form::Number(0.0, MANY), "0.5", "delay in ms worth a kilobyte between domains"),
-    key("work", Form::Number(0.0, MANY), "1", "weight of engine time against delay"),
-    key("patience", Form::Number(0.0, MANY), "1", "times the wanted time that count as in time"),
+    key(
+        "prefill",
+        Form::Number(0.0, 1.0),
+        "0.5",
+        "part of the engines that prefill at first",
+    ),
+    key(
+        "crossing",
+        Form::Number(0.0, MANY),
+        "0.5",
+        "delay in ms worth a kilobyte between domains",
+    ),
+    key(
+        "work",
+        Form::Number(0.0, MANY),
+        "1",
+        "weight of engine time against delay",
+    ),
+    key(
+        "patience",
+        Form::Number(0.0, MANY),
+        "1",
+        "times the wanted time that count as in time",
+    ),
 ];
 
 /// Tells whether the text is that of a relaying host.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,12 +6,12 @@
 mod convert;
 mod generated;
 mod shard;
-mod word;
 #[cfg(test)]
 mod tests;
+mod word;
 
-pub use word::{decode_word, encode_word};
 pub use shard::{decode_records, decode_shard, encode_records, encode_shard};
+pub use word::{decode_word, encode_word};
 
 use bytes::{Buf, BytesMut};
 use prost::Message as _;
