Queue prompts in the order engines read them, and take late requests only where it is idle

Cause: engines admit by urgency but read admitted prompts in the order they came; late requests, sent with the least urgency and not counted as ahead of others, delayed everything behind them; attempts taken for silent in a mere queue were read twice. Change: all known tokens count as ahead; a request that cannot be in time goes only where the queue is shorter than a third of the shortest wanted time, and is refused otherwise; a live engine is given 1.5 s beyond the expected; handed-over requests go first.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -283,7 +283,9 @@
         return;
     };
     let call = &core.relay.calls[attempt.call];
-    let bound = load::silence(call, attempt);
+    let instance = core.relay.instances.arena.get(attempt.backend);
+    let heard = instance.and_then(|instance| instance.heard);
+    let bound = load::silence(call, attempt, heard, core.now);
     let waited = core.now.since(attempt.last);
     if waited < bound {
         super::wake(
--- a/src/core/relay/budget.rs
+++ b/src/core/relay/budget.rs
@@ -3,7 +3,7 @@
 //! Repeats during trouble add load where there is least room. All hosts together may add a part of
 //! the requests of a service, and a few more. Each host takes its own part: the ratio of the
 //! requests it took in itself, and its share of the few by the number of hosts. Parts of the ratio
-//! add up by themselves; the share of the few is cut by [`MARGIN`], so that a host that counts too
+//! add up by themselves; the share of the few is cut by a margin, so that a host that counts too
 //! few others, or that starts anew with an empty window, does not break the sum.
 
 use std::collections::VecDeque;
--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -16,6 +16,9 @@
 
 /// Urgency of requests that can no longer be in time.
 const LATE: u8 = 8;
+/// Urgency of a request whose prompt is read: all but a step of the work is done, and behind the
+/// prompts that its engine reads itself it would wait for them.
+const TAKEN_OVER: u8 = 0;
 /// Urgency of the most urgent rank; each rank below adds one.
 const URGENT: u8 = 2;
 /// Part of the time that is left which the expected time may take: a caller that waits longer
@@ -25,6 +28,8 @@
 const STREAM_TIME: f64 = 250.0;
 /// Weight of the part that failed lately: one that fails every third request counts for double.
 const ERROR_WEIGHT: f64 = 3.0;
+/// Part of the shortest wanted time that the queue may be long for what is late in any case.
+const SPARE: f64 = 0.35;
 /// Requests that wait at a plain server for each it runs, from which on it sheds.
 const QUEUE: u32 = 3;
 
@@ -176,14 +181,14 @@
     stage: Stage,
     /// Tokens to read there.
     tokens: u64,
-    /// Milliseconds until the first token if it is urgent.
-    urgent: f64,
-    /// The same if it gives way to all others.
-    patient: f64,
-    /// Tokens to be read there before it, if it is urgent and if it gives way.
-    ahead: (u64, u64),
+    /// Tokens to be read there before it.
+    ahead: u64,
+    /// Milliseconds until those are read.
+    queue: f64,
     /// Milliseconds until its own part is done there.
-    here: (f64, f64),
+    here: f64,
+    /// Milliseconds until the first token.
+    first: f64,
     /// What it costs, in milliseconds of delay.
     cost: f64,
 }
@@ -214,14 +219,13 @@
     };
     let call = &core.relay.calls[key];
     let spent = millis(core.now.since(call.arrived));
-    let late = way.urgent + spent > millis(call.route.target) * policy.patience;
-    let expected = if late { way.patient } else { way.urgent };
-    if expected > millis(call.end.since(core.now)) * HOPE {
-        let detail = format!("the first token would come after {expected:.0} ms");
-        let retry = come_back(core, expected - millis(core.relay.calls[key].route.target));
+    let late = way.first + spent > millis(call.route.target) * policy.patience;
+    let left = millis(call.end.since(core.now));
+    if late && way.queue > spare(core, call) || way.first > left * HOPE {
+        let detail = format!("the first token would come after {:.0} ms", way.first);
+        let retry = come_back(core, way.queue);
         return Err(Refusal::new(Kind::Overloaded, detail).retry(retry));
     }
-    let here = if late { way.here.1 } else { way.here.0 };
     let work = Work {
         calls: 1,
         urgent: if late { 0 } else { way.tokens },
@@ -235,11 +239,11 @@
         backend: way.backend,
         task,
         work,
-        expected: here,
-        ahead: way.tokens + if late { way.ahead.1 } else { way.ahead.0 },
+        expected: way.here,
+        ahead: way.tokens + way.ahead,
         urgency: Some(urgency(call, late)),
         late,
-        silence: Some(span(here * 3.0 + 300.0)),
+        silence: Some(span(way.here * 3.0 + 300.0)),
     })
 }
 
@@ -270,22 +274,37 @@
         Stage::Prefill => (base, handover),
         Stage::Decode => (base + waiting(instance), 0.0),
     };
-    let urgent = base + own + load::reading(instance, work.urgent);
-    let patient = base + own + load::reading(instance, work.tokens);
+    let queue = load::reading(instance, work.tokens);
+    let here = base + queue + own;
     let crossing = crossing(core, call, instance, policy);
     let errors = 1.0 + instance.errors * ERROR_WEIGHT;
     Way {
         backend,
         stage,
         tokens,
-        urgent: urgent + after,
-        patient: patient + after,
-        ahead: (work.urgent, work.tokens),
-        here: (urgent, patient),
-        cost: (urgent + after + own * policy.work) * errors + crossing,
+        ahead: work.tokens,
+        queue,
+        here,
+        first: here + after,
+        cost: (here + after + own * policy.work) * errors + crossing,
     }
 }
 
+/// Returns the milliseconds of queue before which a request that cannot be in time is still taken.
+///
+/// Engines read prompts in the order in which they came: one that is late in any case makes all
+/// behind it late, too. It is worth a third of one in time, so that it may fill what is idle and
+/// must not delay the shortest.
+fn spare(core: &Core, call: &Call) -> f64 {
+    let catalog = core.relay.catalog.as_ref();
+    let routes = catalog.into_iter().flat_map(|catalog| &catalog.routes);
+    let same = routes.filter(|route| {
+        route.streaming && route.split.iter().any(|(service, _)| *service == call.service)
+    });
+    let least = same.map(|route| route.target).min();
+    millis(least.unwrap_or(call.route.target)) * SPARE
+}
+
 /// Returns the delay that a request's bytes are worth on their way there.
 fn crossing(core: &Core, call: &Call, instance: &Instance, policy: Policy) -> f64 {
     if instance.domain == core.settings.host.domain {
@@ -366,7 +385,7 @@
         },
         expected,
         ahead: 0,
-        urgency: Some(urgency(call, call.late)),
+        urgency: Some(if call.late { TAKEN_OVER + 1 } else { TAKEN_OVER }),
         late: call.late,
         silence: Some(span(expected * 3.0 + 300.0)),
     })
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -64,6 +64,8 @@
     pub errors: f64,
     /// Milliseconds a plain request takes there; 0 before the first.
     pub latency: f64,
+    /// When it last brought anything.
+    pub heard: Option<Time>,
     /// Prompt parts that it has read, and when each was last used.
     pub parts: BTreeMap<u64, (Time, u64)>,
 }
@@ -133,6 +135,7 @@
             pace: 1.0,
             errors: 0.0,
             latency: 0.0,
+            heard: None,
             parts: BTreeMap::new(),
         }
     }
--- a/src/core/relay/killer.rs
+++ b/src/core/relay/killer.rs
@@ -2,7 +2,7 @@
 //!
 //! Now and then a single request crashes every backend server that begins to run it, and its
 //! caller sends it again, to any host. One notices by connections that break while it runs. After
-//! [`DEATHS`] different backend servers broke off the same request, and none ever answered it, it
+//! two different backend servers broke off the same request, and none ever answered it, it
 //! is refused at every host.
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -148,9 +148,11 @@
         .calls
         .get(attempt.call)
         .map(|call| call.id.clone());
+    let now = core.now;
     let Some(instance) = core.relay.instances.arena.get_mut(attempt.backend) else {
         return;
     };
+    instance.heard = Some(now);
     note(
         out,
         log::Level::Info,
@@ -162,6 +164,7 @@
             ("took_ms", format!("{took:.0}").into()),
             ("expected_ms", format!("{expected:.0}").into()),
             ("pace", format!("{:.2}", instance.pace).into()),
+            ("ahead", ahead.to_string().into()),
         ],
     );
     if instance.stage.is_none() {
@@ -186,17 +189,26 @@
 
 /// Returns how long an attempt may bring nothing before it is taken for silent.
 #[must_use]
-pub fn silence(call: &Call, attempt: &Attempt) -> Duration {
+pub fn silence(call: &Call, attempt: &Attempt, heard: Option<Time>, now: Time) -> Duration {
     if attempt.began {
         return (call.route.gap * 4).max(GAP_LEAST);
     }
+    let alive = heard.is_some_and(|at| now.since(at) < ALIVE);
     let expected = span(attempt.expected * SILENCE);
+    if alive && call.prompt.is_some() {
+        return expected + BUSY;
+    }
     if call.prompt.is_none() {
         return expected.max(call.route.target);
     }
     expected + span(millis(call.route.target).mul_add(0.5, SILENCE_LEAST))
 }
 
+/// Time since an engine last brought anything within which it is alive.
+const ALIVE: Duration = Duration::from_millis(400);
+/// Time beyond the expected that a live engine may take: what it does is not given up for a queue
+/// that is longer than was known, or the same prompt would be read twice.
+const BUSY: Duration = Duration::from_millis(1500);
 /// Times the expected time after which an attempt is taken for silent.
 const SILENCE: f64 = 3.0;
 /// Milliseconds that an engine's attempt may be silent in any case.
