Weigh reading beside streams more than reading apart

Cause: long prompts read whole at engines that decode held up every hand-over there (median 460 ms instead of 30 ms with 24,000 tokens ahead). Change: engine time at an engine that decodes weighs more, and a hand-over expects to wait half the reading ahead of it.

--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -28,6 +28,9 @@
 const STREAM_TIME: f64 = 250.0;
 /// Weight of the part that failed lately: one that fails every third request counts for double.
 const ERROR_WEIGHT: f64 = 3.0;
+/// Part of the time for the prompts that an engine reads itself by which a handed-over request waits
+/// for them.
+const BEHIND: f64 = 0.5;
 /// Part of the shortest wanted time that the queue may be long for what is late in any case.
 const SPARE: f64 = 0.35;
 /// Requests that wait at a plain server for each it runs, from which on it sheds.
@@ -110,6 +113,7 @@
             prefill: 0.5,
             crossing: 0.0,
             work: 1.0,
+            beside: 1.0,
             patience: 1.0,
         },
         |relay| relay.policy,
@@ -270,9 +274,9 @@
     let work = instance.work();
     let own = load::reading(instance, tokens);
     let base = core.relay.rates.base(&call.service, stage);
-    let (base, after) = match stage {
-        Stage::Prefill => (base, handover),
-        Stage::Decode => (base + waiting(instance), 0.0),
+    let (base, after, share) = match stage {
+        Stage::Prefill => (base, handover, 1.0),
+        Stage::Decode => (base + waiting(instance), 0.0, policy.beside),
     };
     let queue = load::reading(instance, work.tokens);
     let here = base + queue + own;
@@ -286,7 +290,7 @@
         queue,
         here,
         first: here + after,
-        cost: (here + after + own * policy.work) * errors + crossing,
+        cost: (here + after + own * policy.work * share) * errors + crossing,
     }
 }
 
@@ -361,10 +365,10 @@
         let instance = &core.relay.instances.arena[backend];
         let far = source.as_ref() != Some(&instance.domain);
         let moving = if far { moving * 2.0 } else { moving };
-        let expected = load::HANDOVER * instance.pace + waiting(instance) + moving;
+        let reading = load::reading(instance, instance.work().tokens) * BEHIND;
+        let expected = load::HANDOVER + waiting(instance) + moving + reading;
         let cost = expected * (1.0 + instance.errors * ERROR_WEIGHT)
-            + crossing(core, call, instance, policy)
-            + load::reading(instance, instance.work().urgent) * 0.3;
+            + crossing(core, call, instance, policy);
         if best.is_none_or(|(least, ..)| cost < least) {
             best = Some((cost, expected, backend));
         }
@@ -384,7 +388,7 @@
             ..Work::default()
         },
         expected,
-        ahead: 0,
+        ahead: core.relay.instances.arena[backend].work().tokens,
         urgency: Some(if call.late { TAKEN_OVER + 1 } else { TAKEN_OVER }),
         late: call.late,
         silence: Some(span(expected * 3.0 + 300.0)),
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -41,6 +41,9 @@
     pub crossing: f64,
     /// Weight of engine time against the delay of the request itself.
     pub work: f64,
+    /// Weight of engine time at an engine that decodes, against that at one that prefills: all
+    /// that it generates waits meanwhile.
+    pub beside: f64,
     /// Times the wanted time up to which a request counts as in time.
     pub patience: f64,
 }
@@ -202,6 +205,12 @@
         "1",
         "weight of engine time against delay",
     ),
+    key(
+        "beside",
+        Form::Number(0.0, MANY),
+        "2",
+        "weight of engine time where others are generated for, against where nothing is",
+    ),
     key(
         "patience",
         Form::Number(0.0, MANY),
@@ -288,6 +297,7 @@
                 prefill: number(policy, "prefill"),
                 crossing: number(policy, "crossing"),
                 work: number(policy, "work"),
+                beside: number(policy, "beside"),
                 patience: number(policy, "patience"),
             },
         }),
