Spend fewer store calls where there are many hosts, and change stages in steps

Ruled out: renewals (a tenth of the price, 20 a second). Change: the pause after a watch grows with the hosts, first reads may be stale, few hosts try for the authority at once, a quarter of the engines may change in one step.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -156,7 +156,7 @@
     if free {
         return true;
     }
-    let hosts = core.relay.peers.hosts(core.now);
+    let hosts = core.relay.peers.hosts();
     let Some(settings) = &core.settings.relay else {
         return false;
     };
@@ -250,7 +250,7 @@
     let most = known
         .and_then(|catalog| catalog.services.get(service))
         .map_or(0, |service: &Service| service.connections);
-    let hosts = core.relay.peers.hosts(core.now);
+    let hosts = core.relay.peers.hosts();
     (most as usize / hosts.max(1) / 3).max(IDLE_LEAST)
 }
 
--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -303,7 +303,11 @@
     let catalog = core.relay.catalog.as_ref();
     let routes = catalog.into_iter().flat_map(|catalog| &catalog.routes);
     let same = routes.filter(|route| {
-        route.streaming && route.split.iter().any(|(service, _)| *service == call.service)
+        route.streaming
+            && route
+                .split
+                .iter()
+                .any(|(service, _)| *service == call.service)
     });
     let least = same.map(|route| route.target).min();
     millis(least.unwrap_or(call.route.target)) * SPARE
@@ -389,7 +393,11 @@
         },
         expected,
         ahead: core.relay.instances.arena[backend].work().tokens,
-        urgency: Some(if call.late { TAKEN_OVER + 1 } else { TAKEN_OVER }),
+        urgency: Some(if call.late {
+            TAKEN_OVER + 1
+        } else {
+            TAKEN_OVER
+        }),
         late: call.late,
         silence: Some(span(expected * 3.0 + 300.0)),
     })
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -67,7 +67,7 @@
 impl Peers {
     /// Returns how many hosts there may be, this one included.
     #[must_use]
-    pub fn hosts(&self, _now: Time) -> usize {
+    pub fn hosts(&self) -> usize {
         self.arena.len() + 1
     }
 
--- a/src/core/relay/split.rs
+++ b/src/core/relay/split.rs
@@ -27,6 +27,11 @@
 const RENEW: u32 = 3;
 /// Part of the lease's life that is used: the store may count a little faster.
 const USED: f64 = 0.9;
+/// One engine in so many may change at once: a change takes an engine away for seconds, and each that
+/// is told apart ends the watch of every host.
+const AT_ONCE: usize = 4;
+/// Hosts that try to take the authority in one round, on average.
+const CANDIDATES: usize = 3;
 /// Time for which an engine that was ordered gets no other order: it may be carried out late.
 const SETTLE: Duration = Duration::from_secs(4);
 
@@ -109,6 +114,7 @@
     if !engines || core.stop.begun() {
         return;
     }
+    let hosts = core.relay.peers.hosts();
     let split = &mut core.relay.split;
     if split.fence != 0 && core.now < split.until {
         order(core, out);
@@ -125,7 +131,9 @@
         split.lease = 0;
         split.asked = false;
     }
-    if split.known && split.holder == 0 && !split.asked {
+    // All hosts see at once that nobody holds it: a few of them try in each round.
+    let tries = core.rng.random_range(0..hosts) < CANDIDATES;
+    if split.known && split.holder == 0 && !split.asked && tries {
         split.asked = true;
         let job = Job::Relay(RelayJob::AuthorityLease(core.now));
         out.push(Effect::Grant {
@@ -233,42 +241,47 @@
             Ordering::Equal => continue,
             Ordering::Greater => Stage::Decode,
         };
-        let busy = |key: &&BackendKey| busy(core, **key);
-        if live.iter().filter(busy).count() >= have.abs_diff(want) {
-            continue;
+        let changing = live.iter().filter(|key| busy(core, **key)).count();
+        let most = live.len().div_ceil(AT_ONCE);
+        let count = have.abs_diff(want).min(most).saturating_sub(changing);
+        let chosen = least_busy(core, &live, stage, count);
+        for key in chosen {
+            let instance = &core.relay.instances.arena[key];
+            let (id, addr) = (instance.id.clone(), instance.addr);
+            note(
+                out,
+                log::Level::Info,
+                "engine.to_change",
+                vec![
+                    ("backend", id.clone()),
+                    ("stage", format!("{stage:?}").into()),
+                    ("have", have.to_string().into()),
+                    ("want", want.to_string().into()),
+                    ("engines", live.len().to_string().into()),
+                ],
+            );
+            let change = (stage, core.now);
+            core.relay.split.changes.insert(id.clone(), change);
+            out.push(Effect::Relay(RelayEffect::Report { instance: id, addr }));
         }
-        let candidates = live.iter().filter(|key| {
-            let instance = &core.relay.instances.arena[**key];
-            instance.stage.is_some() && instance.stage != Some(stage) && !busy(key)
-        });
-        // The one with the least to do loses least by the change.
-        let chosen = candidates.min_by_key(|key| {
-            let instance = &core.relay.instances.arena[**key];
-            (instance.work().calls, instance.id.clone())
-        });
-        let Some(&chosen) = chosen else { continue };
-        let instance = &core.relay.instances.arena[chosen];
-        let (id, addr) = (instance.id.clone(), instance.addr);
-        note(
-            out,
-            log::Level::Info,
-            "engine.to_change",
-            vec![
-                ("backend", id.clone()),
-                ("stage", format!("{stage:?}").into()),
-                ("have", have.to_string().into()),
-                ("want", want.to_string().into()),
-                ("engines", live.len().to_string().into()),
-            ],
-        );
-        core.relay
-            .split
-            .changes
-            .insert(id.clone(), (stage, core.now));
-        out.push(Effect::Relay(RelayEffect::Report { instance: id, addr }));
     }
 }
 
+/// Returns up to `count` engines that can change to a stage: those with the least to do lose least.
+fn least_busy(core: &Core, live: &[BackendKey], stage: Stage, count: usize) -> Vec<BackendKey> {
+    let other = |key: &BackendKey| {
+        let instance = &core.relay.instances.arena[*key];
+        instance.stage.is_some() && instance.stage != Some(stage) && !busy(core, *key)
+    };
+    let mut keys: Vec<BackendKey> = live.iter().copied().filter(other).collect();
+    keys.sort_by_key(|key| {
+        let instance = &core.relay.instances.arena[*key];
+        (instance.work().calls, instance.id.clone())
+    });
+    keys.truncate(count);
+    keys
+}
+
 /// Returns the engines of a service that stay.
 fn live(core: &Core, service: &str) -> Vec<BackendKey> {
     let keys = core.relay.instances.of(service).iter().copied();
--- a/src/host/relay/keeper.rs
+++ b/src/host/relay/keeper.rs
@@ -13,17 +13,24 @@
 use crate::core::{Effect, Event};
 use crate::error::Ran;
 use crate::host::node::Node;
+use crate::platform::store::Read;
 use crate::platform::{self, store};
 use crate::store::{Compare, Op, Txn};
 
 /// Time one call may take: far above the slowest answer of a store that is of use.
 const CALL: Duration = Duration::from_secs(3);
-/// Time a watch waits for a change.
-const WAIT: Duration = Duration::from_secs(10);
+/// Time a watch waits for a change. A connection that fell silent is ended by its probes long
+/// before.
+const WAIT: Duration = Duration::from_secs(20);
 /// Time beyond its wait after which a watch is silent.
 const SILENT: Duration = Duration::from_millis(1500);
-/// Time between two watches that brought something: changes come in groups, and each call costs.
-const PAUSE: Duration = Duration::from_millis(150);
+/// Time between two watches that brought something, for each host of the deployment.
+///
+/// Each change ends the watch of every host: without a pause, 80 hosts that register call 80 times
+/// each, and so with every change after. What comes within the pause comes with one call.
+const PAUSE: Duration = Duration::from_millis(12);
+/// Bounds of that time: the upper is a fraction of the time in which a change must be in force.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(700));
 /// Least time before the store is asked again after a failure.
 const RETRY_LEAST: Duration = Duration::from_millis(100);
 /// Most time before the store is asked again.
@@ -176,10 +183,11 @@
 /// Follows the store until the process ends.
 pub async fn watch(node: Rc<Node>) {
     let mut wait = RETRY_LEAST;
+    let mut read = Read::Stale;
     loop {
-        match follow(&node, &mut wait).await {
-            // Changes were missed, or the watch fell silent: everything is read again.
-            Ok(()) => {}
+        match follow(&node, &mut wait, read).await {
+            // The history is gone: what a stale read shows may be from before it.
+            Ok(()) => read = Read::Fresh,
             Err(trouble) => {
                 log::debug!("the store: {trouble}");
                 tell(&node, RelayEvent::Watch(Watch::Broken));
@@ -193,8 +201,8 @@
 }
 
 /// Reads everything, then follows changes; returns when the watch has to begin anew.
-async fn follow(node: &Rc<Node>, wait: &mut Duration) -> Result<(), Trouble> {
-    let mut at = read(node).await?;
+async fn follow(node: &Rc<Node>, wait: &mut Duration, read: Read) -> Result<(), Trouble> {
+    let mut at = read_all(node, read).await?;
     *wait = RETRY_LEAST;
     tell(node, RelayEvent::Watch(Watch::Open));
     loop {
@@ -215,13 +223,20 @@
         tell(node, RelayEvent::Changed(changes));
         tell(node, RelayEvent::Watch(Watch::Open));
         if !events.changes.is_empty() {
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(pause(node)).await;
         }
     }
 }
 
+/// Returns the time between two watches that brought something.
+fn pause(node: &Rc<Node>) -> Duration {
+    let hosts = node.look(|core| core.relay.peers.hosts());
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    PAUSE.saturating_mul(hosts).clamp(PAUSES.0, PAUSES.1)
+}
+
 /// Reads every watched key; returns the revision to watch from.
-async fn read(node: &Rc<Node>) -> Result<i64, Trouble> {
+async fn read_all(node: &Rc<Node>, read: Read) -> Result<i64, Trouble> {
     let mut changes = Changes {
         whole: true,
         ..Changes::default()
@@ -230,7 +245,7 @@
     let mut after: Option<Box<str>> = None;
     let mut keys = BTreeSet::new();
     loop {
-        let call = store::range(platform::WATCHED, after.as_deref());
+        let call = store::range(platform::WATCHED, after.as_deref(), read);
         let (status, body) = ask(node, call, CALL).await?;
         if status != 200 {
             return Err(Trouble::Status { status });
