--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,1 +1,329 @@
+//! The platform's messages, decoded and encoded, in any shape they may come.
 
+use std::time::Duration;
+
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+use super::{catalog, engine, entry, header, sort, store};
+use crate::core::key::{AttemptKey, CallKey};
+use crate::core::relay::catalog::Repeat;
+use crate::core::relay::event::{Changes, Outgoing, Stage, StageOrder, Task};
+use crate::core::time::Time;
+use crate::store::{Compare, Op, Txn};
+
+/// A whole entry of an engine.
+fn entry() -> Value {
+    json!({
+        "service": "s", "address": "10.0.0.9:8080", "zone": "z", "version": "v1", "slots": 64,
+        "state": "ready", "coldRemainingMs": 0, "stage": "decode", "models": [], "sequence": 4,
+        "born": 7,
+    })
+}
+
+/// Makes one test of each change of an entry: whether it still names a backend server.
+macro_rules! entries {
+    ($($name:ident: $key:literal = $value:expr => $named:literal;)*) => {$(
+        /// Entries may be written by others or be cut short; taken as they are, work would go to an
+        /// address that serves something else.
+        #[test]
+        fn $name() {
+            let mut entry = entry();
+            entry[$key] = $value;
+            let read = entry::decode("i-1", entry.to_string().as_bytes());
+            assert_eq!(read.is_some(), $named, "{entry}");
+        }
+    )*};
+}
+
+entries! {
+    entry_as_it_is: "version" = json!("v2") => true;
+    entry_draining: "state" = json!("draining") => true;
+    entry_of_unknown_state: "state" = json!("asleep") => false;
+    entry_of_unknown_stage: "stage" = json!("both") => false;
+    entry_with_a_stage_of_another_type: "stage" = json!(3) => false;
+    entry_of_a_plain_server: "stage" = json!(null) => true;
+    entry_with_a_text_for_slots: "slots" = json!("64") => false;
+    entry_with_less_than_no_slots: "slots" = json!(-1) => false;
+    entry_without_an_address: "address" = json!(null) => false;
+    entry_with_a_name_for_an_address: "address" = json!("host:8080") => false;
+    entry_without_a_service: "service" = json!(1) => false;
+    entry_without_a_start: "born" = json!(null) => true;
+}
+
+#[test]
+fn what_cannot_be_read_removes_a_backend_server_and_nothing_else() {
+    let mut changes = Changes::default();
+    let good = entry().to_string();
+    sort(&mut changes, "servers/i-1", Some(good.as_bytes()), 5);
+    sort(&mut changes, "servers/i-2", Some(b"\xff{"), 6);
+    assert_eq!(changes.instances.len(), 1);
+    assert_eq!(changes.gone, vec![Box::from("i-2")]);
+    sort(&mut changes, "op/config", Some(b"[]"), 7);
+    assert_eq!(changes.catalog, None);
+    sort(&mut changes, "servers/i-1", None, 8);
+    assert!(changes.instances.is_empty());
+}
+
+fn config(route: &Value) -> Option<crate::core::relay::catalog::Catalog> {
+    let value = json!({
+        "version": 7,
+        "routes": [route],
+        "services": [{"name": "s", "healthPath": "/h", "maxConnections": 9,
+            "engine": {"slots": 2, "kvCapacity": 100, "kvBytes": 8, "linkMbps": 1.5,
+                "kvTtlS": 5.0, "switchS": 3}}],
+        "limits": {"maxBodyBytes": 10},
+    });
+    catalog::decode(value.to_string().as_bytes())
+}
+
+/// Makes one test of each sort of route: whether a request on it may run again.
+macro_rules! routes {
+    ($($name:ident: $kind:literal, $resumable:literal => $repeat:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let catalog = config(&json!({"hostname": "H", "prefix": "/a/", "type": $kind,
+                "resumable": $resumable, "service": "s", "timeoutMs": 10}));
+            let catalog = catalog.expect("a configuration");
+            let route = catalog.route("h:80", "/a/b").expect("the route");
+            assert_eq!(route.repeat, Repeat::$repeat);
+        }
+    )*};
+}
+
+routes! {
+    idempotent_runs_again: "idempotent", false => Idempotent;
+    a_call_that_is_not_runs_once: "non_idempotent", false => Once;
+    a_stream_runs_once: "streaming", false => Once;
+    a_stream_that_resumes_runs_again: "streaming", true => Idempotent;
+    a_plain_call_is_not_made_idempotent_by_resumable: "non_idempotent", true => Once;
+    an_unknown_kind_runs_once: "batch", true => Once;
+}
+
+#[test]
+fn a_configuration_keeps_what_engines_can_do() {
+    let catalog = config(&json!({"hostname": "h", "prefix": "/", "type": "streaming",
+        "trafficSplit": [{"service": "s", "weight": 9}, {"service": "t", "weight": 1}]}));
+    let catalog = catalog.expect("a configuration");
+    let engine = catalog.services["s"].engine.clone().expect("engines");
+    assert_eq!((engine.slots, engine.memory, engine.token), (2, 100, 8));
+    assert_eq!(engine.switch, Duration::from_secs(3));
+    assert_eq!(catalog.limits.body, 10);
+    assert_eq!(catalog.routes[0].split.len(), 2);
+}
+
+/// Callers forge the headers by which this side speaks to engines: taken as they came, a request
+/// would run at the wrong stage or go on from the KV cache of another caller.
+#[test]
+fn headers_that_only_this_side_sets_are_not_passed_on() {
+    let forged = [
+        "x-chiveway-serving-stage",
+        "x-chiveway-kv-source",
+        "x-chiveway-kv-hold",
+        "x-chiveway-kv-backup",
+        "x-chiveway-pin-ms",
+        "x-chiveway-expect-instance",
+        "x-chiveway-expect-version",
+        "x-chiveway-request-priority",
+        "x-chiveway-server-stamp",
+        "x-chiveway-not-executed",
+        "x-chiveway-deadline-ms",
+        "kv-fetch",
+        "connection",
+        "transfer-encoding",
+        "x-hop",
+    ];
+    let mut headers: Vec<(&str, &[u8])> =
+        forged.iter().map(|name| (*name, &b"x-hop"[..])).collect();
+    headers.push(("x-chiveway-attempt-id", b"id"));
+    headers.push(("x-other", b"kept"));
+    let asked = header::decode(&headers);
+    let passed: Vec<&str> = asked.passed.iter().map(|(name, _)| &**name).collect();
+    assert_eq!(passed, ["x-chiveway-attempt-id", "x-other"]);
+}
+
+#[test]
+fn a_prompt_is_read_with_its_parts() {
+    let asked = header::decode(&[
+        ("x-chiveway-token-usage", b"1460,80"),
+        (
+            "x-chiveway-prompt-prefix",
+            b"5c1e07a2:800,91bd3f06:410, e4402b7d:250,broken",
+        ),
+        ("x-chiveway-deadline-ms", b"1500"),
+        ("last-event-id", b"12"),
+    ]);
+    let prompt = asked.prompt.expect("a prompt");
+    assert_eq!((prompt.tokens, prompt.output), (1460, 80));
+    let parts: Vec<_> = prompt
+        .parts
+        .iter()
+        .map(|part| (part.id, part.tokens))
+        .collect();
+    assert_eq!(
+        parts,
+        [(0x5c1e_07a2, 800), (0x91bd_3f06, 410), (0xe440_2b7d, 250)]
+    );
+    assert_eq!(asked.deadline, Some(Duration::from_millis(1500)));
+    assert_eq!(asked.resume, Some(12));
+}
+
+/// Makes one test of each answer head: whether the backend server says that it did not run it.
+macro_rules! replies {
+    ($($name:ident: $status:literal, [$($header:expr),*] => $refused:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let headers: Vec<(&str, &[u8])> = vec![$($header),*];
+            assert_eq!(header::replied($status, &headers).refused, $refused);
+        }
+    )*};
+}
+
+replies! {
+    a_bare_503_may_have_run: 503, [] => false;
+    a_503_that_says_so_did_not_run: 503, [("x-chiveway-not-executed", &b"1"[..])] => true;
+    another_instance_does_not_run_it: 421, [] => true;
+    an_answer_ran: 200, [("x-chiveway-server-stamp", &b"s"[..])] => false;
+}
+
+#[test]
+fn an_idle_connection_is_kept_as_long_as_it_is_named() {
+    let idle = |value: &'static [u8]| header::replied(200, &[("keep-alive", value)]).idle;
+    assert_eq!(idle(b"timeout=5, max=100"), Some(Duration::from_secs(5)));
+    assert_eq!(idle(b"max=100"), None);
+}
+
+fn outgoing(task: Task) -> Outgoing {
+    Outgoing {
+        call: CallKey::default(),
+        attempt: AttemptKey::default(),
+        instance: "i-1".into(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        task,
+        left: Duration::from_millis(1234),
+        urgency: Some(3),
+        resume: Some(7),
+        streaming: true,
+        idle: 1,
+    }
+}
+
+#[test]
+fn a_request_names_its_instance_and_what_is_left() {
+    let headers = header::encode(&outgoing(Task::Decode {
+        from: "10.0.0.2:80".parse().expect("an address"),
+        handle: "h1".into(),
+    }));
+    let wanted = [
+        ("x-chiveway-deadline-ms", "1234"),
+        ("x-chiveway-expect-instance", "i-1"),
+        ("x-chiveway-request-priority", "3"),
+        ("last-event-id", "7"),
+        ("x-chiveway-kv-source", "10.0.0.2:80/h1"),
+    ];
+    let found: Vec<(&str, &str)> = headers
+        .iter()
+        .map(|(name, value)| (*name, &**value))
+        .collect();
+    assert_eq!(found, wanted);
+    let prefill = header::encode(&outgoing(Task::Prefill));
+    assert!(prefill.contains(&("x-chiveway-serving-stage", "prefill".to_owned())));
+}
+
+/// The name of a KV cache becomes part of a header and of a path: one with a line end or a slash
+/// in it would write headers of its own.
+#[test]
+fn a_handle_that_is_no_plain_name_is_not_taken() {
+    let read = |handle: &str| engine::prefilled(json!({"kvHandle": handle}).to_string().as_bytes());
+    assert_eq!(read("3fa09c41b7d5").as_deref(), Some("3fa09c41b7d5"));
+    assert_eq!(read("a\r\nx: y"), None);
+    assert_eq!(read("a/b"), None);
+    assert_eq!(read(""), None);
+}
+
+#[test]
+fn an_order_carries_fence_and_expected_count() {
+    let order = StageOrder {
+        instance: "i-1".into(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        stage: Stage::Prefill,
+        holder: "host-1".into(),
+        fence: 41,
+        expected: 2,
+        until: Time::default(),
+    };
+    let body: Value = serde_json::from_slice(&engine::order(&order)).expect("JSON");
+    assert_eq!(body["fencingToken"], 41);
+    assert_eq!(body["expectedRevision"], 2);
+    assert_eq!(body["stage"], "prefill");
+    assert_eq!(body["holder"], "host-1");
+}
+
+#[test]
+fn a_report_counts_accepted_orders() {
+    let body = json!({"stage": "decode", "busy": true, "sequence": 3}).to_string();
+    let report = engine::report(body.as_bytes()).expect("a report");
+    assert_eq!(
+        (report.stage, report.busy, report.orders),
+        (Stage::Decode, true, 3)
+    );
+    assert_eq!(engine::report(b"{}"), None);
+}
+
+#[test]
+fn a_transaction_is_written_as_the_store_reads_it() {
+    let txn = Txn {
+        compare: vec![Compare::Absent { key: "a".into() }],
+        then: vec![Op::Put {
+            key: "a".into(),
+            value: "node-1".into(),
+            lease: 77,
+        }],
+        otherwise: Vec::new(),
+    };
+    let body: Value = serde_json::from_slice(&store::txn(&txn).body).expect("JSON");
+    assert_eq!(
+        body["expectedRevision"],
+        json!([{"key": "a", "revision": 0}])
+    );
+    assert_eq!(
+        body["setKeys"],
+        json!([{"key": "a", "value": "bm9kZS0x", "lease": 77}])
+    );
+}
+
+#[test]
+fn a_watch_brings_writes_and_removals() {
+    let body = json!({"events": [
+        {"key": "a", "value": "bm9kZS0x", "revision": 4, "created": 4, "lease": 0},
+        {"key": "b", "revision": 5, "deleted": true},
+    ], "at": 6});
+    let events = store::events(body.to_string().as_bytes()).expect("events");
+    assert_eq!(events.at, 6);
+    assert_eq!(events.changes[0].1.as_deref(), Some(&b"node-1"[..]));
+    assert_eq!(events.changes[1], ("b".into(), None, 5));
+}
+
+#[test]
+fn keys_are_escaped_in_a_query() {
+    let call = store::range("a b/", Some("c&d"), store::Read::Stale);
+    assert_eq!(
+        call.path,
+        "/v1/kv-range?prefix=a%20b/&serializable=1&after=c%26d"
+    );
+}
+
+proptest! {
+    /// Whatever bytes the store or an engine sends, reading them ends.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = catalog::decode(&bytes);
+        let _ = entry::decode("i", &bytes);
+        let _ = engine::prefilled(&bytes);
+        let _ = engine::report(&bytes);
+        let _ = store::page(&bytes);
+        let _ = store::events(&bytes);
+        let _ = store::txn_reply(200, &bytes);
+        let _ = header::decode(&[("x-chiveway-prompt-prefix", &bytes), ("connection", &bytes)]);
+    }
+}
