Read the store as it is, never a stale copy of it

Ruled out: the watch's pause (0.15 s), a lost answer (the log shows no failed call). Change: first reads are linearizable, one call a host.

--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -221,15 +221,19 @@
         ways.min_by(|one, two| one.cost.total_cmp(&two.cost))
             .copied()
     };
-    // The cheapest may be the one that holds the prompt's parts and is busy for longer than wanted;
-    // in time by reading them again elsewhere is worth more than late.
-    let in_time = cheapest(&mut ways.iter().filter(|way| way.first <= wanted));
-    let late = in_time.is_none();
-    let Some(way) = in_time.or_else(|| cheapest(&mut ways.iter())) else {
+    let Some(mut way) = cheapest(&mut ways.iter()) else {
         return Err(none(core, key));
     };
+    // The cheapest may be the one that holds the prompt's parts and is busy for longer than wanted.
+    // Reading them again pays where an engine is idle; anywhere else it delays others by as much.
+    let spare = spare(core, call);
+    if way.first > wanted {
+        let idle = |way: &&Way| way.first <= wanted && way.queue <= spare;
+        way = cheapest(&mut ways.iter().filter(idle)).unwrap_or(way);
+    }
+    let late = way.first > wanted;
     let call = &core.relay.calls[key];
-    if late && way.queue > spare(core, call) || way.first > left * HOPE {
+    if late && way.queue > spare || way.first > left * HOPE {
         let detail = format!("the first token would come after {:.0} ms", way.first);
         let retry = come_back(core, way.queue);
         return Err(Refusal::new(Kind::Overloaded, detail).retry(retry));
--- a/src/host/relay/keeper.rs
+++ b/src/host/relay/keeper.rs
@@ -13,7 +13,6 @@
 use crate::core::{Effect, Event};
 use crate::error::Ran;
 use crate::host::node::Node;
-use crate::platform::store::Read;
 use crate::platform::{self, store};
 use crate::store::{Compare, Op, Txn};
 
@@ -183,11 +182,10 @@
 /// Follows the store until the process ends.
 pub async fn watch(node: Rc<Node>) {
     let mut wait = RETRY_LEAST;
-    let mut read = Read::Stale;
     loop {
-        match follow(&node, &mut wait, read).await {
-            // The history is gone: what a stale read shows may be from before it.
-            Ok(()) => read = Read::Fresh,
+        match follow(&node, &mut wait).await {
+            // The history is gone: everything is read again.
+            Ok(()) => {}
             Err(trouble) => {
                 log::debug!("the store: {trouble}");
                 tell(&node, RelayEvent::Watch(Watch::Broken));
@@ -201,8 +199,8 @@
 }
 
 /// Reads everything, then follows changes; returns when the watch has to begin anew.
-async fn follow(node: &Rc<Node>, wait: &mut Duration, read: Read) -> Result<(), Trouble> {
-    let mut at = read_all(node, read).await?;
+async fn follow(node: &Rc<Node>, wait: &mut Duration) -> Result<(), Trouble> {
+    let mut at = read(node).await?;
     *wait = RETRY_LEAST;
     tell(node, RelayEvent::Watch(Watch::Open));
     loop {
@@ -236,7 +234,7 @@
 }
 
 /// Reads every watched key; returns the revision to watch from.
-async fn read_all(node: &Rc<Node>, read: Read) -> Result<i64, Trouble> {
+async fn read(node: &Rc<Node>) -> Result<i64, Trouble> {
     let mut changes = Changes {
         whole: true,
         ..Changes::default()
@@ -245,7 +243,7 @@
     let mut after: Option<Box<str>> = None;
     let mut keys = BTreeSet::new();
     loop {
-        let call = store::range(platform::WATCHED, after.as_deref(), read);
+        let call = store::range(platform::WATCHED, after.as_deref());
         let (status, body) = ask(node, call, CALL).await?;
         if status != 200 {
             return Err(Trouble::Status { status });
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,16 +14,6 @@
 
 use crate::store::{Compare, Op, Pair, Range, Reply, Span, Txn, TxnReply};
 
-/// How new a read must be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Read {
-    /// As new as any write that was acknowledged.
-    Fresh,
-    /// It may be seconds old, and costs a tenth. A watch that goes on from its revision brings what
-    /// it lacks.
-    Stale,
-}
-
 /// One call, as it is to be written.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Call {
@@ -70,12 +60,12 @@
 }
 
 /// Returns the call that reads a page of the keys that begin so, after `after`.
+///
+/// The store offers cheaper reads that may be seconds old. They name the revision of the store, not
+/// of what they show: a watch that goes on from there misses what lies between, for good.
 #[must_use]
-pub fn range(prefix: &str, after: Option<&str>, read: Read) -> Call {
+pub fn range(prefix: &str, after: Option<&str>) -> Call {
     let mut path = format!("/v1/kv-range?prefix={}", escape(prefix));
-    if read == Read::Stale {
-        path.push_str("&serializable=1");
-    }
     if let Some(after) = after {
         // Writing to a string does not fail.
         let _ = write!(path, "&after={}", escape(after));
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -306,11 +306,8 @@
 
 #[test]
 fn keys_are_escaped_in_a_query() {
-    let call = store::range("a b/", Some("c&d"), store::Read::Stale);
-    assert_eq!(
-        call.path,
-        "/v1/kv-range?prefix=a%20b/&serializable=1&after=c%26d"
-    );
+    let call = store::range("a b/", Some("c&d"));
+    assert_eq!(call.path, "/v1/kv-range?prefix=a%20b/&after=c%26d");
 }
 
 proptest! {
