Run the relaying host as a process before stand-ins of its store and engines

Ten scripts: a request of each kind, forged headers, a configuration, a leaving backend server, an order, a broken stream, an answer to another, a planned stop, a long body, no store. The plain HTTP client of the fleet tests moves to tests/common, where both use it.

--- a/src/core/relay/tests/plan.rs
+++ b/src/core/relay/tests/plan.rs
@@ -2,7 +2,6 @@
 
 use super::*;
 use crate::core::event::Job;
-use crate::core::event::Timer;
 use crate::core::relay::event::{EngineReport, OrderResult, StageOrder};
 use crate::core::relay::{RelayJob, RelayTimer};
 use crate::store::TxnReply;
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -30,9 +30,11 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::core::Event;
+use crate::core::effect::Note;
 use crate::core::event::StopEvent;
 use crate::core::relay::event::RelayEvent;
-use crate::settings::Settings;
+use crate::settings::relay::RelaySettings;
+use crate::settings::{HostSettings, Settings};
 use crate::web;
 
 pub use node::Node;
@@ -116,16 +118,21 @@
     mut stop: watch::Receiver<bool>,
     mut reloads: mpsc::Receiver<Settings>,
 ) -> Result<(), HostError> {
-    let Some(relay) = settings.relay.clone() else {
+    let mut settings = settings;
+    let Some(relay) = &mut settings.relay else {
         return Err(HostError::Client);
     };
-    let mut addrs = (settings.host.callers, relay.readiness, relay.metrics);
-    let callers = listen(&mut addrs.0).await?;
-    let readiness = listen(&mut addrs.1).await?;
-    let metrics = listen(&mut addrs.2).await?;
-    let peers = settings.host.peers;
-    let socket = UdpSocket::bind(peers).await;
-    let socket = Rc::new(socket.context(ListenSnafu { addr: peers })?);
+    let host = &mut settings.host;
+    let callers = listen(&mut host.callers).await?;
+    let readiness = listen(&mut relay.readiness).await?;
+    let metrics = listen(&mut relay.metrics).await?;
+    let socket = UdpSocket::bind(host.peers).await;
+    let socket = socket.context(ListenSnafu { addr: host.peers })?;
+    if let Ok(addr) = socket.local_addr() {
+        host.peers = addr;
+    }
+    let socket = Rc::new(socket);
+    relay::journal::write(&listening(host, relay));
     let node = Node::new(settings).await?;
     let (close, closed) = watch::channel(false);
     node.on_close(close);
@@ -165,6 +172,23 @@
     Ok(())
 }
 
+/// Returns the log event that names the listeners.
+fn listening(host: &HostSettings, relay: &RelaySettings) -> Note {
+    let text = |addr: SocketAddr| addr.to_string().into();
+    Note {
+        level: log::Level::Info,
+        name: "host.listening",
+        fields: vec![
+            ("host", host.name.clone()),
+            ("domain", host.domain.clone()),
+            ("callers", text(host.callers)),
+            ("readiness", text(relay.readiness)),
+            ("metrics", text(relay.metrics)),
+            ("peers", text(host.peers)),
+        ],
+    }
+}
+
 /// Waits for the order to stop, and then for the end of the planned stop.
 async fn finish(node: &Rc<Node>, stop: &mut watch::Receiver<bool>) {
     let exit = node.exited();
--- /dev/null
+++ b/tests/common/http.rs
@@ -0,0 +1,145 @@
+//! A plain HTTP/1.1 client over a blocking socket, so that a test reads as a script.
+
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// Bound of any single read or write; far above what a test waits for.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// What came back.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into()
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the request's id.
+    pub fn id(&self) -> String {
+        self.header("x-request-id").unwrap_or_default().to_owned()
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct Open {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    reader: BufReader<TcpStream>,
+    chunked: bool,
+    left: Option<usize>,
+}
+
+/// Sends a request and reads the answer's head; `None` when there is none.
+pub fn open(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Open> {
+    let mut stream = TcpStream::connect_timeout(&addr, LIMIT).ok()?;
+    stream.set_read_timeout(Some(LIMIT)).ok()?;
+    stream.set_write_timeout(Some(LIMIT)).ok()?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\n");
+    for (name, value) in headers {
+        write!(head, "{name}: {value}\r\n").ok()?;
+    }
+    write!(head, "content-length: {}\r\n\r\n", body.len()).ok()?;
+    stream.write_all(head.as_bytes()).ok()?;
+    stream.write_all(body).ok()?;
+    let mut reader = BufReader::new(stream);
+    let first = line(&mut reader)?;
+    let status = first.split(' ').nth(1)?.parse().ok()?;
+    let mut headers = Vec::new();
+    loop {
+        let next = line(&mut reader)?;
+        if next.is_empty() {
+            break;
+        }
+        let (name, value) = next.split_once(':')?;
+        headers.push((name.to_lowercase(), value.trim().to_owned()));
+    }
+    let find = |name: &str| headers.iter().find(|(key, _)| key == name);
+    let chunked = find("transfer-encoding").is_some_and(|(_, value)| value == "chunked");
+    let left = find("content-length").and_then(|(_, value)| value.parse().ok());
+    Some(Open {
+        status,
+        headers,
+        reader,
+        chunked,
+        left,
+    })
+}
+
+pub fn line(reader: &mut impl BufRead) -> Option<String> {
+    let mut line = String::new();
+    let read = reader.read_line(&mut line).ok()?;
+    (read > 0).then(|| line.trim_end().to_owned())
+}
+
+impl Open {
+    /// Reads the next part of the body; `None` at its end, an error when it is cut.
+    pub fn part(&mut self) -> Result<Option<Vec<u8>>, ()> {
+        if !self.chunked {
+            let mut body = vec![0; self.left.take().unwrap_or(0)];
+            self.reader.read_exact(&mut body).map_err(|_cut| ())?;
+            return Ok((!body.is_empty()).then_some(body));
+        }
+        let size = line(&mut self.reader).ok_or(())?;
+        let size = usize::from_str_radix(&size, 16).map_err(|_cut| ())?;
+        let mut part = vec![0; size + 2];
+        self.reader.read_exact(&mut part).map_err(|_cut| ())?;
+        part.truncate(size);
+        Ok((size > 0).then_some(part))
+    }
+
+    /// Reads the rest of the body.
+    pub fn rest(mut self) -> Answer {
+        let mut body = Vec::new();
+        let whole = loop {
+            match self.part() {
+                Ok(Some(part)) => body.extend(part),
+                Ok(None) => break true,
+                Err(()) => break false,
+            }
+        };
+        Answer {
+            status: self.status,
+            headers: self.headers,
+            body,
+            whole,
+        }
+    }
+}
+
+/// Sends a request and reads the whole answer; `None` when there is no head.
+pub fn send(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Answer> {
+    open(addr, method, path, headers, body).map(Open::rest)
+}
--- /dev/null
+++ b/tests/relay/standin.rs
@@ -0,0 +1,397 @@
+//! Stand-ins that speak the platform's protocol: a store, engines, a plain server.
+//!
+//! A thread for each connection, and a lock around what all of them know: a test drives a handful
+//! of requests, and reads as a script.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::ops::RangeInclusive;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+
+/// A request as it came.
+struct Request {
+    method: String,
+    path: String,
+    head: String,
+    body: Vec<u8>,
+}
+
+impl Request {
+    fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines();
+        lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+
+    fn query(&self, name: &str) -> Option<String> {
+        let (_, query) = self.path.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value.to_owned())
+    }
+}
+
+fn read(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let mut first = String::new();
+    reader.read_line(&mut first).ok().filter(|read| *read > 0)?;
+    let mut words = first.split_whitespace();
+    let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let (mut head, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        let (name, value) = line.split_once(':')?;
+        let (name, value) = (name.to_lowercase(), value.trim());
+        if name == "content-length" {
+            length = value.parse().ok()?;
+        }
+        writeln!(head, "{name}: {value}").ok()?;
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Request {
+        method,
+        path,
+        head,
+        body,
+    })
+}
+
+fn write(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> Option<()> {
+    let length = body.len();
+    let text = format!("HTTP/1.1 {status} x\r\n{headers}content-length: {length}\r\n\r\n{body}");
+    stream.write_all(text.as_bytes()).ok()
+}
+
+/// Serves each connection with a thread; `serve` returns `None` to close the connection.
+fn listen(
+    serve: impl Fn(&Request, &mut TcpStream) -> Option<()> + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = Arc::clone(&serve);
+            std::thread::spawn(move || {
+                let mut out = stream.try_clone().expect("a second handle");
+                let mut reader = BufReader::new(stream);
+                while let Some(request) = read(&mut reader) {
+                    if serve(&request, &mut out).is_none() {
+                        break;
+                    }
+                }
+                drop(out.shutdown(Shutdown::Both));
+            });
+        }
+    });
+    addr
+}
+
+/// One write: key, value (`None` for a removal), revision, revision of the creation.
+type Change = (String, Option<Vec<u8>>, i64, i64);
+
+#[derive(Default)]
+struct Kept {
+    revision: i64,
+    keys: BTreeMap<String, (Vec<u8>, i64, i64)>,
+    history: Vec<Change>,
+    away: bool,
+}
+
+impl Kept {
+    fn write(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        let created = self
+            .keys
+            .get(key)
+            .map_or(self.revision, |(.., created)| *created);
+        let entry = (value.clone(), self.revision, created);
+        self.keys.insert(key.to_owned(), entry);
+        let change = (key.to_owned(), Some(value), self.revision, created);
+        self.history.push(change);
+    }
+}
+
+/// Stand-in of the store.
+pub struct Store {
+    pub addr: SocketAddr,
+    kept: Arc<(Mutex<Kept>, Condvar)>,
+}
+
+impl Store {
+    pub fn start() -> Self {
+        let kept = Arc::new((Mutex::new(Kept::default()), Condvar::new()));
+        let shared = Arc::clone(&kept);
+        let addr = listen(move |request, stream| store(&shared, request, stream));
+        Self { addr, kept }
+    }
+
+    pub fn put(&self, key: &str, value: &Value) {
+        let (kept, changed) = &*self.kept;
+        let value = value.to_string().into_bytes();
+        kept.lock().expect("the store").write(key, value);
+        changed.notify_all();
+    }
+
+    /// Returns the revision at which a key was created.
+    pub fn created(&self, key: &str) -> Option<i64> {
+        let kept = self.kept.0.lock().expect("the store");
+        kept.keys.get(key).map(|(.., created)| *created)
+    }
+
+    /// Closes every connection that asks something from now on.
+    pub fn stop_answering(&self) {
+        self.kept.0.lock().expect("the store").away = true;
+    }
+}
+
+fn item(key: &str, value: &[u8], revision: i64, created: i64) -> Value {
+    json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "created": created})
+}
+
+fn store(
+    shared: &Arc<(Mutex<Kept>, Condvar)>,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> Option<()> {
+    let (kept, changed) = &**shared;
+    let mut kept = kept.lock().expect("the store");
+    if kept.away {
+        return None;
+    }
+    let path = request.path.split('?').next()?;
+    let answer = match (request.method.as_str(), path) {
+        ("GET", "/v1/kv-range") => {
+            let items = kept.keys.iter();
+            let items = items
+                .map(|(key, (value, revision, created))| item(key, value, *revision, *created));
+            json!({"items": items.collect::<Vec<_>>(), "hasMore": false, "at": kept.revision})
+        }
+        ("GET", "/v1/kv-watch") => {
+            let after: i64 = request.query("after")?.parse().ok()?;
+            let wait = request.query("waitMs")?.parse().ok()?;
+            let waits = |kept: &mut Kept| kept.revision <= after;
+            let wait = Duration::from_millis(wait);
+            kept = changed
+                .wait_timeout_while(kept, wait, waits)
+                .expect("the store")
+                .0;
+            let new = kept
+                .history
+                .iter()
+                .filter(|(.., revision, _)| *revision > after);
+            let events = new.map(|(key, value, revision, created)| match value {
+                Some(value) => item(key, value, *revision, *created),
+                None => json!({"key": key, "revision": revision, "deleted": true}),
+            });
+            json!({"events": events.collect::<Vec<_>>(), "at": kept.revision})
+        }
+        ("POST", "/v1/kv-txn") => {
+            let txn: Value = serde_json::from_slice(&request.body).ok()?;
+            let holds = txn["expectedRevision"].as_array()?.iter().all(|row| {
+                let known = row["key"].as_str().and_then(|key| kept.keys.get(key));
+                known.map_or(0, |(_, revision, _)| *revision)
+                    == row["revision"].as_i64().unwrap_or(0)
+            });
+            if !holds {
+                return write(stream, 412, "", &json!({"items": []}).to_string());
+            }
+            for row in txn["setKeys"].as_array()? {
+                let value = STANDARD.decode(row["value"].as_str()?).ok()?;
+                kept.write(row["key"].as_str()?, value);
+            }
+            changed.notify_all();
+            json!({"revision": kept.revision})
+        }
+        ("POST", "/v1/kv-lease") => json!({"lease": 77, "ttlMs": 3000}),
+        ("POST", path) if path.starts_with("/v1/kv-keep/") => json!({"ttlMs": 3000}),
+        _ => json!({}),
+    };
+    drop(kept);
+    write(stream, 200, "", &answer.to_string())
+}
+
+#[derive(Default)]
+struct Asked {
+    stage: Option<String>,
+    seen: Vec<(String, String, Vec<u8>)>,
+    /// Events after which the next stream breaks off.
+    breaks: Option<u64>,
+    /// Id under which the next answer is given.
+    other: Option<String>,
+    held: bool,
+}
+
+/// Stand-in of an engine, or of a plain server.
+pub struct Engine {
+    pub id: String,
+    addr: SocketAddr,
+    asked: Arc<(Mutex<Asked>, Condvar)>,
+}
+
+/// Returns the events of a stream.
+pub fn events(id: &str, numbers: RangeInclusive<u64>) -> String {
+    let event = |number: u64| format!("id: {number}\ndata: {id}\n\n");
+    numbers.map(event).collect()
+}
+
+impl Engine {
+    pub fn plain(id: &str) -> Self {
+        Self::start(id, None)
+    }
+
+    pub fn model(id: &str, stage: &str) -> Self {
+        Self::start(id, Some(stage.to_owned()))
+    }
+
+    fn start(id: &str, stage: Option<String>) -> Self {
+        let asked = Asked {
+            stage,
+            ..Asked::default()
+        };
+        let asked = Arc::new((Mutex::new(asked), Condvar::new()));
+        let (shared, name) = (Arc::clone(&asked), id.to_owned());
+        let addr = listen(move |request, stream| engine(&shared, &name, request, stream));
+        Self {
+            id: id.to_owned(),
+            addr,
+            asked,
+        }
+    }
+
+    /// Returns the entry by which it registers.
+    pub fn entry(&self, state: &str) -> Value {
+        let part = self.asked.0.lock().expect("the engine").stage.clone();
+        let service = if part.is_some() { "model" } else { "plain" };
+        json!({"service": service, "address": self.addr.to_string(), "zone": "z", "version": "v1",
+            "slots": 8, "state": state, "coldRemainingMs": 0, "stage": part, "sequence": 1,
+            "born": 1})
+    }
+
+    /// Returns the heads of the requests that came for a path.
+    pub fn seen(&self, path: &str) -> Vec<String> {
+        let asked = self.asked.0.lock().expect("the engine");
+        let seen = asked.seen.iter().filter(|(seen, ..)| seen == path);
+        seen.map(|(_, head, _)| head.clone()).collect()
+    }
+
+    /// Returns the bodies that came for a path.
+    pub fn bodies(&self, path: &str) -> Vec<Value> {
+        let asked = self.asked.0.lock().expect("the engine");
+        let seen = asked.seen.iter().filter(|(seen, ..)| seen == path);
+        seen.filter_map(|(.., body)| serde_json::from_slice(body).ok())
+            .collect()
+    }
+
+    /// Breaks the next stream off after so many events, in the middle of one.
+    pub fn break_after(&self, events: u64) {
+        self.asked.0.lock().expect("the engine").breaks = Some(events);
+    }
+
+    /// Answers the next request under another id.
+    pub fn answer_as(&self, id: &str) {
+        self.asked.0.lock().expect("the engine").other = Some(id.to_owned());
+    }
+
+    /// Holds the ends of streams back.
+    pub fn hold(&self) {
+        self.asked.0.lock().expect("the engine").held = true;
+    }
+
+    /// Lets streams end.
+    pub fn release(&self) {
+        self.asked.0.lock().expect("the engine").held = false;
+        self.asked.1.notify_all();
+    }
+}
+
+fn engine(
+    shared: &Arc<(Mutex<Asked>, Condvar)>,
+    id: &str,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> Option<()> {
+    let mut asked = shared.0.lock().expect("the engine");
+    let seen = (
+        request.path.clone(),
+        request.head.clone(),
+        request.body.clone(),
+    );
+    asked.seen.push(seen);
+    let own = request
+        .header("x-chiveway-attempt-id")
+        .unwrap_or_default()
+        .to_owned();
+    let attempt = asked.other.take().unwrap_or(own);
+    let headers = format!(
+        "x-chiveway-attempt-id: {attempt}\r\nx-chiveway-server-stamp: {id}\r\nkeep-alive: timeout=5\r\n"
+    );
+    match request.path.as_str() {
+        "/v1/report" => {
+            let body = json!({"stage": asked.stage, "busy": false, "sequence": 0}).to_string();
+            return write(stream, 200, "", &body);
+        }
+        "/v1/order" => return write(stream, 202, "", "{}"),
+        _ => {}
+    }
+    if asked.stage.is_none() {
+        let body = String::from_utf8_lossy(&request.body);
+        let body = format!("{id} {} {body}", request.path);
+        drop(asked);
+        return write(stream, 200, &headers, &body);
+    }
+    if request.header("x-chiveway-serving-stage") == Some("prefill") {
+        drop(asked);
+        let body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
+        return write(stream, 200, &headers, &body);
+    }
+    let breaks = asked.breaks.take();
+    drop(asked);
+    let last = request
+        .header("last-event-id")
+        .and_then(|last| last.parse().ok());
+    stream_events(shared, id, &headers, breaks, last.unwrap_or(0), stream)
+}
+
+/// Streams the events after `last`; breaks off in the middle of one where it is to.
+fn stream_events(
+    shared: &Arc<(Mutex<Asked>, Condvar)>,
+    id: &str,
+    headers: &str,
+    breaks: Option<u64>,
+    last: u64,
+    stream: &mut TcpStream,
+) -> Option<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut chunk = |text: &str| {
+        let text = format!("{:x}\r\n{text}\r\n", text.len());
+        stream.write_all(text.as_bytes()).ok()
+    };
+    for number in last + 1..=4 {
+        if breaks.is_some_and(|breaks| number > breaks) {
+            chunk(&format!("id: {number}\nda"))?;
+            return None;
+        }
+        chunk(&events(id, number..=number))?;
+    }
+    let asked = shared.0.lock().expect("the engine");
+    let waited = shared.1.wait_while(asked, |asked| asked.held);
+    drop(waited.expect("the engine"));
+    chunk("")
+}
