Tell other failure domains once for all hosts of one

Cause: each host told each other host of its work; at 89 hosts in four domains that was most of the bytes between domains, the dearest price there. Change: hosts tell their own domain; the first by name sums up and tells one host of each other domain, which passes it on.

--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -356,21 +356,10 @@
     pub parts: Vec<PartWord>,
     /// Fingerprints of requests that backend servers died of.
     pub deaths: Vec<DeathWord>,
-    /// Backend servers that it knows to be leaving.
-    pub leaving: Vec<u32>,
-    /// Requests a second that it took in and their prompt and output tokens, by stage they need.
-    pub demand: Demand,
-}
-
-/// Work that arrives, a second.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Demand {
-    /// Milliseconds of engine time a second that prompts need at engines that prefill.
-    pub prefill: f64,
-    /// The same for prompts that are read where they are answered.
-    pub whole: f64,
-    /// Streams that run at once.
-    pub streams: f64,
+    /// Failure domain whose hosts' words are summed up here; `None` for a host's own word.
+    pub domain: Option<Box<str>>,
+    /// Whether a host of the listener's own failure domain passed it on.
+    pub passed: bool,
 }
 
 /// Unfinished work of one host at one backend server.
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -2,6 +2,11 @@
 //!
 //! Each host sees only its part of the requests. Without the others' word every host takes the
 //! same engine for idle, and reads the same prompt part at another engine.
+//!
+//! A host tells the others of its failure domain. The first of them by name sums up what it hears
+//! and tells the first host of each other domain, which passes it on in its own: bytes between
+//! domains grow with the domains, not with the square of the hosts. Each to each, 89 hosts in four
+//! domains sent 16 words a second to 88 others.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -15,7 +20,8 @@
 use super::super::key::HostKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::{Changes, Demand, LoadWord, PartWord, PromptPart, RelayEffect, Word};
+use super::event::{Changes, DeathWord, LoadWord, PartWord, PromptPart, RelayEffect, Word};
+use super::instance::Work;
 use super::{RelayJob, RelayTimer, load, note, wake};
 use crate::store::{Op, Txn};
 
@@ -28,6 +34,10 @@
 const QUIET: u32 = 8;
 /// Time after which a host that said nothing counts for nothing.
 const UNHEARD: Duration = Duration::from_secs(2);
+/// Time without a word after which another host speaks for a failure domain: two quiet words.
+const SPEAKS: Duration = Duration::from_millis(1200);
+/// Prompt parts and deaths kept to be passed on: those of a second at the largest sites.
+const HEARD: usize = 256;
 /// Life of the lease of a registration.
 const LIFE: Duration = Duration::from_secs(12);
 /// Time between two renewals, and between tries.
@@ -40,22 +50,28 @@
 pub struct Peer {
     /// Its name.
     pub name: Box<str>,
+    /// Failure domain it stands in.
+    pub domain: Box<str>,
     /// Where it listens for other hosts.
     pub addr: SocketAddr,
     /// When it was last heard.
     pub heard: Option<Time>,
     incarnation: u64,
     number: u64,
-    /// Work that arrives there.
-    pub demand: Demand,
 }
 
 /// All other hosts.
 #[derive(Debug, Default)]
 pub struct Peers {
-    /// Hosts.
+    /// Hosts, and for each other failure domain one that stands for all of it.
     pub arena: SlotMap<HostKey, Peer>,
     names: BTreeMap<Box<str>, HostKey>,
+    /// Those that stand for a failure domain.
+    domains: BTreeMap<Box<str>, HostKey>,
+    /// Prompt parts and deaths heard in the own failure domain, to be passed on.
+    heard: (Vec<PartWord>, Vec<DeathWord>),
+    /// Whether anything was heard that other failure domains were not told.
+    news: bool,
     lease: i64,
     registered: bool,
     number: u64,
@@ -68,7 +84,19 @@
     /// Returns how many hosts there may be, this one included.
     #[must_use]
     pub fn hosts(&self) -> usize {
-        self.arena.len() + 1
+        self.names.len() + 1
+    }
+
+    /// Keeps what other failure domains are to be told.
+    fn hear(&mut self, parts: &[PartWord], deaths: &[DeathWord]) {
+        self.news = true;
+        self.heard.0.extend_from_slice(parts);
+        self.heard.1.extend_from_slice(deaths);
+        // Hosts that do not speak for their domain collect, too, until they do.
+        let over = self.heard.0.len().saturating_sub(HEARD);
+        self.heard.0.drain(..over);
+        let over = self.heard.1.len().saturating_sub(HEARD);
+        self.heard.1.drain(..over);
     }
 
     /// Notes which prompt parts went to an engine.
@@ -158,7 +186,7 @@
             continue;
         }
         match change.value.as_deref().and_then(address) {
-            Some(addr) => joined(core, name, addr, out),
+            Some((addr, domain)) => joined(core, name, addr, domain, out),
             None => left(core, name, out),
         }
     }
@@ -182,25 +210,32 @@
     }
 }
 
-fn address(value: &[u8]) -> Option<SocketAddr> {
+/// Reads where a host listens, and its failure domain.
+fn address(value: &[u8]) -> Option<(SocketAddr, Box<str>)> {
     let value: Value = serde_json::from_slice(value).ok()?;
-    value["addr"].as_str()?.parse().ok()
+    let addr = value["addr"].as_str()?.parse().ok()?;
+    Some((addr, value["domain"].as_str()?.into()))
 }
 
-fn joined(core: &mut Core, name: &str, addr: SocketAddr, out: &mut Effects) {
-    let peers = &mut core.relay.peers;
-    if let Some(key) = peers.names.get(name) {
-        peers.arena[*key].addr = addr;
-        return;
-    }
-    let key = peers.arena.insert(Peer {
+fn peer(name: &str, domain: Box<str>, addr: SocketAddr) -> Peer {
+    Peer {
         name: name.into(),
+        domain,
         addr,
         heard: None,
         incarnation: 0,
         number: 0,
-        demand: Demand::default(),
-    });
+    }
+}
+
+fn joined(core: &mut Core, name: &str, addr: SocketAddr, domain: Box<str>, out: &mut Effects) {
+    let peers = &mut core.relay.peers;
+    if let Some(key) = peers.names.get(name) {
+        peers.arena[*key].addr = addr;
+        peers.arena[*key].domain = domain;
+        return;
+    }
+    let key = peers.arena.insert(peer(name, domain, addr));
     peers.names.insert(name.into(), key);
     note(
         out,
@@ -241,44 +276,139 @@
     let loads = core.relay.instances.arena.values();
     let loads: Vec<LoadWord> = loads
         .filter(|instance| instance.own.calls > 0)
-        .map(|instance| LoadWord {
-            instance: instance.short,
-            calls: instance.own.calls,
-            urgent: u32::try_from(instance.own.urgent).unwrap_or(u32::MAX),
-            tokens: u32::try_from(instance.own.tokens).unwrap_or(u32::MAX),
-        })
+        .map(|instance| load_word(instance.short, instance.own))
         .collect();
     let deaths = core.relay.killers.take_untold();
     let peers = &mut core.relay.peers;
     let same = loads == peers.last && peers.parts.is_empty() && deaths.is_empty();
-    if same && peers.quiet < QUIET {
-        peers.quiet += 1;
-        return;
+    peers.quiet += 1;
+    let due = !same || peers.quiet > QUIET;
+    if due {
+        peers.quiet = 0;
+        peers.last.clone_from(&loads);
+        let parts = std::mem::take(&mut peers.parts);
+        peers.hear(&parts, &deaths);
+        let near = near(core);
+        let word = word(core, None, loads, parts, deaths);
+        out.extend(tell_them(near, word));
+    }
+    if core.relay.peers.news && speaks(core) {
+        tell_domains(core, out);
     }
-    peers.quiet = 0;
-    peers.number += 1;
-    peers.last.clone_from(&loads);
-    let word = Word {
+}
+
+fn tell_them(to: Vec<SocketAddr>, word: Word) -> Option<Effect> {
+    let word = Box::new(word);
+    (!to.is_empty()).then(|| Effect::Relay(RelayEffect::Tell { to, word }))
+}
+
+fn word(
+    core: &mut Core,
+    domain: Option<Box<str>>,
+    loads: Vec<LoadWord>,
+    parts: Vec<PartWord>,
+    deaths: Vec<DeathWord>,
+) -> Word {
+    core.relay.peers.number += 1;
+    let catalog = core.relay.catalog.as_ref();
+    Word {
         host: core.settings.host.name.clone(),
         incarnation: core.members.incarnation(),
-        number: peers.number,
-        version: core
-            .relay
-            .catalog
-            .as_ref()
-            .map_or(0, |catalog| catalog.version),
+        number: core.relay.peers.number,
+        version: catalog.map_or(0, |catalog| catalog.version),
         loads,
-        parts: std::mem::take(&mut peers.parts),
+        parts,
         deaths,
-        leaving: Vec::new(),
-        demand: Demand::default(),
-    };
-    let to: Vec<SocketAddr> = peers.arena.values().map(|peer| peer.addr).collect();
-    if !to.is_empty() {
-        out.push(Effect::Relay(RelayEffect::Tell {
-            to,
-            word: Box::new(word),
-        }));
+        domain,
+        passed: false,
+    }
+}
+
+/// Returns where the other hosts of this failure domain listen.
+fn near(core: &Core) -> Vec<SocketAddr> {
+    let peers = &core.relay.peers;
+    let near = peers.names.values().map(|key| &peers.arena[*key]);
+    near.filter(|peer| peer.domain == core.settings.host.domain)
+        .map(|peer| peer.addr)
+        .collect()
+}
+
+/// Tells whether this host speaks for its failure domain: no host before it by name is heard.
+fn speaks(core: &Core) -> bool {
+    let peers = &core.relay.peers;
+    let own = &core.settings.host;
+    let mut near = peers.names.values().map(|key| &peers.arena[*key]);
+    !near.any(|peer| {
+        let heard = peer.heard.is_some_and(|at| core.now.since(at) < SPEAKS);
+        heard && peer.domain == own.domain && peer.name < own.name
+    })
+}
+
+/// Tells each other failure domain what was heard in this one.
+fn tell_domains(core: &mut Core, out: &mut Effects) {
+    let own = core.settings.host.domain.clone();
+    let peers = &core.relay.peers;
+    let mut to: BTreeMap<Box<str>, Vec<SocketAddr>> = BTreeMap::new();
+    for key in peers.names.values() {
+        let peer = &peers.arena[*key];
+        if peer.domain != own {
+            to.entry(peer.domain.clone()).or_default().push(peer.addr);
+        }
+    }
+    // One host there passes it on. It may be down: another is told each time nothing is heard.
+    let turn = peers.number as usize;
+    let to: Vec<SocketAddr> = to
+        .iter()
+        .filter_map(|(domain, addrs)| {
+            let speaker = speaker(core, domain);
+            speaker.or_else(|| addrs.get(turn % addrs.len()).copied())
+        })
+        .collect();
+    if to.is_empty() {
+        return;
+    }
+    let loads = summed(core);
+    let peers = &mut core.relay.peers;
+    peers.news = false;
+    let (parts, deaths) = std::mem::take(&mut peers.heard);
+    let word = word(core, Some(own), loads, parts, deaths);
+    out.extend(tell_them(to, word));
+}
+
+/// Returns where the host listens that speaks for another failure domain, if one was heard.
+fn speaker(core: &Core, domain: &str) -> Option<SocketAddr> {
+    let peers = &core.relay.peers;
+    let whole = &peers.arena[*peers.domains.get(domain)?];
+    let heard = whole.heard.is_some_and(|at| core.now.since(at) < SPEAKS);
+    let host = peers.names.get(&whole.name)?;
+    heard.then(|| peers.arena[*host].addr)
+}
+
+/// Returns the unfinished work of all hosts of this failure domain.
+fn summed(core: &Core) -> Vec<LoadWord> {
+    let peers = &core.relay.peers;
+    let own = &core.settings.host.domain;
+    let near: Vec<HostKey> = peers
+        .names
+        .values()
+        .copied()
+        .filter(|key| peers.arena[*key].domain == *own)
+        .collect();
+    let instances = core.relay.instances.arena.values();
+    let loads = instances.filter_map(|instance| {
+        let others = near.iter().filter_map(|key| instance.others.get(key));
+        let sum = others.fold(instance.own, |sum, work| sum.plus(*work));
+        (sum.calls > 0).then(|| load_word(instance.short, sum))
+    });
+    loads.collect()
+}
+
+fn load_word(instance: u32, work: Work) -> LoadWord {
+    LoadWord {
+        instance,
+        calls: work.calls,
+        urgent: u32::try_from(work.urgent).unwrap_or(u32::MAX),
+        tokens: u32::try_from(work.tokens).unwrap_or(u32::MAX),
     }
 }
 
@@ -298,12 +428,18 @@
     }
 }
 
-/// Takes in another host's word.
-pub fn told(core: &mut Core, word: Word, _out: &mut Effects) {
-    let now = core.now;
-    let Some(key) = core.relay.peers.names.get(&word.host).copied() else {
+/// Takes in another host's word, or what one sums up for its failure domain.
+pub fn told(core: &mut Core, word: Word, out: &mut Effects) {
+    let Some(sender) = core.relay.peers.names.get(&word.host).copied() else {
         return;
     };
+    let key = match &word.domain {
+        None => sender,
+        // What this domain sums up itself is known here already.
+        Some(domain) if *domain == core.settings.host.domain => return,
+        Some(domain) => whole(core, sender, domain.clone()),
+    };
+    let now = core.now;
     let peer = &mut core.relay.peers.arena[key];
     // Datagrams overtake each other, and a process that ended may still be heard.
     if (word.incarnation, word.number) <= (peer.incarnation, peer.number) {
@@ -312,7 +448,6 @@
     peer.incarnation = word.incarnation;
     peer.number = word.number;
     peer.heard = Some(now);
-    peer.demand = word.demand;
     core.relay.instances.told(key, &word.loads);
     for part in &word.parts {
         if let Some(engine) = core.relay.instances.by_short(part.instance) {
@@ -320,7 +455,42 @@
             instance.parts.insert(part.part, (now, part.tokens.into()));
         }
     }
-    for death in word.deaths {
-        core.relay.killers.died(death, now);
+    for death in &word.deaths {
+        core.relay.killers.died(*death, now);
+    }
+    let peers = &mut core.relay.peers;
+    if word.domain.is_none() {
+        peers.hear(&word.parts, &word.deaths);
+    } else if !word.passed {
+        let to = near(core);
+        out.extend(tell_them(
+            to,
+            Word {
+                passed: true,
+                ..word
+            },
+        ));
+    }
+}
+
+/// Returns what stands for a whole failure domain, now that this host speaks for it.
+fn whole(core: &mut Core, speaker: HostKey, domain: Box<str>) -> HostKey {
+    let peers = &mut core.relay.peers;
+    let (name, addr) = (peers.arena[speaker].name.clone(), peers.arena[speaker].addr);
+    let key = match peers.domains.get(&domain) {
+        Some(key) => *key,
+        None => {
+            let key = peers.arena.insert(peer(&name, domain.clone(), addr));
+            peers.domains.insert(domain, key);
+            key
+        }
+    };
+    let whole = &mut peers.arena[key];
+    if whole.name != name {
+        // Another host speaks for it: its numbers are its own.
+        whole.name = name;
+        whole.incarnation = 0;
+        whole.number = 0;
     }
+    key
 }
--- a/src/core/relay/tests/load.rs
+++ b/src/core/relay/tests/load.rs
@@ -32,7 +32,7 @@
 fn host(site: &mut Site, name: &str) {
     site.key(
         &format!("hosts/{name}"),
-        Some(r#"{"addr":"10.9.9.9:1"}"#),
+        Some(r#"{"addr":"10.9.9.9:1","domain":"z"}"#),
         3,
     );
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -444,11 +444,12 @@
     pub parts: ::prost::alloc::vec::Vec<PartWord>,
     #[prost(message, repeated, tag = "7")]
     pub deaths: ::prost::alloc::vec::Vec<DeathWord>,
-    /// Short hashes of the backend servers that the sender knows to be leaving.
-    #[prost(fixed32, repeated, tag = "8")]
-    pub leaving: ::prost::alloc::vec::Vec<u32>,
-    #[prost(message, optional, tag = "9")]
-    pub demand: ::core::option::Option<DemandWord>,
+    /// Failure domain whose hosts' words are summed up here; empty for the sender's own word.
+    #[prost(string, tag = "8")]
+    pub domain: ::prost::alloc::string::String,
+    /// A host of the recipient's own failure domain passed it on.
+    #[prost(bool, tag = "9")]
+    pub passed: bool,
 }
 /// Unfinished work of the sender at one backend server.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -481,13 +482,3 @@
     #[prost(fixed32, tag = "2")]
     pub instance: u32,
 }
-/// Work that arrives at the sender, in milliseconds of engine time a second.
-#[derive(Clone, Copy, PartialEq, ::prost::Message)]
-pub struct DemandWord {
-    #[prost(float, tag = "1")]
-    pub prefill: f32,
-    #[prost(float, tag = "2")]
-    pub whole: f32,
-    #[prost(float, tag = "3")]
-    pub streams: f32,
-}
--- a/src/wire/word.rs
+++ b/src/wire/word.rs
@@ -4,7 +4,7 @@
 use prost::Message as _;
 
 use super::{WireError, generated as wire};
-use crate::core::relay::event::{DeathWord, Demand, LoadWord, PartWord, Word};
+use crate::core::relay::event::{DeathWord, LoadWord, PartWord, Word};
 
 /// Appends the bytes of a word.
 pub fn encode_word(word: &Word, out: &mut BytesMut) {
@@ -16,8 +16,8 @@
         loads: word.loads.iter().map(to_load).collect(),
         parts: word.parts.iter().map(to_part).collect(),
         deaths: word.deaths.iter().map(to_death).collect(),
-        leaving: word.leaving.clone(),
-        demand: Some(to_demand(word.demand)),
+        domain: word.domain.as_deref().unwrap_or_default().to_owned(),
+        passed: word.passed,
     };
     out.reserve(message.encoded_len());
     // Only a full buffer is an error, and `BytesMut` grows.
@@ -36,7 +36,6 @@
     if word.host.is_empty() {
         return Err(WireError::Field { field: "host" });
     }
-    let demand = word.demand.unwrap_or_default();
     Ok(Word {
         host: word.host.into(),
         incarnation: word.incarnation,
@@ -45,12 +44,8 @@
         loads: word.loads.iter().map(from_load).collect(),
         parts: word.parts.iter().map(from_part).collect(),
         deaths: word.deaths.iter().map(from_death).collect(),
-        leaving: word.leaving,
-        demand: Demand {
-            prefill: demand.prefill.into(),
-            whole: demand.whole.into(),
-            streams: demand.streams.into(),
-        },
+        domain: (!word.domain.is_empty()).then(|| word.domain.into()),
+        passed: word.passed,
     })
 }
 
@@ -101,13 +96,3 @@
         instance: death.instance,
     }
 }
-
-// Three figures suffice for a plan.
-#[expect(clippy::cast_possible_truncation, reason = "rounded on the wire")]
-fn to_demand(demand: Demand) -> wire::DemandWord {
-    wire::DemandWord {
-        prefill: demand.prefill as f32,
-        whole: demand.whole as f32,
-        streams: demand.streams as f32,
-    }
-}
