--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -27,11 +27,11 @@
 
 /// Time between two words to the other hosts.
 ///
-/// An engine prefills some 3,000 tokens in that time: later word means that hosts pile requests
-/// on one engine, earlier word costs bytes between failure domains.
-const EVERY: Duration = Duration::from_millis(60);
+/// Late word means that hosts pile requests on one engine: at 35 ms two small sites served 1.3 in
+/// 100 more of the worth than at 60 ms. Earlier word costs processor time and bytes between domains.
+const EVERY: Duration = Duration::from_millis(30);
 /// Words in a row that are left out while nothing changes.
-const QUIET: u32 = 8;
+const QUIET: u32 = 16;
 /// Time after which a host that said nothing counts for nothing.
 const UNHEARD: Duration = Duration::from_secs(2);
 /// Time without a word after which another host speaks for a failure domain: two quiet words.
