--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -33,6 +33,9 @@
 const BEHIND: f64 = 0.5;
 /// Part of the shortest wanted time that the queue may be long for what is late in any case.
 const SPARE: f64 = 0.2;
+/// Part of the wanted time that the queue may be long for a request that no engine could answer in
+/// time: the largest tenth of a kind must be served at least half as often as all of it.
+const LONG: f64 = 0.55;
 /// Requests that wait at a plain server for each it runs, from which on it sheds.
 const QUEUE: u32 = 3;
 
@@ -232,6 +235,12 @@
         way = cheapest(&mut ways.iter().filter(idle)).unwrap_or(way);
     }
     let late = way.first > wanted;
+    // What is too long to be in time even at an idle engine would be refused for ever.
+    let spare = if way.first - way.queue > wanted {
+        spare.max(millis(call.route.target) * LONG)
+    } else {
+        spare
+    };
     let call = &core.relay.calls[key];
     if late && way.queue > spare || way.first > left * HOPE {
         let detail = format!("the first token would come after {:.0} ms", way.first);
