--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -356,12 +356,11 @@
         }
     }
     // One host there passes it on. It may be down: another is told each time nothing is heard.
-    let turn = peers.number as usize;
     let to: Vec<SocketAddr> = to
         .iter()
         .filter_map(|(domain, addrs)| {
             let speaker = speaker(core, domain);
-            speaker.or_else(|| addrs.get(turn % addrs.len()).copied())
+            speaker.or_else(|| turn(addrs, peers.number))
         })
         .collect();
     if to.is_empty() {
@@ -375,6 +374,12 @@
     out.extend(tell_them(to, word));
 }
 
+/// Returns one of the addresses, another with each number.
+fn turn(addrs: &[SocketAddr], number: u64) -> Option<SocketAddr> {
+    let at = number % u64::try_from(addrs.len()).ok()?.max(1);
+    addrs.get(usize::try_from(at).ok()?).copied()
+}
+
 /// Returns where the host listens that speaks for another failure domain, if one was heard.
 fn speaker(core: &Core, domain: &str) -> Option<SocketAddr> {
     let peers = &core.relay.peers;
@@ -477,14 +482,12 @@
 fn whole(core: &mut Core, speaker: HostKey, domain: Box<str>) -> HostKey {
     let peers = &mut core.relay.peers;
     let (name, addr) = (peers.arena[speaker].name.clone(), peers.arena[speaker].addr);
-    let key = match peers.domains.get(&domain) {
-        Some(key) => *key,
-        None => {
-            let key = peers.arena.insert(peer(&name, domain.clone(), addr));
-            peers.domains.insert(domain, key);
-            key
-        }
-    };
+    let known = peers.domains.get(&domain).copied();
+    let key = known.unwrap_or_else(|| {
+        let key = peers.arena.insert(peer(&name, domain.clone(), addr));
+        peers.domains.insert(domain, key);
+        key
+    });
     let whole = &mut peers.arena[key];
     if whole.name != name {
         // Another host speaks for it: its numbers are its own.
