--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -316,6 +316,16 @@
 /// Ends a request that may have run: a failure, or an answer that must look cut.
 pub(super) fn give_up(core: &mut Core, key: CallKey, kind: Kind, detail: &str, out: &mut Effects) {
     if core.relay.calls[key].delivered {
+        note(
+            out,
+            log::Level::Info,
+            "request.cut",
+            vec![
+                ("id", core.relay.calls[key].id.clone()),
+                ("code", kind.answer().code.into()),
+                ("detail", detail.into()),
+            ],
+        );
         out.push(Effect::Relay(RelayEffect::Cut(key)));
         end(core, key, "cut", Ran::Yes, out);
     } else {
@@ -343,11 +353,13 @@
         "request.refused",
         vec![
             ("id", core.relay.calls[key].id.clone()),
+            ("config", version(core)),
+            ("heard_ms", heard(core)),
             ("code", word.into()),
             ("ran", ran.word().into()),
             (
                 "retry_ms",
-                refusal.retry.map_or(0.0, millis).to_string().into(),
+                format!("{:.0}", refusal.retry.map_or(0.0, millis)).into(),
             ),
             ("detail", refusal.detail.clone()),
         ],
@@ -356,6 +368,24 @@
     end(core, key, word, ran, out);
 }
 
+/// Returns the version of the configuration in force, for the log.
+fn version(core: &Core) -> Box<str> {
+    let catalog = core.relay.catalog.as_ref();
+    catalog
+        .map_or(0, |catalog| catalog.version)
+        .to_string()
+        .into()
+}
+
+/// Returns how long ago the store last told of its state, for the log.
+fn heard(core: &Core) -> Box<str> {
+    let heard = core.relay.heard;
+    heard.map_or_else(
+        || "never".into(),
+        |heard| core.now.since(heard).as_millis().to_string().into(),
+    )
+}
+
 /// Forgets a request, closes its attempt and gives back what was made for it.
 pub(super) fn end(
     core: &mut Core,
