End the test of broken streams whichever engine the host chooses

Cause: the test waited for the engine that breaks off to be chosen, and the host, which had seen it fail, never chose it: the run hung for over a minute in the whole script. Change: either breaks off a fresh stream, neither a resumed one; the check is the same.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -253,27 +253,19 @@
     two.break_after(2);
     let answer = site.send("/long/x", "id-1", &LONG).expect("an answer");
     assert_eq!((answer.status, answer.whole), (200, false));
-    // The engine that it goes to is not named here: one breaks off, whichever streams it gets.
-    two.break_after(u64::MAX);
+    // Which engine it goes to is the host's choice; the one that goes on does not break off.
     one.break_after(2);
-    let mut broken = 0;
-    while broken == 0 {
-        let before = one.seen("/short/x").len();
-        let answer = site.send("/short/x", "id-2", &SHORT).expect("an answer");
-        assert!(answer.whole, "{}", answer.text());
-        let text = answer.text();
-        let ids: Vec<&str> = text
-            .lines()
-            .filter(|line| line.starts_with("id:"))
-            .collect();
-        assert_eq!(ids, ["id: 1", "id: 2", "id: 3", "id: 4"]);
-        broken = one.seen("/short/x").len() - before;
-    }
-    assert!(
-        two.seen("/short/x")
-            .iter()
-            .any(|head| head.contains("last-event-id: 2"))
-    );
+    two.break_after(2);
+    let answer = site.send("/short/x", "id-2", &SHORT).expect("an answer");
+    assert!(answer.whole, "{}", answer.text());
+    let text = answer.text();
+    let ids: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with("id:"))
+        .collect();
+    assert_eq!(ids, ["id: 1", "id: 2", "id: 3", "id: 4"]);
+    let heads = [one.seen("/short/x"), two.seen("/short/x")].concat();
+    assert!(heads.iter().any(|head| head.contains("last-event-id: 2")));
 }
 
 /// A backend server answers a request that it was never asked for in place of this one. Its answer
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -295,7 +295,7 @@
             .collect()
     }
 
-    /// Breaks the next stream off after so many events, in the middle of one.
+    /// Breaks the next stream that begins anew off after so many events, in the middle of one.
     pub fn break_after(&self, events: u64) {
         self.asked.0.lock().expect("the engine").breaks = Some(events);
     }
@@ -357,7 +357,8 @@
         let body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
         return write(stream, 200, &headers, &body);
     }
-    let breaks = asked.breaks.take();
+    let fresh = request.header("last-event-id").is_none();
+    let breaks = if fresh { asked.breaks.take() } else { None };
     drop(asked);
     let last = request
         .header("last-event-id")
