Prove words between hosts with a secret kept in the store

Cause: whoever reached a host's port could tell it of work that does not exist, and have it refuse. Change: the first host puts a secret into the store; each word bears a code made with it. Tests: a word without the secret, any datagram, events cut anywhere.

--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -244,6 +244,8 @@
         /// Path to ask.
         path: Box<str>,
     },
+    /// The hosts share this secret: words are proved and checked with it.
+    Secret([u8; 32]),
     /// Tell other hosts.
     Tell {
         /// Where they listen.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -62,6 +62,8 @@
     AuthorityLease(Time),
     /// Take the authority to give orders.
     Authority,
+    /// Make the secret that all hosts share.
+    Secret,
 }
 
 /// A request being relayed.
@@ -243,6 +245,7 @@
 /// Takes in an answer of the store.
 pub fn reply(core: &mut Core, job: RelayJob, reply: &StoreReply, out: &mut Effects) {
     match job {
+        RelayJob::Secret => {}
         RelayJob::Lease | RelayJob::Register => peers::reply(core, job, reply, out),
         RelayJob::AuthorityLease(_) | RelayJob::Authority => split::reply(core, job, reply, out),
     }
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::RngExt;
 use serde_json::{Value, json};
 use slotmap::SlotMap;
 
@@ -23,7 +24,7 @@
 use super::event::{Changes, DeathWord, LoadWord, PartWord, PromptPart, RelayEffect, Word};
 use super::instance::Work;
 use super::{RelayJob, RelayTimer, load, note, wake};
-use crate::store::{Op, Txn};
+use crate::store::{Compare, Op, Txn};
 
 /// Time between two words to the other hosts.
 ///
@@ -42,6 +43,8 @@
 const LIFE: Duration = Duration::from_secs(12);
 /// Time between two renewals, and between tries.
 const RENEW: Duration = Duration::from_secs(4);
+/// Key of the secret that all hosts share.
+const SECRET: &str = "secret";
 /// Start of the keys that name hosts.
 const FOLDER: &str = "hosts/";
 
@@ -72,6 +75,8 @@
     heard: (Vec<PartWord>, Vec<DeathWord>),
     /// Whether anything was heard that other failure domains were not told.
     news: bool,
+    /// Whether the hosts' secret is known.
+    secret: bool,
     lease: i64,
     registered: bool,
     number: u64,
@@ -173,8 +178,16 @@
     });
 }
 
-/// Takes in which hosts there are.
+/// Takes in which hosts there are, and the secret that they share.
 pub fn changed(core: &mut Core, changes: &Changes, out: &mut Effects) {
+    let secret = changes.keys.iter().find(|change| &*change.key == SECRET);
+    let secret = secret.and_then(|change| change.value.as_deref()?.try_into().ok());
+    if let Some(secret) = secret {
+        core.relay.peers.secret = true;
+        out.push(Effect::Relay(RelayEffect::Secret(secret)));
+    } else if changes.whole {
+        make_secret(core, out);
+    }
     let own = core.settings.host.name.clone();
     for change in &changes.keys {
         let Some(name) = change.key.strip_prefix(FOLDER) else {
@@ -210,6 +223,29 @@
     }
 }
 
+/// Makes the secret that all hosts share, unless there is one.
+///
+/// Whoever reaches a host's port could otherwise tell it of work that does not exist, and have it
+/// refuse its callers. The store is the one place that only hosts of the system can write to.
+fn make_secret(core: &mut Core, out: &mut Effects) {
+    if core.relay.peers.secret {
+        return;
+    }
+    let secret: [u8; 32] = core.rng.random();
+    out.push(Effect::Txn {
+        job: Job::Relay(RelayJob::Secret),
+        txn: Txn {
+            compare: vec![Compare::Absent { key: SECRET.into() }],
+            then: vec![Op::Put {
+                key: SECRET.into(),
+                value: secret.to_vec().into(),
+                lease: 0,
+            }],
+            otherwise: Vec::new(),
+        },
+    });
+}
+
 /// Reads where a host listens, and its failure domain.
 fn address(value: &[u8]) -> Option<(SocketAddr, Box<str>)> {
     let value: Value = serde_json::from_slice(value).ok()?;
--- a/src/host/relay/datagrams.rs
+++ b/src/host/relay/datagrams.rs
@@ -1,4 +1,7 @@
 //! Words between hosts, as datagrams: a lost one is made good by the next.
+//!
+//! Each begins with a code made with the secret that the hosts share by the store; what has another
+//! is not heard. A word repeated by somebody else changes nothing, for words are numbered.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,15 +14,47 @@
 use crate::host::node::Node;
 use crate::wire;
 
+/// Bytes of the code before each word.
+const CODE: usize = 16;
 /// Most bytes of a datagram that is taken.
 const MOST: usize = 64 * 1024;
 
+fn code(secret: &[u8; 32], bytes: &[u8]) -> [u8; CODE] {
+    let mut code = [0; CODE];
+    code.copy_from_slice(&blake3::keyed_hash(secret, bytes).as_bytes()[..CODE]);
+    code
+}
+
+/// Returns the bytes of a word with its code before them.
+pub(super) fn sealed(secret: &[u8; 32], word: &Word) -> BytesMut {
+    let mut bytes = BytesMut::zeroed(CODE);
+    wire::encode_word(word, &mut bytes);
+    let code = code(secret, &bytes[CODE..]);
+    bytes[..CODE].copy_from_slice(&code);
+    bytes
+}
+
+/// Returns the bytes after the code, where it was made with the hosts' secret.
+pub(super) fn proved(secret: Option<[u8; 32]>, bytes: &[u8]) -> Option<&[u8]> {
+    let (given, rest) = bytes.split_at_checked(CODE)?;
+    let wanted = code(&secret?, rest);
+    // Compares in constant time.
+    let widen = |code: &[u8]| {
+        let mut wide = [0; 32];
+        wide[..CODE].copy_from_slice(code);
+        blake3::Hash::from_bytes(wide)
+    };
+    (widen(given) == widen(&wanted)).then_some(rest)
+}
+
 /// Sends a word to other hosts.
 pub fn tell(node: &Rc<Node>, to: &[SocketAddr], word: &Word) {
     let socket = node.relay.socket.borrow().clone();
     let Some(socket) = socket else { return };
-    let mut bytes = BytesMut::new();
-    wire::encode_word(word, &mut bytes);
+    let Some(secret) = node.relay.secret.get() else {
+        return;
+    };
+    let bytes = sealed(&secret, word);
     for addr in to {
         if let Err(err) = socket.try_send_to(&bytes, *addr) {
             log::debug!("a word to {addr} was not sent: {err}");
@@ -40,7 +75,11 @@
                 continue;
             }
         };
-        match wire::decode_word(&buffer[..len]) {
+        let Some(proved) = proved(node.relay.secret.get(), &buffer[..len]) else {
+            log::debug!("a word from {from} is not proved");
+            continue;
+        };
+        match wire::decode_word(proved) {
             Ok(word) => tell_core(&node, RelayEvent::Told(Box::new(word))),
             Err(err) => log::debug!("a word from {from} cannot be read: {err}"),
         }
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -101,6 +101,8 @@
     arrived: Cell<Option<CallKey>>,
     attempts: RefCell<SecondaryMap<AttemptKey, oneshot::Sender<()>>>,
     hand: RefCell<Option<Hand>>,
+    /// Secret that all hosts share.
+    secret: Cell<Option<[u8; 32]>>,
     /// Socket for words to other hosts.
     pub socket: RefCell<Option<Rc<UdpSocket>>>,
 }
@@ -227,6 +229,7 @@
         } => {
             ntex::rt::spawn(backends::probe(Rc::clone(node), instance, addr, path));
         }
+        RelayEffect::Secret(secret) => ports.secret.set(Some(secret)),
         RelayEffect::Tell { to, word } => datagrams::tell(node, &to, &word),
     }
 }
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -1,1 +1,73 @@
-//! Tests of the adapters of relayed requests.
+//! What comes from other hosts and from engines, in any shape.
+
+use proptest::prelude::*;
+
+use super::datagrams::{proved, sealed};
+use super::events::Splitter;
+use crate::core::relay::event::{LoadWord, Word};
+use crate::wire;
+
+fn word() -> Word {
+    Word {
+        host: "host-1".into(),
+        incarnation: 7,
+        number: 3,
+        loads: vec![LoadWord {
+            instance: 1,
+            calls: 2,
+            urgent: 3,
+            tokens: 4,
+        }],
+        ..Word::default()
+    }
+}
+
+/// Somebody who is no host reaches the port. Heard, it could have a host refuse its callers for work
+/// that does not exist.
+#[test]
+fn a_word_without_the_secret_is_not_heard() {
+    let bytes = sealed(&[1; 32], &word());
+    let rest = proved(Some([1; 32]), &bytes).expect("proved");
+    assert_eq!(wire::decode_word(rest), Ok(word()));
+    assert_eq!(proved(Some([2; 32]), &bytes), None);
+    assert_eq!(proved(None, &bytes), None);
+    assert_eq!(proved(Some([1; 32]), &bytes[..10]), None);
+    let mut other = bytes.to_vec();
+    *other.last_mut().expect("bytes") ^= 1;
+    assert_eq!(proved(Some([1; 32]), &other), None);
+}
+
+proptest! {
+    /// Pieces of a stream come cut anywhere. Events must come out whole, in order, byte for byte, and
+    /// what is left of one that was broken off must stay back.
+    #[test]
+    fn events_come_out_whole(cuts in proptest::collection::vec(1_usize..20, 0..40), crlf: bool) {
+        let end = if crlf { "\r\n" } else { "\n" };
+        let event = |number: u64| format!("id: {number}{end}data: {number}{end}{end}");
+        let all: String = (1..=9).map(event).collect();
+        let whole = format!("{all}id: 10{end}da");
+        let mut splitter = Splitter::default();
+        let (mut rest, mut cuts) = (whole.as_bytes(), cuts.into_iter());
+        let (mut out, mut numbers) = (Vec::new(), Vec::new());
+        while !rest.is_empty() {
+            let (part, later) = rest.split_at(cuts.next().unwrap_or(rest.len()).min(rest.len()));
+            rest = later;
+            prop_assert_eq!(splitter.push(part), Some(()));
+            while let Some(event) = splitter.next() {
+                numbers.push(event.number);
+                out.extend_from_slice(&event.data);
+            }
+        }
+        prop_assert_eq!(numbers, (1..=9).collect::<Vec<u64>>());
+        prop_assert_eq!(out, all.as_bytes());
+        let left = format!("id: 10{end}da");
+        prop_assert_eq!(&*splitter.rest(), left.as_bytes());
+    }
+
+    /// Whatever bytes arrive, reading them ends.
+    #[test]
+    fn any_datagram_is_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = wire::decode_word(&bytes);
+        let _ = proved(Some([0; 32]), &bytes);
+    }
+}
