Part the words between hosts from their registration, and drop what nothing uses

Probes of doubted servers were never sent, and five settings and fields never read; the readers are gone with them.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -210,29 +210,26 @@
 /// Holds a failure against the backend server.
 fn blame(core: &mut Core, backend: BackendKey, how: Break, out: &mut Effects) {
     let now = core.now;
-    let health = {
-        let Some(instance) = core.relay.instances.arena.get(backend) else {
-            return;
-        };
-        let known = core.relay.catalog.as_ref();
-        let service = known.and_then(|catalog| catalog.services.get(&instance.service));
-        service.map(|service| service.health.clone())
+    let Some(instance) = core.relay.instances.arena.get_mut(backend) else {
+        return;
     };
-    let instance = &mut core.relay.instances.arena[backend];
     match how {
         Break::Refused => instance.refused(now),
         Break::Rejected => instance.misplaced = true,
         Break::Unreachable => instance.unreachable(now),
         Break::Cut | Break::Silent | Break::Forgotten => instance.failed(now),
     }
-    if matches!(how, Break::Unreachable) && instance.fails == 2 {
+    if how == Break::Rejected || !instance.takes(now) && how != Break::Refused {
         note(
             out,
-            log::Level::Warn,
-            "backend.unreachable",
-            vec![("backend", instance.id.clone())],
+            log::Level::Info,
+            "backend.avoided",
+            vec![
+                ("backend", instance.id.clone()),
+                ("how", format!("{how:?}").into()),
+                ("fails", instance.fails.to_string().into()),
+            ],
         );
-        drop(health);
     }
 }
 
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -188,7 +188,7 @@
     }
     call.late = choice.late;
     instance.own = instance.own.plus(choice.work);
-    load::remember(instance, call.prompt.as_ref(), &choice.task, now);
+    load::remember(instance, call.prompt.as_ref(), now);
     let attempt = core.relay.attempts.insert(Attempt {
         call: key,
         backend: choice.backend,
--- a/src/core/relay/catalog.rs
+++ b/src/core/relay/catalog.rs
@@ -60,8 +60,6 @@
 pub struct Service {
     /// Connections that one backend server accepts from all callers together; 0 where unknown.
     pub connections: u32,
-    /// Path that tells whether a backend server is healthy.
-    pub health: Box<str>,
     /// What its engines can do, where it is a service of model engines.
     pub engine: Option<Engine>,
 }
@@ -69,17 +67,13 @@
 /// Model engines of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
     /// Tokens that one engine's KV cache holds.
     pub memory: u64,
     /// Bytes of KV cache a token.
     pub token: u64,
     /// Speed of an engine's link, in megabits a second.
     pub link: f64,
-    /// Time until an unused KV cache handle is dropped.
-    pub handle: Duration,
-    /// Time a change of role takes.
+    /// Time a change of stage takes.
     pub switch: Duration,
 }
 
--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -72,13 +72,6 @@
         /// What came of it.
         result: OrderResult,
     },
-    /// A backend server that was doubted was asked for its health.
-    Probed {
-        /// Its id.
-        instance: Box<str>,
-        /// Whether it answered that it is well.
-        well: bool,
-    },
     /// The settings were read again.
     Reloaded(Box<Settings>),
     /// Another host told of its work.
@@ -235,15 +228,6 @@
     },
     /// Have an engine change its stage.
     Order(StageOrder),
-    /// Ask a doubted backend server for its health.
-    Probe {
-        /// Its id.
-        instance: Box<str>,
-        /// Where it listens.
-        addr: SocketAddr,
-        /// Path to ask.
-        path: Box<str>,
-    },
     /// The hosts share this secret: words are proved and checked with it.
     Secret([u8; 32]),
     /// Tell other hosts.
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -90,11 +90,10 @@
 }
 
 /// Notes which parts of a prompt an engine holds from now on.
-pub fn remember(instance: &mut Instance, prompt: Option<&Prompt>, task: &Task, now: Time) {
+pub fn remember(instance: &mut Instance, prompt: Option<&Prompt>, now: Time) {
     let Some(prompt) = prompt else { return };
     let shared = prompt.parts.split_last().map_or(&[][..], |(_, rest)| rest);
     // What was fetched with a KV cache is kept like what was read.
-    let _ = task;
     for part in shared.iter().filter(|part| part.tokens >= PART_LEAST) {
         instance.parts.insert(part.id, (now, part.tokens));
     }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -17,6 +17,7 @@
 mod split;
 #[cfg(test)]
 mod tests;
+mod words;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -224,9 +225,8 @@
             fence,
             result,
         } => split::ordered(core, &instance, fence, result, out),
-        RelayEvent::Probed { instance, well } => probed(core, &instance, well),
         RelayEvent::Reloaded(settings) => reloaded(core, *settings, out),
-        RelayEvent::Told(word) => peers::told(core, *word, out),
+        RelayEvent::Told(word) => words::told(core, *word, out),
     }
 }
 
@@ -235,7 +235,7 @@
     match timer {
         RelayTimer::Deadline(key) => call::deadline(core, key, out),
         RelayTimer::Silence(attempt) => answer::silence(core, attempt, out),
-        RelayTimer::Tell => peers::tell(core, out),
+        RelayTimer::Tell => words::tell(core, out),
         RelayTimer::Register => peers::register(core, out),
         RelayTimer::Plan => split::plan(core, out),
         RelayTimer::Authority => split::renew(core, out),
@@ -314,17 +314,6 @@
     note(out, log::Level::Info, "host.reloaded", Vec::new());
 }
 
-/// Takes in whether a doubted backend server is well.
-fn probed(core: &mut Core, id: &str, well: bool) {
-    if let Some(key) = core.relay.instances.find(id) {
-        let instance = &mut core.relay.instances.arena[key];
-        if well {
-            instance.fails = 0;
-            instance.retry = core.now;
-        }
-    }
-}
-
 /// Asks for a timer of the relay.
 fn wake(core: &Core, after: Duration, timer: RelayTimer, out: &mut Effects) {
     out.push(Effect::Wake {
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -1,12 +1,4 @@
-//! What hosts tell each other: unfinished work, prompt parts, versions, deaths.
-//!
-//! Each host sees only its part of the requests. Without the others' word every host takes the
-//! same engine for idle, and reads the same prompt part at another engine.
-//!
-//! A host tells the others of its failure domain. The first of them by name sums up what it hears
-//! and tells the first host of each other domain, which passes it on in its own: bytes between
-//! domains grow with the domains, not with the square of the hosts. Each to each, 89 hosts in four
-//! domains sent 16 words a second to 88 others.
+//! The hosts of the deployment: their registration in the store, and the secret that they share.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -21,25 +13,10 @@
 use super::super::key::HostKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::{Changes, DeathWord, LoadWord, PartWord, PromptPart, RelayEffect, Word};
-use super::instance::Work;
-use super::{RelayJob, RelayTimer, load, note, wake};
+use super::event::{Changes, DeathWord, LoadWord, PartWord, PromptPart, RelayEffect};
+use super::{RelayJob, RelayTimer, load, note, wake, words};
 use crate::store::{Compare, Op, Txn};
 
-/// Time between two words to the other hosts.
-///
-/// Late word means that hosts pile requests on one engine: at 35 ms two small sites served 1.3 in
-/// 100 more of the worth than at 60 ms, and at 18 ms 0.6 more than at 30 ms. Earlier word costs
-/// processor time and bytes between domains.
-const EVERY: Duration = Duration::from_millis(18);
-/// The same for each host of the failure domain: a host must hear all of them.
-const EVERY_HOST: Duration = Duration::from_micros(1500);
-/// Longest time between two words while nothing changes; less than half of [`SPEAKS`].
-const QUIET: Duration = Duration::from_millis(500);
-/// Time after which a host that said nothing counts for nothing.
-const UNHEARD: Duration = Duration::from_secs(2);
-/// Time without a word after which another host speaks for a failure domain: two quiet words.
-const SPEAKS: Duration = Duration::from_millis(1200);
 /// Prompt parts and deaths kept to be passed on: those of a second at the largest sites.
 const HEARD: usize = 256;
 /// Life of the lease of a registration.
@@ -62,8 +39,8 @@
     pub addr: SocketAddr,
     /// When it was last heard.
     pub heard: Option<Time>,
-    incarnation: u64,
-    number: u64,
+    pub(super) incarnation: u64,
+    pub(super) number: u64,
 }
 
 /// All other hosts.
@@ -71,22 +48,22 @@
 pub struct Peers {
     /// Hosts, and for each other failure domain one that stands for all of it.
     pub arena: SlotMap<HostKey, Peer>,
-    names: BTreeMap<Box<str>, HostKey>,
+    pub(super) names: BTreeMap<Box<str>, HostKey>,
     /// Those that stand for a failure domain.
-    domains: BTreeMap<Box<str>, HostKey>,
+    pub(super) domains: BTreeMap<Box<str>, HostKey>,
     /// Prompt parts and deaths heard in the own failure domain, to be passed on.
-    heard: (Vec<PartWord>, Vec<DeathWord>),
+    pub(super) heard: (Vec<PartWord>, Vec<DeathWord>),
     /// Whether anything was heard that other failure domains were not told.
-    news: bool,
+    pub(super) news: bool,
     /// Whether the hosts' secret is known.
-    secret: bool,
-    lease: i64,
-    registered: bool,
-    number: u64,
-    parts: Vec<PartWord>,
-    last: Vec<LoadWord>,
+    pub(super) secret: bool,
+    pub(super) lease: i64,
+    pub(super) registered: bool,
+    pub(super) number: u64,
+    pub(super) parts: Vec<PartWord>,
+    pub(super) last: Vec<LoadWord>,
     /// When the hosts of this failure domain were last told.
-    told: Option<Time>,
+    pub(super) told: Option<Time>,
 }
 
 impl Peers {
@@ -97,7 +74,7 @@
     }
 
     /// Keeps what other failure domains are to be told.
-    fn hear(&mut self, parts: &[PartWord], deaths: &[DeathWord]) {
+    pub(super) fn hear(&mut self, parts: &[PartWord], deaths: &[DeathWord]) {
         self.news = true;
         self.heard.0.extend_from_slice(parts);
         self.heard.1.extend_from_slice(deaths);
@@ -125,7 +102,7 @@
 /// Registers this host and begins to tell others of its work.
 pub fn start(core: &mut Core, out: &mut Effects) {
     register(core, out);
-    wake(core, EVERY, RelayTimer::Tell, out);
+    wake(core, words::EVERY, RelayTimer::Tell, out);
 }
 
 /// Gets the registration's lease or renews it, and does so again in time.
@@ -257,7 +234,7 @@
     Some((addr, value["domain"].as_str()?.into()))
 }
 
-fn peer(name: &str, domain: Box<str>, addr: SocketAddr) -> Peer {
+pub(super) fn peer(name: &str, domain: Box<str>, addr: SocketAddr) -> Peer {
     Peer {
         name: name.into(),
         domain,
@@ -297,244 +274,3 @@
         );
     }
 }
-
-/// Tells the other hosts of this one's work.
-pub fn tell(core: &mut Core, out: &mut Effects) {
-    let hosts = u32::try_from(near(core).len()).unwrap_or(u32::MAX);
-    let every = EVERY_HOST.saturating_mul(hosts).max(EVERY);
-    wake(core, every, RelayTimer::Tell, out);
-    expire(core);
-    let memory = core.relay.catalog.as_ref().and_then(|catalog| {
-        let engines = catalog
-            .services
-            .values()
-            .filter_map(|service| service.engine.as_ref());
-        engines.map(|engine| engine.memory).max()
-    });
-    for instance in core.relay.instances.arena.values_mut() {
-        load::forget(instance, memory.unwrap_or(0));
-    }
-    core.relay.instances.sweep(core.now);
-    let loads = core.relay.instances.arena.values();
-    let loads: Vec<LoadWord> = loads
-        .filter(|instance| instance.own.calls > 0)
-        .map(|instance| load_word(instance.short, instance.own))
-        .collect();
-    let deaths = core.relay.killers.take_untold();
-    let peers = &mut core.relay.peers;
-    let same = loads == peers.last && peers.parts.is_empty() && deaths.is_empty();
-    let due = !same || peers.told.is_none_or(|at| core.now.since(at) >= QUIET);
-    if due {
-        peers.told = Some(core.now);
-        peers.last.clone_from(&loads);
-        let parts = std::mem::take(&mut peers.parts);
-        peers.hear(&parts, &deaths);
-        let near = near(core);
-        let word = word(core, None, loads, parts, deaths);
-        out.extend(tell_them(near, word));
-    }
-    if core.relay.peers.news && speaks(core) {
-        tell_domains(core, out);
-    }
-}
-
-fn tell_them(to: Vec<SocketAddr>, word: Word) -> Option<Effect> {
-    let word = Box::new(word);
-    (!to.is_empty()).then(|| Effect::Relay(RelayEffect::Tell { to, word }))
-}
-
-fn word(
-    core: &mut Core,
-    domain: Option<Box<str>>,
-    loads: Vec<LoadWord>,
-    parts: Vec<PartWord>,
-    deaths: Vec<DeathWord>,
-) -> Word {
-    core.relay.peers.number += 1;
-    let catalog = core.relay.catalog.as_ref();
-    Word {
-        host: core.settings.host.name.clone(),
-        incarnation: core.members.incarnation(),
-        number: core.relay.peers.number,
-        version: catalog.map_or(0, |catalog| catalog.version),
-        loads,
-        parts,
-        deaths,
-        domain,
-        passed: false,
-    }
-}
-
-/// Returns where the other hosts of this failure domain listen.
-fn near(core: &Core) -> Vec<SocketAddr> {
-    let peers = &core.relay.peers;
-    let near = peers.names.values().map(|key| &peers.arena[*key]);
-    near.filter(|peer| peer.domain == core.settings.host.domain)
-        .map(|peer| peer.addr)
-        .collect()
-}
-
-/// Tells whether this host speaks for its failure domain: no host before it by name is heard.
-fn speaks(core: &Core) -> bool {
-    let peers = &core.relay.peers;
-    let own = &core.settings.host;
-    let mut near = peers.names.values().map(|key| &peers.arena[*key]);
-    !near.any(|peer| {
-        let heard = peer.heard.is_some_and(|at| core.now.since(at) < SPEAKS);
-        heard && peer.domain == own.domain && peer.name < own.name
-    })
-}
-
-/// Tells each other failure domain what was heard in this one.
-fn tell_domains(core: &mut Core, out: &mut Effects) {
-    let own = core.settings.host.domain.clone();
-    let peers = &core.relay.peers;
-    let mut to: BTreeMap<Box<str>, Vec<SocketAddr>> = BTreeMap::new();
-    for key in peers.names.values() {
-        let peer = &peers.arena[*key];
-        if peer.domain != own {
-            to.entry(peer.domain.clone()).or_default().push(peer.addr);
-        }
-    }
-    // One host there passes it on. It may be down: another is told each time nothing is heard.
-    let to: Vec<SocketAddr> = to
-        .iter()
-        .filter_map(|(domain, addrs)| {
-            let speaker = speaker(core, domain);
-            speaker.or_else(|| turn(addrs, peers.number))
-        })
-        .collect();
-    if to.is_empty() {
-        return;
-    }
-    let loads = summed(core);
-    let peers = &mut core.relay.peers;
-    peers.news = false;
-    let (parts, deaths) = std::mem::take(&mut peers.heard);
-    let word = word(core, Some(own), loads, parts, deaths);
-    out.extend(tell_them(to, word));
-}
-
-/// Returns one of the addresses, another with each number.
-fn turn(addrs: &[SocketAddr], number: u64) -> Option<SocketAddr> {
-    let at = number % u64::try_from(addrs.len()).ok()?.max(1);
-    addrs.get(usize::try_from(at).ok()?).copied()
-}
-
-/// Returns where the host listens that speaks for another failure domain, if one was heard.
-fn speaker(core: &Core, domain: &str) -> Option<SocketAddr> {
-    let peers = &core.relay.peers;
-    let whole = &peers.arena[*peers.domains.get(domain)?];
-    let heard = whole.heard.is_some_and(|at| core.now.since(at) < SPEAKS);
-    let host = peers.names.get(&whole.name)?;
-    heard.then(|| peers.arena[*host].addr)
-}
-
-/// Returns the unfinished work of all hosts of this failure domain.
-fn summed(core: &Core) -> Vec<LoadWord> {
-    let peers = &core.relay.peers;
-    let own = &core.settings.host.domain;
-    let near: Vec<HostKey> = peers
-        .names
-        .values()
-        .copied()
-        .filter(|key| peers.arena[*key].domain == *own)
-        .collect();
-    let instances = core.relay.instances.arena.values();
-    let loads = instances.filter_map(|instance| {
-        let others = near.iter().filter_map(|key| instance.others.get(key));
-        let sum = others.fold(instance.own, |sum, work| sum.plus(*work));
-        (sum.calls > 0).then(|| load_word(instance.short, sum))
-    });
-    loads.collect()
-}
-
-fn load_word(instance: u32, work: Work) -> LoadWord {
-    LoadWord {
-        instance,
-        calls: work.calls,
-        urgent: u32::try_from(work.urgent).unwrap_or(u32::MAX),
-        tokens: u32::try_from(work.tokens).unwrap_or(u32::MAX),
-    }
-}
-
-/// Forgets the work of hosts that fell silent.
-fn expire(core: &mut Core) {
-    let silent: Vec<HostKey> = core
-        .relay
-        .peers
-        .arena
-        .iter()
-        .filter(|(_, peer)| peer.heard.is_some_and(|at| core.now.since(at) > UNHEARD))
-        .map(|(key, _)| key)
-        .collect();
-    for key in silent {
-        core.relay.peers.arena[key].heard = None;
-        core.relay.instances.told(key, &[]);
-    }
-}
-
-/// Takes in another host's word, or what one sums up for its failure domain.
-pub fn told(core: &mut Core, word: Word, out: &mut Effects) {
-    let Some(sender) = core.relay.peers.names.get(&word.host).copied() else {
-        return;
-    };
-    let key = match &word.domain {
-        None => sender,
-        // What this domain sums up itself is known here already.
-        Some(domain) if *domain == core.settings.host.domain => return,
-        Some(domain) => whole(core, sender, domain.clone()),
-    };
-    let now = core.now;
-    let peer = &mut core.relay.peers.arena[key];
-    // Datagrams overtake each other, and a process that ended may still be heard.
-    if (word.incarnation, word.number) <= (peer.incarnation, peer.number) {
-        return;
-    }
-    peer.incarnation = word.incarnation;
-    peer.number = word.number;
-    peer.heard = Some(now);
-    core.relay.instances.told(key, &word.loads);
-    for part in &word.parts {
-        if let Some(engine) = core.relay.instances.by_short(part.instance) {
-            let instance = &mut core.relay.instances.arena[engine];
-            instance.parts.insert(part.part, (now, part.tokens.into()));
-        }
-    }
-    for death in &word.deaths {
-        core.relay.killers.died(*death, now);
-    }
-    let peers = &mut core.relay.peers;
-    if word.domain.is_none() {
-        peers.hear(&word.parts, &word.deaths);
-    } else if !word.passed {
-        let to = near(core);
-        out.extend(tell_them(
-            to,
-            Word {
-                passed: true,
-                ..word
-            },
-        ));
-    }
-}
-
-/// Returns what stands for a whole failure domain, now that this host speaks for it.
-fn whole(core: &mut Core, speaker: HostKey, domain: Box<str>) -> HostKey {
-    let peers = &mut core.relay.peers;
-    let (name, addr) = (peers.arena[speaker].name.clone(), peers.arena[speaker].addr);
-    let known = peers.domains.get(&domain).copied();
-    let key = known.unwrap_or_else(|| {
-        let key = peers.arena.insert(peer(&name, domain.clone(), addr));
-        peers.domains.insert(domain, key);
-        key
-    });
-    let whole = &mut peers.arena[key];
-    if whole.name != name {
-        // Another host speaks for it: its numbers are its own.
-        whole.name = name;
-        whole.incarnation = 0;
-        whole.number = 0;
-    }
-    key
-}
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -238,14 +238,11 @@
         Service {
             connections: 300,
             engine: Some(Engine {
-                slots: 64,
                 memory: 500_000,
                 token: 18_432,
                 link: 370_000.0,
-                handle: Duration::from_secs(5),
                 switch: Duration::from_secs(3),
             }),
-            ..Service::default()
         },
     );
     catalog
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -317,11 +317,3 @@
         },
     );
 }
-
-/// Asks a backend server whether it is well.
-pub async fn probe(node: Rc<Node>, instance: Box<str>, addr: SocketAddr, path: Box<str>) {
-    let call = side_call(addr, hyper::Method::GET, &path, &instance, Vec::new());
-    let answer = node.relay.channels.call(&call, CALL / 4, PREFILLED).await;
-    let well = matches!(answer, Ok((200, _)));
-    tell(&node, RelayEvent::Probed { instance, well });
-}
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -222,13 +222,6 @@
         RelayEffect::Order(order) => {
             ntex::rt::spawn(backends::order(Rc::clone(node), order));
         }
-        RelayEffect::Probe {
-            instance,
-            addr,
-            path,
-        } => {
-            ntex::rt::spawn(backends::probe(Rc::clone(node), instance, addr, path));
-        }
         RelayEffect::Secret(secret) => ports.secret.set(Some(secret)),
         RelayEffect::Tell { to, word } => datagrams::tell(node, &to, &word),
     }
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -81,7 +81,6 @@
     let connections = whole(&value["maxConnections"]).unwrap_or(0);
     Service {
         connections: u32::try_from(connections).unwrap_or(u32::MAX),
-        health: value["healthPath"].as_str().unwrap_or("/").into(),
         engine: engine(&value["engine"]),
     }
 }
@@ -89,11 +88,9 @@
 fn engine(value: &Value) -> Option<Engine> {
     value.as_object()?;
     Some(Engine {
-        slots: u32::try_from(whole(&value["slots"])?).ok()?,
         memory: whole(&value["kvCapacity"]).unwrap_or(0),
         token: whole(&value["kvBytes"]).unwrap_or(0),
         link: value["linkMbps"].as_f64().unwrap_or(0.0),
-        handle: secs(&value["kvTtlS"]).unwrap_or_default(),
         switch: secs(&value["switchS"]).unwrap_or_default(),
     })
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -106,7 +106,7 @@
         "trafficSplit": [{"service": "s", "weight": 9}, {"service": "t", "weight": 1}]}));
     let catalog = catalog.expect("a configuration");
     let engine = catalog.services["s"].engine.clone().expect("engines");
-    assert_eq!((engine.slots, engine.memory, engine.token), (2, 100, 8));
+    assert_eq!((engine.memory, engine.token), (100, 8));
     assert_eq!(engine.switch, Duration::from_secs(3));
     assert_eq!(catalog.limits.body, 10);
     assert_eq!(catalog.routes[0].split.len(), 2);
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -20,14 +20,10 @@
     pub store: SocketAddr,
     /// Time the store's leases live at least.
     pub lease_least: Duration,
-    /// Time after which a configuration must be in force.
-    pub config: Duration,
     /// Time for which a lapsed authority is still counted as held.
     pub lease: Duration,
     /// The budget of repeats.
     pub budget: BudgetRules,
-    /// Rates of the store's calls for all hosts together, writes and reads a second.
-    pub rates: (f64, f64),
     /// What weighs how much in decisions.
     pub policy: Policy,
 }
@@ -133,18 +129,6 @@
         "1s",
         "shortest life of a lease",
     ),
-    key(
-        "writes",
-        Form::Number(0.0, MANY),
-        "400",
-        "writes a second, all hosts together",
-    ),
-    key(
-        "reads",
-        Form::Number(0.0, MANY),
-        "2000",
-        "reads a second, all hosts together",
-    ),
 ];
 
 const BOUNDS: &[Key] = &[
@@ -154,12 +138,6 @@
         "8s",
         "time a planned stop may take",
     ),
-    key(
-        "config",
-        Form::Span(LEAST, MOST),
-        "2s",
-        "time until a configuration is in force",
-    ),
     key(
         "lease",
         Form::Span(LEAST, MOST),
@@ -285,14 +263,12 @@
             metrics: addr(relay, "metrics"),
             store: addr(store, "addr"),
             lease_least: time(store, "lease-least"),
-            config: time(bounds, "config"),
             lease: time(bounds, "lease"),
             budget: BudgetRules {
                 ratio: number(bounds, "repeat-ratio"),
                 window: time(bounds, "repeat-window"),
                 slack: number(bounds, "repeat-slack"),
             },
-            rates: (number(store, "writes"), number(store, "reads")),
             policy: Policy {
                 prefill: number(policy, "prefill"),
                 crossing: number(policy, "crossing"),
