--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -196,7 +196,8 @@
         .set_connection_type(ntex::http::ConnectionType::Close);
 }
 
-fn print(target: &str, body: &[u8]) -> Print {
+/// Returns the fingerprint of a request: equal targets and bodies have equal ones.
+pub(super) fn print(target: &str, body: &[u8]) -> Print {
     let mut hasher = blake3::Hasher::new();
     hasher.update(target.as_bytes());
     hasher.update(b"\n");
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -12,10 +12,10 @@
 
 use super::{Head, Part, Prepared, Taken, take, tell};
 use crate::core::effect::Refusal;
-use crate::core::event::Print;
 use crate::core::key::CallKey;
 use crate::core::relay::event::{Arrival, RelayEvent};
 use crate::error::{Kind, Ran};
+use crate::host::callers::print;
 use crate::host::node::Node;
 use crate::host::{problem, queue};
 use crate::platform::header;
@@ -138,16 +138,6 @@
     answer(node, taken, &id).await
 }
 
-fn print(target: &str, body: &[u8]) -> Print {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(target.as_bytes());
-    hasher.update(b"\n");
-    hasher.update(body);
-    let mut print = [0; 16];
-    print.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-    Print(print)
-}
-
 fn unread(status: StatusCode, id: &str) -> Response {
     let (kind, detail) = match status {
         StatusCode::PAYLOAD_TOO_LARGE => (Kind::TooLarge, "the body is too large"),
--- a/src/settings/keys.rs
+++ b/src/settings/keys.rs
@@ -13,7 +13,7 @@
 const MANY: f64 = 1e6;
 
 /// Key that has no default.
-const fn need(key: &'static str, form: Form, about: &'static str) -> Key {
+pub(super) const fn need(key: &'static str, form: Form, about: &'static str) -> Key {
     Key {
         key,
         form,
@@ -23,7 +23,12 @@
 }
 
 /// Key with a default.
-const fn key(key: &'static str, form: Form, default: &'static str, about: &'static str) -> Key {
+pub(super) const fn key(
+    key: &'static str,
+    form: Form,
+    default: &'static str,
+    about: &'static str,
+) -> Key {
     Key {
         key,
         form,
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -50,7 +50,7 @@
 }
 
 /// Returns the section that stands once; the document adds it where it is absent.
-fn one<'a>(sections: &'a [Section], word: &str) -> &'a Section {
+pub(super) fn one<'a>(sections: &'a [Section], word: &str) -> &'a Section {
     let section = sections.iter().find(|section| section.word() == word);
     section.expect("the document holds every unnamed section")
 }
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::keys::{key, need};
+use super::parse::one;
 use super::{HostSettings, Limits, PlatformSettings, Secret, Settings};
 use crate::core::relay::budget::BudgetRules;
 use crate::form::{self, Form};
@@ -78,24 +80,6 @@
     },
 ];
 
-const fn need(key: &'static str, form: Form, about: &'static str) -> Key {
-    Key {
-        key,
-        form,
-        default: None,
-        about,
-    }
-}
-
-const fn key(key: &'static str, form: Form, default: &'static str, about: &'static str) -> Key {
-    Key {
-        key,
-        form,
-        default: Some(default),
-        about,
-    }
-}
-
 /// Longest time that makes sense in these settings.
 const MOST: Duration = Duration::from_hours(1);
 /// Shortest time that makes sense in these settings.
@@ -218,11 +202,6 @@
     }
 }
 
-fn one<'a>(sections: &'a [Section], word: &str) -> &'a Section {
-    let section = sections.iter().find(|section| section.word() == word);
-    section.expect("the document holds every unnamed section")
-}
-
 fn build(sections: &[Section]) -> Settings {
     let relay = one(sections, "relay");
     let store = one(sections, "store");
