Copy prompt parts from the engine that holds them, not read them again

Ruled out: affinity alone. The engine that holds a part is busy when the part is asked for most, and any other reads 13,000 tokens for 250 ms and more. Change: each way to serve a prompt counts what its engine can copy from another one that holds more of it and has read it by now; the copy takes some 10 ms. Parts are tracked with the time at which they are read. What is still read again is looked at next.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -12,7 +12,7 @@
 use super::choose::{self, Choice};
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
-use super::{Attempt, Call, RelayTimer, load, millis, note, span};
+use super::{Attempt, Call, RelayTimer, millis, note, parts, span};
 use crate::error::{Kind, Ran};
 
 /// Time without word from the store after which this host's configuration may be old.
@@ -188,7 +188,9 @@
     }
     call.late = choice.late;
     instance.own = instance.own.plus(choice.work);
-    load::remember(instance, call.prompt.as_ref(), now);
+    if let Some(prompt) = &call.prompt {
+        parts::remember(instance, prompt, now, span(choice.expected));
+    }
     let attempt = core.relay.attempts.insert(Attempt {
         call: key,
         backend: choice.backend,
@@ -197,6 +199,7 @@
         work: choice.work,
         expected: choice.expected,
         ahead: choice.ahead,
+        fetching: choice.fetch.map_or(0.0, |fetch| fetch.takes),
         began: false,
         last: now,
     });
@@ -216,6 +219,14 @@
             ("expected_ms", format!("{:.0}", choice.expected).into()),
             ("calls", instance.work().calls.to_string().into()),
             ("tokens", instance.work().tokens.to_string().into()),
+            (
+                "fetched",
+                choice
+                    .fetch
+                    .map_or(0, |fetch| fetch.tokens)
+                    .to_string()
+                    .into(),
+            ),
             ("arrivals", call.arrivals.to_string().into()),
         ],
     );
@@ -230,6 +241,7 @@
         resume: call.seen,
         streaming: call.route.streaming && !matches!(choice.task, Task::Prefill),
         idle,
+        fetch: choice.fetch.map(|fetch| fetch.from),
     }))));
     if let Some(silence) = choice.silence {
         super::wake(core, silence, RelayTimer::Silence(attempt), out);
--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -8,9 +8,11 @@
 use super::super::effect::Refusal;
 use super::super::key::{BackendKey, CallKey};
 use super::call::come_back;
+use super::catalog::Engine;
 use super::event::{Prompt, Stage, Task};
 use super::instance::{Instance, Work};
-use super::{Call, Repeat, load, millis, span};
+use super::parts::{Fetch, Holder};
+use super::{Call, Repeat, load, millis, parts, span};
 use crate::error::Kind;
 use crate::settings::relay::Policy;
 
@@ -54,6 +56,8 @@
     pub urgency: Option<u8>,
     /// Whether it can no longer be in time.
     pub late: bool,
+    /// What it copies first of the prompt from another engine.
+    pub fetch: Option<Fetch>,
     /// Time after which it is looked at whether the attempt is silent.
     pub silence: Option<Duration>,
 }
@@ -174,6 +178,7 @@
         ahead: 0,
         urgency: None,
         late: false,
+        fetch: None,
         silence,
     })
 }
@@ -185,6 +190,8 @@
     stage: Stage,
     /// Tokens to read there.
     tokens: u64,
+    /// What is copied from another engine first.
+    fetch: Option<Fetch>,
     /// Tokens to be read there before it.
     ahead: u64,
     /// Milliseconds until those are read.
@@ -208,6 +215,7 @@
     let left = millis(call.end.since(core.now));
     let spent = millis(core.now.since(call.arrived));
     let wanted = millis(call.route.target) * policy.patience - spent;
+    let holders = parts::holders(core, call, &prompt);
     let mut ways = Vec::new();
     for stage in [Stage::Prefill, Stage::Decode] {
         if stage == Stage::Prefill && handover.is_none() {
@@ -215,7 +223,9 @@
         }
         let after = handover.unwrap_or(0.0);
         let takers = takers(core, call, Some(stage)).into_iter();
-        ways.extend(takers.map(|backend| way(core, call, &prompt, backend, after, policy)));
+        ways.extend(
+            takers.map(|backend| way(core, call, &prompt, backend, after, &holders, policy)),
+        );
     }
     let cheapest = |ways: &mut dyn Iterator<Item = &Way>| {
         ways.min_by(|one, two| one.cost.total_cmp(&two.cost))
@@ -261,6 +271,7 @@
         ahead: way.tokens + way.ahead,
         urgency: Some(urgency(call, late)),
         late,
+        fetch: way.fetch,
         silence: Some(span(way.here * 3.0 + 300.0)),
     })
 }
@@ -280,11 +291,16 @@
     prompt: &Prompt,
     backend: BackendKey,
     handover: f64,
+    holders: &[Holder],
     policy: Policy,
 ) -> Way {
     let instance = &core.relay.instances.arena[backend];
     let stage = instance.stage.unwrap_or(Stage::Decode);
-    let tokens = load::unread(instance, prompt);
+    let unread = parts::unread(instance, prompt);
+    let fetch = engine(core, call)
+        .and_then(|engine| parts::fetch(instance, backend, unread, prompt, holders, engine));
+    let tokens = unread - fetch.map_or(0, |fetch| fetch.tokens);
+    let fetching = fetch.map_or(0.0, |fetch| fetch.takes);
     let work = instance.work();
     let own = load::reading(instance, tokens);
     let base = core.relay.rates.base(&call.service, stage);
@@ -293,12 +309,13 @@
         Stage::Decode => (base + waiting(instance), 0.0, policy.beside),
     };
     let queue = load::reading(instance, work.tokens);
-    let here = base + queue + own;
+    let here = base + queue + fetching + own;
     let crossing = crossing(core, call, instance, policy);
     Way {
         backend,
         stage,
         tokens,
+        fetch,
         ahead: work.tokens,
         queue,
         here,
@@ -353,17 +370,15 @@
     Some(least + load::HANDOVER + transfer(core, call, prompt))
 }
 
+/// Returns what the engines of a request's service can do.
+fn engine<'a>(core: &'a Core, call: &Call) -> Option<&'a Engine> {
+    let catalog = core.relay.catalog.as_ref()?;
+    catalog.services.get(&call.service)?.engine.as_ref()
+}
+
 /// Returns the milliseconds that the transfer of a prompt's KV cache takes.
 fn transfer(core: &Core, call: &Call, prompt: &Prompt) -> f64 {
-    let catalog = core.relay.catalog.as_ref();
-    let service = catalog.and_then(|catalog| catalog.services.get(&call.service));
-    let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-        return 0.0;
-    };
-    if engine.link <= 0.0 {
-        return 0.0;
-    }
-    (prompt.tokens * engine.token * 8) as f64 / (engine.link * 1000.0)
+    engine(core, call).map_or(0.0, |engine| parts::transfer(engine, prompt.tokens))
 }
 
 /// Chooses the engine that goes on from a KV cache.
@@ -411,6 +426,7 @@
             TAKEN_OVER
         }),
         late: call.late,
+        fetch: None,
         silence: Some(span(expected * 3.0 + 300.0)),
     })
 }
--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -278,6 +278,8 @@
     pub streaming: bool,
     /// Idle connections to one backend server that may be kept.
     pub idle: usize,
+    /// Where the engine listens from which it first copies what that one holds of the prompt.
+    pub fetch: Option<SocketAddr>,
 }
 
 /// An order to an engine to change its stage.
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -7,6 +7,7 @@
 use slotmap::SlotMap;
 
 use super::event::{Changes, Entry, LoadWord, Stage};
+use super::parts::Part;
 use crate::core::key::{BackendKey, HostKey};
 use crate::core::time::Time;
 
@@ -75,8 +76,8 @@
     pub latency: f64,
     /// When it last brought anything.
     pub heard: Option<Time>,
-    /// Prompt parts that it has read, and when each was last used.
-    pub parts: BTreeMap<u64, (Time, u64)>,
+    /// Prompt parts that it holds or is about to, by their ids.
+    pub parts: BTreeMap<u64, Part>,
 }
 
 /// Unfinished work at a backend server.
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -9,7 +9,7 @@
 use super::super::key::AttemptKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::{Prompt, Stage, Task};
+use super::event::{Stage, Task};
 use super::instance::Instance;
 use super::{Attempt, Call, millis, note, span};
 
@@ -42,11 +42,6 @@
 const LATENCY: f64 = 30.0;
 /// Weight of the newest measurement in a plain server's latency.
 const LATENCY_STEP: f64 = 0.15;
-/// Parts with fewer tokens are not tracked: to read them again costs less than to tell of them.
-pub const PART_LEAST: u64 = 256;
-/// Part of an engine's memory that is taken to hold shared parts; running requests take the rest.
-const MEMORY: f64 = 0.6;
-
 /// What requests took lately, over all backend servers.
 #[derive(Debug, Default)]
 pub struct Rates {
@@ -73,48 +68,6 @@
     }
 }
 
-/// Returns the tokens of a prompt that an engine has yet to read.
-///
-/// A part that it has read counts only if it has all parts before it, too.
-#[must_use]
-pub fn unread(instance: &Instance, prompt: &Prompt) -> u64 {
-    let shared = prompt.parts.split_last().map_or(&[][..], |(_, rest)| rest);
-    let mut held = 0;
-    for part in shared {
-        if part.tokens >= PART_LEAST && !instance.parts.contains_key(&part.id) {
-            break;
-        }
-        held += part.tokens;
-    }
-    prompt.tokens.saturating_sub(held)
-}
-
-/// Notes which parts of a prompt an engine holds from now on.
-pub fn remember(instance: &mut Instance, prompt: Option<&Prompt>, now: Time) {
-    let Some(prompt) = prompt else { return };
-    let shared = prompt.parts.split_last().map_or(&[][..], |(_, rest)| rest);
-    // What was fetched with a KV cache is kept like what was read.
-    for part in shared.iter().filter(|part| part.tokens >= PART_LEAST) {
-        instance.parts.insert(part.id, (now, part.tokens));
-    }
-}
-
-/// Forgets the parts used least recently once they cannot all be held.
-pub fn forget(instance: &mut Instance, memory: u64) {
-    let most = memory as f64 * MEMORY;
-    loop {
-        let sum: u64 = instance.parts.values().map(|(_, tokens)| tokens).sum();
-        if sum as f64 <= most {
-            return;
-        }
-        let oldest = instance.parts.iter().min_by_key(|(_, (at, _))| *at);
-        let Some(oldest) = oldest.map(|(part, _)| *part) else {
-            return;
-        };
-        instance.parts.remove(&oldest);
-    }
-}
-
 /// Returns the milliseconds that reading `tokens` takes there, with nothing ahead.
 #[must_use]
 pub fn reading(instance: &Instance, tokens: u64) -> f64 {
@@ -140,7 +93,7 @@
     let Some(attempt) = core.relay.attempts.get(key) else {
         return;
     };
-    let (expected, ahead) = (attempt.expected, attempt.ahead);
+    let (expected, ahead, fetching) = (attempt.expected, attempt.ahead, attempt.fetching);
     let task = attempt.task.clone();
     let id = core
         .relay
@@ -164,6 +117,7 @@
             ("expected_ms", format!("{expected:.0}").into()),
             ("pace", format!("{:.2}", instance.pace).into()),
             ("ahead", ahead.to_string().into()),
+            ("fetching_ms", format!("{fetching:.0}").into()),
         ],
     );
     if instance.stage.is_none() {
@@ -174,6 +128,7 @@
     {
         let base = core.relay.rates.base(&instance.service, stage);
         let nominal = reading(instance, ahead) / instance.pace;
+        let took = took - fetching;
         if nominal >= TELLING {
             let seen = ((took - base) / nominal).clamp(PACE.0, PACE.1);
             instance.pace += (seen - instance.pace) * PACE_STEP;
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod instance;
 mod killer;
 mod load;
+mod parts;
 mod peers;
 mod split;
 #[cfg(test)]
@@ -138,6 +139,8 @@
     pub expected: f64,
     /// Prompt tokens that were to be read there before its first token, its own among them.
     pub ahead: u64,
+    /// Milliseconds that fetching parts of its prompt from another engine takes.
+    pub fetching: f64,
     /// Whether anything of the answer arrived.
     pub began: bool,
     /// When anything last arrived.
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -14,7 +14,7 @@
 use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::event::{Changes, DeathWord, LoadWord, PartWord, PromptPart, RelayEffect};
-use super::{RelayJob, RelayTimer, load, note, wake, words};
+use super::{RelayJob, RelayTimer, note, parts, wake, words};
 use crate::store::{Compare, Op, Txn};
 
 /// Prompt parts and deaths kept to be passed on: those of a second at the largest sites.
@@ -87,9 +87,8 @@
 
     /// Notes which prompt parts went to an engine.
     pub fn sent(&mut self, parts: Option<&Vec<PromptPart>>, instance: u32) {
-        let shared = parts.and_then(|parts| parts.split_last());
-        let Some((_, shared)) = shared else { return };
-        for part in shared.iter().filter(|part| part.tokens >= load::PART_LEAST) {
+        let shared = parts.map_or(&[][..], |parts| parts::shared(parts));
+        for part in shared.iter().filter(|part| part.tokens >= parts::LEAST) {
             self.parts.push(PartWord {
                 part: part.id,
                 tokens: u32::try_from(part.tokens).unwrap_or(u32::MAX),
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -3,10 +3,12 @@
 mod budget;
 mod config;
 mod load;
+mod parts;
 mod plan;
 mod request;
 mod stream;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::core::event::{Break, Print, StoreEvent, StoreReply, StoreResult, Timer};
--- a/src/core/relay/words.rs
+++ b/src/core/relay/words.rs
@@ -17,7 +17,7 @@
 use super::event::{DeathWord, LoadWord, PartWord, RelayEffect, Word};
 use super::instance::Work;
 use super::peers::peer;
-use super::{RelayTimer, load, wake};
+use super::{RelayTimer, load, parts, span, wake};
 
 /// Time between two words to the other hosts.
 ///
@@ -48,7 +48,7 @@
         engines.map(|engine| engine.memory).max()
     });
     for instance in core.relay.instances.arena.values_mut() {
-        load::forget(instance, memory.unwrap_or(0));
+        parts::forget(instance, memory.unwrap_or(0));
     }
     core.relay.instances.sweep(core.now);
     let loads = core.relay.instances.arena.values();
@@ -234,7 +234,15 @@
     for part in &word.parts {
         if let Some(engine) = core.relay.instances.by_short(part.instance) {
             let instance = &mut core.relay.instances.arena[engine];
-            instance.parts.insert(part.part, (now, part.tokens.into()));
+            // It was sent there to be read, behind what waits there already.
+            let wait = span(load::reading(instance, instance.work().tokens));
+            parts::note(
+                instance,
+                part.part,
+                part.tokens.into(),
+                now,
+                now.after(wait),
+            );
         }
     }
     for death in &word.deaths {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -25,6 +25,8 @@
 const SOURCE: &str = "x-chiveway-kv-source";
 /// Urgency at the engine.
 const PRIORITY: &str = "x-chiveway-request-priority";
+/// Engine from which what it holds of the prompt is copied first.
+const FETCH: &str = "kv-fetch";
 /// The backend server did not run the request.
 const NOT_RUN: &str = "x-chiveway-not-executed";
 /// Signature of the backend server that answered.
@@ -50,7 +52,7 @@
     "x-chiveway-pin-ms",
     "x-chiveway-kv-hold",
     "x-chiveway-kv-backup",
-    "kv-fetch",
+    FETCH,
     "wait-ms",
 ];
 
@@ -174,6 +176,9 @@
     if let Some(number) = out.resume {
         headers.push((LAST_EVENT, number.to_string()));
     }
+    if let Some(from) = out.fetch {
+        headers.push((FETCH, from.to_string()));
+    }
     match &out.task {
         Task::Whole => {}
         Task::Prefill => headers.push((STAGE, super::entry::word(Stage::Prefill).to_owned())),
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -205,6 +205,7 @@
         resume: Some(7),
         streaming: true,
         idle: 1,
+        fetch: None,
     }
 }
 
@@ -228,6 +229,12 @@
     assert_eq!(found, wanted);
     let prefill = header::encode(&outgoing(Task::Prefill));
     assert!(prefill.contains(&("x-chiveway-serving-stage", "prefill".to_owned())));
+    assert!(prefill.iter().all(|(name, _)| *name != "kv-fetch"));
+    let fetching = header::encode(&Outgoing {
+        fetch: Some("10.0.0.3:80".parse().expect("an address")),
+        ..outgoing(Task::Prefill)
+    });
+    assert!(fetching.contains(&("kv-fetch", "10.0.0.3:80".to_owned())));
 }
 
 /// The name of a KV cache becomes part of a header and of a path: one with a line end or a slash
