Soak hosts with overlapping faults, and take signals from the first moment

The stand-in of the store has leases that lapse, lost answers; engines check the instance, the count of orders and the fencing number.

--- a/src/run.rs
+++ b/src/run.rs
@@ -9,7 +9,7 @@
 use ntex::rt::{DefaultRuntime, System};
 use serde_json::json;
 use snafu::{OptionExt, ResultExt, Snafu};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 use crate::backend;
@@ -94,6 +94,12 @@
         /// What the system says.
         source: io::Error,
     },
+    /// Signals cannot be waited for.
+    #[snafu(display("signals cannot be waited for: {source}"))]
+    Signals {
+        /// What the system says.
+        source: io::Error,
+    },
     /// The log cannot be set up.
     #[snafu(transparent)]
     Log {
@@ -143,17 +149,40 @@
     system.block_on(task)
 }
 
+/// The signals that a host waits for.
+struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    /// Begins to wait for them.
+    ///
+    /// Until then each of them ends the process. A host that was asked to read its settings again
+    /// just after its start was gone, with the requests it had accepted meanwhile: one notices by
+    /// a start without a stop in its log. So this comes before anything that takes time.
+    fn listen() -> io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Runs a host until a planned stop is complete.
 fn serve(options: &HostOptions) -> Result<(), RunError> {
-    let mut settings = read_settings(&options.config)?;
-    logs::start(&settings.log)?;
     let path = options.config.clone();
     block_on(async move {
+        let Signals { term, int, hup } = Signals::listen().context(SignalsSnafu)?;
+        let mut settings = read_settings(&path)?;
+        logs::start(&settings.log)?;
+        let (stop, stopped) = watch::channel(false);
+        ntex::rt::spawn(stop_at(term, int, stop));
         if settings.relay.is_some() {
-            let (stop, stopped) = watch::channel(false);
-            ntex::rt::spawn(signals(stop));
             let (tx, reloads) = mpsc::channel(1);
-            ntex::rt::spawn(reread(path, tx));
+            ntex::rt::spawn(reread(path, hup, tx));
             return Ok(host::run_relay(settings, stopped, reloads).await?);
         }
         let listeners = Listeners::open(&mut settings).await?;
@@ -163,18 +192,12 @@
             host.name, host.callers, host.operators, host.peers
         ))
         .context(StreamSnafu)?;
-        let (stop, stopped) = watch::channel(false);
-        ntex::rt::spawn(signals(stop));
         Ok(host::run(settings, listeners, stopped).await?)
     })
 }
 
 /// Reads the settings again at SIGHUP, and now and then since they may change without one.
-async fn reread(path: PathBuf, tx: mpsc::Sender<Settings>) {
-    let Ok(mut hup) = signal(SignalKind::hangup()) else {
-        log::warn!(target: "chiveway::settings.no_signal", "SIGHUP cannot be waited for");
-        return;
-    };
+async fn reread(path: PathBuf, mut hup: Signal, tx: mpsc::Sender<Settings>) {
     let mut before = fs::read_to_string(&path).unwrap_or_default();
     loop {
         tokio::select! {
@@ -206,13 +229,7 @@
 }
 
 /// Begins a planned stop at the first signal and ends the process at the second.
-async fn signals(stop: watch::Sender<bool>) {
-    let (Ok(mut term), Ok(mut int)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        return;
-    };
+async fn stop_at(mut term: Signal, mut int: Signal, stop: watch::Sender<bool>) {
     let mut count = 0;
     loop {
         tokio::select! {
--- a/tests/fleet/support/cut.rs
+++ b/tests/fleet/support/cut.rs
@@ -3,13 +3,20 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
 const PASS: u8 = 0;
 const SILENT: u8 = 1;
 const REFUSE: u8 = 2;
+/// What goes to the target passes, what comes back does not.
+const ONE_WAY: u8 = 3;
+/// Everything passes late.
+const DELAY: u8 = 4;
+
+/// Delay of each piece.
+const LATE: Duration = Duration::from_millis(60);
 
 /// Time between two looks at the switch.
 const LOOK: Duration = Duration::from_millis(20);
@@ -20,6 +27,37 @@
     /// Where to connect instead of the address behind it.
     pub addr: SocketAddr,
     state: Arc<AtomicU8>,
+    /// Grows with each time that all open connections are closed.
+    resets: Arc<AtomicU32>,
+}
+
+/// The switches of one forwarder, as its connections see them.
+#[derive(Debug, Clone)]
+struct Switch {
+    state: Arc<AtomicU8>,
+    resets: Arc<AtomicU32>,
+    /// Resets that had been when the connection was opened.
+    born: u32,
+}
+
+impl Switch {
+    fn state(&self) -> u8 {
+        if self.resets.load(Ordering::SeqCst) == self.born {
+            self.state.load(Ordering::SeqCst)
+        } else {
+            REFUSE
+        }
+    }
+
+    /// Waits while bytes that way are held back.
+    fn wait(&self, back: bool) {
+        while matches!((self.state(), back), (SILENT, _) | (ONE_WAY, true)) {
+            thread::sleep(LOOK);
+        }
+        if self.state() == DELAY {
+            thread::sleep(LATE);
+        }
+    }
 }
 
 impl Cut {
@@ -28,14 +66,39 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback can be bound");
         let addr = listener.local_addr().expect("an address");
         let state = Arc::new(AtomicU8::new(PASS));
-        let shared = Arc::clone(&state);
+        let resets = Arc::new(AtomicU32::new(0));
+        let cut = Self {
+            addr,
+            state,
+            resets,
+        };
+        let shared = cut.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let shared = Arc::clone(&shared);
-                thread::spawn(move || join(stream, target, &shared));
+                let switch = Switch {
+                    state: Arc::clone(&shared.state),
+                    resets: Arc::clone(&shared.resets),
+                    born: shared.resets.load(Ordering::SeqCst),
+                };
+                thread::spawn(move || join(stream, target, &switch));
             }
         });
-        Self { addr, state }
+        cut
+    }
+
+    /// Holds back what comes from the target.
+    pub fn one_way(&self) {
+        self.state.store(ONE_WAY, Ordering::SeqCst);
+    }
+
+    /// Passes everything on late.
+    pub fn delay(&self) {
+        self.state.store(DELAY, Ordering::SeqCst);
+    }
+
+    /// Closes all open connections; new ones work.
+    pub fn reset(&self) {
+        self.resets.fetch_add(1, Ordering::SeqCst);
     }
 
     /// Passes everything on; what was held back meanwhile goes too.
@@ -54,26 +117,24 @@
     }
 }
 
-fn join(stream: TcpStream, target: SocketAddr, state: &Arc<AtomicU8>) {
-    if state.load(Ordering::SeqCst) == REFUSE {
+fn join(stream: TcpStream, target: SocketAddr, switch: &Switch) {
+    if switch.state() == REFUSE {
         return;
     }
-    while state.load(Ordering::SeqCst) == SILENT {
-        thread::sleep(LOOK);
-    }
+    switch.wait(false);
     let Ok(other) = TcpStream::connect(target) else {
         return;
     };
     let (Ok(from), Ok(to)) = (stream.try_clone(), other.try_clone()) else {
         return;
     };
-    let back = Arc::clone(state);
-    let up = thread::spawn(move || pump(from, to, &back));
-    pump(other, stream, state);
+    let there = switch.clone();
+    let up = thread::spawn(move || pump(from, to, &there, false));
+    pump(other, stream, switch, true);
     drop(up.join());
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, state: &AtomicU8) {
+fn pump(mut from: TcpStream, mut to: TcpStream, switch: &Switch, back: bool) {
     drop(from.set_read_timeout(Some(LOOK)));
     let mut buffer = [0; 16 * 1024];
     loop {
@@ -84,10 +145,8 @@
             Err(err) if err.kind() == std::io::ErrorKind::TimedOut => 0,
             Err(_) => break,
         };
-        while state.load(Ordering::SeqCst) == SILENT {
-            thread::sleep(LOOK);
-        }
-        if state.load(Ordering::SeqCst) == REFUSE || to.write_all(&buffer[..read]).is_err() {
+        switch.wait(back);
+        if switch.state() == REFUSE || to.write_all(&buffer[..read]).is_err() {
             break;
         }
     }
--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -81,6 +81,25 @@
         Self { child, line }
     }
 
+    /// Starts the program with its standard output in a file, and waits for its first line there.
+    pub fn logged(args: &[&str], log: &Path) -> Self {
+        let file = std::fs::File::create(log).expect("a log file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_chiveway"));
+        let command = command.args(args).stdin(Stdio::null());
+        let child = command.stdout(file).stderr(Stdio::null()).spawn();
+        let mut process = Self {
+            child: child.expect("the program starts"),
+            line: String::new(),
+        };
+        wait_for("the program says where it listens", || {
+            let text = std::fs::read_to_string(log).unwrap_or_default();
+            let line = text.split_inclusive('\n').next().unwrap_or_default();
+            line.clone_into(&mut process.line);
+            line.ends_with('\n')
+        });
+        process
+    }
+
     /// Returns the address after `word` in the first line.
     pub fn addr(&self, word: &str) -> SocketAddr {
         let mut words = self.line.split_whitespace().skip_while(|w| *w != word);
@@ -119,6 +138,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Asks it to read its settings again.
+    pub fn hup(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Kills the process and waits until it is gone.
     pub fn kill(&mut self) {
         drop(self.child.kill());
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,15 +7,16 @@
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
+#[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use process::{Folder, Process};
-use standin::{Engine, Store};
+use standin::{Engine, LONG, SHORT, Store, config, settings};
 
 /// Bound of any wait; far above what a test waits for.
 const LIMIT: Duration = Duration::from_secs(30);
@@ -42,19 +43,11 @@
     _folder: Folder,
 }
 
-fn settings(store: SocketAddr) -> String {
-    format!(
-        "[relay]\nname = host-1\nregion = r\ndomain = z\ncallers = 127.0.0.1:0\n\
-         readiness = 127.0.0.1:0\npeers = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n\
-         [store]\naddr = {store}\n[bounds]\ngrace = 8s\n"
-    )
-}
-
 impl Site {
     fn new() -> Self {
         let store = Store::start();
         let folder = Folder::new();
-        let config = folder.write("host.ini", &settings(store.addr));
+        let config = folder.write("host.ini", &settings("host-1", store.addr));
         let config = config.to_str().expect("a path").to_owned();
         let host = Process::start(&["host", "-c", &config], None);
         let line: Value = serde_json::from_str(&host.line).expect("a JSON line");
@@ -97,36 +90,6 @@
     }
 }
 
-/// A configuration with a route for each kind of request; the short streams stand at `short`.
-fn config(version: u64, short: &str) -> Value {
-    let route = |prefix: &str, kind: &str, service: &str| {
-        json!({"name": prefix, "hostname": "127.0.0.1", "prefix": prefix, "type": kind,
-            "timeoutMs": 8000, "targetLatencyMs": 2000, "priority": 0, "service": service,
-            "maxAttempts": 2, "resumable": prefix == short, "gapTargetMs": 1000})
-    };
-    json!({
-        "version": version,
-        "routes": [route("/once/", "non_idempotent", "plain"),
-            route("/again/", "idempotent", "plain"),
-            route("/long/", "streaming", "model"), route(short, "streaming", "model")],
-        "services": [
-            {"name": "plain", "healthPath": "/healthz", "maxConnections": 50},
-            {"name": "model", "healthPath": "/healthz", "maxConnections": 50, "engine": {
-                "slots": 8, "kvCapacity": 100_000, "kvBytes": 18_432, "linkMbps": 370_000.0,
-                "kvTtlS": 5.0, "switchS": 0.1}}],
-        "limits": {"maxBodyBytes": 4096},
-    })
-}
-
-const LONG: [(&str, &str); 2] = [
-    ("x-chiveway-token-usage", "17000,20"),
-    ("x-chiveway-prompt-prefix", "aa:13000,bb:4000"),
-];
-const SHORT: [(&str, &str); 2] = [
-    ("x-chiveway-token-usage", "300,8"),
-    ("x-chiveway-prompt-prefix", "cc:50,dd:250"),
-];
-
 #[test]
 fn a_request_of_each_kind_is_served_whole() {
     let (plain, prefill, decode) = (
@@ -304,6 +267,19 @@
     wait_for("the end of the process", || site.host.is_over());
 }
 
+/// A host's settings change just after its start. It must not end of that: callers that it had
+/// accepted would be cut.
+#[test]
+fn a_reload_just_after_the_start_ends_nothing() {
+    for _ in 0..10 {
+        let mut site = Site::new();
+        site.host.hup();
+        let answer = site.send("/once/x", "id-1", &[]).expect("an answer");
+        assert_eq!(answer.status, 503, "it lives and knows nothing yet");
+        assert!(!site.host.is_over());
+    }
+}
+
 /// A body is larger than the operator allows.
 #[test]
 fn a_body_that_is_too_large_runs_nowhere() {
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -9,7 +9,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::ops::RangeInclusive;
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -102,15 +102,66 @@
 /// One write: key, value (`None` for a removal), revision, revision of the creation.
 type Change = (String, Option<Vec<u8>>, i64, i64);
 
+/// Time between two looks at the leases.
+const LOOK: Duration = Duration::from_millis(50);
+
 #[derive(Default)]
 struct Kept {
     revision: i64,
     keys: BTreeMap<String, (Vec<u8>, i64, i64)>,
     history: Vec<Change>,
     away: bool,
+    /// Writes that are done and not answered from now on.
+    lost: u32,
+    /// Leases granted yet.
+    granted: i64,
+    /// Life and end of each lease.
+    leases: BTreeMap<i64, (Duration, Instant)>,
+    /// Keys that go with a lease.
+    bound: BTreeMap<String, i64>,
 }
 
 impl Kept {
+    fn grant(&mut self, millis: u64) -> i64 {
+        self.granted += 1;
+        let life = Duration::from_millis(millis);
+        self.leases
+            .insert(self.granted, (life, Instant::now() + life));
+        self.granted
+    }
+
+    fn renew(&mut self, lease: i64) -> Option<()> {
+        let (life, end) = self.leases.get_mut(&lease)?;
+        *end = Instant::now() + *life;
+        Some(())
+    }
+
+    fn end(&mut self, lease: i64) {
+        self.leases.remove(&lease);
+        let keys = self.bound.iter().filter(|(_, bound)| **bound == lease);
+        let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended = self.leases.iter().filter(|(_, (_, end))| *end <= now);
+        let ended: Vec<i64> = ended.map(|(lease, _)| *lease).collect();
+        for lease in ended {
+            self.end(lease);
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        self.bound.remove(key);
+        if self.keys.remove(key).is_some() {
+            self.revision += 1;
+            self.history.push((key.to_owned(), None, self.revision, 0));
+        }
+    }
+
     fn write(&mut self, key: &str, value: Vec<u8>) {
         self.revision += 1;
         let created = self
@@ -135,9 +186,37 @@
         let kept = Arc::new((Mutex::new(Kept::default()), Condvar::new()));
         let shared = Arc::clone(&kept);
         let addr = listen(move |request, stream| store(&shared, request, stream));
+        let timed: Arc<(Mutex<Kept>, Condvar)> = Arc::clone(&kept);
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(LOOK);
+                let mut kept = timed.0.lock().expect("the store");
+                let before = kept.revision;
+                kept.expire();
+                if kept.revision > before {
+                    timed.1.notify_all();
+                }
+            }
+        });
         Self { addr, kept }
     }
 
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.kept.0.lock().expect("the store").remove(key);
+        self.kept.1.notify_all();
+    }
+
+    /// Answers again.
+    pub fn answer(&self) {
+        self.kept.0.lock().expect("the store").away = false;
+    }
+
+    /// Carries the next writes out without an answer.
+    pub fn lose_answers(&self, writes: u32) {
+        self.kept.0.lock().expect("the store").lost = writes;
+    }
+
     pub fn put(&self, key: &str, value: &Value) {
         let (kept, changed) = &*self.kept;
         let value = value.to_string().into_bytes();
@@ -171,6 +250,7 @@
     if kept.away {
         return None;
     }
+    kept.expire();
     let path = request.path.split('?').next()?;
     let answer = match (request.method.as_str(), path) {
         ("GET", "/v1/kv-range") => {
@@ -210,13 +290,35 @@
             }
             for row in txn["setKeys"].as_array()? {
                 let value = STANDARD.decode(row["value"].as_str()?).ok()?;
-                kept.write(row["key"].as_str()?, value);
+                let key = row["key"].as_str()?;
+                kept.write(key, value);
+                let lease = row["lease"].as_i64().unwrap_or(0);
+                kept.bound.insert(key.to_owned(), lease);
             }
             changed.notify_all();
+            if kept.lost > 0 {
+                kept.lost -= 1;
+                return None;
+            }
             json!({"revision": kept.revision})
         }
-        ("POST", "/v1/kv-lease") => json!({"lease": 77, "ttlMs": 3000}),
-        ("POST", path) if path.starts_with("/v1/kv-keep/") => json!({"ttlMs": 3000}),
+        ("POST", "/v1/kv-lease") => {
+            let asked: Value = serde_json::from_slice(&request.body).ok()?;
+            let millis = asked["ttlMs"].as_u64()?;
+            json!({"lease": kept.grant(millis), "ttlMs": millis})
+        }
+        ("POST", path) if path.starts_with("/v1/kv-keep/") => {
+            let lease = path.rsplit('/').next()?.parse().ok()?;
+            if kept.renew(lease).is_none() {
+                return write(stream, 404, "", "{}");
+            }
+            json!({})
+        }
+        ("DELETE", path) if path.starts_with("/v1/kv-lease-end/") => {
+            kept.end(path.rsplit('/').next()?.parse().ok()?);
+            changed.notify_all();
+            json!({})
+        }
         _ => json!({}),
     };
     drop(kept);
@@ -232,6 +334,14 @@
     /// Id under which the next answer is given.
     other: Option<String>,
     held: bool,
+    /// Time that each answer, and each event of a stream, takes.
+    takes: Duration,
+    /// Whether the process is gone.
+    dead: bool,
+    /// Orders accepted yet.
+    orders: u64,
+    /// Highest fencing number seen.
+    fence: u64,
 }
 
 /// Stand-in of an engine, or of a plain server.
@@ -300,11 +410,38 @@
         self.asked.0.lock().expect("the engine").breaks = Some(events);
     }
 
+    /// Breaks no stream off any more.
+    pub fn break_none(&self) {
+        self.asked.0.lock().expect("the engine").breaks = None;
+    }
+
     /// Answers the next request under another id.
     pub fn answer_as(&self, id: &str) {
         self.asked.0.lock().expect("the engine").other = Some(id.to_owned());
     }
 
+    /// Returns all requests but reports: path, head and body.
+    pub fn all(&self) -> Vec<(String, String, Vec<u8>)> {
+        let asked = self.asked.0.lock().expect("the engine");
+        let all = asked.seen.iter().filter(|(path, ..)| path != "/v1/report");
+        all.cloned().collect()
+    }
+
+    /// Returns where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets the time that each answer, and each event of a stream, takes.
+    pub fn take(&self, time: Duration) {
+        self.asked.0.lock().expect("the engine").takes = time;
+    }
+
+    /// Breaks everything off, now and from now on.
+    pub fn die(&self) {
+        self.asked.0.lock().expect("the engine").dead = true;
+    }
+
     /// Holds the ends of streams back.
     pub fn hold(&self) {
         self.asked.0.lock().expect("the engine").held = true;
@@ -324,6 +461,17 @@
     stream: &mut TcpStream,
 ) -> Option<()> {
     let mut asked = shared.0.lock().expect("the engine");
+    if asked.dead {
+        return None;
+    }
+    if request
+        .header("x-chiveway-expect-instance")
+        .is_some_and(|other| other != id)
+    {
+        drop(asked);
+        return write(stream, 421, "", "");
+    }
+    let takes = asked.takes;
     let seen = (
         request.path.clone(),
         request.head.clone(),
@@ -340,20 +488,22 @@
     );
     match request.path.as_str() {
         "/v1/report" => {
-            let body = json!({"stage": asked.stage, "busy": false, "sequence": 0}).to_string();
-            return write(stream, 200, "", &body);
+            let body = json!({"stage": asked.stage, "busy": false, "sequence": asked.orders});
+            return write(stream, 200, "", &body.to_string());
         }
-        "/v1/order" => return write(stream, 202, "", "{}"),
+        "/v1/order" => return write(stream, order(&mut asked, &request.body)?, "", "{}"),
         _ => {}
     }
     if asked.stage.is_none() {
         let body = String::from_utf8_lossy(&request.body);
         let body = format!("{id} {} {body}", request.path);
         drop(asked);
+        std::thread::sleep(takes);
         return write(stream, 200, &headers, &body);
     }
     if request.header("x-chiveway-serving-stage") == Some("prefill") {
         drop(asked);
+        std::thread::sleep(takes);
         let body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
         return write(stream, 200, &headers, &body);
     }
@@ -366,6 +516,25 @@
     stream_events(shared, id, &headers, breaks, last.unwrap_or(0), stream)
 }
 
+/// Takes an order; returns the status.
+fn order(asked: &mut Asked, body: &[u8]) -> Option<u16> {
+    let order: Value = serde_json::from_slice(body).ok()?;
+    let fence = order["fencingToken"].as_u64()?;
+    if fence < asked.fence {
+        return Some(412);
+    }
+    asked.fence = fence;
+    if order["expectedRevision"]
+        .as_u64()
+        .is_some_and(|orders| orders != asked.orders)
+    {
+        return Some(409);
+    }
+    asked.orders += 1;
+    asked.stage = order["stage"].as_str().map(ToOwned::to_owned);
+    Some(202)
+}
+
 /// Streams the events after `last`; breaks off in the middle of one where it is to.
 fn stream_events(
     shared: &Arc<(Mutex<Asked>, Condvar)>,
@@ -389,6 +558,13 @@
             chunk(&format!("id: {number}\nda"))?;
             return None;
         }
+        let asked = shared.0.lock().expect("the engine");
+        let (dead, takes) = (asked.dead, asked.takes);
+        drop(asked);
+        if dead {
+            return None;
+        }
+        std::thread::sleep(takes);
         chunk(&events(id, number..=number))?;
     }
     let asked = shared.0.lock().expect("the engine");
@@ -396,3 +572,44 @@
     drop(waited.expect("the engine"));
     chunk("")
 }
+
+/// Settings of a host that follows the store at this address.
+pub fn settings(name: &str, store: SocketAddr) -> String {
+    format!(
+        "[relay]\nname = {name}\nregion = r\ndomain = z\ncallers = 127.0.0.1:0\n\
+         readiness = 127.0.0.1:0\npeers = 127.0.0.1:0\nmetrics = 127.0.0.1:0\n\
+         [store]\naddr = {store}\n[bounds]\ngrace = 8s\n"
+    )
+}
+
+/// A configuration with a route for each kind of request; the short streams stand at `short`.
+pub fn config(version: u64, short: &str) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str| {
+        json!({"name": prefix, "hostname": "127.0.0.1", "prefix": prefix, "type": kind,
+            "timeoutMs": 8000, "targetLatencyMs": 2000, "priority": 0, "service": service,
+            "maxAttempts": 2, "resumable": prefix == short, "gapTargetMs": 1000})
+    };
+    json!({
+        "version": version,
+        "routes": [route("/once/", "non_idempotent", "plain"),
+            route("/again/", "idempotent", "plain"),
+            route("/long/", "streaming", "model"), route(short, "streaming", "model")],
+        "services": [
+            {"name": "plain", "healthPath": "/healthz", "maxConnections": 50},
+            {"name": "model", "healthPath": "/healthz", "maxConnections": 50, "engine": {
+                "slots": 8, "kvCapacity": 100_000, "kvBytes": 18_432, "linkMbps": 370_000.0,
+                "kvTtlS": 5.0, "switchS": 0.1}}],
+        "limits": {"maxBodyBytes": 4096},
+    })
+}
+
+/// Headers of a long prompt.
+pub const LONG: [(&str, &str); 2] = [
+    ("x-chiveway-token-usage", "17000,20"),
+    ("x-chiveway-prompt-prefix", "aa:13000,bb:4000"),
+];
+/// Headers of a short prompt.
+pub const SHORT: [(&str, &str); 2] = [
+    ("x-chiveway-token-usage", "300,8"),
+    ("x-chiveway-prompt-prefix", "cc:50,dd:250"),
+];
--- /dev/null
+++ b/tests/soak/check.rs
@@ -0,0 +1,173 @@
+//! What is promised, checked from what callers and backend servers saw.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::standin;
+
+/// Kinds of requests, by the start of their paths.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    Once,
+    Again,
+    Long,
+    Short,
+}
+
+impl Kind {
+    pub const ALL: [Self; 4] = [Self::Once, Self::Again, Self::Long, Self::Short];
+
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Once => "/once/x",
+            Self::Again => "/again/x",
+            Self::Long => "/long/x",
+            Self::Short => "/short/x",
+        }
+    }
+
+    fn streams(self) -> bool {
+        matches!(self, Self::Long | Self::Short)
+    }
+
+    /// Whether a request may run more than once.
+    fn repeats(self) -> bool {
+        matches!(self, Self::Again | Self::Short)
+    }
+}
+
+/// What a caller saw of one request.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub id: String,
+    pub kind: Kind,
+    /// Status; `None` where the connection ended without one.
+    pub status: Option<u16>,
+    /// Id that the answer is for.
+    pub echo: Option<String>,
+    pub body: String,
+    /// Whether the answer came to its end.
+    pub whole: bool,
+    /// Server that signed it.
+    pub stamp: Option<String>,
+    /// Whether the host was only asked to stop while it ran, and nothing else went wrong.
+    pub calm: bool,
+}
+
+/// A run at a backend server.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub server: String,
+    pub id: String,
+}
+
+/// An order that an engine accepted.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub engine: String,
+    pub holder: String,
+    pub fence: u64,
+}
+
+/// All that was seen in one play.
+#[derive(Debug, Clone, Default)]
+pub struct Record {
+    pub seen: Vec<Seen>,
+    pub runs: Vec<Run>,
+    pub orders: Vec<Order>,
+    /// Versions in force by host and incarnation, in the order in which they were seen.
+    pub versions: BTreeMap<String, Vec<u64>>,
+    /// Runs at a server by requests that a host sent on after it knew that the server leaves.
+    pub after_leaving: Vec<String>,
+    /// What was not served after everything had healed.
+    pub unrecovered: Vec<String>,
+}
+
+/// Returns every broken promise.
+pub fn check(record: &Record) -> Vec<String> {
+    let mut runs: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for run in &record.runs {
+        runs.entry(&run.id).or_default().push(&run.server);
+    }
+    let mut faults = Vec::new();
+    for seen in &record.seen {
+        let ran = runs.get(&*seen.id).map_or(&[][..], Vec::as_slice);
+        faults.extend(request(seen, ran).map(|fault| format!("{fault}: {seen:?}, ran at {ran:?}")));
+    }
+    faults.extend(unasked(record));
+    faults.extend(orders(&record.orders));
+    for (host, versions) in &record.versions {
+        if !versions.is_sorted() {
+            faults.push(format!("{host} went back in {versions:?}"));
+        }
+    }
+    let left = record.after_leaving.iter();
+    faults.extend(left.map(|run| format!("sent to a server that leaves: {run}")));
+    let lost = record.unrecovered.iter();
+    faults.extend(lost.map(|what| format!("not served after all had healed: {what}")));
+    faults
+}
+
+fn request(seen: &Seen, ran: &[&str]) -> Option<&'static str> {
+    if !seen.kind.repeats() && ran.len() > 1 {
+        return Some("ran twice");
+    }
+    let promise = matches!(seen.status, Some(408 | 421 | 429 | 503)) && seen.stamp.is_none();
+    if promise && !seen.kind.repeats() && !ran.is_empty() {
+        return Some("refused as not run, and ran");
+    }
+    if matches!(
+        seen.status,
+        Some(400..=407 | 409..=420 | 422..=428 | 430..=499)
+    ) {
+        return Some("a proper request was turned down");
+    }
+    if seen.status == Some(200) {
+        if seen.echo.as_deref() != Some(&*seen.id) || seen.stamp.is_none() {
+            return Some("an answer to another request");
+        }
+        if seen.whole && !answers(seen, ran) {
+            return Some("not the server's whole answer");
+        }
+    }
+    let cut = seen.status.is_none() || !seen.whole;
+    (seen.calm && cut && !ran.is_empty()).then_some("cut by a planned stop")
+}
+
+/// Tells whether a whole answer is what a server gave.
+fn answers(seen: &Seen, ran: &[&str]) -> bool {
+    if !seen.kind.streams() {
+        let text = |server: &&str| format!("{server} {} {}", seen.kind.path(), seen.id);
+        return ran.iter().any(|server| text(server) == seen.body);
+    }
+    let events: Vec<&str> = seen.body.split_inclusive("\n\n").collect();
+    events.len() == 4
+        && events.iter().zip(1_u64..).all(|(event, number)| {
+            let given = |server: &&str| standin::events(server, number..=number) == **event;
+            ran.iter().any(given)
+        })
+}
+
+/// Runs that no caller asked for.
+fn unasked(record: &Record) -> Vec<String> {
+    let asked: BTreeSet<&str> = record.seen.iter().map(|seen| &*seen.id).collect();
+    let runs = record.runs.iter();
+    runs.filter(|run| !asked.contains(&*run.id))
+        .map(|run| format!("ran and was never asked for: {run:?}"))
+        .collect()
+}
+
+/// Orders of one engine that two holders gave with one number, or with a lower one later.
+fn orders(orders: &[Order]) -> Vec<String> {
+    let mut faults = Vec::new();
+    let mut last: BTreeMap<&str, &Order> = BTreeMap::new();
+    for order in orders {
+        if let Some(before) = last.insert(&order.engine, order) {
+            let lower = order.fence < before.fence;
+            let shared = order.fence == before.fence && order.holder != before.holder;
+            if lower || shared {
+                faults.push(format!("conflicting orders: {before:?}, then {order:?}"));
+            }
+        }
+    }
+    faults
+}
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,97 @@
+//! Series of faults, drawn by a seed.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Trouble of one kind; numbers name a host or a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// A host's process is killed; another starts.
+    Kill(usize),
+    /// All hosts are killed at once.
+    KillAll,
+    /// A host is asked to stop; another starts once it has ended.
+    Stop(usize),
+    /// A host stands still.
+    Freeze(usize),
+    /// A host's settings are read again.
+    Reload(usize),
+    /// A host's way to the store holds everything back.
+    StoreSilent(usize),
+    /// The store's answers to a host are held back.
+    StoreOneWay(usize),
+    /// A host cannot reach the store.
+    StoreRefuses(usize),
+    /// Connections to the store end; new ones work.
+    StoreReset(usize),
+    /// The store is away.
+    StoreAway,
+    /// Writes at the store take effect without an answer.
+    StoreLoses,
+    /// A server's connections hold everything back.
+    Silent(usize),
+    /// A server's answers are held back.
+    OneWay(usize),
+    /// A server answers late.
+    Delay(usize),
+    /// A server's connections end; new ones work.
+    Reset(usize),
+    /// A server dies; another takes its place.
+    Crash(usize),
+    /// A server reports that it leaves, and another takes its place.
+    Leave(usize),
+    /// The configuration changes.
+    Configure,
+    /// A stream breaks off in the middle of an event.
+    Break(usize),
+}
+
+/// One fault of a series.
+#[derive(Debug, Clone, Copy)]
+pub struct Fault {
+    /// Pause before it.
+    pub after: Duration,
+    pub trouble: Trouble,
+    /// Time that it lasts, where it does.
+    pub lasts: Duration,
+}
+
+/// Faults in a series.
+const COUNT: usize = 14;
+
+/// Returns the series of a seed.
+pub fn series(seed: u64, hosts: usize, servers: usize) -> Vec<Fault> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let draw = |rng: &mut StdRng| {
+        let (host, server) = (rng.random_range(0..hosts), rng.random_range(0..servers));
+        let trouble = match rng.random_range(0..22) {
+            0 | 1 => Trouble::Kill(host),
+            2 => Trouble::KillAll,
+            3 | 4 => Trouble::Stop(host),
+            5 => Trouble::Freeze(host),
+            6 => Trouble::Reload(host),
+            7 => Trouble::StoreSilent(host),
+            8 => Trouble::StoreOneWay(host),
+            9 => Trouble::StoreRefuses(host),
+            10 => Trouble::StoreReset(host),
+            11 => Trouble::StoreAway,
+            12 => Trouble::StoreLoses,
+            13 => Trouble::Silent(server),
+            14 => Trouble::OneWay(server),
+            15 => Trouble::Delay(server),
+            16 => Trouble::Reset(server),
+            17 => Trouble::Crash(server),
+            18 | 19 => Trouble::Leave(server),
+            20 => Trouble::Configure,
+            _ => Trouble::Break(server),
+        };
+        Fault {
+            after: Duration::from_millis(rng.random_range(20..500)),
+            trouble,
+            lasts: Duration::from_millis(rng.random_range(200..1500)),
+        }
+    };
+    (0..COUNT).map(|_| draw(&mut rng)).collect()
+}
--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,540 @@
+//! One play: hosts, a store and servers, callers that go on all the while, and a series of faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+
+use crate::check::{self, Kind, Order, Record, Run, Seen};
+use crate::cut::Cut;
+use crate::faults::{Fault, Trouble, series};
+use crate::process::{Folder, Process};
+use crate::standin::{Engine, LONG, SHORT, Store, config, settings};
+use crate::{LIMIT, http};
+
+/// Hosts of a play.
+const HOSTS: usize = 3;
+/// Stages of the servers at the start; none for a plain server. Hosts have some of them change.
+const STAGES: [Option<&str>; 6] = [
+    None,
+    None,
+    Some("prefill"),
+    Some("decode"),
+    Some("decode"),
+    Some("decode"),
+];
+/// Callers that send at once.
+const CALLERS: u64 = 6;
+/// Pause of a caller between two requests.
+const PAUSE: Duration = Duration::from_millis(15);
+/// Time that an answer, or an event of one, takes at a server.
+const WORK: Duration = Duration::from_millis(5);
+/// Writes without an answer in one fault.
+const LOST: u32 = 3;
+
+/// A host's process and what stands before it.
+struct Host {
+    process: Process,
+    starts: u32,
+}
+
+/// Where a host's present process listens, and which start of it that is.
+#[derive(Debug, Clone)]
+struct Door {
+    callers: SocketAddr,
+    name: String,
+}
+
+/// A server, its forwarder, and the version of the configuration that was written after it left.
+struct Server {
+    engine: Engine,
+    cut: Cut,
+    left: Option<u64>,
+}
+
+struct World {
+    folder: Folder,
+    logs: PathBuf,
+    store: Store,
+    /// A forwarder to the store for each host.
+    ways: Vec<Cut>,
+    hosts: Vec<Mutex<Host>>,
+    doors: Mutex<Vec<Door>>,
+    servers: Mutex<Vec<Server>>,
+    /// The present server of each place.
+    places: Mutex<Vec<usize>>,
+    version: AtomicU64,
+    /// Version known to be in force, by start of a host.
+    known: Mutex<BTreeMap<String, Vec<u64>>>,
+    /// Faults in force that a planned stop does not excuse, and all that were yet.
+    wild: (AtomicU64, AtomicU64),
+    seen: Mutex<Vec<(Seen, u64)>>,
+    over: AtomicBool,
+}
+
+/// Says that a play is over once it is dropped.
+struct Over<'a>(&'a AtomicBool);
+
+impl Drop for Over<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+/// Plays a seed; returns what broke, and what was done.
+pub fn play(seed: u64) -> (Vec<String>, String) {
+    let world = World::new(seed);
+    let faults = series(seed, HOSTS, STAGES.len());
+    thread::scope(|scope| {
+        let world = &world;
+        for number in 0..CALLERS {
+            scope.spawn(move || world.call(seed, number));
+        }
+        for host in 0..HOSTS {
+            scope.spawn(move || world.probe(host));
+        }
+        scope.spawn(|| world.register());
+        // Callers must end also where causing a fault panics.
+        let _over = Over(&world.over);
+        thread::scope(|troubles| {
+            for fault in &faults {
+                thread::sleep(fault.after);
+                troubles.spawn(move || world.cause(*fault));
+            }
+        });
+    });
+    let unrecovered = world.unrecovered();
+    let record = world.record(unrecovered);
+    let served = record.seen.iter().filter(|seen| seen.status == Some(200));
+    let summary = format!(
+        "{} requests, {} served, {} runs, {} orders",
+        record.seen.len(),
+        served.count(),
+        record.runs.len(),
+        record.orders.len()
+    );
+    let broken = check::check(&record);
+    if broken.is_empty() {
+        drop(std::fs::remove_dir_all(&world.logs));
+    }
+    (broken, summary)
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        std::fs::create_dir_all(&logs).expect("a folder for logs");
+        let store = Store::start();
+        let ways: Vec<Cut> = (0..HOSTS).map(|_| Cut::before(store.addr)).collect();
+        let mut world = Self {
+            folder: Folder::new(),
+            logs,
+            store,
+            ways,
+            hosts: Vec::new(),
+            doors: Mutex::default(),
+            servers: Mutex::default(),
+            places: Mutex::default(),
+            version: AtomicU64::new(0),
+            known: Mutex::default(),
+            wild: (AtomicU64::new(0), AtomicU64::new(0)),
+            seen: Mutex::default(),
+            over: AtomicBool::new(false),
+        };
+        world.configure();
+        for stage in STAGES {
+            let server = world.add_server(stage);
+            world.places.lock().expect("no panic").push(server);
+        }
+        for host in 0..HOSTS {
+            let (process, door) = world.start(host, 1);
+            world.hosts.push(Mutex::new(Host { process, starts: 1 }));
+            world.doors.lock().expect("no panic").push(door);
+        }
+        for host in 0..HOSTS {
+            let served = world.served_within("start", host, LIMIT);
+            assert!(served.is_empty(), "not served at the start: {served:?}");
+        }
+        world
+    }
+
+    /// Starts a host's process.
+    fn start(&self, host: usize, starts: u32) -> (Process, Door) {
+        let name = format!("host-{host}");
+        let text = settings(&name, self.ways[host].addr);
+        let path = self.folder.write(&format!("{name}.ini"), &text);
+        let log = self.logs.join(format!("{name}.{starts}.log"));
+        let path = path.to_str().expect("a path");
+        let process = Process::logged(&["host", "-c", path], &log);
+        let line: Value = serde_json::from_str(&process.line).expect("a JSON line");
+        let callers = line["callers"].as_str().and_then(|addr| addr.parse().ok());
+        let door = Door {
+            callers: callers.expect("the callers' listener"),
+            name: format!("{name}.{starts}"),
+        };
+        (process, door)
+    }
+
+    fn start_again(&self, index: usize, host: &mut Host) {
+        host.starts += 1;
+        let (process, door) = self.start(index, host.starts);
+        host.process = process;
+        self.doors.lock().expect("no panic")[index] = door;
+    }
+
+    /// Puts the next configuration in force; each has a route of its own. Returns its version.
+    fn configure(&self) -> u64 {
+        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
+        let mut config = config(version, "/short/");
+        let mut route = config["routes"][1].clone();
+        route["prefix"] = json!(format!("/v{version}/"));
+        route["name"] = route["prefix"].clone();
+        if let Some(routes) = config["routes"].as_array_mut() {
+            routes.push(route);
+        }
+        self.store.put("op/config", &config);
+        version
+    }
+
+    fn add_server(&self, stage: Option<&str>) -> usize {
+        let mut servers = self.servers.lock().expect("no panic");
+        let id = format!("s-{}", servers.len() + 1);
+        let engine = stage.map_or_else(|| Engine::plain(&id), |stage| Engine::model(&id, stage));
+        engine.take(WORK);
+        let cut = Cut::before(engine.addr());
+        let server = Server {
+            engine,
+            cut,
+            left: None,
+        };
+        self.store
+            .put(&format!("servers/{id}"), &entry(&server, "ready"));
+        servers.push(server);
+        servers.len() - 1
+    }
+
+    /// Puts another server in the place of one.
+    fn replace(&self, place: usize) {
+        let new = self.add_server(STAGES[place]);
+        self.places.lock().expect("no panic")[place] = new;
+    }
+
+    /// Does something with the present server of a place.
+    fn with<T>(&self, place: usize, act: impl FnOnce(&mut Server) -> T) -> T {
+        let at = self.places.lock().expect("no panic")[place];
+        act(&mut self.servers.lock().expect("no panic")[at])
+    }
+
+    /// Causes one fault, and ends it after its time.
+    fn cause(&self, fault: Fault) {
+        let planned = matches!(
+            fault.trouble,
+            Trouble::Stop(_) | Trouble::Reload(_) | Trouble::Configure | Trouble::Leave(_)
+        );
+        if !planned {
+            self.wild.0.fetch_add(1, Ordering::SeqCst);
+            self.wild.1.fetch_add(1, Ordering::SeqCst);
+        }
+        self.carry_out(fault);
+        if !planned {
+            self.wild.0.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    fn carry_out(&self, fault: Fault) {
+        let lasting = |cut: &Cut, begin: fn(&Cut)| {
+            begin(cut);
+            thread::sleep(fault.lasts);
+            cut.heal();
+        };
+        let cut = |place| self.with(place, |server| server.cut.clone());
+        match fault.trouble {
+            Trouble::Kill(host) => self.kill(&[host]),
+            Trouble::KillAll => self.kill(&(0..HOSTS).collect::<Vec<_>>()),
+            Trouble::Stop(at) => {
+                let mut host = self.hosts[at].lock().expect("no panic");
+                host.process.term();
+                host.process.ended();
+                self.start_again(at, &mut host);
+            }
+            Trouble::Freeze(host) => {
+                let host = self.hosts[host].lock().expect("no panic");
+                host.process.freeze();
+                thread::sleep(fault.lasts);
+                host.process.thaw();
+            }
+            Trouble::Reload(host) => self.hosts[host].lock().expect("no panic").process.hup(),
+            Trouble::StoreSilent(host) => lasting(&self.ways[host], Cut::silence),
+            Trouble::StoreOneWay(host) => lasting(&self.ways[host], Cut::one_way),
+            Trouble::StoreRefuses(host) => lasting(&self.ways[host], Cut::refuse),
+            Trouble::StoreReset(host) => self.ways[host].reset(),
+            Trouble::StoreAway => {
+                self.store.stop_answering();
+                thread::sleep(fault.lasts);
+                self.store.answer();
+            }
+            Trouble::StoreLoses => self.store.lose_answers(LOST),
+            Trouble::Silent(place) => lasting(&cut(place), Cut::silence),
+            Trouble::OneWay(place) => lasting(&cut(place), Cut::one_way),
+            Trouble::Delay(place) => lasting(&cut(place), Cut::delay),
+            Trouble::Reset(place) => cut(place).reset(),
+            Trouble::Crash(place) => {
+                let id = self.with(place, |server| {
+                    server.engine.die();
+                    server.cut.refuse();
+                    server.engine.id.clone()
+                });
+                thread::sleep(fault.lasts);
+                self.store.remove(&format!("servers/{id}"));
+                self.replace(place);
+            }
+            Trouble::Leave(place) => {
+                self.replace_leaving(place);
+            }
+            Trouble::Configure => {
+                self.configure();
+            }
+            Trouble::Break(place) => {
+                self.with(place, |server| server.engine.break_after(2));
+                thread::sleep(fault.lasts);
+                // Another server may stand there by now; a stream that broke has been long over.
+                for server in &*self.servers.lock().expect("no panic") {
+                    server.engine.break_none();
+                }
+            }
+        }
+    }
+
+    fn kill(&self, which: &[usize]) {
+        let mut hosts: Vec<_> = which
+            .iter()
+            .map(|host| self.hosts[*host].lock().expect("no panic"))
+            .collect();
+        for host in &mut hosts {
+            host.process.kill();
+        }
+        for (index, host) in which.iter().zip(&mut hosts) {
+            self.start_again(*index, host);
+        }
+    }
+
+    /// Has a server leave; a configuration written after it tells which hosts know of that.
+    fn replace_leaving(&self, place: usize) {
+        let at = self.places.lock().expect("no panic")[place];
+        self.replace(place);
+        let (key, entry) = {
+            let servers = self.servers.lock().expect("no panic");
+            let server = &servers[at];
+            let key = format!("servers/{}", server.engine.id);
+            (key, entry(server, "draining"))
+        };
+        self.store.put(&key, &entry);
+        let version = self.configure();
+        self.servers.lock().expect("no panic")[at].left = Some(version);
+    }
+
+    /// Registers engines anew whose stage has changed, until the play is over.
+    fn register(&self) {
+        let mut last: BTreeMap<usize, Value> = BTreeMap::new();
+        while !self.over.load(Ordering::SeqCst) {
+            let places = self.places.lock().expect("no panic").clone();
+            for place in places {
+                let servers = self.servers.lock().expect("no panic");
+                let (id, now) = (
+                    servers[place].engine.id.clone(),
+                    entry(&servers[place], "ready"),
+                );
+                drop(servers);
+                let before = last.insert(place, now.clone());
+                if before.is_some_and(|before| before != now) {
+                    self.store.put(&format!("servers/{id}"), &now);
+                }
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// Watches which configuration a host has in force, until the play is over.
+    fn probe(&self, host: usize) {
+        let mut count = 0;
+        while !self.over.load(Ordering::SeqCst) {
+            let newest = self.version.load(Ordering::SeqCst);
+            let door = self.door(host);
+            for version in (1..=newest).rev() {
+                count += 1;
+                let id = format!("probe-{host}-{count}");
+                let path = format!("/v{version}/x");
+                if send(&door, &path, &id, &[]).is_some_and(|answer| answer.status == 200) {
+                    let mut known = self.known.lock().expect("no panic");
+                    known.entry(door.name.clone()).or_default().push(version);
+                    break;
+                }
+            }
+            thread::sleep(Duration::from_millis(30));
+        }
+    }
+
+    fn door(&self, host: usize) -> Door {
+        self.doors.lock().expect("no panic")[host].clone()
+    }
+
+    /// Sends requests until the play is over.
+    fn call(&self, seed: u64, number: u64) {
+        let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(CALLERS) + number);
+        let mut count = 0;
+        while !self.over.load(Ordering::SeqCst) {
+            count += 1;
+            let door = self.door(rng.random_range(0..HOSTS));
+            let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+            self.request(&door, kind, &format!("c{number}-{count}"));
+            thread::sleep(PAUSE);
+        }
+    }
+
+    /// Sends a request and notes what came of it; returns whether it was served whole.
+    fn request(&self, door: &Door, kind: Kind, id: &str) -> bool {
+        let wild = |count: &AtomicU64| count.load(Ordering::SeqCst);
+        let all = self.known.lock().expect("no panic");
+        let knows = all.get(&door.name).and_then(|all| all.last()).copied();
+        drop(all);
+        let before = (wild(&self.wild.0), wild(&self.wild.1));
+        let more: &[(&str, &str)] = match kind {
+            Kind::Once | Kind::Again => &[],
+            Kind::Long => &LONG,
+            Kind::Short => &SHORT,
+        };
+        let answer = send(door, kind.path(), id, more);
+        let after = (wild(&self.wild.0), wild(&self.wild.1));
+        let header = |name: &str| Some(answer.as_ref()?.header(name)?.to_owned());
+        let seen = Seen {
+            id: id.to_owned(),
+            kind,
+            status: answer.as_ref().map(|answer| answer.status),
+            echo: header("x-chiveway-attempt-id"),
+            stamp: header("x-chiveway-server-stamp"),
+            body: answer.as_ref().map_or(String::new(), http::Answer::text),
+            whole: answer.as_ref().is_some_and(|answer| answer.whole),
+            calm: before.0 == 0 && before == after,
+        };
+        let served = seen.status == Some(200) && seen.whole;
+        self.seen
+            .lock()
+            .expect("no panic")
+            .push((seen, knows.unwrap_or(0)));
+        served
+    }
+
+    /// Returns the kinds of requests that a host does not serve again in time.
+    fn served_within(&self, round: &str, host: usize, limit: Duration) -> Vec<String> {
+        let start = Instant::now();
+        let mut missing = Vec::new();
+        for kind in Kind::ALL {
+            let mut count = 0;
+            loop {
+                count += 1;
+                let door = self.door(host);
+                let id = format!("r{}-{kind:?}-{count}-{round}", door.name);
+                if self.request(&door, kind, &id) {
+                    break;
+                }
+                if start.elapsed() > limit {
+                    let over = self.hosts[host].lock().expect("no panic").process.is_over();
+                    let state = if over { "has ended" } else { "lives" };
+                    missing.push(format!(
+                        "{} {}, its process {state}",
+                        door.name,
+                        kind.path()
+                    ));
+                    break;
+                }
+                thread::sleep(PAUSE);
+            }
+        }
+        missing
+    }
+
+    fn unrecovered(&self) -> Vec<String> {
+        (0..HOSTS)
+            .flat_map(|host| self.served_within("end", host, LIMIT))
+            .collect()
+    }
+
+    /// Puts together what callers and servers saw.
+    fn record(&self, unrecovered: Vec<String>) -> Record {
+        let seen = self.seen.lock().expect("no panic").clone();
+        let knows: BTreeMap<String, u64> = seen
+            .iter()
+            .map(|(seen, knows)| (seen.id.clone(), *knows))
+            .collect();
+        let mut record = Record {
+            seen: seen.into_iter().map(|(seen, _)| seen).collect(),
+            versions: self.known.lock().expect("no panic").clone(),
+            unrecovered,
+            ..Record::default()
+        };
+        for server in &*self.servers.lock().expect("no panic") {
+            for (path, head, body) in server.engine.all() {
+                take(&mut record, server, &path, &head, &body, &knows);
+            }
+        }
+        record
+    }
+}
+
+/// Takes one request that a server got into the record.
+fn take(
+    record: &mut Record,
+    server: &Server,
+    path: &str,
+    head: &str,
+    body: &[u8],
+    knows: &BTreeMap<String, u64>,
+) {
+    let name = server.engine.id.clone();
+    if path == "/v1/order" {
+        let order: Value = serde_json::from_slice(body).unwrap_or_default();
+        record.orders.push(Order {
+            engine: name,
+            holder: order["holder"].as_str().unwrap_or_default().to_owned(),
+            fence: order["fencingToken"].as_u64().unwrap_or(0),
+        });
+        return;
+    }
+    let mut lines = head.lines();
+    let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
+    let id = id.unwrap_or_default().to_owned();
+    let prefill = head.contains("x-chiveway-serving-stage: prefill");
+    if prefill || id.starts_with("probe-") || path.starts_with("/v1/") {
+        return;
+    }
+    let version = knows.get(&id).copied().unwrap_or(0);
+    if server.left.is_some_and(|left| version >= left) {
+        record
+            .after_leaving
+            .push(format!("{id} at {name}, known {version}"));
+    }
+    record.runs.push(Run { server: name, id });
+}
+
+/// Returns the entry by which a server registers: behind its forwarder.
+fn entry(server: &Server, state: &str) -> Value {
+    let mut entry = server.engine.entry(state);
+    entry["address"] = json!(server.cut.addr.to_string());
+    entry
+}
+
+fn send(door: &Door, path: &str, id: &str, more: &[(&str, &str)]) -> Option<http::Answer> {
+    let mut headers = vec![
+        ("x-chiveway-attempt-id", id),
+        ("x-chiveway-deadline-ms", "2500"),
+    ];
+    headers.extend(more);
+    http::send(door.callers, "POST", path, &headers, id.as_bytes())
+}
