--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -23,9 +23,11 @@
 )]
 mod standin;
 
+mod callers;
 mod check;
 mod faults;
 mod planted;
+mod record;
 mod world;
 
 use std::sync::Mutex;
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -6,21 +6,19 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 
-use crate::check::{self, Kind, Order, Record, Run, Seen};
+use crate::LIMIT;
+use crate::check::{self, Seen};
 use crate::cut::Cut;
 use crate::faults::{Fault, Trouble, series};
 use crate::process::{Folder, Process};
-use crate::standin::{Engine, LONG, SHORT, Store, config, settings};
-use crate::{LIMIT, http};
+use crate::standin::{Engine, Store, config, settings};
 
 /// Hosts of a play.
-const HOSTS: usize = 3;
+pub const HOSTS: usize = 3;
 /// Stages of the servers at the start; none for a plain server. Hosts have some of them change.
 const STAGES: [Option<&str>; 6] = [
     None,
@@ -31,52 +29,50 @@
     Some("decode"),
 ];
 /// Callers that send at once.
-const CALLERS: u64 = 6;
-/// Pause of a caller between two requests.
-const PAUSE: Duration = Duration::from_millis(15);
+pub const CALLERS: u64 = 6;
 /// Time that an answer, or an event of one, takes at a server.
 const WORK: Duration = Duration::from_millis(5);
 /// Writes without an answer in one fault.
 const LOST: u32 = 3;
 
 /// A host's process and what stands before it.
-struct Host {
-    process: Process,
+pub struct Host {
+    pub process: Process,
     starts: u32,
 }
 
 /// Where a host's present process listens, and which start of it that is.
 #[derive(Debug, Clone)]
-struct Door {
-    callers: SocketAddr,
-    name: String,
+pub struct Door {
+    pub callers: SocketAddr,
+    pub name: String,
 }
 
 /// A server, its forwarder, and the version of the configuration that was written after it left.
-struct Server {
-    engine: Engine,
-    cut: Cut,
-    left: Option<u64>,
+pub struct Server {
+    pub engine: Engine,
+    pub cut: Cut,
+    pub left: Option<u64>,
 }
 
-struct World {
-    folder: Folder,
-    logs: PathBuf,
-    store: Store,
+pub struct World {
+    pub folder: Folder,
+    pub logs: PathBuf,
+    pub store: Store,
     /// A forwarder to the store for each host.
-    ways: Vec<Cut>,
-    hosts: Vec<Mutex<Host>>,
-    doors: Mutex<Vec<Door>>,
-    servers: Mutex<Vec<Server>>,
+    pub ways: Vec<Cut>,
+    pub hosts: Vec<Mutex<Host>>,
+    pub doors: Mutex<Vec<Door>>,
+    pub servers: Mutex<Vec<Server>>,
     /// The present server of each place.
-    places: Mutex<Vec<usize>>,
-    version: AtomicU64,
+    pub places: Mutex<Vec<usize>>,
+    pub version: AtomicU64,
     /// Version known to be in force, by start of a host.
-    known: Mutex<BTreeMap<String, Vec<u64>>>,
+    pub known: Mutex<BTreeMap<String, Vec<u64>>>,
     /// Faults in force that a planned stop does not excuse, and all that were yet.
-    wild: (AtomicU64, AtomicU64),
-    seen: Mutex<Vec<(Seen, u64)>>,
-    over: AtomicBool,
+    pub wild: (AtomicU64, AtomicU64),
+    pub seen: Mutex<Vec<(Seen, u64)>>,
+    pub over: AtomicBool,
 }
 
 /// Says that a play is over once it is dropped.
@@ -360,167 +356,6 @@
             thread::sleep(Duration::from_millis(50));
         }
     }
-
-    /// Watches which configuration a host has in force, until the play is over.
-    fn probe(&self, host: usize) {
-        let mut count = 0;
-        while !self.over.load(Ordering::SeqCst) {
-            let newest = self.version.load(Ordering::SeqCst);
-            let door = self.door(host);
-            for version in (1..=newest).rev() {
-                count += 1;
-                let id = format!("probe-{host}-{count}");
-                let path = format!("/v{version}/x");
-                if send(&door, &path, &id, &[]).is_some_and(|answer| answer.status == 200) {
-                    let mut known = self.known.lock().expect("no panic");
-                    known.entry(door.name.clone()).or_default().push(version);
-                    break;
-                }
-            }
-            thread::sleep(Duration::from_millis(30));
-        }
-    }
-
-    fn door(&self, host: usize) -> Door {
-        self.doors.lock().expect("no panic")[host].clone()
-    }
-
-    /// Sends requests until the play is over.
-    fn call(&self, seed: u64, number: u64) {
-        let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(CALLERS) + number);
-        let mut count = 0;
-        while !self.over.load(Ordering::SeqCst) {
-            count += 1;
-            let door = self.door(rng.random_range(0..HOSTS));
-            let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
-            self.request(&door, kind, &format!("c{number}-{count}"));
-            thread::sleep(PAUSE);
-        }
-    }
-
-    /// Sends a request and notes what came of it; returns whether it was served whole.
-    fn request(&self, door: &Door, kind: Kind, id: &str) -> bool {
-        let wild = |count: &AtomicU64| count.load(Ordering::SeqCst);
-        let all = self.known.lock().expect("no panic");
-        let knows = all.get(&door.name).and_then(|all| all.last()).copied();
-        drop(all);
-        let before = (wild(&self.wild.0), wild(&self.wild.1));
-        let more: &[(&str, &str)] = match kind {
-            Kind::Once | Kind::Again => &[],
-            Kind::Long => &LONG,
-            Kind::Short => &SHORT,
-        };
-        let answer = send(door, kind.path(), id, more);
-        let after = (wild(&self.wild.0), wild(&self.wild.1));
-        let header = |name: &str| Some(answer.as_ref()?.header(name)?.to_owned());
-        let seen = Seen {
-            id: id.to_owned(),
-            kind,
-            status: answer.as_ref().map(|answer| answer.status),
-            echo: header("x-chiveway-attempt-id"),
-            stamp: header("x-chiveway-server-stamp"),
-            body: answer.as_ref().map_or(String::new(), http::Answer::text),
-            whole: answer.as_ref().is_some_and(|answer| answer.whole),
-            calm: before.0 == 0 && before == after,
-        };
-        let served = seen.status == Some(200) && seen.whole;
-        self.seen
-            .lock()
-            .expect("no panic")
-            .push((seen, knows.unwrap_or(0)));
-        served
-    }
-
-    /// Returns the kinds of requests that a host does not serve again in time.
-    fn served_within(&self, round: &str, host: usize, limit: Duration) -> Vec<String> {
-        let start = Instant::now();
-        let mut missing = Vec::new();
-        for kind in Kind::ALL {
-            let mut count = 0;
-            loop {
-                count += 1;
-                let door = self.door(host);
-                let id = format!("r{}-{kind:?}-{count}-{round}", door.name);
-                if self.request(&door, kind, &id) {
-                    break;
-                }
-                if start.elapsed() > limit {
-                    let over = self.hosts[host].lock().expect("no panic").process.is_over();
-                    let state = if over { "has ended" } else { "lives" };
-                    missing.push(format!(
-                        "{} {}, its process {state}",
-                        door.name,
-                        kind.path()
-                    ));
-                    break;
-                }
-                thread::sleep(PAUSE);
-            }
-        }
-        missing
-    }
-
-    fn unrecovered(&self) -> Vec<String> {
-        (0..HOSTS)
-            .flat_map(|host| self.served_within("end", host, LIMIT))
-            .collect()
-    }
-
-    /// Puts together what callers and servers saw.
-    fn record(&self, unrecovered: Vec<String>) -> Record {
-        let seen = self.seen.lock().expect("no panic").clone();
-        let knows: BTreeMap<String, u64> = seen
-            .iter()
-            .map(|(seen, knows)| (seen.id.clone(), *knows))
-            .collect();
-        let mut record = Record {
-            seen: seen.into_iter().map(|(seen, _)| seen).collect(),
-            versions: self.known.lock().expect("no panic").clone(),
-            unrecovered,
-            ..Record::default()
-        };
-        for server in &*self.servers.lock().expect("no panic") {
-            for (path, head, body) in server.engine.all() {
-                take(&mut record, server, &path, &head, &body, &knows);
-            }
-        }
-        record
-    }
-}
-
-/// Takes one request that a server got into the record.
-fn take(
-    record: &mut Record,
-    server: &Server,
-    path: &str,
-    head: &str,
-    body: &[u8],
-    knows: &BTreeMap<String, u64>,
-) {
-    let name = server.engine.id.clone();
-    if path == "/v1/order" {
-        let order: Value = serde_json::from_slice(body).unwrap_or_default();
-        record.orders.push(Order {
-            engine: name,
-            holder: order["holder"].as_str().unwrap_or_default().to_owned(),
-            fence: order["fencingToken"].as_u64().unwrap_or(0),
-        });
-        return;
-    }
-    let mut lines = head.lines();
-    let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
-    let id = id.unwrap_or_default().to_owned();
-    let prefill = head.contains("x-chiveway-serving-stage: prefill");
-    if prefill || id.starts_with("probe-") || path.starts_with("/v1/") {
-        return;
-    }
-    let version = knows.get(&id).copied().unwrap_or(0);
-    if server.left.is_some_and(|left| version >= left) {
-        record
-            .after_leaving
-            .push(format!("{id} at {name}, known {version}"));
-    }
-    record.runs.push(Run { server: name, id });
 }
 
 /// Returns the entry by which a server registers: behind its forwarder.
@@ -529,12 +364,3 @@
     entry["address"] = json!(server.cut.addr.to_string());
     entry
 }
-
-fn send(door: &Door, path: &str, id: &str, more: &[(&str, &str)]) -> Option<http::Answer> {
-    let mut headers = vec![
-        ("x-chiveway-attempt-id", id),
-        ("x-chiveway-deadline-ms", "2500"),
-    ];
-    headers.extend(more);
-    http::send(door.callers, "POST", path, &headers, id.as_bytes())
-}
