Save no more tokens of a prompt than it has

Cause: read in the diff: a caller that names a shared part longer than its whole prompt made the tokens that remain to be read negative; a debug build ended of it ('attempt to subtract with overflow'), a release build took that engine for full. Ruled out: proper callers, whose parts add up to their prompt. Change: what a copy saves is bounded by what is unread. Before: the test a_part_longer_than_its_prompt_saves_no_more_than_the_prompt failed; after: passes.

--- a/src/core/relay/parts.rs
+++ b/src/core/relay/parts.rs
@@ -128,7 +128,9 @@
 ) -> Option<Fetch> {
     let others = holders.iter().filter(|holder| holder.backend != key);
     let best = others.max_by_key(|holder| (holder.tokens, holder.domain == instance.domain))?;
-    let tokens = best.tokens.saturating_sub(prompt.tokens - unread);
+    let known = prompt.tokens.saturating_sub(unread);
+    // A caller may name parts that are longer than its whole prompt.
+    let tokens = best.tokens.saturating_sub(known).min(unread);
     if tokens < FETCH_LEAST || engine.link <= 0.0 {
         return None;
     }
--- a/src/core/relay/tests/parts.rs
+++ b/src/core/relay/tests/parts.rs
@@ -158,6 +158,24 @@
     );
 }
 
+/// A caller names a shared part that is longer than its whole prompt. Counted as saved in full, it
+/// would leave fewer than no tokens to read, and the host would take that engine for full for ever.
+#[test]
+fn a_part_longer_than_its_prompt_saves_no_more_than_the_prompt() {
+    let mut site = site();
+    told(&mut site, 1, &[], &["p"]);
+    site.pass(200);
+    told(&mut site, 2, &["p"], &[]);
+    let mut arrival = prompt("/long/x", (1, SHARED), OWN);
+    if let Some(prompt) = &mut arrival.prompt {
+        prompt.tokens = 1000;
+    }
+    site.arrive(arrival);
+    let sent = site.sent().expect("it is taken");
+    let tokens = site.core.relay.attempts[sent.attempt].work.tokens;
+    assert!(tokens <= 1000, "{tokens}");
+}
+
 /// Every hand-over leaves a copy of the shared part at the engine that generates. Where each request
 /// leaves one at another engine, parts fill the memory of all of them and push each other out.
 #[test]
