--- a/src/host/relay/keeper.rs
+++ b/src/host/relay/keeper.rs
@@ -29,8 +29,8 @@
 /// each, and so with every change after. What comes within the pause comes with one call.
 const PAUSE: Duration = Duration::from_millis(12);
 /// Bounds of that time. The upper one and a call stay under the two seconds after which a server that
-/// leaves must get no new work; 700 ms cost a fifth more calls at 89 hosts on a day of changes, and
-/// 0.018 of worth.
+/// leaves must get no new work; with 700 ms 89 hosts made 3,519 calls on a day of changes, with 1200
+/// ms 2,733, which was worth 0.018.
 pub(super) const PAUSES: (Duration, Duration) =
     (Duration::from_millis(150), Duration::from_millis(1200));
 /// Least time before the store is asked again after a failure.
