Learn what a hand-over to a generating engine takes

Medians were 13 to 40 ms where 35 to 60 were expected, so that prompts which would just have been in time counted as late: sent behind all others, or refused. Change: the time is learned like those of reading, common to a service and by the pace of the engine; what a stream slows others by still counts in the choice, not in what is expected.

--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -312,7 +312,7 @@
         unread: unread - fetch.map_or(0, |fetch| fetch.tokens),
         held: prompt.tokens - unread + fetch.map_or(0, |fetch| fetch.tokens),
         ahead: work.tokens,
-        fetching: fetch.map_or(0.0, |fetch| fetch.takes),
+        before: fetch.map_or(0.0, |fetch| fetch.takes),
     };
     let learned = core.relay.model.of(&call.service);
     let tokens = learned.tokens(reads.unread, reads.held);
@@ -320,10 +320,14 @@
     let base = learned.base(stage);
     let (base, after, share) = match stage {
         Stage::Prefill => (base, handover, 1.0),
-        Stage::Decode => (base + waiting(instance), 0.0, policy.beside),
+        Stage::Decode => (
+            base + queued(instance) + crowded(instance),
+            0.0,
+            policy.beside,
+        ),
     };
     let queue = load::reading(learned, instance, work.tokens);
-    let here = base + queue + reads.fetching + own;
+    let here = base + queue + reads.before + own;
     let crossing = crossing(core, call, instance, policy);
     Way {
         backend,
@@ -377,22 +381,28 @@
     }
 }
 
-/// Returns the milliseconds that a request waits for a slot, and is slowed by those that run.
-fn waiting(instance: &Instance) -> f64 {
-    let calls = instance.work().calls;
-    let over = (calls + 1).saturating_sub(instance.slots);
-    f64::from(over) / f64::from(instance.slots) * STREAM_TIME + f64::from(calls) * load::STREAM
+/// Returns the milliseconds that a request waits for a slot.
+fn queued(instance: &Instance) -> f64 {
+    let over = (instance.work().calls + 1).saturating_sub(instance.slots);
+    f64::from(over) / f64::from(instance.slots) * STREAM_TIME
+}
+
+/// Returns the milliseconds that a request is slowed by those that run, or slows them.
+fn crowded(instance: &Instance) -> f64 {
+    f64::from(instance.work().calls) * load::STREAM
 }
 
 /// Returns the milliseconds from the end of the prefill to the first token; `None` where no engine
 /// decodes.
 fn handover(core: &Core, call: &Call, prompt: &Prompt) -> Option<f64> {
     let takers = takers(core, call, Some(Stage::Decode));
-    let waits = takers
-        .iter()
-        .map(|key| waiting(&core.relay.instances.arena[*key]));
+    let learned = core.relay.model.of(&call.service);
+    let waits = takers.iter().map(|key| {
+        let instance = &core.relay.instances.arena[*key];
+        learned.handover(instance.pace) + queued(instance)
+    });
     let least = waits.min_by(f64::total_cmp)?;
-    Some(least + load::HANDOVER + transfer(core, call, prompt))
+    Some(least + transfer(core, call, prompt))
 }
 
 /// Returns what the engines of a request's service can do.
@@ -418,23 +428,25 @@
     let policy = policy(core);
     let moving = transfer(core, call, &prompt);
     let learned = core.relay.model.of(&call.service);
-    let mut best: Option<(f64, f64, BackendKey)> = None;
+    let mut best: Option<(f64, f64, f64, BackendKey)> = None;
     for backend in takers(core, call, Some(Stage::Decode)) {
         let instance = &core.relay.instances.arena[backend];
         let far = source.as_ref() != Some(&instance.domain);
         let moving = if far { moving * 2.0 } else { moving };
         let reading = load::reading(learned, instance, instance.work().tokens) * BEHIND;
-        let expected = load::HANDOVER + waiting(instance) + moving + reading;
+        let before = moving + reading + queued(instance);
+        let expected = learned.handover(instance.pace) + before;
         let brought = parts::missing(instance, &prompt);
         let cost = expected
+            + crowded(instance)
             + displaced(learned, brought)
             + instance.risk()
             + crossing(core, call, instance, policy);
         if best.is_none_or(|(least, ..)| cost < least) {
-            best = Some((cost, expected, backend));
+            best = Some((cost, expected, before, backend));
         }
     }
-    let Some((_, expected, backend)) = best else {
+    let Some((_, expected, before, backend)) = best else {
         return Err(none(core, key));
     };
     let call = &core.relay.calls[key];
@@ -451,6 +463,7 @@
         expected,
         reads: Reads {
             ahead: core.relay.instances.arena[backend].work().tokens,
+            before: before,
             ..Reads::default()
         },
         urgency: Some(if call.late {
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -13,9 +13,6 @@
 use super::model::{Learned, Sample};
 use super::{Attempt, Call, millis, note, span};
 
-/// Milliseconds from the end of the prefill to the first token at an idle engine that decodes,
-/// beside the transfer itself.
-pub const HANDOVER: f64 = 20.0;
 /// Milliseconds by which each request that runs there delays the next token.
 pub const STREAM: f64 = 0.6;
 /// Milliseconds a plain request takes before any was measured.
@@ -82,7 +79,7 @@
             ("reads", reads.unread.to_string().into()),
             ("held", reads.held.to_string().into()),
             ("ahead", reads.ahead.to_string().into()),
-            ("fetching_ms", format!("{:.0}", reads.fetching).into()),
+            ("before_ms", format!("{:.0}", reads.before).into()),
         ],
     );
     if instance.stage.is_none() {
@@ -92,13 +89,16 @@
         && matches!(task, Task::Prefill | Task::Whole)
     {
         let sample = Sample {
-            took: took - reads.fetching,
+            took: took - reads.before,
             unread: reads.unread,
             held: reads.held,
             ahead: reads.ahead,
         };
         let learned = core.relay.model.of_mut(&instance.service);
         learned.read(stage, &sample, &mut instance.pace);
+    } else if matches!(task, Task::Decode { .. }) {
+        let learned = core.relay.model.of_mut(&instance.service);
+        learned.handed_over(took - reads.before, instance.pace);
     }
 }
 
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -155,8 +155,9 @@
     pub held: u64,
     /// Work that is ahead of it, in tokens of a short prompt.
     pub ahead: u64,
-    /// Milliseconds that copying parts of its prompt from another engine takes.
-    pub fetching: f64,
+    /// Milliseconds that pass before the engine can begin: copies from another engine, and what a
+    /// hand-over waits for.
+    pub before: f64,
 }
 
 /// All that a relaying host knows.
--- a/src/core/relay/model/mod.rs
+++ b/src/core/relay/model/mod.rs
@@ -17,6 +17,11 @@
 const TOKEN: (f64, f64) = (0.025, 0.06);
 /// Milliseconds until an idle engine has read the shortest prompt, before any was measured.
 const BASE: f64 = 50.0;
+/// Milliseconds from a hand-over to the first token, before any was measured.
+const HANDOVER: f64 = 20.0;
+/// Shortest time that a hand-over is taken for, in milliseconds: a step of a fast engine. What is
+/// taken off for the transfer may be more than it was.
+const HANDOVER_LEAST: f64 = 3.0;
 /// Weight of a measurement above and below what is known of the shortest time: queues make it
 /// longer now and then, nothing makes it shorter.
 const BASE_STEP: (f64, f64) = (0.01, 0.2);
@@ -136,6 +141,8 @@
     decode: Reading,
     /// Milliseconds between two events of a stream.
     pause: Option<Common>,
+    /// Milliseconds from a hand-over to the first token, beside the transfer.
+    handover: Common,
     square: Square,
 }
 
@@ -149,6 +156,7 @@
             prefill: reading(TOKEN.0),
             decode: reading(TOKEN.1),
             pause: None,
+            handover: Common::new(HANDOVER),
             square: Square::default(),
         }
     }
@@ -242,6 +250,19 @@
         pace.learn(slow, PACE_STEP, trust);
     }
 
+    /// Returns the milliseconds from a hand-over to the first token at an engine of this pace,
+    /// beside the transfer.
+    #[must_use]
+    pub fn handover(&self, pace: Pace) -> f64 {
+        self.handover.millis * pace.slow
+    }
+
+    /// Learns from the time that a hand-over took beside the transfer and what was read before it.
+    pub fn handed_over(&mut self, millis: f64, pace: Pace) {
+        let millis = millis.max(HANDOVER_LEAST);
+        self.handover.learn(millis / pace.sure(), 1.0);
+    }
+
     /// Learns from the time between two events of a stream at an engine of this pace.
     pub fn paused(&mut self, millis: f64, pace: &mut Pace) {
         let common = self.pause.get_or_insert(Common::new(millis.max(1.0)));
