Learn which engines' links hold hand-overs up, and whose KV caches cannot be taken

Cause: while the links of three engines were slow, hand-overs from two of them took 600 to 1,170 ms at the median, and hosts went on reading a quarter of all prompts there; 39 in 100 requests of those seconds came late. Engines that were to take such a cache refused it after two seconds and were avoided for it in turn. Ruled out: the engines that generate (the same ones took 19 ms from other sources), slots and memory. Change: a hand-over that takes three times what is expected tells of a wait at a link; the link that is known to be slow is taken for the one, else both. A cache that cannot be taken counts against the engine that read it once a quarter of its caches were spoiled.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -148,7 +148,12 @@
     };
     out.push(Effect::Relay(RelayEffect::Cancel(key)));
     let (call, backend) = (attempt.call, attempt.backend);
-    blame(core, backend, how, out);
+    let source = core.relay.calls[call].cache.as_ref();
+    let source = source.map(|cache| cache.engine);
+    let source = source.filter(|_| matches!(attempt.task, Task::Decode { .. }));
+    if !spoiled(core, source, how) {
+        blame(core, backend, how, out);
+    }
     note(
         out,
         log::Level::Info,
@@ -212,6 +217,25 @@
     }
 }
 
+/// Tells whether a refusal is held against the engine that read the KV cache, in place of the one
+/// that was to take it.
+///
+/// An engine may drop what it has read at once, or its link may hold up transfers for seconds: each
+/// engine that is sent there refuses, and would be avoided for it, one after the other.
+fn spoiled(core: &mut Core, source: Option<BackendKey>, how: Break) -> bool {
+    let source = source.and_then(|key| core.relay.instances.arena.get_mut(key));
+    match source {
+        Some(source) if how == Break::Refused => {
+            source.taken(false);
+            source.spoiled > SPOILED
+        }
+        _ => false,
+    }
+}
+
+/// Part of an engine's KV caches that cannot be taken from which on it is at fault itself.
+const SPOILED: f64 = 0.25;
+
 /// Holds a failure against the backend server.
 fn blame(core: &mut Core, backend: BackendKey, how: Break, out: &mut Effects) {
     let now = core.now;
--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose.rs
@@ -219,7 +219,8 @@
         return Err(none(core, key));
     };
     let policy = policy(core);
-    let handover = handover(core, call, &prompt);
+    let handover = handover(core, call);
+    let moving = transfer(core, call, &prompt);
     let left = millis(call.end.since(core.now));
     let spent = millis(core.now.since(call.arrived));
     let wanted = millis(call.route.target) * policy.patience - spent;
@@ -229,11 +230,12 @@
         if stage == Stage::Prefill && handover.is_none() {
             continue;
         }
-        let after = handover.unwrap_or(0.0);
         let takers = takers(core, call, Some(stage)).into_iter();
-        ways.extend(
-            takers.map(|backend| way(core, call, &prompt, backend, after, &holders, policy)),
-        );
+        ways.extend(takers.map(|backend| {
+            let waits = core.relay.instances.arena[backend].link.wait(core.now);
+            let after = handover.unwrap_or(0.0) + moving + waits;
+            way(core, call, &prompt, backend, after, &holders, policy)
+        }));
     }
     let cheapest = |ways: &mut dyn Iterator<Item = &Way>| {
         ways.min_by(|one, two| one.cost.total_cmp(&two.cost))
@@ -313,6 +315,7 @@
         held: prompt.tokens - unread + fetch.map_or(0, |fetch| fetch.tokens),
         ahead: work.tokens,
         before: fetch.map_or(0.0, |fetch| fetch.takes),
+        ..Reads::default()
     };
     let learned = core.relay.model.of(&call.service);
     let tokens = learned.tokens(reads.unread, reads.held);
@@ -329,6 +332,10 @@
     let queue = load::reading(learned, instance, work.tokens);
     let here = base + queue + reads.before + own;
     let crossing = crossing(core, call, instance, policy);
+    let vain = match stage {
+        Stage::Prefill => instance.vain(own),
+        Stage::Decode => 0.0,
+    };
     Way {
         backend,
         stage,
@@ -343,7 +350,8 @@
             + load::usual(instance, own) * policy.work * share
             + displaced(learned, fetch.map_or(0, |fetch| fetch.tokens))
             + crossing
-            + instance.risk(),
+            + instance.risk()
+            + vain,
     }
 }
 
@@ -392,17 +400,16 @@
     f64::from(instance.work().calls) * load::STREAM
 }
 
-/// Returns the milliseconds from the end of the prefill to the first token; `None` where no engine
-/// decodes.
-fn handover(core: &Core, call: &Call, prompt: &Prompt) -> Option<f64> {
+/// Returns the milliseconds from the end of the prefill to the first token, beside the transfer;
+/// `None` where no engine decodes.
+fn handover(core: &Core, call: &Call) -> Option<f64> {
     let takers = takers(core, call, Some(Stage::Decode));
     let learned = core.relay.model.of(&call.service);
     let waits = takers.iter().map(|key| {
         let instance = &core.relay.instances.arena[*key];
         learned.handover(instance.pace) + queued(instance)
     });
-    let least = waits.min_by(f64::total_cmp)?;
-    Some(least + transfer(core, call, prompt))
+    waits.min_by(f64::total_cmp)
 }
 
 /// Returns what the engines of a request's service can do.
@@ -424,18 +431,27 @@
     };
     let prompt = call.prompt.clone().unwrap_or_default();
     let source = core.relay.instances.arena.get(cache.engine);
+    let waits = source.map_or(0.0, |instance| instance.link.wait(core.now));
     let source = source.map(|instance| instance.domain.clone());
     let policy = policy(core);
     let moving = transfer(core, call, &prompt);
     let learned = core.relay.model.of(&call.service);
-    let mut best: Option<(f64, f64, f64, BackendKey)> = None;
+    let mut best: Option<(f64, Reads, f64, BackendKey)> = None;
     for backend in takers(core, call, Some(Stage::Decode)) {
         let instance = &core.relay.instances.arena[backend];
         let far = source.as_ref() != Some(&instance.domain);
         let moving = if far { moving * 2.0 } else { moving };
+        let link = waits.max(instance.link.wait(core.now));
         let reading = load::reading(learned, instance, instance.work().tokens) * BEHIND;
-        let before = moving + reading + queued(instance);
-        let expected = learned.handover(instance.pace) + before;
+        let queue = reading + queued(instance);
+        let own = learned.handover(instance.pace);
+        let reads = Reads {
+            before: moving + link + queue,
+            moving,
+            rest: own + queue,
+            ..Reads::default()
+        };
+        let expected = own + reads.before;
         let brought = parts::missing(instance, &prompt);
         let cost = expected
             + crowded(instance)
@@ -443,10 +459,10 @@
             + instance.risk()
             + crossing(core, call, instance, policy);
         if best.is_none_or(|(least, ..)| cost < least) {
-            best = Some((cost, expected, before, backend));
+            best = Some((cost, reads, expected, backend));
         }
     }
-    let Some((_, expected, before, backend)) = best else {
+    let Some((_, reads, expected, backend)) = best else {
         return Err(none(core, key));
     };
     let call = &core.relay.calls[key];
@@ -461,11 +477,7 @@
             ..Work::default()
         },
         expected,
-        reads: Reads {
-            ahead: core.relay.instances.arena[backend].work().tokens,
-            before: before,
-            ..Reads::default()
-        },
+        reads,
         urgency: Some(if call.late {
             TAKEN_OVER + 1
         } else {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -7,7 +7,7 @@
 use slotmap::SlotMap;
 
 use super::event::{Changes, Entry, LoadWord, Stage};
-use super::model::Pace;
+use super::model::{Link, Pace};
 use super::parts::Part;
 use crate::core::key::{BackendKey, HostKey};
 use crate::core::time::Time;
@@ -71,6 +71,10 @@
     pub retry: Time,
     /// How fast it is against the other engines of its service.
     pub pace: Pace,
+    /// How slow its link is.
+    pub link: Link,
+    /// Part of the KV caches read there that could not be taken lately.
+    pub spoiled: f64,
     /// Part of the requests that failed there lately.
     pub errors: f64,
     /// Milliseconds a plain request takes there; 0 before the first.
@@ -147,6 +151,8 @@
             refusals: 0,
             retry: Time::default(),
             pace: Pace::default(),
+            link: Link::default(),
+            spoiled: 0.0,
             errors: 0.0,
             latency: 0.0,
             heard: None,
@@ -219,6 +225,19 @@
         self.errors / (1.0 - self.errors).max(RISK_LEAST) * VAIN
     }
 
+    /// Notes whether a KV cache that was read there could be taken.
+    pub fn taken(&mut self, taken: bool) {
+        let spoiled = if taken { 0.0 } else { 1.0 };
+        self.spoiled += (spoiled - self.spoiled) * ERROR_STEP;
+    }
+
+    /// Returns the milliseconds that reading a prompt there is expected to lose, where it takes
+    /// this long: what cannot be taken over is read again elsewhere.
+    #[must_use]
+    pub fn vain(&self, millis: f64) -> f64 {
+        self.spoiled / (1.0 - self.spoiled).max(RISK_LEAST) * (VAIN + millis)
+    }
+
     /// Notes that it answered.
     pub fn works(&mut self) {
         self.fails = 0;
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use super::super::key::AttemptKey;
+use super::super::key::{AttemptKey, BackendKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::event::{Stage, Task};
@@ -97,8 +97,55 @@
         let learned = core.relay.model.of_mut(&instance.service);
         learned.read(stage, &sample, &mut instance.pace);
     } else if matches!(task, Task::Decode { .. }) {
+        handed_over(core, key, took);
+    }
+}
+
+/// Times as long as expected that a hand-over may take before it waited for a link: engines that
+/// read a long prompt meanwhile, or start a step for many streams, take twice as long now and then.
+const LINK_TIMES: f64 = 3.0;
+
+/// Learns from the time that a hand-over took: what engines need for it, or which link is slow.
+fn handed_over(core: &mut Core, key: AttemptKey, took: f64) {
+    let attempt = &core.relay.attempts[key];
+    let (target, reads) = (attempt.backend, attempt.reads);
+    let source = core.relay.calls.get(attempt.call);
+    let source = source.and_then(|call| call.cache.as_ref().map(|cache| cache.engine));
+    let now = core.now;
+    let arena = &mut core.relay.instances.arena;
+    let usual = reads.rest + reads.moving;
+    let waited = if took > usual * LINK_TIMES {
+        took - usual
+    } else {
+        0.0
+    };
+    if waited == 0.0
+        && let Some(instance) = arena.get(target)
+    {
+        let own = took - reads.before;
         let learned = core.relay.model.of_mut(&instance.service);
-        learned.handed_over(took - reads.before, instance.pace);
+        learned.handed_over(own, instance.pace);
+    }
+    let explains = |key: &BackendKey| {
+        arena
+            .get(*key)
+            .is_some_and(|instance| instance.link.explains(waited, now))
+    };
+    let both: Vec<BackendKey> = source.into_iter().chain([target]).collect();
+    // Where one is known to be slow, the other is not blamed for it.
+    let blamed: Vec<BackendKey> = both.iter().copied().filter(explains).collect();
+    let measured = if waited > 0.0 && !blamed.is_empty() {
+        blamed
+    } else {
+        both
+    };
+    for key in measured {
+        if let Some(instance) = arena.get_mut(key) {
+            instance.link.learn(waited, now);
+        }
+    }
+    if let Some(instance) = source.and_then(|key| arena.get_mut(key)) {
+        instance.taken(true);
     }
 }
 
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -158,6 +158,10 @@
     /// Milliseconds that pass before the engine can begin: copies from another engine, and what a
     /// hand-over waits for.
     pub before: f64,
+    /// Milliseconds of these that a hand-over's transfer takes over links at their speed.
+    pub moving: f64,
+    /// Milliseconds that the hand-over takes beside the transfer.
+    pub rest: f64,
 }
 
 /// All that a relaying host knows.
--- a/src/core/relay/model/mod.rs
+++ b/src/core/relay/model/mod.rs
@@ -3,6 +3,7 @@
 //! Engines are not described: neither how fast they read, nor how much one differs from another.
 //! Nothing here knows of requests or hosts; the caller brings measurements and asks for times.
 
+mod link;
 mod square;
 #[cfg(test)]
 mod tests;
@@ -10,6 +11,7 @@
 use std::collections::BTreeMap;
 
 use super::event::Stage;
+pub use link::Link;
 use square::Square;
 
 /// Milliseconds a token takes at an engine that prefills, and at one that generates, before any
