--- a/src/core/relay/choose.rs
+++ b/src/core/relay/choose/mod.rs
@@ -1,8 +1,9 @@
 //! Which backend server a request goes to, and whether it is taken at all.
 
-use std::time::Duration;
+mod handover;
+mod plain;
 
-use rand::RngExt;
+use std::time::Duration;
 
 use super::super::Core;
 use super::super::effect::Refusal;
@@ -13,15 +14,12 @@
 use super::instance::{Instance, Work};
 use super::model::Learned;
 use super::parts::{Fetch, Holder};
-use super::{Call, Reads, Repeat, load, millis, parts, span};
+use super::{Call, Reads, load, millis, parts, span};
 use crate::error::Kind;
 use crate::settings::relay::Policy;
 
 /// Urgency of requests that can no longer be in time.
 const LATE: u8 = 8;
-/// Urgency of a request whose prompt is read: all but a step of the work is done, and behind the
-/// prompts that its engine reads itself it would wait for them.
-const TAKEN_OVER: u8 = 0;
 /// Urgency of the most urgent rank; each rank below adds one.
 const URGENT: u8 = 2;
 /// Part of the time that is left which the expected time may take: a caller that waits longer
@@ -29,9 +27,6 @@
 const HOPE: f64 = 0.7;
 /// Milliseconds a stream lasts that waits for a slot at a full engine, by rule of thumb.
 const STREAM_TIME: f64 = 250.0;
-/// Part of the time for the prompts that an engine reads itself by which a handed-over request waits
-/// for them.
-const BEHIND: f64 = 0.5;
 /// Part of the shortest wanted time that the queue may be long for what is late in any case.
 const SPARE: f64 = 0.2;
 /// Part of the wanted time that the queue may be long for a request that no engine could answer in
@@ -44,8 +39,6 @@
 /// of 9, 44 and 89 engines: worth 0.609, 0.600, 0.567 with 0; 0.605, 0.618, 0.587 with 0.1; 0.619,
 /// 0.628, 0.591 with 0.3.
 const DISPLACED: f64 = 0.3;
-/// Requests that wait at a plain server for each it runs, from which on it sheds.
-const QUEUE: u32 = 3;
 
 /// Where a request goes.
 #[derive(Debug, Clone)]
@@ -83,12 +76,12 @@
     });
     if engines && call.prompt.is_some() {
         if call.cache.is_some() {
-            decode(core, key)
+            handover::choose(core, key)
         } else {
             fresh(core, key)
         }
     } else {
-        plain(core, key)
+        plain::choose(core, key)
     }
 }
 
@@ -143,54 +136,6 @@
     .retry(retry)
 }
 
-/// Chooses for a plain service: the one expected to answer first.
-fn plain(core: &mut Core, key: CallKey) -> Result<Choice, Refusal> {
-    let call = &core.relay.calls[key];
-    let takers = takers(core, call, None);
-    let domain = core.settings.host.domain.clone();
-    let mut best: Option<(f64, f64, BackendKey)> = None;
-    for backend in takers {
-        let instance = &core.relay.instances.arena[backend];
-        let calls = instance.work().calls;
-        if calls >= instance.slots * (1 + QUEUE) {
-            continue;
-        }
-        let ahead = f64::from(calls) / f64::from(instance.slots);
-        let expected = load::latency(instance) * (1.0 + (ahead - 0.5).max(0.0));
-        let crossing = if instance.domain == domain { 0.0 } else { 2.0 };
-        let noise: f64 = core.rng.random_range(0.9..1.1);
-        let cost = expected * (1.0 + ahead * 0.3) * noise + crossing + instance.risk();
-        if best.is_none_or(|(least, ..)| cost < least) {
-            best = Some((cost, expected, backend));
-        }
-    }
-    let Some((_, expected, backend)) = best else {
-        return Err(none(core, key));
-    };
-    let call = &core.relay.calls[key];
-    if expected > millis(call.end.since(core.now)) * HOPE {
-        let detail = format!("an answer would take {expected:.0} ms");
-        let retry = come_back(core, expected / 2.0);
-        return Err(Refusal::new(Kind::Overloaded, detail).retry(retry));
-    }
-    let silence = (call.route.repeat == Repeat::Idempotent)
-        .then(|| call.route.target.max(span(expected * 3.0)));
-    Ok(Choice {
-        backend,
-        task: Task::Whole,
-        work: Work {
-            calls: 1,
-            ..Work::default()
-        },
-        expected,
-        reads: Reads::default(),
-        urgency: None,
-        late: false,
-        fetch: None,
-        silence,
-    })
-}
-
 /// One way to serve a model request.
 #[derive(Debug, Clone, Copy)]
 struct Way {
@@ -219,7 +164,7 @@
         return Err(none(core, key));
     };
     let policy = policy(core);
-    let handover = handover(core, call);
+    let handover = handover::expected(core, call);
     let moving = transfer(core, call, &prompt);
     let left = millis(call.end.since(core.now));
     let spent = millis(core.now.since(call.arrived));
@@ -400,18 +345,6 @@
     f64::from(instance.work().calls) * load::STREAM
 }
 
-/// Returns the milliseconds from the end of the prefill to the first token, beside the transfer;
-/// `None` where no engine decodes.
-fn handover(core: &Core, call: &Call) -> Option<f64> {
-    let takers = takers(core, call, Some(Stage::Decode));
-    let learned = core.relay.model.of(&call.service);
-    let waits = takers.iter().map(|key| {
-        let instance = &core.relay.instances.arena[*key];
-        learned.handover(instance.pace) + queued(instance)
-    });
-    waits.min_by(f64::total_cmp)
-}
-
 /// Returns what the engines of a request's service can do.
 fn engine<'a>(core: &'a Core, call: &Call) -> Option<&'a Engine> {
     let catalog = core.relay.catalog.as_ref()?;
@@ -422,69 +355,3 @@
 fn transfer(core: &Core, call: &Call, prompt: &Prompt) -> f64 {
     engine(core, call).map_or(0.0, |engine| parts::transfer(engine, prompt.tokens))
 }
-
-/// Chooses the engine that goes on from a KV cache.
-fn decode(core: &mut Core, key: CallKey) -> Result<Choice, Refusal> {
-    let call = &core.relay.calls[key];
-    let Some(cache) = call.cache.clone() else {
-        return Err(none(core, key));
-    };
-    let prompt = call.prompt.clone().unwrap_or_default();
-    let source = core.relay.instances.arena.get(cache.engine);
-    let waits = source.map_or(0.0, |instance| instance.link.wait(core.now));
-    let source = source.map(|instance| instance.domain.clone());
-    let policy = policy(core);
-    let moving = transfer(core, call, &prompt);
-    let learned = core.relay.model.of(&call.service);
-    let mut best: Option<(f64, Reads, f64, BackendKey)> = None;
-    for backend in takers(core, call, Some(Stage::Decode)) {
-        let instance = &core.relay.instances.arena[backend];
-        let far = source.as_ref() != Some(&instance.domain);
-        let moving = if far { moving * 2.0 } else { moving };
-        let link = waits.max(instance.link.wait(core.now));
-        let reading = load::reading(learned, instance, instance.work().tokens) * BEHIND;
-        let queue = reading + queued(instance);
-        let own = learned.handover(instance.pace);
-        let reads = Reads {
-            before: moving + link + queue,
-            moving,
-            rest: own + queue,
-            ..Reads::default()
-        };
-        let expected = own + reads.before;
-        let brought = parts::missing(instance, &prompt);
-        let cost = expected
-            + crowded(instance)
-            + displaced(learned, brought)
-            + instance.risk()
-            + crossing(core, call, instance, policy);
-        if best.is_none_or(|(least, ..)| cost < least) {
-            best = Some((cost, reads, expected, backend));
-        }
-    }
-    let Some((_, reads, expected, backend)) = best else {
-        return Err(none(core, key));
-    };
-    let call = &core.relay.calls[key];
-    Ok(Choice {
-        backend,
-        task: Task::Decode {
-            from: cache.addr,
-            handle: cache.handle,
-        },
-        work: Work {
-            calls: 1,
-            ..Work::default()
-        },
-        expected,
-        reads,
-        urgency: Some(if call.late {
-            TAKEN_OVER + 1
-        } else {
-            TAKEN_OVER
-        }),
-        late: call.late,
-        fetch: None,
-        silence: Some(span(expected * 3.0 + 300.0)),
-    })
-}
