Write a line for each failed call of the store, and tell how old a host's view is

Hosts went on with an old configuration for seconds after an outage of the store, and neither logs nor metrics could tell a watch that waits in vain from one that heard of nothing: a lost call left no line, the counts of store calls stood at 0 at hosts that relay. No decision changes.

--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -321,6 +321,7 @@
 }
 
 fn watched(core: &mut Core, watch: Watch, out: &mut Effects) {
+    let heard = core.relay.heard.map(|heard| core.now.since(heard));
     if watch == Watch::Open {
         core.relay.heard = Some(core.now);
     }
@@ -332,7 +333,14 @@
         Watch::Open => (log::Level::Info, "store.up"),
         Watch::Broken => (log::Level::Warn, "store.down"),
     };
-    note(out, level, name, Vec::new());
+    // How long this host had to act on what it knew before.
+    let heard = heard.map(|heard| heard.as_millis().to_string().into());
+    note(
+        out,
+        level,
+        name,
+        vec![("heard_ms", heard.unwrap_or_default())],
+    );
 }
 
 /// Puts settings in force that were read again; listeners and the name stay as they are.
--- a/src/host/meters.rs
+++ b/src/host/meters.rs
@@ -2,9 +2,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter as Otel, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter as Otel, MeterProvider};
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -41,6 +42,7 @@
     retried: Counter<u64>,
     ordered: Counter<u64>,
     calls: Counter<u64>,
+    heard: Gauge<f64>,
     seen: Cell<Calls>,
     customers: RefCell<BTreeMap<Box<str>, u32>>,
     named: RefCell<Vec<Box<str>>>,
@@ -84,6 +86,11 @@
             retried: counter("chiveway_retries", "Attempts beyond the first"),
             ordered: counter("chiveway_orders", "Orders given to engines"),
             calls: counter("chiveway_store_calls", "Calls of the key-value service"),
+            heard: meter
+                .f64_gauge("chiveway_store_heard")
+                .with_description("Time since the key-value service last told of its state")
+                .with_unit("s")
+                .build(),
             registry,
             _provider: provider,
             seen: Cell::default(),
@@ -168,6 +175,11 @@
         }
     }
 
+    /// Takes in how long ago the key-value service last told of its state.
+    pub fn heard(&self, ago: Duration) {
+        self.heard.record(ago.as_secs_f64(), &[]);
+    }
+
     /// Returns everything in Prometheus' text form.
     #[must_use]
     pub fn text(&self) -> Option<String> {
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -198,7 +198,16 @@
 }
 
 pub(super) fn metrics(node: &Rc<Node>) -> Response {
-    node.meters.store(&node.store.calls());
+    let relay = node.look(|core| core.settings.relay.is_some());
+    let calls = if relay {
+        node.relay.calls.get()
+    } else {
+        node.store.calls()
+    };
+    node.meters.store(&calls);
+    if let Some(heard) = node.look(|core| core.relay.heard) {
+        node.meters.heard(super::timer::now().since(heard));
+    }
     match node.meters.text() {
         Some(body) => text(StatusCode::OK, &body),
         None => problem::answer(&Refusal::new(Kind::Internal, "the metrics are lost"), ""),
--- a/src/host/relay/keeper.rs
+++ b/src/host/relay/keeper.rs
@@ -5,16 +5,19 @@
 use std::time::Duration;
 
 use snafu::Snafu;
+use tokio::time::Instant;
 
-use super::tell;
+use super::{journal, tell};
 use crate::backend::channel::{Call, ChannelError};
+use crate::core::effect::Note;
 use crate::core::event::{Job, StoreEvent, StoreReply, StoreResult};
 use crate::core::relay::event::{Changes, RelayEvent, Watch};
 use crate::core::{Effect, Event};
 use crate::error::Ran;
 use crate::host::node::Node;
+use crate::platform::store::Kind;
 use crate::platform::{self, store};
-use crate::store::{Compare, Op, Txn};
+use crate::store::{Calls, Compare, Op, Txn};
 
 /// Time one call may take: far above the slowest answer of a store that is of use.
 const CALL: Duration = Duration::from_secs(3);
@@ -74,10 +77,59 @@
     }
 }
 
+/// Makes a call; counts it, and writes a line where it fails.
+///
+/// Without the line nothing tells a store that is away from a call that was lost, and how long a
+/// host held on to it.
 async fn ask(
     node: &Rc<Node>,
     call: store::Call,
     time: Duration,
+) -> Result<(u16, bytes::Bytes), Trouble> {
+    let kind = call.kind;
+    count(node, |calls| match kind {
+        Kind::Range => calls.range += 1,
+        Kind::Watch => calls.watch += 1,
+        Kind::Txn => calls.txn += 1,
+        Kind::Grant => calls.grant += 1,
+        Kind::Keepalive => calls.keepalive += 1,
+        Kind::Revoke => calls.revoke += 1,
+    });
+    let sent = Instant::now();
+    let result = send(node, call, time).await;
+    let (ran, why) = match &result {
+        Ok((status, _)) if *status == 429 || *status >= 500 => {
+            (Ran::No, format!("the store answered {status}"))
+        }
+        Ok(_) => return result,
+        Err(trouble) => (trouble.ran(), trouble.to_string()),
+    };
+    count(node, |calls| match ran {
+        Ran::No => calls.refused += 1,
+        Ran::Yes | Ran::Unknown => calls.unknown += 1,
+    });
+    journal::write(&Note {
+        level: log::Level::Info,
+        name: "store.call_failed",
+        fields: vec![
+            ("call", kind.name().into()),
+            ("after_ms", sent.elapsed().as_millis().to_string().into()),
+            ("why", why.into()),
+        ],
+    });
+    result
+}
+
+fn count(node: &Rc<Node>, change: impl FnOnce(&mut Calls)) {
+    let mut calls = node.relay.calls.get();
+    change(&mut calls);
+    node.relay.calls.set(calls);
+}
+
+async fn send(
+    node: &Rc<Node>,
+    call: store::Call,
+    time: Duration,
 ) -> Result<(u16, bytes::Bytes), Trouble> {
     let addr = node.look(|core| core.settings.relay.as_ref().map(|relay| relay.store));
     let Some(addr) = addr else {
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -26,6 +26,7 @@
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::event::{Arrival, RelayEffect, RelayEvent};
 use crate::platform::header::Header;
+use crate::store::Calls;
 
 /// A request as it is to be written to backend servers.
 #[derive(Debug, Clone)]
@@ -96,6 +97,8 @@
     pub channels: Channels,
     /// Connections to the store.
     pub store: Channels,
+    /// Calls of the store made so far.
+    pub calls: Cell<Calls>,
     live: RefCell<SecondaryMap<CallKey, Live>>,
     arriving: RefCell<Option<Live>>,
     arrived: Cell<Option<CallKey>>,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,9 +14,43 @@
 
 use crate::store::{Compare, Op, Pair, Range, Reply, Span, Txn, TxnReply};
 
+/// Kind of call, as logs and counts name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// A read of a page of keys.
+    Range,
+    /// A wait for changes.
+    Watch,
+    /// A transaction.
+    Txn,
+    /// A lease is asked for.
+    Grant,
+    /// A lease is renewed.
+    Keepalive,
+    /// A lease is given back.
+    Revoke,
+}
+
+impl Kind {
+    /// Returns its name.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Range => "range",
+            Self::Watch => "watch",
+            Self::Txn => "txn",
+            Self::Grant => "grant",
+            Self::Keepalive => "keepalive",
+            Self::Revoke => "revoke",
+        }
+    }
+}
+
 /// One call, as it is to be written.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Call {
+    /// What it is.
+    pub kind: Kind,
     /// HTTP method.
     pub method: &'static str,
     /// Path with query.
@@ -43,16 +77,18 @@
     pub more: bool,
 }
 
-fn get(path: String) -> Call {
+fn get(kind: Kind, path: String) -> Call {
     Call {
+        kind,
         method: "GET",
         path,
         body: Vec::new(),
     }
 }
 
-fn post(path: &str, body: &Value) -> Call {
+fn post(kind: Kind, path: &str, body: &Value) -> Call {
     Call {
+        kind,
         method: "POST",
         path: path.to_owned(),
         body: body.to_string().into_bytes(),
@@ -70,7 +106,7 @@
         // Writing to a string does not fail.
         let _ = write!(path, "&after={}", escape(after));
     }
-    get(path)
+    get(Kind::Range, path)
 }
 
 /// Returns the call that waits for changes after a revision.
@@ -78,22 +114,22 @@
 pub fn watch(prefix: &str, after: i64, wait: Duration) -> Call {
     let prefix = escape(prefix);
     let wait = wait.as_millis();
-    get(format!(
-        "/v1/kv-watch?prefix={prefix}&after={after}&waitMs={wait}"
-    ))
+    let path = format!("/v1/kv-watch?prefix={prefix}&after={after}&waitMs={wait}");
+    get(Kind::Watch, path)
 }
 
 /// Returns the call that asks for a lease.
 #[must_use]
 pub fn grant(life: Duration) -> Call {
     let millis = u64::try_from(life.as_millis()).unwrap_or(u64::MAX);
-    post("/v1/kv-lease", &json!({ "ttlMs": millis }))
+    post(Kind::Grant, "/v1/kv-lease", &json!({ "ttlMs": millis }))
 }
 
 /// Returns the call that renews a lease.
 #[must_use]
 pub fn keep(lease: i64) -> Call {
     Call {
+        kind: Kind::Keepalive,
         method: "POST",
         path: format!("/v1/kv-keep/{lease}"),
         body: Vec::new(),
@@ -104,6 +140,7 @@
 #[must_use]
 pub fn end(lease: i64) -> Call {
     Call {
+        kind: Kind::Revoke,
         method: "DELETE",
         path: format!("/v1/kv-lease-end/{lease}"),
         body: Vec::new(),
@@ -136,7 +173,7 @@
         "setKeys": puts.collect::<Vec<_>>(),
         "remove": removes.collect::<Vec<_>>(),
     });
-    post("/v1/kv-txn", &body)
+    post(Kind::Txn, "/v1/kv-txn", &body)
 }
 
 /// Reads the answer to [`range`].
