Show that a host misses what changes while the store is silent

The stand-in store learns to fall silent: it takes calls and answers none, and their connections live on. Two tests fail on the code as it is, and are listed as known red: a route that was added is refused as unknown, and a server that announced its end still gets requests, two renewals of the host's lease after the store's return.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,6 +7,7 @@
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
+mod silence;
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
 mod stop;
--- /dev/null
+++ b/tests/relay/silence.rs
@@ -0,0 +1,73 @@
+//! A store that falls silent: it takes calls and answers none, and the connections on which they came
+//! live on and bring nothing, also after it answers again.
+
+use serde_json::Value;
+
+use super::standin::{Engine, config};
+use super::{Site, wait_for};
+
+/// Writes a key while the store is silent, and has it answer again once the host's watch is lost.
+fn put_in_silence(site: &Site, key: &str, value: &Value) {
+    let before = site.store.lost_watches();
+    site.store.fall_silent();
+    site.store.put(key, value);
+    wait_for("a lost watch", || site.store.lost_watches() > before);
+    site.store.answer();
+}
+
+/// Key of the host's registration, whose lease it renews each four seconds.
+const HOST: &str = "chiveway/hosts/host-1";
+/// Renewals after the store's return before which the host must know what the store knows. The
+/// first may come at any moment.
+const RENEWALS: u32 = 2;
+
+/// Waits until the store has answered those renewals, or something holds; tells whether it held.
+fn before_renewals(site: &Site, mut holds: impl FnMut() -> bool) -> bool {
+    let end = site.store.renewed(HOST) + RENEWALS;
+    let mut held = false;
+    wait_for("the renewals", || {
+        held = holds();
+        held || site.store.renewed(HOST) >= end
+    });
+    held
+}
+
+/// The store falls silent, and the operator changes the configuration meanwhile. The host's watch is
+/// among the calls that never get an answer. Callers went on being sent by the old version, and a
+/// route that was added was refused as unknown, for up to 21.5 s after the store's return.
+#[test]
+fn a_change_made_in_a_silence_is_known_soon_after() {
+    let plain = Engine::plain("s-1");
+    let site = Site::ready(&[&plain]);
+    let status = |path: &str| site.send(path, "id", &[]).map(|answer| answer.status);
+    assert_eq!(status("/new/x"), Some(404));
+    put_in_silence(&site, "op/config", &config(2, "/new/"));
+    // No engine is registered: a route that is known is refused as having none.
+    let known = before_renewals(&site, || status("/new/x") != Some(404));
+    assert!(
+        known,
+        "the watch that was lost still waits:\n{}",
+        site.log()
+    );
+}
+
+/// The store falls silent, and a backend server announces meanwhile that it leaves. The host's watch
+/// is among the calls that never get an answer. Callers were still sent to the server when it
+/// ended, and their requests failed.
+#[test]
+fn a_server_that_leaves_in_a_silence_soon_gets_nothing_more() {
+    let (one, two) = (Engine::plain("s-1"), Engine::plain("s-2"));
+    let site = Site::ready(&[&one, &two]);
+    let served = |server: &Engine| {
+        let before = server.seen("/once/x").len();
+        for _ in 0..20 {
+            site.send("/once/x", "id", &[]).expect("an answer");
+        }
+        server.seen("/once/x").len() - before
+    };
+    let leaving = if served(&one) > 0 { &one } else { &two };
+    let key = format!("servers/{}", leaving.id);
+    put_in_silence(&site, &key, &leaving.entry("draining"));
+    let left = before_renewals(&site, || served(leaving) == 0);
+    assert!(left, "the watch that was lost still waits:\n{}", site.log());
+}
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -111,6 +111,12 @@
     keys: BTreeMap<String, (Vec<u8>, i64, i64)>,
     history: Vec<Change>,
     away: bool,
+    /// Whether calls and answers are swallowed, and their connections live on.
+    silent: bool,
+    /// Watches that were swallowed.
+    lost_watches: u32,
+    /// Renewals answered, by lease.
+    renewed: BTreeMap<i64, u32>,
     /// Writes that are done and not answered from now on.
     lost: u32,
     /// Leases granted yet.
@@ -207,9 +213,30 @@
         self.kept.1.notify_all();
     }
 
-    /// Answers again.
+    /// Answers again; what was swallowed meanwhile stays without an answer.
     pub fn answer(&self) {
-        self.kept.0.lock().expect("the store").away = false;
+        let mut kept = self.kept.0.lock().expect("the store");
+        kept.away = false;
+        kept.silent = false;
+    }
+
+    /// Takes every call from now on and answers none, also of those that wait: their connections
+    /// live on and bring nothing, also after the store answers again.
+    pub fn fall_silent(&self) {
+        self.kept.0.lock().expect("the store").silent = true;
+    }
+
+    /// Returns how many watches were swallowed.
+    pub fn lost_watches(&self) -> u32 {
+        self.kept.0.lock().expect("the store").lost_watches
+    }
+
+    /// Returns how many renewals were answered of the lease that a key goes with.
+    pub fn renewed(&self, key: &str) -> u32 {
+        let kept = self.kept.0.lock().expect("the store");
+        let lease = kept.bound.get(key);
+        let renewed = lease.and_then(|lease| kept.renewed.get(lease));
+        renewed.copied().unwrap_or(0)
     }
 
     /// Carries the next writes out without an answer.
@@ -240,6 +267,13 @@
     json!({"key": key, "value": STANDARD.encode(value), "revision": revision, "created": created})
 }
 
+/// Reads and drops what comes on a connection until the other side closes it.
+fn swallow(stream: &mut TcpStream) -> Option<()> {
+    // A connection that is reset has ended, too.
+    let _ended = std::io::copy(stream, &mut std::io::sink());
+    None
+}
+
 fn store(
     shared: &Arc<(Mutex<Kept>, Condvar)>,
     request: &Request,
@@ -250,6 +284,11 @@
     if kept.away {
         return None;
     }
+    if kept.silent {
+        kept.lost_watches += u32::from(request.path.starts_with("/v1/kv-watch"));
+        drop(kept);
+        return swallow(stream);
+    }
     kept.expire();
     let path = request.path.split('?').next()?;
     let answer = match (request.method.as_str(), path) {
@@ -268,6 +307,11 @@
                 .wait_timeout_while(kept, wait, waits)
                 .expect("the store")
                 .0;
+            if kept.silent {
+                kept.lost_watches += 1;
+                drop(kept);
+                return swallow(stream);
+            }
             let new = kept
                 .history
                 .iter()
@@ -312,6 +356,7 @@
             if kept.renew(lease).is_none() {
                 return write(stream, 404, "", "{}");
             }
+            *kept.renewed.entry(lease).or_default() += 1;
             json!({})
         }
         ("DELETE", path) if path.starts_with("/v1/kv-lease-end/") => {
