Register a host again as soon as the store shows that its entry is gone

A host's lease ran out in an outage, or its call for one was lost in a silence: until a renewal in its turn, up to four seconds after the store's return, and as long again where the renewal found the lease gone, the other hosts took it for gone and told it nothing, and it sent requests to engines that were full.

--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -23,6 +23,8 @@
 const LIFE: Duration = Duration::from_secs(12);
 /// Time between two renewals, and between tries.
 const RENEW: Duration = Duration::from_secs(4);
+/// Time within which a call for the registration is expected to be answered.
+const ANSWER: Duration = Duration::from_millis(400);
 /// Key of the secret that all hosts share.
 const SECRET: &str = "secret";
 /// Start of the keys that name hosts.
@@ -59,6 +61,8 @@
     pub(super) secret: bool,
     pub(super) lease: i64,
     pub(super) registered: bool,
+    /// When a lease of the registration was asked for, while there is no answer.
+    pub(super) asked: Option<Time>,
     pub(super) number: u64,
     pub(super) parts: Vec<PartWord>,
     pub(super) last: Vec<LoadWord>,
@@ -108,21 +112,44 @@
 
 /// Gets the registration's lease or renews it, and does so again in time.
 pub fn register(core: &mut Core, out: &mut Effects) {
-    let job = Job::Relay(RelayJob::Lease);
+    ask(core, out);
+    if !core.stop.begun() {
+        wake(core, RENEW, RelayTimer::Register, out);
+    }
+}
+
+/// Gets the registration's lease or renews it, unless this host is about to end.
+fn ask(core: &mut Core, out: &mut Effects) {
     if core.stop.begun() {
         return;
     }
-    let lease = core.relay.peers.lease;
-    out.push(if lease == 0 {
-        Effect::Grant { job, life: LIFE }
-    } else {
-        Effect::Renew { job, lease }
+    let job = Job::Relay(RelayJob::Lease);
+    let peers = &mut core.relay.peers;
+    peers.asked = Some(core.now);
+    out.push(match peers.lease {
+        0 => Effect::Grant { job, life: LIFE },
+        lease => Effect::Renew { job, lease },
     });
-    wake(core, RENEW, RelayTimer::Register, out);
+}
+
+/// Registers again where the store holds no entry of this host: it lapsed, or the call for it was lost.
+///
+/// The others take a host without an entry for gone and tell it nothing, so that it sends requests to
+/// engines that are full. A renewal in its turn would notice only seconds later.
+fn missed(core: &mut Core, out: &mut Effects) {
+    let peers = &mut core.relay.peers;
+    peers.registered = false;
+    let under_way = peers.asked.is_some_and(|at| core.now.since(at) < ANSWER);
+    if !under_way {
+        ask(core, out);
+    }
 }
 
 /// Goes on with the registration.
 pub fn reply(core: &mut Core, job: RelayJob, reply: &StoreReply, out: &mut Effects) {
+    if job == RelayJob::Lease {
+        core.relay.peers.asked = None;
+    }
     match reply.result {
         StoreResult::Lease(lease) => {
             let peers = &mut core.relay.peers;
@@ -130,7 +157,10 @@
                 peers.registered = false;
             }
             peers.lease = lease;
-            if lease != 0 && !peers.registered {
+            if lease == 0 {
+                // It ran out.
+                ask(core, out);
+            } else if !peers.registered {
                 write(core, lease, out);
             }
         }
@@ -176,8 +206,6 @@
             continue;
         };
         if *name == *own {
-            // It lapsed while the store could not be reached, or before a restart.
-            core.relay.peers.registered &= change.value.is_some();
             continue;
         }
         match change.value.as_deref().and_then(address) {
@@ -185,12 +213,17 @@
             None => left(core, name, out),
         }
     }
+    let told = |name: &str| {
+        let mut keys = changes.keys.iter();
+        keys.rfind(|change| change.key.strip_prefix(FOLDER) == Some(name))
+            .map(|change| change.value.is_some())
+    };
+    let own = told(&own);
+    if own == Some(false) || (changes.whole && own.is_none()) {
+        missed(core, out);
+    }
     if changes.whole {
-        let listed = |name: &str| {
-            changes.keys.iter().any(|change| {
-                change.key.strip_prefix(FOLDER) == Some(name) && change.value.is_some()
-            })
-        };
+        let listed = |name: &str| told(name) == Some(true);
         let gone: Vec<Box<str>> = core
             .relay
             .peers
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -6,6 +6,7 @@
 mod load;
 mod parts;
 mod plan;
+mod register;
 mod request;
 mod stream;
 mod view;
--- a/src/core/relay/view.rs
+++ b/src/core/relay/view.rs
@@ -123,6 +123,12 @@
         self.current
     }
 
+    /// Returns the number of the page or the watch in hand.
+    #[cfg(test)]
+    pub(super) fn asked_number(&self) -> Option<u64> {
+        self.asked.map(|asked| asked.number)
+    }
+
     /// Tells whether what is not known here does not exist, but for the last moments.
     #[must_use]
     pub fn is_fresh(&self, now: Time) -> bool {
