Part probes of the store from how it is followed, and keep their bounds under a second

The longest pause between probes, the grace and the spread added up to 1,050 ms; a second is promised. Now 400 to 650 ms, 200 and 100. A doubt raised while an older one is looked into is no longer dropped until the next probe.

--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -263,8 +263,8 @@
         RelayTimer::Tell => words::tell(core, out),
         RelayTimer::Register => peers::register(core, out),
         RelayTimer::Follow(last) => view::follow(core, last, out),
-        RelayTimer::Probe => view::probe(core, out),
-        RelayTimer::Overdue => view::overdue(core, out),
+        RelayTimer::Probe => view::probe::probe(core, out),
+        RelayTimer::Overdue => view::probe::overdue(core, out),
         RelayTimer::Plan => split::plan(core, out),
         RelayTimer::Authority => split::renew(core, out),
     }
--- /dev/null
+++ b/src/core/relay/view/probe.rs
@@ -0,0 +1,248 @@
+//! Probes of the store's newest revision, and the calls that they show to be lost.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::super::event::{Ask, NewestWord, RelayEffect, StoreAnswer};
+use super::super::{RelayTimer, note, wake, words};
+use super::{View, ask, judge, text};
+use crate::core::effect::Effect;
+use crate::core::time::Time;
+use crate::core::{Core, Effects};
+
+/// Bounds of the time between two probes, drawn anew each time so that hosts do not ask together.
+///
+/// The upper one, [`GRACE`] and [`SPREAD`] together stay under the second within which a host must
+/// know what it missed.
+const EVERY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(650));
+/// Hosts of a failure domain that probe in one round, on average, while none is answered: all of them
+/// would keep a store that is in trouble busy. In one round of a hundred nobody does.
+const TURNS: f64 = 5.0;
+/// Time that a call has, beside two of the probe's own, after a later probe was answered.
+const GRACE: Duration = Duration::from_millis(200);
+/// Longest time beyond it, drawn at random, where another host's probe shows it: that one is told to
+/// many at the same moment.
+const SPREAD: Duration = Duration::from_millis(100);
+/// Doublings of [`GRACE`], one for each call given up in a row: a page that takes long over a slow
+/// link would otherwise be given up for ever.
+const LOSSES: u32 = 4;
+/// Probes without an answer that are remembered.
+const MOST: usize = 8;
+
+/// An answered probe, against which older calls are held.
+#[derive(Debug, Clone, Copy)]
+struct Check {
+    sent: Time,
+    newest: i64,
+    /// Whether another host sent it: then nothing follows for the probes of this one.
+    heard: bool,
+}
+
+/// Probes of this host and of those near by.
+#[derive(Debug, Default)]
+pub struct Probes {
+    /// Those without an answer, by number, and when they were sent.
+    open: BTreeMap<u64, Time>,
+    /// The last answered one, of this host or of another one.
+    last: Option<Check>,
+    /// Whether it is this host's own, and the others were not told.
+    news: bool,
+    /// Against which the call in hand is held when its grace is over.
+    check: Option<Check>,
+    /// Pages and watches given up in a row.
+    pub(super) losses: u32,
+}
+
+impl Probes {
+    /// Returns what this host's own last answered probe showed, to tell the other hosts.
+    pub fn newest(&mut self, now: Time) -> Option<NewestWord> {
+        self.news = false;
+        let own = self.last.filter(|check| !check.heard)?;
+        Some(NewestWord {
+            revision: own.newest,
+            age: now.since(own.sent),
+        })
+    }
+
+    /// Tells whether the other hosts were not told of it yet.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        self.news
+    }
+
+    fn send(&mut self, number: u64, now: Time) {
+        self.open.insert(number, now);
+        if self.open.len() > MOST {
+            self.open.pop_first();
+        }
+    }
+
+    /// Tells whether a probe was lost that was sent before an answered one.
+    fn lost(&self, check: Check) -> bool {
+        let first = self.open.first_key_value();
+        !check.heard && first.is_some_and(|(_, sent)| *sent < check.sent)
+    }
+}
+
+impl View {
+    /// Takes in an answered probe.
+    fn learn(&mut self, check: Check) {
+        if self.pages.is_none() && check.newest <= self.at {
+            self.confirm(check.sent);
+        }
+        let probes = &mut self.probes;
+        if probes.last.is_none_or(|last| last.sent < check.sent) {
+            probes.last = Some(check);
+            probes.news = !check.heard;
+        }
+    }
+
+    /// Tells whether the page or watch in hand should have brought something by now, since the
+    /// store answered a probe that was sent after it.
+    fn owes(&self, check: Check) -> bool {
+        let older = self.asked.is_some_and(|asked| asked.sent < check.sent);
+        older && (self.pages.is_some() || check.newest > self.at)
+    }
+}
+
+/// Begins to probe.
+pub fn start(core: &mut Core, out: &mut Effects) {
+    wake_after(core, Duration::ZERO, out);
+}
+
+/// Asks for the time of the next probe, where so much of it has passed.
+fn wake_after(core: &mut Core, passed: Duration, out: &mut Effects) {
+    let after = core.rng.random_range(EVERY.0..EVERY.1);
+    wake(core, after.saturating_sub(passed), RelayTimer::Probe, out);
+}
+
+/// Asks for the store's newest revision, unless a host near by just did, and says whether the store
+/// is up.
+///
+/// One answered probe serves a whole failure domain: at 90 hosts, probes of each would cost half as
+/// much as all other calls together.
+pub fn probe(core: &mut Core, out: &mut Effects) {
+    let near = words::heard_near(core) + 1;
+    let view = &mut core.relay.view;
+    let ago = view.probes.last.map(|check| core.now.since(check.sent));
+    if let Some(ago) = ago.filter(|ago| *ago < EVERY.0) {
+        wake_after(core, ago, out);
+    } else {
+        if core.rng.random::<f64>() * f64::from(near) < TURNS {
+            let number = view.next();
+            view.probes.send(number, core.now);
+            let ask = Ask::Probe;
+            out.push(Effect::Relay(RelayEffect::Ask { number, ask }));
+        }
+        wake_after(core, Duration::ZERO, out);
+    }
+    judge(core, out);
+}
+
+/// Takes in what a probe of another host of this failure domain showed.
+pub fn told(core: &mut Core, newest: NewestWord, out: &mut Effects) {
+    let check = Check {
+        sent: core.now.before(newest.age),
+        newest: newest.revision,
+        heard: true,
+    };
+    let view = &mut core.relay.view;
+    if view.probes.last.is_some_and(|last| last.sent >= check.sent) {
+        return;
+    }
+    view.learn(check);
+    let spread = core.rng.random_range(Duration::ZERO..SPREAD);
+    doubt(core, check, spread, out);
+    judge(core, out);
+}
+
+/// Takes in the answer to a probe, or that there is none; tells whether it belongs to one.
+pub fn answered(core: &mut Core, number: u64, answer: &StoreAnswer, out: &mut Effects) -> bool {
+    let view = &mut core.relay.view;
+    let Some(sent) = view.probes.open.remove(&number) else {
+        return false;
+    };
+    match answer {
+        StoreAnswer::Newest(newest) => {
+            let check = Check {
+                sent,
+                newest: *newest,
+                heard: false,
+            };
+            showed(core, check, out);
+        }
+        // Nothing was lost: the store answers, or no call reaches it.
+        StoreAnswer::Failed { refused: true } => {}
+        _ => view.probes.send(number, sent),
+    }
+    true
+}
+
+fn showed(core: &mut Core, check: Check, out: &mut Effects) {
+    let view = &mut core.relay.view;
+    view.learn(check);
+    if view.fails > 0 && view.asked.is_none() && !view.refused {
+        // The store answers again: the rest of the pause is saved.
+        ask(core, out);
+    } else {
+        let took = core.now.since(check.sent);
+        doubt(core, check, took * 2, out);
+    }
+    judge(core, out);
+}
+
+/// Looks whether older calls were lost, where a probe raises the doubt, so long after their grace.
+fn doubt(core: &mut Core, check: Check, more: Duration, out: &mut Effects) {
+    let view = &mut core.relay.view;
+    let raised = view.probes.lost(check) || view.owes(check);
+    if raised && view.probes.check.is_none() {
+        view.probes.check = Some(check);
+        let grace = GRACE.saturating_mul(1 << view.probes.losses);
+        wake(core, grace + more, RelayTimer::Overdue, out);
+    }
+}
+
+/// Gives the page or the watch in hand up if it still owes what a later probe showed, or if a probe
+/// beside it was lost: then the store was silent, and it may wait on a connection that stays so.
+pub fn overdue(core: &mut Core, out: &mut Effects) {
+    let view = &mut core.relay.view;
+    let Some(check) = view.probes.check.take() else {
+        return;
+    };
+    let silent = view.probes.lost(check);
+    if silent {
+        view.probes.open.retain(|_, sent| *sent >= check.sent);
+    }
+    let older = view.asked.filter(|asked| asked.sent < check.sent);
+    match older.filter(|_| silent || view.owes(check)) {
+        Some(asked) => give_up(core, asked, check.newest, out),
+        // A later probe may have raised a doubt of its own meanwhile.
+        None => {
+            if let Some(last) = view.probes.last {
+                doubt(core, last, Duration::ZERO, out);
+            }
+        }
+    }
+}
+
+/// Gives a page or a watch up as lost, and reads every key anew.
+fn give_up(core: &mut Core, asked: super::Asked, newest: i64, out: &mut Effects) {
+    let view = &mut core.relay.view;
+    let call = match view.pages {
+        Some(_) => "range",
+        None => "watch",
+    };
+    let fields = vec![
+        ("call", call.into()),
+        ("after_ms", text(core.now.since(asked.sent))),
+        ("at", view.at.to_string().into()),
+        ("newest", newest.to_string().into()),
+    ];
+    view.probes.losses = (view.probes.losses + 1).min(LOSSES);
+    view.begin_anew();
+    note(out, log::Level::Warn, "store.call_lost", fields);
+    out.push(Effect::Relay(RelayEffect::Unask(asked.number)));
+    ask(core, out);
+}
--- a/src/core/relay/words.rs
+++ b/src/core/relay/words.rs
@@ -55,7 +55,7 @@
         .collect();
     let deaths = core.relay.killers.take_untold();
     let peers = &mut core.relay.peers;
-    let quiet = !core.relay.view.has_news();
+    let quiet = !core.relay.view.probes.has_news();
     let same = quiet && loads == peers.last && peers.parts.is_empty() && deaths.is_empty();
     let due = !same || peers.told.is_none_or(|at| core.now.since(at) >= QUIET);
     if due {
@@ -105,7 +105,9 @@
 ) -> Word {
     core.relay.peers.number += 1;
     // Each failure domain probes the store for itself.
-    let newest = domain.is_none().then(|| core.relay.view.newest(core.now));
+    let newest = domain
+        .is_none()
+        .then(|| core.relay.view.probes.newest(core.now));
     Word {
         host: core.settings.host.name.clone(),
         incarnation: core.members.incarnation(),
@@ -260,7 +262,7 @@
     peer.number = word.number;
     peer.heard = Some(now);
     if let Some(newest) = word.newest {
-        view::told(core, newest, out);
+        view::probe::told(core, newest, out);
     }
     core.relay.instances.told(key, &word.loads);
     for part in &word.parts {
