Let the store fall silent in every seed of the soak, and ask for the newest configuration after it

The soak held bytes back and let them go, and closed connections; nothing lost a call and kept its connection. Each seed now has one silence with a change in it, drawn apart so that its other faults stay what they were, and each host must serve by the newest configuration before two renewals of its lease after the last fault.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -12,6 +12,8 @@
 use crate::world::{CALLERS, Door, HOSTS, World};
 use crate::{LIMIT, http};
 
+/// Renewals of a host's lease, four seconds apart, within which it must know what the store knows.
+const RENEWALS: u32 = 2;
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(15);
 
@@ -115,10 +117,32 @@
         missing
     }
 
+    /// Returns what hosts do not serve, or do not know, once every fault has ended.
     pub fn unrecovered(&self) -> Vec<String> {
-        (0..HOSTS)
-            .flat_map(|host| self.served_within("end", host, LIMIT))
-            .collect()
+        let outdated = (0..HOSTS).filter_map(|host| self.outdated(host));
+        let outdated: Vec<String> = outdated.collect();
+        let unserved = (0..HOSTS).flat_map(|host| self.served_within("end", host, LIMIT));
+        unserved.chain(outdated).collect()
+    }
+
+    /// Tells whether a host still does not know the newest configuration once the store has answered
+    /// some renewals of its lease.
+    fn outdated(&self, host: usize) -> Option<String> {
+        let newest = self.version.load(Ordering::SeqCst);
+        let key = format!("chiveway/hosts/host-{host}");
+        let (start, end) = (Instant::now(), self.store.renewed(&key) + RENEWALS);
+        let mut count = 0;
+        while self.store.renewed(&key) < end && start.elapsed() < LIMIT {
+            count += 1;
+            let door = self.door(host);
+            let id = format!("probe-{host}-newest-{count}");
+            let answer = send(&door, &format!("/v{newest}/x"), &id, &[]);
+            if answer.is_some_and(|answer| answer.status == 200) {
+                return None;
+            }
+            thread::sleep(PAUSE);
+        }
+        Some(format!("host-{host} does not know version {newest}"))
     }
 }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -28,6 +28,8 @@
     StoreReset(usize),
     /// The store is away.
     StoreAway,
+    /// The store takes calls and answers none, and the configuration changes meanwhile.
+    StoreMute,
     /// Writes at the store take effect without an answer.
     StoreLoses,
     /// A server's connections hold everything back.
@@ -95,3 +97,17 @@
     };
     (0..COUNT).map(|_| draw(&mut rng)).collect()
 }
+
+/// Adds one silence of the store at any place of a series.
+///
+/// It is drawn apart, so that a seed's other faults stay what they were before there was this one.
+pub fn with_silence(seed: u64, mut series: Vec<Fault>) -> Vec<Fault> {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let fault = Fault {
+        after: Duration::from_millis(rng.random_range(20..500)),
+        trouble: Trouble::StoreMute,
+        lasts: Duration::from_millis(rng.random_range(200..3000)),
+    };
+    series.insert(rng.random_range(0..=series.len()), fault);
+    series
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -40,7 +40,10 @@
 /// Seeds that once broke a promise; each stays, with the cause.
 ///
 /// 7: a host was asked to read its settings again just after its start, and ended of it.
-const KEPT: [u64; 1] = [7];
+/// 3: hosts waited for a watch that was lost in a silence of the store, and knew nothing newer.
+const KEPT: [u64; 2] = [7, 3];
+/// Those of them that failed before the store fell silent in every seed; their series stay as they were.
+const WITHOUT_SILENCE: [u64; 1] = [7];
 
 /// Waits until something holds.
 ///
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -10,12 +10,12 @@
 
 use serde_json::{Value, json};
 
-use crate::LIMIT;
 use crate::check::{self, Seen};
 use crate::cut::Cut;
-use crate::faults::{Fault, Trouble, series};
+use crate::faults::{Fault, Trouble, series, with_silence};
 use crate::process::{Folder, Process};
 use crate::standin::{Engine, Store, config, settings};
+use crate::{LIMIT, WITHOUT_SILENCE};
 
 /// Hosts of a play.
 pub const HOSTS: usize = 3;
@@ -87,7 +87,10 @@
 /// Plays a seed; returns what broke, and what was done.
 pub fn play(seed: u64) -> (Vec<String>, String) {
     let world = World::new(seed);
-    let faults = series(seed, HOSTS, STAGES.len());
+    let mut faults = series(seed, HOSTS, STAGES.len());
+    if !WITHOUT_SILENCE.contains(&seed) {
+        faults = with_silence(seed, faults);
+    }
     thread::scope(|scope| {
         let world = &world;
         for number in 0..CALLERS {
@@ -276,6 +279,13 @@
                 thread::sleep(fault.lasts);
                 self.store.answer();
             }
+            Trouble::StoreMute => {
+                self.store.fall_silent();
+                thread::sleep(fault.lasts / 2);
+                self.configure();
+                thread::sleep(fault.lasts / 2);
+                self.store.answer();
+            }
             Trouble::StoreLoses => self.store.lose_answers(LOST),
             Trouble::Silent(place) => lasting(&cut(place), Cut::silence),
             Trouble::OneWay(place) => lasting(&cut(place), Cut::one_way),
