Have the host that speaks for a failure domain probe in every round

Where many hosts take turns at a store that answers nobody, one round of a hundred passed without a probe, and what was missed was known half a second later than promised. The first host by name that is heard now always probes, three others of its domain by chance, in case it does not reach the store.

--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -17,9 +17,12 @@
 /// The upper one, [`GRACE`] and [`SPREAD`] together stay under the second within which a host must
 /// know what it missed.
 const EVERY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(650));
-/// Hosts of a failure domain that probe in one round, on average, while none is answered: all of them
-/// would keep a store that is in trouble busy. In one round of a hundred nobody does.
-const TURNS: f64 = 5.0;
+/// Hosts of a failure domain that probe in one round, on average, beside the one that speaks for it,
+/// while none is answered.
+///
+/// All of them would keep a store that is in trouble busy; the one alone may be the only host that
+/// does not reach it.
+const TURNS: f64 = 3.0;
 /// Time that a call has, beside two of the probe's own, after a later probe was answered.
 const GRACE: Duration = Duration::from_millis(200);
 /// Longest time beyond it, drawn at random, where another host's probe shows it: that one is told to
@@ -125,12 +128,13 @@
 /// much as all other calls together.
 pub fn probe(core: &mut Core, out: &mut Effects) {
     let near = words::heard_near(core) + 1;
+    let speaks = words::speaks(core);
     let view = &mut core.relay.view;
     let ago = view.probes.last.map(|check| core.now.since(check.sent));
     if let Some(ago) = ago.filter(|ago| *ago < EVERY.0) {
         wake_after(core, ago, out);
     } else {
-        if core.rng.random::<f64>() * f64::from(near) < TURNS {
+        if speaks || core.rng.random::<f64>() * f64::from(near) < TURNS {
             let number = view.next();
             view.probes.send(number, core.now);
             let ask = Ask::Probe;
--- a/src/core/relay/words.rs
+++ b/src/core/relay/words.rs
@@ -142,7 +142,7 @@
 }
 
 /// Tells whether this host speaks for its failure domain: no host before it by name is heard.
-fn speaks(core: &Core) -> bool {
+pub(super) fn speaks(core: &Core) -> bool {
     let peers = &core.relay.peers;
     let own = &core.settings.host;
     let mut near = peers.names.values().map(|key| &peers.arena[*key]);
