Say what stands in the log of the store by name, and let no stray answer end the following

The age of a host's view has a metric of its own name; what the log was last told is a struct; an answer of the wrong kind is taken as none in place of leaving nothing in hand.

--- a/src/core/relay/tests/view.rs
+++ b/src/core/relay/tests/view.rs
@@ -4,7 +4,7 @@
 
 use super::*;
 use crate::core::relay::event::{Ask, NewestWord, StoreAnswer, Word};
-use crate::core::relay::view::spread;
+use crate::core::relay::view::between;
 
 /// Time after the store's return within which a host must know what changed meanwhile.
 const BOUND: u64 = 1000;
@@ -372,7 +372,7 @@
 /// all of them. Few hosts ask soon; of many, each asks seldom, and all together no more often.
 #[test]
 fn hosts_ask_the_store_less_often_the_more_they_are() {
-    let pause = |hosts| spread(hosts).as_millis();
+    let pause = |hosts| between(hosts).as_millis();
     assert_eq!(
         [pause(1), pause(9), pause(78), pause(370)],
         [150, 150, 936, 1200]
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -80,8 +80,16 @@
     /// Latest moment as of which all that the store held was known here.
     current: Option<Time>,
     started: Time,
-    /// Whether the store was last said to be up, and how old the view was then.
-    said: Option<(bool, Option<Time>)>,
+    /// What the log was last told of the store.
+    said: Option<Said>,
+}
+
+/// What the log was told of the store.
+#[derive(Debug, Clone, Copy)]
+struct Said {
+    up: bool,
+    /// [`View::current`] at that time.
+    current: Option<Time>,
 }
 
 impl View {
@@ -162,7 +170,7 @@
 }
 
 /// Returns the pause between two watches for so many hosts.
-pub(super) fn spread(hosts: usize) -> Duration {
+pub(super) fn between(hosts: usize) -> Duration {
     let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
     PAUSE.saturating_mul(hosts).clamp(PAUSES.0, PAUSES.1)
 }
@@ -180,7 +188,8 @@
     match answer {
         StoreAnswer::Page { at, changes, after } => page(core, asked, at, changes, after, out),
         StoreAnswer::Changes { at, changes } => watched(core, asked, at, changes, out),
-        StoreAnswer::Compacted => {
+        // Only probes ask for the newest revision: as an answer to anything else it says nothing.
+        StoreAnswer::Compacted | StoreAnswer::Newest(_) => {
             view.begin_anew();
             retry(core, out);
         }
@@ -189,8 +198,6 @@
             view.refused = refused;
             retry(core, out);
         }
-        // Only probes ask for it.
-        StoreAnswer::Newest(_) => {}
     }
 }
 
@@ -205,6 +212,7 @@
     pause(core, time, out);
 }
 
+/// Takes in a page of all keys, and begins to watch after the last one.
 fn page(
     core: &mut Core,
     asked: Asked,
@@ -233,6 +241,7 @@
     ask(core, out);
 }
 
+/// Takes in what changed, and goes on watching.
 fn watched(core: &mut Core, asked: Asked, at: i64, changes: Changes, out: &mut Effects) {
     let hosts = core.relay.peers.hosts();
     let view = &mut core.relay.view;
@@ -242,7 +251,7 @@
     view.at = view.at.max(at);
     super::changed(core, changes, out);
     if news {
-        pause(core, spread(hosts), out);
+        pause(core, between(hosts), out);
     } else {
         ask(core, out);
     }
@@ -253,17 +262,20 @@
     let now = core.now;
     let view = &mut core.relay.view;
     let up = view.is_fresh(now);
-    let before = view.said.map(|(up, _)| up);
-    if before == Some(up) || (!up && now.since(view.started) <= STALE) {
+    let same = view.said.is_some_and(|said| said.up == up);
+    if same || (!up && now.since(view.started) <= STALE) {
         return;
     }
     // When it is back: how long this host had to act on what it knew before.
-    let heard = match (up, view.said) {
-        (true, Some((_, heard))) => heard,
+    let heard = match view.said {
+        Some(said) if up => said.current,
         _ => view.current,
     };
-    view.said = Some((up, view.current));
-    let heard = heard.map_or_else(|| "never".into(), |heard| text(now.since(heard)));
+    view.said = Some(Said {
+        up,
+        current: view.current,
+    });
+    let heard = heard.map_or_else(|| "never".into(), |heard| in_ms(now.since(heard)));
     let (level, name) = if up {
         (log::Level::Info, "store.up")
     } else {
@@ -272,6 +284,7 @@
     note(out, level, name, vec![("heard_ms", heard)]);
 }
 
-fn text(span: Duration) -> Box<str> {
+/// Returns whole milliseconds, for the log.
+fn in_ms(span: Duration) -> Box<str> {
     span.as_millis().to_string().into()
 }
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -7,7 +7,7 @@
 
 use super::super::event::{Ask, NewestWord, RelayEffect, StoreAnswer};
 use super::super::{RelayTimer, note, wake, words};
-use super::{View, ask, judge, text};
+use super::{Asked, View, ask, in_ms, judge};
 use crate::core::effect::Effect;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
@@ -184,6 +184,7 @@
     true
 }
 
+/// Takes in what a probe of this host showed.
 fn showed(core: &mut Core, check: Check, out: &mut Effects) {
     let view = &mut core.relay.view;
     view.learn(check);
@@ -232,7 +233,7 @@
 }
 
 /// Gives a page or a watch up as lost, and reads every key anew.
-fn give_up(core: &mut Core, asked: super::Asked, newest: i64, out: &mut Effects) {
+fn give_up(core: &mut Core, asked: Asked, newest: i64, out: &mut Effects) {
     let view = &mut core.relay.view;
     let call = match view.pages {
         Some(_) => "range",
@@ -240,7 +241,7 @@
     };
     let fields = vec![
         ("call", call.into()),
-        ("after_ms", text(core.now.since(asked.sent))),
+        ("after_ms", in_ms(core.now.since(asked.sent))),
         ("at", view.at.to_string().into()),
         ("newest", newest.to_string().into()),
     ];
--- a/src/host/meters.rs
+++ b/src/host/meters.rs
@@ -42,7 +42,7 @@
     retried: Counter<u64>,
     ordered: Counter<u64>,
     calls: Counter<u64>,
-    heard: Gauge<f64>,
+    age: Gauge<f64>,
     seen: Cell<Calls>,
     customers: RefCell<BTreeMap<Box<str>, u32>>,
     named: RefCell<Vec<Box<str>>>,
@@ -86,8 +86,8 @@
             retried: counter("chiveway_retries", "Attempts beyond the first"),
             ordered: counter("chiveway_orders", "Orders given to engines"),
             calls: counter("chiveway_store_calls", "Calls of the key-value service"),
-            heard: meter
-                .f64_gauge("chiveway_store_heard")
+            age: meter
+                .f64_gauge("chiveway_store_view_age")
                 .with_description("Time since all that the key-value service held was known")
                 .with_unit("s")
                 .build(),
@@ -177,8 +177,8 @@
     }
 
     /// Takes in how long ago all that the key-value service held was known.
-    pub fn heard(&self, ago: Duration) {
-        self.heard.record(ago.as_secs_f64(), &[]);
+    pub fn view_age(&self, age: Duration) {
+        self.age.record(age.as_secs_f64(), &[]);
     }
 
     /// Returns everything in Prometheus' text form.
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -205,8 +205,8 @@
         node.store.calls()
     };
     node.meters.store(&calls);
-    if let Some(heard) = node.look(|core| core.relay.view.current()) {
-        node.meters.heard(super::timer::now().since(heard));
+    if let Some(current) = node.look(|core| core.relay.view.current()) {
+        node.meters.view_age(super::timer::now().since(current));
     }
     match node.meters.text() {
         Some(body) => text(StatusCode::OK, &body),
