Ask for the new route's answer itself in the test of a silent store

Any answer but 404 passed, also a refusal by a host that does not know its configuration to be the newest, and no answer at all. Now the route must be served. Seen red in its first form, where the host answered 404.

--- a/tests/relay/silence.rs
+++ b/tests/relay/silence.rs
@@ -3,7 +3,7 @@
 
 use serde_json::Value;
 
-use super::standin::{Engine, config};
+use super::standin::{Engine, SHORT, config};
 use super::{Site, wait_for};
 
 /// Writes a key while the store is silent, and has it answer again once the host's watch is lost.
@@ -42,13 +42,12 @@
 /// renewals of the host's lease failed and succeeded again without effect.
 #[test]
 fn a_change_made_in_a_silence_is_known_soon_after() {
-    let plain = Engine::plain("s-1");
-    let site = Site::ready(&[&plain]);
-    let status = |path: &str| site.send(path, "id", &[]).map(|answer| answer.status);
+    let (plain, decode) = (Engine::plain("s-1"), Engine::model("d-1", "decode"));
+    let site = Site::ready(&[&plain, &decode]);
+    let status = |path: &str| site.send(path, "id", &SHORT).map(|answer| answer.status);
     assert_eq!(status("/new/x"), Some(404));
     put_in_silence(&site, "op/config", &config(2, "/new/"));
-    // No engine is registered: a route that is known is refused as having none.
-    let known = before_renewals(&site, || status("/new/x") != Some(404));
+    let known = before_renewals(&site, || status("/new/x") == Some(200));
     assert!(
         known,
         "the watch that was lost still waits:\n{}",
