Give each soak's logs a folder of its own

Two soaks of one tree at once shared the folder of each kept seed, and the first to end removed the other's: a whole run of the tests failed beside a soak by hand (a log file: not found).

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -128,7 +128,9 @@
 
 impl World {
     fn new(seed: u64) -> Self {
-        let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
+        // Another soak of the same tree may play the same seed, and removes its folder at the end.
+        let name = format!("soak-{seed}-{}", std::process::id());
+        let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&logs).expect("a folder for logs");
         let store = Store::start();
         let ways: Vec<Cut> = (0..HOSTS).map(|_| Cut::before(store.addr)).collect();
