--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -19,8 +19,7 @@
 const MOST: usize = 4096;
 /// When to come back where nothing better is known: half of a burst of three seconds.
 ///
-/// Sooner, callers meet the same queue and are refused again; measured on six days of a site with
-/// such bursts, 1.3 s served 1.5 in 100 more of the worth than 0.5 s.
+/// Sooner, callers meet the same queue and are refused again.
 const COME_BACK: Duration = Duration::from_millis(1300);
 /// When to come back to another host: the balancer sends a new connection to one at once.
 const ELSEWHERE: Duration = Duration::from_millis(20);
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -34,10 +34,9 @@
 const LONG: f64 = 0.55;
 /// What another copy of a prompt part costs, as a part of the time in which it is read.
 ///
-/// Each request leaves its shared parts at the engine that read them and at the one that generates:
-/// 44 engines held each part four times over, and others not at all. Measured on days of three sites
-/// of 9, 44 and 89 engines: worth 0.609, 0.600, 0.567 with 0; 0.605, 0.618, 0.587 with 0.1; 0.619,
-/// 0.628, 0.591 with 0.3.
+/// Each request leaves its shared parts at the engine that read them and at the one that generates.
+/// At no cost engines fill with copies of the same parts, others are dropped and read again, and
+/// their prompts come late.
 const DISPLACED: f64 = 0.3;
 
 /// Where a request goes.
--- a/src/core/relay/model/square.rs
+++ b/src/core/relay/model/square.rs
@@ -1,7 +1,6 @@
 //! How much longer a token takes the more tokens stand before it.
 //!
-//! Measured on a service of 18 engines: a prompt of 40,000 tokens takes a third longer than its
-//! length says. A line through the time a token of each prompt took, over the tokens that stood
+//! A long prompt takes longer than its length says; judged by its length, the longest come late. A line through the time a token of each prompt took, over the tokens that stood
 //! before it on average, gives the factor; old prompts count ever less.
 
 /// Part of the weight of older prompts that stays with each new one: some thousand prompts count.
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -124,8 +124,8 @@
 /// Asks for the store's newest revision, unless a host near by just did, and says whether the store
 /// is up.
 ///
-/// One answered probe serves a whole failure domain: at 90 hosts, probes of each would cost half as
-/// much as all other calls together.
+/// One answered probe serves a whole failure domain: probes of each host would soon cost as much as
+/// all other calls.
 pub fn probe(core: &mut Core, out: &mut Effects) {
     let near = words::heard_near(core) + 1;
     let speaks = words::speaks(core);
--- a/src/core/relay/words.rs
+++ b/src/core/relay/words.rs
@@ -21,9 +21,8 @@
 
 /// Time between two words to the other hosts.
 ///
-/// Late word means that hosts pile requests on one engine: at 35 ms two small sites served 1.3 in
-/// 100 more of the worth than at 60 ms, and at 18 ms 0.6 more than at 30 ms. Earlier word costs
-/// processor time and bytes between domains.
+/// Late word means that hosts pile requests on one engine; earlier word costs processor time and
+/// bytes between domains.
 pub const EVERY: Duration = Duration::from_millis(18);
 /// The same for each host of the failure domain: a host must hear all of them.
 const EVERY_HOST: Duration = Duration::from_micros(1500);
