--- a/src/core/relay/tests/handover.rs
+++ b/src/core/relay/tests/handover.rs
@@ -6,18 +6,6 @@
 use super::*;
 use crate::core::relay::event::Task;
 
-/// Returns a host before two engines that prefill and two that generate.
-fn site() -> Site {
-    let mut site = Site::new();
-    site.register(vec![
-        engine("p", Stage::Prefill),
-        engine("q", Stage::Prefill),
-        engine("d", Stage::Decode),
-        engine("e", Stage::Decode),
-    ]);
-    site
-}
-
 /// Has one prompt read and handed over; returns the milliseconds expected of the hand-over.
 fn hand_over(site: &mut Site, own: u64, took: u64) -> f64 {
     site.arrive(prompt("/long/x", (own, 1000), own));
@@ -64,7 +52,7 @@
 /// whose prompts go on being read there wait for it, one behind the other.
 #[test]
 fn an_engine_behind_a_slow_link_gets_few_prompts() {
-    let mut site = site();
+    let mut site = Site::of_models();
     let mut at_slow = (0, 0);
     for number in 0..60_u64 {
         site.arrive(prompt("/long/x", (number, 1000), 3000 + number));
@@ -98,7 +86,7 @@
 /// refuses; blamed for it, they are avoided one after the other, and nothing is generated any more.
 #[test]
 fn what_cannot_be_taken_over_is_blamed_on_its_source() {
-    let mut site = site();
+    let mut site = Site::of_models();
     let mut read_there = 0;
     for number in 0..60_u64 {
         site.arrive(prompt("/long/x", (number, 1000), 3000 + number));
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -58,6 +58,18 @@
         site
     }
 
+    /// Returns a host before two engines that prefill and two that generate.
+    fn of_models() -> Self {
+        let mut site = Self::new();
+        site.register(vec![
+            engine("p", Stage::Prefill),
+            engine("q", Stage::Prefill),
+            engine("d", Stage::Decode),
+            engine("e", Stage::Decode),
+        ]);
+        site
+    }
+
     /// Returns a host that has heard nothing.
     fn blank() -> Self {
         let settings = Settings::parse_relay(SETTINGS, "host.ini").expect("settings");
--- a/src/core/relay/tests/stream.rs
+++ b/src/core/relay/tests/stream.rs
@@ -3,17 +3,6 @@
 use super::*;
 use crate::core::relay::event::Task;
 
-fn site() -> Site {
-    let mut site = Site::new();
-    site.register(vec![
-        engine("p", Stage::Prefill),
-        engine("q", Stage::Prefill),
-        engine("d", Stage::Decode),
-        engine("e", Stage::Decode),
-    ]);
-    site
-}
-
 fn prefilled(site: &mut Site, attempt: AttemptKey) -> Outgoing {
     site.event(RelayEvent::Prefilled {
         attempt,
@@ -29,7 +18,7 @@
 
 #[test]
 fn a_long_prompt_is_prefilled_apart_and_handed_over() {
-    let mut site = site();
+    let mut site = Site::of_models();
     site.arrive(prompt("/long/x", (1, 13_000), 4000));
     let first = site.sent().expect("sent");
     assert_eq!(first.task, Task::Prefill);
@@ -53,7 +42,7 @@
 /// engine's memory until it lapses.
 #[test]
 fn an_unused_kv_cache_is_given_back() {
-    let mut site = site();
+    let mut site = Site::of_models();
     let key = site.arrive(prompt("/long/x", (1, 13_000), 4000));
     let first = site.sent().expect("sent");
     prefilled(&mut site, first.attempt);
@@ -65,7 +54,7 @@
 /// prompt is read again where its parts still lie.
 #[test]
 fn a_lapsed_kv_cache_is_made_again() {
-    let mut site = site();
+    let mut site = Site::of_models();
     site.arrive(prompt("/long/x", (1, 13_000), 4000));
     let first = site.sent().expect("sent");
     let second = prefilled(&mut site, first.attempt);
@@ -78,7 +67,7 @@
 /// event that the caller has, and an event that comes again is dropped.
 #[test]
 fn a_broken_stream_goes_on_elsewhere_without_a_piece_twice() {
-    let mut site = site();
+    let mut site = Site::of_models();
     site.arrive(prompt("/short/x", (1, 60), 290));
     let mut first = site.sent().expect("sent");
     if first.task == Task::Prefill {
@@ -103,7 +92,7 @@
 /// whole, the caller would act on half an answer.
 #[test]
 fn a_broken_stream_that_may_not_go_on_looks_cut() {
-    let mut site = site();
+    let mut site = Site::of_models();
     site.arrive(prompt("/long/x", (1, 13_000), 4000));
     let first = site.sent().expect("sent");
     let second = prefilled(&mut site, first.attempt);
@@ -117,7 +106,7 @@
 /// neither sent again nor called not run.
 #[test]
 fn a_stream_that_may_have_begun_is_not_sent_again() {
-    let mut site = site();
+    let mut site = Site::of_models();
     site.arrive(prompt("/long/x", (1, 13_000), 4000));
     let first = site.sent().expect("sent");
     let second = prefilled(&mut site, first.attempt);
@@ -129,7 +118,7 @@
 /// A caller comes back with the number of the last event it has. It gets nothing of before.
 #[test]
 fn a_callers_own_resumption_goes_through() {
-    let mut site = site();
+    let mut site = Site::of_models();
     site.arrive(Arrival {
         resume: Some(5),
         ..prompt("/short/x", (1, 60), 290)
--- a/src/core/relay/tests/view.rs
+++ b/src/core/relay/tests/view.rs
@@ -238,6 +238,16 @@
     }
 }
 
+/// Has the store change something in two seconds of silence, and checks when the host knows it.
+fn miss_a_change(run: &mut Run) {
+    run.store.turn(Mood::Silent);
+    run.store.revision += 1;
+    run.pass(2000);
+    run.store.turn(Mood::Answers);
+    let known = run.until_known();
+    assert!(known <= BOUND, "{known} ms");
+}
+
 macro_rules! moments {
     ($($(#[$story:meta])* $name:ident: $mood:expr, $pages:expr, $before:expr;)*) => {
         $($(#[$story])* #[test] fn $name() { any_moment($mood, $pages, $before); })*
@@ -280,12 +290,7 @@
         ..Store::new()
     });
     run.pass(3000);
-    run.store.turn(Mood::Silent);
-    run.store.revision += 1;
-    run.pass(2000);
-    run.store.turn(Mood::Answers);
-    let known = run.until_known();
-    assert!(known <= BOUND, "{known} ms");
+    miss_a_change(&mut run);
 }
 
 /// The store is fifty times as slow as it should be. Nothing is lost, and hosts that gave calls up
@@ -434,12 +439,7 @@
 fn a_host_that_hears_of_no_probe_sends_its_own() {
     let mut run = beside_another();
     hear(&mut run, 1, 5);
-    run.store.turn(Mood::Silent);
-    run.store.revision += 1;
-    run.pass(2000);
-    run.store.turn(Mood::Answers);
-    let known = run.until_known();
-    assert!(known <= BOUND, "{known} ms");
+    miss_a_change(&mut run);
 }
 
 /// A host tells what its own probe showed, once it has; what it heard from another it keeps.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod stop;
 
 use std::net::SocketAddr;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
@@ -102,6 +103,18 @@
         });
     }
 
+    /// Has a caller ask for a stream from an engine, and waits until it is there.
+    fn stream(&self, id: &'static str, engine: &Engine) -> JoinHandle<Option<http::Answer>> {
+        let callers = self.callers;
+        let running = std::thread::spawn(move || {
+            let mut headers = vec![("x-chiveway-attempt-id", id)];
+            headers.extend(SHORT);
+            http::send(callers, "POST", "/short/x", &headers, b"body")
+        });
+        wait_for("the stream", || engine.seen("/short/x").len() == 1);
+        running
+    }
+
     fn send(&self, path: &str, id: &str, more: &[(&str, &str)]) -> Option<http::Answer> {
         let mut headers = vec![
             ("x-chiveway-attempt-id", id),
@@ -271,13 +284,7 @@
     let decode = Engine::model("d-1", "decode");
     let mut site = Site::ready(&[&decode]);
     decode.hold();
-    let callers = site.callers;
-    let running = std::thread::spawn(move || {
-        let mut headers = vec![("x-chiveway-attempt-id", "id-1")];
-        headers.extend(SHORT);
-        http::send(callers, "POST", "/short/x", &headers, b"body")
-    });
-    wait_for("the stream", || decode.seen("/short/x").len() == 1);
+    let running = site.stream("id-1", &decode);
     site.host.term();
     wait_for("unreadiness", || {
         let answer = http::send(site.readiness, "GET", "/v1/readyz", &[], b"");
--- a/tests/relay/stop.rs
+++ b/tests/relay/stop.rs
@@ -117,13 +117,7 @@
     let mut site = Site::ready(&[&plain, &decode]);
     let mut kept = Kept::open(&site);
     decode.hold();
-    let callers = site.callers;
-    let running = std::thread::spawn(move || {
-        let mut headers = vec![("x-chiveway-attempt-id", "running")];
-        headers.extend(SHORT);
-        http::send(callers, "POST", "/short/x", &headers, b"body")
-    });
-    wait_for("the stream", || decode.seen("/short/x").len() == 1);
+    let running = site.stream("running", &decode);
     site.host.term();
     wait_refusing(&site);
     kept.write("late");
@@ -145,13 +139,7 @@
     let mut site = Site::with_grace("2s");
     site.configure(&[&decode]);
     decode.hold();
-    let callers = site.callers;
-    let running = std::thread::spawn(move || {
-        let mut headers = vec![("x-chiveway-attempt-id", "endless")];
-        headers.extend(SHORT);
-        http::send(callers, "POST", "/short/x", &headers, b"body")
-    });
-    wait_for("the stream", || decode.seen("/short/x").len() == 1);
+    let running = site.stream("endless", &decode);
     site.host.term();
     assert!(site.host.ended().success());
     let answer = running.join().expect("a caller");
