Name and count calls of the store in one place

Relaying hosts had a second list of the kinds of call, with a second way to count them, beside the client's own; and the probe spelled out the prefix that the platform folder already names.

--- a/src/host/relay/keeper.rs
+++ b/src/host/relay/keeper.rs
@@ -15,9 +15,8 @@
 use crate::core::{Effect, Event};
 use crate::error::Ran;
 use crate::host::node::Node;
-use crate::platform::store::Kind;
 use crate::platform::{self, store};
-use crate::store::{Calls, Compare, Op, Txn};
+use crate::store::{Calls, Compare, Op, Sort, Txn};
 
 /// Time one call may take: far above the slowest answer of a store that is of use.
 const CALL: Duration = Duration::from_secs(3);
@@ -66,16 +65,8 @@
     call: store::Call,
     time: Duration,
 ) -> Result<(u16, bytes::Bytes), Trouble> {
-    let kind = call.kind;
-    count(node, |calls| match kind {
-        Kind::Range => calls.range += 1,
-        Kind::Probe => calls.probe += 1,
-        Kind::Watch => calls.watch += 1,
-        Kind::Txn => calls.txn += 1,
-        Kind::Grant => calls.grant += 1,
-        Kind::Keepalive => calls.keepalive += 1,
-        Kind::Revoke => calls.revoke += 1,
-    });
+    let sort = call.sort;
+    count(node, |calls| sort.count(calls));
     let sent = Instant::now();
     let result = send(node, call, time).await;
     let (ran, why) = match &result {
@@ -89,7 +80,7 @@
         Ran::No => calls.refused += 1,
         Ran::Yes | Ran::Unknown => calls.unknown += 1,
     });
-    if kind == Kind::Probe {
+    if sort == Sort::Probe {
         // One a host and half a second through an outage: the counter and `store.down` say enough.
         return result;
     }
@@ -97,7 +88,7 @@
         level: log::Level::Info,
         name: "store.call_failed",
         fields: vec![
-            ("call", kind.name().into()),
+            ("call", sort.name().into()),
             ("after_ms", sent.elapsed().as_millis().to_string().into()),
             ("why", why.into()),
         ],
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,51 +12,17 @@
 use bytes::Bytes;
 use serde_json::{Value, json};
 
-use crate::store::{Compare, Op, Pair, Range, Reply, Span, Txn, TxnReply};
+use super::OWN;
+use crate::store::{Compare, Op, Pair, Range, Reply, Sort, Span, Txn, TxnReply};
 
-/// Start of keys that nothing writes.
-const NOTHING: &str = "chiveway/none/";
-
-/// Kind of call, as logs and counts name it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
-    /// A read of a page of keys.
-    Range,
-    /// A read of the newest revision.
-    Probe,
-    /// A wait for changes.
-    Watch,
-    /// A transaction.
-    Txn,
-    /// A lease is asked for.
-    Grant,
-    /// A lease is renewed.
-    Keepalive,
-    /// A lease is given back.
-    Revoke,
-}
-
-impl Kind {
-    /// Returns its name.
-    #[must_use]
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Range => "range",
-            Self::Probe => "probe",
-            Self::Watch => "watch",
-            Self::Txn => "txn",
-            Self::Grant => "grant",
-            Self::Keepalive => "keepalive",
-            Self::Revoke => "revoke",
-        }
-    }
-}
+/// Start of keys that nothing writes, below [`OWN`].
+const NOTHING: &str = "none/";
 
 /// One call, as it is to be written.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Call {
     /// What it is.
-    pub kind: Kind,
+    pub sort: Sort,
     /// HTTP method.
     pub method: &'static str,
     /// Path with query.
@@ -83,18 +49,18 @@
     pub more: bool,
 }
 
-fn get(kind: Kind, path: String) -> Call {
+fn get(sort: Sort, path: String) -> Call {
     Call {
-        kind,
+        sort,
         method: "GET",
         path,
         body: Vec::new(),
     }
 }
 
-fn post(kind: Kind, path: &str, body: &Value) -> Call {
+fn post(sort: Sort, path: &str, body: &Value) -> Call {
     Call {
-        kind,
+        sort,
         method: "POST",
         path: path.to_owned(),
         body: body.to_string().into_bytes(),
@@ -112,7 +78,7 @@
         // Writing to a string does not fail.
         let _ = write!(path, "&after={}", escape(after));
     }
-    get(Kind::Range, path)
+    get(Sort::Range, path)
 }
 
 /// Returns the call that asks for the store's newest revision, by a read of keys that nothing writes.
@@ -121,9 +87,9 @@
 /// that it names is the store's.
 #[must_use]
 pub fn probe() -> Call {
-    let prefix = escape(NOTHING);
+    let prefix = escape(&format!("{OWN}{NOTHING}"));
     get(
-        Kind::Probe,
+        Sort::Probe,
         format!("/v1/kv-range?prefix={prefix}&serializable=1"),
     )
 }
@@ -134,21 +100,21 @@
     let prefix = escape(prefix);
     let wait = wait.as_millis();
     let path = format!("/v1/kv-watch?prefix={prefix}&after={after}&waitMs={wait}");
-    get(Kind::Watch, path)
+    get(Sort::Watch, path)
 }
 
 /// Returns the call that asks for a lease.
 #[must_use]
 pub fn grant(life: Duration) -> Call {
     let millis = u64::try_from(life.as_millis()).unwrap_or(u64::MAX);
-    post(Kind::Grant, "/v1/kv-lease", &json!({ "ttlMs": millis }))
+    post(Sort::Grant, "/v1/kv-lease", &json!({ "ttlMs": millis }))
 }
 
 /// Returns the call that renews a lease.
 #[must_use]
 pub fn keep(lease: i64) -> Call {
     Call {
-        kind: Kind::Keepalive,
+        sort: Sort::Keepalive,
         method: "POST",
         path: format!("/v1/kv-keep/{lease}"),
         body: Vec::new(),
@@ -159,7 +125,7 @@
 #[must_use]
 pub fn end(lease: i64) -> Call {
     Call {
-        kind: Kind::Revoke,
+        sort: Sort::Revoke,
         method: "DELETE",
         path: format!("/v1/kv-lease-end/{lease}"),
         body: Vec::new(),
@@ -192,7 +158,7 @@
         "setKeys": puts.collect::<Vec<_>>(),
         "remove": removes.collect::<Vec<_>>(),
     });
-    post(Kind::Txn, "/v1/kv-txn", &body)
+    post(Sort::Txn, "/v1/kv-txn", &body)
 }
 
 /// Reads the answer to [`range`].
--- a/src/store/link.rs
+++ b/src/store/link.rs
@@ -18,21 +18,43 @@
 /// Asks etcd, through its gateway, to refuse at once while it has no leader.
 const NEEDS_LEADER: (&str, &str) = ("grpc-metadata-hasleader", "true");
 
-/// Kind of call.
+/// Kind of call, as logs and counts name it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Sort {
+pub enum Sort {
+    /// A read of keys.
     Range,
+    /// A read of the newest revision.
+    Probe,
+    /// A transaction.
     Txn,
+    /// A lease is asked for.
     Grant,
+    /// A lease is renewed.
     Keepalive,
+    /// A lease is given back.
     Revoke,
+    /// A wait for changes.
     Watch,
 }
 
 impl Sort {
+    /// Returns its name.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Range => "range",
+            Self::Probe => "probe",
+            Self::Txn => "txn",
+            Self::Grant => "grant",
+            Self::Keepalive => "keepalive",
+            Self::Revoke => "revoke",
+            Self::Watch => "watch",
+        }
+    }
+
     fn path(self) -> &'static str {
         match self {
-            Self::Range => "/v3/kv/range",
+            Self::Range | Self::Probe => "/v3/kv/range",
             Self::Txn => "/v3/kv/txn",
             Self::Grant => "/v3/lease/grant",
             Self::Keepalive => "/v3/lease/keepalive",
@@ -43,12 +65,17 @@
 
     /// Whether the call may be made again elsewhere when its outcome is unknown.
     fn repeats(self) -> bool {
-        matches!(self, Self::Range | Self::Watch | Self::Keepalive)
+        matches!(
+            self,
+            Self::Range | Self::Probe | Self::Watch | Self::Keepalive
+        )
     }
 
-    fn count(self, calls: &mut Calls) {
+    /// Counts a call of this kind.
+    pub fn count(self, calls: &mut Calls) {
         *match self {
             Self::Range => &mut calls.range,
+            Self::Probe => &mut calls.probe,
             Self::Txn => &mut calls.txn,
             Self::Grant => &mut calls.grant,
             Self::Keepalive => &mut calls.keepalive,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -24,10 +24,9 @@
 use crate::error::Ran;
 use crate::web::CLIENT_IDLE;
 
+pub use link::Sort;
 pub use watch::{Batch, Change, Watch};
 
-use link::Sort;
-
 /// Most bytes of one answer: all keys of a deployment, of which few are near the megabyte.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 /// Most connections at once, watches included; far above what a host opens.
