Ask in one place which hosts are near and heard, and name when an attempt may be silent

Four functions picked the hosts of the own failure domain, three asked whether one was heard lately; two ways of a request spelled out the same bare 3 and 300 ms.

--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -2,8 +2,10 @@
 
 use super::super::event::{Stage, Task};
 use super::super::instance::Work;
-use super::super::{Call, Reads, load, parts, span};
-use super::{Choice, crossing, crowded, displaced, none, policy, queued, takers, transfer};
+use super::super::{Call, Reads, load, parts};
+use super::{
+    Choice, crossing, crowded, displaced, none, policy, queued, silence, takers, transfer,
+};
 use crate::core::Core;
 use crate::core::effect::Refusal;
 use crate::core::key::{BackendKey, CallKey};
@@ -89,6 +91,6 @@
         }),
         late: call.late,
         fetch: None,
-        silence: Some(span(expected * 3.0 + 300.0)),
+        silence: Some(silence(expected)),
     })
 }
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -39,6 +39,11 @@
 /// their prompts come late.
 const DISPLACED: f64 = 0.3;
 
+/// Times as long as expected after which an attempt that brought nothing may be silent.
+const SILENT_TIMES: f64 = 3.0;
+/// Time beyond that, for what is expected almost at once.
+const SILENT_LEAST: Duration = Duration::from_millis(300);
+
 /// Where a request goes.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -111,6 +116,12 @@
     if fresh.is_empty() { takers } else { fresh }
 }
 
+/// Returns when to look whether an attempt is silent from which an answer is expected after so many
+/// milliseconds.
+fn silence(expected: f64) -> Duration {
+    span(expected * SILENT_TIMES) + SILENT_LEAST
+}
+
 fn policy(core: &Core) -> Policy {
     let relay = core.settings.relay.as_ref();
     relay.map_or(
@@ -226,7 +237,7 @@
         urgency: Some(urgency(call, late)),
         late,
         fetch: way.fetch,
-        silence: Some(span(way.here * 3.0 + 300.0)),
+        silence: Some(silence(way.here)),
     })
 }
 
--- a/src/core/relay/words.rs
+++ b/src/core/relay/words.rs
@@ -16,7 +16,7 @@
 use super::super::{Core, Effects};
 use super::event::{DeathWord, LoadWord, PartWord, RelayEffect, Word};
 use super::instance::Work;
-use super::peers::peer;
+use super::peers::{Peer, peer};
 use super::{RelayTimer, load, parts, span, view, wake};
 
 /// Time between two words to the other hosts.
@@ -120,35 +120,33 @@
     }
 }
 
+/// Returns the other hosts of this failure domain.
+fn neighbours(core: &Core) -> impl Iterator<Item = &Peer> {
+    let peers = &core.relay.peers;
+    let all = peers.names.values().map(|key| &peers.arena[*key]);
+    all.filter(|peer| peer.domain == core.settings.host.domain)
+}
+
+/// Tells whether a host was heard lately enough to be counted on.
+fn is_heard(core: &Core, peer: &Peer) -> bool {
+    peer.heard.is_some_and(|at| core.now.since(at) < SPEAKS)
+}
+
 /// Returns where the other hosts of this failure domain listen.
 fn near(core: &Core) -> Vec<SocketAddr> {
-    let peers = &core.relay.peers;
-    let near = peers.names.values().map(|key| &peers.arena[*key]);
-    near.filter(|peer| peer.domain == core.settings.host.domain)
-        .map(|peer| peer.addr)
-        .collect()
+    neighbours(core).map(|peer| peer.addr).collect()
 }
 
 /// Returns how many other hosts of this failure domain are heard.
 pub(super) fn heard_near(core: &Core) -> u32 {
-    let peers = &core.relay.peers;
-    let near = peers.names.values().map(|key| &peers.arena[*key]);
-    let heard = near.filter(|peer| {
-        peer.domain == core.settings.host.domain
-            && peer.heard.is_some_and(|at| core.now.since(at) < SPEAKS)
-    });
+    let heard = neighbours(core).filter(|peer| is_heard(core, peer));
     u32::try_from(heard.count()).unwrap_or(u32::MAX)
 }
 
 /// Tells whether this host speaks for its failure domain: no host before it by name is heard.
 pub(super) fn speaks(core: &Core) -> bool {
-    let peers = &core.relay.peers;
-    let own = &core.settings.host;
-    let mut near = peers.names.values().map(|key| &peers.arena[*key]);
-    !near.any(|peer| {
-        let heard = peer.heard.is_some_and(|at| core.now.since(at) < SPEAKS);
-        heard && peer.domain == own.domain && peer.name < own.name
-    })
+    let own = &core.settings.host.name;
+    !neighbours(core).any(|peer| peer.name < *own && is_heard(core, peer))
 }
 
 /// Tells each other failure domain what was heard in this one.
@@ -191,9 +189,8 @@
 fn speaker(core: &Core, domain: &str) -> Option<SocketAddr> {
     let peers = &core.relay.peers;
     let whole = &peers.arena[*peers.domains.get(domain)?];
-    let heard = whole.heard.is_some_and(|at| core.now.since(at) < SPEAKS);
     let host = peers.names.get(&whole.name)?;
-    heard.then(|| peers.arena[*host].addr)
+    is_heard(core, whole).then(|| peers.arena[*host].addr)
 }
 
 /// Returns the unfinished work of all hosts of this failure domain.
