Begin a test only once the host knows every engine

Cause: a host is ready with the first backend server that it knows. Where the store told of the second one in its next answer, 150 ms later, a request for its service was refused (no-engine, not run), as it should be, and the test waited for a stream that never came: stop::a_request_late_in_a_stop_runs_nowhere failed in 1 of 72 whole runs and 2 of 240 of the stop tests, six and eight at a time. The log of a run with the second entry put 180 ms late showed the refusal 125 ms before the engine was listed. Ruled out: the host's stop, which had not begun; load alone. Change: the set-up waits for the line that lists each engine. No check changes.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// Tells whether a host's log says that it knows this backend server.
+fn lists(log: &str, id: &str) -> bool {
+    let events = log
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let mut listed = events.filter(|event| event["event"] == "backend.listed");
+    listed.any(|event| event["backend"] == id && event["state"] == "ready")
+}
+
 /// A host before its stand-ins.
 struct Site {
     store: Store,
@@ -81,7 +90,10 @@
         site
     }
 
-    /// Puts a configuration in force and waits until the host is ready.
+    /// Puts a configuration in force and waits until the host is ready and knows every engine.
+    ///
+    /// A host is ready with the first backend server that it knows; the store may tell of another one
+    /// in its next answer, and a request for that one's service is refused until then.
     fn configure(&self, engines: &[&Engine]) {
         self.store.put("op/config", &config(1, "/short/"));
         for engine in engines {
@@ -89,6 +101,10 @@
                 .put(&format!("servers/{}", engine.id), &engine.entry("ready"));
         }
         self.wait_ready();
+        wait_for("every engine", || {
+            let log = self.log();
+            engines.iter().all(|engine| lists(&log, &engine.id))
+        });
     }
 
     /// Returns what the host has logged.
