--- /dev/null
+++ b/src/core/relay/words/aggregator.rs
@@ -0,0 +1,190 @@
+//! Which host sums up for this one in a large failure domain.
+//!
+//! Hosts are ordered by name, and each reports to the first before it that answers. One that does not
+//! answer is doubted for a while and then asked again, so that hosts which cannot reach each other
+//! still hear of each other's work through a third. Who reports to whom always leads to an earlier
+//! name: no circle can come about.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::core::time::Time;
+
+/// Time within which an aggregator answers: several times that between two of its words.
+const ANSWER: Duration = Duration::from_millis(300);
+/// Time between two questions to a host before the one that answers.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// First time for which a host that did not answer is not asked; doubled each time.
+const DOUBT: Duration = Duration::from_secs(2);
+/// Doublings of that time, at most: to 16 s.
+const DOUBT_MOST: u32 = 3;
+/// Time after which an old doubt no longer counts.
+const FORGIVEN: Duration = Duration::from_secs(30);
+
+/// A host that did not answer.
+#[derive(Debug, Clone, Copy)]
+struct Doubt {
+    since: Time,
+    times: u32,
+}
+
+impl Doubt {
+    fn lasts(&self, now: Time) -> bool {
+        let time = DOUBT.saturating_mul(1 << (self.times - 1).min(DOUBT_MOST));
+        now.since(self.since) < time
+    }
+}
+
+/// What changed about the aggregator.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The one before, if any.
+    pub before: Option<Box<str>>,
+    /// The one now; none where this host sums up itself.
+    pub now: Option<Box<str>>,
+}
+
+/// The host that sums up for this one, and those that were asked to.
+#[derive(Debug, Default)]
+pub struct Aggregator {
+    current: Option<Box<str>>,
+    /// Since when the current one has not answered a report.
+    owes: Option<Time>,
+    /// Hosts that were asked and did not answer yet.
+    asked: BTreeMap<Box<str>, Time>,
+    doubts: BTreeMap<Box<str>, Doubt>,
+    /// Hosts asked at once while none answers; doubled each time.
+    width: usize,
+    /// When a host before the current one was last asked.
+    tried: Time,
+    /// When this was last looked at.
+    looked: Time,
+}
+
+impl Aggregator {
+    /// Returns the host that sums up for this one.
+    #[must_use]
+    pub fn current(&self) -> Option<&str> {
+        self.current.as_deref()
+    }
+
+    /// Tells whether no host before this one answers, as far as is known.
+    #[must_use]
+    pub fn is_first(&self) -> bool {
+        self.current.is_none() && self.asked.is_empty()
+    }
+
+    /// Looks at the hosts before this one by name, in their order: returns which to ask now, and
+    /// whether the aggregator was lost.
+    pub fn look(&mut self, before: &[Box<str>], now: Time) -> (Vec<Box<str>>, Option<Change>) {
+        if now.since(self.looked) > ANSWER {
+            // This host stood still: it is not the others that did not answer.
+            self.owes = self.owes.map(|_| now);
+            self.asked.values_mut().for_each(|at| *at = now);
+        }
+        self.looked = now;
+        let known = |name: &str| before.iter().any(|host| **host == *name);
+        self.asked.retain(|name, _| known(name));
+        self.doubts
+            .retain(|name, doubt| known(name) && now.since(doubt.since) < FORGIVEN);
+        self.doubt_silent(now);
+        let lost = self.lose(&known, now);
+        let asked = self.to_ask(before, now);
+        self.asked
+            .extend(asked.iter().map(|name| (name.clone(), now)));
+        (asked, lost)
+    }
+
+    fn doubt_silent(&mut self, now: Time) {
+        let late: Vec<Box<str>> = self
+            .asked
+            .iter()
+            .filter(|(_, at)| now.since(**at) > ANSWER)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in late {
+            self.asked.remove(&name);
+            self.doubt(name, now);
+        }
+    }
+
+    fn doubt(&mut self, name: Box<str>, now: Time) {
+        let doubt = self.doubts.entry(name).or_insert(Doubt {
+            since: now,
+            times: 0,
+        });
+        doubt.since = now;
+        doubt.times += 1;
+    }
+
+    /// Gives the aggregator up if it is gone or does not answer.
+    fn lose(&mut self, known: &impl Fn(&str) -> bool, now: Time) -> Option<Change> {
+        let current = self.current.as_deref()?;
+        let silent = self.owes.is_some_and(|at| now.since(at) > ANSWER);
+        if known(current) && !silent {
+            return None;
+        }
+        let before = self.current.take()?;
+        self.owes = None;
+        self.width = 1;
+        if silent {
+            self.doubt(before.clone(), now);
+        }
+        Some(Change {
+            before: Some(before),
+            now: None,
+        })
+    }
+
+    /// Returns the hosts to ask: the first that is not doubted, and more each time none answered.
+    fn to_ask(&mut self, before: &[Box<str>], now: Time) -> Vec<Box<str>> {
+        let doubted = |name: &str| self.doubts.get(name).is_some_and(|doubt| doubt.lasts(now));
+        let earlier = |name: &str| self.current().is_none_or(|current| name < current);
+        let free = before
+            .iter()
+            .filter(|name| earlier(name) && !doubted(name) && !self.asked.contains_key(*name));
+        if self.current.is_some() {
+            if now.since(self.tried) < ASK_AGAIN {
+                return Vec::new();
+            }
+            let first: Vec<Box<str>> = free.take(1).cloned().collect();
+            self.tried = now;
+            return first;
+        }
+        if !self.asked.is_empty() {
+            return Vec::new();
+        }
+        let width = self.width.max(1);
+        let hosts = free.take(width).cloned().collect();
+        self.width = width.saturating_mul(2);
+        hosts
+    }
+
+    /// Notes that a report was sent to the aggregator, which it answers.
+    pub fn reported(&mut self, now: Time) {
+        self.owes.get_or_insert(now);
+    }
+
+    /// Takes in that a host answered; returns what changed if it sums up for this one from now on.
+    pub fn answered(&mut self, name: &str) -> Option<Change> {
+        let asked = self.asked.remove(name).is_some();
+        if self.current() == Some(name) {
+            self.owes = None;
+            return None;
+        }
+        if !asked || self.current().is_some_and(|current| current < name) {
+            return None;
+        }
+        self.owes = None;
+        self.width = 1;
+        Some(Change {
+            before: self.current.replace(name.into()),
+            now: Some(name.into()),
+        })
+    }
+
+    /// Forgets everything, for a host whose failure domain needs no aggregator.
+    pub fn forget(&mut self) {
+        *self = Self::default();
+    }
+}
--- /dev/null
+++ b/src/core/relay/words/domains.rs
@@ -0,0 +1,88 @@
+//! What failure domains tell each other: one host of each tells one host of every other.
+//!
+//! Bytes between domains grow with the domains, not with the square of the hosts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::super::super::key::HostKey;
+use super::super::super::{Core, Effects};
+use super::super::event::{Word, WordKind};
+use super::super::peers::peer;
+use super::{is_heard, near, summed, tell_them, word};
+
+/// Tells each other failure domain what was heard in this one.
+pub(super) fn tell(core: &mut Core, out: &mut Effects) {
+    let own = core.settings.host.domain.clone();
+    let peers = &core.relay.peers;
+    let mut to: BTreeMap<Box<str>, Vec<SocketAddr>> = BTreeMap::new();
+    for key in peers.names.values() {
+        let peer = &peers.arena[*key];
+        if peer.domain != own {
+            to.entry(peer.domain.clone()).or_default().push(peer.addr);
+        }
+    }
+    // One host there passes it on. It may be down: another is told each time nothing is heard.
+    let to: Vec<SocketAddr> = to
+        .iter()
+        .filter_map(|(domain, addrs)| {
+            let speaker = speaker(core, domain);
+            speaker.or_else(|| turn(addrs, peers.number))
+        })
+        .collect();
+    if to.is_empty() {
+        return;
+    }
+    let loads = summed(core);
+    let (parts, deaths) = core.relay.peers.across.take();
+    let word = word(core, WordKind::Domain(own), loads, parts, deaths);
+    out.extend(tell_them(to, word));
+}
+
+/// Returns one of the addresses, another with each number.
+fn turn(addrs: &[SocketAddr], number: u64) -> Option<SocketAddr> {
+    let at = number % u64::try_from(addrs.len()).ok()?.max(1);
+    addrs.get(usize::try_from(at).ok()?).copied()
+}
+
+/// Returns where the host listens that speaks for another failure domain, if one was heard.
+fn speaker(core: &Core, domain: &str) -> Option<SocketAddr> {
+    let peers = &core.relay.peers;
+    let whole = &peers.arena[*peers.domains.get(domain)?];
+    let host = peers.names.get(&whole.name)?;
+    is_heard(core, whole).then(|| peers.arena[*host].addr)
+}
+
+/// Passes on what was heard from another failure domain: to all where each host tells all, or to the
+/// aggregator, whose totals then hold it.
+pub(super) fn pass_on(core: &mut Core, word: Word, out: &mut Effects) {
+    let WordKind::Domain(domain) = &word.kind else {
+        return;
+    };
+    if let Some(aggregator) = super::gather::current(core) {
+        out.extend(tell_them(vec![aggregator], word));
+    } else if !super::gathers(core) {
+        let kind = WordKind::Passed(domain.clone());
+        out.extend(tell_them(near(core), Word { kind, ..word }));
+    }
+}
+
+/// Returns what stands for a whole failure domain, now that this host speaks for it.
+pub(super) fn whole(core: &mut Core, speaker: HostKey, domain: Box<str>) -> HostKey {
+    let peers = &mut core.relay.peers;
+    let (name, addr) = (peers.arena[speaker].name.clone(), peers.arena[speaker].addr);
+    let known = peers.domains.get(&domain).copied();
+    let key = known.unwrap_or_else(|| {
+        let key = peers.arena.insert(peer(&name, domain.clone(), addr));
+        peers.domains.insert(domain, key);
+        key
+    });
+    let whole = &mut peers.arena[key];
+    if whole.name != name {
+        // Another host speaks for it: its numbers are its own.
+        whole.name = name;
+        whole.incarnation = 0;
+        whole.number = 0;
+    }
+    key
+}
--- /dev/null
+++ b/src/core/relay/words/mod.rs
@@ -0,0 +1,342 @@
+//! What hosts tell each other: unfinished work, prompt parts, deaths.
+//!
+//! Each host sees only its part of the requests. Without the others' word every host takes the
+//! same engine for idle, and reads the same prompt part at another engine.
+//!
+//! In a small failure domain each host tells all others. In a large one that would cost each host as
+//! many datagrams as there are hosts, so that each reports to an aggregator and is told totals: see
+//! [`gather`]. One host of each failure domain tells the others what is known in its own: see
+//! [`domains`].
+
+mod aggregator;
+mod domains;
+mod gather;
+mod news;
+
+pub use aggregator::Aggregator;
+pub use news::News;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::super::effect::Effect;
+use super::super::key::HostKey;
+use super::super::{Core, Effects};
+use super::event::{DeathWord, LoadWord, PartWord, RelayEffect, Word, WordKind};
+use super::instance::Work;
+use super::peers::Peer;
+use super::{RelayTimer, load, parts, span, view, wake};
+
+/// Time between two words to the other hosts.
+///
+/// Late word means that hosts pile requests on one engine; earlier word costs processor time and
+/// bytes between domains.
+pub const EVERY: Duration = Duration::from_millis(18);
+/// The same for each other host of the failure domain where each tells all: a host must hear all of
+/// them.
+const EVERY_HOST: Duration = Duration::from_micros(1500);
+/// The same where they report to one of them, which must hear all of them and answer them.
+const EVERY_REPORT: Duration = Duration::from_micros(700);
+/// Other hosts of a failure domain up to which each tells all.
+const ALL: usize = 12;
+/// Time between two looks at the prompt parts that engines hold: all of some ten thousand are
+/// looked at, and those that are dropped were last used seconds ago.
+const SWEEP: Duration = Duration::from_millis(250);
+/// Longest time between two words while nothing changes; less than half of [`SPEAKS`].
+const QUIET: Duration = Duration::from_millis(500);
+/// Time after which a host that said nothing counts for nothing.
+const UNHEARD: Duration = Duration::from_secs(2);
+/// Time without a word after which another host speaks for a failure domain: two quiet words.
+const SPEAKS: Duration = Duration::from_millis(1200);
+
+/// Tells the other hosts of this one's work.
+pub fn tell(core: &mut Core, out: &mut Effects) {
+    let hosts = neighbours(core).count();
+    let gathers = gathers(core);
+    let each = if gathers { EVERY_REPORT } else { EVERY_HOST };
+    let every = each.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
+    wake(core, every.max(EVERY), RelayTimer::Tell, out);
+    expire(core);
+    for instance in core.relay.instances.arena.values_mut() {
+        instance.age(core.now);
+    }
+    sweep(core);
+    core.relay.instances.sweep(core.now);
+    if gathers {
+        gather::tell(core, out);
+    } else {
+        core.relay.peers.aggregator.forget();
+        tell_all(core, out);
+    }
+    gather::answer(core, out);
+    if core.relay.peers.across.any() && speaks(core) {
+        domains::tell(core, out);
+    }
+}
+
+/// Returns the age of what is known of the work of other hosts of this failure domain: of the last
+/// totals, or of the oldest word where each host tells all.
+pub(super) fn age(core: &Core) -> Option<Duration> {
+    let peers = &core.relay.peers;
+    let totals = peers.domains.get(&core.settings.host.domain);
+    let heard = match totals {
+        Some(totals) => peers.arena[*totals].heard,
+        None => neighbours(core).filter_map(|peer| peer.heard).min(),
+    };
+    heard.map(|at| core.now.since(at))
+}
+
+/// Tells whether hosts report to an aggregator in this failure domain.
+fn gathers(core: &Core) -> bool {
+    neighbours(core).count() > ALL
+}
+
+/// Tells each host of the failure domain of this one's own work.
+fn tell_all(core: &mut Core, out: &mut Effects) {
+    let loads = own_loads(core);
+    let (parts, deaths) = untold(core);
+    if !due(core, &loads, !parts.is_empty() || !deaths.is_empty()) {
+        return;
+    }
+    core.relay.peers.across.hear(&parts, &deaths);
+    let near = near(core);
+    let word = word(core, WordKind::Own, loads, parts, deaths);
+    out.extend(tell_them(near, word));
+}
+
+/// Returns this host's own unfinished work.
+fn own_loads(core: &Core) -> Vec<LoadWord> {
+    let loads = core.relay.instances.arena.values();
+    loads
+        .filter(|instance| instance.own != Work::default())
+        .map(|instance| load_word(instance.short, instance.own))
+        .collect()
+}
+
+/// Takes the prompt parts and deaths of this host that it has not told.
+fn untold(core: &mut Core) -> (Vec<PartWord>, Vec<DeathWord>) {
+    let parts = std::mem::take(&mut core.relay.peers.parts);
+    (parts, core.relay.killers.take_untold())
+}
+
+/// Tells whether to tell of this work now: something is new, or was last told a while ago.
+fn due(core: &mut Core, loads: &[LoadWord], news: bool) -> bool {
+    let probed = core.relay.view.probes.has_news();
+    let peers = &mut core.relay.peers;
+    let same = !news && !probed && loads == peers.last;
+    if same && peers.told.is_some_and(|at| core.now.since(at) < QUIET) {
+        return false;
+    }
+    peers.told = Some(core.now);
+    peers.last = loads.to_vec();
+    true
+}
+
+/// Forgets the prompt parts that engines no longer hold, every now and then.
+fn sweep(core: &mut Core) {
+    let peers = &mut core.relay.peers;
+    if peers.swept.is_some_and(|at| core.now.since(at) < SWEEP) {
+        return;
+    }
+    peers.swept = Some(core.now);
+    let memory = core.relay.catalog.as_ref().and_then(|catalog| {
+        let engines = catalog
+            .services
+            .values()
+            .filter_map(|service| service.engine.as_ref());
+        engines.map(|engine| engine.memory).max()
+    });
+    for instance in core.relay.instances.arena.values_mut() {
+        parts::forget(instance, memory.unwrap_or(0), core.now);
+    }
+}
+
+fn tell_them(to: Vec<SocketAddr>, word: Word) -> Option<Effect> {
+    let word = Box::new(word);
+    (!to.is_empty()).then(|| Effect::Relay(RelayEffect::Tell { to, word }))
+}
+
+fn word(
+    core: &mut Core,
+    kind: WordKind,
+    loads: Vec<LoadWord>,
+    parts: Vec<PartWord>,
+    deaths: Vec<DeathWord>,
+) -> Word {
+    core.relay.peers.number += 1;
+    let probes = &mut core.relay.view.probes;
+    let newest = match kind {
+        // Each failure domain probes the store for itself.
+        WordKind::Domain(_) | WordKind::Passed(_) => None,
+        WordKind::Totals(_) => probes.latest(core.now),
+        _ => probes.newest(core.now),
+    };
+    Word {
+        host: core.settings.host.name.clone(),
+        incarnation: core.members.incarnation(),
+        number: core.relay.peers.number,
+        loads,
+        parts,
+        deaths,
+        kind,
+        newest,
+    }
+}
+
+/// Returns the other hosts of this failure domain.
+fn neighbours(core: &Core) -> impl Iterator<Item = &Peer> {
+    let peers = &core.relay.peers;
+    let all = peers.names.values().map(|key| &peers.arena[*key]);
+    all.filter(|peer| peer.domain == core.settings.host.domain)
+}
+
+/// Tells whether a host was heard lately enough to be counted on.
+fn is_heard(core: &Core, peer: &Peer) -> bool {
+    peer.heard.is_some_and(|at| core.now.since(at) < SPEAKS)
+}
+
+/// Returns where the other hosts of this failure domain listen.
+fn near(core: &Core) -> Vec<SocketAddr> {
+    neighbours(core).map(|peer| peer.addr).collect()
+}
+
+/// Returns how many other hosts of this failure domain are heard, directly or by an aggregator.
+pub(super) fn heard_near(core: &Core) -> u32 {
+    let direct = neighbours(core).filter(|peer| is_heard(core, peer)).count();
+    let peers = &core.relay.peers;
+    let reporting = match peers.aggregator.current() {
+        Some(_) => peers.reporting,
+        None => 0,
+    };
+    u32::try_from(direct.max(reporting)).unwrap_or(u32::MAX)
+}
+
+/// Tells whether this host speaks for its failure domain: no host before it by name is heard.
+pub(super) fn speaks(core: &Core) -> bool {
+    if core.relay.peers.aggregator.current().is_some() {
+        return false;
+    }
+    let own = &core.settings.host.name;
+    !neighbours(core).any(|peer| peer.name < *own && is_heard(core, peer))
+}
+
+/// Returns the unfinished work of this host and of those of its failure domain that told it.
+fn summed(core: &Core) -> Vec<LoadWord> {
+    let peers = &core.relay.peers;
+    let own = &core.settings.host.domain;
+    let totals = peers.domains.get(own);
+    let near = |key: &HostKey| {
+        let peer = peers.arena.get(*key);
+        Some(key) != totals && peer.is_some_and(|peer| peer.domain == *own)
+    };
+    let instances = core.relay.instances.arena.values();
+    let loads = instances.filter_map(|instance| {
+        let others = instance.others.iter().filter(|(key, _)| near(key));
+        let sum = others.fold(instance.own, |sum, (_, work)| sum.plus(*work));
+        (sum != Work::default()).then(|| load_word(instance.short, sum))
+    });
+    loads.collect()
+}
+
+fn load_word(instance: u32, work: Work) -> LoadWord {
+    LoadWord {
+        instance,
+        calls: work.calls,
+        fill: u32::try_from(work.fill).unwrap_or(u32::MAX),
+        tokens: u32::try_from(work.tokens).unwrap_or(u32::MAX),
+    }
+}
+
+/// Forgets the work of hosts that fell silent.
+fn expire(core: &mut Core) {
+    let silent: Vec<HostKey> = core
+        .relay
+        .peers
+        .arena
+        .iter()
+        .filter(|(_, peer)| peer.heard.is_some_and(|at| core.now.since(at) > UNHEARD))
+        .map(|(key, _)| key)
+        .collect();
+    for key in silent {
+        let peer = &mut core.relay.peers.arena[key];
+        peer.heard = None;
+        peer.reports = false;
+        core.relay.instances.told(key, &[]);
+    }
+}
+
+/// Takes in another host's word, or what one sums up for its failure domain.
+pub fn told(core: &mut Core, word: Word, out: &mut Effects) {
+    let Some(sender) = core.relay.peers.names.get(&word.host).copied() else {
+        return;
+    };
+    let key = match &word.kind {
+        // What this domain sums up itself is known here already.
+        WordKind::Domain(domain) | WordKind::Passed(domain)
+            if *domain == core.settings.host.domain =>
+        {
+            return;
+        }
+        WordKind::Domain(domain) | WordKind::Passed(domain) => {
+            domains::whole(core, sender, domain.clone())
+        }
+        _ => sender,
+    };
+    let now = core.now;
+    let peer = &mut core.relay.peers.arena[key];
+    // Datagrams overtake each other, and a process that ended may still be heard.
+    if (word.incarnation, word.number) <= (peer.incarnation, peer.number) {
+        return;
+    }
+    peer.incarnation = word.incarnation;
+    peer.number = word.number;
+    peer.heard = Some(now);
+    if let Some(newest) = word.newest {
+        view::probe::told(core, newest, out);
+    }
+    note_parts(core, &word.parts);
+    for death in &word.deaths {
+        core.relay.killers.died(*death, now);
+    }
+    let peers = &mut core.relay.peers;
+    peers.down.hear(&word.parts, &word.deaths);
+    if matches!(word.kind, WordKind::Own | WordKind::Report) {
+        peers.across.hear(&word.parts, &word.deaths);
+    }
+    if word.kind == WordKind::Report {
+        peers.up.hear(&word.parts, &word.deaths);
+    }
+    // An aggregator's totals hold all other work.
+    let summed_up = peers.aggregator.current().is_some();
+    match &word.kind {
+        WordKind::Hello | WordKind::Report | WordKind::Farewell => {
+            gather::heard(core, key, &word);
+        }
+        WordKind::Totals(included) => gather::totals(core, key, &word.loads, included, out),
+        WordKind::Own | WordKind::Passed(_) if !summed_up => {
+            core.relay.instances.told(key, &word.loads);
+        }
+        WordKind::Domain(_) => {
+            if !summed_up {
+                core.relay.instances.told(key, &word.loads);
+            }
+            domains::pass_on(core, word, out);
+        }
+        WordKind::Own | WordKind::Passed(_) => {}
+    }
+}
+
+/// Takes in which prompt parts engines were sent.
+fn note_parts(core: &mut Core, parts: &[PartWord]) {
+    for part in parts {
+        let Some(engine) = core.relay.instances.by_short(part.instance) else {
+            continue;
+        };
+        let instance = &mut core.relay.instances.arena[engine];
+        // It was sent there to be read, behind what waits there already.
+        let learned = core.relay.model.of(&instance.service);
+        let wait = span(load::reading(learned, instance, instance.work().tokens));
+        let ready = core.now.after(wait);
+        parts::note(instance, part.part, part.tokens.into(), core.now, ready);
+    }
+}
