Have hosts of a large failure domain report to one of them, which answers with totals

Cause: each host told each other host of its failure domain, so that datagrams out of and into a host grew with the hosts beside it: 660 a second at 59. Most of a host's processor time went into reading them. Ruled out as the cause of the lost worth: age of what is known, which fell by half while worth stayed as it was.

A host reports its work, and that of those that report to it, to the first host before it by name that answers; it is answered with the sum of all that one knows, domains included, and with which reports that holds, so that it takes its own part out. One that does not answer within 300 ms is doubted and the next asked, more at once the longer none answers. Up to 12 others, each host tells all as before.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -12,7 +12,7 @@
 use super::choose::{self, Choice};
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
-use super::{Attempt, Call, RelayTimer, millis, note, parts, span};
+use super::{Attempt, Call, RelayTimer, millis, note, parts, span, words};
 use crate::error::{Kind, Ran};
 
 /// Calls a host holds at once: a hundred times what one serves in its links' worst second.
@@ -173,6 +173,10 @@
     }
     let now = core.now;
     let idle = idle(core, choice.backend);
+    let told = words::age(core).map_or_else(
+        || "never".into(),
+        |age| format!("{}", age.as_millis()).into(),
+    );
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
     match &choice.task {
@@ -214,6 +218,8 @@
             ("expected_ms", format!("{:.0}", choice.expected).into()),
             ("calls", instance.work().calls.to_string().into()),
             ("tokens", instance.work().tokens.to_string().into()),
+            ("own_tokens", instance.own.tokens.to_string().into()),
+            ("told_ms", told),
             ("reads", choice.work.tokens.to_string().into()),
             (
                 "fetched",
--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -404,14 +404,41 @@
     pub parts: Vec<PartWord>,
     /// Fingerprints of requests that backend servers died of.
     pub deaths: Vec<DeathWord>,
-    /// Failure domain whose hosts' words are summed up here; `None` for a host's own word.
-    pub domain: Option<Box<str>>,
-    /// Whether a host of the listener's own failure domain passed it on.
-    pub passed: bool,
+    /// Whose work it tells of, and what is expected of the listener.
+    pub kind: WordKind,
     /// What the store last answered to a probe of that host.
     pub newest: Option<NewestWord>,
 }
 
+/// Whose work a word tells of, and what is expected of the listener.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum WordKind {
+    /// The sender's own work, told to each host of its failure domain.
+    #[default]
+    Own,
+    /// No work: asks the listener for totals.
+    Hello,
+    /// The work of the sender and of those that report to it; it is answered with totals.
+    Report,
+    /// No work: the sender no longer reports to the listener.
+    Farewell,
+    /// All the work that the sender knows of, told to those that report to it.
+    Totals(Vec<Included>),
+    /// Sum over this failure domain, told to another one.
+    Domain(Box<str>),
+    /// The same, passed on within the listener's failure domain.
+    Passed(Box<str>),
+}
+
+/// A report that is part of totals: its sender takes its own work out of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Included {
+    /// Short hash of the reporting process.
+    pub process: u32,
+    /// Number of the report.
+    pub number: u64,
+}
+
 /// The store's newest revision, as a probe showed it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewestWord {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -274,6 +274,8 @@
     pub arena: SlotMap<BackendKey, Instance>,
     names: BTreeMap<Box<str>, BackendKey>,
     shorts: BTreeMap<u32, BackendKey>,
+    /// Backend servers at which a host has unfinished work, as it told.
+    told: BTreeMap<HostKey, Vec<BackendKey>>,
     services: BTreeMap<Box<str>, Vec<BackendKey>>,
 }
 
@@ -405,18 +407,27 @@
 
     /// Takes in a host's whole unfinished work.
     pub fn told(&mut self, host: HostKey, loads: &[LoadWord]) {
-        for instance in self.arena.values_mut() {
-            if let Some(old) = instance.others.remove(&host) {
+        for key in self.told.remove(&host).unwrap_or_default() {
+            if let Some(instance) = self.arena.get_mut(key)
+                && let Some(old) = instance.others.remove(&host)
+            {
                 instance.theirs = instance.theirs.less(old);
             }
         }
+        let mut keys = Vec::with_capacity(loads.len());
         for load in loads {
             if let Some(key) = self.by_short(load.instance) {
                 let instance = &mut self.arena[key];
                 let work = Work::from(*load);
-                instance.others.insert(host, work);
+                if let Some(twice) = instance.others.insert(host, work) {
+                    instance.theirs = instance.theirs.less(twice);
+                }
                 instance.theirs = instance.theirs.plus(work);
+                keys.push(key);
             }
         }
+        if !keys.is_empty() {
+            self.told.insert(host, keys);
+        }
     }
 }
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -1,6 +1,6 @@
 //! The hosts of the deployment: their registration in the store, and the secret that they share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,12 +13,11 @@
 use super::super::key::HostKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::{Changes, DeathWord, LoadWord, PartWord, PromptPart, RelayEffect};
+use super::event::{Changes, LoadWord, PartWord, PromptPart, RelayEffect};
+use super::words::{Aggregator, News};
 use super::{RelayJob, RelayTimer, note, parts, wake, words};
 use crate::store::{Compare, Op, Txn};
 
-/// Prompt parts and deaths kept to be passed on: those of a second at the largest sites.
-const HEARD: usize = 256;
 /// Life of the lease of a registration.
 const LIFE: Duration = Duration::from_secs(12);
 /// Time between two renewals, and between tries.
@@ -43,6 +42,8 @@
     pub heard: Option<Time>,
     pub(super) incarnation: u64,
     pub(super) number: u64,
+    /// Whether it reports to this host, which answers with totals.
+    pub(super) reports: bool,
 }
 
 /// All other hosts.
@@ -53,10 +54,20 @@
     pub(super) names: BTreeMap<Box<str>, HostKey>,
     /// Those that stand for a failure domain.
     pub(super) domains: BTreeMap<Box<str>, HostKey>,
-    /// Prompt parts and deaths heard in the own failure domain, to be passed on.
-    pub(super) heard: (Vec<PartWord>, Vec<DeathWord>),
-    /// Whether anything was heard that other failure domains were not told.
-    pub(super) news: bool,
+    /// The host that sums up for this one, in a large failure domain.
+    pub(super) aggregator: Aggregator,
+    /// Reports to it that totals may include, by number.
+    pub(super) reports: VecDeque<(u64, Vec<LoadWord>)>,
+    /// Hosts that report to it.
+    pub(super) reporting: usize,
+    /// When the hosts that report here were last answered.
+    pub(super) answered: Option<Time>,
+    /// What was heard here and from hosts that report here, for the aggregator.
+    pub(super) up: News,
+    /// What was heard from anywhere, for the hosts that report here.
+    pub(super) down: News,
+    /// What was heard in this failure domain, for the others.
+    pub(super) across: News,
     /// Whether the hosts' secret is known.
     pub(super) secret: bool,
     pub(super) lease: i64,
@@ -79,18 +90,6 @@
         self.names.len() + 1
     }
 
-    /// Keeps what other failure domains are to be told.
-    pub(super) fn hear(&mut self, parts: &[PartWord], deaths: &[DeathWord]) {
-        self.news = true;
-        self.heard.0.extend_from_slice(parts);
-        self.heard.1.extend_from_slice(deaths);
-        // Hosts that do not speak for their domain collect, too, until they do.
-        let over = self.heard.0.len().saturating_sub(HEARD);
-        self.heard.0.drain(..over);
-        let over = self.heard.1.len().saturating_sub(HEARD);
-        self.heard.1.drain(..over);
-    }
-
     /// Notes which prompt parts went to an engine.
     pub fn sent(&mut self, parts: Option<&Vec<PromptPart>>, instance: u32) {
         let shared = parts.map_or(&[][..], |parts| parts::shared(parts));
@@ -276,6 +275,7 @@
         heard: None,
         incarnation: 0,
         number: 0,
+        reports: false,
     }
 }
 
@@ -298,8 +298,8 @@
 
 fn left(core: &mut Core, name: &str, out: &mut Effects) {
     if let Some(key) = core.relay.peers.names.remove(name) {
-        core.relay.peers.arena.remove(key);
         core.relay.instances.told(key, &[]);
+        core.relay.peers.arena.remove(key);
         note(
             out,
             log::Level::Info,
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -10,6 +10,7 @@
 mod request;
 mod stream;
 mod view;
+mod words;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -72,9 +73,15 @@
 
     /// Returns a host that has heard nothing.
     fn blank() -> Self {
-        let settings = Settings::parse_relay(SETTINGS, "host.ini").expect("settings");
+        Self::named("host-1", 7)
+    }
+
+    /// Returns a host of this name that has heard nothing.
+    fn named(name: &str, seed: u64) -> Self {
+        let settings = SETTINGS.replace("name = host-1", &format!("name = {name}"));
+        let settings = Settings::parse_relay(&settings, "host.ini").expect("settings");
         let mut site = Self {
-            core: Core::new(settings, Time::from_millis(1000), 1_000_000, 7),
+            core: Core::new(settings, Time::from_millis(1000), 1_000_000, seed),
             now: 1000,
             out: Effects::new(),
             due: Vec::new(),
--- a/src/core/relay/tests/words.rs
+++ b/src/core/relay/tests/words.rs
@@ -4,8 +4,6 @@
 //! there: told by each host to all others, work costs each of them hundreds of datagrams a second, and
 //! is old when it is heard.
 
-use std::net::SocketAddr;
-
 use super::*;
 use crate::core::relay::event::{Word, WordKind};
 use crate::core::relay::instance::Work;
@@ -38,7 +36,7 @@
     /// Returns so many hosts that know each other and three servers.
     fn of(hosts: usize) -> Self {
         let sites = (0..hosts).map(|host| {
-            let mut site = Site::named(&name(host));
+            let mut site = Site::named(&name(host), host as u64);
             let mut catalog = catalog(1);
             for route in &mut catalog.routes {
                 route.timeout = Duration::from_mins(1);
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -69,6 +69,17 @@
         })
     }
 
+    /// Returns what the last answered probe showed, whoever sent it, to tell those that hear of
+    /// other hosts by this one.
+    pub fn latest(&mut self, now: Time) -> Option<NewestWord> {
+        self.news = false;
+        let check = self.last?;
+        Some(NewestWord {
+            revision: check.newest,
+            age: now.since(check.sent),
+        })
+    }
+
     /// Tells whether the other hosts were not told of it yet.
     #[must_use]
     pub fn has_news(&self) -> bool {
--- a/src/core/relay/words/aggregator.rs
+++ b/src/core/relay/words/aggregator.rs
@@ -89,7 +89,7 @@
             .retain(|name, doubt| known(name) && now.since(doubt.since) < FORGIVEN);
         self.doubt_silent(now);
         let lost = self.lose(&known, now);
-        let asked = self.to_ask(before, now);
+        let asked = self.due_hosts(before, now);
         self.asked
             .extend(asked.iter().map(|name| (name.clone(), now)));
         (asked, lost)
@@ -137,7 +137,7 @@
     }
 
     /// Returns the hosts to ask: the first that is not doubted, and more each time none answered.
-    fn to_ask(&mut self, before: &[Box<str>], now: Time) -> Vec<Box<str>> {
+    fn due_hosts(&mut self, before: &[Box<str>], now: Time) -> Vec<Box<str>> {
         let doubted = |name: &str| self.doubts.get(name).is_some_and(|doubt| doubt.lasts(now));
         let earlier = |name: &str| self.current().is_none_or(|current| name < current);
         let free = before
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/words/mod.rs
@@ -51,18 +51,14 @@
 
 /// Tells the other hosts of this one's work.
 pub fn tell(core: &mut Core, out: &mut Effects) {
-    let hosts = neighbours(core).count();
-    let gathers = gathers(core);
-    let each = if gathers { EVERY_REPORT } else { EVERY_HOST };
-    let every = each.saturating_mul(u32::try_from(hosts).unwrap_or(u32::MAX));
-    wake(core, every.max(EVERY), RelayTimer::Tell, out);
+    wake(core, every(core), RelayTimer::Tell, out);
     expire(core);
     for instance in core.relay.instances.arena.values_mut() {
         instance.age(core.now);
     }
     sweep(core);
     core.relay.instances.sweep(core.now);
-    if gathers {
+    if gathers(core) {
         gather::tell(core, out);
     } else {
         core.relay.peers.aggregator.forget();
@@ -86,6 +82,17 @@
     heard.map(|at| core.now.since(at))
 }
 
+/// Returns the time between two words.
+fn every(core: &Core) -> Duration {
+    let hosts = u32::try_from(neighbours(core).count()).unwrap_or(u32::MAX);
+    let each = if gathers(core) {
+        EVERY_REPORT
+    } else {
+        EVERY_HOST
+    };
+    each.saturating_mul(hosts).max(EVERY)
+}
+
 /// Tells whether hosts report to an aggregator in this failure domain.
 fn gathers(core: &Core) -> bool {
     neighbours(core).count() > ALL
@@ -294,10 +301,6 @@
     if let Some(newest) = word.newest {
         view::probe::told(core, newest, out);
     }
-    note_parts(core, &word.parts);
-    for death in &word.deaths {
-        core.relay.killers.died(*death, now);
-    }
     let peers = &mut core.relay.peers;
     peers.down.hear(&word.parts, &word.deaths);
     if matches!(word.kind, WordKind::Own | WordKind::Report) {
@@ -309,20 +312,14 @@
     // An aggregator's totals hold all other work.
     let summed_up = peers.aggregator.current().is_some();
     match &word.kind {
-        WordKind::Hello | WordKind::Report | WordKind::Farewell => {
-            gather::heard(core, key, &word);
-        }
+        WordKind::Hello | WordKind::Report | WordKind::Farewell => gather::heard(core, key, &word),
         WordKind::Totals(included) => gather::totals(core, key, &word.loads, included, out),
-        WordKind::Own | WordKind::Passed(_) if !summed_up => {
-            core.relay.instances.told(key, &word.loads);
-        }
-        WordKind::Domain(_) => {
-            if !summed_up {
-                core.relay.instances.told(key, &word.loads);
-            }
-            domains::pass_on(core, word, out);
-        }
-        WordKind::Own | WordKind::Passed(_) => {}
+        _ if summed_up => {}
+        _ => core.relay.instances.told(key, &word.loads),
+    }
+    note_parts(core, &word.parts);
+    if matches!(word.kind, WordKind::Domain(_)) {
+        domains::pass_on(core, word, out);
     }
 }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -452,6 +452,20 @@
     pub newest: i64,
     #[prost(uint32, tag = "11")]
     pub newest_age: u32,
+    #[prost(enumeration = "WordKind", tag = "12")]
+    pub kind: i32,
+    /// Reports that are part of totals.
+    #[prost(message, repeated, tag = "13")]
+    pub included: ::prost::alloc::vec::Vec<Included>,
+}
+/// A report that is part of totals.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Included {
+    /// Short hash of the reporting process.
+    #[prost(fixed32, tag = "1")]
+    pub process: u32,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
 }
 /// Unfinished work of the sender at one backend server.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -485,3 +499,43 @@
     #[prost(fixed32, tag = "2")]
     pub instance: u32,
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum WordKind {
+    /// The sender's own work, or a sum where `domain` is set.
+    Own = 0,
+    /// Asks for totals.
+    Hello = 1,
+    /// The work of the sender and of those that report to it.
+    Report = 2,
+    /// The sender no longer reports to the recipient.
+    Farewell = 3,
+    /// All the work that the sender knows of.
+    Totals = 4,
+}
+impl WordKind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Own => "WORD_KIND_OWN",
+            Self::Hello => "WORD_KIND_HELLO",
+            Self::Report => "WORD_KIND_REPORT",
+            Self::Farewell => "WORD_KIND_FAREWELL",
+            Self::Totals => "WORD_KIND_TOTALS",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "WORD_KIND_OWN" => Some(Self::Own),
+            "WORD_KIND_HELLO" => Some(Self::Hello),
+            "WORD_KIND_REPORT" => Some(Self::Report),
+            "WORD_KIND_FAREWELL" => Some(Self::Farewell),
+            "WORD_KIND_TOTALS" => Some(Self::Totals),
+            _ => None,
+        }
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,6 +4,11 @@
 //! in is converted at once to the core's own types, and anything out of bounds is an error.
 
 mod convert;
+#[expect(
+    clippy::doc_markdown,
+    clippy::trivially_copy_pass_by_ref,
+    reason = "made by a tool"
+)]
 mod generated;
 mod shard;
 #[cfg(test)]
--- a/src/wire/word.rs
+++ b/src/wire/word.rs
@@ -6,10 +6,13 @@
 use prost::Message as _;
 
 use super::{WireError, generated as wire};
-use crate::core::relay::event::{DeathWord, LoadWord, NewestWord, PartWord, Word};
+use crate::core::relay::event::{
+    DeathWord, Included, LoadWord, NewestWord, PartWord, Word, WordKind,
+};
 
 /// Appends the bytes of a word.
 pub fn encode_word(word: &Word, out: &mut BytesMut) {
+    let (kind, domain) = to_kind(&word.kind);
     let message = wire::Word {
         host: word.host.to_string(),
         incarnation: word.incarnation,
@@ -17,12 +20,14 @@
         loads: word.loads.iter().map(to_load).collect(),
         parts: word.parts.iter().map(to_part).collect(),
         deaths: word.deaths.iter().map(to_death).collect(),
-        domain: word.domain.as_deref().unwrap_or_default().to_owned(),
-        passed: word.passed,
+        domain: domain.to_owned(),
+        passed: matches!(word.kind, WordKind::Passed(_)),
         newest: word.newest.map_or(0, |newest| newest.revision),
         newest_age: word.newest.map_or(0, |newest| {
             u32::try_from(newest.age.as_millis()).unwrap_or(u32::MAX)
         }),
+        kind: kind.into(),
+        included: to_included(&word.kind),
     };
     out.reserve(message.encoded_len());
     // Only a full buffer is an error, and `BytesMut` grows.
@@ -41,6 +46,7 @@
     if word.host.is_empty() {
         return Err(WireError::Field { field: "host" });
     }
+    let kind = from_kind(&word)?;
     Ok(Word {
         host: word.host.into(),
         incarnation: word.incarnation,
@@ -48,8 +54,7 @@
         loads: word.loads.iter().map(from_load).collect(),
         parts: word.parts.iter().map(from_part).collect(),
         deaths: word.deaths.iter().map(from_death).collect(),
-        domain: (!word.domain.is_empty()).then(|| word.domain.into()),
-        passed: word.passed,
+        kind,
         newest: (word.newest > 0).then(|| NewestWord {
             revision: word.newest,
             age: Duration::from_millis(word.newest_age.into()),
@@ -57,6 +62,52 @@
     })
 }
 
+/// Returns the kind of a word, and the failure domain that it sums up.
+fn to_kind(kind: &WordKind) -> (wire::WordKind, &str) {
+    match kind {
+        WordKind::Own => (wire::WordKind::Own, ""),
+        WordKind::Hello => (wire::WordKind::Hello, ""),
+        WordKind::Report => (wire::WordKind::Report, ""),
+        WordKind::Farewell => (wire::WordKind::Farewell, ""),
+        WordKind::Totals(_) => (wire::WordKind::Totals, ""),
+        WordKind::Domain(domain) | WordKind::Passed(domain) => (wire::WordKind::Own, domain),
+    }
+}
+
+fn from_kind(word: &wire::Word) -> Result<WordKind, WireError> {
+    let kind = wire::WordKind::try_from(word.kind);
+    let kind = kind.map_err(|_unknown| WireError::Field { field: "kind" })?;
+    Ok(match kind {
+        wire::WordKind::Own if word.domain.is_empty() => WordKind::Own,
+        wire::WordKind::Own if word.passed => WordKind::Passed(word.domain.as_str().into()),
+        wire::WordKind::Own => WordKind::Domain(word.domain.as_str().into()),
+        wire::WordKind::Hello => WordKind::Hello,
+        wire::WordKind::Report => WordKind::Report,
+        wire::WordKind::Farewell => WordKind::Farewell,
+        wire::WordKind::Totals => {
+            WordKind::Totals(word.included.iter().map(from_included).collect())
+        }
+    })
+}
+
+fn to_included(kind: &WordKind) -> Vec<wire::Included> {
+    let WordKind::Totals(included) = kind else {
+        return Vec::new();
+    };
+    let reports = included.iter().map(|report| wire::Included {
+        process: report.process,
+        number: report.number,
+    });
+    reports.collect()
+}
+
+fn from_included(report: &wire::Included) -> Included {
+    Included {
+        process: report.process,
+        number: report.number,
+    }
+}
+
 fn to_load(load: &LoadWord) -> wire::LoadWord {
     wire::LoadWord {
         instance: load.instance,
