Choose among a few engines drawn at random where much is unheard

Cause: all hosts hear the same of the engines' work, some 40 ms old, and each took the best of all engines by that. With 295 hosts some 40 requests arrive meanwhile and went to the same few engines: while long prompts swelled, prompts of a few hundred tokens took 243 ms where 92 were expected with nothing known ahead of them. Ruled out: age alone (halved before, no gain) and capacity (the engines idle elsewhere).

A host now counts how many requests the others are likely to have sent unheard, by its own rate, the number of hosts and the time between words, and draws as many engines as leave each of them two such requests; engines that hold most of a prompt stay among them. Few hosts, or fresh words: all engines, as before.

--- a/src/core/relay/budget.rs
+++ b/src/core/relay/budget.rs
@@ -39,6 +39,13 @@
         self.requests.push_back(now);
     }
 
+    /// Returns how many requests came within a span.
+    #[must_use]
+    pub fn recent(&self, now: Time, span: Duration) -> usize {
+        let recent = self.requests.iter().rev();
+        recent.take_while(|at| now.since(**at) <= span).count()
+    }
+
     /// Tells whether one more repeat may be sent, and counts it if so.
     pub fn spend(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> bool {
         let old = |times: &mut VecDeque<Time>| {
--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -4,7 +4,7 @@
 use super::super::instance::Work;
 use super::super::{Call, Reads, load, parts};
 use super::{
-    Choice, crossing, crowded, displaced, none, policy, queued, silence, takers, transfer,
+    Choice, crossing, crowded, displaced, none, policy, queued, silence, spread, takers, transfer,
 };
 use crate::core::Core;
 use crate::core::effect::Refusal;
@@ -36,6 +36,9 @@
         return Err(none(core, key));
     };
     let prompt = call.prompt.clone().unwrap_or_default();
+    let engines = takers(core, call, Some(Stage::Decode));
+    let engines = spread::drawn(core, key, &prompt, engines);
+    let call = &core.relay.calls[key];
     let source = core.relay.instances.arena.get(cache.engine);
     let waits = source.map_or(0.0, |instance| instance.link.wait(core.now));
     let source = source.map(|instance| instance.domain.clone());
@@ -43,7 +46,7 @@
     let moving = transfer(core, call, &prompt);
     let learned = core.relay.model.of(&call.service);
     let mut best: Option<(f64, Reads, f64, BackendKey)> = None;
-    for backend in takers(core, call, Some(Stage::Decode)) {
+    for backend in engines {
         let instance = &core.relay.instances.arena[backend];
         let far = source.as_ref() != Some(&instance.domain);
         let moving = if far { moving * 2.0 } else { moving };
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -2,6 +2,7 @@
 
 mod handover;
 mod plain;
+mod spread;
 
 use std::time::Duration;
 
@@ -169,11 +170,15 @@
 
 /// Chooses for a model request of which nothing is read yet.
 fn fresh(core: &mut Core, key: CallKey) -> Result<Choice, Refusal> {
-    let call = &core.relay.calls[key];
-    let Some(prompt) = call.prompt.clone() else {
+    let Some(prompt) = core.relay.calls[key].prompt.clone() else {
         return Err(none(core, key));
     };
     let policy = policy(core);
+    let engines = [Stage::Prefill, Stage::Decode].map(|stage| {
+        let takers = takers(core, &core.relay.calls[key], Some(stage));
+        spread::drawn(core, key, &prompt, takers)
+    });
+    let call = &core.relay.calls[key];
     let handover = handover::expected(core, call);
     let moving = transfer(core, call, &prompt);
     let left = millis(call.end.since(core.now));
@@ -181,12 +186,11 @@
     let wanted = millis(call.route.target) * policy.patience - spent;
     let holders = parts::holders(core, call, &prompt);
     let mut ways = Vec::new();
-    for stage in [Stage::Prefill, Stage::Decode] {
+    for (stage, engines) in [Stage::Prefill, Stage::Decode].into_iter().zip(engines) {
         if stage == Stage::Prefill && handover.is_none() {
             continue;
         }
-        let takers = takers(core, call, Some(stage)).into_iter();
-        ways.extend(takers.map(|backend| {
+        ways.extend(engines.into_iter().map(|backend| {
             let waits = core.relay.instances.arena[backend].link.wait(core.now);
             let after = handover.unwrap_or(0.0) + moving + waits;
             way(core, call, &prompt, backend, after, &holders, policy)
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod register;
 mod request;
+mod spread;
 mod stream;
 mod view;
 mod words;
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/words/mod.rs
@@ -82,6 +82,12 @@
     heard.map(|at| core.now.since(at))
 }
 
+/// Returns the time after which work that is sent now is known to the other hosts: that between two
+/// words, longer where none came.
+pub(super) fn delay(core: &Core) -> Duration {
+    every(core).max(age(core).unwrap_or_default())
+}
+
 /// Returns the time between two words.
 fn every(core: &Core) -> Duration {
     let hosts = u32::try_from(neighbours(core).count()).unwrap_or(u32::MAX);
