Have one host of a failure domain follow the store for all

The host that speaks for its failure domain (the aggregator, or the first by name) passes every change on with its words, three times each, with the revisions before and after. The others rest while their view is confirmed within 900 ms, which the same host's probes do. A gap, a newer revision that was not passed on within the grace, or a view that ages, and a host asks the store itself as before. A change that is known is not applied again.

--- a/src/core/relay/event.rs
+++ b/src/core/relay/event.rs
@@ -99,6 +99,8 @@
         at: i64,
         /// The changes; none where the wait ended without any.
         changes: Changes,
+        /// The same one by one, to be passed on.
+        events: Vec<StoreChange>,
     },
     /// Newest revision of the store.
     Newest(i64),
@@ -112,7 +114,7 @@
 }
 
 /// What the store told.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Changes {
     /// Whether all keys were read: what is not named here is not there.
     pub whole: bool,
@@ -136,8 +138,32 @@
     }
 }
 
+/// One change of the store, as hosts pass it on to each other.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct StoreChange {
+    /// Revision that it made.
+    pub revision: i64,
+    /// Whole key; only the adapter reads it.
+    pub key: Box<str>,
+    /// Value as the store holds it; `None` for a removal.
+    pub value: Option<Box<[u8]>>,
+    /// What it means.
+    pub changes: Changes,
+}
+
+/// Changes of the store without a gap, as hosts pass them on to each other.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Passage {
+    /// Revision before the first of them.
+    pub after: i64,
+    /// Revision up to which these are all changes.
+    pub at: i64,
+    /// The changes, in order.
+    pub events: Vec<StoreChange>,
+}
+
 /// A key of this program that changed.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct KeyChange {
     /// Key, without the deployment's prefix.
     pub key: Box<str>,
@@ -408,6 +434,8 @@
     pub kind: WordKind,
     /// What the store last answered to a probe of that host.
     pub newest: Option<NewestWord>,
+    /// Changes of the store, from a host that follows it for others.
+    pub passage: Option<Passage>,
 }
 
 /// Whose work a word tells of, and what is expected of the listener.
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod config;
+mod domain;
 mod handover;
 mod load;
 mod parts;
--- a/src/core/relay/tests/view/mod.rs
+++ b/src/core/relay/tests/view/mod.rs
@@ -1,5 +1,6 @@
 //! How a host keeps up with a store that falls silent, turns calls away, is slow or loses answers.
 
+mod passed;
 mod probes;
 
 use std::collections::BTreeMap;
@@ -108,6 +109,7 @@
                 StoreAnswer::Changes {
                     at: self.revision,
                     changes,
+                    events: Vec::new(),
                 }
             }
         })
--- /dev/null
+++ b/src/core/relay/tests/view/passed.rs
@@ -0,0 +1,253 @@
+//! How hosts of a failure domain learn from one of them what changes in the store.
+
+use super::*;
+use crate::core::relay::event::{Passage, StoreChange, Word};
+use crate::core::relay::tests::domain::Domain;
+
+/// Sizes of a failure domain where each host tells all, and where they report to one.
+const SIZES: [usize; 2] = [5, 30];
+
+/// Returns hosts that know each other and the store for a while.
+fn settled(hosts: usize) -> Domain {
+    let mut domain = Domain::of(hosts);
+    domain.pass(3000);
+    // The watches that each began with end with the next change.
+    domain.change(&[]);
+    domain.pass(1500);
+    domain
+}
+
+/// Each change ends the watch of every host: calls of the store grow with hosts times changes.
+#[test]
+fn one_host_watches_for_its_failure_domain() {
+    for hosts in SIZES {
+        let mut domain = settled(hosts);
+        let before = domain.store.asked.clone();
+        for _ in 0..10 {
+            let took = domain.change(&[]);
+            assert!(took <= 300, "{took} ms with {hosts} hosts");
+            domain.pass(700);
+        }
+        let counts = domain.store.asked.iter().zip(&before);
+        let asked: Vec<u32> = counts.map(|(after, before)| after - before).collect();
+        assert!(asked[1..].iter().all(|asked| *asked == 0), "{asked:?}");
+        let asked = asked[0];
+        assert!((10..=11).contains(&asked), "{asked}");
+    }
+}
+
+/// The host that watches is killed, and what changes next is passed on by nobody.
+#[test]
+fn a_killed_follower_hides_no_change() {
+    for hosts in SIZES {
+        let mut domain = settled(hosts);
+        domain.hosts[0] = None;
+        domain.pass(100);
+        let took = domain.change(&[]);
+        assert!(took <= BOUND, "{took} ms with {hosts} hosts");
+        domain.pass(4000);
+        let before: u32 = domain.store.asked.iter().sum();
+        let took = domain.change(&[]);
+        assert!(took <= 300, "{took} ms with {hosts} hosts");
+        domain.pass(1000);
+        // Another one watches for all.
+        let asked = domain.store.asked.iter().sum::<u32>() - before;
+        assert!(asked <= 3, "{asked} calls with {hosts} hosts");
+    }
+}
+
+/// The store answers all hosts but the one that watches: it goes on telling of an old view.
+#[test]
+fn a_follower_cut_from_the_store_hides_no_change() {
+    for hosts in SIZES {
+        let mut domain = settled(hosts);
+        domain.store.deaf.insert(0);
+        domain.pass(100);
+        let took = domain.change(&[0]);
+        assert!(took <= BOUND, "{took} ms with {hosts} hosts");
+        // What the others know reaches no one who watches for them, and they go on by themselves.
+        domain.pass(2000);
+        let took = domain.change(&[0]);
+        assert!(took <= BOUND, "{took} ms with {hosts} hosts");
+    }
+}
+
+/// The host that watches stands still for two seconds, and wakes with an old view.
+#[test]
+fn a_frozen_follower_takes_no_one_back() {
+    for hosts in SIZES {
+        let mut domain = settled(hosts);
+        let frozen = domain.hosts[0].take();
+        domain.pass(100);
+        let took = domain.change(&[]);
+        assert!(took <= BOUND, "{took} ms with {hosts} hosts");
+        domain.pass(2000);
+        let newest = domain.version(1);
+        domain.hosts[0] = frozen;
+        for _ in 0..200 {
+            domain.pass(10);
+            for host in 1..hosts {
+                assert_eq!(domain.version(host), newest, "host {host} of {hosts}");
+            }
+        }
+        let took = domain.until_all_know(&[]);
+        assert_eq!(took, 0, "the host that woke never learns");
+    }
+}
+
+/// A third of all datagrams is lost: a change may miss a host in each word that carries it.
+#[test]
+fn lost_words_hide_no_change() {
+    for hosts in SIZES {
+        let mut domain = settled(hosts);
+        domain.loses = 3;
+        for _ in 0..20 {
+            let took = domain.change(&[]);
+            assert!(took <= BOUND, "{took} ms with {hosts} hosts");
+            domain.pass(137);
+        }
+    }
+}
+
+/// The host that watches reaches the store and not its neighbours.
+#[test]
+fn hosts_that_the_follower_does_not_reach_watch_themselves() {
+    for hosts in SIZES {
+        let mut domain = settled(hosts);
+        domain.cuts = (1..hosts).map(|host| (0, host)).collect();
+        domain.pass(100);
+        let took = domain.change(&[]);
+        assert!(took <= BOUND, "{took} ms with {hosts} hosts");
+    }
+}
+
+/// The store falls silent for a while: what changed meanwhile is known a second after its return.
+#[test]
+fn a_silent_store_hides_no_change_from_hosts_that_rest() {
+    for hosts in SIZES {
+        for silence in [300, 1000, 4000] {
+            let mut domain = settled(hosts);
+            domain.store.silent = true;
+            domain.pass(silence / 2);
+            domain.store.revision += 1;
+            domain.pass(silence / 2);
+            domain.store.silent = false;
+            let took = domain.until_all_know(&[]);
+            assert!(
+                took <= BOUND,
+                "{took} ms after {silence} ms with {hosts} hosts"
+            );
+        }
+    }
+}
+
+/// All hosts start at once: each reads everything, and few of them watch.
+#[test]
+fn hosts_that_start_at_once_ask_little() {
+    for hosts in SIZES {
+        let mut domain = Domain::of(hosts);
+        for _ in 0..20 {
+            domain.pass(150);
+            domain.store.revision += 1;
+        }
+        domain.until_all_know(&[]);
+        for host in 1..hosts {
+            let asked = domain.store.asked[host];
+            assert!(asked <= 5, "host {host} of {hosts}: {asked}");
+        }
+    }
+}
+
+/// Returns a host that rests beside one that watches, and the revision that it knows.
+fn resting() -> (Run, i64) {
+    let mut run = Run::start(Store::new());
+    run.pass(1000);
+    let entry = r#"{"addr":"10.9.9.9:1","domain":"z"}"#;
+    run.site.key("hosts/host-0", Some(entry), 3);
+    let at = run.store.revision;
+    (run, at)
+}
+
+fn change(revision: i64) -> StoreChange {
+    let version = u64::try_from(revision).expect("positive");
+    StoreChange {
+        revision,
+        changes: Changes {
+            catalog: Some(catalog(version)),
+            ..Changes::default()
+        },
+        ..StoreChange::default()
+    }
+}
+
+fn hear(run: &mut Run, number: u64, passage: Passage) {
+    let word = Word {
+        host: "host-0".into(),
+        incarnation: 1,
+        number,
+        passage: Some(passage),
+        ..Word::default()
+    };
+    run.site.event(RelayEvent::Told(Box::new(word)));
+    let out = run.site.out.clone();
+    run.carry(&out);
+}
+
+fn version(run: &Run) -> u64 {
+    let catalog = run.site.core.relay.catalog.as_ref();
+    catalog.map_or(0, |catalog| catalog.version)
+}
+
+/// A word that was overtaken, or that repeats what is known, takes nothing back; one that leaves a gap
+/// is not applied.
+#[test]
+fn passed_changes_are_applied_once_and_in_order() {
+    let (mut run, at) = resting();
+    let passage = |after: i64, to: i64| Passage {
+        after,
+        at: to,
+        events: (after + 1..=to).map(change).collect(),
+    };
+    hear(&mut run, 1, passage(at, at + 2));
+    assert_eq!(version(&run), u64::try_from(at + 2).expect("positive"));
+    hear(&mut run, 2, passage(at, at + 1));
+    hear(&mut run, 3, passage(at, at + 2));
+    assert_eq!(version(&run), u64::try_from(at + 2).expect("positive"));
+    hear(&mut run, 4, passage(at + 3, at + 5));
+    assert_eq!(version(&run), u64::try_from(at + 2).expect("positive"));
+    hear(&mut run, 5, passage(at, at + 4));
+    assert_eq!(version(&run), u64::try_from(at + 4).expect("positive"));
+}
+
+/// A server's entry is removed and written again. Told once more of both, a host must not take the
+/// server for gone.
+#[test]
+fn changes_told_twice_remove_no_server() {
+    let (mut run, at) = resting();
+    let gone = StoreChange {
+        revision: at + 1,
+        changes: Changes {
+            gone: vec!["s".into()],
+            ..Changes::default()
+        },
+        ..StoreChange::default()
+    };
+    let back = StoreChange {
+        revision: at + 2,
+        changes: Changes {
+            instances: vec![plain("s")],
+            ..Changes::default()
+        },
+        ..StoreChange::default()
+    };
+    for (number, to) in [(1, at + 2), (2, at + 3)] {
+        let passage = Passage {
+            after: at,
+            at: to,
+            events: vec![gone.clone(), back.clone()],
+        };
+        hear(&mut run, number, passage);
+        let key = run.site.core.relay.instances.find("s").expect("known");
+        assert!(!run.site.core.relay.instances.arena[key].leaving);
+    }
+}
--- /dev/null
+++ b/src/core/relay/view/history.rs
@@ -0,0 +1,81 @@
+//! Changes of the store that this host learned lately, to be passed on to hosts near by.
+
+use std::collections::VecDeque;
+
+use super::super::event::{Passage, StoreChange};
+
+/// Words in which a change is passed on: datagrams are lost now and then.
+const TIMES: u8 = 3;
+/// Most bytes of keys and values in one word. What is more is read from the store by each host.
+const MOST: usize = 24 * 1024;
+
+/// Changes that follow each other without a gap.
+#[derive(Debug, Default)]
+pub struct History {
+    /// Revision before the first change.
+    after: i64,
+    /// Revision up to which changes are known.
+    at: i64,
+    /// Changes, and in how many words each was passed on.
+    events: VecDeque<(StoreChange, u8)>,
+    news: bool,
+}
+
+impl History {
+    /// Begins anew at a revision up to which everything was read.
+    pub fn restart(&mut self, at: i64) {
+        *self = Self {
+            after: at,
+            at,
+            ..Self::default()
+        };
+    }
+
+    /// Adds all changes up to a revision.
+    pub fn learn(&mut self, at: i64, events: impl IntoIterator<Item = StoreChange>) {
+        self.at = at;
+        self.news = true;
+        self.events
+            .extend(events.into_iter().map(|event| (event, 0)));
+        let mut size: usize = self.events.iter().map(|(event, _)| size(event)).sum();
+        while size > MOST
+            && let Some((event, _)) = self.events.pop_front()
+        {
+            size -= self::size(&event);
+            self.after = event.revision;
+        }
+    }
+
+    /// Tells whether changes were learned since the last word.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        self.news
+    }
+
+    /// Returns what the next word passes on.
+    pub fn take(&mut self) -> Passage {
+        self.news = false;
+        while let Some((event, times)) = self.events.front()
+            && *times >= TIMES
+        {
+            self.after = event.revision;
+            self.events.pop_front();
+        }
+        if self.events.is_empty() {
+            self.after = self.at;
+        }
+        let events = self.events.iter_mut().map(|(event, times)| {
+            *times += 1;
+            event.clone()
+        });
+        Passage {
+            events: events.collect(),
+            after: self.after,
+            at: self.at,
+        }
+    }
+}
+
+fn size(event: &StoreChange) -> usize {
+    event.key.len() + event.value.as_ref().map_or(0, |value| value.len())
+}
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -6,18 +6,22 @@
 //! again. Callers then meet an old configuration, and requests go to servers that have left, for as
 //! long as the watch may wait.
 //!
-//! Probes tell the two apart. Each asks for the store's newest revision, at a tenth of the price of
+//! One host of a failure domain watches for all: what it learns goes on with its words, and the others
+//! rest while they are told in time. See [`history`] and [`passed`].
+//!
+//! Probes tell a lost watch from a store in which nothing happens. Each asks for the store's newest revision, at a tenth of the price of
 //! a read. What was asked before an answered probe and stays without an answer is given up, and
 //! every key is read anew, within a second of the store's return whichever call was lost.
 
+mod history;
 pub mod probe;
 
 use std::time::Duration;
 
 use rand::RngExt;
 
-use super::event::{Ask, Changes, RelayEffect, StoreAnswer};
-use super::{RelayTimer, note, wake};
+use super::event::{Ask, Changes, Passage, RelayEffect, StoreAnswer, StoreChange};
+use super::{RelayTimer, note, wake, words};
 use crate::core::effect::Effect;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
@@ -35,6 +39,9 @@
 /// Bounds of that time. The upper one and a call stay under the two seconds after which a server that
 /// leaves must get no new work.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1200));
+/// Age of the view up to which a host that is told of changes watches for none itself: a probe and the
+/// word that tells of it come well within it, and with a watch it stays under a second.
+const SERVED: Duration = Duration::from_millis(900);
 /// Longest pause after a first failure; doubled with each that follows.
 const RETRY_LEAST: Duration = Duration::from_millis(100);
 /// Bound of that pause: all hosts lose the store at the same moment, and pauses drawn at random up
@@ -77,6 +84,10 @@
     fails: u32,
     /// Whether the store itself turned the last one away.
     refused: bool,
+    /// Whether this host watches for nothing, as another one tells it of changes.
+    rests: bool,
+    /// Changes learned lately, for hosts near by.
+    pub(super) history: history::History,
     /// Latest moment as of which all that the store held was known here.
     current: Option<Time>,
     started: Time,
@@ -139,6 +150,7 @@
 /// Asks for the next page, or for changes.
 fn ask(core: &mut Core, out: &mut Effects) {
     let view = &mut core.relay.view;
+    view.rests = false;
     let number = view.next();
     view.last = number;
     view.asked = Some(Asked {
@@ -160,11 +172,64 @@
 /// Goes on after the pause that followed call `last`, unless that was cut short.
 pub fn follow(core: &mut Core, last: u64, out: &mut Effects) {
     let view = &core.relay.view;
-    if view.asked.is_none() && view.last == last {
+    if view.asked.is_none() && view.last == last && !view.rests {
+        go_on(core, out);
+    }
+}
+
+/// Tells whether another host tells this one of changes, and did so lately.
+fn is_served(core: &Core) -> bool {
+    let current = core.relay.view.current;
+    current.is_some_and(|at| core.now.since(at) <= SERVED) && !words::speaks(core)
+}
+
+/// Asks for the next page, or for changes unless another host tells of them.
+fn go_on(core: &mut Core, out: &mut Effects) {
+    if core.relay.view.pages.is_none() && is_served(core) {
+        core.relay.view.rests = true;
+    } else {
         ask(core, out);
     }
 }
 
+/// Watches again if this host is no longer told of changes.
+pub fn attend(core: &mut Core, out: &mut Effects) {
+    if core.relay.view.rests && !is_served(core) {
+        ask(core, out);
+    }
+}
+
+/// Takes in changes that another host passed on.
+///
+/// Changes that begin after what is known here would leave a gap: the store is asked for those.
+pub fn passed(core: &mut Core, passage: Passage, out: &mut Effects) {
+    let speaks = words::speaks(core);
+    let view = &mut core.relay.view;
+    if speaks || view.pages.is_some() || passage.at <= view.at {
+        return;
+    }
+    if passage.after > view.at {
+        if view.rests {
+            ask(core, out);
+        }
+        return;
+    }
+    let at = view.at;
+    let events = passage.events.into_iter();
+    let new: Vec<StoreChange> = events.filter(|event| event.revision > at).collect();
+    view.at = passage.at;
+    view.rests = true;
+    if let Some(asked) = view.asked.take() {
+        // It would bring the same once more.
+        out.push(Effect::Relay(RelayEffect::Unask(asked.number)));
+    }
+    let changes: Vec<Changes> = new.iter().map(|event| event.changes.clone()).collect();
+    view.history.learn(passage.at, new);
+    for changes in changes {
+        super::changed(core, changes, out);
+    }
+}
+
 fn pause(core: &Core, time: Duration, out: &mut Effects) {
     wake(core, time, RelayTimer::Follow(core.relay.view.last), out);
 }
@@ -187,7 +252,16 @@
     };
     match answer {
         StoreAnswer::Page { at, changes, after } => page(core, asked, at, changes, after, out),
-        StoreAnswer::Changes { at, changes } => watched(core, asked, at, changes, out),
+        StoreAnswer::Changes {
+            at,
+            changes,
+            events,
+        } => {
+            if at > view.at {
+                view.history.learn(at, events);
+            }
+            watched(core, asked, at, changes, out);
+        }
         // Only probes ask for the newest revision: as an answer to anything else it says nothing.
         StoreAnswer::Compacted | StoreAnswer::Newest(_) => {
             view.begin_anew();
@@ -234,16 +308,22 @@
     view.fails = 0;
     view.probes.losses = 0;
     view.at = first;
+    view.history.restart(first);
     view.confirm(since);
     pages.changes.whole = true;
     super::changed(core, pages.changes, out);
     judge(core, out);
-    ask(core, out);
+    go_on(core, out);
 }
 
 /// Takes in what changed, and goes on watching.
 fn watched(core: &mut Core, asked: Asked, at: i64, changes: Changes, out: &mut Effects) {
-    let hosts = core.relay.peers.hosts();
+    // Where one host watches for a failure domain, there are as many as domains.
+    let hosts = if words::speaks(core) {
+        core.relay.peers.domains.len() + 1
+    } else {
+        core.relay.peers.hosts()
+    };
     let view = &mut core.relay.view;
     view.probes.losses = 0;
     view.confirm(asked.sent);
@@ -253,7 +333,7 @@
     if news {
         pause(core, between(hosts), out);
     } else {
-        ask(core, out);
+        go_on(core, out);
     }
 }
 
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -117,7 +117,7 @@
     /// store answered a probe that was sent after it.
     fn owes(&self, check: Check) -> bool {
         let older = self.asked.is_some_and(|asked| asked.sent < check.sent);
-        older && (self.pages.is_some() || check.newest > self.at)
+        (older && self.pages.is_some()) || ((older || self.rests) && check.newest > self.at)
     }
 }
 
@@ -231,6 +231,11 @@
     if silent {
         view.probes.open.retain(|_, sent| *sent >= check.sent);
     }
+    if view.rests && view.owes(check) {
+        // What the other host should have passed on is asked for.
+        ask(core, out);
+        return;
+    }
     let older = view.asked.filter(|asked| asked.sent < check.sent);
     match older.filter(|_| silent || view.owes(check)) {
         Some(asked) => give_up(core, asked, check.newest, out),
--- a/src/core/relay/words/gather.rs
+++ b/src/core/relay/words/gather.rs
@@ -108,7 +108,8 @@
             (peer.addr, report)
         })
         .collect();
-    let quiet = !core.relay.view.probes.has_news() && !peers.down.any();
+    let view = &core.relay.view;
+    let quiet = !view.probes.has_news() && !view.history.has_news() && !peers.down.any();
     let waits = peers.answered.is_some_and(|at| core.now.since(at) < QUIET);
     if reporting.is_empty() || (quiet && waits) {
         return;
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/words/mod.rs
@@ -65,6 +65,7 @@
         tell_all(core, out);
     }
     gather::answer(core, out);
+    view::attend(core, out);
     if core.relay.peers.across.any() && speaks(core) {
         domains::tell(core, out);
     }
@@ -134,9 +135,10 @@
 
 /// Tells whether to tell of this work now: something is new, or was last told a while ago.
 fn due(core: &mut Core, loads: &[LoadWord], news: bool) -> bool {
-    let probed = core.relay.view.probes.has_news();
+    let view = &core.relay.view;
+    let news = news || view.probes.has_news() || (view.history.has_news() && speaks(core));
     let peers = &mut core.relay.peers;
-    let same = !news && !probed && loads == peers.last;
+    let same = !news && loads == peers.last;
     if same && peers.told.is_some_and(|at| core.now.since(at) < QUIET) {
         return false;
     }
@@ -177,6 +179,12 @@
     deaths: Vec<DeathWord>,
 ) -> Word {
     core.relay.peers.number += 1;
+    let passes = match kind {
+        WordKind::Totals(_) => true,
+        WordKind::Own => speaks(core),
+        _ => false,
+    };
+    let passage = passes.then(|| core.relay.view.history.take());
     let probes = &mut core.relay.view.probes;
     let newest = match kind {
         // Each failure domain probes the store for itself.
@@ -193,6 +201,7 @@
         deaths,
         kind,
         newest,
+        passage,
     }
 }
 
@@ -279,7 +288,7 @@
 }
 
 /// Takes in another host's word, or what one sums up for its failure domain.
-pub fn told(core: &mut Core, word: Word, out: &mut Effects) {
+pub fn told(core: &mut Core, mut word: Word, out: &mut Effects) {
     let Some(sender) = core.relay.peers.names.get(&word.host).copied() else {
         return;
     };
@@ -304,6 +313,9 @@
     peer.incarnation = word.incarnation;
     peer.number = word.number;
     peer.heard = Some(now);
+    if let Some(passage) = word.passage.take() {
+        view::passed(core, passage, out);
+    }
     if let Some(newest) = word.newest {
         view::probe::told(core, newest, out);
     }
--- a/src/host/relay/datagrams.rs
+++ b/src/host/relay/datagrams.rs
@@ -9,7 +9,7 @@
 use bytes::BytesMut;
 use tokio::net::UdpSocket;
 
-use super::tell as tell_core;
+use super::{keeper, tell as tell_core};
 use crate::core::relay::event::{RelayEvent, Word};
 use crate::host::node::Node;
 use crate::wire;
@@ -80,7 +80,14 @@
             continue;
         };
         match wire::decode_word(proved) {
-            Ok(word) => tell_core(&node, RelayEvent::Told(Box::new(word))),
+            Ok(mut word) => {
+                let events = word
+                    .passage
+                    .iter_mut()
+                    .flat_map(|passage| &mut passage.events);
+                events.for_each(keeper::read);
+                tell_core(&node, RelayEvent::Told(Box::new(word)));
+            }
             Err(err) => log::debug!("a word from {from} cannot be read: {err}"),
         }
     }
--- a/src/host/relay/keeper.rs
+++ b/src/host/relay/keeper.rs
@@ -11,7 +11,7 @@
 use crate::backend::channel::{Call, ChannelError};
 use crate::core::effect::Note;
 use crate::core::event::{Job, StoreEvent, StoreReply, StoreResult};
-use crate::core::relay::event::{Ask, Changes, RelayEvent, StoreAnswer};
+use crate::core::relay::event::{Ask, Changes, RelayEvent, StoreAnswer, StoreChange};
 use crate::core::{Effect, Event};
 use crate::error::Ran;
 use crate::host::node::Node;
@@ -263,15 +263,31 @@
     }
     let events = readable(status, || store::events(&body))?;
     let mut changes = Changes::default();
-    for (key, value, revision) in &events.changes {
-        platform::sort(&mut changes, key, value.as_deref(), *revision);
+    let mut single = Vec::with_capacity(events.changes.len());
+    for (key, value, revision) in events.changes {
+        platform::sort(&mut changes, &key, value.as_deref(), revision);
+        let mut event = StoreChange {
+            revision,
+            key,
+            value: value.as_deref().map(Into::into),
+            changes: Changes::default(),
+        };
+        read(&mut event);
+        single.push(event);
     }
     Ok(StoreAnswer::Changes {
         at: events.at,
         changes,
+        events: single,
     })
 }
 
+/// Works out what a change of the store means.
+pub fn read(event: &mut StoreChange) {
+    let (key, value) = (&event.key, event.value.as_deref());
+    platform::sort(&mut event.changes, key, value, event.revision);
+}
+
 /// Returns what a success says.
 fn readable<T>(status: u16, read: impl FnOnce() -> Option<T>) -> Result<T, Trouble> {
     if status != 200 {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -457,6 +457,33 @@
     /// Reports that are part of totals.
     #[prost(message, repeated, tag = "13")]
     pub included: ::prost::alloc::vec::Vec<Included>,
+    /// Changes of the store, from a host that follows it for others.
+    #[prost(message, optional, tag = "14")]
+    pub passage: ::core::option::Option<Passage>,
+}
+/// Changes of the store without a gap.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Passage {
+    /// Revision before the first of them.
+    #[prost(int64, tag = "1")]
+    pub after: i64,
+    /// Revision up to which these are all changes.
+    #[prost(int64, tag = "2")]
+    pub at: i64,
+    #[prost(message, repeated, tag = "3")]
+    pub events: ::prost::alloc::vec::Vec<StoreChange>,
+}
+/// One change of the store.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StoreChange {
+    #[prost(int64, tag = "1")]
+    pub revision: i64,
+    #[prost(string, tag = "2")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(bytes = "vec", tag = "3")]
+    pub value: ::prost::alloc::vec::Vec<u8>,
+    #[prost(bool, tag = "4")]
+    pub removed: bool,
 }
 /// A report that is part of totals.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/wire/word.rs
+++ b/src/wire/word.rs
@@ -7,7 +7,8 @@
 
 use super::{WireError, generated as wire};
 use crate::core::relay::event::{
-    DeathWord, Included, LoadWord, NewestWord, PartWord, Word, WordKind,
+    Changes, DeathWord, Included, LoadWord, NewestWord, PartWord, Passage, StoreChange, Word,
+    WordKind,
 };
 
 /// Appends the bytes of a word.
@@ -28,6 +29,7 @@
         }),
         kind: kind.into(),
         included: to_included(&word.kind),
+        passage: word.passage.as_ref().map(to_passage),
     };
     out.reserve(message.encoded_len());
     // Only a full buffer is an error, and `BytesMut` grows.
@@ -55,6 +57,7 @@
         parts: word.parts.iter().map(from_part).collect(),
         deaths: word.deaths.iter().map(from_death).collect(),
         kind,
+        passage: word.passage.map(from_passage),
         newest: (word.newest > 0).then(|| NewestWord {
             revision: word.newest,
             age: Duration::from_millis(word.newest_age.into()),
@@ -108,6 +111,35 @@
     }
 }
 
+fn to_passage(passage: &Passage) -> wire::Passage {
+    let events = passage.events.iter().map(|event| wire::StoreChange {
+        revision: event.revision,
+        key: event.key.to_string(),
+        value: event.value.as_deref().unwrap_or_default().to_vec(),
+        removed: event.value.is_none(),
+    });
+    wire::Passage {
+        after: passage.after,
+        at: passage.at,
+        events: events.collect(),
+    }
+}
+
+/// Reads changes of the store; what they mean is left to the adapter of the platform.
+fn from_passage(passage: wire::Passage) -> Passage {
+    let events = passage.events.into_iter().map(|event| StoreChange {
+        revision: event.revision,
+        key: event.key.into(),
+        value: (!event.removed).then(|| event.value.into()),
+        changes: Changes::default(),
+    });
+    Passage {
+        after: passage.after,
+        at: passage.at,
+        events: events.collect(),
+    }
+}
+
 fn to_load(load: &LoadWord) -> wire::LoadWord {
     wire::LoadWord {
         instance: load.instance,
