Remove the longer queue for prompts that no engine answers in time

Such a prompt was taken behind a queue of up to 0.55 of the wanted time, where others that are late in any case are taken behind 0.2 of the shortest.

--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -30,9 +30,6 @@
 const STREAM_TIME: f64 = 250.0;
 /// Part of the shortest wanted time that the queue may be long for what is late in any case.
 const SPARE: f64 = 0.2;
-/// Part of the wanted time that the queue may be long for a request that no engine could answer in
-/// time: the largest tenth of a kind must be served at least half as often as all of it.
-const LONG: f64 = 0.55;
 /// What another copy of a prompt part costs, as a part of the time in which it is read.
 ///
 /// Each request leaves its shared parts at the engine that read them and at the one that generates.
@@ -211,12 +208,6 @@
         way = cheapest(&mut ways.iter().filter(idle)).unwrap_or(way);
     }
     let late = way.first > wanted;
-    // What is too long to be in time even at an idle engine would be refused for ever.
-    let spare = if way.first - way.queue > wanted {
-        spare.max(millis(call.route.target) * LONG)
-    } else {
-        spare
-    };
     let call = &core.relay.calls[key];
     if late && way.queue > spare || way.first > left * HOPE {
         let detail = format!("the first token would come after {:.0} ms", way.first);
