--- a/src/core/relay/event.rs
+++ b/src/core/relay/event/mod.rs
@@ -1,5 +1,7 @@
 //! What happens to relayed requests and what is done about them, as data.
 
+mod word;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +12,9 @@
 use crate::core::time::Time;
 use crate::error::Ran;
 use crate::settings::Settings;
+pub use word::{
+    DeathWord, Included, LoadWord, NewestWord, PartWord, Passage, StoreChange, Word, WordKind,
+};
 
 /// One event about relayed requests.
 #[derive(Debug, Clone)]
@@ -138,30 +143,6 @@
     }
 }
 
-/// One change of the store, as hosts pass it on to each other.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct StoreChange {
-    /// Revision that it made.
-    pub revision: i64,
-    /// Whole key; only the adapter reads it.
-    pub key: Box<str>,
-    /// Value as the store holds it; `None` for a removal.
-    pub value: Option<Box<[u8]>>,
-    /// What it means.
-    pub changes: Changes,
-}
-
-/// Changes of the store without a gap, as hosts pass them on to each other.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct Passage {
-    /// Revision before the first of them.
-    pub after: i64,
-    /// Revision up to which these are all changes.
-    pub at: i64,
-    /// The changes, in order.
-    pub events: Vec<StoreChange>,
-}
-
 /// A key of this program that changed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KeyChange {
@@ -414,97 +395,3 @@
     /// The engine may have taken it, or may take it later.
     Unknown,
 }
-
-/// What a host tells the others of its work.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct Word {
-    /// Name of the host.
-    pub host: Box<str>,
-    /// Wall clock at the start of its process, in milliseconds since the Unix epoch.
-    pub incarnation: u64,
-    /// Number of the word; later words have higher numbers.
-    pub number: u64,
-    /// Its unfinished work, by backend server.
-    pub loads: Vec<LoadWord>,
-    /// Prompt parts that it sent to engines since the last word.
-    pub parts: Vec<PartWord>,
-    /// Fingerprints of requests that backend servers died of.
-    pub deaths: Vec<DeathWord>,
-    /// Whose work it tells of, and what is expected of the listener.
-    pub kind: WordKind,
-    /// What the store last answered to a probe of that host.
-    pub newest: Option<NewestWord>,
-    /// Changes of the store, from a host that follows it for others.
-    pub passage: Option<Passage>,
-}
-
-/// Whose work a word tells of, and what is expected of the listener.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub enum WordKind {
-    /// The sender's own work, told to each host of its failure domain.
-    #[default]
-    Own,
-    /// No work: asks the listener for totals.
-    Hello,
-    /// The work of the sender and of those that report to it; it is answered with totals.
-    Report,
-    /// No work: the sender no longer reports to the listener.
-    Farewell,
-    /// All the work that the sender knows of, told to those that report to it.
-    Totals(Vec<Included>),
-    /// Sum over this failure domain, told to another one.
-    Domain(Box<str>),
-    /// The same, passed on within the listener's failure domain.
-    Passed(Box<str>),
-}
-
-/// A report that is part of totals: its sender takes its own work out of them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Included {
-    /// Short hash of the reporting process.
-    pub process: u32,
-    /// Number of the report.
-    pub number: u64,
-}
-
-/// The store's newest revision, as a probe showed it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NewestWord {
-    /// The revision.
-    pub revision: i64,
-    /// Time since the probe was sent.
-    pub age: Duration,
-}
-
-/// Unfinished work of one host at one backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct LoadWord {
-    /// Short hash of the backend server's id.
-    pub instance: u32,
-    /// Requests.
-    pub calls: u32,
-    /// Tokens that the host lately had put into its memory, a second.
-    pub fill: u32,
-    /// Prompt tokens to be prefilled.
-    pub tokens: u32,
-}
-
-/// A prompt part that an engine reads or has read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PartWord {
-    /// The part.
-    pub part: u64,
-    /// Its tokens.
-    pub tokens: u32,
-    /// Short hash of the engine's id.
-    pub instance: u32,
-}
-
-/// A backend server that died while it ran a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DeathWord {
-    /// First half of the request's fingerprint.
-    pub print: u64,
-    /// Short hash of the backend server's id.
-    pub instance: u32,
-}
