Have hosts report along a tree, and pack what totals tell

Cause: one host of a failure domain answered all others: 4.0 MB a second at 59 hosts, more than the thinnest link of a host there carries (20 Mbit/s), and 0.033 of a core. It was the first by name, here one with a wide link; where those are down it would not be.

Each host now prefers its parent in a heap of eight children each, then that one's parents, then others before it by name; unfinished work is written in columns; words along the tree go out every 45 ms.

--- a/src/core/relay/words/aggregator.rs
+++ b/src/core/relay/words/aggregator.rs
@@ -1,9 +1,10 @@
 //! Which host sums up for this one in a large failure domain.
 //!
-//! Hosts are ordered by name, and each reports to the first before it that answers. One that does not
-//! answer is doubted for a while and then asked again, so that hosts which cannot reach each other
-//! still hear of each other's work through a third. Who reports to whom always leads to an earlier
-//! name: no circle can come about.
+//! Hosts are ordered by name, and form a tree of few children each, as a heap does. Each reports to its
+//! parent there, or to the nearest other host before it that answers. One that does not answer is
+//! doubted for a while and then asked again, so that hosts which cannot reach each other still hear of
+//! each other's work through a third. Who reports to whom always leads to an earlier name: no circle
+//! can come about.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +22,26 @@
 /// Time after which an old doubt no longer counts.
 const FORGIVEN: Duration = Duration::from_secs(30);
 
+/// Hosts that report to one while all answer.
+const CHILDREN: usize = 8;
+
+/// Returns the hosts before one by name in the order in which it should report to them: its parent and
+/// the parents of that, then the others.
+///
+/// `before` holds all of them in the order of their names.
+#[must_use]
+pub fn preferred(before: &[Box<str>]) -> Vec<Box<str>> {
+    let mut line = Vec::new();
+    let mut at = before.len();
+    while at > 0 {
+        at = (at - 1) / CHILDREN;
+        line.push(at);
+    }
+    let others = (0..before.len()).filter(|at| !line.contains(at));
+    let order = line.iter().copied().chain(others);
+    order.map(|at| before[at].clone()).collect()
+}
+
 /// A host that did not answer.
 #[derive(Debug, Clone, Copy)]
 struct Doubt {
@@ -48,6 +69,8 @@
 #[derive(Debug, Default)]
 pub struct Aggregator {
     current: Option<Box<str>>,
+    /// Hosts that may sum up for this one, the preferred first.
+    order: Vec<Box<str>>,
     /// Since when the current one has not answered a report.
     owes: Option<Time>,
     /// Hosts that were asked and did not answer yet.
@@ -74,22 +97,23 @@
         self.current.is_none() && self.asked.is_empty()
     }
 
-    /// Looks at the hosts before this one by name, in their order: returns which to ask now, and
-    /// whether the aggregator was lost.
-    pub fn look(&mut self, before: &[Box<str>], now: Time) -> (Vec<Box<str>>, Option<Change>) {
+    /// Looks at the hosts that may sum up, the preferred first: returns which to ask now, and whether
+    /// the aggregator was lost.
+    pub fn look(&mut self, order: Vec<Box<str>>, now: Time) -> (Vec<Box<str>>, Option<Change>) {
         if now.since(self.looked) > ANSWER {
             // This host stood still: it is not the others that did not answer.
             self.owes = self.owes.map(|_| now);
             self.asked.values_mut().for_each(|at| *at = now);
         }
         self.looked = now;
-        let known = |name: &str| before.iter().any(|host| **host == *name);
-        self.asked.retain(|name, _| known(name));
+        self.order = order;
+        let order = &self.order;
+        self.asked.retain(|name, _| order.contains(name));
         self.doubts
-            .retain(|name, doubt| known(name) && now.since(doubt.since) < FORGIVEN);
+            .retain(|name, doubt| order.contains(name) && now.since(doubt.since) < FORGIVEN);
         self.doubt_silent(now);
-        let lost = self.lose(&known, now);
-        let asked = self.due_hosts(before, now);
+        let lost = self.lose(now);
+        let asked = self.due_hosts(now);
         self.asked
             .extend(asked.iter().map(|name| (name.clone(), now)));
         (asked, lost)
@@ -118,10 +142,10 @@
     }
 
     /// Gives the aggregator up if it is gone or does not answer.
-    fn lose(&mut self, known: &impl Fn(&str) -> bool, now: Time) -> Option<Change> {
-        let current = self.current.as_deref()?;
+    fn lose(&mut self, now: Time) -> Option<Change> {
+        let current = self.current.as_ref()?;
         let silent = self.owes.is_some_and(|at| now.since(at) > ANSWER);
-        if known(current) && !silent {
+        if self.order.contains(current) && !silent {
             return None;
         }
         let before = self.current.take()?;
@@ -137,12 +161,10 @@
     }
 
     /// Returns the hosts to ask: the first that is not doubted, and more each time none answered.
-    fn due_hosts(&mut self, before: &[Box<str>], now: Time) -> Vec<Box<str>> {
+    fn due_hosts(&mut self, now: Time) -> Vec<Box<str>> {
         let doubted = |name: &str| self.doubts.get(name).is_some_and(|doubt| doubt.lasts(now));
-        let earlier = |name: &str| self.current().is_none_or(|current| name < current);
-        let free = before
-            .iter()
-            .filter(|name| earlier(name) && !doubted(name) && !self.asked.contains_key(*name));
+        let better = self.order.iter().take(self.rank());
+        let free = better.filter(|name| !doubted(name) && !self.asked.contains_key(*name));
         if self.current.is_some() {
             if now.since(self.tried) < ASK_AGAIN {
                 return Vec::new();
@@ -160,6 +182,13 @@
         hosts
     }
 
+    /// Returns how many hosts are preferred to the one that sums up now.
+    fn rank(&self) -> usize {
+        let current = self.current.as_ref();
+        let rank = current.and_then(|current| self.order.iter().position(|host| host == current));
+        rank.unwrap_or(self.order.len())
+    }
+
     /// Notes that a report was sent to the aggregator, which it answers.
     pub fn reported(&mut self, now: Time) {
         self.owes.get_or_insert(now);
@@ -172,7 +201,8 @@
             self.owes = None;
             return None;
         }
-        if !asked || self.current().is_some_and(|current| current < name) {
+        let rank = self.order.iter().position(|host| **host == *name);
+        if !asked || rank.is_none_or(|rank| rank > self.rank()) {
             return None;
         }
         self.owes = None;
--- a/src/core/relay/words/gather.rs
+++ b/src/core/relay/words/gather.rs
@@ -12,7 +12,7 @@
 use super::super::event::{Included, LoadWord, Word, WordKind};
 use super::super::instance::{Work, short};
 use super::super::note;
-use super::aggregator::Change;
+use super::aggregator::{Change, preferred};
 use super::{QUIET, domains, due, load_word, neighbours, summed, tell_them, untold, word};
 
 /// Reports that are remembered until totals include them: those of two seconds.
@@ -28,7 +28,7 @@
         .collect();
     before.sort();
     let now = core.now;
-    let (ask, lost) = core.relay.peers.aggregator.look(&before, now);
+    let (ask, lost) = core.relay.peers.aggregator.look(preferred(&before), now);
     if let Some(change) = lost {
         changed(core, &change, out);
     }
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/words/mod.rs
@@ -35,8 +35,9 @@
 /// The same for each other host of the failure domain where each tells all: a host must hear all of
 /// them.
 const EVERY_HOST: Duration = Duration::from_micros(1500);
-/// The same where they report to one of them, which must hear all of them and answer them.
-const EVERY_REPORT: Duration = Duration::from_micros(700);
+/// The same where they report to one of them, which answers with some kilobytes to each that reports to
+/// it, over a link that may be the thinnest of all hosts.
+const EVERY_REPORT: Duration = Duration::from_millis(45);
 /// Other hosts of a failure domain up to which each tells all.
 const ALL: usize = 12;
 /// Time between two looks at the prompt parts that engines hold: all of some ten thousand are
@@ -86,18 +87,18 @@
 /// Returns the time after which work that is sent now is known to the other hosts: that between two
 /// words, longer where none came.
 pub(super) fn delay(core: &Core) -> Duration {
-    every(core).max(age(core).unwrap_or_default())
+    // Reports pass a host on their way up, and totals one on their way down.
+    let hops = if gathers(core) { 2 } else { 1 };
+    (every(core) * hops).max(age(core).unwrap_or_default())
 }
 
 /// Returns the time between two words.
 fn every(core: &Core) -> Duration {
+    if gathers(core) {
+        return EVERY_REPORT;
+    }
     let hosts = u32::try_from(neighbours(core).count()).unwrap_or(u32::MAX);
-    let each = if gathers(core) {
-        EVERY_REPORT
-    } else {
-        EVERY_HOST
-    };
-    each.saturating_mul(hosts).max(EVERY)
+    EVERY_HOST.saturating_mul(hosts).max(EVERY)
 }
 
 /// Tells whether hosts report to an aggregator in this failure domain.
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -435,8 +435,8 @@
     /// Counts words of this process.
     #[prost(uint64, tag = "3")]
     pub number: u64,
-    #[prost(message, repeated, tag = "5")]
-    pub loads: ::prost::alloc::vec::Vec<LoadWord>,
+    #[prost(message, optional, tag = "15")]
+    pub loads: ::core::option::Option<Loads>,
     #[prost(message, repeated, tag = "6")]
     pub parts: ::prost::alloc::vec::Vec<PartWord>,
     #[prost(message, repeated, tag = "7")]
@@ -494,19 +494,20 @@
     #[prost(uint64, tag = "2")]
     pub number: u64,
 }
-/// Unfinished work of the sender at one backend server.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct LoadWord {
-    #[prost(fixed32, tag = "1")]
-    pub instance: u32,
-    #[prost(uint32, tag = "2")]
-    pub calls: u32,
+/// Unfinished work of the sender, one backend server at each position: totals tell of all of them many
+/// times a second to dozens of hosts, and so are as short as can be.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Loads {
+    #[prost(fixed32, repeated, tag = "1")]
+    pub instances: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "2")]
+    pub calls: ::prost::alloc::vec::Vec<u32>,
     /// Tokens that the sender lately had put into its memory, a second.
-    #[prost(uint32, tag = "3")]
-    pub fill: u32,
+    #[prost(uint32, repeated, tag = "3")]
+    pub fill: ::prost::alloc::vec::Vec<u32>,
     /// Prompt tokens to be prefilled.
-    #[prost(uint32, tag = "4")]
-    pub tokens: u32,
+    #[prost(uint32, repeated, tag = "4")]
+    pub tokens: ::prost::alloc::vec::Vec<u32>,
 }
 /// A prompt part that an engine reads or has read.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/wire/word.rs
+++ b/src/wire/word.rs
@@ -18,7 +18,7 @@
         host: word.host.to_string(),
         incarnation: word.incarnation,
         number: word.number,
-        loads: word.loads.iter().map(to_load).collect(),
+        loads: (!word.loads.is_empty()).then(|| to_loads(&word.loads)),
         parts: word.parts.iter().map(to_part).collect(),
         deaths: word.deaths.iter().map(to_death).collect(),
         domain: domain.to_owned(),
@@ -53,7 +53,7 @@
         host: word.host.into(),
         incarnation: word.incarnation,
         number: word.number,
-        loads: word.loads.iter().map(from_load).collect(),
+        loads: from_loads(&word.loads.unwrap_or_default())?,
         parts: word.parts.iter().map(from_part).collect(),
         deaths: word.deaths.iter().map(from_death).collect(),
         kind,
@@ -140,22 +140,32 @@
     }
 }
 
-fn to_load(load: &LoadWord) -> wire::LoadWord {
-    wire::LoadWord {
-        instance: load.instance,
-        calls: load.calls,
-        fill: load.fill,
-        tokens: load.tokens,
+fn to_loads(loads: &[LoadWord]) -> wire::Loads {
+    wire::Loads {
+        instances: loads.iter().map(|load| load.instance).collect(),
+        calls: loads.iter().map(|load| load.calls).collect(),
+        fill: loads.iter().map(|load| load.fill).collect(),
+        tokens: loads.iter().map(|load| load.tokens).collect(),
     }
 }
 
-fn from_load(load: &wire::LoadWord) -> LoadWord {
-    LoadWord {
-        instance: load.instance,
-        calls: load.calls,
-        fill: load.fill,
-        tokens: load.tokens,
+fn from_loads(loads: &wire::Loads) -> Result<Vec<LoadWord>, WireError> {
+    let columns = [&loads.calls, &loads.fill, &loads.tokens];
+    if columns
+        .iter()
+        .any(|rows| rows.len() != loads.instances.len())
+    {
+        return Err(WireError::Field { field: "loads" });
     }
+    let rows = loads.instances.iter().zip(&loads.calls).zip(&loads.fill);
+    let rows = rows.zip(&loads.tokens);
+    let loads = rows.map(|(((instance, calls), fill), tokens)| LoadWord {
+        instance: *instance,
+        calls: *calls,
+        fill: *fill,
+        tokens: *tokens,
+    });
+    Ok(loads.collect())
 }
 
 fn to_part(part: &PartWord) -> wire::PartWord {
