--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -18,10 +18,7 @@
 /// know what it missed.
 const EVERY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(650));
 /// Hosts of a failure domain that probe in one round, on average, beside the one that speaks for it,
-/// while none is answered.
-///
-/// All of them would keep a store that is in trouble busy; the one alone may be the only host that
-/// does not reach it.
+/// while none is answered: that one may be the only host that does not reach the store.
 const TURNS: f64 = 3.0;
 /// Time that a call has, beside two of the probe's own, after a later probe was answered.
 const GRACE: Duration = Duration::from_millis(200);
@@ -133,10 +130,7 @@
 }
 
 /// Asks for the store's newest revision, unless a host near by just did, and says whether the store
-/// is up.
-///
-/// One answered probe serves a whole failure domain: probes of each host would soon cost as much as
-/// all other calls.
+/// is up. One answered probe serves a whole failure domain.
 pub fn probe(core: &mut Core, out: &mut Effects) {
     let near = words::heard_near(core) + 1;
     let speaks = words::speaks(core);
--- a/src/core/relay/words/aggregator.rs
+++ b/src/core/relay/words/aggregator.rs
@@ -1,7 +1,7 @@
 //! Which host sums up for this one in a large failure domain.
 //!
 //! Hosts are ordered by name, and form a tree of few children each, as a heap does. Each reports to its
-//! parent there, or to the nearest other host before it that answers. One that does not answer is
+//! parent there, or where that does not answer to another host before it. One that does not answer is
 //! doubted for a while and then asked again, so that hosts which cannot reach each other still hear of
 //! each other's work through a third. Who reports to whom always leads to an earlier name: no circle
 //! can come about.
@@ -13,7 +13,7 @@
 
 /// Time within which an aggregator answers: several times that between two of its words.
 const ANSWER: Duration = Duration::from_millis(300);
-/// Time between two questions to a host before the one that answers.
+/// Time between two questions to a host that is preferred to the one that answers.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// First time for which a host that did not answer is not asked; doubled each time.
 const DOUBT: Duration = Duration::from_secs(2);
@@ -78,7 +78,7 @@
     doubts: BTreeMap<Box<str>, Doubt>,
     /// Hosts asked at once while none answers; doubled each time.
     width: usize,
-    /// When a host before the current one was last asked.
+    /// When a host that is preferred to the current one was last asked.
     tried: Time,
     /// When this was last looked at.
     looked: Time,
--- a/tests/relay/silence.rs
+++ b/tests/relay/silence.rs
@@ -32,14 +32,8 @@
     held
 }
 
-/// The store falls silent, and the operator changes the configuration meanwhile. Callers were still
-/// sent by the old version, and a route that was added was refused as unknown, for up to 21.5 s after
-/// the store's return.
-///
-/// The host's watch was lost in the silence, and its connection lived on: the probes of the
-/// connection were answered, so that only the watch's own bound ended it. Host logs of such a
-/// day showed it: a watch that failed after 21,501 ms, and the newest configuration 80 ms later, while
-/// renewals of the host's lease failed and succeeded again without effect.
+/// The store falls silent, and the operator changes the configuration meanwhile. A watch that was lost
+/// then kept the old version in force, and refused an added route as unknown.
 #[test]
 fn a_change_made_in_a_silence_is_known_soon_after() {
     let (plain, decode) = (Engine::plain("s-1"), Engine::model("d-1", "decode"));
