Take the revision of passed changes from the view, which knows it

Cause: the history of changes kept the revision up to which they are known beside the view, which always held the same; two constants of neighbouring modules were both named UNHEARD. Change: the view gives its revision when it passes changes on; the one of the draw is UNHEARD_EACH.

--- a/src/core/relay/choose/spread.rs
+++ b/src/core/relay/choose/spread.rs
@@ -14,7 +14,7 @@
 use crate::core::key::{BackendKey, CallKey};
 
 /// Requests of other hosts that may go to one server unheard, on average over the drawn ones.
-const UNHEARD: f64 = 2.0;
+const UNHEARD_EACH: f64 = 2.0;
 /// Fewest servers drawn: the better of two is much better than any one.
 const LEAST: usize = 2;
 /// Time over which it is counted how many requests arrive.
@@ -47,7 +47,7 @@
 
 /// Returns how many of so many servers are drawn where so many requests were sent unheard.
 fn most(servers: usize, unheard: f64) -> usize {
-    let part = UNHEARD / unheard.max(UNHEARD);
+    let part = UNHEARD_EACH / unheard.max(UNHEARD_EACH);
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
--- a/src/core/relay/view/history.rs
+++ b/src/core/relay/view/history.rs
@@ -14,8 +14,6 @@
 pub struct History {
     /// Revision before the first change.
     after: i64,
-    /// Revision up to which changes are known.
-    at: i64,
     /// Changes, and in how many words each was passed on.
     events: VecDeque<(StoreChange, u8)>,
     news: bool,
@@ -26,14 +24,12 @@
     pub fn restart(&mut self, at: i64) {
         *self = Self {
             after: at,
-            at,
             ..Self::default()
         };
     }
 
-    /// Adds all changes up to a revision.
-    pub fn learn(&mut self, at: i64, events: impl IntoIterator<Item = StoreChange>) {
-        self.at = at;
+    /// Adds changes that follow those known.
+    pub fn learn(&mut self, events: impl IntoIterator<Item = StoreChange>) {
         self.news = true;
         self.events
             .extend(events.into_iter().map(|event| (event, 0)));
@@ -52,8 +48,8 @@
         self.news
     }
 
-    /// Returns what the next word passes on.
-    pub fn take(&mut self) -> Passage {
+    /// Returns what the next word passes on, where all changes up to a revision are known.
+    pub fn take(&mut self, at: i64) -> Passage {
         self.news = false;
         while let Some((event, times)) = self.events.front()
             && *times >= TIMES
@@ -62,7 +58,7 @@
             self.events.pop_front();
         }
         if self.events.is_empty() {
-            self.after = self.at;
+            self.after = at;
         }
         let events = self.events.iter_mut().map(|(event, times)| {
             *times += 1;
@@ -71,7 +67,7 @@
         Passage {
             events: events.collect(),
             after: self.after,
-            at: self.at,
+            at,
         }
     }
 }
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -134,6 +134,11 @@
         self.current = self.current.max(Some(at));
     }
 
+    /// Returns the changes that the next word passes on.
+    pub(super) fn passage(&mut self) -> Passage {
+        self.history.take(self.at)
+    }
+
     /// Says in the log from whom this host learns of changes, where that is another than before.
     fn name_source(&mut self, source: &str, out: &mut Effects) {
         if self.source.as_deref() == Some(source) {
@@ -248,7 +253,7 @@
         out.push(Effect::Relay(RelayEffect::Unask(asked.number)));
     }
     let changes: Vec<Changes> = new.iter().map(|event| event.changes.clone()).collect();
-    view.history.learn(passage.at, new);
+    view.history.learn(new);
     for changes in changes {
         super::changed(core, changes, out);
     }
@@ -283,7 +288,7 @@
         } => {
             if at > view.at {
                 view.name_source(STORE, out);
-                view.history.learn(at, events);
+                view.history.learn(events);
             }
             watched(core, asked, at, changes, out);
         }
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/words/mod.rs
@@ -185,7 +185,7 @@
         WordKind::Own => speaks(core),
         _ => false,
     };
-    let passage = passes.then(|| core.relay.view.history.take());
+    let passage = passes.then(|| core.relay.view.passage());
     let probes = &mut core.relay.view.probes;
     let newest = match kind {
         // Each failure domain probes the store for itself.
