Log requests to servers without an entry, and the age of the probe that shows a lost call

Nothing told whether a request went to a server whose entry was missing (hypothesis 1), nor how long a lost watch was held on to after a probe had shown it (hypothesis 2). Now request.sent has unlisted_ms, store.call_lost has probed_ms, and chiveway_backends_unlisted counts such servers.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -177,6 +177,7 @@
         || "never".into(),
         |age| format!("{}", age.as_millis()).into(),
     );
+    let unlisted = unlisted(core, choice.backend);
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
     match &choice.task {
@@ -220,6 +221,7 @@
             ("tokens", instance.work().tokens.to_string().into()),
             ("own_tokens", instance.own.tokens.to_string().into()),
             ("told_ms", told),
+            ("unlisted_ms", unlisted),
             ("reads", choice.work.tokens.to_string().into()),
             (
                 "fetched",
@@ -250,6 +252,15 @@
     }
 }
 
+/// Returns for how long a backend server's entry has been missing from the store, for the log.
+fn unlisted(core: &Core, key: BackendKey) -> Box<str> {
+    let missed = core.relay.instances.arena[key].missed;
+    missed.map_or_else(
+        || "listed".into(),
+        |at| core.now.since(at).as_millis().to_string().into(),
+    )
+}
+
 /// Returns the word for a task in logs.
 pub(super) fn task_word(task: &Task) -> &'static str {
     match task {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -307,6 +307,15 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns how many backend servers take work though their entries are missing.
+    #[must_use]
+    pub fn unlisted(&self, now: Time) -> u64 {
+        let all = self.arena.values();
+        all.filter(|instance| instance.missed.is_some() && instance.takes(now))
+            .map(|_| 1)
+            .sum()
+    }
+
     /// Takes in what the store told; returns what is believed anew.
     pub fn changed(&mut self, changes: &mut Changes, now: Time) -> Vec<Belief> {
         let mut beliefs = Vec::new();
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -232,7 +232,7 @@
     }
     let older = view.asked.filter(|asked| asked.sent < check.sent);
     match older.filter(|_| silent || view.owes(check)) {
-        Some(asked) => give_up(core, asked, check.newest, out),
+        Some(asked) => give_up(core, asked, check, out),
         // A later probe may have raised a doubt of its own meanwhile.
         None => {
             if let Some(last) = view.probes.last {
@@ -243,7 +243,7 @@
 }
 
 /// Gives a page or a watch up as lost, and reads every key anew.
-fn give_up(core: &mut Core, asked: Asked, newest: i64, out: &mut Effects) {
+fn give_up(core: &mut Core, asked: Asked, check: Check, out: &mut Effects) {
     let view = &mut core.relay.view;
     let call = match view.pages {
         Some(_) => "range",
@@ -253,7 +253,8 @@
         ("call", call.into()),
         ("after_ms", in_ms(core.now.since(asked.sent))),
         ("at", view.at.to_string().into()),
-        ("newest", newest.to_string().into()),
+        ("newest", check.newest.to_string().into()),
+        ("probed_ms", in_ms(core.now.since(check.sent))),
     ];
     view.probes.losses = (view.probes.losses + 1).min(LOSSES);
     view.begin_anew();
--- a/src/host/meters.rs
+++ b/src/host/meters.rs
@@ -43,6 +43,7 @@
     ordered: Counter<u64>,
     calls: Counter<u64>,
     age: Gauge<f64>,
+    unlisted: Gauge<u64>,
     seen: Cell<Calls>,
     customers: RefCell<BTreeMap<Box<str>, u32>>,
     named: RefCell<Vec<Box<str>>>,
@@ -91,6 +92,10 @@
                 .with_description("Time since all that the key-value service held was known")
                 .with_unit("s")
                 .build(),
+            unlisted: meter
+                .u64_gauge("chiveway_backends_unlisted")
+                .with_description("Backend servers that get work while their entries are missing")
+                .build(),
             registry,
             _provider: provider,
             seen: Cell::default(),
@@ -181,6 +186,11 @@
         self.age.record(age.as_secs_f64(), &[]);
     }
 
+    /// Takes in how many backend servers get work while their entries are missing.
+    pub fn unlisted(&self, servers: u64) {
+        self.unlisted.record(servers, &[]);
+    }
+
     /// Returns everything in Prometheus' text form.
     #[must_use]
     pub fn text(&self) -> Option<String> {
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -208,6 +208,11 @@
     if let Some(current) = node.look(|core| core.relay.view.current()) {
         node.meters.view_age(super::timer::now().since(current));
     }
+    if relay {
+        let now = super::timer::now();
+        let unlisted = node.look(|core| core.relay.instances.unlisted(now));
+        node.meters.unlisted(unlisted);
+    }
     match node.meters.text() {
         Some(body) => text(StatusCode::OK, &body),
         None => problem::answer(&Refusal::new(Kind::Internal, "the metrics are lost"), ""),
