--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -36,6 +36,8 @@
     pub silent: bool,
     /// Hosts whose calls it does not answer.
     pub deaf: BTreeSet<usize>,
+    /// Servers whose entries were removed.
+    pub removed: BTreeSet<Box<str>>,
     /// Calls in hand, and when they may be answered.
     calls: Vec<(u64, usize, u64, Ask)>,
     /// Pages and watches asked for by each host.
@@ -97,6 +99,7 @@
                 revision: 10,
                 silent: false,
                 deaf: BTreeSet::new(),
+                removed: BTreeSet::new(),
                 calls: Vec::new(),
                 asked: vec![0; hosts],
             },
@@ -159,20 +162,30 @@
         let at = self.store.revision;
         match ask {
             Ask::Probe => StoreAnswer::Newest(at),
-            Ask::Page { .. } => StoreAnswer::Page {
-                at,
-                changes: listed(self.hosts.len(), at),
-                after: None,
-            },
+            Ask::Page { .. } => {
+                let mut changes = listed(self.hosts.len(), at);
+                changes
+                    .instances
+                    .retain(|entry| !self.store.removed.contains(&entry.id));
+                StoreAnswer::Page {
+                    at,
+                    changes,
+                    after: None,
+                }
+            }
             Ask::Watch { after, .. } => {
+                let changed = |revision| Changes {
+                    gone: self.store.removed.iter().cloned().collect(),
+                    ..configured(revision)
+                };
                 let events = (*after + 1..=at).map(|revision| StoreChange {
                     revision,
-                    changes: configured(revision),
+                    changes: changed(revision),
                     ..StoreChange::default()
                 });
                 StoreAnswer::Changes {
                     at,
-                    changes: configured(at),
+                    changes: changed(at),
                     events: events.collect(),
                 }
             }
@@ -193,6 +206,26 @@
         self.until_all_know(but)
     }
 
+    /// Cuts a host off from the store and from the other hosts.
+    pub fn cut_off(&mut self, host: usize) {
+        self.store.deaf.insert(host);
+        for other in (0..self.hosts.len()).filter(|other| *other != host) {
+            self.cuts.extend([(host, other), (other, host)]);
+        }
+    }
+
+    /// Ends all cuts.
+    pub fn reconnect(&mut self) {
+        self.store.deaf.clear();
+        self.cuts.clear();
+    }
+
+    /// Removes a server's entry from the store.
+    pub fn remove(&mut self, server: &str) {
+        self.store.removed.insert(server.into());
+        self.store.revision += 1;
+    }
+
     /// Returns how many milliseconds pass until all hosts have the newest configuration in force.
     pub fn until_all_know(&mut self, but: &[usize]) -> u64 {
         let newest = u64::try_from(self.store.revision).expect("positive");
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod config;
+mod departed;
 mod domain;
 mod handover;
 mod load;
--- a/src/core/relay/tests/view/mod.rs
+++ b/src/core/relay/tests/view/mod.rs
@@ -24,8 +24,15 @@
     Paused,
     /// It turns every call away.
     Refuses,
+    /// Nothing reaches it, and connections are tried again as a kernel does.
+    Cut,
 }
 
+/// Times after which a kernel repeats the first packet of a connection.
+const REPEATS: [u64; 3] = [1000, 3000, 7000];
+/// Time that a page's or a probe's connection may take.
+const CONNECT: u64 = 1500;
+
 /// A store in virtual time, with a configuration whose version is the only thing that changes.
 struct Store {
     mood: Mood,
@@ -42,6 +49,8 @@
     asked: (u32, u32, u32),
     /// Revisions by which the answers to probes are behind.
     behind: i64,
+    /// Calls whose connection is not made yet, and when they were made.
+    connecting: BTreeMap<u64, (Ask, u64)>,
 }
 
 impl Store {
@@ -55,6 +64,7 @@
             pages: 1,
             asked: (0, 0, 0),
             behind: 0,
+            connecting: BTreeMap::new(),
         }
     }
 
@@ -76,7 +86,9 @@
             Ask::Probe => (&mut self.asked.2, self.takes),
         };
         *count += 1;
-        if !matches!(self.mood, Mood::Silent | Mood::Paused) {
+        if self.mood == Mood::Cut {
+            self.connecting.insert(number, (ask.clone(), now));
+        } else if !matches!(self.mood, Mood::Silent | Mood::Paused) {
             self.calls.insert(number, (ask.clone(), now + takes));
         }
     }
@@ -115,7 +127,35 @@
         })
     }
 
+    /// Returns the calls whose connection is given up.
+    fn unconnected(&mut self, now: u64) -> Vec<u64> {
+        let late = |ask: &Ask, at: u64| !matches!(ask, Ask::Watch { .. }) && now >= at + CONNECT;
+        let all = self.connecting.iter();
+        let late = all.filter(|(_, (ask, at))| late(ask, *at));
+        let late: Vec<u64> = late.map(|(number, _)| *number).collect();
+        self.connecting.retain(|number, _| !late.contains(number));
+        late
+    }
+
+    /// Has the calls reach the store whose first packet is repeated now.
+    fn connect(&mut self, now: u64) {
+        let repeats = |at: u64| REPEATS.iter().any(|after| at + after == now);
+        let (ready, later): (BTreeMap<_, _>, BTreeMap<_, _>) = std::mem::take(&mut self.connecting)
+            .into_iter()
+            .partition(|(_, (_, at))| repeats(*at));
+        self.connecting = later;
+        let takes = self.takes;
+        self.calls.extend(
+            ready
+                .into_iter()
+                .map(|(number, (ask, _))| (number, (ask, now + takes))),
+        );
+    }
+
     fn turn(&mut self, mood: Mood) {
+        if mood == Mood::Cut {
+            self.calls.clear();
+        }
         if mood == Mood::Silent {
             self.calls.clear();
         }
@@ -155,6 +195,7 @@
                 }
                 Effect::Relay(RelayEffect::Unask(number)) => {
                     self.store.calls.remove(number);
+                    self.store.connecting.remove(number);
                     self.given_up += 1;
                 }
                 _ => {}
@@ -166,10 +207,17 @@
         let out = self.site.pass(STEP);
         self.carry(&out);
         let now = self.site.now;
-        let store = &self.store;
-        if matches!(store.mood, Mood::Silent | Mood::Paused) {
+        for number in self.store.unconnected(now) {
+            let answer = StoreAnswer::Failed { refused: true };
+            self.site.event(RelayEvent::Store { number, answer });
+            let out = self.site.out.clone();
+            self.carry(&out);
+        }
+        if matches!(self.store.mood, Mood::Silent | Mood::Paused | Mood::Cut) {
             return;
         }
+        self.store.connect(now);
+        let store = &self.store;
         let due = store.calls.iter().filter(|(_, (_, due))| *due <= now);
         let answers =
             due.filter_map(|(number, (ask, due))| Some((*number, store.answer(ask, *due, now)?)));
@@ -268,6 +316,9 @@
     a_page_is_lost_in_a_silence: Mood::Silent, 5, 0;
     /// The store turns every call away for a while.
     a_store_turns_calls_away: Mood::Refuses, 1, 2000;
+    /// The host is cut off from the store, and probes whose connection is repeated after the cut are
+    /// answered late: that is no slow store, for which a lost watch is given up seconds later.
+    a_watch_is_lost_in_a_cut: Mood::Cut, 1, 2000;
     /// The host starts while the store turns every call away.
     a_store_turns_a_new_host_away: Mood::Refuses, 3, 0;
 }
