Hold a lost call against the check that is due first

Callers saw: a host back from a cut off the store went on with an old view for up to 3.2 s, and so sent prompts to engines that had left. Cause: a probe whose connection is repeated by the kernel after the cut is answered a second late. The grace of older calls was twice its time, 2.2 s, and no later check was taken while one was pending. Class: one slow sample taken for the state of the store. Ruled out: lost datagrams (the words with the newest revision came, 130 ms after the cut), a refused watch (it hung in its connection). Change: of two checks the one that is due first counts.

--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -49,8 +49,8 @@
     last: Option<Check>,
     /// Whether it is this host's own, and the others were not told.
     news: bool,
-    /// Against which the call in hand is held when its grace is over.
-    check: Option<Check>,
+    /// What the call in hand is held against, and when its grace is over.
+    check: Option<(Check, Time)>,
     /// Pages and watches given up in a row.
     pub(super) losses: u32,
 }
@@ -204,13 +204,18 @@
 }
 
 /// Looks whether older calls were lost, where a probe raises the doubt, so long after their grace.
+///
+/// The check that is due first counts: one probe may be slow for its connection's sake alone.
 fn doubt(core: &mut Core, check: Check, more: Duration, out: &mut Effects) {
     let view = &mut core.relay.view;
-    let raised = view.probes.lost(check) || view.owes(check);
-    if raised && view.probes.check.is_none() {
-        view.probes.check = Some(check);
-        let grace = GRACE.saturating_mul(1 << view.probes.losses);
-        wake(core, grace + more, RelayTimer::Overdue, out);
+    if !view.probes.lost(check) && !view.owes(check) {
+        return;
+    }
+    let grace = GRACE.saturating_mul(1 << view.probes.losses) + more;
+    let due = core.now.after(grace);
+    if view.probes.check.is_none_or(|(_, before)| due < before) {
+        view.probes.check = Some((check, due));
+        wake(core, grace, RelayTimer::Overdue, out);
     }
 }
 
@@ -218,9 +223,14 @@
 /// beside it was lost: then the store was silent, and it may wait on a connection that stays so.
 pub fn overdue(core: &mut Core, out: &mut Effects) {
     let view = &mut core.relay.view;
-    let Some(check) = view.probes.check.take() else {
+    let Some((check, due)) = view.probes.check.take() else {
         return;
     };
+    if due > core.now {
+        view.probes.check = Some((check, due));
+        wake(core, due.since(core.now), RelayTimer::Overdue, out);
+        return;
+    }
     let silent = view.probes.lost(check);
     if silent {
         view.probes.open.retain(|_, sent| *sent >= check.sent);
