Read limits that servers name, and log when they begin, change and end

Now backend.limit names each change and chiveway_backends_limited counts such servers; no decision follows from it yet.

--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -31,6 +31,13 @@
         /// Name by which the KV cache is taken.
         handle: Box<str>,
     },
+    /// The head of a backend server's own answer arrived.
+    Limited {
+        /// The attempt.
+        attempt: AttemptKey,
+        /// Limit that it names.
+        limit: NamedLimit,
+    },
     /// A whole answer, or one longer than is held back, arrived.
     Answered {
         /// The attempt.
@@ -87,6 +94,18 @@
     Told(Box<Word>),
 }
 
+/// Limit that an answer names: requests a second that its backend server takes from all hosts together.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum NamedLimit {
+    /// It names none.
+    #[default]
+    None,
+    /// Requests a second; finite and not negative.
+    Rate(f64),
+    /// It names one that is no such number.
+    Unreadable,
+}
+
 /// What came of a call by which this host follows the store.
 #[derive(Debug, Clone)]
 pub enum StoreAnswer {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -7,6 +7,7 @@
 use slotmap::SlotMap;
 
 use super::event::{Changes, Entry, LoadWord, Stage};
+use super::limit::Limit;
 use super::model::{Link, Pace};
 use super::parts::Part;
 use crate::core::key::{BackendKey, HostKey};
@@ -83,6 +84,8 @@
     pub heard: Option<Time>,
     /// Tokens that this host had put into its memory, older ones for less, and as of when.
     filled: (f64, Time),
+    /// Requests that it takes from all hosts together.
+    pub limit: Limit,
     /// Prompt parts that it holds or is about to, by their ids.
     pub parts: BTreeMap<u64, Part>,
 }
@@ -157,6 +160,7 @@
             latency: 0.0,
             heard: None,
             filled: (0.0, Time::default()),
+            limit: Limit::default(),
             parts: BTreeMap::new(),
         }
     }
@@ -311,8 +315,15 @@
     #[must_use]
     pub fn unlisted(&self, now: Time) -> u64 {
         let all = self.arena.values();
-        all.filter(|instance| instance.missed.is_some() && instance.takes(now))
-            .map(|_| 1)
+        all.map(|instance| u64::from(instance.missed.is_some() && instance.takes(now)))
+            .sum()
+    }
+
+    /// Returns how many backend servers name a limit.
+    #[must_use]
+    pub fn limited(&self) -> u64 {
+        let all = self.arena.values();
+        all.map(|instance| u64::from(instance.limit.rate().is_some()))
             .sum()
     }
 
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -12,6 +12,7 @@
 pub mod event;
 pub mod instance;
 mod killer;
+pub mod limit;
 mod load;
 mod model;
 mod parts;
@@ -231,6 +232,7 @@
     match event {
         RelayEvent::Arrived(arrival) => call::arrived(core, *arrival, out),
         RelayEvent::Left(key) => call::left(core, key, out),
+        RelayEvent::Limited { attempt, limit } => limit::named(core, attempt, limit, out),
         RelayEvent::Prefilled { attempt, handle } => answer::prefilled(core, attempt, handle, out),
         RelayEvent::Answered { attempt, status } => answer::answered(core, attempt, status, out),
         RelayEvent::Piece { attempt, number } => answer::piece(core, attempt, number, out),
--- a/src/host/meters.rs
+++ b/src/host/meters.rs
@@ -44,6 +44,7 @@
     calls: Counter<u64>,
     age: Gauge<f64>,
     unlisted: Gauge<u64>,
+    limited: Gauge<u64>,
     seen: Cell<Calls>,
     customers: RefCell<BTreeMap<Box<str>, u32>>,
     named: RefCell<Vec<Box<str>>>,
@@ -96,6 +97,10 @@
                 .u64_gauge("chiveway_backends_unlisted")
                 .with_description("Backend servers that get work while their entries are missing")
                 .build(),
+            limited: meter
+                .u64_gauge("chiveway_backends_limited")
+                .with_description("Backend servers that name a limit")
+                .build(),
             registry,
             _provider: provider,
             seen: Cell::default(),
@@ -191,6 +196,11 @@
         self.unlisted.record(servers, &[]);
     }
 
+    /// Takes in how many backend servers name a limit.
+    pub fn limited(&self, servers: u64) {
+        self.limited.record(servers, &[]);
+    }
+
     /// Returns everything in Prometheus' text form.
     #[must_use]
     pub fn text(&self) -> Option<String> {
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -212,6 +212,8 @@
         let now = super::timer::now();
         let unlisted = node.look(|core| core.relay.instances.unlisted(now));
         node.meters.unlisted(unlisted);
+        let limited = node.look(|core| core.relay.instances.limited());
+        node.meters.limited(limited);
     }
     match node.meters.text() {
         Some(body) => text(StatusCode::OK, &body),
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -112,6 +112,15 @@
         (Some(echo), Some((_, sent))) => echo.as_bytes() == &**sent,
         _ => false,
     };
+    if status != 421 && (reply.refused || echoed) {
+        tell(
+            node,
+            RelayEvent::Limited {
+                attempt: out.attempt,
+                limit: reply.limit,
+            },
+        );
+    }
     if reply.refused {
         keep(node, answer, out, reply.idle).await;
         let end = if status == 421 {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::core::relay::event::{Outgoing, Prompt, PromptPart, Stage, Task};
+use crate::core::relay::event::{NamedLimit, Outgoing, Prompt, PromptPart, Stage, Task};
 
 /// Id of one attempt of a caller; echoed by backend servers.
 const ATTEMPT: &str = "x-chiveway-attempt-id";
@@ -31,6 +31,8 @@
 const NOT_RUN: &str = "x-chiveway-not-executed";
 /// Signature of the backend server that answered.
 const STAMP: &str = "x-chiveway-server-stamp";
+/// Requests a second that the backend server takes from all hosts together.
+const LIMIT: &str = "server-limit";
 /// Time after which an idle connection is closed.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -208,6 +210,8 @@
     pub refused: bool,
     /// Time for which an idle connection is kept open there.
     pub idle: Option<Duration>,
+    /// Limit that the backend server names.
+    pub limit: NamedLimit,
     /// Headers passed on.
     pub passed: Vec<Header>,
 }
@@ -228,6 +232,7 @@
             STAMP => reply.signed = true,
             NOT_RUN => reply.refused = true,
             KEEP_ALIVE => reply.idle = timeout(text),
+            LIMIT => reply.limit = limit(text),
             _ => {}
         }
         if !HOP.contains(&name) && !named.iter().any(|other| other == name) {
@@ -237,6 +242,14 @@
     reply
 }
 
+/// Reads a limit in requests a second.
+fn limit(text: &str) -> NamedLimit {
+    match text.parse::<f64>() {
+        Ok(rate) if rate.is_finite() && rate >= 0.0 => NamedLimit::Rate(rate),
+        _ => NamedLimit::Unreadable,
+    }
+}
+
 /// Reads the time-out from a `Keep-Alive` header.
 fn timeout(text: &str) -> Option<Duration> {
     let mut fields = text.split(',').map(str::trim);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -8,7 +8,7 @@
 use super::{catalog, engine, entry, header, sort, store};
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::catalog::Repeat;
-use crate::core::relay::event::{Changes, Outgoing, Stage, StageOrder, Task};
+use crate::core::relay::event::{Changes, NamedLimit, Outgoing, Stage, StageOrder, Task};
 use crate::core::time::Time;
 use crate::store::{Compare, Op, Txn};
 
@@ -169,6 +169,27 @@
 }
 
 /// Makes one test of each answer head: whether the backend server says that it did not run it.
+macro_rules! limits {
+    ($($name:ident: $value:literal => $limit:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let value: &[u8] = $value;
+            assert_eq!(header::replied(200, &[("server-limit", value)]).limit, $limit);
+        }
+    )*};
+}
+
+limits! {
+    a_limit_is_a_number: b"1.2" => NamedLimit::Rate(1.2);
+    a_limit_may_be_zero: b" 0 " => NamedLimit::Rate(0.0);
+    a_limit_may_be_huge: b"1e300" => NamedLimit::Rate(1e300);
+    a_negative_limit_is_none: b"-1" => NamedLimit::Unreadable;
+    a_limit_that_is_no_number_is_none: b"nan" => NamedLimit::Unreadable;
+    an_endless_limit_is_none: b"inf" => NamedLimit::Unreadable;
+    a_limit_of_words_is_none: b"two" => NamedLimit::Unreadable;
+    an_empty_limit_is_none: b"" => NamedLimit::Unreadable;
+}
+
 macro_rules! replies {
     ($($name:ident: $status:literal, [$($header:expr),*] => $refused:literal;)*) => {$(
         #[test]
