--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod departed;
 mod domain;
 mod handover;
+mod limit;
 mod load;
 mod parts;
 mod plan;
@@ -15,6 +16,7 @@
 mod view;
 mod words;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/src/core/relay/tests/spread.rs
+++ b/src/core/relay/tests/spread.rs
@@ -3,8 +3,6 @@
 //! The pattern is that of sites with hundreds of hosts, where as many requests arrive between two words
 //! of the hosts as there are engines.
 
-use std::collections::BTreeMap;
-
 use super::*;
 
 /// Engines of each stage.
--- a/src/core/relay/tests/view/mod.rs
+++ b/src/core/relay/tests/view/mod.rs
@@ -3,8 +3,6 @@
 mod passed;
 mod probes;
 
-use std::collections::BTreeMap;
-
 use super::*;
 use crate::core::relay::event::{Ask, StoreAnswer};
 use crate::core::relay::view::between;
