Share the rate that a limited server names among a few hosts

Callers and operators saw: a server in need that named 1.2 requests a second got 24 in four seconds. Cause: nothing read Server-Limit. Class: a limit of all hosts together, which none can keep alone. Ruled out: requests sent before a host knew (the users' count leaves them out). Change: as many hosts as requests a second share each limited server, by rendezvous hashing; each saves up one request at most. Limits go with the words between hosts. What no server admits is refused at once as not run.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -189,6 +189,7 @@
     }
     call.late = choice.late;
     instance.own = instance.own.plus(choice.work);
+    instance.limit.spend(now);
     if let Some(prompt) = &call.prompt {
         parts::put(instance, prompt, now, span(choice.expected));
     }
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -94,7 +94,7 @@
     all.iter().any(|&other| {
         other != backend
             && !call.tried.contains(&other)
-            && core.relay.instances.arena[other].takes(core.now)
+            && core.relay.instances.arena[other].admits(core.now)
     })
 }
 
@@ -103,7 +103,7 @@
     let all = core.relay.instances.of(&call.service).iter().copied();
     let takers = all.filter(|key| {
         let instance = &core.relay.instances.arena[*key];
-        instance.takes(core.now) && (stage.is_none() || instance.stage == stage)
+        instance.admits(core.now) && (stage.is_none() || instance.stage == stage)
     });
     let takers: Vec<BackendKey> = takers.collect();
     let fresh: Vec<BackendKey> = takers
@@ -136,6 +136,11 @@
 
 fn none(core: &mut Core, key: CallKey) -> Refusal {
     let service = core.relay.calls[key].service.clone();
+    if let Some(wait) = limited(core, &service) {
+        let retry = come_back(core, millis(wait));
+        let detail = format!("servers of {service} take no more for now, by limits that they name");
+        return Refusal::new(Kind::Overloaded, detail).retry(retry);
+    }
     let retry = come_back(core, 0.0);
     Refusal::new(
         Kind::NoEngine,
@@ -144,6 +149,17 @@
     .retry(retry)
 }
 
+/// Returns the time until this host may send to a limited backend server, where only limits keep it from
+/// those that take work.
+fn limited(core: &Core, service: &str) -> Option<Duration> {
+    let all = core.relay.instances.of(service).iter();
+    let all = all.map(|key| &core.relay.instances.arena[*key]);
+    let limited = all.filter(|instance| instance.takes(core.now) && !instance.admits(core.now));
+    limited
+        .map(|instance| instance.limit.wait(core.now).unwrap_or_default())
+        .min()
+}
+
 /// One way to serve a model request.
 #[derive(Debug, Clone, Copy)]
 struct Way {
@@ -301,7 +317,8 @@
             + displaced(learned, fetch.map_or(0, |fetch| fetch.tokens))
             + crossing
             + instance.risk()
-            + vain,
+            + vain
+            - instance.limit.preference(core.now),
     }
 }
 
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -13,8 +13,8 @@
 use crate::error::Ran;
 use crate::settings::Settings;
 pub use word::{
-    DeathWord, Included, LoadWord, NewestWord, PartWord, Passage, StoreChange, UptimeReport, Word,
-    WordKind,
+    DeathWord, Included, LimitReport, LoadWord, NewestWord, PartWord, Passage, StoreChange,
+    UptimeReport, Word, WordKind,
 };
 
 /// One event about relayed requests.
--- a/src/core/relay/event/word.rs
+++ b/src/core/relay/event/word.rs
@@ -25,6 +25,8 @@
     pub newest: Option<NewestWord>,
     /// Changes of the store, from a host that follows it for others.
     pub passage: Option<Passage>,
+    /// Limits that backend servers name, or ended to name lately.
+    pub limits: Vec<LimitReport>,
     /// For how long the store has answered, as far as the sender knows.
     pub uptime: Option<UptimeReport>,
 }
@@ -67,6 +69,17 @@
     pub age: Duration,
 }
 
+/// What a host knows of a backend server's limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitReport {
+    /// Short hash of the backend server's id.
+    pub instance: u32,
+    /// Requests a second from all hosts together; `None` where the limit ended.
+    pub rate: Option<f64>,
+    /// Time since that was known to hold.
+    pub age: Duration,
+}
+
 /// A span of time in which the store answered without a break.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UptimeReport {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -172,6 +172,12 @@
         !self.leaving && !self.misplaced && !missed && now >= self.retry
     }
 
+    /// Returns whether new work may go there now, by its limit also.
+    #[must_use]
+    pub fn admits(&self, now: Time) -> bool {
+        self.takes(now) && self.limit.admits(now)
+    }
+
     /// Returns all known unfinished work there.
     #[must_use]
     pub fn work(&self) -> Work {
@@ -343,7 +349,7 @@
             }
         }
         for entry in std::mem::take(&mut changes.instances) {
-            self.written(entry, &mut beliefs);
+            self.written(entry, now, &mut beliefs);
         }
         for id in std::mem::take(&mut changes.gone) {
             if let Some(key) = self.find(&id) {
@@ -377,14 +383,16 @@
         beliefs
     }
 
-    fn written(&mut self, entry: Entry, beliefs: &mut Vec<Belief>) {
+    fn written(&mut self, entry: Entry, now: Time, beliefs: &mut Vec<Belief>) {
         let id = entry.id.clone();
+        let mut restarted = false;
         if let Some(key) = self.find(&id) {
             let old = &self.arena[key];
             let moved = old.addr != entry.addr || old.service != entry.service;
             if old.born != entry.born || moved {
                 // It started again under its old id, and knows nothing of before.
                 self.remove(key);
+                restarted = true;
                 beliefs.push(Belief {
                     id: id.clone(),
                     what: "restarted",
@@ -408,7 +416,10 @@
             what: if entry.leaving { "leaving" } else { "ready" },
         });
         let service = entry.service.clone();
-        let instance = Instance::new(entry);
+        let mut instance = Instance::new(entry);
+        if restarted {
+            instance.limit = Limit::since(now);
+        }
         let short = instance.short;
         let key = self.arena.insert(instance);
         self.names.insert(id, key);
--- a/src/core/relay/limit.rs
+++ b/src/core/relay/limit.rs
@@ -1,49 +1,276 @@
 //! Limits that backend servers name: the requests a second that they take from all hosts together.
+//!
+//! Hosts do not ask each other before they send. Each limited server is shared by a few hosts, by rendezvous
+//! hashing of their names, and each of these takes an equal part of the rate; all others send it nothing. A
+//! part for every host would let all of them send one request in the same moment.
 
-use super::super::key::AttemptKey;
+use std::time::Duration;
+
+use super::super::key::{AttemptKey, BackendKey};
+use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::NamedLimit;
+use super::event::{LimitReport, NamedLimit};
+use super::instance::{Instance, short};
 use super::note;
 
-/// What is known of one backend server's limit.
+/// Least requests a second that are sent to a limited server: without one now and then, nobody learns that a
+/// limit of zero has ended.
+const MIN_RATE: f64 = 0.1;
+/// Time without word of a limit after which its server is preferred more and more, until an answer shows whether
+/// it still holds.
+const RECHECK: Duration = Duration::from_secs(2);
+/// Milliseconds of delay that are borne for that, for each second beyond that time.
+const RECHECK_RATE: f64 = 50.0;
+/// Time for which a host may save up its part, where that is more than one request.
+const BURST: Duration = Duration::from_millis(250);
+/// Time by which reports of hosts may be misplaced against each other on their way.
+const SKEW: Duration = Duration::from_millis(200);
+/// Time for which the end of a limit is reported to other hosts.
+const ENDED: Duration = Duration::from_secs(3);
+/// Limits in one datagram, the latest first.
+const MAX_REPORTS: usize = 32;
+
+/// What is known of one backend server's limit, and this host's part of it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Limit {
-    /// What its answers last named.
-    named: NamedLimit,
+    /// Requests a second from all hosts together.
+    rate: Option<f64>,
+    /// As of when that is known.
+    known: Time,
+    /// When this host learned of the last change.
+    changed: Option<Time>,
+    /// Whether the last answer named one that cannot be read.
+    unreadable: bool,
+    /// This host's part, in requests a second.
+    share: f64,
+    /// Requests that this host may send, as of `filled`.
+    tokens: f64,
+    filled: Time,
 }
 
 impl Limit {
+    /// Returns what is known of a server that started at a time: older reports concern the one before it.
+    #[must_use]
+    pub fn since(start: Time) -> Self {
+        Self {
+            known: start,
+            ..Self::default()
+        }
+    }
+
     /// Returns the requests a second that all hosts together may send; `None` where there is no limit.
     #[must_use]
     pub fn rate(&self) -> Option<f64> {
-        match self.named {
-            NamedLimit::Rate(rate) => Some(rate),
-            _ => None,
+        self.rate
+    }
+
+    /// Whether this host may send a request now.
+    #[must_use]
+    pub fn admits(&self, now: Time) -> bool {
+        self.rate.is_none() || self.available(now) >= 1.0
+    }
+
+    /// Returns the time until this host may send a request; `None` where it has no part.
+    #[must_use]
+    pub fn wait(&self, now: Time) -> Option<Duration> {
+        let missing = (1.0 - self.available(now)).max(0.0);
+        (self.share > 0.0).then(|| super::span(missing / self.share * 1000.0))
+    }
+
+    /// Returns the milliseconds of delay that are borne to learn whether the limit still holds.
+    #[must_use]
+    pub fn preference(&self, now: Time) -> f64 {
+        let overdue = now.since(self.known).saturating_sub(RECHECK);
+        self.rate
+            .map_or(0.0, |_| overdue.as_secs_f64() * RECHECK_RATE)
+    }
+
+    /// Counts a request that is sent.
+    pub fn spend(&mut self, now: Time) {
+        if self.rate.is_some() {
+            self.tokens = self.available(now) - 1.0;
+            self.filled = now;
         }
     }
+
+    fn available(&self, now: Time) -> f64 {
+        let gained = self.share * now.since(self.filled).as_secs_f64();
+        let most = (self.share * BURST.as_secs_f64()).max(1.0);
+        (self.tokens + gained).min(most)
+    }
+
+    /// Sets this host's part from now on.
+    fn allot(&mut self, share: f64, now: Time) {
+        self.tokens = self.available(now);
+        self.filled = now;
+        self.share = share;
+    }
+
+    /// Takes in what holds as of a time; returns whether it is a change.
+    fn learn(&mut self, rate: Option<f64>, known: Time, now: Time) -> bool {
+        let begins = self.rate.is_none() && rate.is_some();
+        // Answers overtake each other: one that was sent before the limit was named does not end it. And hosts
+        // that return each other's reports would make them ever newer.
+        let since = if begins {
+            self.known
+        } else {
+            self.known.after(SKEW)
+        };
+        if known <= since {
+            return false;
+        }
+        self.known = known;
+        if self.rate == rate {
+            return false;
+        }
+        self.rate = rate;
+        self.changed = Some(now);
+        if begins {
+            self.tokens = 0.0;
+            self.filled = now;
+            self.share = 0.0;
+        }
+        true
+    }
+
+    fn report(&self, instance: u32, now: Time) -> Option<LimitReport> {
+        let ended = self.changed.is_some_and(|at| now.since(at) < ENDED);
+        (self.rate.is_some() || ended).then(|| LimitReport {
+            instance,
+            rate: self.rate,
+            age: now.since(self.known),
+        })
+    }
 }
 
 /// Takes in what an answer names.
 pub fn named(core: &mut Core, attempt: AttemptKey, limit: NamedLimit, out: &mut Effects) {
-    let Some(attempt) = core.relay.attempts.get(attempt) else {
+    let Some((backend, sent)) = core
+        .relay
+        .attempts
+        .get(attempt)
+        .map(|attempt| (attempt.backend, attempt.sent))
+    else {
         return;
     };
-    let Some(instance) = core.relay.instances.arena.get_mut(attempt.backend) else {
+    let now = core.now;
+    let Some(instance) = core.relay.instances.arena.get_mut(backend) else {
         return;
     };
-    if instance.limit.named == limit {
-        return;
+    let unreadable = limit == NamedLimit::Unreadable;
+    if unreadable && !instance.limit.unreadable {
+        note_limit(instance, "unreadable".into(), "answer", out);
+    }
+    instance.limit.unreadable = unreadable;
+    let changed = match limit {
+        NamedLimit::None => instance.limit.learn(None, sent, now),
+        NamedLimit::Rate(rate) => instance.limit.learn(Some(rate), now, now),
+        NamedLimit::Unreadable => false,
+    };
+    if changed {
+        follow(core, backend, "answer", out);
+    }
+}
+
+/// Takes in limits that another host knows of.
+pub fn reported(core: &mut Core, from: &str, reports: &[LimitReport], out: &mut Effects) {
+    let now = core.now;
+    for report in reports {
+        let Some(key) = core.relay.instances.by_short(report.instance) else {
+            continue;
+        };
+        let limit = &mut core.relay.instances.arena[key].limit;
+        if limit.learn(report.rate, now.before(report.age), now) {
+            follow(core, key, from, out);
+        }
+    }
+}
+
+/// Returns the limits that other hosts are to know, the latest changes first.
+#[must_use]
+pub fn reports(core: &Core) -> Vec<LimitReport> {
+    let instances = core.relay.instances.arena.values();
+    let mut reports: Vec<(Option<Time>, LimitReport)> = instances
+        .filter_map(|instance| {
+            let report = instance.limit.report(instance.short, core.now)?;
+            Some((instance.limit.changed, report))
+        })
+        .collect();
+    reports.sort_by_key(|(changed, _)| std::cmp::Reverse(*changed));
+    let reports = reports.into_iter().map(|(_, report)| report);
+    reports.take(MAX_REPORTS).collect()
+}
+
+/// Whether a limit changed after a time.
+#[must_use]
+pub fn changed_since(core: &Core, time: Time) -> bool {
+    let mut instances = core.relay.instances.arena.values();
+    instances.any(|instance| instance.limit.changed.is_some_and(|at| at > time))
+}
+
+/// Works this host's parts out anew, after hosts joined or left.
+pub fn apportion_all(core: &mut Core) {
+    let instances = core.relay.instances.arena.iter();
+    let limited = instances.filter(|(_, instance)| instance.limit.rate.is_some());
+    let limited: Vec<BackendKey> = limited.map(|(key, _)| key).collect();
+    for key in limited {
+        apportion(core, key);
     }
-    instance.limit.named = limit;
-    let rate = match limit {
-        NamedLimit::None => "none".into(),
-        NamedLimit::Rate(rate) => format!("{rate:.2}").into(),
-        NamedLimit::Unreadable => "unreadable".into(),
+}
+
+fn apportion(core: &mut Core, key: BackendKey) {
+    let instance = &core.relay.instances.arena[key];
+    let share = share(core, instance);
+    let now = core.now;
+    core.relay.instances.arena[key].limit.allot(share, now);
+}
+
+/// Returns this host's part of a server's rate, in requests a second.
+///
+/// As many hosts share it as requests a second are allowed, so that the one request that each may have saved
+/// up is no more than a second's.
+fn share(core: &Core, instance: &Instance) -> f64 {
+    let Some(rate) = instance.limit.rate else {
+        return 0.0;
     };
-    note(
-        out,
-        log::Level::Info,
-        "backend.limit",
-        vec![("backend", instance.id.clone()), ("rate", rate)],
-    );
+    let peers = &core.relay.peers;
+    let hosts = peers.hosts() as f64;
+    let sharing = rate.ceil().clamp(1.0, hosts);
+    let own = rank(short(&core.settings.host.name), instance.short);
+    let ranks = peers.shorts().map(|other| rank(other, instance.short));
+    let ahead = ranks.filter(|other| *other > own).count();
+    if (ahead as f64) < sharing {
+        rate.max(MIN_RATE) / sharing
+    } else {
+        0.0
+    }
+}
+
+/// Returns the weight of a host for a server: the hosts of the highest share it.
+fn rank(host: u32, instance: u32) -> u64 {
+    // The finalizer of splitmix64, which spreads neighbouring inputs evenly.
+    let mut mixed = u64::from(host) << 32 | u64::from(instance);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+fn follow(core: &mut Core, key: BackendKey, source: &str, out: &mut Effects) {
+    apportion(core, key);
+    let instance = &core.relay.instances.arena[key];
+    let rate = instance
+        .limit
+        .rate
+        .map_or_else(|| "none".into(), |rate| format!("{rate:.2}").into());
+    note_limit(instance, rate, source, out);
+}
+
+fn note_limit(instance: &Instance, rate: Box<str>, source: &str, out: &mut Effects) {
+    let fields = vec![
+        ("backend", instance.id.clone()),
+        ("rate", rate),
+        ("share", format!("{:.2}", instance.limit.share).into()),
+        ("source", source.into()),
+    ];
+    note(out, log::Level::Info, "backend.limit", fields);
 }
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -14,8 +14,9 @@
 use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::event::{Changes, LoadWord, PartWord, PromptPart, RelayEffect};
+use super::instance::short;
 use super::words::{Aggregator, News};
-use super::{RelayJob, RelayTimer, note, parts, wake, words};
+use super::{RelayJob, RelayTimer, limit, note, parts, wake, words};
 use crate::store::{Compare, Op, Txn};
 
 /// Life of the lease of a registration.
@@ -34,6 +35,8 @@
 pub struct Peer {
     /// Its name.
     pub name: Box<str>,
+    /// Short hash of its name.
+    pub short: u32,
     /// Failure domain it stands in.
     pub domain: Box<str>,
     /// Where it listens for other hosts.
@@ -90,6 +93,11 @@
         self.names.len() + 1
     }
 
+    /// Returns the short hashes of the other hosts' names.
+    pub(super) fn shorts(&self) -> impl Iterator<Item = u32> {
+        self.names.values().map(|key| self.arena[*key].short)
+    }
+
     /// Notes which prompt parts went to an engine.
     pub fn sent(&mut self, parts: Option<&Vec<PromptPart>>, instance: u32) {
         let shared = parts.map_or(&[][..], |parts| parts::shared(parts));
@@ -270,6 +278,7 @@
 pub(super) fn peer(name: &str, domain: Box<str>, addr: SocketAddr) -> Peer {
     Peer {
         name: name.into(),
+        short: short(name),
         domain,
         addr,
         heard: None,
@@ -288,6 +297,7 @@
     }
     let key = peers.arena.insert(peer(name, domain, addr));
     peers.names.insert(name.into(), key);
+    limit::apportion_all(core);
     note(
         out,
         log::Level::Info,
@@ -300,6 +310,7 @@
     if let Some(key) = core.relay.peers.names.remove(name) {
         core.relay.instances.told(key, &[]);
         core.relay.peers.arena.remove(key);
+        limit::apportion_all(core);
         note(
             out,
             log::Level::Info,
--- a/src/core/relay/tests/limit.rs
+++ b/src/core/relay/tests/limit.rs
@@ -105,6 +105,17 @@
         }
     }
 
+    /// Returns how many hosts take a server for limited.
+    fn limited(&self, server: &str) -> usize {
+        let sites = self.domain.hosts.iter().flatten();
+        let limited = sites.filter(|site| {
+            let instances = &site.core.relay.instances;
+            let key = instances.find(server).expect("known");
+            instances.arena[key].limit.rate().is_some()
+        });
+        limited.count()
+    }
+
     /// Returns the most requests that reached a server in one judged window, from hosts that knew of its limit.
     fn most(&self, server: &str) -> usize {
         let told = |host: usize| self.told.get(&(host, server.into()));
@@ -153,3 +164,163 @@
         }
     }
 }
+
+/// Guards against a burst of one request from each of many hosts.
+#[test]
+fn many_hosts_together_keep_to_a_limit() {
+    let mut load = Load::new(200, 2);
+    load.name("r", 1.2);
+    load.pass(8000);
+    load.assert_kept("r", 1.2);
+}
+
+/// All servers of a service name limits. Guards against requests that wait for a place nobody will have: what
+/// cannot be sent is refused at once as not run, with a time to come back.
+#[test]
+fn what_no_limit_admits_is_refused_at_once() {
+    let mut load = Load::new(8, 10);
+    for server in ["p", "q", "r"] {
+        load.name(server, 2.0);
+    }
+    load.pass(12_000);
+    for server in ["p", "q", "r"] {
+        load.assert_kept(server, 2.0);
+    }
+    assert!(load.refused > 500, "{} refused", load.refused);
+    let site = load.domain.hosts[0].as_mut().expect("a host that runs");
+    let refusals = (0..20).filter_map(|_| {
+        site.arrive(call("/once/x"));
+        site.refused()
+    });
+    let refusals: Vec<_> = refusals.collect();
+    assert!(!refusals.is_empty());
+    for (status, ran, retry) in refusals {
+        assert_eq!((status, ran), (503, Ran::No));
+        assert!(retry.is_some_and(|retry| retry >= Duration::from_millis(500)));
+    }
+}
+
+/// Guards against a limit that outlasts the need: once the server names none, it binds no host.
+#[test]
+fn a_limit_that_ended_binds_no_host() {
+    for limit in [0.0, 1.2, 6.0] {
+        let mut load = Load::new(8, 10);
+        load.name("r", limit);
+        load.pass(6000);
+        assert_eq!(load.limited("r"), 8, "at {limit}");
+        load.named.clear();
+        // One request in ten seconds learns that a limit of zero has ended.
+        load.pass(if limit == 0.0 { 11_000 } else { 4000 });
+        assert_eq!(load.limited("r"), 0, "at {limit}");
+    }
+}
+
+/// A third of all datagrams is lost, and a host is killed and another frozen meanwhile. Guards against parts
+/// that add up to more than the limit where hosts do not know the same.
+#[test]
+fn trouble_among_hosts_keeps_a_limit() {
+    for rate in [1.2, 2.3, 6.0] {
+        let mut load = Load::new(9, 10);
+        load.domain.loses = 3;
+        load.pass(500);
+        load.name("r", rate);
+        load.pass(3000);
+        load.domain.hosts[1] = None;
+        let frozen = load.domain.hosts[2].take();
+        load.pass(4000);
+        load.domain.hosts[2] = frozen;
+        load.pass(6000);
+        load.assert_kept("r", rate);
+    }
+}
+
+/// Hosts join one after the other while a server is limited. Guards against each new host taking a part before
+/// it knows of the limit or of the other hosts.
+#[test]
+fn hosts_that_start_keep_to_a_limit() {
+    let mut load = Load::new(9, 10);
+    let later: Vec<_> = (3..9)
+        .map(|host| (host, load.domain.hosts[host].take()))
+        .collect();
+    load.pass(500);
+    load.name("r", 1.2);
+    load.pass(3000);
+    for (host, site) in later {
+        load.domain.hosts[host] = site;
+        load.pass(300);
+    }
+    load.pass(6000);
+    load.assert_kept("r", 1.2);
+}
+
+/// Returns a host with one server, and an attempt at it.
+fn alone() -> (Site, Outgoing) {
+    let mut site = Site::new();
+    site.register(vec![plain("a")]);
+    site.arrive(call("/once/x"));
+    let sent = site.sent().expect("sent");
+    (site, sent)
+}
+
+fn rate(site: &Site) -> Option<f64> {
+    let instances = &site.core.relay.instances;
+    let key = instances.find("a").expect("known");
+    instances.arena[key].limit.rate()
+}
+
+/// An answer that the server gave before it was in need comes after one that names the limit. Guards against
+/// taking that for the limit's end.
+#[test]
+fn an_older_answer_ends_no_limit() {
+    let (mut site, first) = alone();
+    site.arrive(call("/once/x"));
+    let second = site.sent().expect("sent");
+    site.now += 50;
+    let limit = NamedLimit::Rate(2.0);
+    site.event(RelayEvent::Limited {
+        attempt: first.attempt,
+        limit,
+    });
+    site.now += 500;
+    site.event(RelayEvent::Limited {
+        attempt: second.attempt,
+        limit: NamedLimit::None,
+    });
+    assert_eq!(rate(&site), Some(2.0));
+}
+
+/// Guards against a limit that holds on after the server that named it started again.
+#[test]
+fn a_restart_ends_a_limit() {
+    let (mut site, sent) = alone();
+    let limit = NamedLimit::Rate(2.0);
+    site.event(RelayEvent::Limited {
+        attempt: sent.attempt,
+        limit,
+    });
+    assert_eq!(rate(&site), Some(2.0));
+    site.now += 100;
+    site.register(vec![Entry {
+        born: 2,
+        ..plain("a")
+    }]);
+    assert_eq!(rate(&site), None);
+}
+
+/// Guards against a value that is no number beginning, changing or ending a limit.
+#[test]
+fn an_unreadable_limit_changes_nothing() {
+    let (mut site, sent) = alone();
+    let name = |site: &mut Site, limit| {
+        site.now += 500;
+        site.event(RelayEvent::Limited {
+            attempt: sent.attempt,
+            limit,
+        });
+    };
+    name(&mut site, NamedLimit::Unreadable);
+    assert_eq!(rate(&site), None);
+    name(&mut site, NamedLimit::Rate(2.0));
+    name(&mut site, NamedLimit::Unreadable);
+    assert_eq!(rate(&site), Some(2.0));
+}
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/words/mod.rs
@@ -25,7 +25,7 @@
 use super::event::{DeathWord, LoadWord, PartWord, RelayEffect, Word, WordKind};
 use super::instance::Work;
 use super::peers::Peer;
-use super::{RelayTimer, load, parts, span, view, wake};
+use super::{RelayTimer, limit, load, parts, span, view, wake};
 
 /// Time between two words to the other hosts.
 ///
@@ -137,6 +137,9 @@
 /// Tells whether to tell of this work now: something is new, or was last told a while ago.
 fn due(core: &mut Core, loads: &[LoadWord], news: bool) -> bool {
     let view = &core.relay.view;
+    let limits = core.relay.peers.told;
+    let limits = limits.is_some_and(|told| limit::changed_since(core, told));
+    let news = news || limits;
     let news = news || view.probes.has_news() || (view.history.has_news() && speaks(core));
     let peers = &mut core.relay.peers;
     let same = !news && loads == peers.last;
@@ -203,6 +206,7 @@
         kind,
         newest,
         passage,
+        limits: limit::reports(core),
         uptime: core.relay.view.uptime.report(core.now),
     }
 }
@@ -321,6 +325,7 @@
     peer.incarnation = word.incarnation;
     peer.number = word.number;
     peer.heard = Some(now);
+    limit::reported(core, &word.host, &word.limits, out);
     if let Some(uptime) = word.uptime {
         view::up(core, uptime, out);
     }
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -1,10 +1,12 @@
 //! What comes from other hosts and from engines, in any shape.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 
 use super::datagrams::{proved, sealed};
 use super::events::Splitter;
-use crate::core::relay::event::{LoadWord, Word};
+use crate::core::relay::event::{LimitReport, LoadWord, UptimeReport, Word};
 use crate::wire;
 
 fn word() -> Word {
@@ -18,6 +20,22 @@
             fill: 3,
             tokens: 4,
         }],
+        limits: vec![
+            LimitReport {
+                instance: 1,
+                rate: Some(1.25),
+                age: Duration::from_millis(20),
+            },
+            LimitReport {
+                instance: 2,
+                rate: None,
+                age: Duration::from_millis(30),
+            },
+        ],
+        uptime: Some(UptimeReport {
+            length: Duration::from_secs(9),
+            age: Duration::from_millis(400),
+        }),
         ..Word::default()
     }
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -464,6 +464,20 @@
     /// where none is known.
     #[prost(message, optional, tag = "16")]
     pub uptime: ::core::option::Option<Uptime>,
+    #[prost(message, repeated, tag = "17")]
+    pub limits: ::prost::alloc::vec::Vec<Limit>,
+}
+/// Requests that a backend server takes from all hosts together.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct Limit {
+    #[prost(fixed32, tag = "1")]
+    pub instance: u32,
+    /// Requests a second, finite and not negative; absent where the limit ended.
+    #[prost(double, optional, tag = "2")]
+    pub rate: ::core::option::Option<f64>,
+    /// Milliseconds since that was known to hold.
+    #[prost(uint32, tag = "3")]
+    pub age: u32,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Uptime {
--- a/src/wire/word.rs
+++ b/src/wire/word.rs
@@ -7,8 +7,8 @@
 
 use super::{WireError, generated as wire};
 use crate::core::relay::event::{
-    Changes, DeathWord, Included, LoadWord, NewestWord, PartWord, Passage, StoreChange,
-    UptimeReport, Word, WordKind,
+    Changes, DeathWord, Included, LimitReport, LoadWord, NewestWord, PartWord, Passage,
+    StoreChange, UptimeReport, Word, WordKind,
 };
 
 /// Appends the bytes of a word.
@@ -24,13 +24,12 @@
         domain: domain.to_owned(),
         passed: matches!(word.kind, WordKind::Passed(_)),
         newest: word.newest.map_or(0, |newest| newest.revision),
-        newest_age: word.newest.map_or(0, |newest| {
-            u32::try_from(newest.age.as_millis()).unwrap_or(u32::MAX)
-        }),
+        newest_age: word.newest.map_or(0, |newest| millis(newest.age)),
         kind: kind.into(),
         included: to_included(&word.kind),
         passage: word.passage.as_ref().map(to_passage),
         uptime: word.uptime.map(to_uptime),
+        limits: word.limits.iter().map(to_limit).collect(),
     };
     out.reserve(message.encoded_len());
     // Only a full buffer is an error, and `BytesMut` grows.
@@ -60,6 +59,11 @@
         kind,
         passage: word.passage.map(from_passage),
         uptime: word.uptime.map(from_uptime),
+        limits: word
+            .limits
+            .iter()
+            .map(from_limit)
+            .collect::<Result<_, _>>()?,
         newest: (word.newest > 0).then(|| NewestWord {
             revision: word.newest,
             age: Duration::from_millis(word.newest_age.into()),
@@ -113,8 +117,31 @@
     }
 }
 
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn to_limit(report: &LimitReport) -> wire::Limit {
+    wire::Limit {
+        instance: report.instance,
+        rate: report.rate,
+        age: millis(report.age),
+    }
+}
+
+fn from_limit(limit: &wire::Limit) -> Result<LimitReport, WireError> {
+    let readable = |rate: f64| rate.is_finite() && rate >= 0.0;
+    if limit.rate.is_some_and(|rate| !readable(rate)) {
+        return Err(WireError::Field { field: "rate" });
+    }
+    Ok(LimitReport {
+        instance: limit.instance,
+        rate: limit.rate,
+        age: Duration::from_millis(limit.age.into()),
+    })
+}
+
 fn to_uptime(report: UptimeReport) -> wire::Uptime {
-    let millis = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
     wire::Uptime {
         length: millis(report.length),
         age: millis(report.age),
--- a/tests/relay/follow.rs
+++ b/tests/relay/follow.rs
@@ -18,14 +18,14 @@
 const BETWEEN: Duration = Duration::from_millis(300);
 
 /// A second host beside a site's first.
-struct Second {
+pub struct Second {
     _host: Process,
-    callers: SocketAddr,
-    folder: Folder,
+    pub callers: SocketAddr,
+    pub folder: Folder,
 }
 
 impl Second {
-    fn start(site: &Site) -> Self {
+    pub fn start(site: &Site) -> Self {
         let folder = Folder::new();
         let config = folder.write("host.ini", &settings("host-2", site.store.addr));
         let config = config.to_str().expect("a path").to_owned();
@@ -41,7 +41,7 @@
     }
 
     /// Tells whether the log names the first host as where the view comes from.
-    fn is_told(&self) -> bool {
+    pub fn is_told(&self) -> bool {
         let log = self.folder.read(LOG);
         let events = log
             .lines()
--- /dev/null
+++ b/tests/relay/limit.rs
@@ -0,0 +1,66 @@
+//! Two hosts before servers of which one names a limit.
+
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use super::follow::Second;
+use super::standin::Engine;
+use super::{LOG, Site, http, wait_for};
+
+/// Requests at each host.
+const REQUESTS: usize = 30;
+/// Time that an answer of the slower server takes.
+const SLOW: Duration = Duration::from_millis(60);
+/// Seconds between two requests by which it is learned whether a limit of zero has ended.
+const RECHECK: u64 = 10;
+
+/// Returns where a host's log says that a server's limit is known from.
+fn source(log: &str, id: &str) -> Option<String> {
+    let events = log
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let mut limits = events.filter(|event| event["event"] == "backend.limit");
+    let limit = limits.find(|event| event["backend"] == id)?;
+    Some(limit["source"].as_str()?.to_owned())
+}
+
+/// A server names a limit of zero in an answer to one host. Guards against the other host sending it requests
+/// because nobody named the limit to it.
+#[test]
+fn a_limit_named_to_one_host_binds_both() {
+    let (limited, free) = (Engine::plain("s-1"), Engine::plain("s-2"));
+    let site = Site::ready(&[&limited, &free]);
+    let second = Second::start(&site);
+    wait_for("the second host's view", || second.is_told());
+    limited.limit("0");
+    // The other server is slower, so that requests go to the limited one first.
+    free.take(SLOW);
+    wait_for("the limit at the first host", || {
+        site.send("/once/x", "id", &[]).expect("an answer");
+        source(&site.log(), "s-1").is_some()
+    });
+    wait_for("the limit at the second host", || {
+        source(&second.folder.read(LOG), "s-1").is_some()
+    });
+    assert_eq!(
+        source(&second.folder.read(LOG), "s-1").as_deref(),
+        Some("host-1")
+    );
+    free.take(Duration::ZERO);
+    let start = Instant::now();
+    let before = limited.seen("/once/x").len();
+    let headers = [
+        ("x-chiveway-attempt-id", "id"),
+        ("x-chiveway-deadline-ms", "8000"),
+    ];
+    for _ in 0..REQUESTS {
+        let one = site.send("/once/x", "id", &[]);
+        let two = http::send(second.callers, "POST", "/once/x", &headers, b"body");
+        assert_eq!(one.map(|answer| answer.status), Some(200));
+        assert_eq!(two.map(|answer| answer.status), Some(200));
+    }
+    let sent = limited.seen("/once/x").len() - before;
+    let allowed = 1 + start.elapsed().as_secs() / RECHECK;
+    assert!(sent as u64 <= allowed, "{sent} sent, {allowed} allowed");
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 #[path = "../common/http.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod http;
+mod limit;
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -374,6 +374,8 @@
 struct Asked {
     stage: Option<String>,
     seen: Vec<(String, String, Vec<u8>)>,
+    /// Limit that its answers name, as it is written.
+    limit: Option<String>,
     /// Events after which the next stream breaks off.
     breaks: Option<u64>,
     /// Id under which the next answer is given.
@@ -460,6 +462,11 @@
         self.asked.0.lock().expect("the engine").breaks = None;
     }
 
+    /// Names a limit in each answer from now on.
+    pub fn limit(&self, rate: &str) {
+        self.asked.0.lock().expect("the engine").limit = Some(rate.to_owned());
+    }
+
     /// Answers the next request under another id.
     pub fn answer_as(&self, id: &str) {
         self.asked.0.lock().expect("the engine").other = Some(id.to_owned());
@@ -528,9 +535,13 @@
         .unwrap_or_default()
         .to_owned();
     let attempt = asked.other.take().unwrap_or(own);
-    let headers = format!(
+    let mut headers = format!(
         "x-chiveway-attempt-id: {attempt}\r\nx-chiveway-server-stamp: {id}\r\nkeep-alive: timeout=5\r\n"
     );
+    if let Some(rate) = &asked.limit {
+        // Writing to a string does not fail.
+        let _ = write!(headers, "server-limit: {rate}\r\n");
+    }
     match request.path.as_str() {
         "/v1/report" => {
             let body = json!({"stage": asked.stage, "busy": false, "sequence": asked.orders});
