Add a store that comes back from an older copy, and four failing tests before it

Cause: nothing here knows the store's eras. The stand-in of the platform's store (tests/relay/standin.rs; the one in src/standin/kv speaks the product's own store, which has none) keeps copies of itself, goes back to one, gives revisions and leases out again, answers 410 to a watch it cannot serve and names its era.

--- /dev/null
+++ b/tests/relay/era.rs
@@ -0,0 +1,158 @@
+//! A store that comes back from an older copy: what was written since is lost, and revisions are given out again.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::standin::{Engine, SHORT, config};
+use super::{Site, wait_for};
+
+/// Renewals of the host's lease, each four seconds, before which it must know what the store holds. The first may
+/// come at any moment.
+const RENEWALS: u32 = 2;
+/// Key of the host's registration.
+const HOST: &str = "chiveway/hosts/host-1";
+/// Requests by which a host shows which servers it uses.
+const REQUESTS: usize = 20;
+/// An age of the copy before all that a test writes in its course; what it writes before waits out this time.
+const AGO: Duration = Duration::from_millis(300);
+
+/// Waits until the store has answered those renewals, or something holds; tells whether it held.
+fn before_renewals(site: &Site, mut holds: impl FnMut() -> bool) -> bool {
+    // A restore may lose the lease, and its renewals with it.
+    wait_for("the registration", || site.store.created(HOST).is_some());
+    let end = site.store.renewed(HOST) + RENEWALS;
+    let mut held = false;
+    wait_for("the renewals", || {
+        held = holds();
+        held || site.store.renewed(HOST) >= end
+    });
+    held
+}
+
+/// Returns how many of some requests a server gets.
+fn served(site: &Site, server: &Engine) -> usize {
+    let before = server.seen("/once/x").len();
+    for _ in 0..REQUESTS {
+        site.send("/once/x", "id", &[]).expect("an answer");
+    }
+    server.seen("/once/x").len() - before
+}
+
+/// A server reports that it leaves, and the store comes back from a copy in which it is ready. Guards against
+/// sending it requests by that.
+#[test]
+fn a_server_that_left_stays_left_after_a_restore() {
+    let (one, two) = (Engine::plain("s-1"), Engine::plain("s-2"));
+    let site = Site::ready(&[&one, &two]);
+    std::thread::sleep(AGO * 2);
+    site.store.put("servers/s-1", &one.entry("draining"));
+    wait_for("the server's leaving", || served(&site, &one) == 0);
+    site.store.restore(AGO);
+    // The host has read the copy once it knows a server that came after it.
+    let three = Engine::plain("s-3");
+    site.store.put("servers/s-3", &three.entry("ready"));
+    let mut to_leaving = 0;
+    let known = before_renewals(&site, || {
+        to_leaving += served(&site, &one);
+        !three.seen("/once/x").is_empty()
+    });
+    assert!(known, "the copy is never read:\n{}", site.log());
+    to_leaving += served(&site, &one);
+    assert_eq!(to_leaving, 0, "{}", site.log());
+}
+
+/// The store comes back from an older copy, and other writes use up the revisions that the host knows. Guards
+/// against a watch that goes on from there and misses what they wrote.
+#[test]
+fn a_change_at_a_revision_given_out_again_is_known() {
+    let (plain, decode) = (Engine::plain("s-1"), Engine::model("d-1", "decode"));
+    let site = Site::ready(&[&plain, &decode]);
+    let status = |path: &str| site.send(path, "id", &SHORT).map(|answer| answer.status);
+    std::thread::sleep(AGO * 2);
+    for _ in 0..4 {
+        site.store.put("servers/s-1", &plain.entry("ready"));
+    }
+    wait_for("a later change", || {
+        site.store.put("op/config", &config(2, "/second/"));
+        status("/second/x") == Some(200)
+    });
+    let known = site.store.revision();
+    site.store.stop_answering();
+    site.store.restore(AGO * 100);
+    site.store.write_again();
+    site.store.put("op/config", &config(3, "/new/"));
+    while site.store.revision() <= known {
+        site.store.put("servers/s-1", &plain.entry("ready"));
+    }
+    site.store.answer();
+    let known = before_renewals(&site, || status("/new/x") == Some(200));
+    assert!(known, "the change is never known:\n{}", site.log());
+}
+
+/// The store holds an older configuration for a moment after it came back. Guards against putting that in force.
+#[test]
+fn a_configuration_does_not_go_back_with_the_store() {
+    let (plain, decode) = (Engine::plain("s-1"), Engine::model("d-1", "decode"));
+    let site = Site::ready(&[&plain, &decode]);
+    let status = |path: &str| site.send(path, "id", &SHORT).map(|answer| answer.status);
+    std::thread::sleep(AGO * 2);
+    site.store.put("op/config", &config(2, "/new/"));
+    wait_for("the new route", || status("/new/x") == Some(200));
+    site.store.restore(AGO);
+    let two = Engine::plain("s-2");
+    site.store.put("servers/s-2", &two.entry("ready"));
+    let known = before_renewals(&site, || {
+        assert_eq!(status("/new/x"), Some(200));
+        site.send("/once/x", "id", &[]).expect("an answer");
+        !two.seen("/once/x").is_empty()
+    });
+    assert!(known, "the copy is never read:\n{}", site.log());
+    assert_eq!(status("/new/x"), Some(200));
+}
+
+/// Engines have seen the host's fencing number, and the store goes back to revisions below it. Guards against orders
+/// that engines refuse for good, or that go back behind earlier ones.
+#[test]
+fn fencing_numbers_grow_through_a_restore() {
+    let engines: Vec<Engine> = (1..=4)
+        .map(|n| Engine::model(&format!("d-{n}"), "decode"))
+        .collect();
+    let site = Site::new();
+    // The copy that the store comes back from is older than the authority.
+    for n in 0..50 {
+        site.store
+            .put("servers/none", &serde_json::json!({ "n": n }));
+    }
+    site.configure(&engines.iter().collect::<Vec<_>>());
+    let fences = || -> Vec<u64> {
+        let orders = engines.iter().flat_map(|engine| engine.bodies("/v1/order"));
+        orders
+            .filter_map(|order: Value| order["fencingToken"].as_u64())
+            .collect()
+    };
+    wait_for("an order", || !fences().is_empty());
+    let highest = fences().into_iter().max().expect("an order");
+    let before = fences().len();
+    site.store.restore(AGO * 100);
+    site.store.write_again();
+    // More engines decode than should, so that some are ordered again.
+    let more: Vec<Engine> = (5..=12)
+        .map(|n| Engine::model(&format!("d-{n}"), "decode"))
+        .collect();
+    for engine in &more {
+        site.store
+            .put(&format!("servers/{}", engine.id), &engine.entry("ready"));
+    }
+    let later = || -> Vec<u64> {
+        let orders = more.iter().flat_map(|engine| engine.bodies("/v1/order"));
+        let later = orders.filter_map(|order: Value| order["fencingToken"].as_u64());
+        fences().into_iter().skip(before).chain(later).collect()
+    };
+    wait_for("another order", || !later().is_empty());
+    assert!(
+        later().iter().all(|fence| *fence > highest),
+        "{:?} after {highest}",
+        later()
+    );
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! The real program as a relaying host, before stand-ins of a store, of engines and of a plain
 //! server that speak the users' platform's protocol.
 
+mod era;
 mod follow;
 #[path = "../common/http.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -105,11 +105,30 @@
 /// Time between two looks at the leases.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Start of the keys that the operator and the servers write.
+const OTHERS: [&str; 2] = ["op/", "servers/"];
+
+/// What the store held at a moment.
+#[derive(Clone, Default)]
+struct Backup {
+    revision: i64,
+    keys: BTreeMap<String, (Vec<u8>, i64, i64)>,
+    granted: i64,
+    leases: BTreeMap<i64, Duration>,
+    bound: BTreeMap<String, i64>,
+}
+
 #[derive(Default)]
 struct Kept {
     revision: i64,
     keys: BTreeMap<String, (Vec<u8>, i64, i64)>,
     history: Vec<Change>,
+    /// Times that it came back from an older copy.
+    restores: u64,
+    /// Copies of itself, oldest first.
+    backups: Vec<(Instant, Backup)>,
+    /// What the operator and the servers wrote and a restore lost: key and value, `None` for a removal.
+    lost_writes: Vec<(String, Option<Vec<u8>>)>,
     away: bool,
     /// Whether calls and answers are swallowed, and their connections live on.
     silent: bool,
@@ -133,9 +152,73 @@
         let life = Duration::from_millis(millis);
         self.leases
             .insert(self.granted, (life, Instant::now() + life));
+        self.back_up();
         self.granted
     }
 
+    /// Keeps a copy of what it holds now.
+    fn back_up(&mut self) {
+        let backup = Backup {
+            revision: self.revision,
+            keys: self.keys.clone(),
+            granted: self.granted,
+            leases: self
+                .leases
+                .iter()
+                .map(|(lease, (life, _))| (*lease, *life))
+                .collect(),
+            bound: self.bound.clone(),
+        };
+        self.backups.push((Instant::now(), backup));
+    }
+
+    /// Goes back to what it held so long ago, or at its start.
+    fn restore(&mut self, ago: Duration) {
+        let now = Instant::now();
+        let older = |(at, _): &&(Instant, Backup)| now.duration_since(*at) >= ago;
+        let found = self.backups.iter().rev().find(older);
+        let backup = found.map_or_else(Backup::default, |(_, backup)| backup.clone());
+        self.restores += 1;
+        self.backups
+            .retain(|(_, kept)| kept.revision <= backup.revision);
+        self.history
+            .retain(|(.., revision, _)| *revision <= backup.revision);
+        let before = std::mem::replace(&mut self.keys, backup.keys);
+        let others = |key: &&String| OTHERS.iter().any(|start| key.starts_with(start));
+        let mut lost = BTreeMap::new();
+        for key in self.keys.keys().filter(others) {
+            lost.insert(key.clone(), None);
+        }
+        for (key, (value, ..)) in before {
+            if !others(&&key) {
+                continue;
+            }
+            if self.keys.get(&key).is_some_and(|(kept, ..)| *kept == value) {
+                lost.remove(&key);
+            } else {
+                lost.insert(key, Some(value));
+            }
+        }
+        self.lost_writes.extend(lost.into_iter().rev());
+        self.revision = backup.revision;
+        self.granted = backup.granted;
+        self.bound = backup.bound;
+        let leases = backup.leases.into_iter();
+        self.leases = leases
+            .map(|(lease, life)| (lease, (life, now + life)))
+            .collect();
+    }
+
+    /// Has the operator and the servers write again what a restore lost.
+    fn write_again(&mut self) {
+        for (key, value) in std::mem::take(&mut self.lost_writes) {
+            match value {
+                Some(value) => self.write(&key, value),
+                None => self.remove(&key),
+            }
+        }
+    }
+
     fn renew(&mut self, lease: i64) -> Option<()> {
         let (life, end) = self.leases.get_mut(&lease)?;
         *end = Instant::now() + *life;
@@ -165,6 +248,7 @@
         if self.keys.remove(key).is_some() {
             self.revision += 1;
             self.history.push((key.to_owned(), None, self.revision, 0));
+            self.back_up();
         }
     }
 
@@ -178,6 +262,12 @@
         self.keys.insert(key.to_owned(), entry);
         let change = (key.to_owned(), Some(value), self.revision, created);
         self.history.push(change);
+        self.back_up();
+    }
+
+    /// Returns the header that all its answers bear.
+    fn era(&self) -> String {
+        format!("store-era: {}\r\n", self.restores + 1)
     }
 }
 
@@ -257,6 +347,25 @@
         kept.keys.get(key).map(|(.., created)| *created)
     }
 
+    /// Comes back from a copy that is so old; what was written since is lost.
+    pub fn restore(&self, ago: Duration) {
+        let (kept, changed) = &*self.kept;
+        kept.lock().expect("the store").restore(ago);
+        changed.notify_all();
+    }
+
+    /// Has the operator and the servers write again what a restore lost, in another order.
+    pub fn write_again(&self) {
+        let (kept, changed) = &*self.kept;
+        kept.lock().expect("the store").write_again();
+        changed.notify_all();
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> i64 {
+        self.kept.0.lock().expect("the store").revision
+    }
+
     /// Closes every connection that asks something from now on.
     pub fn stop_answering(&self) {
         self.kept.0.lock().expect("the store").away = true;
@@ -301,7 +410,13 @@
         ("GET", "/v1/kv-watch") => {
             let after: i64 = request.query("after")?.parse().ok()?;
             let wait = request.query("waitMs")?.parse().ok()?;
-            let waits = |kept: &mut Kept| kept.revision <= after;
+            let restores = kept.restores;
+            if after > kept.revision {
+                let era = kept.era();
+                drop(kept);
+                return write(stream, 410, &era, "{}");
+            }
+            let waits = |kept: &mut Kept| kept.revision <= after && kept.restores == restores;
             let wait = Duration::from_millis(wait);
             kept = changed
                 .wait_timeout_while(kept, wait, waits)
@@ -312,6 +427,9 @@
                 drop(kept);
                 return swallow(stream);
             }
+            if kept.restores != restores {
+                return None;
+            }
             let new = kept
                 .history
                 .iter()
@@ -330,14 +448,17 @@
                     == row["revision"].as_i64().unwrap_or(0)
             });
             if !holds {
-                return write(stream, 412, "", &json!({"items": []}).to_string());
+                return write(stream, 412, &kept.era(), &json!({"items": []}).to_string());
             }
             for row in txn["setKeys"].as_array()? {
                 let value = STANDARD.decode(row["value"].as_str()?).ok()?;
                 let key = row["key"].as_str()?;
-                kept.write(key, value);
                 let lease = row["lease"].as_i64().unwrap_or(0);
+                if lease != 0 && !kept.leases.contains_key(&lease) {
+                    return write(stream, 404, &kept.era(), "{}");
+                }
                 kept.bound.insert(key.to_owned(), lease);
+                kept.write(key, value);
             }
             changed.notify_all();
             if kept.lost > 0 {
@@ -354,7 +475,7 @@
         ("POST", path) if path.starts_with("/v1/kv-keep/") => {
             let lease = path.rsplit('/').next()?.parse().ok()?;
             if kept.renew(lease).is_none() {
-                return write(stream, 404, "", "{}");
+                return write(stream, 404, &kept.era(), "{}");
             }
             *kept.renewed.entry(lease).or_default() += 1;
             json!({})
@@ -366,8 +487,9 @@
         }
         _ => json!({}),
     };
+    let era = kept.era();
     drop(kept);
-    write(stream, 200, "", &answer.to_string())
+    write(stream, 200, &era, &answer.to_string())
 }
 
 #[derive(Default)]
