Have the store come back from older copies in the soak

Two restores in every seed but the two that are kept, drawn apart so that the other faults stay as they were.

--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -128,7 +128,7 @@
     /// Copies of itself, oldest first.
     backups: Vec<(Instant, Backup)>,
     /// What the operator and the servers wrote and a restore lost: key and value, `None` for a removal.
-    lost_writes: Vec<(String, Option<Vec<u8>>)>,
+    lost_writes: BTreeMap<String, Option<Vec<u8>>>,
     away: bool,
     /// Whether calls and answers are swallowed, and their connections live on.
     silent: bool,
@@ -199,7 +199,10 @@
                 lost.insert(key, Some(value));
             }
         }
-        self.lost_writes.extend(lost.into_iter().rev());
+        for (key, value) in lost {
+            // What an earlier restore lost is newer than what that one left.
+            self.lost_writes.entry(key).or_insert(value);
+        }
         self.revision = backup.revision;
         self.granted = backup.granted;
         self.bound = backup.bound;
@@ -211,7 +214,7 @@
 
     /// Has the operator and the servers write again what a restore lost.
     fn write_again(&mut self) {
-        for (key, value) in std::mem::take(&mut self.lost_writes) {
+        for (key, value) in std::mem::take(&mut self.lost_writes).into_iter().rev() {
             match value {
                 Some(value) => self.write(&key, value),
                 None => self.remove(&key),
@@ -299,7 +302,9 @@
 
     /// Removes a key.
     pub fn remove(&self, key: &str) {
-        self.kept.0.lock().expect("the store").remove(key);
+        let mut kept = self.kept.0.lock().expect("the store");
+        kept.lost_writes.remove(key);
+        kept.remove(key);
         self.kept.1.notify_all();
     }
 
@@ -337,7 +342,10 @@
     pub fn put(&self, key: &str, value: &Value) {
         let (kept, changed) = &*self.kept;
         let value = value.to_string().into_bytes();
-        kept.lock().expect("the store").write(key, value);
+        let mut kept = kept.lock().expect("the store");
+        kept.lost_writes.remove(key);
+        kept.write(key, value);
+        drop(kept);
         changed.notify_all();
     }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -30,6 +30,8 @@
     StoreAway,
     /// The store takes calls and answers none, and the configuration changes meanwhile.
     StoreMute,
+    /// The store is away for a moment and comes back from an older copy; what that lacks is written again later.
+    StoreRestored,
     /// Writes at the store take effect without an answer.
     StoreLoses,
     /// A server's connections hold everything back.
@@ -60,6 +62,8 @@
     pub lasts: Duration,
 }
 
+/// Sets the restores of a seed apart from its other draws.
+const RESTORES: u64 = 0x5eed;
 /// Faults in a series.
 const COUNT: usize = 14;
 
@@ -111,3 +115,17 @@
     series.insert(rng.random_range(0..=series.len()), fault);
     series
 }
+
+/// Adds two restores of the store, each at any place of a series, drawn apart likewise.
+pub fn with_restores(seed: u64, mut series: Vec<Fault>) -> Vec<Fault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ RESTORES);
+    for _ in 0..2 {
+        let fault = Fault {
+            after: Duration::from_millis(rng.random_range(20..500)),
+            trouble: Trouble::StoreRestored,
+            lasts: Duration::from_millis(rng.random_range(200..2500)),
+        };
+        series.insert(rng.random_range(0..=series.len()), fault);
+    }
+    series
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -45,6 +45,9 @@
 /// Those of them that failed before the store fell silent in every seed; their series stay as they were.
 const WITHOUT_SILENCE: [u64; 1] = [7];
 
+/// Those that failed before the store came back from older copies in every seed.
+const WITHOUT_RESTORES: [u64; 2] = [7, 3];
+
 /// Waits until something holds.
 ///
 /// # Panics
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -12,10 +12,10 @@
 
 use crate::check::{self, Seen};
 use crate::cut::Cut;
-use crate::faults::{Fault, Trouble, series, with_silence};
+use crate::faults::{Fault, Trouble, series, with_restores, with_silence};
 use crate::process::{Folder, Process};
 use crate::standin::{Engine, Store, config, settings};
-use crate::{LIMIT, WITHOUT_SILENCE};
+use crate::{LIMIT, WITHOUT_RESTORES, WITHOUT_SILENCE};
 
 /// Hosts of a play.
 pub const HOSTS: usize = 3;
@@ -91,6 +91,9 @@
     if !WITHOUT_SILENCE.contains(&seed) {
         faults = with_silence(seed, faults);
     }
+    if !WITHOUT_RESTORES.contains(&seed) {
+        faults = with_restores(seed, faults);
+    }
     thread::scope(|scope| {
         let world = &world;
         for number in 0..CALLERS {
@@ -288,6 +291,15 @@
                 thread::sleep(fault.lasts / 2);
                 self.store.answer();
             }
+            Trouble::StoreRestored => {
+                let copy = self.store.revision_before(fault.lasts);
+                self.store.stop_answering();
+                thread::sleep(fault.lasts / 10);
+                self.store.restore(copy);
+                self.store.answer();
+                thread::sleep(fault.lasts / 2);
+                self.store.write_again();
+            }
             Trouble::StoreLoses => self.store.lose_answers(LOST),
             Trouble::Silent(place) => lasting(&cut(place), Cut::silence),
             Trouble::OneWay(place) => lasting(&cut(place), Cut::one_way),
