--- a/src/host/meters.rs
+++ b/src/host/meters.rs
@@ -43,6 +43,7 @@
     ordered: Counter<u64>,
     calls: Counter<u64>,
     age: Gauge<f64>,
+    era: Gauge<u64>,
     unlisted: Gauge<u64>,
     limited: Gauge<u64>,
     seen: Cell<Calls>,
@@ -93,6 +94,10 @@
                 .with_description("Time since all that the key-value service held was known")
                 .with_unit("s")
                 .build(),
+            era: meter
+                .u64_gauge("chiveway_store_era")
+                .with_description("Era of the key-value service")
+                .build(),
             unlisted: meter
                 .u64_gauge("chiveway_backends_unlisted")
                 .with_description("Backend servers that get work while their entries are missing")
@@ -191,6 +196,11 @@
         self.age.record(age.as_secs_f64(), &[]);
     }
 
+    /// Takes in the era of the key-value service.
+    pub fn store_era(&self, era: u64) {
+        self.era.record(era, &[]);
+    }
+
     /// Takes in how many backend servers get work while their entries are missing.
     pub fn unlisted(&self, servers: u64) {
         self.unlisted.record(servers, &[]);
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -210,6 +210,8 @@
     }
     if relay {
         let now = super::timer::now();
+        node.meters
+            .store_era(node.look(|core| core.relay.view.era()));
         let unlisted = node.look(|core| core.relay.instances.unlisted(now));
         node.meters.unlisted(unlisted);
         let limited = node.look(|core| core.relay.instances.limited());
