Let the operator and the servers write again together after a restore in the soak

Change: from a restore until both have written again nothing else is written, so that the check stays as strict as it was for hosts that knew before.

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -67,6 +67,9 @@
     /// The present server of each place.
     pub places: Mutex<Vec<usize>>,
     pub version: AtomicU64,
+    /// Held while the operator or a server writes, and from a restore of the store until both have written again: what
+    /// a host knows of a version tells what it knows of servers only if they come back together.
+    writes: Mutex<()>,
     /// Version known to be in force, by start of a host.
     pub known: Mutex<BTreeMap<String, Vec<u64>>>,
     /// Faults in force that a planned stop does not excuse, and all that were yet.
@@ -147,6 +150,7 @@
             servers: Mutex::default(),
             places: Mutex::default(),
             version: AtomicU64::new(0),
+            writes: Mutex::default(),
             known: Mutex::default(),
             wild: (AtomicU64::new(0), AtomicU64::new(0)),
             seen: Mutex::default(),
@@ -195,6 +199,12 @@
 
     /// Puts the next configuration in force; each has a route of its own. Returns its version.
     fn configure(&self) -> u64 {
+        let _writes = self.writes.lock().expect("no panic");
+        self.write_version()
+    }
+
+    /// Writes the next configuration, with the writes held.
+    fn write_version(&self) -> u64 {
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let mut config = config(version, "/short/");
         let mut route = config["routes"][1].clone();
@@ -218,8 +228,10 @@
             cut,
             left: None,
         };
+        let writes = self.writes.lock().expect("no panic");
         self.store
             .put(&format!("servers/{id}"), &entry(&server, "ready"));
+        drop(writes);
         servers.push(server);
         servers.len() - 1
     }
@@ -292,6 +304,7 @@
                 self.store.answer();
             }
             Trouble::StoreRestored => {
+                let _writes = self.writes.lock().expect("no panic");
                 let copy = self.store.revision_before(fault.lasts);
                 self.store.stop_answering();
                 thread::sleep(fault.lasts / 10);
@@ -312,7 +325,9 @@
                     server.engine.id.clone()
                 });
                 thread::sleep(fault.lasts);
+                let writes = self.writes.lock().expect("no panic");
                 self.store.remove(&format!("servers/{id}"));
+                drop(writes);
                 self.replace(place);
             }
             Trouble::Leave(place) => {
@@ -355,8 +370,10 @@
             let key = format!("servers/{}", server.engine.id);
             (key, entry(server, "draining"))
         };
+        let writes = self.writes.lock().expect("no panic");
         self.store.put(&key, &entry);
-        let version = self.configure();
+        let version = self.write_version();
+        drop(writes);
         self.servers.lock().expect("no panic")[at].left = Some(version);
     }
 
@@ -374,6 +391,7 @@
                 drop(servers);
                 let before = last.insert(place, now.clone());
                 if before.is_some_and(|before| before != now) {
+                    let _writes = self.writes.lock().expect("no panic");
                     self.store.put(&format!("servers/{id}"), &now);
                 }
             }
