Keep answers to calls made before the first era was seen

Operators would see: in a store that names eras a host was registered only with its second renewal, 4 s after its start, and others told it nothing until then. Cause: the era that a call was made in was 0 before the first answer, and that answer names one: it was taken for an answer of an ended era. Found by reading the change; ruled out for stores that name none. Change: a call carries how many eras had ended since the start, in place of the era.

--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -254,8 +254,8 @@
     Intent(PoolKey),
     /// Write the routing state of a pool.
     Route(PoolKey),
-    /// A job of the relay, and the era of the store in which it was asked for.
-    Relay(RelayJob, u64),
+    /// A job of the relay, and how many eras of the store had ended when it was asked for.
+    Relay(RelayJob, u32),
 }
 
 /// End of a job.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -165,7 +165,7 @@
                 Job::Segment => trace::written(self, &reply, out),
                 Job::Find(round) => trace::found(self, round, reply, out),
                 Job::Holder(_) | Job::Intent(_) | Job::Route(_) => order::reply(self, reply, out),
-                Job::Relay(job, era) => relay::reply(self, job, era, &reply, out),
+                Job::Relay(job, ended) => relay::reply(self, job, ended, &reply, out),
             },
         }
     }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -284,9 +284,10 @@
     }
 }
 
-/// Takes in an answer of the store to a call that was made in an era; one of an ended era means nothing.
-pub fn reply(core: &mut Core, job: RelayJob, era: u64, reply: &StoreReply, out: &mut Effects) {
-    if era != core.relay.view.era() {
+/// Takes in an answer of the store to a call that was made when so many eras had ended; one of an ended era
+/// means nothing.
+pub fn reply(core: &mut Core, job: RelayJob, ended: u32, reply: &StoreReply, out: &mut Effects) {
+    if ended != core.relay.view.ended_eras() {
         return;
     }
     match job {
@@ -350,7 +351,7 @@
 
 /// Returns a job of the relay, asked for in the present era of the store.
 fn job(core: &Core, job: RelayJob) -> Job {
-    Job::Relay(job, core.relay.view.era())
+    Job::Relay(job, core.relay.view.ended_eras())
 }
 
 /// Asks for a timer of the relay.
--- a/src/core/relay/tests/era.rs
+++ b/src/core/relay/tests/era.rs
@@ -57,16 +57,32 @@
     assert!(asks(&site.out).is_empty());
 }
 
+/// A host's first call is answered in the first era that it sees. Guards against dropping the answer, and a
+/// registration that waits for the next renewal.
+#[test]
+fn the_first_era_drops_no_answer() {
+    let mut site = Site::blank();
+    let asked = site.out.iter().find_map(|effect| match effect {
+        Effect::Grant { job, .. } => Some(*job),
+        _ => None,
+    });
+    let asked = asked.expect("a lease is asked for");
+    site.event(RelayEvent::Era(3));
+    site.reply(asked, StoreResult::Lease(5));
+    let written = |effect: &Effect| matches!(effect, Effect::Txn { .. });
+    assert!(site.out.iter().any(written));
+}
+
 /// An answer that was lost in an outage comes after the store's return. Guards against an authority that stands on a
 /// lease of an ended era.
 #[test]
 fn an_answer_of_an_ended_era_gives_no_authority() {
     let mut site = known();
     let lease = RelayJob::AuthorityLease(Time::from_millis(site.now));
-    site.reply(Job::Relay(lease, 1), StoreResult::Lease(9));
+    site.reply(Job::Relay(lease, 0), StoreResult::Lease(9));
     site.event(RelayEvent::Era(2));
     site.reply(
-        Job::Relay(RelayJob::Authority, 1),
+        Job::Relay(RelayJob::Authority, 0),
         StoreResult::Txn(TxnReply {
             revision: 30,
             succeeded: true,
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -80,6 +80,8 @@
 pub struct View {
     /// Era of the store to which all revisions here belong; 0 while none was named.
     pub(super) era: u64,
+    /// Eras that ended since this host's start.
+    ended: u32,
     /// Revision up to which everything is known.
     at: i64,
     /// Pages of a whole read; `None` while changes are watched.
@@ -173,8 +175,15 @@
         self.era
     }
 
+    /// Returns how many eras ended since this host's start.
+    #[must_use]
+    pub fn ended_eras(&self) -> u32 {
+        self.ended
+    }
+
     /// Forgets all that belongs to an era that ended; returns the number of the call in hand.
     fn restart(&mut self) -> Option<u64> {
+        self.ended += 1;
         self.at = 0;
         self.rests = false;
         self.fails = 0;
