Go on telling hosts whose registration ran out while they are heard

Callers saw: a host cut off from the store alone went on sending to servers that had left, from the 12th second of the cut on, though its neighbours knew better and heard it. Cause: a host without an entry was taken for gone and told nothing. Class: what one host does not find in the store is taken for what is. Ruled out: lost words (its view went old at the second its lease ran out, host.left there). Evidence: a_host_that_is_heard_is_told_after_its_registration_ran_out, red before, green after.

--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -73,6 +73,8 @@
     pub(super) across: News,
     /// Hosts that were not found when every key was last read.
     unlisted: BTreeSet<Box<str>>,
+    /// Hosts whose entries are gone and that are still heard.
+    lapsed: BTreeSet<Box<str>>,
     /// The hosts' secret, once it is known.
     pub(super) secret: Option<[u8; 32]>,
     pub(super) lease: i64,
@@ -310,6 +312,7 @@
 fn joined(core: &mut Core, name: &str, addr: SocketAddr, domain: Box<str>, out: &mut Effects) {
     let peers = &mut core.relay.peers;
     peers.unlisted.remove(name);
+    peers.lapsed.remove(name);
     if let Some(key) = peers.names.get(name) {
         peers.arena[*key].addr = addr;
         peers.arena[*key].domain = domain;
@@ -326,7 +329,38 @@
     );
 }
 
+/// Takes a host without an entry for gone, unless it is heard: its registration may have run out while it is cut off
+/// from the store, and it learns of changes by the others alone.
 fn left(core: &mut Core, name: &str, out: &mut Effects) {
+    let peers = &mut core.relay.peers;
+    let key = peers.names.get(name);
+    if key.is_some_and(|key| peers.arena[*key].heard.is_some()) {
+        peers.lapsed.insert(name.into());
+    } else {
+        remove(core, name, out);
+    }
+}
+
+/// Takes hosts for gone that have no entry and are no longer heard.
+pub(super) fn drop_silent(core: &mut Core, out: &mut Effects) {
+    let peers = &core.relay.peers;
+    let silent = |name: &str| {
+        let key = peers.names.get(name);
+        key.is_none_or(|key| peers.arena[*key].heard.is_none())
+    };
+    let silent: Vec<Box<str>> = peers
+        .lapsed
+        .iter()
+        .filter(|name| silent(name))
+        .cloned()
+        .collect();
+    for name in silent {
+        remove(core, &name, out);
+    }
+}
+
+fn remove(core: &mut Core, name: &str, out: &mut Effects) {
+    core.relay.peers.lapsed.remove(name);
     if let Some(key) = core.relay.peers.names.remove(name) {
         core.relay.instances.told(key, &[]);
         core.relay.peers.arena.remove(key);
--- a/src/core/relay/tests/departed.rs
+++ b/src/core/relay/tests/departed.rs
@@ -129,6 +129,35 @@
     assert_eq!(served(&mut alone), 0);
 }
 
+/// A host's registration runs out while it is cut off from the store alone. Guards against telling it nothing any
+/// more: it would act on what it knew until it reaches the store again.
+#[test]
+fn a_host_that_is_heard_is_told_after_its_registration_ran_out() {
+    let mut site = Site::new();
+    let key = "hosts/host-2";
+    site.key(key, Some(r#"{"addr":"127.0.0.1:9","domain":"z"}"#), 3);
+    let tells = |out: &Effects| did(out, |effect| matches!(effect, RelayEffect::Tell { .. }));
+    let hear = |site: &mut Site, number| {
+        site.event(RelayEvent::Told(Box::new(Word {
+            host: "host-2".into(),
+            incarnation: 1,
+            number,
+            ..Word::default()
+        })));
+    };
+    hear(&mut site, 1);
+    site.key(key, None, 4);
+    for number in 2..8 {
+        let out = site.pass(500);
+        assert!(tells(&out), "word {number}");
+        hear(&mut site, number);
+    }
+    // Once it is silent it is gone.
+    site.pass(2500);
+    assert!(!tells(&site.pass(1000)));
+    assert_eq!(site.core.relay.peers.hosts(), 1);
+}
+
 macro_rules! uptimes {
     ($($name:ident: $spans:expr => $length:expr;)*) => {
         $(#[test] fn $name() {
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/words/mod.rs
@@ -25,7 +25,7 @@
 use super::event::{DeathWord, LoadWord, PartWord, RelayEffect, Word, WordKind};
 use super::instance::Work;
 use super::peers::Peer;
-use super::{RelayTimer, limit, load, parts, span, view, wake};
+use super::{RelayTimer, limit, load, parts, peers, span, view, wake};
 
 /// Time between two words to the other hosts.
 ///
@@ -54,6 +54,7 @@
 pub fn tell(core: &mut Core, out: &mut Effects) {
     wake(core, every(core), RelayTimer::Tell, out);
     expire(core);
+    peers::drop_silent(core, out);
     for instance in core.relay.instances.arena.values_mut() {
         instance.age(core.now);
     }
