--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -12,7 +12,7 @@
 use super::choose::{self, Choice};
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
-use super::{Attempt, Call, RelayTimer, millis, note, parts, span, words};
+use super::{Attempt, Call, RelayTimer, gossip, millis, note, parts, span};
 use crate::error::{Kind, Ran};
 
 /// Calls a host holds at once: a hundred times what one serves in its links' worst second.
@@ -173,7 +173,7 @@
     }
     let now = core.now;
     let idle = idle(core, choice.backend);
-    let told = words::age(core).map_or_else(
+    let told = gossip::age(core).map_or_else(
         || "never".into(),
         |age| format!("{}", age.as_millis()).into(),
     );
--- a/src/core/relay/choose/spread.rs
+++ b/src/core/relay/choose/spread.rs
@@ -1,7 +1,7 @@
 //! Choice among a few servers drawn at random, where much was sent that this host has not heard of.
 //!
 //! All hosts hear the same, and it is some time old. If each took the best of all servers by that,
-//! every request that arrives before the next word would go to the same few of them. Drawn anew for
+//! every request that arrives before the next message would go to the same few of them. Drawn anew for
 //! each request, the fewer the more is unheard, the best of some differs from host to host.
 
 use std::time::Duration;
@@ -10,7 +10,7 @@
 
 use super::super::super::Core;
 use super::super::event::Prompt;
-use super::super::{Call, parts, words};
+use super::super::{Call, gossip, parts};
 use crate::core::key::{BackendKey, CallKey};
 
 /// Requests of other hosts that may go to one server unheard, on average over the drawn ones.
@@ -64,5 +64,5 @@
     let own = budget.map_or(0, |budget| budget.recent(core.now, COUNTED));
     let others = core.relay.peers.hosts().saturating_sub(1);
     let rate = own as f64 / COUNTED.as_secs_f64() * others as f64;
-    rate * words::delay(core).as_secs_f64()
+    rate * gossip::delay(core).as_secs_f64()
 }
--- a/src/core/relay/event/word.rs
+++ b/src/core/relay/event/gossip.rs
@@ -6,36 +6,36 @@
 
 /// What a host tells the others of its work.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct Word {
+pub struct Gossip {
     /// Name of the host.
     pub host: Box<str>,
     /// Wall clock at the start of its process, in milliseconds since the Unix epoch.
     pub incarnation: u64,
-    /// Number of the word; later words have higher numbers.
+    /// Number of the message; later messages have higher numbers.
     pub number: u64,
     /// Its unfinished work, by backend server.
-    pub loads: Vec<LoadWord>,
-    /// Prompt parts that it sent to engines since the last word.
-    pub parts: Vec<PartWord>,
+    pub loads: Vec<LoadReport>,
+    /// Prompt parts that it sent to engines since the last message.
+    pub parts: Vec<PrefixReport>,
     /// Fingerprints of requests that backend servers died of.
-    pub deaths: Vec<DeathWord>,
+    pub deaths: Vec<CrashReport>,
     /// Whose work it tells of, and what is expected of the listener.
-    pub kind: WordKind,
+    pub kind: GossipKind,
     /// Era of the store to which what follows belongs; 0 where the sender knows none.
     pub era: u64,
     /// What the store last answered to a probe of that host.
-    pub newest: Option<NewestWord>,
+    pub newest: Option<ProbeReport>,
     /// Changes of the store, from a host that follows it for others.
-    pub passage: Option<Passage>,
+    pub passage: Option<ReplicatedChanges>,
     /// Limits that backend servers name, or ended to name lately.
     pub limits: Vec<LimitReport>,
     /// For how long the store has answered, as far as the sender knows.
     pub uptime: Option<UptimeReport>,
 }
 
-/// Whose work a word tells of, and what is expected of the listener.
+/// Whose work a message tells of, and what is expected of the listener.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub enum WordKind {
+pub enum GossipKind {
     /// The sender's own work, told to each host of its failure domain.
     #[default]
     Own,
@@ -64,7 +64,7 @@
 
 /// The store's newest revision, as a probe showed it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NewestWord {
+pub struct ProbeReport {
     /// The revision.
     pub revision: i64,
     /// Time since the probe was sent.
@@ -93,7 +93,7 @@
 
 /// Unfinished work of one host at one backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct LoadWord {
+pub struct LoadReport {
     /// Short hash of the backend server's id.
     pub instance: u32,
     /// Requests.
@@ -106,7 +106,7 @@
 
 /// A prompt part that an engine reads or has read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PartWord {
+pub struct PrefixReport {
     /// The part.
     pub part: u64,
     /// Its tokens.
@@ -117,7 +117,7 @@
 
 /// A backend server that died while it ran a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct DeathWord {
+pub struct CrashReport {
     /// First half of the request's fingerprint.
     pub print: u64,
     /// Short hash of the backend server's id.
@@ -139,7 +139,7 @@
 
 /// Changes of the store without a gap, as hosts pass them on to each other.
 #[derive(Debug, Clone, PartialEq, Default)]
-pub struct Passage {
+pub struct ReplicatedChanges {
     /// Revision before the first of them.
     pub after: i64,
     /// Revision up to which these are all changes.
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -1,6 +1,6 @@
 //! What happens to relayed requests and what is done about them, as data.
 
-mod word;
+mod gossip;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,9 +12,9 @@
 use crate::core::time::Time;
 use crate::error::Ran;
 use crate::settings::Settings;
-pub use word::{
-    DeathWord, Included, LimitReport, LoadWord, NewestWord, PartWord, Passage, StoreChange,
-    UptimeReport, Word, WordKind,
+pub use gossip::{
+    CrashReport, Gossip, GossipKind, Included, LimitReport, LoadReport, PrefixReport, ProbeReport,
+    ReplicatedChanges, StoreChange, UptimeReport,
 };
 
 /// One event about relayed requests.
@@ -92,8 +92,8 @@
     },
     /// The settings were read again.
     Reloaded(Box<Settings>),
-    /// Another host told of its work.
-    Told(Box<Word>),
+    /// Another host sent its state.
+    Gossiped(Box<Gossip>),
 }
 
 /// Limit that an answer names: requests a second that its backend server takes from all hosts together.
@@ -291,7 +291,7 @@
     },
     /// Have an engine change its stage.
     Order(StageOrder),
-    /// The hosts share this secret: words are proved and checked with it.
+    /// The hosts share this secret: messages are proved and checked with it.
     Secret([u8; 32]),
     /// Call the store.
     Ask {
@@ -302,12 +302,12 @@
     },
     /// Give a call of the store up.
     Unask(u64),
-    /// Tell other hosts.
-    Tell {
+    /// Send this to other hosts.
+    Publish {
         /// Where they listen.
         to: Vec<SocketAddr>,
-        /// What they are told.
-        word: Box<Word>,
+        /// What is sent.
+        word: Box<Gossip>,
     },
 }
 
--- a/src/core/relay/words/aggregator.rs
+++ b/src/core/relay/gossip/aggregator.rs
@@ -2,7 +2,7 @@
 //!
 //! Hosts are ordered by name, and form a tree of few children each, as a heap does. Each reports to its
 //! parent there, or where that does not answer to another host before it. One that does not answer is
-//! doubted for a while and then asked again, so that hosts which cannot reach each other still hear of
+//! suspected for a while and then asked again, so that hosts which cannot reach each other still learn of
 //! each other's work through a third. Who reports to whom always leads to an earlier name: no circle
 //! can come about.
 
@@ -11,19 +11,19 @@
 
 use crate::core::time::Time;
 
-/// Time within which an aggregator answers: several times that between two of its words.
-const ANSWER: Duration = Duration::from_millis(300);
+/// Time within which an aggregator answers: several times its gossip interval.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between two questions to a host that is preferred to the one that answers.
-const ASK_AGAIN: Duration = Duration::from_millis(500);
+const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 /// First time for which a host that did not answer is not asked; doubled each time.
-const DOUBT: Duration = Duration::from_secs(2);
+const SUSPICION_TIMEOUT: Duration = Duration::from_secs(2);
 /// Doublings of that time, at most: to 16 s.
-const DOUBT_MOST: u32 = 3;
-/// Time after which an old doubt no longer counts.
-const FORGIVEN: Duration = Duration::from_secs(30);
+const MAX_SUSPICION_DOUBLINGS: u32 = 3;
+/// Time after which an old suspicion no longer counts.
+const BACKOFF_RESET: Duration = Duration::from_secs(30);
 
 /// Hosts that report to one while all answer.
-const CHILDREN: usize = 8;
+const MAX_CHILDREN: usize = 8;
 
 /// Returns the hosts before one by name in the order in which it should report to them: its parent and
 /// the parents of that, then the others.
@@ -34,7 +34,7 @@
     let mut line = Vec::new();
     let mut at = before.len();
     while at > 0 {
-        at = (at - 1) / CHILDREN;
+        at = (at - 1) / MAX_CHILDREN;
         line.push(at);
     }
     let others = (0..before.len()).filter(|at| !line.contains(at));
@@ -44,14 +44,15 @@
 
 /// A host that did not answer.
 #[derive(Debug, Clone, Copy)]
-struct Doubt {
+struct Suspicion {
     since: Time,
     times: u32,
 }
 
-impl Doubt {
+impl Suspicion {
     fn lasts(&self, now: Time) -> bool {
-        let time = DOUBT.saturating_mul(1 << (self.times - 1).min(DOUBT_MOST));
+        let time =
+            SUSPICION_TIMEOUT.saturating_mul(1 << (self.times - 1).min(MAX_SUSPICION_DOUBLINGS));
         now.since(self.since) < time
     }
 }
@@ -72,10 +73,10 @@
     /// Hosts that may sum up for this one, the preferred first.
     order: Vec<Box<str>>,
     /// Since when the current one has not answered a report.
-    owes: Option<Time>,
+    awaiting: Option<Time>,
     /// Hosts that were asked and did not answer yet.
     asked: BTreeMap<Box<str>, Time>,
-    doubts: BTreeMap<Box<str>, Doubt>,
+    suspected: BTreeMap<Box<str>, Suspicion>,
     /// Hosts asked at once while none answers; doubled each time.
     width: usize,
     /// When a host that is preferred to the current one was last asked.
@@ -100,18 +101,19 @@
     /// Looks at the hosts that may sum up, the preferred first: returns which to ask now, and whether
     /// the aggregator was lost.
     pub fn look(&mut self, order: Vec<Box<str>>, now: Time) -> (Vec<Box<str>>, Option<Change>) {
-        if now.since(self.looked) > ANSWER {
+        if now.since(self.looked) > REPLY_TIMEOUT {
             // This host stood still: it is not the others that did not answer.
-            self.owes = self.owes.map(|_| now);
+            self.awaiting = self.awaiting.map(|_| now);
             self.asked.values_mut().for_each(|at| *at = now);
         }
         self.looked = now;
         self.order = order;
         let order = &self.order;
         self.asked.retain(|name, _| order.contains(name));
-        self.doubts
-            .retain(|name, doubt| order.contains(name) && now.since(doubt.since) < FORGIVEN);
-        self.doubt_silent(now);
+        self.suspected.retain(|name, suspicion| {
+            order.contains(name) && now.since(suspicion.since) < BACKOFF_RESET
+        });
+        self.suspect_unresponsive(now);
         let lost = self.lose(now);
         let asked = self.due_hosts(now);
         self.asked
@@ -119,40 +121,42 @@
         (asked, lost)
     }
 
-    fn doubt_silent(&mut self, now: Time) {
+    fn suspect_unresponsive(&mut self, now: Time) {
         let late: Vec<Box<str>> = self
             .asked
             .iter()
-            .filter(|(_, at)| now.since(**at) > ANSWER)
+            .filter(|(_, at)| now.since(**at) > REPLY_TIMEOUT)
             .map(|(name, _)| name.clone())
             .collect();
         for name in late {
             self.asked.remove(&name);
-            self.doubt(name, now);
+            self.suspect(name, now);
         }
     }
 
-    fn doubt(&mut self, name: Box<str>, now: Time) {
-        let doubt = self.doubts.entry(name).or_insert(Doubt {
+    fn suspect(&mut self, name: Box<str>, now: Time) {
+        let suspicion = self.suspected.entry(name).or_insert(Suspicion {
             since: now,
             times: 0,
         });
-        doubt.since = now;
-        doubt.times += 1;
+        suspicion.since = now;
+        suspicion.times += 1;
     }
 
     /// Gives the aggregator up if it is gone or does not answer.
     fn lose(&mut self, now: Time) -> Option<Change> {
         let current = self.current.as_ref()?;
-        let silent = self.owes.is_some_and(|at| now.since(at) > ANSWER);
+        let silent = self
+            .awaiting
+            .is_some_and(|at| now.since(at) > REPLY_TIMEOUT);
         if self.order.contains(current) && !silent {
             return None;
         }
         let before = self.current.take()?;
-        self.owes = None;
+        self.awaiting = None;
         self.width = 1;
         if silent {
-            self.doubt(before.clone(), now);
+            self.suspect(before.clone(), now);
         }
         Some(Change {
             before: Some(before),
@@ -160,13 +164,17 @@
         })
     }
 
-    /// Returns the hosts to ask: the first that is not doubted, and more each time none answered.
+    /// Returns the hosts to ask: the first that is not suspected, and more each time none answered.
     fn due_hosts(&mut self, now: Time) -> Vec<Box<str>> {
-        let doubted = |name: &str| self.doubts.get(name).is_some_and(|doubt| doubt.lasts(now));
+        let is_suspected = |name: &str| {
+            self.suspected
+                .get(name)
+                .is_some_and(|suspicion| suspicion.lasts(now))
+        };
         let better = self.order.iter().take(self.rank());
-        let free = better.filter(|name| !doubted(name) && !self.asked.contains_key(*name));
+        let free = better.filter(|name| !is_suspected(name) && !self.asked.contains_key(*name));
         if self.current.is_some() {
-            if now.since(self.tried) < ASK_AGAIN {
+            if now.since(self.tried) < RETRY_INTERVAL {
                 return Vec::new();
             }
             let first: Vec<Box<str>> = free.take(1).cloned().collect();
@@ -191,21 +199,21 @@
 
     /// Notes that a report was sent to the aggregator, which it answers.
     pub fn reported(&mut self, now: Time) {
-        self.owes.get_or_insert(now);
+        self.awaiting.get_or_insert(now);
     }
 
     /// Takes in that a host answered; returns what changed if it sums up for this one from now on.
     pub fn answered(&mut self, name: &str) -> Option<Change> {
         let asked = self.asked.remove(name).is_some();
         if self.current() == Some(name) {
-            self.owes = None;
+            self.awaiting = None;
             return None;
         }
         let rank = self.order.iter().position(|host| **host == *name);
         if !asked || rank.is_none_or(|rank| rank > self.rank()) {
             return None;
         }
-        self.owes = None;
+        self.awaiting = None;
         self.width = 1;
         Some(Change {
             before: self.current.replace(name.into()),
--- a/src/core/relay/words/domains.rs
+++ b/src/core/relay/gossip/domains.rs
@@ -7,9 +7,9 @@
 
 use super::super::super::key::HostKey;
 use super::super::super::{Core, Effects};
-use super::super::event::{Word, WordKind};
+use super::super::event::{Gossip, GossipKind};
 use super::super::peers::peer;
-use super::{is_heard, near, summed, tell_them, word};
+use super::{is_live, near, publish_to, summed, word};
 
 /// Tells each other failure domain what was heard in this one.
 pub(super) fn tell(core: &mut Core, out: &mut Effects) {
@@ -26,8 +26,8 @@
     let to: Vec<SocketAddr> = to
         .iter()
         .filter_map(|(domain, addrs)| {
-            let speaker = speaker(core, domain);
-            speaker.or_else(|| turn(addrs, peers.number))
+            let representative = representative(core, domain);
+            representative.or_else(|| turn(addrs, peers.number))
         })
         .collect();
     if to.is_empty() {
@@ -35,8 +35,8 @@
     }
     let loads = summed(core);
     let (parts, deaths) = core.relay.peers.across.take();
-    let word = word(core, WordKind::Domain(own), loads, parts, deaths);
-    out.extend(tell_them(to, word));
+    let word = word(core, GossipKind::Domain(own), loads, parts, deaths);
+    out.extend(publish_to(to, word));
 }
 
 /// Returns one of the addresses, another with each number.
@@ -45,32 +45,35 @@
     addrs.get(usize::try_from(at).ok()?).copied()
 }
 
-/// Returns where the host listens that speaks for another failure domain, if one was heard.
-fn speaker(core: &Core, domain: &str) -> Option<SocketAddr> {
+/// Returns where the host listens that represents another failure domain, if one is live.
+fn representative(core: &Core, domain: &str) -> Option<SocketAddr> {
     let peers = &core.relay.peers;
     let whole = &peers.arena[*peers.domains.get(domain)?];
     let host = peers.names.get(&whole.name)?;
-    is_heard(core, whole).then(|| peers.arena[*host].addr)
+    is_live(core, whole).then(|| peers.arena[*host].addr)
 }
 
 /// Passes on what was heard from another failure domain: to all where each host tells all, or to the
 /// aggregator, whose totals then hold it.
-pub(super) fn pass_on(core: &mut Core, word: Word, out: &mut Effects) {
-    let WordKind::Domain(domain) = &word.kind else {
+pub(super) fn pass_on(core: &mut Core, word: Gossip, out: &mut Effects) {
+    let GossipKind::Domain(domain) = &word.kind else {
         return;
     };
     if let Some(aggregator) = super::gather::current(core) {
-        out.extend(tell_them(vec![aggregator], word));
+        out.extend(publish_to(vec![aggregator], word));
     } else if !super::gathers(core) {
-        let kind = WordKind::Passed(domain.clone());
-        out.extend(tell_them(near(core), Word { kind, ..word }));
+        let kind = GossipKind::Passed(domain.clone());
+        out.extend(publish_to(near(core), Gossip { kind, ..word }));
     }
 }
 
-/// Returns what stands for a whole failure domain, now that this host speaks for it.
-pub(super) fn whole(core: &mut Core, speaker: HostKey, domain: Box<str>) -> HostKey {
+/// Returns what stands for a whole failure domain, now that this host represents it.
+pub(super) fn whole(core: &mut Core, representative: HostKey, domain: Box<str>) -> HostKey {
     let peers = &mut core.relay.peers;
-    let (name, addr) = (peers.arena[speaker].name.clone(), peers.arena[speaker].addr);
+    let (name, addr) = (
+        peers.arena[representative].name.clone(),
+        peers.arena[representative].addr,
+    );
     let known = peers.domains.get(&domain).copied();
     let key = known.unwrap_or_else(|| {
         let key = peers.arena.insert(peer(&name, domain.clone(), addr));
@@ -79,7 +82,7 @@
     });
     let whole = &mut peers.arena[key];
     if whole.name != name {
-        // Another host speaks for it: its numbers are its own.
+        // Another host represents_domain for it: its numbers are its own.
         whole.name = name;
         whole.incarnation = 0;
         whole.number = 0;
--- a/src/core/relay/words/gather.rs
+++ b/src/core/relay/gossip/gather.rs
@@ -9,11 +9,13 @@
 
 use super::super::super::key::HostKey;
 use super::super::super::{Core, Effects};
-use super::super::event::{Included, LoadWord, Word, WordKind};
+use super::super::event::{Gossip, GossipKind, Included, LoadReport};
 use super::super::instance::{Work, short};
 use super::super::note;
 use super::aggregator::{Change, preferred};
-use super::{QUIET, domains, due, load_word, neighbours, summed, tell_them, untold, word};
+use super::{
+    KEEPALIVE_INTERVAL, domains, due, load_word, neighbours, publish_to, summed, unpublished, word,
+};
 
 /// Reports that are remembered until totals include them: those of two seconds.
 const REPORTS: usize = 64;
@@ -34,8 +36,8 @@
     }
     if !ask.is_empty() {
         let to = ask.iter().filter_map(|name| address(core, name)).collect();
-        let word = word(core, WordKind::Hello, Vec::new(), Vec::new(), Vec::new());
-        out.extend(tell_them(to, word));
+        let word = word(core, GossipKind::Hello, Vec::new(), Vec::new(), Vec::new());
+        out.extend(publish_to(to, word));
     }
     if core.relay.peers.aggregator.is_first() {
         // The hosts that the last totals told of report here from now on.
@@ -67,7 +69,7 @@
 /// Reports to the aggregator, if there is one and anything is new.
 fn report(core: &mut Core, out: &mut Effects) {
     let loads = summed(core);
-    let (parts, deaths) = untold(core);
+    let (parts, deaths) = unpublished(core);
     let peers = &mut core.relay.peers;
     if !parts.is_empty() || !deaths.is_empty() {
         peers.up.hear(&parts, &deaths);
@@ -83,14 +85,14 @@
         return;
     };
     let (parts, deaths) = core.relay.peers.up.take();
-    let word = word(core, WordKind::Report, loads, parts, deaths);
+    let word = word(core, GossipKind::Report, loads, parts, deaths);
     let peers = &mut core.relay.peers;
     peers.aggregator.reported(core.now);
     peers.reports.push_back((word.number, word.loads.clone()));
     if peers.reports.len() > REPORTS {
         peers.reports.pop_front();
     }
-    out.extend(tell_them(vec![to], word));
+    out.extend(publish_to(vec![to], word));
 }
 
 /// Answers the hosts that report here, if anything is new.
@@ -110,7 +112,9 @@
         .collect();
     let view = &core.relay.view;
     let quiet = !view.probes.has_news() && !view.history.has_news() && !peers.down.any();
-    let waits = peers.answered.is_some_and(|at| core.now.since(at) < QUIET);
+    let waits = peers
+        .answered
+        .is_some_and(|at| core.now.since(at) < KEEPALIVE_INTERVAL);
     if reporting.is_empty() || (quiet && waits) {
         return;
     }
@@ -123,8 +127,8 @@
     peers.answered = Some(core.now);
     let (parts, deaths) = peers.down.take();
     let (to, included) = reporting.into_iter().unzip();
-    let word = word(core, WordKind::Totals(included), loads, parts, deaths);
-    out.extend(tell_them(to, word));
+    let word = word(core, GossipKind::Totals(included), loads, parts, deaths);
+    out.extend(publish_to(to, word));
 }
 
 /// Returns the short hash of one process of a host.
@@ -133,9 +137,9 @@
 }
 
 /// Takes in a report, a question for totals, or a farewell.
-pub(super) fn heard(core: &mut Core, key: HostKey, word: &Word) {
+pub(super) fn heard(core: &mut Core, key: HostKey, word: &Gossip) {
     let peer = &mut core.relay.peers.arena[key];
-    peer.reports = word.kind != WordKind::Farewell;
+    peer.reports = word.kind != GossipKind::Farewell;
     core.relay.instances.told(key, &word.loads);
 }
 
@@ -143,7 +147,7 @@
 pub(super) fn totals(
     core: &mut Core,
     sender: HostKey,
-    loads: &[LoadWord],
+    loads: &[LoadReport],
     included: &[Included],
     out: &mut Effects,
 ) {
@@ -165,7 +169,7 @@
         .flat_map(|(_, loads)| loads)
         .map(|load| (load.instance, Work::from(*load)))
         .collect();
-    let others: Vec<LoadWord> = loads
+    let others: Vec<LoadReport> = loads
         .iter()
         .map(|load| {
             let part = reported.get(&load.instance).copied().unwrap_or_default();
@@ -203,7 +207,13 @@
     core.relay.peers.told = None;
     let left = change.before.as_deref().filter(|_| change.now.is_some());
     if let Some(to) = left.and_then(|name| address(core, name)) {
-        let word = word(core, WordKind::Farewell, Vec::new(), Vec::new(), Vec::new());
-        out.extend(tell_them(vec![to], word));
+        let word = word(
+            core,
+            GossipKind::Farewell,
+            Vec::new(),
+            Vec::new(),
+            Vec::new(),
+        );
+        out.extend(publish_to(vec![to], word));
     }
 }
--- a/src/core/relay/words/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -1,20 +1,20 @@
-//! What hosts tell each other: unfinished work, prompt parts, deaths.
+//! Gossip between hosts: unfinished work, cached prefixes, crashes, limits, changes of the store.
 //!
-//! Each host sees only its part of the requests. Without the others' word every host takes the
-//! same engine for idle, and reads the same prompt part at another engine.
+//! Each host sees only its part of the requests. Without the others' reports every host takes the
+//! same engine for idle, and prefills the same prefix at another engine.
 //!
-//! In a small failure domain each host tells all others. In a large one that would cost each host as
-//! many datagrams as there are hosts, so that each reports to an aggregator and is told totals: see
-//! [`gather`]. One host of each failure domain tells the others what is known in its own: see
+//! In a small failure domain each host sends to all others. In a large one that would cost each host as
+//! many datagrams as there are hosts, so that each reports to an aggregator and receives totals: see
+//! [`gather`]. One host of each failure domain sends the others what is known in its own: see
 //! [`domains`].
 
 mod aggregator;
 mod domains;
 mod gather;
-mod news;
+mod pending;
 
 pub use aggregator::Aggregator;
-pub use news::News;
+pub use pending::PendingUpdates;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,37 +22,38 @@
 use super::super::effect::Effect;
 use super::super::key::HostKey;
 use super::super::{Core, Effects};
-use super::event::{DeathWord, LoadWord, PartWord, RelayEffect, Word, WordKind};
+use super::event::{CrashReport, Gossip, GossipKind, LoadReport, PrefixReport, RelayEffect};
 use super::instance::Work;
 use super::peers::Peer;
 use super::{RelayTimer, limit, load, parts, peers, span, view, wake};
 
-/// Time between two words to the other hosts.
+/// Time between two messages to the other hosts.
 ///
-/// Late word means that hosts pile requests on one engine; earlier word costs processor time and
-/// bytes between domains.
-pub const EVERY: Duration = Duration::from_millis(18);
-/// The same for each other host of the failure domain where each tells all: a host must hear all of
+/// Stale load reports send every host to the same engine; fresher ones cost processor time and bytes
+/// between failure domains.
+pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(18);
+/// The same for each other host of a failure domain without aggregators: a host receives from all of
 /// them.
-const EVERY_HOST: Duration = Duration::from_micros(1500);
+const INTERVAL_PER_HOST: Duration = Duration::from_micros(1500);
 /// The same where they report to one of them, which answers with some kilobytes to each that reports to
 /// it, over a link that may be the thinnest of all hosts.
-const EVERY_REPORT: Duration = Duration::from_millis(45);
-/// Other hosts of a failure domain up to which each tells all.
-const ALL: usize = 12;
+const REPORT_INTERVAL: Duration = Duration::from_millis(45);
+/// Other hosts of a failure domain up to which each sends to all.
+const MAX_FLAT_PEERS: usize = 12;
 /// Time between two looks at the prompt parts that engines hold: all of some ten thousand are
 /// looked at, and those that are dropped were last used seconds ago.
-const SWEEP: Duration = Duration::from_millis(250);
-/// Longest time between two words while nothing changes; less than half of [`SPEAKS`].
-const QUIET: Duration = Duration::from_millis(500);
-/// Time after which a host that said nothing counts for nothing.
-const UNHEARD: Duration = Duration::from_secs(2);
-/// Time without a word after which another host speaks for a failure domain: two quiet words.
-const SPEAKS: Duration = Duration::from_millis(1200);
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time between two messages while nothing changes; less than half of
+/// [`REPRESENTATIVE_TIMEOUT`].
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without a message after which a host's reports are dropped.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a message after which another host represents a failure domain: two keep-alives.
+const REPRESENTATIVE_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Tells the other hosts of this one's work.
-pub fn tell(core: &mut Core, out: &mut Effects) {
-    wake(core, every(core), RelayTimer::Tell, out);
+/// Sends this host's state to the others.
+pub fn publish(core: &mut Core, out: &mut Effects) {
+    wake(core, every(core), RelayTimer::Publish, out);
     expire(core);
     peers::drop_silent(core, out);
     for instance in core.relay.instances.arena.values_mut() {
@@ -64,17 +65,17 @@
         gather::tell(core, out);
     } else {
         core.relay.peers.aggregator.forget();
-        tell_all(core, out);
+        publish_own(core, out);
     }
     gather::answer(core, out);
     view::attend(core, out);
-    if core.relay.peers.across.any() && speaks(core) {
+    if core.relay.peers.across.any() && represents_domain(core) {
         domains::tell(core, out);
     }
 }
 
 /// Returns the age of what is known of the work of other hosts of this failure domain: of the last
-/// totals, or of the oldest word where each host tells all.
+/// totals, or of the oldest message where each host sends to all.
 pub(super) fn age(core: &Core) -> Option<Duration> {
     let peers = &core.relay.peers;
     let totals = peers.domains.get(&core.settings.host.domain);
@@ -86,42 +87,42 @@
 }
 
 /// Returns the time after which work that is sent now is known to the other hosts: that between two
-/// words, longer where none came.
+/// messages, longer where none came.
 pub(super) fn delay(core: &Core) -> Duration {
     // Reports pass a host on their way up, and totals one on their way down.
     let hops = if gathers(core) { 2 } else { 1 };
     (every(core) * hops).max(age(core).unwrap_or_default())
 }
 
-/// Returns the time between two words.
+/// Returns the time between two messages.
 fn every(core: &Core) -> Duration {
     if gathers(core) {
-        return EVERY_REPORT;
+        return REPORT_INTERVAL;
     }
     let hosts = u32::try_from(neighbours(core).count()).unwrap_or(u32::MAX);
-    EVERY_HOST.saturating_mul(hosts).max(EVERY)
+    INTERVAL_PER_HOST.saturating_mul(hosts).max(GOSSIP_INTERVAL)
 }
 
-/// Tells whether hosts report to an aggregator in this failure domain.
+/// Whether this failure domain uses aggregators.
 fn gathers(core: &Core) -> bool {
-    neighbours(core).count() > ALL
+    neighbours(core).count() > MAX_FLAT_PEERS
 }
 
-/// Tells each host of the failure domain of this one's own work.
-fn tell_all(core: &mut Core, out: &mut Effects) {
+/// Sends this host's own work to each host of its failure domain.
+fn publish_own(core: &mut Core, out: &mut Effects) {
     let loads = own_loads(core);
-    let (parts, deaths) = untold(core);
+    let (parts, deaths) = unpublished(core);
     if !due(core, &loads, !parts.is_empty() || !deaths.is_empty()) {
         return;
     }
     core.relay.peers.across.hear(&parts, &deaths);
     let near = near(core);
-    let word = word(core, WordKind::Own, loads, parts, deaths);
-    out.extend(tell_them(near, word));
+    let word = word(core, GossipKind::Own, loads, parts, deaths);
+    out.extend(publish_to(near, word));
 }
 
 /// Returns this host's own unfinished work.
-fn own_loads(core: &Core) -> Vec<LoadWord> {
+fn own_loads(core: &Core) -> Vec<LoadReport> {
     let loads = core.relay.instances.arena.values();
     loads
         .filter(|instance| instance.own != Work::default())
@@ -129,22 +130,27 @@
         .collect()
 }
 
-/// Takes the prompt parts and deaths of this host that it has not told.
-fn untold(core: &mut Core) -> (Vec<PartWord>, Vec<DeathWord>) {
+/// Takes the prefixes and crashes of this host that were not sent yet.
+fn unpublished(core: &mut Core) -> (Vec<PrefixReport>, Vec<CrashReport>) {
     let parts = std::mem::take(&mut core.relay.peers.parts);
-    (parts, core.relay.killers.take_untold())
+    (parts, core.relay.killers.take_unpublished())
 }
 
-/// Tells whether to tell of this work now: something is new, or was last told a while ago.
-fn due(core: &mut Core, loads: &[LoadWord], news: bool) -> bool {
+/// Whether to send this work now: something is new, or the last message is a while ago.
+fn due(core: &mut Core, loads: &[LoadReport], news: bool) -> bool {
     let view = &core.relay.view;
     let limits = core.relay.peers.told;
     let limits = limits.is_some_and(|told| limit::changed_since(core, told));
     let news = news || limits;
-    let news = news || view.probes.has_news() || (view.history.has_news() && speaks(core));
+    let news =
+        news || view.probes.has_news() || (view.history.has_news() && represents_domain(core));
     let peers = &mut core.relay.peers;
     let same = !news && loads == peers.last;
-    if same && peers.told.is_some_and(|at| core.now.since(at) < QUIET) {
+    if same
+        && peers
+            .told
+            .is_some_and(|at| core.now.since(at) < KEEPALIVE_INTERVAL)
+    {
         return false;
     }
     peers.told = Some(core.now);
@@ -155,7 +161,10 @@
 /// Forgets the prompt parts that engines no longer hold, every now and then.
 fn sweep(core: &mut Core) {
     let peers = &mut core.relay.peers;
-    if peers.swept.is_some_and(|at| core.now.since(at) < SWEEP) {
+    if peers
+        .swept
+        .is_some_and(|at| core.now.since(at) < SWEEP_INTERVAL)
+    {
         return;
     }
     peers.swept = Some(core.now);
@@ -171,33 +180,33 @@
     }
 }
 
-fn tell_them(to: Vec<SocketAddr>, word: Word) -> Option<Effect> {
+fn publish_to(to: Vec<SocketAddr>, word: Gossip) -> Option<Effect> {
     let word = Box::new(word);
-    (!to.is_empty()).then(|| Effect::Relay(RelayEffect::Tell { to, word }))
+    (!to.is_empty()).then(|| Effect::Relay(RelayEffect::Publish { to, word }))
 }
 
 fn word(
     core: &mut Core,
-    kind: WordKind,
-    loads: Vec<LoadWord>,
-    parts: Vec<PartWord>,
-    deaths: Vec<DeathWord>,
-) -> Word {
+    kind: GossipKind,
+    loads: Vec<LoadReport>,
+    parts: Vec<PrefixReport>,
+    deaths: Vec<CrashReport>,
+) -> Gossip {
     core.relay.peers.number += 1;
     let passes = match kind {
-        WordKind::Totals(_) => true,
-        WordKind::Own => speaks(core),
+        GossipKind::Totals(_) => true,
+        GossipKind::Own => represents_domain(core),
         _ => false,
     };
     let passage = passes.then(|| core.relay.view.passage());
     let probes = &mut core.relay.view.probes;
     let newest = match kind {
         // Each failure domain probes the store for itself.
-        WordKind::Domain(_) | WordKind::Passed(_) => None,
-        WordKind::Totals(_) => probes.latest(core.now),
+        GossipKind::Domain(_) | GossipKind::Passed(_) => None,
+        GossipKind::Totals(_) => probes.latest(core.now),
         _ => probes.newest(core.now),
     };
-    Word {
+    Gossip {
         host: core.settings.host.name.clone(),
         incarnation: core.members.incarnation(),
         number: core.relay.peers.number,
@@ -220,9 +229,10 @@
     all.filter(|peer| peer.domain == core.settings.host.domain)
 }
 
-/// Tells whether a host was heard lately enough to be counted on.
-fn is_heard(core: &Core, peer: &Peer) -> bool {
-    peer.heard.is_some_and(|at| core.now.since(at) < SPEAKS)
+/// Whether a host was seen lately enough to be counted on.
+fn is_live(core: &Core, peer: &Peer) -> bool {
+    peer.heard
+        .is_some_and(|at| core.now.since(at) < REPRESENTATIVE_TIMEOUT)
 }
 
 /// Returns where the other hosts of this failure domain listen.
@@ -230,9 +240,9 @@
     neighbours(core).map(|peer| peer.addr).collect()
 }
 
-/// Returns how many other hosts of this failure domain are heard, directly or by an aggregator.
-pub(super) fn heard_near(core: &Core) -> u32 {
-    let direct = neighbours(core).filter(|peer| is_heard(core, peer)).count();
+/// Returns how many other hosts of this failure domain are live, seen directly or by an aggregator.
+pub(super) fn live_neighbours(core: &Core) -> u32 {
+    let direct = neighbours(core).filter(|peer| is_live(core, peer)).count();
     let peers = &core.relay.peers;
     let reporting = match peers.aggregator.current() {
         Some(_) => peers.reporting,
@@ -241,23 +251,23 @@
     u32::try_from(direct.max(reporting)).unwrap_or(u32::MAX)
 }
 
-/// Tells whether this host speaks for its failure domain: no host before it by name is heard.
-pub(super) fn speaks(core: &Core) -> bool {
+/// Whether this host represents its failure domain: no host before it by name is live.
+pub(super) fn represents_domain(core: &Core) -> bool {
     if core.relay.peers.aggregator.current().is_some() {
         return false;
     }
     let own = &core.settings.host.name;
-    !neighbours(core).any(|peer| peer.name < *own && is_heard(core, peer))
+    !neighbours(core).any(|peer| peer.name < *own && is_live(core, peer))
 }
 
-/// Tells whether a host of this failure domain stands before this one by name, heard or not.
-pub(super) fn is_behind(core: &Core) -> bool {
+/// Whether a host of this failure domain stands before this one by name, live or not.
+pub(super) fn has_predecessor(core: &Core) -> bool {
     let own = &core.settings.host.name;
     neighbours(core).any(|peer| peer.name < *own)
 }
 
-/// Returns the unfinished work of this host and of those of its failure domain that told it.
-fn summed(core: &Core) -> Vec<LoadWord> {
+/// Returns the unfinished work of this host and of those of its failure domain that reported it.
+fn summed(core: &Core) -> Vec<LoadReport> {
     let peers = &core.relay.peers;
     let own = &core.settings.host.domain;
     let totals = peers.domains.get(own);
@@ -274,8 +284,8 @@
     loads.collect()
 }
 
-fn load_word(instance: u32, work: Work) -> LoadWord {
-    LoadWord {
+fn load_word(instance: u32, work: Work) -> LoadReport {
+    LoadReport {
         instance,
         calls: work.calls,
         fill: u32::try_from(work.fill).unwrap_or(u32::MAX),
@@ -283,14 +293,17 @@
     }
 }
 
-/// Forgets the work of hosts that fell silent.
+/// Forgets the work of hosts that are unresponsive.
 fn expire(core: &mut Core) {
     let silent: Vec<HostKey> = core
         .relay
         .peers
         .arena
         .iter()
-        .filter(|(_, peer)| peer.heard.is_some_and(|at| core.now.since(at) > UNHEARD))
+        .filter(|(_, peer)| {
+            peer.heard
+                .is_some_and(|at| core.now.since(at) > PEER_TIMEOUT)
+        })
         .map(|(key, _)| key)
         .collect();
     for key in silent {
@@ -301,19 +314,19 @@
     }
 }
 
-/// Takes in another host's word, or what one sums up for its failure domain.
-pub fn told(core: &mut Core, mut word: Word, out: &mut Effects) {
+/// Takes in another host's message, or what one sums up for its failure domain.
+pub fn receive(core: &mut Core, mut word: Gossip, out: &mut Effects) {
     let Some(sender) = core.relay.peers.names.get(&word.host).copied() else {
         return;
     };
     let key = match &word.kind {
         // What this domain sums up itself is known here already.
-        WordKind::Domain(domain) | WordKind::Passed(domain)
+        GossipKind::Domain(domain) | GossipKind::Passed(domain)
             if *domain == core.settings.host.domain =>
         {
             return;
         }
-        WordKind::Domain(domain) | WordKind::Passed(domain) => {
+        GossipKind::Domain(domain) | GossipKind::Passed(domain) => {
             domains::whole(core, sender, domain.clone())
         }
         _ => sender,
@@ -346,28 +359,30 @@
     }
     let peers = &mut core.relay.peers;
     peers.down.hear(&word.parts, &word.deaths);
-    if matches!(word.kind, WordKind::Own | WordKind::Report) {
+    if matches!(word.kind, GossipKind::Own | GossipKind::Report) {
         peers.across.hear(&word.parts, &word.deaths);
     }
-    if word.kind == WordKind::Report {
+    if word.kind == GossipKind::Report {
         peers.up.hear(&word.parts, &word.deaths);
     }
     // An aggregator's totals hold all other work.
     let summed_up = peers.aggregator.current().is_some();
     match &word.kind {
-        WordKind::Hello | WordKind::Report | WordKind::Farewell => gather::heard(core, key, &word),
-        WordKind::Totals(included) => gather::totals(core, key, &word.loads, included, out),
+        GossipKind::Hello | GossipKind::Report | GossipKind::Farewell => {
+            gather::heard(core, key, &word);
+        }
+        GossipKind::Totals(included) => gather::totals(core, key, &word.loads, included, out),
         _ if summed_up => {}
         _ => core.relay.instances.told(key, &word.loads),
     }
     note_parts(core, &word.parts);
-    if matches!(word.kind, WordKind::Domain(_)) {
+    if matches!(word.kind, GossipKind::Domain(_)) {
         domains::pass_on(core, word, out);
     }
 }
 
 /// Takes in which prompt parts engines were sent.
-fn note_parts(core: &mut Core, parts: &[PartWord]) {
+fn note_parts(core: &mut Core, parts: &[PrefixReport]) {
     for part in parts {
         let Some(engine) = core.relay.instances.by_short(part.instance) else {
             continue;
--- a/src/core/relay/words/news.rs
+++ b/src/core/relay/gossip/pending.rs
@@ -1,22 +1,22 @@
 //! Prompt parts and deaths on their way to other hosts.
 
-use super::super::event::{DeathWord, PartWord};
+use super::super::event::{CrashReport, PrefixReport};
 
 /// Prompt parts, and deaths, kept to be passed on: those of a second at the largest sites.
 const MOST: usize = 256;
 
 /// What was heard and not yet passed on; the oldest is dropped first.
 #[derive(Debug, Default)]
-pub struct News {
-    parts: Vec<PartWord>,
-    deaths: Vec<DeathWord>,
+pub struct PendingUpdates {
+    parts: Vec<PrefixReport>,
+    deaths: Vec<CrashReport>,
     /// Whether anything was heard, other hosts' work included.
     any: bool,
 }
 
-impl News {
+impl PendingUpdates {
     /// Keeps what was heard.
-    pub fn hear(&mut self, parts: &[PartWord], deaths: &[DeathWord]) {
+    pub fn hear(&mut self, parts: &[PrefixReport], deaths: &[CrashReport]) {
         self.any = true;
         self.parts.extend_from_slice(parts);
         self.deaths.extend_from_slice(deaths);
@@ -34,7 +34,7 @@
     }
 
     /// Takes what was heard.
-    pub fn take(&mut self) -> (Vec<PartWord>, Vec<DeathWord>) {
+    pub fn take(&mut self) -> (Vec<PrefixReport>, Vec<CrashReport>) {
         self.any = false;
         (
             std::mem::take(&mut self.parts),
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -6,7 +6,7 @@
 
 use slotmap::SlotMap;
 
-use super::event::{Changes, Entry, LoadWord, Stage};
+use super::event::{Changes, Entry, LoadReport, Stage};
 use super::limit::Limit;
 use super::model::{Link, Pace};
 use super::parts::Part;
@@ -126,8 +126,8 @@
     }
 }
 
-impl From<LoadWord> for Work {
-    fn from(word: LoadWord) -> Self {
+impl From<LoadReport> for Work {
+    fn from(word: LoadReport) -> Self {
         Self {
             calls: word.calls,
             fill: word.fill.into(),
@@ -263,7 +263,7 @@
 /// what is between bursts.
 const FILL_TIME: Duration = Duration::from_secs(2);
 /// Tokens a second to which that is told: a hundredth of what fills an engine in some seconds, so
-/// that words do not differ for it.
+/// that messages do not differ for it.
 const FILL_UNIT: u64 = 512;
 /// Milliseconds that a request sent in vain loses, and a repeat with it.
 const VAIN: f64 = 150.0;
@@ -502,7 +502,7 @@
     }
 
     /// Takes in a host's whole unfinished work.
-    pub fn told(&mut self, host: HostKey, loads: &[LoadWord]) {
+    pub fn told(&mut self, host: HostKey, loads: &[LoadReport]) {
         for key in self.told.remove(&host).unwrap_or_default() {
             if let Some(instance) = self.arena.get_mut(key)
                 && let Some(old) = instance.others.remove(&host)
--- a/src/core/relay/killer.rs
+++ b/src/core/relay/killer.rs
@@ -11,7 +11,7 @@
 use super::super::key::{BackendKey, CallKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::DeathWord;
+use super::event::CrashReport;
 use super::note;
 
 /// Backend servers that may die of a request before it is refused.
@@ -35,7 +35,7 @@
 pub struct Killers {
     cases: BTreeMap<u64, Case>,
     /// Deaths to tell, and how often yet.
-    tell: Vec<(DeathWord, u8)>,
+    tell: Vec<(CrashReport, u8)>,
 }
 
 impl Killers {
@@ -52,7 +52,7 @@
     }
 
     /// Takes in a death, own or another host's.
-    pub fn died(&mut self, death: DeathWord, now: Time) {
+    pub fn died(&mut self, death: CrashReport, now: Time) {
         let case = self.cases.entry(death.print).or_insert_with(|| Case {
             dead: BTreeSet::new(),
             last: now,
@@ -68,7 +68,7 @@
     }
 
     /// Returns the deaths that other hosts are to be told of now.
-    pub fn take_untold(&mut self) -> Vec<DeathWord> {
+    pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
         let words = self.tell.iter().map(|(word, _)| *word).collect();
         for (_, left) in &mut self.tell {
             *left -= 1;
@@ -84,7 +84,7 @@
         return;
     };
     let call = &core.relay.calls[call];
-    let word = DeathWord {
+    let word = CrashReport {
         print: call.print,
         instance: instance.short,
     };
--- a/src/core/relay/limit.rs
+++ b/src/core/relay/limit.rs
@@ -16,7 +16,7 @@
 /// Least requests a second that are sent to a limited server: without one now and then, nobody learns that a
 /// limit of zero has ended.
 const MIN_RATE: f64 = 0.1;
-/// Time without word of a limit after which its server is preferred more and more, until an answer shows whether
+/// Time since a limit was last named after which its server is preferred more and more, until an answer shows whether
 /// it still holds.
 const RECHECK: Duration = Duration::from_secs(2);
 /// Milliseconds of delay that are borne for that, for each second beyond that time.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 mod choose;
 pub mod event;
+mod gossip;
 pub mod instance;
 mod killer;
 pub mod limit;
@@ -21,7 +22,6 @@
 #[cfg(test)]
 mod tests;
 mod view;
-mod words;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -46,8 +46,8 @@
     Deadline(CallKey),
     /// An attempt has brought nothing for as long as is taken.
     Silence(AttemptKey),
-    /// Tell other hosts, and forget what is old.
-    Tell,
+    /// Send gossip to other hosts, and forget what is old.
+    Publish,
     /// Renew the registration of this host.
     Register,
     /// Register this host in a new era of the store.
@@ -256,7 +256,7 @@
             result,
         } => split::ordered(core, &instance, fence, result, out),
         RelayEvent::Reloaded(settings) => reloaded(core, *settings, out),
-        RelayEvent::Told(word) => words::told(core, *word, out),
+        RelayEvent::Gossiped(word) => gossip::receive(core, *word, out),
     }
 }
 
@@ -265,7 +265,7 @@
     match timer {
         RelayTimer::Deadline(key) => call::deadline(core, key, out),
         RelayTimer::Silence(attempt) => answer::silence(core, attempt, out),
-        RelayTimer::Tell => words::tell(core, out),
+        RelayTimer::Publish => gossip::publish(core, out),
         RelayTimer::Register => peers::register(core, out),
         RelayTimer::RegisterAgain => peers::register_again(core, out),
         RelayTimer::Follow(last) => view::follow(core, last, out),
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -13,10 +13,10 @@
 use super::super::key::HostKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::event::{Changes, LoadWord, PartWord, PromptPart, RelayEffect};
+use super::event::{Changes, LoadReport, PrefixReport, PromptPart, RelayEffect};
+use super::gossip::{Aggregator, PendingUpdates};
 use super::instance::short;
-use super::words::{Aggregator, News};
-use super::{RelayJob, RelayTimer, job, limit, note, parts, wake, words};
+use super::{RelayJob, RelayTimer, gossip, job, limit, note, parts, wake};
 use crate::store::{Compare, Op, Txn};
 
 /// Life of the lease of a registration.
@@ -60,17 +60,17 @@
     /// The host that sums up for this one, in a large failure domain.
     pub(super) aggregator: Aggregator,
     /// Reports to it that totals may include, by number.
-    pub(super) reports: VecDeque<(u64, Vec<LoadWord>)>,
+    pub(super) reports: VecDeque<(u64, Vec<LoadReport>)>,
     /// Hosts that report to it.
     pub(super) reporting: usize,
     /// When the hosts that report here were last answered.
     pub(super) answered: Option<Time>,
     /// What was heard here and from hosts that report here, for the aggregator.
-    pub(super) up: News,
+    pub(super) up: PendingUpdates,
     /// What was heard from anywhere, for the hosts that report here.
-    pub(super) down: News,
+    pub(super) down: PendingUpdates,
     /// What was heard in this failure domain, for the others.
-    pub(super) across: News,
+    pub(super) across: PendingUpdates,
     /// Hosts that were not found when every key was last read.
     unlisted: BTreeSet<Box<str>>,
     /// Hosts whose entries are gone and that are still heard.
@@ -82,8 +82,8 @@
     /// When a lease of the registration was asked for, while there is no answer.
     pub(super) asked: Option<Time>,
     pub(super) number: u64,
-    pub(super) parts: Vec<PartWord>,
-    pub(super) last: Vec<LoadWord>,
+    pub(super) parts: Vec<PrefixReport>,
+    pub(super) last: Vec<LoadReport>,
     /// When the prompt parts of engines were last looked at.
     pub(super) swept: Option<Time>,
     /// When the hosts of this failure domain were last told.
@@ -106,7 +106,7 @@
     pub fn sent(&mut self, parts: Option<&Vec<PromptPart>>, instance: u32) {
         let shared = parts.map_or(&[][..], |parts| parts::shared(parts));
         for part in shared.iter().filter(|part| part.tokens >= parts::LEAST) {
-            self.parts.push(PartWord {
+            self.parts.push(PrefixReport {
                 part: part.id,
                 tokens: u32::try_from(part.tokens).unwrap_or(u32::MAX),
                 instance,
@@ -118,7 +118,7 @@
 /// Registers this host and begins to tell others of its work.
 pub fn start(core: &mut Core, out: &mut Effects) {
     register(core, out);
-    wake(core, words::EVERY, RelayTimer::Tell, out);
+    wake(core, gossip::GOSSIP_INTERVAL, RelayTimer::Publish, out);
 }
 
 /// Gets the registration's lease or renews it, and does so again in time.
@@ -270,7 +270,7 @@
 /// refuse its callers. The store is the one place that only hosts of the system can write to.
 fn make_secret(core: &mut Core, out: &mut Effects) {
     let known = core.relay.peers.secret;
-    if known.is_some() && !words::speaks(core) {
+    if known.is_some() && !gossip::represents_domain(core) {
         return;
     }
     // Hosts that share one already keep it: a store that came back from an older copy may have lost it.
--- a/src/core/relay/tests/departed.rs
+++ b/src/core/relay/tests/departed.rs
@@ -2,7 +2,7 @@
 
 use super::domain::Domain;
 use super::*;
-use crate::core::relay::event::{UptimeReport, Word, WordKind};
+use crate::core::relay::event::{Gossip, GossipKind, UptimeReport};
 use crate::core::relay::view::Uptime;
 
 /// Time after its return within which a host sends nothing more to a server that left meanwhile.
@@ -118,13 +118,13 @@
         sent.filter(|sent| *sent.instance == *"r").count()
     };
     assert!(served(&mut alone) > 0);
-    alone.event(RelayEvent::Told(Box::new(Word {
+    alone.event(RelayEvent::Gossiped(Box::new(Gossip {
         host: "host-00".into(),
         incarnation: 1,
         number: 1,
-        kind: WordKind::Domain("y".into()),
+        kind: GossipKind::Domain("y".into()),
         uptime,
-        ..Word::default()
+        ..Gossip::default()
     })));
     assert_eq!(served(&mut alone), 0);
 }
@@ -136,13 +136,13 @@
     let mut site = Site::new();
     let key = "hosts/host-2";
     site.key(key, Some(r#"{"addr":"127.0.0.1:9","domain":"z"}"#), 3);
-    let tells = |out: &Effects| did(out, |effect| matches!(effect, RelayEffect::Tell { .. }));
+    let tells = |out: &Effects| did(out, |effect| matches!(effect, RelayEffect::Publish { .. }));
     let hear = |site: &mut Site, number| {
-        site.event(RelayEvent::Told(Box::new(Word {
+        site.event(RelayEvent::Gossiped(Box::new(Gossip {
             host: "host-2".into(),
             incarnation: 1,
             number,
-            ..Word::default()
+            ..Gossip::default()
         })));
     };
     hear(&mut site, 1);
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::*;
-use crate::core::relay::event::{Ask, StoreAnswer, StoreChange, Word};
+use crate::core::relay::event::{Ask, Gossip, StoreAnswer, StoreChange};
 use crate::core::relay::instance::Work;
 
 /// Milliseconds that a datagram takes.
@@ -15,7 +15,7 @@
 pub struct Domain {
     pub hosts: Vec<Option<Site>>,
     pub now: u64,
-    pub transit: Vec<(u64, usize, usize, Word)>,
+    pub transit: Vec<(u64, usize, usize, Gossip)>,
     /// Pairs of hosts, sender first, between which nothing arrives.
     pub cuts: Vec<(usize, usize)>,
     /// Datagrams sent by each host.
@@ -288,7 +288,7 @@
                 if let Some(site) = self.hosts[to].as_mut().filter(|_| !cut) {
                     self.heard[to] += 1;
                     site.now = self.now;
-                    site.event(RelayEvent::Told(Box::new(word)));
+                    site.event(RelayEvent::Gossiped(Box::new(word)));
                     self.carry(to);
                 }
             }
@@ -319,7 +319,7 @@
             return;
         };
         for effect in &site.out {
-            let Effect::Relay(RelayEffect::Tell { to, word }) = effect else {
+            let Effect::Relay(RelayEffect::Publish { to, word }) = effect else {
                 continue;
             };
             for listener in to {
--- a/src/core/relay/tests/era.rs
+++ b/src/core/relay/tests/era.rs
@@ -3,7 +3,7 @@
 use super::domain::Domain;
 use super::*;
 use crate::core::event::Job;
-use crate::core::relay::event::{Ask, Passage, StoreChange, UptimeReport, Word};
+use crate::core::relay::event::{Ask, Gossip, ReplicatedChanges, StoreChange, UptimeReport};
 use crate::core::relay::view::era::fence;
 use crate::core::relay::{RelayJob, RelayTimer};
 use crate::store::TxnReply;
@@ -118,8 +118,8 @@
     an_unknown_era_is_below_all: (0, 5_000_000), (1, 1);
 }
 
-/// Returns a word of another host in an era.
-fn word(number: u64, era: u64, at: i64) -> Word {
+/// Returns a message of another host in an era.
+fn word(number: u64, era: u64, at: i64) -> Gossip {
     let change = StoreChange {
         revision: at,
         changes: Changes {
@@ -128,12 +128,12 @@
         },
         ..StoreChange::default()
     };
-    Word {
+    Gossip {
         host: "host-0".into(),
         incarnation: 1,
         number,
         era,
-        passage: Some(Passage {
+        passage: Some(ReplicatedChanges {
             after: 0,
             at,
             events: vec![change],
@@ -142,7 +142,7 @@
             length: Duration::from_secs(9),
             age: Duration::ZERO,
         }),
-        ..Word::default()
+        ..Gossip::default()
     }
 }
 
@@ -157,7 +157,7 @@
         3,
     );
     site.event(RelayEvent::Era(2));
-    site.event(RelayEvent::Told(Box::new(word(1, 1, 50))));
+    site.event(RelayEvent::Gossiped(Box::new(word(1, 1, 50))));
     let version = site
         .core
         .relay
@@ -177,7 +177,7 @@
         Some(r#"{"addr":"127.0.0.1:9","domain":"z"}"#),
         3,
     );
-    site.event(RelayEvent::Told(Box::new(word(1, 2, 5))));
+    site.event(RelayEvent::Gossiped(Box::new(word(1, 2, 5))));
     assert_eq!(site.core.relay.view.era(), 2);
     let out = site.pass(BOUND);
     assert!(asks(&out).contains(&Ask::Page { after: None }));
--- a/src/core/relay/tests/words.rs
+++ b/src/core/relay/tests/gossip.rs
@@ -5,7 +5,7 @@
 //! is old when it is heard.
 
 use super::domain::{Domain, addr};
-use crate::core::relay::event::{LoadWord, Word, WordKind};
+use crate::core::relay::event::{Gossip, GossipKind, LoadReport};
 
 /// Every host sends to the server that looks idle, as nobody has told it of the others' requests.
 #[test]
@@ -14,7 +14,7 @@
     domain.pass(1000);
     let server = domain.request(17);
     let took = domain.until(29, &server, 1);
-    // Two words up and two down, each at most 45 ms after the one before, and on its way for 1 ms.
+    // Two messages up and two down, each at most 45 ms after the one before, and on its way for 1 ms.
     assert!(took <= 184, "{took} ms");
     domain.pass(184);
     domain.assert_known(&server, &[(17, 1)]);
@@ -121,7 +121,7 @@
     }
 }
 
-/// In a small failure domain a word by way of another host would only be later.
+/// In a small failure domain a message by way of another host would only be later.
 #[test]
 fn hosts_of_a_small_domain_tell_each_other() {
     let mut domain = Domain::of(5);
@@ -143,17 +143,17 @@
             let entry = format!(r#"{{"addr":"{}","domain":"y"}}"#, addr(29));
             host.key("hosts/far-1", Some(&entry), 4);
         }
-        let word = Word {
+        let word = Gossip {
             host: "far-1".into(),
             incarnation: 1,
             number: 1,
-            kind: WordKind::Domain("y".into()),
-            loads: vec![LoadWord {
+            kind: GossipKind::Domain("y".into()),
+            loads: vec![LoadReport {
                 instance: crate::core::relay::instance::short("p"),
                 calls: 3,
                 ..Default::default()
             }],
-            ..Word::default()
+            ..Gossip::default()
         };
         domain.transit.push((domain.now, 29, told, word));
         domain.until(28, "p", 3);
--- a/src/core/relay/tests/load.rs
+++ b/src/core/relay/tests/load.rs
@@ -5,7 +5,7 @@
 //! a millisecond, and read admitted prompts in the order in which they came.
 
 use super::*;
-use crate::core::relay::event::{LoadWord, PartWord, Task, Word};
+use crate::core::relay::event::{Gossip, LoadReport, PrefixReport, Task};
 use crate::core::relay::instance::short;
 
 fn site() -> Site {
@@ -20,12 +20,12 @@
     site
 }
 
-fn word(host: &str, number: u64) -> Word {
-    Word {
+fn word(host: &str, number: u64) -> Gossip {
+    Gossip {
         host: host.into(),
         incarnation: 1,
         number,
-        ..Word::default()
+        ..Gossip::default()
     }
 }
 
@@ -62,8 +62,8 @@
     for engine in ["p", "q", "r"] {
         let mut site = site();
         host(&mut site, "host-2");
-        site.event(RelayEvent::Told(Box::new(Word {
-            parts: vec![PartWord {
+        site.event(RelayEvent::Gossiped(Box::new(Gossip {
+            parts: vec![PrefixReport {
                 part: 1,
                 tokens: 13_000,
                 instance: short(engine),
@@ -80,20 +80,20 @@
 fn work_of_other_hosts_counts() {
     let mut site = site();
     host(&mut site, "host-2");
-    let busy = |id: &str| LoadWord {
+    let busy = |id: &str| LoadReport {
         instance: short(id),
         calls: 3,
         fill: 0,
         tokens: 30_000,
     };
-    site.event(RelayEvent::Told(Box::new(Word {
+    site.event(RelayEvent::Gossiped(Box::new(Gossip {
         loads: vec![busy("p"), busy("q")],
         ..word("host-2", 2)
     })));
     site.arrive(prompt("/long/x", (1, 13_000), 1000));
     assert_eq!(site.sent().map(|sent| sent.instance), Some("r".into()));
-    // Datagrams overtake each other: an older word changes nothing.
-    site.event(RelayEvent::Told(Box::new(word("host-2", 1))));
+    // Datagrams overtake each other: an older message changes nothing.
+    site.event(RelayEvent::Gossiped(Box::new(word("host-2", 1))));
     site.arrive(prompt("/long/y", (2, 13_000), 1000));
     let sent = site.sent().map(|sent| sent.instance);
     assert!(sent != Some("p".into()) && sent != Some("q".into()));
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod departed;
 mod domain;
 mod era;
+mod gossip;
 mod handover;
 mod limit;
 mod load;
@@ -15,7 +16,6 @@
 mod spread;
 mod stream;
 mod view;
-mod words;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/src/core/relay/tests/parts.rs
+++ b/src/core/relay/tests/parts.rs
@@ -5,7 +5,7 @@
 //! so that a part of 240 MB is copied in about 10 ms.
 
 use super::*;
-use crate::core::relay::event::{LoadWord, PartWord, Task, Word};
+use crate::core::relay::event::{Gossip, LoadReport, PrefixReport, Task};
 use crate::core::relay::instance::short;
 
 const SHARED: u64 = 13_000;
@@ -35,24 +35,24 @@
 
 /// Has another host tell of its work, and of a shared part that engines hold.
 fn told(site: &mut Site, number: u64, busy: &[&str], holding: &[&str]) {
-    let loads = busy.iter().map(|id| LoadWord {
+    let loads = busy.iter().map(|id| LoadReport {
         instance: short(id),
         calls: 3,
         fill: 0,
         tokens: 12_000,
     });
-    let parts = holding.iter().map(|id| PartWord {
+    let parts = holding.iter().map(|id| PrefixReport {
         part: 1,
         tokens: 13_000,
         instance: short(id),
     });
-    site.event(RelayEvent::Told(Box::new(Word {
+    site.event(RelayEvent::Gossiped(Box::new(Gossip {
         host: "host-2".into(),
         incarnation: 1,
         number,
         loads: loads.collect(),
         parts: parts.collect(),
-        ..Word::default()
+        ..Gossip::default()
     })));
 }
 
@@ -140,20 +140,20 @@
 fn a_part_is_dropped_once_others_filled_the_memory() {
     let mut site = site();
     told(&mut site, 1, &[], &["p"]);
-    let fill = LoadWord {
+    let fill = LoadReport {
         instance: short("p"),
         fill: 300_000,
-        ..LoadWord::default()
+        ..LoadReport::default()
     };
     // The memory of 500,000 tokens is filled in 1.7 s.
     for number in 2..18 {
         site.pass(150);
-        site.event(RelayEvent::Told(Box::new(Word {
+        site.event(RelayEvent::Gossiped(Box::new(Gossip {
             host: "host-2".into(),
             incarnation: 1,
             number,
             loads: vec![fill],
-            ..Word::default()
+            ..Gossip::default()
         })));
         let key = site.core.relay.instances.find("p").expect("known");
         let held = site.core.relay.instances.arena[key].parts.len();
--- a/src/core/relay/tests/spread.rs
+++ b/src/core/relay/tests/spread.rs
@@ -1,6 +1,6 @@
 //! Where requests go that many hosts take in at the same moment.
 //!
-//! The pattern is that of sites with hundreds of hosts, where as many requests arrive between two words
+//! The pattern is that of sites with hundreds of hosts, where as many requests arrive between two messages
 //! of the hosts as there are engines.
 
 use super::*;
@@ -43,7 +43,7 @@
     counts.into_values().max().unwrap_or(0)
 }
 
-/// All hosts hold the same engine for the best until the next word, and send all they get to it.
+/// All hosts hold the same engine for the best until the next message, and send all they get to it.
 #[test]
 fn hosts_that_have_not_heard_of_each_other_choose_apart() {
     let most = most(120, |host| host as u64);
--- a/src/core/relay/tests/view/passed.rs
+++ b/src/core/relay/tests/view/passed.rs
@@ -1,7 +1,7 @@
 //! How hosts of a failure domain learn from one of them what changes in the store.
 
 use super::*;
-use crate::core::relay::event::{Passage, StoreChange, Word};
+use crate::core::relay::event::{Gossip, ReplicatedChanges, StoreChange};
 use crate::core::relay::tests::domain::Domain;
 
 /// Sizes of a failure domain where each host tells all, and where they report to one.
@@ -95,7 +95,7 @@
     }
 }
 
-/// A third of all datagrams is lost: a change may miss a host in each word that carries it.
+/// A third of all datagrams is lost: a change may miss a host in each message that carries it.
 #[test]
 fn lost_words_hide_no_change() {
     for hosts in SIZES {
@@ -181,15 +181,15 @@
     }
 }
 
-fn hear(run: &mut Run, number: u64, passage: Passage) {
-    let word = Word {
+fn hear(run: &mut Run, number: u64, passage: ReplicatedChanges) {
+    let word = Gossip {
         host: "host-0".into(),
         incarnation: 1,
         number,
         passage: Some(passage),
-        ..Word::default()
+        ..Gossip::default()
     };
-    run.site.event(RelayEvent::Told(Box::new(word)));
+    run.site.event(RelayEvent::Gossiped(Box::new(word)));
     let out = run.site.out.clone();
     run.carry(&out);
 }
@@ -199,12 +199,12 @@
     catalog.map_or(0, |catalog| catalog.version)
 }
 
-/// A word that was overtaken, or that repeats what is known, takes nothing back; one that leaves a gap
+/// A message that was overtaken, or that repeats what is known, takes nothing back; one that leaves a gap
 /// is not applied.
 #[test]
 fn passed_changes_are_applied_once_and_in_order() {
     let (mut run, at) = resting();
-    let passage = |after: i64, to: i64| Passage {
+    let passage = |after: i64, to: i64| ReplicatedChanges {
         after,
         at: to,
         events: (after + 1..=to).map(change).collect(),
@@ -242,7 +242,7 @@
         ..StoreChange::default()
     };
     for (number, to) in [(1, at + 2), (2, at + 3)] {
-        let passage = Passage {
+        let passage = ReplicatedChanges {
             after: at,
             at: to,
             events: vec![gone.clone(), back.clone()],
--- a/src/core/relay/tests/view/probes.rs
+++ b/src/core/relay/tests/view/probes.rs
@@ -1,21 +1,21 @@
 //! How the hosts of a failure domain share their probes of the store.
 
 use super::*;
-use crate::core::relay::event::{NewestWord, Word};
+use crate::core::relay::event::{Gossip, ProbeReport};
 
 /// Has the host hear that another one's probe, sent so long ago, showed the store's revision.
 fn hear(run: &mut Run, number: u64, age: u64) {
-    let word = Word {
+    let word = Gossip {
         host: "host-2".into(),
         incarnation: 1,
         number,
-        newest: Some(NewestWord {
+        newest: Some(ProbeReport {
             revision: run.store.revision,
             age: Duration::from_millis(age),
         }),
-        ..Word::default()
+        ..Gossip::default()
     };
-    run.site.event(RelayEvent::Told(Box::new(word)));
+    run.site.event(RelayEvent::Gossiped(Box::new(word)));
     let out = run.site.out.clone();
     run.carry(&out);
 }
@@ -31,7 +31,7 @@
 }
 
 /// Another host of the failure domain probes the store and tells of it. This one asks for nothing,
-/// and notices by the other's word that its own watch was lost.
+/// and notices by the other's message that its own watch was lost.
 #[test]
 fn one_host_probes_for_its_failure_domain() {
     let mut run = beside_another();
@@ -51,7 +51,7 @@
     assert_eq!(run.given_up, 1);
 }
 
-/// The host that probed falls silent, or its words do not arrive. The others probe themselves.
+/// The host that probed falls silent, or its messages do not arrive. The others probe themselves.
 #[test]
 fn a_host_that_hears_of_no_probe_sends_its_own() {
     let mut run = beside_another();
@@ -65,7 +65,7 @@
     let mut run = beside_another();
     let told = |out: &Effects| {
         let words = out.iter().filter_map(|effect| match effect {
-            Effect::Relay(RelayEffect::Tell { word, .. }) => word.newest,
+            Effect::Relay(RelayEffect::Publish { word, .. }) => word.newest,
             _ => None,
         });
         words
@@ -94,13 +94,13 @@
     let before = run.store.asked.2;
     for number in 0..60 {
         for host in 0..hosts {
-            let word = Word {
+            let word = Gossip {
                 host: name(host).into(),
                 incarnation: 1,
                 number,
-                ..Word::default()
+                ..Gossip::default()
             };
-            run.site.event(RelayEvent::Told(Box::new(word)));
+            run.site.event(RelayEvent::Gossiped(Box::new(word)));
         }
         run.pass(500);
     }
--- a/src/core/relay/view/history.rs
+++ b/src/core/relay/view/history.rs
@@ -2,11 +2,11 @@
 
 use std::collections::VecDeque;
 
-use super::super::event::{Passage, StoreChange};
+use super::super::event::{ReplicatedChanges, StoreChange};
 
 /// Words in which a change is passed on: datagrams are lost now and then.
 const TIMES: u8 = 3;
-/// Most bytes of keys and values in one word. What is more is read from the store by each host.
+/// Most bytes of keys and values in one message. What is more is read from the store by each host.
 const MOST: usize = 24 * 1024;
 
 /// Changes that follow each other without a gap.
@@ -14,7 +14,7 @@
 pub struct History {
     /// Revision before the first change.
     after: i64,
-    /// Changes, and in how many words each was passed on.
+    /// Changes, and in how many messages each was passed on.
     events: VecDeque<(StoreChange, u8)>,
     news: bool,
 }
@@ -42,14 +42,14 @@
         }
     }
 
-    /// Tells whether changes were learned since the last word.
+    /// Tells whether changes were learned since the last message.
     #[must_use]
     pub fn has_news(&self) -> bool {
         self.news
     }
 
-    /// Returns what the next word passes on, where all changes up to a revision are known.
-    pub fn take(&mut self, at: i64) -> Passage {
+    /// Returns what the next message passes on, where all changes up to a revision are known.
+    pub fn take(&mut self, at: i64) -> ReplicatedChanges {
         self.news = false;
         while let Some((event, times)) = self.events.front()
             && *times >= TIMES
@@ -64,7 +64,7 @@
             *times += 1;
             event.clone()
         });
-        Passage {
+        ReplicatedChanges {
             events: events.collect(),
             after: self.after,
             at,
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -6,7 +6,7 @@
 //! again. Callers then meet an old configuration, and requests go to servers that have left, for as
 //! long as the watch may wait.
 //!
-//! One host of a failure domain watches for all: what it learns goes on with its words, and the others
+//! One host of a failure domain watches for all: what it learns goes on with its messages, and the others
 //! rest while they are told in time. See [`history`] and [`passed`].
 //!
 //! Probes tell a lost watch from a store in which nothing happens. Each asks for the store's newest revision, at a tenth of the price of
@@ -25,8 +25,10 @@
 #[cfg(test)]
 pub(super) use uptime::Uptime;
 
-use super::event::{Ask, Changes, Passage, RelayEffect, StoreAnswer, StoreChange, UptimeReport};
-use super::{RelayTimer, instance, note, peers, wake, words};
+use super::event::{
+    Ask, Changes, RelayEffect, ReplicatedChanges, StoreAnswer, StoreChange, UptimeReport,
+};
+use super::{RelayTimer, gossip, instance, note, peers, wake};
 use crate::core::effect::Effect;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
@@ -45,7 +47,7 @@
 /// leaves must get no new work.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1200));
 /// Age of the view up to which a host that is told of changes watches for none itself: a probe and the
-/// word that tells of it come well within it, and with a watch it stays under a second.
+/// message that tells of it come well within it, and with a watch it stays under a second.
 const SERVED: Duration = Duration::from_millis(900);
 /// Time after its start in which a host expects to hear from the one that watches.
 const BEGINS: Duration = Duration::from_millis(600);
@@ -145,8 +147,8 @@
         self.current = self.current.max(Some(at));
     }
 
-    /// Returns the changes that the next word passes on.
-    pub(super) fn passage(&mut self) -> Passage {
+    /// Returns the changes that the next message passes on.
+    pub(super) fn passage(&mut self) -> ReplicatedChanges {
         self.history.take(self.at)
     }
 
@@ -244,8 +246,8 @@
 fn is_served(core: &Core) -> bool {
     let view = &core.relay.view;
     let fresh = view.current.is_some_and(|at| core.now.since(at) <= SERVED);
-    let begins = core.now.since(view.started) <= BEGINS && words::is_behind(core);
-    fresh && (begins || !words::speaks(core))
+    let begins = core.now.since(view.started) <= BEGINS && gossip::has_predecessor(core);
+    fresh && (begins || !gossip::represents_domain(core))
 }
 
 /// Asks for the next page, or for changes unless another host tells of them.
@@ -267,10 +269,10 @@
 /// Takes in changes that another host passed on.
 ///
 /// Changes that begin after what is known here would leave a gap: the store is asked for those.
-pub fn passed(core: &mut Core, from: &str, passage: Passage, out: &mut Effects) {
-    let speaks = words::speaks(core);
+pub fn passed(core: &mut Core, from: &str, passage: ReplicatedChanges, out: &mut Effects) {
+    let represents_domain = gossip::represents_domain(core);
     let view = &mut core.relay.view;
-    if speaks || view.pages.is_some() || passage.at <= view.at {
+    if represents_domain || view.pages.is_some() || passage.at <= view.at {
         return;
     }
     if passage.after > view.at {
@@ -389,7 +391,7 @@
 /// Takes in what changed, and goes on watching.
 fn watched(core: &mut Core, asked: Asked, at: i64, changes: Changes, out: &mut Effects) {
     // Where one host watches for a failure domain, there are as many as domains.
-    let hosts = if words::speaks(core) {
+    let hosts = if gossip::represents_domain(core) {
         core.relay.peers.domains.len() + 1
     } else {
         core.relay.peers.hosts()
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -5,8 +5,8 @@
 
 use rand::RngExt;
 
-use super::super::event::{Ask, NewestWord, RelayEffect, StoreAnswer};
-use super::super::{RelayTimer, note, wake, words};
+use super::super::event::{Ask, ProbeReport, RelayEffect, StoreAnswer};
+use super::super::{RelayTimer, gossip, note, wake};
 use super::{Asked, View, ask, drop_missing, in_ms, judge};
 use crate::core::effect::Effect;
 use crate::core::time::Time;
@@ -17,7 +17,7 @@
 /// The upper one, [`GRACE`] and [`SPREAD`] together stay under the second within which a host must
 /// know what it missed.
 const EVERY: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(650));
-/// Hosts of a failure domain that probe in one round, on average, beside the one that speaks for it,
+/// Hosts of a failure domain that probe in one round, on average, beside its representative,
 /// while none is answered: that one may be the only host that does not reach the store.
 const TURNS: f64 = 3.0;
 /// Time that a call has, beside two of the probe's own, after a later probe was answered.
@@ -57,10 +57,10 @@
 
 impl Probes {
     /// Returns what this host's own last answered probe showed, to tell the other hosts.
-    pub fn newest(&mut self, now: Time) -> Option<NewestWord> {
+    pub fn newest(&mut self, now: Time) -> Option<ProbeReport> {
         self.news = false;
         let own = self.last.filter(|check| !check.heard)?;
-        Some(NewestWord {
+        Some(ProbeReport {
             revision: own.newest,
             age: now.since(own.sent),
         })
@@ -68,10 +68,10 @@
 
     /// Returns what the last answered probe showed, whoever sent it, to tell those that hear of
     /// other hosts by this one.
-    pub fn latest(&mut self, now: Time) -> Option<NewestWord> {
+    pub fn latest(&mut self, now: Time) -> Option<ProbeReport> {
         self.news = false;
         let check = self.last?;
-        Some(NewestWord {
+        Some(ProbeReport {
             revision: check.newest,
             age: now.since(check.sent),
         })
@@ -133,14 +133,14 @@
 /// Asks for the store's newest revision, unless a host near by just did, and says whether the store
 /// is up. One answered probe serves a whole failure domain.
 pub fn probe(core: &mut Core, out: &mut Effects) {
-    let near = words::heard_near(core) + 1;
-    let speaks = words::speaks(core);
+    let near = gossip::live_neighbours(core) + 1;
+    let represents_domain = gossip::represents_domain(core);
     let view = &mut core.relay.view;
     let ago = view.probes.last.map(|check| core.now.since(check.sent));
     if let Some(ago) = ago.filter(|ago| *ago < EVERY.0) {
         wake_after(core, ago, out);
     } else {
-        if speaks || core.rng.random::<f64>() * f64::from(near) < TURNS {
+        if represents_domain || core.rng.random::<f64>() * f64::from(near) < TURNS {
             let number = view.next();
             view.probes.send(number, core.now);
             let ask = Ask::Probe;
@@ -152,7 +152,7 @@
 }
 
 /// Takes in what a probe of another host of this failure domain showed.
-pub fn told(core: &mut Core, newest: NewestWord, out: &mut Effects) {
+pub fn told(core: &mut Core, newest: ProbeReport, out: &mut Effects) {
     let check = Check {
         sent: core.now.before(newest.age),
         newest: newest.revision,
--- a/src/host/relay/datagrams.rs
+++ b/src/host/relay/datagrams.rs
@@ -1,7 +1,7 @@
 //! Words between hosts, as datagrams: a lost one is made good by the next.
 //!
 //! Each begins with a code made with the secret that the hosts share by the store; what has another
-//! is not heard. A word repeated by somebody else changes nothing, for words are numbered.
+//! is not heard. A message repeated by somebody else changes nothing, for messages are numbered.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,11 +10,11 @@
 use tokio::net::UdpSocket;
 
 use super::{keeper, tell as tell_core};
-use crate::core::relay::event::{RelayEvent, Word};
+use crate::core::relay::event::{Gossip, RelayEvent};
 use crate::host::node::Node;
 use crate::wire;
 
-/// Bytes of the code before each word.
+/// Bytes of the code before each message.
 const CODE: usize = 16;
 /// Most bytes of a datagram that is taken.
 const MOST: usize = 64 * 1024;
@@ -25,10 +25,10 @@
     code
 }
 
-/// Returns the bytes of a word with its code before them.
-pub(super) fn sealed(secret: &[u8; 32], word: &Word) -> BytesMut {
+/// Returns the bytes of a message with its code before them.
+pub(super) fn sealed(secret: &[u8; 32], word: &Gossip) -> BytesMut {
     let mut bytes = BytesMut::zeroed(CODE);
-    wire::encode_word(word, &mut bytes);
+    wire::encode_gossip(word, &mut bytes);
     let code = code(secret, &bytes[CODE..]);
     bytes[..CODE].copy_from_slice(&code);
     bytes
@@ -47,8 +47,8 @@
     (widen(given) == widen(&wanted)).then_some(rest)
 }
 
-/// Sends a word to other hosts.
-pub fn tell(node: &Rc<Node>, to: &[SocketAddr], word: &Word) {
+/// Sends a message to other hosts.
+pub fn tell(node: &Rc<Node>, to: &[SocketAddr], word: &Gossip) {
     let socket = node.relay.socket.borrow().clone();
     let Some(socket) = socket else { return };
     let Some(secret) = node.relay.secret.get() else {
@@ -62,7 +62,7 @@
     }
 }
 
-/// Takes in words until the process ends.
+/// Takes in messages until the process ends.
 pub async fn receive(node: Rc<Node>, socket: Rc<UdpSocket>) {
     *node.relay.socket.borrow_mut() = Some(Rc::clone(&socket));
     let mut buffer = vec![0; MOST];
@@ -79,14 +79,14 @@
             log::debug!("a word from {from} is not proved");
             continue;
         };
-        match wire::decode_word(proved) {
+        match wire::decode_gossip(proved) {
             Ok(mut word) => {
                 let events = word
                     .passage
                     .iter_mut()
                     .flat_map(|passage| &mut passage.events);
                 events.for_each(keeper::read);
-                tell_core(&node, RelayEvent::Told(Box::new(word)));
+                tell_core(&node, RelayEvent::Gossiped(Box::new(word)));
             }
             Err(err) => log::debug!("a word from {from} cannot be read: {err}"),
         }
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -109,7 +109,7 @@
     hand: RefCell<Option<Hand>>,
     /// Secret that all hosts share.
     secret: Cell<Option<[u8; 32]>>,
-    /// Socket for words to other hosts.
+    /// Socket for messages to other hosts.
     pub socket: RefCell<Option<Rc<UdpSocket>>>,
 }
 
@@ -237,6 +237,6 @@
         RelayEffect::Unask(number) => {
             ports.asks.borrow_mut().remove(&number);
         }
-        RelayEffect::Tell { to, word } => datagrams::tell(node, &to, &word),
+        RelayEffect::Publish { to, word } => datagrams::tell(node, &to, &word),
     }
 }
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -6,15 +6,15 @@
 
 use super::datagrams::{proved, sealed};
 use super::events::Splitter;
-use crate::core::relay::event::{LimitReport, LoadWord, UptimeReport, Word};
+use crate::core::relay::event::{Gossip, LimitReport, LoadReport, UptimeReport};
 use crate::wire;
 
-fn word() -> Word {
-    Word {
+fn word() -> Gossip {
+    Gossip {
         host: "host-1".into(),
         incarnation: 7,
         number: 3,
-        loads: vec![LoadWord {
+        loads: vec![LoadReport {
             instance: 1,
             calls: 2,
             fill: 3,
@@ -36,7 +36,7 @@
             length: Duration::from_secs(9),
             age: Duration::from_millis(400),
         }),
-        ..Word::default()
+        ..Gossip::default()
     }
 }
 
@@ -46,7 +46,7 @@
 fn a_word_without_the_secret_is_not_heard() {
     let bytes = sealed(&[1; 32], &word());
     let rest = proved(Some([1; 32]), &bytes).expect("proved");
-    assert_eq!(wire::decode_word(rest), Ok(word()));
+    assert_eq!(wire::decode_gossip(rest), Ok(word()));
     assert_eq!(proved(Some([2; 32]), &bytes), None);
     assert_eq!(proved(None, &bytes), None);
     assert_eq!(proved(Some([1; 32]), &bytes[..10]), None);
@@ -85,7 +85,7 @@
     /// Whatever bytes arrive, reading them ends.
     #[test]
     fn any_datagram_is_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
-        let _ = wire::decode_word(&bytes);
+        let _ = wire::decode_gossip(&bytes);
         let _ = proved(Some([0; 32]), &bytes);
     }
 }
--- a/src/wire/word.rs
+++ b/src/wire/gossip.rs
@@ -7,12 +7,12 @@
 
 use super::{WireError, generated as wire};
 use crate::core::relay::event::{
-    Changes, DeathWord, Included, LimitReport, LoadWord, NewestWord, PartWord, Passage,
-    StoreChange, UptimeReport, Word, WordKind,
+    Changes, CrashReport, Gossip, GossipKind, Included, LimitReport, LoadReport, PrefixReport,
+    ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
 };
 
-/// Appends the bytes of a word.
-pub fn encode_word(word: &Word, out: &mut BytesMut) {
+/// Appends the bytes of a message.
+pub fn encode_gossip(word: &Gossip, out: &mut BytesMut) {
     let (kind, domain) = to_kind(&word.kind);
     let message = wire::Word {
         host: word.host.to_string(),
@@ -22,7 +22,7 @@
         parts: word.parts.iter().map(to_part).collect(),
         deaths: word.deaths.iter().map(to_death).collect(),
         domain: domain.to_owned(),
-        passed: matches!(word.kind, WordKind::Passed(_)),
+        passed: matches!(word.kind, GossipKind::Passed(_)),
         era: word.era,
         newest: word.newest.map_or(0, |newest| newest.revision),
         newest_age: word.newest.map_or(0, |newest| millis(newest.age)),
@@ -39,18 +39,18 @@
     }
 }
 
-/// Reads a word.
+/// Reads a message.
 ///
 /// # Errors
 ///
 /// Returns what is wrong with the bytes.
-pub fn decode_word(bytes: &[u8]) -> Result<Word, WireError> {
+pub fn decode_gossip(bytes: &[u8]) -> Result<Gossip, WireError> {
     let word = wire::Word::decode(bytes).map_err(|_malformed| WireError::Undecodable)?;
     if word.host.is_empty() {
         return Err(WireError::Field { field: "host" });
     }
     let kind = from_kind(&word)?;
-    Ok(Word {
+    Ok(Gossip {
         host: word.host.into(),
         incarnation: word.incarnation,
         number: word.number,
@@ -66,43 +66,43 @@
             .map(from_limit)
             .collect::<Result<_, _>>()?,
         era: word.era,
-        newest: (word.newest > 0).then(|| NewestWord {
+        newest: (word.newest > 0).then(|| ProbeReport {
             revision: word.newest,
             age: Duration::from_millis(word.newest_age.into()),
         }),
     })
 }
 
-/// Returns the kind of a word, and the failure domain that it sums up.
-fn to_kind(kind: &WordKind) -> (wire::WordKind, &str) {
+/// Returns the kind of a message, and the failure domain that it sums up.
+fn to_kind(kind: &GossipKind) -> (wire::WordKind, &str) {
     match kind {
-        WordKind::Own => (wire::WordKind::Own, ""),
-        WordKind::Hello => (wire::WordKind::Hello, ""),
-        WordKind::Report => (wire::WordKind::Report, ""),
-        WordKind::Farewell => (wire::WordKind::Farewell, ""),
-        WordKind::Totals(_) => (wire::WordKind::Totals, ""),
-        WordKind::Domain(domain) | WordKind::Passed(domain) => (wire::WordKind::Own, domain),
+        GossipKind::Own => (wire::WordKind::Own, ""),
+        GossipKind::Hello => (wire::WordKind::Hello, ""),
+        GossipKind::Report => (wire::WordKind::Report, ""),
+        GossipKind::Farewell => (wire::WordKind::Farewell, ""),
+        GossipKind::Totals(_) => (wire::WordKind::Totals, ""),
+        GossipKind::Domain(domain) | GossipKind::Passed(domain) => (wire::WordKind::Own, domain),
     }
 }
 
-fn from_kind(word: &wire::Word) -> Result<WordKind, WireError> {
+fn from_kind(word: &wire::Word) -> Result<GossipKind, WireError> {
     let kind = wire::WordKind::try_from(word.kind);
     let kind = kind.map_err(|_unknown| WireError::Field { field: "kind" })?;
     Ok(match kind {
-        wire::WordKind::Own if word.domain.is_empty() => WordKind::Own,
-        wire::WordKind::Own if word.passed => WordKind::Passed(word.domain.as_str().into()),
-        wire::WordKind::Own => WordKind::Domain(word.domain.as_str().into()),
-        wire::WordKind::Hello => WordKind::Hello,
-        wire::WordKind::Report => WordKind::Report,
-        wire::WordKind::Farewell => WordKind::Farewell,
+        wire::WordKind::Own if word.domain.is_empty() => GossipKind::Own,
+        wire::WordKind::Own if word.passed => GossipKind::Passed(word.domain.as_str().into()),
+        wire::WordKind::Own => GossipKind::Domain(word.domain.as_str().into()),
+        wire::WordKind::Hello => GossipKind::Hello,
+        wire::WordKind::Report => GossipKind::Report,
+        wire::WordKind::Farewell => GossipKind::Farewell,
         wire::WordKind::Totals => {
-            WordKind::Totals(word.included.iter().map(from_included).collect())
+            GossipKind::Totals(word.included.iter().map(from_included).collect())
         }
     })
 }
 
-fn to_included(kind: &WordKind) -> Vec<wire::Included> {
-    let WordKind::Totals(included) = kind else {
+fn to_included(kind: &GossipKind) -> Vec<wire::Included> {
+    let GossipKind::Totals(included) = kind else {
         return Vec::new();
     };
     let reports = included.iter().map(|report| wire::Included {
@@ -157,7 +157,7 @@
     }
 }
 
-fn to_passage(passage: &Passage) -> wire::Passage {
+fn to_passage(passage: &ReplicatedChanges) -> wire::Passage {
     let events = passage.events.iter().map(|event| wire::StoreChange {
         revision: event.revision,
         key: event.key.to_string(),
@@ -172,21 +172,21 @@
 }
 
 /// Reads changes of the store; what they mean is left to the adapter of the platform.
-fn from_passage(passage: wire::Passage) -> Passage {
+fn from_passage(passage: wire::Passage) -> ReplicatedChanges {
     let events = passage.events.into_iter().map(|event| StoreChange {
         revision: event.revision,
         key: event.key.into(),
         value: (!event.removed).then(|| event.value.into()),
         changes: Changes::default(),
     });
-    Passage {
+    ReplicatedChanges {
         after: passage.after,
         at: passage.at,
         events: events.collect(),
     }
 }
 
-fn to_loads(loads: &[LoadWord]) -> wire::Loads {
+fn to_loads(loads: &[LoadReport]) -> wire::Loads {
     wire::Loads {
         instances: loads.iter().map(|load| load.instance).collect(),
         calls: loads.iter().map(|load| load.calls).collect(),
@@ -195,7 +195,7 @@
     }
 }
 
-fn from_loads(loads: &wire::Loads) -> Result<Vec<LoadWord>, WireError> {
+fn from_loads(loads: &wire::Loads) -> Result<Vec<LoadReport>, WireError> {
     let columns = [&loads.calls, &loads.fill, &loads.tokens];
     if columns
         .iter()
@@ -205,7 +205,7 @@
     }
     let rows = loads.instances.iter().zip(&loads.calls).zip(&loads.fill);
     let rows = rows.zip(&loads.tokens);
-    let loads = rows.map(|(((instance, calls), fill), tokens)| LoadWord {
+    let loads = rows.map(|(((instance, calls), fill), tokens)| LoadReport {
         instance: *instance,
         calls: *calls,
         fill: *fill,
@@ -214,7 +214,7 @@
     Ok(loads.collect())
 }
 
-fn to_part(part: &PartWord) -> wire::PartWord {
+fn to_part(part: &PrefixReport) -> wire::PartWord {
     wire::PartWord {
         part: part.part,
         tokens: part.tokens,
@@ -222,23 +222,23 @@
     }
 }
 
-fn from_part(part: &wire::PartWord) -> PartWord {
-    PartWord {
+fn from_part(part: &wire::PartWord) -> PrefixReport {
+    PrefixReport {
         part: part.part,
         tokens: part.tokens,
         instance: part.instance,
     }
 }
 
-fn to_death(death: &DeathWord) -> wire::DeathWord {
+fn to_death(death: &CrashReport) -> wire::DeathWord {
     wire::DeathWord {
         print: death.print,
         instance: death.instance,
     }
 }
 
-fn from_death(death: &wire::DeathWord) -> DeathWord {
-    DeathWord {
+fn from_death(death: &wire::DeathWord) -> CrashReport {
+    CrashReport {
         print: death.print,
         instance: death.instance,
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,13 +10,13 @@
     reason = "made by a tool"
 )]
 mod generated;
+mod gossip;
 mod shard;
 #[cfg(test)]
 mod tests;
-mod word;
 
+pub use gossip::{decode_gossip, encode_gossip};
 pub use shard::{decode_records, decode_shard, encode_records, encode_shard};
-pub use word::{decode_word, encode_word};
 
 use bytes::{Buf, BytesMut};
 use prost::Message as _;
