--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -221,7 +221,7 @@
             ("calls", instance.work().calls.to_string().into()),
             ("tokens", instance.work().tokens.to_string().into()),
             ("own_tokens", instance.own.tokens.to_string().into()),
-            ("told_ms", told),
+            ("peer_age_ms", told),
             ("unlisted_ms", unlisted),
             ("reads", choice.work.tokens.to_string().into()),
             (
