Have hosts that watch the store themselves send changes to a representative that is cut off

Callers saw: the host that represents its failure domain, cut off from the store alone, sent hundreds of requests to servers that had left, while its neighbours knew better. Cause: only the representative sends changes on, and takes none. Ruled out: lost datagrams (its neighbours' work arrived all the while). Change: a host that watches the store itself sends what it learns, and a representative takes what follows without a gap on what it knows; a read in hand goes on. Evidence: a_follower_cut_from_the_store_learns_of_changes_by_others, "never know" before, within a second after.

--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -143,7 +143,7 @@
     let limits = limits.is_some_and(|told| limit::changed_since(core, told));
     let news = news || limits;
     let news =
-        news || view.probes.has_news() || (view.history.has_news() && represents_domain(core));
+        news || view.probes.has_news() || (view.history.has_news() && replicates_changes(core));
     let peers = &mut core.relay.peers;
     let same = !news && loads == peers.last;
     if same
@@ -195,7 +195,7 @@
     core.relay.peers.number += 1;
     let passes = match kind {
         GossipKind::Totals(_) => true,
-        GossipKind::Own => represents_domain(core),
+        GossipKind::Own => replicates_changes(core),
         _ => false,
     };
     let passage = passes.then(|| core.relay.view.passage());
@@ -260,6 +260,12 @@
     !neighbours(core).any(|peer| peer.name < *own && is_live(core, peer))
 }
 
+/// Whether this host sends changes of the store to others: it represents its failure domain, or watches the store itself, as
+/// where the representative is cut off from it.
+fn replicates_changes(core: &Core) -> bool {
+    represents_domain(core) || core.relay.view.watches(core.now)
+}
+
 /// Whether a host of this failure domain stands before this one by name, live or not.
 pub(super) fn has_predecessor(core: &Core) -> bool {
     let own = &core.settings.host.name;
--- a/src/core/relay/tests/view/passed.rs
+++ b/src/core/relay/tests/view/passed.rs
@@ -72,6 +72,32 @@
     }
 }
 
+/// The store answers all hosts but the one that watches. Guards against that one acting on an old view for as long,
+/// though its neighbours know better.
+#[test]
+fn a_follower_cut_from_the_store_learns_of_changes_by_others() {
+    let mut domain = settled(5);
+    domain.store.deaf.insert(0);
+    domain.pass(3000);
+    for _ in 0..10 {
+        let took = domain.change(&[]);
+        assert!(took <= BOUND, "{took} ms");
+        domain.pass(700);
+    }
+    // Once it reaches the store again it watches for all.
+    domain.store.deaf.clear();
+    domain.pass(4000);
+    let before = domain.store.asked.clone();
+    for _ in 0..5 {
+        let took = domain.change(&[]);
+        assert!(took <= 300, "{took} ms");
+        domain.pass(700);
+    }
+    let counts = domain.store.asked.iter().zip(&before);
+    let asked: Vec<u32> = counts.map(|(after, before)| after - before).collect();
+    assert!(asked[1..].iter().all(|asked| *asked == 0), "{asked:?}");
+}
+
 /// The host that watches stands still for two seconds, and wakes with an old view.
 #[test]
 fn a_frozen_follower_takes_no_one_back() {
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -124,6 +124,12 @@
 }
 
 impl View {
+    /// Whether this host watches the store itself and knows what it holds.
+    #[must_use]
+    pub fn watches(&self, now: Time) -> bool {
+        !self.rests && self.pages.is_none() && self.is_fresh(now)
+    }
+
     /// Returns the latest moment as of which all that the store held was known here.
     #[must_use]
     pub fn current(&self) -> Option<Time> {
@@ -270,9 +276,8 @@
 ///
 /// Changes that begin after what is known here would leave a gap: the store is asked for those.
 pub fn passed(core: &mut Core, from: &str, passage: ReplicatedChanges, out: &mut Effects) {
-    let represents_domain = gossip::represents_domain(core);
     let view = &mut core.relay.view;
-    if represents_domain || view.pages.is_some() || passage.at <= view.at {
+    if passage.at <= view.at {
         return;
     }
     if passage.after > view.at {
@@ -286,10 +291,12 @@
     let events = passage.events.into_iter();
     let new: Vec<StoreChange> = events.filter(|event| event.revision > at).collect();
     view.at = passage.at;
-    view.rests = true;
-    if let Some(asked) = view.asked.take() {
-        // It would bring the same once more.
-        out.push(Effect::Relay(RelayEffect::Unask(asked.number)));
+    if view.pages.is_none() {
+        view.rests = true;
+        if let Some(asked) = view.asked.take() {
+            // It would bring the same once more.
+            out.push(Effect::Relay(RelayEffect::Unask(asked.number)));
+        }
     }
     let changes: Vec<Changes> = new.iter().map(|event| event.changes.clone()).collect();
     view.history.learn(new);
