Name messages between hosts so in the code, and set two pairs of tests up in one place

Cause: locals, a constructor and a field were still called word, a cut-off host in tests deaf; two set-ups stood twice.

--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -307,7 +307,7 @@
         /// Where they listen.
         to: Vec<SocketAddr>,
         /// What is sent.
-        word: Box<Gossip>,
+        message: Box<Gossip>,
     },
 }
 
--- a/src/core/relay/gossip/domains.rs
+++ b/src/core/relay/gossip/domains.rs
@@ -9,7 +9,7 @@
 use super::super::super::{Core, Effects};
 use super::super::event::{Gossip, GossipKind};
 use super::super::peers::peer;
-use super::{is_live, near, publish_to, summed, word};
+use super::{is_live, message, near, publish_to, summed};
 
 /// Tells each other failure domain what was heard in this one.
 pub(super) fn tell(core: &mut Core, out: &mut Effects) {
@@ -35,8 +35,8 @@
     }
     let loads = summed(core);
     let (parts, deaths) = core.relay.peers.across.take();
-    let word = word(core, GossipKind::Domain(own), loads, parts, deaths);
-    out.extend(publish_to(to, word));
+    let message = message(core, GossipKind::Domain(own), loads, parts, deaths);
+    out.extend(publish_to(to, message));
 }
 
 /// Returns one of the addresses, another with each number.
@@ -55,15 +55,15 @@
 
 /// Passes on what was heard from another failure domain: to all where each host tells all, or to the
 /// aggregator, whose totals then hold it.
-pub(super) fn pass_on(core: &mut Core, word: Gossip, out: &mut Effects) {
-    let GossipKind::Domain(domain) = &word.kind else {
+pub(super) fn pass_on(core: &mut Core, message: Gossip, out: &mut Effects) {
+    let GossipKind::Domain(domain) = &message.kind else {
         return;
     };
     if let Some(aggregator) = super::gather::current(core) {
-        out.extend(publish_to(vec![aggregator], word));
+        out.extend(publish_to(vec![aggregator], message));
     } else if !super::gathers(core) {
         let kind = GossipKind::Passed(domain.clone());
-        out.extend(publish_to(near(core), Gossip { kind, ..word }));
+        out.extend(publish_to(near(core), Gossip { kind, ..message }));
     }
 }
 
--- a/src/core/relay/gossip/gather.rs
+++ b/src/core/relay/gossip/gather.rs
@@ -14,7 +14,8 @@
 use super::super::note;
 use super::aggregator::{Change, preferred};
 use super::{
-    KEEPALIVE_INTERVAL, domains, due, load_word, neighbours, publish_to, summed, unpublished, word,
+    KEEPALIVE_INTERVAL, domains, due, load_report, message, neighbours, publish_to, summed,
+    unpublished,
 };
 
 /// Reports that are remembered until totals include them: those of two seconds.
@@ -36,8 +37,8 @@
     }
     if !ask.is_empty() {
         let to = ask.iter().filter_map(|name| address(core, name)).collect();
-        let word = word(core, GossipKind::Hello, Vec::new(), Vec::new(), Vec::new());
-        out.extend(publish_to(to, word));
+        let message = message(core, GossipKind::Hello, Vec::new(), Vec::new(), Vec::new());
+        out.extend(publish_to(to, message));
     }
     if core.relay.peers.aggregator.is_first() {
         // The hosts that the last totals told of report here from now on.
@@ -85,14 +86,16 @@
         return;
     };
     let (parts, deaths) = core.relay.peers.up.take();
-    let word = word(core, GossipKind::Report, loads, parts, deaths);
+    let message = message(core, GossipKind::Report, loads, parts, deaths);
     let peers = &mut core.relay.peers;
     peers.aggregator.reported(core.now);
-    peers.reports.push_back((word.number, word.loads.clone()));
+    peers
+        .reports
+        .push_back((message.number, message.loads.clone()));
     if peers.reports.len() > REPORTS {
         peers.reports.pop_front();
     }
-    out.extend(publish_to(vec![to], word));
+    out.extend(publish_to(vec![to], message));
 }
 
 /// Answers the hosts that report here, if anything is new.
@@ -121,14 +124,14 @@
     let loads = core.relay.instances.arena.values();
     let loads = loads
         .filter(|instance| instance.work() != Work::default())
-        .map(|instance| load_word(instance.short, instance.work()))
+        .map(|instance| load_report(instance.short, instance.work()))
         .collect();
     let peers = &mut core.relay.peers;
     peers.answered = Some(core.now);
     let (parts, deaths) = peers.down.take();
     let (to, included) = reporting.into_iter().unzip();
-    let word = word(core, GossipKind::Totals(included), loads, parts, deaths);
-    out.extend(publish_to(to, word));
+    let message = message(core, GossipKind::Totals(included), loads, parts, deaths);
+    out.extend(publish_to(to, message));
 }
 
 /// Returns the short hash of one process of a host.
@@ -137,10 +140,10 @@
 }
 
 /// Takes in a report, a question for totals, or a farewell.
-pub(super) fn heard(core: &mut Core, key: HostKey, word: &Gossip) {
+pub(super) fn heard(core: &mut Core, key: HostKey, message: &Gossip) {
     let peer = &mut core.relay.peers.arena[key];
-    peer.reports = word.kind != GossipKind::Farewell;
-    core.relay.instances.told(key, &word.loads);
+    peer.reports = message.kind != GossipKind::Farewell;
+    core.relay.instances.told(key, &message.loads);
 }
 
 /// Takes in totals, if their sender sums up for this host.
@@ -173,7 +176,7 @@
         .iter()
         .map(|load| {
             let part = reported.get(&load.instance).copied().unwrap_or_default();
-            load_word(load.instance, Work::from(*load).less(part))
+            load_report(load.instance, Work::from(*load).less(part))
         })
         .collect();
     let domain = core.settings.host.domain.clone();
@@ -207,13 +210,13 @@
     core.relay.peers.told = None;
     let left = change.before.as_deref().filter(|_| change.now.is_some());
     if let Some(to) = left.and_then(|name| address(core, name)) {
-        let word = word(
+        let message = message(
             core,
             GossipKind::Farewell,
             Vec::new(),
             Vec::new(),
             Vec::new(),
         );
-        out.extend(publish_to(vec![to], word));
+        out.extend(publish_to(vec![to], message));
     }
 }
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -117,8 +117,8 @@
     }
     core.relay.peers.across.hear(&parts, &deaths);
     let near = near(core);
-    let word = word(core, GossipKind::Own, loads, parts, deaths);
-    out.extend(publish_to(near, word));
+    let message = message(core, GossipKind::Own, loads, parts, deaths);
+    out.extend(publish_to(near, message));
 }
 
 /// Returns this host's own unfinished work.
@@ -126,7 +126,7 @@
     let loads = core.relay.instances.arena.values();
     loads
         .filter(|instance| instance.own != Work::default())
-        .map(|instance| load_word(instance.short, instance.own))
+        .map(|instance| load_report(instance.short, instance.own))
         .collect()
 }
 
@@ -180,12 +180,12 @@
     }
 }
 
-fn publish_to(to: Vec<SocketAddr>, word: Gossip) -> Option<Effect> {
-    let word = Box::new(word);
-    (!to.is_empty()).then(|| Effect::Relay(RelayEffect::Publish { to, word }))
+fn publish_to(to: Vec<SocketAddr>, message: Gossip) -> Option<Effect> {
+    let message = Box::new(message);
+    (!to.is_empty()).then(|| Effect::Relay(RelayEffect::Publish { to, message }))
 }
 
-fn word(
+fn message(
     core: &mut Core,
     kind: GossipKind,
     loads: Vec<LoadReport>,
@@ -285,12 +285,12 @@
     let loads = instances.filter_map(|instance| {
         let others = instance.others.iter().filter(|(key, _)| near(key));
         let sum = others.fold(instance.own, |sum, (_, work)| sum.plus(*work));
-        (sum != Work::default()).then(|| load_word(instance.short, sum))
+        (sum != Work::default()).then(|| load_report(instance.short, sum))
     });
     loads.collect()
 }
 
-fn load_word(instance: u32, work: Work) -> LoadReport {
+fn load_report(instance: u32, work: Work) -> LoadReport {
     LoadReport {
         instance,
         calls: work.calls,
@@ -321,11 +321,11 @@
 }
 
 /// Takes in another host's message, or what one sums up for its failure domain.
-pub fn receive(core: &mut Core, mut word: Gossip, out: &mut Effects) {
-    let Some(sender) = core.relay.peers.names.get(&word.host).copied() else {
+pub fn receive(core: &mut Core, mut message: Gossip, out: &mut Effects) {
+    let Some(sender) = core.relay.peers.names.get(&message.host).copied() else {
         return;
     };
-    let key = match &word.kind {
+    let key = match &message.kind {
         // What this domain sums up itself is known here already.
         GossipKind::Domain(domain) | GossipKind::Passed(domain)
             if *domain == core.settings.host.domain =>
@@ -340,50 +340,50 @@
     let now = core.now;
     let peer = &mut core.relay.peers.arena[key];
     // Datagrams overtake each other, and a process that ended may still be heard.
-    if (word.incarnation, word.number) <= (peer.incarnation, peer.number) {
+    if (message.incarnation, message.number) <= (peer.incarnation, peer.number) {
         return;
     }
-    peer.incarnation = word.incarnation;
-    peer.number = word.number;
+    peer.incarnation = message.incarnation;
+    peer.number = message.number;
     peer.heard = Some(now);
-    limit::reported(core, &word.host, &word.limits, out);
-    view::era::seen(core, word.era, &word.host, out);
-    if word.era < core.relay.view.era() {
+    limit::reported(core, &message.host, &message.limits, out);
+    view::era::seen(core, message.era, &message.host, out);
+    if message.era < core.relay.view.era() {
         // The sender has not heard of this era: its revisions mean nothing here.
-        word.uptime = None;
-        word.passage = None;
-        word.newest = None;
+        message.uptime = None;
+        message.passage = None;
+        message.newest = None;
     }
-    if let Some(uptime) = word.uptime {
+    if let Some(uptime) = message.uptime {
         view::up(core, uptime, out);
     }
-    if let Some(passage) = word.passage.take() {
-        view::passed(core, &word.host, passage, out);
+    if let Some(passage) = message.passage.take() {
+        view::passed(core, &message.host, passage, out);
     }
-    if let Some(newest) = word.newest {
+    if let Some(newest) = message.newest {
         view::probe::told(core, newest, out);
     }
     let peers = &mut core.relay.peers;
-    peers.down.hear(&word.parts, &word.deaths);
-    if matches!(word.kind, GossipKind::Own | GossipKind::Report) {
-        peers.across.hear(&word.parts, &word.deaths);
+    peers.down.hear(&message.parts, &message.deaths);
+    if matches!(message.kind, GossipKind::Own | GossipKind::Report) {
+        peers.across.hear(&message.parts, &message.deaths);
     }
-    if word.kind == GossipKind::Report {
-        peers.up.hear(&word.parts, &word.deaths);
+    if message.kind == GossipKind::Report {
+        peers.up.hear(&message.parts, &message.deaths);
     }
     // An aggregator's totals hold all other work.
     let summed_up = peers.aggregator.current().is_some();
-    match &word.kind {
+    match &message.kind {
         GossipKind::Hello | GossipKind::Report | GossipKind::Farewell => {
-            gather::heard(core, key, &word);
+            gather::heard(core, key, &message);
         }
-        GossipKind::Totals(included) => gather::totals(core, key, &word.loads, included, out),
+        GossipKind::Totals(included) => gather::totals(core, key, &message.loads, included, out),
         _ if summed_up => {}
-        _ => core.relay.instances.told(key, &word.loads),
+        _ => core.relay.instances.told(key, &message.loads),
     }
-    note_parts(core, &word.parts);
-    if matches!(word.kind, GossipKind::Domain(_)) {
-        domains::pass_on(core, word, out);
+    note_parts(core, &message.parts);
+    if matches!(message.kind, GossipKind::Domain(_)) {
+        domains::pass_on(core, message, out);
     }
 }
 
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -125,11 +125,11 @@
 }
 
 impl From<LoadReport> for Work {
-    fn from(word: LoadReport) -> Self {
+    fn from(message: LoadReport) -> Self {
         Self {
-            calls: word.calls,
-            fill: word.fill.into(),
-            tokens: word.tokens.into(),
+            calls: message.calls,
+            fill: message.fill.into(),
+            tokens: message.tokens.into(),
         }
     }
 }
--- a/src/core/relay/killer.rs
+++ b/src/core/relay/killer.rs
@@ -69,7 +69,7 @@
 
     /// Returns the deaths that other hosts are to be told of now.
     pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
-        let words = self.tell.iter().map(|(word, _)| *word).collect();
+        let words = self.tell.iter().map(|(message, _)| *message).collect();
         for (_, left) in &mut self.tell {
             *left -= 1;
         }
@@ -84,7 +84,7 @@
         return;
     };
     let call = &core.relay.calls[call];
-    let word = CrashReport {
+    let message = CrashReport {
         print: call.print,
         instance: instance.short,
     };
@@ -94,6 +94,6 @@
         "request.suspect",
         vec![("id", call.id.clone()), ("backend", instance.id.clone())],
     );
-    core.relay.killers.tell.push((word, TOLD));
-    core.relay.killers.died(word, core.now);
+    core.relay.killers.tell.push((message, TOLD));
+    core.relay.killers.died(message, core.now);
 }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -257,7 +257,7 @@
             result,
         } => split::ordered(core, &instance, fence, result, out),
         RelayEvent::Reloaded(settings) => reloaded(core, *settings, out),
-        RelayEvent::Gossiped(word) => gossip::receive(core, *word, out),
+        RelayEvent::Gossiped(message) => gossip::receive(core, *message, out),
     }
 }
 
--- a/src/core/relay/tests/departed.rs
+++ b/src/core/relay/tests/departed.rs
@@ -42,10 +42,8 @@
     }
 }
 
-/// Entries lapse in an outage of the store though their servers are well, and come back two seconds after it.
-/// Guards against dropping them meanwhile: hosts would have no server left.
-#[test]
-fn an_entry_that_lapsed_in_an_outage_is_used_until_it_is_back() {
+/// Returns hosts at the end of an outage of the store in which an entry was removed.
+fn after_outage() -> Domain {
     let mut domain = Domain::of(3);
     domain.pass(3000);
     domain.store.silent = true;
@@ -53,6 +51,14 @@
     domain.remove("r");
     domain.pass(2500);
     domain.store.silent = false;
+    domain
+}
+
+/// Entries lapse in an outage of the store though their servers are well, and come back two seconds after it.
+/// Guards against dropping them meanwhile: hosts would have no server left.
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_used_until_it_is_back() {
+    let mut domain = after_outage();
     domain.pass(BOUND);
     for host in 0..3 {
         assert!(uses(&mut domain, host, "r"), "host {host}");
@@ -68,13 +74,7 @@
 /// An entry that lapsed in an outage and does not come back is that of a server that is gone.
 #[test]
 fn an_entry_that_does_not_come_back_after_an_outage_is_dropped() {
-    let mut domain = Domain::of(3);
-    domain.pass(3000);
-    domain.store.silent = true;
-    domain.pass(2500);
-    domain.remove("r");
-    domain.pass(2500);
-    domain.store.silent = false;
+    let mut domain = after_outage();
     domain.pass(BOUND + 2200);
     for host in 0..3 {
         assert!(!uses(&mut domain, host, "r"), "host {host}");
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -37,7 +37,7 @@
     /// Whether it takes calls and never answers.
     pub silent: bool,
     /// Hosts whose calls it does not answer.
-    pub deaf: BTreeSet<usize>,
+    pub unreachable: BTreeSet<usize>,
     /// Servers whose entries were removed.
     pub removed: BTreeSet<Box<str>>,
     /// Calls in hand, and when they may be answered.
@@ -103,7 +103,7 @@
                 revision: 10,
                 era: 1,
                 silent: false,
-                deaf: BTreeSet::new(),
+                unreachable: BTreeSet::new(),
                 removed: BTreeSet::new(),
                 calls: Vec::new(),
                 asked: vec![0; hosts],
@@ -127,7 +127,7 @@
                     if *ask != Ask::Probe {
                         self.store.asked[host] += 1;
                     }
-                    if !self.store.silent && !self.store.deaf.contains(&host) {
+                    if !self.store.silent && !self.store.unreachable.contains(&host) {
                         let call = (self.now + ANSWER, host, *number, ask.clone());
                         self.store.calls.push(call);
                     }
@@ -144,10 +144,10 @@
 
     /// Has the store answer what is due.
     fn answer(&mut self) {
-        let (silent, deaf) = (self.store.silent, self.store.deaf.clone());
+        let (silent, unreachable) = (self.store.silent, self.store.unreachable.clone());
         self.store
             .calls
-            .retain(|(_, host, ..)| !silent && !deaf.contains(host));
+            .retain(|(_, host, ..)| !silent && !unreachable.contains(host));
         let calls = std::mem::take(&mut self.store.calls).into_iter();
         let revision = self.store.revision;
         let (ready, later): (Vec<_>, Vec<_>) = calls.partition(|(at, _, _, ask)| {
@@ -228,7 +228,7 @@
 
     /// Cuts a host off from the store and from the other hosts.
     pub fn cut_off(&mut self, host: usize) {
-        self.store.deaf.insert(host);
+        self.store.unreachable.insert(host);
         for other in (0..self.hosts.len()).filter(|other| *other != host) {
             self.cuts.extend([(host, other), (other, host)]);
         }
@@ -236,7 +236,7 @@
 
     /// Ends all cuts.
     pub fn reconnect(&mut self) {
-        self.store.deaf.clear();
+        self.store.unreachable.clear();
         self.cuts.clear();
     }
 
@@ -281,14 +281,14 @@
             let transit = std::mem::take(&mut self.transit).into_iter();
             let (ready, later): (Vec<_>, Vec<_>) = transit.partition(|(at, ..)| *at <= self.now);
             self.transit = later;
-            for (_, from, to, word) in ready {
+            for (_, from, to, message) in ready {
                 self.passed += 1;
                 let lost = self.loses > 0 && self.passed.is_multiple_of(self.loses);
                 let cut = lost || self.cuts.contains(&(from, to));
                 if let Some(site) = self.hosts[to].as_mut().filter(|_| !cut) {
                     self.heard[to] += 1;
                     site.now = self.now;
-                    site.event(RelayEvent::Gossiped(Box::new(word)));
+                    site.event(RelayEvent::Gossiped(Box::new(message)));
                     self.carry(to);
                 }
             }
@@ -319,7 +319,7 @@
             return;
         };
         for effect in &site.out {
-            let Effect::Relay(RelayEffect::Publish { to, word }) = effect else {
+            let Effect::Relay(RelayEffect::Publish { to, message }) = effect else {
                 continue;
             };
             for listener in to {
@@ -327,7 +327,7 @@
                 let to = to.expect("a known address");
                 self.sent[from] += 1;
                 self.transit
-                    .push((self.now + TRANSIT, from, to, (**word).clone()));
+                    .push((self.now + TRANSIT, from, to, (**message).clone()));
             }
         }
     }
--- a/src/core/relay/tests/era.rs
+++ b/src/core/relay/tests/era.rs
@@ -33,6 +33,17 @@
     site
 }
 
+/// Returns such a host beside another one.
+fn known_beside_another() -> Site {
+    let mut site = known();
+    site.key(
+        "hosts/host-0",
+        Some(r#"{"addr":"127.0.0.1:9","domain":"z"}"#),
+        3,
+    );
+    site
+}
+
 /// Guards against a host that goes on with a view, a watch and a registration of an era that ended.
 #[test]
 fn a_host_reads_and_registers_anew_in_a_new_era() {
@@ -150,12 +161,7 @@
 /// those of other changes.
 #[test]
 fn a_view_of_another_era_is_not_taken_over() {
-    let mut site = known();
-    site.key(
-        "hosts/host-0",
-        Some(r#"{"addr":"127.0.0.1:9","domain":"z"}"#),
-        3,
-    );
+    let mut site = known_beside_another();
     site.event(RelayEvent::Era(2));
     site.event(RelayEvent::Gossiped(Box::new(word(1, 1, 50))));
     let version = site
@@ -171,12 +177,7 @@
 /// Guards against a host that goes on in an ended era because it asks the store for nothing itself.
 #[test]
 fn a_host_learns_of_an_era_from_another_one() {
-    let mut site = known();
-    site.key(
-        "hosts/host-0",
-        Some(r#"{"addr":"127.0.0.1:9","domain":"z"}"#),
-        3,
-    );
+    let mut site = known_beside_another();
     site.event(RelayEvent::Gossiped(Box::new(word(1, 2, 5))));
     assert_eq!(site.core.relay.view.era(), 2);
     let out = site.pass(BOUND);
--- a/src/core/relay/tests/gossip.rs
+++ b/src/core/relay/tests/gossip.rs
@@ -143,7 +143,7 @@
             let entry = format!(r#"{{"addr":"{}","domain":"y"}}"#, addr(29));
             host.key("hosts/far-1", Some(&entry), 4);
         }
-        let word = Gossip {
+        let message = Gossip {
             host: "far-1".into(),
             incarnation: 1,
             number: 1,
@@ -155,7 +155,7 @@
             }],
             ..Gossip::default()
         };
-        domain.transit.push((domain.now, 29, told, word));
+        domain.transit.push((domain.now, 29, told, message));
         domain.until(28, "p", 3);
         domain.pass(100);
         for host in 0..30 {
--- a/src/core/relay/tests/view/passed.rs
+++ b/src/core/relay/tests/view/passed.rs
@@ -61,7 +61,7 @@
 fn a_follower_cut_from_the_store_hides_no_change() {
     for hosts in SIZES {
         let mut domain = settled(hosts);
-        domain.store.deaf.insert(0);
+        domain.store.unreachable.insert(0);
         domain.pass(100);
         let took = domain.change(&[0]);
         assert!(took <= BOUND, "{took} ms with {hosts} hosts");
@@ -77,7 +77,7 @@
 #[test]
 fn a_follower_cut_from_the_store_learns_of_changes_by_others() {
     let mut domain = settled(5);
-    domain.store.deaf.insert(0);
+    domain.store.unreachable.insert(0);
     domain.pass(3000);
     for _ in 0..10 {
         let took = domain.change(&[]);
@@ -85,7 +85,7 @@
         domain.pass(700);
     }
     // Once it reaches the store again it watches for all.
-    domain.store.deaf.clear();
+    domain.store.unreachable.clear();
     domain.pass(4000);
     let before = domain.store.asked.clone();
     for _ in 0..5 {
@@ -208,14 +208,14 @@
 }
 
 fn hear(run: &mut Run, number: u64, passage: ReplicatedChanges) {
-    let word = Gossip {
+    let message = Gossip {
         host: "host-0".into(),
         incarnation: 1,
         number,
         passage: Some(passage),
         ..Gossip::default()
     };
-    run.site.event(RelayEvent::Gossiped(Box::new(word)));
+    run.site.event(RelayEvent::Gossiped(Box::new(message)));
     let out = run.site.out.clone();
     run.carry(&out);
 }
--- a/src/core/relay/tests/view/probes.rs
+++ b/src/core/relay/tests/view/probes.rs
@@ -5,7 +5,7 @@
 
 /// Has the host hear that another one's probe, sent so long ago, showed the store's revision.
 fn hear(run: &mut Run, number: u64, age: u64) {
-    let word = Gossip {
+    let message = Gossip {
         host: "host-2".into(),
         incarnation: 1,
         number,
@@ -15,7 +15,7 @@
         }),
         ..Gossip::default()
     };
-    run.site.event(RelayEvent::Gossiped(Box::new(word)));
+    run.site.event(RelayEvent::Gossiped(Box::new(message)));
     let out = run.site.out.clone();
     run.carry(&out);
 }
@@ -65,7 +65,7 @@
     let mut run = beside_another();
     let told = |out: &Effects| {
         let words = out.iter().filter_map(|effect| match effect {
-            Effect::Relay(RelayEffect::Publish { word, .. }) => word.newest,
+            Effect::Relay(RelayEffect::Publish { message, .. }) => message.newest,
             _ => None,
         });
         words
@@ -94,13 +94,13 @@
     let before = run.store.asked.2;
     for number in 0..60 {
         for host in 0..hosts {
-            let word = Gossip {
+            let message = Gossip {
                 host: name(host).into(),
                 incarnation: 1,
                 number,
                 ..Gossip::default()
             };
-            run.site.event(RelayEvent::Gossiped(Box::new(word)));
+            run.site.event(RelayEvent::Gossiped(Box::new(message)));
         }
         run.pass(500);
     }
--- a/src/host/relay/datagrams.rs
+++ b/src/host/relay/datagrams.rs
@@ -26,9 +26,9 @@
 }
 
 /// Returns the bytes of a message with its code before them.
-pub(super) fn sealed(secret: &[u8; 32], word: &Gossip) -> BytesMut {
+pub(super) fn sealed(secret: &[u8; 32], message: &Gossip) -> BytesMut {
     let mut bytes = BytesMut::zeroed(CODE);
-    wire::encode_gossip(word, &mut bytes);
+    wire::encode_gossip(message, &mut bytes);
     let code = code(secret, &bytes[CODE..]);
     bytes[..CODE].copy_from_slice(&code);
     bytes
@@ -48,13 +48,13 @@
 }
 
 /// Sends a message to other hosts.
-pub fn tell(node: &Rc<Node>, to: &[SocketAddr], word: &Gossip) {
+pub fn tell(node: &Rc<Node>, to: &[SocketAddr], message: &Gossip) {
     let socket = node.relay.socket.borrow().clone();
     let Some(socket) = socket else { return };
     let Some(secret) = node.relay.secret.get() else {
         return;
     };
-    let bytes = sealed(&secret, word);
+    let bytes = sealed(&secret, message);
     for addr in to {
         if let Err(err) = socket.try_send_to(&bytes, *addr) {
             log::debug!("a word to {addr} was not sent: {err}");
@@ -80,13 +80,13 @@
             continue;
         };
         match wire::decode_gossip(proved) {
-            Ok(mut word) => {
-                let events = word
+            Ok(mut message) => {
+                let events = message
                     .passage
                     .iter_mut()
                     .flat_map(|passage| &mut passage.events);
                 events.for_each(keeper::read);
-                tell_core(&node, RelayEvent::Gossiped(Box::new(word)));
+                tell_core(&node, RelayEvent::Gossiped(Box::new(message)));
             }
             Err(err) => log::debug!("a word from {from} cannot be read: {err}"),
         }
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -237,6 +237,6 @@
         RelayEffect::Unask(number) => {
             ports.asks.borrow_mut().remove(&number);
         }
-        RelayEffect::Publish { to, word } => datagrams::tell(node, &to, &word),
+        RelayEffect::Publish { to, message } => datagrams::tell(node, &to, &message),
     }
 }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -12,25 +12,25 @@
 };
 
 /// Appends the bytes of a message.
-pub fn encode_gossip(word: &Gossip, out: &mut BytesMut) {
-    let (kind, domain) = to_kind(&word.kind);
+pub fn encode_gossip(message: &Gossip, out: &mut BytesMut) {
+    let (kind, domain) = to_kind(&message.kind);
     let message = wire::Word {
-        host: word.host.to_string(),
-        incarnation: word.incarnation,
-        number: word.number,
-        loads: (!word.loads.is_empty()).then(|| to_loads(&word.loads)),
-        parts: word.parts.iter().map(to_part).collect(),
-        deaths: word.deaths.iter().map(to_death).collect(),
+        host: message.host.to_string(),
+        incarnation: message.incarnation,
+        number: message.number,
+        loads: (!message.loads.is_empty()).then(|| to_loads(&message.loads)),
+        parts: message.parts.iter().map(to_part).collect(),
+        deaths: message.deaths.iter().map(to_death).collect(),
         domain: domain.to_owned(),
-        passed: matches!(word.kind, GossipKind::Passed(_)),
-        era: word.era,
-        newest: word.newest.map_or(0, |newest| newest.revision),
-        newest_age: word.newest.map_or(0, |newest| millis(newest.age)),
+        passed: matches!(message.kind, GossipKind::Passed(_)),
+        era: message.era,
+        newest: message.newest.map_or(0, |newest| newest.revision),
+        newest_age: message.newest.map_or(0, |newest| millis(newest.age)),
         kind: kind.into(),
-        included: to_included(&word.kind),
-        passage: word.passage.as_ref().map(to_passage),
-        uptime: word.uptime.map(to_uptime),
-        limits: word.limits.iter().map(to_limit).collect(),
+        included: to_included(&message.kind),
+        passage: message.passage.as_ref().map(to_passage),
+        uptime: message.uptime.map(to_uptime),
+        limits: message.limits.iter().map(to_limit).collect(),
     };
     out.reserve(message.encoded_len());
     // Only a full buffer is an error, and `BytesMut` grows.
@@ -45,30 +45,30 @@
 ///
 /// Returns what is wrong with the bytes.
 pub fn decode_gossip(bytes: &[u8]) -> Result<Gossip, WireError> {
-    let word = wire::Word::decode(bytes).map_err(|_malformed| WireError::Undecodable)?;
-    if word.host.is_empty() {
+    let message = wire::Word::decode(bytes).map_err(|_malformed| WireError::Undecodable)?;
+    if message.host.is_empty() {
         return Err(WireError::Field { field: "host" });
     }
-    let kind = from_kind(&word)?;
+    let kind = from_kind(&message)?;
     Ok(Gossip {
-        host: word.host.into(),
-        incarnation: word.incarnation,
-        number: word.number,
-        loads: from_loads(&word.loads.unwrap_or_default())?,
-        parts: word.parts.iter().map(from_part).collect(),
-        deaths: word.deaths.iter().map(from_death).collect(),
+        host: message.host.into(),
+        incarnation: message.incarnation,
+        number: message.number,
+        loads: from_loads(&message.loads.unwrap_or_default())?,
+        parts: message.parts.iter().map(from_part).collect(),
+        deaths: message.deaths.iter().map(from_death).collect(),
         kind,
-        passage: word.passage.map(from_passage),
-        uptime: word.uptime.map(from_uptime),
-        limits: word
+        passage: message.passage.map(from_passage),
+        uptime: message.uptime.map(from_uptime),
+        limits: message
             .limits
             .iter()
             .map(from_limit)
             .collect::<Result<_, _>>()?,
-        era: word.era,
-        newest: (word.newest > 0).then(|| ProbeReport {
-            revision: word.newest,
-            age: Duration::from_millis(word.newest_age.into()),
+        era: message.era,
+        newest: (message.newest > 0).then(|| ProbeReport {
+            revision: message.newest,
+            age: Duration::from_millis(message.newest_age.into()),
         }),
     })
 }
@@ -85,18 +85,18 @@
     }
 }
 
-fn from_kind(word: &wire::Word) -> Result<GossipKind, WireError> {
-    let kind = wire::WordKind::try_from(word.kind);
+fn from_kind(message: &wire::Word) -> Result<GossipKind, WireError> {
+    let kind = wire::WordKind::try_from(message.kind);
     let kind = kind.map_err(|_unknown| WireError::Field { field: "kind" })?;
     Ok(match kind {
-        wire::WordKind::Own if word.domain.is_empty() => GossipKind::Own,
-        wire::WordKind::Own if word.passed => GossipKind::Passed(word.domain.as_str().into()),
-        wire::WordKind::Own => GossipKind::Domain(word.domain.as_str().into()),
+        wire::WordKind::Own if message.domain.is_empty() => GossipKind::Own,
+        wire::WordKind::Own if message.passed => GossipKind::Passed(message.domain.as_str().into()),
+        wire::WordKind::Own => GossipKind::Domain(message.domain.as_str().into()),
         wire::WordKind::Hello => GossipKind::Hello,
         wire::WordKind::Report => GossipKind::Report,
         wire::WordKind::Farewell => GossipKind::Farewell,
         wire::WordKind::Totals => {
-            GossipKind::Totals(word.included.iter().map(from_included).collect())
+            GossipKind::Totals(message.included.iter().map(from_included).collect())
         }
     })
 }
