Log what an abandoned read had received, gaps in replicated changes, and the age of the view

An abandoned call of the store looked the same whether the store was silent or its answer was arriving, and a host that could not apply its neighbours' changes left no trace. store.call_lost has received and silent_ms, view.gap is new, request.sent has view_ms, chiveway_store_calls_lost counts. The pool reports what a call has received; no decision uses it yet.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -220,6 +220,23 @@
         call: &Call,
         time_limit: Duration,
         max_bytes: usize,
+    ) -> Result<FullAnswer, PoolError> {
+        self.call_observed(call, time_limit, max_bytes, |_| {})
+            .await
+    }
+
+    /// Does the same as [`ConnectionPool::call`], and passes the number of bytes received so far to `progress` with
+    /// each part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no complete response.
+    pub async fn call_observed(
+        &self,
+        call: &Call,
+        time_limit: Duration,
+        max_bytes: usize,
+        progress: impl FnMut(usize),
     ) -> Result<FullAnswer, PoolError> {
         let deadline = Instant::now() + time_limit;
         let answer = self.send(call, time_limit / 2);
@@ -227,7 +244,8 @@
         let mut answer = answer.unwrap_or(Err(PoolError::Timeout))?;
         let status = answer.response.status().as_u16();
         let headers = std::mem::take(answer.response.headers_mut());
-        let body = timeout_at(deadline, collect(&mut answer, max_bytes)).await;
+        let body = collect_observed(&mut answer, max_bytes, progress);
+        let body = timeout_at(deadline, body).await;
         let body = body.unwrap_or(Err(PoolError::Timeout))?;
         self.put_back(answer, CALL_IDLE_TIMEOUT, MAX_IDLE_CALL_CONNECTIONS)
             .await;
@@ -314,6 +332,14 @@
 /// Returns [`PoolError::Broken`] for a truncated body and [`PoolError::TooLong`] for one of more
 /// than `max_bytes`.
 pub async fn collect(answer: &mut Answer, max_bytes: usize) -> Result<Bytes, PoolError> {
+    collect_observed(answer, max_bytes, |_| {}).await
+}
+
+async fn collect_observed(
+    answer: &mut Answer,
+    max_bytes: usize,
+    mut progress: impl FnMut(usize),
+) -> Result<Bytes, PoolError> {
     let mut body = bytes::BytesMut::new();
     while let Some(chunk) = next_chunk(answer).await {
         let chunk = chunk?;
@@ -321,6 +347,7 @@
             return Err(PoolError::TooLong);
         }
         body.extend_from_slice(&chunk);
+        progress(body.len());
     }
     Ok(body.freeze())
 }
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -316,6 +316,8 @@
         /// Model or service.
         class: Box<str>,
     },
+    /// A read or watch of the store was abandoned as lost.
+    StoreCallLost,
     /// An order was sent to an engine.
     OrderSent {
         /// Pool.
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -180,6 +180,7 @@
         |age| format!("{}", age.as_millis()).into(),
     );
     let unlisted = unlisted_ms(core, choice.backend);
+    let view_age = store_age_ms(core);
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
     match &choice.task {
@@ -227,6 +228,7 @@
             ("own_tokens", instance.own_work.tokens.to_string().into()),
             ("peer_age_ms", peer_age),
             ("unlisted_ms", unlisted),
+            ("view_ms", view_age),
             ("reads", choice.work.tokens.to_string().into()),
             (
                 "fetched",
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -67,6 +67,13 @@
     },
     /// An answer of the store named its era.
     StoreEra(u64),
+    /// A part of the answer to a call of the store arrived.
+    StoreReceived {
+        /// Number of the call.
+        number: u64,
+        /// Bytes of the answer received so far.
+        bytes: u64,
+    },
     /// A call of the store was answered or failed.
     StoreAnswered {
         /// Number of the call.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -249,6 +249,7 @@
             detail,
         } => answer::attempt_failed(core, attempt, ran, end, &detail, out),
         RelayEvent::StoreEra(era) => view::era::observe(core, era, view::era::STORE_SOURCE, out),
+        RelayEvent::StoreReceived { number, bytes } => view::pending::received(core, number, bytes),
         RelayEvent::StoreAnswered { number, answer } => view::answered(core, number, answer, out),
         RelayEvent::EngineReported { instance, report } => {
             planner::reported(core, &instance, report, out);
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod era;
 mod history;
+pub mod pending;
 pub mod probe;
 mod uptime;
 
@@ -31,6 +32,7 @@
 use crate::core::effect::Effect;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
+use pending::PendingCall;
 
 /// Age of the view beyond which the store counts as unavailable, and a path without a route as possibly new.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
@@ -59,13 +61,6 @@
 /// Source in the log of changes that were read from the store.
 const STORE_SOURCE: &str = "store";
 
-/// A call to the store that awaits its answer.
-#[derive(Debug, Clone, Copy)]
-struct PendingCall {
-    number: u64,
-    sent: Time,
-}
-
 /// The pages of a full read that have arrived so far.
 #[derive(Debug, Default)]
 struct FullRead {
@@ -105,6 +100,8 @@
     standby: bool,
     /// Host from which changes are received, or [`STORE_SOURCE`].
     source: Option<Box<str>>,
+    /// Revision after which received changes were last found to have a gap.
+    gap_after: Option<i64>,
     /// Recent changes, to be sent to other hosts.
     pub(super) history: history::History,
     /// Latest time as of which this view held the whole content of the store.
@@ -223,10 +220,7 @@
     view.standby = false;
     let number = view.next_number();
     view.last_call = number;
-    view.pending = Some(PendingCall {
-        number,
-        sent: core.now,
-    });
+    view.pending = Some(PendingCall::new(number, core.now));
     let ask = match &view.full_read {
         Some(pages) => StoreCall::Page {
             after: pages.after.clone(),
@@ -282,7 +276,8 @@
         return;
     }
     if batch.after > view.revision {
-        if view.standby {
+        log_gap(core, from, &batch, out);
+        if core.relay.view.standby {
             request_next(core, out);
         }
         return;
@@ -306,6 +301,21 @@
     }
 }
 
+/// Logs the first received changes that cannot be applied because earlier ones are not known.
+fn log_gap(core: &mut Core, from: &str, batch: &ReplicatedChanges, out: &mut Effects) {
+    let view = &mut core.relay.view;
+    if view.gap_after.replace(view.revision) == Some(view.revision) {
+        return;
+    }
+    let fields = vec![
+        ("from", from.into()),
+        ("at", view.revision.to_string().into()),
+        ("after", batch.after.to_string().into()),
+        ("newest", batch.revision.to_string().into()),
+    ];
+    note(out, log::Level::Info, "view.gap", fields);
+}
+
 fn pause(core: &Core, delay: Duration, out: &mut Effects) {
     wake(
         core,
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -6,8 +6,9 @@
 use rand::RngExt;
 
 use super::super::event::{ProbeReport, RelayEffect, StoreAnswer, StoreCall};
-use super::super::{RelayTimer, gossip, note, wake};
-use super::{PendingCall, View, drop_missing, in_ms, log_availability, request_next};
+use super::super::{RelayTimer, gossip, wake};
+use super::pending::{PendingCall, cancel_lost};
+use super::{View, drop_missing, log_availability, request_next};
 use crate::core::effect::Effect;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
@@ -35,9 +36,9 @@
 
 /// An answered probe. Older calls are checked against it.
 #[derive(Debug, Clone, Copy)]
-struct ProbeResult {
-    sent: Time,
-    newest: i64,
+pub(super) struct ProbeResult {
+    pub(super) sent: Time,
+    pub(super) newest: i64,
     /// Whether another host sent it; it then says nothing about this host's own probes.
     remote: bool,
 }
@@ -272,21 +273,9 @@
 
 /// Abandons a page or a watch as lost, and reads every key again.
 fn abandon(core: &mut Core, pending: PendingCall, result: ProbeResult, out: &mut Effects) {
+    cancel_lost(core, pending, result, out);
     let view = &mut core.relay.view;
-    let call = match view.full_read {
-        Some(_) => "range",
-        None => "watch",
-    };
-    let fields = vec![
-        ("call", call.into()),
-        ("after_ms", in_ms(core.now.since(pending.sent))),
-        ("at", view.revision.to_string().into()),
-        ("newest", result.newest.to_string().into()),
-        ("probed_ms", in_ms(core.now.since(result.sent))),
-    ];
     view.probes.losses = (view.probes.losses + 1).min(MAX_GRACE_DOUBLINGS);
     view.start_full_read();
-    note(out, log::Level::Warn, "store.call_lost", fields);
-    out.push(Effect::Relay(RelayEffect::CancelStoreCall(pending.number)));
     request_next(core, out);
 }
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -42,6 +42,7 @@
     retries: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
+    calls_lost: Counter<u64>,
     view_age: Gauge<f64>,
     store_era: Gauge<u64>,
     unlisted: Gauge<u64>,
@@ -100,6 +101,10 @@
             retries: counter("chiveway_retries", "Attempts beyond the first"),
             orders: counter("chiveway_orders", "Orders given to engines"),
             store_calls: counter("chiveway_store_calls", "Calls of the key-value service"),
+            calls_lost: counter(
+                "chiveway_store_calls_lost",
+                "Reads and watches of the key-value service abandoned as lost",
+            ),
             view_age: meter
                 .f64_gauge("chiveway_store_view_age")
                 .with_description("Time since all that the key-value service held was known")
@@ -158,6 +163,7 @@
                     .record(after.as_secs_f64(), &[label("class", class)]);
             }
             Meter::Retried { class } => self.retries.add(1, &[label("class", class)]),
+            Meter::StoreCallLost => self.calls_lost.add(1, &[]),
             Meter::OrderSent { pool } => self.orders.add(1, &[label("pool", pool)]),
         }
     }
--- a/src/host/relay/store.rs
+++ b/src/host/relay/store.rs
@@ -22,6 +22,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after the end of its wait at which a watch times out, unless it was found lost earlier.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1500);
+/// Shortest interval between two reports of the bytes that a call has received.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
 /// Largest size of an answer: a page of 1 MB in base64, plus its framing.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -64,11 +66,21 @@
     node: &Rc<Node>,
     call: store::Call,
     time: Duration,
+) -> Result<(u16, bytes::Bytes), CallError> {
+    call_observed(node, call, time, |_| {}).await
+}
+
+/// Does the same as [`call_store`], and passes the bytes received so far to `progress`.
+async fn call_observed(
+    node: &Rc<Node>,
+    call: store::Call,
+    time: Duration,
+    progress: impl FnMut(usize),
 ) -> Result<(u16, bytes::Bytes), CallError> {
     let sort = call.kind;
     update_counts(node, |calls| sort.count(calls));
     let sent = Instant::now();
-    let result = send(node, call, time).await;
+    let result = send(node, call, time, progress).await;
     let (ran, why) = match &result {
         Ok((status, _)) if *status == 429 || *status >= 500 => {
             (Ran::No, format!("the store answered {status}"))
@@ -106,6 +118,7 @@
     node: &Rc<Node>,
     call: store::Call,
     time: Duration,
+    progress: impl FnMut(usize),
 ) -> Result<(u16, bytes::Bytes), CallError> {
     let addr = node.with_core(|core| core.settings.relay.as_ref().map(|relay| relay.store));
     let Some(addr) = addr else {
@@ -122,7 +135,11 @@
         headers,
         body: call.body.into(),
     };
-    let answer = node.relay.store.call(&call, time, MAX_ANSWER_BYTES).await?;
+    let answer = node
+        .relay
+        .store
+        .call_observed(&call, time, MAX_ANSWER_BYTES, progress)
+        .await?;
     if let Some(era) = store::decode_era(&answer.headers) {
         apply(node, RelayEvent::StoreEra(era));
     }
@@ -223,7 +240,7 @@
     cancelled: oneshot::Receiver<()>,
 ) {
     let answer = tokio::select! {
-        answer = fetch_answer(&node, call) => answer,
+        answer = fetch_answer(&node, number, call) => answer,
         _ = cancelled => return,
     };
     node.relay.store_calls.borrow_mut().remove(&number);
@@ -237,10 +254,30 @@
     apply(&node, RelayEvent::StoreAnswered { number, answer });
 }
 
-async fn fetch_answer(node: &Rc<Node>, call: StoreCall) -> Result<StoreAnswer, CallError> {
+/// Returns a callback that reports the bytes received by a call, at most once per [`PROGRESS_INTERVAL`].
+fn report_progress(node: &Rc<Node>, number: u64) -> impl FnMut(usize) {
+    let node = Rc::clone(node);
+    let mut reported: Option<Instant> = None;
+    move |bytes| {
+        let now = Instant::now();
+        if reported.is_some_and(|at| now.duration_since(at) < PROGRESS_INTERVAL) {
+            return;
+        }
+        reported = Some(now);
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        apply(&node, RelayEvent::StoreReceived { number, bytes });
+    }
+}
+
+async fn fetch_answer(
+    node: &Rc<Node>,
+    number: u64,
+    call: StoreCall,
+) -> Result<StoreAnswer, CallError> {
+    let progress = report_progress(node, number);
     match call {
-        StoreCall::Page { after } => page(node, after).await,
-        StoreCall::Watch { after, wait } => changes(node, after, wait).await,
+        StoreCall::Page { after } => page(node, after, progress).await,
+        StoreCall::Watch { after, wait } => changes(node, after, wait, progress).await,
         StoreCall::Probe => {
             let (status, body) = call_store(node, store::probe(), CALL_TIMEOUT).await?;
             let page = decode_success(status, || store::decode_page(&body))?;
@@ -249,9 +286,13 @@
     }
 }
 
-async fn page(node: &Rc<Node>, after: Option<Box<str>>) -> Result<StoreAnswer, CallError> {
+async fn page(
+    node: &Rc<Node>,
+    after: Option<Box<str>>,
+    progress: impl FnMut(usize),
+) -> Result<StoreAnswer, CallError> {
     let call = store::range(platform::WATCHED_PREFIX, after.as_deref());
-    let (status, body) = call_store(node, call, CALL_TIMEOUT).await?;
+    let (status, body) = call_observed(node, call, CALL_TIMEOUT, progress).await?;
     let page = decode_success(status, || store::decode_page(&body))?;
     let mut changes = Changes::default();
     for pair in &page.range.pairs {
@@ -270,9 +311,14 @@
     })
 }
 
-async fn changes(node: &Rc<Node>, after: i64, wait: Duration) -> Result<StoreAnswer, CallError> {
+async fn changes(
+    node: &Rc<Node>,
+    after: i64,
+    wait: Duration,
+    progress: impl FnMut(usize),
+) -> Result<StoreAnswer, CallError> {
     let call = store::watch(platform::WATCHED_PREFIX, after, wait);
-    let (status, body) = call_store(node, call, wait + WATCH_TIMEOUT_MARGIN).await?;
+    let (status, body) = call_observed(node, call, wait + WATCH_TIMEOUT_MARGIN, progress).await?;
     if status == 410 {
         return Ok(StoreAnswer::Compacted);
     }
