--- a/src/core/relay/tests/view/mod.rs
+++ b/src/core/relay/tests/view/mod.rs
@@ -28,6 +28,8 @@
 
 /// Times after which a kernel sends the first packet of a connection again.
 const SYN_RETRY_MS: [u64; 3] = [1000, 3000, 7000];
+/// Time between two parts of an answer.
+const PART_INTERVAL_MS: u64 = 50;
 /// Connect timeout of a page or a probe.
 const CONNECT_TIMEOUT_MS: u64 = 1500;
 
@@ -41,6 +43,8 @@
     response_ms: u64,
     /// Additional response time of a page.
     page: u64,
+    /// Whether a page arrives in parts during that time, and not at its end.
+    in_parts: bool,
     /// Pages of a full read.
     pages: usize,
     /// Number of page, watch and probe calls.
@@ -59,6 +63,7 @@
             calls: BTreeMap::new(),
             response_ms: STEP_MS,
             page: 0,
+            in_parts: false,
             pages: 1,
             call_counts: (0, 0, 0),
             behind: 0,
@@ -125,6 +130,18 @@
         })
     }
 
+    /// Returns the calls of which a part of the answer arrives now.
+    fn take_parts(&self, now: u64) -> Vec<u64> {
+        let arriving = self.calls.iter().filter(|(_, (ask, due))| {
+            matches!(ask, StoreCall::Page { .. }) && now < *due && now + self.page > *due
+        });
+        let due = self.in_parts && now.is_multiple_of(PART_INTERVAL_MS);
+        arriving
+            .filter(|_| due)
+            .map(|(number, _)| *number)
+            .collect()
+    }
+
     /// Removes and returns the calls whose connect timeout is over.
     fn take_timed_out(&mut self, now: u64) -> Vec<u64> {
         let late = |ask: &StoreCall, at: u64| {
@@ -221,6 +238,10 @@
             return;
         }
         self.store.connect(now);
+        for number in self.store.take_parts(now) {
+            let bytes = now;
+            self.site.event(RelayEvent::StoreReceived { number, bytes });
+        }
         let store = &self.store;
         let due = store.calls.iter().filter(|(_, (_, due))| *due <= now);
         let answers =
@@ -387,6 +408,45 @@
     assert!(run.abandoned <= 5, "{} abandoned", run.abandoned);
 }
 
+/// Pages arrive in parts over a narrow link while probes are answered immediately. Guards against abandoning a read in
+/// progress: it would start anew, fill the link again, and take several times as long.
+#[test]
+fn a_page_in_transfer_is_not_abandoned() {
+    for page in [500, 900, 2500] {
+        let mut run = Run::start(Store {
+            page,
+            in_parts: true,
+            ..Store::new()
+        });
+        run.pass(10_000);
+        assert!(run.is_current());
+        assert_eq!(
+            (run.abandoned, run.store.call_counts.0),
+            (0, 1),
+            "{page} ms"
+        );
+    }
+}
+
+/// The store hangs in the middle of a page. Guards against waiting for the rest because a part arrived.
+#[test]
+fn a_page_whose_transfer_stops_is_abandoned() {
+    for offset in 0..START_OFFSETS {
+        let mut run = Run::start(Store {
+            page: 3000,
+            in_parts: true,
+            ..Store::new()
+        });
+        run.pass(1000 + offset * 20);
+        run.store.set_mode(StoreMode::Hangs);
+        run.pass(2000);
+        run.store.set_mode(StoreMode::Answers);
+        run.store.page = 0;
+        let took = run.until_current();
+        assert!(took <= MAX_CATCH_UP_MS, "{took} ms at offset {offset}");
+    }
+}
+
 /// Nothing changes. The store gets only watches and probes, and a probe costs a tenth of a read.
 #[test]
 fn an_idle_minute_costs_few_calls() {
