Show that a departure waits for a large configuration, as a failing test

Hosts 1 to 4 of 5 still use a server 1000 ms after the store removed it, while host 0 knows of it and sends them the change: they lack the configuration written before and apply nothing after it.

--- a/src/core/relay/tests/departed.rs
+++ b/src/core/relay/tests/departed.rs
@@ -46,6 +46,32 @@
     }
 }
 
+/// A server leaves while all hosts but one read a configuration of megabytes over narrow links. Guards against applying
+/// no change before the configuration has arrived, though other hosts know that the server left.
+#[test]
+fn a_departure_does_not_wait_for_a_large_configuration() {
+    for hosts in [5, 30] {
+        let mut domain = TestDomain::with_hosts(hosts);
+        domain.pass(3000);
+        domain.store.transfer_ms = 4000;
+        domain.store.revision += 1;
+        domain.store.large_at = Some(domain.store.revision);
+        domain.pass(500);
+        domain.remove("r");
+        domain.pass(DROP_DEADLINE_MS);
+        let late = (0..hosts).filter(|host| would_send_to(&domain, *host, "r"));
+        assert_eq!(late.collect::<Vec<_>>(), [0; 0], "of {hosts} hosts");
+        domain.pass(8000);
+        for host in 0..hosts {
+            assert!(
+                !would_send_to(&domain, host, "r"),
+                "host {host} uses it again"
+            );
+            assert_eq!(domain.version(host), 12, "host {host}");
+        }
+    }
+}
+
 /// Returns hosts at the end of an outage of the store in which the entry of server `r` was removed.
 fn after_outage() -> TestDomain {
     let mut domain = TestDomain::with_hosts(3);
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -9,6 +9,10 @@
 
 /// Milliseconds that a datagram is in transit.
 const TRANSIT_MS: u64 = 1;
+/// Bytes of a configuration that fits no datagram.
+const LARGE_VALUE_BYTES: usize = 100 * 1024;
+/// Milliseconds between two parts of an answer with such a configuration.
+const PART_INTERVAL_MS: u64 = 50;
 /// Milliseconds that the store takes to answer.
 const STORE_REPLY_MS: u64 = 4;
 
@@ -45,6 +49,12 @@
     pub unreachable: BTreeSet<usize>,
     /// Servers whose entries were removed.
     pub removed: BTreeSet<Box<str>>,
+    /// Revision whose configuration is large.
+    pub large_at: Option<i64>,
+    /// Milliseconds that it takes to all hosts but the first, over narrow links.
+    pub transfer_ms: u64,
+    /// Answers with it: time of arrival, host, number and answer.
+    transfers: Vec<(u64, usize, u64, StoreAnswer)>,
     /// Calls in flight: earliest time of the answer, host, number and call.
     calls: Vec<(u64, usize, u64, StoreCall)>,
     /// Number of pages and watches requested by each host.
@@ -110,6 +120,9 @@
                 unresponsive: false,
                 unreachable: BTreeSet::new(),
                 removed: BTreeSet::new(),
+                large_at: None,
+                transfer_ms: 0,
+                transfers: Vec::new(),
                 calls: Vec::new(),
                 read_counts: vec![0; hosts],
                 registration_calls: 0,
@@ -140,6 +153,8 @@
                 Effect::Relay(RelayEffect::CancelStoreCall(given_up)) => {
                     let calls = &mut self.store.calls;
                     calls.retain(|(_, from, number, _)| (*from, *number) != (host, *given_up));
+                    let transfers = &mut self.store.transfers;
+                    transfers.retain(|(_, to, number, _)| (*to, *number) != (host, *given_up));
                 }
                 Effect::GrantLease { .. } | Effect::Txn { .. } => {
                     self.store.registration_calls += 1;
@@ -164,16 +179,55 @@
         self.store.calls = later;
         for (_, host, number, call) in ready {
             let answer = self.reply_to(&call);
-            if let Some(node) = self.hosts[host].as_mut() {
-                node.now = self.now;
-                node.event(RelayEvent::StoreEra(self.store.era));
-                self.send_effects(host);
+            if host > 0 && self.is_large(&call) {
+                let due = self.now + self.store.transfer_ms;
+                self.store.transfers.push((due, host, number, answer));
+            } else {
+                self.deliver(host, number, answer);
             }
-            if let Some(node) = self.hosts[host].as_mut() {
-                node.event(RelayEvent::StoreAnswered { number, answer });
-                self.send_effects(host);
+        }
+        self.transfer();
+    }
+
+    /// Whether the answer to a call contains the large configuration.
+    fn is_large(&self, call: &StoreCall) -> bool {
+        self.store.large_at.is_some_and(|large| match call {
+            StoreCall::Page { .. } => true,
+            StoreCall::Watch { after, .. } => *after < large,
+            StoreCall::Probe => false,
+        })
+    }
+
+    /// Advances the transfers of large answers.
+    fn transfer(&mut self) {
+        let all = std::mem::take(&mut self.store.transfers).into_iter();
+        let (arrived, arriving): (Vec<_>, Vec<_>) = all.partition(|(due, ..)| *due <= self.now);
+        if self.now.is_multiple_of(PART_INTERVAL_MS) {
+            for (_, host, number, _) in &arriving {
+                if let Some(node) = self.hosts[*host].as_mut() {
+                    node.now = self.now;
+                    let (number, bytes) = (*number, self.now);
+                    node.event(RelayEvent::StoreReceived { number, bytes });
+                }
             }
         }
+        self.store.transfers = arriving;
+        for (_, host, number, answer) in arrived {
+            self.deliver(host, number, answer);
+        }
+    }
+
+    /// Delivers an answer of the store.
+    fn deliver(&mut self, host: usize, number: u64, answer: StoreAnswer) {
+        if let Some(node) = self.hosts[host].as_mut() {
+            node.now = self.now;
+            node.event(RelayEvent::StoreEra(self.store.era));
+            self.send_effects(host);
+        }
+        if let Some(node) = self.hosts[host].as_mut() {
+            node.event(RelayEvent::StoreAnswered { number, answer });
+            self.send_effects(host);
+        }
     }
 
     fn reply_to(&self, call: &StoreCall) -> StoreAnswer {
@@ -201,6 +255,8 @@
                 let events = (*after + 1..=at).map(|revision| StoreChange {
                     revision,
                     changes: changed(revision),
+                    value: (self.store.large_at == Some(revision))
+                        .then(|| vec![0; LARGE_VALUE_BYTES].into()),
                     ..StoreChange::default()
                 });
                 StoreAnswer::Changes {
