Abandon no read of the store while its answer arrives

A configuration of a megabyte takes 0.85 s over a link of 10 Mbit/s; the probes sent meanwhile were answered in milliseconds, so that the read counted as lost after 0.3 to 1 s and began anew, up to three times, filling the link.

Cause: a call's silence was counted from when it was sent, not from when the last part of its answer arrived. Class: what makes progress is taken for what has failed, since only its end is observed.

A read whose transfer stops is still abandoned within a second.

--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -9,8 +9,8 @@
 //! standby while they receive them in time. See [`history`] and [`apply_replicated`].
 //!
 //! Probes distinguish a lost watch from an idle store. Each asks for the store's newest revision, at a tenth of the
-//! cost of a read. A call that was sent before an answered probe and stays unanswered is abandoned, and every key is
-//! read again: within a second of the store's return, whichever call was lost.
+//! cost of a read. A call of which nothing arrived since an answered probe was sent is abandoned, and every key is read
+//! again: within a second of the store's return, whichever call was lost.
 
 pub mod era;
 mod history;
--- a/src/core/relay/view/pending.rs
+++ b/src/core/relay/view/pending.rs
@@ -32,6 +32,14 @@
             active_at: now,
         }
     }
+
+    /// Whether nothing of the answer arrived since a probe was sent whose result is known.
+    ///
+    /// A large answer takes seconds over a narrow link, while probes take milliseconds.
+    #[must_use]
+    pub(super) fn is_silent_since(&self, result: ProbeResult) -> bool {
+        self.active_at < result.sent
+    }
 }
 
 /// Records that a part of the answer to a call arrived.
--- a/src/core/relay/view/probe.rs
+++ b/src/core/relay/view/probe.rs
@@ -118,11 +118,13 @@
     }
 
     /// Whether the pending page or watch should have been answered by now, because the store answered a probe that was
-    /// sent after it; on standby, whether the watcher should have sent changes.
+    /// sent after the last sign of its answer; on standby, whether the watcher should have sent changes.
     fn is_overdue(&self, result: ProbeResult) -> bool {
-        let older = self.pending.is_some_and(|call| call.sent < result.sent);
-        (older && self.full_read.is_some())
-            || ((older || self.standby) && result.newest > self.revision)
+        let silent = self
+            .pending
+            .is_some_and(|call| call.is_silent_since(result));
+        (silent && self.full_read.is_some())
+            || ((silent || self.standby) && result.newest > self.revision)
     }
 }
 
@@ -259,8 +261,8 @@
         request_next(core, out);
         return;
     }
-    let older = view.pending.filter(|call| call.sent < result.sent);
-    match older.filter(|_| unresponsive || view.is_overdue(result)) {
+    let silent = view.pending.filter(|call| call.is_silent_since(result));
+    match silent.filter(|_| unresponsive || view.is_overdue(result)) {
         Some(pending) => abandon(core, pending, result, out),
         // A later probe may suggest a lost call as well.
         None => {
