--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod event;
 mod gossip;
 pub mod instance;
+pub mod instances;
 pub mod limit;
 mod load;
 mod model;
@@ -38,7 +39,7 @@
 use budget::RetryBudget;
 use catalog::{Catalog, RetryPolicy, Route};
 use event::{Changes, Prompt, RelayEvent, Task};
-use instance::Instances;
+use instances::Instances;
 
 /// Timers of the relay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -323,7 +324,7 @@
 }
 
 /// Logs changes in the listing of backend servers.
-fn log_listings(listings: Vec<instance::StateChange>, out: &mut Effects) {
+fn log_listings(listings: Vec<instances::StateChange>, out: &mut Effects) {
     for listing in listings {
         note(
             out,
