Report departures of backend servers to other hosts apart from the ordered changes

Hosts apply the store's changes in order: one that lacks a configuration of a megabyte, which fits no datagram, applied nothing after it until its own read had brought it, though its neighbours sent it each departure within milliseconds.

Cause: a small urgent change queued behind a large one that it does not depend on. Class: head-of-line blocking in one ordered stream for unrelated keys.

Each message now names the servers that left within the last second, as of which revision; whoever learns of one sends it on, also to other failure domains and to hosts that do not reach the store. An entry written before its server's departure is ignored, whatever it arrives by; a later one, and a later start of the server, count. A removal soon after an outage of the store, which may be that of an entry that expired in it, is not reported.

The cases in departure_reports.rs hold the other side.

--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -29,6 +29,8 @@
     pub replicated: Option<ReplicatedChanges>,
     /// Rate limits that backend servers name, or stopped naming lately.
     pub limits: Vec<LimitReport>,
+    /// Backend servers that left lately.
+    pub departures: Vec<DepartureReport>,
     /// Time for which the store has answered without a break, as far as the sender has observed.
     pub uptime: Option<UptimeReport>,
 }
@@ -82,6 +84,17 @@
     pub age: Duration,
 }
 
+/// A backend server that left, as a host read it from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct DepartureReport {
+    /// Short hash of the backend server's id.
+    pub instance: u32,
+    /// Wall clock at its start, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+    /// Revision of the store as of which it had left.
+    pub revision: i64,
+}
+
 /// A time span in which the store answered without a break.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UptimeReport {
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -13,8 +13,8 @@
 use crate::error::Ran;
 use crate::settings::Settings;
 pub use gossip::{
-    BlockReport, CrashReport, Gossip, GossipKind, IncludedReport, LimitReport, LoadReport,
-    ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
+    BlockReport, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport, LimitReport,
+    LoadReport, ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
 };
 
 /// One event about relayed requests.
@@ -203,6 +203,8 @@
     pub stage: Option<Stage>,
     /// Wall clock at its start, in milliseconds since the Unix epoch; 0 if its entry names none.
     pub started_ms: u64,
+    /// Revision of the store at which the entry was written.
+    pub revision: i64,
 }
 
 /// Stage of model requests that an engine serves.
--- a/src/core/relay/gossip/gather.rs
+++ b/src/core/relay/gossip/gather.rs
@@ -11,7 +11,7 @@
 use super::super::super::{Core, Effects};
 use super::super::event::{Gossip, GossipKind, IncludedReport, LoadReport};
 use super::super::instance::{Work, short_hash};
-use super::super::note;
+use super::super::{departed, note};
 use super::aggregator::{AggregatorChange, preferred_order};
 use super::{
     KEEPALIVE_INTERVAL, domains, load_report, neighbours, new_message, publish_effect,
@@ -122,8 +122,10 @@
         })
         .collect();
     let view = &core.relay.view;
-    let unchanged =
-        !view.probes.has_unsent() && !view.history.has_unsent() && !peers.downstream.is_dirty();
+    let unchanged = !view.probes.has_unsent()
+        && !view.history.has_unsent()
+        && !peers.downstream.is_dirty()
+        && !departed::changed_since(core, peers.totals_sent);
     let recent = peers
         .totals_sent
         .is_some_and(|at| core.now.since(at) < KEEPALIVE_INTERVAL);
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -1,4 +1,5 @@
-//! Gossip between hosts: unfinished work, cached prefix blocks, crashes, rate limits, store changes.
+//! Gossip between hosts: unfinished work, cached prefix blocks, crashes, rate limits, departures of backend servers,
+//! store changes.
 //!
 //! Each host sees only its share of the requests. Without reports from the others, all hosts would
 //! pick the same seemingly idle engine, and prefill the same prefix at different engines.
@@ -25,7 +26,7 @@
 use super::event::{BlockReport, CrashReport, Gossip, GossipKind, LoadReport, RelayEffect};
 use super::instance::Work;
 use super::peers::Peer;
-use super::{RelayTimer, from_millis, limit, load, peers, prefix_cache, view, wake};
+use super::{RelayTimer, departed, from_millis, limit, load, peers, prefix_cache, view, wake};
 
 /// Shortest interval between two messages to the other hosts.
 ///
@@ -143,7 +144,8 @@
     let view = &core.relay.view;
     let limits = core.relay.peers.last_publish;
     let limits = limits.is_some_and(|last| limit::changed_since(core, last));
-    let changed = changed || limits;
+    let departures = departed::changed_since(core, core.relay.peers.last_publish);
+    let changed = changed || limits || departures;
     let changed = changed
         || view.probes.has_unsent()
         || (view.history.has_unsent() && replicates_changes(core));
@@ -221,6 +223,7 @@
         probe,
         replicated,
         limits: limit::reports(core),
+        departures: departed::reports(core),
         uptime: core.relay.view.uptime.report(core.now),
     }
 }
@@ -359,7 +362,9 @@
         message.uptime = None;
         message.replicated = None;
         message.probe = None;
+        message.departures.clear();
     }
+    departed::reported(core, &message.host, &message.departures, out);
     if let Some(uptime) = message.uptime {
         view::uptime_reported(core, uptime, out);
     }
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::departed::{Position, ServerStart};
 use super::event::{BackendEntry, LoadReport, Stage};
 use super::limit::Limit;
 use super::model::{Link, Slowdown};
@@ -51,6 +52,8 @@
     pub stage: Option<Stage>,
     /// Time of its start by the wall clock, in milliseconds since the Unix epoch.
     pub born: u64,
+    /// Point in the store's history at which its entry was last written.
+    pub listed_at: Position,
     /// When its entry was first found missing after the watch was interrupted.
     pub missing_since: Option<Time>,
     /// Whether another instance answered at its address.
@@ -144,6 +147,7 @@
             leaving: entry.leaving,
             stage: entry.stage,
             born: entry.started_ms,
+            listed_at: Position::default(),
             missing_since: None,
             addr_reused: false,
             own_work: Work::default(),
@@ -164,6 +168,12 @@
         }
     }
 
+    /// Returns which start of the server this is.
+    #[must_use]
+    pub fn start(&self) -> ServerStart {
+        (self.short_hash, self.born)
+    }
+
     /// Whether new work may go there.
     #[must_use]
     pub fn is_available(&self, now: Time) -> bool {
--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SlotMap;
 
-use super::departed::Departed;
+use super::departed::{Departed, Position, ServerStart, start_of};
 use super::event::{BackendEntry, Changes, LoadReport};
 use super::instance::{Instance, MISSING_GRACE, Work};
 use super::limit::Limit;
@@ -70,11 +70,43 @@
             .sum()
     }
 
-    /// Applies changes of the store; returns the state changes.
+    /// Returns the servers that left.
+    #[must_use]
+    pub fn departed(&self) -> &Departed {
+        &self.departed
+    }
+
+    /// Records that a server left as of a point in the store's history, as another host reported it; returns the
+    /// state change.
+    pub fn depart(&mut self, start: ServerStart, at: Position, now: Time) -> Option<StateChange> {
+        let key = self.by_short_hash(start.0);
+        let instance = key.and_then(|key| self.arena.get_mut(key));
+        // A start before the reported one has ended, too.
+        let instance = instance.filter(|instance| instance.born <= start.1);
+        if instance.as_ref().is_some_and(|known| known.listed_at > at) {
+            // It registered again since.
+            return None;
+        }
+        if !self.departed.insert(start, at, true, now) {
+            return None;
+        }
+        let instance = instance.filter(|instance| !instance.leaving)?;
+        instance.leaving = true;
+        Some(StateChange {
+            id: instance.id.clone(),
+            state: "leaving",
+        })
+    }
+
+    /// Applies changes of the store up to a point in its history; returns the state changes.
+    ///
+    /// `settled` is whether the store has been up for so long that no entry is missing only because it expired in
+    /// an outage.
     pub fn apply_changes(
         &mut self,
         changes: &mut Changes,
-        era: u64,
+        at: Position,
+        settled: bool,
         now: Time,
     ) -> Vec<StateChange> {
         let mut state_changes = Vec::new();
@@ -92,29 +124,29 @@
             }
         }
         for entry in std::mem::take(&mut changes.instances) {
-            if changes.is_snapshot && self.departed.is_stale(&entry, era) {
+            if self.departed.is_stale(&entry, at.era, changes.is_snapshot) {
                 continue;
             }
+            let listed_at = Position {
+                era: at.era,
+                revision: entry.revision,
+            };
             if entry.leaving {
-                self.departed
-                    .insert(entry.id.clone(), entry.started_ms, era, now);
+                self.departed.insert(start_of(&entry), listed_at, true, now);
             } else {
-                self.departed.remove(&entry.id);
+                self.departed.remove(start_of(&entry));
             }
-            self.apply_entry(entry, now, &mut state_changes);
+            self.apply_entry(entry, listed_at, now, &mut state_changes);
         }
         for id in std::mem::take(&mut changes.removed) {
             if let Some(key) = self.find(&id) {
                 let instance = &mut self.arena[key];
-                let born = instance.born;
+                let start = instance.start();
                 if !instance.leaving {
-                    state_changes.push(StateChange {
-                        id: id.clone(),
-                        state: "gone",
-                    });
+                    state_changes.push(StateChange { id, state: "gone" });
                 }
                 instance.leaving = true;
-                self.departed.insert(id, born, era, now);
+                self.departed.insert(start, at, settled, now);
             }
         }
         self.sweep(now);
@@ -122,22 +154,19 @@
     }
 
     /// Drops backend servers whose entries are missing; returns the state changes.
-    pub fn drop_missing(&mut self, era: u64, now: Time) -> Vec<StateChange> {
+    pub fn drop_missing(&mut self, at: Position, now: Time) -> Vec<StateChange> {
+        let mut state_changes = Vec::new();
         let all = self.arena.values_mut();
-        let missing = all.filter(|instance| instance.missing_since.is_some() && !instance.leaving);
-        let gone: Vec<(Box<str>, u64)> = missing
-            .map(|instance| {
-                instance.leaving = true;
-                (instance.id.clone(), instance.born)
-            })
-            .collect();
-        for (id, born) in &gone {
-            self.departed.insert(id.clone(), *born, era, now);
+        for instance in all.filter(|instance| instance.missing_since.is_some()) {
+            if std::mem::replace(&mut instance.leaving, true) {
+                continue;
+            }
+            self.departed.insert(instance.start(), at, true, now);
+            state_changes.push(StateChange {
+                id: instance.id.clone(),
+                state: "gone",
+            });
         }
-        let state_changes: Vec<StateChange> = gone
-            .into_iter()
-            .map(|(id, _)| StateChange { id, state: "gone" })
-            .collect();
         if !state_changes.is_empty() {
             self.sweep(now);
         }
@@ -147,6 +176,7 @@
     fn apply_entry(
         &mut self,
         entry: BackendEntry,
+        listed_at: Position,
         now: Time,
         state_changes: &mut Vec<StateChange>,
     ) {
@@ -172,6 +202,7 @@
                 state_changes.push(StateChange { id, state });
             }
             instance.leaving = entry.leaving;
+            instance.listed_at = listed_at;
             instance.missing_since = None;
             instance.stage = entry.stage;
             instance.slots = entry.slots.max(1);
@@ -183,6 +214,7 @@
         });
         let service = entry.service.clone();
         let mut instance = Instance::new(entry);
+        instance.listed_at = listed_at;
         if restarted {
             instance.limit = Limit::since(now);
         }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -313,24 +313,33 @@
     if let Some(catalog) = changes.catalog.take() {
         apply_catalog(core, catalog, out);
     }
-    let era = core.relay.view.era();
+    let at = departed::known_position(&core.relay.view);
+    let settled = core.relay.view.is_settled();
     let listings = core
         .relay
         .instances
-        .apply_changes(&mut changes, era, core.now);
-    log_listings(listings, out);
+        .apply_changes(&mut changes, at, settled, core.now);
+    log_listings(listings, view::STORE_SOURCE, out);
     peers::apply_changes(core, &changes, out);
     planner::changed(core, &changes, out);
 }
 
-/// Logs changes in the listing of backend servers.
-fn log_listings(listings: Vec<instances::StateChange>, out: &mut Effects) {
+/// Logs changes in the listing of backend servers, and whether the store or which host they come from.
+fn log_listings(
+    listings: impl IntoIterator<Item = instances::StateChange>,
+    source: &str,
+    out: &mut Effects,
+) {
     for listing in listings {
         note(
             out,
             log::Level::Info,
             "backend.listed",
-            vec![("backend", listing.id), ("state", listing.state.into())],
+            vec![
+                ("backend", listing.id),
+                ("state", listing.state.into()),
+                ("source", source.into()),
+            ],
         );
     }
 }
--- a/src/core/relay/tests/departed.rs
+++ b/src/core/relay/tests/departed.rs
@@ -93,8 +93,7 @@
     for host in 0..3 {
         assert!(sends_to(&mut domain, host, "r"), "host {host}");
     }
-    domain.store.removed.clear();
-    domain.store.revision += 1;
+    domain.list_again();
     domain.pass(3000);
     for host in 0..3 {
         assert!(would_send_to(&domain, host, "r"), "host {host}");
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -49,6 +49,8 @@
     pub unreachable: BTreeSet<usize>,
     /// Servers whose entries were removed.
     pub removed: BTreeSet<Box<str>>,
+    /// Revision at which the entries were written.
+    pub listed_at: i64,
     /// Revision whose configuration is large.
     pub large_at: Option<i64>,
     /// Milliseconds that it takes to all hosts but the first, over narrow links.
@@ -120,6 +122,7 @@
                 unresponsive: false,
                 unreachable: BTreeSet::new(),
                 removed: BTreeSet::new(),
+                listed_at: 0,
                 large_at: None,
                 transfer_ms: 0,
                 transfers: Vec::new(),
@@ -270,8 +273,12 @@
 
     /// Returns the servers whose entries the store holds.
     fn servers(&self) -> Vec<BackendEntry> {
-        let all = ["p", "q", "r"].map(plain_entry).into_iter();
-        all.filter(|entry| !self.store.removed.contains(&entry.id))
+        let all = ["p", "q", "r"].map(|id| BackendEntry {
+            revision: self.store.listed_at,
+            ..plain_entry(id)
+        });
+        all.into_iter()
+            .filter(|entry| !self.store.removed.contains(&entry.id))
             .collect()
     }
 
@@ -316,6 +323,13 @@
         self.store.revision += 1;
     }
 
+    /// Writes the entries of all servers again, the removed ones included.
+    pub fn list_again(&mut self) {
+        self.store.removed.clear();
+        self.store.revision += 1;
+        self.store.listed_at = self.store.revision;
+    }
+
     /// Returns the milliseconds until all running hosts except the excluded ones have applied the newest
     /// configuration.
     pub fn convergence_time(&mut self, excluded: &[usize]) -> u64 {
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod config;
 mod departed;
+mod departure_reports;
 mod domain;
 mod era;
 mod gossip;
@@ -301,6 +302,7 @@
         leaving: false,
         stage: None,
         started_ms: 1,
+        revision: 0,
     }
 }
 
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -28,7 +28,7 @@
 use super::event::{
     Changes, RelayEffect, ReplicatedChanges, StoreAnswer, StoreCall, StoreChange, UptimeReport,
 };
-use super::{RelayTimer, gossip, instance, note, peers, wake};
+use super::{RelayTimer, departed, gossip, instance, note, peers, wake};
 use crate::core::effect::Effect;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
@@ -59,7 +59,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(900);
 
 /// Source in the log of changes that were read from the store.
-const STORE_SOURCE: &str = "store";
+pub(super) const STORE_SOURCE: &str = "store";
 
 /// The pages of a full read that have arrived so far.
 #[derive(Debug, Default)]
@@ -179,6 +179,18 @@
         self.era
     }
 
+    /// Returns the revision up to which all changes are known.
+    #[must_use]
+    pub fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// Whether the store has been up for as long as expired entries take to be written again.
+    #[must_use]
+    pub(super) fn is_settled(&self) -> bool {
+        self.uptime.length() >= instance::MISSING_GRACE
+    }
+
     /// Returns the number of eras that ended since this host's start.
     #[must_use]
     pub fn ended_eras(&self) -> u32 {
@@ -286,7 +298,6 @@
     view.set_source(from, out);
     let events = batch.events.into_iter();
     let new: Vec<StoreChange> = events.filter(|event| event.revision > known).collect();
-    view.revision = batch.revision;
     if view.full_read.is_none() {
         view.standby = true;
         if let Some(call) = view.pending.take() {
@@ -294,11 +305,16 @@
             out.push(Effect::Relay(RelayEffect::CancelStoreCall(call.number)));
         }
     }
-    let changes: Vec<Changes> = new.iter().map(|event| event.changes.clone()).collect();
+    let changes = new
+        .iter()
+        .map(|event| (event.revision, event.changes.clone()));
+    let changes: Vec<(i64, Changes)> = changes.collect();
     view.history.append(new);
-    for changes in changes {
+    for (revision, changes) in changes {
+        core.relay.view.revision = revision;
         super::apply_changes(core, changes, out);
     }
+    core.relay.view.revision = batch.revision;
 }
 
 /// Logs the first received changes that cannot be applied because earlier ones are not known.
@@ -453,12 +469,12 @@
 /// Drops backend servers without an entry once the store has been up for as long as expired entries take to be
 /// written again.
 fn drop_missing(core: &mut Core, out: &mut Effects) {
-    if core.relay.view.uptime.length() < instance::MISSING_GRACE {
+    if !core.relay.view.is_settled() {
         return;
     }
-    let era = core.relay.view.era;
-    let state_changes = core.relay.instances.drop_missing(era, core.now);
-    super::log_listings(state_changes, out);
+    let at = departed::known_position(&core.relay.view);
+    let state_changes = core.relay.instances.drop_missing(at, core.now);
+    super::log_listings(state_changes, STORE_SOURCE, out);
     peers::drop_unlisted(core, out);
 }
 
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -6,7 +6,7 @@
 
 use super::datagrams::{seal, verify};
 use super::events::Splitter;
-use crate::core::relay::event::{Gossip, LimitReport, LoadReport, UptimeReport};
+use crate::core::relay::event::{DepartureReport, Gossip, LimitReport, LoadReport, UptimeReport};
 use crate::wire;
 
 fn gossip() -> Gossip {
@@ -32,6 +32,11 @@
                 age: Duration::from_millis(30),
             },
         ],
+        departures: vec![DepartureReport {
+            instance: 5,
+            started_ms: 1_770_695_843_786,
+            revision: 209,
+        }],
         uptime: Some(UptimeReport {
             length: Duration::from_secs(9),
             age: Duration::from_millis(400),
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -10,9 +10,9 @@
 /// Stage name of engines that decode.
 pub(super) const DECODE: &str = "decode";
 
-/// Decodes an entry; `None` if a field is missing, of the wrong type or of an unknown value.
+/// Decodes an entry written at a revision of the store; `None` if a field is missing, of the wrong type or of an unknown value.
 #[must_use]
-pub fn decode(id: &str, bytes: &[u8]) -> Option<BackendEntry> {
+pub fn decode(id: &str, bytes: &[u8], revision: i64) -> Option<BackendEntry> {
     let value: Value = serde_json::from_slice(bytes).ok()?;
     let leaving = match value["state"].as_str()? {
         "ready" => false,
@@ -33,6 +33,7 @@
         leaving,
         stage,
         started_ms: whole_number(&value["born"]).unwrap_or(0),
+        revision,
     })
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -53,7 +53,7 @@
     } else if let Some(id) = key.strip_prefix(SERVERS_PREFIX) {
         changes.instances.retain(|entry| *entry.id != *id);
         changes.removed.retain(|removed| **removed != *id);
-        match value.and_then(|bytes| entry::decode(id, bytes)) {
+        match value.and_then(|bytes| entry::decode(id, bytes, revision)) {
             Some(entry) => changes.instances.push(entry),
             None => changes.removed.push(id.into()),
         }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -30,7 +30,7 @@
         fn $name() {
             let mut entry = entry();
             entry[$key] = $value;
-            let decoded = entry::decode("i-1", entry.to_string().as_bytes());
+            let decoded = entry::decode("i-1", entry.to_string().as_bytes(), 5);
             assert_eq!(decoded.is_some(), $accepted, "{entry}");
         }
     )*};
@@ -347,7 +347,7 @@
     #[test]
     fn arbitrary_bytes_are_decoded_or_rejected(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = catalog::decode(&bytes);
-        let _ = entry::decode("i", &bytes);
+        let _ = entry::decode("i", &bytes, 1);
         let _ = engine::decode_kv_handle(&bytes);
         let _ = engine::decode_report(&bytes);
         let _ = store::decode_page(&bytes);
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -469,6 +469,21 @@
     /// Era of the store to which revisions here belong; 0 where none was named.
     #[prost(uint64, tag = "18")]
     pub era: u64,
+    /// Backend servers that left lately.
+    #[prost(message, repeated, tag = "19")]
+    pub departures: ::prost::alloc::vec::Vec<Departure>,
+}
+/// A backend server that left.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Departure {
+    #[prost(fixed32, tag = "1")]
+    pub instance: u32,
+    /// Milliseconds since the Unix epoch at the start of its process.
+    #[prost(uint64, tag = "2")]
+    pub started: u64,
+    /// Revision of the store as of which it had left.
+    #[prost(int64, tag = "3")]
+    pub revision: i64,
 }
 /// Requests that a backend server takes from all hosts together.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -7,8 +7,8 @@
 
 use super::{WireError, generated as wire};
 use crate::core::relay::event::{
-    BlockReport, Changes, CrashReport, Gossip, GossipKind, IncludedReport, LimitReport, LoadReport,
-    ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
+    BlockReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
+    LimitReport, LoadReport, ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
 };
 
 /// Appends the encoding of a message to `out`.
@@ -31,6 +31,7 @@
         passage: message.replicated.as_ref().map(to_replicated),
         uptime: message.uptime.map(to_uptime),
         limits: message.limits.iter().map(to_limit).collect(),
+        departures: message.departures.iter().map(to_departure).collect(),
     };
     out.reserve(message.encoded_len());
     // Encoding fails only when the buffer is full, and `BytesMut` grows.
@@ -65,6 +66,7 @@
             .iter()
             .map(from_limit)
             .collect::<Result<_, _>>()?,
+        departures: message.departures.iter().map(from_departure).collect(),
         era: message.era,
         probe: (message.newest > 0).then(|| ProbeReport {
             revision: message.newest,
@@ -145,6 +147,22 @@
     })
 }
 
+fn to_departure(report: &DepartureReport) -> wire::Departure {
+    wire::Departure {
+        instance: report.instance,
+        started: report.started_ms,
+        revision: report.revision,
+    }
+}
+
+fn from_departure(departure: &wire::Departure) -> DepartureReport {
+    DepartureReport {
+        instance: departure.instance,
+        started_ms: departure.started,
+        revision: departure.revision,
+    }
+}
+
 fn to_uptime(report: UptimeReport) -> wire::Uptime {
     wire::Uptime {
         length: millis(report.length),
