Bound the silence of a store call, not its transfer, at three seconds

The same cause as abandoned reads, found by looking for it elsewhere: the client of the store ended each call three seconds after it was made, whatever arrived meanwhile. A host behind a link so narrow that a page takes longer would never know a configuration, refuse all callers, and fill its link with reads.

A call now has three seconds for the head of its answer and for each next part, and thirty for the body.

a_page_over_a_narrow_link_is_read (real processes) failed before: the host was not ready within 30 s; it passes.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -22,7 +22,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 use crate::error::Ran;
 
@@ -136,6 +136,17 @@
     pub body: Bytes,
 }
 
+/// Time limits of a call whose response is collected.
+#[derive(Debug, Clone, Copy)]
+pub struct CallLimits {
+    /// Until the head of the response arrives; half of it for the opening of a connection.
+    pub head: Duration,
+    /// Between two parts of the body.
+    pub silence: Duration,
+    /// For the whole body.
+    pub body: Duration,
+}
+
 impl Call {
     /// Builds the request, with a `Host` header if the call has none.
     fn request(&self) -> Result<Request<Full<Bytes>>, PoolError> {
@@ -221,12 +232,18 @@
         time_limit: Duration,
         max_bytes: usize,
     ) -> Result<FullAnswer, PoolError> {
-        self.call_observed(call, time_limit, max_bytes, |_| {})
-            .await
+        let limits = CallLimits {
+            head: time_limit,
+            silence: time_limit,
+            body: time_limit,
+        };
+        let answer = self.call_observed(call, limits, max_bytes, |_| {});
+        let answer = timeout(time_limit, answer).await;
+        answer.unwrap_or(Err(PoolError::Timeout))
     }
 
-    /// Does the same as [`ConnectionPool::call`], and passes the number of bytes received so far to `progress` with
-    /// each part of the body.
+    /// Sends a call and collects its complete response, of at most `max_bytes` bytes; passes the number of bytes
+    /// received so far to `progress` with each part of the body.
     ///
     /// # Errors
     ///
@@ -234,18 +251,16 @@
     pub async fn call_observed(
         &self,
         call: &Call,
-        time_limit: Duration,
+        limits: CallLimits,
         max_bytes: usize,
         progress: impl FnMut(usize),
     ) -> Result<FullAnswer, PoolError> {
-        let deadline = Instant::now() + time_limit;
-        let answer = self.send(call, time_limit / 2);
-        let answer = timeout_at(deadline, answer).await;
+        let answer = timeout(limits.head, self.send(call, limits.head / 2)).await;
         let mut answer = answer.unwrap_or(Err(PoolError::Timeout))?;
         let status = answer.response.status().as_u16();
         let headers = std::mem::take(answer.response.headers_mut());
-        let body = collect_observed(&mut answer, max_bytes, progress);
-        let body = timeout_at(deadline, body).await;
+        let body = collect_observed(&mut answer, max_bytes, limits.silence, progress);
+        let body = timeout(limits.body, body).await;
         let body = body.unwrap_or(Err(PoolError::Timeout))?;
         self.put_back(answer, CALL_IDLE_TIMEOUT, MAX_IDLE_CALL_CONNECTIONS)
             .await;
@@ -332,16 +347,21 @@
 /// Returns [`PoolError::Broken`] for a truncated body and [`PoolError::TooLong`] for one of more
 /// than `max_bytes`.
 pub async fn collect(answer: &mut Answer, max_bytes: usize) -> Result<Bytes, PoolError> {
-    collect_observed(answer, max_bytes, |_| {}).await
+    collect_observed(answer, max_bytes, Duration::MAX, |_| {}).await
 }
 
 async fn collect_observed(
     answer: &mut Answer,
     max_bytes: usize,
+    max_silence: Duration,
     mut progress: impl FnMut(usize),
 ) -> Result<Bytes, PoolError> {
     let mut body = bytes::BytesMut::new();
-    while let Some(chunk) = next_chunk(answer).await {
+    loop {
+        let chunk = timeout(max_silence, next_chunk(answer)).await;
+        let Some(chunk) = chunk.unwrap_or(Some(Err(PoolError::Timeout))) else {
+            break;
+        };
         let chunk = chunk?;
         if body.len() + chunk.len() > max_bytes {
             return Err(PoolError::TooLong);
--- a/src/host/relay/store.rs
+++ b/src/host/relay/store.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::{apply, event_log};
-use crate::backend::pool::{Call, PoolError};
+use crate::backend::pool::{Call, CallLimits, PoolError};
 use crate::core::effect::LogFields;
 use crate::core::event::{Job, StoreEvent, StoreReply, StoreResult};
 use crate::core::relay::event::{Changes, RelayEvent, StoreAnswer, StoreCall, StoreChange};
@@ -18,8 +18,10 @@
 use crate::platform::{self, store};
 use crate::store::{CallCounts, CallKind, Compare, Op, Txn};
 
-/// Time limit of a call, far above the slowest answer of a working store.
+/// Time limit of a call, or for the next part of its answer: far above the slowest answer of a working store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time limit for all parts of an answer: the largest one over the narrowest link of a host.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after the end of its wait at which a watch times out, unless it was found lost earlier.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1500);
 /// Shortest interval between two reports of the bytes that a call has received.
@@ -70,6 +72,15 @@
     call_observed(node, call, time, |_| {}).await
 }
 
+/// Returns the limits of a call whose answer begins within a time.
+fn limits(head: Duration) -> CallLimits {
+    CallLimits {
+        head,
+        silence: CALL_TIMEOUT,
+        body: TRANSFER_TIMEOUT,
+    }
+}
+
 /// Does the same as [`call_store`], and passes the bytes received so far to `progress`.
 async fn call_observed(
     node: &Rc<Node>,
@@ -138,7 +149,7 @@
     let answer = node
         .relay
         .store
-        .call_observed(&call, time, MAX_ANSWER_BYTES, progress)
+        .call_observed(&call, limits(time), MAX_ANSWER_BYTES, progress)
         .await?;
     if let Some(era) = store::decode_era(&answer.headers) {
         apply(node, RelayEvent::StoreEra(era));
--- a/tests/relay/hang.rs
+++ b/tests/relay/hang.rs
@@ -1,6 +1,8 @@
 //! A store that hangs: it accepts calls and answers none. Connections opened meanwhile stay open without
 //! data, also after the store has recovered.
 
+use std::time::Duration;
+
 use serde_json::Value;
 
 use super::standin::{Engine, SHORT_PROMPT, config};
@@ -36,6 +38,21 @@
     held
 }
 
+/// Pause before each part of a page, of which there are 40: longer in all than any call may be silent.
+const PART_PAUSE: Duration = Duration::from_millis(100);
+
+/// The link to the store is so narrow that a page takes longer than a call may be silent. Guards against a host that
+/// ends the transfer each time, never knows a configuration and is never ready.
+#[test]
+fn a_page_over_a_narrow_link_is_read() {
+    let engine = Engine::plain("s-1");
+    let site = Site::new();
+    site.store.slow_pages(PART_PAUSE);
+    site.configure(&[&engine]);
+    let answer = site.send("/once/x", "id-1", &[]).expect("an answer");
+    assert_eq!(answer.status, 200);
+}
+
 /// The operator changes the configuration while the store hangs. Guards against a host that waits on its
 /// hung watch, keeps the old version in force and answers 404 on a new route.
 #[test]
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -74,6 +74,26 @@
     stream.write_all(text.as_bytes()).ok()
 }
 
+/// Number of parts of a slow page.
+const PAGE_PARTS: usize = 40;
+
+/// Writes a success in parts, with a pause before each.
+fn write_in_parts(
+    stream: &mut TcpStream,
+    headers: &str,
+    body: &str,
+    pause: Duration,
+) -> Option<()> {
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 x\r\n{headers}content-length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes()).ok()?;
+    for part in body.as_bytes().chunks(length.div_ceil(PAGE_PARTS)) {
+        std::thread::sleep(pause);
+        stream.write_all(part).ok()?;
+    }
+    Some(())
+}
+
 /// Serves each connection on its own thread; `serve` returns `None` to close the connection.
 fn listen(
     serve: impl Fn(&Request, &mut TcpStream) -> Option<()> + Send + Sync + 'static,
@@ -144,6 +164,8 @@
     leases: BTreeMap<i64, (Duration, Instant)>,
     /// Lease of each key that a transaction wrote; 0 for none.
     key_leases: BTreeMap<String, i64>,
+    /// Pause before each part of a page; zero to write pages at once.
+    page_pause: Duration,
 }
 
 impl StoreState {
@@ -319,6 +341,11 @@
         self.state.1.notify_all();
     }
 
+    /// Pauses so long before each of [`PAGE_PARTS`] parts of a page.
+    pub fn slow_pages(&self, pause: Duration) {
+        self.state.0.lock().expect("the store").page_pause = pause;
+    }
+
     /// Answers new calls again; discarded ones remain without an answer.
     pub fn recover(&self) {
         let mut state = self.state.0.lock().expect("the store");
@@ -523,8 +550,14 @@
         _ => json!({}),
     };
     let era = state.era();
+    let is_page = path == "/v1/kv-range" && request.query("serializable").is_none();
+    let pause = state.page_pause;
     drop(state);
-    write(stream, 200, &era, &answer.to_string())
+    let body = answer.to_string();
+    if is_page && !pause.is_zero() {
+        return write_in_parts(stream, &era, &body, pause);
+    }
+    write(stream, 200, &era, &body)
 }
 
 #[derive(Default)]
