Take no server for silent while its answer arrives

A large answer over a narrow link was ended after the usual time of such requests and the request sent to another server, whose answer filled the same link.

an_answer_in_transfer_is_not_silence failed without the mend and passes.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -350,7 +350,13 @@
     collect_observed(answer, max_bytes, Duration::MAX, |_| {}).await
 }
 
-async fn collect_observed(
+/// Does the same as [`collect`], with a limit on the time between two parts; passes the number of bytes received so far
+/// to `progress` with each part.
+///
+/// # Errors
+///
+/// Returns [`PoolError::Timeout`] after that time without a part, and the errors of [`collect`].
+pub async fn collect_observed(
     answer: &mut Answer,
     max_bytes: usize,
     max_silence: Duration,
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -34,6 +34,13 @@
     dispatch(core, call, out);
 }
 
+/// Records that a part of an answer arrived: the backend server is not silent.
+pub(super) fn part_received(core: &mut Core, key: AttemptKey) {
+    if let Some(attempt) = core.relay.attempts.get_mut(key) {
+        attempt.last_received = core.now;
+    }
+}
+
 /// Forwards a complete answer, or retries if it is a failure and the request may run again.
 pub(super) fn answered(core: &mut Core, key: AttemptKey, status: u16, out: &mut Effects) {
     let Some(attempt) = core.relay.attempts.get(key) else {
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -38,6 +38,8 @@
         /// Rate limit that it names.
         limit: NamedLimit,
     },
+    /// A part of an answer that is not streamed arrived.
+    AnswerReceived(AttemptKey),
     /// An answer arrived: complete, or already longer than the adapter buffers.
     Answered {
         /// The attempt.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -238,6 +238,7 @@
         RelayEvent::CallerLeft(key) => call::caller_left(core, key, out),
         RelayEvent::Limited { attempt, limit } => limit::observe(core, attempt, limit, out),
         RelayEvent::Prefilled { attempt, handle } => answer::prefilled(core, attempt, handle, out),
+        RelayEvent::AnswerReceived(attempt) => answer::part_received(core, attempt),
         RelayEvent::Answered { attempt, status } => answer::answered(core, attempt, status, out),
         RelayEvent::StreamEvent { attempt, number } => {
             answer::stream_event(core, attempt, number, out);
--- a/src/core/relay/tests/request.rs
+++ b/src/core/relay/tests/request.rs
@@ -119,6 +119,23 @@
     }
 }
 
+/// A large answer arrives in parts for longer than a server may be silent. Guards against ending the transfer and
+/// sending the request to another server.
+#[test]
+fn an_answer_in_transfer_is_not_silence() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b")]);
+    site.arrive(plain_request("/again/x"));
+    let attempt = site.sent().expect("a request is sent").attempt;
+    for _ in 0..20 {
+        let out = site.advance(100);
+        assert!(sent(&out).is_empty());
+        site.event(RelayEvent::AnswerReceived(attempt));
+    }
+    // The transfer stops.
+    assert_eq!(sent(&site.advance(1000)).len(), 1);
+}
+
 /// The caller closes its connection: the attempt is cancelled, as nobody would receive the answer.
 #[test]
 fn a_disconnected_caller_ends_its_attempt() {
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::events::Splitter;
-use super::{EventPayload, Head, Prepared, apply, apply_with};
+use super::{EventPayload, Head, Prepared, apply, apply_with, progress};
 use crate::backend::pool::{self, Answer, Call, PoolError};
 use crate::core::event::AttemptFailure;
 use crate::core::key::AttemptKey;
@@ -227,7 +227,10 @@
     head: Head,
     idle: Option<Duration>,
 ) -> Result<(), FailedAttempt> {
-    let body = pool::collect(&mut answer, MAX_ANSWER_BYTES).await?;
+    let progress = progress::throttled(|_| apply(node, RelayEvent::AnswerReceived(out.attempt)));
+    // The core ends attempts that are silent.
+    let body =
+        pool::collect_observed(&mut answer, MAX_ANSWER_BYTES, Duration::MAX, progress).await?;
     let status = head.status;
     apply_with(
         node,
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -5,6 +5,7 @@
 pub mod datagrams;
 pub mod event_log;
 mod events;
+mod progress;
 pub mod store;
 #[cfg(test)]
 mod tests;
--- a/src/host/relay/store.rs
+++ b/src/host/relay/store.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use super::{apply, event_log};
+use super::{apply, event_log, progress};
 use crate::backend::pool::{Call, CallLimits, PoolError};
 use crate::core::effect::LogFields;
 use crate::core::event::{Job, StoreEvent, StoreReply, StoreResult};
@@ -24,8 +24,6 @@
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after the end of its wait at which a watch times out, unless it was found lost earlier.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(1500);
-/// Shortest interval between two reports of the bytes that a call has received.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(50);
 /// Largest size of an answer: a page of 1 MB in base64, plus its framing.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -265,19 +263,13 @@
     apply(&node, RelayEvent::StoreAnswered { number, answer });
 }
 
-/// Returns a callback that reports the bytes received by a call, at most once per [`PROGRESS_INTERVAL`].
+/// Returns a callback that reports the bytes received by a call.
 fn report_progress(node: &Rc<Node>, number: u64) -> impl FnMut(usize) {
     let node = Rc::clone(node);
-    let mut reported: Option<Instant> = None;
-    move |bytes| {
-        let now = Instant::now();
-        if reported.is_some_and(|at| now.duration_since(at) < PROGRESS_INTERVAL) {
-            return;
-        }
-        reported = Some(now);
+    progress::throttled(move |bytes| {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
         apply(&node, RelayEvent::StoreReceived { number, bytes });
-    }
+    })
 }
 
 async fn fetch_answer(
