Log when a backend server's own answer states that it is leaving

Nothing showed whether a host had such an answer before it sent a request. The adapter decodes Server-Leaving once, from every answer to a caller's request and to any other call; backend.named_leaving says when it was first seen, and leaving_ms in request.sent how long ago. The rate limit of an answer is part of the same notices. No decision uses it yet.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -7,6 +7,7 @@
 use super::super::effect::{Effect, Refusal};
 use super::super::event::Timer;
 use super::super::key::{AttemptKey, BackendKey, CallKey};
+use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::catalog::{Catalog, Route, Service};
 use super::choose::{self, Choice};
@@ -179,7 +180,9 @@
         || "never".into(),
         |age| format!("{}", age.as_millis()).into(),
     );
-    let unlisted = unlisted_ms(core, choice.backend);
+    let instance = &core.relay.instances.arena[choice.backend];
+    let unlisted = age_ms(core, instance.missing_since, "listed");
+    let named_leaving = age_ms(core, instance.named_leaving, "no");
     let view_age = store_age_ms(core);
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
@@ -228,6 +231,7 @@
             ("own_tokens", instance.own_work.tokens.to_string().into()),
             ("peer_age_ms", peer_age),
             ("unlisted_ms", unlisted),
+            ("leaving_ms", named_leaving),
             ("view_ms", view_age),
             ("reads", choice.work.tokens.to_string().into()),
             (
@@ -259,11 +263,10 @@
     }
 }
 
-/// Returns how long a backend server's entry has been missing from the store, for the log.
-fn unlisted_ms(core: &Core, key: BackendKey) -> Box<str> {
-    let missing_since = core.relay.instances.arena[key].missing_since;
-    missing_since.map_or_else(
-        || "listed".into(),
+/// Returns the milliseconds since a time, or `none` without one, for the log.
+fn age_ms(core: &Core, since: Option<Time>, none: &str) -> Box<str> {
+    since.map_or_else(
+        || none.into(),
         |at| core.now.since(at).as_millis().to_string().into(),
     )
 }
@@ -421,11 +424,7 @@
 
 /// Returns the time since this host's view of the store was last complete, for the log.
 fn store_age_ms(core: &Core) -> Box<str> {
-    let current = core.relay.view.fresh_at();
-    current.map_or_else(
-        || "never".into(),
-        |at| core.now.since(at).as_millis().to_string().into(),
-    )
+    age_ms(core, core.relay.view.fresh_at(), "never")
 }
 
 /// Removes a request, closes its attempt and frees its KV cache.
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -1,6 +1,7 @@
 //! Events and effects of relayed requests, as data.
 
 mod gossip;
+mod notice;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +17,7 @@
     BlockReport, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport, LimitReport,
     LoadReport, ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
 };
+pub use notice::{NamedLimit, Notices};
 
 /// One event about relayed requests.
 #[derive(Debug, Clone)]
@@ -32,11 +34,18 @@
         handle: Box<str>,
     },
     /// The head of an answer from the backend server itself arrived.
-    Limited {
+    Noticed {
         /// The attempt.
         attempt: AttemptKey,
-        /// Rate limit that it names.
-        limit: NamedLimit,
+        /// What it states about the server.
+        notices: Notices,
+    },
+    /// The head of a backend server's answer to a call that is no caller's request arrived.
+    ControlNoticed {
+        /// The server's id.
+        instance: Box<str>,
+        /// What it states about the server.
+        notices: Notices,
     },
     /// A part of an answer that is not streamed arrived.
     AnswerReceived(AttemptKey),
@@ -105,19 +114,6 @@
     Gossiped(Box<Gossip>),
 }
 
-/// Rate limit that an answer names: requests per second that its backend server accepts from all hosts
-/// together.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum NamedLimit {
-    /// The answer names no limit.
-    #[default]
-    None,
-    /// Requests per second; finite and not negative.
-    Rate(f64),
-    /// The named value is not such a number.
-    Unreadable,
-}
-
 /// Result of a call by which this host follows the store.
 #[derive(Debug, Clone)]
 pub enum StoreAnswer {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -52,6 +52,8 @@
     pub stage: Option<Stage>,
     /// Time of its start by the wall clock, in milliseconds since the Unix epoch.
     pub born: u64,
+    /// When an answer of it first stated that it is leaving.
+    pub named_leaving: Option<Time>,
     /// Point in the store's history at which its entry was last written.
     pub listed_at: Position,
     /// When its entry was first found missing after the watch was interrupted.
@@ -147,6 +149,7 @@
             leaving: entry.leaving,
             stage: entry.stage,
             born: entry.started_ms,
+            named_leaving: None,
             listed_at: Position::default(),
             missing_since: None,
             addr_reused: false,
--- a/src/core/relay/limit.rs
+++ b/src/core/relay/limit.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::super::key::{AttemptKey, BackendKey};
+use super::super::key::BackendKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::event::{LimitReport, NamedLimit};
@@ -145,16 +145,14 @@
     }
 }
 
-/// Handles the limit that an answer names.
-pub fn observe(core: &mut Core, attempt: AttemptKey, limit: NamedLimit, out: &mut Effects) {
-    let Some((backend, sent)) = core
-        .relay
-        .attempts
-        .get(attempt)
-        .map(|attempt| (attempt.backend, attempt.sent_at))
-    else {
-        return;
-    };
+/// Handles the limit that the answer to a request sent at a time names.
+pub fn observe(
+    core: &mut Core,
+    backend: BackendKey,
+    sent: Time,
+    limit: NamedLimit,
+    out: &mut Effects,
+) {
     let now = core.now;
     let Some(instance) = core.relay.instances.arena.get_mut(backend) else {
         return;
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -17,6 +17,7 @@
 pub mod limit;
 mod load;
 mod model;
+mod notice;
 mod peers;
 mod planner;
 mod poison;
@@ -236,7 +237,10 @@
     match event {
         RelayEvent::Arrived(arrival) => call::arrived(core, *arrival, out),
         RelayEvent::CallerLeft(key) => call::caller_left(core, key, out),
-        RelayEvent::Limited { attempt, limit } => limit::observe(core, attempt, limit, out),
+        RelayEvent::Noticed { attempt, notices } => notice::answered(core, attempt, notices, out),
+        RelayEvent::ControlNoticed { instance, notices } => {
+            notice::control_answered(core, &instance, notices, out);
+        }
         RelayEvent::Prefilled { attempt, handle } => answer::prefilled(core, attempt, handle, out),
         RelayEvent::AnswerReceived(attempt) => answer::part_received(core, attempt),
         RelayEvent::Answered { attempt, status } => answer::answered(core, attempt, status, out),
--- a/src/core/relay/tests/limit.rs
+++ b/src/core/relay/tests/limit.rs
@@ -2,7 +2,7 @@
 
 use super::domain::TestDomain;
 use super::*;
-use crate::core::relay::event::NamedLimit;
+use crate::core::relay::event::{NamedLimit, Notices};
 
 /// Time after a host's first answer with a limit from which on its requests are counted.
 const LIMIT_GRACE_MS: u64 = 500;
@@ -18,6 +18,14 @@
     1.5 * rate * 4.0 + 5.0
 }
 
+/// Returns notices with a limit only.
+fn limited(limit: NamedLimit) -> Notices {
+    Notices {
+        limit,
+        ..Notices::default()
+    }
+}
+
 /// Hosts under load, and the requests that reached each server.
 struct Load {
     domain: TestDomain,
@@ -97,7 +105,10 @@
             let Some(site) = self.domain.hosts[host].as_mut() else {
                 continue;
             };
-            site.event(RelayEvent::Limited { attempt, limit });
+            site.event(RelayEvent::Noticed {
+                attempt,
+                notices: limited(limit),
+            });
             site.event(RelayEvent::Answered {
                 attempt,
                 status: 200,
@@ -282,14 +293,14 @@
     let second = site.sent().expect("sent");
     site.now += 50;
     let limit = NamedLimit::Rate(2.0);
-    site.event(RelayEvent::Limited {
+    site.event(RelayEvent::Noticed {
         attempt: first.attempt,
-        limit,
+        notices: limited(limit),
     });
     site.now += 500;
-    site.event(RelayEvent::Limited {
+    site.event(RelayEvent::Noticed {
         attempt: second.attempt,
-        limit: NamedLimit::None,
+        notices: limited(NamedLimit::None),
     });
     assert_eq!(rate(&site), Some(2.0));
 }
@@ -299,9 +310,9 @@
 fn a_restart_ends_a_limit() {
     let (mut site, sent) = alone();
     let limit = NamedLimit::Rate(2.0);
-    site.event(RelayEvent::Limited {
+    site.event(RelayEvent::Noticed {
         attempt: sent.attempt,
-        limit,
+        notices: limited(limit),
     });
     assert_eq!(rate(&site), Some(2.0));
     site.now += 100;
@@ -318,9 +329,9 @@
     let (mut site, sent) = alone();
     let name = |site: &mut TestHost, limit| {
         site.now += 500;
-        site.event(RelayEvent::Limited {
+        site.event(RelayEvent::Noticed {
             attempt: sent.attempt,
-            limit,
+            notices: limited(limit),
         });
     };
     name(&mut site, NamedLimit::Unreadable);
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -9,7 +9,7 @@
 
 use super::events::Splitter;
 use super::{EventPayload, Head, Prepared, apply, apply_with, progress};
-use crate::backend::pool::{self, Answer, Call, PoolError};
+use crate::backend::pool::{self, Answer, Call, FullAnswer, PoolError};
 use crate::core::event::AttemptFailure;
 use crate::core::key::AttemptKey;
 use crate::core::relay::event::{OrderResult, Outgoing, RelayEvent, StageOrder, Task};
@@ -100,10 +100,7 @@
     let call = build_call(&prepared, out);
     let answer = node.relay.channels.send(&call, CONNECT_TIMEOUT).await?;
     let status = answer.response.status().as_u16();
-    let headers = answer.response.headers().iter();
-    let headers: Vec<_> = headers
-        .map(|(name, value)| (name.as_str(), value.as_bytes()))
-        .collect();
+    let headers = as_bytes(answer.response.headers());
     let reply = header::decode_answer(status, &headers);
     let id = prepared
         .headers
@@ -116,9 +113,9 @@
     if status != 421 && (reply.not_run || echoed) {
         apply(
             node,
-            RelayEvent::Limited {
+            RelayEvent::Noticed {
                 attempt: out.attempt,
-                limit: reply.limit,
+                notices: reply.notices,
             },
         );
     }
@@ -306,16 +303,35 @@
     }
 }
 
+/// Returns headers as names and bytes.
+fn as_bytes(headers: &hyper::HeaderMap) -> Vec<(&str, &[u8])> {
+    let headers = headers.iter();
+    headers
+        .map(|(name, value)| (name.as_str(), value.as_bytes()))
+        .collect()
+}
+
+/// Makes a call other than a caller's request, and reports what the answer states about the server.
+async fn control(node: &Rc<Node>, instance: &str, call: &Call) -> Result<FullAnswer, PoolError> {
+    let answer = node
+        .relay
+        .channels
+        .call(call, CONTROL_CALL_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
+        .await?;
+    // 421: another instance serves at this address.
+    if answer.status != 421 {
+        let notices = header::decode_notices(&as_bytes(&answer.headers));
+        let instance = instance.into();
+        apply(node, RelayEvent::ControlNoticed { instance, notices });
+    }
+    Ok(answer)
+}
+
 /// Releases a KV cache that will not be used.
 pub async fn free_cache(node: Rc<Node>, instance: Box<str>, addr: SocketAddr, handle: Box<str>) {
     let path = engine::handle_path(&handle);
     let call = control_call(addr, hyper::Method::DELETE, &path, &instance, Vec::new());
-    if let Err(err) = node
-        .relay
-        .channels
-        .call(&call, CONTROL_CALL_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
-        .await
-    {
+    if let Err(err) = control(&node, &instance, &call).await {
         log::debug!("cannot release a KV cache at {instance}, it will expire: {err}");
     }
 }
@@ -324,12 +340,7 @@
 pub async fn fetch_report(node: Rc<Node>, instance: Box<str>, addr: SocketAddr) {
     let path = engine::REPORT_PATH;
     let call = control_call(addr, hyper::Method::GET, path, &instance, Vec::new());
-    let report = match node
-        .relay
-        .channels
-        .call(&call, CONTROL_CALL_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
-        .await
-    {
+    let report = match control(&node, &instance, &call).await {
         Ok(answer) if answer.status == 200 => engine::decode_report(&answer.body),
         Ok(answer) => {
             let status = answer.status;
@@ -358,12 +369,7 @@
     let result = if timer::now() >= order.until || era != order.era {
         OrderResult::Unsent
     } else {
-        match node
-            .relay
-            .channels
-            .call(&call, CONTROL_CALL_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
-            .await
-        {
+        match control(&node, &order.instance, &call).await {
             Ok(answer) => engine::order_result(answer.status),
             Err(err) if err.ran() == Ran::No => OrderResult::Unsent,
             Err(_) => OrderResult::Unknown,
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::core::relay::event::{NamedLimit, Outgoing, PrefixBlock, Prompt, Stage, Task};
+use crate::core::relay::event::{NamedLimit, Notices, Outgoing, PrefixBlock, Prompt, Stage, Task};
 
 /// Id of a caller's attempt; backend servers echo it.
 const ATTEMPT_ID: &str = "x-chiveway-attempt-id";
@@ -33,6 +33,8 @@
 const SERVER_STAMP: &str = "x-chiveway-server-stamp";
 /// Requests per second that the backend server accepts from all hosts together.
 const SERVER_LIMIT: &str = "server-limit";
+/// Set to `1` by a backend server that is leaving.
+const SERVER_LEAVING: &str = "server-leaving";
 /// Keep-alive timeout of the connection.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -215,8 +217,8 @@
     pub not_run: bool,
     /// Time after which the backend server closes the idle connection.
     pub keep_alive: Option<Duration>,
-    /// Rate limit announced by the backend server.
-    pub limit: NamedLimit,
+    /// What the backend server states about itself.
+    pub notices: Notices,
     /// Headers to forward to the caller.
     pub forwarded: Vec<Header>,
 }
@@ -228,6 +230,7 @@
     let mut head = AnswerHead {
         // 421: another instance serves at this address and never runs the request.
         not_run: status == 421,
+        notices: decode_notices(headers),
         ..AnswerHead::default()
     };
     for &(name, value) in headers {
@@ -237,7 +240,6 @@
             SERVER_STAMP => head.has_stamp = true,
             NOT_EXECUTED => head.not_run = true,
             KEEP_ALIVE => head.keep_alive = keep_alive_timeout(text),
-            SERVER_LIMIT => head.limit = rate_limit(text),
             _ => {}
         }
         if !HOP_BY_HOP_HEADERS.contains(&name)
@@ -249,6 +251,21 @@
     head
 }
 
+/// Decodes what a backend server states about itself in the headers of any response, given with lower-case names.
+#[must_use]
+pub fn decode_notices(headers: &[(&str, &[u8])]) -> Notices {
+    let mut notices = Notices::default();
+    for &(name, value) in headers {
+        let text = std::str::from_utf8(value).unwrap_or_default().trim();
+        match name {
+            SERVER_LIMIT => notices.limit = rate_limit(text),
+            SERVER_LEAVING => notices.leaving |= text == "1",
+            _ => {}
+        }
+    }
+    notices
+}
+
 /// Parses a limit in requests per second.
 fn rate_limit(text: &str) -> NamedLimit {
     match text.parse::<f64>() {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -174,7 +174,7 @@
         #[test]
         fn $name() {
             let value: &[u8] = $value;
-            assert_eq!(header::decode_answer(200, &[("server-limit", value)]).limit, $limit);
+            assert_eq!(header::decode_answer(200, &[("server-limit", value)]).notices.limit, $limit);
         }
     )*};
 }
@@ -356,3 +356,24 @@
         let _ = header::decode_request(&[("x-chiveway-prompt-prefix", &bytes), ("connection", &bytes)]);
     }
 }
+
+macro_rules! leaving {
+    ($($name:ident: $status:expr, $values:expr => $leaving:expr;)*) => {
+        $(#[test] fn $name() {
+            let values: &[&[u8]] = &$values;
+            let headers: Vec<(&str, &[u8])> =
+                values.iter().map(|value| ("server-leaving", *value)).collect();
+            assert_eq!(header::decode_answer($status, &headers).notices.leaving, $leaving);
+        })*
+    };
+}
+
+leaving! {
+    an_answer_without_the_header_is_not_leaving: 200, [] => false;
+    a_success_may_state_that_its_server_is_leaving: 200, [b"1"] => true;
+    a_refusal_may_state_that_its_server_is_leaving: 503, [b" 1 "] => true;
+    a_server_that_states_zero_is_not_leaving: 200, [b"0"] => false;
+    another_value_states_nothing: 200, [b"soon"] => false;
+    bytes_that_are_no_text_state_nothing: 200, [b"\xff1"] => false;
+    one_of_two_headers_is_enough: 200, [b"0", b"1"] => true;
+}
