--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -8,6 +8,7 @@
 mod era;
 mod gossip;
 mod handover;
+mod leaving;
 mod limit;
 mod load;
 mod planner;
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -564,6 +564,8 @@
 struct EngineState {
     stage: Option<String>,
     requests: Vec<(String, String, Vec<u8>)>,
+    /// Whether its answers state that it is leaving.
+    leaving: bool,
     /// Value of the limit header in its answers.
     limit: Option<String>,
     /// Number of events after which the next new stream breaks off.
@@ -659,6 +661,11 @@
         self.shared.0.lock().expect("the engine").break_after = None;
     }
 
+    /// States in each answer from now on that it is leaving.
+    pub fn state_leaving(&self) {
+        self.shared.0.lock().expect("the engine").leaving = true;
+    }
+
     /// Adds a limit header to each answer from now on.
     pub fn set_limit(&self, rate: &str) {
         self.shared.0.lock().expect("the engine").limit = Some(rate.to_owned());
@@ -742,6 +749,9 @@
         // Writing to a string does not fail.
         let _ = write!(headers, "server-limit: {rate}\r\n");
     }
+    if state.leaving {
+        headers.push_str("server-leaving: 1\r\n");
+    }
     match request.path.as_str() {
         "/v1/report" => {
             let body = json!({"stage": state.stage, "busy": false, "sequence": state.orders});
