Send nothing to a server whose own answer states that it is leaving

The store was silent for 13 s, and all eight hosts sent it 138 requests meanwhile.

Cause: hosts learned of departures from the store alone. Class: one source for a fact that others state as well, so that its outage hides the fact.

An answer to any call that states it marks the server as leaving, at this host at once and at the others by gossip. It outweighs all that the store lists for the same start of the server, older or newer, also after a restore; only a later start counts.

--- a/src/core/relay/departed.rs
+++ b/src/core/relay/departed.rs
@@ -1,8 +1,9 @@
 //! Backend servers that left, kept after their entries were removed from the store.
 //!
-//! Hosts send each other what they recently learned here. Changes of the store are applied in order, so that a host
-//! which waits for a large one would not learn for seconds that a server left. And a store that was restored from an
-//! older copy may list a server as ready that has left since.
+//! Servers also state in their own answers that they are leaving, which holds whatever the store lists. Hosts send each
+//! other what they recently learned here. Changes of the store are applied in order, so that a host which waits for a
+//! large one, or does not reach the store, would not learn for seconds that a server left. And a store that was restored
+//! from an older copy may list a server as ready that has left since.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use super::event::{BackendEntry, DepartureReport};
 use super::instance::short_hash;
 use super::{log_listings, view};
+use crate::core::key::BackendKey;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
 
@@ -20,6 +22,9 @@
 /// Maximum number of departures in one datagram; the latest are sent.
 const MAX_REPORTS: usize = 32;
 
+/// Source in the log of a departure that the server's own answer stated.
+const ANSWER_SOURCE: &str = "answer";
+
 /// A point in the history of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Position {
@@ -29,6 +34,15 @@
     pub revision: i64,
 }
 
+/// What shows that a server left; the later variant is the stronger evidence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Evidence {
+    /// The store, as of a point in its history: a later entry of the server counts.
+    Store(Position),
+    /// The server's own answer: only a later start of it counts.
+    Answer,
+}
+
 /// One start of a backend server: the short hash of its id, and the wall clock at its start in milliseconds.
 pub type ServerStart = (u32, u64);
 
@@ -41,8 +55,7 @@
 /// A server that left.
 #[derive(Debug, Clone, Copy)]
 struct Departure {
-    /// Point in the store's history as of which it had left.
-    at: Position,
+    evidence: Evidence,
     /// When this host recorded the departure.
     recorded: Time,
     /// Whether other hosts are sent it.
@@ -56,14 +69,21 @@
 }
 
 impl Departed {
-    /// Records that a server left as of a point in the store's history; returns whether that was unknown.
+    /// Records that a server left; returns whether that or stronger evidence was unknown.
     ///
     /// `reported` is whether the other hosts are sent it.
-    pub fn insert(&mut self, start: ServerStart, at: Position, reported: bool, now: Time) -> bool {
-        let known = self.servers.get(&start).is_some_and(|old| old.at >= at);
+    pub fn insert(
+        &mut self,
+        start: ServerStart,
+        evidence: Evidence,
+        reported: bool,
+        now: Time,
+    ) -> bool {
+        let old = self.servers.get(&start);
+        let known = old.is_some_and(|old| old.evidence >= evidence);
         if !known {
             let departure = Departure {
-                at,
+                evidence,
                 recorded: now,
                 reported,
             };
@@ -83,15 +103,16 @@
             .retain(|_, departure| now.since(departure.recorded) < RETENTION);
     }
 
-    /// Whether an entry was written before its server left, or comes from the copy of an earlier era from which the
-    /// store was restored; a server that still runs writes it again.
+    /// Whether an entry was written before its server left, contradicts the server's own statement, or comes from the
+    /// copy of an earlier era from which the store was restored; a server that still runs writes it again.
     #[must_use]
     pub fn is_stale(&self, entry: &BackendEntry, era: u64, is_snapshot: bool) -> bool {
         let departure = self.servers.get(&start_of(entry));
-        departure.is_some_and(|departure| {
-            let restored = is_snapshot && departure.at.era < era;
-            let older = departure.at.era == era && entry.revision < departure.at.revision;
-            !entry.leaving && (restored || older)
+        departure.is_some_and(|departure| match departure.evidence {
+            _ if entry.leaving => false,
+            Evidence::Answer => true,
+            Evidence::Store(at) if at.era == era => entry.revision < at.revision,
+            Evidence::Store(at) => is_snapshot && at.era < era,
         })
     }
 
@@ -102,12 +123,16 @@
         all.any(|departure| departure.reported && departure.recorded > time)
     }
 
-    /// Returns the departures of an era to send to other hosts, the latest first.
+    /// Returns the departures to send to other hosts that are in the same era of the store, the latest first.
     #[must_use]
     pub fn reports(&self, era: u64, now: Time) -> Vec<DepartureReport> {
         let recent = self.servers.iter().filter(|(_, departure)| {
             let is_recent = now.since(departure.recorded) < REPORT_TIME;
-            is_recent && departure.reported && departure.at.era == era
+            let compares = match departure.evidence {
+                Evidence::Store(at) => at.era == era,
+                Evidence::Answer => true,
+            };
+            is_recent && departure.reported && compares
         });
         let mut recent: Vec<_> = recent.collect();
         recent.sort_by_key(|(_, departure)| std::cmp::Reverse(departure.recorded));
@@ -116,22 +141,37 @@
             .map(|(start, departure)| DepartureReport {
                 instance: start.0,
                 started_ms: start.1,
-                revision: departure.at.revision,
+                revision: match departure.evidence {
+                    Evidence::Store(at) => Some(at.revision),
+                    Evidence::Answer => None,
+                },
             });
         reports.take(MAX_REPORTS).collect()
     }
 }
 
-/// Handles departures reported by another host that is in the same era of the store.
+/// Handles the statement of a server's answer that it is leaving.
+pub fn stated(core: &mut Core, backend: BackendKey, out: &mut Effects) {
+    let Some(instance) = core.relay.instances.arena.get(backend) else {
+        return;
+    };
+    let start = instance.start();
+    let change = core
+        .relay
+        .instances
+        .depart(start, Evidence::Answer, core.now);
+    log_listings(change, ANSWER_SOURCE, out);
+}
+
+/// Handles departures reported by another host; revisions in them are of this host's era of the store.
 pub fn reported(core: &mut Core, from: &str, reports: &[DepartureReport], out: &mut Effects) {
     let (era, now) = (core.relay.view.era(), core.now);
     for report in reports {
         let start = (report.instance, report.started_ms);
-        let at = Position {
-            era,
-            revision: report.revision,
-        };
-        let change = core.relay.instances.depart(start, at, now);
+        let evidence = report.revision.map_or(Evidence::Answer, |revision| {
+            Evidence::Store(Position { era, revision })
+        });
+        let change = core.relay.instances.depart(start, evidence, now);
         log_listings(change, from, out);
     }
 }
--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -84,15 +84,15 @@
     pub age: Duration,
 }
 
-/// A backend server that left, as a host read it from the store.
+/// A backend server that left, as a host learned from the store or from the server's own answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DepartureReport {
     /// Short hash of the backend server's id.
     pub instance: u32,
     /// Wall clock at its start, in milliseconds since the Unix epoch.
     pub started_ms: u64,
-    /// Revision of the store as of which it had left.
-    pub revision: i64,
+    /// Revision of the store as of which it had left; `None` if an answer of it states that it is leaving.
+    pub revision: Option<i64>,
 }
 
 /// A time span in which the store answered without a break.
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -362,7 +362,9 @@
         message.uptime = None;
         message.replicated = None;
         message.probe = None;
-        message.departures.clear();
+        message
+            .departures
+            .retain(|departure| departure.revision.is_none());
     }
     departed::reported(core, &message.host, &message.departures, out);
     if let Some(uptime) = message.uptime {
--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SlotMap;
 
-use super::departed::{Departed, Position, ServerStart, start_of};
+use super::departed::{Departed, Evidence, Position, ServerStart, start_of};
 use super::event::{BackendEntry, Changes, LoadReport};
 use super::instance::{Instance, MISSING_GRACE, Work};
 use super::limit::Limit;
@@ -76,18 +76,23 @@
         &self.departed
     }
 
-    /// Records that a server left as of a point in the store's history, as another host reported it; returns the
-    /// state change.
-    pub fn depart(&mut self, start: ServerStart, at: Position, now: Time) -> Option<StateChange> {
+    /// Records that a server left, as its own answer or another host states; returns the state change.
+    pub fn depart(
+        &mut self,
+        start: ServerStart,
+        evidence: Evidence,
+        now: Time,
+    ) -> Option<StateChange> {
         let key = self.by_short_hash(start.0);
         let instance = key.and_then(|key| self.arena.get_mut(key));
         // A start before the reported one has ended, too.
         let instance = instance.filter(|instance| instance.born <= start.1);
-        if instance.as_ref().is_some_and(|known| known.listed_at > at) {
+        let listed_at = instance.as_ref().map(|instance| instance.listed_at);
+        if listed_at.is_some_and(|listed_at| Evidence::Store(listed_at) > evidence) {
             // It registered again since.
             return None;
         }
-        if !self.departed.insert(start, at, true, now) {
+        if !self.departed.insert(start, evidence, true, now) {
             return None;
         }
         let instance = instance.filter(|instance| !instance.leaving)?;
@@ -132,7 +137,8 @@
                 revision: entry.revision,
             };
             if entry.leaving {
-                self.departed.insert(start_of(&entry), listed_at, true, now);
+                let evidence = Evidence::Store(listed_at);
+                self.departed.insert(start_of(&entry), evidence, true, now);
             } else {
                 self.departed.remove(start_of(&entry));
             }
@@ -146,7 +152,8 @@
                     state_changes.push(StateChange { id, state: "gone" });
                 }
                 instance.leaving = true;
-                self.departed.insert(start, at, settled, now);
+                let evidence = Evidence::Store(at);
+                self.departed.insert(start, evidence, settled, now);
             }
         }
         self.sweep(now);
@@ -161,7 +168,8 @@
             if std::mem::replace(&mut instance.leaving, true) {
                 continue;
             }
-            self.departed.insert(instance.start(), at, true, now);
+            let evidence = Evidence::Store(at);
+            self.departed.insert(instance.start(), evidence, true, now);
             state_changes.push(StateChange {
                 id: instance.id.clone(),
                 state: "gone",
--- a/src/core/relay/notice.rs
+++ b/src/core/relay/notice.rs
@@ -3,7 +3,7 @@
 use super::super::key::{AttemptKey, BackendKey};
 use super::super::{Core, Effects};
 use super::event::Notices;
-use super::{limit, note};
+use super::{departed, limit, note};
 
 /// Handles the head of an answer to a caller's request.
 pub fn answered(core: &mut Core, attempt: AttemptKey, notices: Notices, out: &mut Effects) {
@@ -31,5 +31,6 @@
         instance.named_leaving = Some(now);
         let fields = vec![("backend", instance.id.clone())];
         note(out, log::Level::Info, "backend.named_leaving", fields);
+        departed::stated(core, backend, out);
     }
 }
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -375,10 +375,10 @@
     let (Some(report), Some(key), true) = (report, key, holds_authority) else {
         return;
     };
-    if report.busy || report.stage == stage {
+    let instance = &core.relay.instances.arena[key];
+    if report.busy || report.stage == stage || instance.leaving {
         return;
     }
-    let instance = &core.relay.instances.arena[key];
     let order = StageOrder {
         instance: instance.id.clone(),
         addr: instance.addr,
--- a/src/core/relay/tests/departure_reports.rs
+++ b/src/core/relay/tests/departure_reports.rs
@@ -40,7 +40,7 @@
     DepartureReport {
         instance: short_hash("r"),
         started_ms,
-        revision,
+        revision: Some(revision),
     }
 }
 
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -32,11 +32,18 @@
                 age: Duration::from_millis(30),
             },
         ],
-        departures: vec![DepartureReport {
-            instance: 5,
-            started_ms: 1_770_695_843_786,
-            revision: 209,
-        }],
+        departures: vec![
+            DepartureReport {
+                instance: 5,
+                started_ms: 1_770_695_843_786,
+                revision: Some(209),
+            },
+            DepartureReport {
+                instance: 6,
+                started_ms: 0,
+                revision: None,
+            },
+        ],
         uptime: Some(UptimeReport {
             length: Duration::from_secs(9),
             age: Duration::from_millis(400),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -481,9 +481,9 @@
     /// Milliseconds since the Unix epoch at the start of its process.
     #[prost(uint64, tag = "2")]
     pub started: u64,
-    /// Revision of the store as of which it had left.
-    #[prost(int64, tag = "3")]
-    pub revision: i64,
+    /// Revision of the store as of which it had left; absent where an answer of it states that it is leaving.
+    #[prost(int64, optional, tag = "3")]
+    pub revision: ::core::option::Option<i64>,
 }
 /// Requests that a backend server takes from all hosts together.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
--- a/tests/relay/leaving.rs
+++ b/tests/relay/leaving.rs
@@ -27,6 +27,13 @@
         let log = second.folder.read(LOG_FILE);
         is_listed_ready(&log, "d-1") && is_listed_ready(&log, "d-2")
     });
+    wait_for("the hosts to know each other", || {
+        let joined = |log: &str, host: &str| {
+            let mut lines = log.lines();
+            lines.any(|line| line.contains("host.joined") && line.contains(host))
+        };
+        joined(&site.log(), "host-2") && joined(&second.folder.read(LOG_FILE), "host-1")
+    });
     site.store.hang();
     one.state_leaving();
     wait_for("an answer of the leaving engine", || {
