Log the rest that a backend server asks for with a refusal

Nothing showed how long a server wanted to be left alone, so that a pause of the host's own could not be told from a rest that was kept. The adapter decodes Retry-After of a 503 once; backend.rest says what was asked for, rest_ms in request.sent what is left of it, chiveway_backends_resting counts. No decision uses it yet.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -183,6 +183,7 @@
     let instance = &core.relay.instances.arena[choice.backend];
     let unlisted = age_ms(core, instance.missing_since, "listed");
     let named_leaving = age_ms(core, instance.named_leaving, "no");
+    let rest = instance.rest.remaining(now).as_millis().to_string();
     let view_age = store_age_ms(core);
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
@@ -232,6 +233,7 @@
             ("peer_age_ms", peer_age),
             ("unlisted_ms", unlisted),
             ("leaving_ms", named_leaving),
+            ("rest_ms", rest.into()),
             ("view_ms", view_age),
             ("reads", choice.work.tokens.to_string().into()),
             (
--- a/src/core/relay/event/notice.rs
+++ b/src/core/relay/event/notice.rs
@@ -1,5 +1,7 @@
 //! What the head of a backend server's answer states about the server itself.
 
+use std::time::Duration;
+
 /// Statements of a backend server about itself, in the head of any of its answers.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Notices {
@@ -7,6 +9,8 @@
     pub limit: NamedLimit,
     /// Whether it is leaving: it accepts no new work soon.
     pub leaving: bool,
+    /// Time in which it wants no requests from this host; only a refusal names one.
+    pub rest: NamedRest,
 }
 
 /// Rate limit that an answer names: requests per second that its backend server accepts from all hosts
@@ -21,3 +25,15 @@
     /// The named value is not such a number.
     Unreadable,
 }
+
+/// Rest that a refusal names: time in which its backend server wants no requests from this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum NamedRest {
+    /// The answer names no rest.
+    #[default]
+    None,
+    /// The named time.
+    For(Duration),
+    /// The named value is not a time.
+    Unreadable,
+}
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -9,6 +9,7 @@
 use super::limit::Limit;
 use super::model::{Link, Slowdown};
 use super::prefix_cache::CachedBlock;
+use super::rest::Rest;
 use crate::core::key::HostKey;
 use crate::core::time::Time;
 
@@ -88,6 +89,8 @@
     recent_fill: (f64, Time),
     /// Limit on the requests that it accepts from all hosts together.
     pub limit: Limit,
+    /// Rest that it asked this host for.
+    pub rest: Rest,
     /// Prefix blocks that it holds or is about to hold, by id.
     pub blocks: BTreeMap<u64, CachedBlock>,
 }
@@ -167,6 +170,7 @@
             last_response: None,
             recent_fill: (0.0, Time::default()),
             limit: Limit::default(),
+            rest: Rest::default(),
             blocks: BTreeMap::new(),
         }
     }
--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -62,6 +62,14 @@
         .sum()
     }
 
+    /// Returns the number of backend servers that asked this host for a rest which is not over.
+    #[must_use]
+    pub fn resting(&self, now: Time) -> u64 {
+        let all = self.arena.values();
+        all.map(|instance| u64::from(!instance.rest.remaining(now).is_zero()))
+            .sum()
+    }
+
     /// Returns the number of backend servers that name a limit.
     #[must_use]
     pub fn limited(&self) -> u64 {
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -22,6 +22,7 @@
 mod planner;
 mod poison;
 mod prefix_cache;
+pub mod rest;
 #[cfg(test)]
 mod tests;
 mod view;
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -47,6 +47,7 @@
     store_era: Gauge<u64>,
     unlisted: Gauge<u64>,
     limited: Gauge<u64>,
+    resting: Gauge<u64>,
     last_calls: Cell<CallCounts>,
     request_counts: RefCell<BTreeMap<Box<str>, u32>>,
     named_customers: RefCell<Vec<Box<str>>>,
@@ -122,6 +123,10 @@
                 .u64_gauge("chiveway_backends_limited")
                 .with_description("Backend servers that name a limit")
                 .build(),
+            resting: meter
+                .u64_gauge("chiveway_backends_resting")
+                .with_description("Backend servers that asked this host for a rest")
+                .build(),
             registry,
             _provider: provider,
             last_calls: Cell::default(),
@@ -228,6 +233,11 @@
         self.limited.record(servers, &[]);
     }
 
+    /// Sets the number of backend servers that asked this host for a rest.
+    pub fn set_resting(&self, servers: u64) {
+        self.resting.record(servers, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> Option<String> {
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -320,7 +320,7 @@
         .await?;
     // 421: another instance serves at this address.
     if answer.status != 421 {
-        let notices = header::decode_notices(&as_bytes(&answer.headers));
+        let notices = header::decode_notices(answer.status, &as_bytes(&answer.headers));
         let instance = instance.into();
         apply(node, RelayEvent::ControlNoticed { instance, notices });
     }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::core::relay::event::{NamedLimit, Notices, Outgoing, PrefixBlock, Prompt, Stage, Task};
+use crate::core::relay::event::{
+    NamedLimit, NamedRest, Notices, Outgoing, PrefixBlock, Prompt, Stage, Task,
+};
 
 /// Id of a caller's attempt; backend servers echo it.
 const ATTEMPT_ID: &str = "x-chiveway-attempt-id";
@@ -35,6 +37,8 @@
 const SERVER_LIMIT: &str = "server-limit";
 /// Set to `1` by a backend server that is leaving.
 const SERVER_LEAVING: &str = "server-leaving";
+/// Seconds for which a backend server that refused a request wants no other from this host.
+const RETRY_AFTER: &str = "retry-after";
 /// Keep-alive timeout of the connection.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -230,7 +234,7 @@
     let mut head = AnswerHead {
         // 421: another instance serves at this address and never runs the request.
         not_run: status == 421,
-        notices: decode_notices(headers),
+        notices: decode_notices(status, headers),
         ..AnswerHead::default()
     };
     for &(name, value) in headers {
@@ -253,19 +257,39 @@
 
 /// Decodes what a backend server states about itself in the headers of any response, given with lower-case names.
 #[must_use]
-pub fn decode_notices(headers: &[(&str, &[u8])]) -> Notices {
+pub fn decode_notices(status: u16, headers: &[(&str, &[u8])]) -> Notices {
     let mut notices = Notices::default();
     for &(name, value) in headers {
         let text = std::str::from_utf8(value).unwrap_or_default().trim();
         match name {
             SERVER_LIMIT => notices.limit = rate_limit(text),
             SERVER_LEAVING => notices.leaving |= text == "1",
+            RETRY_AFTER if status == 503 => notices.rest = longer(notices.rest, rest(text)),
             _ => {}
         }
     }
     notices
 }
 
+/// Parses a rest in seconds; one too long for a duration is the longest duration.
+fn rest(text: &str) -> NamedRest {
+    match text.parse::<f64>() {
+        Ok(secs) if secs.is_finite() && secs >= 0.0 => {
+            NamedRest::For(Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX))
+        }
+        _ => NamedRest::Unreadable,
+    }
+}
+
+/// Returns the longer of the rests that two headers of a response name.
+fn longer(one: NamedRest, other: NamedRest) -> NamedRest {
+    match (one, other) {
+        (NamedRest::For(one), NamedRest::For(other)) => NamedRest::For(one.max(other)),
+        (NamedRest::For(_), _) => one,
+        _ => other,
+    }
+}
+
 /// Parses a limit in requests per second.
 fn rate_limit(text: &str) -> NamedLimit {
     match text.parse::<f64>() {
