--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -15,6 +15,7 @@
 mod prefix_cache;
 mod register;
 mod request;
+mod rest;
 mod sampling;
 mod stream;
 mod view;
--- a/src/core/relay/tests/planner.rs
+++ b/src/core/relay/tests/planner.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::core::event::Job;
-use crate::core::relay::event::{EngineReport, OrderResult, StageOrder};
+use crate::core::relay::event::{EngineReport, NamedRest, Notices, OrderResult, StageOrder};
 use crate::core::relay::{RelayJob, RelayTimer};
 use crate::store::TxnReply;
 
@@ -100,6 +100,30 @@
     assert_eq!(order.stage, Stage::Prefill);
 }
 
+/// An engine asks for rest after it was asked for its state. Guards against an order and further requests for its state:
+/// they reach an engine that wants nothing.
+#[test]
+fn a_resting_engine_is_neither_ordered_nor_asked() {
+    let mut site = site();
+    acquire(&mut site, 41);
+    stabilize(&mut site);
+    plan(&mut site);
+    let first = requested(&site)[0].clone();
+    site.event(RelayEvent::ControlNoticed {
+        instance: first.clone(),
+        notices: Notices {
+            rest: NamedRest::For(Duration::from_secs(20)),
+            ..Notices::default()
+        },
+    });
+    assert_eq!(report(&mut site, &first, 3), None);
+    for _ in 0..4 {
+        stabilize(&mut site);
+        plan(&mut site);
+        assert!(!requested(&site).contains(&first));
+    }
+}
+
 /// The holder is suspended after its engine has reported its state, until its lease has expired.
 /// Another host may hold the authority when it resumes, and two orders would reach one engine.
 #[test]
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -566,6 +566,8 @@
     requests: Vec<(String, String, Vec<u8>)>,
     /// Whether its answers state that it is leaving.
     leaving: bool,
+    /// Rest that it asks for with a refusal of each request.
+    rest: Option<String>,
     /// Value of the limit header in its answers.
     limit: Option<String>,
     /// Number of events after which the next new stream breaks off.
@@ -666,6 +668,11 @@
         self.shared.0.lock().expect("the engine").leaving = true;
     }
 
+    /// Refuses each request from now on, and asks for so many seconds of rest.
+    pub fn refuse(&self, rest: &str) {
+        self.shared.0.lock().expect("the engine").rest = Some(rest.to_owned());
+    }
+
     /// Adds a limit header to each answer from now on.
     pub fn set_limit(&self, rate: &str) {
         self.shared.0.lock().expect("the engine").limit = Some(rate.to_owned());
@@ -760,6 +767,10 @@
         "/v1/order" => return write(stream, apply_order(&mut state, &request.body)?, "", "{}"),
         _ => {}
     }
+    if let Some(rest) = &state.rest {
+        let headers = format!("{headers}x-chiveway-not-executed: 1\r\nretry-after: {rest}\r\n");
+        return write(stream, 503, &headers, "");
+    }
     if state.stage.is_none() {
         let body = String::from_utf8_lossy(&request.body);
         let body = format!("{id} {} {body}", request.path);
