Keep to the rest that a backend server asks for with a refusal

Eight hosts tried each of two such engines 2 to 6 times within a rest.

Cause: after a refusal a host paused for a time of its own, 30 ms doubled up to 2 s, and read nothing of what the server asked for. Class: a guess in place of what the other side states.

A host sends nothing to a server that asked it for rest, for any purpose: first tries, retries, prefills, handovers, stage reports, orders, freed KV caches. Where all that could serve rest, the caller is refused at once, as not run, with a time to retry after the soonest end.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -23,7 +23,7 @@
     load::record_first_answer(core, key, took, out);
     close_attempt(core, key);
     if let Some(instance) = core.relay.instances.arena.get_mut(engine) {
-        instance.record_success();
+        instance.record_success(now);
         core.relay.calls[call].cache = Some(KvCache {
             engine,
             instance: instance.id.clone(),
@@ -47,12 +47,13 @@
         return;
     };
     let (call, backend) = (attempt.call, attempt.backend);
-    let took = millis(core.now.since(attempt.sent_at));
+    let now = core.now;
+    let took = millis(now.since(attempt.sent_at));
     load::record_first_answer(core, key, took, out);
     close_attempt(core, key);
     let failed = status >= MIN_FAILURE_STATUS;
     if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
-        instance.record_success();
+        instance.record_success(now);
     }
     if failed && may_retry(core, call) && !core.relay.calls[call].delivered {
         core.relay.calls[call].tried.push(backend);
@@ -103,7 +104,7 @@
         load::record_first_answer(core, key, took, out);
         release_prefill_work(core, key);
         if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
-            instance.record_success();
+            instance.record_success(now);
         }
         // The engine has fetched the KV cache.
         core.relay.calls[call_key].cache = None;
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -13,7 +13,7 @@
 use super::choose::{self, Choice};
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
-use super::{Attempt, Call, RelayTimer, from_millis, gossip, millis, note, prefix_cache};
+use super::{Attempt, Call, KvCache, RelayTimer, from_millis, gossip, millis, note, prefix_cache};
 use crate::error::{Kind, Ran};
 
 /// Maximum number of open requests: a hundred times what a host serves in the worst second of its
@@ -23,6 +23,8 @@
 ///
 /// Callers that retry sooner meet the same queue and are refused again.
 const RETRY_AFTER: Duration = Duration::from_millis(1300);
+/// Shortest time over which callers return that were refused until the same moment.
+const MIN_RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// Time after which to retry at another host: the load balancer routes new connections to others
 /// without delay.
 const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -197,6 +199,7 @@
     call.is_late = choice.is_late;
     instance.own_work = instance.own_work.plus(choice.work);
     instance.limit.spend(now);
+    instance.rest.sent(now);
     if let Some(prompt) = &call.prompt {
         prefix_cache::record_prompt(instance, prompt, now, from_millis(choice.expected_ms));
     }
@@ -444,7 +447,12 @@
     let Some(call) = core.relay.calls.remove(key) else {
         return;
     };
-    if let Some(cache) = call.cache {
+    let rests = |cache: &KvCache| {
+        let instance = core.relay.instances.arena.get(cache.engine);
+        instance.is_some_and(|instance| !instance.rest.admits(core.now))
+    };
+    // At a resting engine the KV cache is left to expire.
+    if let Some(cache) = call.cache.filter(|cache| !rests(cache)) {
         out.push(Effect::Relay(RelayEffect::FreeCache {
             instance: cache.instance,
             addr: cache.addr,
@@ -474,6 +482,13 @@
     super::super::stop::finish_if_idle(core, out);
 }
 
+/// Returns the time after which a caller should retry that is refused until servers take requests again: callers return
+/// spread over some time after that.
+pub(super) fn retry_after_wait(core: &mut Core, wait: Duration) -> Duration {
+    let spread = (wait / 2).max(MIN_RETURN_SPREAD);
+    wait + spread.mul_f64(core.rng.random())
+}
+
 /// Returns the time after which a refused caller should retry: when the queued work is done.
 pub(super) fn retry_after(core: &mut Core, backlog: f64) -> Duration {
     let jitter = core.rng.random_range(0.8..1.6);
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -9,7 +9,7 @@
 use super::super::Core;
 use super::super::effect::Refusal;
 use super::super::key::{BackendKey, CallKey};
-use super::call::retry_after;
+use super::call::{retry_after, retry_after_wait};
 use super::catalog::Engine;
 use super::event::{Prompt, Stage, Task};
 use super::instance::{Instance, Work};
@@ -145,6 +145,11 @@
         let detail = format!("servers of {service} take no more for now, by limits that they name");
         return Refusal::new(Kind::Overloaded, detail).with_retry_after(retry);
     }
+    if let Some(wait) = rest_wait(core, &service) {
+        let retry = retry_after_wait(core, wait);
+        let detail = format!("servers of {service} asked for rest");
+        return Refusal::new(Kind::Overloaded, detail).with_retry_after(retry);
+    }
     let retry = retry_after(core, 0.0);
     Refusal::new(
         Kind::NoEngine,
@@ -153,6 +158,19 @@
     .with_retry_after(retry)
 }
 
+/// Returns the time until the first of a service's servers may get work again, if any of them rests.
+fn rest_wait(core: &Core, service: &str) -> Option<Duration> {
+    let all = core.relay.instances.of(service).iter();
+    let all = all.map(|key| &core.relay.instances.arena[*key]);
+    let rests = |instance: &Instance| !instance.rest.admits(core.now);
+    let staying = all.filter_map(|instance| Some((instance.wait(core.now)?, rests(instance))));
+    let staying: Vec<(Duration, bool)> = staying.collect();
+    let any_rests = staying.iter().any(|(_, rests)| *rests);
+    let soonest = staying.iter().map(|(wait, _)| *wait).min();
+    // A server that takes work, and is only full, needs no rest.
+    soonest.filter(|wait| any_rests && !wait.is_zero())
+}
+
 /// Returns the time until a rate limit admits the next request; `None` if no available server is
 /// held back by its limit.
 fn limit_wait(core: &Core, service: &str) -> Option<Duration> {
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -187,7 +187,18 @@
         let missed = self
             .missing_since
             .is_some_and(|at| now.since(at) > MISSING_GRACE);
-        !self.leaving && !self.addr_reused && !missed && now >= self.retry_at
+        !self.leaving
+            && !self.addr_reused
+            && !missed
+            && now >= self.retry_at
+            && self.rest.admits(now)
+    }
+
+    /// Returns the time until a server that stays may get work again; `None` for one that is gone.
+    #[must_use]
+    pub fn wait(&self, now: Time) -> Option<Duration> {
+        let stays = !self.leaving && !self.addr_reused && self.missing_since.is_none();
+        stays.then(|| self.retry_at.since(now).max(self.rest.remaining(now)))
     }
 
     /// Whether new work may go there now, its limit included.
@@ -269,7 +280,8 @@
     }
 
     /// Records that it answered.
-    pub fn record_success(&mut self) {
+    pub fn record_success(&mut self, now: Time) {
+        self.rest.succeeded(now);
         self.failures = 0;
         self.refusals = 0;
         self.error_rate -= self.error_rate * ERROR_WEIGHT;
--- a/src/core/relay/notice.rs
+++ b/src/core/relay/notice.rs
@@ -27,7 +27,7 @@
     let Some(instance) = core.relay.instances.arena.get_mut(backend) else {
         return;
     };
-    rest::observe(instance, notices.rest, now, out);
+    rest::observe(instance, notices.rest, now, &mut core.rng, out);
     if notices.leaving && instance.named_leaving.is_none() {
         instance.named_leaving = Some(now);
         let fields = vec![("backend", instance.id.clone())];
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -307,7 +307,8 @@
 fn least_busy(core: &Core, engines: &[BackendKey], stage: Stage, count: usize) -> Vec<BackendKey> {
     let can_change = |key: &BackendKey| {
         let instance = &core.relay.instances.arena[*key];
-        instance.stage.is_some() && instance.stage != Some(stage) && !recently_ordered(core, *key)
+        let differs = instance.stage.is_some() && instance.stage != Some(stage);
+        differs && instance.rest.admits(core.now) && !recently_ordered(core, *key)
     };
     let mut keys: Vec<BackendKey> = engines.iter().copied().filter(can_change).collect();
     keys.sort_by_key(|key| {
@@ -376,7 +377,8 @@
         return;
     };
     let instance = &core.relay.instances.arena[key];
-    if report.busy || report.stage == stage || instance.leaving {
+    let stays = !instance.leaving && instance.rest.admits(core.now);
+    if report.busy || report.stage == stage || !stays {
         return;
     }
     let order = StageOrder {
