--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -185,7 +185,7 @@
     let instance = &core.relay.instances.arena[choice.backend];
     let unlisted = age_ms(core, instance.missing_since, "listed");
     let named_leaving = age_ms(core, instance.named_leaving, "no");
-    let rest = instance.rest.remaining(now).as_millis().to_string();
+    let pushback = instance.pushback.remaining(now).as_millis().to_string();
     let view_age = store_age_ms(core);
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
@@ -199,7 +199,7 @@
     call.is_late = choice.is_late;
     instance.own_work = instance.own_work.plus(choice.work);
     instance.limit.spend(now);
-    instance.rest.sent(now);
+    instance.pushback.sent(now);
     if let Some(prompt) = &call.prompt {
         prefix_cache::record_prompt(instance, prompt, now, from_millis(choice.expected_ms));
     }
@@ -236,7 +236,7 @@
             ("peer_age_ms", peer_age),
             ("unlisted_ms", unlisted),
             ("leaving_ms", named_leaving),
-            ("rest_ms", rest.into()),
+            ("pushback_ms", pushback.into()),
             ("view_ms", view_age),
             ("reads", choice.work.tokens.to_string().into()),
             (
@@ -447,12 +447,12 @@
     let Some(call) = core.relay.calls.remove(key) else {
         return;
     };
-    let rests = |cache: &KvCache| {
+    let in_pushback = |cache: &KvCache| {
         let instance = core.relay.instances.arena.get(cache.engine);
-        instance.is_some_and(|instance| !instance.rest.admits(core.now))
+        instance.is_some_and(|instance| !instance.pushback.admits(core.now))
     };
-    // At a resting engine the KV cache is left to expire.
-    if let Some(cache) = call.cache.filter(|cache| !rests(cache)) {
+    // The KV cache is left to expire at an engine that wants no requests.
+    if let Some(cache) = call.cache.filter(|cache| !in_pushback(cache)) {
         out.push(Effect::Relay(RelayEffect::FreeCache {
             instance: cache.instance,
             addr: cache.addr,
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -145,9 +145,9 @@
         let detail = format!("servers of {service} take no more for now, by limits that they name");
         return Refusal::new(Kind::Overloaded, detail).with_retry_after(retry);
     }
-    if let Some(wait) = rest_wait(core, &service) {
+    if let Some(wait) = pushback_wait(core, &service) {
         let retry = retry_after_wait(core, wait);
-        let detail = format!("servers of {service} asked for rest");
+        let detail = format!("servers of {service} want no requests for now");
         return Refusal::new(Kind::Overloaded, detail).with_retry_after(retry);
     }
     let retry = retry_after(core, 0.0);
@@ -158,17 +158,19 @@
     .with_retry_after(retry)
 }
 
-/// Returns the time until the first of a service's servers may get work again, if any of them rests.
-fn rest_wait(core: &Core, service: &str) -> Option<Duration> {
+/// Returns the time until the first of a service's servers may get work again, if any of them wants
+/// none for a time.
+fn pushback_wait(core: &Core, service: &str) -> Option<Duration> {
     let all = core.relay.instances.of(service).iter();
     let all = all.map(|key| &core.relay.instances.arena[*key]);
-    let rests = |instance: &Instance| !instance.rest.admits(core.now);
-    let staying = all.filter_map(|instance| Some((instance.wait(core.now)?, rests(instance))));
+    let pushes_back = |instance: &Instance| !instance.pushback.admits(core.now);
+    let staying =
+        all.filter_map(|instance| Some((instance.wait(core.now)?, pushes_back(instance))));
     let staying: Vec<(Duration, bool)> = staying.collect();
-    let any_rests = staying.iter().any(|(_, rests)| *rests);
+    let any_pushback = staying.iter().any(|(_, pushes_back)| *pushes_back);
     let soonest = staying.iter().map(|(wait, _)| *wait).min();
-    // A server that takes work, and is only full, needs no rest.
-    soonest.filter(|wait| any_rests && !wait.is_zero())
+    // A server that takes work, and is only full, is worth waiting for.
+    soonest.filter(|wait| any_pushback && !wait.is_zero())
 }
 
 /// Returns the time until a rate limit admits the next request; `None` if no available server is
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -17,7 +17,7 @@
     BlockReport, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport, LimitReport,
     LoadReport, ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
 };
-pub use notice::{NamedLimit, NamedRest, Notices};
+pub use notice::{NamedLimit, NamedPushback, Notices};
 
 /// One event about relayed requests.
 #[derive(Debug, Clone)]
--- a/src/core/relay/event/notice.rs
+++ b/src/core/relay/event/notice.rs
@@ -10,7 +10,7 @@
     /// Whether it is leaving: it accepts no new work soon.
     pub leaving: bool,
     /// Time in which it wants no requests from this host; only a refusal names one.
-    pub rest: NamedRest,
+    pub pushback: NamedPushback,
 }
 
 /// Rate limit that an answer names: requests per second that its backend server accepts from all hosts
@@ -26,10 +26,10 @@
     Unreadable,
 }
 
-/// Rest that a refusal names: time in which its backend server wants no requests from this host.
+/// Pushback that a refusal names: time in which its backend server wants no requests from this host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum NamedRest {
-    /// The answer names no rest.
+pub enum NamedPushback {
+    /// The answer names no pushback.
     #[default]
     None,
     /// The named time.
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -9,7 +9,7 @@
 use super::limit::Limit;
 use super::model::{Link, Slowdown};
 use super::prefix_cache::CachedBlock;
-use super::rest::Rest;
+use super::pushback::Pushback;
 use crate::core::key::HostKey;
 use crate::core::time::Time;
 
@@ -89,8 +89,8 @@
     recent_fill: (f64, Time),
     /// Limit on the requests that it accepts from all hosts together.
     pub limit: Limit,
-    /// Rest that it asked this host for.
-    pub rest: Rest,
+    /// Time in which it wants no requests from this host.
+    pub pushback: Pushback,
     /// Prefix blocks that it holds or is about to hold, by id.
     pub blocks: BTreeMap<u64, CachedBlock>,
 }
@@ -170,7 +170,7 @@
             last_response: None,
             recent_fill: (0.0, Time::default()),
             limit: Limit::default(),
-            rest: Rest::default(),
+            pushback: Pushback::default(),
             blocks: BTreeMap::new(),
         }
     }
@@ -191,14 +191,14 @@
             && !self.addr_reused
             && !missed
             && now >= self.retry_at
-            && self.rest.admits(now)
+            && self.pushback.admits(now)
     }
 
     /// Returns the time until a server that stays may get work again; `None` for one that is gone.
     #[must_use]
     pub fn wait(&self, now: Time) -> Option<Duration> {
         let stays = !self.leaving && !self.addr_reused && self.missing_since.is_none();
-        stays.then(|| self.retry_at.since(now).max(self.rest.remaining(now)))
+        stays.then(|| self.retry_at.since(now).max(self.pushback.remaining(now)))
     }
 
     /// Whether new work may go there now, its limit included.
@@ -281,7 +281,7 @@
 
     /// Records that it answered.
     pub fn record_success(&mut self, now: Time) {
-        self.rest.succeeded(now);
+        self.pushback.succeeded(now);
         self.failures = 0;
         self.refusals = 0;
         self.error_rate -= self.error_rate * ERROR_WEIGHT;
--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -62,11 +62,11 @@
         .sum()
     }
 
-    /// Returns the number of backend servers that asked this host for a rest which is not over.
+    /// Returns the number of backend servers that want no requests from this host for a time.
     #[must_use]
-    pub fn resting(&self, now: Time) -> u64 {
+    pub fn in_pushback(&self, now: Time) -> u64 {
         let all = self.arena.values();
-        all.map(|instance| u64::from(!instance.rest.remaining(now).is_zero()))
+        all.map(|instance| u64::from(!instance.pushback.remaining(now).is_zero()))
             .sum()
     }
 
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -22,7 +22,7 @@
 mod planner;
 mod poison;
 mod prefix_cache;
-pub mod rest;
+pub mod pushback;
 #[cfg(test)]
 mod tests;
 mod view;
--- a/src/core/relay/notice.rs
+++ b/src/core/relay/notice.rs
@@ -3,7 +3,7 @@
 use super::super::key::{AttemptKey, BackendKey};
 use super::super::{Core, Effects};
 use super::event::Notices;
-use super::{departed, limit, note, rest};
+use super::{departed, limit, note, pushback};
 
 /// Handles the head of an answer to a caller's request.
 pub fn answered(core: &mut Core, attempt: AttemptKey, notices: Notices, out: &mut Effects) {
@@ -27,7 +27,7 @@
     let Some(instance) = core.relay.instances.arena.get_mut(backend) else {
         return;
     };
-    rest::observe(instance, notices.rest, now, &mut core.rng, out);
+    pushback::observe(instance, notices.pushback, now, &mut core.rng, out);
     if notices.leaving && instance.named_leaving.is_none() {
         instance.named_leaving = Some(now);
         let fields = vec![("backend", instance.id.clone())];
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -308,7 +308,7 @@
     let can_change = |key: &BackendKey| {
         let instance = &core.relay.instances.arena[*key];
         let differs = instance.stage.is_some() && instance.stage != Some(stage);
-        differs && instance.rest.admits(core.now) && !recently_ordered(core, *key)
+        differs && instance.pushback.admits(core.now) && !recently_ordered(core, *key)
     };
     let mut keys: Vec<BackendKey> = engines.iter().copied().filter(can_change).collect();
     keys.sort_by_key(|key| {
@@ -377,7 +377,7 @@
         return;
     };
     let instance = &core.relay.instances.arena[key];
-    let stays = !instance.leaving && instance.rest.admits(core.now);
+    let stays = !instance.leaving && instance.pushback.admits(core.now);
     if report.busy || report.stage == stage || !stays {
         return;
     }
--- a/src/core/relay/tests/leaving.rs
+++ b/src/core/relay/tests/leaving.rs
@@ -2,7 +2,7 @@
 
 use super::domain::TestDomain;
 use super::*;
-use crate::core::relay::event::{NamedLimit, NamedRest, Notices, Task};
+use crate::core::relay::event::{NamedLimit, NamedPushback, Notices, Task};
 use crate::core::relay::instance::short_hash;
 
 /// Number of requests sent to find out which servers a host uses.
@@ -13,7 +13,7 @@
 const LEAVING: Notices = Notices {
     limit: NamedLimit::None,
     leaving: true,
-    rest: NamedRest::None,
+    pushback: NamedPushback::None,
 };
 
 /// Has a server answer an attempt with the statement that it is leaving.
--- a/src/core/relay/tests/planner.rs
+++ b/src/core/relay/tests/planner.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::core::event::Job;
-use crate::core::relay::event::{EngineReport, NamedRest, Notices, OrderResult, StageOrder};
+use crate::core::relay::event::{EngineReport, NamedPushback, Notices, OrderResult, StageOrder};
 use crate::core::relay::{RelayJob, RelayTimer};
 use crate::store::TxnReply;
 
@@ -100,10 +100,10 @@
     assert_eq!(order.stage, Stage::Prefill);
 }
 
-/// An engine asks for rest after it was asked for its state. Guards against an order and further requests for its state:
+/// An engine names a pushback after it was asked for its state. Guards against an order and further requests for its state:
 /// they reach an engine that wants nothing.
 #[test]
-fn a_resting_engine_is_neither_ordered_nor_asked() {
+fn an_engine_is_neither_ordered_nor_asked_during_its_pushback() {
     let mut site = site();
     acquire(&mut site, 41);
     stabilize(&mut site);
@@ -112,7 +112,7 @@
     site.event(RelayEvent::ControlNoticed {
         instance: first.clone(),
         notices: Notices {
-            rest: NamedRest::For(Duration::from_secs(20)),
+            pushback: NamedPushback::For(Duration::from_secs(20)),
             ..Notices::default()
         },
     });
--- a/src/core/relay/tests/rest.rs
+++ b/src/core/relay/tests/pushback.rs
@@ -1,33 +1,33 @@
-//! Backend servers that refuse requests and ask for rest.
+//! Backend servers that refuse requests and name a pushback.
 
 use super::domain::TestDomain;
 use super::*;
-use crate::core::relay::event::{NamedRest, Notices, Task};
+use crate::core::relay::event::{NamedPushback, Notices, Task};
 use crate::core::relay::instance::Instance;
 
-/// Time after a refusal from which on the rest that it asked for counts.
-const REST_GRACE_MS: u64 = 500;
-/// Requests that a host may send to a server within its rest.
-const MAX_IN_REST: usize = 2;
+/// Time after a refusal from which on its pushback counts.
+const PUSHBACK_GRACE_MS: u64 = 500;
+/// Requests that a host may send to a server within its pushback.
+const MAX_IN_PUSHBACK: usize = 2;
 /// Time between two requests.
 const REQUEST_INTERVAL_MS: u64 = 20;
 /// Response time of a plain server that refuses nothing: hosts prefer one that refuses, where it seems idle.
 const ANSWER_MS: u64 = 200;
 
-fn asks_for(rest: NamedRest) -> Notices {
+fn notices_of(pushback: NamedPushback) -> Notices {
     Notices {
-        rest,
+        pushback,
         ..Notices::default()
     }
 }
 
-fn rest_of(millis: u64) -> NamedRest {
-    NamedRest::For(Duration::from_millis(millis))
+fn pushback_of(millis: u64) -> NamedPushback {
+    NamedPushback::For(Duration::from_millis(millis))
 }
 
-/// Has a server refuse an attempt and ask for rest.
-fn refuse_with(host: &mut TestHost, attempt: AttemptKey, rest: NamedRest) {
-    let notices = asks_for(rest);
+/// Has a server refuse an attempt and name a pushback.
+fn refuse_with(host: &mut TestHost, attempt: AttemptKey, pushback: NamedPushback) {
+    let notices = notices_of(pushback);
     host.event(RelayEvent::Noticed { attempt, notices });
     host.fail_attempt(attempt, Ran::No, AttemptFailure::Refused);
 }
@@ -41,12 +41,12 @@
     instance(host, id).admits(Time::from_millis(host.now))
 }
 
-/// A host under load, with servers that refuse everything and ask for rest, and others that answer.
+/// A host under load, with servers that refuse everything and name a pushback, and others that answer.
 struct Load {
     host: TestHost,
     path: &'static str,
-    /// Rest that each refusing server asks for, in milliseconds.
-    rests: BTreeMap<&'static str, u64>,
+    /// Pushback that each refusing server names, in milliseconds.
+    pushbacks: BTreeMap<&'static str, u64>,
     /// Requests that reached each refusing server.
     arrived: BTreeMap<Box<str>, Vec<u64>>,
     /// Pending answers of plain servers, with the time at which they are due.
@@ -54,11 +54,11 @@
 }
 
 impl Load {
-    fn new(host: TestHost, path: &'static str, rests: &[(&'static str, u64)]) -> Self {
+    fn new(host: TestHost, path: &'static str, pushbacks: &[(&'static str, u64)]) -> Self {
         Self {
             host,
             path,
-            rests: rests.iter().copied().collect(),
+            pushbacks: pushbacks.iter().copied().collect(),
             arrived: BTreeMap::new(),
             due: Vec::new(),
         }
@@ -91,10 +91,10 @@
 
     fn answer(&mut self, sent: &Outgoing) {
         let attempt = sent.attempt;
-        if let Some(rest) = self.rests.get(&*sent.instance) {
+        if let Some(pushback) = self.pushbacks.get(&*sent.instance) {
             let arrived = self.arrived.entry(sent.instance.clone()).or_default();
             arrived.push(self.host.now);
-            refuse_with(&mut self.host, attempt, rest_of(*rest));
+            refuse_with(&mut self.host, attempt, pushback_of(*pushback));
         } else if sent.task == Task::Prefill {
             let handle = "h".into();
             self.host.event(RelayEvent::Prefilled { attempt, handle });
@@ -108,12 +108,12 @@
         }
     }
 
-    /// Returns the largest number of requests that reached a server within one rest.
-    fn most_in_rest(&self) -> usize {
+    /// Returns the largest number of requests that reached a server within one pushback.
+    fn most_in_pushback(&self) -> usize {
         let counts = self.arrived.iter().flat_map(|(server, times)| {
-            let rest = self.rests[&**server];
+            let pushback = self.pushbacks[&**server];
             times.iter().map(move |refused| {
-                let counted = refused + REST_GRACE_MS..refused + rest;
+                let counted = refused + PUSHBACK_GRACE_MS..refused + pushback;
                 times.iter().filter(|at| counted.contains(at)).count()
             })
         });
@@ -128,39 +128,39 @@
 }
 
 macro_rules! loads {
-    ($($(#[$doc:meta])* $name:ident: $host:expr, $path:expr, $rests:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident: $host:expr, $path:expr, $pushbacks:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() {
-            let mut load = Load::new($host, $path, &$rests);
+            let mut load = Load::new($host, $path, &$pushbacks);
             load.pass(12_000);
             assert!(!load.arrived.is_empty(), "no server was asked");
-            let most = load.most_in_rest();
-            assert!(most <= MAX_IN_REST, "{most} requests within a rest");
+            let most = load.most_in_pushback();
+            assert!(most <= MAX_IN_PUSHBACK, "{most} requests within a pushback");
         })*
     };
 }
 
 loads! {
-    /// Guards against a pause of the host's own that is shorter than the rest asked for.
-    a_plain_server_rests_for_as_long_as_it_asks: plain_host(), "/once/x", [("a", 3000)];
-    a_long_rest_is_kept: plain_host(), "/once/x", [("a", 9000)];
-    /// Guards against retries that keep to no rest.
-    a_server_gets_no_retries_in_its_rest: plain_host(), "/again/x", [("a", 3000)];
+    /// Guards against a pause of the host's own that is shorter than the pushback.
+    a_plain_server_gets_nothing_during_its_pushback: plain_host(), "/once/x", [("a", 3000)];
+    a_long_pushback_is_kept: plain_host(), "/once/x", [("a", 9000)];
+    /// Guards against retries that keep to no pushback.
+    a_server_gets_no_retries_during_its_pushback: plain_host(), "/again/x", [("a", 3000)];
     /// Guards against sending to the only servers because there are no others.
-    resting_servers_get_nothing_where_all_rest: plain_host(), "/once/x", [("a", 3000), ("b", 2000)];
-    /// Guards against prefills that keep to no rest.
-    a_prefill_engine_rests_for_as_long_as_it_asks: TestHost::with_engines(), "/long/x", [("p", 3000), ("q", 3000)];
-    /// Guards against handovers that keep to no rest.
-    a_decode_engine_rests_for_as_long_as_it_asks: TestHost::with_engines(), "/long/x", [("d", 3000), ("e", 3000)];
+    servers_get_nothing_where_all_push_back: plain_host(), "/once/x", [("a", 3000), ("b", 2000)];
+    /// Guards against prefills that keep to no pushback.
+    a_prefill_engine_gets_nothing_during_its_pushback: TestHost::with_engines(), "/long/x", [("p", 3000), ("q", 3000)];
+    /// Guards against handovers that keep to no pushback.
+    a_decode_engine_gets_nothing_during_its_pushback: TestHost::with_engines(), "/long/x", [("d", 3000), ("e", 3000)];
 }
 
-/// All servers rest. Guards against callers that wait for their deadline, or retry before any server takes a request.
+/// All servers push back. Guards against callers that wait for their deadline, or retry before any server takes a request.
 #[test]
-fn a_request_is_refused_until_the_soonest_end_if_all_servers_rest() {
+fn a_request_is_refused_until_the_soonest_end_if_all_servers_push_back() {
     let mut host = plain_host();
-    for rest in [8000, 3000] {
+    for pushback in [8000, 3000] {
         host.arrive(plain_request("/again/x"));
         while let Some(sent) = host.sent() {
-            refuse_with(&mut host, sent.attempt, rest_of(rest));
+            refuse_with(&mut host, sent.attempt, pushback_of(pushback));
         }
     }
     host.now += 1000;
@@ -170,7 +170,7 @@
         let (status, ran, retry_after) = host.refused().expect("an immediate refusal");
         assert_eq!((status, ran), (503, Ran::No));
         let retry_after = retry_after.expect("a time to retry after");
-        let soonest = ["a", "b"].map(|id| instance(&host, id).rest.remaining(host.core.now));
+        let soonest = ["a", "b"].map(|id| instance(&host, id).pushback.remaining(host.core.now));
         let soonest = soonest.into_iter().min().expect("two servers");
         assert!(retry_after >= soonest, "{retry_after:?}, {soonest:?}");
         assert!(retry_after <= soonest * 2, "{retry_after:?}, {soonest:?}");
@@ -178,16 +178,16 @@
 }
 
 macro_rules! refusals {
-    ($($(#[$doc:meta])* $name:ident: $rests:expr, $after:expr => $used:expr;)*) => {
+    ($($(#[$doc:meta])* $name:ident: $pushbacks:expr, $after:expr => $used:expr;)*) => {
         $($(#[$doc])* #[test] fn $name() {
             let mut host = TestHost::new();
             host.register(vec![plain_entry("a")]);
-            let attempts: Vec<AttemptKey> = $rests.iter().map(|_| {
+            let attempts: Vec<AttemptKey> = $pushbacks.iter().map(|_| {
                 host.arrive(plain_request("/once/x"));
                 host.sent().expect("a request is sent").attempt
             }).collect();
-            for (attempt, rest) in attempts.into_iter().zip($rests) {
-                refuse_with(&mut host, attempt, rest);
+            for (attempt, pushback) in attempts.into_iter().zip($pushbacks) {
+                refuse_with(&mut host, attempt, pushback);
             }
             host.now += $after;
             assert_eq!(is_used(&host, "a"), $used);
@@ -196,27 +196,27 @@
 }
 
 refusals! {
-    a_rest_of_zero_asks_for_none: [rest_of(0)], 100 => true;
-    an_unreadable_rest_asks_for_none: [NamedRest::Unreadable], 100 => true;
-    /// Guards against a refusal that ends the rest of an earlier one, which still holds.
-    a_shorter_rest_does_not_end_a_longer_one: [rest_of(4000), rest_of(1000)], 2500 => false;
-    an_unreadable_rest_does_not_end_one: [rest_of(4000), NamedRest::Unreadable], 2500 => false;
-    a_longer_rest_prolongs_one: [rest_of(1000), rest_of(4000)], 2500 => false;
-    a_huge_rest_is_kept_for_long: [NamedRest::For(Duration::MAX)], 1_800_000 => false;
+    a_pushback_of_zero_starts_none: [pushback_of(0)], 100 => true;
+    an_unreadable_pushback_starts_none: [NamedPushback::Unreadable], 100 => true;
+    /// Guards against a refusal that ends the pushback of an earlier one, which still holds.
+    a_shorter_pushback_does_not_end_a_longer_one: [pushback_of(4000), pushback_of(1000)], 2500 => false;
+    an_unreadable_pushback_does_not_end_one: [pushback_of(4000), NamedPushback::Unreadable], 2500 => false;
+    a_longer_pushback_prolongs_one: [pushback_of(1000), pushback_of(4000)], 2500 => false;
+    a_huge_pushback_is_kept_for_long: [NamedPushback::For(Duration::MAX)], 1_800_000 => false;
     /// Guards against a server that is never used again because of one wrong value.
-    a_huge_rest_ends: [NamedRest::For(Duration::MAX)], 8_000_000 => true;
-    /// A host is suspended for longer than a rest. Guards against keeping to rests that ended meanwhile.
-    a_rest_ends_while_the_host_is_suspended: [rest_of(3000)], 30_000 => true;
+    a_huge_pushback_ends: [NamedPushback::For(Duration::MAX)], 8_000_000 => true;
+    /// A host is suspended for longer than a pushback. Guards against keeping to pushbacks that ended meanwhile.
+    a_pushback_ends_while_the_host_is_suspended: [pushback_of(3000)], 30_000 => true;
 }
 
-/// Guards against a rest that is kept after the server that asked for it restarted.
+/// Guards against a pushback that is kept after the server that named it restarted.
 #[test]
-fn a_restart_ends_a_rest() {
+fn a_restart_ends_a_pushback() {
     let mut host = TestHost::new();
     host.register(vec![plain_entry("a")]);
     host.arrive(plain_request("/once/x"));
     let sent = host.sent().expect("a request is sent");
-    refuse_with(&mut host, sent.attempt, rest_of(3000));
+    refuse_with(&mut host, sent.attempt, pushback_of(3000));
     host.now += 100;
     host.register(vec![BackendEntry {
         started_ms: 2,
@@ -225,14 +225,14 @@
     assert!(is_used(&host, "a"));
 }
 
-/// Guards against a rest that an entry of the server, written anew, ends.
+/// Guards against a pushback that an entry of the server, written anew, ends.
 #[test]
-fn an_entry_does_not_end_a_rest() {
+fn an_entry_does_not_end_a_pushback() {
     let mut host = TestHost::new();
     host.register(vec![plain_entry("a")]);
     host.arrive(plain_request("/once/x"));
     let sent = host.sent().expect("a request is sent");
-    refuse_with(&mut host, sent.attempt, rest_of(3000));
+    refuse_with(&mut host, sent.attempt, pushback_of(3000));
     host.now += 1000;
     host.register(vec![BackendEntry {
         revision: 40,
@@ -241,18 +241,18 @@
     assert!(!is_used(&host, "a"));
 }
 
-/// A rest ends under load. Guards against a burst of requests to the server that was overloaded before it is known
+/// A pushback ends under load. Guards against a burst of requests to the server that was overloaded before it is known
 /// whether it accepts one.
 #[test]
-fn a_server_gets_one_request_first_after_its_rest() {
+fn a_server_gets_one_request_first_after_its_pushback() {
     let mut host = TestHost::new();
     host.register(vec![plain_entry("a")]);
     host.arrive(plain_request("/once/x"));
     let sent = host.sent().expect("a request is sent");
-    refuse_with(&mut host, sent.attempt, rest_of(2000));
+    refuse_with(&mut host, sent.attempt, pushback_of(2000));
     host.now += 4000;
     host.arrive(plain_request("/once/x"));
-    let first = host.sent().expect("the rest is over");
+    let first = host.sent().expect("the pushback is over");
     for _ in 0..10 {
         host.arrive(plain_request("/once/x"));
         assert_eq!(host.sent().map(|sent| sent.instance), None);
@@ -268,9 +268,10 @@
     }
 }
 
-/// One server asks all hosts for the same rest at the same moment. Guards against all of them sending to it as it ends.
+/// One server names the same pushback to all hosts at the same moment. Guards against all of them sending to it as it
+/// ends.
 #[test]
-fn rests_that_end_together_do_not_end_in_a_burst() {
+fn pushbacks_that_end_together_do_not_end_in_a_burst() {
     let hosts = 30;
     let mut domain = TestDomain::with_hosts(hosts);
     domain.pass(2000);
@@ -281,7 +282,7 @@
             host.arrive(plain_request("/once/x"));
             let sent = host.sent().expect("a request is sent");
             if *sent.instance == *"p" {
-                refuse_with(host, sent.attempt, rest_of(3000));
+                refuse_with(host, sent.attempt, pushback_of(3000));
                 break;
             }
         }
@@ -293,15 +294,15 @@
         used.count()
     };
     assert_eq!(used(&domain, 3000), 0);
-    // Half of the hosts wait for longer than a tenth of the rest.
+    // Half of the hosts wait for longer than a tenth of the pushback.
     assert!(used(&domain, 3300) <= hosts / 2 + hosts / 6);
     assert_eq!(used(&domain, 4000), hosts);
 }
 
-/// A caller leaves while its prompt is prefilled at an engine that then rests. Guards against a call that only frees the
-/// KV cache, which expires by itself.
+/// A caller leaves while its prompt is prefilled at an engine that then pushes back. Guards against a call that only
+/// frees the KV cache, which expires by itself.
 #[test]
-fn a_kv_cache_is_not_freed_at_a_resting_engine() {
+fn a_kv_cache_is_not_freed_during_a_pushback() {
     let mut host = TestHost::with_engines();
     let call = host.arrive(model_request("/long/x", (9, 9000), 4000));
     let prefill = host.sent().expect("a request is sent");
@@ -311,7 +312,7 @@
     host.event(RelayEvent::Prefilled { attempt, handle });
     host.event(RelayEvent::ControlNoticed {
         instance: prefill.instance,
-        notices: asks_for(rest_of(5000)),
+        notices: notices_of(pushback_of(5000)),
     });
     host.event(RelayEvent::CallerLeft(call));
     assert!(!host.has_effect(|effect| matches!(effect, RelayEffect::FreeCache { .. })));
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -47,7 +47,7 @@
     store_era: Gauge<u64>,
     unlisted: Gauge<u64>,
     limited: Gauge<u64>,
-    resting: Gauge<u64>,
+    pushbacks: Gauge<u64>,
     last_calls: Cell<CallCounts>,
     request_counts: RefCell<BTreeMap<Box<str>, u32>>,
     named_customers: RefCell<Vec<Box<str>>>,
@@ -123,9 +123,9 @@
                 .u64_gauge("chiveway_backends_limited")
                 .with_description("Backend servers that name a limit")
                 .build(),
-            resting: meter
-                .u64_gauge("chiveway_backends_resting")
-                .with_description("Backend servers that asked this host for a rest")
+            pushbacks: meter
+                .u64_gauge("chiveway_backends_in_pushback")
+                .with_description("Backend servers that want no requests from this host for a time")
                 .build(),
             registry,
             _provider: provider,
@@ -233,9 +233,9 @@
         self.limited.record(servers, &[]);
     }
 
-    /// Sets the number of backend servers that asked this host for a rest.
-    pub fn set_resting(&self, servers: u64) {
-        self.resting.record(servers, &[]);
+    /// Sets the number of backend servers that want no requests from this host for a time.
+    pub fn set_pushbacks(&self, servers: u64) {
+        self.pushbacks.record(servers, &[]);
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -223,8 +223,8 @@
         node.metrics.set_unlisted(unlisted);
         let limited = node.with_core(|core| core.relay.instances.limited());
         node.metrics.set_limited(limited);
-        let resting = node.with_core(|core| core.relay.instances.resting(now));
-        node.metrics.set_resting(resting);
+        let pushed = node.with_core(|core| core.relay.instances.in_pushback(now));
+        node.metrics.set_pushbacks(pushed);
     }
     match node.metrics.encode() {
         Some(body) => text(StatusCode::OK, &body),
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::core::relay::event::{
-    NamedLimit, NamedRest, Notices, Outgoing, PrefixBlock, Prompt, Stage, Task,
+    NamedLimit, NamedPushback, Notices, Outgoing, PrefixBlock, Prompt, Stage, Task,
 };
 
 /// Id of a caller's attempt; backend servers echo it.
@@ -264,28 +264,30 @@
         match name {
             SERVER_LIMIT => notices.limit = rate_limit(text),
             SERVER_LEAVING => notices.leaving |= text == "1",
-            RETRY_AFTER if status == 503 => notices.rest = longer(notices.rest, rest(text)),
+            RETRY_AFTER if status == 503 => {
+                notices.pushback = longer(notices.pushback, pushback(text));
+            }
             _ => {}
         }
     }
     notices
 }
 
-/// Parses a rest in seconds; one too long for a duration is the longest duration.
-fn rest(text: &str) -> NamedRest {
+/// Parses a pushback in seconds; one too long for a duration is the longest duration.
+fn pushback(text: &str) -> NamedPushback {
     match text.parse::<f64>() {
         Ok(secs) if secs.is_finite() && secs >= 0.0 => {
-            NamedRest::For(Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX))
+            NamedPushback::For(Duration::try_from_secs_f64(secs).unwrap_or(Duration::MAX))
         }
-        _ => NamedRest::Unreadable,
+        _ => NamedPushback::Unreadable,
     }
 }
 
-/// Returns the longer of the rests that two headers of a response name.
-fn longer(one: NamedRest, other: NamedRest) -> NamedRest {
+/// Returns the longer of the pushbacks that two headers of a response name.
+fn longer(one: NamedPushback, other: NamedPushback) -> NamedPushback {
     match (one, other) {
-        (NamedRest::For(one), NamedRest::For(other)) => NamedRest::For(one.max(other)),
-        (NamedRest::For(_), _) => one,
+        (NamedPushback::For(one), NamedPushback::For(other)) => NamedPushback::For(one.max(other)),
+        (NamedPushback::For(_), _) => one,
         _ => other,
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -9,7 +9,7 @@
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::catalog::RetryPolicy;
 use crate::core::relay::event::{
-    Changes, NamedLimit, NamedRest, Outgoing, Stage, StageOrder, Task,
+    Changes, NamedLimit, NamedPushback, Outgoing, Stage, StageOrder, Task,
 };
 use crate::core::time::Time;
 use crate::store::{Compare, Op, Txn};
@@ -380,30 +380,30 @@
     one_of_two_headers_is_enough: 200, [b"0", b"1"] => true;
 }
 
-macro_rules! rests {
-    ($($name:ident: $status:expr, $values:expr => $rest:expr;)*) => {
+macro_rules! pushbacks {
+    ($($name:ident: $status:expr, $values:expr => $pushback:expr;)*) => {
         $(#[test] fn $name() {
             let values: &[&[u8]] = &$values;
             let headers: Vec<(&str, &[u8])> =
                 values.iter().map(|value| ("retry-after", *value)).collect();
-            assert_eq!(header::decode_answer($status, &headers).notices.rest, $rest);
+            assert_eq!(header::decode_answer($status, &headers).notices.pushback, $pushback);
         })*
     };
 }
 
-rests! {
-    a_refusal_without_the_header_names_no_rest: 503, [] => NamedRest::None;
-    a_rest_is_a_number_of_seconds: 503, [b"3"] => NamedRest::For(Duration::from_secs(3));
-    a_rest_may_be_a_fraction: 503, [b" 0.25 "] => NamedRest::For(Duration::from_millis(250));
-    a_rest_may_be_zero: 503, [b"0"] => NamedRest::For(Duration::ZERO);
-    a_huge_rest_is_the_longest_duration: 503, [b"1e300"] => NamedRest::For(Duration::MAX);
-    a_negative_rest_is_unreadable: 503, [b"-1"] => NamedRest::Unreadable;
-    a_nan_rest_is_unreadable: 503, [b"nan"] => NamedRest::Unreadable;
-    an_infinite_rest_is_unreadable: 503, [b"inf"] => NamedRest::Unreadable;
-    a_date_is_unreadable: 503, [b"Thu, 03 Dec 2026 16:00:00 GMT"] => NamedRest::Unreadable;
-    an_empty_rest_is_unreadable: 503, [b""] => NamedRest::Unreadable;
-    the_longer_of_two_rests_counts: 503, [b"3", b"1"] => NamedRest::For(Duration::from_secs(3));
-    a_readable_rest_counts_beside_an_unreadable_one: 503, [b"2", b"soon"] => NamedRest::For(Duration::from_secs(2));
-    another_status_names_no_rest: 429, [b"3"] => NamedRest::None;
-    a_success_names_no_rest: 200, [b"3"] => NamedRest::None;
+pushbacks! {
+    a_refusal_without_the_header_names_no_pushback: 503, [] => NamedPushback::None;
+    a_pushback_is_a_number_of_seconds: 503, [b"3"] => NamedPushback::For(Duration::from_secs(3));
+    a_pushback_may_be_a_fraction: 503, [b" 0.25 "] => NamedPushback::For(Duration::from_millis(250));
+    a_pushback_may_be_zero: 503, [b"0"] => NamedPushback::For(Duration::ZERO);
+    a_huge_pushback_is_the_longest_duration: 503, [b"1e300"] => NamedPushback::For(Duration::MAX);
+    a_negative_pushback_is_unreadable: 503, [b"-1"] => NamedPushback::Unreadable;
+    a_nan_pushback_is_unreadable: 503, [b"nan"] => NamedPushback::Unreadable;
+    an_infinite_pushback_is_unreadable: 503, [b"inf"] => NamedPushback::Unreadable;
+    a_date_is_unreadable: 503, [b"Thu, 03 Dec 2026 16:00:00 GMT"] => NamedPushback::Unreadable;
+    an_empty_pushback_is_unreadable: 503, [b""] => NamedPushback::Unreadable;
+    the_longer_of_two_pushbacks_counts: 503, [b"3", b"1"] => NamedPushback::For(Duration::from_secs(3));
+    a_readable_pushback_counts_beside_an_unreadable_one: 503, [b"2", b"soon"] => NamedPushback::For(Duration::from_secs(2));
+    another_status_names_no_pushback: 429, [b"3"] => NamedPushback::None;
+    a_success_names_no_pushback: 200, [b"3"] => NamedPushback::None;
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -11,7 +11,7 @@
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
-mod rest;
+mod pushback;
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
 mod stop;
--- a/tests/relay/rest.rs
+++ b/tests/relay/pushback.rs
@@ -1,13 +1,13 @@
-//! Servers that refuse requests and ask for rest.
+//! Servers that refuse requests and name a pushback.
 
 use std::time::Duration;
 
 use super::standin::{Engine, LONG_PROMPT};
 use super::{Site, wait_for};
 
-/// Rest that a server asks for in seconds; no test lasts as long.
-const LONG_REST: &str = "600";
-/// Requests sent within the rest.
+/// Pushback in seconds; no test lasts as long.
+const LONG_PUSHBACK: &str = "600";
+/// Requests sent within the pushback.
 const REQUEST_COUNT: usize = 30;
 /// Response time of the server that refuses nothing, so that a host prefers the other one.
 const SLOW_DELAY: Duration = Duration::from_millis(60);
@@ -18,13 +18,13 @@
     all.filter(|(path, ..)| !path.starts_with("/v1/")).count()
 }
 
-/// A server refuses a request and asks for rest. Guards against requests sent to it meanwhile, and against callers that
+/// A server refuses a request and names a pushback. Guards against requests sent to it meanwhile, and against callers that
 /// are refused although another server answers.
 #[test]
-fn a_server_that_asks_for_rest_gets_nothing_until_its_end() {
+fn a_server_gets_nothing_during_its_pushback() {
     let (resting, other) = (Engine::plain("s-1"), Engine::plain("s-2"));
     let site = Site::ready(&[&resting, &other]);
-    resting.refuse(LONG_REST);
+    resting.refuse(LONG_PUSHBACK);
     other.set_delay(SLOW_DELAY);
     wait_for("a refusal", || {
         let answer = site.send("/once/x", "id", &[]).expect("an answer");
@@ -38,12 +38,12 @@
     assert_eq!(received(&resting), 1);
 }
 
-/// The only server rests. Guards against callers that wait, or that are not given the time to retry after.
+/// The only server pushes back. Guards against callers that wait, or that are not given the time to retry after.
 #[test]
-fn a_request_is_refused_while_the_only_server_rests() {
+fn a_request_is_refused_while_the_only_server_pushes_back() {
     let resting = Engine::plain("s-1");
     let site = Site::ready(&[&resting]);
-    resting.refuse(LONG_REST);
+    resting.refuse(LONG_PUSHBACK);
     site.send("/once/x", "id", &[]).expect("an answer");
     let before = received(&resting);
     let answer = site.send("/once/x", "id", &[]).expect("an answer");
@@ -55,16 +55,16 @@
     assert!(retry_after > 500.0, "{retry_after}");
 }
 
-/// A prefill engine refuses a prompt and asks for rest. Guards against prefills that keep to no rest.
+/// A prefill engine refuses a prompt and names a pushback. Guards against prefills that keep to no pushback.
 #[test]
-fn a_prefill_engine_that_asks_for_rest_gets_nothing_until_its_end() {
+fn a_prefill_engine_gets_nothing_during_its_pushback() {
     let (resting, other, decode) = (
         Engine::model("p-1", "prefill"),
         Engine::model("p-2", "prefill"),
         Engine::model("d-1", "decode"),
     );
     let site = Site::ready(&[&resting, &other, &decode]);
-    resting.refuse(LONG_REST);
+    resting.refuse(LONG_PUSHBACK);
     wait_for("a refusal", || {
         site.send("/long/x", "id", &LONG_PROMPT).expect("an answer");
         received(&resting) > 0
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -566,8 +566,8 @@
     requests: Vec<(String, String, Vec<u8>)>,
     /// Whether its answers state that it is leaving.
     leaving: bool,
-    /// Rest that it asks for with a refusal of each request.
-    rest: Option<String>,
+    /// Seconds of pushback that it names with a refusal of each request.
+    pushback: Option<String>,
     /// Value of the limit header in its answers.
     limit: Option<String>,
     /// Number of events after which the next new stream breaks off.
@@ -668,9 +668,9 @@
         self.shared.0.lock().expect("the engine").leaving = true;
     }
 
-    /// Refuses each request from now on, and asks for so many seconds of rest.
-    pub fn refuse(&self, rest: &str) {
-        self.shared.0.lock().expect("the engine").rest = Some(rest.to_owned());
+    /// Refuses each request from now on, and names so many seconds of pushback.
+    pub fn refuse(&self, pushback: &str) {
+        self.shared.0.lock().expect("the engine").pushback = Some(pushback.to_owned());
     }
 
     /// Adds a limit header to each answer from now on.
@@ -767,8 +767,8 @@
         "/v1/order" => return write(stream, apply_order(&mut state, &request.body)?, "", "{}"),
         _ => {}
     }
-    if let Some(rest) = &state.rest {
-        let headers = format!("{headers}x-chiveway-not-executed: 1\r\nretry-after: {rest}\r\n");
+    if let Some(pushback) = &state.pushback {
+        let headers = format!("{headers}x-chiveway-not-executed: 1\r\nretry-after: {pushback}\r\n");
         return write(stream, 503, &headers, "");
     }
     if state.stage.is_none() {
