--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -169,7 +169,7 @@
     let staying: Vec<(Duration, bool)> = staying.collect();
     let any_pushback = staying.iter().any(|(_, pushes_back)| *pushes_back);
     let soonest = staying.iter().map(|(wait, _)| *wait).min();
-    // A server that takes work, and is only full, is worth waiting for.
+    // No caller needs to wait for the end of a pushback while another server is only full.
     soonest.filter(|wait| any_pushback && !wait.is_zero())
 }
 
