--- a/tests/relay/leaving.rs
+++ b/tests/relay/leaving.rs
@@ -7,12 +7,6 @@
 /// Requests sent after the statement.
 const REQUEST_COUNT: usize = 20;
 
-/// Returns the number of requests that a server received apart from reports and releases.
-fn received(engine: &Engine) -> usize {
-    let all = engine.requests().into_iter();
-    all.filter(|(path, ..)| !path.starts_with("/v1/")).count()
-}
-
 /// The head of a stream states that its engine is leaving while the store hangs. Guards against the host that forwarded
 /// it, and the other one, sending it requests until the store is back.
 #[test]
@@ -39,7 +33,7 @@
     wait_for("an answer of the leaving engine", || {
         site.send("/short/x", "id", &SHORT_PROMPT)
             .expect("an answer");
-        received(&one) > 0
+        one.caller_requests() > 0
     });
     wait_for("the departure at the second host", || {
         let log = second.folder.read(LOG_FILE);
@@ -47,7 +41,7 @@
             line.contains("backend.listed") && line.contains("d-1") && line.contains("leaving")
         })
     });
-    let before = received(&one);
+    let before = one.caller_requests();
     let mut headers = vec![("x-chiveway-attempt-id", "id")];
     headers.extend(SHORT_PROMPT);
     for _ in 0..REQUEST_COUNT {
@@ -56,7 +50,7 @@
         let answer = http::send(second.callers, "POST", "/short/x", &headers, b"body");
         assert_eq!(answer.map(|answer| answer.status), Some(200));
     }
-    assert_eq!(received(&one), before);
+    assert_eq!(one.caller_requests(), before);
 }
 
 /// The answer to a prefill states that its engine is leaving. Guards against reading the statement from answers that go
@@ -72,12 +66,12 @@
     one.state_leaving();
     wait_for("a prefill at the leaving engine", || {
         site.send("/long/x", "id", &LONG_PROMPT).expect("an answer");
-        received(&one) > 0
+        one.caller_requests() > 0
     });
-    let before = received(&one);
+    let before = one.caller_requests();
     for _ in 0..REQUEST_COUNT {
         let answer = site.send("/long/x", "id", &LONG_PROMPT);
         assert_eq!(answer.map(|answer| answer.status), Some(200));
     }
-    assert_eq!(received(&one), before);
+    assert_eq!(one.caller_requests(), before);
 }
--- a/tests/relay/pushback.rs
+++ b/tests/relay/pushback.rs
@@ -12,12 +12,6 @@
 /// Response time of the server that refuses nothing, so that a host prefers the other one.
 const SLOW_DELAY: Duration = Duration::from_millis(60);
 
-/// Returns the number of requests that a server received apart from reports and releases.
-fn received(engine: &Engine) -> usize {
-    let all = engine.requests().into_iter();
-    all.filter(|(path, ..)| !path.starts_with("/v1/")).count()
-}
-
 /// A server refuses a request and names a pushback. Guards against requests sent to it meanwhile, and against callers that
 /// are refused although another server answers.
 #[test]
@@ -29,13 +23,13 @@
     wait_for("a refusal", || {
         let answer = site.send("/once/x", "id", &[]).expect("an answer");
         assert_eq!(answer.status, 200);
-        received(&resting) > 0
+        resting.caller_requests() > 0
     });
     for _ in 0..REQUEST_COUNT {
         let answer = site.send("/once/x", "id", &[]);
         assert_eq!(answer.map(|answer| answer.status), Some(200));
     }
-    assert_eq!(received(&resting), 1);
+    assert_eq!(resting.caller_requests(), 1);
 }
 
 /// The only server pushes back. Guards against callers that wait, or that are not given the time to retry after.
@@ -45,9 +39,9 @@
     let site = Site::ready(&[&resting]);
     resting.refuse(LONG_PUSHBACK);
     site.send("/once/x", "id", &[]).expect("an answer");
-    let before = received(&resting);
+    let before = resting.caller_requests();
     let answer = site.send("/once/x", "id", &[]).expect("an answer");
-    assert_eq!((answer.status, received(&resting)), (503, before));
+    assert_eq!((answer.status, resting.caller_requests()), (503, before));
     let retry_after = answer
         .header("retry-after")
         .and_then(|secs| secs.parse().ok());
@@ -67,11 +61,11 @@
     resting.refuse(LONG_PUSHBACK);
     wait_for("a refusal", || {
         site.send("/long/x", "id", &LONG_PROMPT).expect("an answer");
-        received(&resting) > 0
+        resting.caller_requests() > 0
     });
     for _ in 0..REQUEST_COUNT {
         let answer = site.send("/long/x", "id", &LONG_PROMPT);
         assert_eq!(answer.map(|answer| answer.status), Some(200));
     }
-    assert_eq!(received(&resting), 1);
+    assert_eq!(resting.caller_requests(), 1);
 }
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -693,6 +693,12 @@
         all.cloned().collect()
     }
 
+    /// Returns the number of callers' requests that it received, prefills included.
+    pub fn caller_requests(&self) -> usize {
+        let all = self.requests().into_iter();
+        all.filter(|(path, ..)| !path.starts_with("/v1/")).count()
+    }
+
     /// Returns its address.
     pub fn addr(&self) -> SocketAddr {
         self.addr
