Identify customers by their keys and name them to backend servers

Cause: the configuration's customers were not decoded, and Authorization was forwarded like any other header.

Change: the adapter decodes customers and hashes keys on arrival; the core looks the hash up in the catalog. A missing, malformed, doubled or oversized key is refused with 401 at once. An unknown key is refused with 401 only by a host whose view of the store is fresh; with an older view the answer is "not run, come back" (503), since the key may be new. Known keys stay valid while the store is away, unless revocation is strict: then only up to the bound. Servers get the customer's name on every path (first try, repeat, prefill, decode); what callers sent under that name is dropped in every spelling, and the key is withheld. A customer's priority goes before its route's. Where the configuration names no customers, nothing changes.

Shown: tests of the core, the adapter and the whole program.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -11,6 +11,7 @@
 use super::super::{Core, Effects};
 use super::catalog::{Catalog, Route, Service};
 use super::choose::{self, Choice};
+use super::customers::{self, Denial, Identity, ViewAge};
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
 use super::{Attempt, Call, KvCache, RelayTimer, from_millis, gossip, millis, note, prefix_cache};
@@ -33,7 +34,7 @@
 
 pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
     let resolved = resolve(core, &arrival);
-    let (route, service) = match resolved {
+    let (route, service, identity) = match resolved {
         Ok(resolved) => resolved,
         Err(refusal) => {
             refuse_unrouted(core, arrival, refusal, out);
@@ -42,6 +43,7 @@
     };
     let wait = arrival.deadline.unwrap_or(route.timeout).min(route.timeout);
     let key = open(core, arrival, route, service.clone(), wait, out);
+    core.relay.calls[key].identity = identity;
     let budget = core.relay.retry_budgets.entry(service).or_default();
     budget.record_request(core.now);
     if core.relay.calls.len() > MAX_CALLS {
@@ -65,8 +67,8 @@
     u64::from_le_bytes(first)
 }
 
-/// Returns the route and the service of a request.
-fn resolve(core: &mut Core, arrival: &Arrival) -> Result<(Route, Box<str>), Refusal> {
+/// Returns the route and the service of a request, and on whose behalf it runs.
+fn resolve(core: &mut Core, arrival: &Arrival) -> Result<(Route, Box<str>, Identity), Refusal> {
     let Some(catalog) = &core.relay.catalog else {
         let detail = "this host has no configuration yet";
         return Err(Refusal::new(Kind::CutOff, detail).with_retry_after(RETRY_AFTER));
@@ -78,17 +80,52 @@
         }
         return Err(Refusal::new(Kind::NotFound, "no route for this path"));
     };
+    let customers = catalog.customers.as_deref();
+    let identity = customers::identify(customers, route.access, arrival.credential, view_age(core))
+        .map_err(denied)?;
     let route = route.clone();
     let draw = core.rng.random::<f64>();
     match Catalog::pick_service(&route, draw) {
         Some(service) => {
             let service = service.into();
-            Ok((route, service))
+            Ok((route, service, identity))
         }
         None => Err(Refusal::new(Kind::NoEngine, "the route leads nowhere")),
     }
 }
 
+fn view_age(core: &Core) -> ViewAge {
+    let view = &core.relay.view;
+    let relay = core.settings.relay.as_ref();
+    ViewAge {
+        is_fresh: view.is_fresh(core.now),
+        age: view.fresh_at().map(|at| core.now.since(at)),
+        max_age: relay.and_then(|relay| relay.revocation_bound),
+    }
+}
+
+/// Returns the refusal of a caller that is not admitted.
+fn denied(denial: Denial) -> Refusal {
+    let (kind, detail) = match denial {
+        Denial::Absent => (Kind::BadKey, "the request has no key"),
+        Denial::Malformed => (Kind::BadKey, "the request has no valid key"),
+        Denial::Unknown => (Kind::BadKey, "no customer has this key"),
+        Denial::Unconfirmed => (
+            Kind::CutOff,
+            "no known customer has this key, and the configuration may have changed",
+        ),
+        Denial::Expired => (
+            Kind::CutOff,
+            "keys may have been withdrawn since the configuration was last read",
+        ),
+    };
+    let refusal = Refusal::new(kind, detail);
+    match kind {
+        Kind::CutOff => refusal.with_retry_after(RETRY_AFTER),
+        _ => refusal,
+    }
+}
+
 /// Refuses a request without a route.
 fn refuse_unrouted(core: &mut Core, arrival: Arrival, refusal: Refusal, out: &mut Effects) {
     let key = open(
@@ -114,6 +151,7 @@
     let key = core.relay.calls.insert(Call {
         id: arrival.id,
         service,
+        identity: Identity::default(),
         prompt: arrival.prompt,
         bytes: arrival.bytes,
         fingerprint: fingerprint(&arrival.fingerprint),
@@ -262,6 +300,7 @@
         streaming: call.route.streaming && !matches!(choice.task, Task::Prefill),
         max_idle: idle,
         fetch_from: choice.fetch.map(|fetch| fetch.from),
+        identity: call.identity.clone(),
     }))));
     if let Some(silence) = choice.silence_timeout {
         super::wake(core, silence, RelayTimer::Silence(attempt), out);
--- a/src/core/relay/catalog.rs
+++ b/src/core/relay/catalog.rs
@@ -1,8 +1,11 @@
 //! The operator's configuration: routes, services and input limits.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
+use super::customers::Customers;
+
 /// One version of the operator's configuration.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Catalog {
@@ -14,6 +17,18 @@
     pub services: BTreeMap<Box<str>, Service>,
     /// Limits on what callers may send.
     pub limits: InputLimits,
+    /// Customers and their keys; `None` if callers need no key.
+    pub customers: Option<Rc<Customers>>,
+}
+
+/// Whether callers of a route need a key, where the configuration names customers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Access {
+    /// Only requests with a customer's key run.
+    #[default]
+    Keyed,
+    /// All requests run.
+    Public,
 }
 
 /// Whether a request whose outcome is unknown may be retried.
@@ -49,6 +64,8 @@
     pub gap_target: Duration,
     /// Priority rank among routes; 0 is the most urgent.
     pub rank: u8,
+    /// Whether callers need a key.
+    pub access: Access,
     /// Services, with the weights by which requests are split between them.
     pub split: Vec<(Box<str>, u32)>,
     /// Largest number of backend servers that may run one request.
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -287,7 +287,11 @@
     if late {
         LATE_URGENCY
     } else {
-        (BASE_URGENCY + call.route.rank).min(LATE_URGENCY - 1)
+        let customer = call.identity.customer();
+        let rank = customer.and_then(|customer| customer.rank);
+        BASE_URGENCY
+            .saturating_add(rank.unwrap_or(call.route.rank))
+            .min(LATE_URGENCY - 1)
     }
 }
 
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::catalog::Catalog;
+use super::customers::{Credential, Identity};
 use crate::core::effect::Refusal;
 use crate::core::event::{AttemptFailure, Fingerprint};
 use crate::core::key::{AttemptKey, CallKey};
@@ -233,6 +234,8 @@
     pub bytes: usize,
     /// Fingerprint of path and body.
     pub fingerprint: Fingerprint,
+    /// The caller's key.
+    pub credential: Credential,
 }
 
 /// What a model request asks of an engine.
@@ -380,6 +383,8 @@
     pub max_idle: usize,
     /// Address of an engine from which it first copies the prefix blocks that are cached there.
     pub fetch_from: Option<SocketAddr>,
+    /// On whose behalf it runs.
+    pub identity: Identity,
 }
 
 /// An order to an engine to change its stage.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -9,6 +9,7 @@
 mod call;
 pub mod catalog;
 mod choose;
+pub mod customers;
 mod departed;
 pub mod event;
 mod gossip;
@@ -40,6 +41,7 @@
 use crate::settings::Settings;
 use budget::RetryBudget;
 use catalog::{Catalog, RetryPolicy, Route};
+use customers::Identity;
 use event::{Changes, Prompt, RelayEvent, Task};
 use instances::Instances;
 
@@ -92,6 +94,8 @@
     pub route: Route,
     /// Service that it is routed to.
     pub service: Box<str>,
+    /// On whose behalf it runs.
+    pub identity: Identity,
     /// Prompt and output.
     pub prompt: Option<Prompt>,
     /// Bytes of its body.
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod config;
+mod customers;
 mod departed;
 mod departure_reports;
 mod domain;
@@ -27,6 +28,7 @@
 use crate::core::event::{AttemptFailure, Fingerprint, StoreEvent, StoreReply, StoreResult, Timer};
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::catalog::{Catalog, Engine, RetryPolicy, Route, Service};
+use crate::core::relay::customers::Credential;
 use crate::core::relay::event::{
     Arrival, BackendEntry, Changes, KeyChange, Outgoing, PrefixBlock, Prompt, RelayEffect,
     RelayEvent, Stage,
@@ -327,6 +329,7 @@
         resume: None,
         bytes: 100,
         fingerprint: Fingerprint([1; 16]),
+        credential: Credential::Absent,
     }
 }
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -161,7 +161,7 @@
         "bad-key",
         Ran::No,
         0,
-        "Send a valid key as a bearer token.",
+        "Send a valid key.",
     ),
     row(
         Kind::NotFound,
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -12,6 +12,7 @@
 use crate::backend::pool::{self, Answer, Call, FullAnswer, PoolError};
 use crate::core::event::AttemptFailure;
 use crate::core::key::AttemptKey;
+use crate::core::relay::customers::Identity;
 use crate::core::relay::event::{OrderResult, Outgoing, RelayEvent, StageOrder, Task};
 use crate::error::Ran;
 use crate::host::node::Node;
@@ -82,6 +83,9 @@
 
 fn build_call(prepared: &Prepared, out: &Outgoing) -> Call {
     let mut headers = prepared.headers.clone();
+    if out.identity == Identity::Unchecked {
+        headers.extend(prepared.credentials.iter().cloned());
+    }
     let added = header::encode_request(out).into_iter();
     headers.extend(added.map(|(name, value)| (name.into(), value.into_bytes().into())));
     Call {
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -128,10 +128,12 @@
         resume: decoded.resume,
         bytes: body.len(),
         fingerprint: fingerprint(target, &body),
+        credential: decoded.credential,
     };
     let prepared = Prepared {
         method,
         path: target.into(),
+        credentials: decoded.credentials,
         headers: decoded.forwarded,
         body,
     };
@@ -198,7 +200,7 @@
 fn refusal_status(refusal: &Refusal) -> u16 {
     let own = refusal.kind.answer().status;
     match refusal.ran {
-        Ran::No if matches!(own, 400 | 404 | 408 | 413 | 429) => own,
+        Ran::No if matches!(own, 400 | 401 | 404 | 408 | 413 | 429) => own,
         Ran::No => 503,
         Ran::Yes | Ran::Unknown if own == 504 => 504,
         Ran::Yes | Ran::Unknown => 502,
@@ -209,6 +211,9 @@
     let status = StatusCode::from_u16(refusal_status(refusal)).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut response = Response::build(status);
     response.content_type("application/problem+json");
+    if status == StatusCode::UNAUTHORIZED {
+        response.header("www-authenticate", header::AUTH_SCHEME);
+    }
     if let Some(retry) = refusal.retry_after {
         response.header("retry-after", format!("{:.2}", retry.as_secs_f64()));
     }
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -37,7 +37,9 @@
     pub method: hyper::Method,
     /// Path with query, as the caller sent it.
     pub path: Box<str>,
-    /// Forwarded headers.
+    /// Headers with the caller's credentials.
+    pub credentials: Vec<Header>,
+    /// Other forwarded headers.
     pub headers: Vec<Header>,
     /// Body.
     pub body: Bytes,
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -1,11 +1,16 @@
 //! Decoding of the operator's configuration from the platform's format.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde_json::Value;
 
 use super::{millis, secs, whole_number};
-use crate::core::relay::catalog::{Catalog, Engine, InputLimits, RetryPolicy, Route, Service};
+use crate::core::relay::catalog::{
+    Access, Catalog, Engine, InputLimits, RetryPolicy, Route, Service,
+};
+use crate::core::relay::customers::{Customer, Customers};
+use crate::lists::KeyHash;
 
 /// Timeout of requests on routes that set none; well above the timeouts in use.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,9 +35,34 @@
         routes: routes.iter().filter_map(route).collect(),
         services: services.collect(),
         limits,
+        customers: customers(&value["tenants"]),
     })
 }
 
+/// Decodes the customers; `None` if the configuration has none, so that callers need no key.
+fn customers(value: &Value) -> Option<Rc<Customers>> {
+    let mut customers = Customers::default();
+    for tenant in value.as_array()? {
+        let Some(name) = tenant["name"].as_str() else {
+            log::warn!(target: "chiveway::config.unreadable", "ignoring a customer without a name");
+            continue;
+        };
+        let customer = Customer {
+            name: name.into(),
+            rank: whole_number(&tenant["priority"]).map(rank),
+        };
+        let keys = tenant["apiKeys"].as_array().into_iter().flatten();
+        let keys = keys.filter_map(|key| Some(KeyHash::of(key.as_str()?)));
+        customers.add(customer, keys);
+    }
+    Some(Rc::new(customers))
+}
+
+/// Returns the rank of a priority.
+fn rank(priority: u64) -> u8 {
+    u8::try_from(priority).unwrap_or(9)
+}
+
 fn route(value: &Value) -> Option<Route> {
     let kind = value["type"].as_str()?;
     let resumable = value["resumable"].as_bool().unwrap_or(false);
@@ -53,7 +83,11 @@
         timeout: millis(&value["timeoutMs"]).unwrap_or(DEFAULT_TIMEOUT),
         target,
         gap_target: millis(&value["gapTargetMs"]).unwrap_or(target),
-        rank: whole_number(&value["priority"]).map_or(5, |rank| u8::try_from(rank).unwrap_or(9)),
+        rank: whole_number(&value["priority"]).map_or(5, self::rank),
+        access: match value["public"].as_bool() {
+            Some(true) => Access::Public,
+            _ => Access::Keyed,
+        },
         split: split(value)?,
         max_attempts: whole_number(&value["maxAttempts"])
             .and_then(|count| u32::try_from(count).ok())
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::core::relay::customers::Credential;
 use crate::core::relay::event::{
     NamedLimit, NamedPushback, Notices, Outgoing, PrefixBlock, Prompt, Stage, Task,
 };
+use crate::lists::KeyHash;
 
 /// Id of a caller's attempt; backend servers echo it.
 const ATTEMPT_ID: &str = "x-chiveway-attempt-id";
@@ -42,11 +44,21 @@
 /// Keep-alive timeout of the connection.
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// Name of the customer whose request it is.
+const TENANT: &str = "x-chiveway-tenant";
+/// The caller's key.
+const AUTHORIZATION: &str = "authorization";
+/// Scheme of that header.
+pub const AUTH_SCHEME: &str = "Token";
+/// Largest size of a key.
+const MAX_KEY_BYTES: usize = 256;
+
 /// Headers that callers must not set; they are not forwarded.
 ///
 /// With forged headers, a request would run at the wrong stage, decode from another caller's KV
 /// cache, or take a reserved place.
-const INTERNAL_HEADERS: [&str; 15] = [
+const INTERNAL_HEADERS: [&str; 16] = [
+    TENANT,
     DEADLINE_MS,
     EXPECT_INSTANCE,
     SERVING_STAGE,
@@ -94,7 +106,11 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received.
     pub resume: Option<u64>,
-    /// Headers to forward to a backend server.
+    /// The caller's key.
+    pub credential: Credential,
+    /// Headers with credentials, for a backend server that checks them itself.
+    pub credentials: Vec<Header>,
+    /// Other headers to forward to a backend server.
     pub forwarded: Vec<Header>,
 }
 
@@ -116,10 +132,17 @@
             _ => {}
         }
         // The event id to resume from is set again on each attempt at a backend server.
-        let dropped = INTERNAL_HEADERS.contains(&name)
+        let dropped = is_internal(name)
             || HOP_BY_HOP_HEADERS.contains(&name)
-            || name == LAST_EVENT_ID;
-        if !dropped && !connection_names.iter().any(|other| other == name) {
+            || name == LAST_EVENT_ID
+            || connection_names.iter().any(|other| other == name);
+        if name == AUTHORIZATION {
+            head.credential = match head.credential {
+                Credential::Absent => credential(text),
+                _ => Credential::Malformed,
+            };
+            head.credentials.push((name.into(), value.into()));
+        } else if !dropped {
             head.forwarded.push((name.into(), value.into()));
         }
     }
@@ -143,6 +166,26 @@
         .collect()
 }
 
+/// Whether callers must not set a header, also spelled with underscores, which some servers read as hyphens.
+fn is_internal(name: &str) -> bool {
+    INTERNAL_HEADERS.contains(&name)
+        || name.contains('_') && INTERNAL_HEADERS.contains(&&*name.replace('_', "-"))
+}
+
+/// Decodes the value of an `Authorization` header.
+fn credential(text: &str) -> Credential {
+    let key = text.split_once(' ').and_then(|(scheme, key)| {
+        let key = key.trim_start();
+        let valid = !key.is_empty()
+            && key.len() <= MAX_KEY_BYTES
+            && key.bytes().all(|byte| byte.is_ascii_graphic());
+        (scheme.eq_ignore_ascii_case(AUTH_SCHEME) && valid).then_some(key)
+    });
+    key.map_or(Credential::Malformed, |key| {
+        Credential::Key(KeyHash::of(key))
+    })
+}
+
 fn millis(text: &str) -> Option<Duration> {
     let millis: f64 = text.parse().ok()?;
     Duration::try_from_secs_f64(millis / 1000.0).ok()
@@ -189,6 +232,9 @@
     if let Some(from) = out.fetch_from {
         headers.push((KV_FETCH, from.to_string()));
     }
+    if let Some(customer) = out.identity.customer() {
+        headers.push((TENANT, customer.name.to_string()));
+    }
     match &out.task {
         Task::Whole => {}
         Task::Prefill => headers.push((
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of decoding and encoding the platform's messages, including malformed ones.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -8,10 +9,12 @@
 use super::{apply_change, catalog, engine, entry, header, store};
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::catalog::RetryPolicy;
+use crate::core::relay::customers::{Credential, Customer, Identity};
 use crate::core::relay::event::{
     Changes, NamedLimit, NamedPushback, Outgoing, Stage, StageOrder, Task,
 };
 use crate::core::time::Time;
+use crate::lists::KeyHash;
 use crate::store::{Compare, Op, Txn};
 
 /// Returns a valid entry of an engine.
@@ -130,6 +133,9 @@
         "x-chiveway-server-stamp",
         "x-chiveway-not-executed",
         "x-chiveway-deadline-ms",
+        "x-chiveway-tenant",
+        "x_chiveway_tenant",
+        "x-chiveway_tenant",
         "kv-fetch",
         "connection",
         "transfer-encoding",
@@ -218,6 +224,71 @@
     assert_eq!(idle(b"max=100"), None);
 }
 
+/// Generates a test for each list of `Authorization` headers: the key decoded from it.
+macro_rules! credentials {
+    ($($name:ident: [$($value:expr),*] => $credential:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let values: Vec<Vec<u8>> = vec![$($value.to_vec()),*];
+            let headers = values.iter().map(|value| ("authorization", &**value));
+            let head = header::decode_request(&headers.collect::<Vec<_>>());
+            assert_eq!(head.credential, $credential);
+            assert!(head.forwarded.is_empty(), "a key is not forwarded with other headers");
+        }
+    )*};
+}
+
+credentials! {
+    no_header_is_no_key: [] => Credential::Absent;
+    a_token_is_a_key: [b"Token abc"] => Credential::Key(KeyHash::of("abc"));
+    the_scheme_may_be_in_lower_case: [b"token  abc"] => Credential::Key(KeyHash::of("abc"));
+    another_scheme_is_malformed: [b"Bearer abc"] => Credential::Malformed;
+    a_bare_key_is_malformed: [b"abc"] => Credential::Malformed;
+    an_empty_key_is_malformed: [b"Token "] => Credential::Malformed;
+    a_key_with_a_blank_is_malformed: [b"Token a bc"] => Credential::Malformed;
+    a_key_that_is_no_text_is_malformed: [b"Token \xff"] => Credential::Malformed;
+    an_oversized_key_is_malformed: [&[&b"Token "[..], &[b'a'; 257]].concat()] => Credential::Malformed;
+    two_keys_are_malformed: [b"Token abc", b"Token abc"] => Credential::Malformed;
+}
+
+#[test]
+fn the_customer_is_named_to_the_backend_server() {
+    let customer = Customer {
+        name: "huka270".into(),
+        rank: None,
+    };
+    let headers = header::encode_request(&Outgoing {
+        identity: Identity::Customer(Rc::new(customer)),
+        ..outgoing(Task::Whole)
+    });
+    assert!(headers.contains(&("x-chiveway-tenant", "huka270".to_owned())));
+    let public = header::encode_request(&outgoing(Task::Whole));
+    assert!(public.iter().all(|(name, _)| *name != "x-chiveway-tenant"));
+}
+
+#[test]
+fn customers_are_decoded_with_their_keys() {
+    let config = |tenants: &str| {
+        let text = format!(r#"{{"version":1,"routes":[],"services":[]{tenants}}}"#);
+        catalog::decode(text.as_bytes()).expect("a configuration")
+    };
+    assert_eq!(config("").customers, None);
+    let customers = config(
+        r#","tenants":[{"name":"a","apiKeys":["k1",7,"k2"],"priority":3},{"apiKeys":["k4"]},{"name":"b","apiKeys":["k2","k3"]},7]"#,
+    );
+    let customers = customers.customers.expect("customers");
+    let find = |key| {
+        customers
+            .find(KeyHash::of(key))
+            .map(|found| (&*found.name, found.rank))
+    };
+    assert_eq!(find("k1"), Some(("a", Some(3))));
+    assert_eq!(find("k2"), Some(("a", Some(3))));
+    assert_eq!(find("k3"), Some(("b", None)));
+    assert_eq!(find("k4"), None);
+    assert!(config(r#","tenants":[]"#).customers.is_some());
+}
+
 fn outgoing(task: Task) -> Outgoing {
     Outgoing {
         call: CallKey::default(),
@@ -231,6 +302,7 @@
         streaming: true,
         max_idle: 1,
         fetch_from: None,
+        identity: Identity::Unchecked,
     }
 }
 
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -24,6 +24,8 @@
     pub min_lease: Duration,
     /// Time to live of the lease that allows orders to engines.
     pub authority_ttl: Duration,
+    /// Age of the configuration up to which a host accepts keys; `None` for any age.
+    pub revocation_bound: Option<Duration>,
     /// Limits on retries.
     pub retry_budget: BudgetRules,
     /// Weights of placement decisions.
@@ -132,6 +134,18 @@
         "3s",
         "time to live of the authority to send orders",
     ),
+    optional(
+        "strict-revocation",
+        Form::Choice(&["true", "false"]),
+        "false",
+        "whether a host that cannot read the configuration refuses keys",
+    ),
+    optional(
+        "revocation",
+        Form::DecimalTime(MIN_TIME, MAX_TIME),
+        "5s",
+        "age of the configuration from which on it does so",
+    ),
     optional(
         "repeat-ratio",
         Form::Number(0.0, 1.0),
@@ -247,6 +261,8 @@
             store: addr(store, "addr"),
             min_lease: time(store, "lease-least"),
             authority_ttl: time(bounds, "lease"),
+            revocation_bound: (bounds.get("strict-revocation") == "true")
+                .then(|| time(bounds, "revocation")),
             retry_budget: BudgetRules {
                 ratio: number(bounds, "repeat-ratio"),
                 window: time(bounds, "repeat-window"),
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -6,6 +6,7 @@
 #[path = "../common/http.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod http;
+mod keys;
 mod leaving;
 mod limit;
 #[path = "../fleet/support/process.rs"]
