Report usage of customers by the one host that holds the authority

Change: the election of the host that orders engines becomes a part of its own (core/relay/authority.rs, moved from the planner; log events and the store's key keep their names). Its holder carries out the platform's duties: calls bear the same fencing number, and none is sent after the lease ends. A host whose key the store has removed gives the authority up.

Each host counts the requests that backend servers began, by customer and window of true time: streams at their first token, plain calls when sent, each request once. Counts are cumulative and versioned, and go to the holder and to the next host of the failure domain every 250 ms or more, so that they outlive both. The holder settles a window in the store, on condition of its authority and of the key's last revision, once every host has closed it, at the latest at 0.7 of the time in which it is due; then it reports what the store has, and repeats exactly that until it is accepted. Windows go in order.

Lost: what a killed host counted since its last message, and all counts of windows that are not settled when all hosts die at once.

Model test: 2,000 random orders of crash, delay, loss and repeat, no window reported twice.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -6,7 +6,7 @@
 use super::super::{Core, Effects};
 use super::call::{close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
 use super::event::{RelayEffect, Task};
-use super::{KvCache, RetryPolicy, load, millis, note};
+use super::{KvCache, RetryPolicy, duty, load, millis, note};
 use crate::error::{Kind, Ran};
 
 /// Lowest HTTP status that counts as a failure of the backend server.
@@ -46,12 +46,13 @@
     let Some(attempt) = core.relay.attempts.get(key) else {
         return;
     };
-    let (call, backend) = (attempt.call, attempt.backend);
+    let (call, backend, attempt_sent) = (attempt.call, attempt.backend, attempt.sent_at);
     let now = core.now;
-    let took = millis(now.since(attempt.sent_at));
+    let took = millis(now.since(attempt_sent));
     load::record_first_answer(core, key, took, out);
     close_attempt(core, key);
     let failed = status >= MIN_FAILURE_STATUS;
+    duty::usage::record(core, call, attempt_sent);
     if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
         instance.record_success(now);
     }
@@ -108,6 +109,7 @@
         }
         // The engine has fetched the KV cache.
         core.relay.calls[call_key].cache = None;
+        duty::usage::record(core, call_key, now);
     }
     let call = &mut core.relay.calls[call_key];
     if number > 0 && call.last_event.is_some_and(|seen| number <= seen) {
@@ -190,6 +192,9 @@
             ("detail", detail.into()),
         ],
     );
+    if ran != Ran::No && core.relay.calls[call].prompt.is_none() {
+        duty::usage::record(core, call, attempt.sent_at);
+    }
     if how == AttemptFailure::Cut {
         super::poison::report_crash(core, call, backend, out);
     }
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -164,6 +164,7 @@
         tried: Vec::new(),
         last_event: arrival.resume.filter(|_| route.streaming),
         delivered: false,
+        counted: false,
         cache: None,
         is_late: false,
         last_forwarded: None,
--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Changes;
+use crate::core::relay::duty::usage::ledger::UsageReport;
 
 /// One gossip message.
 #[derive(Debug, Clone, PartialEq, Default)]
@@ -53,6 +54,8 @@
     Domain(Box<str>),
     /// The same, forwarded within the receiver's failure domain.
     Forwarded(Box<str>),
+    /// No load: requests that began at the sender, or at hosts that no longer send theirs.
+    Usage(Vec<UsageReport>),
 }
 
 /// A report that totals include; its sender subtracts its own load from them.
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -8,6 +8,7 @@
 
 use super::catalog::Catalog;
 use super::customers::{Credential, Identity};
+use super::duty::{DutyCall, DutyResult};
 use crate::core::effect::Refusal;
 use crate::core::event::{AttemptFailure, Fingerprint};
 use crate::core::key::{AttemptKey, CallKey};
@@ -109,6 +110,8 @@
         /// Result of the order.
         result: OrderResult,
     },
+    /// The platform answered a call of a duty.
+    DutyAnswered(DutyCall, DutyResult),
     /// The settings file was reloaded.
     Reloaded(Box<Settings>),
     /// A gossip message from another host arrived.
@@ -303,6 +306,8 @@
     },
     /// Order an engine to change its stage.
     Order(StageOrder),
+    /// Make a call of a duty.
+    CallDuty(DutyCall),
     /// Secret shared by all hosts: messages between them are authenticated with it.
     Secret([u8; 32]),
     /// Call the store.
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -26,7 +26,9 @@
 use super::event::{BlockReport, CrashReport, Gossip, GossipKind, LoadReport, RelayEffect};
 use super::instance::Work;
 use super::peers::Peer;
-use super::{RelayTimer, departed, from_millis, limit, load, peers, prefix_cache, view, wake};
+use super::{
+    RelayTimer, departed, duty, from_millis, limit, load, peers, prefix_cache, view, wake,
+};
 
 /// Shortest interval between two messages to the other hosts.
 ///
@@ -71,6 +73,7 @@
     }
     gather::send_totals(core, out);
     view::resume_watch(core, out);
+    duty::usage::publish(core, out);
     if core.relay.peers.cross_domain.is_dirty() && represents_domain(core) {
         domains::publish_aggregate(core, out);
     }
@@ -334,7 +337,15 @@
     let Some(sender) = core.relay.peers.names.get(&message.host).copied() else {
         return;
     };
-    let key = match &message.kind {
+    let key = match &mut message.kind {
+        GossipKind::Usage(reports) => {
+            let process = duty::usage::ledger::Process {
+                host: message.host,
+                incarnation: message.incarnation,
+            };
+            duty::usage::receive(core, process, std::mem::take(reports));
+            return;
+        }
         // This host already has the loads that a sum over its own domain contains.
         GossipKind::Domain(domain) | GossipKind::Forwarded(domain)
             if *domain == core.settings.host.domain =>
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -5,12 +5,14 @@
 //! off: one engine prefills the prompt, another fetches the KV cache and generates.
 
 mod answer;
+pub mod authority;
 pub mod budget;
 mod call;
 pub mod catalog;
 mod choose;
 pub mod customers;
 mod departed;
+pub mod duty;
 pub mod event;
 mod gossip;
 pub mod instance;
@@ -83,6 +85,8 @@
     Authority,
     /// Write the secret that all hosts share.
     Secret,
+    /// Settle the usage of a window; number of the write.
+    Settle(u64),
 }
 
 /// A request being relayed.
@@ -120,6 +124,8 @@
     pub last_event: Option<u64>,
     /// Whether any part of the answer was forwarded.
     pub delivered: bool,
+    /// Whether it is part of its customer's usage.
+    pub counted: bool,
     /// KV cache that was prefilled for it and not fetched yet.
     pub cache: Option<KvCache>,
     /// Whether it can no longer meet its latency target and yields to requests that can.
@@ -203,6 +209,8 @@
     pub poison_requests: poison::PoisonRequests,
     /// Stages of engines.
     pub planner: planner::Planner,
+    /// Duties that one host at a time carries out.
+    pub duties: duty::Duties,
     /// Measured durations of work at engines.
     pub cost_model: model::CostModel,
 }
@@ -270,6 +278,7 @@
             fence,
             result,
         } => planner::ordered(core, &instance, fence, result, out),
+        RelayEvent::DutyAnswered(call, result) => duty::answered(core, &call, result, out),
         RelayEvent::Reloaded(settings) => reload(core, *settings, out),
         RelayEvent::Gossiped(message) => gossip::receive(core, *message, out),
     }
@@ -315,6 +324,7 @@
         RelayJob::Secret => {}
         RelayJob::Lease | RelayJob::Register => peers::reply(core, job, reply, out),
         RelayJob::AuthorityLease(_) | RelayJob::Authority => planner::reply(core, job, reply, out),
+        RelayJob::Settle(number) => duty::usage::reply(core, number, reply, out),
     }
 }
 
@@ -332,6 +342,7 @@
     log_listings(listings, view::STORE_SOURCE, out);
     peers::apply_changes(core, &changes, out);
     planner::changed(core, &changes, out);
+    duty::usage::changed(core, &changes);
 }
 
 /// Logs changes in the listing of backend servers, and whether the store or which host they come from.
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -1,8 +1,4 @@
-//! Assignment of stages to engines, planned by one host at a time.
-//!
-//! The host whose key is in the store holds the authority to order engines; the revision of the key
-//! is the fencing number of its orders. The holder counts its lease from before it requested it, on
-//! a clock that advances while the process is suspended, so that it stops before another can start.
+//! Assignment of stages to engines, planned by the host that holds the authority.
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -11,23 +7,17 @@
 use rand::RngExt;
 
 use super::super::effect::Effect;
-use super::super::event::{StoreReply, StoreResult};
+use super::super::event::StoreReply;
 use super::super::key::BackendKey;
 use super::super::time::Time;
 use super::super::{Core, Effects};
+use super::authority::{Authority, Grant, Scope};
+use super::duty;
 use super::event::{Changes, EngineReport, OrderResult, RelayEffect, Stage, StageOrder};
-use super::view::era;
-use super::{RelayJob, RelayTimer, job, note, wake};
-use crate::store::{Compare, Op, Txn};
+use super::{RelayJob, RelayTimer, note, wake};
 
-/// Store key of the holder.
-const KEY: &str = "planner";
 /// Time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
-/// Renewals within the lifetime of a lease.
-const RENEWALS_PER_LEASE: u32 = 3;
-/// Fraction of the lease's lifetime that is used: the store's clock may run a little faster.
-const USABLE_LEASE_FRACTION: f64 = 0.9;
 /// One engine in so many may change its stage at the same time: a change makes an engine
 /// unavailable for seconds, and each one reported separately ends the watch of every host.
 const ENGINES_PER_CHANGE: usize = 4;
@@ -39,21 +29,11 @@
 /// Time without a change of the number of engines after which they are planned for.
 const STABLE_PERIOD: Duration = Duration::from_millis(1500);
 
-/// State of the authority to order engines, and the orders given.
+/// The authority, and the orders given with it.
 #[derive(Debug, Default)]
 pub struct Planner {
-    /// Revision of the holder's key; 0 while nobody holds it.
-    holder: i64,
-    /// Whether all keys were read, so that the holder is known.
-    holder_known: bool,
-    /// This host's lease; 0 for none.
-    lease: i64,
-    /// Fencing number while this host holds the authority; 0 otherwise.
-    fence: u64,
-    /// When the authority ends, unless it is renewed.
-    lease_end: Time,
-    /// Whether this host is trying to acquire the authority.
-    pending: bool,
+    /// The authority to order engines and to carry out duties.
+    pub authority: Authority,
     /// Engines that should change, their new stage, and since when.
     changes: BTreeMap<Box<str>, (Stage, Time)>,
     /// Number of engines, and when it last changed.
@@ -72,175 +52,68 @@
     })
 }
 
+/// Returns what decisions about the authority depend on.
+fn scope(core: &Core) -> Scope {
+    Scope {
+        now: core.now,
+        era: core.relay.view.era(),
+        ended_eras: core.relay.view.ended_eras(),
+        ttl: lease_ttl(core),
+        host: core.settings.host.name.clone(),
+    }
+}
+
 /// Drops the authority: its lease belongs to an era of the store that has ended.
 pub fn drop_authority(core: &mut Core, out: &mut Effects) {
-    let planner = &mut core.relay.planner;
-    if planner.fence != 0 {
-        let fence = planner.fence.to_string().into();
-        note(
-            out,
-            log::Level::Warn,
-            "planner.lost",
-            vec![("fence", fence)],
-        );
-    }
-    planner.holder = 0;
-    planner.holder_known = false;
-    planner.lease = 0;
-    planner.fence = 0;
-    planner.pending = false;
+    core.relay.planner.authority.era_ended(out);
 }
 
 /// Handles changes of the holder's key in the store.
 pub fn changed(core: &mut Core, changes: &Changes, out: &mut Effects) {
-    let era_now = core.relay.view.era();
-    let planner = &mut core.relay.planner;
-    if changes.is_snapshot {
-        planner.holder_known = true;
-        planner.holder = 0;
-    }
-    for change in changes.keys.iter().filter(|change| &*change.key == KEY) {
-        planner.holder = if change.value.is_some() {
-            change.revision
-        } else {
-            0
-        };
-    }
-    let revision = era::fence(era_now, planner.holder);
-    if planner.fence != 0 && planner.holder != 0 && revision > planner.fence {
-        note(
-            out,
-            log::Level::Warn,
-            "planner.lost",
-            vec![
-                ("fence", planner.fence.to_string().into()),
-                ("holder", revision.to_string().into()),
-            ],
-        );
-        planner.fence = 0;
-        planner.lease = 0;
-    }
+    let (era_now, at) = (core.relay.view.era(), core.relay.view.revision());
+    let authority = &mut core.relay.planner.authority;
+    authority.changed(changes, era_now, at, out);
 }
 
 /// Plans with the authority, or tries to acquire it if nobody holds it.
 pub fn plan(core: &mut Core, out: &mut Effects) {
     let noise = core.rng.random_range(0.8..1.2);
     wake(core, PLAN_INTERVAL.mul_f64(noise), RelayTimer::Plan, out);
-    let engines = core.relay.catalog.as_ref().is_some_and(|catalog| {
+    let has_engines = core.relay.catalog.as_ref().is_some_and(|catalog| {
         catalog
             .services
             .values()
             .any(|service| service.engine.is_some())
     });
-    if !engines || core.stop.is_stopping() {
+    if !has_engines && !duty::has_duties(core) || core.stop.is_stopping() {
         return;
     }
-    let hosts = core.relay.peers.host_count();
-    let planner = &mut core.relay.planner;
-    if planner.fence != 0 && core.now < planner.lease_end {
-        request_reports(core, out);
-        return;
-    }
-    if planner.fence != 0 {
-        note(
-            out,
-            log::Level::Warn,
-            "planner.lapsed",
-            vec![("fence", planner.fence.to_string().into())],
-        );
-        planner.fence = 0;
-        planner.lease = 0;
-        planner.pending = false;
-    }
     // All hosts learn at the same time that nobody holds it: a few of them try in each round.
+    let hosts = core.relay.peers.host_count();
     let is_candidate = core.rng.random_range(0..hosts) < EXPECTED_CANDIDATES;
-    if planner.holder_known && planner.holder == 0 && !planner.pending && is_candidate {
-        planner.pending = true;
-        let job = job(core, RelayJob::AuthorityLease(core.now));
-        out.push(Effect::GrantLease {
-            job,
-            ttl: lease_ttl(core),
-        });
+    let scope = scope(core);
+    let grant = core.relay.planner.authority.poll(&scope, is_candidate, out);
+    if let Some(grant) = grant {
+        if has_engines {
+            request_reports(core, out);
+        }
+        duty::perform(core, &grant, out);
     }
 }
 
 /// Renews the lease.
 pub fn renew(core: &mut Core, out: &mut Effects) {
-    let planner = &core.relay.planner;
-    if planner.lease == 0 || core.stop.is_stopping() {
-        return;
+    if !core.stop.is_stopping() {
+        let scope = scope(core);
+        core.relay.planner.authority.renew(&scope, out);
     }
-    let job = job(core, RelayJob::AuthorityLease(core.now));
-    out.push(Effect::RenewLease {
-        job,
-        lease: planner.lease,
-    });
-    wake(
-        core,
-        lease_ttl(core) / RENEWALS_PER_LEASE,
-        RelayTimer::Authority,
-        out,
-    );
 }
 
 /// Handles the store's reply to an acquisition or a renewal.
 pub fn reply(core: &mut Core, job: RelayJob, reply: &StoreReply, out: &mut Effects) {
-    let life = lease_ttl(core);
-    let era_now = core.relay.view.era();
-    let planner = &mut core.relay.planner;
-    match (job, &reply.result) {
-        (RelayJob::AuthorityLease(asked), StoreResult::Lease(lease)) if *lease != 0 => {
-            let until = asked.after(life.mul_f64(USABLE_LEASE_FRACTION));
-            if planner.lease == *lease {
-                planner.lease_end = until;
-                return;
-            }
-            planner.lease = *lease;
-            planner.lease_end = until;
-            out.push(claim(core, *lease));
-        }
-        (RelayJob::AuthorityLease(_), StoreResult::Lease(_)) => {
-            planner.lease = 0;
-            planner.fence = 0;
-            planner.pending = false;
-        }
-        (RelayJob::Authority, StoreResult::Txn(done)) if done.succeeded => {
-            planner.fence = era::fence(era_now, done.revision);
-            planner.holder = done.revision;
-            planner.pending = false;
-            note(
-                out,
-                log::Level::Info,
-                "planner.taken",
-                vec![("fence", planner.fence.to_string().into())],
-            );
-            wake(core, life / RENEWALS_PER_LEASE, RelayTimer::Authority, out);
-        }
-        (RelayJob::Authority, _) => {
-            // Another host was first, or it is unknown whether the write took effect. In that case
-            // the key is removed with the lease, which is revoked.
-            let lease = std::mem::take(&mut planner.lease);
-            planner.pending = false;
-            out.push(Effect::RevokeLease(lease));
-        }
-        _ => planner.pending = false,
-    }
-}
-
-fn claim(core: &Core, lease: i64) -> Effect {
-    let name = core.settings.host.name.as_bytes().to_vec();
-    Effect::Txn {
-        job: job(core, RelayJob::Authority),
-        txn: Txn {
-            compare: vec![Compare::Absent { key: KEY.into() }],
-            then: vec![Op::Put {
-                key: KEY.into(),
-                value: name.into(),
-                lease,
-            }],
-            otherwise: Vec::new(),
-        },
-    }
+    let scope = scope(core);
+    let authority = &mut core.relay.planner.authority;
+    authority.reply(job, reply, &scope, out);
 }
 
 /// Requests the state of engines that should change, where the stages differ from the plan.
@@ -371,11 +244,12 @@
     let Some((stage, _)) = planner.changes.get(id).copied() else {
         return;
     };
-    let holds_authority = planner.fence != 0 && core.now < planner.lease_end;
+    let grant = planner.authority.grant(core.now);
     let key = core.relay.instances.find(id);
-    let (Some(report), Some(key), true) = (report, key, holds_authority) else {
+    let (Some(report), Some(key), Some(grant)) = (report, key, grant) else {
         return;
     };
+    let Grant { fence, until, .. } = grant;
     let instance = &core.relay.instances.arena[key];
     let stays = !instance.leaving && instance.pushback.admits(core.now);
     if report.busy || report.stage == stage || !stays {
@@ -386,9 +260,9 @@
         addr: instance.addr,
         stage,
         holder: core.settings.host.name.clone(),
-        fence: planner.fence,
+        fence,
         expected: report.orders,
-        until: planner.lease_end,
+        until,
         era: core.relay.view.era(),
     };
     note(
@@ -419,11 +293,8 @@
     );
     let planner = &mut core.relay.planner;
     match result {
-        OrderResult::Fenced if planner.fence == fence => {
-            // Another host holds the authority: this fencing number is never used again.
-            planner.fence = 0;
-            planner.lease = 0;
-        }
+        // Another host holds the authority.
+        OrderResult::Fenced => planner.authority.resign(fence),
         OrderResult::Unsent => {
             planner.changes.remove(id);
         }
--- a/src/form.rs
+++ b/src/form.rs
@@ -32,6 +32,8 @@
     Address,
     /// An address, or `same` for the address of the listener.
     AddressOrSame,
+    /// An address, or `none`.
+    OptionalAddress,
     /// Comma-separated addresses, at least one.
     Addresses,
     /// A whole number of time units, within the two bounds.
@@ -68,6 +70,7 @@
             Self::Hashes => split_items(text).all(|item| parse_hash(item).is_some()),
             Self::Address => parse_address(text).is_some(),
             Self::AddressOrSame => text == SAME_ADDRESS || parse_address(text).is_some(),
+            Self::OptionalAddress => text == NO_LIMIT || parse_address(text).is_some(),
             Self::Addresses => {
                 !text.is_empty() && split_items(text).all(|item| parse_address(item).is_some())
             }
@@ -115,6 +118,7 @@
             }
             Self::Address => "an IP address and port, such as 10.0.0.1:8080".to_owned(),
             Self::AddressOrSame => "same, or an IP address and port, such as 10.0.0.1:8080".to_owned(),
+            Self::OptionalAddress => "an IP address and port, such as 10.0.0.1:8080, or none".to_owned(),
             Self::Addresses => {
                 "IP addresses and ports with commas between them, such as 10.0.0.1:2379, 10.0.0.2:2379"
                     .to_owned()
@@ -150,7 +154,7 @@
     }
 }
 
-/// Value for "no limit".
+/// Value for "no limit" or "no address".
 const NO_LIMIT: &str = "none";
 /// Value for the address of the listener.
 const SAME_ADDRESS: &str = "same";
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -3,6 +3,7 @@
 mod backends;
 pub mod callers;
 pub mod datagrams;
+mod duties;
 pub mod event_log;
 mod events;
 mod progress;
@@ -101,6 +102,8 @@
     pub channels: ConnectionPool,
     /// Connections to the store.
     pub store: ConnectionPool,
+    /// Connections to the address that takes calls of duties.
+    pub duties: ConnectionPool,
     /// Pending reads, watches and probes of the store, by number; dropping a sender cancels its
     /// call.
     store_calls: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
@@ -239,6 +242,9 @@
         RelayEffect::Order(order) => {
             ntex::rt::spawn(backends::send_order(Rc::clone(node), order));
         }
+        RelayEffect::CallDuty(call) => {
+            ntex::rt::spawn(duties::run(Rc::clone(node), call));
+        }
         RelayEffect::Secret(secret) => adapters.secret.set(Some(secret)),
         RelayEffect::CallStore {
             number,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! made here. Names of the platform occur in no other module.
 
 pub mod catalog;
+pub mod duty;
 pub mod engine;
 pub mod entry;
 pub mod header;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of one host, parsed from INI text.
 
+pub mod duties;
 pub mod keys;
 mod parse;
 pub mod relay;
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::duties::{self, DutySettings};
 use super::keys::{optional, required};
 use super::parse::single_section;
 use super::{HostSettings, Limits, PlatformSettings, Secret, Settings};
@@ -26,6 +27,8 @@
     pub authority_ttl: Duration,
     /// Age of the configuration up to which a host accepts keys; `None` for any age.
     pub revocation_bound: Option<Duration>,
+    /// Duties that hosts carry out for the platform.
+    pub duties: Option<DutySettings>,
     /// Limits on retries.
     pub retry_budget: BudgetRules,
     /// Weights of placement decisions.
@@ -70,6 +73,11 @@
         label: Label::None,
         keys: super::keys::LIMITS,
     },
+    SectionKind {
+        keyword: "duties",
+        label: Label::None,
+        keys: duties::KEYS,
+    },
     SectionKind {
         keyword: "policy",
         label: Label::None,
@@ -263,6 +271,7 @@
             authority_ttl: time(bounds, "lease"),
             revocation_bound: (bounds.get("strict-revocation") == "true")
                 .then(|| time(bounds, "revocation")),
+            duties: duties::parse(single_section(sections, "duties")),
             retry_budget: BudgetRules {
                 ratio: number(bounds, "repeat-ratio"),
                 window: time(bounds, "repeat-window"),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -472,6 +472,30 @@
     /// Backend servers that left lately.
     #[prost(message, repeated, tag = "19")]
     pub departures: ::prost::alloc::vec::Vec<Departure>,
+    /// Requests that began at processes of hosts; only in words of this kind.
+    #[prost(message, repeated, tag = "20")]
+    pub usage: ::prost::alloc::vec::Vec<Usage>,
+}
+/// Requests that began at a process in a window.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Usage {
+    #[prost(string, tag = "1")]
+    pub host: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub window: u64,
+    /// Increases with each change.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+    /// The window has ended at the process.
+    #[prost(bool, tag = "5")]
+    pub closed: bool,
+    /// Customers, and the requests of each of them.
+    #[prost(string, repeated, tag = "6")]
+    pub customers: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint64, repeated, tag = "7")]
+    pub counts: ::prost::alloc::vec::Vec<u64>,
 }
 /// A backend server that left.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -583,6 +607,8 @@
     Farewell = 3,
     /// All the work that the sender knows of.
     Totals = 4,
+    /// Requests that began, by process and window.
+    Usage = 5,
 }
 impl WordKind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -596,6 +622,7 @@
             Self::Report => "WORD_KIND_REPORT",
             Self::Farewell => "WORD_KIND_FAREWELL",
             Self::Totals => "WORD_KIND_TOTALS",
+            Self::Usage => "WORD_KIND_USAGE",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -606,6 +633,7 @@
             "WORD_KIND_REPORT" => Some(Self::Report),
             "WORD_KIND_FAREWELL" => Some(Self::Farewell),
             "WORD_KIND_TOTALS" => Some(Self::Totals),
+            "WORD_KIND_USAGE" => Some(Self::Usage),
             _ => None,
         }
     }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -6,6 +6,7 @@
 use prost::Message as _;
 
 use super::{WireError, generated as wire};
+use crate::core::relay::duty::usage::ledger::{Process, Row, UsageReport};
 use crate::core::relay::event::{
     BlockReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
     LimitReport, LoadReport, ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
@@ -32,6 +33,7 @@
         uptime: message.uptime.map(to_uptime),
         limits: message.limits.iter().map(to_limit).collect(),
         departures: message.departures.iter().map(to_departure).collect(),
+        usage: to_usage(&message.kind),
     };
     out.reserve(message.encoded_len());
     // Encoding fails only when the buffer is full, and `BytesMut` grows.
@@ -84,6 +86,7 @@
         GossipKind::Farewell => (wire::WordKind::Farewell, ""),
         GossipKind::Totals(_) => (wire::WordKind::Totals, ""),
         GossipKind::Domain(domain) | GossipKind::Forwarded(domain) => (wire::WordKind::Own, domain),
+        GossipKind::Usage(_) => (wire::WordKind::Usage, ""),
     }
 }
 
@@ -99,6 +102,13 @@
         wire::WordKind::Hello => GossipKind::Hello,
         wire::WordKind::Report => GossipKind::Report,
         wire::WordKind::Farewell => GossipKind::Farewell,
+        wire::WordKind::Usage => GossipKind::Usage(
+            message
+                .usage
+                .iter()
+                .map(from_usage)
+                .collect::<Result<_, _>>()?,
+        ),
         wire::WordKind::Totals => {
             GossipKind::Totals(message.included.iter().map(from_included).collect())
         }
@@ -116,6 +126,41 @@
     reports.collect()
 }
 
+fn to_usage(kind: &GossipKind) -> Vec<wire::Usage> {
+    let GossipKind::Usage(reports) = kind else {
+        return Vec::new();
+    };
+    let reports = reports.iter().map(|report| wire::Usage {
+        host: report.process.host.to_string(),
+        incarnation: report.process.incarnation,
+        window: report.window,
+        version: report.row.version,
+        closed: report.row.closed,
+        customers: report.row.counts.keys().map(ToString::to_string).collect(),
+        counts: report.row.counts.values().copied().collect(),
+    });
+    reports.collect()
+}
+
+fn from_usage(usage: &wire::Usage) -> Result<UsageReport, WireError> {
+    if usage.customers.len() != usage.counts.len() {
+        return Err(WireError::Field { field: "counts" });
+    }
+    let customers = usage.customers.iter().map(|name| name.as_str().into());
+    Ok(UsageReport {
+        process: Process {
+            host: usage.host.as_str().into(),
+            incarnation: usage.incarnation,
+        },
+        window: usage.window,
+        row: Row {
+            version: usage.version,
+            closed: usage.closed,
+            counts: customers.zip(usage.counts.iter().copied()).collect(),
+        },
+    })
+}
+
 fn from_included(report: &wire::Included) -> IncludedReport {
     IncludedReport {
         process: report.process,
