Continue a read of the store after a refused page, and serve from its first page

Hypothesis from the code: a read of all keys takes seven pages at 300 hosts with 3,000 workers, 2,100 reads where the store answers 2,000 a second; each refused page began the read anew, so that refusals bred reads. A host without its last page refused every caller, and one whose registration was refused tried again only with the next renewal, four seconds later; until then the others did not know its load.

Change: a refused page is asked for again after the backoff, the pages before it are kept. A host without a complete view yet applies each page as it comes. A refused registration is repeated after 0.4 s, doubled up to 4 s.

--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -23,6 +23,8 @@
 const LEASE_TTL: Duration = Duration::from_secs(12);
 /// Interval between two renewals of the lease, and between attempts to get one.
 const LEASE_RENEW_INTERVAL: Duration = Duration::from_secs(4);
+/// Pause after a failed attempt to register; doubled with each further one, up to the interval of renewals.
+const REGISTER_BACKOFF: Duration = Duration::from_millis(400);
 /// Time for which a call for the lease counts as in flight.
 const LEASE_REPLY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Key in the store of the secret that all hosts share.
@@ -84,6 +86,8 @@
     pub(super) lease: i64,
     /// Whether the entry was written with this lease.
     pub(super) registered: bool,
+    /// Consecutive failed attempts to register.
+    register_failures: u32,
     /// When the lease was last requested, while there is no answer.
     pub(super) lease_requested: Option<Time>,
     /// Sequence number of the last message sent.
@@ -207,7 +211,18 @@
                 write_entry(core, lease, out);
             }
         }
-        StoreResult::Txn(_) if job == RelayJob::Register => core.relay.peers.registered = true,
+        StoreResult::Txn(_) if job == RelayJob::Register => {
+            core.relay.peers.registered = true;
+            core.relay.peers.register_failures = 0;
+        }
+        StoreResult::Refused if !core.relay.peers.registered => {
+            let failures = &mut core.relay.peers.register_failures;
+            let pause = REGISTER_BACKOFF.saturating_mul(1 << (*failures).min(8));
+            *failures += 1;
+            let pause = pause.min(LEASE_RENEW_INTERVAL);
+            let pause = pause.mul_f64(core.rng.random_range(0.5..1.5));
+            wake(core, pause, RelayTimer::RegisterAgain, out);
+        }
         // Retried with the next renewal.
         _ => {}
     }
--- a/src/core/relay/tests/register.rs
+++ b/src/core/relay/tests/register.rs
@@ -104,3 +104,15 @@
     let out = read_all(&mut host, true);
     assert_eq!(store_requests(&out), []);
 }
+
+/// Pattern: all hosts start at once and register faster than the store takes writes. Guards against waiting for the next
+/// renewal: until then the other hosts do not know this one's load.
+#[test]
+fn a_refused_registration_is_repeated_soon() {
+    let mut host = TestHost::blank();
+    host.store_reply(Job::Relay(RelayJob::Lease, 0), StoreResult::Refused);
+    assert_eq!(store_requests(&host.advance(700)), [StoreRequest::Lease]);
+    host.store_reply(Job::Relay(RelayJob::Lease, 0), StoreResult::Lease(5));
+    host.store_reply(Job::Relay(RelayJob::Register, 0), StoreResult::Refused);
+    assert_eq!(store_requests(&host.advance(1300)), [StoreRequest::Renewal]);
+}
--- a/src/core/relay/tests/view/mod.rs
+++ b/src/core/relay/tests/view/mod.rs
@@ -2,6 +2,7 @@
 
 mod probes;
 mod replicated;
+mod restart;
 mod transfers;
 
 use super::*;
@@ -48,6 +49,8 @@
     in_parts: bool,
     /// Pages of a full read.
     pages: usize,
+    /// Number of pages of which the store answers one and refuses the others.
+    answers_one_in: u32,
     /// Number of page, watch and probe calls.
     call_counts: (u32, u32, u32),
     /// Revisions by which the answers to probes lag behind.
@@ -66,6 +69,7 @@
             page: 0,
             in_parts: false,
             pages: 1,
+            answers_one_in: 1,
             call_counts: (0, 0, 0),
             behind: 0,
             connecting: BTreeMap::new(),
@@ -104,6 +108,9 @@
         }
         Some(match ask {
             StoreCall::Probe => StoreAnswer::Newest(self.revision - self.behind),
+            StoreCall::Page { .. } if !self.call_counts.0.is_multiple_of(self.answers_one_in) => {
+                StoreAnswer::Failed { refused: true }
+            }
             StoreCall::Page { after } => {
                 let page = after.as_ref().map_or(0, |after| after.len()) + 1;
                 StoreAnswer::Page {
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -329,7 +329,11 @@
             retry(core, out);
         }
         StoreAnswer::Failed { refused } => {
-            view.start_full_read();
+            // Pages that arrived are kept where the store only refused the next one: at a restart of all hosts, more
+            // are asked for than it answers in a second.
+            if !refused || view.full_read.is_none() {
+                view.start_full_read();
+            }
             view.refused = refused;
             retry(core, out);
         }
@@ -359,13 +363,19 @@
     let view = &mut core.relay.view;
     let mut pages = view.full_read.take().unwrap_or_default();
     let (revision, since) = *pages.start.get_or_insert((at, call.sent));
-    pages.changes.merge(changes);
     if after.is_some() {
+        let is_first_read = view.fresh_at.is_none();
+        pages.changes.merge(changes.clone());
         pages.after = after;
         view.full_read = Some(pages);
+        if is_first_read {
+            // A host that just started serves with the servers of the first pages.
+            super::apply_changes(core, changes, out);
+        }
         request_next(core, out);
         return;
     }
+    pages.changes.merge(changes);
     view.failures = 0;
     view.probes.losses = 0;
     view.revision = revision;
