Change the roles of engines only where callers gain

Cause: the number of prefill engines was a fixed fraction of all engines, whatever they had to do.

Change: a pure function of counts (stages.rs). More engines prefill only where there are fewer of them than hosts, or half of them are busy; busy ones are kept while the others have free slots. Regular workers prefill first, spot workers generate first: kept prompts are lost with a worker.

--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -203,6 +203,8 @@
     pub leaving: bool,
     /// Stage that an engine serves; `None` for a server of a plain service.
     pub stage: Option<Stage>,
+    /// Whether the platform may take it away at short notice.
+    pub is_spot: bool,
     /// Wall clock at its start, in milliseconds since the Unix epoch; 0 if its entry names none.
     pub started_ms: u64,
     /// Revision of the store at which the entry was written.
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -51,6 +51,8 @@
     pub leaving: bool,
     /// Its stage, if it is an engine.
     pub stage: Option<Stage>,
+    /// Whether the platform may take it away at short notice.
+    pub is_spot: bool,
     /// Time of its start by the wall clock, in milliseconds since the Unix epoch.
     pub born: u64,
     /// When an answer of it first stated that it is leaving.
@@ -151,6 +153,7 @@
             slots: entry.slots.max(1),
             leaving: entry.leaving,
             stage: entry.stage,
+            is_spot: entry.is_spot,
             born: entry.started_ms,
             named_leaving: None,
             listed_at: Position::default(),
--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -221,6 +221,7 @@
             instance.listed_at = listed_at;
             instance.missing_since = None;
             instance.stage = entry.stage;
+            instance.is_spot = entry.is_spot;
             instance.slots = entry.slots.max(1);
             return;
         }
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -14,10 +14,12 @@
 use super::authority::{Authority, Grant, Scope};
 use super::duty;
 use super::event::{Changes, EngineReport, OrderResult, RelayEffect, Stage, StageOrder};
+use super::instance::Instance;
+use super::stages::{Split, wanted_prefill};
 use super::{RelayJob, RelayTimer, note, wake};
 
 /// Time between two plans.
-const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+pub const PLAN_INTERVAL: Duration = Duration::from_millis(500);
 /// One engine in so many may change its stage at the same time: a change makes an engine
 /// unavailable for seconds, and each one reported separately ends the watch of every host.
 const ENGINES_PER_CHANGE: usize = 4;
@@ -132,10 +134,9 @@
         if !is_stable(core, engines.len()) {
             continue;
         }
-        let is_prefill =
-            |key: &&BackendKey| core.relay.instances.arena[**key].stage == Some(Stage::Prefill);
-        let have = engines.iter().filter(is_prefill).count();
-        let want = wanted_prefill(core, engines.len());
+        let split = split(core, &engines);
+        let have = split.prefill;
+        let want = wanted_prefill(split);
         let stage = match have.cmp(&want) {
             Ordering::Less => Stage::Prefill,
             Ordering::Equal => continue,
@@ -176,7 +177,8 @@
     }
 }
 
-/// Returns up to `count` engines that can change to a stage, those with the fewest requests first.
+/// Returns up to `count` engines that can change to a stage: to prefill, regular ones first, and to decode, spot ones;
+/// of these the ones with the fewest requests.
 fn least_busy(core: &Core, engines: &[BackendKey], stage: Stage, count: usize) -> Vec<BackendKey> {
     let can_change = |key: &BackendKey| {
         let instance = &core.relay.instances.arena[*key];
@@ -184,9 +186,12 @@
         differs && instance.pushback.admits(core.now) && !recently_ordered(core, *key)
     };
     let mut keys: Vec<BackendKey> = engines.iter().copied().filter(can_change).collect();
+    // Prompts are kept where they are prefilled, and lost with an engine that is taken away.
+    let suits = |instance: &Instance| instance.is_spot != (stage == Stage::Prefill);
     keys.sort_by_key(|key| {
         let instance = &core.relay.instances.arena[*key];
-        (instance.work().calls, instance.id.clone())
+        let calls = instance.work().calls;
+        (!suits(instance), calls, instance.id.clone())
     });
     keys.truncate(count);
     keys
@@ -215,20 +220,32 @@
     now.since(planner.engine_count.1) >= STABLE_PERIOD
 }
 
-/// Returns how many engines should be prefill engines.
-fn wanted_prefill(core: &Core, engines: usize) -> usize {
-    let fraction = core
-        .settings
-        .relay
-        .as_ref()
-        .map_or(0.5, |relay| relay.policy.prefill_fraction);
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a fraction of a few engines"
-    )]
-    let count = (engines as f64 * fraction).round() as usize;
-    count.clamp(usize::from(engines > 1), engines.saturating_sub(1))
+/// Returns the engines of a service as far as the split between the stages depends on them.
+fn split(core: &Core, engines: &[BackendKey]) -> Split {
+    let prefill = engines.iter().filter(|key| {
+        let instance = &core.relay.instances.arena[**key];
+        instance.stage == Some(Stage::Prefill)
+    });
+    let is_busy = |key: &&BackendKey| core.relay.instances.arena[**key].work().calls > 0;
+    let relay = core.settings.relay.as_ref();
+    Split {
+        engines: engines.len(),
+        prefill: prefill.clone().count(),
+        busy: prefill.filter(is_busy).count(),
+        decode_load: decode_load(core, engines),
+        hosts: core.relay.peers.host_count(),
+        fraction: relay.map_or(0.5, |relay| relay.policy.prefill_fraction),
+    }
+}
+
+/// Returns the fraction of the slots of decode engines that are taken.
+fn decode_load(core: &Core, engines: &[BackendKey]) -> f64 {
+    let all = engines.iter().map(|key| &core.relay.instances.arena[*key]);
+    let decode = all.filter(|instance| instance.stage == Some(Stage::Decode));
+    let (calls, slots) = decode.fold((0, 0), |(calls, slots), instance| {
+        (calls + instance.work().calls, slots + instance.slots)
+    });
+    f64::from(calls) / f64::from(slots.max(1))
 }
 
 /// Returns whether an engine was selected for a change less than [`ORDER_COOLDOWN`] ago.
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -18,6 +18,7 @@
 mod register;
 mod request;
 mod sampling;
+mod stages;
 mod stream;
 mod view;
 
@@ -290,6 +291,7 @@
                 link_mbps: 370_000.0,
                 switch_time: Duration::from_secs(3),
             }),
+            ..Service::default()
         },
     );
     catalog
@@ -305,6 +307,7 @@
         slots: 6,
         leaving: false,
         stage: None,
+        is_spot: false,
         started_ms: 1,
         revision: 0,
     }
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -32,6 +32,7 @@
         slots: u32::try_from(whole_number(&value["slots"])?).ok()?,
         leaving,
         stage,
+        is_spot: value["spot"].as_bool().unwrap_or(false),
         started_ms: whole_number(&value["born"]).unwrap_or(0),
         revision,
     })
