--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -9,12 +9,14 @@
 use super::super::key::{AttemptKey, BackendKey, CallKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::catalog::{Catalog, Route, Service};
+use super::catalog::{Route, Service};
 use super::choose::{self, Choice};
-use super::customers::{self, Denial, Identity, ViewAge};
+use super::customers::Identity;
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
-use super::{Attempt, Call, KvCache, RelayTimer, from_millis, gossip, millis, note, prefix_cache};
+use super::{
+    Attempt, Call, KvCache, RelayTimer, from_millis, gossip, millis, note, prefix_cache, resolve,
+};
 use crate::error::{Kind, Ran};
 
 /// Maximum number of open requests: a hundred times what a host serves in the worst second of its
@@ -23,7 +25,7 @@
 /// Default time to retry after: half of a burst of three seconds.
 ///
 /// Callers that retry sooner meet the same queue and are refused again.
-const RETRY_AFTER: Duration = Duration::from_millis(1300);
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(1300);
 /// Shortest time over which callers return that were refused until the same moment.
 const MIN_RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// Time after which to retry at another host: the load balancer routes new connections to others
@@ -33,7 +35,7 @@
 const MIN_IDLE_CONNECTIONS: usize = 2;
 
 pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
-    let resolved = resolve(core, &arrival);
+    let resolved = resolve::resolve(core, &arrival);
     let (route, service, identity) = match resolved {
         Ok(resolved) => resolved,
         Err(refusal) => {
@@ -67,65 +69,6 @@
     u64::from_le_bytes(first)
 }
 
-/// Returns the route and the service of a request, and on whose behalf it runs.
-fn resolve(core: &mut Core, arrival: &Arrival) -> Result<(Route, Box<str>, Identity), Refusal> {
-    let Some(catalog) = &core.relay.catalog else {
-        let detail = "this host has no configuration yet";
-        return Err(Refusal::new(Kind::CutOff, detail).with_retry_after(RETRY_AFTER));
-    };
-    let Some(route) = catalog.route(&arrival.host, &arrival.path) else {
-        if !core.relay.view.is_fresh(core.now) {
-            let detail = "no known route, and the configuration may have changed";
-            return Err(Refusal::new(Kind::CutOff, detail).with_retry_after(RETRY_AFTER));
-        }
-        return Err(Refusal::new(Kind::NotFound, "no route for this path"));
-    };
-    let customers = catalog.customers.as_deref();
-    let identity = customers::identify(customers, route.access, arrival.credential, view_age(core))
-        .map_err(denied)?;
-    let route = route.clone();
-    let draw = core.rng.random::<f64>();
-    match Catalog::pick_service(&route, draw) {
-        Some(service) => {
-            let service = service.into();
-            Ok((route, service, identity))
-        }
-        None => Err(Refusal::new(Kind::NoEngine, "the route leads nowhere")),
-    }
-}
-
-fn view_age(core: &Core) -> ViewAge {
-    let view = &core.relay.view;
-    let relay = core.settings.relay.as_ref();
-    ViewAge {
-        is_fresh: view.is_fresh(core.now),
-        age: view.fresh_at().map(|at| core.now.since(at)),
-        max_age: relay.and_then(|relay| relay.revocation_bound),
-    }
-}
-
-/// Returns the refusal of a caller that is not admitted.
-fn denied(denial: Denial) -> Refusal {
-    let (kind, detail) = match denial {
-        Denial::Absent => (Kind::BadKey, "the request has no key"),
-        Denial::Malformed => (Kind::BadKey, "the request has no valid key"),
-        Denial::Unknown => (Kind::BadKey, "no customer has this key"),
-        Denial::Unconfirmed => (
-            Kind::CutOff,
-            "no known customer has this key, and the configuration may have changed",
-        ),
-        Denial::Expired => (
-            Kind::CutOff,
-            "keys may have been withdrawn since the configuration was last read",
-        ),
-    };
-    let refusal = Refusal::new(kind, detail);
-    match kind {
-        Kind::CutOff => refusal.with_retry_after(RETRY_AFTER),
-        _ => refusal,
-    }
-}
-
 /// Refuses a request without a route.
 fn refuse_unrouted(core: &mut Core, arrival: Arrival, refusal: Refusal, out: &mut Effects) {
     let key = open(
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -26,6 +26,7 @@
 mod poison;
 mod prefix_cache;
 pub mod pushback;
+mod resolve;
 mod stages;
 #[cfg(test)]
 mod tests;
