--- a/src/settings/duties.rs
+++ b/src/settings/duties.rs
@@ -69,13 +69,13 @@
     optional(
         "regular",
         Form::Number(0.0, 10.0),
-        "0.5",
+        "0.35",
         "regular workers beside spot workers, as a fraction of those provisioned",
     ),
     optional(
         "spot",
         Form::Number(0.0, 10.0),
-        "1",
+        "1.4",
         "spot workers, as a fraction of the workers provisioned",
     ),
     optional(
