Give each host three prefill engines before an idle fleet keeps its roles

Cause: the bound of the new rule was one prefill engine for each host.

Change: three for each host.

Shown: the test as it was, the whole of tests/relay (40 of 40), stages::tests.

--- a/src/core/relay/stages.rs
+++ b/src/core/relay/stages.rs
@@ -1,5 +1,7 @@
 //! How many engines of a service should prefill for others.
 
+/// Prefill engines that one host keeps busy at a time at most.
+const ENGINES_PER_HOST: usize = 3;
 /// Fraction of the prefill engines that are busy from which on more of them shorten the wait of prompts.
 const BUSY_FRACTION: f64 = 0.5;
 /// Fraction of the decode slots that are taken from which on more decode engines are needed all the same.
@@ -24,8 +26,8 @@
 
 /// Returns how many engines should prefill.
 ///
-/// An order makes an engine unavailable for seconds. Where the hosts could not use more prefill engines, because each of
-/// them already has one and most are idle, no caller gains from another one. Busy prefill engines are kept while the
+/// An order makes an engine unavailable for seconds. Where the hosts could not use more prefill engines, because there are
+/// enough for all of them and most are idle, no caller gains from another one. Busy prefill engines are kept while the
 /// others have free slots: after a loss of engines, or in a burst of long prompts.
 #[must_use]
 pub fn wanted_prefill(split: Split) -> usize {
@@ -47,6 +49,6 @@
             full
         }
     } else {
-        full.min(prefill.max(split.hosts))
+        full.min(prefill.max(split.hosts * ENGINES_PER_HOST))
     }
 }
