--- a/src/core/relay/stages.rs
+++ b/src/core/relay/stages.rs
@@ -26,9 +26,8 @@
 
 /// Returns how many engines should prefill.
 ///
-/// An order makes an engine unavailable for seconds. Where the hosts could not use more prefill engines, because there are
-/// enough for all of them and most are idle, no caller gains from another one. Busy prefill engines are kept while the
-/// others have free slots: after a loss of engines, or in a burst of long prompts.
+/// An order makes an engine unavailable for seconds, so idle fleets with enough prefill engines for their hosts keep
+/// their roles, and so do busy prefill engines while the others have free slots.
 #[must_use]
 pub fn wanted_prefill(split: Split) -> usize {
     let Split {
