Name the request and its known crashes in the log

request.sent, request.suspect and the refusal as engine-killer name a request by its fingerprint, which is the same for each retry, and the number of servers that the host knows to have crashed under it. request.suspect is written for crashes that other hosts report as well, with their name as source. The gauge chiveway_poison_requests counts the requests that a host refuses. No decision changes.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -15,7 +15,8 @@
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
 use super::{
-    Attempt, Call, KvCache, RelayTimer, from_millis, gossip, millis, note, prefix_cache, resolve,
+    Attempt, Call, KvCache, RelayTimer, from_millis, gossip, millis, note, poison, prefix_cache,
+    resolve,
 };
 use crate::error::{Kind, Ran};
 
@@ -121,7 +122,11 @@
 pub(super) fn dispatch(core: &mut Core, key: CallKey, out: &mut Effects) {
     let fingerprint = core.relay.calls[key].fingerprint;
     if core.relay.poison_requests.is_blocked(fingerprint, core.now) {
-        let detail = "backend servers died while running this request";
+        let crashes = core.relay.poison_requests.crash_count(fingerprint);
+        let detail = format!(
+            "{crashes} backend servers crashed while running request {}",
+            poison::fingerprint_text(fingerprint)
+        );
         let refusal = Refusal::new(Kind::EngineKiller, detail);
         refuse(core, key, refusal, out);
         return;
@@ -169,6 +174,8 @@
     let named_leaving = age_ms(core, instance.named_leaving, "no");
     let pushback = instance.pushback.remaining(now).as_millis().to_string();
     let view_age = store_age_ms(core);
+    let fingerprint = core.relay.calls[key].fingerprint;
+    let crashes = core.relay.poison_requests.crash_count(fingerprint);
     let call = &mut core.relay.calls[key];
     let instance = &mut core.relay.instances.arena[choice.backend];
     match &choice.task {
@@ -230,6 +237,8 @@
                     .into(),
             ),
             ("arrivals", call.arrivals.to_string().into()),
+            ("request", poison::fingerprint_text(fingerprint)),
+            ("crashes", crashes.to_string().into()),
         ],
     );
     out.push(Effect::Relay(RelayEffect::Send(Box::new(Outgoing {
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -27,7 +27,7 @@
 use super::instance::Work;
 use super::peers::Peer;
 use super::{
-    RelayTimer, departed, duty, from_millis, limit, load, peers, prefix_cache, view, wake,
+    RelayTimer, departed, duty, from_millis, limit, load, peers, poison, prefix_cache, view, wake,
 };
 
 /// Shortest interval between two messages to the other hosts.
@@ -408,6 +408,7 @@
         _ => core.relay.instances.set_reported_work(key, &message.loads),
     }
     record_blocks(core, &message.blocks);
+    poison::log_reports(core, &message.host, &message.crashes, out);
     if matches!(message.kind, GossipKind::Domain(_)) {
         domains::forward(core, message, out);
     }
--- a/src/core/relay/poison.rs
+++ b/src/core/relay/poison.rs
@@ -22,6 +22,8 @@
 const MAX_FINGERPRINTS: usize = 1024;
 /// Messages in which a crash is reported to the other hosts: datagrams can be lost.
 const CRASH_REPORT_COPIES: u8 = 3;
+/// Source, in the log, of a crash that this host saw itself.
+const OWN_SOURCE: &str = "own";
 
 #[derive(Debug)]
 struct CrashRecord {
@@ -49,6 +51,20 @@
         })
     }
 
+    /// Returns the number of crashes recorded for a request.
+    #[must_use]
+    pub fn crash_count(&self, fingerprint: u64) -> usize {
+        let record = self.records.get(&fingerprint);
+        record.map_or(0, |record| record.instances.len())
+    }
+
+    /// Returns the number of requests that are refused because of their crashes.
+    #[must_use]
+    pub fn blocked_count(&self, now: Time) -> u64 {
+        let blocked = |fingerprint: &&u64| self.is_blocked(**fingerprint, now);
+        self.records.keys().filter(blocked).count() as u64
+    }
+
     /// Clears a request that was answered in full: it did not cause the earlier failures.
     pub fn clear(&mut self, fingerprint: u64) {
         self.records.remove(&fingerprint);
@@ -87,25 +103,58 @@
     }
 }
 
-/// Reports that a connection broke while a backend server ran a request.
+/// Records a crash seen by this host, and reports it to the others.
 pub fn report_crash(core: &mut Core, call: CallKey, backend: BackendKey, out: &mut Effects) {
     let Some(instance) = core.relay.instances.arena.get(backend) else {
         return;
     };
     let call = &core.relay.calls[call];
+    let (id, server) = (call.id.clone(), instance.id.clone());
     let report = CrashReport {
         fingerprint: call.fingerprint,
         instance: instance.short_hash,
     };
-    note(
-        out,
-        log::Level::Info,
-        "request.suspect",
-        vec![("id", call.id.clone()), ("backend", instance.id.clone())],
-    );
-    core.relay
-        .poison_requests
+    let poison_requests = &mut core.relay.poison_requests;
+    poison_requests
         .unpublished
         .push((report, CRASH_REPORT_COPIES));
-    core.relay.poison_requests.record_crash(report, core.now);
+    poison_requests.record_crash(report, core.now);
+    log_crash(
+        core,
+        report,
+        OWN_SOURCE,
+        vec![("id", id), ("backend", server)],
+        out,
+    );
+}
+
+/// Logs the crashes that another host reports.
+pub fn log_reports(core: &Core, source: &str, crashes: &[CrashReport], out: &mut Effects) {
+    for crash in crashes {
+        let server = core.relay.instances.by_short_hash(crash.instance);
+        let server = server.and_then(|key| core.relay.instances.arena.get(key));
+        let server = server.map_or_else(|| "unknown".into(), |server| server.id.clone());
+        log_crash(core, *crash, source, vec![("backend", server)], out);
+    }
+}
+
+fn log_crash(
+    core: &Core,
+    crash: CrashReport,
+    source: &str,
+    mut fields: Vec<(&'static str, Box<str>)>,
+    out: &mut Effects,
+) {
+    let crashes = core.relay.poison_requests.crash_count(crash.fingerprint);
+    fields.extend([
+        ("request", fingerprint_text(crash.fingerprint)),
+        ("crashes", crashes.to_string().into()),
+        ("source", source.into()),
+    ]);
+    note(out, log::Level::Info, "request.suspect", fields);
+}
+
+/// Returns a fingerprint as the log shows it.
+pub fn fingerprint_text(fingerprint: u64) -> Box<str> {
+    format!("{fingerprint:016x}").into()
 }
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -51,6 +51,7 @@
     accepted_window: Gauge<u64>,
     limited: Gauge<u64>,
     pushbacks: Gauge<u64>,
+    poison_requests: Gauge<u64>,
     last_calls: Cell<CallCounts>,
     request_counts: RefCell<BTreeMap<Box<str>, u32>>,
     named_customers: RefCell<Vec<Box<str>>>,
@@ -143,6 +144,12 @@
                 .u64_gauge("chiveway_backends_in_pushback")
                 .with_description("Backend servers that want no requests from this host for a time")
                 .build(),
+            poison_requests: meter
+                .u64_gauge("chiveway_poison_requests")
+                .with_description(
+                    "Requests refused since backend servers crashed while running them",
+                )
+                .build(),
             registry,
             _provider: provider,
             last_calls: Cell::default(),
@@ -261,6 +268,11 @@
         self.pushbacks.record(servers, &[]);
     }
 
+    /// Sets the number of requests that are refused because backend servers crashed while running them.
+    pub fn set_poison_requests(&self, requests: u64) {
+        self.poison_requests.record(requests, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> Option<String> {
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -231,6 +231,8 @@
         node.metrics.set_limited(limited);
         let pushed = node.with_core(|core| core.relay.instances.in_pushback(now));
         node.metrics.set_pushbacks(pushed);
+        let poison = node.with_core(|core| core.relay.poison_requests.blocked_count(now));
+        node.metrics.set_poison_requests(poison);
     }
     match node.metrics.encode() {
         Some(body) => text(StatusCode::OK, &body),
