--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -174,6 +174,7 @@
     let named_leaving = age_ms(core, instance.named_leaving, "no");
     let pushback = instance.pushback.remaining(now).as_millis().to_string();
     let view_age = store_age_ms(core);
+    let fetched = choice.fetch.map_or(0, |fetch| fetch.tokens);
     let fingerprint = core.relay.calls[key].fingerprint;
     let crashes = core.relay.poison_requests.crash_count(fingerprint);
     let call = &mut core.relay.calls[key];
@@ -228,14 +229,7 @@
             ("pushback_ms", pushback.into()),
             ("view_ms", view_age),
             ("reads", choice.work.tokens.to_string().into()),
-            (
-                "fetched",
-                choice
-                    .fetch
-                    .map_or(0, |fetch| fetch.tokens)
-                    .to_string()
-                    .into(),
-            ),
+            ("fetched", fetched.to_string().into()),
             ("arrivals", call.arrivals.to_string().into()),
             ("request", poison::fingerprint_text(fingerprint)),
             ("crashes", crashes.to_string().into()),
