Add failing tests of a request that crashes servers at several hosts

A caller sends one request to each host in turn, twice; each server that runs it crashes and is replaced. Two crashes are allowed in all.

--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -1,5 +1,5 @@
-//! Simulation of the hosts of one failure domain, the datagrams between them and their store, in
-//! virtual time.
+//! Simulation of the hosts of one failure domain or several, the datagrams between them and their
+//! store, in virtual time.
 
 use std::collections::BTreeSet;
 
@@ -16,10 +16,12 @@
 /// Milliseconds that the store takes to answer.
 const STORE_REPLY_MS: u64 = 4;
 
-/// Hosts of one failure domain and the datagrams between them.
+/// Hosts and the datagrams between them.
 pub struct TestDomain {
     /// Hosts; `None` for one that does not run.
     pub hosts: Vec<Option<TestHost>>,
+    /// Number of failure domains that the hosts belong to in turn.
+    domain_count: usize,
     /// Milliseconds of virtual time.
     pub now: u64,
     /// Datagrams in transit: time of arrival, sender, receiver and message.
@@ -49,6 +51,8 @@
     pub unreachable: BTreeSet<usize>,
     /// Servers whose entries were removed.
     pub removed: BTreeSet<Box<str>>,
+    /// Servers that took the place of crashed ones.
+    replacements: Vec<Box<str>>,
     /// Revision at which the entries were written.
     pub listed_at: i64,
     /// Revision whose configuration is large.
@@ -81,9 +85,18 @@
     }
 }
 
+/// Returns the failure domain of a host, of so many that the hosts belong to in turn.
+fn domain_name(host: usize, domains: usize) -> String {
+    match host % domains {
+        0 => "z".to_owned(),
+        other => format!("z-{other}"),
+    }
+}
+
 /// Returns all keys: the configuration, three plain servers and the hosts.
-fn snapshot(hosts: usize, revision: i64) -> Changes {
-    let entry = |host| format!(r#"{{"addr":"{}","domain":"z"}}"#, addr(host));
+fn snapshot(hosts: usize, domains: usize, revision: i64) -> Changes {
+    let domain = |host| domain_name(host, domains);
+    let entry = |host| format!(r#"{{"addr":"{}","domain":"{}"}}"#, addr(host), domain(host));
     let hosts = (0..hosts).map(|host| KeyChange {
         key: format!("hosts/{}", name(host)).into(),
         value: Some(entry(host).as_bytes().into()),
@@ -96,6 +109,12 @@
     }
 }
 
+/// Returns a host that has just started.
+fn start_host(host: usize, domains: usize) -> TestHost {
+    let domain = domain_name(host, domains);
+    TestHost::in_domain(&name(host), &domain, host as u64)
+}
+
 pub fn addr(host: usize) -> SocketAddr {
     ([10, 9, 0, u8::try_from(host).expect("a small number")], 1).into()
 }
@@ -103,12 +122,15 @@
 impl TestDomain {
     /// Returns a domain of so many hosts that have just started.
     pub fn with_hosts(hosts: usize) -> Self {
-        let nodes = (0..hosts).map(|host| {
-            let node = TestHost::named(&name(host), host as u64);
-            Some(node)
-        });
+        Self::with_domains(hosts, 1)
+    }
+
+    /// Returns so many hosts of so many failure domains that have just started.
+    pub fn with_domains(hosts: usize, domains: usize) -> Self {
+        let nodes = (0..hosts).map(|host| Some(start_host(host, domains)));
         let mut domain = Self {
             hosts: nodes.collect(),
+            domain_count: domains,
             now: 1000,
             transit: Vec::new(),
             cuts: Vec::new(),
@@ -122,6 +144,7 @@
                 unresponsive: false,
                 unreachable: BTreeSet::new(),
                 removed: BTreeSet::new(),
+                replacements: Vec::new(),
                 listed_at: 0,
                 large_at: None,
                 transfer_ms: 0,
@@ -241,7 +264,7 @@
             StoreCall::Page { .. } => {
                 let changes = Changes {
                     instances: self.servers(),
-                    ..snapshot(self.hosts.len(), at)
+                    ..snapshot(self.hosts.len(), self.domain_count, at)
                 };
                 StoreAnswer::Page {
                     revision: at,
@@ -273,15 +296,35 @@
 
     /// Returns the servers whose entries the store holds.
     fn servers(&self) -> Vec<BackendEntry> {
-        let all = ["p", "q", "r"].map(|id| BackendEntry {
-            revision: self.store.listed_at,
-            ..plain_entry(id)
-        });
-        all.into_iter()
-            .filter(|entry| !self.store.removed.contains(&entry.id))
+        let replacements = self.store.replacements.iter().map(AsRef::as_ref);
+        let all = ["p", "q", "r"].into_iter().chain(replacements);
+        all.filter(|id| !self.store.removed.contains(*id))
+            .map(|id| BackendEntry {
+                revision: self.store.listed_at,
+                ..plain_entry(id)
+            })
             .collect()
     }
 
+    /// Sends the request that crashes the server that runs it to a host; returns the server, if it reached one.
+    pub fn send_poison(&mut self, host: usize) -> Option<Box<str>> {
+        let node = self.hosts[host].as_mut().expect("a running host");
+        node.now = self.now;
+        node.arrive(plain_request("/once/x"));
+        let sent = node.sent()?;
+        node.fail_attempt(sent.attempt, Ran::Unknown, AttemptFailure::Cut);
+        self.send_effects(host);
+        Some(sent.instance)
+    }
+
+    /// Replaces a crashed server by one of another id.
+    pub fn replace_server(&mut self, server: &str) {
+        let id = format!("s{}", self.store.replacements.len());
+        self.store.replacements.push(id.into());
+        self.store.listed_at = self.store.revision + 1;
+        self.remove(server);
+    }
+
     /// Returns the version of the configuration that a host applied; it equals the store's revision.
     pub fn version(&self, host: usize) -> u64 {
         let node = self.hosts[host].as_ref().expect("a running host");
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -13,6 +13,7 @@
 mod limit;
 mod load;
 mod planner;
+mod poison;
 mod prefix_cache;
 mod pushback;
 mod register;
@@ -91,7 +92,14 @@
 
     /// Returns a host of this name that has started and received nothing.
     fn named(name: &str, seed: u64) -> Self {
-        let settings = SETTINGS.replace("name = host-1", &format!("name = {name}"));
+        Self::in_domain(name, "z", seed)
+    }
+
+    /// Returns a host of this name and failure domain that has started and received nothing.
+    fn in_domain(name: &str, domain: &str, seed: u64) -> Self {
+        let settings = SETTINGS
+            .replace("name = host-1", &format!("name = {name}"))
+            .replace("domain = z", &format!("domain = {domain}"));
         let settings = Settings::parse_relay(&settings, "host.ini").expect("settings");
         let mut host = Self {
             core: Core::new(settings, Time::from_millis(1000), 1_000_000, seed),
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod leaving;
 mod limit;
+mod poison;
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
--- /dev/null
+++ b/tests/relay/poison.rs
@@ -0,0 +1,117 @@
+//! A request that crashes the servers that run it, sent to two hosts in turn.
+
+use super::standin::{Engine, SHORT_PROMPT};
+use super::watcher::SecondHost;
+use super::{LOG_FILE, Site, http, is_listed_ready, wait_for};
+
+/// Body of the request.
+const POISON: &[u8] = b"poison";
+/// Times that the caller sends it.
+const SEND_COUNT: usize = 12;
+/// Crashes after which every host refuses it.
+const MAX_CRASHES: usize = 2;
+
+/// Servers of one service; a crashed one is replaced by another.
+struct Servers {
+    all: Vec<Engine>,
+    start: fn(&str) -> Engine,
+}
+
+impl Servers {
+    fn start(count: usize, start: fn(&str) -> Engine) -> Self {
+        let mut servers = Self {
+            all: Vec::new(),
+            start,
+        };
+        for _ in 0..count {
+            servers.add();
+        }
+        servers
+    }
+
+    fn add(&mut self) -> &Engine {
+        let engine = (self.start)(&format!("s-{}", self.all.len()));
+        engine.crash_on(POISON);
+        self.all.push(engine);
+        &self.all[self.all.len() - 1]
+    }
+
+    fn crash_count(&self) -> usize {
+        self.all
+            .iter()
+            .filter(|engine| engine.has_crashed())
+            .count()
+    }
+}
+
+/// Sends the request to each host in turn and replaces each server that it crashes; returns the number of crashes, and
+/// the status and text of the last answer of each host.
+fn send_to_both(mut servers: Servers, path: &str) -> (usize, [Option<(u16, String)>; 2]) {
+    let site = Site::ready(&servers.all.iter().collect::<Vec<_>>());
+    let second = SecondHost::start(&site);
+    let listed_at_both = |id: &str| {
+        let logs = [site.log(), second.folder.read(LOG_FILE)];
+        logs.iter().all(|log| is_listed_ready(log, id))
+    };
+    wait_for("every server at the second host", || {
+        servers.all.iter().all(|engine| listed_at_both(&engine.id))
+    });
+    wait_for("the hosts to know each other", || {
+        let joined = |log: &str, host: &str| {
+            let mut lines = log.lines();
+            lines.any(|line| line.contains("host.joined") && line.contains(host))
+        };
+        joined(&site.log(), "host-2") && joined(&second.folder.read(LOG_FILE), "host-1")
+    });
+    let mut answers = [None, None];
+    for number in 0..SEND_COUNT {
+        let before = servers.crash_count();
+        let host = number % 2;
+        let callers = [site.callers, second.callers][host];
+        let id = format!("id-{number}");
+        let mut headers = vec![
+            ("x-chiveway-attempt-id", &*id),
+            ("x-chiveway-deadline-ms", "8000"),
+        ];
+        headers.extend(SHORT_PROMPT);
+        let answer = http::send(callers, "POST", path, &headers, POISON);
+        answers[host] = answer.map(|answer| (answer.status, answer.text()));
+        let crashed = servers.all.iter().filter(|engine| engine.has_crashed());
+        for engine in crashed {
+            site.store.remove(&format!("servers/{}", engine.id));
+        }
+        for _ in before..servers.crash_count() {
+            let new = servers.add();
+            site.store
+                .put(&format!("servers/{}", new.id), &new.entry("ready"));
+            let id = new.id.clone();
+            wait_for("the new server at both hosts", || listed_at_both(&id));
+        }
+    }
+    (servers.crash_count(), answers)
+}
+
+/// Defines one test for each kind of request.
+macro_rules! refused_at_both_hosts {
+    ($($name:ident: $start:expr, $path:expr;)*) => {$(
+        /// Guards against a host that sends the request to servers although another host saw it crash two.
+        #[test]
+        fn $name() {
+            let servers = Servers::start(4, $start);
+            let (crashes, answers) = send_to_both(servers, $path);
+            assert!(crashes <= MAX_CRASHES, "{crashes} servers crashed, {answers:?}");
+            for answer in answers {
+                let (status, text) = answer.expect("an answer");
+                assert_eq!(status, 503, "{text}");
+                assert!(text.contains("engine-killer"), "{text}");
+            }
+        }
+    )*};
+}
+
+refused_at_both_hosts! {
+    a_call_that_crashes_servers_is_refused_by_both_hosts: Engine::plain, "/once/x";
+    a_retryable_call_that_crashes_servers_is_refused_by_both_hosts: Engine::plain, "/again/x";
+    a_stream_that_crashes_engines_is_refused_by_both_hosts: |id| Engine::model(id, "decode"), "/long/x";
+    a_resumable_stream_that_crashes_engines_is_refused_by_both_hosts: |id| Engine::model(id, "decode"), "/short/x";
+}
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -579,6 +579,8 @@
     delay: Duration,
     /// Whether the process has crashed.
     crashed: bool,
+    /// Body of the request that crashes the process when it begins to run it.
+    poison: Option<Vec<u8>>,
     /// Number of accepted orders.
     orders: u64,
     /// Highest fencing token received.
@@ -714,6 +716,16 @@
         self.shared.0.lock().expect("the engine").crashed = true;
     }
 
+    /// Crashes when it begins to run a request with this body.
+    pub fn crash_on(&self, body: &[u8]) {
+        self.shared.0.lock().expect("the engine").poison = Some(body.to_vec());
+    }
+
+    /// Returns whether the process has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.shared.0.lock().expect("the engine").crashed
+    }
+
     /// Holds back the ends of streams.
     pub fn hold_streams(&self) {
         self.shared.0.lock().expect("the engine").held = true;
@@ -777,6 +789,12 @@
         let headers = format!("{headers}x-chiveway-not-executed: 1\r\nretry-after: {pushback}\r\n");
         return write(stream, 503, &headers, "");
     }
+    let is_prefill = request.header("x-chiveway-serving-stage") == Some("prefill");
+    let is_poison = state.poison.as_ref() == Some(&request.body);
+    state.crashed |= is_poison && !is_prefill;
+    if state.crashed && state.stage.is_none() {
+        return None;
+    }
     if state.stage.is_none() {
         let body = String::from_utf8_lossy(&request.body);
         let body = format!("{id} {} {body}", request.path);
@@ -784,7 +802,7 @@
         std::thread::sleep(delay);
         return write(stream, 200, &headers, &body);
     }
-    if request.header("x-chiveway-serving-stage") == Some("prefill") {
+    if is_prefill {
         drop(state);
         std::thread::sleep(delay);
         let body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
