Count crashes that other hosts report against a request

Callers saw a request that crashes servers sent to them twice from each host: 16 crashes with 8 hosts, where the rule allows three more sends after the third. Now each report is recorded, once; the copies that follow do not extend the refusal.

--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -408,7 +408,7 @@
         _ => core.relay.instances.set_reported_work(key, &message.loads),
     }
     record_blocks(core, &message.blocks);
-    poison::log_reports(core, &message.host, &message.crashes, out);
+    poison::receive(core, &message.host, &message.crashes, out);
     if matches!(message.kind, GossipKind::Domain(_)) {
         domains::forward(core, message, out);
     }
--- a/src/core/relay/poison.rs
+++ b/src/core/relay/poison.rs
@@ -70,8 +70,11 @@
         self.records.remove(&fingerprint);
     }
 
-    /// Records a crash seen by this host or reported by another one.
-    pub fn record_crash(&mut self, crash: CrashReport, now: Time) {
+    /// Records a crash seen by this host or reported by another one; returns whether it is a new one.
+    ///
+    /// Each crash is reported several times, also by way of other hosts: a repeated report does not
+    /// extend the time for which the request is refused.
+    pub fn record_crash(&mut self, crash: CrashReport, now: Time) -> bool {
         let record = self
             .records
             .entry(crash.fingerprint)
@@ -79,7 +82,9 @@
                 instances: BTreeSet::new(),
                 last_crash: now,
             });
-        record.instances.insert(crash.instance);
+        if !record.instances.insert(crash.instance) {
+            return false;
+        }
         record.last_crash = now;
         if self.records.len() > MAX_FINGERPRINTS {
             let oldest = self
@@ -90,6 +95,7 @@
                 self.records.remove(&fingerprint);
             }
         }
+        true
     }
 
     /// Returns the crashes to report in the next message to the other hosts.
@@ -128,9 +134,13 @@
     );
 }
 
-/// Logs the crashes that another host reports.
-pub fn log_reports(core: &Core, source: &str, crashes: &[CrashReport], out: &mut Effects) {
+/// Records the crashes that another host reports.
+pub fn receive(core: &mut Core, source: &str, crashes: &[CrashReport], out: &mut Effects) {
     for crash in crashes {
+        let is_new = core.relay.poison_requests.record_crash(*crash, core.now);
+        if !is_new {
+            continue;
+        }
         let server = core.relay.instances.by_short_hash(crash.instance);
         let server = server.and_then(|key| core.relay.instances.arena.get(key));
         let server = server.map_or_else(|| "unknown".into(), |server| server.id.clone());
