Count crashes of a server that starts again under its id

A worker may start again under the id that it had. A host counted the servers that crashed under a request by their ids, so that a request to a service with one such server crashed it without end. Crash reports now carry the time of the server's start; hosts count processes.

--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -138,6 +138,8 @@
     pub fingerprint: u64,
     /// Short hash of the backend server's id.
     pub instance: u32,
+    /// Wall clock at its start, in milliseconds since the Unix epoch; 0 if unknown.
+    pub started_ms: u64,
 }
 
 /// One change of the store, as hosts replicate it to each other.
--- a/src/core/relay/poison.rs
+++ b/src/core/relay/poison.rs
@@ -11,6 +11,7 @@
 use super::super::key::{BackendKey, CallKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
+use super::departed::ServerStart;
 use super::event::CrashReport;
 use super::note;
 
@@ -27,8 +28,8 @@
 
 #[derive(Debug)]
 struct CrashRecord {
-    /// Short hashes of the backend servers' ids.
-    instances: BTreeSet<u32>,
+    /// The crashed processes: a server may start again under its id.
+    servers: BTreeSet<ServerStart>,
     last_crash: Time,
 }
 
@@ -46,7 +47,7 @@
     pub fn is_blocked(&self, fingerprint: u64, now: Time) -> bool {
         let record = self.records.get(&fingerprint);
         record.is_some_and(|record| {
-            record.instances.len() >= CRASHES_TO_BLOCK
+            record.servers.len() >= CRASHES_TO_BLOCK
                 && now.since(record.last_crash) < BLOCK_DURATION
         })
     }
@@ -55,7 +56,7 @@
     #[must_use]
     pub fn crash_count(&self, fingerprint: u64) -> usize {
         let record = self.records.get(&fingerprint);
-        record.map_or(0, |record| record.instances.len())
+        record.map_or(0, |record| record.servers.len())
     }
 
     /// Returns the number of requests that are refused because of their crashes.
@@ -79,10 +80,10 @@
             .records
             .entry(crash.fingerprint)
             .or_insert_with(|| CrashRecord {
-                instances: BTreeSet::new(),
+                servers: BTreeSet::new(),
                 last_crash: now,
             });
-        if !record.instances.insert(crash.instance) {
+        if !record.servers.insert((crash.instance, crash.started_ms)) {
             return false;
         }
         record.last_crash = now;
@@ -119,6 +120,7 @@
     let report = CrashReport {
         fingerprint: call.fingerprint,
         instance: instance.short_hash,
+        started_ms: instance.born,
     };
     let poison_requests = &mut core.relay.poison_requests;
     poison_requests
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -53,6 +53,8 @@
     pub removed: BTreeSet<Box<str>>,
     /// Servers that took the place of crashed ones.
     replacements: Vec<Box<str>>,
+    /// Number of restarts of each server under its id.
+    restarts: BTreeMap<Box<str>, u64>,
     /// Revision at which the entries were written.
     pub listed_at: i64,
     /// Revision whose configuration is large.
@@ -145,6 +147,7 @@
                 unreachable: BTreeSet::new(),
                 removed: BTreeSet::new(),
                 replacements: Vec::new(),
+                restarts: BTreeMap::new(),
                 listed_at: 0,
                 large_at: None,
                 transfer_ms: 0,
@@ -298,9 +301,11 @@
     fn servers(&self) -> Vec<BackendEntry> {
         let replacements = self.store.replacements.iter().map(AsRef::as_ref);
         let all = ["p", "q", "r"].into_iter().chain(replacements);
+        let restarts = |id| self.store.restarts.get(id).copied().unwrap_or(0);
         all.filter(|id| !self.store.removed.contains(*id))
             .map(|id| BackendEntry {
                 revision: self.store.listed_at,
+                started_ms: 1 + restarts(id),
                 ..plain_entry(id)
             })
             .collect()
@@ -325,6 +330,13 @@
         self.remove(server);
     }
 
+    /// Starts a crashed server anew under its id.
+    pub fn restart_server(&mut self, server: &str) {
+        *self.store.restarts.entry(server.into()).or_default() += 1;
+        self.store.revision += 1;
+        self.store.listed_at = self.store.revision;
+    }
+
     /// Returns the version of the configuration that a host applied; it equals the store's revision.
     pub fn version(&self, host: usize) -> u64 {
         let node = self.hosts[host].as_ref().expect("a running host");
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -6,7 +6,9 @@
 
 use super::datagrams::{seal, verify};
 use super::events::Splitter;
-use crate::core::relay::event::{DepartureReport, Gossip, LimitReport, LoadReport, UptimeReport};
+use crate::core::relay::event::{
+    CrashReport, DepartureReport, Gossip, LimitReport, LoadReport, UptimeReport,
+};
 use crate::wire;
 
 fn gossip() -> Gossip {
@@ -44,6 +46,11 @@
                 revision: None,
             },
         ],
+        crashes: vec![CrashReport {
+            fingerprint: 8,
+            instance: 5,
+            started_ms: 1_770_695_843_786,
+        }],
         uptime: Some(UptimeReport {
             length: Duration::from_secs(9),
             age: Duration::from_millis(400),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -593,6 +593,9 @@
     pub print: u64,
     #[prost(fixed32, tag = "2")]
     pub instance: u32,
+    /// Wall clock at the server's start, in milliseconds since the Unix epoch; 0 if unknown.
+    #[prost(uint64, tag = "3")]
+    pub started_ms: u64,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -299,6 +299,7 @@
     wire::DeathWord {
         print: crash.fingerprint,
         instance: crash.instance,
+        started_ms: crash.started_ms,
     }
 }
 
@@ -306,5 +307,6 @@
     CrashReport {
         fingerprint: crash.print,
         instance: crash.instance,
+        started_ms: crash.started_ms,
     }
 }
