Keep the crashes of a request that is answered with an error

A server that is out of order answers part of its requests with a 500 of its own. A host took this for a proof that the request crashes no server and dropped its record, so that the request could crash two more servers after each. Only an answer below 500 clears it now.

an_error_answer_clears_no_crash: sent on before, refused after.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -75,9 +75,11 @@
         );
         return;
     }
-    core.relay
-        .poison_requests
-        .clear(core.relay.calls[call].fingerprint);
+    if !failed {
+        core.relay
+            .poison_requests
+            .clear(core.relay.calls[call].fingerprint);
+    }
     out.push(Effect::Relay(RelayEffect::ForwardAnswer(call)));
     let outcome = if failed { "failed-there" } else { "answered" };
     end(core, call, outcome, Ran::Yes, out);
--- a/src/core/relay/poison.rs
+++ b/src/core/relay/poison.rs
@@ -66,7 +66,7 @@
         self.records.keys().filter(blocked).count() as u64
     }
 
-    /// Clears a request that was answered in full: it did not cause the earlier failures.
+    /// Clears a request that a backend server ran to a good end: it did not cause the earlier crashes.
     pub fn clear(&mut self, fingerprint: u64) {
         self.records.remove(&fingerprint);
     }
--- a/src/core/relay/tests/request.rs
+++ b/src/core/relay/tests/request.rs
@@ -191,3 +191,24 @@
     site.arrive(plain_request("/once/x"));
     assert!(site.sent().is_some());
 }
+
+/// A server that is out of order answers a request that crashes servers with an error of its own. Guards against a host
+/// that takes this for a proof that the request is harmless.
+#[test]
+fn an_error_answer_clears_no_crash() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b"), plain_entry("c")]);
+    for status in [None, Some(500), None] {
+        site.arrive(plain_request("/once/x"));
+        let sent = site.sent().expect("a request is sent");
+        match status {
+            Some(status) => site.event(RelayEvent::Answered {
+                attempt: sent.attempt,
+                status,
+            }),
+            None => site.fail_attempt(sent.attempt, Ran::Unknown, AttemptFailure::Cut),
+        }
+    }
+    site.arrive(plain_request("/once/x"));
+    assert!(site.sent().is_none());
+}
