Count no crash again that was reported before an answer

An answer dropped the record of a request, so that the reports that followed counted anew and a harmless request was refused. A crash before an answer stays in the record without counting.

repeated_reports_of_crashes_before_an_answer_do_not_count: refused before, sent after.

--- a/src/core/relay/poison.rs
+++ b/src/core/relay/poison.rs
@@ -5,7 +5,7 @@
 //! backend servers broke the connection on the same request, and none has answered it since, every
 //! host refuses it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::super::key::{BackendKey, CallKey};
@@ -28,11 +28,18 @@
 
 #[derive(Debug)]
 struct CrashRecord {
-    /// The crashed processes: a server may start again under its id.
-    servers: BTreeSet<ServerStart>,
+    /// Whether each crash counts, by the crashed process: a server may start again under its id. Crashes
+    /// before an answer are kept without counting, since reports of them may still arrive.
+    crashes: BTreeMap<ServerStart, bool>,
     last_crash: Time,
 }
 
+impl CrashRecord {
+    fn count(&self) -> usize {
+        self.crashes.values().filter(|counts| **counts).count()
+    }
+}
+
 /// Fingerprints of requests that are suspected to crash backend servers.
 #[derive(Debug, Default)]
 pub struct PoisonRequests {
@@ -47,8 +54,7 @@
     pub fn is_blocked(&self, fingerprint: u64, now: Time) -> bool {
         let record = self.records.get(&fingerprint);
         record.is_some_and(|record| {
-            record.servers.len() >= CRASHES_TO_BLOCK
-                && now.since(record.last_crash) < BLOCK_DURATION
+            record.count() >= CRASHES_TO_BLOCK && now.since(record.last_crash) < BLOCK_DURATION
         })
     }
 
@@ -56,7 +62,7 @@
     #[must_use]
     pub fn crash_count(&self, fingerprint: u64) -> usize {
         let record = self.records.get(&fingerprint);
-        record.map_or(0, |record| record.servers.len())
+        record.map_or(0, CrashRecord::count)
     }
 
     /// Returns the number of requests that are refused because of their crashes.
@@ -68,7 +74,12 @@
 
     /// Clears a request that a backend server ran to a good end: it did not cause the earlier crashes.
     pub fn clear(&mut self, fingerprint: u64) {
-        self.records.remove(&fingerprint);
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record
+                .crashes
+                .values_mut()
+                .for_each(|counts| *counts = false);
+        }
     }
 
     /// Records a crash seen by this host or reported by another one; returns whether it is a new one.
@@ -80,12 +91,14 @@
             .records
             .entry(crash.fingerprint)
             .or_insert_with(|| CrashRecord {
-                servers: BTreeSet::new(),
+                crashes: BTreeMap::new(),
                 last_crash: now,
             });
-        if !record.servers.insert((crash.instance, crash.started_ms)) {
+        let server = (crash.instance, crash.started_ms);
+        if record.crashes.contains_key(&server) {
             return false;
         }
+        record.crashes.insert(server, true);
         record.last_crash = now;
         if self.records.len() > MAX_FINGERPRINTS {
             let oldest = self
--- a/src/core/relay/tests/poison.rs
+++ b/src/core/relay/tests/poison.rs
@@ -1,6 +1,8 @@
 //! Requests that crash the servers that run them, sent to several hosts.
 
 use super::domain::TestDomain;
+use super::*;
+use crate::core::relay::event::{CrashReport, Gossip};
 
 /// Milliseconds until a caller sends its request to another host.
 const RESEND_MS: u64 = 400;
@@ -67,3 +69,45 @@
     crashes_of_a_server_that_keeps_its_id_count: one_server(8, 1), RESTARTED;
     crashes_of_a_server_that_keeps_its_id_count_in_large_domains: one_server(45, 3), RESTARTED;
 }
+
+/// Has a host receive a report of another host that a server crashed under [`plain_request`].
+fn receive_crash(site: &mut TestHost, sequence: u64, server: u32) {
+    let mut first = [0; 8];
+    first.copy_from_slice(&plain_request("/once/x").fingerprint.0[..8]);
+    site.event(RelayEvent::Gossiped(Box::new(Gossip {
+        host: "host-2".into(),
+        incarnation: 1,
+        sequence,
+        crashes: vec![CrashReport {
+            fingerprint: u64::from_le_bytes(first),
+            instance: server,
+            started_ms: 1,
+        }],
+        ..Gossip::default()
+    })));
+}
+
+/// A request is answered while reports of earlier crashes are still repeated. Guards against a host that counts the
+/// repeated reports anew and refuses a request that crashes no server.
+#[test]
+fn repeated_reports_of_crashes_before_an_answer_do_not_count() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b"), plain_entry("c")]);
+    site.write_key(
+        "hosts/host-2",
+        Some(r#"{"addr":"10.9.0.2:1","domain":"z"}"#),
+        4,
+    );
+    site.arrive(plain_request("/once/x"));
+    let sent = site.sent().expect("a request is sent");
+    receive_crash(&mut site, 1, 7);
+    receive_crash(&mut site, 2, 8);
+    site.event(RelayEvent::Answered {
+        attempt: sent.attempt,
+        status: 200,
+    });
+    receive_crash(&mut site, 3, 7);
+    receive_crash(&mut site, 4, 8);
+    site.arrive(plain_request("/once/x"));
+    assert!(site.sent().is_some(), "{:?}", site.refused());
+}
