Keep refused poison requests in the store

What hosts knew of a request that crashes servers was lost with them: after a restart of all hosts, or at each host replaced by a new one, the request crashed servers anew. Class: a fact that only hosts hold and that others learn only while they listen. A host that saw a crash now writes each refused request to the store (poison/FINGERPRINT, at most one call a second and host, after up to 0.2 s, so that the others see it and make none), the others do after 2 to 4 s if it is still missing. Hosts read it as they start, write it again after a restore of the store, and remove it once it is answered or its ten minutes are over.

A refusal lasts ten minutes instead of one, as Retry-After said all along, and Retry-After is the time left.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -6,7 +6,7 @@
 use super::super::{Core, Effects};
 use super::call::{close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
 use super::event::{RelayEffect, Task};
-use super::{KvCache, RetryPolicy, duty, load, millis, note};
+use super::{KvCache, RetryPolicy, duty, load, millis, note, poison};
 use crate::error::{Kind, Ran};
 
 /// Lowest HTTP status that counts as a failure of the backend server.
@@ -76,9 +76,7 @@
         return;
     }
     if !failed {
-        core.relay
-            .poison_requests
-            .clear(core.relay.calls[call].fingerprint);
+        poison::answered(core, core.relay.calls[call].fingerprint, out);
     }
     out.push(Effect::Relay(RelayEffect::ForwardAnswer(call)));
     let outcome = if failed { "failed-there" } else { "answered" };
@@ -143,9 +141,7 @@
         return;
     };
     let call = attempt.call;
-    core.relay
-        .poison_requests
-        .clear(core.relay.calls[call].fingerprint);
+    poison::answered(core, core.relay.calls[call].fingerprint, out);
     out.push(Effect::Relay(RelayEffect::Finish(call)));
     end(core, call, "answered", Ran::Yes, out);
 }
@@ -198,7 +194,7 @@
         duty::usage::record(core, call, attempt.sent_at);
     }
     if how == AttemptFailure::Cut {
-        super::poison::report_crash(core, call, backend, out);
+        poison::report_crash(core, call, backend, out);
     }
     let entry = &mut core.relay.calls[call];
     entry.tried.push(backend);
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -121,13 +121,14 @@
 /// Sends a request to a backend server, or refuses it if none can serve it.
 pub(super) fn dispatch(core: &mut Core, key: CallKey, out: &mut Effects) {
     let fingerprint = core.relay.calls[key].fingerprint;
-    if core.relay.poison_requests.is_blocked(fingerprint, core.now) {
-        let crashes = core.relay.poison_requests.crash_count(fingerprint);
+    let poison_requests = &core.relay.poison_requests;
+    if let Some(left) = poison_requests.blocked_for(fingerprint, core.now) {
         let detail = format!(
-            "{crashes} backend servers crashed while running request {}",
+            "{} backend servers crashed while running request {}",
+            poison_requests.crash_count(fingerprint),
             poison::fingerprint_text(fingerprint)
         );
-        let refusal = Refusal::new(Kind::EngineKiller, detail);
+        let refusal = Refusal::new(Kind::EngineKiller, detail).with_retry_after(left);
         refuse(core, key, refusal, out);
         return;
     }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -72,6 +72,8 @@
     Plan,
     /// Renew the authority to give orders.
     Authority,
+    /// Compare poison requests with the store.
+    SyncPoison,
 }
 
 /// Calls of the store that the relay makes, as keys for their answers.
@@ -91,6 +93,8 @@
     Settle(u64),
     /// Write the number of workers that a service was provisioned with.
     Provision,
+    /// Write and remove poison requests; the store's changes show whether it did.
+    Poison,
 }
 
 /// A request being relayed.
@@ -301,6 +305,7 @@
         RelayTimer::StoreTimeout => view::probe::overdue(core, out),
         RelayTimer::Plan => planner::plan(core, out),
         RelayTimer::Authority => planner::renew(core, out),
+        RelayTimer::SyncPoison => poison::stored::sync(core, out),
     }
 }
 
@@ -325,7 +330,7 @@
         return;
     }
     match job {
-        RelayJob::Secret | RelayJob::Provision => {}
+        RelayJob::Secret | RelayJob::Provision | RelayJob::Poison => {}
         RelayJob::Lease | RelayJob::Register => peers::reply(core, job, reply, out),
         RelayJob::AuthorityLease(_) | RelayJob::Authority => planner::reply(core, job, reply, out),
         RelayJob::Settle(number) => duty::usage::reply(core, number, reply, out),
@@ -348,6 +353,7 @@
     planner::changed(core, &changes, out);
     duty::usage::changed(core, &changes);
     duty::scaling::changed(core, &changes);
+    poison::stored::changed(core, &changes, out);
 }
 
 /// Logs changes in the listing of backend servers, and whether the store or which host they come from.
--- a/src/core/relay/poison.rs
+++ b/src/core/relay/poison/mod.rs
@@ -2,8 +2,11 @@
 //!
 //! A single request can crash every backend server that starts to run it, while its caller sends it
 //! again, to any host. It shows by connections that break while it runs. After two different
-//! backend servers broke the connection on the same request, and none has answered it since, every
-//! host refuses it.
+//! processes broke the connection on the same request, and none has answered it since, every host
+//! refuses it. Hosts report each crash to each other, and keep the requests that they refuse in the
+//! store: see [`stored`].
+
+pub(super) mod stored;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,29 +18,54 @@
 use super::event::CrashReport;
 use super::note;
 
-/// Crashed backend servers after which a request is refused.
+/// Crashed processes after which a request is refused.
 const CRASHES_TO_BLOCK: usize = 2;
 /// Time for which a request is refused after its last crash.
-const BLOCK_DURATION: Duration = Duration::from_mins(1);
-/// Maximum number of fingerprints; the one with the oldest crash is dropped first.
+const BLOCK_DURATION: Duration = Duration::from_mins(10);
+/// Maximum number of fingerprints; of those that are not refused, the one with the oldest crash is
+/// dropped first.
 const MAX_FINGERPRINTS: usize = 1024;
 /// Messages in which a crash is reported to the other hosts: datagrams can be lost.
 const CRASH_REPORT_COPIES: u8 = 3;
 /// Source, in the log, of a crash that this host saw itself.
 const OWN_SOURCE: &str = "own";
 
-#[derive(Debug)]
+/// The crashes under one request.
+#[derive(Debug, Default)]
 struct CrashRecord {
     /// Whether each crash counts, by the crashed process: a server may start again under its id. Crashes
     /// before an answer are kept without counting, since reports of them may still arrive.
     crashes: BTreeMap<ServerStart, bool>,
     last_crash: Time,
+    /// Whether this host saw one of the crashes.
+    is_own: bool,
+    /// Whether the store holds the request.
+    is_stored: bool,
+    /// When to compare the record with the store next.
+    sync_at: Option<Time>,
 }
 
 impl CrashRecord {
     fn count(&self) -> usize {
         self.crashes.values().filter(|counts| **counts).count()
     }
+
+    /// Returns the time until it is no longer refused; zero if it is not.
+    fn blocked_for(&self, now: Time) -> Duration {
+        if self.count() < CRASHES_TO_BLOCK {
+            return Duration::ZERO;
+        }
+        BLOCK_DURATION.saturating_sub(now.since(self.last_crash))
+    }
+
+    fn is_blocked(&self, now: Time) -> bool {
+        !self.blocked_for(now).is_zero()
+    }
+
+    /// Stops counting all crashes.
+    fn clear(&mut self) {
+        self.crashes.values_mut().for_each(|counts| *counts = false);
+    }
 }
 
 /// Fingerprints of requests that are suspected to crash backend servers.
@@ -46,19 +74,21 @@
     records: BTreeMap<u64, CrashRecord>,
     /// Crashes to report, and in how many more messages.
     unpublished: Vec<(CrashReport, u8)>,
+    /// When the store was last written.
+    last_sync: Option<Time>,
+    /// When it may be written next.
+    timer: Option<Time>,
 }
 
 impl PoisonRequests {
-    /// Returns whether a request is refused because of its crashes.
+    /// Returns the time for which a request is still refused because of its crashes.
     #[must_use]
-    pub fn is_blocked(&self, fingerprint: u64, now: Time) -> bool {
-        let record = self.records.get(&fingerprint);
-        record.is_some_and(|record| {
-            record.count() >= CRASHES_TO_BLOCK && now.since(record.last_crash) < BLOCK_DURATION
-        })
+    pub fn blocked_for(&self, fingerprint: u64, now: Time) -> Option<Duration> {
+        let left = self.records.get(&fingerprint)?.blocked_for(now);
+        (!left.is_zero()).then_some(left)
     }
 
-    /// Returns the number of crashes recorded for a request.
+    /// Returns the number of crashes that count against a request.
     #[must_use]
     pub fn crash_count(&self, fingerprint: u64) -> usize {
         let record = self.records.get(&fingerprint);
@@ -68,50 +98,36 @@
     /// Returns the number of requests that are refused because of their crashes.
     #[must_use]
     pub fn blocked_count(&self, now: Time) -> u64 {
-        let blocked = |fingerprint: &&u64| self.is_blocked(**fingerprint, now);
-        self.records.keys().filter(blocked).count() as u64
-    }
-
-    /// Clears a request that a backend server ran to a good end: it did not cause the earlier crashes.
-    pub fn clear(&mut self, fingerprint: u64) {
-        if let Some(record) = self.records.get_mut(&fingerprint) {
-            record
-                .crashes
-                .values_mut()
-                .for_each(|counts| *counts = false);
-        }
+        let records = self.records.values();
+        records.filter(|record| record.is_blocked(now)).count() as u64
     }
 
-    /// Records a crash seen by this host or reported by another one; returns whether it is a new one.
+    /// Records a crash at a time; returns whether it is a new one.
     ///
     /// Each crash is reported several times, also by way of other hosts: a repeated report does not
     /// extend the time for which the request is refused.
-    pub fn record_crash(&mut self, crash: CrashReport, now: Time) -> bool {
-        let record = self
-            .records
-            .entry(crash.fingerprint)
-            .or_insert_with(|| CrashRecord {
-                crashes: BTreeMap::new(),
-                last_crash: now,
-            });
+    fn record_crash(&mut self, crash: CrashReport, at: Time) -> bool {
+        let record = self.records.entry(crash.fingerprint).or_default();
         let server = (crash.instance, crash.started_ms);
         if record.crashes.contains_key(&server) {
             return false;
         }
         record.crashes.insert(server, true);
-        record.last_crash = now;
+        record.last_crash = record.last_crash.max(at);
         if self.records.len() > MAX_FINGERPRINTS {
-            let oldest = self
-                .records
-                .iter()
-                .min_by_key(|(_, record)| record.last_crash);
-            if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
-                self.records.remove(&fingerprint);
-            }
+            self.evict(at);
         }
         true
     }
 
+    fn evict(&mut self, now: Time) {
+        let records = self.records.iter();
+        let least = records.min_by_key(|(_, record)| (record.is_blocked(now), record.last_crash));
+        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.records.remove(&fingerprint);
+        }
+    }
+
     /// Returns the crashes to report in the next message to the other hosts.
     pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
         let reports = self.unpublished.iter().map(|(report, _)| *report).collect();
@@ -140,6 +156,9 @@
         .unpublished
         .push((report, CRASH_REPORT_COPIES));
     poison_requests.record_crash(report, core.now);
+    if let Some(record) = poison_requests.records.get_mut(&report.fingerprint) {
+        record.is_own = true;
+    }
     log_crash(
         core,
         report,
@@ -147,19 +166,41 @@
         vec![("id", id), ("backend", server)],
         out,
     );
+    stored::crash_recorded(core, report.fingerprint, out);
 }
 
 /// Records the crashes that another host reports.
 pub fn receive(core: &mut Core, source: &str, crashes: &[CrashReport], out: &mut Effects) {
     for crash in crashes {
-        let is_new = core.relay.poison_requests.record_crash(*crash, core.now);
-        if !is_new {
-            continue;
+        if record_reported(core, *crash, core.now, source, out) {
+            stored::crash_recorded(core, crash.fingerprint, out);
         }
+    }
+}
+
+/// Records and logs a crash that this host did not see; returns whether it is a new one.
+fn record_reported(
+    core: &mut Core,
+    crash: CrashReport,
+    at: Time,
+    source: &str,
+    out: &mut Effects,
+) -> bool {
+    let is_new = core.relay.poison_requests.record_crash(crash, at);
+    if is_new {
         let server = core.relay.instances.by_short_hash(crash.instance);
         let server = server.and_then(|key| core.relay.instances.arena.get(key));
         let server = server.map_or_else(|| "unknown".into(), |server| server.id.clone());
-        log_crash(core, *crash, source, vec![("backend", server)], out);
+        log_crash(core, crash, source, vec![("backend", server)], out);
+    }
+    is_new
+}
+
+/// Clears a request that a backend server ran to a good end: it did not cause the earlier crashes.
+pub fn answered(core: &mut Core, fingerprint: u64, out: &mut Effects) {
+    if let Some(record) = core.relay.poison_requests.records.get_mut(&fingerprint) {
+        record.clear();
+        stored::cleared(core, fingerprint, out);
     }
 }
 
@@ -179,7 +220,7 @@
     note(out, log::Level::Info, "request.suspect", fields);
 }
 
-/// Returns a fingerprint as the log shows it.
+/// Returns a fingerprint as logs and the store show it.
 pub fn fingerprint_text(fingerprint: u64) -> Box<str> {
     format!("{fingerprint:016x}").into()
 }
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::core::relay::event::{Gossip, StoreAnswer, StoreCall, StoreChange};
 use crate::core::relay::instance::Work;
+use crate::store::{Op, Span};
 
 /// Milliseconds that a datagram is in transit.
 const TRANSIT_MS: u64 = 1;
@@ -39,7 +40,8 @@
     pub store: TestStore,
 }
 
-/// A store whose only changes are new versions of the configuration, one for each revision.
+/// A store with a new version of the configuration for each revision. Of what hosts write, it keeps the poison
+/// requests.
 #[derive(Debug)]
 pub struct TestStore {
     pub revision: i64,
@@ -69,6 +71,52 @@
     pub read_counts: Vec<u32>,
     /// Number of calls for registrations by all hosts.
     pub registration_calls: u32,
+    /// Writes and removals of poison requests, in order.
+    pub poison_writes: Vec<KeyChange>,
+}
+
+/// Prefix of the keys of poison requests.
+const POISON_PREFIX: &str = "poison/";
+
+/// Whether an operation writes or removes a poison request.
+fn is_poison_write(op: &Op) -> bool {
+    match op {
+        Op::Put { key, .. } | Op::Delete(Span::Key(key)) => key.starts_with(POISON_PREFIX),
+        _ => false,
+    }
+}
+
+impl TestStore {
+    /// Applies writes and removals of poison requests by a host, if it reaches the store.
+    fn apply_poison_writes(&mut self, host: usize, ops: &[Op]) {
+        if self.unresponsive || self.unreachable.contains(&host) {
+            return;
+        }
+        for op in ops {
+            let (key, value) = match op {
+                Op::Put { key, value, .. } => (key, Some(value.to_vec().into())),
+                Op::Delete(Span::Key(key)) => (key, None),
+                _ => continue,
+            };
+            self.revision += 1;
+            self.poison_writes.push(KeyChange {
+                key: key.clone(),
+                value,
+                revision: self.revision,
+            });
+        }
+    }
+
+    /// Returns the poison requests that it holds.
+    pub fn poison_keys(&self) -> Vec<KeyChange> {
+        let mut keys = BTreeMap::new();
+        for write in &self.poison_writes {
+            keys.insert(write.key.clone(), write.clone());
+        }
+        keys.into_values()
+            .filter(|write| write.value.is_some())
+            .collect()
+    }
 }
 
 fn name(host: usize) -> String {
@@ -155,6 +203,7 @@
                 calls: Vec::new(),
                 read_counts: vec![0; hosts],
                 registration_calls: 0,
+                poison_writes: Vec::new(),
             },
         };
         for host in 0..hosts {
@@ -185,6 +234,9 @@
                     let transfers = &mut self.store.transfers;
                     transfers.retain(|(_, to, number, _)| (*to, *number) != (host, *given_up));
                 }
+                Effect::Txn { txn, .. } if txn.then.iter().all(is_poison_write) => {
+                    self.store.apply_poison_writes(host, &txn.then);
+                }
                 Effect::GrantLease { .. } | Effect::Txn { .. } => {
                     self.store.registration_calls += 1;
                 }
@@ -265,10 +317,11 @@
             StoreCall::Probe => StoreAnswer::Newest(at),
             StoreCall::Watch { after, .. } if *after > at => StoreAnswer::Compacted,
             StoreCall::Page { .. } => {
-                let changes = Changes {
+                let mut changes = Changes {
                     instances: self.servers(),
                     ..snapshot(self.hosts.len(), self.domain_count, at)
                 };
+                changes.keys.extend(self.store.poison_keys());
                 StoreAnswer::Page {
                     revision: at,
                     changes,
@@ -276,21 +329,28 @@
                 }
             }
             StoreCall::Watch { after, .. } => {
-                let changed = |revision| Changes {
+                let writes = &self.store.poison_writes;
+                let keys_after = |after: i64, until: i64| {
+                    let between =
+                        |write: &&KeyChange| write.revision > after && write.revision <= until;
+                    writes.iter().filter(between).cloned().collect()
+                };
+                let changed = |after, revision| Changes {
                     instances: self.servers(),
                     removed: self.store.removed.iter().cloned().collect(),
+                    keys: keys_after(after, revision),
                     ..config_changes(revision)
                 };
                 let events = (*after + 1..=at).map(|revision| StoreChange {
                     revision,
-                    changes: changed(revision),
+                    changes: changed(revision - 1, revision),
                     value: (self.store.large_at == Some(revision))
                         .then(|| vec![0; LARGE_VALUE_BYTES].into()),
                     ..StoreChange::default()
                 });
                 StoreAnswer::Changes {
                     revision: at,
-                    changes: changed(at),
+                    changes: changed(*after, at),
                     events: events.collect(),
                 }
             }
@@ -311,6 +371,14 @@
             .collect()
     }
 
+    /// Starts a host anew that was stopped or runs, with an empty memory.
+    pub fn restart(&mut self, host: usize) {
+        let mut node = start_host(host, self.domain_count);
+        node.now = self.now;
+        self.hosts[host] = Some(node);
+        self.accept_calls(host);
+    }
+
     /// Sends the request that crashes the server that runs it to a host; returns the server, if it reached one.
     pub fn send_poison(&mut self, host: usize) -> Option<Box<str>> {
         let node = self.hosts[host].as_mut().expect("a running host");
@@ -369,6 +437,9 @@
     pub fn restore(&mut self, revision: i64) {
         self.store.era += 1;
         self.store.revision = revision;
+        self.store
+            .poison_writes
+            .retain(|write| write.revision <= revision);
         self.store.calls.clear();
     }
 
--- a/src/core/relay/tests/poison.rs
+++ b/src/core/relay/tests/poison.rs
@@ -111,3 +111,89 @@
     site.arrive(plain_request("/once/x"));
     assert!(site.sent().is_some(), "{:?}", site.refused());
 }
+
+/// Crashes two servers at hosts that stay in touch, and waits until all hosts refuse the request.
+fn block(site: &mut TestDomain) {
+    site.pass(2000);
+    let crashes = crash_servers(site, REPLACED);
+    assert_eq!(crashes, MAX_CRASHES);
+}
+
+fn assert_refused_everywhere(site: &mut TestDomain) {
+    for host in 0..site.hosts.len() {
+        let reached = site.send_poison(host);
+        assert!(reached.is_none(), "host {host} sent it to {reached:?}");
+    }
+}
+
+/// All hosts are killed at once after they refused the request. Guards against a refusal that only hosts remember: the
+/// request crashes more servers after each restart.
+#[test]
+fn a_poison_request_is_refused_after_a_restart_of_all_hosts() {
+    for (hosts, domains) in [(8, 1), (9, 3), (30, 1)] {
+        let mut site = TestDomain::with_domains(hosts, domains);
+        block(&mut site);
+        for _ in 0..2 {
+            for host in 0..hosts {
+                site.restart(host);
+            }
+            site.pass(3000);
+            assert_refused_everywhere(&mut site);
+        }
+    }
+}
+
+/// Hosts are restarted one after the other. Guards against a host that sends the request to servers until it has seen
+/// crashes itself.
+#[test]
+fn a_poison_request_is_refused_by_hosts_that_are_replaced() {
+    let mut site = TestDomain::with_hosts(8);
+    block(&mut site);
+    for host in 0..8 {
+        site.restart(host);
+        site.pass(500);
+        let reached = site.send_poison(host);
+        assert!(reached.is_none(), "host {host} sent it to {reached:?}");
+    }
+}
+
+/// The store is out of reach while servers crash, and is then restored from a copy that lacks the poison request. Guards
+/// against a write that is not repeated.
+#[test]
+fn a_poison_request_is_written_again_after_outages_of_the_store() {
+    let mut site = TestDomain::with_hosts(8);
+    site.pass(2000);
+    let before = site.store.revision;
+    site.store.unresponsive = true;
+    for host in 0..2 {
+        let reached = site.send_poison(host);
+        assert!(reached.is_some());
+        site.pass(RESEND_MS);
+    }
+    site.store.unresponsive = false;
+    site.pass(8000);
+    assert_eq!(site.store.poison_keys().len(), 1);
+    site.restore(before);
+    site.pass(8000);
+    assert_eq!(site.store.poison_keys().len(), 1);
+    for host in 0..8 {
+        site.restart(host);
+    }
+    site.pass(3000);
+    assert_refused_everywhere(&mut site);
+}
+
+/// Guards against hosts that all write the same poison request, and against entries that stay in the store for good.
+#[test]
+fn a_poison_request_is_written_and_removed_by_few_hosts() {
+    let mut site = TestDomain::with_hosts(8);
+    block(&mut site);
+    site.pass(20_000);
+    let writes = site.store.poison_writes.len();
+    assert!((1..=2).contains(&writes), "{writes} writes");
+    // Refusals last ten minutes, and hosts remove the entry within another one.
+    site.pass(660_000);
+    assert!(site.store.poison_keys().is_empty());
+    let writes = site.store.poison_writes.len();
+    assert!(writes <= 4, "{writes} writes");
+}
--- a/tests/relay/poison.rs
+++ b/tests/relay/poison.rs
@@ -1,5 +1,7 @@
 //! A request that crashes the servers that run it, sent to two hosts in turn.
 
+use std::net::SocketAddr;
+
 use super::standin::{Engine, SHORT_PROMPT};
 use super::watcher::SecondHost;
 use super::{LOG_FILE, Site, http, is_listed_ready, wait_for};
@@ -68,14 +70,7 @@
         let before = servers.crash_count();
         let host = number % 2;
         let callers = [site.callers, second.callers][host];
-        let id = format!("id-{number}");
-        let mut headers = vec![
-            ("x-chiveway-attempt-id", &*id),
-            ("x-chiveway-deadline-ms", "8000"),
-        ];
-        headers.extend(SHORT_PROMPT);
-        let answer = http::send(callers, "POST", path, &headers, POISON);
-        answers[host] = answer.map(|answer| (answer.status, answer.text()));
+        answers[host] = send_poison(callers, path, &format!("id-{number}"));
         let crashed = servers.all.iter().filter(|engine| engine.has_crashed());
         for engine in crashed {
             site.store.remove(&format!("servers/{}", engine.id));
@@ -91,6 +86,50 @@
     (servers.crash_count(), answers)
 }
 
+/// Sends the request to a host; returns the status and the text of its answer.
+fn send_poison(callers: SocketAddr, path: &str, id: &str) -> Option<(u16, String)> {
+    let mut headers = vec![
+        ("x-chiveway-attempt-id", id),
+        ("x-chiveway-deadline-ms", "8000"),
+    ];
+    headers.extend(SHORT_PROMPT);
+    let answer = http::send(callers, "POST", path, &headers, POISON)?;
+    Some((answer.status, answer.text()))
+}
+
+fn assert_refused(answer: Option<(u16, String)>) {
+    let (status, text) = answer.expect("an answer");
+    assert_eq!(status, 503, "{text}");
+    assert!(text.contains("engine-killer"), "{text}");
+}
+
+/// A host starts after two servers crashed, while the only host that saw it is frozen. Guards against a host that
+/// learns of crashes by gossip alone.
+#[test]
+fn a_host_that_starts_later_refuses_a_request_that_crashed_servers() {
+    let servers = Servers::start(4, Engine::plain);
+    let site = Site::ready(&servers.all.iter().collect::<Vec<_>>());
+    for number in 0..MAX_CRASHES {
+        send_poison(site.callers, "/once/x", &format!("id-{number}"));
+    }
+    assert_eq!(servers.crash_count(), MAX_CRASHES);
+    wait_for("the request in the store", || {
+        site.store.has_prefix("chiveway/poison/")
+    });
+    site.host.freeze();
+    let second = SecondHost::start(&site);
+    let mut count = 0;
+    wait_for("an answer to another request", || {
+        count += 1;
+        let headers = [("x-chiveway-attempt-id", "other")];
+        let body = format!("body {count}");
+        let answer = http::send(second.callers, "POST", "/once/x", &headers, body.as_bytes());
+        answer.is_some_and(|answer| answer.status == 200)
+    });
+    assert_refused(send_poison(second.callers, "/once/x", "id-9"));
+    assert_eq!(servers.crash_count(), MAX_CRASHES);
+}
+
 /// Defines one test for each kind of request.
 macro_rules! refused_at_both_hosts {
     ($($name:ident: $start:expr, $path:expr;)*) => {$(
@@ -101,9 +140,7 @@
             let (crashes, answers) = send_to_both(servers, $path);
             assert!(crashes <= MAX_CRASHES, "{crashes} servers crashed, {answers:?}");
             for answer in answers {
-                let (status, text) = answer.expect("an answer");
-                assert_eq!(status, 503, "{text}");
-                assert!(text.contains("engine-killer"), "{text}");
+                assert_refused(answer);
             }
         }
     )*};
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -387,6 +387,12 @@
         changed.notify_all();
     }
 
+    /// Returns whether it holds a key with this prefix.
+    pub fn has_prefix(&self, prefix: &str) -> bool {
+        let state = self.state.0.lock().expect("the store");
+        state.keys.keys().any(|key| key.starts_with(prefix))
+    }
+
     /// Returns the revision at which a key was created.
     pub fn created(&self, key: &str) -> Option<i64> {
         let state = self.state.0.lock().expect("the store");
