Have a caller of the soak send a request that crashes every server

One caller sends the same request to hosts drawn at random, of a kind drawn from the seed; each server that begins to run it crashes and is replaced. Once all faults have ended and the third crash is three seconds ago, each host gets it twice more. More than three crashes later than three seconds after the third are a violation, as the users' rule has it; a planted record shows that the check reports them.

--- a/tests/relay/poison.rs
+++ b/tests/relay/poison.rs
@@ -41,7 +41,7 @@
     fn crash_count(&self) -> usize {
         self.all
             .iter()
-            .filter(|engine| engine.has_crashed())
+            .filter(|engine| engine.poisoned_at().is_some())
             .count()
     }
 }
@@ -71,7 +71,10 @@
         let host = number % 2;
         let callers = [site.callers, second.callers][host];
         answers[host] = send_poison(callers, path, &format!("id-{number}"));
-        let crashed = servers.all.iter().filter(|engine| engine.has_crashed());
+        let crashed = servers
+            .all
+            .iter()
+            .filter(|engine| engine.poisoned_at().is_some());
         for engine in crashed {
             site.store.remove(&format!("servers/{}", engine.id));
         }
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -587,6 +587,7 @@
     crashed: bool,
     /// Body of the request that crashes the process when it begins to run it.
     poison: Option<Vec<u8>>,
+    poisoned_at: Option<Instant>,
     /// Number of accepted orders.
     orders: u64,
     /// Highest fencing token received.
@@ -727,9 +728,9 @@
         self.shared.0.lock().expect("the engine").poison = Some(body.to_vec());
     }
 
-    /// Returns whether the process has crashed.
-    pub fn has_crashed(&self) -> bool {
-        self.shared.0.lock().expect("the engine").crashed
+    /// Returns when it crashed while it ran that request.
+    pub fn poisoned_at(&self) -> Option<Instant> {
+        self.shared.0.lock().expect("the engine").poisoned_at
     }
 
     /// Holds back the ends of streams.
@@ -797,7 +798,10 @@
     }
     let is_prefill = request.header("x-chiveway-serving-stage") == Some("prefill");
     let is_poison = state.poison.as_ref() == Some(&request.body);
-    state.crashed |= is_poison && !is_prefill;
+    if is_poison && !is_prefill {
+        state.crashed = true;
+        state.poisoned_at = Some(Instant::now());
+    }
     if state.crashed && state.stage.is_none() {
         return None;
     }
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -28,7 +28,7 @@
                 count += 1;
                 let id = format!("probe-{host}-{count}");
                 let path = format!("/v{version}/x");
-                if send(&incarnation, &path, &id, &[]).is_some_and(|answer| answer.status == 200) {
+                if probe(&incarnation, &path, &id) {
                     let mut versions = self.served_versions.lock().expect("no panic");
                     versions
                         .entry(incarnation.name.clone())
@@ -41,7 +41,7 @@
         }
     }
 
-    fn incarnation(&self, host: usize) -> Incarnation {
+    pub fn incarnation(&self, host: usize) -> Incarnation {
         self.incarnations.lock().expect("no panic")[host].clone()
     }
 
@@ -68,12 +68,7 @@
             .copied();
         drop(versions);
         let before = (load(&self.unplanned.0), load(&self.unplanned.1));
-        let extra_headers: &[(&str, &str)] = match kind {
-            RequestKind::Once | RequestKind::Again => &[],
-            RequestKind::Long => &LONG_PROMPT,
-            RequestKind::Short => &SHORT_PROMPT,
-        };
-        let answer = send(incarnation, kind.path(), id, extra_headers);
+        let answer = send(incarnation, kind, id, id.as_bytes());
         let after = (load(&self.unplanned.0), load(&self.unplanned.1));
         let header = |name: &str| Some(answer.as_ref()?.header(name)?.to_owned());
         let observation = Observation {
@@ -147,8 +142,7 @@
             count += 1;
             let incarnation = self.incarnation(host);
             let id = format!("probe-{host}-newest-{count}");
-            let answer = send(&incarnation, &format!("/v{newest}/x"), &id, &[]);
-            if answer.is_some_and(|answer| answer.status == 200) {
+            if probe(&incarnation, &format!("/v{newest}/x"), &id) {
                 return None;
             }
             thread::sleep(REQUEST_INTERVAL);
@@ -157,16 +151,38 @@
     }
 }
 
-fn send(
+/// Sends a request; returns its answer, if one came.
+pub fn send(
+    incarnation: &Incarnation,
+    kind: RequestKind,
+    id: &str,
+    body: &[u8],
+) -> Option<http::Answer> {
+    let prompt: &[(&str, &str)] = match kind {
+        RequestKind::Once | RequestKind::Again => &[],
+        RequestKind::Long => &LONG_PROMPT,
+        RequestKind::Short => &SHORT_PROMPT,
+    };
+    send_to(incarnation, kind.path(), id, prompt, body)
+}
+
+/// Probes whether a host serves a path.
+fn probe(incarnation: &Incarnation, path: &str, id: &str) -> bool {
+    let answer = send_to(incarnation, path, id, &[], id.as_bytes());
+    answer.is_some_and(|answer| answer.status == 200)
+}
+
+fn send_to(
     incarnation: &Incarnation,
     path: &str,
     id: &str,
     extra_headers: &[(&str, &str)],
+    body: &[u8],
 ) -> Option<http::Answer> {
     let mut headers = vec![
         ("x-chiveway-attempt-id", id),
         ("x-chiveway-deadline-ms", "2500"),
     ];
     headers.extend(extra_headers);
-    http::send(incarnation.callers, "POST", path, &headers, id.as_bytes())
+    http::send(incarnation.callers, "POST", path, &headers, body)
 }
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -1,6 +1,7 @@
 //! Checks the guarantees on the requests recorded by callers and backend servers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use crate::standin;
 
@@ -68,6 +69,11 @@
     pub fence: u64,
 }
 
+/// Time after the third crash under one request from which sends of it count as late.
+pub const LATE_AFTER: Duration = Duration::from_secs(3);
+/// Late sends that are allowed.
+const MAX_LATE_SENDS: usize = 3;
+
 /// Everything recorded in the run of one seed.
 #[derive(Debug, Clone, Default)]
 pub struct Record {
@@ -78,6 +84,8 @@
     pub versions: BTreeMap<String, Vec<u64>>,
     /// Runs at a draining server, sent by a host that had read of the drain.
     pub after_drain: Vec<String>,
+    /// Times of crashes under the request that crashes servers, in order.
+    pub poison_crashes: Vec<Duration>,
     /// Services and versions that were missing after all faults had ended.
     pub unrecovered: Vec<String>,
 }
@@ -107,6 +115,7 @@
     }
     let late = record.after_drain.iter();
     violations.extend(late.map(|run| format!("sent to a draining server: {run}")));
+    violations.extend(late_crashes(&record.poison_crashes));
     let unserved = record.unrecovered.iter();
     violations
         .extend(unserved.map(|what| format!("not served after all faults had ended: {what}")));
@@ -170,6 +179,13 @@
         .collect()
 }
 
+/// Returns a violation if a request went on crashing servers after the third.
+fn late_crashes(crashes: &[Duration]) -> Option<String> {
+    let late_from = *crashes.get(2)? + LATE_AFTER;
+    let late = crashes.iter().filter(|at| **at > late_from).count();
+    (late > MAX_LATE_SENDS).then(|| format!("a request crashed {late} servers late: {crashes:?}"))
+}
+
 /// Returns orders of one engine that share a fencing token between two holders, or whose token decreases.
 fn conflicting_orders(orders: &[Order]) -> Vec<String> {
     let mut violations = Vec::new();
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -6,13 +6,14 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
 use crate::check::{self, Observation};
 use crate::cut::FaultProxy;
 use crate::faults::{Fault, FaultKind, series, with_hang, with_restores};
+use crate::poison::POISON;
 use crate::process::{Process, TempDir};
 use crate::standin::{Engine, Store, config, settings};
 use crate::{SEEDS_WITHOUT_HANG, SEEDS_WITHOUT_RESTORES, WAIT_TIMEOUT};
@@ -76,6 +77,7 @@
     pub unplanned: (AtomicU64, AtomicU64),
     pub observations: Mutex<Vec<(Observation, u64)>>,
     pub finished: AtomicBool,
+    pub started: Instant,
 }
 
 /// Sets a flag when dropped.
@@ -106,6 +108,7 @@
             scope.spawn(move || cluster.probe_versions(host));
         }
         scope.spawn(|| cluster.update_entries());
+        scope.spawn(move || cluster.send_poison(seed));
         // Callers must also end if injecting a fault panics.
         let _finish = FinishOnDrop(&cluster.finished);
         thread::scope(|injections| {
@@ -116,17 +119,19 @@
         });
     });
     let unrecovered = cluster.unrecovered();
+    cluster.send_late_poison(seed);
     let record = cluster.record(unrecovered);
     let served = record
         .observations
         .iter()
         .filter(|seen| seen.status == Some(200));
     let summary = format!(
-        "{} requests, {} served, {} runs, {} orders",
+        "{} requests, {} served, {} runs, {} orders, {} crashes under one request",
         record.observations.len(),
         served.count(),
         record.runs.len(),
-        record.orders.len()
+        record.orders.len(),
+        record.poison_crashes.len()
     );
     let violations = check::check(&record);
     if violations.is_empty() {
@@ -160,6 +165,7 @@
             unplanned: (AtomicU64::new(0), AtomicU64::new(0)),
             observations: Mutex::default(),
             finished: AtomicBool::new(false),
+            started: Instant::now(),
         };
         cluster.configure();
         for stage in SERVER_STAGES {
@@ -231,6 +237,7 @@
         let id = format!("s-{}", servers.len() + 1);
         let engine = stage.map_or_else(|| Engine::plain(&id), |stage| Engine::model(&id, stage));
         engine.set_delay(SERVER_DELAY);
+        engine.crash_on(POISON);
         let forwarder = FaultProxy::start(engine.addr());
         let server = Server {
             engine,
@@ -245,14 +252,20 @@
         servers.len() - 1
     }
 
+    /// Removes the entry of a server that has ended.
+    pub fn remove_entry(&self, id: &str) {
+        let _writes = self.writes.lock().expect("no panic");
+        self.store.remove(&format!("servers/{id}"));
+    }
+
     /// Adds a server and makes it the current one of a position.
-    fn replace(&self, position: usize) {
+    pub fn replace(&self, position: usize) {
         let new = self.add_server(SERVER_STAGES[position]);
         self.positions.lock().expect("no panic")[position] = new;
     }
 
     /// Runs `act` on the current server of a position.
-    fn with_server<T>(&self, position: usize, act: impl FnOnce(&mut Server) -> T) -> T {
+    pub fn with_server<T>(&self, position: usize, act: impl FnOnce(&mut Server) -> T) -> T {
         let index = self.positions.lock().expect("no panic")[position];
         act(&mut self.servers.lock().expect("no panic")[index])
     }
@@ -345,9 +358,7 @@
                     server.engine.id.clone()
                 });
                 thread::sleep(fault.duration);
-                let writes = self.writes.lock().expect("no panic");
-                self.store.remove(&format!("servers/{id}"));
-                drop(writes);
+                self.remove_entry(&id);
                 self.replace(position);
             }
             FaultKind::ServerDrain(position) => {
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -1,5 +1,7 @@
 //! Records with planted violations. Guards against a checker that misses them, and so passes any run.
 
+use std::time::Duration;
+
 use crate::check::{Observation, Order, Record, RequestKind, Run, check};
 use crate::standin;
 
@@ -122,6 +124,10 @@
         after_drain: vec!["id-1 at s-1".to_owned()],
         ..Record::default()
     } => "draining server";
+    a_request_that_goes_on_crashing_servers: Record {
+        poison_crashes: [0, 1, 2, 6, 7, 8, 9].map(Duration::from_secs).to_vec(),
+        ..Record::default()
+    } => "crashed 4 servers late";
     a_service_that_does_not_recover: Record {
         unrecovered: vec!["host-1 /once/x".to_owned()],
         ..Record::default()
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -1,11 +1,13 @@
 //! Collects the requests recorded by callers and servers for the check.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use serde_json::Value;
 
 use crate::check::{Order, Record, Run};
 use crate::cluster::{Cluster, Server};
+use crate::poison::POISON_ID_PREFIX;
 
 impl Cluster {
     /// Returns the record of callers and servers.
@@ -15,6 +17,7 @@
             .iter()
             .map(|(observation, known)| (observation.id.clone(), *known))
             .collect();
+        let since_start = |at: &Instant| at.duration_since(self.started);
         let mut record = Record {
             observations: observations
                 .into_iter()
@@ -22,6 +25,7 @@
                 .collect(),
             versions: self.served_versions.lock().expect("no panic").clone(),
             unrecovered,
+            poison_crashes: self.poison_crashes().iter().map(since_start).collect(),
             ..Record::default()
         };
         for server in &*self.servers.lock().expect("no panic") {
@@ -56,7 +60,8 @@
     let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
     let id = id.unwrap_or_default().to_owned();
     let is_prefill = head.contains("x-chiveway-serving-stage: prefill");
-    if is_prefill || id.starts_with("probe-") || path.starts_with("/v1/") {
+    let is_observed = !id.starts_with("probe-") && !id.starts_with(POISON_ID_PREFIX);
+    if is_prefill || !is_observed || path.starts_with("/v1/") {
         return;
     }
     let version = known_versions.get(&id).copied().unwrap_or(0);
