Take no lost answer for a crash of its server

Every broken connection counted as a crash. While servers lose answers or connections are reset, a request that lost two was refused as engine-killer; since crash reports count at all hosts, by every host. A process that answers a request sent after it was taken for crashed is alive: its crash counts against no request any more, and what was written to the store is removed. Writes wait for 0.4 to 0.8 s, in which that mostly shows.

a_request_whose_answers_are_lost_is_not_refused: refused before, sent after; answers_of_a_restarted_server_clear_no_crash_of_the_process_before holds the other side.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -18,10 +18,11 @@
     let Some(attempt) = core.relay.attempts.get(key) else {
         return;
     };
-    let (call, engine) = (attempt.call, attempt.backend);
-    let took = millis(now.since(attempt.sent_at));
+    let (call, engine, sent_at) = (attempt.call, attempt.backend, attempt.sent_at);
+    let took = millis(now.since(sent_at));
     load::record_first_answer(core, key, took, out);
     close_attempt(core, key);
+    poison::server_answered(core, engine, sent_at, out);
     if let Some(instance) = core.relay.instances.arena.get_mut(engine) {
         instance.record_success(now);
         core.relay.calls[call].cache = Some(KvCache {
@@ -51,6 +52,7 @@
     let took = millis(now.since(attempt_sent));
     load::record_first_answer(core, key, took, out);
     close_attempt(core, key);
+    poison::server_answered(core, backend, attempt_sent, out);
     let failed = status >= MIN_FAILURE_STATUS;
     duty::usage::record(core, call, attempt_sent);
     if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
@@ -93,7 +95,8 @@
         return;
     };
     let (call_key, backend, is_first) = (attempt.call, attempt.backend, !attempt.started);
-    let took = millis(now.since(attempt.sent_at));
+    let sent_at = attempt.sent_at;
+    let took = millis(now.since(sent_at));
     attempt.started = true;
     let gap = millis(now.since(attempt.last_received));
     attempt.last_received = now;
@@ -104,6 +107,7 @@
     if is_first {
         load::record_first_answer(core, key, took, out);
         release_prefill_work(core, key);
+        poison::server_answered(core, backend, sent_at, out);
         if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
             instance.record_success(now);
         }
--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -3,7 +3,7 @@
 //! A single request can crash every backend server that starts to run it, while its caller sends it
 //! again, to any host. It shows by connections that break while it runs. After two different
 //! processes broke the connection on the same request, and none has answered it since, every host
-//! refuses it. Hosts report each crash to each other, and keep the requests that they refuse in the
+//! refuses it. A process that answers a request sent later has not crashed, and no longer counts. Hosts report each crash to each other, and keep the requests that they refuse in the
 //! store: see [`stored`].
 
 pub(super) mod stored;
@@ -72,6 +72,8 @@
 #[derive(Debug, Default)]
 pub struct PoisonRequests {
     records: BTreeMap<u64, CrashRecord>,
+    /// When the suspected processes crashed, if they did.
+    crashed: BTreeMap<ServerStart, Time>,
     /// Crashes to report, and in how many more messages.
     unpublished: Vec<(CrashReport, u8)>,
     /// When the store was last written.
@@ -114,12 +116,34 @@
         }
         record.crashes.insert(server, true);
         record.last_crash = record.last_crash.max(at);
+        self.crashed.insert(server, at);
+        if self.crashed.len() > MAX_FINGERPRINTS {
+            let oldest = self.crashed.iter().min_by_key(|(_, at)| **at);
+            if let Some(server) = oldest.map(|(server, _)| *server) {
+                self.crashed.remove(&server);
+            }
+        }
         if self.records.len() > MAX_FINGERPRINTS {
             self.evict(at);
         }
         true
     }
 
+    /// Stops counting the crash of a process that answered a request sent at `sent_at`, if that was after the
+    /// crash; returns the requests that it counted against.
+    fn clear_server(&mut self, server: ServerStart, sent_at: Time) -> Vec<u64> {
+        if self.crashed.get(&server).is_none_or(|at| sent_at <= *at) {
+            return Vec::new();
+        }
+        self.crashed.remove(&server);
+        let records = self.records.iter_mut();
+        let cleared = records.filter_map(|(fingerprint, record)| {
+            let counts = record.crashes.get_mut(&server)?;
+            std::mem::take(counts).then_some(*fingerprint)
+        });
+        cleared.collect()
+    }
+
     fn evict(&mut self, now: Time) {
         let records = self.records.iter();
         let least = records.min_by_key(|(_, record)| (record.is_blocked(now), record.last_crash));
@@ -204,6 +228,18 @@
     }
 }
 
+/// Handles an answer to a request that was sent to a backend server at `sent_at`: the server did not crash
+/// before, it only lost an answer or a connection.
+pub fn server_answered(core: &mut Core, backend: BackendKey, sent_at: Time, out: &mut Effects) {
+    let Some(instance) = core.relay.instances.arena.get(backend) else {
+        return;
+    };
+    let server = instance.start();
+    for fingerprint in core.relay.poison_requests.clear_server(server, sent_at) {
+        stored::cleared(core, fingerprint, out);
+    }
+}
+
 fn log_crash(
     core: &Core,
     crash: CrashReport,
--- a/src/core/relay/poison/stored.rs
+++ b/src/core/relay/poison/stored.rs
@@ -22,8 +22,8 @@
 const POISON_PREFIX: &str = "poison/";
 /// Source, in the log, of a crash that the store holds.
 const STORE_SOURCE: &str = "store";
-/// Longest time after which a host that saw a crash writes the request.
-const OWN_WRITE_DELAY: Duration = Duration::from_millis(200);
+/// Time after which hosts that saw a crash write the request, unless the servers turn out to be alive.
+const OWN_WRITE_DELAY: Duration = Duration::from_millis(400);
 /// Time after which hosts that saw none write it: the others may have been stopped.
 const OTHER_WRITE_DELAY: Duration = Duration::from_secs(2);
 /// Time within which hosts remove requests that are no longer refused.
@@ -57,12 +57,13 @@
 
 fn schedule_write(core: &mut Core, fingerprint: u64, out: &mut Effects) {
     let record = core.relay.poison_requests.records.get(&fingerprint);
-    let (earliest, spread) = if record.is_some_and(|record| record.is_own) {
-        (Duration::ZERO, OWN_WRITE_DELAY)
+    let delay = if record.is_some_and(|record| record.is_own) {
+        OWN_WRITE_DELAY
     } else {
-        (OTHER_WRITE_DELAY, OTHER_WRITE_DELAY)
+        OTHER_WRITE_DELAY
     };
-    let delay = earliest + spread.mul_f64(core.rng.random());
+    // Others see the write of the first and make none.
+    let delay = delay.mul_f64(core.rng.random_range(1.0..2.0));
     schedule(core, fingerprint, delay, out);
 }
 
--- a/src/core/relay/tests/poison.rs
+++ b/src/core/relay/tests/poison.rs
@@ -197,3 +197,67 @@
     let writes = site.store.poison_writes.len();
     assert!(writes <= 4, "{writes} writes");
 }
+
+/// Sends [`plain_request`] and fails it by a broken connection; returns the server.
+fn lose_answer(site: &mut TestHost) -> Box<str> {
+    site.now += 10;
+    site.arrive(plain_request("/once/x"));
+    let sent = site.sent().expect("a request is sent");
+    site.fail_attempt(sent.attempt, Ran::Unknown, AttemptFailure::Cut);
+    sent.instance
+}
+
+/// Has each of the servers answer another request.
+fn answer_others(site: &mut TestHost, servers: &[Box<str>]) {
+    let mut open = Vec::new();
+    for number in 0..20 {
+        site.now += 10;
+        site.arrive(Arrival {
+            fingerprint: Fingerprint([100 + number; 16]),
+            ..plain_request("/once/y")
+        });
+        open.push(site.sent().expect("a request is sent"));
+    }
+    for sent in &open {
+        site.event(RelayEvent::Answered {
+            attempt: sent.attempt,
+            status: 200,
+        });
+    }
+    for server in servers {
+        let got = open.iter().any(|sent| sent.instance == *server);
+        assert!(got, "{server} got no request");
+    }
+}
+
+/// Two answers to a request are lost, and both servers go on serving. Guards against a host that takes each broken
+/// connection for a crash and refuses a request that crashes no server.
+#[test]
+fn a_request_whose_answers_are_lost_is_not_refused() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b"), plain_entry("c")]);
+    let servers = [lose_answer(&mut site), lose_answer(&mut site)];
+    assert_ne!(servers[0], servers[1]);
+    answer_others(&mut site, &servers);
+    site.arrive(plain_request("/once/x"));
+    assert!(site.sent().is_some(), "{:?}", site.refused());
+}
+
+/// A server restarts under its id and serves. Guards against a host that takes this for a proof that the process before
+/// did not crash.
+#[test]
+fn answers_of_a_restarted_server_clear_no_crash_of_the_process_before() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b")]);
+    let servers = [lose_answer(&mut site), lose_answer(&mut site)];
+    assert_ne!(servers[0], servers[1]);
+    let restarted = ["a", "b"].map(|id| BackendEntry {
+        started_ms: 2,
+        revision: 9,
+        ..plain_entry(id)
+    });
+    site.register(restarted.to_vec());
+    answer_others(&mut site, &servers);
+    site.arrive(plain_request("/once/x"));
+    assert!(site.sent().is_none());
+}
