Leave a silent server only for one that can take the request

A server that sends nothing for too long was given up first, and the request chosen for another one after that. Where the retry budget, the queues or the time left allowed none, an answer that had begun was cut although its server went on.

a_silent_stream_that_may_not_be_retried_is_not_cut: cut before, goes on after.

--- a/src/core/relay/budget.rs
+++ b/src/core/relay/budget.rs
@@ -48,6 +48,15 @@
 
     /// Counts one more retry if the budget allows it; returns whether it does.
     pub fn try_spend(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> bool {
+        let allowed = self.allows(now, rules, hosts);
+        if allowed {
+            self.retries.push_back(now);
+        }
+        allowed
+    }
+
+    /// Returns whether the budget allows one more retry.
+    pub fn allows(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> bool {
         let drop_expired = |times: &mut VecDeque<Time>| {
             while times
                 .front()
@@ -60,10 +69,6 @@
         drop_expired(&mut self.retries);
         let share = rules.slack / hosts.max(1) as f64;
         let max = (rules.ratio * self.requests.len() as f64 + share) * USABLE_FRACTION;
-        let allowed = ((self.retries.len() + 1) as f64) <= max;
-        if allowed {
-            self.retries.push_back(now);
-        }
-        allowed
+        ((self.retries.len() + 1) as f64) <= max
     }
 }
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -87,17 +87,6 @@
     }
 }
 
-/// Returns whether another backend server than this one could take the request.
-pub fn has_alternative(core: &Core, key: CallKey, backend: BackendKey) -> bool {
-    let call = &core.relay.calls[key];
-    let all = core.relay.instances.of(&call.service);
-    all.iter().any(|&other| {
-        other != backend
-            && !call.tried.contains(&other)
-            && core.relay.instances.arena[other].admits(core.now)
-    })
-}
-
 /// Returns the backend servers of the request's service that accept work; those that already failed
 /// the request only if there are no others.
 fn eligible_servers(core: &Core, call: &Call, stage: Option<Stage>) -> Vec<BackendKey> {
--- a/src/core/relay/tests/stream.rs
+++ b/src/core/relay/tests/stream.rs
@@ -131,3 +131,27 @@
     assert!(!piece(&mut site, sent.attempt, 5));
     assert!(piece(&mut site, sent.attempt, 6));
 }
+
+/// An engine falls silent in the middle of a resumable stream while the retry budget is used up, then goes on. Guards
+/// against a host that gives the engine up before it knows that the request may go to another one, and cuts the answer.
+#[test]
+fn a_silent_stream_that_may_not_be_retried_is_not_cut() {
+    let mut site = TestHost::with_engines();
+    let relay = site.core.settings.relay.as_mut().expect("a relay");
+    relay.retry_budget.ratio = 0.0;
+    relay.retry_budget.slack = 0.0;
+    site.arrive(model_request("/short/x", (1, 60), 290));
+    let mut first = site.sent().expect("a request is sent");
+    if first.task == Task::Prefill {
+        first = prefilled(&mut site, first.attempt);
+    }
+    assert!(piece(&mut site, first.attempt, 1));
+    let out = site.advance(3000);
+    let is_given_up = has_effect(&out, |effect| {
+        matches!(effect, RelayEffect::AbortAnswer(_) | RelayEffect::Cancel(_))
+    });
+    assert!(!is_given_up, "the stream was cut");
+    assert!(piece(&mut site, first.attempt, 2));
+    site.event(RelayEvent::StreamCompleted(first.attempt));
+    assert!(site.has_effect(|effect| matches!(effect, RelayEffect::Finish(_))));
+}
