--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -25,6 +25,8 @@
 /// Maximum number of fingerprints; of those that are not refused, the one with the oldest crash is
 /// dropped first.
 const MAX_FINGERPRINTS: usize = 1024;
+/// Maximum number of processes of which it is still open whether they crashed.
+const MAX_CRASHED: usize = 1024;
 /// Messages in which a crash is reported to the other hosts: datagrams can be lost.
 const CRASH_REPORT_COPIES: u8 = 3;
 /// Source, in the log, of a crash that this host saw itself.
@@ -117,7 +119,7 @@
         record.crashes.insert(server, true);
         record.last_crash = record.last_crash.max(at);
         self.crashed.insert(server, at);
-        if self.crashed.len() > MAX_FINGERPRINTS {
+        if self.crashed.len() > MAX_CRASHED {
             let oldest = self.crashed.iter().min_by_key(|(_, at)| **at);
             if let Some(server) = oldest.map(|(server, _)| *server) {
                 self.crashed.remove(&server);
@@ -144,10 +146,11 @@
         cleared.collect()
     }
 
+    /// Drops the record with the oldest crash, if possible one that refuses nothing.
     fn evict(&mut self, now: Time) {
         let records = self.records.iter();
-        let least = records.min_by_key(|(_, record)| (record.is_blocked(now), record.last_crash));
-        if let Some(fingerprint) = least.map(|(fingerprint, _)| *fingerprint) {
+        let victim = records.min_by_key(|(_, record)| (record.is_blocked(now), record.last_crash));
+        if let Some(fingerprint) = victim.map(|(fingerprint, _)| *fingerprint) {
             self.records.remove(&fingerprint);
         }
     }
