--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -4,9 +4,9 @@
 use super::super::event::AttemptFailure;
 use super::super::key::{AttemptKey, BackendKey, CallKey};
 use super::super::{Core, Effects};
-use super::call::{can_move, close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
+use super::call::{close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
 use super::event::{RelayEffect, Task};
-use super::{KvCache, RetryPolicy, duty, load, millis, note, poison};
+use super::{KvCache, RetryPolicy, duty, load, millis, note, poison, retry};
 use crate::error::{Kind, Ran};
 
 /// Lowest HTTP status that counts as a failure of the backend server.
@@ -347,7 +347,7 @@
     }
     let (call, backend) = (attempt.call, attempt.backend);
     let may_move = matches!(attempt.task, Task::Prefill) || may_retry(core, call);
-    if !may_move || !can_move(core, call, backend) {
+    if !may_move || !retry::can_move(core, call, backend) {
         super::wake(core, timeout, super::RelayTimer::Silence(key), out);
         return;
     }
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -16,7 +16,7 @@
 use super::instance::Work;
 use super::{
     Attempt, Call, KvCache, RelayTimer, from_millis, gossip, millis, note, poison, prefix_cache,
-    resolve,
+    resolve, retry,
 };
 use crate::error::{Kind, Ran};
 
@@ -138,60 +138,8 @@
     }
 }
 
-/// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
-fn charge_budget(core: &mut Core, key: CallKey, task: &Task) -> bool {
-    let call = &core.relay.calls[key];
-    let first = match task {
-        Task::Prefill => call.prefills == 0 && call.arrivals == 0,
-        Task::Whole | Task::Decode { .. } => call.arrivals == 0,
-    };
-    if first {
-        return true;
-    }
-    let hosts = core.relay.peers.host_count();
-    let Some(settings) = &core.settings.relay else {
-        return false;
-    };
-    let service = call.service.clone();
-    let budget = core.relay.retry_budgets.entry(service).or_default();
-    budget.try_spend(core.now, &settings.retry_budget, hosts)
-}
-
-/// Returns whether a request could be sent again now to another backend server than this one.
-pub(super) fn can_move(core: &mut Core, key: CallKey, backend: BackendKey) -> bool {
-    let call = &core.relay.calls[key];
-    if core
-        .relay
-        .poison_requests
-        .blocked_for(call.fingerprint, core.now)
-        .is_some()
-    {
-        return false;
-    }
-    let service = call.service.clone();
-    let hosts = core.relay.peers.host_count();
-    let budget = core.relay.retry_budgets.entry(service).or_default();
-    let rules = core
-        .settings
-        .relay
-        .as_ref()
-        .map(|relay| &relay.retry_budget);
-    if !rules.is_some_and(|rules| budget.allows(core.now, rules, hosts)) {
-        return false;
-    }
-    let call = &mut core.relay.calls[key];
-    call.tried.push(backend);
-    // The KV cache that the silent server was to fetch is given up with it.
-    let cache = call.cache.take();
-    let choice = choose::choose(core, key);
-    let call = &mut core.relay.calls[key];
-    call.tried.pop();
-    call.cache = cache;
-    choice.is_ok_and(|choice| choice.backend != backend)
-}
-
 fn send(core: &mut Core, key: CallKey, choice: &Choice, out: &mut Effects) {
-    if !charge_budget(core, key, &choice.task) {
+    if !retry::charge_budget(core, key, &choice.task) {
         let detail = "repeats use up their budget";
         let refusal = Refusal::new(Kind::Overloaded, detail).with_retry_after(RETRY_AFTER);
         refuse(core, key, refusal, out);
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -27,6 +27,7 @@
 mod prefix_cache;
 pub mod pushback;
 mod resolve;
+mod retry;
 mod stages;
 #[cfg(test)]
 mod tests;
