--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -111,6 +111,18 @@
     all.filter(|instance| !instance.leaving).count()
 }
 
+/// Returns the state of the links in logs.
+pub(super) fn state_name(core: &Core) -> &'static str {
+    let links = &core.relay.links;
+    if links.are_lost() {
+        "lost"
+    } else if links.are_suspect(server_count(core)) {
+        "suspect"
+    } else {
+        "sound"
+    }
+}
+
 /// Handles the failure of an attempt at a server that showed no sign of life.
 pub(super) fn attempt_failed(core: &mut Core, server: BackendKey, out: &mut Effects) {
     let (known, now) = (server_count(core), core.now);
@@ -143,7 +155,7 @@
             instance.forget_failures();
         }
     }
-    poison::retract(core, &failed);
+    poison::retract(core, &failed, out);
     planner::links_lost(core, out);
     wake(core, PROBE_INTERVAL, RelayTimer::ProbeLinks, out);
     if forward::has_candidate(core) {
--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -17,7 +17,7 @@
 use super::departed::ServerStart;
 use super::event::CrashReport;
 use super::instance::Instance;
-use super::note;
+use super::{links, note};
 
 /// Crashed processes after which a request is refused.
 const CRASHES_TO_BLOCK: usize = 2;
@@ -219,7 +219,7 @@
 
 /// Stops counting the crashes of servers to which this host lost its links, as they may be sound, except against
 /// requests that ran at several of them.
-pub fn retract(core: &mut Core, servers: &[BackendKey]) {
+pub fn retract(core: &mut Core, servers: &[BackendKey], out: &mut Effects) {
     let arena = &core.relay.instances.arena;
     let starts = servers.iter().filter_map(|server| arena.get(*server));
     let starts: Vec<ServerStart> = starts.map(Instance::start).collect();
@@ -233,6 +233,7 @@
             continue;
         };
         *counts = false;
+        log_cleared(*fingerprint, "links-lost", out);
         requests.unpublished.retain(|(report, _)| {
             (report.fingerprint, report.instance, report.started_ms)
                 != (*fingerprint, server.0, server.1)
@@ -270,6 +271,9 @@
 /// Clears a request that a backend server ran to a good end: it did not cause the earlier crashes.
 pub fn answered(core: &mut Core, fingerprint: u64, out: &mut Effects) {
     if let Some(record) = core.relay.poison_requests.records.get_mut(&fingerprint) {
+        if record.count() > 0 {
+            log_cleared(fingerprint, "answered", out);
+        }
         record.clear();
         stored::cleared(core, fingerprint, out);
     }
@@ -283,6 +287,7 @@
     };
     let server = instance.start();
     for fingerprint in core.relay.poison_requests.clear_server(server, sent_at) {
+        log_cleared(fingerprint, "server-alive", out);
         stored::cleared(core, fingerprint, out);
     }
 }
@@ -299,10 +304,20 @@
         ("request", fingerprint_text(crash.fingerprint)),
         ("crashes", crashes.to_string().into()),
         ("source", source.into()),
+        ("links", links::state_name(core).into()),
     ]);
     note(out, log::Level::Info, "request.suspect", fields);
 }
 
+/// Logs that crashes no longer count against a request.
+fn log_cleared(fingerprint: u64, why: &str, out: &mut Effects) {
+    let fields = vec![
+        ("request", fingerprint_text(fingerprint)),
+        ("why", why.into()),
+    ];
+    note(out, log::Level::Info, "request.cleared", fields);
+}
+
 /// Returns a fingerprint as logs and the store show it.
 pub fn fingerprint_text(fingerprint: u64) -> Box<str> {
     format!("{fingerprint:016x}").into()
--- a/src/core/relay/poison/stored.rs
+++ b/src/core/relay/poison/stored.rs
@@ -15,7 +15,7 @@
 use super::super::super::{Core, Effects};
 use super::super::event::{Changes, CrashReport, KeyChange};
 use super::super::{RelayJob, RelayTimer, job, note, wake};
-use super::{CrashRecord, fingerprint_text, record_reported};
+use super::{CrashRecord, fingerprint_text, log_cleared, record_reported};
 use crate::store::{Op, Span, Txn};
 
 /// Prefix of the store's keys of poison requests.
@@ -164,6 +164,9 @@
     let Some(value) = &change.value else {
         // It was answered, or is no longer refused.
         if let Some(record) = core.relay.poison_requests.records.get_mut(&fingerprint) {
+            if record.count() > 0 {
+                log_cleared(fingerprint, "removed-from-store", out);
+            }
             record.clear();
             record.is_stored = false;
             record.sync_at = None;
