Add failing tests of services whose servers all end under one request

A service with two servers, and no other one: both end under a request that may be repeated, and the same again in each generation that replaces them. The simulation of callers and servers moves from the tests of partitions to a file of its own, and learns to end servers.

--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod budget;
 mod config;
+mod crashes;
+
 mod customers;
 mod departed;
 mod departure_reports;
@@ -12,6 +14,7 @@
 mod leaving;
 mod limit;
 mod load;
+mod network;
 mod partition;
 mod planner;
 mod poison;
