Report crashes of servers whose entries are gone, and of requests that broke off at several

Callers of a service whose servers all ended under one request got nothing from it for as long as that request came: each generation of servers ended anew.

Cause: a host reports no crash while several servers have failed and none sent a byte, as it may have lost its own links, and drops what it held back when it takes the links for lost. A service whose servers all end under one request looks the same. What the host saw then reached the others after the next generation had ended, or never.

Now nothing is dropped without proof that the server is alive: crashes are recorded while links are lost too, and held back for a second after. Requests under which several servers broke off are reported at once, and so are crashes of servers whose entry is gone. An answer of a server to a later request takes the report back.

relay::tests::crashes: 6 and 3 crashes before where 2 are allowed, 5 tests red; 2 after. The tests of partitions are green: no host counts a crash of sound servers against a request. Harmless requests of that simulation are calls that run once now, since one that is retried at the second server and ends there as well cannot be told from the other.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -212,7 +212,7 @@
     let source = core.relay.calls[call].cache.as_ref();
     let source = source.map(|cache| cache.engine);
     let source = source.filter(|_| matches!(attempt.task, Task::Decode { .. }));
-    if how == AttemptFailure::Cut && !core.relay.links.are_lost() {
+    if how == AttemptFailure::Cut {
         poison::report_crash(core, call, backend, out);
     }
     match how {
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -139,12 +139,8 @@
 /// Takes this host's prefix blocks and crash reports that are still to be sent.
 fn take_unpublished(core: &mut Core) -> (Vec<BlockReport>, Vec<CrashReport>) {
     let blocks = std::mem::take(&mut core.relay.peers.pending_blocks);
-    // Several servers that fail at once may be sound, and this host's own links broken.
-    let crashes = if core.relay.links.are_suspect(links::server_count(core)) {
-        Vec::new()
-    } else {
-        core.relay.poison_requests.take_unpublished()
-    };
+    let doubtful = links::doubtful_servers(core);
+    let crashes = core.relay.poison_requests.take_unpublished(&doubtful);
     (blocks, crashes)
 }
 
--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -19,7 +19,8 @@
 use super::super::{Core, Effects};
 use super::departed::ServerStart;
 use super::event::{LinkProbe, RelayEffect};
-use super::{RelayTimer, answer, forward, note, planner, poison, wake};
+use super::instance::Instance;
+use super::{RelayTimer, answer, forward, note, planner, wake};
 use crate::error::Ran;
 
 /// Servers that must fail, or both if there are two: one or two of more can be at fault themselves. A single server
@@ -30,6 +31,9 @@
 /// Time without a byte from any server before the links count as lost: servers that end together break their
 /// connections at the same moment, while others go on answering.
 const MIN_QUIET: Duration = Duration::from_millis(60);
+/// Time after the loss or the return of the links within which sound servers show by their answers that they did not
+/// crash.
+const PROOF_TIME: Duration = Duration::from_secs(1);
 /// Time between two probes of lost links.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -111,6 +115,19 @@
     all.filter(|instance| !instance.leaving).count()
 }
 
+/// Returns the servers at which a broken attempt may be the fault of the links: none while the links are sound, otherwise
+/// those that are still registered. The entry of a server that crashed is removed.
+pub(super) fn doubtful_servers(core: &Core) -> Vec<ServerStart> {
+    let links = &core.relay.links;
+    let may_prove = core.now.since(links.changed_at) < PROOF_TIME;
+    if !links.are_lost() && !links.are_suspect(server_count(core)) && !may_prove {
+        return Vec::new();
+    }
+    let all = core.relay.instances.arena.values();
+    let registered = all.filter(|instance| !instance.leaving && instance.missing_since.is_none());
+    registered.map(Instance::start).collect()
+}
+
 /// Returns the state of the links in logs.
 pub(super) fn state_name(core: &Core) -> &'static str {
     let links = &core.relay.links;
@@ -155,7 +172,6 @@
             instance.forget_failures();
         }
     }
-    poison::retract(core, &failed, out);
     planner::links_lost(core, out);
     wake(core, PROBE_INTERVAL, RelayTimer::ProbeLinks, out);
     if forward::has_candidate(core) {
--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -16,7 +16,6 @@
 use super::super::{Core, Effects};
 use super::departed::ServerStart;
 use super::event::CrashReport;
-use super::instance::Instance;
 use super::{links, note};
 
 /// Crashed processes after which a request is refused.
@@ -139,6 +138,8 @@
             return Vec::new();
         }
         self.crashed.remove(&server);
+        self.unpublished
+            .retain(|(report, _)| (report.instance, report.started_ms) != server);
         let records = self.records.iter_mut();
         let cleared = records.filter_map(|(fingerprint, record)| {
             let counts = record.crashes.get_mut(&server)?;
@@ -177,10 +178,22 @@
     }
 
     /// Returns the crashes to report in the next message to the other hosts.
-    pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
-        let reports = self.unpublished.iter().map(|(report, _)| *report).collect();
-        for (_, left) in &mut self.unpublished {
-            *left -= 1;
+    ///
+    /// Of servers in `doubtful`, only crashes under requests that broke off at several servers are reported: a single
+    /// one may be the fault of this host's links.
+    pub fn take_unpublished(&mut self, doubtful: &[ServerStart]) -> Vec<CrashReport> {
+        let records = &self.records;
+        let is_due = |report: &CrashReport| {
+            let record = records.get(&report.fingerprint);
+            !doubtful.contains(&(report.instance, report.started_ms))
+                || record.is_some_and(|record| record.count() >= CRASHES_TO_BLOCK)
+        };
+        let mut reports = Vec::new();
+        for (report, left) in &mut self.unpublished {
+            if is_due(report) {
+                reports.push(*report);
+                *left -= 1;
+            }
         }
         self.unpublished.retain(|(_, left)| *left > 0);
         reports
@@ -217,30 +230,6 @@
     stored::crash_recorded(core, report.fingerprint, out);
 }
 
-/// Stops counting the crashes of servers to which this host lost its links, as they may be sound, except against
-/// requests that ran at several of them.
-pub fn retract(core: &mut Core, servers: &[BackendKey], out: &mut Effects) {
-    let arena = &core.relay.instances.arena;
-    let starts = servers.iter().filter_map(|server| arena.get(*server));
-    let starts: Vec<ServerStart> = starts.map(Instance::start).collect();
-    let requests = &mut core.relay.poison_requests;
-    let records = requests.records.iter_mut();
-    for (fingerprint, record) in records.filter(|(_, record)| record.count() == 1) {
-        let mut crashes = record.crashes.iter_mut();
-        let Some((server, counts)) =
-            crashes.find(|(server, counts)| **counts && starts.contains(server))
-        else {
-            continue;
-        };
-        *counts = false;
-        log_cleared(*fingerprint, "links-lost", out);
-        requests.unpublished.retain(|(report, _)| {
-            (report.fingerprint, report.instance, report.started_ms)
-                != (*fingerprint, server.0, server.1)
-        });
-    }
-}
-
 /// Records the crashes that another host reports.
 pub fn receive(core: &mut Core, source: &str, crashes: &[CrashReport], out: &mut Effects) {
     for crash in crashes {
--- a/src/core/relay/tests/crashes.rs
+++ b/src/core/relay/tests/crashes.rs
@@ -31,7 +31,7 @@
 /// Sends the request to one host after another, while other callers go on.
 fn play(crashes: &Crashes) -> Network {
     let mut network = Network::new(crashes.hosts, crashes.domains);
-    network.path = crashes.path;
+    network.poison_path = crashes.path;
     for server in ["r", "q"].into_iter().take(3 - crashes.servers) {
         network.site.remove(server);
     }
--- a/src/core/relay/tests/network.rs
+++ b/src/core/relay/tests/network.rs
@@ -80,7 +80,10 @@
     pub forwards: usize,
     pub probes: usize,
     pub crash_reports: usize,
+    /// Path of harmless requests.
     pub path: &'static str,
+    /// Path of the request that crashes servers.
+    pub poison_path: &'static str,
 }
 
 impl Network {
@@ -104,6 +107,7 @@
             probes: 0,
             crash_reports: 0,
             path: "/once/x",
+            poison_path: "/once/x",
         }
     }
 
@@ -167,8 +171,17 @@
         self.send_numbered(host, number);
     }
 
+    fn path_of(&self, number: u8) -> &'static str {
+        if number == POISON {
+            self.poison_path
+        } else {
+            self.path
+        }
+    }
+
     pub fn send_numbered(&mut self, host: usize, number: u8) {
-        let (path, at) = (self.path, self.site.now);
+        let at = self.site.now;
+        let path = self.path_of(number);
         let request = Arrival {
             deadline: Some(DEADLINE),
             fingerprint: Fingerprint([number; 16]),
@@ -235,7 +248,7 @@
                     deadline: Some(out.remaining),
                     fingerprint: Fingerprint([number; 16]),
                     forwarded: Some(out.spent),
-                    ..plain_request(self.path)
+                    ..plain_request(self.path_of(number))
                 };
                 let incident = Incident::Forwarded(host, out.attempt, Box::new(arrival));
                 self.after(HOP_MS, to, incident);
