Tell requests of other methods, hosts and customers apart by their fingerprints

A request that crashes servers was forgotten when an equal one, of another customer or with another method, was answered, and one that crashes none was refused for the other's crashes. The fingerprint covered target and body alone.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -51,7 +51,9 @@
     };
     let wait = arrival.deadline.unwrap_or(route.timeout).min(route.timeout);
     let key = open(core, arrival, route, service.clone(), wait, out);
-    core.relay.calls[key].identity = identity;
+    let call = &mut core.relay.calls[key];
+    call.fingerprint = poison::identified(call.fingerprint, &identity);
+    call.identity = identity;
     if forward::refuse_when_cut_off(core, key, out) {
         return;
     }
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -260,7 +260,7 @@
     pub resume: Option<u64>,
     /// Bytes of the body.
     pub bytes: usize,
-    /// Fingerprint of path and body.
+    /// Fingerprint of method, host, target and body.
     pub fingerprint: Fingerprint,
     /// The caller's key.
     pub credential: Credential,
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -121,7 +121,7 @@
     pub prompt: Option<Prompt>,
     /// Bytes of its body.
     pub bytes: usize,
-    /// Fingerprint of path and body.
+    /// Fingerprint of method, host, target, body and customer.
     pub fingerprint: u64,
     /// When it arrived.
     pub arrived: Time,
--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -14,6 +14,7 @@
 use super::super::key::{BackendKey, CallKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
+use super::customers::Identity;
 use super::departed::ServerStart;
 use super::event::CrashReport;
 use super::{links, note};
@@ -307,6 +308,19 @@
     note(out, log::Level::Info, "request.cleared", fields);
 }
 
+/// Returns the fingerprint of a request of a customer: an equal request of another one may not crash servers.
+pub fn identified(fingerprint: u64, identity: &Identity) -> u64 {
+    let Some(customer) = identity.customer() else {
+        return fingerprint;
+    };
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&fingerprint.to_le_bytes());
+    hasher.update(customer.name.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
 /// Returns a fingerprint as logs and the store show it.
 pub fn fingerprint_text(fingerprint: u64) -> Box<str> {
     format!("{fingerprint:016x}").into()
--- a/src/core/relay/tests/customers.rs
+++ b/src/core/relay/tests/customers.rs
@@ -188,3 +188,26 @@
     assert_eq!(urgency(key("key-1")), Some(2));
     assert_eq!(urgency(key("key-2")), Some(6));
 }
+
+/// A request of one customer crashes two servers, and an equal one of another customer is answered. Guards against an
+/// answer that clears the crashes under another customer's request, and against a refusal of that one.
+#[test]
+fn an_equal_request_of_another_customer_is_another_request() {
+    let mut site = site();
+    site.register(["b", "c", "d", "e"].map(plain_entry).to_vec());
+    for _ in 0..2 {
+        arrive(&mut site, "/once/x", key("key-1"));
+        let sent = site.sent().expect("a request is sent");
+        site.fail_attempt(sent.attempt, Ran::Unknown, AttemptFailure::Cut);
+    }
+    arrive(&mut site, "/once/x", key("key-2"));
+    let sent = site.sent().expect("a request is sent");
+    site.event(RelayEvent::Answered {
+        attempt: sent.attempt,
+        status: 200,
+    });
+    arrive(&mut site, "/once/x", key("key-1b"));
+    assert_eq!(outcome(&site), Err(422));
+    arrive(&mut site, "/once/x", key("key-2"));
+    assert_eq!(outcome(&site), Ok(Some("two".into())));
+}
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -12,6 +12,7 @@
 
 use super::{AcceptedCall, AnswerPart, Head, Prepared, accept_request, apply, forward};
 use crate::core::effect::Refusal;
+use crate::core::event::Fingerprint;
 use crate::core::key::CallKey;
 use crate::core::relay::event::{Arrival, RelayEvent};
 use crate::error::{Kind, Ran};
@@ -189,13 +190,14 @@
     let host = req
         .headers()
         .get("host")
-        .and_then(|host| host.to_str().ok());
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or_default();
     decoded
         .forwarded
         .retain(|(name, _)| !forward::is_internal(name));
     let arrival = Arrival {
         id: attempt_id.clone(),
-        host: host.unwrap_or_default().into(),
+        host: host.into(),
         path: req.uri().path().into(),
         deadline: origin
             .as_ref()
@@ -205,7 +207,7 @@
             .as_ref()
             .map_or(decoded.resume, |origin| origin.resume),
         bytes: body.len(),
-        fingerprint: fingerprint(target, &body),
+        fingerprint: relay_fingerprint(&method, host, target, &body),
         credential: decoded.credential,
         forwarded: origin.map(|origin| origin.spent),
     };
@@ -223,6 +225,17 @@
     answer(node, accepted, &attempt_id, req.version()).await
 }
 
+/// Returns the fingerprint of a relayed request: the same for equal methods, hosts, targets and bodies.
+pub(super) fn relay_fingerprint(
+    method: &hyper::Method,
+    host: &str,
+    target: &str,
+    body: &[u8],
+) -> Fingerprint {
+    let host = host.to_ascii_lowercase();
+    fingerprint(&format!("{method} {host}{target}"), body)
+}
+
 /// Returns the headers of a request as lower-case names and bytes.
 fn as_bytes(req: &Request) -> Vec<(&str, &[u8])> {
     let headers = req.headers().iter();
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use hyper::Method;
 use proptest::prelude::*;
 
+use super::callers::relay_fingerprint;
 use super::datagrams::{seal, verify};
 use super::events::Splitter;
 use crate::core::relay::event::{
@@ -148,3 +150,18 @@
     a_stream_that_begins_with_an_empty_line: "\n\nid: 1\ndata: a\n\n" => vec![1], 0;
     an_empty_stream: "" => vec![], 0;
 }
+
+/// Guards against an answer to one request that clears the crashes under another one.
+#[test]
+fn requests_that_differ_have_other_fingerprints() {
+    let one = relay_fingerprint(&Method::POST, "h.example", "/a?x=1", b"body");
+    let others = [
+        relay_fingerprint(&Method::PUT, "h.example", "/a?x=1", b"body"),
+        relay_fingerprint(&Method::POST, "other.example", "/a?x=1", b"body"),
+        relay_fingerprint(&Method::POST, "h.example", "/a?x=2", b"body"),
+        relay_fingerprint(&Method::POST, "h.example", "/a?x=1", b"other"),
+    ];
+    assert!(!others.contains(&one));
+    let same = relay_fingerprint(&Method::POST, "H.example", "/a?x=1", b"body");
+    assert_eq!(one, same);
+}
