Decode software versions and taken-up streams, and log them

Nothing read the version of a server's software, nor which attempt a caller's stream began with: the ways by which a stream goes on at another version could not be counted. An entry whose version is no text names no server, as other fields of the wrong type.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -41,6 +41,7 @@
 const MIN_IDLE_CONNECTIONS: usize = 2;
 
 pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
+    log_take_up(&arrival, out);
     let resolved = resolve::resolve(core, &arrival);
     let (route, service, identity) = match resolved {
         Ok(resolved) => resolved,
@@ -74,6 +75,20 @@
     dispatch(core, key, out);
 }
 
+/// Logs that a caller takes up a stream that began in an earlier attempt.
+fn log_take_up(arrival: &Arrival, out: &mut Effects) {
+    let Some(last) = arrival.resume.filter(|_| arrival.forwarded.is_none()) else {
+        return;
+    };
+    let resumes = arrival.resumes.clone();
+    let fields = vec![
+        ("id", arrival.id.clone()),
+        ("resumes", resumes.unwrap_or_else(|| "none".into())),
+        ("last_event", last.to_string().into()),
+    ];
+    note(out, log::Level::Info, "stream.taken_up", fields);
+}
+
 fn fingerprint(full: &super::super::event::Fingerprint) -> u64 {
     let mut first = [0; 8];
     first.copy_from_slice(&full.0[..8]);
@@ -241,6 +256,7 @@
             ("arrivals", call.arrivals.to_string().into()),
             ("request", poison::fingerprint_text(fingerprint)),
             ("crashes", crashes.to_string().into()),
+            ("version", instance.version.clone().unwrap_or_default()),
         ],
     );
     out.push(Effect::Relay(RelayEffect::Send(Box::new(Outgoing {
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -228,6 +228,8 @@
     pub stage: Option<Stage>,
     /// Whether the platform may take it away at short notice.
     pub is_spot: bool,
+    /// Version of its software; `None` if its entry names none.
+    pub version: Option<Box<str>>,
     /// Wall clock at its start, in milliseconds since the Unix epoch; 0 if its entry names none.
     pub started_ms: u64,
     /// Revision of the store at which the entry was written.
@@ -258,6 +260,8 @@
     pub prompt: Option<Prompt>,
     /// Number of the last event that the caller received in an earlier attempt.
     pub resume: Option<u64>,
+    /// Id of the attempt that brought the caller the first event of the stream that it takes up.
+    pub resumes: Option<Box<str>>,
     /// Bytes of the body.
     pub bytes: usize,
     /// Fingerprint of method, host, target and body.
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -53,6 +53,8 @@
     pub stage: Option<Stage>,
     /// Whether the platform may take it away at short notice.
     pub is_spot: bool,
+    /// Version of its software; `None` if its entry names none.
+    pub version: Option<Box<str>>,
     /// Time of its start by the wall clock, in milliseconds since the Unix epoch.
     pub born: u64,
     /// When an answer of it first stated that it is leaving.
@@ -154,6 +156,7 @@
             leaving: entry.leaving,
             stage: entry.stage,
             is_spot: entry.is_spot,
+            version: entry.version,
             born: entry.started_ms,
             named_leaving: None,
             listed_at: Position::default(),
--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -222,6 +222,7 @@
             instance.missing_since = None;
             instance.stage = entry.stage;
             instance.is_spot = entry.is_spot;
+            instance.version = entry.version;
             instance.slots = entry.slots.max(1);
             return;
         }
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -336,6 +336,7 @@
         leaving: false,
         stage: None,
         is_spot: false,
+        version: Some("v1".into()),
         started_ms: 1,
         revision: 0,
     }
@@ -358,6 +359,7 @@
         deadline: Some(Duration::from_secs(8)),
         prompt: None,
         resume: None,
+        resumes: None,
         bytes: 100,
         fingerprint: Fingerprint([1; 16]),
         credential: Credential::Absent,
--- a/src/platform/entry.rs
+++ b/src/platform/entry.rs
@@ -24,6 +24,11 @@
         Value::String(name) => Some(parse_stage(name)?),
         _ => return None,
     };
+    let version = match &value["version"] {
+        Value::Null => None,
+        Value::String(name) => Some(name.as_str().into()),
+        _ => return None,
+    };
     Some(BackendEntry {
         id: id.into(),
         service: value["service"].as_str()?.into(),
@@ -33,6 +38,7 @@
         leaving,
         stage,
         is_spot: value["spot"].as_bool().unwrap_or(false),
+        version,
         started_ms: whole_number(&value["born"]).unwrap_or(0),
         revision,
     })
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -21,6 +21,8 @@
 const LENGTH_HINT: &str = "x-chiveway-length-hint";
 /// Id of the last event that the caller received.
 const LAST_EVENT_ID: &str = "last-event-id";
+/// Id of the attempt that brought the first event of the stream that the caller takes up.
+const RESUMES: &str = "resumes";
 /// The only instance that may run the request.
 const EXPECT_INSTANCE: &str = "x-chiveway-expect-instance";
 /// Serving stage that the engine runs.
@@ -106,6 +108,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received.
     pub resume: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that the caller takes up.
+    pub resumes: Option<Box<str>>,
     /// The caller's key.
     pub credential: Credential,
     /// Headers with credentials, for a backend server that checks them itself.
@@ -129,6 +133,7 @@
             PROMPT_PREFIX => blocks = prefix_blocks(text),
             LENGTH_HINT => output_hint = text.parse().ok(),
             LAST_EVENT_ID => head.resume = text.parse().ok(),
+            RESUMES => head.resumes = (!text.is_empty()).then(|| text.into()),
             _ => {}
         }
         // The event id to resume from is set again on each attempt at a backend server.
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -53,6 +53,8 @@
     entry_without_an_address: "address" = json!(null) => false;
     entry_with_a_host_name_as_address: "address" = json!("host:8080") => false;
     entry_without_a_service: "service" = json!(1) => false;
+    entry_without_a_version: "version" = json!(null) => true;
+    entry_with_a_version_of_another_type: "version" = json!(2) => false;
     entry_without_a_start_time: "born" = json!(null) => true;
 }
 
@@ -160,6 +162,7 @@
         ),
         ("x-chiveway-deadline-ms", b"1500"),
         ("last-event-id", b"12"),
+        ("resumes", b" 9c41d07be2a35f68 "),
     ]);
     let prompt = head.prompt.expect("a prompt");
     assert_eq!((prompt.tokens, prompt.max_output), (1460, 80));
@@ -174,6 +177,7 @@
     );
     assert_eq!(head.deadline, Some(Duration::from_millis(1500)));
     assert_eq!(head.resume, Some(12));
+    assert_eq!(head.resumes.as_deref(), Some("9c41d07be2a35f68"));
 }
 
 /// Generates a test for each value of the limit header: the limit decoded from it.
