--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -53,6 +53,8 @@
     pub unresponsive: bool,
     /// Hosts that cannot reach it: their calls get no answer.
     pub unreachable: BTreeSet<usize>,
+    /// Servers and their versions, in place of the usual ones; a version of `?` stands for none.
+    listed: Option<Vec<(Box<str>, Box<str>)>>,
     /// Servers whose entries were removed.
     pub removed: BTreeSet<Box<str>>,
     /// Servers that took the place of crashed ones.
@@ -89,6 +91,22 @@
 }
 
 impl TestStore {
+    /// Lists these servers and versions in place of all others.
+    pub fn set_servers(&mut self, servers: &[(String, String)]) {
+        let before = self.listed.take().unwrap_or_default();
+        let gone = before.into_iter().map(|(id, _)| id);
+        self.removed.extend(gone);
+        self.removed.extend(["p", "q", "r"].map(Box::from));
+        for (id, _) in servers {
+            self.removed.remove(id.as_str());
+        }
+        let servers = servers.iter();
+        let servers = servers.map(|(id, version)| (id.as_str().into(), version.as_str().into()));
+        self.listed = Some(servers.collect());
+        self.revision += 1;
+        self.listed_at = self.revision;
+    }
+
     /// Applies writes and removals of poison requests by a host, if it reaches the store.
     fn apply_poison_writes(&mut self, host: usize, ops: &[Op]) {
         if self.unresponsive || self.unreachable.contains(&host) {
@@ -196,6 +214,7 @@
                 era: 1,
                 unresponsive: false,
                 unreachable: BTreeSet::new(),
+                listed: None,
                 removed: BTreeSet::new(),
                 replacements: Vec::new(),
                 restarts: BTreeMap::new(),
@@ -362,6 +381,14 @@
 
     /// Returns the servers whose entries the store holds.
     fn servers(&self) -> Vec<BackendEntry> {
+        if let Some(listed) = &self.store.listed {
+            let entries = listed.iter().map(|(id, version)| BackendEntry {
+                revision: self.store.listed_at,
+                version: (**version != *"?").then(|| version.clone()),
+                ..plain_entry(id)
+            });
+            return entries.collect();
+        }
         let replacements = self.store.replacements.iter().map(AsRef::as_ref);
         let all = ["p", "q", "r"].into_iter().chain(replacements);
         let restarts = |id| self.store.restarts.get(id).copied().unwrap_or(0);
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -25,6 +25,7 @@
 mod sampling;
 mod stages;
 mod stream;
+mod versions;
 mod view;
 
 use std::collections::BTreeMap;
@@ -285,6 +286,13 @@
                 retry: RetryPolicy::Idempotent,
                 ..route("/again/", "plain")
             },
+            Route {
+                streaming: true,
+                resumable: true,
+                retry: RetryPolicy::Idempotent,
+                max_attempts: 4,
+                ..route("/feed/", "plain")
+            },
             Route {
                 streaming: true,
                 max_attempts: 1,
