--- a/src/core/relay/catalog.rs
+++ b/src/core/relay/catalog.rs
@@ -128,17 +128,23 @@
     }
 }
 
+/// Returns the host name of a `Host` header, which may have a port.
+#[must_use]
+pub fn host_name(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, port)| {
+        if port.bytes().all(|byte| byte.is_ascii_digit()) {
+            name
+        } else {
+            host
+        }
+    })
+}
+
 impl Catalog {
     /// Returns the route with the longest prefix that matches a host name, with or without a port, and a path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.rsplit_once(':').map_or(host, |(name, port)| {
-            if port.bytes().all(|byte| byte.is_ascii_digit()) {
-                name
-            } else {
-                host
-            }
-        });
+        let host = host_name(host);
         self.routes
             .iter()
             .filter(|route| route.host.eq_ignore_ascii_case(host))
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -14,6 +14,7 @@
 use crate::core::effect::Refusal;
 use crate::core::event::Fingerprint;
 use crate::core::key::CallKey;
+use crate::core::relay::catalog;
 use crate::core::relay::event::{Arrival, RelayEvent};
 use crate::error::{Kind, Ran};
 use crate::host::callers::fingerprint;
@@ -226,14 +227,14 @@
     answer(node, accepted, &attempt_id, req.version()).await
 }
 
-/// Returns the fingerprint of a relayed request: the same for equal methods, hosts, targets and bodies.
+/// Returns the fingerprint of a relayed request: the same for equal methods, host names, targets and bodies.
 pub(super) fn relay_fingerprint(
     method: &hyper::Method,
     host: &str,
     target: &str,
     body: &[u8],
 ) -> Fingerprint {
-    let host = host.to_ascii_lowercase();
+    let host = catalog::host_name(host).to_ascii_lowercase();
     fingerprint(&format!("{method} {host}{target}"), body)
 }
 
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -162,6 +162,10 @@
         relay_fingerprint(&Method::POST, "h.example", "/a?x=1", b"other"),
     ];
     assert!(!others.contains(&one));
-    let same = relay_fingerprint(&Method::POST, "H.example", "/a?x=1", b"body");
-    assert_eq!(one, same);
+    for same in ["H.example", "h.example:8144"] {
+        assert_eq!(
+            one,
+            relay_fingerprint(&Method::POST, same, "/a?x=1", b"body")
+        );
+    }
 }
