Let streams go on only at the software version that began them

Cause: the version of a server was not read, a request did not hold the version of its stream, and no host could know that of a stream that began at another host. The class: a choice that is made again without what the first one was bound to.

A request holds the version from its first event on, and only servers of that version are candidates; the version goes along when the request is forwarded.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -277,6 +277,11 @@
 /// A measurement for the metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Meter {
+    /// A caller took a stream up.
+    TakenUp {
+        /// How the version of the stream was found, or that it was not.
+        outcome: &'static str,
+    },
     /// A request was forwarded to another host.
     Forwarded {
         /// Route.
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -8,6 +8,7 @@
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
     Attempt, KvCache, RetryPolicy, duty, forward, links, load, millis, note, poison, retry,
+    versions,
 };
 use crate::error::{Kind, Ran};
 
@@ -120,6 +121,9 @@
         if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
             instance.record_success(now);
         }
+        if host.is_none() {
+            versions::stream_began(core, key, out);
+        }
         // The engine has fetched the KV cache.
         core.relay.calls[call_key].cache = None;
         match host {
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -14,6 +14,7 @@
 use super::customers::Identity;
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::Work;
+use super::versions::{self, StreamKey};
 use super::{
     Attempt, Call, KvCache, RelayTimer, forward, from_millis, gossip, links, millis, note, poison,
     prefix_cache, resolve, retry,
@@ -72,7 +73,9 @@
         return;
     }
     super::wake(core, wait, RelayTimer::Deadline(key), out);
-    dispatch(core, key, out);
+    if !versions::take_up::arrived(core, key, out) {
+        dispatch(core, key, out);
+    }
 }
 
 /// Logs that a caller takes up a stream that began in an earlier attempt.
@@ -118,6 +121,11 @@
     out: &mut Effects,
 ) -> CallKey {
     let spent = arrival.forwarded.unwrap_or_default();
+    let resumes = arrival
+        .resumes
+        .as_ref()
+        .filter(|_| arrival.resume.is_some());
+    let stream = StreamKey::of(resumes.unwrap_or(&arrival.id));
     let key = core.relay.calls.insert(Call {
         id: arrival.id,
         service,
@@ -141,6 +149,9 @@
         unreachable: 0,
         hosts_tried: Vec::new(),
         is_forwarded: arrival.forwarded.is_some(),
+        stream,
+        version: arrival.version,
+        lookup: None,
         route,
     });
     out.push(Effect::Relay(RelayEffect::Opened(key)));
@@ -220,6 +231,7 @@
         backend: choice.backend,
         host: None,
         task: choice.task.clone(),
+        version: instance.version_key,
         sent_at: now,
         work: choice.work,
         expected_ms: choice.expected_ms,
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -15,12 +15,15 @@
 use super::instance::{Instance, Work};
 use super::model::ServiceModel;
 use super::prefix_cache::{Fetch, Holder};
+use super::versions::Version;
 use super::{Call, PrefillEstimate, from_millis, load, millis, prefix_cache};
 use crate::error::Kind;
 use crate::settings::relay::Policy;
 
 /// Urgency of requests that can no longer meet their target.
 const LATE_URGENCY: u8 = 8;
+/// Urgency of streams that have begun: a caller waits in the middle of its answer.
+const BEGUN_URGENCY: u8 = 1;
 /// Urgency of rank 0; each further rank adds one.
 const BASE_URGENCY: u8 = 2;
 /// Fraction of the remaining time that the expected time may take: callers that wait longer give
@@ -93,7 +96,12 @@
     let all = core.relay.instances.of(&call.service).iter().copied();
     let eligible = all.filter(|key| {
         let instance = &core.relay.instances.arena[*key];
-        instance.admits(core.now) && (stage.is_none() || instance.stage == stage)
+        // A prefill sends no event.
+        let may_go_on = stage == Some(Stage::Prefill)
+            || call
+                .version
+                .is_none_or(|began| began.may_go_on_at(instance.version_key));
+        instance.admits(core.now) && (stage.is_none() || instance.stage == stage) && may_go_on
     });
     let eligible: Vec<BackendKey> = eligible.collect();
     let untried: Vec<BackendKey> = eligible
@@ -128,7 +136,15 @@
 }
 
 fn no_server(core: &mut Core, key: CallKey) -> Refusal {
-    let service = core.relay.calls[key].service.clone();
+    let call = &core.relay.calls[key];
+    let service = call.service.clone();
+    if call
+        .version
+        .is_some_and(|began| !is_listed(core, &service, began))
+    {
+        let detail = format!("no server of {service} has the version at which the stream began");
+        return Refusal::new(Kind::NoVersion, detail);
+    }
     if let Some(wait) = limit_wait(core, &service) {
         let retry = retry_after(core, millis(wait));
         let detail = format!("servers of {service} take no more for now, by limits that they name");
@@ -147,6 +163,13 @@
     .with_retry_after(retry)
 }
 
+/// Whether a server that stays has the version at which a stream began.
+fn is_listed(core: &Core, service: &str, began: Version) -> bool {
+    let all = core.relay.instances.of(service).iter();
+    let mut all = all.map(|key| &core.relay.instances.arena[*key]);
+    all.any(|instance| !instance.leaving && began.may_go_on_at(instance.version_key))
+}
+
 /// Returns the time until the first of a service's servers may get work again, if any of them wants
 /// none for a time.
 fn pushback_wait(core: &Core, service: &str) -> Option<Duration> {
@@ -242,7 +265,10 @@
     }
     let late = best.first_token_ms > target;
     let call = &core.relay.calls[key];
-    if late && best.queue_ms > max_queue || best.first_token_ms > left * MAX_WAIT_FRACTION {
+    let has_begun = call.version.is_some();
+    if late && best.queue_ms > max_queue && !has_begun
+        || best.first_token_ms > left * MAX_WAIT_FRACTION
+    {
         let detail = format!(
             "the first token would come after {:.0} ms",
             best.first_token_ms
@@ -273,7 +299,9 @@
 }
 
 fn urgency(call: &Call, late: bool) -> u8 {
-    if late {
+    if call.version.is_some() {
+        BEGUN_URGENCY
+    } else if late {
         LATE_URGENCY
     } else {
         let customer = call.identity.customer();
--- a/src/core/relay/event/forward.rs
+++ b/src/core/relay/event/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::core::key::{AttemptKey, CallKey};
+use crate::core::relay::versions::Version;
 use crate::error::{Kind, Ran};
 
 /// What a request has used up of its attempts and of the retry budget.
@@ -32,6 +33,8 @@
     pub remaining: Duration,
     /// Number of the last event that the caller received.
     pub resume: Option<u64>,
+    /// Version at which its stream began, once that is known.
+    pub version: Option<Version>,
     /// Whether the answer is a stream of events.
     pub streaming: bool,
     /// What it has used up at this host.
--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::Changes;
+use super::{Changes, StreamMessage};
 use crate::core::relay::duty::usage::ledger::UsageReport;
 
 /// One gossip message.
@@ -56,6 +56,8 @@
     Domain(Box<str>),
     /// The same, forwarded within the receiver's failure domain.
     Forwarded(Box<str>),
+    /// No load: versions of streams, queries for them and answers.
+    Streams(StreamMessage),
     /// No load: requests that began at the sender, or at hosts that no longer send theirs.
     Usage(Vec<UsageReport>),
 }
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -4,6 +4,7 @@
 mod gossip;
 mod notice;
 mod stream;
+mod versions;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use super::catalog::Catalog;
 use super::customers::{Credential, Identity};
 use super::duty::{DutyCall, DutyResult};
+use super::versions::Version;
 use crate::core::effect::Refusal;
 use crate::core::event::{AttemptFailure, Fingerprint};
 use crate::core::key::{AttemptKey, CallKey};
@@ -24,6 +26,7 @@
 };
 pub use notice::{NamedLimit, NamedPushback, Notices};
 pub use stream::{Framing, StreamEnd};
+pub use versions::{StreamMessage, StreamQuery, StreamRecord, StreamReply};
 
 /// One event about relayed requests.
 #[derive(Debug, Clone)]
@@ -270,6 +273,8 @@
     pub credential: Credential,
     /// What it has used up at the host that forwarded it; `None` if its caller sent it.
     pub forwarded: Option<Spent>,
+    /// Version at which its stream began, from the host that forwarded it.
+    pub version: Option<Version>,
 }
 
 /// What a model request asks of an engine.
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -16,6 +16,7 @@
 use super::event::{ForwardRefusal, Forwarded, RelayEffect, Spent, Task};
 use super::instance::Work;
 use super::peers::Peer;
+use super::versions::Version;
 use super::{Attempt, PrefillEstimate, note};
 use crate::error::{Kind, Ran};
 
@@ -178,6 +179,7 @@
         backend: BackendKey::default(),
         host: Some(host),
         task: Task::Whole,
+        version: Version::UNKNOWN,
         sent_at: now,
         work: Work::default(),
         expected_ms: 0.0,
@@ -210,6 +212,7 @@
         addr: peer.addr,
         remaining: call.deadline.since(now),
         resume: call.last_event,
+        version: call.version,
         streaming: call.route.streaming,
         spent,
     }))));
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -27,8 +27,8 @@
 use super::instance::Work;
 use super::peers::Peer;
 use super::{
-    RelayTimer, departed, duty, from_millis, limit, links, load, peers, poison, prefix_cache, view,
-    wake,
+    RelayTimer, departed, duty, from_millis, limit, links, load, peers, poison, prefix_cache,
+    versions, view, wake,
 };
 
 /// Shortest interval between two messages to the other hosts.
@@ -75,6 +75,7 @@
     gather::send_totals(core, out);
     view::resume_watch(core, out);
     duty::usage::publish(core, out);
+    versions::update(core, out);
     if core.relay.peers.cross_domain.is_dirty() && represents_domain(core) {
         domains::publish_aggregate(core, out);
     }
@@ -352,6 +353,10 @@
             duty::usage::receive(core, process, std::mem::take(reports));
             return;
         }
+        GossipKind::Streams(message) => {
+            versions::take_up::receive(core, sender, message, out);
+            return;
+        }
         // This host already has the loads that a sum over its own domain contains.
         GossipKind::Domain(domain) | GossipKind::Forwarded(domain)
             if *domain == core.settings.host.domain =>
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -10,6 +10,7 @@
 use super::model::{Link, Slowdown};
 use super::prefix_cache::CachedBlock;
 use super::pushback::Pushback;
+use super::versions::Version;
 use crate::core::key::HostKey;
 use crate::core::time::Time;
 
@@ -55,6 +56,8 @@
     pub is_spot: bool,
     /// Version of its software; `None` if its entry names none.
     pub version: Option<Box<str>>,
+    /// The same as a key.
+    pub version_key: Version,
     /// Time of its start by the wall clock, in milliseconds since the Unix epoch.
     pub born: u64,
     /// When an answer of it first stated that it is leaving.
@@ -156,6 +159,7 @@
             leaving: entry.leaving,
             stage: entry.stage,
             is_spot: entry.is_spot,
+            version_key: Version::of(entry.version.as_deref()),
             version: entry.version,
             born: entry.started_ms,
             named_leaving: None,
--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -8,6 +8,7 @@
 use super::event::{BackendEntry, Changes, LoadReport};
 use super::instance::{Instance, MISSING_GRACE, Work};
 use super::limit::Limit;
+use super::versions::Version;
 use crate::core::key::{BackendKey, HostKey};
 use crate::core::time::Time;
 
@@ -222,6 +223,7 @@
             instance.missing_since = None;
             instance.stage = entry.stage;
             instance.is_spot = entry.is_spot;
+            instance.version_key = Version::of(entry.version.as_deref());
             instance.version = entry.version;
             instance.slots = entry.slots.max(1);
             return;
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -33,6 +33,7 @@
 mod stages;
 #[cfg(test)]
 mod tests;
+pub mod versions;
 mod view;
 
 use std::collections::BTreeMap;
@@ -51,6 +52,8 @@
 use customers::Identity;
 use event::{Changes, Prompt, RelayEvent, Task};
 use instances::Instances;
+use versions::take_up::Lookup;
+use versions::{StreamKey, Version, Versions};
 
 /// Timers of the relay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,6 +82,8 @@
     SyncPoison,
     /// Probe the link to a backend server.
     ProbeLinks,
+    /// Decide on a stream that is taken up by the answers of other hosts so far.
+    TakeUp(CallKey),
 }
 
 /// Calls of the store that the relay makes, as keys for their answers.
@@ -155,6 +160,12 @@
     pub hosts_tried: Vec<HostKey>,
     /// Whether another host forwarded it.
     pub is_forwarded: bool,
+    /// The stream that it begins or takes up.
+    pub stream: StreamKey,
+    /// Version at which its stream began, once that is known.
+    pub version: Option<Version>,
+    /// The query of other hosts for that version, while it is under way.
+    pub lookup: Option<Lookup>,
 }
 
 /// A KV cache at an engine.
@@ -181,6 +192,8 @@
     pub host: Option<HostKey>,
     /// What it was asked to do.
     pub task: Task,
+    /// Version of the server's software.
+    pub version: Version,
     /// When it was sent.
     pub sent_at: Time,
     /// Work that it adds at the backend server.
@@ -232,6 +245,8 @@
     pub peers: peers::Peers,
     /// Links to backend servers.
     pub links: links::Links,
+    /// Software versions of servers and streams.
+    pub versions: Versions,
     /// Poison requests: those suspected of crashing backend servers.
     pub poison_requests: poison::PoisonRequests,
     /// Stages of engines.
@@ -346,6 +361,7 @@
         RelayTimer::Authority => planner::renew(core, out),
         RelayTimer::SyncPoison => poison::stored::sync(core, out),
         RelayTimer::ProbeLinks => links::probe(core, out),
+        RelayTimer::TakeUp(call) => versions::take_up::timed_out(core, call, out),
     }
 }
 
@@ -382,6 +398,8 @@
     if let Some(catalog) = changes.catalog.take() {
         apply_catalog(core, catalog, out);
     }
+    versions::record_listed(core);
+    let several = versions::several(core);
     let at = departed::known_position(&core.relay.view);
     let settled = core.relay.view.is_settled();
     let listings = core
@@ -390,6 +408,7 @@
         .apply_changes(&mut changes, at, settled, core.now);
     log_listings(listings, view::STORE_SOURCE, out);
     links::servers_changed(core, out);
+    versions::servers_changed(core, &several, out);
     peers::apply_changes(core, &changes, out);
     planner::changed(core, &changes, out);
     duty::usage::changed(core, &changes);
--- a/src/core/relay/tests/crashes.rs
+++ b/src/core/relay/tests/crashes.rs
@@ -55,8 +55,9 @@
     let last = network.crashes.last().expect("a server crashed");
     let since = last + RETURN_MS;
     let later = network.results.iter().filter(|(_, at, ..)| *at >= since);
-    let refused = later.filter(|(.., got)| *got != Got::Answer).count();
-    let sent = (network.site.now.saturating_sub(since) / RESEND_MS + 1) as usize * crashes.copies;
+    let refused = later.filter(|(.., got)| *got != Got::Answer).count() as u64;
+    let sends = network.site.now.saturating_sub(since) / RESEND_MS + 1;
+    let sent = sends * crashes.copies as u64;
     assert!(refused <= sent, "{refused} refused, {sent} of them rightly");
 }
 
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -372,6 +372,7 @@
         fingerprint: Fingerprint([1; 16]),
         credential: Credential::Absent,
         forwarded: None,
+        version: None,
     }
 }
 
--- a/src/core/relay/tests/stream.rs
+++ b/src/core/relay/tests/stream.rs
@@ -119,8 +119,19 @@
 #[test]
 fn a_callers_resumption_reaches_the_engine() {
     let mut site = TestHost::with_engines();
+    let call = site.arrive(Arrival {
+        id: "first".into(),
+        ..model_request("/short/x", (1, 60), 290)
+    });
+    let mut first = site.sent().expect("a request is sent");
+    if first.task == Task::Prefill {
+        first = prefilled(&mut site, first.attempt);
+    }
+    assert!(piece(&mut site, first.attempt, 1));
+    site.event(RelayEvent::CallerLeft(call));
     site.arrive(Arrival {
         resume: Some(5),
+        resumes: Some("first".into()),
         ..model_request("/short/x", (1, 60), 290)
     });
     let mut sent = site.sent().expect("a request is sent");
--- a/src/core/relay/tests/versions.rs
+++ b/src/core/relay/tests/versions.rs
@@ -2,6 +2,7 @@
 
 use super::domain::TestDomain;
 use super::*;
+use crate::core::relay::event::ForwardRefusal;
 
 /// Milliseconds within which a taken-up stream is sent to a server or refused.
 const TAKE_UP_MS: u64 = 200;
@@ -102,8 +103,8 @@
 
     /// Returns what a host has done with a request since the actions were cleared.
     fn outcome(&self, host: usize) -> Option<(Outcome, AttemptKey)> {
-        let own = self.hosts.actions.iter().filter(|(at, _)| *at == host);
-        own.filter_map(|(_, effect)| match effect {
+        let mut own = self.hosts.actions.iter().filter(|(at, _)| *at == host);
+        own.find_map(|(_, effect)| match effect {
             RelayEffect::Send(out) => Some((Outcome::Sent(out.instance.clone()), out.attempt)),
             RelayEffect::Refuse { refusal, .. } => {
                 assert_eq!(refusal.ran, Ran::No);
@@ -112,7 +113,6 @@
             RelayEffect::AbortAnswer(_) => Some((Outcome::Truncated, AttemptKey::default())),
             _ => None,
         })
-        .next()
     }
 
     /// Begins a stream at a host; its caller gets the first event.
@@ -192,6 +192,23 @@
     }
 }
 
+/// Has each server that a stream of version `a` goes on at refuse it; asserts that the answer is truncated in the end.
+fn assert_ends(site: &mut Site, mut next: (Outcome, AttemptKey)) {
+    for _ in 0..6 {
+        let (Outcome::Sent(server), attempt) = &next else {
+            break;
+        };
+        assert_eq!(Site::version(server), "a");
+        site.hosts.actions.clear();
+        let (ran, how) = (Ran::No, AttemptFailure::Refused);
+        site.host(0).fail_attempt(*attempt, ran, how);
+        site.hosts.send_effects(0);
+        let nothing = (Outcome::Nothing, AttemptKey::default());
+        next = site.outcome(0).unwrap_or(nothing);
+    }
+    assert_eq!(next.0, Outcome::Truncated);
+}
+
 fn assert_version(outcome: &Outcome, version: &str) {
     match outcome {
         Outcome::Sent(server) => assert_eq!(Site::version(server), version),
@@ -212,11 +229,11 @@
                     site.finish(&stream);
                 }
                 let stream = site.begin_at(0, "a");
-                let (outcome, _) = site.break_off(&stream, AttemptFailure::$how);
+                let outcome = site.break_off(&stream, AttemptFailure::$how);
                 if $goes_on {
-                    assert_version(&outcome, "a");
+                    assert_version(&outcome.0, "a");
                 } else {
-                    assert_eq!(outcome, Outcome::Truncated);
+                    assert_ends(&mut site, outcome);
                 }
             }
         }
@@ -237,25 +254,8 @@
 fn a_refused_stream_stays_at_its_version() {
     let mut site = Site::new(1, 1, "aaabbb");
     let stream = site.begin_at(0, "a");
-    let mut next = site.break_off(&stream, AttemptFailure::Cut);
-    for _ in 0..6 {
-        match next {
-            (Outcome::Sent(server), attempt) => {
-                assert_eq!(Site::version(&server), "a");
-                site.hosts.actions.clear();
-                site.host(0)
-                    .fail_attempt(attempt, Ran::No, AttemptFailure::Refused);
-                site.hosts.send_effects(0);
-                let nothing = (Outcome::Nothing, AttemptKey::default());
-                next = site.outcome(0).unwrap_or(nothing);
-            }
-            (outcome, _) => {
-                assert_eq!(outcome, Outcome::Truncated);
-                return;
-            }
-        }
-    }
-    panic!("the stream was sent on without an end");
+    let next = site.break_off(&stream, AttemptFailure::Cut);
+    assert_ends(&mut site, next);
 }
 
 /// The servers of a stream's version leave. Guards against a stream that a host moves to another version when its server
@@ -441,6 +441,31 @@
     assert_version(&outcome, "a");
 }
 
+/// The route of a stream has two services, one of which began it. Guards against a take-up that the weights lead to the
+/// other one.
+#[test]
+fn a_stream_is_taken_up_at_the_service_that_began_it() {
+    let mut site = Site::new(2, 1, "aaabbb");
+    let stream = site.begin_at(0, "a");
+    site.hosts.pass(20);
+    site.leave(&stream);
+    for weights in [[1, 0], [0, 1]] {
+        let mut catalog = catalog(1000 + u64::from(weights[0]));
+        for route in &mut catalog.routes {
+            route.split = vec![("plain".into(), weights[0]), ("model".into(), weights[1])];
+        }
+        site.host(1).configure(catalog);
+        let outcome = site.take_up(1, &stream.id);
+        assert_version(&outcome, "a");
+    }
+    let mut moved = catalog(2000);
+    for route in &mut moved.routes {
+        route.split = vec![("model".into(), 1)];
+    }
+    site.host(1).configure(moved);
+    assert_eq!(site.take_up(1, &stream.id), Outcome::Refused);
+}
+
 /// Guards against a caller that names an attempt of its own making and gets events of any version.
 #[test]
 fn a_stream_of_an_unknown_attempt_is_refused() {
@@ -483,3 +508,55 @@
     let outcome = site.take_up(1, &stream.id);
     assert_version(&outcome, "a");
 }
+/// A host reaches no server and forwards its callers' requests. Guards against a stream that the other host continues
+/// at another version.
+#[test]
+fn a_forwarded_stream_goes_on_at_its_version() {
+    let mut site = Site::new(2, 1, "aaabbb");
+    let stream = site.begin_at(0, "a");
+    site.hosts.pass(20);
+    site.hosts.actions.clear();
+    let servers = ["a0", "a1", "a2", "b3", "b4", "b5"];
+    for server in servers {
+        site.host(0).event(RelayEvent::LinkProbed {
+            instance: server.into(),
+            reached: false,
+        });
+        site.hosts.send_effects(0);
+        site.hosts.pass(30);
+    }
+    let forwarded = site
+        .hosts
+        .actions
+        .iter()
+        .find_map(|(_, effect)| match effect {
+            RelayEffect::Forward(out) => Some(out.clone()),
+            _ => None,
+        });
+    let out = forwarded.expect("the stream is forwarded");
+    assert_eq!(out.resume, Some(1));
+    let request = Arrival {
+        resume: out.resume,
+        forwarded: Some(out.spent),
+        version: out.version,
+        ..site.request(None)
+    };
+    let (outcome, _) = site.arrive(1, request);
+    assert_version(&outcome, "a");
+    // The host that forwarded it takes a refusal for one by a host that cannot serve it.
+    let refusal = ForwardRefusal {
+        kind: crate::error::Kind::NoVersion,
+        ran: Ran::No,
+        retry_after: None,
+    };
+    let attempt = out.attempt;
+    site.hosts.actions.clear();
+    site.host(0)
+        .event(RelayEvent::ForwardRefused { attempt, refusal });
+    site.hosts.send_effects(0);
+    assert_eq!(
+        site.outcome(0).map(|found| found.0),
+        Some(Outcome::Truncated)
+    );
+    assert_eq!(stream.host, 0);
+}
--- /dev/null
+++ b/src/core/relay/versions/take_up.rs
@@ -0,0 +1,294 @@
+//! Streams that callers take up, and the messages by which hosts find out at which version each began.
+
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+
+use super::super::call::{dispatch, refuse};
+use super::super::event::{
+    Gossip, GossipKind, RelayEffect, StreamMessage, StreamQuery, StreamRecord, StreamReply,
+};
+use super::super::instance::short_hash;
+use super::super::{RelayTimer, note, wake};
+use super::{RETENTION, StreamKey, Usage, Version, holders, usage};
+use crate::core::effect::{Effect, Meter, Refusal};
+use crate::core::key::{CallKey, HostKey};
+use crate::core::{Core, Effects};
+use crate::error::Kind;
+
+/// Time for which a take-up waits for the answers of other hosts: many times that of a message, and short beside the
+/// pause that callers accept.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// A query of other hosts for the version of a stream.
+#[derive(Debug, Clone, Default)]
+pub struct Lookup {
+    /// Hosts that have not answered.
+    waiting: Vec<HostKey>,
+    /// What those that have answered know of the versions in use.
+    usages: Vec<Usage>,
+}
+
+/// How the version of a stream was found.
+#[derive(Debug, Clone, Copy)]
+enum Source {
+    /// A host has its record.
+    Record,
+    /// Only one version has been in use.
+    OnlyVersion,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::OnlyVersion => "only-version",
+        }
+    }
+}
+
+/// Handles a request that takes a stream up, or of which another host has forwarded the version; returns whether it waits
+/// for the answers of other hosts or has ended.
+pub(in super::super) fn arrived(core: &mut Core, key: CallKey, out: &mut Effects) -> bool {
+    let call = &core.relay.calls[key];
+    if call.last_event.is_none() || call.version.is_some() {
+        return false;
+    }
+    let (stream, service) = (call.stream, short_hash(&call.service));
+    if let Some(record) = core.relay.versions.streams.get(stream) {
+        return !found(core, key, record, out);
+    }
+    let hosts = holders(core, stream);
+    let query = StreamQuery { stream, service };
+    let message = StreamMessage {
+        queries: vec![query],
+        ..StreamMessage::default()
+    };
+    send(core, &hosts, message, out);
+    core.relay.calls[key].lookup = Some(Lookup {
+        waiting: hosts,
+        usages: Vec::new(),
+    });
+    core.relay.versions.pending.push(key);
+    wake(core, LOOKUP_TIMEOUT, RelayTimer::TakeUp(key), out);
+    decide_if_complete(core, key, out);
+    true
+}
+
+/// Handles the end of the time for which a take-up waits.
+pub(in super::super) fn timed_out(core: &mut Core, key: CallKey, out: &mut Effects) {
+    if let Some(call) = core.relay.calls.get_mut(key)
+        && let Some(lookup) = &mut call.lookup
+    {
+        lookup.waiting.clear();
+        decide_if_complete(core, key, out);
+    }
+}
+
+/// Sets the version of a stream from its record; returns whether the request is to be sent. If it is not, it has ended.
+fn found(core: &mut Core, key: CallKey, record: StreamRecord, out: &mut Effects) -> bool {
+    let call = &mut core.relay.calls[key];
+    if short_hash(&call.service) != record.service {
+        // The weights of the route may have led to another service.
+        let split = call.route.split.iter();
+        let mut services = split.map(|(service, _)| service.clone());
+        let Some(service) = services.find(|service| short_hash(service) == record.service) else {
+            refuse_unknown(core, key, "another service began the stream", out);
+            return false;
+        };
+        let before = std::mem::replace(&mut call.service, service.clone());
+        let budgets = &mut core.relay.retry_budgets;
+        if let Some(budget) = budgets.get_mut(&before) {
+            budget.withdraw_request();
+        }
+        let budget = budgets.entry(service).or_default();
+        budget.record_request(core.now);
+    }
+    set_version(core, key, record.version, Source::Record, out);
+    true
+}
+
+fn set_version(core: &mut Core, key: CallKey, version: Version, source: Source, out: &mut Effects) {
+    let call = &mut core.relay.calls[key];
+    call.version = Some(version);
+    let fields = vec![
+        ("id", call.id.clone()),
+        ("source", source.name().into()),
+        ("version", version.0.to_string().into()),
+    ];
+    note(out, log::Level::Info, "stream.version", fields);
+    out.push(Effect::Meter(Meter::TakenUp {
+        outcome: source.name(),
+    }));
+}
+
+fn refuse_unknown(core: &mut Core, key: CallKey, detail: &str, out: &mut Effects) {
+    let outcome = "refused";
+    out.push(Effect::Meter(Meter::TakenUp { outcome }));
+    refuse(core, key, Refusal::new(Kind::NoVersion, detail), out);
+}
+
+/// Decides a take-up once all hosts that were asked have answered or had the time to.
+fn decide_if_complete(core: &mut Core, key: CallKey, out: &mut Effects) {
+    let Some(call) = core.relay.calls.get_mut(key) else {
+        return;
+    };
+    let Some(lookup) = call.lookup.take_if(|lookup| lookup.waiting.is_empty()) else {
+        return;
+    };
+    let service = call.service.clone();
+    core.relay.versions.pending.retain(|other| *other != key);
+    let own = usage(core, &service);
+    let recent = core.relay.versions.recent(&service, core.now);
+    match only_version(own, &lookup.usages, &recent) {
+        Some(version) => {
+            set_version(core, key, version, Source::OnlyVersion, out);
+            dispatch(core, key, out);
+        }
+        None => refuse_unknown(core, key, "no host knows the version of the stream", out),
+    }
+}
+
+/// Returns the only version that has been in use, if this host or another knows it and none contradicts.
+fn only_version(own: Usage, others: &[Usage], recent: &[Version]) -> Option<Version> {
+    let mut only = None;
+    for usage in others.iter().chain([&own]) {
+        match usage {
+            Usage::Several => return None,
+            Usage::Only(version) if only.is_some_and(|other| other != *version) => return None,
+            Usage::Only(version) => only = Some(*version),
+            Usage::Unknown => {}
+        }
+    }
+    only.filter(|only| recent.iter().all(|version| version == only))
+}
+
+/// Handles a message about streams from another host.
+pub(in super::super) fn receive(
+    core: &mut Core,
+    sender: HostKey,
+    message: &StreamMessage,
+    out: &mut Effects,
+) {
+    for record in &message.records {
+        core.relay.versions.streams.insert(*record, core.now);
+    }
+    let replies: Vec<StreamReply> = message
+        .queries
+        .iter()
+        .map(|query| reply_to(core, *query))
+        .collect();
+    if !replies.is_empty() {
+        let message = StreamMessage {
+            replies,
+            ..StreamMessage::default()
+        };
+        send(core, &[sender], message, out);
+    }
+    for reply in &message.replies {
+        received_reply(core, sender, *reply, out);
+    }
+}
+
+fn reply_to(core: &Core, query: StreamQuery) -> StreamReply {
+    let versions = &core.relay.versions;
+    let mut services = versions.listed.keys();
+    let service = services.find(|service| short_hash(service) == query.service);
+    StreamReply {
+        query,
+        record: versions.streams.get(query.stream),
+        usage: service.map_or(Usage::Unknown, |service| usage(core, service)),
+    }
+}
+
+fn received_reply(core: &mut Core, sender: HostKey, reply: StreamReply, out: &mut Effects) {
+    adopt_usage(core, reply);
+    let waits = |core: &Core, key: &CallKey| {
+        let call = core.relay.calls.get(*key);
+        call.is_some_and(|call| call.stream == reply.query.stream && call.lookup.is_some())
+    };
+    let pending = core.relay.versions.pending.iter();
+    let waiting: Vec<CallKey> = pending.filter(|key| waits(core, key)).copied().collect();
+    for key in waiting {
+        if let Some(record) = reply.record {
+            core.relay.calls[key].lookup = None;
+            core.relay.versions.pending.retain(|other| *other != key);
+            if found(core, key, record, out) {
+                dispatch(core, key, out);
+            }
+        } else if let Some(lookup) = &mut core.relay.calls[key].lookup {
+            lookup.waiting.retain(|host| *host != sender);
+            lookup.usages.push(reply.usage);
+            decide_if_complete(core, key, out);
+        }
+    }
+}
+
+/// Takes over what another host knows of the versions in use, if this one has started since and sees the same.
+fn adopt_usage(core: &mut Core, reply: StreamReply) {
+    let Usage::Only(version) = reply.usage else {
+        return;
+    };
+    let now = core.now;
+    for (service, listed) in &mut core.relay.versions.listed {
+        let agrees = listed.versions.keys().all(|other| *other == version);
+        if short_hash(service) == reply.query.service && agrees && listed.since.is_some() {
+            listed.since = Some(now.before(RETENTION));
+        }
+    }
+}
+
+/// Asks a host drawn at random for the versions in use of each service of which this one has not seen them for long.
+pub(super) fn ask_for_usage(core: &mut Core, out: &mut Effects) {
+    let (now, versions) = (core.now, &core.relay.versions);
+    let services = versions.listed.iter();
+    let unknown = services.filter(|(service, listed)| {
+        listed.since.is_some() && versions.usage(service, now) == Usage::Unknown
+    });
+    let queries: Vec<StreamQuery> = unknown
+        .map(|(service, _)| StreamQuery {
+            stream: StreamKey(0),
+            service: short_hash(service),
+        })
+        .collect();
+    let all = core.relay.peers.names.values().copied();
+    let Some(host) = all.choose(&mut core.rng) else {
+        return;
+    };
+    if !queries.is_empty() {
+        let message = StreamMessage {
+            queries,
+            ..StreamMessage::default()
+        };
+        send(core, &[host], message, out);
+    }
+}
+
+/// Sends the record of a stream to the hosts that hold it.
+pub(super) fn publish_record(core: &Core, record: StreamRecord, out: &mut Effects) {
+    let hosts = holders(core, record.stream);
+    let message = StreamMessage {
+        records: vec![record],
+        ..StreamMessage::default()
+    };
+    send(core, &hosts, message, out);
+}
+
+fn send(core: &Core, hosts: &[HostKey], message: StreamMessage, out: &mut Effects) {
+    let peers = &core.relay.peers.arena;
+    let to = hosts.iter().filter_map(|host| Some(peers.get(*host)?.addr));
+    let to: Vec<_> = to.collect();
+    if to.is_empty() {
+        return;
+    }
+    let message = Gossip {
+        host: core.settings.host.name.clone(),
+        incarnation: core.members.incarnation(),
+        kind: GossipKind::Streams(message),
+        ..Gossip::default()
+    };
+    out.push(Effect::Relay(RelayEffect::Publish {
+        to,
+        message: Box::new(message),
+    }));
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -57,6 +57,8 @@
     Overloaded,
     /// No engine of the model accepts requests.
     NoEngine,
+    /// No server has the version at which the stream began, or that version is not known.
+    NoVersion,
     /// The host cannot confirm that its view of the fleet is current.
     CutOff,
     /// The host is shutting down.
@@ -203,6 +205,14 @@
         5,
         "No engine takes work for this model now; come back after the given time.",
     ),
+    row(
+        Kind::NoVersion,
+        503,
+        "no-version",
+        Ran::No,
+        0,
+        "The stream cannot go on; send the request again from its beginning.",
+    ),
     row(
         Kind::CutOff,
         503,
@@ -327,7 +337,7 @@
 
 impl Kind {
     /// Every kind, in the order of the table.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::Malformed,
         Self::TooLarge,
         Self::TooSlow,
@@ -337,6 +347,7 @@
         Self::ShareSpent,
         Self::Overloaded,
         Self::NoEngine,
+        Self::NoVersion,
         Self::CutOff,
         Self::Stopping,
         Self::StoreDown,
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -54,6 +54,7 @@
     poison_requests: Gauge<u64>,
     links_lost: Gauge<u64>,
     forwarded: Counter<u64>,
+    taken_up: Counter<u64>,
     last_calls: Cell<CallCounts>,
     request_counts: RefCell<BTreeMap<Box<str>, u32>>,
     named_customers: RefCell<Vec<Box<str>>>,
@@ -156,6 +157,10 @@
                 .u64_gauge("chiveway_links_lost")
                 .with_description("1 while this host reaches no backend server")
                 .build(),
+            taken_up: meter
+                .u64_counter("chiveway_streams_taken_up")
+                .with_description("Streams that callers took up, by how their version was found")
+                .build(),
             forwarded: meter
                 .u64_counter("chiveway_requests_forwarded")
                 .with_description("Requests forwarded to other hosts")
@@ -200,6 +205,7 @@
                 self.queue_time
                     .record(after.as_secs_f64(), &[label("class", class)]);
             }
+            Meter::TakenUp { outcome } => self.taken_up.add(1, &[label("outcome", outcome)]),
             Meter::Forwarded { class } => self.forwarded.add(1, &[label("class", class)]),
             Meter::Retried { class } => self.retries.add(1, &[label("class", class)]),
             Meter::StoreCallLost => self.calls_lost.add(1, &[]),
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -207,6 +207,7 @@
         resume: origin
             .as_ref()
             .map_or(decoded.resume, |origin| origin.resume),
+        version: origin.as_ref().and_then(|origin| origin.version),
         resumes: decoded.resumes,
         bytes: body.len(),
         fingerprint: relay_fingerprint(&method, host, target, &body),
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -17,6 +17,7 @@
 use crate::backend::pool::Call;
 use crate::core::effect::Refusal;
 use crate::core::relay::event::{ForwardRefusal, Forwarded, RelayEvent, Spent};
+use crate::core::relay::versions::Version;
 use crate::error::{Kind, Ran};
 use crate::host::node::Node;
 use crate::platform::header::{self, Header};
@@ -29,6 +30,8 @@
 const DEADLINE_MS: &str = "chiveway-forward-deadline-ms";
 /// Number of the last event that the caller received.
 const RESUME: &str = "chiveway-forward-resume";
+/// Version at which the stream began, as a number.
+const VERSION: &str = "chiveway-forward-version";
 /// What the request has used up: runs, arrivals and prefills.
 const SPENT: &str = "chiveway-forward-spent";
 /// MAC of the other headers and of the request.
@@ -49,6 +52,8 @@
     pub remaining: Duration,
     /// Number of the last event that the caller received.
     pub resume: Option<u64>,
+    /// Version at which its stream began, once that is known.
+    pub version: Option<Version>,
     /// What the request has used up there.
     pub spent: Spent,
 }
@@ -66,6 +71,7 @@
             (SPENT, format!("{runs},{arrivals},{prefills}")),
         ];
         headers.extend(self.resume.map(|last| (RESUME, last.to_string())));
+        headers.extend(self.version.map(|began| (VERSION, began.0.to_string())));
         headers
     }
 
@@ -84,6 +90,10 @@
                 Some(last) => Some(last.parse().ok()?),
                 None => None,
             },
+            version: match find(VERSION) {
+                Some(began) => Some(Version(began.parse().ok()?)),
+                None => None,
+            },
             spent: Spent {
                 runs: count()?,
                 arrivals: count()?,
@@ -116,6 +126,7 @@
         from: out.from.clone(),
         remaining: out.remaining,
         resume: out.resume,
+        version: out.version,
         spent: out.spent,
     };
     let all = prepared.headers.iter().chain(&prepared.credentials);
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -9,8 +9,10 @@
 use super::datagrams::{seal, verify};
 use super::events::Splitter;
 use crate::core::relay::event::{
-    CrashReport, DepartureReport, Gossip, LimitReport, LoadReport, UptimeReport,
+    CrashReport, DepartureReport, Gossip, GossipKind, LimitReport, LoadReport, StreamMessage,
+    StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
+use crate::core::relay::versions::{StreamKey, Usage, Version};
 use crate::wire;
 
 fn gossip() -> Gossip {
@@ -76,6 +78,44 @@
     assert_eq!(verify(Some([1; 32]), &other), None);
 }
 
+/// Guards against a version, or the lack of one, that changes on the way to another host.
+#[test]
+fn messages_about_streams_arrive_unchanged() {
+    let record = StreamRecord {
+        stream: StreamKey(u64::MAX),
+        service: 3,
+        version: Version::of(Some("v1")),
+    };
+    let query = StreamQuery {
+        stream: record.stream,
+        service: 3,
+    };
+    let reply = |record, usage| StreamReply {
+        query,
+        record,
+        usage,
+    };
+    let message = Gossip {
+        kind: GossipKind::Streams(StreamMessage {
+            records: vec![record],
+            queries: vec![query],
+            replies: vec![
+                reply(Some(record), Usage::Several),
+                reply(None, Usage::Only(Version::UNKNOWN)),
+                reply(None, Usage::Unknown),
+            ],
+        }),
+        ..Gossip::default()
+    };
+    let message = Gossip {
+        host: "host-1".into(),
+        ..message
+    };
+    let bytes = seal(&[1; 32], &message);
+    let rest = verify(Some([1; 32]), &bytes).expect("verified");
+    assert_eq!(wire::decode_gossip(rest), Ok(message));
+}
+
 proptest! {
     /// The bytes of a stream arrive split at any place. Events must be returned complete, in order
     /// and unchanged, and an incomplete last event must not be returned.
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -478,6 +478,54 @@
     /// The sender reaches no backend server.
     #[prost(bool, tag = "21")]
     pub cut_off: bool,
+    /// Versions of streams; only in words of this kind.
+    #[prost(message, optional, tag = "22")]
+    pub streams: ::core::option::Option<StreamNews>,
+}
+/// Versions at which streams began, queries for them, and answers.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamNews {
+    #[prost(message, repeated, tag = "1")]
+    pub records: ::prost::alloc::vec::Vec<StreamRecord>,
+    #[prost(message, repeated, tag = "2")]
+    pub queries: ::prost::alloc::vec::Vec<StreamQuery>,
+    #[prost(message, repeated, tag = "3")]
+    pub replies: ::prost::alloc::vec::Vec<StreamReply>,
+}
+/// The version of the backend server that sent a stream's first event.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamRecord {
+    /// Hash of the id of the attempt that the stream began with.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Short hash of the service.
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+    /// Short hash of the version; 0 where the server names none.
+    #[prost(fixed32, tag = "3")]
+    pub version: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamQuery {
+    /// 0 where only the versions of the service are asked for.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamReply {
+    #[prost(message, optional, tag = "1")]
+    pub query: ::core::option::Option<StreamQuery>,
+    /// Absent where the stream is not known.
+    #[prost(message, optional, tag = "2")]
+    pub record: ::core::option::Option<StreamRecord>,
+    /// The service has had several versions lately.
+    #[prost(bool, tag = "3")]
+    pub several: bool,
+    /// The only version that it has had lately; absent where that is not known.
+    #[prost(fixed32, optional, tag = "4")]
+    pub only: ::core::option::Option<u32>,
 }
 /// Requests that began at a process in a window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -615,6 +663,8 @@
     Totals = 4,
     /// Requests that began, by process and window.
     Usage = 5,
+    /// Versions of streams.
+    Streams = 6,
 }
 impl WordKind {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -629,6 +679,7 @@
             Self::Farewell => "WORD_KIND_FAREWELL",
             Self::Totals => "WORD_KIND_TOTALS",
             Self::Usage => "WORD_KIND_USAGE",
+            Self::Streams => "WORD_KIND_STREAMS",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -640,6 +691,7 @@
             "WORD_KIND_FAREWELL" => Some(Self::Farewell),
             "WORD_KIND_TOTALS" => Some(Self::Totals),
             "WORD_KIND_USAGE" => Some(Self::Usage),
+            "WORD_KIND_STREAMS" => Some(Self::Streams),
             _ => None,
         }
     }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -9,8 +9,10 @@
 use crate::core::relay::duty::usage::ledger::{Process, Row, UsageReport};
 use crate::core::relay::event::{
     BlockReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
-    LimitReport, LoadReport, ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
+    LimitReport, LoadReport, ProbeReport, ReplicatedChanges, StoreChange, StreamMessage,
+    StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
+use crate::core::relay::versions::{StreamKey, Usage, Version};
 
 /// Appends the encoding of a message to `out`.
 pub fn encode_gossip(message: &Gossip, out: &mut BytesMut) {
@@ -35,6 +37,7 @@
         departures: message.departures.iter().map(to_departure).collect(),
         usage: to_usage(&message.kind),
         cut_off: message.cut_off,
+        streams: to_streams(&message.kind),
     };
     out.reserve(message.encoded_len());
     // Encoding fails only when the buffer is full, and `BytesMut` grows.
@@ -89,6 +92,7 @@
         GossipKind::Totals(_) => (wire::WordKind::Totals, ""),
         GossipKind::Domain(domain) | GossipKind::Forwarded(domain) => (wire::WordKind::Own, domain),
         GossipKind::Usage(_) => (wire::WordKind::Usage, ""),
+        GossipKind::Streams(_) => (wire::WordKind::Streams, ""),
     }
 }
 
@@ -104,6 +108,12 @@
         wire::WordKind::Hello => GossipKind::Hello,
         wire::WordKind::Report => GossipKind::Report,
         wire::WordKind::Farewell => GossipKind::Farewell,
+        wire::WordKind::Streams => {
+            let streams = message.streams.as_ref();
+            GossipKind::Streams(from_streams(
+                streams.ok_or(WireError::Field { field: "streams" })?,
+            )?)
+        }
         wire::WordKind::Usage => GossipKind::Usage(
             message
                 .usage
@@ -117,6 +127,81 @@
     })
 }
 
+fn to_streams(kind: &GossipKind) -> Option<wire::StreamNews> {
+    let GossipKind::Streams(message) = kind else {
+        return None;
+    };
+    Some(wire::StreamNews {
+        records: message.records.iter().map(to_record).collect(),
+        queries: message.queries.iter().map(to_query).collect(),
+        replies: message.replies.iter().map(to_reply).collect(),
+    })
+}
+
+fn from_streams(message: &wire::StreamNews) -> Result<StreamMessage, WireError> {
+    let replies = message.replies.iter().map(from_reply);
+    Ok(StreamMessage {
+        records: message.records.iter().map(from_record).collect(),
+        queries: message.queries.iter().map(from_query).collect(),
+        replies: replies.collect::<Result<_, _>>()?,
+    })
+}
+
+fn to_record(record: &StreamRecord) -> wire::StreamRecord {
+    wire::StreamRecord {
+        stream: record.stream.0,
+        service: record.service,
+        version: record.version.0,
+    }
+}
+
+fn from_record(record: &wire::StreamRecord) -> StreamRecord {
+    StreamRecord {
+        stream: StreamKey(record.stream),
+        service: record.service,
+        version: Version(record.version),
+    }
+}
+
+fn to_query(query: &StreamQuery) -> wire::StreamQuery {
+    wire::StreamQuery {
+        stream: query.stream.0,
+        service: query.service,
+    }
+}
+
+fn from_query(query: &wire::StreamQuery) -> StreamQuery {
+    StreamQuery {
+        stream: StreamKey(query.stream),
+        service: query.service,
+    }
+}
+
+fn to_reply(reply: &StreamReply) -> wire::StreamReply {
+    wire::StreamReply {
+        query: Some(to_query(&reply.query)),
+        record: reply.record.as_ref().map(to_record),
+        several: reply.usage == Usage::Several,
+        only: match reply.usage {
+            Usage::Only(version) => Some(version.0),
+            Usage::Unknown | Usage::Several => None,
+        },
+    }
+}
+
+fn from_reply(reply: &wire::StreamReply) -> Result<StreamReply, WireError> {
+    let query = reply.query.as_ref();
+    Ok(StreamReply {
+        query: from_query(query.ok_or(WireError::Field { field: "query" })?),
+        record: reply.record.as_ref().map(from_record),
+        usage: match (reply.several, reply.only) {
+            (true, _) => Usage::Several,
+            (false, Some(version)) => Usage::Only(Version(version)),
+            (false, None) => Usage::Unknown,
+        },
+    })
+}
+
 fn to_included(kind: &GossipKind) -> Vec<wire::Included> {
     let GossipKind::Totals(included) = kind else {
         return Vec::new();
