Send a request of a silent server to the one for which the server was given up

The check for silence found another engine and gave the attempt up; the next choice drew other candidates and refused. Now the choice of the check is the one that is sent.

a_silent_stream_is_given_up_only_for_the_engine_that_gets_it: red before, at the first of 40 hosts.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -415,12 +415,16 @@
         return;
     }
     let (call, backend) = (attempt.call, attempt.backend);
-    let moves = may_move(core, attempt)
-        && if core.relay.links.are_lost() {
-            forward::has_candidate(core)
-        } else {
-            retry::can_move(core, call, backend)
-        };
+    let may_move = may_move(core, attempt);
+    let moves = if core.relay.links.are_lost() {
+        may_move && forward::has_candidate(core)
+    } else if may_move {
+        // A second choice could draw other candidates and find none.
+        core.relay.calls[call].next = retry::choose_other(core, call, backend);
+        core.relay.calls[call].next.is_some()
+    } else {
+        false
+    };
     if !moves {
         super::wake(core, timeout, super::RelayTimer::Silence(key), out);
         return;
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -140,6 +140,7 @@
         arrivals: spent.arrivals,
         prefills: spent.prefills,
         tried: Vec::new(),
+        next: None,
         last_event: arrival.resume.filter(|_| route.streaming),
         delivered: false,
         counted: false,
@@ -160,7 +161,8 @@
 
 /// Sends a request to a backend server, or refuses it if none can serve it.
 pub(super) fn dispatch(core: &mut Core, key: CallKey, out: &mut Effects) {
-    let fingerprint = core.relay.calls[key].fingerprint;
+    let call = &mut core.relay.calls[key];
+    let (next, fingerprint) = (call.next.take(), call.fingerprint);
     let poison_requests = &core.relay.poison_requests;
     if let Some(left) = poison_requests.blocked_for(fingerprint, core.now) {
         let detail = format!(
@@ -180,7 +182,11 @@
     if unreachable >= MAX_UNREACHABLE && forward::forward(core, key, out) {
         return;
     }
-    match choose::choose(core, key) {
+    let chosen = match next {
+        Some(choice) => Ok(choice),
+        None => choose::choose(core, key),
+    };
+    match chosen {
         Ok(choice) => send(core, key, &choice, out),
         Err(refusal) if unreachable > 0 || forward::others_reach_more(core, key) => {
             forward::forward_in_place_of(core, key, refusal, out);
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -49,6 +49,7 @@
 use crate::settings::Settings;
 use budget::RetryBudget;
 use catalog::{Catalog, RetryPolicy, Route};
+use choose::Choice;
 use customers::Identity;
 use event::{Changes, Prompt, RelayEvent, Task};
 use instances::Instances;
@@ -142,6 +143,8 @@
     pub prefills: u32,
     /// Backend servers at which an attempt failed.
     pub tried: Vec<BackendKey>,
+    /// The choice of the next server for which the current attempt is given up.
+    pub next: Option<Choice>,
     /// Number of the last event that the caller received.
     pub last_event: Option<u64>,
     /// Whether any part of the answer was forwarded.
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -2,7 +2,7 @@
 
 use super::super::Core;
 use super::super::key::{BackendKey, CallKey};
-use super::choose;
+use super::choose::{self, Choice};
 use super::event::Task;
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
@@ -24,8 +24,8 @@
     budget.try_spend(core.now, &settings.retry_budget, hosts)
 }
 
-/// Returns whether a request could be sent again now to another backend server than this one.
-pub(super) fn can_move(core: &mut Core, key: CallKey, backend: BackendKey) -> bool {
+/// Chooses another backend server than this one for a request that may be sent again now; `None` if there is none.
+pub(super) fn choose_other(core: &mut Core, key: CallKey, backend: BackendKey) -> Option<Choice> {
     let call = &core.relay.calls[key];
     if core
         .relay
@@ -33,7 +33,7 @@
         .blocked_for(call.fingerprint, core.now)
         .is_some()
     {
-        return false;
+        return None;
     }
     let service = call.service.clone();
     let hosts = core.relay.peers.host_count();
@@ -44,7 +44,7 @@
         .as_ref()
         .map(|relay| &relay.retry_budget);
     if !rules.is_some_and(|rules| budget.allows(core.now, rules, hosts)) {
-        return false;
+        return None;
     }
     let call = &mut core.relay.calls[key];
     call.tried.push(backend);
@@ -54,5 +54,5 @@
     let call = &mut core.relay.calls[key];
     call.tried.pop();
     call.cache = cache;
-    choice.is_ok_and(|choice| choice.backend != backend)
+    choice.ok().filter(|choice| choice.backend != backend)
 }
--- a/src/core/relay/tests/sampling.rs
+++ b/src/core/relay/tests/sampling.rs
@@ -4,6 +4,7 @@
 //! messages as there are engines.
 
 use super::*;
+use crate::core::relay::event::Task;
 
 /// Engines of each stage.
 const ENGINES: u8 = 40;
@@ -65,3 +66,31 @@
         chosen.iter().filter(|id| id.starts_with('p')).collect();
     assert_eq!(prefill.len(), usize::from(ENGINES));
 }
+
+/// An engine preempts a stream for seconds while few others have room, at hosts that draw their candidates at random.
+/// Guards against a host that gives the engine up for one that it then does not draw, and cuts the answer.
+#[test]
+fn a_silent_stream_is_given_up_only_for_the_engine_that_gets_it() {
+    for number in 0..40 {
+        let mut site = host(number, 100);
+        site.arrive(model_request("/short/x", (1, 60), 290));
+        let mut sent = site.sent().expect("the request is admitted");
+        while sent.task == Task::Prefill {
+            let handle = "handle".into();
+            let attempt = sent.attempt;
+            site.event(RelayEvent::Prefilled { attempt, handle });
+            sent = site.sent().expect("the prompt is handed over");
+        }
+        let attempt = sent.attempt;
+        site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+        let engines = site.core.relay.instances.arena.values_mut();
+        for (at, engine) in engines.enumerate() {
+            if at % 5 != 0 {
+                engine.peer_total.tokens = 10_000_000;
+            }
+        }
+        let out = site.advance(2500);
+        let is_cut = has_effect(&out, |effect| matches!(effect, RelayEffect::AbortAnswer(_)));
+        assert!(!is_cut, "host {number} cut the stream");
+    }
+}
