Give attempts up at lost links only for requests that can be forwarded

A stream that another host had forwarded was given up when this host lost its links, although a forwarded request is not forwarded again, and its answer cut; likewise a request that had been to every host.

a_forwarded_stream_is_not_given_up_when_the_links_are_lost: red before.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -417,7 +417,7 @@
     let (call, backend) = (attempt.call, attempt.backend);
     let may_move = may_move(core, attempt);
     let moves = if core.relay.links.are_lost() {
-        may_move && forward::has_candidate(core)
+        may_move && forward::can_forward(core, call)
     } else if may_move {
         // A second choice could draw other candidates and find none.
         core.relay.calls[call].next = retry::choose_other(core, call, backend);
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -109,6 +109,11 @@
     all.any(|peer| is_candidate(peer, core.now))
 }
 
+/// Returns whether there is a host to forward a request to.
+pub(super) fn can_forward(core: &mut Core, key: CallKey) -> bool {
+    !core.relay.calls[key].is_forwarded && choose(core, key).is_some()
+}
+
 fn is_candidate(peer: &Peer, now: Time) -> bool {
     !peer.is_cut_off && now >= peer.avoid_until
 }
--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -14,7 +14,7 @@
 
 use super::super::effect::Effect;
 use super::super::event::AttemptFailure;
-use super::super::key::{AttemptKey, BackendKey};
+use super::super::key::{AttemptKey, BackendKey, CallKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::departed::ServerStart;
@@ -174,17 +174,19 @@
     }
     planner::links_lost(core, out);
     wake(core, PROBE_INTERVAL, RelayTimer::ProbeLinks, out);
-    if forward::has_candidate(core) {
-        move_attempts(core, out);
-    }
+    move_attempts(core, out);
 }
 
 /// Gives up the attempts whose requests may be sent again, so that they are forwarded.
 fn move_attempts(core: &mut Core, out: &mut Effects) {
     let attempts = core.relay.attempts.iter();
     let movable = attempts.filter(|(_, attempt)| answer::may_move(core, attempt));
-    let movable: Vec<AttemptKey> = movable.map(|(key, _)| key).collect();
-    for key in movable {
+    let movable: Vec<(AttemptKey, CallKey)> =
+        movable.map(|(key, attempt)| (key, attempt.call)).collect();
+    for (key, call) in movable {
+        if !forward::can_forward(core, call) {
+            continue;
+        }
         let (ran, how) = (Ran::Unknown, AttemptFailure::Silent);
         answer::attempt_failed(core, key, ran, how, "the links are lost", out);
     }
--- a/src/core/relay/tests/partition.rs
+++ b/src/core/relay/tests/partition.rs
@@ -2,6 +2,7 @@
 
 use super::network::{Cut, Got, HOP_MS, Incident, Network};
 use super::*;
+use crate::core::relay::event::Spent;
 use crate::error::Kind;
 
 /// Milliseconds after the loss of the links from which callers must be served.
@@ -251,3 +252,33 @@
     let served = network.served(|_| true, begin);
     assert!(served > 0.95, "{served} served");
 }
+
+/// A host loses its links while it serves a stream that another host forwarded to it. Guards against a host that gives the
+/// stream up for a host to which it must not forward it, and cuts the answer.
+#[test]
+fn a_forwarded_stream_is_not_given_up_when_the_links_are_lost() {
+    let mut network = Network::new(3, 1);
+    let request = Arrival {
+        forwarded: Some(Spent::default()),
+        ..plain_request("/feed/x")
+    };
+    network.node(0).arrive(request);
+    let attempt = network.node(0).sent().expect("a request is sent").attempt;
+    network
+        .node(0)
+        .event(RelayEvent::StreamEvent { attempt, number: 1 });
+    network.site.pass(200);
+    network.site.actions.clear();
+    for server in ["p", "q", "r"] {
+        let instance = server.into();
+        network.node(0).event(RelayEvent::LinkProbed {
+            instance,
+            reached: false,
+        });
+        network.site.send_effects(0);
+    }
+    assert!(network.node(0).core.relay.links.are_lost());
+    let mut actions = network.site.actions.iter();
+    let cut = actions.find(|(_, effect)| matches!(effect, RelayEffect::Cancel(_)));
+    assert!(cut.is_none(), "{cut:?}");
+}
