Take streams up across hosts and versions in process tests and in the soak

Stand-ins register with a software version. Two hosts and six engines of two versions: streams whose connection or whose host ends after the first event are taken up at the second host. In the soak servers have two versions in turn, and a caller breaks its streams off and takes them up at hosts drawn at random; a stream with events of both is a violation.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -23,6 +23,7 @@
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
 mod stop;
+mod versions;
 mod watcher;
 
 use std::net::SocketAddr;
--- a/tests/relay/standin.rs
+++ b/tests/relay/standin.rs
@@ -605,6 +605,8 @@
 )]
 struct EngineState {
     stage: Option<String>,
+    /// Version of its software.
+    version: String,
     requests: Vec<(String, String, Vec<u8>)>,
     /// Whether its answers state that it is leaving.
     leaving: bool,
@@ -652,6 +654,15 @@
     numbers.map(event).collect()
 }
 
+/// Returns the engine that sent each complete event of a stream.
+pub fn senders(text: &str) -> Vec<String> {
+    let events = text.split_inclusive("\n\n");
+    let complete = events.filter_map(|event| event.strip_suffix("\n\n"));
+    let data = complete.filter_map(|event| event.split_once("\ndata: "));
+    data.filter_map(|(_, data)| Some(data.split_once(' ')?.0.to_owned()))
+        .collect()
+}
+
 impl Engine {
     pub fn plain(id: &str) -> Self {
         Self::start(id, None)
@@ -664,6 +675,7 @@
     fn start(id: &str, stage: Option<String>) -> Self {
         let initial = EngineState {
             stage,
+            version: "v1".to_owned(),
             ..EngineState::default()
         };
         let shared = Arc::new((Mutex::new(initial), Condvar::new()));
@@ -676,11 +688,23 @@
         }
     }
 
+    /// Sets the version of its software.
+    pub fn set_version(&self, version: &str) {
+        version.clone_into(&mut self.shared.0.lock().expect("the engine").version);
+    }
+
+    /// Returns the version of its software.
+    pub fn version(&self) -> String {
+        self.shared.0.lock().expect("the engine").version.clone()
+    }
+
     /// Returns its entry in the store.
     pub fn entry(&self, reported_state: &str) -> Value {
-        let stage = self.shared.0.lock().expect("the engine").stage.clone();
+        let state = self.shared.0.lock().expect("the engine");
+        let (stage, version) = (state.stage.clone(), state.version.clone());
+        drop(state);
         let service = if stage.is_some() { "model" } else { "plain" };
-        json!({"service": service, "address": self.addr.to_string(), "zone": "z", "version": "v1",
+        json!({"service": service, "address": self.addr.to_string(), "zone": "z", "version": version,
             "slots": 8, "state": reported_state, "coldRemainingMs": 0, "stage": stage, "sequence": 1,
             "born": 1})
     }
--- /dev/null
+++ b/tests/relay/versions.rs
@@ -0,0 +1,141 @@
+//! Streams of engines with two software versions, in one answer and taken up at a second host.
+
+use std::net::SocketAddr;
+
+use super::standin::{Engine, SHORT_PROMPT, senders};
+use super::watcher::SecondHost;
+use super::{LOG_FILE, Site, http, is_listed_ready, wait_for};
+
+/// Streams of each test.
+const STREAM_COUNT: usize = 24;
+
+/// Returns three engines of each of two versions, whose ids begin with the version.
+fn engines() -> Vec<Engine> {
+    let names = ["v1-a", "v1-b", "v1-c", "v2-a", "v2-b", "v2-c"];
+    let engines = names.map(|name| {
+        let engine = Engine::model(name, "decode");
+        engine.set_version(&name[..2]);
+        engine
+    });
+    engines.into()
+}
+
+fn headers(id: &str) -> Vec<(&str, &str)> {
+    let mut headers = vec![
+        ("x-chiveway-attempt-id", id),
+        ("x-chiveway-deadline-ms", "8000"),
+    ];
+    headers.extend(SHORT_PROMPT);
+    headers
+}
+
+/// Begins a stream and closes its connection after the first event; returns the engine that sent it.
+fn begin(callers: SocketAddr, id: &str) -> String {
+    let answer = http::open(callers, "POST", "/short/x", &headers(id), b"body");
+    let mut answer = answer.expect("an answer");
+    let first = answer.next_chunk().expect("an event").expect("an event");
+    senders(&String::from_utf8_lossy(&first)).remove(0)
+}
+
+/// Takes a stream up; returns the engines that sent its other events, none if it was refused.
+fn take_up(callers: SocketAddr, id: &str, resumes: &str) -> Vec<String> {
+    let mut headers = headers(id);
+    headers.extend([("last-event-id", "1"), ("resumes", resumes)]);
+    let answer = http::send(callers, "POST", "/short/x", &headers, b"body");
+    let answer = answer.expect("an answer");
+    let text = answer.text();
+    if answer.status == 503 {
+        assert!(text.contains(r#""ran":"no""#), "{text}");
+        return Vec::new();
+    }
+    assert_eq!((answer.status, answer.complete), (200, true), "{text}");
+    assert!(text.starts_with("id: 2\n"), "{text}");
+    senders(&text)
+}
+
+/// A site with a second host, both of which list all engines.
+fn with_second_host(engines: &[Engine]) -> (Site, SecondHost) {
+    let site = Site::ready(&engines.iter().collect::<Vec<_>>());
+    let second = SecondHost::start(&site);
+    wait_for("every engine at the second host", || {
+        let log = second.folder.read(LOG_FILE);
+        engines
+            .iter()
+            .all(|engine| is_listed_ready(&log, &engine.id))
+    });
+    wait_for("the hosts to know each other", || {
+        let joined = |log: &str, host: &str| {
+            let mut lines = log.lines();
+            lines.any(|line| line.contains("host.joined") && line.contains(host))
+        };
+        joined(&site.log(), "host-2") && joined(&second.folder.read(LOG_FILE), "host-1")
+    });
+    (site, second)
+}
+
+/// Guards against a stream that another host takes up at another software version, and against one that refuses all.
+#[test]
+fn a_stream_is_taken_up_at_its_version() {
+    let engines = engines();
+    let (site, second) = with_second_host(&engines);
+    let mut went_on = 0;
+    for number in 0..STREAM_COUNT {
+        let (one, two) = (format!("one-{number}"), format!("two-{number}"));
+        let first = begin(site.callers, &one);
+        let others = take_up(second.callers, &two, &one);
+        assert!(
+            others.iter().all(|other| other[..2] == first[..2]),
+            "{first}, then {others:?}"
+        );
+        went_on += usize::from(!others.is_empty());
+    }
+    assert!(went_on * 2 >= STREAM_COUNT, "{went_on} went on");
+}
+
+/// The host at which streams began is killed. Guards against versions that only the first host knows.
+#[test]
+fn a_stream_of_a_killed_host_is_taken_up_at_its_version() {
+    let engines = engines();
+    let (mut site, second) = with_second_host(&engines);
+    for engine in &engines {
+        engine.hold_streams();
+    }
+    let ids: Vec<String> = (0..STREAM_COUNT)
+        .map(|number| format!("one-{number}"))
+        .collect();
+    let firsts: Vec<String> = ids.iter().map(|id| begin(site.callers, id)).collect();
+    site.host.kill();
+    for engine in &engines {
+        engine.release_streams();
+    }
+    let mut went_on = 0;
+    for (one, first) in ids.iter().zip(&firsts) {
+        let others = take_up(second.callers, &format!("two-{one}"), one);
+        assert!(
+            others.iter().all(|other| other[..2] == first[..2]),
+            "{first}, then {others:?}"
+        );
+        went_on += usize::from(!others.is_empty());
+    }
+    assert!(went_on * 2 >= STREAM_COUNT, "{went_on} went on");
+}
+
+/// The only engine of a version breaks a stream off and ends. Guards against an answer that goes on at another version.
+#[test]
+fn an_answer_holds_events_of_one_version() {
+    let engines = engines();
+    let site = Site::ready(&engines.iter().collect::<Vec<_>>());
+    for number in 0..STREAM_COUNT {
+        for engine in &engines {
+            engine.break_after(2);
+        }
+        let id = format!("one-{number}");
+        let answer = http::send(site.callers, "POST", "/short/x", &headers(&id), b"body");
+        let text = answer.expect("an answer").text();
+        let senders = senders(&text);
+        assert!(
+            senders.iter().all(|other| other[..2] == senders[0][..2]),
+            "{text}"
+        );
+    }
+}
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -86,6 +86,10 @@
     pub after_drain: Vec<String>,
     /// Times of crashes under the request that crashes servers, in order.
     pub poison_crashes: Vec<Duration>,
+    /// Servers that sent the events of each stream, over all attempts of its caller.
+    pub streams: Vec<Vec<String>>,
+    /// Software version of each server.
+    pub software: BTreeMap<String, String>,
     /// Services and versions that were missing after all faults had ended.
     pub unrecovered: Vec<String>,
 }
@@ -116,6 +120,7 @@
     let late = record.after_drain.iter();
     violations.extend(late.map(|run| format!("sent to a draining server: {run}")));
     violations.extend(late_crashes(&record.poison_crashes));
+    violations.extend(mixed_streams(record));
     let unserved = record.unrecovered.iter();
     violations
         .extend(unserved.map(|what| format!("not served after all faults had ended: {what}")));
@@ -179,6 +184,22 @@
         .collect()
 }
 
+/// Returns the streams with events of several software versions.
+fn mixed_streams(record: &Record) -> Vec<String> {
+    let taken_up = record.streams.iter().cloned();
+    let answers = record.observations.iter();
+    let answers = answers.filter(|answer| answer.kind.is_streaming());
+    let streams = taken_up.chain(answers.map(|answer| standin::senders(&answer.body)));
+    let is_mixed = |servers: &Vec<String>| {
+        let versions = servers.iter().map(|server| record.software.get(server));
+        versions.collect::<BTreeSet<_>>().len() > 1
+    };
+    let mixed = streams.filter(is_mixed);
+    mixed
+        .map(|servers| format!("a stream of several software versions: {servers:?}"))
+        .collect()
+}
+
 /// Returns a violation if a request went on crashing servers after the third.
 fn late_crashes(crashes: &[Duration]) -> Option<String> {
     let late_from = *crashes.get(2)? + LATE_AFTER;
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -33,6 +33,8 @@
     Some("decode"),
     Some("decode"),
 ];
+/// Software versions that servers have in turn.
+const SOFTWARE_VERSIONS: [&str; 2] = ["v1", "v2"];
 /// Number of concurrent callers.
 pub const CALLER_COUNT: u64 = 6;
 /// Delay of an answer, or of an event of a stream, at a server.
@@ -84,6 +86,8 @@
     /// Number of unplanned faults: active now, and injected so far.
     pub unplanned: (AtomicU64, AtomicU64),
     pub observations: Mutex<Vec<(Observation, u64)>>,
+    /// Servers that sent the events of each stream, over all attempts of its caller.
+    pub streams: Mutex<Vec<Vec<String>>>,
     pub finished: AtomicBool,
     pub started: Instant,
 }
@@ -123,6 +127,7 @@
         }
         scope.spawn(|| cluster.update_entries());
         scope.spawn(move || cluster.send_poison(seed));
+        scope.spawn(move || cluster.take_up_streams(seed));
         // Callers must also end if injecting a fault panics.
         let _finish = FinishOnDrop(&cluster.finished);
         thread::scope(|injections| {
@@ -141,12 +146,18 @@
         .iter()
         .filter(|seen| seen.status == Some(200));
     let summary = format!(
-        "{} requests, {} served, {} runs, {} orders, {} crashes under one request",
+        "{} requests, {} served, {} runs, {} orders, {} crashes under one request, {} streams of which {} went on",
         record.observations.len(),
         served.count(),
         record.runs.len(),
         record.orders.len(),
-        record.poison_crashes.len()
+        record.poison_crashes.len(),
+        record.streams.len(),
+        record
+            .streams
+            .iter()
+            .filter(|events| events.len() > 1)
+            .count()
     );
     let violations = check::check(&record);
     if violations.is_empty() {
@@ -193,6 +204,7 @@
             served_versions: Mutex::default(),
             unplanned: (AtomicU64::new(0), AtomicU64::new(0)),
             observations: Mutex::default(),
+            streams: Mutex::default(),
             finished: AtomicBool::new(false),
             started: Instant::now(),
         };
@@ -269,6 +281,7 @@
         let id = format!("s-{}", servers.len() + 1);
         let engine = stage.map_or_else(|| Engine::plain(&id), |stage| Engine::model(&id, stage));
         engine.set_delay(SERVER_DELAY);
+        engine.set_version(SOFTWARE_VERSIONS[servers.len() % SOFTWARE_VERSIONS.len()]);
         engine.crash_on(POISON);
         let forwarder = FaultProxy::start(engine.addr());
         if self.has_links {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -5,6 +5,7 @@
 //! is restored from an older copy; engines crash, drain, are replaced and break answers off; the configuration
 //! changes.
 //! Hosts are partitioned from all servers, in half of the seeds and once more at the end.
+//! Servers have two software versions, and one caller takes streams up at other hosts.
 //! Meanwhile one caller sends a request that crashes every server that runs it. The
 //! requests recorded by callers and backend servers are then checked against the guarantees (`check`).
 //!
@@ -35,6 +36,7 @@
 mod planted;
 mod poison;
 mod record;
+mod streams;
 
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -128,6 +128,13 @@
         poison_crashes: [0, 1, 2, 6, 7, 8, 9].map(Duration::from_secs).to_vec(),
         ..Record::default()
     } => "crashed 4 servers late";
+    a_stream_of_two_software_versions: Record {
+        streams: vec![vec!["s-1".to_owned(), "s-2".to_owned()]],
+        software: [("s-1", "v1"), ("s-2", "v2")]
+            .map(|(server, version)| (server.to_owned(), version.to_owned()))
+            .into(),
+        ..Record::default()
+    } => "several software versions";
     a_service_that_does_not_recover: Record {
         unrecovered: vec!["host-1 /once/x".to_owned()],
         ..Record::default()
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -8,6 +8,7 @@
 use crate::check::{Order, Record, Run};
 use crate::cluster::{Cluster, Server};
 use crate::poison::POISON_ID_PREFIX;
+use crate::streams::STREAM_ID_PREFIX;
 
 impl Cluster {
     /// Returns the record of callers and servers.
@@ -25,10 +26,13 @@
                 .collect(),
             versions: self.served_versions.lock().expect("no panic").clone(),
             unrecovered,
+            streams: self.streams.lock().expect("no panic").clone(),
             poison_crashes: self.poison_crashes().iter().map(since_start).collect(),
             ..Record::default()
         };
         for server in &*self.servers.lock().expect("no panic") {
+            let engine = &server.engine;
+            record.software.insert(engine.id.clone(), engine.version());
             for (path, head, body) in server.engine.requests() {
                 add_request(&mut record, server, &path, &head, &body, &known_versions);
             }
@@ -60,7 +64,8 @@
     let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
     let id = id.unwrap_or_default().to_owned();
     let is_prefill = head.contains("x-chiveway-serving-stage: prefill");
-    let is_observed = !id.starts_with("probe-") && !id.starts_with(POISON_ID_PREFIX);
+    let unobserved = ["probe-", POISON_ID_PREFIX, STREAM_ID_PREFIX];
+    let is_observed = !unobserved.iter().any(|prefix| id.starts_with(prefix));
     if is_prefill || !is_observed || path.starts_with("/v1/") {
         return;
     }
