Probe a server that broke a request off before its crash is reported

Callers were refused for ten minutes although nothing of theirs crashed a server: where servers lose answers by resets, a request that is retried breaks off at two of them within milliseconds, and both count until they answer something else.

One that answers did not crash, and no host hears of it; others are reported when the probe fails, which takes no longer than a round trip where the process has ended.

--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -86,6 +86,13 @@
         /// Whether it answered.
         reached: bool,
     },
+    /// A probe of a backend server that broke a request off ended.
+    ServerProbed {
+        /// The server's id.
+        instance: Box<str>,
+        /// Whether that server itself answered.
+        is_alive: bool,
+    },
     /// The body of a streamed answer ended as its framing marks it.
     StreamEnded {
         /// The attempt.
@@ -310,6 +317,8 @@
     Forward(Box<Forwarded>),
     /// Probe the link to a backend server.
     ProbeLink(LinkProbe),
+    /// Probe whether a backend server runs that broke a request off.
+    ProbeServer(LinkProbe),
     /// Close the attempt's connection and drop the attempt.
     Cancel(AttemptKey),
     /// Forward the current stream event to the caller.
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -141,7 +141,10 @@
 fn take_unpublished(core: &mut Core) -> (Vec<BlockReport>, Vec<CrashReport>) {
     let blocks = std::mem::take(&mut core.relay.peers.pending_blocks);
     let doubtful = links::doubtful_servers(core);
-    let crashes = core.relay.poison_requests.take_unpublished(&doubtful);
+    let crashes = core
+        .relay
+        .poison_requests
+        .take_unpublished(&doubtful, core.now);
     (blocks, crashes)
 }
 
--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -17,6 +17,7 @@
 use super::super::key::{AttemptKey, BackendKey, CallKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
+use super::catalog::Catalog;
 use super::departed::ServerStart;
 use super::event::{LinkProbe, RelayEffect};
 use super::instance::Instance;
@@ -265,21 +266,24 @@
     servers.sort_unstable();
     for (_, _, key) in servers.into_iter().take(count) {
         let instance = &core.relay.instances.arena[key];
-        let catalog = core.relay.catalog.as_ref();
-        let service = catalog.and_then(|catalog| catalog.services.get(&instance.service));
-        let health = service.map_or("".into(), |service| service.health.clone());
-        if instance.stage.is_none() && health.is_empty() {
-            continue;
+        if let Some(probe) = probe_of(core.relay.catalog.as_ref(), instance) {
+            out.push(Effect::Relay(RelayEffect::ProbeLink(probe)));
         }
-        let probe = LinkProbe {
-            instance: instance.id.clone(),
-            addr: instance.addr,
-            health: instance.stage.is_none().then_some(health),
-        };
-        out.push(Effect::Relay(RelayEffect::ProbeLink(probe)));
     }
 }
 
+/// Returns the probe of a server; `None` for a plain one whose service has no health check.
+pub(super) fn probe_of(catalog: Option<&Catalog>, instance: &Instance) -> Option<LinkProbe> {
+    let service = catalog.and_then(|catalog| catalog.services.get(&instance.service));
+    let health = service.map_or("".into(), |service| service.health.clone());
+    let is_engine = instance.stage.is_some();
+    (is_engine || !health.is_empty()).then(|| LinkProbe {
+        instance: instance.id.clone(),
+        addr: instance.addr,
+        health: (!is_engine).then_some(health),
+    })
+}
+
 /// Handles the end of a probe.
 pub(super) fn probed(core: &mut Core, id: &str, reached: bool, out: &mut Effects) {
     if reached {
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -83,6 +83,8 @@
     SyncPoison,
     /// Probe the link to a backend server.
     ProbeLinks,
+    /// Probe servers that broke requests off.
+    ProbeServers,
     /// Decide on a stream that is taken up by the answers of other hosts so far.
     TakeUp(CallKey),
 }
@@ -332,6 +334,9 @@
         RelayEvent::LinkProbed { instance, reached } => {
             links::probed(core, &instance, reached, out);
         }
+        RelayEvent::ServerProbed { instance, is_alive } => {
+            poison::proof::probed(core, &instance, is_alive, out);
+        }
         RelayEvent::StoreEra(era) => view::era::observe(core, era, view::era::STORE_SOURCE, out),
         RelayEvent::StoreReceived { number, bytes } => view::pending::received(core, number, bytes),
         RelayEvent::StoreAnswered { number, answer } => view::answered(core, number, answer, out),
@@ -364,6 +369,7 @@
         RelayTimer::Authority => planner::renew(core, out),
         RelayTimer::SyncPoison => poison::stored::sync(core, out),
         RelayTimer::ProbeLinks => links::probe(core, out),
+        RelayTimer::ProbeServers => poison::proof::send(core, out),
         RelayTimer::TakeUp(call) => versions::take_up::timed_out(core, call, out),
     }
 }
@@ -411,6 +417,7 @@
         .apply_changes(&mut changes, at, settled, core.now);
     log_listings(listings, view::STORE_SOURCE, out);
     links::servers_changed(core, out);
+    poison::proof::servers_changed(core);
     versions::servers_changed(core, &several, out);
     peers::apply_changes(core, &changes, out);
     planner::changed(core, &changes, out);
--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -6,6 +6,7 @@
 //! refuses it. A process that answers a request sent later has not crashed, and no longer counts. Hosts report each crash to each other, and keep the requests that they refuse in the
 //! store: see [`stored`].
 
+pub(super) mod proof;
 pub(super) mod stored;
 
 use std::collections::BTreeMap;
@@ -77,6 +78,8 @@
     records: BTreeMap<u64, CrashRecord>,
     /// When the suspected processes crashed, if they did.
     crashed: BTreeMap<ServerStart, Time>,
+    /// Probes of the suspected processes.
+    probes: proof::Probes,
     /// Crashes to report, and in how many more messages.
     unpublished: Vec<(CrashReport, u8)>,
     /// When the store was last written.
@@ -178,15 +181,19 @@
         }
     }
 
-    /// Returns the crashes to report in the next message to the other hosts.
+    /// Returns the crashes to report in the next message to the other hosts: none of a server that is being probed.
     ///
     /// Of servers in `doubtful`, only crashes under requests that broke off at several servers are reported: a single
     /// one may be the fault of this host's links.
-    pub fn take_unpublished(&mut self, doubtful: &[ServerStart]) -> Vec<CrashReport> {
+    pub fn take_unpublished(&mut self, doubtful: &[ServerStart], now: Time) -> Vec<CrashReport> {
         let records = &self.records;
         let is_due = |report: &CrashReport| {
             let record = records.get(&report.fingerprint);
-            !doubtful.contains(&(report.instance, report.started_ms))
+            let server = (report.instance, report.started_ms);
+            if self.probes.is_pending(server, now) {
+                return false;
+            }
+            !doubtful.contains(&server)
                 || record.is_some_and(|record| record.count() >= CRASHES_TO_BLOCK)
         };
         let mut reports = Vec::new();
@@ -229,6 +236,7 @@
         out,
     );
     stored::crash_recorded(core, report.fingerprint, out);
+    proof::schedule(core, backend, out);
 }
 
 /// Records the crashes that another host reports.
--- a/src/core/relay/tests/crashes.rs
+++ b/src/core/relay/tests/crashes.rs
@@ -136,3 +136,38 @@
     copies_crash_both_servers_of_large_domains: 45, 3, 2, "/once/x";
     copies_crash_all_three_servers_of_large_domains: 45, 3, 3, "/once/x";
 }
+
+/// Defines one test for each number of hosts, failure domains and servers, each interval between requests of a host and
+/// each kind of request.
+macro_rules! answers_are_lost {
+    ($($name:ident: $hosts:expr, $domains:expr, $interval:expr, $path:expr;)*) => {$(
+        /// Guards against harmless requests that are refused because servers lost answers to them, and against writes to
+        /// the store for each.
+        #[test]
+        fn $name() {
+            let mut network = Network::new($hosts, $domains);
+            network.path = $path;
+            network.loss_interval = 30;
+            for _ in 0..10 {
+                network.pass(1000, $interval);
+                // Probes of servers that lost an answer are over.
+                network.loss_interval = 0;
+                network.pass(100, $interval);
+                for host in 0..$hosts {
+                    let core = &network.node(host).core;
+                    assert_eq!(core.relay.poison_requests.blocked_count(core.now), 0);
+                }
+                network.loss_interval = 30;
+            }
+            assert_eq!(network.site.store.poison_writes.len(), 0);
+        }
+    )*};
+}
+
+answers_are_lost! {
+    lost_answers_refuse_nothing_at_one_host: 1, 1, 50, "/again/x";
+    lost_answers_refuse_nothing_at_hosts_of_one_domain: 9, 1, 150, "/again/x";
+    lost_answers_refuse_nothing_at_hosts_of_three_domains: 9, 3, 150, "/again/x";
+    lost_answers_refuse_nothing_at_hosts_with_few_requests: 9, 3, 1000, "/again/x";
+    lost_answers_refuse_nothing_at_hosts_of_large_domains: 45, 3, 500, "/again/x";
+}
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -37,6 +37,10 @@
     pub loss_interval: usize,
     /// Datagrams that arrived or were lost.
     deliveries: usize,
+    /// Whether servers that broke a request off answer no probe.
+    pub fails_probes: bool,
+    /// Probes of such servers, by host.
+    probed: Vec<(usize, Box<str>)>,
     /// Effects of hosts on requests and links, in order, for tests that carry them out.
     pub actions: Vec<(usize, RelayEffect)>,
     pub store: TestStore,
@@ -208,6 +212,8 @@
             received: vec![0; hosts],
             loss_interval: 0,
             deliveries: 0,
+            fails_probes: true,
+            probed: Vec::new(),
             actions: Vec::new(),
             store: TestStore {
                 revision: 10,
@@ -517,6 +523,7 @@
                 self.wake(host);
             }
             self.reply_due();
+            self.fail_probes();
             let transit = std::mem::take(&mut self.transit).into_iter();
             let (ready, later): (Vec<_>, Vec<_>) = transit.partition(|(at, ..)| *at <= self.now);
             self.transit = later;
@@ -535,6 +542,16 @@
         }
     }
 
+    fn fail_probes(&mut self) {
+        for (host, instance) in std::mem::take(&mut self.probed) {
+            if let Some(node) = self.hosts[host].as_mut() {
+                let is_alive = false;
+                node.event(RelayEvent::ServerProbed { instance, is_alive });
+                self.send_effects(host);
+            }
+        }
+    }
+
     /// Runs the due timers of a host.
     fn wake(&mut self, host: usize) {
         let Some(node) = self.hosts[host].as_mut() else {
@@ -561,6 +578,10 @@
         for effect in &node.out {
             let (to, message) = match effect {
                 Effect::Relay(RelayEffect::Publish { to, message }) => (to, message),
+                Effect::Relay(RelayEffect::ProbeServer(probe)) if self.fails_probes => {
+                    self.probed.push((from, probe.instance.clone()));
+                    continue;
+                }
                 Effect::Relay(effect) => {
                     self.actions.push((from, effect.clone()));
                     continue;
--- a/src/core/relay/tests/network.rs
+++ b/src/core/relay/tests/network.rs
@@ -17,6 +17,8 @@
 const CRASH_MS: u64 = 5;
 /// Milliseconds after a crash in which another server takes the place of the crashed one.
 const REPLACEMENT_MS: u64 = 3000;
+/// Answers that are lost in a row: both attempts of a request that is retried, and more.
+const LOST_IN_A_ROW: usize = 6;
 /// Fingerprint of the request that crashes servers; the other requests have lower ones.
 const POISON: u8 = 255;
 /// Milliseconds between two hosts.
@@ -41,6 +43,8 @@
     Failed(AttemptKey, Ran, AttemptFailure),
     Answered(AttemptKey),
     Probed(Box<str>, bool),
+    /// A probe of a server that broke a request off ends; whether it is alive.
+    Alive(Box<str>, bool),
     Refused(AttemptKey, ForwardRefusal),
     /// Another server takes the place of a crashed one.
     Replaced(Box<str>),
@@ -80,6 +84,10 @@
     pub forwards: usize,
     pub probes: usize,
     pub crash_reports: usize,
+    /// Every so many requests, the answers to several in a row are lost; 0 for none.
+    pub loss_interval: usize,
+    /// Requests that reached servers.
+    sends: usize,
     /// Path of harmless requests.
     pub path: &'static str,
     /// Path of the request that crashes servers.
@@ -90,6 +98,7 @@
     pub fn new(hosts: usize, domains: usize) -> Self {
         let mut site = TestDomain::with_domains(hosts, domains);
         site.pass(2000);
+        site.fails_probes = false;
         site.actions.clear();
         Self {
             site,
@@ -106,6 +115,8 @@
             forwards: 0,
             probes: 0,
             crash_reports: 0,
+            loss_interval: 0,
+            sends: 0,
             path: "/once/x",
             poison_path: "/once/x",
         }
@@ -226,8 +237,14 @@
                     *self.runs.entry(number).or_default() += 1;
                     let server = out.instance.clone();
                     self.running.insert((host, out.attempt), out.instance);
+                    self.sends += 1;
                     if number == POISON {
                         self.crash(server);
+                    } else if self.loss_interval > 0
+                        && self.sends % self.loss_interval < LOST_IN_A_ROW
+                    {
+                        let (ran, how) = (Ran::Unknown, AttemptFailure::Cut);
+                        self.after(SERVER_MS, host, Incident::Failed(out.attempt, ran, how));
                     } else {
                         self.after(SERVER_MS, host, Incident::Answered(out.attempt));
                     }
@@ -259,6 +276,12 @@
                 let millis = if reached { HOP_MS } else { PROBE_MS };
                 self.after(millis, host, Incident::Probed(probe.instance, reached));
             }
+            RelayEffect::ProbeServer(probe) => {
+                let is_alive =
+                    !self.cut.contains_key(&host) && !self.dead.contains(&probe.instance);
+                let millis = if is_alive { SERVER_MS } else { HOP_MS };
+                self.after(millis, host, Incident::Alive(probe.instance, is_alive));
+            }
             RelayEffect::ForwardAnswer(call) => self.end(host, call, Got::Answer),
             RelayEffect::Refuse { call, refusal } => {
                 self.end(host, call, Got::Refusal(refusal.kind, refusal.ran));
@@ -347,6 +370,9 @@
                 self.node(host)
                     .event(RelayEvent::Answered { attempt, status });
             }
+            Incident::Alive(instance, is_alive) => self
+                .node(host)
+                .event(RelayEvent::ServerProbed { instance, is_alive }),
             Incident::Replaced(server) => self.site.replace_server(&server),
             Incident::Probed(instance, reached) => self
                 .node(host)
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -31,6 +31,8 @@
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Largest size of a refusal or of an answer to a prefill, report, order or release of a KV cache.
 const MAX_CONTROL_ANSWER_BYTES: usize = 64 * 1024;
+/// Status of an answer by another server than the one that was meant.
+const MISDIRECTED: u16 = 421;
 /// Time limit of a probe of a link.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for calls other than callers' requests.
@@ -151,7 +153,7 @@
     let headers = as_bytes(answer.response.headers());
     let reply = header::decode_answer(status, &headers);
     let echoed = is_echoed(&prepared, &reply);
-    if status != 421 && (reply.not_run || echoed) {
+    if status != MISDIRECTED && (reply.not_run || echoed) {
         apply(
             node,
             RelayEvent::Noticed {
@@ -162,7 +164,7 @@
     }
     if reply.not_run {
         drain_and_release(answer, source, reply.keep_alive).await;
-        let end = if status == 421 {
+        let end = if status == MISDIRECTED {
             AttemptFailure::Rejected
         } else {
             AttemptFailure::Refused
@@ -435,6 +437,21 @@
 
 /// Probes whether a backend server answers.
 pub async fn probe_link(node: Rc<Node>, probe: LinkProbe) {
+    let reached = send_probe(&node, &probe).await.is_some();
+    let instance = probe.instance;
+    apply(&node, RelayEvent::LinkProbed { instance, reached });
+}
+
+/// Probes a server that broke a request off, and reports whether it still runs.
+pub async fn probe_server(node: Rc<Node>, probe: LinkProbe) {
+    let status = send_probe(&node, &probe).await;
+    let is_alive = status.is_some_and(|status| status != MISDIRECTED);
+    let instance = probe.instance;
+    apply(&node, RelayEvent::ServerProbed { instance, is_alive });
+}
+
+/// Sends a probe; returns the status of its answer.
+async fn send_probe(node: &Rc<Node>, probe: &LinkProbe) -> Option<u16> {
     let path = probe.health.as_deref().unwrap_or(engine::REPORT_PATH);
     let method = hyper::Method::GET;
     let call = control_call(probe.addr, method, path, &probe.instance, Vec::new());
@@ -443,11 +460,13 @@
         .channels
         .call(&call, PROBE_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
         .await;
-    if let Err(err) = &answer {
-        log::debug!("{} did not answer a probe: {err}", probe.instance);
+    match answer {
+        Ok(answer) => Some(answer.status),
+        Err(err) => {
+            log::debug!("{} did not answer a probe: {err}", probe.instance);
+            None
+        }
     }
-    let (instance, reached) = (probe.instance, answer.is_ok());
-    apply(&node, RelayEvent::LinkProbed { instance, reached });
 }
 
 /// Sends an order, unless its authority has expired or the era of the store has changed.
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -245,6 +245,9 @@
         RelayEffect::ProbeLink(probe) => {
             ntex::rt::spawn(backends::probe_link(Rc::clone(node), probe));
         }
+        RelayEffect::ProbeServer(probe) => {
+            ntex::rt::spawn(backends::probe_server(Rc::clone(node), probe));
+        }
         RelayEffect::Cancel(attempt) => adapters.attempt_ended(attempt),
         RelayEffect::ForwardEvent(call) => adapters.forward_event(call),
         RelayEffect::ForwardAnswer(call) => adapters.forward_answer(call),
