Count late sends of the soak by hosts in touch alone, as the users' rule does

Traced: in each the store was restored from an older copy while all hosts were killed, twice, so that nothing knew of the crashes; the late sends came from processes that had run for 0.47, 0.28, 0.38 and 1.5 s. The rule counts sends by machines in touch, which run for 3 s at least, 3 s after the third crash. Now the soak notes for how long the sending host had run, and counts what hosts sent that had run for 3 s; whatever it cannot attribute counts. The bound of three is as it was.

--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -53,6 +53,7 @@
 pub struct Incarnation {
     pub callers: SocketAddr,
     pub name: String,
+    pub started: Instant,
 }
 
 /// A server, its forwarder, and the configuration version written after its drain.
@@ -86,6 +87,8 @@
     /// Number of unplanned faults: active now, and injected so far.
     pub unplanned: (AtomicU64, AtomicU64),
     pub observations: Mutex<Vec<(Observation, u64)>>,
+    /// For how long the host had run that sent the request under which each server crashed.
+    pub poisoned_by: Mutex<BTreeMap<String, Duration>>,
     /// Servers that sent the events of each stream, over all attempts of its caller.
     pub streams: Mutex<Vec<Vec<String>>>,
     pub finished: AtomicBool,
@@ -204,6 +207,7 @@
             served_versions: Mutex::default(),
             unplanned: (AtomicU64::new(0), AtomicU64::new(0)),
             observations: Mutex::default(),
+            poisoned_by: Mutex::default(),
             streams: Mutex::default(),
             finished: AtomicBool::new(false),
             started: Instant::now(),
@@ -245,6 +249,7 @@
         let incarnation = Incarnation {
             callers: callers.expect("the callers' listener"),
             name: format!("{name}.{starts}"),
+            started: Instant::now(),
         };
         (process, incarnation)
     }
