Count a crash of a server that had lost an answer to the same request before

Reports number the times, so that repeated ones still count once. a_server_that_was_alive_and_then_crashes_counts: red before.

--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -144,6 +144,8 @@
     pub instance: u32,
     /// Wall clock at its start, in milliseconds since the Unix epoch; 0 if unknown.
     pub started_ms: u64,
+    /// How often it had broken the request off before, and turned out to be alive.
+    pub number: u32,
 }
 
 /// One change of the store, as hosts replicate it to each other.
--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -34,12 +34,21 @@
 /// Source, in the log, of a crash that this host saw itself.
 const OWN_SOURCE: &str = "own";
 
+/// The last time that a process broke a request off.
+#[derive(Debug, Clone, Copy, Default)]
+struct Crash {
+    /// How often it had broken the request off before, and turned out to be alive.
+    number: u32,
+    /// Whether it counts against the request.
+    counts: bool,
+}
+
 /// The crashes under one request.
 #[derive(Debug, Default)]
 struct CrashRecord {
-    /// Whether each crash counts, by the crashed process: a server may start again under its id. Crashes
-    /// before an answer are kept without counting, since reports of them may still arrive.
-    crashes: BTreeMap<ServerStart, bool>,
+    /// By the crashed process: a server may start again under its id. Crashes before an answer are kept without
+    /// counting, since reports of them may still arrive.
+    crashes: BTreeMap<ServerStart, Crash>,
     last_crash: Time,
     /// Whether this host saw one of the crashes.
     is_own: bool,
@@ -51,7 +60,7 @@
 
 impl CrashRecord {
     fn count(&self) -> usize {
-        self.crashes.values().filter(|counts| **counts).count()
+        self.crashes.values().filter(|crash| crash.counts).count()
     }
 
     /// Returns the time until it is no longer refused; zero if it is not.
@@ -68,7 +77,8 @@
 
     /// Stops counting all crashes.
     fn clear(&mut self) {
-        self.crashes.values_mut().for_each(|counts| *counts = false);
+        let crashes = self.crashes.values_mut();
+        crashes.for_each(|crash| crash.counts = false);
     }
 }
 
@@ -117,10 +127,15 @@
     fn record_crash(&mut self, crash: CrashReport, at: Time) -> bool {
         let record = self.records.entry(crash.fingerprint).or_default();
         let server = (crash.instance, crash.started_ms);
-        if record.crashes.contains_key(&server) {
+        let known = record.crashes.get(&server);
+        if known.is_some_and(|known| known.number >= crash.number) {
             return false;
         }
-        record.crashes.insert(server, true);
+        let new = Crash {
+            number: crash.number,
+            counts: true,
+        };
+        record.crashes.insert(server, new);
         record.last_crash = record.last_crash.max(at);
         self.crashed.insert(server, at);
         if self.crashed.len() > MAX_CRASHED {
@@ -146,8 +161,8 @@
             .retain(|(report, _)| (report.instance, report.started_ms) != server);
         let records = self.records.iter_mut();
         let cleared = records.filter_map(|(fingerprint, record)| {
-            let counts = record.crashes.get_mut(&server)?;
-            std::mem::take(counts).then_some(*fingerprint)
+            let crash = record.crashes.get_mut(&server)?;
+            std::mem::take(&mut crash.counts).then_some(*fingerprint)
         });
         cleared.collect()
     }
@@ -168,12 +183,13 @@
             .iter()
             .filter(|(_, record)| record.is_blocked(now));
         for (fingerprint, record) in blocked {
-            let counted = record.crashes.iter().filter(|(_, counts)| **counts);
-            for ((instance, started_ms), _) in counted {
+            let counted = record.crashes.iter().filter(|(_, crash)| crash.counts);
+            for ((instance, started_ms), crash) in counted {
                 let report = CrashReport {
                     fingerprint: *fingerprint,
                     instance: *instance,
                     started_ms: *started_ms,
+                    number: crash.number,
                 };
                 self.unpublished.retain(|(other, _)| *other != report);
                 self.unpublished.push((report, CRASH_REPORT_COPIES));
@@ -215,12 +231,16 @@
     };
     let call = &core.relay.calls[call];
     let (id, server) = (call.id.clone(), instance.id.clone());
+    let poison_requests = &mut core.relay.poison_requests;
+    let record = poison_requests.records.get(&call.fingerprint);
+    let known = record.and_then(|record| record.crashes.get(&instance.start()));
     let report = CrashReport {
         fingerprint: call.fingerprint,
         instance: instance.short_hash,
         started_ms: instance.born,
+        // A process that was alive after the last time may have ended now.
+        number: known.map_or(0, |known| known.number + u32::from(!known.counts)),
     };
-    let poison_requests = &mut core.relay.poison_requests;
     poison_requests
         .unpublished
         .push((report, CRASH_REPORT_COPIES));
--- a/src/core/relay/poison/stored.rs
+++ b/src/core/relay/poison/stored.rs
@@ -184,6 +184,7 @@
             fingerprint,
             instance,
             started_ms,
+            number: 0,
         };
         record_reported(core, crash, at, STORE_SOURCE, out);
     }
@@ -203,7 +204,7 @@
 /// Returns a record as the store holds it: the crashed processes, and the wall clock at the last crash in
 /// milliseconds since the Unix epoch.
 fn encode(record: &CrashRecord, now: Time, wall_ms: u64) -> Vec<u8> {
-    let counted = record.crashes.iter().filter(|(_, counts)| **counts);
+    let counted = record.crashes.iter().filter(|(_, crash)| crash.counts);
     let servers: Vec<Value> = counted.map(|(server, _)| json!(server)).collect();
     let age = now.since(record.last_crash).as_millis();
     let last_ms = wall_ms.saturating_sub(u64::try_from(age).unwrap_or(u64::MAX));
--- a/src/core/relay/tests/poison.rs
+++ b/src/core/relay/tests/poison.rs
@@ -3,6 +3,7 @@
 use super::domain::TestDomain;
 use super::*;
 use crate::core::relay::event::{CrashReport, Gossip};
+use crate::error::Kind;
 
 /// Milliseconds until a caller sends its request to another host.
 const RESEND_MS: u64 = 400;
@@ -82,6 +83,7 @@
             fingerprint: u64::from_le_bytes(first),
             instance: server,
             started_ms: 1,
+            number: 0,
         }],
         ..Gossip::default()
     })));
@@ -281,3 +283,26 @@
     site.arrive(plain_request("/once/x"));
     assert!(site.sent().is_none());
 }
+
+/// A server loses an answer, answers its probe, and then crashes under the same request. Guards against a host that counts a
+/// process once, and goes on sending the request to servers.
+#[test]
+fn a_server_that_was_alive_and_then_crashes_counts() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b")]);
+    let alive = lose_answer(&mut site);
+    site.advance(30);
+    let (instance, is_alive) = (alive.clone(), true);
+    site.event(RelayEvent::ServerProbed { instance, is_alive });
+    let mut crashed = std::collections::BTreeSet::new();
+    while !crashed.contains(&alive) {
+        crashed.insert(lose_answer(&mut site));
+    }
+    if crashed.len() < 2 {
+        lose_answer(&mut site);
+    }
+    site.arrive(plain_request("/once/x"));
+    let status = site.refused().map(|(status, ..)| status);
+    let expected = Kind::EngineKiller.answer().status;
+    assert_eq!(status, Some(expected), "{crashed:?} crashed");
+}
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -54,6 +54,7 @@
             fingerprint: 8,
             instance: 5,
             started_ms: 1_770_695_843_786,
+            number: 2,
         }],
         uptime: Some(UptimeReport {
             length: Duration::from_secs(9),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -647,6 +647,9 @@
     /// Wall clock at the server's start, in milliseconds since the Unix epoch; 0 if unknown.
     #[prost(uint64, tag = "3")]
     pub started_ms: u64,
+    /// How often the server had broken the request off before, and turned out to be alive.
+    #[prost(uint32, tag = "4")]
+    pub before: u32,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -387,6 +387,7 @@
         print: crash.fingerprint,
         instance: crash.instance,
         started_ms: crash.started_ms,
+        before: crash.number,
     }
 }
 
@@ -395,5 +396,6 @@
         fingerprint: crash.print,
         instance: crash.instance,
         started_ms: crash.started_ms,
+        number: crash.before,
     }
 }
