Take a crash that another host saw for a new one after a lost answer that none reported

A host that had cleared a lost answer of a server by its probe ignored the report of another host that the same request crashed that server: it counted one crash less, and sent the request to one server more. An answer that no other host heard of leaves no trace now. a_crash_that_another_host_saw_counts_after_a_lost_answer: red before.

--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -3,8 +3,9 @@
 //! A single request can crash every backend server that starts to run it, while its caller sends it
 //! again, to any host. It shows by connections that break while it runs. After two different
 //! processes broke the connection on the same request, and none has answered it since, every host
-//! refuses it. A process that answers a request sent later has not crashed, and no longer counts. Hosts report each crash to each other, and keep the requests that they refuse in the
-//! store: see [`stored`].
+//! refuses it. A process that answers a request sent later has not crashed, and no longer counts:
+//! see [`proof`]. Hosts report each crash to each other, and keep the requests that they refuse in
+//! the store: see [`stored`].
 
 pub(super) mod proof;
 pub(super) mod stored;
@@ -157,12 +158,20 @@
             return Vec::new();
         }
         self.crashed.remove(&server);
-        self.unpublished
-            .retain(|(report, _)| (report.instance, report.started_ms) != server);
+        let is_of = |report: &CrashReport| (report.instance, report.started_ms) == server;
+        let unsent = self.unpublished.iter();
+        let unsent = unsent.filter(|(report, left)| is_of(report) && *left == CRASH_REPORT_COPIES);
+        let unsent: Vec<u64> = unsent.map(|(report, _)| report.fingerprint).collect();
+        self.unpublished.retain(|(report, _)| !is_of(report));
         let records = self.records.iter_mut();
         let cleared = records.filter_map(|(fingerprint, record)| {
             let crash = record.crashes.get_mut(&server)?;
-            std::mem::take(&mut crash.counts).then_some(*fingerprint)
+            let counted = std::mem::take(&mut crash.counts);
+            // No other host knows of it: a report that arrives later is of another crash.
+            if unsent.contains(fingerprint) {
+                record.crashes.remove(&server);
+            }
+            counted.then_some(*fingerprint)
         });
         cleared.collect()
     }
--- a/src/core/relay/tests/poison.rs
+++ b/src/core/relay/tests/poison.rs
@@ -306,3 +306,29 @@
     let expected = Kind::EngineKiller.answer().status;
     assert_eq!(status, Some(expected), "{crashed:?} crashed");
 }
+
+/// A server loses an answer at one host and answers its probe, then another host reports that the same request crashed it.
+/// Guards against a host that takes that report for a repeated one of the lost answer.
+#[test]
+fn a_crash_that_another_host_saw_counts_after_a_lost_answer() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b"), plain_entry("c")]);
+    site.write_key(
+        "hosts/host-2",
+        Some(r#"{"addr":"10.9.0.2:1","domain":"z"}"#),
+        4,
+    );
+    let alive = lose_answer(&mut site);
+    site.advance(30);
+    let (instance, is_alive) = (alive.clone(), true);
+    site.event(RelayEvent::ServerProbed { instance, is_alive });
+    receive_crash(
+        &mut site,
+        1,
+        crate::core::relay::instance::short_hash(&alive),
+    );
+    receive_crash(&mut site, 2, 8);
+    site.arrive(plain_request("/once/x"));
+    let status = site.refused().map(|(status, ..)| status);
+    assert_eq!(status, Some(Kind::EngineKiller.answer().status));
+}
