Refuse a stream whose version no server has without asking further hosts

A host that forwarded such a stream avoided the other host for three seconds and went on to up to five more, though the refusal holds at each. Seen when reading the code; the case of a_forwarded_stream_goes_on_at_its_version is as it was.

--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -304,7 +304,11 @@
     }
     // These hold at each host; the others state something about the host alone.
     let kind = refusal.kind;
-    if matches!(kind, Kind::Overloaded | Kind::NoEngine | Kind::EngineKiller) {
+    if kind == Kind::NoVersion {
+        not_run(core, call);
+        let answer = Refusal::new(kind, "refused by the host that it was forwarded to");
+        refuse(core, call, answer, out);
+    } else if matches!(kind, Kind::Overloaded | Kind::NoEngine | Kind::EngineKiller) {
         not_run(core, call);
         let retry = refusal
             .retry_after
