Forget take-ups of callers that left while these waited for other hosts

They stayed in the list of waiting requests for good. Seen when reading the code: take_ups_of_callers_that_left_are_forgotten, red without the change.

--- a/src/core/relay/tests/versions.rs
+++ b/src/core/relay/tests/versions.rs
@@ -543,7 +543,7 @@
     };
     let (outcome, _) = site.arrive(1, request);
     assert_version(&outcome, "a");
-    // The host that forwarded it takes a refusal for one by a host that cannot serve it.
+    // Such a refusal holds at each host, so that the stream ends.
     let refusal = ForwardRefusal {
         kind: crate::error::Kind::NoVersion,
         ran: Ran::No,
@@ -560,3 +560,17 @@
     );
     assert_eq!(stream.host, 0);
 }
+
+/// Callers leave while their take-ups wait for other hosts. Guards against a list of them that grows for good.
+#[test]
+fn take_ups_of_callers_that_left_are_forgotten() {
+    let mut site = Site::new(8, 3, "aaabbb");
+    for _ in 0..50 {
+        let request = site.request(Some("unknown"));
+        let call = site.host(0).arrive(request);
+        site.host(0).event(RelayEvent::CallerLeft(call));
+    }
+    assert!(site.host(0).core.relay.versions.pending_count() > 0);
+    site.hosts.pass(TAKE_UP_MS);
+    assert_eq!(site.host(0).core.relay.versions.pending_count(), 0);
+}
--- a/src/core/relay/versions/mod.rs
+++ b/src/core/relay/versions/mod.rs
@@ -104,6 +104,12 @@
             .collect()
     }
 
+    /// Returns the number of requests that wait for the answers of other hosts.
+    #[cfg(test)]
+    pub(super) fn pending_count(&self) -> usize {
+        self.pending.len()
+    }
+
     fn usage(&self, service: &str, now: Time) -> Usage {
         let since = self.listed.get(service).and_then(|listed| listed.since);
         match self.recent(service, now)[..] {
--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -77,6 +77,7 @@
 
 /// Handles the end of the time for which a take-up waits.
 pub(in super::super) fn timed_out(core: &mut Core, key: CallKey, out: &mut Effects) {
+    core.relay.versions.pending.retain(|other| *other != key);
     if let Some(call) = core.relay.calls.get_mut(key)
         && let Some(lookup) = &mut call.lookup
     {
