--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -47,8 +47,8 @@
     }
 }
 
-/// Handles a request that takes a stream up, or of which another host has forwarded the version; returns whether it waits
-/// for the answers of other hosts or has ended.
+/// Handles the arrival of a request: if it takes a stream up, its version is looked up. Returns whether the request waits for
+/// the answers of other hosts, or has ended; it is sent otherwise.
 pub(in super::super) fn arrived(core: &mut Core, key: CallKey, out: &mut Effects) -> bool {
     let call = &core.relay.calls[key];
     if call.last_event.is_none() || call.version.is_some() {
