--- a/src/core/relay/versions/mod.rs
+++ b/src/core/relay/versions/mod.rs
@@ -4,7 +4,7 @@
 //! not check it, so a stream goes on only at the version of the server that sent its first event. Within one answer the
 //! request itself holds it. A caller that takes its stream up may come to any host, and the first one may have ended:
 //! hosts send the version of each stream to a few others while more than one version may be in use, and ask these at a
-//! take-up. See [`take_up`].
+//! take-up (`take_up.rs`).
 
 mod streams;
 pub(super) mod take_up;
