Ask for the hosts that a request may go to without drawing one

Whether a request can be forwarded was found out by drawing a host, and forwarding drew another one: the candidates are now listed in one place, of which only forwarding draws. Refusals that hold at each host are answered in one branch, and the log of a take-up stands beside its handling.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -42,7 +42,7 @@
 const MIN_IDLE_CONNECTIONS: usize = 2;
 
 pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
-    log_take_up(&arrival, out);
+    versions::take_up::log(&arrival, out);
     let resolved = resolve::resolve(core, &arrival);
     let (route, service, identity) = match resolved {
         Ok(resolved) => resolved,
@@ -78,20 +78,6 @@
     }
 }
 
-/// Logs that a caller takes up a stream that began in an earlier attempt.
-fn log_take_up(arrival: &Arrival, out: &mut Effects) {
-    let Some(last) = arrival.resume.filter(|_| arrival.forwarded.is_none()) else {
-        return;
-    };
-    let resumes = arrival.resumes.clone();
-    let fields = vec![
-        ("id", arrival.id.clone()),
-        ("resumes", resumes.unwrap_or_else(|| "none".into())),
-        ("last_event", last.to_string().into()),
-    ];
-    note(out, log::Level::Info, "stream.taken_up", fields);
-}
-
 fn fingerprint(full: &super::super::event::Fingerprint) -> u64 {
     let mut first = [0; 8];
     first.copy_from_slice(&full.0[..8]);
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -110,8 +110,8 @@
 }
 
 /// Returns whether there is a host to forward a request to.
-pub(super) fn can_forward(core: &mut Core, key: CallKey) -> bool {
-    !core.relay.calls[key].is_forwarded && choose(core, key).is_some()
+pub(super) fn can_forward(core: &Core, key: CallKey) -> bool {
+    !core.relay.calls[key].is_forwarded && !candidates(core, key).is_empty()
 }
 
 fn is_candidate(peer: &Peer, now: Time) -> bool {
@@ -123,24 +123,32 @@
     !peer.is_cut_off && peer.avoid_until.since(now) <= AVOID_TIME.saturating_sub(RETRY_INTERVAL)
 }
 
-/// Returns the host with the fewest forwarded requests, preferably of this failure domain.
-fn choose(core: &mut Core, key: CallKey) -> Option<HostKey> {
+/// Returns the hosts that a request may be forwarded to.
+fn candidates(core: &Core, key: CallKey) -> Vec<HostKey> {
     let call = &core.relay.calls[key];
     if call.hosts_tried.len() >= MAX_HOSTS {
-        return None;
+        return Vec::new();
     }
-    let (now, own) = (core.now, &core.settings.host.domain);
-    let peers = &core.relay.peers;
+    let (now, peers) = (core.now, &core.relay.peers);
     let all = peers.names.values().copied();
     let untried = all.filter(|host| !call.hosts_tried.contains(host));
-    let candidates = |is_candidate: fn(&Peer, Time) -> bool| {
+    let those = |accepts: fn(&Peer, Time) -> bool| {
         let hosts = untried.clone();
-        hosts.filter(move |host| is_candidate(&peers.arena[*host], now))
+        hosts.filter(move |host| accepts(&peers.arena[*host], now))
     };
-    let mut hosts: Vec<HostKey> = candidates(is_candidate).collect();
+    let hosts: Vec<HostKey> = those(is_candidate).collect();
     if hosts.is_empty() && call.hosts_tried.is_empty() {
-        hosts = candidates(may_be_back).collect();
+        those(may_be_back).collect()
+    } else {
+        hosts
     }
+}
+
+/// Returns the host with the fewest forwarded requests, preferably of this failure domain.
+fn choose(core: &mut Core, key: CallKey) -> Option<HostKey> {
+    let hosts = candidates(core, key);
+    let (now, own) = (core.now, &core.settings.host.domain);
+    let peers = &core.relay.peers;
     let mut best: Option<(u32, u32, HostKey)> = None;
     for host in hosts {
         let peer = &peers.arena[host];
@@ -304,17 +312,18 @@
     }
     // These hold at each host; the others state something about the host alone.
     let kind = refusal.kind;
-    if kind == Kind::NoVersion {
+    if matches!(
+        kind,
+        Kind::Overloaded | Kind::NoEngine | Kind::NoVersion | Kind::EngineKiller
+    ) {
         not_run(core, call);
-        let answer = Refusal::new(kind, "refused by the host that it was forwarded to");
+        let mut answer = Refusal::new(kind, "refused by the host that it was forwarded to");
+        if kind != Kind::NoVersion {
+            let retry = refusal.retry_after;
+            let retry = retry.unwrap_or_else(|| retry_after(core, 0.0));
+            answer = answer.with_retry_after(retry);
+        }
         refuse(core, call, answer, out);
-    } else if matches!(kind, Kind::Overloaded | Kind::NoEngine | Kind::EngineKiller) {
-        not_run(core, call);
-        let retry = refusal
-            .retry_after
-            .unwrap_or_else(|| retry_after(core, 0.0));
-        let answer = Refusal::new(kind, "refused by the host that it was forwarded to");
-        refuse(core, call, answer.with_retry_after(retry), out);
     } else {
         if let Some(host) = attempt.host {
             avoid(core, host);
--- a/src/core/relay/poison/proof.rs
+++ b/src/core/relay/poison/proof.rs
@@ -15,7 +15,7 @@
 
 /// Time between a broken connection and the probe: a process that crashes has ended by then.
 const PROBE_DELAY: Duration = Duration::from_millis(20);
-/// Time after which a crash is reported without the result of its probe, which takes 0.3 s at most.
+/// Time after which a crash is reported without the result of its probe, which takes up to 0.3 s.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Probes that are due or under way.
--- a/src/core/relay/tests/crashes.rs
+++ b/src/core/relay/tests/crashes.rs
@@ -6,7 +6,7 @@
 const RESEND_MS: u64 = 400;
 /// Times that the request is sent.
 const SEND_COUNT: usize = 40;
-/// Servers that crash under one request at most: every host refuses it after two.
+/// Maximum number of servers that crash under one request: every host refuses it after two.
 const MAX_CRASHES: usize = 2;
 /// Milliseconds after the return of the last server from which harmless callers must be served.
 const RETURN_MS: u64 = 3000 + 1000;
--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -6,7 +6,7 @@
 
 use super::super::call::{dispatch, refuse};
 use super::super::event::{
-    Gossip, GossipKind, RelayEffect, StreamMessage, StreamQuery, StreamRecord, StreamReply,
+    Arrival, Gossip, GossipKind, RelayEffect, StreamMessage, StreamQuery, StreamRecord, StreamReply,
 };
 use super::super::instance::short_hash;
 use super::super::{RelayTimer, note, wake};
@@ -47,6 +47,20 @@
     }
 }
 
+/// Logs that a caller takes up a stream that began in an earlier attempt.
+pub(in super::super) fn log(arrival: &Arrival, out: &mut Effects) {
+    let Some(last) = arrival.resume.filter(|_| arrival.forwarded.is_none()) else {
+        return;
+    };
+    let resumes = arrival.resumes.clone();
+    let fields = vec![
+        ("id", arrival.id.clone()),
+        ("resumes", resumes.unwrap_or_else(|| "none".into())),
+        ("last_event", last.to_string().into()),
+    ];
+    note(out, log::Level::Info, "stream.taken_up", fields);
+}
+
 /// Handles the arrival of a request: if it takes a stream up, its version is looked up. Returns whether the request waits for
 /// the answers of other hosts, or has ended; it is sent otherwise.
 pub(in super::super) fn arrived(core: &mut Core, key: CallKey, out: &mut Effects) -> bool {
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -16,7 +16,7 @@
 pub const STREAM_ID_PREFIX: &str = "stream-";
 /// Separates the draws of this caller from a seed's other draws.
 const STREAM_SEED_MASK: u64 = 0x5eed;
-/// Times that a stream is taken up at most.
+/// Maximum number of times that a stream is taken up.
 const MAX_TAKE_UPS: usize = 3;
 
 impl Cluster {
