Name the versions in use so, apart from the usage that customers are billed for

Two things were called usage: what the duty of that name reports, and the versions that a service has had lately. A pure rename; tests as they were.

--- a/src/core/relay/event/versions.rs
+++ b/src/core/relay/event/versions.rs
@@ -1,6 +1,6 @@
 //! Messages about the versions of streams, as data.
 
-use crate::core::relay::versions::{StreamKey, Usage, Version};
+use crate::core::relay::versions::{InUse, StreamKey, Version};
 
 /// The version at which a stream began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +30,7 @@
     /// The record of the stream.
     pub record: Option<StreamRecord>,
     /// The versions that the service has had lately.
-    pub usage: Usage,
+    pub in_use: InUse,
 }
 
 /// A message about streams.
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -56,7 +56,7 @@
     pub is_spot: bool,
     /// Version of its software; `None` if its entry names none.
     pub version: Option<Box<str>>,
-    /// The same as a key.
+    /// Key of that version, compared at each choice.
     pub version_key: Version,
     /// Time of its start by the wall clock, in milliseconds since the Unix epoch.
     pub born: u64,
--- a/src/core/relay/versions/mod.rs
+++ b/src/core/relay/versions/mod.rs
@@ -63,7 +63,7 @@
 
 /// What a host knows of the versions that a service has had within [`RETENTION`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Usage {
+pub enum InUse {
     /// It has not seen the whole time.
     Unknown,
     /// This one.
@@ -110,23 +110,23 @@
         self.pending.len()
     }
 
-    fn usage(&self, service: &str, now: Time) -> Usage {
+    fn in_use(&self, service: &str, now: Time) -> InUse {
         let since = self.listed.get(service).and_then(|listed| listed.since);
         match self.recent(service, now)[..] {
-            [only] if since.is_some_and(|since| now.since(since) >= RETENTION) => Usage::Only(only),
-            [] | [_] => Usage::Unknown,
-            _ => Usage::Several,
+            [only] if since.is_some_and(|since| now.since(since) >= RETENTION) => InUse::Only(only),
+            [] | [_] => InUse::Unknown,
+            _ => InUse::Several,
         }
     }
 }
 
 /// Returns what this host knows of the versions that a service has had within [`RETENTION`].
-fn usage(core: &Core, service: &str) -> Usage {
-    let usage = core.relay.versions.usage(service, core.now);
-    match usage {
+fn in_use(core: &Core, service: &str) -> InUse {
+    let found = core.relay.versions.in_use(service, core.now);
+    match found {
         // Servers of another version may have been listed since.
-        Usage::Only(_) if !core.relay.view.is_fresh(core.now) => Usage::Unknown,
-        _ => usage,
+        InUse::Only(_) if !core.relay.view.is_fresh(core.now) => InUse::Unknown,
+        _ => found,
     }
 }
 
@@ -167,7 +167,7 @@
     let versions = &core.relay.versions;
     let services = versions.listed.keys();
     services
-        .filter(|service| versions.usage(service, core.now) == Usage::Several)
+        .filter(|service| versions.in_use(service, core.now) == InUse::Several)
         .cloned()
         .collect()
 }
@@ -197,7 +197,7 @@
     versions
         .listed
         .retain(|_, listed| !listed.versions.is_empty());
-    take_up::ask_for_usage(core, out);
+    take_up::ask_for_versions(core, out);
 }
 
 /// Handles the first event of an attempt at a server.
@@ -211,7 +211,7 @@
     let is_resumable = call.route.resumable;
     let service = call.service.clone();
     // With a single version in use a take-up needs no record.
-    if is_resumable && !matches!(usage(core, &service), Usage::Only(_)) {
+    if is_resumable && !matches!(in_use(core, &service), InUse::Only(_)) {
         record_stream(core, key, out);
     }
 }
--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -10,7 +10,7 @@
 };
 use super::super::instance::short_hash;
 use super::super::{RelayTimer, note, wake};
-use super::{RETENTION, StreamKey, Usage, Version, holders, usage};
+use super::{InUse, RETENTION, StreamKey, Version, holders, in_use};
 use crate::core::effect::{Effect, Meter, Refusal};
 use crate::core::key::{CallKey, HostKey};
 use crate::core::{Core, Effects};
@@ -26,7 +26,7 @@
     /// Hosts that have not answered.
     waiting: Vec<HostKey>,
     /// What those that have answered know of the versions in use.
-    usages: Vec<Usage>,
+    in_use: Vec<InUse>,
 }
 
 /// How the version of a stream was found.
@@ -81,7 +81,7 @@
     send(core, &hosts, message, out);
     core.relay.calls[key].lookup = Some(Lookup {
         waiting: hosts,
-        usages: Vec::new(),
+        in_use: Vec::new(),
     });
     core.relay.versions.pending.push(key);
     wake(core, LOOKUP_TIMEOUT, RelayTimer::TakeUp(key), out);
@@ -153,9 +153,9 @@
     };
     let service = call.service.clone();
     core.relay.versions.pending.retain(|other| *other != key);
-    let own = usage(core, &service);
+    let own = in_use(core, &service);
     let recent = core.relay.versions.recent(&service, core.now);
-    match only_version(own, &lookup.usages, &recent) {
+    match only_version(own, &lookup.in_use, &recent) {
         Some(version) => {
             set_version(core, key, version, Source::OnlyVersion, out);
             dispatch(core, key, out);
@@ -165,14 +165,14 @@
 }
 
 /// Returns the only version that has been in use, if this host or another knows it and none contradicts.
-fn only_version(own: Usage, others: &[Usage], recent: &[Version]) -> Option<Version> {
+fn only_version(own: InUse, others: &[InUse], recent: &[Version]) -> Option<Version> {
     let mut only = None;
-    for usage in others.iter().chain([&own]) {
-        match usage {
-            Usage::Several => return None,
-            Usage::Only(version) if only.is_some_and(|other| other != *version) => return None,
-            Usage::Only(version) => only = Some(*version),
-            Usage::Unknown => {}
+    for seen in others.iter().chain([&own]) {
+        match seen {
+            InUse::Several => return None,
+            InUse::Only(version) if only.is_some_and(|other| other != *version) => return None,
+            InUse::Only(version) => only = Some(*version),
+            InUse::Unknown => {}
         }
     }
     only.filter(|only| recent.iter().all(|version| version == only))
@@ -212,12 +212,12 @@
     StreamReply {
         query,
         record: versions.streams.get(query.stream),
-        usage: service.map_or(Usage::Unknown, |service| usage(core, service)),
+        in_use: service.map_or(InUse::Unknown, |service| in_use(core, service)),
     }
 }
 
 fn received_reply(core: &mut Core, sender: HostKey, reply: StreamReply, out: &mut Effects) {
-    adopt_usage(core, reply);
+    adopt_versions(core, reply);
     let waits = |core: &Core, key: &CallKey| {
         let call = core.relay.calls.get(*key);
         call.is_some_and(|call| call.stream == reply.query.stream && call.lookup.is_some())
@@ -233,15 +233,15 @@
             }
         } else if let Some(lookup) = &mut core.relay.calls[key].lookup {
             lookup.waiting.retain(|host| *host != sender);
-            lookup.usages.push(reply.usage);
+            lookup.in_use.push(reply.in_use);
             decide_if_complete(core, key, out);
         }
     }
 }
 
 /// Takes over what another host knows of the versions in use, if this one has started since and sees the same.
-fn adopt_usage(core: &mut Core, reply: StreamReply) {
-    let Usage::Only(version) = reply.usage else {
+fn adopt_versions(core: &mut Core, reply: StreamReply) {
+    let InUse::Only(version) = reply.in_use else {
         return;
     };
     let now = core.now;
@@ -254,11 +254,11 @@
 }
 
 /// Asks a host drawn at random for the versions in use of each service of which this one has not seen them for long.
-pub(super) fn ask_for_usage(core: &mut Core, out: &mut Effects) {
+pub(super) fn ask_for_versions(core: &mut Core, out: &mut Effects) {
     let (now, versions) = (core.now, &core.relay.versions);
     let services = versions.listed.iter();
     let unknown = services.filter(|(service, listed)| {
-        listed.since.is_some() && versions.usage(service, now) == Usage::Unknown
+        listed.since.is_some() && versions.in_use(service, now) == InUse::Unknown
     });
     let queries: Vec<StreamQuery> = unknown
         .map(|(service, _)| StreamQuery {
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -12,7 +12,7 @@
     CrashReport, DepartureReport, Gossip, GossipKind, LimitReport, LoadReport, StreamMessage,
     StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
-use crate::core::relay::versions::{StreamKey, Usage, Version};
+use crate::core::relay::versions::{InUse, StreamKey, Version};
 use crate::wire;
 
 fn gossip() -> Gossip {
@@ -91,19 +91,19 @@
         stream: record.stream,
         service: 3,
     };
-    let reply = |record, usage| StreamReply {
+    let reply = |record, in_use| StreamReply {
         query,
         record,
-        usage,
+        in_use,
     };
     let message = Gossip {
         kind: GossipKind::Streams(StreamMessage {
             records: vec![record],
             queries: vec![query],
             replies: vec![
-                reply(Some(record), Usage::Several),
-                reply(None, Usage::Only(Version::UNKNOWN)),
-                reply(None, Usage::Unknown),
+                reply(Some(record), InUse::Several),
+                reply(None, InUse::Only(Version::UNKNOWN)),
+                reply(None, InUse::Unknown),
             ],
         }),
         ..Gossip::default()
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -12,7 +12,7 @@
     LimitReport, LoadReport, ProbeReport, ReplicatedChanges, StoreChange, StreamMessage,
     StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
-use crate::core::relay::versions::{StreamKey, Usage, Version};
+use crate::core::relay::versions::{InUse, StreamKey, Version};
 
 /// Appends the encoding of a message to `out`.
 pub fn encode_gossip(message: &Gossip, out: &mut BytesMut) {
@@ -181,10 +181,10 @@
     wire::StreamReply {
         query: Some(to_query(&reply.query)),
         record: reply.record.as_ref().map(to_record),
-        several: reply.usage == Usage::Several,
-        only: match reply.usage {
-            Usage::Only(version) => Some(version.0),
-            Usage::Unknown | Usage::Several => None,
+        several: reply.in_use == InUse::Several,
+        only: match reply.in_use {
+            InUse::Only(version) => Some(version.0),
+            InUse::Unknown | InUse::Several => None,
         },
     }
 }
@@ -194,10 +194,10 @@
     Ok(StreamReply {
         query: from_query(query.ok_or(WireError::Field { field: "query" })?),
         record: reply.record.as_ref().map(from_record),
-        usage: match (reply.several, reply.only) {
-            (true, _) => Usage::Several,
-            (false, Some(version)) => Usage::Only(Version(version)),
-            (false, None) => Usage::Unknown,
+        in_use: match (reply.several, reply.only) {
+            (true, _) => InUse::Several,
+            (false, Some(version)) => InUse::Only(Version(version)),
+            (false, None) => InUse::Unknown,
         },
     })
 }
