Share the steps of the tests of taken-up streams, and the wait for two hosts

Two tests took streams up in the same words, and two files waited for two hosts to know each other and the servers. Same assertions: each stream at its version, half of them going on.

--- a/tests/relay/poison.rs
+++ b/tests/relay/poison.rs
@@ -55,16 +55,7 @@
         let logs = [site.log(), second.folder.read(LOG_FILE)];
         logs.iter().all(|log| is_listed_ready(log, id))
     };
-    wait_for("every server at the second host", || {
-        servers.all.iter().all(|engine| listed_at_both(&engine.id))
-    });
-    wait_for("the hosts to know each other", || {
-        let joined = |log: &str, host: &str| {
-            let mut lines = log.lines();
-            lines.any(|line| line.contains("host.joined") && line.contains(host))
-        };
-        joined(&site.log(), "host-2") && joined(&second.folder.read(LOG_FILE), "host-1")
-    });
+    second.wait_joined(&site, &servers.all);
     let mut answers = [None, None];
     for number in 0..SEND_COUNT {
         let before = servers.crash_count();
--- a/tests/relay/versions.rs
+++ b/tests/relay/versions.rs
@@ -4,7 +4,7 @@
 
 use super::standin::{Engine, SHORT_PROMPT, senders};
 use super::watcher::SecondHost;
-use super::{LOG_FILE, Site, http, is_listed_ready, wait_for};
+use super::{Site, http};
 
 /// Streams of each test.
 const STREAM_COUNT: usize = 24;
@@ -57,39 +57,35 @@
 fn with_second_host(engines: &[Engine]) -> (Site, SecondHost) {
     let site = Site::ready(&engines.iter().collect::<Vec<_>>());
     let second = SecondHost::start(&site);
-    wait_for("every engine at the second host", || {
-        let log = second.folder.read(LOG_FILE);
-        engines
-            .iter()
-            .all(|engine| is_listed_ready(&log, &engine.id))
-    });
-    wait_for("the hosts to know each other", || {
-        let joined = |log: &str, host: &str| {
-            let mut lines = log.lines();
-            lines.any(|line| line.contains("host.joined") && line.contains(host))
-        };
-        joined(&site.log(), "host-2") && joined(&second.folder.read(LOG_FILE), "host-1")
-    });
+    second.wait_joined(&site, engines);
     (site, second)
 }
 
+/// Takes streams up that began at these engines; none may go on at another version, and half of them must go on.
+fn assert_taken_up(callers: SocketAddr, streams: &[(String, String)]) {
+    let mut went_on = 0;
+    for (id, first) in streams {
+        let others = take_up(callers, &format!("again-{id}"), id);
+        let is_same = |other: &String| other[..2] == first[..2];
+        assert!(others.iter().all(is_same), "{first}, then {others:?}");
+        went_on += usize::from(!others.is_empty());
+    }
+    assert!(went_on * 2 >= streams.len(), "{went_on} went on");
+}
+
+/// Begins streams; returns the id of each and the engine that sent its first event.
+fn begin_all(callers: SocketAddr) -> Vec<(String, String)> {
+    let ids = (0..STREAM_COUNT).map(|number| format!("one-{number}"));
+    ids.map(|id| (id.clone(), begin(callers, &id))).collect()
+}
+
 /// Guards against a stream that another host takes up at another software version, and against one that refuses all.
 #[test]
 fn a_stream_is_taken_up_at_its_version() {
     let engines = engines();
     let (site, second) = with_second_host(&engines);
-    let mut went_on = 0;
-    for number in 0..STREAM_COUNT {
-        let (one, two) = (format!("one-{number}"), format!("two-{number}"));
-        let first = begin(site.callers, &one);
-        let others = take_up(second.callers, &two, &one);
-        assert!(
-            others.iter().all(|other| other[..2] == first[..2]),
-            "{first}, then {others:?}"
-        );
-        went_on += usize::from(!others.is_empty());
-    }
-    assert!(went_on * 2 >= STREAM_COUNT, "{went_on} went on");
+    let streams = begin_all(site.callers);
+    assert_taken_up(second.callers, &streams);
 }
 
 /// The host at which streams began is killed. Guards against versions that only the first host knows.
@@ -100,24 +96,12 @@
     for engine in &engines {
         engine.hold_streams();
     }
-    let ids: Vec<String> = (0..STREAM_COUNT)
-        .map(|number| format!("one-{number}"))
-        .collect();
-    let firsts: Vec<String> = ids.iter().map(|id| begin(site.callers, id)).collect();
+    let streams = begin_all(site.callers);
     site.host.kill();
     for engine in &engines {
         engine.release_streams();
     }
-    let mut went_on = 0;
-    for (one, first) in ids.iter().zip(&firsts) {
-        let others = take_up(second.callers, &format!("two-{one}"), one);
-        assert!(
-            others.iter().all(|other| other[..2] == first[..2]),
-            "{first}, then {others:?}"
-        );
-        went_on += usize::from(!others.is_empty());
-    }
-    assert!(went_on * 2 >= STREAM_COUNT, "{went_on} went on");
+    assert_taken_up(second.callers, &streams);
 }
 
 /// The only engine of a version breaks a stream off and ends. Guards against an answer that goes on at another version.
--- a/tests/relay/watcher.rs
+++ b/tests/relay/watcher.rs
@@ -8,7 +8,7 @@
 use super::http;
 use super::process::{Process, TempDir};
 use super::standin::{Engine, SHORT_PROMPT, config, settings};
-use super::{LOG_FILE, Site, wait_for};
+use super::{LOG_FILE, Site, is_listed_ready, wait_for};
 
 /// Renewals of the second host's lease, one every four seconds, within which it must apply a change. The
 /// first may follow at once.
@@ -40,6 +40,24 @@
         }
     }
 
+    /// Waits until both hosts have all engines listed and know each other.
+    pub fn wait_joined(&self, site: &Site, engines: &[Engine]) {
+        let logs = || [site.log(), self.folder.read(LOG_FILE)];
+        wait_for("every engine at both hosts", || {
+            let logs = logs();
+            let listed = |engine: &Engine| logs.iter().all(|log| is_listed_ready(log, &engine.id));
+            engines.iter().all(listed)
+        });
+        wait_for("the hosts to know each other", || {
+            let joined = |log: &str, host: &str| {
+                let mut lines = log.lines();
+                lines.any(|line| line.contains("host.joined") && line.contains(host))
+            };
+            let [first, second] = logs();
+            joined(&first, "host-2") && joined(&second, "host-1")
+        });
+    }
+
     /// Returns whether the log names the first host as the source of the view.
     fn uses_first_host(&self) -> bool {
         let log = self.folder.read(LOG_FILE);
