Name the host that must run a forwarded request

The request bore no name of the host. It names it as the instance that must run it now, as every request to a server does, and a refusal as misdirected goes on to another host, or refuses the caller.

a_server_at_the_address_of_a_host_runs_no_forwarded_request: red before (200 from the foreign server).

--- a/src/core/relay/event/forward.rs
+++ b/src/core/relay/event/forward.rs
@@ -27,6 +27,8 @@
     pub attempt: AttemptKey,
     /// Name of this host.
     pub from: Box<str>,
+    /// Name of the other host.
+    pub to: Box<str>,
     /// Address of the other host.
     pub addr: SocketAddr,
     /// Time until the request's deadline.
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -222,6 +222,7 @@
         call: key,
         attempt,
         from: core.settings.host.name.clone(),
+        to: peer.name.clone(),
         addr: peer.addr,
         remaining: call.deadline.since(now),
         resume: call.last_event,
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -32,7 +32,7 @@
 /// Largest size of a refusal or of an answer to a prefill, report, order or release of a KV cache.
 const MAX_CONTROL_ANSWER_BYTES: usize = 64 * 1024;
 /// Status of an answer by another server than the one that was meant.
-const MISDIRECTED: u16 = 421;
+pub(super) const MISDIRECTED: u16 = 421;
 /// Time limit of a probe of a link.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for calls other than callers' requests.
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -10,8 +10,8 @@
 use tokio::sync::oneshot;
 
 use super::backends::{
-    CONNECT_TIMEOUT, FailedAttempt, Source, as_bytes, drain_and_release, foreign_answer, is_echoed,
-    read_reply, run_until,
+    CONNECT_TIMEOUT, FailedAttempt, MISDIRECTED, Source, as_bytes, drain_and_release,
+    foreign_answer, is_echoed, read_reply, run_until,
 };
 use super::{Prepared, apply};
 use crate::backend::pool::Call;
@@ -133,6 +133,9 @@
     let sent = all.filter(|(name, _)| !name.starts_with(PREFIX));
     let mut headers: Vec<Header> = sent.cloned().collect();
     let mac = mac(secret, &origin, &prepared.path, &prepared.body);
+    // A server that has the host's address by now must not run the request.
+    let (name, value) = header::expect_instance(&out.to);
+    headers.push((name.into(), value.into_bytes().into()));
     let mut own = origin.encode();
     own.push((MAC, mac.to_hex().to_string()));
     let own = own.into_iter();
@@ -172,6 +175,11 @@
         apply(node, RelayEvent::ForwardRefused { attempt, refusal });
         return Ok(());
     }
+    if status == MISDIRECTED {
+        drain_and_release(answer, source, reply.keep_alive).await;
+        let detail = format!("another server has the address of host {}", out.to);
+        return Err(FailedAttempt::unsent(&detail));
+    }
     if !is_echoed(&prepared, &reply) {
         return Err(foreign_answer());
     }
--- a/tests/relay/partition.rs
+++ b/tests/relay/partition.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use super::cut::FaultProxy;
 use super::process::{Process, TempDir};
@@ -100,6 +100,7 @@
 
 /// Hosts before the same servers.
 struct Site {
+    store: Store,
     hosts: Vec<Host>,
     engines: Vec<Engine>,
     sent: Cell<usize>,
@@ -120,8 +121,10 @@
             store.put(&format!("servers/{}", engine.id), &engine.entry("ready"));
         }
         let hosts = (1..=host_count).map(|number| Host::start(number, &store, &engines));
+        let hosts: Vec<Host> = hosts.collect();
         let site = Self {
-            hosts: hosts.collect(),
+            store,
+            hosts,
             engines,
             sent: Cell::new(0),
         };
@@ -363,3 +366,25 @@
     assert_ne!(answer.status, 200);
     assert_eq!(site.runs("forged"), 0);
 }
+
+/// A host has ended without a trace in the store, and a server of another service has its address. Guards against a server
+/// that runs a forwarded request, and whose answer the caller gets.
+#[test]
+fn a_server_at_the_address_of_a_host_runs_no_forwarded_request() {
+    let site = Site::start(1);
+    let foreign = Engine::plain("foreign");
+    let entry = json!({"addr": foreign.addr().to_string(), "domain": "z9"});
+    site.store.put("chiveway/hosts/host-9", &entry);
+    let host = &site.hosts[0];
+    wait_for("the host that has ended", || {
+        host.log().lines().any(|line| line.contains("host.joined"))
+    });
+    site.lose_links(host, Cut::Refused);
+    for path in PATHS {
+        let (id, answer) = site.send(host, path, "8000");
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 503, "{path}: {}", answer.text());
+        assert_eq!(site.runs(&id), 0, "{path}");
+    }
+    assert!(foreign.requests().is_empty(), "{:?}", foreign.requests());
+}
