Have a host state its address to the others until it is registered

A host names its address in its gossip now, under the hosts' MAC, while its registration does not, and that goes before the entry in the store.

a_host_at_a_new_address_is_found_by_its_gossip: red before.

--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -1,5 +1,6 @@
 //! Gossip messages between hosts, as data.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::{Changes, StreamMessage};
@@ -10,6 +11,8 @@
 pub struct Gossip {
     /// Name of the sender.
     pub host: Box<str>,
+    /// Address at which the sender takes gossip and forwarded requests, while its registration does not name it.
+    pub addr: Option<SocketAddr>,
     /// Wall clock at the start of its process, in milliseconds since the Unix epoch.
     pub incarnation: u64,
     /// Sequence number of the message; later messages have higher numbers.
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -225,6 +225,7 @@
     };
     Gossip {
         host: core.settings.host.name.clone(),
+        addr: peers::unregistered_addr(core),
         incarnation: core.members.incarnation(),
         sequence: core.relay.peers.sequence,
         loads,
@@ -385,6 +386,9 @@
         core.relay.poison_requests.publish_again(now);
     }
     core.relay.peers.arena[sender].is_cut_off = message.cut_off;
+    if let Some(addr) = message.addr {
+        peers::moved(core, sender, addr, out);
+    }
     limit::reported(core, &message.host, &message.limits, out);
     view::era::observe(core, message.era, &message.host, out);
     if message.era < core.relay.view.era() {
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -381,6 +381,29 @@
     );
 }
 
+/// Returns this host's address, while the store does not name it: a host that starts anew at another address may not
+/// reach the store.
+pub(super) fn unregistered_addr(core: &Core) -> Option<SocketAddr> {
+    (!core.relay.peers.registered).then_some(core.settings.host.peers)
+}
+
+/// Handles a host's own statement of its address, which goes before that in the store.
+pub(super) fn moved(core: &mut Core, host: HostKey, addr: SocketAddr, out: &mut Effects) {
+    let peer = &mut core.relay.peers.arena[host];
+    if std::mem::replace(&mut peer.addr, addr) == addr {
+        return;
+    }
+    // What failed was at the former address.
+    peer.avoid_until = Time::default();
+    let name = peer.name.clone();
+    note(
+        out,
+        log::Level::Info,
+        "host.moved",
+        vec![("host", name), ("addr", addr.to_string().into())],
+    );
+}
+
 /// Handles the removal of a host's entry. A host whose messages still arrive is kept: its registration may have
 /// expired while it cannot reach the store, and then it receives changes only through gossip.
 fn entry_removed(core: &mut Core, name: &str, out: &mut Effects) {
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -186,7 +186,9 @@
 /// Returns a host that has just started.
 fn start_host(host: usize, domains: usize) -> TestHost {
     let domain = domain_name(host, domains);
-    TestHost::in_domain(&name(host), &domain, host as u64)
+    let mut node = TestHost::in_domain(&name(host), &domain, host as u64);
+    node.core.settings.host.peers = addr(host);
+    node
 }
 
 pub fn addr(host: usize) -> SocketAddr {
@@ -413,6 +415,7 @@
         let wall_ms = 1_000_000 + self.now;
         let mut node = TestHost::started_at(&name(host), &domain, host as u64, wall_ms);
         node.now = self.now;
+        node.core.settings.host.peers = addr(host);
         self.hosts[host] = Some(node);
         self.accept_calls(host);
     }
--- a/src/core/relay/tests/partition.rs
+++ b/src/core/relay/tests/partition.rs
@@ -2,7 +2,7 @@
 
 use super::network::{Cut, Got, HOP_MS, Incident, Network};
 use super::*;
-use crate::core::relay::event::Spent;
+use crate::core::relay::event::{Gossip, Spent};
 use crate::error::Kind;
 
 /// Milliseconds after the loss of the links from which callers must be served.
@@ -282,3 +282,38 @@
     let cut = actions.find(|(_, effect)| matches!(effect, RelayEffect::Cancel(_)));
     assert!(cut.is_none(), "{cut:?}");
 }
+
+/// A host that serves for others is started anew at another address while the store does not answer it. Guards against hosts
+/// that forward to the address that stands in the store, where nothing listens.
+#[test]
+fn a_host_at_a_new_address_is_found_by_its_gossip() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b"), plain_entry("c")]);
+    let old = r#"{"addr":"10.9.0.2:1","domain":"z"}"#;
+    site.write_key("hosts/host-2", Some(old), 4);
+    for server in ["a", "b", "c"] {
+        let instance = server.into();
+        site.event(RelayEvent::LinkProbed {
+            instance,
+            reached: false,
+        });
+    }
+    let moved: SocketAddr = ([10, 9, 0, 2], 7).into();
+    let gossip = |sequence| Gossip {
+        host: "host-2".into(),
+        incarnation: 2,
+        sequence,
+        addr: Some(moved),
+        ..Gossip::default()
+    };
+    site.event(RelayEvent::Gossiped(Box::new(gossip(1))));
+    // A read of the whole store brings the old entry again.
+    site.write_key("hosts/host-2", Some(old), 4);
+    site.event(RelayEvent::Gossiped(Box::new(gossip(2))));
+    site.arrive(plain_request("/once/x"));
+    let to = site.out.iter().find_map(|effect| match effect {
+        Effect::Relay(RelayEffect::Forward(out)) => Some(out.addr),
+        _ => None,
+    });
+    assert_eq!(to, Some(moved));
+}
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -18,6 +18,7 @@
 fn gossip() -> Gossip {
     Gossip {
         host: "host-1".into(),
+        addr: Some(([10, 9, 0, 1], 7660).into()),
         incarnation: 7,
         sequence: 3,
         loads: vec![LoadReport {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -481,6 +481,9 @@
     /// Versions of streams; only in words of this kind.
     #[prost(message, optional, tag = "22")]
     pub streams: ::core::option::Option<StreamNews>,
+    /// Address of the sender, while its registration does not name it; empty otherwise.
+    #[prost(string, tag = "23")]
+    pub addr: ::prost::alloc::string::String,
 }
 /// Versions at which streams began, queries for them, and answers.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -1,5 +1,6 @@
 //! Encoding of the gossip datagrams between relaying hosts.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -38,6 +39,9 @@
         usage: to_usage(&message.kind),
         cut_off: message.cut_off,
         streams: to_streams(&message.kind),
+        addr: message
+            .addr
+            .map_or_else(String::new, |addr| addr.to_string()),
     };
     out.reserve(message.encoded_len());
     // Encoding fails only when the buffer is full, and `BytesMut` grows.
@@ -59,6 +63,7 @@
     let kind = from_kind(&message)?;
     Ok(Gossip {
         host: message.host.into(),
+        addr: from_addr(&message.addr)?,
         incarnation: message.incarnation,
         sequence: message.number,
         loads: from_loads(&message.loads.unwrap_or_default())?,
@@ -82,6 +87,15 @@
     })
 }
 
+fn from_addr(text: &str) -> Result<Option<SocketAddr>, WireError> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let addr = text.parse();
+    addr.map(Some)
+        .map_err(|_malformed| WireError::Field { field: "addr" })
+}
+
 /// Returns the kind of a message and, for a sum over a failure domain, the domain's name.
 fn to_kind(kind: &GossipKind) -> (wire::WordKind, &str) {
     match kind {
