Give each deployment of the fleet tests a loopback address of its own, and keep its logs when a test fails

Five tests of tests/fleet fail now and then beside load, and kept no logs; one of them got answers without a request id from a port that had been a killed host's. Other tests and other runs take ports from the same address. Each deployment listens on an address of 127.0.0.0/8 that follows from the process and the number of the deployment, so that nothing else is given its ports; the folder with settings and logs stays when a test panics.

--- a/tests/fleet/support/mod.rs
+++ b/tests/fleet/support/mod.rs
@@ -5,7 +5,8 @@
 pub mod process;
 pub mod proxy;
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -35,6 +36,20 @@
     }
 }
 
+/// Returns a loopback address of which no other deployment is given a port: a caller that goes on sending to a host that
+/// was killed must not reach a process of another test.
+fn own_loopback_addr() -> Ipv4Addr {
+    static COUNT: AtomicU8 = AtomicU8::new(0);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let test = COUNT.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(
+        127,
+        128 | (high << 6) | (middle >> 2),
+        (middle << 6) | (low >> 2),
+        (low << 6) | (test & 0x3f),
+    )
+}
+
 /// Sizes and settings of a deployment.
 #[derive(Debug, Clone)]
 pub struct FleetConfig {
@@ -95,6 +110,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     pub config: FleetConfig,
+    /// Loopback address of all its processes.
+    ip: Ipv4Addr,
     pub kv: Process,
     pub kv_addr: SocketAddr,
     pub backends: Vec<Backend>,
@@ -105,10 +122,13 @@
 impl Fleet {
     /// Starts all processes, uploads the lists and waits until every host is ready.
     pub fn start(config: FleetConfig) -> Self {
-        let kv = Process::start(&["standin", "kv", "--listen", "127.0.0.1:0"], None);
+        let ip = own_loopback_addr();
+        let listen = format!("{ip}:0");
+        let kv = Process::start(&["standin", "kv", "--listen", &listen], None);
         let kv_addr = kv.addr("on");
         let mut fleet = Self {
             config,
+            ip,
             kv,
             kv_addr,
             backends: Vec::new(),
@@ -133,7 +153,8 @@
     }
 
     pub fn add_engine(&mut self, name: &str) {
-        let mut args = vec!["standin", "engine", "--listen", "127.0.0.1:0"];
+        let listen = self.any_port();
+        let mut args = vec!["standin", "engine", "--listen", &listen];
         args.extend(["--name", name, "--model", MODEL]);
         args.extend(["--fencing", self.config.fencing]);
         args.extend(self.config.engine_args.iter().map(String::as_str));
@@ -142,20 +163,17 @@
     }
 
     pub fn add_service(&mut self, name: &str) {
-        let process = Process::start(
-            &[
-                "standin",
-                "service",
-                "--listen",
-                "127.0.0.1:0",
-                "--name",
-                name,
-            ],
-            None,
-        );
+        let listen = self.any_port();
+        let args = ["standin", "service", "--listen", &listen, "--name", name];
+        let process = Process::start(&args, None);
         self.add_backend("service", name, process);
     }
 
+    /// Returns the deployment's address with a port that the kernel chooses.
+    fn any_port(&self) -> String {
+        format!("{}:0", self.ip)
+    }
+
     fn add_backend(&mut self, kind: &'static str, name: &str, process: Process) {
         self.backends.push(Backend {
             name: name.into(),
@@ -206,10 +224,10 @@
             fencing,
             ..
         } = &self.config;
-        let kv = self.kv_addr;
+        let (kv, listen) = (self.kv_addr, self.any_port());
         format!(
             "[host]\nname = {name}\nregion = dk-east\ndomain = {domain}\n\
-             callers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+             callers = {listen}\noperators = {listen}\npeers = {listen}\n\
              secret = {PEER_SECRET}\noperator-key-hash = {operator}\n\
              [platform]\nkv = {kv}\nlist = {kv}\n{platform}\
              [limits]\n{limits}\n\
--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -10,7 +10,7 @@
 
 use super::wait_for;
 
-/// A temporary directory, removed on drop.
+/// A temporary directory, removed on drop unless the test failed.
 #[derive(Debug)]
 pub struct TempDir(PathBuf);
 
@@ -43,6 +43,10 @@
 
 impl Drop for TempDir {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs are kept in {}", self.0.display());
+            return;
+        }
         drop(std::fs::remove_dir_all(&self.0));
     }
 }
