--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -112,6 +112,11 @@
         .as_ref()
         .filter(|_| arrival.resume.is_some());
     let stream = StreamKey::of(resumes.unwrap_or(&arrival.id));
+    let config = core
+        .relay
+        .catalog
+        .as_ref()
+        .map_or(0, |catalog| catalog.version);
     let key = core.relay.calls.insert(Call {
         id: arrival.id,
         service,
@@ -139,6 +144,7 @@
         stream,
         version: arrival.version,
         lookup: None,
+        config,
         route,
     });
     out.push(Effect::Relay(RelayEffect::Opened(key)));
@@ -413,16 +419,7 @@
 /// Ends a request that may have run: with an error, or by aborting an answer that has begun.
 pub(super) fn give_up(core: &mut Core, key: CallKey, kind: Kind, detail: &str, out: &mut Effects) {
     if core.relay.calls[key].delivered {
-        note(
-            out,
-            log::Level::Info,
-            "request.cut",
-            vec![
-                ("id", core.relay.calls[key].id.clone()),
-                ("code", kind.answer().code.into()),
-                ("detail", detail.into()),
-            ],
-        );
+        log_cut(core, key, kind, detail, out);
         out.push(Effect::Relay(RelayEffect::AbortAnswer(key)));
         end(core, key, "cut", Ran::Yes, out);
     } else {
@@ -431,6 +428,39 @@
     }
 }
 
+/// Logs why an answer that has begun is cut, and what time was left by which version of the configuration.
+fn log_cut(core: &Core, key: CallKey, kind: Kind, detail: &str, out: &mut Effects) {
+    let call = &core.relay.calls[key];
+    let left = call.deadline.since(core.now).as_millis();
+    let waited = call
+        .last_forwarded
+        .map_or(0.0, |at| millis(core.now.since(at)));
+    note(
+        out,
+        log::Level::Info,
+        "request.cut",
+        vec![
+            ("id", call.id.clone()),
+            ("code", kind.answer().code.into()),
+            ("detail", detail.into()),
+            ("left_ms", left.to_string().into()),
+            (
+                "limit_ms",
+                call.deadline
+                    .since(call.arrived)
+                    .as_millis()
+                    .to_string()
+                    .into(),
+            ),
+            ("silent_ms", format!("{waited:.0}").into()),
+            ("runs", call.runs.to_string().into()),
+            ("tried", call.tried.len().to_string().into()),
+            ("arrived_at", call.config.to_string().into()),
+            ("config", config_version(core)),
+        ],
+    );
+}
+
 /// Refuses a request: as not run if that is certain, as failed otherwise.
 pub(super) fn refuse(core: &mut Core, key: CallKey, refusal: Refusal, out: &mut Effects) {
     let call = &core.relay.calls[key];
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -121,6 +121,8 @@
     pub id: Box<str>,
     /// Its route.
     pub route: Route,
+    /// Version of the configuration at its arrival.
+    pub config: u64,
     /// Service that it is routed to.
     pub service: Box<str>,
     /// On whose behalf it runs.
@@ -465,7 +467,30 @@
             ("routes", catalog.routes.len().to_string().into()),
         ],
     );
-    core.relay.catalog = Some(catalog);
+    let before = core.relay.catalog.replace(catalog);
+    log_timeouts(core, before.as_ref(), out);
+}
+
+/// Logs the routes whose time-out a configuration has changed.
+fn log_timeouts(core: &Core, before: Option<&Catalog>, out: &mut Effects) {
+    let (Some(before), Some(catalog)) = (before, &core.relay.catalog) else {
+        return;
+    };
+    let same = |route: &Route| {
+        let mut old = before.routes.iter();
+        old.find(|old| old.host == route.host && old.prefix == route.prefix)
+    };
+    for route in &catalog.routes {
+        if let Some(old) = same(route).filter(|old| old.timeout != route.timeout) {
+            let fields = vec![
+                ("route", route.name.clone()),
+                ("version", catalog.version.to_string().into()),
+                ("before_ms", old.timeout.as_millis().to_string().into()),
+                ("timeout_ms", route.timeout.as_millis().to_string().into()),
+            ];
+            note(out, log::Level::Info, "config.timeout", fields);
+        }
+    }
 }
 
 /// Applies reloaded settings; the name and the listeners keep their old values.
