Add failing tests of servers that fall silent and go on

The tests play a server that falls silent and goes on, beside changes of the configuration, while the others refuse, cannot be reached, break off or are silent too.

--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -23,6 +23,7 @@
 mod register;
 mod request;
 mod sampling;
+mod silence;
 mod stages;
 mod stream;
 mod versions;
