Keep a silent attempt until another server has taken its request

Cause: after 900 ms without an event the host cancelled the running attempt once it had chosen another server, before that had taken the request. If it refused, broke off or could not be reached and no other took the request, the answer that had begun was cut, although its own server went on a moment later; so too when the links counted as lost and the other host refused. The class: something that runs is given up for something not yet secured.

Change: the silent attempt stays as a standby, one a request, until the new one sends a part of its answer, or for 300 ms, so that two servers never work on a request for 400 ms. If the standby goes on first, the new attempt is cancelled and the KV cache that was prefilled for it is freed; if the new one fails, the request waits for the standby. After the 300 ms, an answer that has begun and that no server takes is offered again every 250 ms until its deadline, to the silent server also in its backoff. A server of the standby is no candidate for the request, so that a handover cannot lead back to it.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -8,7 +8,7 @@
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
     Attempt, KvCache, RetryPolicy, duty, forward, links, load, millis, note, poison, retry,
-    versions,
+    standby, versions,
 };
 use crate::error::{Kind, Ran};
 
@@ -39,7 +39,8 @@
 }
 
 /// Records that a part of an answer arrived: the backend server is not silent.
-pub(super) fn part_received(core: &mut Core, key: AttemptKey) {
+pub(super) fn part_received(core: &mut Core, key: AttemptKey, out: &mut Effects) {
+    standby::goes_on(core, key, out);
     if let Some(attempt) = core.relay.attempts.get_mut(key) {
         attempt.last_received = core.now;
     }
@@ -53,6 +54,7 @@
     let (call, backend, attempt_sent) = (attempt.call, attempt.backend, attempt.sent_at);
     let host = attempt.host;
     let is_forwarded = host.is_some();
+    let is_standby = standby::is_standby(core, key);
     let now = core.now;
     let took = millis(now.since(attempt_sent));
     load::record_first_answer(core, key, took, out);
@@ -66,6 +68,10 @@
     if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
         instance.record_success(now);
     }
+    if is_standby && (failed || core.relay.calls[call].delivered) {
+        // The other attempt is under way.
+        return;
+    }
     // The host that a request was forwarded to has retried it itself.
     if failed && !is_forwarded && may_retry(core, call) && !core.relay.calls[call].delivered {
         core.relay.calls[call].tried.push(backend);
@@ -99,6 +105,7 @@
 /// After a stream was resumed, the new run may start with events that the caller has. These are
 /// dropped by their number. A run that started after the last one would leave a gap in the answer.
 pub(super) fn stream_event(core: &mut Core, key: AttemptKey, number: u64, out: &mut Effects) {
+    standby::goes_on(core, key, out);
     let now = core.now;
     let Some(attempt) = core.relay.attempts.get_mut(key) else {
         return;
@@ -203,6 +210,7 @@
     detail: &str,
     out: &mut Effects,
 ) {
+    let is_standby = standby::is_standby(core, key);
     let Some(attempt) = close_attempt(core, key) else {
         return;
     };
@@ -215,7 +223,7 @@
     let (call, backend) = (attempt.call, attempt.backend);
     let source = core.relay.calls[call].cache.as_ref();
     let source = source.map(|cache| cache.engine);
-    let source = source.filter(|_| matches!(attempt.task, Task::Decode { .. }));
+    let source = source.filter(|_| !is_standby && matches!(attempt.task, Task::Decode { .. }));
     if how == AttemptFailure::Cut {
         poison::report_crash(core, call, backend, out);
     }
@@ -230,6 +238,11 @@
         duty::usage::record(core, call, attempt.sent_at);
     }
     let entry = &mut core.relay.calls[call];
+    if is_standby {
+        // The other attempt is under way.
+        entry.runs -= u32::from(ran == Ran::No);
+        return;
+    }
     entry.unreachable += u32::from(how == AttemptFailure::Unreachable);
     entry.tried.push(backend);
     match attempt.task {
@@ -252,8 +265,7 @@
                 retry_or_refuse(core, call, detail, out);
             } else if may_retry(core, call) {
                 core.relay.calls[call].cache = None;
-                log_retry(core, call, detail, out);
-                retry_or_refuse(core, call, detail, out);
+                retry(core, call, detail, out);
             } else {
                 let kind = if how == AttemptFailure::Silent {
                     Kind::Silent
@@ -369,7 +381,21 @@
     }
 }
 
-/// Returns whether an attempt may be given up for another one.
+/// Sends a request again that may have run, or refuses it if its deadline has passed.
+pub(super) fn retry(core: &mut Core, key: CallKey, detail: &str, out: &mut Effects) {
+    log_retry(core, key, detail, out);
+    retry_or_refuse(core, key, detail, out);
+}
+
+/// Records that a server is silent.
+pub(super) fn record_silence(core: &mut Core, server: BackendKey, out: &mut Effects) {
+    links::attempt_failed(core, server, out);
+    if !core.relay.links.are_lost() {
+        record_failure(core, server, AttemptFailure::Silent, out);
+    }
+}
+
+/// Returns whether the request of an attempt may be sent to another server.
 pub(super) fn may_move(core: &Core, attempt: &Attempt) -> bool {
     attempt.host.is_none()
         && (matches!(attempt.task, Task::Prefill) || may_retry(core, attempt.call))
@@ -392,7 +418,7 @@
     );
 }
 
-/// Ends an attempt that has been silent for too long, if the request may be sent to another server.
+/// Sends the request of an attempt that has been silent for too long to another server, if it may run there.
 ///
 /// A backend server can hang although its health check succeeds, and a connection can stop for
 /// good: without this the caller would wait until its deadline.
@@ -400,6 +426,9 @@
     let Some(attempt) = core.relay.attempts.get(key) else {
         return;
     };
+    if standby::is_standby(core, key) {
+        return;
+    }
     let call = &core.relay.calls[attempt.call];
     let instance = core.relay.instances.arena.get(attempt.backend);
     let last_answer = instance.and_then(|instance| instance.last_response);
@@ -414,13 +443,13 @@
         );
         return;
     }
-    let (call, backend) = (attempt.call, attempt.backend);
+    let call = attempt.call;
     let may_move = may_move(core, attempt);
     let moves = if core.relay.links.are_lost() {
         may_move && forward::can_forward(core, call)
     } else if may_move {
         // A second choice could draw other candidates and find none.
-        core.relay.calls[call].next = retry::choose_other(core, call, backend);
+        core.relay.calls[call].next = retry::choose_other(core, call, key);
         core.relay.calls[call].next.is_some()
     } else {
         false
@@ -430,12 +459,5 @@
         return;
     }
     let detail = format!("nothing came for {:.0} ms", millis(waited));
-    attempt_failed(
-        core,
-        key,
-        Ran::Unknown,
-        AttemptFailure::Silent,
-        &detail,
-        out,
-    );
+    standby::move_on(core, key, &detail, out);
 }
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -16,8 +16,8 @@
 use super::instance::Work;
 use super::versions::{self, StreamKey};
 use super::{
-    Attempt, Call, KvCache, RelayTimer, forward, from_millis, gossip, links, millis, note, poison,
-    prefix_cache, resolve, retry,
+    Attempt, Call, RelayTimer, forward, from_millis, gossip, links, millis, note, poison,
+    prefix_cache, resolve, retry, standby,
 };
 use crate::error::{Kind, Ran};
 
@@ -127,6 +127,8 @@
         arrived: core.now,
         deadline: core.now.after(wait),
         attempt: None,
+        standby: None,
+        given_up: None,
         runs: spent.runs,
         arrivals: spent.arrivals,
         prefills: spent.prefills,
@@ -326,10 +328,9 @@
     if let Some(host) = attempt.host {
         forward::ended(core, host);
     }
-    if let Some(call) = core.relay.calls.get_mut(attempt.call)
-        && call.attempt == Some(key)
-    {
-        call.attempt = None;
+    if let Some(call) = core.relay.calls.get_mut(attempt.call) {
+        call.attempt = call.attempt.filter(|current| *current != key);
+        call.standby = call.standby.filter(|standby| standby.attempt != key);
     }
     Some(attempt)
 }
@@ -397,6 +398,7 @@
     }
     let runs = call.runs;
     let unanswered = unanswered_attempt(core, key);
+    standby::release(core, key, "deadline", out);
     if runs > 0 {
         give_up(core, key, Kind::Silent, "no whole answer in time", out);
     } else {
@@ -408,6 +410,7 @@
 
 /// Ends a request because this host is stopping: as not run if that is certain.
 pub(super) fn abandon(core: &mut Core, key: CallKey, why: &str, out: &mut Effects) {
+    standby::release(core, key, "stopping", out);
     refuse(
         core,
         key,
@@ -416,8 +419,12 @@
     );
 }
 
-/// Ends a request that may have run: with an error, or by aborting an answer that has begun.
+/// Ends a request that may have run: with an error, or by aborting an answer that has begun. One whose silent attempt is
+/// kept waits for that instead.
 pub(super) fn give_up(core: &mut Core, key: CallKey, kind: Kind, detail: &str, out: &mut Effects) {
+    if standby::fall_back(core, key, out) {
+        return;
+    }
     if core.relay.calls[key].delivered {
         log_cut(core, key, kind, detail, out);
         out.push(Effect::Relay(RelayEffect::AbortAnswer(key)));
@@ -461,8 +468,12 @@
     );
 }
 
-/// Refuses a request: as not run if that is certain, as failed otherwise.
+/// Refuses a request: as not run if that is certain, as failed otherwise. One whose silent attempt is kept waits for that
+/// instead, and an answer that has begun waits for a server.
 pub(super) fn refuse(core: &mut Core, key: CallKey, refusal: Refusal, out: &mut Effects) {
+    if standby::fall_back(core, key, out) || standby::wait(core, key, &refusal, out) {
+        return;
+    }
     let call = &core.relay.calls[key];
     if call.runs > 0 || call.delivered {
         let detail = refusal.detail.clone();
@@ -509,7 +520,7 @@
     age_ms(core, core.relay.view.fresh_at(), "never")
 }
 
-/// Removes a request, closes its attempt and frees its KV cache.
+/// Removes a request, closes its attempts and frees its KV cache.
 pub(super) fn end(
     core: &mut Core,
     key: CallKey,
@@ -521,21 +532,11 @@
         out.push(Effect::Relay(RelayEffect::Cancel(attempt)));
         close_attempt(core, attempt);
     }
+    standby::release(core, key, "ended", out);
+    standby::free_cache(core, key, out);
     let Some(call) = core.relay.calls.remove(key) else {
         return;
     };
-    let in_pushback = |cache: &KvCache| {
-        let instance = core.relay.instances.arena.get(cache.engine);
-        instance.is_some_and(|instance| !instance.pushback.admits(core.now))
-    };
-    // The KV cache is left to expire at an engine that wants no requests.
-    if let Some(cache) = call.cache.filter(|cache| !in_pushback(cache)) {
-        out.push(Effect::Relay(RelayEffect::FreeCache {
-            instance: cache.instance,
-            addr: cache.addr,
-            handle: cache.handle,
-        }));
-    }
     let lasted = core.now.since(call.arrived);
     out.push(Effect::Meter(super::super::effect::Meter::RequestEnded {
         class: call.route.name.clone(),
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -16,7 +16,7 @@
 use super::model::ServiceModel;
 use super::prefix_cache::{Fetch, Holder};
 use super::versions::Version;
-use super::{Call, PrefillEstimate, from_millis, load, millis, prefix_cache};
+use super::{Call, PrefillEstimate, from_millis, load, millis, prefix_cache, standby};
 use crate::error::Kind;
 use crate::settings::relay::Policy;
 
@@ -90,10 +90,12 @@
     }
 }
 
-/// Returns the backend servers of the request's service that accept work; those that already failed
-/// the request only if there are no others.
+/// Returns the backend servers of the request's service that accept work, but for that of its standby; those that already
+/// failed the request only if there are no others. A server at which it was given up may take it again at any time: it was
+/// silent, and may have gone on.
 fn eligible_servers(core: &Core, call: &Call, stage: Option<Stage>) -> Vec<BackendKey> {
     let all = core.relay.instances.of(&call.service).iter().copied();
+    let silent = standby::server(core, call.standby);
     let eligible = all.filter(|key| {
         let instance = &core.relay.instances.arena[*key];
         // A prefill sends no event.
@@ -101,7 +103,9 @@
             || call
                 .version
                 .is_none_or(|began| began.may_go_on_at(instance.version_key));
-        instance.admits(core.now) && (stage.is_none() || instance.stage == stage) && may_go_on
+        let admits = instance.admits(core.now)
+            || call.given_up == Some(*key) && instance.admits_in_backoff(core.now);
+        admits && (stage.is_none() || instance.stage == stage) && may_go_on && silent != Some(*key)
     });
     let eligible: Vec<BackendKey> = eligible.collect();
     let untried: Vec<BackendKey> = eligible
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -194,14 +194,15 @@
     /// Whether new work may go there.
     #[must_use]
     pub fn is_available(&self, now: Time) -> bool {
+        now >= self.retry_at && self.is_usable(now)
+    }
+
+    /// Whether it may serve requests, in a backoff or not.
+    fn is_usable(&self, now: Time) -> bool {
         let missed = self
             .missing_since
             .is_some_and(|at| now.since(at) > MISSING_GRACE);
-        !self.leaving
-            && !self.addr_reused
-            && !missed
-            && now >= self.retry_at
-            && self.pushback.admits(now)
+        !self.leaving && !self.addr_reused && !missed && self.pushback.admits(now)
     }
 
     /// Returns the time until a server that stays may get work again; `None` for one that is gone.
@@ -217,6 +218,12 @@
         self.is_available(now) && self.limit.admits(now)
     }
 
+    /// Whether a request may go there in spite of a backoff.
+    #[must_use]
+    pub fn admits_in_backoff(&self, now: Time) -> bool {
+        self.is_usable(now) && self.limit.admits(now)
+    }
+
     /// Returns all known unfinished work there.
     #[must_use]
     pub fn work(&self) -> Work {
--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -13,7 +13,6 @@
 use rand::RngExt;
 
 use super::super::effect::Effect;
-use super::super::event::AttemptFailure;
 use super::super::key::{AttemptKey, BackendKey, CallKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
@@ -21,8 +20,7 @@
 use super::departed::ServerStart;
 use super::event::{LinkProbe, RelayEffect};
 use super::instance::Instance;
-use super::{RelayTimer, answer, forward, note, planner, wake};
-use crate::error::Ran;
+use super::{RelayTimer, answer, forward, note, planner, standby, wake};
 
 /// Servers that must fail, or both if there are two: one or two of more can be at fault themselves. A single server
 /// cannot be distinguished from the link to it.
@@ -178,18 +176,19 @@
     move_attempts(core, out);
 }
 
-/// Gives up the attempts whose requests may be sent again, so that they are forwarded.
+/// Forwards the requests of attempts that may be sent again.
 fn move_attempts(core: &mut Core, out: &mut Effects) {
     let attempts = core.relay.attempts.iter();
-    let movable = attempts.filter(|(_, attempt)| answer::may_move(core, attempt));
+    let movable = attempts.filter(|(key, attempt)| {
+        answer::may_move(core, attempt) && !standby::is_standby(core, *key)
+    });
     let movable: Vec<(AttemptKey, CallKey)> =
         movable.map(|(key, attempt)| (key, attempt.call)).collect();
     for (key, call) in movable {
         if !forward::can_forward(core, call) {
             continue;
         }
-        let (ran, how) = (Ran::Unknown, AttemptFailure::Silent);
-        answer::attempt_failed(core, key, ran, how, "the links are lost", out);
+        standby::move_on(core, key, "the links are lost", out);
     }
 }
 
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -31,6 +31,7 @@
 mod resolve;
 mod retry;
 mod stages;
+mod standby;
 #[cfg(test)]
 mod tests;
 pub mod versions;
@@ -53,6 +54,7 @@
 use customers::Identity;
 use event::{Changes, Prompt, RelayEvent, Task};
 use instances::Instances;
+use standby::Standby;
 use versions::take_up::Lookup;
 use versions::{StreamKey, Version, Versions};
 
@@ -87,6 +89,10 @@
     ProbeServers,
     /// Decide on a stream that is taken up by the answers of other hosts so far.
     TakeUp(CallKey),
+    /// The standby of a request has been kept for long enough.
+    Standby(CallKey),
+    /// Look for a server for an answer that waits for one.
+    Resume(CallKey),
 }
 
 /// Calls of the store that the relay makes, as keys for their answers.
@@ -139,6 +145,10 @@
     pub deadline: Time,
     /// The current attempt.
     pub attempt: Option<AttemptKey>,
+    /// The silent attempt that may still go on in place of the current one.
+    pub standby: Option<Standby>,
+    /// The server at which a silent attempt was given up.
+    pub given_up: Option<BackendKey>,
     /// Number of backend servers that may have run it.
     pub runs: u32,
     /// Requests that reached backend servers, apart from the first accepted prefill.
@@ -147,7 +157,7 @@
     pub prefills: u32,
     /// Backend servers at which an attempt failed.
     pub tried: Vec<BackendKey>,
-    /// The choice of the next server for which the current attempt is given up.
+    /// The choice of the next server, made when the current attempt was silent.
     pub next: Option<Choice>,
     /// Number of the last event that the caller received.
     pub last_event: Option<u64>,
@@ -313,7 +323,7 @@
         }
         RelayEvent::AnswerReceived(attempt) => {
             links::attempt_received(core, attempt, out);
-            answer::part_received(core, attempt);
+            answer::part_received(core, attempt, out);
         }
         RelayEvent::Answered { attempt, status } => {
             links::attempt_received(core, attempt, out);
@@ -373,6 +383,8 @@
         RelayTimer::ProbeLinks => links::probe(core, out),
         RelayTimer::ProbeServers => poison::proof::send(core, out),
         RelayTimer::TakeUp(call) => versions::take_up::timed_out(core, call, out),
+        RelayTimer::Standby(call) => standby::expired(core, call, out),
+        RelayTimer::Resume(call) => standby::resume(core, call, out),
     }
 }
 
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -1,9 +1,10 @@
 //! Whether a request may be sent again, by the retry budget and by what could take it.
 
 use super::super::Core;
-use super::super::key::{BackendKey, CallKey};
+use super::super::key::{AttemptKey, CallKey};
 use super::choose::{self, Choice};
 use super::event::Task;
+use super::standby::Standby;
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
 pub(super) fn charge_budget(core: &mut Core, key: CallKey, task: &Task) -> bool {
@@ -24,8 +25,8 @@
     budget.try_spend(core.now, &settings.retry_budget, hosts)
 }
 
-/// Chooses another backend server than this one for a request that may be sent again now; `None` if there is none.
-pub(super) fn choose_other(core: &mut Core, key: CallKey, backend: BackendKey) -> Option<Choice> {
+/// Chooses another backend server than that of an attempt for a request that may be sent again now; `None` if there is none.
+pub(super) fn choose_other(core: &mut Core, key: CallKey, attempt: AttemptKey) -> Option<Choice> {
     let call = &core.relay.calls[key];
     if core
         .relay
@@ -47,12 +48,12 @@
         return None;
     }
     let call = &mut core.relay.calls[key];
-    call.tried.push(backend);
+    let standby = call.standby.replace(Standby::new(attempt, core.now));
     // The KV cache that the silent server was to fetch is given up with it.
     let cache = call.cache.take();
     let choice = choose::choose(core, key);
     let call = &mut core.relay.calls[key];
-    call.tried.pop();
+    call.standby = standby;
     call.cache = cache;
-    choice.ok().filter(|choice| choice.backend != backend)
+    choice.ok()
 }
