Test that a change of a time-out holds for later requests

A request under way is held to the time-out at its arrival, which is what its server was told; a longer or a shorter one holds for the requests that arrive after it.

--- a/src/core/relay/tests/config.rs
+++ b/src/core/relay/tests/config.rs
@@ -136,3 +136,39 @@
         site.fail_attempt(sent.attempt, Ran::No, AttemptFailure::Rejected);
     }
 }
+
+/// Returns when a request ends whose route gets another time-out, by this factor, one second after its arrival.
+fn end_after_change(factor: f64) -> u64 {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a")]);
+    site.arrive(plain_request("/once/x"));
+    let began = site.now;
+    site.advance(1000);
+    let mut changed = catalog(2);
+    for route in &mut changed.routes {
+        route.timeout = route.timeout.mul_f64(factor);
+    }
+    site.configure(changed);
+    let ends = |effect: &RelayEffect| matches!(effect, RelayEffect::Refuse { .. });
+    while !has_effect(&site.advance(10), ends) {
+        assert!(site.now < began + 20_000, "the request does not end");
+    }
+    site.now - began
+}
+
+/// Defines one test for each change of a time-out.
+macro_rules! changed_timeouts {
+    ($($name:ident: $factor:expr;)*) => {$(
+        /// Guards against a request under way that is held to another time-out than the one its server was told.
+        #[test]
+        fn $name() {
+            assert_eq!(end_after_change($factor), 4000);
+        }
+    )*};
+}
+
+changed_timeouts! {
+    a_longer_timeout_holds_for_later_requests: 2.0;
+    a_shorter_timeout_holds_for_later_requests: 0.5;
+    a_timeout_that_has_passed_holds_for_later_requests: 0.1;
+}
