--- a/tests/relay/broken_off.rs
+++ b/tests/relay/broken_off.rs
@@ -4,8 +4,9 @@
 use std::io::{Read, Write as _};
 use std::net::{SocketAddr, TcpStream};
 
+use super::standin::engine::EVENT_COUNT;
 use super::standin::torn::{Break, End, Framing, Place, WHOLE_EVENTS, WIDE_CHAR};
-use super::standin::{EVENT_COUNT, Engine, LONG_PROMPT, SHORT_PROMPT, events};
+use super::standin::{Engine, LONG_PROMPT, SHORT_PROMPT, events};
 use super::{Site, http, wait_for};
 
 /// Places where an answer is broken off.
--- a/tests/relay/duties/standin.rs
+++ b/tests/relay/duties/standin.rs
@@ -6,7 +6,7 @@
 
 use serde_json::Value;
 
-use crate::standin::{Request, listen, write};
+use crate::standin::http::{Request, listen, write};
 
 /// How calls are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- /dev/null
+++ b/tests/relay/standin/engine.rs
@@ -0,0 +1,253 @@
+//! Stand-in of an engine, or of a plain server.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::http::listen;
+use super::serve::serve_engine;
+use super::torn::{Break, WIDE_CHAR};
+
+#[derive(Default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent faults of a stand-in"
+)]
+pub struct EngineState {
+    pub stage: Option<String>,
+    /// Version of its software.
+    pub version: String,
+    pub requests: Vec<(String, String, Vec<u8>)>,
+    /// Whether its answers state that it is leaving.
+    pub leaving: bool,
+    /// Seconds of pushback that it names with a refusal of each request.
+    pub pushback: Option<String>,
+    /// Value of the limit header in its answers.
+    pub limit: Option<String>,
+    /// Number of events after which the next new stream breaks off.
+    pub break_after: Option<u64>,
+    /// How the next answer to a caller's request is broken off; shared by servers of which one does.
+    pub torn: Arc<Mutex<Option<Break>>>,
+    /// Whether its streams have no events.
+    pub is_empty: bool,
+    /// Request id of the next answer, in place of the real one.
+    pub answer_id: Option<String>,
+    pub held: bool,
+    /// Delay of each answer and of each event of a stream.
+    pub delay: Duration,
+    /// Whether the process has crashed.
+    pub crashed: bool,
+    /// Body of the request that crashes the process when it begins to run it.
+    pub poison: Option<Vec<u8>>,
+    pub poisoned_at: Option<Instant>,
+    /// Number of accepted orders.
+    pub orders: u64,
+    /// Highest fencing token received.
+    pub fence: u64,
+}
+
+/// Stand-in of an engine, or of a plain server.
+pub struct Engine {
+    pub id: String,
+    addr: SocketAddr,
+    shared: Arc<(Mutex<EngineState>, Condvar)>,
+}
+
+/// Path of the health check.
+pub const HEALTH_PATH: &str = "/healthz";
+/// Number of events of a stream.
+pub const EVENT_COUNT: u64 = 4;
+
+/// Returns the events of a stream.
+pub fn events(id: &str, numbers: RangeInclusive<u64>) -> String {
+    let event = |number: u64| format!("id: {number}\ndata: {id} {WIDE_CHAR}\n\n");
+    numbers.map(event).collect()
+}
+
+/// Returns the engine that sent each complete event of a stream.
+pub fn senders(text: &str) -> Vec<String> {
+    let events = text.split_inclusive("\n\n");
+    let complete = events.filter_map(|event| event.strip_suffix("\n\n"));
+    let data = complete.filter_map(|event| event.split_once("\ndata: "));
+    data.filter_map(|(_, data)| Some(data.split_once(' ')?.0.to_owned()))
+        .collect()
+}
+
+impl Engine {
+    pub fn plain(id: &str) -> Self {
+        Self::start(id, None)
+    }
+
+    pub fn model(id: &str, stage: &str) -> Self {
+        Self::start(id, Some(stage.to_owned()))
+    }
+
+    fn start(id: &str, stage: Option<String>) -> Self {
+        let initial = EngineState {
+            stage,
+            version: "v1".to_owned(),
+            ..EngineState::default()
+        };
+        let shared = Arc::new((Mutex::new(initial), Condvar::new()));
+        let (handle, name) = (Arc::clone(&shared), id.to_owned());
+        let addr = listen(move |request, stream| serve_engine(&handle, &name, request, stream));
+        Self {
+            id: id.to_owned(),
+            addr,
+            shared,
+        }
+    }
+
+    /// Sets the version of its software.
+    pub fn set_version(&self, version: &str) {
+        version.clone_into(&mut self.shared.0.lock().expect("the engine").version);
+    }
+
+    /// Returns the version of its software.
+    pub fn version(&self) -> String {
+        self.shared.0.lock().expect("the engine").version.clone()
+    }
+
+    /// Returns its entry in the store.
+    pub fn entry(&self, reported_state: &str) -> Value {
+        let stage = self.shared.0.lock().expect("the engine").stage.clone();
+        let version = self.version();
+        let service = if stage.is_some() { "model" } else { "plain" };
+        json!({"service": service, "address": self.addr.to_string(), "zone": "z", "version": version,
+            "slots": 8, "state": reported_state, "coldRemainingMs": 0, "stage": stage, "sequence": 1,
+            "born": 1})
+    }
+
+    /// Returns the heads of the requests received on a path.
+    pub fn request_heads(&self, path: &str) -> Vec<String> {
+        let state = self.shared.0.lock().expect("the engine");
+        let matching = state
+            .requests
+            .iter()
+            .filter(|(requested, ..)| requested == path);
+        matching.map(|(_, head, _)| head.clone()).collect()
+    }
+
+    /// Returns the JSON bodies received on a path.
+    pub fn request_bodies(&self, path: &str) -> Vec<Value> {
+        let state = self.shared.0.lock().expect("the engine");
+        let matching = state
+            .requests
+            .iter()
+            .filter(|(requested, ..)| requested == path);
+        matching
+            .filter_map(|(.., body)| serde_json::from_slice(body).ok())
+            .collect()
+    }
+
+    /// Breaks the next new stream off in the middle of the event after `events`.
+    pub fn break_after(&self, events: u64) {
+        self.shared.0.lock().expect("the engine").break_after = Some(events);
+    }
+
+    /// Breaks the next answer to a caller's request off, at whichever of these servers it is.
+    pub fn tear_next(engines: &[&Self], how: Break) {
+        let shared = Arc::new(Mutex::new(Some(how)));
+        for engine in engines {
+            engine.shared.0.lock().expect("the engine").torn = Arc::clone(&shared);
+        }
+    }
+
+    /// Cancels [`tear_next`](Self::tear_next).
+    pub fn clear_tear(&self) {
+        let state = self.shared.0.lock().expect("the engine");
+        state.torn.lock().expect("the break").take();
+    }
+
+    /// Returns whether the answer of [`tear_next`](Self::tear_next) was broken off.
+    pub fn has_torn(&self) -> bool {
+        let state = self.shared.0.lock().expect("the engine");
+        let torn = state.torn.lock().expect("the break");
+        torn.is_none()
+    }
+
+    /// Sends streams without events from now on.
+    pub fn send_no_events(&self) {
+        self.shared.0.lock().expect("the engine").is_empty = true;
+    }
+
+    /// Cancels [`break_after`](Self::break_after).
+    pub fn clear_break(&self) {
+        self.shared.0.lock().expect("the engine").break_after = None;
+    }
+
+    /// States in each answer from now on that it is leaving.
+    pub fn state_leaving(&self) {
+        self.shared.0.lock().expect("the engine").leaving = true;
+    }
+
+    /// Refuses each request from now on, and names so many seconds of pushback.
+    pub fn refuse(&self, pushback: &str) {
+        self.shared.0.lock().expect("the engine").pushback = Some(pushback.to_owned());
+    }
+
+    /// Adds a limit header to each answer from now on.
+    pub fn set_limit(&self, rate: &str) {
+        self.shared.0.lock().expect("the engine").limit = Some(rate.to_owned());
+    }
+
+    /// Answers the next request with another request's id.
+    pub fn answer_as(&self, id: &str) {
+        self.shared.0.lock().expect("the engine").answer_id = Some(id.to_owned());
+    }
+
+    /// Returns all requests except load reports: path, head and body.
+    pub fn requests(&self) -> Vec<(String, String, Vec<u8>)> {
+        let state = self.shared.0.lock().expect("the engine");
+        let all = state
+            .requests
+            .iter()
+            .filter(|(path, ..)| path != "/v1/report");
+        all.cloned().collect()
+    }
+
+    /// Returns the number of callers' requests that it received, prefills included.
+    pub fn caller_requests(&self) -> usize {
+        let all = self.requests().into_iter();
+        all.filter(|(path, ..)| !path.starts_with("/v1/")).count()
+    }
+
+    /// Returns its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets the delay of each answer and of each event of a stream.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared.0.lock().expect("the engine").delay = delay;
+    }
+
+    /// Breaks all streams off and closes every connection on its next request.
+    pub fn crash(&self) {
+        self.shared.0.lock().expect("the engine").crashed = true;
+    }
+
+    /// Crashes when it begins to run a request with this body.
+    pub fn crash_on(&self, body: &[u8]) {
+        self.shared.0.lock().expect("the engine").poison = Some(body.to_vec());
+    }
+
+    /// Returns when it crashed while it ran that request.
+    pub fn poisoned_at(&self) -> Option<Instant> {
+        self.shared.0.lock().expect("the engine").poisoned_at
+    }
+
+    /// Holds back the ends of streams.
+    pub fn hold_streams(&self) {
+        self.shared.0.lock().expect("the engine").held = true;
+    }
+
+    /// Releases the ends of streams.
+    pub fn release_streams(&self) {
+        self.shared.0.lock().expect("the engine").held = false;
+        self.shared.1.notify_all();
+    }
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -21,7 +21,7 @@
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
-#[path = "../relay/standin.rs"]
+#[path = "../relay/standin/mod.rs"]
 #[expect(
     dead_code,
     reason = "shared with the relay's tests, which use all of it"
--- a/tests/soak/partition.rs
+++ b/tests/soak/partition.rs
@@ -10,7 +10,8 @@
 use crate::check::RequestKind;
 use crate::cluster::{Cluster, HOST_COUNT};
 use crate::cut::FaultProxy;
-use crate::standin::{Addrs, Store};
+use crate::standin::Store;
+use crate::standin::store::Addrs;
 
 /// Separates the draws of the last partition from a seed's other draws.
 const PARTITION_SEED_MASK: u64 = 0xca7;
