Have stand-in engines crash on a part of a prompt, start again and fall silent

A stand-in engine crashes after the head of an answer to a prompt with a given part, closes all its connections, takes none, and answers prefills of such a prompt. Another process can be started at its address, under its id or another one. An answer falls silent for a time before its head, between events or before its end, and can be framed by its length, by chunks or by its connection. The stand-in store applies the removals of a transaction, which it ignored.

--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -1,15 +1,29 @@
 //! Stand-in of an engine, or of a plain server.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::ops::RangeInclusive;
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
-use super::http::listen;
+use super::http::{Request, listen_each};
 use super::serve::serve_engine;
-use super::torn::{Break, WIDE_CHAR};
+use super::torn::{Break, Framing, WIDE_CHAR};
+
+/// Where a server falls silent in an answer before it goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pause {
+    /// Before its head.
+    Head,
+    /// Between two events, or in the middle of a body that is no stream.
+    Events,
+    /// After the last event, before the end of the body.
+    End,
+}
+
+/// State of a process, and what wakes those that wait for a change of it.
+pub type Shared = Arc<(Mutex<EngineState>, Condvar)>;
 
 #[derive(Default)]
 #[expect(
@@ -43,6 +57,20 @@
     /// Body of the request that crashes the process when it begins to run it.
     pub poison: Option<Vec<u8>>,
     pub poisoned_at: Option<Instant>,
+    /// Part of a prompt that crashes the process when it begins to write an answer on it.
+    pub bad_part: Option<String>,
+    /// When the process crashed on that part.
+    pub part_crash: Option<Instant>,
+    /// Requests with that part, prefills too: when they arrived, and their ids.
+    pub part_requests: Vec<(Instant, String)>,
+    /// Framing of its answers, if not the usual one.
+    pub framing: Option<Framing>,
+    /// Where and for how long the next answer falls silent; shared by servers of which one does.
+    pub pause: Arc<Mutex<Option<(Pause, Duration)>>>,
+    /// Open connections.
+    pub connections: Vec<Weak<TcpStream>>,
+    /// How often the server was started before.
+    pub starts: u64,
     /// Number of accepted orders.
     pub orders: u64,
     /// Highest fencing token received.
@@ -53,7 +81,27 @@
 pub struct Engine {
     pub id: String,
     addr: SocketAddr,
-    shared: Arc<(Mutex<EngineState>, Condvar)>,
+    shared: Shared,
+    /// Id and state of the process that new connections reach.
+    current: Arc<Mutex<(String, Shared)>>,
+}
+
+impl EngineState {
+    /// Ends the process with all its connections.
+    pub fn end(&mut self) {
+        self.crashed = true;
+        for connection in self.connections.iter().filter_map(Weak::upgrade) {
+            // It may have ended before.
+            drop(connection.shutdown(Shutdown::Both));
+        }
+    }
+
+    /// Returns whether a request has the part that crashes the process.
+    pub fn has_bad_part(&self, request: &Request) -> bool {
+        let prompt = request.header("x-chiveway-prompt-prefix");
+        let mut parts = prompt.into_iter().flat_map(|prompt| prompt.split(','));
+        parts.any(|part| part.split(':').next() == self.bad_part.as_deref())
+    }
 }
 
 /// Path of the health check.
@@ -76,6 +124,21 @@
         .collect()
 }
 
+/// Serves each connection by the process that is current when it is opened.
+fn serve_processes(current: Arc<Mutex<(String, Shared)>>) -> SocketAddr {
+    listen_each(move |connection| {
+        let (id, shared) = current.lock().expect("the process").clone();
+        let mut state = shared.0.lock().expect("the engine");
+        state.connections.retain(|open| open.strong_count() > 0);
+        state.connections.push(connection);
+        let crashed = state.crashed;
+        drop(state);
+        (!crashed).then_some(move |request: &Request, stream: &mut TcpStream| {
+            serve_engine(&shared, &id, request, stream)
+        })
+    })
+}
+
 impl Engine {
     pub fn plain(id: &str) -> Self {
         Self::start(id, None)
@@ -92,12 +155,36 @@
             ..EngineState::default()
         };
         let shared = Arc::new((Mutex::new(initial), Condvar::new()));
-        let (handle, name) = (Arc::clone(&shared), id.to_owned());
-        let addr = listen(move |request, stream| serve_engine(&handle, &name, request, stream));
+        let current = Arc::new(Mutex::new((id.to_owned(), Arc::clone(&shared))));
+        let addr = serve_processes(Arc::clone(&current));
         Self {
             id: id.to_owned(),
             addr,
             shared,
+            current,
+        }
+    }
+
+    /// Starts another process at its address, under its id or another one.
+    pub fn restart(&self, id: &str) -> Self {
+        let ended = self.shared.0.lock().expect("the engine");
+        let initial = EngineState {
+            stage: ended.stage.clone(),
+            version: ended.version.clone(),
+            delay: ended.delay,
+            bad_part: ended.bad_part.clone(),
+            framing: ended.framing,
+            starts: ended.starts + 1,
+            ..EngineState::default()
+        };
+        drop(ended);
+        let shared = Arc::new((Mutex::new(initial), Condvar::new()));
+        *self.current.lock().expect("the process") = (id.to_owned(), Arc::clone(&shared));
+        Self {
+            id: id.to_owned(),
+            addr: self.addr,
+            shared,
+            current: Arc::clone(&self.current),
         }
     }
 
@@ -113,12 +200,14 @@
 
     /// Returns its entry in the store.
     pub fn entry(&self, reported_state: &str) -> Value {
-        let stage = self.shared.0.lock().expect("the engine").stage.clone();
+        let process = self.shared.0.lock().expect("the engine");
+        let (stage, born) = (process.stage.clone(), process.starts + 1);
+        drop(process);
         let version = self.version();
         let service = if stage.is_some() { "model" } else { "plain" };
         json!({"service": service, "address": self.addr.to_string(), "zone": "z", "version": version,
             "slots": 8, "state": reported_state, "coldRemainingMs": 0, "stage": stage, "sequence": 1,
-            "born": 1})
+            "born": born})
     }
 
     /// Returns the heads of the requests received on a path.
@@ -240,6 +329,42 @@
         self.shared.0.lock().expect("the engine").poisoned_at
     }
 
+    /// Crashes when it begins to write an answer on this part of a prompt; a prefill is answered.
+    pub fn crash_on_part(&self, part: &str) {
+        self.shared.0.lock().expect("the engine").bad_part = Some(part.to_owned());
+    }
+
+    /// Returns when it crashed on that part.
+    pub fn part_crash(&self) -> Option<Instant> {
+        self.shared.0.lock().expect("the engine").part_crash
+    }
+
+    /// Returns when requests with that part arrived, prefills too, and their ids.
+    pub fn part_requests(&self) -> Vec<(Instant, String)> {
+        let state = self.shared.0.lock().expect("the engine");
+        state.part_requests.clone()
+    }
+
+    /// Frames each answer from now on in this way.
+    pub fn set_framing(&self, framing: Framing) {
+        self.shared.0.lock().expect("the engine").framing = Some(framing);
+    }
+
+    /// Falls silent for a time in the next answer to a caller's request, at whichever of these servers it is.
+    pub fn pause_next(engines: &[&Self], pause: Pause, duration: Duration) {
+        let shared = Arc::new(Mutex::new(Some((pause, duration))));
+        for engine in engines {
+            engine.shared.0.lock().expect("the engine").pause = Arc::clone(&shared);
+        }
+    }
+
+    /// Returns whether the answer of [`pause_next`](Self::pause_next) has fallen silent.
+    pub fn has_paused(&self) -> bool {
+        let state = self.shared.0.lock().expect("the engine");
+        let pause = state.pause.lock().expect("the pause");
+        pause.is_none()
+    }
+
     /// Holds back the ends of streams.
     pub fn hold_streams(&self) {
         self.shared.0.lock().expect("the engine").held = true;
--- a/tests/relay/standin/http.rs
+++ b/tests/relay/standin/http.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -87,17 +87,32 @@
     Some(())
 }
 
-/// Serves each connection on its own thread; `serve` returns `None` to close the connection.
+/// Serves all connections alike; `serve` returns `None` to close a connection.
 pub fn listen(
     serve: impl Fn(&Request, &mut TcpStream) -> Option<()> + Send + Sync + 'static,
 ) -> SocketAddr {
+    let serve = Arc::new(serve);
+    listen_each(move |_| {
+        let serve = Arc::clone(&serve);
+        Some(move |request: &Request, stream: &mut TcpStream| serve(request, stream))
+    })
+}
+
+/// Serves each connection on its own thread, by what `accept` returns for it; `None` closes it.
+pub fn listen_each<S>(accept: impl Fn(Weak<TcpStream>) -> Option<S> + Send + 'static) -> SocketAddr
+where
+    S: Fn(&Request, &mut TcpStream) -> Option<()> + Send + 'static,
+{
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("an address");
-    let serve = Arc::new(serve);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let serve = Arc::clone(&serve);
+            let handle = Arc::new(stream.try_clone().expect("a second handle"));
+            let Some(serve) = accept(Arc::downgrade(&handle)) else {
+                continue;
+            };
             std::thread::spawn(move || {
+                let _handle = handle;
                 let mut out = stream.try_clone().expect("a second handle");
                 let mut reader = BufReader::new(stream);
                 while let Some(request) = read(&mut reader) {
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -3,16 +3,17 @@
 use std::fmt::Write as _;
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::{Arc, Condvar, Mutex};
-use std::time::Instant;
+use std::sync::MutexGuard;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
-use super::engine::{EVENT_COUNT, EngineState, HEALTH_PATH, events};
+use super::engine::{EVENT_COUNT, EngineState, HEALTH_PATH, Pause, Shared, events};
 use super::http::{Request, write};
+use super::torn::Framing;
 
 pub fn serve_engine(
-    shared: &Arc<(Mutex<EngineState>, Condvar)>,
+    shared: &Shared,
     id: &str,
     request: &Request,
     stream: &mut TcpStream,
@@ -43,6 +44,9 @@
         .header("x-chiveway-attempt-id")
         .unwrap_or_default()
         .to_owned();
+    if state.has_bad_part(request) {
+        state.part_requests.push((Instant::now(), own.clone()));
+    }
     let attempt = state.answer_id.take().unwrap_or(own);
     let mut headers = format!(
         "x-chiveway-attempt-id: {attempt}\r\nx-chiveway-server-stamp: {id}\r\nkeep-alive: timeout=5\r\n"
@@ -75,44 +79,111 @@
     if state.crashed && state.stage.is_none() {
         return None;
     }
-    let torn = if is_prefill {
-        None
-    } else {
-        state.torn.lock().expect("the break").take()
-    };
-    let last = request
-        .header("last-event-id")
-        .and_then(|last| last.parse().ok())
-        .unwrap_or(0);
-    if let (Some(torn), Some(_)) = (torn, &state.stage) {
+    if is_prefill {
         drop(state);
-        return torn.write(&headers, &events(id, last + 1..=EVENT_COUNT), stream);
+        std::thread::sleep(delay);
+        let body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
+        return write(stream, 200, &headers, &body);
     }
     if state.stage.is_none() {
-        let body = String::from_utf8_lossy(&request.body);
-        let body = format!("{id} {} {body}", request.path);
-        drop(state);
-        if let Some(torn) = torn {
-            return torn.write(&headers, &body, stream);
-        }
-        std::thread::sleep(delay);
+        answer_call(shared, state, id, headers, request, stream)
+    } else {
+        stream_events(shared, state, id, &headers, request, stream)
+    }
+}
+
+/// Answers a request whose answer is no stream.
+fn answer_call(
+    shared: &Shared,
+    state: MutexGuard<'_, EngineState>,
+    id: &str,
+    headers: String,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> Option<()> {
+    let torn = state.torn.lock().expect("the break").take();
+    let pause = state.pause.lock().expect("the pause").take();
+    let (framing, delay) = (state.framing, state.delay);
+    drop(state);
+    let body = String::from_utf8_lossy(&request.body);
+    let body = format!("{id} {} {body}", request.path);
+    if let Some(torn) = torn {
+        return torn.write(&headers, &body, stream);
+    }
+    std::thread::sleep(delay);
+    if framing.is_none() && pause.is_none() {
         return write(stream, 200, &headers, &body);
     }
-    if is_prefill {
+    let (first, second) = body.split_at(body.floor_char_boundary(body.len() / 2));
+    let answer = Answer {
+        headers,
+        framing: framing.unwrap_or(Framing::Length),
+        pieces: vec![first.to_owned(), second.to_owned()],
+        is_torn: false,
+        pause,
+    };
+    answer.write(shared, Duration::ZERO, stream)
+}
+
+/// Streams the events after the last one that the request names.
+fn stream_events(
+    shared: &Shared,
+    mut state: MutexGuard<'_, EngineState>,
+    id: &str,
+    headers: &str,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> Option<()> {
+    let last_id = request.header("last-event-id");
+    let last = last_id.and_then(|last| last.parse().ok()).unwrap_or(0);
+    let torn = state.torn.lock().expect("the break").take();
+    if let Some(torn) = torn {
         drop(state);
-        std::thread::sleep(delay);
-        let body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
-        return write(stream, 200, &headers, &body);
+        return torn.write(headers, &events(id, last + 1..=EVENT_COUNT), stream);
     }
-    let is_new = request.header("last-event-id").is_none();
-    let break_after = if is_new {
+    let break_after = if last_id.is_none() {
         state.break_after.take()
     } else {
         None
     };
     let last = if state.is_empty { EVENT_COUNT } else { last };
+    let pieces = (last + 1..=EVENT_COUNT).map(|number| events(id, number..=number));
+    let mut answer = Answer {
+        headers: format!("{headers}content-type: text/event-stream\r\n"),
+        framing: state.framing.unwrap_or(Framing::Chunks),
+        pieces: pieces.collect(),
+        is_torn: false,
+        pause: state.pause.lock().expect("the pause").take(),
+    };
+    let (delay, begins_on_bad_part) = (state.delay, state.has_bad_part(request));
+    drop(state);
+    if begins_on_bad_part {
+        std::thread::sleep(delay);
+        return crash(shared, &answer, stream);
+    }
+    let broken = break_after.map(|break_after| last.max(break_after) + 1);
+    if let Some(number) = broken.filter(|number| *number <= EVENT_COUNT) {
+        answer
+            .pieces
+            .truncate(usize::try_from(number - last - 1).ok()?);
+        answer.pieces.push(format!("id: {number}\nda"));
+        answer.is_torn = true;
+    }
+    answer.write(shared, delay, stream)
+}
+
+/// Ends the process after the head of an answer, unless it has ended before.
+fn crash(shared: &Shared, answer: &Answer, stream: &mut TcpStream) -> Option<()> {
+    let mut state = shared.0.lock().expect("the engine");
+    if !state.crashed {
+        // The caller may be gone.
+        let _written = stream.write_all(answer.head().as_bytes());
+        state.part_crash = Some(Instant::now());
+        state.end();
+    }
     drop(state);
-    stream_events(shared, id, &headers, break_after, last, stream)
+    shared.1.notify_all();
+    None
 }
 
 /// Applies an order; returns the status code.
@@ -134,40 +205,62 @@
     Some(202)
 }
 
-/// Streams the events after `last`; breaks off in the middle of the one after `break_after`.
-fn stream_events(
-    shared: &Arc<(Mutex<EngineState>, Condvar)>,
-    id: &str,
-    headers: &str,
-    break_after: Option<u64>,
-    last: u64,
-    stream: &mut TcpStream,
-) -> Option<()> {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\n\
-         transfer-encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).ok()?;
-    let mut chunk = |text: &str| {
-        let text = format!("{:x}\r\n{text}\r\n", text.len());
-        stream.write_all(text.as_bytes()).ok()
-    };
-    for number in last + 1..=EVENT_COUNT {
-        if break_after.is_some_and(|break_after| number > break_after) {
-            chunk(&format!("id: {number}\nda"))?;
+/// An answer in pieces.
+struct Answer {
+    headers: String,
+    framing: Framing,
+    pieces: Vec<String>,
+    /// Whether it is broken off after the last piece.
+    is_torn: bool,
+    pause: Option<(Pause, Duration)>,
+}
+
+impl Answer {
+    fn head(&self) -> String {
+        let length = self.pieces.iter().map(String::len).sum();
+        let framing = self.framing.header(length);
+        format!("HTTP/1.1 200 x\r\n{}{framing}\r\n", self.headers)
+    }
+
+    fn fall_silent(&self, place: Pause) {
+        if let Some((_, duration)) = self.pause.filter(|(at, _)| *at == place) {
+            std::thread::sleep(duration);
+        }
+    }
+
+    /// Writes the answer with a delay before each piece; `None` closes the connection.
+    fn write(&self, shared: &Shared, delay: Duration, stream: &mut TcpStream) -> Option<()> {
+        self.fall_silent(Pause::Head);
+        stream.write_all(self.head().as_bytes()).ok()?;
+        for (number, piece) in self.pieces.iter().enumerate() {
+            if number == self.pieces.len() / 2 {
+                self.fall_silent(Pause::Events);
+            }
+            if shared.0.lock().expect("the engine").crashed {
+                return None;
+            }
+            std::thread::sleep(delay);
+            let piece = match self.framing {
+                Framing::Chunks => format!("{:x}\r\n{piece}\r\n", piece.len()),
+                Framing::Length | Framing::Connection => piece.clone(),
+            };
+            stream.write_all(piece.as_bytes()).ok()?;
+        }
+        if self.is_torn {
             return None;
         }
+        self.fall_silent(Pause::End);
         let state = shared.0.lock().expect("the engine");
-        let (crashed, delay) = (state.crashed, state.delay);
-        drop(state);
-        if crashed {
+        let waits = |state: &mut EngineState| state.held && !state.crashed;
+        let state = shared.1.wait_while(state, waits).expect("the engine");
+        if state.crashed {
             return None;
         }
-        std::thread::sleep(delay);
-        chunk(&events(id, number..=number))?;
+        drop(state);
+        match self.framing {
+            Framing::Length => Some(()),
+            Framing::Chunks => stream.write_all(b"0\r\n\r\n").ok(),
+            Framing::Connection => None,
+        }
     }
-    let state = shared.0.lock().expect("the engine");
-    let waited = shared.1.wait_while(state, |state| state.held);
-    drop(waited.expect("the engine"));
-    chunk("")
 }
--- a/tests/relay/standin/store.rs
+++ b/tests/relay/standin/store.rs
@@ -192,6 +192,9 @@
         state.key_leases.insert(key.to_owned(), lease);
         state.write(key, value);
     }
+    for key in txn["remove"].as_array().into_iter().flatten() {
+        state.remove(key.as_str()?);
+    }
     Some(Ok(()))
 }
 
--- a/tests/relay/standin/torn.rs
+++ b/tests/relay/standin/torn.rs
@@ -14,6 +14,17 @@
     Connection,
 }
 
+impl Framing {
+    /// Returns the header that announces a body of this length.
+    pub fn header(self, length: usize) -> String {
+        match self {
+            Self::Length => format!("content-length: {length}\r\n"),
+            Self::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
+            Self::Connection => String::new(),
+        }
+    }
+}
+
 /// How the connection ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -69,11 +80,7 @@
 
     /// Writes the answer as far as it goes, and ends or keeps its connection; `headers` end with a line break.
     pub fn write(self, headers: &str, body: &str, stream: &mut TcpStream) -> Option<()> {
-        let framing = match self.framing {
-            Framing::Length => format!("content-length: {}\r\n", body.len()),
-            Framing::Chunks => "transfer-encoding: chunked\r\n".to_owned(),
-            Framing::Connection => String::new(),
-        };
+        let framing = self.framing.header(body.len());
         let head = format!("HTTP/1.1 200 x\r\n{headers}{framing}\r\n");
         let mut bytes = head.into_bytes();
         if self.place == Place::Head {
