Add failing tests of a part of prompts that crashes engines

Callers saw sound requests fail while requests of which no two were alike crashed one engine after the other: hosts count crashes by the fingerprint of the whole request, and each has one. Four hosts in two failure domains, eight or eleven engines that are back after 1.5 s, a caller of requests with a part that crashes engines and three callers of sound ones; the part stands in the middle, first, in prompts that are prefilled elsewhere, and all hosts are killed meanwhile. Bounds as the users state them: three late requests, half of the answers.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod leaving;
 mod limit;
 mod partition;
+mod parts;
 mod poison;
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
