--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -12,20 +12,17 @@
 
 use crate::check::{self, Observation};
 use crate::cut::FaultProxy;
-use crate::faults::{
-    Fault, FaultKind, series, with_hang, with_partitions, with_restores, with_torn_answers,
-};
+use crate::faults::{series, with_hang, with_partitions, with_restores, with_torn_answers};
 use crate::partition::Links;
 use crate::poison::POISON;
 use crate::process::{Process, TempDir};
-use crate::standin::torn::Framing;
 use crate::standin::{Engine, Store, config, settings};
 use crate::{REGRESSION_SEEDS, SEEDS_WITHOUT_HANG, SEEDS_WITHOUT_RESTORES, WAIT_TIMEOUT};
 
 /// Number of hosts.
 pub const HOST_COUNT: usize = 3;
 /// Initial stages of the servers; `None` for a plain server. Hosts order some to change.
-const SERVER_STAGES: [Option<&str>; 6] = [
+pub const SERVER_STAGES: [Option<&str>; 6] = [
     None,
     None,
     Some("prefill"),
@@ -39,8 +36,6 @@
 pub const CALLER_COUNT: u64 = 6;
 /// Delay of an answer, or of an event of a stream, at a server.
 const SERVER_DELAY: Duration = Duration::from_millis(5);
-/// Writes without an answer in one [`FaultKind::StoreDropsReplies`].
-const DROPPED_REPLIES: u32 = 3;
 
 /// A host's process and how often it has been started.
 pub struct Host {
@@ -81,7 +76,7 @@
     pub version: AtomicU64,
     /// Held during writes of the operator or a server, and from a restore until the lost writes are repeated:
     /// a host's version shows which server entries it has read only if all of them are restored together.
-    writes: Mutex<()>,
+    pub writes: Mutex<()>,
     /// Versions observed in force, by host incarnation.
     pub served_versions: Mutex<BTreeMap<String, Vec<u64>>>,
     /// Number of unplanned faults: active now, and injected so far.
@@ -254,7 +249,7 @@
         (process, incarnation)
     }
 
-    fn restart(&self, index: usize, host: &mut Host) {
+    pub fn restart(&self, index: usize, host: &mut Host) {
         host.starts += 1;
         let (process, incarnation) = self.start(index, host.starts);
         host.process = process;
@@ -262,13 +257,13 @@
     }
 
     /// Writes the next configuration, which has a route of its own; returns its version.
-    fn configure(&self) -> u64 {
+    pub fn configure(&self) -> u64 {
         let _writes = self.writes.lock().expect("no panic");
         self.write_version()
     }
 
     /// Writes the next configuration; `writes` must be held.
-    fn write_version(&self) -> u64 {
+    pub fn write_version(&self) -> u64 {
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let mut config = config(version, "/short/");
         let mut route = config["routes"][1].clone();
@@ -325,156 +320,6 @@
         act(&mut self.servers.lock().expect("no panic")[index])
     }
 
-    /// Injects one fault, and ends it after its duration.
-    fn inject(&self, fault: Fault) {
-        let planned = matches!(
-            fault.kind,
-            FaultKind::Stop(_)
-                | FaultKind::Reload(_)
-                | FaultKind::Configure
-                | FaultKind::ServerDrain(_)
-        );
-        if !planned {
-            self.unplanned.0.fetch_add(1, Ordering::SeqCst);
-            self.unplanned.1.fetch_add(1, Ordering::SeqCst);
-        }
-        self.apply(fault);
-        if !planned {
-            self.unplanned.0.fetch_sub(1, Ordering::SeqCst);
-        }
-    }
-
-    fn apply(&self, fault: Fault) {
-        let lasting = |forwarder: &FaultProxy, begin: fn(&FaultProxy)| {
-            begin(forwarder);
-            thread::sleep(fault.duration);
-            forwarder.restore();
-        };
-        let forwarder = |position| self.with_server(position, |server| server.forwarder.clone());
-        match fault.kind {
-            FaultKind::Kill(host) => self.kill(&[host]),
-            FaultKind::KillAll => self.kill(&(0..HOST_COUNT).collect::<Vec<_>>()),
-            FaultKind::Stop(index) => {
-                let mut host = self.hosts[index].lock().expect("no panic");
-                host.process.term();
-                host.process.wait_for_exit();
-                self.restart(index, &mut host);
-            }
-            FaultKind::Freeze(host) => {
-                let host = self.hosts[host].lock().expect("no panic");
-                host.process.freeze();
-                thread::sleep(fault.duration);
-                host.process.thaw();
-            }
-            FaultKind::Reload(host) => self.hosts[host].lock().expect("no panic").process.hup(),
-            FaultKind::StoreLinkSilent(host) => {
-                lasting(&self.store_forwarders[host], FaultProxy::silence);
-            }
-            FaultKind::StoreLinkOneWay(host) => {
-                lasting(&self.store_forwarders[host], FaultProxy::block_replies);
-            }
-            FaultKind::StoreLinkRefuses(host) => {
-                lasting(&self.store_forwarders[host], FaultProxy::refuse);
-            }
-            FaultKind::StoreLinkReset(host) => self.store_forwarders[host].reset(),
-            FaultKind::StoreDown => {
-                self.store.go_down();
-                thread::sleep(fault.duration);
-                self.store.recover();
-            }
-            FaultKind::StoreHang => {
-                self.store.hang();
-                thread::sleep(fault.duration / 2);
-                self.configure();
-                thread::sleep(fault.duration / 2);
-                self.store.recover();
-            }
-            FaultKind::StoreRestored => {
-                let _writes = self.writes.lock().expect("no panic");
-                let revision = self.store.revision_before(fault.duration);
-                self.store.go_down();
-                thread::sleep(fault.duration / 10);
-                self.store.restore(revision);
-                self.store.recover();
-                thread::sleep(fault.duration / 2);
-                self.store.rewrite_lost();
-            }
-            FaultKind::StoreDropsReplies => self.store.drop_replies(DROPPED_REPLIES),
-            FaultKind::ServerSilent(position) => lasting(&forwarder(position), FaultProxy::silence),
-            FaultKind::ServerOneWay(position) => {
-                lasting(&forwarder(position), FaultProxy::block_replies);
-            }
-            FaultKind::ServerDelay(position) => lasting(&forwarder(position), FaultProxy::delay),
-            FaultKind::ServerReset(position) => forwarder(position).reset(),
-            FaultKind::ServerCrash(position) => {
-                let id = self.with_server(position, |server| {
-                    server.engine.crash();
-                    server.forwarder.refuse();
-                    server.engine.id.clone()
-                });
-                thread::sleep(fault.duration);
-                self.remove_entry(&id);
-                self.replace(position);
-            }
-            FaultKind::ServerDrain(position) => {
-                self.drain_and_replace(position);
-            }
-            FaultKind::Configure => {
-                self.configure();
-            }
-            FaultKind::Partition(hosts, how) => self.partition(hosts, how, fault.duration),
-            FaultKind::TearAnswer(position, mut how) => {
-                // Nobody could see that a whole answer is torn that only its connection ends.
-                if SERVER_STAGES[position].is_none() && how.framing == Framing::Connection {
-                    how.framing = Framing::Length;
-                }
-                self.with_server(position, |server| Engine::tear_next(&[&server.engine], how));
-                thread::sleep(fault.duration);
-                for server in &*self.servers.lock().expect("no panic") {
-                    server.engine.clear_tear();
-                }
-            }
-            FaultKind::BreakStream(position) => {
-                self.with_server(position, |server| server.engine.break_after(2));
-                thread::sleep(fault.duration);
-                // The position may have another server by now, so every server is reset.
-                for server in &*self.servers.lock().expect("no panic") {
-                    server.engine.clear_break();
-                }
-            }
-        }
-    }
-
-    fn kill(&self, indices: &[usize]) {
-        let mut hosts: Vec<_> = indices
-            .iter()
-            .map(|host| self.hosts[*host].lock().expect("no panic"))
-            .collect();
-        for host in &mut hosts {
-            host.process.kill();
-        }
-        for (index, host) in indices.iter().zip(&mut hosts) {
-            self.restart(*index, host);
-        }
-    }
-
-    /// Drains a server; a configuration written after it shows which hosts have read of the drain.
-    fn drain_and_replace(&self, position: usize) {
-        let index = self.positions.lock().expect("no panic")[position];
-        self.replace(position);
-        let (key, entry) = {
-            let servers = self.servers.lock().expect("no panic");
-            let server = &servers[index];
-            let key = format!("servers/{}", server.engine.id);
-            (key, entry(server, "draining"))
-        };
-        let writes = self.writes.lock().expect("no panic");
-        self.store.put(&key, &entry);
-        let version = self.write_version();
-        drop(writes);
-        self.servers.lock().expect("no panic")[index].drain_version = Some(version);
-    }
-
     /// Updates the entries of engines whose stage has changed, until the run is over.
     fn update_entries(&self) {
         let mut last: BTreeMap<usize, Value> = BTreeMap::new();
@@ -499,7 +344,7 @@
 }
 
 /// Returns a server's entry, with the address of its forwarder.
-fn entry(server: &Server, state: &str) -> Value {
+pub fn entry(server: &Server, state: &str) -> Value {
     let mut entry = server.engine.entry(state);
     entry["address"] = json!(server.forwarder.addr.to_string());
     entry
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -32,6 +32,7 @@
 mod check;
 mod cluster;
 mod faults;
+mod inject;
 mod partition;
 mod planted;
 mod poison;
