Soak hosts with a part of prompts that crashes engines, and with silent servers

Half of the seeds are run once more with a caller of requests with a part that crashes engines, no two alike, under the faults of the seed. Checked are late sends by hosts that had run for 3 s, and, once all faults have ended, that at least half of the sound requests beside them are served.

Half of the seeds end with two rounds in which two servers fall silent for 0.5 to 3 s while the configuration changes and, in half of the rounds, all other servers refuse requests: no begun answer may be cut.

A request that a stand-in refused as not run is no longer recorded as a run.

--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -1,5 +1,6 @@
 //! Stand-in of an engine, or of a plain server.
 
+use std::collections::BTreeSet;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::ops::RangeInclusive;
 use std::sync::{Arc, Condvar, Mutex, Weak};
@@ -35,6 +36,8 @@
     /// Version of its software.
     pub version: String,
     pub requests: Vec<(String, String, Vec<u8>)>,
+    /// Indices of the requests that it refused.
+    pub refused: BTreeSet<usize>,
     /// Whether its answers state that it is leaving.
     pub leaving: bool,
     /// Seconds of pushback that it names with a refusal of each request.
@@ -278,6 +281,11 @@
         self.shared.0.lock().expect("the engine").pushback = Some(pushback.to_owned());
     }
 
+    /// Cancels [`refuse`](Self::refuse).
+    pub fn clear_refusal(&self) {
+        self.shared.0.lock().expect("the engine").pushback = None;
+    }
+
     /// Adds a limit header to each answer from now on.
     pub fn set_limit(&self, rate: &str) {
         self.shared.0.lock().expect("the engine").limit = Some(rate.to_owned());
@@ -298,6 +306,15 @@
         all.cloned().collect()
     }
 
+    /// Returns the same without those that it refused.
+    pub fn executed_requests(&self) -> Vec<(String, String, Vec<u8>)> {
+        let state = self.shared.0.lock().expect("the engine");
+        let all = state.requests.iter().enumerate();
+        let executed = all
+            .filter(|(index, (path, ..))| path != "/v1/report" && !state.refused.contains(index));
+        executed.map(|(_, request)| request.clone()).collect()
+    }
+
     /// Returns the number of callers' requests that it received, prefills included.
     pub fn caller_requests(&self) -> usize {
         let all = self.requests().into_iter();
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -67,7 +67,9 @@
         _ => {}
     }
     if let Some(pushback) = &state.pushback {
+        let index = state.requests.len() - 1;
         let headers = format!("{headers}x-chiveway-not-executed: 1\r\nretry-after: {pushback}\r\n");
+        state.refused.insert(index);
         return write(stream, 503, &headers, "");
     }
     let is_prefill = request.header("x-chiveway-serving-stage") == Some("prefill");
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -14,6 +14,8 @@
 
 /// Renewals of a host's lease, one every four seconds, within which it must read the current state.
 const MAX_RENEWALS: u32 = 2;
+/// Time limit in milliseconds of a request.
+pub const DEADLINE_MS: &str = "2500";
 /// Time between two requests of a caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -60,6 +62,17 @@
 
     /// Sends a request and records the answer; returns whether it was served completely.
     pub fn request(&self, incarnation: &Incarnation, kind: RequestKind, id: &str) -> bool {
+        self.request_within(incarnation, kind, id, DEADLINE_MS)
+    }
+
+    /// Does the same with another time limit in milliseconds.
+    pub fn request_within(
+        &self,
+        incarnation: &Incarnation,
+        kind: RequestKind,
+        id: &str,
+        deadline_ms: &str,
+    ) -> bool {
         let load = |count: &AtomicU64| count.load(Ordering::SeqCst);
         let versions = self.served_versions.lock().expect("no panic");
         let known_version = versions
@@ -68,7 +81,7 @@
             .copied();
         drop(versions);
         let before = (load(&self.unplanned.0), load(&self.unplanned.1));
-        let answer = send(incarnation, kind, id, id.as_bytes());
+        let answer = send(incarnation, kind, id, deadline_ms, id.as_bytes());
         let after = (load(&self.unplanned.0), load(&self.unplanned.1));
         let header = |name: &str| Some(answer.as_ref()?.header(name)?.to_owned());
         let observation = Observation {
@@ -156,6 +169,7 @@
     incarnation: &Incarnation,
     kind: RequestKind,
     id: &str,
+    deadline_ms: &str,
     body: &[u8],
 ) -> Option<http::Answer> {
     let prompt: &[(&str, &str)] = match kind {
@@ -163,25 +177,27 @@
         RequestKind::Long => &LONG_PROMPT,
         RequestKind::Short => &SHORT_PROMPT,
     };
-    send_to(incarnation, kind.path(), id, prompt, body)
+    send_to(incarnation, kind.path(), id, deadline_ms, prompt, body)
 }
 
 /// Probes whether a host serves a path.
 fn probe(incarnation: &Incarnation, path: &str, id: &str) -> bool {
-    let answer = send_to(incarnation, path, id, &[], id.as_bytes());
+    let answer = send_to(incarnation, path, id, DEADLINE_MS, &[], id.as_bytes());
     answer.is_some_and(|answer| answer.status == 200)
 }
 
-fn send_to(
+/// Sends a request with these headers; returns its answer, if one came.
+pub fn send_to(
     incarnation: &Incarnation,
     path: &str,
     id: &str,
+    deadline_ms: &str,
     extra_headers: &[(&str, &str)],
     body: &[u8],
 ) -> Option<http::Answer> {
     let mut headers = vec![
         ("x-chiveway-attempt-id", id),
-        ("x-chiveway-deadline-ms", "2500"),
+        ("x-chiveway-deadline-ms", deadline_ms),
     ];
     headers.extend(extra_headers);
     http::send(incarnation.callers, "POST", path, &headers, body)
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -69,8 +69,10 @@
     pub fence: u64,
 }
 
-/// Time after the third crash under one request from which sends of it count as late, and time after its start from which a
-/// host counts as in touch.
+/// Crashes by one part of prompts after which no host sends requests with it on.
+pub const CRASHES_TO_REFUSE: usize = 5;
+/// Time after the third crash under one request, or the last one that counts by a part of prompts, from which sends count as
+/// late, and time after its start from which a host counts as in touch.
 pub const LATE_AFTER: Duration = Duration::from_secs(3);
 /// Late sends that are allowed.
 const MAX_LATE_SENDS: usize = 3;
@@ -87,6 +89,10 @@
     pub after_drain: Vec<String>,
     /// Crashes under the request that crashes servers, in order: when, and for how long the host that sent it had run.
     pub poison_crashes: Vec<(Duration, Duration)>,
+    /// Crashes by the part that crashes engines, in order.
+    pub part_crashes: Vec<Duration>,
+    /// Requests with that part that reached servers: when, and for how long the host that sent each had run.
+    pub part_sends: Vec<(Duration, Duration)>,
     /// Servers that sent the events of each stream, over all attempts of its caller.
     pub streams: Vec<Vec<String>>,
     /// Software version of each server.
@@ -121,6 +127,7 @@
     let late = record.after_drain.iter();
     violations.extend(late.map(|run| format!("sent to a draining server: {run}")));
     violations.extend(late_crashes(&record.poison_crashes));
+    violations.extend(late_part_sends(record));
     violations.extend(mixed_streams(record));
     let unserved = record.unrecovered.iter();
     violations
@@ -210,6 +217,21 @@
     (late > MAX_LATE_SENDS).then(|| format!("a request crashed {late} servers late: {crashes:?}"))
 }
 
+/// Returns a violation if hosts that had run for a while sent requests on with a part that had crashed five servers.
+fn late_part_sends(record: &Record) -> Option<String> {
+    let crashes = &record.part_crashes;
+    let late_from = *crashes.get(CRASHES_TO_REFUSE - 1)? + LATE_AFTER;
+    let sends = record.part_sends.iter();
+    let late = sends.filter(|(at, host_age)| *at > late_from && *host_age >= LATE_AFTER);
+    let late: Vec<_> = late.collect();
+    (late.len() > MAX_LATE_SENDS).then(|| {
+        let count = late.len();
+        format!(
+            "{count} requests sent late with a part that crashed servers at {crashes:?}: {late:?}"
+        )
+    })
+}
+
 /// Returns orders of one engine that share a fencing token between two holders, or whose token decreases.
 fn conflicting_orders(orders: &[Order]) -> Vec<String> {
     let mut violations = Vec::new();
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -16,6 +16,7 @@
 use crate::partition::Links;
 use crate::poison::POISON;
 use crate::process::{Process, TempDir};
+use crate::silence::QUIET_ID_PREFIX;
 use crate::standin::{Engine, Store, config, settings};
 use crate::{REGRESSION_SEEDS, SEEDS_WITHOUT_HANG, SEEDS_WITHOUT_RESTORES, WAIT_TIMEOUT};
 
@@ -35,7 +36,7 @@
 /// Number of concurrent callers.
 pub const CALLER_COUNT: u64 = 6;
 /// Delay of an answer, or of an event of a stream, at a server.
-const SERVER_DELAY: Duration = Duration::from_millis(5);
+pub const SERVER_DELAY: Duration = Duration::from_millis(5);
 
 /// A host's process and how often it has been started.
 pub struct Host {
@@ -84,6 +85,10 @@
     pub observations: Mutex<Vec<(Observation, u64)>>,
     /// For how long the host had run that sent the request under which each server crashed.
     pub poisoned_by: Mutex<BTreeMap<String, Duration>>,
+    /// Part of prompts that crashes engines.
+    pub bad_part: Option<&'static str>,
+    /// When the host had started to which each request with that part was sent.
+    pub part_senders: Mutex<BTreeMap<String, Instant>>,
     /// Servers that sent the events of each stream, over all attempts of its caller.
     pub streams: Mutex<Vec<Vec<String>>>,
     pub finished: AtomicBool,
@@ -99,9 +104,9 @@
     }
 }
 
-/// Runs a seed; returns the violations and a summary.
-pub fn run_seed(seed: u64) -> (Vec<String>, String) {
-    let cluster = Cluster::new(seed);
+/// Runs a seed, with a part of prompts that crashes engines if there is one; returns the violations and a summary.
+pub fn run_seed(seed: u64, bad_part: Option<&'static str>) -> (Vec<String>, String) {
+    let cluster = Cluster::new(seed, bad_part);
     let mut faults = series(seed, HOST_COUNT, SERVER_STAGES.len());
     if !SEEDS_WITHOUT_HANG.contains(&seed) {
         faults = with_hang(seed, faults);
@@ -126,6 +131,9 @@
         scope.spawn(|| cluster.update_entries());
         scope.spawn(move || cluster.send_poison(seed));
         scope.spawn(move || cluster.take_up_streams(seed));
+        if let Some(part) = cluster.bad_part {
+            scope.spawn(move || cluster.send_bad_parts(seed, part));
+        }
         // Callers must also end if injecting a fault panics.
         let _finish = FinishOnDrop(&cluster.finished);
         thread::scope(|injections| {
@@ -136,6 +144,12 @@
         });
     });
     let mut unrecovered = cluster.unrecovered();
+    if !REGRESSION_SEEDS.contains(&seed) {
+        cluster.pass_silences(seed);
+    }
+    if let Some(part) = cluster.bad_part {
+        unrecovered.extend(cluster.unserved_beside(seed, part));
+    }
     unrecovered.extend(cluster.unserved_in_partition(seed));
     cluster.send_late_poison(seed);
     let record = cluster.record(unrecovered);
@@ -143,13 +157,17 @@
         .observations
         .iter()
         .filter(|seen| seen.status == Some(200));
+    let silent = record.observations.iter();
+    let silent = silent.filter(|seen| seen.id.starts_with(QUIET_ID_PREFIX));
     let summary = format!(
-        "{} requests, {} served, {} runs, {} orders, {} crashes under one request, {} streams of which {} went on",
+        "{} requests ({} beside silences), {} served, {} runs, {} orders, {} crashes under one request, {} by a part of prompts, {} streams of which {} went on",
         record.observations.len(),
+        silent.count(),
         served.count(),
         record.runs.len(),
         record.orders.len(),
         record.poison_crashes.len(),
+        record.part_crashes.len(),
         record.streams.len(),
         record
             .streams
@@ -165,9 +183,13 @@
 }
 
 impl Cluster {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, bad_part: Option<&'static str>) -> Self {
         // Another soak of the same tree may run the same seed and remove its folder at the end.
-        let name = format!("soak-{seed}-{}", std::process::id());
+        let name = format!(
+            "soak-{seed}{}-{}",
+            bad_part.unwrap_or_default(),
+            std::process::id()
+        );
         let logs = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&logs).expect("a folder for logs");
         let store = Store::start();
@@ -203,6 +225,8 @@
             unplanned: (AtomicU64::new(0), AtomicU64::new(0)),
             observations: Mutex::default(),
             poisoned_by: Mutex::default(),
+            bad_part,
+            part_senders: Mutex::default(),
             streams: Mutex::default(),
             finished: AtomicBool::new(false),
             started: Instant::now(),
@@ -283,6 +307,9 @@
         engine.set_delay(SERVER_DELAY);
         engine.set_version(SOFTWARE_VERSIONS[servers.len() % SOFTWARE_VERSIONS.len()]);
         engine.crash_on(POISON);
+        if let Some(part) = self.bad_part {
+            engine.crash_on_part(part);
+        }
         let forwarder = FaultProxy::start(engine.addr());
         if self.has_links {
             for links in &self.links {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,8 +6,10 @@
 //! changes.
 //! Hosts are partitioned from all servers, in half of the seeds and once more at the end.
 //! Servers have two software versions, and one caller takes streams up at other hosts.
-//! Meanwhile one caller sends a request that crashes every server that runs it. The
-//! requests recorded by callers and backend servers are then checked against the guarantees (`check`).
+//! Meanwhile one caller sends a request that crashes every server that runs it. Half of the seeds end with servers that
+//! fall silent for up to three seconds while nothing else is wrong. The requests recorded by callers and backend
+//! servers are then checked against the guarantees (`check`). Half of the seeds are run once more with a caller of
+//! requests with a part in their prompts that crashes engines.
 //!
 //! Two seeds run by default, besides the regression seeds.
 //! `SOAK_SEEDS=50 SOAK_FROM=1 cargo test --release --test soak seeds` runs fifty, `SOAK_JOBS` of them at a
@@ -34,13 +36,15 @@
 mod faults;
 mod inject;
 mod partition;
+mod parts;
 mod planted;
 mod poison;
 mod record;
+mod silence;
 mod streams;
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Time limit of any wait; far above what a test needs.
@@ -81,18 +85,20 @@
         .unwrap_or(default)
 }
 
-/// Runs seeds, `jobs` at a time; returns those with violations.
-fn run_seeds(seeds: &[u64], jobs: u64) -> Vec<(u64, Vec<String>)> {
+/// Runs seeds, some at a time, one such call after the other; returns those with violations.
+fn run_seeds(seeds: &[u64], bad_part: Option<&'static str>) -> Vec<(u64, Vec<String>)> {
+    static RUNNING: Mutex<()> = Mutex::new(());
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let next = AtomicU64::new(0);
     let failed = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
-        for _ in 0..jobs {
+        for _ in 0..env_number("SOAK_JOBS", 2) {
             scope.spawn(|| {
                 while let Some(seed) = usize::try_from(next.fetch_add(1, Ordering::SeqCst))
                     .ok()
                     .and_then(|index| seeds.get(index))
                 {
-                    let (violations, summary) = cluster::run_seed(*seed);
+                    let (violations, summary) = cluster::run_seed(*seed, bad_part);
                     println!("seed {seed}: {summary}, {} violations", violations.len());
                     if !violations.is_empty() {
                         failed.lock().expect("no panic").push((*seed, violations));
@@ -104,14 +110,27 @@
     failed.into_inner().expect("no panic")
 }
 
+/// Returns the seeds to run besides the regression seeds.
+fn seeds() -> Vec<u64> {
+    let from = env_number("SOAK_FROM", 1);
+    (from..from + env_number("SOAK_SEEDS", 2)).collect()
+}
+
 /// Faults of every kind overlap and repeat at random times. Guards against calls that run twice, requests
 /// refused as not run that did run, answers to other callers and streams with missing events.
 #[test]
 fn seeds_keep_every_promise() {
-    let from = env_number("SOAK_FROM", 1);
-    let mut seeds: Vec<u64> = (from..from + env_number("SOAK_SEEDS", 2)).collect();
+    let seeds = seeds();
     let missing = REGRESSION_SEEDS.iter().filter(|seed| !seeds.contains(seed));
-    seeds = missing.copied().chain(seeds.clone()).collect();
-    let failed = run_seeds(&seeds, env_number("SOAK_JOBS", 2));
+    let seeds: Vec<u64> = missing.copied().chain(seeds.clone()).collect();
+    let failed = run_seeds(&seeds, None);
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+/// The same, while a part of prompts crashes engines. Guards against hosts that send such requests on, or refuse sound ones.
+#[test]
+fn seeds_with_a_bad_part_keep_every_promise() {
+    let drawn = seeds().into_iter().filter(|seed| parts::is_drawn(*seed));
+    let failed = run_seeds(&drawn.collect::<Vec<_>>(), Some(parts::BAD_PART));
     assert!(failed.is_empty(), "{failed:#?}");
 }
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -130,6 +130,7 @@
             .to_vec(),
         ..Record::default()
     } => "crashed 4 servers late";
+    requests_with_a_part_that_goes_on_crashing_servers: part_record(LATE_AFTER) => "4 requests sent late with a part";
     a_stream_of_two_software_versions: Record {
         streams: vec![vec!["s-1".to_owned(), "s-2".to_owned()]],
         software: [("s-1", "v1"), ("s-2", "v2")]
@@ -143,6 +144,17 @@
     } => "after all faults had ended";
 }
 
+/// Five crashes by a part, and four late sends by a host of this age, with one that is not late.
+fn part_record(host_age: Duration) -> Record {
+    Record {
+        part_crashes: [0, 1, 2, 3, 4].map(Duration::from_secs).to_vec(),
+        part_sends: [7, 8, 9, 10, 11]
+            .map(|at| (Duration::from_secs(at), host_age))
+            .to_vec(),
+        ..Record::default()
+    }
+}
+
 /// By the users' rule only sends by hosts in touch count. Guards against a check that is stricter than that, and against
 /// one that lets such hosts pass later.
 #[test]
@@ -155,5 +167,6 @@
     };
     let just_before = LATE_AFTER.saturating_sub(Duration::from_millis(1));
     assert!(check(&crashes(just_before)).is_empty());
+    assert!(check(&part_record(just_before)).is_empty());
     assert_eq!(check(&crashes(LATE_AFTER)).len(), 1);
 }
--- a/tests/soak/poison.rs
+++ b/tests/soak/poison.rs
@@ -7,9 +7,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::callers::send;
+use crate::callers::{DEADLINE_MS, send};
 use crate::check::{LATE_AFTER, RequestKind};
 use crate::cluster::{Cluster, HOST_COUNT};
+use crate::standin::Engine;
 
 /// Body of the request.
 pub const POISON: &[u8] = b"poison";
@@ -83,20 +84,21 @@
         let incarnation = self.incarnation(host);
         let host_age = incarnation.started.elapsed();
         // Whatever the answer is, only the crashes count.
-        let _answer = send(&incarnation, kind, id, POISON);
+        let _answer = send(&incarnation, kind, id, DEADLINE_MS, POISON);
         thread::sleep(ARRIVAL_GRACE);
         self.attribute_crashes(host_age);
-        self.replace_crashed();
+        self.replace_crashed(Engine::poisoned_at, Duration::ZERO);
         self.unplanned.0.fetch_sub(1, Ordering::SeqCst);
     }
 
-    fn replace_crashed(&self) {
+    /// Replaces the servers that crashed at least `after` ago; `crashed_at` tells when one did.
+    pub fn replace_crashed(&self, crashed_at: fn(&Engine) -> Option<Instant>, after: Duration) {
         let positions = self.positions.lock().expect("no panic").clone();
         for position in 0..positions.len() {
             let crashed = self.with_server(position, |server| {
-                server.engine.poisoned_at()?;
+                let at = crashed_at(&server.engine)?;
                 server.forwarder.refuse();
-                Some(server.engine.id.clone())
+                (at.elapsed() >= after).then(|| server.engine.id.clone())
             });
             if let Some(id) = crashed {
                 self.remove_entry(&id);
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -7,6 +7,7 @@
 
 use crate::check::{Order, Record, Run};
 use crate::cluster::{Cluster, Server};
+use crate::parts::PART_ID_PREFIX;
 use crate::poison::POISON_ID_PREFIX;
 use crate::streams::STREAM_ID_PREFIX;
 
@@ -18,8 +19,7 @@
             .iter()
             .map(|(observation, known)| (observation.id.clone(), *known))
             .collect();
-        let since_start =
-            |crash: &(Instant, Duration)| (crash.0.duration_since(self.started), crash.1);
+        let since_start = |(at, host_age): &(Instant, Duration)| (*at - self.started, *host_age);
         let mut record = Record {
             observations: observations
                 .into_iter()
@@ -29,12 +29,18 @@
             unrecovered,
             streams: self.streams.lock().expect("no panic").clone(),
             poison_crashes: self.poison_crashes().iter().map(since_start).collect(),
+            part_crashes: self
+                .part_crashes()
+                .iter()
+                .map(|at| *at - self.started)
+                .collect(),
+            part_sends: self.part_sends().iter().map(since_start).collect(),
             ..Record::default()
         };
         for server in &*self.servers.lock().expect("no panic") {
             let engine = &server.engine;
             record.software.insert(engine.id.clone(), engine.version());
-            for (path, head, body) in server.engine.requests() {
+            for (path, head, body) in server.engine.executed_requests() {
                 add_request(&mut record, server, &path, &head, &body, &known_versions);
             }
         }
@@ -65,7 +71,7 @@
     let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
     let id = id.unwrap_or_default().to_owned();
     let is_prefill = head.contains("x-chiveway-serving-stage: prefill");
-    let unobserved = ["probe-", POISON_ID_PREFIX, STREAM_ID_PREFIX];
+    let unobserved = ["probe-", POISON_ID_PREFIX, PART_ID_PREFIX, STREAM_ID_PREFIX];
     let is_observed = !unobserved.iter().any(|prefix| id.starts_with(prefix));
     if is_prefill || !is_observed || path.starts_with("/v1/") {
         return;
