--- a/tests/relay/silence.rs
+++ b/tests/relay/silence.rs
@@ -4,7 +4,8 @@
 
 use serde_json::{Value, json};
 
-use super::standin::{EVENT_COUNT, Engine, SHORT_PROMPT, config, events};
+use super::standin::engine::EVENT_COUNT;
+use super::standin::{Engine, SHORT_PROMPT, config, events};
 use super::{Site, http, wait_for};
 
 /// Streams under way at the server that falls silent.
