Remove the keys that hosts wrote to the store

Operators saw requests stay refused at hosts that started, for ten minutes after the last crash, although they had been answered or the servers had turned out to be alive: `poison/FINGERPRINT` stayed in the store, and each host called the store every 2 s to remove it again. The prefix of this program's keys was added to writes and not to removals, which named a key that does not exist.

The stand-in store of the relay's tests had ignored removals. every_key_of_a_transaction_has_the_prefix failed before ("b" in place of "chiveway/b").

--- a/src/host/relay/store.rs
+++ b/src/host/relay/store.rs
@@ -16,7 +16,7 @@
 use crate::error::Ran;
 use crate::host::node::Node;
 use crate::platform::{self, store};
-use crate::store::{CallCounts, CallKind, Compare, Op, Txn};
+use crate::store::{CallCounts, CallKind, Compare, Op, Span, Txn};
 
 /// Time limit of a call, or for the next part of its answer: far above the slowest answer of a working store.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -221,7 +221,7 @@
 }
 
 /// Prepends this program's prefix to every key.
-fn prefix_keys(mut txn: Txn) -> Txn {
+pub(super) fn prefix_keys(mut txn: Txn) -> Txn {
     let full = |key: &str| -> Box<str> { format!("{}{key}", platform::OWN_PREFIX).into() };
     for compare in &mut txn.compare {
         match compare {
@@ -233,8 +233,10 @@
         }
     }
     for op in &mut txn.then {
-        if let Op::Put { key, .. } = op {
-            *key = full(key);
+        match op {
+            Op::Put { key, .. }
+            | Op::Delete(Span::Key(key) | Span::Prefix(key))
+            | Op::Get(Span::Key(key) | Span::Prefix(key)) => *key = full(key),
         }
     }
     txn
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -8,11 +8,13 @@
 use super::callers::relay_fingerprint;
 use super::datagrams::{seal, verify};
 use super::events::Splitter;
+use super::store::prefix_keys;
 use crate::core::relay::event::{
     CrashReport, DepartureReport, Gossip, GossipKind, LimitReport, LoadReport, StreamMessage,
     StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
+use crate::store::{Compare, Op, Span, Txn};
 use crate::wire;
 
 fn gossip() -> Gossip {
@@ -65,6 +67,35 @@
     }
 }
 
+/// Guards against a removal that names another key than the write did, so that the store keeps what hosts no longer refuse.
+#[test]
+fn every_key_of_a_transaction_has_the_prefix() {
+    let txn = prefix_keys(Txn {
+        compare: vec![Compare::Absent { key: "a".into() }],
+        then: vec![
+            Op::Put {
+                key: "a".into(),
+                value: bytes::Bytes::from_static(b"1"),
+                lease: 0,
+            },
+            Op::Delete(Span::Key("b".into())),
+            Op::Delete(Span::Prefix("c".into())),
+        ],
+        ..Txn::default()
+    });
+    let keys: Vec<&str> = txn.then.iter().filter_map(written_key).collect();
+    assert_eq!(keys, ["chiveway/a", "chiveway/b", "chiveway/c"]);
+    let key = "chiveway/a".into();
+    assert_eq!(txn.compare, [Compare::Absent { key }]);
+}
+
+fn written_key(op: &Op) -> Option<&str> {
+    match op {
+        Op::Put { key, .. } | Op::Delete(Span::Key(key) | Span::Prefix(key)) => Some(key),
+        Op::Get(_) => None,
+    }
+}
+
 /// A third party can reach the port. Gossip accepted from it could make a host refuse its callers
 /// because of load that does not exist.
 #[test]
