Add commands that list and lift refusals

An operator had to remove a key of the store by other means to lift the refusal of a request, and could not list what is refused. `chiveway refused get` and `chiveway refused lift KEY` read the address of the store from a host's settings, with -c or where the platform renders them, as `host` does: relaying hosts have no listener for operators. A key is removed on the condition that it was not written since it was read.

Tests against the relay's stand-in store, which speaks the platform's format (that of `chiveway standin kv` is another one): list, lift, keys that are not refused, a store that is down, and a host that serves a request once it is lifted.

--- a/src/cli/commands.rs
+++ b/src/cli/commands.rs
@@ -413,6 +413,18 @@
         QUERY_OPTIONS,
         "Shows hosts, engines, the revision in force and the store's health",
     ),
+    command(
+        "refused get",
+        "",
+        &[&JSON, &CONFIG],
+        "Lists the requests and parts of prompts that hosts refuse since servers crashed",
+    ),
+    command(
+        "refused lift",
+        "KEY",
+        &[&CONFIG],
+        "Lifts the refusal with a key that \"refused get\" lists, at all hosts",
+    ),
     command(
         "hash",
         "",
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -36,6 +36,8 @@
     Explain(ExplainOptions),
     /// Show the state of the deployment.
     Status(StatusOptions),
+    /// List or lift refusals of requests and parts of prompts.
+    Refused(RefusedOptions),
     /// Check settings files.
     Check(CheckOptions),
     /// Print the hash of a key.
@@ -221,6 +223,24 @@
     pub access: Access,
 }
 
+/// What to do with refusals.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RefusedAction {
+    /// List them.
+    Get(OutputFormat),
+    /// Lift the one with this key.
+    Lift(Box<str>),
+}
+
+/// Options of `refused`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RefusedOptions {
+    /// Settings of a host, which name the store.
+    pub config: PathBuf,
+    /// What to do.
+    pub action: RefusedAction,
+}
+
 /// Options of `check`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CheckOptions {
--- a/src/cli/parse.rs
+++ b/src/cli/parse.rs
@@ -10,8 +10,8 @@
 use super::commands::{self, COMMANDS, CommandSpec, Opt};
 use super::{
     Access, Action, ApplyOptions, CheckOptions, Command, ExplainOptions, HostOptions, ListName,
-    ListOptions, LoadOptions, OutputFormat, Pace, StandinKind, StandinOptions, StatusOptions,
-    Target, TryOptions, UsageError, help,
+    ListOptions, LoadOptions, OutputFormat, Pace, RefusedAction, RefusedOptions, StandinKind,
+    StandinOptions, StatusOptions, Target, TryOptions, UsageError, help,
 };
 use crate::form;
 use crate::platform;
@@ -94,6 +94,7 @@
             "check" => self.check(),
             "explain" => self.explain(),
             "status" => self.status(),
+            "refused get" | "refused lift" => self.refused(),
             "try" => self.trial(),
             "load" => self.load(),
             "standin kv" => self.standin(StandinKind::Kv),
@@ -116,15 +117,39 @@
     }
 
     fn host(mut self) -> Parsed<Command> {
-        let config = match self.raw_value(&commands::CONFIG, "-c")? {
-            Some(config) => PathBuf::from(&*config),
+        let config = self.config()?;
+        self.expect_end()?;
+        Ok(Command::Host(HostOptions { config }))
+    }
+
+    /// Takes the path of a host's settings.
+    fn config(&mut self) -> Parsed<PathBuf> {
+        match self.raw_value(&commands::CONFIG, "-c")? {
+            Some(config) => Ok(PathBuf::from(&*config)),
             None => match platform::settings_file() {
-                Some(config) => config,
-                None => return self.fail("Name the settings: -c FILE."),
+                Some(config) => Ok(config),
+                None => self.fail("Name the settings: -c FILE."),
             },
+        }
+    }
+
+    fn refused(mut self) -> Parsed<Command> {
+        let config = self.config()?;
+        let format = self.format();
+        if self.command.words == "refused get" {
+            self.expect_end()?;
+            let action = RefusedAction::Get(format);
+            return Ok(Command::Refused(RefusedOptions { config, action }));
+        }
+        let mut keys = self.positional()?;
+        let Some(key) = keys.pop().filter(|_| keys.is_empty()) else {
+            return self.fail("Give one key, as \"refused get\" lists it.");
         };
-        self.expect_end()?;
-        Ok(Command::Host(HostOptions { config }))
+        let Ok(key) = key.into_string() else {
+            return self.fail("A key is UTF-8 text.");
+        };
+        let action = RefusedAction::Lift(key.into());
+        Ok(Command::Refused(RefusedOptions { config, action }))
     }
 
     fn check(mut self) -> Parsed<Command> {
--- a/src/operate/mod.rs
+++ b/src/operate/mod.rs
@@ -2,16 +2,19 @@
 
 mod client;
 mod lists;
+mod refused;
 
 use std::env;
 use std::fs;
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 
 use serde_json::Value;
 use snafu::{ResultExt, Snafu};
 
 pub use lists::list;
+pub use refused::refused;
 
 use self::client::OperatorClient;
 use crate::cli::{Access, ExplainOptions, OutputFormat, StatusOptions};
@@ -150,6 +153,63 @@
         /// Names of the hosts.
         missing: Box<str>,
     },
+    /// Settings name no store.
+    #[snafu(display(
+        "{} names no store: give the settings of a host that relays requests", path.display()
+    ))]
+    NoStore {
+        /// The file.
+        path: Box<Path>,
+    },
+    /// Settings have faults.
+    #[snafu(display("correct these faults and try again:\n{faults}"))]
+    Settings {
+        /// One fault per line.
+        faults: Box<str>,
+    },
+    /// A call of the store failed and changed nothing.
+    #[snafu(display("no answer from the store at {addr}: {problem}"))]
+    StoreFailed {
+        /// Address of the store.
+        addr: SocketAddr,
+        /// Error from the HTTP client.
+        problem: Box<str>,
+    },
+    /// The store answered with another status, or with something else than keys.
+    #[snafu(display(
+        "the store at {addr} sent an answer with status {status}, expected keys with status 200"
+    ))]
+    StoreStatus {
+        /// Address of the store.
+        addr: SocketAddr,
+        /// HTTP status.
+        status: u16,
+    },
+    /// The answer to a removal was lost: it may have been applied.
+    #[snafu(display(
+        "no answer from the store at {addr}: {problem}; the refusal may have been lifted: \
+         look with \"chiveway refused get\""
+    ))]
+    LiftUnknown {
+        /// Address of the store.
+        addr: SocketAddr,
+        /// Error from the HTTP client.
+        problem: Box<str>,
+    },
+    /// Nothing that is refused has this key.
+    #[snafu(display("nothing that is refused has the key {key:?}; the store holds: {known}"))]
+    NotRefused {
+        /// The key.
+        key: Box<str>,
+        /// Keys that the store holds.
+        known: Box<str>,
+    },
+    /// A host wrote the key between its read and its removal.
+    #[snafu(display("a host wrote {key} meanwhile and nothing was lifted; try again"))]
+    WrittenMeanwhile {
+        /// The key.
+        key: Box<str>,
+    },
 }
 
 /// Prints how a request was handled.
--- a/src/run.rs
+++ b/src/run.rs
@@ -135,6 +135,7 @@
         Command::List(options) => Ok(block_on(operate::list(options))?),
         Command::Explain(options) => Ok(block_on(operate::explain(options))?),
         Command::Status(options) => Ok(block_on(operate::status(options))?),
+        Command::Refused(options) => Ok(block_on(operate::refused(options))?),
         Command::Host(options) => run_host(&options),
         Command::Standin(options) => block_on(run_standin(options)),
         Command::Try(options) => Ok(block_on(trial::run(options))?),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -34,6 +34,7 @@
     help_of_a_command_group: "plans --help" => "  plans apply  Puts a file of customers' plans in force\n";
     help_of_host: "host --help" => "  --config FILE  Settings of the host; also -c\n";
     help_shows_defaults: "try --help" => "  --hosts N  Hosts to run [default: 3]\n";
+    help_of_refusals: "refused lift --help" => "Usage: chiveway refused lift KEY [OPTIONS]";
     help_lists_settings: "check --help" => "  refresh  Time between two reads of the list [default: 1s]\n";
     help_lists_keys_of_a_list: "use check --help" => "\n[service NAME]\n  repeat  Calls that may be retried;";
     help_after_arguments: "plans apply --file x --help" => "Usage: chiveway plans apply [OPTIONS]";
@@ -71,6 +72,9 @@
     value_out_of_range: "try --hosts 0" => "--hosts given \"0\", allowed a whole number from 1 to 16.";
     value_without_unit: "standin kv --lag 2" => "--lag given \"2\", allowed a time with its unit";
     settings_missing: "host" => "Name the settings: -c FILE.";
+    refusals_without_settings: "refused get" => "Name the settings: -c FILE.";
+    refusals_without_a_key: "refused lift -c host.ini" => "Give one key, as \"refused get\" lists it.";
+    two_refusals: "refused lift a b -c host.ini" => "Give one key, as \"refused get\" lists it.";
     extra_argument: "hash key" => "Leave out key.";
     files_missing: "check" => "Name at least one settings file.";
     two_ids: "explain a b --operators 127.0.0.1:1" => "Give one request id.";
@@ -101,6 +105,27 @@
     assert_eq!(done.stdout().lines().count(), 12);
 }
 
+/// Guards against a command that calls an address it made up: settings of another kind of host name no store of refusals.
+#[test]
+fn refusals_need_the_settings_of_a_relaying_host() {
+    let args = "refused get -c examples/fristvagt/host.ini";
+    let done = chiveway().args(args).exits_with(1);
+    done.stderr_contains("error: examples/fristvagt/host.ini names no store: give the settings");
+}
+
+/// Guards against settings with faults that are used as far as they go.
+#[test]
+fn refusals_need_settings_without_faults() {
+    let file = write_file(
+        "refused.ini",
+        "[relay]\nname = a\n[store]\naddr = nowhere\n",
+    );
+    let args = chiveway().args("refused get -c");
+    let done = args.arg(file.to_str().unwrap()).exits_with(1);
+    done.stderr_contains("correct these faults and try again:\n")
+        .stderr_contains("refused.ini: [store] addr given \"nowhere\", allowed");
+}
+
 #[test]
 fn check_names_a_missing_file() {
     let done = chiveway().args("check no-such.ini").exits_with(1);
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -21,6 +21,7 @@
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
 mod pushback;
+mod refused;
 mod silence;
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
