Test whole answers that end with their connection, and events without their end

The users' page says that an answer, a stream too, may have neither length nor chunks and end with its connection, and that a stream that ends inside an event was broken off. The table of broken answers gains a place: after the last line of an event, before the blank line that ends it, also for callers that speak HTTP/1.0. New: whole answers of each kind in each framing, prefills too, with a silence of 0.6 s before the head, in the middle and before the end; resumed streams both of whose parts end with their connection; a prefill that ends in the middle of its body.

--- a/tests/relay/broken_off.rs
+++ b/tests/relay/broken_off.rs
@@ -10,12 +10,13 @@
 use super::{Site, http, wait_for};
 
 /// Places where an answer is broken off.
-const PLACES: [Place; 6] = [
+const PLACES: [Place; 7] = [
     Place::Head,
     Place::BeforeFirst,
     Place::Between,
     Place::Inside,
     Place::InsideChar,
+    Place::LastLine,
     Place::AfterLast,
 ];
 
@@ -26,7 +27,7 @@
 
 /// Kind of request, and how it reaches a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Kind {
+pub enum Kind {
     /// A whole answer of a call that may not repeat.
     Once,
     /// A whole answer of a call that may repeat.
@@ -40,7 +41,7 @@
 }
 
 impl Kind {
-    fn path(self) -> &'static str {
+    pub fn path(self) -> &'static str {
         match self {
             Self::Once => "/once/x",
             Self::Again => "/again/x",
@@ -49,15 +50,15 @@
         }
     }
 
-    fn is_stream(self) -> bool {
+    pub fn is_stream(self) -> bool {
         !matches!(self, Self::Once | Self::Again)
     }
 
-    fn may_repeat(self) -> bool {
+    pub fn may_repeat(self) -> bool {
         matches!(self, Self::Again | Self::Resumable)
     }
 
-    fn engines(self) -> Vec<Engine> {
+    pub fn engines(self) -> Vec<Engine> {
         if !self.is_stream() {
             return vec![Engine::plain("s-1"), Engine::plain("s-2")];
         }
@@ -130,7 +131,7 @@
     }
 }
 
-fn send(callers: SocketAddr, kind: Kind, id: &str) -> Option<http::Answer> {
+pub fn send(callers: SocketAddr, kind: Kind, id: &str) -> Option<http::Answer> {
     let deadline = if kind.may_repeat() {
         LONG_DEADLINE_MS
     } else {
@@ -251,17 +252,23 @@
     let (head, body) = send_old(site.callers, Kind::Stream, "whole").expect("an answer");
     assert!(head.contains(" 200 "), "{head}");
     assert_eq!(body, events("d-1", 1..=EVENT_COUNT));
-    for place in [Place::Between, Place::Inside] {
+    let breaks = [
+        (Framing::Chunks, Place::Between),
+        (Framing::Chunks, Place::Inside),
+        (Framing::Connection, Place::Inside),
+        (Framing::Connection, Place::LastLine),
+    ];
+    for (framing, place) in breaks {
         let how = Break {
-            framing: Framing::Chunks,
+            framing,
             end: End::Close,
             place,
         };
         Engine::tear_next(&[&engine], how);
-        let answer = send_old(site.callers, Kind::Stream, &format!("{place:?}"));
+        let answer = send_old(site.callers, Kind::Stream, &format!("{how:?}"));
         assert!(engine.has_torn(), "the engine did not get the request");
         if let Some((head, body)) = answer {
-            assert!(!head.contains(" 200 "), "{place:?}: {head} {body}");
+            assert!(!head.contains(" 200 "), "{how:?}: {head} {body}");
         }
     }
 }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod cut;
 mod duties;
 mod era;
+mod framing;
 mod hang;
 #[path = "../common/http.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -48,6 +48,8 @@
     pub break_after: Option<u64>,
     /// How the next answer to a caller's request is broken off; shared by servers of which one does.
     pub torn: Arc<Mutex<Option<Break>>>,
+    /// Whether its prefills end in the middle of their bodies.
+    pub tears_prefills: bool,
     /// Whether its streams have no events.
     pub is_empty: bool,
     /// Request id of the next answer, in place of the real one.
@@ -261,6 +263,11 @@
         torn.is_none()
     }
 
+    /// Ends the answer to each prefill from now on in the middle of its body.
+    pub fn tear_prefills(&self) {
+        self.shared.0.lock().expect("the engine").tears_prefills = true;
+    }
+
     /// Sends streams without events from now on.
     pub fn send_no_events(&self) {
         self.shared.0.lock().expect("the engine").is_empty = true;
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -82,10 +82,17 @@
         return None;
     }
     if is_prefill {
+        let (framing, is_torn) = (
+            state.framing.unwrap_or(Framing::Length),
+            state.tears_prefills,
+        );
         drop(state);
         std::thread::sleep(delay);
-        let body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
-        return write(stream, 200, &headers, &body);
+        let mut body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
+        if is_torn {
+            body.truncate(body.len() / 2);
+        }
+        return whole(framing, headers, body).write(shared, Duration::ZERO, stream);
     }
     if state.stage.is_none() {
         answer_call(shared, state, id, headers, request, stream)
@@ -207,6 +214,17 @@
     Some(202)
 }
 
+/// Returns an answer in one piece.
+fn whole(framing: Framing, headers: String, body: String) -> Answer {
+    Answer {
+        headers,
+        framing,
+        pieces: vec![body],
+        is_torn: false,
+        pause: None,
+    }
+}
+
 /// An answer in pieces.
 struct Answer {
     headers: String,
--- a/tests/relay/standin/torn.rs
+++ b/tests/relay/standin/torn.rs
@@ -43,6 +43,8 @@
     Inside,
     /// Between the two bytes of a character.
     InsideChar,
+    /// After the last line of an event, before the blank line that ends it.
+    LastLine,
     AfterLast,
 }
 
@@ -72,8 +74,13 @@
             Place::InsideChar if body[whole..].contains(WIDE_CHAR) => {
                 whole + body[whole..].find(WIDE_CHAR).unwrap_or_default() + 1
             }
-            // A text without such a character ends between others.
-            Place::Inside | Place::InsideChar => (whole + "id: 3\nda".len()).min(body.len()),
+            Place::LastLine if body[whole..].contains("\n\n") => {
+                whole + body[whole..].find("\n\n").unwrap_or_default() + 1
+            }
+            // A text without such a character or line ends elsewhere.
+            Place::Inside | Place::InsideChar | Place::LastLine => {
+                (whole + "id: 3\nda".len()).min(body.len())
+            }
             Place::AfterLast => body.len(),
         }
     }
