Release a standby only for an event or a whole answer

Callers saw a begun stream cut: a silent server goes on 1 s later, and the server asked meanwhile answers 500 with a body. The first part of that body counted as its going on, so the standby was cancelled, and then the failure cut the stream. A repeated event of the next server, or a late part of a plain answer of the silent one, ended the other attempt as well.

Parts of answers that are no stream only show that a server is alive. The other attempt is cancelled for an event that the caller does not have, or by the end of the request; a standby goes on with a part only for an answer that has not begun.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -38,9 +38,14 @@
     dispatch(core, call, out);
 }
 
-/// Records that a part of an answer arrived: the backend server is not silent.
+/// Records that a part of an answer that is no stream arrived: the backend server is not silent. The answer may still be a
+/// failure, and cannot continue a stream that has begun.
 pub(super) fn part_received(core: &mut Core, key: AttemptKey, out: &mut Effects) {
-    standby::goes_on(core, key, out);
+    let call = core.relay.attempts.get(key).map(|attempt| attempt.call);
+    if call.is_some_and(|call| !core.relay.calls[call].delivered) && standby::is_standby(core, key)
+    {
+        standby::goes_on(core, key, out);
+    }
     if let Some(attempt) = core.relay.attempts.get_mut(key) {
         attempt.last_received = core.now;
     }
@@ -105,7 +110,14 @@
 /// After a stream was resumed, the new run may start with events that the caller has. These are
 /// dropped by their number. A run that started after the last one would leave a gap in the answer.
 pub(super) fn stream_event(core: &mut Core, key: AttemptKey, number: u64, out: &mut Effects) {
-    standby::goes_on(core, key, out);
+    let Some(attempt) = core.relay.attempts.get(key) else {
+        return;
+    };
+    let seen = core.relay.calls[attempt.call].last_event;
+    let is_known = number > 0 && seen.is_some_and(|seen| number <= seen);
+    if !is_known {
+        standby::goes_on(core, key, out);
+    }
     let now = core.now;
     let Some(attempt) = core.relay.attempts.get_mut(key) else {
         return;
@@ -131,17 +143,19 @@
         if host.is_none() {
             versions::stream_began(core, key, out);
         }
-        // The engine has fetched the KV cache.
-        core.relay.calls[call_key].cache = None;
+        if !standby::is_standby(core, key) {
+            // The engine has fetched the KV cache.
+            core.relay.calls[call_key].cache = None;
+        }
         match host {
             Some(host) => forward::answered(core, host),
             None => duty::usage::record(core, call_key, now),
         }
     }
-    let call = &mut core.relay.calls[call_key];
-    if number > 0 && call.last_event.is_some_and(|seen| number <= seen) {
+    if is_known {
         return;
     }
+    let call = &mut core.relay.calls[call_key];
     if number > 0 {
         call.last_event = Some(number);
     }
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -80,7 +80,7 @@
     answer::retry(core, call, detail, out);
 }
 
-/// Handles a part of an attempt's answer: the other attempt of its request is cancelled.
+/// Handles an attempt that goes on with the answer: the other attempt of its request is cancelled.
 pub(super) fn goes_on(core: &mut Core, key: AttemptKey, out: &mut Effects) {
     let Some(attempt) = core.relay.attempts.get(key) else {
         return;
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -25,6 +25,7 @@
 mod sampling;
 mod silence;
 mod stages;
+mod standby;
 mod stream;
 mod versions;
 mod view;
--- a/src/core/relay/tests/silence.rs
+++ b/src/core/relay/tests/silence.rs
@@ -39,6 +39,8 @@
     Break,
     /// They are as silent as the first.
     Silent,
+    /// They answer that they failed, in parts.
+    Fail,
 }
 
 /// How far the answer is when its server falls silent.
@@ -99,6 +101,9 @@
     Fail(Ran, AttemptFailure),
     Prefilled,
     Answer,
+    /// A part of an answer that is no stream.
+    Part,
+    Failure,
 }
 
 impl Play {
@@ -186,6 +191,7 @@
             _ if sent.instance == self.first => (self.until.saturating_sub(now), answer),
             _ if sent.task == Task::Prefill => (0, answer),
             Next::Answer => (0, answer),
+            Next::Fail => (0, Act::Part),
             Next::Silent => (self.until.saturating_sub(now), answer),
             Next::Refuse => (0, Act::Fail(Ran::No, AttemptFailure::Refused)),
             Next::RefuseLate => (QUEUE_MS, Act::Fail(Ran::No, AttemptFailure::Refused)),
@@ -222,6 +228,16 @@
                 let handle = "k".into();
                 self.event(RelayEvent::Prefilled { attempt, handle });
             }
+            Act::Part => {
+                self.event(RelayEvent::AnswerReceived(attempt));
+                let at = self.site.now + ANSWER_MS;
+                self.due.push((at, attempt, Act::Failure));
+            }
+            Act::Failure => {
+                self.running.remove(&attempt);
+                let status = 500;
+                self.event(RelayEvent::Answered { attempt, status });
+            }
             Act::Answer if sent.streaming => {
                 let from = sent
                     .resume
@@ -356,6 +372,9 @@
     a_begun_stream_whose_next_server_is_unreachable: "/short/x", Begun, Unreachable;
     a_begun_stream_whose_next_server_breaks_it_off: "/short/x", Begun, Break;
     a_begun_stream_whose_next_server_is_silent: "/short/x", Begun, Silent;
+    a_begun_stream_whose_next_server_fails: "/short/x", Begun, Fail;
+    a_begun_plain_stream_whose_next_server_fails: "/feed/x", Begun, Fail;
+    a_stream_without_its_end_whose_next_server_fails: "/short/x", Unfinished, Fail;
     a_begun_plain_stream_whose_next_server_refuses: "/feed/x", Begun, Refuse;
     a_begun_plain_stream_whose_next_server_refuses_late: "/feed/x", Begun, RefuseLate;
     a_begun_plain_stream_whose_next_server_is_unreachable: "/feed/x", Begun, Unreachable;
