Offer a begun stream again that a server answers otherwise

Callers saw a begun stream cut when the server asked after a silent one answered 500, or anything but a stream, later than 300 ms: such an answer went straight to the cut, with attempts, budget and time left.

It counts as a refusal by that server: the request falls back to its standby, else it is offered again while attempts are left, and only then cut.

Both new tests failed before (cut at the second of four attempts) and pass now.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -73,28 +73,29 @@
     if let Some(instance) = core.relay.instances.arena.get_mut(backend) {
         instance.record_success(now);
     }
-    if is_standby && (failed || core.relay.calls[call].delivered) {
+    let begun = core.relay.calls[call].delivered;
+    if is_standby && (failed || begun) {
         // The other attempt is under way.
         return;
     }
     // The host that a request was forwarded to has retried it itself.
-    if failed && !is_forwarded && may_retry(core, call) && !core.relay.calls[call].delivered {
+    if (failed || begun) && !is_forwarded {
         core.relay.calls[call].tried.push(backend);
-        log_retry(core, call, &format!("answered {status}"), out);
-        if has_time_left(core, call) {
-            dispatch(core, call, out);
+        // A server that cannot continue a stream has refused it.
+        if begun && standby::fall_back(core, call, out) {
             return;
         }
+        if may_retry(core, call) {
+            log_retry(core, call, &format!("answered {status}"), out);
+            if has_time_left(core, call) {
+                dispatch(core, call, out);
+                return;
+            }
+        }
     }
-    if core.relay.calls[call].delivered {
-        // A stream that has begun cannot continue with an answer that is no stream.
-        give_up(
-            core,
-            call,
-            Kind::EngineFailed,
-            "the stream could not go on",
-            out,
-        );
+    if begun {
+        let detail = "the stream could not go on";
+        give_up(core, call, Kind::EngineFailed, detail, out);
         return;
     }
     if !failed {
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -4,6 +4,8 @@
 
 /// Milliseconds within which a silent server is left.
 const LEFT_MS: u64 = 3000;
+/// Milliseconds after which a standby is certainly given up.
+const EXPIRED_MS: u64 = 350;
 
 /// Defines tests of failures that a standby guards against.
 macro_rules! standby_tests {
@@ -41,6 +43,10 @@
     (site, first)
 }
 
+fn is_cut(effect: &RelayEffect) -> bool {
+    matches!(effect, RelayEffect::AbortAnswer(_))
+}
+
 /// A silent server sends a part of something that is no stream, while the next one is asked.
 fn part_without_event() {
     let (mut site, first) = asked(&["a", "b"], "/feed/x", 1);
@@ -67,9 +73,30 @@
     assert!(site.has_effect(goes_on), "the silent server was given up");
 }
 
+/// The next server answers a begun stream with something else, after the silent attempt was given up.
+fn plain_answer(status: u16) {
+    let (mut site, _) = asked(&["a", "b"], "/feed/x", 1);
+    let mut next = next_sent(&mut site, LEFT_MS).expect("the stream is moved");
+    site.advance(EXPIRED_MS);
+    for run in 2..=4 {
+        let attempt = next.attempt;
+        site.event(RelayEvent::Answered { attempt, status });
+        // The route allows four attempts.
+        assert_eq!(site.has_effect(is_cut), run == 4, "attempt {run}");
+        if run < 4 {
+            let again = site.sent().or_else(|| next_sent(&mut site, LEFT_MS));
+            next = again.expect("the stream is offered again");
+        }
+    }
+}
+
 standby_tests! {
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
     /// Guards against a silent server that is given up for an event that the caller has.
     a_standby_is_kept_while_events_are_repeated: repeated_event();
+    /// Guards against a begun stream that is cut by a failure of the next server, with attempts left.
+    a_begun_stream_outlives_a_failure_of_the_next_server: plain_answer(500);
+    /// Guards against a begun stream that is cut by an answer that is no stream, with attempts left.
+    a_begun_stream_outlives_an_answer_that_is_no_stream: plain_answer(404);
 }
