Keep a begun answer at a silent server that could not take it back

Callers saw a begun stream cut whose server is leaving and falls silent for 1.5 s: after 300 ms beside a server that then refuses, it had been given up for good, since a leaving server takes no request back.

A begun answer stays at its server while that is leaving, has changed to prefills or wants no requests for the rest of the request's time. A request without an answer moves on as before.

The new test failed before (the stream was moved) and passes now, as does the one of a request without an answer.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -460,9 +460,10 @@
     }
     let call = attempt.call;
     let may_move = may_move(core, attempt);
+    let stays = standby::must_stay(core, attempt);
     let moves = if core.relay.links.are_lost() {
         may_move && forward::can_forward(core, call)
-    } else if may_move {
+    } else if may_move && !stays {
         // A second choice could draw other candidates and find none.
         core.relay.calls[call].next = retry::choose_other(core, call, key);
         core.relay.calls[call].next.is_some()
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -11,8 +11,8 @@
 use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::call::{close_attempt, dispatch};
-use super::event::{RelayEffect, Task};
-use super::{KvCache, RelayTimer, answer, duty, links, millis, note, wake};
+use super::event::{RelayEffect, Stage, Task};
+use super::{Attempt, KvCache, RelayTimer, answer, duty, links, millis, note, wake};
 use crate::error::{Kind, Ran};
 
 /// Time for which a silent attempt is kept after its request was sent to another server: longer than a refusal or a connection
@@ -51,6 +51,19 @@
     standby.is_some_and(|standby| standby.attempt == key)
 }
 
+/// Whether a begun answer runs at a server that could not take it back: it waits for that server, which may go on, instead of
+/// being given up for one that may refuse it.
+pub(super) fn must_stay(core: &Core, attempt: &Attempt) -> bool {
+    let call = &core.relay.calls[attempt.call];
+    let runs = call.delivered && attempt.task != Task::Prefill;
+    let server = core.relay.instances.arena.get(attempt.backend);
+    runs && server.is_some_and(|server| {
+        server.leaving && !server.addr_reused
+            || server.stage == Some(Stage::Prefill)
+            || server.pushback.remaining(core.now) >= call.deadline.since(core.now)
+    })
+}
+
 /// Sends the request of a silent attempt to another server. The attempt is kept meanwhile, unless it is a prefill, which has
 /// nothing to go on with.
 pub(super) fn move_on(core: &mut Core, key: AttemptKey, detail: &str, out: &mut Effects) {
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -47,6 +47,10 @@
     matches!(effect, RelayEffect::AbortAnswer(_))
 }
 
+fn is_event(effect: &RelayEffect) -> bool {
+    matches!(effect, RelayEffect::ForwardEvent(_))
+}
+
 /// A silent server sends a part of something that is no stream, while the next one is asked.
 fn part_without_event() {
     let (mut site, first) = asked(&["a", "b"], "/feed/x", 1);
@@ -90,6 +94,24 @@
     }
 }
 
+/// A server falls silent that is leaving, and goes on; another one would refuse its request.
+fn silent_while_leaving(events: u64) -> Option<Outgoing> {
+    let (mut site, first) = asked(&["a", "b"], "/feed/x", events);
+    let leaving = BackendEntry {
+        leaving: true,
+        revision: 50,
+        ..plain_entry(&first.instance)
+    };
+    site.register(vec![leaving]);
+    let moved = next_sent(&mut site, LEFT_MS);
+    if moved.is_none() {
+        let (attempt, number) = (first.attempt, events + 1);
+        site.event(RelayEvent::StreamEvent { attempt, number });
+        assert!(site.has_effect(is_event), "the server does not go on");
+    }
+    moved
+}
+
 standby_tests! {
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
@@ -99,4 +121,8 @@
     a_begun_stream_outlives_a_failure_of_the_next_server: plain_answer(500);
     /// Guards against a begun stream that is cut by an answer that is no stream, with attempts left.
     a_begun_stream_outlives_an_answer_that_is_no_stream: plain_answer(404);
+    /// Guards against a begun answer that is given up at a server to which it cannot return.
+    a_begun_stream_waits_for_a_server_that_leaves: assert!(silent_while_leaving(1).is_none());
+    /// Guards against a request without an answer that waits for a server that leaves.
+    an_unanswered_stream_leaves_a_server_that_leaves: assert!(silent_while_leaving(0).is_some());
 }
