Keep a standby for 300 ms after each send of its request

Callers saw a begun stream cut although its silent server went on: no connection was made to the second server within 250 ms, and 50 ms after the request had been sent to a third one the silent attempt was given up. With engines it was given up while the prompt was still read for the next one, which no engine had taken.

The time runs from the last send of the whole request or of its decoding, to a server or a host. A prefill is no run and does not start it.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -285,6 +285,7 @@
         fetch_from: choice.fetch.map(|fetch| fetch.from),
         identity: call.identity.clone(),
     }))));
+    standby::sent_on(core, key, &choice.task, out);
     if let Some(silence) = choice.silence_timeout {
         super::wake(core, silence, RelayTimer::Silence(attempt), out);
     }
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -17,7 +17,7 @@
 use super::instance::Work;
 use super::peers::Peer;
 use super::versions::Version;
-use super::{Attempt, PrefillEstimate, note};
+use super::{Attempt, PrefillEstimate, note, standby};
 use crate::error::{Kind, Ran};
 
 /// Hosts that one request is forwarded to. In a large failure domain hosts do not send gossip to each other, so that a
@@ -230,6 +230,7 @@
         streaming: call.route.streaming,
         spent,
     }))));
+    standby::sent_on(core, key, &Task::Whole, out);
 }
 
 /// Handles the end of an attempt at a host.
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -48,7 +48,7 @@
         return None;
     }
     let call = &mut core.relay.calls[key];
-    let standby = call.standby.replace(Standby::new(attempt, core.now));
+    let standby = call.standby.replace(Standby::new(attempt));
     // The KV cache that the silent server was to fetch is given up with it.
     let cache = call.cache.take();
     let choice = choose::choose(core, key);
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -15,7 +15,7 @@
 use super::{Attempt, KvCache, RelayTimer, answer, duty, links, millis, note, wake};
 use crate::error::{Kind, Ran};
 
-/// Time for which a silent attempt is kept after its request was sent to another server: longer than a refusal or a connection
+/// Time for which a silent attempt is kept after its request was last sent to another server: longer than a refusal or a connection
 /// takes, and less than the 400 ms for which two servers may work on a request that goes on.
 const KEEP_TIME: Duration = Duration::from_millis(300);
 /// Time after which another server is looked for again: refusals and backoffs pass within a few of these.
@@ -26,14 +26,16 @@
 pub struct Standby {
     /// The attempt.
     pub attempt: AttemptKey,
-    /// Until when it is kept.
-    pub until: Time,
+    /// Until when it is kept; none while no other server runs the request.
+    pub until: Option<Time>,
 }
 
 impl Standby {
-    pub(super) fn new(attempt: AttemptKey, now: Time) -> Self {
-        let until = now.after(KEEP_TIME);
-        Self { attempt, until }
+    pub(super) fn new(attempt: AttemptKey) -> Self {
+        Self {
+            attempt,
+            until: None,
+        }
     }
 }
 
@@ -77,7 +79,7 @@
     }
     let (call, server) = (attempt.call, attempt.backend);
     release(core, call, "replaced", out);
-    let standby = Standby::new(key, core.now);
+    let standby = Standby::new(key);
     let entry = &mut core.relay.calls[call];
     entry.attempt = None;
     entry.standby = Some(standby);
@@ -89,10 +91,23 @@
         core.relay.calls[call].tried.push(server);
         answer::record_silence(core, server, out);
     }
-    wake(core, KEEP_TIME, RelayTimer::Standby(call), out);
     answer::retry(core, call, detail, out);
 }
 
+/// Handles the sending of a request to another server or host: its standby is kept until that has had the time to refuse. A
+/// prefill is no run.
+pub(super) fn sent_on(core: &mut Core, key: CallKey, task: &Task, out: &mut Effects) {
+    let until = (*task != Task::Prefill).then(|| core.now.after(KEEP_TIME));
+    let call = &mut core.relay.calls[key];
+    let Some(standby) = &mut call.standby else {
+        return;
+    };
+    standby.until = until;
+    if until.is_some() {
+        wake(core, KEEP_TIME, RelayTimer::Standby(key), out);
+    }
+}
+
 /// Handles an attempt that goes on with the answer: the other attempt of its request is cancelled.
 pub(super) fn goes_on(core: &mut Core, key: AttemptKey, out: &mut Effects) {
     let Some(attempt) = core.relay.attempts.get(key) else {
@@ -160,8 +175,8 @@
 /// Handles the end of the time for which a standby is kept.
 pub(super) fn expired(core: &mut Core, key: CallKey, out: &mut Effects) {
     let call = core.relay.calls.get(key);
-    let standby = call.and_then(|call| call.standby);
-    if standby.is_some_and(|standby| standby.until <= core.now) {
+    let until = call.and_then(|call| call.standby?.until);
+    if until.is_some_and(|until| until <= core.now) {
         release(core, key, "expired", out);
     }
 }
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -1,11 +1,18 @@
 //! Requests whose silent attempt is kept, or was given up, while another server is asked to take them.
 
 use super::*;
+use crate::core::relay::event::Task;
 
 /// Milliseconds within which a silent server is left.
 const LEFT_MS: u64 = 3000;
 /// Milliseconds after which a standby is certainly given up.
 const EXPIRED_MS: u64 = 350;
+/// Milliseconds for which a standby is kept beside another run, at least.
+const KEPT_MS: u64 = 280;
+/// Milliseconds for which a request may go on at two servers (rule TWICE), less the time to cancel one.
+const MAX_BOTH_MS: u64 = 350;
+/// Milliseconds until a connection fails.
+const CONNECT_MS: u64 = 250;
 
 /// Defines tests of failures that a standby guards against.
 macro_rules! standby_tests {
@@ -112,6 +119,59 @@
     moved
 }
 
+/// Waits until an attempt is cancelled; returns after how many milliseconds.
+fn cancelled_after(site: &mut TestHost, attempt: AttemptKey) -> u64 {
+    let start = site.now;
+    let cancels = |effect: &RelayEffect| matches!(effect, RelayEffect::Cancel(a) if *a == attempt);
+    while site.now < start + LEFT_MS {
+        if has_effect(&site.advance(10), cancels) {
+            return site.now - start;
+        }
+    }
+    LEFT_MS
+}
+
+/// No connection is made to the next server; the one after it has the time to refuse, too.
+fn second_next_server() {
+    let (mut site, first) = asked(&["a", "b", "c"], "/feed/x", 1);
+    let second = next_sent(&mut site, LEFT_MS).expect("the stream is moved");
+    site.advance(CONNECT_MS);
+    site.fail_attempt(second.attempt, Ran::No, AttemptFailure::Unreachable);
+    site.sent().expect("the stream is moved again");
+    let after = cancelled_after(&mut site, first.attempt);
+    assert!((KEPT_MS..MAX_BOTH_MS).contains(&after), "{after} ms");
+}
+
+/// The prompt is prefilled for the next server, which takes longer than a standby is kept beside a run.
+fn long_prefill() {
+    let mut site = TestHost::new();
+    site.register(vec![
+        engine_entry("p", Stage::Prefill),
+        engine_entry("d", Stage::Decode),
+        engine_entry("e", Stage::Decode),
+    ]);
+    site.arrive(model_request("/short/x", (1, 60), 290));
+    let mut first = site.sent().expect("a request is sent");
+    if first.task == Task::Prefill {
+        let (attempt, handle) = (first.attempt, "k".into());
+        site.event(RelayEvent::Prefilled { attempt, handle });
+        first = site.sent().expect("the prompt is handed over");
+    }
+    let attempt = first.attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    let next = next_sent(&mut site, LEFT_MS).expect("the stream is moved");
+    assert_eq!(next.task, Task::Prefill);
+    let out = site.advance(EXPIRED_MS);
+    let cancels = |effect: &RelayEffect| matches!(effect, RelayEffect::Cancel(_));
+    assert!(!has_effect(&out, cancels), "cancelled for a prefill");
+    let (attempt, handle) = (next.attempt, "l".into());
+    site.event(RelayEvent::Prefilled { attempt, handle });
+    let next = site.sent().expect("the prompt is handed over");
+    assert!(matches!(next.task, Task::Decode { .. }));
+    let after = cancelled_after(&mut site, first.attempt);
+    assert!((KEPT_MS..MAX_BOTH_MS).contains(&after), "{after} ms");
+}
+
 standby_tests! {
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
@@ -125,4 +185,8 @@
     a_begun_stream_waits_for_a_server_that_leaves: assert!(silent_while_leaving(1).is_none());
     /// Guards against a request without an answer that waits for a server that leaves.
     an_unanswered_stream_leaves_a_server_that_leaves: assert!(silent_while_leaving(0).is_some());
+    /// Guards against a silent attempt that is given up before the server asked last can refuse.
+    a_standby_is_kept_for_each_server_asked: second_next_server();
+    /// Guards against a silent attempt that is given up for a prompt that nobody decodes yet.
+    a_standby_is_kept_for_a_prefill: long_prefill();
 }
