Let a request without an answer wait for its silent server, too

Callers saw an idempotent request fail with time left: the server asked after a silent one answered 500, which was passed on when its attempts were used up although the silent one still ran it; or it refused the request later than 300 ms, and the request was answered 502 since no other server took it at that moment.

A failure beside a standby has the request wait for that. A request that may have run and was given up at a silent server is offered again like a begun answer, while attempts, budget and time are left.

Both new tests failed before (500 passed on, and 502) and pass now.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -93,6 +93,9 @@
             }
         }
     }
+    if (failed || begun) && standby::fall_back(core, call, out) {
+        return;
+    }
     if begun {
         let detail = "the stream could not go on";
         give_up(core, call, Kind::EngineFailed, detail, out);
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -470,7 +470,7 @@
 }
 
 /// Refuses a request: as not run if that is certain, as failed otherwise. One whose silent attempt is kept waits for that
-/// instead, and an answer that has begun waits for a server.
+/// instead, and one that was given up at a silent server waits for another.
 pub(super) fn refuse(core: &mut Core, key: CallKey, refusal: Refusal, out: &mut Effects) {
     if standby::fall_back(core, key, out) || standby::wait(core, key, &refusal, out) {
         return;
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -146,15 +146,16 @@
     true
 }
 
-/// Has an answer that has begun and was given up at a silent server wait, if no server takes it for now; returns whether it
-/// waits.
+/// Has a request that was given up at a silent server, and may have run there, wait if no server takes it for now; returns
+/// whether it waits.
 pub(super) fn wait(core: &Core, key: CallKey, refusal: &Refusal, out: &mut Effects) -> bool {
     let call = &core.relay.calls[key];
     let passes = matches!(
         refusal.kind,
         Kind::Overloaded | Kind::NoEngine | Kind::CutOff
     );
-    let was_given_up = call.delivered && call.given_up.is_some();
+    let may_have_run = call.runs > 0 || call.delivered;
+    let was_given_up = may_have_run && call.given_up.is_some();
     if !was_given_up || !passes || core.now.after(RETRY_PAUSE) >= call.deadline {
         return false;
     }
@@ -164,7 +165,7 @@
     true
 }
 
-/// Looks for a server again for an answer that waits for one.
+/// Looks for a server again for a request that waits for one.
 pub(super) fn resume(core: &mut Core, key: CallKey, out: &mut Effects) {
     let call = core.relay.calls.get(key);
     if call.is_some_and(|call| call.attempt.is_none()) {
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -54,6 +54,10 @@
     matches!(effect, RelayEffect::AbortAnswer(_))
 }
 
+fn is_answer(effect: &RelayEffect) -> bool {
+    matches!(effect, RelayEffect::ForwardAnswer(_))
+}
+
 fn is_event(effect: &RelayEffect) -> bool {
     matches!(effect, RelayEffect::ForwardEvent(_))
 }
@@ -172,6 +176,35 @@
     assert!((KEPT_MS..MAX_BOTH_MS).contains(&after), "{after} ms");
 }
 
+/// The next server answers that it failed while the silent one still runs the request, which may run no more.
+fn failure_beside_standby() {
+    let (mut site, first) = asked(&["a", "b"], "/again/x", 0);
+    let second = next_sent(&mut site, LEFT_MS).expect("the request is moved");
+    let (attempt, status) = (second.attempt, 500);
+    site.event(RelayEvent::Answered { attempt, status });
+    assert!(!site.has_effect(is_answer), "the failure is passed on");
+    site.advance(1000);
+    let (attempt, status) = (first.attempt, 200);
+    site.event(RelayEvent::Answered { attempt, status });
+    assert!(site.has_effect(is_answer), "the answer is not passed on");
+}
+
+/// The next server refuses a request after the silent attempt was given up, and for a moment no other takes it.
+fn refusal_after_expiry() {
+    let (mut site, first) = asked(&["a", "b"], "/again/x", 0);
+    let second = next_sent(&mut site, LEFT_MS).expect("the request is moved");
+    site.advance(EXPIRED_MS);
+    let key = site.core.relay.instances.find(&first.instance);
+    let key = key.expect("known");
+    site.core.relay.instances.arena[key].leaving = true;
+    site.fail_attempt(second.attempt, Ran::No, AttemptFailure::Refused);
+    assert_eq!(site.refused(), None, "refused with time left");
+    let again = next_sent(&mut site, LEFT_MS).expect("the request is offered again");
+    let (attempt, status) = (again.attempt, 200);
+    site.event(RelayEvent::Answered { attempt, status });
+    assert!(site.has_effect(is_answer), "the answer is not passed on");
+}
+
 standby_tests! {
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
@@ -189,4 +222,8 @@
     a_standby_is_kept_for_each_server_asked: second_next_server();
     /// Guards against a silent attempt that is given up for a prompt that nobody decodes yet.
     a_standby_is_kept_for_a_prefill: long_prefill();
+    /// Guards against a failure that is passed on while a silent server still runs the request.
+    a_failure_is_not_passed_on_beside_a_standby: failure_beside_standby();
+    /// Guards against a request without an answer that fails with time and attempts left, since a server refuses it late.
+    an_unanswered_request_waits_for_a_server: refusal_after_expiry();
 }
