Let a begun stream wait when another host has no server of its version

Callers saw a begun stream cut while the links of its host counted as lost: the host that it was forwarded to refused it as certainly not run, since it knew no server of the version at which the stream began, and the silent attempt had been given up.

Such a refusal passes like others: the stream is offered again while time is left.

--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -150,9 +150,10 @@
 /// whether it waits.
 pub(super) fn wait(core: &Core, key: CallKey, refusal: &Refusal, out: &mut Effects) -> bool {
     let call = &core.relay.calls[key];
+    // Another host may not know yet of a server that has the version.
     let passes = matches!(
         refusal.kind,
-        Kind::Overloaded | Kind::NoEngine | Kind::CutOff
+        Kind::Overloaded | Kind::NoEngine | Kind::CutOff | Kind::NoVersion
     );
     let may_have_run = call.runs > 0 || call.delivered;
     let was_given_up = may_have_run && call.given_up.is_some();
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -1,7 +1,9 @@
 //! Requests whose silent attempt is kept, or was given up, while another server is asked to take them.
 
+use super::network::Network;
 use super::*;
-use crate::core::relay::event::Task;
+use crate::core::relay::event::{ForwardRefusal, Task};
+use crate::error::Kind;
 
 /// Milliseconds within which a silent server is left.
 const LEFT_MS: u64 = 3000;
@@ -205,6 +207,38 @@
     assert!(site.has_effect(is_answer), "the answer is not passed on");
 }
 
+/// The links are lost, and the host that a begun stream is forwarded to refuses it after the silent attempt was given up.
+fn late_refusal_of_a_host(kind: Kind) {
+    let mut network = Network::new(3, 1);
+    let site = network.node(0);
+    site.arrive(plain_request("/feed/x"));
+    let attempt = site.sent().expect("a request is sent").attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    site.now += 200;
+    let mut out = Effects::new();
+    for server in ["p", "q", "r"] {
+        let instance = server.into();
+        site.event(RelayEvent::LinkProbed {
+            instance,
+            reached: false,
+        });
+        out.extend(site.out.iter().cloned());
+    }
+    let forwarded = out.iter().find_map(|effect| match effect {
+        Effect::Relay(RelayEffect::Forward(sent)) => Some(sent.attempt),
+        _ => None,
+    });
+    let attempt = forwarded.expect("the stream is forwarded");
+    site.advance(EXPIRED_MS);
+    let refusal = ForwardRefusal {
+        kind,
+        ran: Ran::No,
+        retry_after: None,
+    };
+    site.event(RelayEvent::ForwardRefused { attempt, refusal });
+    assert!(!site.has_effect(is_cut), "the stream was cut");
+}
+
 standby_tests! {
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
@@ -226,4 +260,12 @@
     a_failure_is_not_passed_on_beside_a_standby: failure_beside_standby();
     /// Guards against a request without an answer that fails with time and attempts left, since a server refuses it late.
     an_unanswered_request_waits_for_a_server: refusal_after_expiry();
+    /// Guards against a begun stream that is cut when another host is overloaded.
+    a_begun_stream_waits_when_a_host_is_overloaded: late_refusal_of_a_host(Kind::Overloaded);
+    /// Guards against a begun stream that is cut when another host stops.
+    a_begun_stream_waits_when_a_host_stops: late_refusal_of_a_host(Kind::Stopping);
+    /// Guards against a begun stream that is cut when another host knows no server of its version.
+    a_begun_stream_waits_when_a_host_has_no_version: late_refusal_of_a_host(Kind::NoVersion);
+    /// Guards against a begun stream that is cut when another host does not know its route.
+    a_begun_stream_waits_when_a_host_has_no_route: late_refusal_of_a_host(Kind::NotFound);
 }
