Keep the kind of a service for requests under way

A request to engines under way while a configuration drops its service was taken for one to a plain service: it was sent whole to a prefill engine, and a begun stream was given up for that.

A request keeps the kind of its service as of its arrival. One that has run goes on at engines; one that has not is refused as not run.

The test of the refusal was only run with the change.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -112,14 +112,14 @@
         .as_ref()
         .filter(|_| arrival.resume.is_some());
     let stream = StreamKey::of(resumes.unwrap_or(&arrival.id));
-    let config = core
-        .relay
-        .catalog
-        .as_ref()
-        .map_or(0, |catalog| catalog.version);
+    let catalog = core.relay.catalog.as_ref();
+    let config = catalog.map_or(0, |catalog| catalog.version);
+    let settings = catalog.and_then(|catalog| catalog.services.get(&service));
+    let engines = settings.is_some_and(|settings| settings.engine.is_some());
     let key = core.relay.calls.insert(Call {
         id: arrival.id,
         service,
+        engines,
         identity: Identity::default(),
         prompt: arrival.prompt,
         bytes: arrival.bytes,
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -68,18 +68,19 @@
     pub silence_timeout: Option<Duration>,
 }
 
-/// Chooses a backend server for a request.
+/// Chooses a backend server for a request. One that has run goes on at engines also if the configuration names them no more.
 ///
 /// # Errors
 ///
 /// Returns a refusal if no server can take the request, or none soon enough.
 pub fn choose(core: &mut Core, key: CallKey) -> Result<Choice, Refusal> {
     let call = &core.relay.calls[key];
-    let engines = core.relay.catalog.as_ref().is_some_and(|catalog| {
-        let service = catalog.services.get(&call.service);
-        service.is_some_and(|service| service.engine.is_some())
-    });
-    if engines && call.prompt.is_some() {
+    let has_run = call.runs > 0 || call.delivered;
+    if call.engines && !has_run && engine_spec(core, call).is_none() {
+        let detail = format!("no engines of {} are configured any more", call.service);
+        return Err(Refusal::new(Kind::NoEngine, detail));
+    }
+    if call.engines && call.prompt.is_some() {
         if call.cache.is_some() {
             handover::choose(core, key)
         } else {
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -131,6 +131,8 @@
     pub config: u64,
     /// Service that it is routed to.
     pub service: Box<str>,
+    /// Whether that has engines, by the configuration at its arrival.
+    pub engines: bool,
     /// On whose behalf it runs.
     pub identity: Identity,
     /// Prompt and output.
--- a/src/core/relay/tests/silence.rs
+++ b/src/core/relay/tests/silence.rs
@@ -61,15 +61,18 @@
     Longer,
     Shorter,
     Storm,
+    /// Services and routes are gone.
+    Dropped,
 }
 
-const CHANGES: [Change; 6] = [
+const CHANGES: [Change; 7] = [
     Change::None,
     Change::Weights,
     Change::Route,
     Change::Longer,
     Change::Shorter,
     Change::Storm,
+    Change::Dropped,
 ];
 
 /// What a caller got.
@@ -176,6 +179,13 @@
 
     fn send(&mut self, sent: &Outgoing) {
         let now = self.site.now;
+        let prefills = sent.instance.starts_with('p');
+        assert_eq!(
+            sent.task == Task::Prefill,
+            prefills,
+            "sent to {}",
+            sent.instance
+        );
         self.running.insert(sent.attempt, (sent.clone(), now));
         let own = self
             .running
@@ -297,6 +307,10 @@
         };
         for number in 0..versions {
             let mut changed = catalog(2 + number);
+            if matches!(change, Change::Dropped) {
+                changed.services.clear();
+                changed.routes.clear();
+            }
             for route in &mut changed.routes {
                 match change {
                     Change::Weights => route.split.push(("other".into(), 3)),
@@ -304,7 +318,7 @@
                     Change::Longer => route.timeout *= 2,
                     Change::Shorter => route.timeout /= 2,
                     Change::Storm => route.timeout += Duration::from_millis(100 * number),
-                    Change::None => {}
+                    Change::None | Change::Dropped => {}
                 }
             }
             self.site.configure(changed);
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -239,6 +239,26 @@
     assert!(!site.has_effect(is_cut), "the stream was cut");
 }
 
+/// The configuration drops the service of a request whose prompt is being prefilled.
+fn dropped_service() {
+    let mut site = TestHost::new();
+    let decode = engine_entry("d", Stage::Decode);
+    site.register(vec![engine_entry("p", Stage::Prefill), decode]);
+    site.arrive(model_request("/short/x", (1, 60), 4000));
+    let first = site.sent().expect("a request is sent");
+    assert_eq!(first.task, Task::Prefill);
+    let version = 2;
+    site.configure(Catalog {
+        version,
+        ..Catalog::default()
+    });
+    let (attempt, handle) = (first.attempt, "k".into());
+    site.event(RelayEvent::Prefilled { attempt, handle });
+    assert!(site.sent().is_none(), "sent to a dropped service");
+    let refused = site.refused().map(|(status, ran, _)| (status, ran));
+    assert_eq!(refused, Some((503, Ran::No)));
+}
+
 standby_tests! {
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
@@ -268,4 +288,6 @@
     a_begun_stream_waits_when_a_host_has_no_version: late_refusal_of_a_host(Kind::NoVersion);
     /// Guards against a begun stream that is cut when another host does not know its route.
     a_begun_stream_waits_when_a_host_has_no_route: late_refusal_of_a_host(Kind::NotFound);
+    /// Guards against a request that is sent as a plain one to engines of a dropped service, or fails as if it had run.
+    a_request_of_a_dropped_service_is_refused: dropped_service();
 }
