Look again before a late check for silence decides

After a stall of the host all its checks for silence are due before its sockets are read, so that sound servers count as silent at once and their streams are moved.

A check that is over 100 ms late is made again 50 ms later, when what arrived is read.

The new test failed before (streams moved after a stall of 2 s) and passes now; 369 tests of the relay's core pass (without limit::hosts_together_keep_to_a_limit, which was not run).

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -1,5 +1,7 @@
 //! Outcomes of attempts: prefilled prompts, stream events, complete answers, failures.
 
+use std::time::Duration;
+
 use super::super::effect::{Effect, Meter, Refusal};
 use super::super::event::AttemptFailure;
 use super::super::key::{AttemptKey, BackendKey, CallKey};
@@ -7,11 +9,15 @@
 use super::call::{close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
-    Attempt, KvCache, RetryPolicy, duty, forward, links, load, millis, note, poison, retry,
-    standby, versions,
+    Attempt, KvCache, RelayTimer, RetryPolicy, duty, forward, links, load, millis, note, poison,
+    retry, standby, versions, wake,
 };
 use crate::error::{Kind, Ran};
 
+/// Delay of a check for silence from which on this host has stood still: timers are late by some milliseconds otherwise.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
+/// Time after such a delay in which what arrived meanwhile is read: it is here already.
+const STALL_PAUSE: Duration = Duration::from_millis(50);
 /// Lowest HTTP status that counts as a failure of the backend server.
 const MIN_FAILURE_STATUS: u16 = 500;
 
@@ -436,6 +442,14 @@
     );
 }
 
+/// Checks an attempt for silence after a time.
+pub(super) fn check_after(core: &mut Core, key: AttemptKey, after: Duration, out: &mut Effects) {
+    if let Some(attempt) = core.relay.attempts.get_mut(key) {
+        attempt.check_at = core.now.after(after);
+    }
+    wake(core, after, RelayTimer::Silence(key), out);
+}
+
 /// Sends the request of an attempt that has been silent for too long to another server, if it may run there.
 ///
 /// A backend server can hang although its health check succeeds, and a connection can stop for
@@ -447,18 +461,17 @@
     if standby::is_standby(core, key) {
         return;
     }
+    if core.now.since(attempt.check_at) > MAX_CHECK_DELAY {
+        check_after(core, key, STALL_PAUSE, out);
+        return;
+    }
     let call = &core.relay.calls[attempt.call];
     let instance = core.relay.instances.arena.get(attempt.backend);
     let last_answer = instance.and_then(|instance| instance.last_response);
     let timeout = load::silence_timeout(call, attempt, last_answer, core.now);
     let waited = core.now.since(attempt.last_received);
     if waited < timeout {
-        super::wake(
-            core,
-            timeout.saturating_sub(waited),
-            super::RelayTimer::Silence(key),
-            out,
-        );
+        check_after(core, key, timeout.saturating_sub(waited), out);
         return;
     }
     let call = attempt.call;
@@ -474,7 +487,7 @@
         false
     };
     if !moves {
-        super::wake(core, timeout, super::RelayTimer::Silence(key), out);
+        check_after(core, key, timeout, out);
         return;
     }
     let detail = format!("nothing came for {:.0} ms", millis(waited));
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -16,7 +16,7 @@
 use super::instance::Work;
 use super::versions::{self, StreamKey};
 use super::{
-    Attempt, Call, RelayTimer, forward, from_millis, gossip, links, millis, note, poison,
+    Attempt, Call, RelayTimer, answer, forward, from_millis, gossip, links, millis, note, poison,
     prefix_cache, resolve, retry, standby,
 };
 use crate::error::{Kind, Ran};
@@ -238,6 +238,7 @@
         prefill: choice.prefill,
         started: false,
         last_received: now,
+        check_at: now,
     });
     call.attempt = Some(attempt);
     if choice.work.tokens > 0 || matches!(choice.task, Task::Prefill) {
@@ -287,7 +288,7 @@
     }))));
     standby::sent_on(core, key, &choice.task, out);
     if let Some(silence) = choice.silence_timeout {
-        super::wake(core, silence, RelayTimer::Silence(attempt), out);
+        answer::check_after(core, attempt, silence, out);
     }
 }
 
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -199,6 +199,7 @@
         prefill: PrefillEstimate::default(),
         started: false,
         last_received: now,
+        check_at: now,
     });
     call.attempt = Some(attempt);
     let peer = &mut core.relay.peers.arena[host];
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -225,6 +225,8 @@
     pub started: bool,
     /// When a part of the answer last arrived; the time of sending before the first.
     pub last_received: Time,
+    /// When it is next checked for silence.
+    pub check_at: Time,
 }
 
 /// Expected prefill work at an engine before a request's first token.
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -130,7 +130,7 @@
         instance.record_success(core.now);
     }
     log(core, key, "went-on", "", out);
-    wake(core, RETRY_PAUSE, RelayTimer::Silence(key), out);
+    answer::check_after(core, key, RETRY_PAUSE, out);
 }
 
 /// Returns to a request's standby, if it has one, since no other server takes the request.
@@ -142,7 +142,7 @@
     call.attempt = Some(standby.attempt);
     free_cache(core, key, out);
     log(core, standby.attempt, "waits", "", out);
-    wake(core, RETRY_PAUSE, RelayTimer::Silence(standby.attempt), out);
+    answer::check_after(core, standby.attempt, RETRY_PAUSE, out);
     true
 }
 
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -15,6 +15,8 @@
 const MAX_BOTH_MS: u64 = 350;
 /// Milliseconds until a connection fails.
 const CONNECT_MS: u64 = 250;
+/// Milliseconds for which this host stands still.
+const STALL_MS: u64 = 2000;
 
 /// Defines tests of failures that a standby guards against.
 macro_rules! standby_tests {
@@ -259,6 +261,31 @@
     assert_eq!(refused, Some((503, Ran::No)));
 }
 
+/// This host stands still while three servers send events, and reads these after its timers.
+fn stall() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b"), plain_entry("c")]);
+    let mut streams = Vec::new();
+    for id in 0..9 {
+        let mut arrival = plain_request("/feed/x");
+        arrival.id = format!("id{id}").into();
+        site.arrive(arrival);
+        let attempt = site.sent().expect("a request is sent").attempt;
+        site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+        streams.push(attempt);
+    }
+    site.now += STALL_MS;
+    let out = site.advance(10);
+    assert!(sent(&out).is_empty(), "a stream is moved after a stall");
+    for attempt in streams {
+        site.event(RelayEvent::StreamEvent { attempt, number: 2 });
+    }
+    assert!(!site.core.relay.links.are_lost(), "the links are lost");
+    let moved = next_sent(&mut site, 500);
+    assert!(moved.is_none(), "a stream is moved after a stall");
+    assert!(next_sent(&mut site, LEFT_MS).is_some(), "nothing is moved");
+}
+
 standby_tests! {
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
@@ -290,4 +317,6 @@
     a_begun_stream_waits_when_a_host_has_no_route: late_refusal_of_a_host(Kind::NotFound);
     /// Guards against a request that is sent as a plain one to engines of a dropped service, or fails as if it had run.
     a_request_of_a_dropped_service_is_refused: dropped_service();
+    /// Guards against sound servers that count as silent since this host stood still.
+    a_stall_of_the_host_is_no_silence: stall();
 }
