--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -9,8 +9,8 @@
 use super::call::{close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
-    Attempt, KvCache, RelayTimer, RetryPolicy, duty, forward, links, load, millis, note, poison,
-    retry, standby, versions, wake,
+    Attempt, KvCache, RetryPolicy, duty, forward, links, load, millis, note, parts, poison, retry,
+    standby, versions,
 };
 use crate::error::{Kind, Ran};
 
@@ -132,11 +132,11 @@
     let Some(attempt) = core.relay.attempts.get_mut(key) else {
         return;
     };
-    let (call_key, backend, is_first) = (attempt.call, attempt.backend, !attempt.started);
+    let (call_key, backend, is_first) = (attempt.call, attempt.backend, attempt.began.is_none());
     let sent_at = attempt.sent_at;
     let host = attempt.host;
     let took = millis(now.since(sent_at));
-    attempt.started = true;
+    attempt.began.get_or_insert(now);
     let gap = millis(now.since(attempt.last_received));
     attempt.last_received = now;
     if !is_first && let Some(instance) = core.relay.instances.arena.get_mut(backend) {
@@ -316,12 +316,17 @@
         .and_then(|host| core.relay.peers.arena.get(host));
     let target = backend.map(|instance| ("backend", instance.id.clone()));
     let target = target.or_else(|| host.map(|host| ("host", host.name.clone())));
+    let call = &core.relay.calls[attempt.call];
+    let began = attempt.began.map_or_else(
+        || "never".to_owned(),
+        |at| core.now.since(at).as_millis().to_string(),
+    );
     note(
         out,
         log::Level::Info,
         "attempt.broke",
         vec![
-            ("id", core.relay.calls[attempt.call].id.clone()),
+            ("id", call.id.clone()),
             target.unwrap_or(("backend", "".into())),
             ("task", super::call::task_name(&attempt.task).into()),
             ("how", format!("{how:?}").into()),
@@ -330,6 +335,8 @@
                 "after_ms",
                 format!("{:.0}", millis(core.now.since(attempt.sent_at))).into(),
             ),
+            ("began_ms", began.into()),
+            ("parts", parts::short_text(call.prompt.as_ref())),
             ("detail", detail.into()),
         ],
     );
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -236,7 +236,7 @@
         work: choice.work,
         expected_ms: choice.expected_ms,
         prefill: choice.prefill,
-        started: false,
+        began: None,
         last_received: now,
         check_at: now,
     });
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -197,7 +197,7 @@
         work: Work::default(),
         expected_ms: 0.0,
         prefill: PrefillEstimate::default(),
-        started: false,
+        began: None,
         last_received: now,
         check_at: now,
     });
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -156,7 +156,7 @@
     last_answer: Option<Time>,
     now: Time,
 ) -> Duration {
-    if attempt.started {
+    if attempt.began.is_some() {
         return (call.route.gap_target * 4).max(MIN_STREAM_GAP);
     }
     let alive = last_answer.is_some_and(|at| now.since(at) < ALIVE_WINDOW);
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -23,6 +23,7 @@
 mod load;
 mod model;
 mod notice;
+mod parts;
 mod peers;
 mod planner;
 mod poison;
@@ -221,8 +222,8 @@
     pub expected_ms: f64,
     /// Prefill work expected there before its first token.
     pub prefill: PrefillEstimate,
-    /// Whether any part of the answer arrived.
-    pub started: bool,
+    /// When the first event of the answer arrived.
+    pub began: Option<Time>,
     /// When a part of the answer last arrived; the time of sending before the first.
     pub last_received: Time,
     /// When it is next checked for silence.
