--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -37,6 +37,8 @@
     pub loss_interval: usize,
     /// Datagrams that arrived or were lost.
     deliveries: usize,
+    /// Hosts that do not run for now; what arrives for them waits.
+    pub frozen: BTreeSet<usize>,
     /// Whether servers that broke a request off answer no probe.
     pub fails_probes: bool,
     /// Probes of such servers, by host.
@@ -59,6 +61,8 @@
     pub unreachable: BTreeSet<usize>,
     /// Servers and their versions, in place of the usual ones; a version of `?` stands for none.
     listed: Option<Vec<(Box<str>, Box<str>)>>,
+    /// Entries of servers in place of all others.
+    pub entries: Option<Vec<BackendEntry>>,
     /// Servers whose entries were removed.
     pub removed: BTreeSet<Box<str>>,
     /// Servers that took the place of crashed ones.
@@ -111,6 +115,19 @@
         self.listed_at = self.revision;
     }
 
+    /// Lists these servers in place of all others.
+    pub fn list(&mut self, entries: Vec<BackendEntry>) {
+        let before = self.entries.take().unwrap_or_default();
+        let gone = before.into_iter().map(|entry| entry.id);
+        self.removed.extend(gone);
+        self.removed.extend(["p", "q", "r"].map(Box::from));
+        for entry in &entries {
+            self.removed.remove(&entry.id);
+        }
+        self.entries = Some(entries);
+        self.revision += 1;
+    }
+
     /// Applies writes and removals of poison requests by a host, if it reaches the store.
     fn apply_poison_writes(&mut self, host: usize, ops: &[Op]) {
         if self.unresponsive || self.unreachable.contains(&host) {
@@ -160,7 +177,7 @@
 }
 
 /// Returns the failure domain of a host, of so many that the hosts belong to in turn.
-fn domain_name(host: usize, domains: usize) -> String {
+pub fn domain_name(host: usize, domains: usize) -> String {
     match host % domains {
         0 => "z".to_owned(),
         other => format!("z-{other}"),
@@ -192,7 +209,19 @@
 }
 
 pub fn addr(host: usize) -> SocketAddr {
-    ([10, 9, 0, u8::try_from(host).expect("a small number")], 1).into()
+    let [high, low] = u16::try_from(host).expect("a small number").to_be_bytes();
+    ([10, 9, high, low], 1).into()
+}
+
+/// Returns the host at an address.
+pub fn host_at(addr: SocketAddr) -> usize {
+    match addr {
+        SocketAddr::V4(addr) => {
+            let [_, _, high, low] = addr.ip().octets();
+            u16::from_be_bytes([high, low]).into()
+        }
+        SocketAddr::V6(_) => panic!("{addr} is no host's address"),
+    }
 }
 
 impl TestDomain {
@@ -214,6 +243,7 @@
             received: vec![0; hosts],
             loss_interval: 0,
             deliveries: 0,
+            frozen: BTreeSet::new(),
             fails_probes: true,
             probed: Vec::new(),
             actions: Vec::new(),
@@ -223,6 +253,7 @@
                 unresponsive: false,
                 unreachable: BTreeSet::new(),
                 listed: None,
+                entries: None,
                 removed: BTreeSet::new(),
                 replacements: Vec::new(),
                 restarts: BTreeMap::new(),
@@ -283,9 +314,9 @@
             .retain(|(_, host, ..)| !unresponsive && !unreachable.contains(host));
         let calls = std::mem::take(&mut self.store.calls).into_iter();
         let revision = self.store.revision;
-        let (ready, later): (Vec<_>, Vec<_>) = calls.partition(|(at, _, _, call)| {
+        let (ready, later): (Vec<_>, Vec<_>) = calls.partition(|(at, host, _, call)| {
             let pending = matches!(call, StoreCall::Watch { after, .. } if *after >= revision);
-            *at <= self.now && !pending
+            *at <= self.now && !pending && !self.frozen.contains(host)
         });
         self.store.calls = later;
         for (_, host, number, call) in ready {
@@ -389,6 +420,9 @@
 
     /// Returns the servers whose entries the store holds.
     fn servers(&self) -> Vec<BackendEntry> {
+        if let Some(entries) = &self.store.entries {
+            return entries.clone();
+        }
         if let Some(listed) = &self.store.listed {
             let entries = listed.iter().map(|(id, version)| BackendEntry {
                 revision: self.store.listed_at,
@@ -528,7 +562,8 @@
             self.reply_due();
             self.fail_probes();
             let transit = std::mem::take(&mut self.transit).into_iter();
-            let (ready, later): (Vec<_>, Vec<_>) = transit.partition(|(at, ..)| *at <= self.now);
+            let (ready, later): (Vec<_>, Vec<_>) =
+                transit.partition(|(at, _, to, _)| *at <= self.now && !self.frozen.contains(to));
             self.transit = later;
             for (_, from, to, message) in ready {
                 self.deliveries += 1;
@@ -560,6 +595,9 @@
         let Some(node) = self.hosts[host].as_mut() else {
             return;
         };
+        if self.frozen.contains(&host) || node.timers.iter().all(|(at, _)| *at > self.now) {
+            return;
+        }
         node.now = self.now;
         let due = std::mem::take(&mut node.timers).into_iter();
         let (ready, later): (Vec<_>, Vec<_>) = due.partition(|(at, _)| *at <= self.now);
@@ -592,8 +630,7 @@
                 _ => continue,
             };
             for receiver in to {
-                let to = (0..self.hosts.len()).find(|host| addr(*host) == *receiver);
-                let to = to.expect("a known address");
+                let to = host_at(*receiver);
                 self.sent[from] += 1;
                 self.transit
                     .push((self.now + TRANSIT_MS, from, to, (**message).clone()));
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -16,6 +16,7 @@
 mod load;
 mod network;
 mod partition;
+mod parts;
 mod planner;
 mod poison;
 mod prefix_cache;
--- /dev/null
+++ b/src/core/relay/tests/parts/mod.rs
@@ -0,0 +1,172 @@
+//! Parts of prompts that crash the engines that begin to write an answer on them.
+
+mod site;
+mod tally;
+
+use site::{BAD, BAD_TOO, FIRST, Site};
+
+/// Late sends with a bad part that the users allow.
+const MAX_LATE: usize = 3;
+/// Share of the sound requests with the same first part that the users want served.
+const MIN_SERVED: f64 = 0.5;
+/// Milliseconds of sound traffic before the first bad request.
+const WARM_MS: u64 = 1500;
+
+/// Where the bad part stands in the prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    First,
+    /// First, always beside the same sound part.
+    FirstOfPair,
+    Middle,
+    /// After a sound part that all sound requests share as well.
+    Deep,
+    Alone,
+    /// Two bad parts in turn.
+    InTurn,
+    /// Two bad parts side by side.
+    Both,
+}
+
+impl Place {
+    /// Returns the shared parts of the bad request with a number.
+    fn blocks(self, number: u64) -> Vec<u64> {
+        let other = 100 + number % 20;
+        match self {
+            Self::First => vec![BAD, other],
+            Self::FirstOfPair => vec![BAD, 100],
+            Self::Middle => vec![FIRST, BAD, other],
+            Self::Deep => vec![FIRST, other, BAD],
+            Self::Alone => vec![BAD],
+            Self::InTurn => vec![
+                FIRST,
+                if number.is_multiple_of(2) {
+                    BAD
+                } else {
+                    BAD_TOO
+                },
+            ],
+            Self::Both => vec![FIRST, BAD, BAD_TOO],
+        }
+    }
+}
+
+/// Hosts, engines and callers.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    hosts: usize,
+    domains: usize,
+    prefill: usize,
+    decode: usize,
+    place: Place,
+    /// Milliseconds between two bad requests.
+    bad_interval: u64,
+    /// Paths of bad requests, in turn.
+    paths: &'static [&'static str],
+    /// First parts of sound requests.
+    first_parts: u64,
+    /// Milliseconds between two sound requests.
+    sound_interval: u64,
+    seconds: u64,
+}
+
+/// What the users recorded: eight hosts of three domains, a hundred sound requests a second, two engines for each bad one.
+const RECORDED: Case = Case {
+    hosts: 8,
+    domains: 3,
+    prefill: 5,
+    decode: 5,
+    place: Place::Middle,
+    bad_interval: 1900,
+    paths: &["/short/x"],
+    first_parts: 8,
+    sound_interval: 10,
+    seconds: 30,
+};
+
+/// Lets sound and bad requests come for so many milliseconds.
+fn pass(site: &mut Site, case: &Case, millis: u64) {
+    let start = site.now();
+    while site.now() < start + millis {
+        let elapsed = site.now() - start;
+        if elapsed.is_multiple_of(case.sound_interval) {
+            site.send_sound(case.first_parts);
+        }
+        if case.bad_interval > 0 && elapsed.is_multiple_of(case.bad_interval) {
+            let number = elapsed / case.bad_interval;
+            let turn = usize::try_from(number).expect("a small number");
+            let path = case.paths[turn % case.paths.len()];
+            site.send(path, &case.place.blocks(number));
+        }
+        site.tick();
+    }
+}
+
+fn play(case: &Case) -> Site {
+    let mut site = Site::new(case.hosts, case.domains, case.prefill, case.decode);
+    let calm = Case {
+        bad_interval: 0,
+        ..*case
+    };
+    pass(&mut site, &calm, WARM_MS);
+    pass(&mut site, case, case.seconds * 1000);
+    site
+}
+
+/// Prints what a case came to, and asserts the users' bounds.
+fn assert_bounds(name: &str, site: &Site) {
+    let first = |part: u64| part == FIRST;
+    let since = site.stable_from(BAD).max(site.stable_from(BAD_TOO));
+    let served = site.served(first, since);
+    let late = [BAD, BAD_TOO].map(|part| site.late_sends(part));
+    let sent = site.sends.len();
+    let ended = site.ended.len();
+    eprintln!("{name}: {ended} ended, {sent} sends, {late:?} late, {served:.3} served");
+    assert!(ended > 0, "no engine ended");
+    assert!(
+        late.iter().all(|late| *late <= MAX_LATE),
+        "late sends: {late:?}"
+    );
+    assert!(
+        served >= MIN_SERVED,
+        "{served:.3} of the sound requests served"
+    );
+}
+
+/// Defines one test for each way in which bad requests come.
+macro_rules! bad_parts {
+    ($($name:ident: $case:expr;)*) => {$(
+        /// Guards against hosts that send requests with a part on to engines although engines keep ending under it, and
+        /// that refuse sound requests with them.
+        #[test]
+        fn $name() {
+            let site = play(&$case);
+            assert_bounds(stringify!($name), &site);
+        }
+    )*};
+}
+
+bad_parts! {
+    a_part_in_the_middle: RECORDED;
+    a_part_at_the_front: Case { place: Place::First, ..RECORDED };
+    a_part_beside_a_sound_one: Case { place: Place::FirstOfPair, ..RECORDED };
+    a_part_after_a_shared_one: Case { place: Place::Deep, ..RECORDED };
+    a_part_alone: Case { place: Place::Alone, ..RECORDED };
+    two_parts_in_turn: Case { place: Place::InTurn, bad_interval: 900, ..RECORDED };
+    two_parts_side_by_side: Case { place: Place::Both, ..RECORDED };
+    one_first_part_for_all: Case { first_parts: 1, ..RECORDED };
+    two_routes_share_the_part: Case { paths: &["/short/x", "/long/x"], ..RECORDED };
+    engines_end_one_by_one: Case { paths: &["/long/x"], ..RECORDED };
+    a_low_rate: Case { bad_interval: 2500, paths: &["/long/x"], ..RECORDED };
+    a_middle_rate: Case { bad_interval: 300, ..RECORDED };
+    a_high_rate: Case { bad_interval: 50, ..RECORDED };
+    a_high_rate_at_twelve_engines: Case { bad_interval: 50, prefill: 0, decode: 12, ..RECORDED };
+    a_high_rate_at_three_engines: Case { bad_interval: 50, prefill: 0, decode: 3, ..RECORDED };
+    a_high_rate_at_two_engines: Case { bad_interval: 50, prefill: 0, decode: 2, ..RECORDED };
+    engines_that_answer_whole: Case { prefill: 0, decode: 12, ..RECORDED };
+    one_host: Case { hosts: 1, domains: 1, sound_interval: 30, ..RECORDED };
+    nine_hosts_of_one_domain: Case { hosts: 9, domains: 1, ..RECORDED };
+    large_domains: Case { hosts: 45, domains: 3, ..RECORDED };
+    large_domains_at_a_high_rate: Case { hosts: 45, domains: 3, bad_interval: 50, ..RECORDED };
+    very_large_domains: Case { hosts: 300, domains: 3, bad_interval: 300, seconds: 14, ..RECORDED };
+}
