Refuse parts of prompts that crash servers

Cause: hosts attributed crashes to whole requests only, and no two of these are alike.

A crash now implicates the shared parts of all requests that broke off with the server; hosts report that to each other, and each whole answer to a later request clears its parts. Refused parts are kept in the store under parts/, and counted by chiveway_refused_parts.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -9,8 +9,8 @@
 use super::call::{close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
-    Attempt, KvCache, RetryPolicy, duty, forward, links, load, millis, note, parts, poison, retry,
-    standby, versions,
+    Attempt, KvCache, RelayTimer, RetryPolicy, duty, forward, links, load, millis, note, parts,
+    poison, retry, standby, versions, wake,
 };
 use crate::error::{Kind, Ran};
 
@@ -20,6 +20,8 @@
 const STALL_PAUSE: Duration = Duration::from_millis(50);
 /// Lowest HTTP status that counts as a failure of the backend server.
 const MIN_FAILURE_STATUS: u16 = 500;
+/// Lowest HTTP status of an answer without a result.
+const MIN_UNSERVED_STATUS: u16 = 300;
 
 /// Handles a finished prefill: the request goes on to a decode engine with the KV cache.
 pub(super) fn prefilled(core: &mut Core, key: AttemptKey, handle: Box<str>, out: &mut Effects) {
@@ -110,6 +112,9 @@
     if !failed {
         poison::answered(core, core.relay.calls[call].fingerprint, out);
     }
+    if !is_forwarded && status < MIN_UNSERVED_STATUS {
+        parts::answered(core, call, attempt_sent, out);
+    }
     out.push(Effect::Relay(RelayEffect::ForwardAnswer(call)));
     let outcome = if failed { "failed-there" } else { "answered" };
     end(core, call, outcome, Ran::Yes, out);
@@ -197,8 +202,11 @@
         attempt_failed(core, key, Ran::Yes, AttemptFailure::Cut, reason, out);
         return;
     }
-    close_attempt(core, key);
+    let attempt = close_attempt(core, key);
     poison::answered(core, core.relay.calls[call].fingerprint, out);
+    if let Some(attempt) = attempt.filter(|attempt| attempt.host.is_none() && how.events > 0) {
+        parts::answered(core, call, attempt.sent_at, out);
+    }
     out.push(Effect::Relay(RelayEffect::Finish(call)));
     end(core, call, "answered", Ran::Yes, out);
 }
@@ -250,6 +258,7 @@
     let source = source.filter(|_| !is_standby && matches!(attempt.task, Task::Decode { .. }));
     if how == AttemptFailure::Cut {
         poison::report_crash(core, call, backend, out);
+        parts::attempt_broke(core, &attempt, out);
     }
     match how {
         AttemptFailure::Refused | AttemptFailure::Rejected => links::received(core, out),
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -16,8 +16,8 @@
 use super::instance::Work;
 use super::versions::{self, StreamKey};
 use super::{
-    Attempt, Call, RelayTimer, answer, forward, from_millis, gossip, links, millis, note, poison,
-    prefix_cache, resolve, retry, standby,
+    Attempt, Call, RelayTimer, answer, forward, from_millis, gossip, links, millis, note, parts,
+    poison, prefix_cache, resolve, retry, standby,
 };
 use crate::error::{Kind, Ran};
 
@@ -172,6 +172,10 @@
         forward::forward_or_refuse(core, key, out);
         return;
     }
+    if let Err(refusal) = parts::admission::admit(core, key, out) {
+        refuse(core, key, refusal, out);
+        return;
+    }
     let unreachable = core.relay.calls[key].unreachable;
     if unreachable >= MAX_UNREACHABLE && forward::forward(core, key, out) {
         return;
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -16,7 +16,7 @@
 use super::model::ServiceModel;
 use super::prefix_cache::{Fetch, Holder};
 use super::versions::Version;
-use super::{Call, PrefillEstimate, from_millis, load, millis, prefix_cache, standby};
+use super::{Call, PrefillEstimate, from_millis, load, millis, parts, prefix_cache, standby};
 use crate::error::Kind;
 use crate::settings::relay::Policy;
 
@@ -240,9 +240,11 @@
     let spent = millis(core.now.since(call.arrived));
     let target = millis(call.route.target) * policy.target_factor - spent;
     let holders = prefix_cache::holders(core, call, &prompt);
+    let is_tried = parts::admission::is_blamed(core, key);
     let mut placements = Vec::new();
     for (stage, engines) in [Stage::Prefill, Stage::Decode].into_iter().zip(engines) {
-        if stage == Stage::Prefill && handover.is_none() {
+        // A request that may crash an engine goes to one only.
+        if stage == Stage::Prefill && (handover.is_none() || is_tried) {
             continue;
         }
         placements.extend(engines.into_iter().map(|backend| {
--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -23,6 +23,8 @@
     pub blocks: Vec<BlockReport>,
     /// Crashes of backend servers, with the fingerprints of the requests that they ran.
     pub crashes: Vec<CrashReport>,
+    /// Crashes under requests with a part of their prompts, and whole answers that clear such a part.
+    pub parts: Vec<PartReport>,
     /// Whose load the message reports, and what the receiver does with it.
     pub kind: GossipKind,
     /// Era of the store that the following fields refer to; 0 if the sender has no era yet.
@@ -151,6 +153,43 @@
     pub number: u32,
 }
 
+/// A crash of a backend server under requests with a part of their prompts, or a whole answer to one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PartReport {
+    /// Id of the part.
+    pub part: u64,
+    /// Its position in the prompt, from 0.
+    pub depth: u32,
+    /// Short hash of the customer whose request it was; 0 if none.
+    pub customer: u32,
+    /// The crashed process: short hash of its id, and wall clock at its start in milliseconds. `None` for a whole
+    /// answer.
+    pub crashed: Option<(u32, u64)>,
+    /// Whether the answers to all requests with it that broke off there had begun.
+    pub began: bool,
+    /// Time since the crash, or since the request was sent that was answered.
+    pub age: Duration,
+}
+
+/// What hosts pass on to each other beside their loads.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Updates {
+    /// Prefix blocks sent to engines.
+    pub blocks: Vec<BlockReport>,
+    /// Crashes under requests.
+    pub crashes: Vec<CrashReport>,
+    /// Crashes under parts of prompts, and whole answers.
+    pub parts: Vec<PartReport>,
+}
+
+impl Updates {
+    /// Whether there is none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty() && self.crashes.is_empty() && self.parts.is_empty()
+    }
+}
+
 /// One change of the store, as hosts replicate it to each other.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct StoreChange {
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -22,7 +22,7 @@
 pub use forward::{ForwardRefusal, Forwarded, LinkProbe, Spent};
 pub use gossip::{
     BlockReport, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport, LimitReport,
-    LoadReport, ProbeReport, ReplicatedChanges, StoreChange, UptimeReport,
+    LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange, Updates, UptimeReport,
 };
 pub use notice::{NamedLimit, NamedPushback, Notices};
 pub use stream::{Framing, StreamEnd};
--- a/src/core/relay/gossip/domains.rs
+++ b/src/core/relay/gossip/domains.rs
@@ -36,8 +36,8 @@
         return;
     }
     let loads = summed_loads(core);
-    let (blocks, crashes) = core.relay.peers.cross_domain.take();
-    let message = new_message(core, GossipKind::Domain(own), loads, blocks, crashes);
+    let updates = core.relay.peers.cross_domain.take(core.now);
+    let message = new_message(core, GossipKind::Domain(own), loads, updates);
     out.extend(publish_effect(to, message));
 }
 
--- a/src/core/relay/gossip/gather.rs
+++ b/src/core/relay/gossip/gather.rs
@@ -9,7 +9,7 @@
 
 use super::super::super::key::HostKey;
 use super::super::super::{Core, Effects};
-use super::super::event::{Gossip, GossipKind, IncludedReport, LoadReport};
+use super::super::event::{Gossip, GossipKind, IncludedReport, LoadReport, Updates};
 use super::super::instance::{Work, short_hash};
 use super::super::{departed, note};
 use super::aggregator::{AggregatorChange, preferred_order};
@@ -43,13 +43,13 @@
             .iter()
             .filter_map(|name| peer_addr(core, name))
             .collect();
-        let message = new_message(core, GossipKind::Hello, Vec::new(), Vec::new(), Vec::new());
+        let message = new_message(core, GossipKind::Hello, Vec::new(), Updates::default());
         out.extend(publish_effect(to, message));
     }
     if core.relay.peers.aggregator.is_root() {
         // The hosts included in the last totals report to this host from now on.
         drop_totals(core);
-        core.relay.peers.upstream.take();
+        core.relay.peers.upstream.take(now);
     }
     send_report(core, out);
 }
@@ -77,23 +77,23 @@
 /// Sends a report to the aggregator, if there is one and a report is due.
 fn send_report(core: &mut Core, out: &mut Effects) {
     let loads = summed_loads(core);
-    let (blocks, crashes) = take_unpublished(core);
+    let (updates, now) = (take_unpublished(core), core.now);
     let peers = &mut core.relay.peers;
-    if !blocks.is_empty() || !crashes.is_empty() {
-        peers.upstream.add(&blocks, &crashes);
+    if !updates.is_empty() {
+        peers.upstream.add(&updates, now);
     }
     let changed = peers.upstream.is_dirty();
     if !should_publish(core, &loads, changed) {
         return;
     }
     let peers = &mut core.relay.peers;
-    peers.downstream.add(&blocks, &crashes);
-    peers.cross_domain.add(&blocks, &crashes);
+    peers.downstream.add(&updates, now);
+    peers.cross_domain.add(&updates, now);
     let Some(to) = aggregator_addr(core) else {
         return;
     };
-    let (blocks, crashes) = core.relay.peers.upstream.take();
-    let message = new_message(core, GossipKind::Report, loads, blocks, crashes);
+    let updates = core.relay.peers.upstream.take(now);
+    let message = new_message(core, GossipKind::Report, loads, updates);
     let peers = &mut core.relay.peers;
     peers.aggregator.report_sent(core.now);
     peers
@@ -139,9 +139,9 @@
         .collect();
     let peers = &mut core.relay.peers;
     peers.totals_sent = Some(core.now);
-    let (blocks, crashes) = peers.downstream.take();
+    let updates = peers.downstream.take(core.now);
     let (to, included) = reporters.into_iter().unzip();
-    let message = new_message(core, GossipKind::Totals(included), loads, blocks, crashes);
+    let message = new_message(core, GossipKind::Totals(included), loads, updates);
     out.extend(publish_effect(to, message));
 }
 
@@ -196,7 +196,7 @@
     let peers = &mut core.relay.peers;
     peers.arena[totals].last_seen = Some(now);
     peers.reporter_count = included.len();
-    peers.downstream.add(&[], &[]);
+    peers.downstream.add(&Updates::default(), now);
     core.relay.instances.set_reported_work(totals, &others);
 }
 
@@ -228,13 +228,7 @@
         .as_deref()
         .filter(|_| change.current.is_some());
     if let Some(to) = replaced.and_then(|name| peer_addr(core, name)) {
-        let message = new_message(
-            core,
-            GossipKind::Farewell,
-            Vec::new(),
-            Vec::new(),
-            Vec::new(),
-        );
+        let message = new_message(core, GossipKind::Farewell, Vec::new(), Updates::default());
         out.extend(publish_effect(vec![to], message));
     }
 }
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -15,6 +15,7 @@
 mod pending;
 
 pub use aggregator::Aggregator;
+use pending::MAX_PART_REPORTS;
 pub use pending::PendingUpdates;
 
 use std::net::SocketAddr;
@@ -23,12 +24,12 @@
 use super::super::effect::Effect;
 use super::super::key::HostKey;
 use super::super::{Core, Effects};
-use super::event::{BlockReport, CrashReport, Gossip, GossipKind, LoadReport, RelayEffect};
+use super::event::{BlockReport, Gossip, GossipKind, LoadReport, RelayEffect, Updates};
 use super::instance::Work;
 use super::peers::Peer;
 use super::{
-    RelayTimer, departed, duty, from_millis, limit, links, load, peers, poison, prefix_cache,
-    versions, view, wake,
+    RelayTimer, departed, duty, from_millis, limit, links, load, parts, peers, poison,
+    prefix_cache, versions, view, wake,
 };
 
 /// Shortest interval between two messages to the other hosts.
@@ -118,13 +119,13 @@
 /// Sends this host's own load to each host of its failure domain.
 fn publish_own(core: &mut Core, out: &mut Effects) {
     let loads = own_loads(core);
-    let (blocks, crashes) = take_unpublished(core);
-    if !should_publish(core, &loads, !blocks.is_empty() || !crashes.is_empty()) {
+    let updates = take_unpublished(core);
+    if !should_publish(core, &loads, !updates.is_empty()) {
         return;
     }
-    core.relay.peers.cross_domain.add(&blocks, &crashes);
+    core.relay.peers.cross_domain.add(&updates, core.now);
     let addrs = neighbour_addrs(core);
-    let message = new_message(core, GossipKind::Own, loads, blocks, crashes);
+    let message = new_message(core, GossipKind::Own, loads, updates);
     out.extend(publish_effect(addrs, message));
 }
 
@@ -138,14 +139,15 @@
 }
 
 /// Takes this host's prefix blocks and crash reports that are still to be sent.
-fn take_unpublished(core: &mut Core) -> (Vec<BlockReport>, Vec<CrashReport>) {
-    let blocks = std::mem::take(&mut core.relay.peers.pending_blocks);
+fn take_unpublished(core: &mut Core) -> Updates {
     let doubtful = links::doubtful_servers(core);
-    let crashes = core
-        .relay
-        .poison_requests
-        .take_unpublished(&doubtful, core.now);
-    (blocks, crashes)
+    let parts = parts::reports::take_unpublished(core, MAX_PART_REPORTS);
+    let poison_requests = &mut core.relay.poison_requests;
+    Updates {
+        crashes: poison_requests.take_unpublished(&doubtful, core.now),
+        blocks: std::mem::take(&mut core.relay.peers.pending_blocks),
+        parts,
+    }
 }
 
 /// Whether a message with these loads is due: something changed, or the last message is older than
@@ -206,8 +208,7 @@
     core: &mut Core,
     kind: GossipKind,
     loads: Vec<LoadReport>,
-    blocks: Vec<BlockReport>,
-    crashes: Vec<CrashReport>,
+    updates: Updates,
 ) -> Gossip {
     core.relay.peers.sequence += 1;
     let has_changes = match kind {
@@ -229,8 +230,9 @@
         incarnation: core.members.incarnation(),
         sequence: core.relay.peers.sequence,
         loads,
-        blocks,
-        crashes,
+        blocks: updates.blocks,
+        crashes: updates.crashes,
+        parts: updates.parts,
         kind,
         era: core.relay.view.era(),
         probe,
@@ -384,6 +386,7 @@
     peer.last_seen = Some(now);
     if is_new {
         core.relay.poison_requests.publish_again(now);
+        core.relay.parts.publish_again();
     }
     core.relay.peers.arena[sender].is_cut_off = message.cut_off;
     if let Some(addr) = message.addr {
@@ -410,13 +413,18 @@
     if let Some(probe) = message.probe {
         view::probe::reported(core, probe, out);
     }
+    let updates = Updates {
+        blocks: message.blocks.clone(),
+        crashes: message.crashes.clone(),
+        parts: message.parts.clone(),
+    };
     let peers = &mut core.relay.peers;
-    peers.downstream.add(&message.blocks, &message.crashes);
+    peers.downstream.add(&updates, now);
     if matches!(message.kind, GossipKind::Own | GossipKind::Report) {
-        peers.cross_domain.add(&message.blocks, &message.crashes);
+        peers.cross_domain.add(&updates, now);
     }
     if message.kind == GossipKind::Report {
-        peers.upstream.add(&message.blocks, &message.crashes);
+        peers.upstream.add(&updates, now);
     }
     // The aggregator's totals include the loads of all other messages.
     let has_aggregator = peers.aggregator.current().is_some();
@@ -432,6 +440,7 @@
     }
     record_blocks(core, &message.blocks);
     poison::receive(core, &message.host, &message.crashes, out);
+    parts::reports::receive(core, &message.parts, out);
     if matches!(message.kind, GossipKind::Domain(_)) {
         domains::forward(core, message, out);
     }
--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -20,7 +20,7 @@
 use super::departed::ServerStart;
 use super::event::{LinkProbe, RelayEffect};
 use super::instance::Instance;
-use super::{RelayTimer, answer, forward, note, planner, standby, wake};
+use super::{Attempt, RelayTimer, answer, forward, note, parts, planner, standby, wake};
 
 /// Servers that must fail, or both if there are two: one or two of more can be at fault themselves. A single server
 /// cannot be distinguished from the link to it.
@@ -173,9 +173,20 @@
     }
     planner::links_lost(core, out);
     wake(core, PROBE_INTERVAL, RelayTimer::ProbeLinks, out);
+    record_broken(core, &failed, out);
     move_attempts(core, out);
 }
 
+/// Records the attempts at servers that failed: those that are moved to another host end before their connections break.
+fn record_broken(core: &mut Core, failed: &[BackendKey], out: &mut Effects) {
+    let attempts = core.relay.attempts.values();
+    let broken = attempts.filter(|attempt| failed.contains(&attempt.backend));
+    let broken: Vec<Attempt> = broken.cloned().collect();
+    for attempt in &broken {
+        parts::attempt_broke(core, attempt, out);
+    }
+}
+
 /// Forwards the requests of attempts that may be sent again.
 fn move_attempts(core: &mut Core, out: &mut Effects) {
     let attempts = core.relay.attempts.iter();
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -202,7 +202,7 @@
 }
 
 /// One attempt at a backend server.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Attempt {
     /// The request.
     pub call: CallKey,
@@ -271,6 +271,8 @@
     pub versions: Versions,
     /// Poison requests: those suspected of crashing backend servers.
     pub poison_requests: poison::PoisonRequests,
+    /// Parts of prompts that are suspected of crashing backend servers.
+    pub parts: parts::Parts,
     /// Stages of engines.
     pub planner: planner::Planner,
     /// Duties that one host at a time carries out.
@@ -443,6 +445,7 @@
     duty::usage::changed(core, &changes);
     duty::scaling::changed(core, &changes);
     poison::stored::changed(core, &changes, out);
+    parts::stored::changed(core, &changes, out);
 }
 
 /// Logs changes in the listing of backend servers, and whether the store or which host they come from.
--- a/src/core/relay/poison/mod.rs
+++ b/src/core/relay/poison/mod.rs
@@ -19,7 +19,7 @@
 use super::customers::Identity;
 use super::departed::ServerStart;
 use super::event::CrashReport;
-use super::{links, note};
+use super::{links, note, parts};
 
 /// Crashed processes after which a request is refused.
 const CRASHES_TO_BLOCK: usize = 2;
@@ -185,6 +185,12 @@
         }
     }
 
+    /// Whether the result of a probe of a server is still to come.
+    #[must_use]
+    pub fn is_probing(&self, server: ServerStart, now: Time) -> bool {
+        self.probes.is_pending(server, now)
+    }
+
     /// Reports the crashes under all refused requests again: a new process of a host has received none of them.
     pub fn publish_again(&mut self, now: Time) {
         let blocked = self
@@ -313,6 +319,7 @@
         return;
     };
     let server = instance.start();
+    parts::server_answered(core, backend, sent_at);
     for fingerprint in core.relay.poison_requests.clear_server(server, sent_at) {
         log_cleared(fingerprint, "server-alive", out);
         stored::cleared(core, fingerprint, out);
--- a/src/core/relay/poison/stored.rs
+++ b/src/core/relay/poison/stored.rs
@@ -76,7 +76,7 @@
 }
 
 /// Sets the timer for the next call, unless it is due by then.
-fn arm_timer(core: &mut Core, at: Time, out: &mut Effects) {
+pub(in super::super) fn arm_timer(core: &mut Core, at: Time, out: &mut Effects) {
     let requests = &mut core.relay.poison_requests;
     let earliest = requests
         .last_sync
@@ -122,6 +122,9 @@
             (false, false) => record.sync_at = None,
         }
     }
+    let room = MAX_CALL_KEYS - ops.len();
+    ops.extend(core.relay.parts.sync(room, now, wall_ms));
+    let requests = &mut core.relay.poison_requests;
     if !ops.is_empty() {
         requests.last_sync = Some(now);
         let txn = Txn {
@@ -132,7 +135,8 @@
         out.push(Effect::Txn { job, txn });
     }
     let records = core.relay.poison_requests.records.values();
-    if let Some(next) = records.filter_map(|record| record.sync_at).min() {
+    let next = records.filter_map(|record| record.sync_at).min();
+    if let Some(next) = next.into_iter().chain(core.relay.parts.next_sync()).min() {
         arm_timer(core, next, out);
     }
 }
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -4,6 +4,7 @@
 use super::super::key::{AttemptKey, CallKey};
 use super::choose::{self, Choice};
 use super::event::Task;
+use super::parts;
 use super::standby::Standby;
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
@@ -33,6 +34,7 @@
         .poison_requests
         .blocked_for(call.fingerprint, core.now)
         .is_some()
+        || parts::admission::is_blamed(core, key)
     {
         return None;
     }
--- a/src/core/relay/tests/domain.rs
+++ b/src/core/relay/tests/domain.rs
@@ -87,13 +87,15 @@
     pub poison_writes: Vec<KeyChange>,
 }
 
-/// Prefix of the keys of poison requests.
-const POISON_PREFIX: &str = "poison/";
+/// Prefixes of the keys of poison requests and of refused parts.
+const POISON_PREFIXES: [&str; 2] = ["poison/", "parts/"];
 
 /// Whether an operation writes or removes a poison request.
 fn is_poison_write(op: &Op) -> bool {
     match op {
-        Op::Put { key, .. } | Op::Delete(Span::Key(key)) => key.starts_with(POISON_PREFIX),
+        Op::Put { key, .. } | Op::Delete(Span::Key(key)) => {
+            POISON_PREFIXES.iter().any(|prefix| key.starts_with(prefix))
+        }
         _ => false,
     }
 }
--- a/src/core/relay/tests/parts/mod.rs
+++ b/src/core/relay/tests/parts/mod.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts that crash the engines that begin to write an answer on them.
 
+mod beside;
 mod site;
 mod tally;
 
@@ -86,9 +87,9 @@
 
 /// Lets sound and bad requests come for so many milliseconds.
 fn pass(site: &mut Site, case: &Case, millis: u64) {
-    let start = site.now();
-    while site.now() < start + millis {
-        let elapsed = site.now() - start;
+    let end = site.now() + millis;
+    while site.now() < end {
+        let elapsed = site.now();
         if elapsed.is_multiple_of(case.sound_interval) {
             site.send_sound(case.first_parts);
         }
--- a/src/core/relay/tests/parts/site.rs
+++ b/src/core/relay/tests/parts/site.rs
@@ -184,6 +184,25 @@
         }
     }
 
+    /// Returns the ids of engines of a stage that run.
+    pub fn engines(&self, stage: Stage) -> Vec<Box<str>> {
+        let all = self.engines.values();
+        let of_stage = all.filter(|entry| entry.stage == Some(stage));
+        of_stage.map(|entry| entry.id.clone()).collect()
+    }
+
+    /// Cuts a host off from all engines: its running attempts break off.
+    pub fn cut_links(&mut self, host: usize) {
+        self.cut.insert(host);
+        let running = self.running.keys().filter(|(at, _)| *at == host);
+        let running: Vec<AttemptKey> = running.map(|(_, attempt)| *attempt).collect();
+        for attempt in running {
+            self.running.remove(&(host, attempt));
+            let broken = Incident::Failed(attempt, Ran::Unknown, AttemptFailure::Cut);
+            self.after(HOP_MS, host, broken);
+        }
+    }
+
     fn after(&mut self, millis: u64, host: usize, incident: Incident) {
         self.due.push((self.domain.now + millis, host, incident));
     }
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -52,6 +52,7 @@
     limited: Gauge<u64>,
     pushbacks: Gauge<u64>,
     poison_requests: Gauge<u64>,
+    refused_parts: Gauge<u64>,
     links_lost: Gauge<u64>,
     forwarded: Counter<u64>,
     taken_up: Counter<u64>,
@@ -153,6 +154,12 @@
                     "Requests refused since backend servers crashed while running them",
                 )
                 .build(),
+            refused_parts: meter
+                .u64_gauge("chiveway_refused_parts")
+                .with_description(
+                    "Parts of prompts refused since backend servers crashed under them",
+                )
+                .build(),
             links_lost: meter
                 .u64_gauge("chiveway_links_lost")
                 .with_description("1 while this host reaches no backend server")
@@ -290,6 +297,11 @@
         self.poison_requests.record(requests, &[]);
     }
 
+    /// Sets the number of parts of prompts that are refused because backend servers crashed under them.
+    pub fn set_refused_parts(&self, parts: u64) {
+        self.refused_parts.record(parts, &[]);
+    }
+
     /// Sets whether this host reaches no backend server.
     pub fn set_links_lost(&self, lost: bool) {
         self.links_lost.record(lost.into(), &[]);
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -233,6 +233,8 @@
         node.metrics.set_pushbacks(pushed);
         let poison = node.with_core(|core| core.relay.poison_requests.blocked_count(now));
         node.metrics.set_poison_requests(poison);
+        let refused = node.with_core(|core| core.relay.parts.refused_count());
+        node.metrics.set_refused_parts(refused);
         let lost = node.with_core(|core| core.relay.links.are_lost());
         node.metrics.set_links_lost(lost);
     }
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -10,8 +10,8 @@
 use super::events::Splitter;
 use super::store::prefix_keys;
 use crate::core::relay::event::{
-    CrashReport, DepartureReport, Gossip, GossipKind, LimitReport, LoadReport, StreamMessage,
-    StreamQuery, StreamRecord, StreamReply, UptimeReport,
+    CrashReport, DepartureReport, Gossip, GossipKind, LimitReport, LoadReport, PartReport,
+    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 use crate::store::{Compare, Op, Span, Txn};
@@ -59,6 +59,21 @@
             started_ms: 1_770_695_843_786,
             number: 2,
         }],
+        parts: vec![
+            PartReport {
+                part: 3,
+                depth: 1,
+                customer: 9,
+                crashed: Some((5, 1_770_695_843_786)),
+                began: true,
+                age: Duration::from_millis(70),
+            },
+            PartReport {
+                part: 4,
+                age: Duration::from_millis(20),
+                ..PartReport::default()
+            },
+        ],
         uptime: Some(UptimeReport {
             length: Duration::from_secs(9),
             age: Duration::from_millis(400),
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -484,6 +484,31 @@
     /// Address of the sender, while its registration does not name it; empty otherwise.
     #[prost(string, tag = "23")]
     pub addr: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "24")]
+    pub part_reports: ::prost::alloc::vec::Vec<PartReport>,
+}
+/// A backend server that died under requests with a part of their prompts, or a whole answer to one.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PartReport {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Position in the prompt, from 0.
+    #[prost(uint32, tag = "2")]
+    pub depth: u32,
+    /// Short hash of the customer; 0 for none.
+    #[prost(fixed32, tag = "3")]
+    pub customer: u32,
+    /// The server that died, and the wall clock at its start; absent for a whole answer.
+    #[prost(fixed32, optional, tag = "4")]
+    pub instance: ::core::option::Option<u32>,
+    #[prost(uint64, tag = "5")]
+    pub started_ms: u64,
+    /// Milliseconds since the death, or since the request was sent that was answered.
+    #[prost(uint32, tag = "6")]
+    pub age: u32,
+    /// The answers to all requests with the part that broke off there had begun.
+    #[prost(bool, tag = "7")]
+    pub began: bool,
 }
 /// Versions at which streams began, queries for them, and answers.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -10,8 +10,8 @@
 use crate::core::relay::duty::usage::ledger::{Process, Row, UsageReport};
 use crate::core::relay::event::{
     BlockReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
-    LimitReport, LoadReport, ProbeReport, ReplicatedChanges, StoreChange, StreamMessage,
-    StreamQuery, StreamRecord, StreamReply, UptimeReport,
+    LimitReport, LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange,
+    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 
@@ -42,6 +42,7 @@
         addr: message
             .addr
             .map_or_else(String::new, |addr| addr.to_string()),
+        part_reports: message.parts.iter().map(to_part).collect(),
     };
     out.reserve(message.encoded_len());
     // Encoding fails only when the buffer is full, and `BytesMut` grows.
@@ -69,6 +70,7 @@
         loads: from_loads(&message.loads.unwrap_or_default())?,
         blocks: message.parts.iter().map(from_block).collect(),
         crashes: message.deaths.iter().map(from_crash).collect(),
+        parts: message.part_reports.iter().map(from_part).collect(),
         kind,
         replicated: message.passage.map(from_replicated),
         uptime: message.uptime.map(from_uptime),
@@ -413,3 +415,28 @@
         number: crash.before,
     }
 }
+
+fn to_part(report: &PartReport) -> wire::PartReport {
+    wire::PartReport {
+        part: report.part,
+        depth: report.depth,
+        customer: report.customer,
+        instance: report.crashed.map(|(instance, _)| instance),
+        started_ms: report.crashed.map_or(0, |(_, started_ms)| started_ms),
+        age: millis(report.age),
+        began: report.began,
+    }
+}
+
+fn from_part(report: &wire::PartReport) -> PartReport {
+    PartReport {
+        part: report.part,
+        depth: report.depth,
+        customer: report.customer,
+        crashed: report
+            .instance
+            .map(|instance| (instance, report.started_ms)),
+        began: report.began,
+        age: Duration::from_millis(report.age.into()),
+    }
+}
