Send what a host knows of departures along with a forwarded request

Host-0 knew of the drain and forwarded a stream to host-2, which had started 0.26 s before, after the store was restored to a copy that lists s-8 as ready. Gossip sends departures for 1 s only, so that a host that starts later learns of none.

A forwarded request now brings up to 32 departures, the latest, with the era, in two headers: the list and a MAC over it and the request's MAC. Hosts of earlier versions ignore both, and accept and send requests without them. The other host takes them in before it chooses. A server that left in an earlier era and has not registered again has left as of the point up to which the forwarding host knows all changes; revisions of an era before that of the other host are dropped.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -16,8 +16,8 @@
 use super::instance::Work;
 use super::versions::{self, StreamKey};
 use super::{
-    Attempt, Call, RelayTimer, answer, forward, from_millis, gossip, links, millis, note, parts,
-    poison, prefix_cache, resolve, retry, standby,
+    Attempt, Call, RelayTimer, answer, departed, forward, from_millis, gossip, links, millis, note,
+    parts, poison, prefix_cache, resolve, retry, standby,
 };
 use crate::error::{Kind, Ran};
 
@@ -41,7 +41,8 @@
 /// Minimum number of idle connections to a backend server that a host may keep.
 const MIN_IDLE_CONNECTIONS: usize = 2;
 
-pub(super) fn arrived(core: &mut Core, arrival: Arrival, out: &mut Effects) {
+pub(super) fn arrived(core: &mut Core, mut arrival: Arrival, out: &mut Effects) {
+    departed::forwarded(core, &mut arrival, out);
     versions::take_up::log(&arrival, out);
     let resolved = resolve::resolve(core, &arrival);
     let (route, service, identity) = match resolved {
--- a/src/core/relay/departed.rs
+++ b/src/core/relay/departed.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::event::{BackendEntry, DepartureReport};
+use super::event::{Arrival, BackendEntry, DepartureReport, Departures};
 use super::instance::short_hash;
 use super::{log_listings, view};
 use crate::core::key::BackendKey;
@@ -22,6 +22,11 @@
 /// Maximum number of departures in one datagram; the latest are sent.
 const MAX_REPORTS: usize = 32;
 
+/// Maximum number of departures that go along with a forwarded request, in about 1 KiB of headers; the latest are sent.
+const MAX_FORWARDED: usize = 32;
+
+/// Source in the log of a departure that a forwarded request brought.
+const FORWARD_SOURCE: &str = "forwarded request";
 /// Source in the log of a departure that the server's own answer stated.
 const ANSWER_SOURCE: &str = "answer";
 
@@ -126,27 +131,55 @@
     /// Returns the departures to send to other hosts that are in the same era of the store, the latest first.
     #[must_use]
     pub fn reports(&self, era: u64, now: Time) -> Vec<DepartureReport> {
-        let recent = self.servers.iter().filter(|(_, departure)| {
-            let is_recent = now.since(departure.recorded) < REPORT_TIME;
+        let recent = self.latest_first().filter(|(_, departure)| {
             let compares = match departure.evidence {
                 Evidence::Store(at) => at.era == era,
                 Evidence::Answer => true,
             };
-            is_recent && departure.reported && compares
+            now.since(departure.recorded) < REPORT_TIME && compares
+        });
+        let reports = recent.map(|(start, departure)| DepartureReport {
+            instance: start.0,
+            started_ms: start.1,
+            revision: match departure.evidence {
+                Evidence::Store(at) => Some(at.revision),
+                Evidence::Answer => None,
+            },
         });
-        let mut recent: Vec<_> = recent.collect();
-        recent.sort_by_key(|(_, departure)| std::cmp::Reverse(departure.recorded));
-        let reports = recent
-            .into_iter()
+        reports.take(MAX_REPORTS).collect()
+    }
+
+    /// Returns the departures to send along with a request, the latest first.
+    ///
+    /// A server that left in an earlier era and has not registered again has left as of `at`, the point up to which this
+    /// host knows all changes.
+    #[must_use]
+    pub fn known(&self, at: Position) -> Departures {
+        let reports = self
+            .latest_first()
             .map(|(start, departure)| DepartureReport {
                 instance: start.0,
                 started_ms: start.1,
                 revision: match departure.evidence {
-                    Evidence::Store(at) => Some(at.revision),
+                    Evidence::Store(left) if left.era == at.era => Some(left.revision),
+                    Evidence::Store(_) => Some(at.revision),
                     Evidence::Answer => None,
                 },
             });
-        reports.take(MAX_REPORTS).collect()
+        Departures {
+            era: at.era,
+            reports: reports.take(MAX_FORWARDED).collect(),
+        }
+    }
+
+    fn latest_first(&self) -> impl Iterator<Item = (ServerStart, Departure)> {
+        let all = self.servers.iter();
+        let mut reported: Vec<_> = all
+            .filter(|(_, departure)| departure.reported)
+            .map(|(start, departure)| (*start, *departure))
+            .collect();
+        reported.sort_by_key(|(_, departure)| std::cmp::Reverse(departure.recorded));
+        reported.into_iter()
     }
 }
 
@@ -176,6 +209,25 @@
     }
 }
 
+/// Handles the departures that a forwarded request brings.
+pub fn forwarded(core: &mut Core, arrival: &mut Arrival, out: &mut Effects) {
+    let mut departures = std::mem::take(&mut arrival.departures);
+    view::era::observe(core, departures.era, FORWARD_SOURCE, out);
+    if departures.era < core.relay.view.era() {
+        // Revisions of an earlier era do not compare with those here.
+        let reports = &mut departures.reports;
+        reports.retain(|report| report.revision.is_none());
+    }
+    reported(core, FORWARD_SOURCE, &departures.reports, out);
+}
+
+/// Returns the departures to send along with a request.
+#[must_use]
+pub fn known(core: &Core) -> Departures {
+    let departed = core.relay.instances.departed();
+    departed.known(known_position(&core.relay.view))
+}
+
 /// Returns the departures to send to other hosts.
 #[must_use]
 pub fn reports(core: &Core) -> Vec<DepartureReport> {
--- a/src/core/relay/event/forward.rs
+++ b/src/core/relay/event/forward.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::DepartureReport;
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::versions::Version;
 use crate::error::{Kind, Ran};
@@ -18,6 +19,15 @@
     pub prefills: u32,
 }
 
+/// Backend servers that left, as the host knows that forwards a request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Departures {
+    /// Era of the store that the revisions refer to; 0 if the host has no era yet.
+    pub era: u64,
+    /// The servers, those that left last first.
+    pub reports: Vec<DepartureReport>,
+}
+
 /// A request on its way to another host.
 #[derive(Debug, Clone)]
 pub struct Forwarded {
@@ -41,6 +51,8 @@
     pub streaming: bool,
     /// What it has used up at this host.
     pub spent: Spent,
+    /// Servers that left.
+    pub departures: Departures,
 }
 
 /// Refusal of a forwarded request by the other host itself.
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -19,7 +19,7 @@
 use crate::core::time::Time;
 use crate::error::Ran;
 use crate::settings::Settings;
-pub use forward::{ForwardRefusal, Forwarded, LinkProbe, Spent};
+pub use forward::{Departures, ForwardRefusal, Forwarded, LinkProbe, Spent};
 pub use gossip::{
     BlockReport, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport, LimitReport,
     LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange, Updates, UptimeReport,
@@ -282,6 +282,8 @@
     pub forwarded: Option<Spent>,
     /// Version at which its stream began, from the host that forwarded it.
     pub version: Option<Version>,
+    /// Servers that left, as that host knows.
+    pub departures: Departures,
 }
 
 /// What a model request asks of an engine.
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -17,7 +17,7 @@
 use super::instance::Work;
 use super::peers::Peer;
 use super::versions::Version;
-use super::{Attempt, PrefillEstimate, note, standby};
+use super::{Attempt, PrefillEstimate, departed, note, standby};
 use crate::error::{Kind, Ran};
 
 /// Hosts that one request is forwarded to. In a large failure domain hosts do not send gossip to each other, so that a
@@ -172,6 +172,7 @@
 
 fn send(core: &mut Core, key: CallKey, host: HostKey, out: &mut Effects) {
     let now = core.now;
+    let departures = departed::known(core);
     let call = &mut core.relay.calls[key];
     let spent = Spent {
         runs: call.runs,
@@ -230,6 +231,7 @@
         version: call.version,
         streaming: call.route.streaming,
         spent,
+        departures,
     }))));
     standby::sent_on(core, key, &Task::Whole, out);
 }
--- a/src/core/relay/tests/departure_reports.rs
+++ b/src/core/relay/tests/departure_reports.rs
@@ -2,6 +2,7 @@
 
 use super::domain::TestDomain;
 use super::*;
+use crate::core::relay::departed::{Departed, Evidence, Position};
 use crate::core::relay::event::{DepartureReport, Gossip};
 use crate::core::relay::instance::short_hash;
 
@@ -136,3 +137,85 @@
     });
     assert_eq!(reports.sum::<usize>(), 0);
 }
+
+/// Returns host 0, which knows that server `r` left before the store was restored to a copy that lists it, and host 1, which
+/// has just started.
+fn beside_a_new_host() -> TestDomain {
+    let mut domain = TestDomain::with_domains(2, 2);
+    domain.pass(3000);
+    let copy = domain.store.revision;
+    domain.remove("r");
+    domain.pass(2000);
+    domain.store.removed.clear();
+    domain.restore(copy);
+    domain.pass(2000);
+    domain.cuts.extend([(0, 1), (1, 0)]);
+    domain
+}
+
+/// Starts host 1 anew, forwards a request of host 0 to it, and returns whether it uses server `r` before and after.
+fn uses_r_around_a_forward(domain: &mut TestDomain) -> (bool, bool) {
+    domain.restart(1);
+    domain.pass(300);
+    domain.actions.clear();
+    for server in ["p", "q", "r"] {
+        let node = domain.hosts[0].as_mut().expect("a running host");
+        node.event(RelayEvent::LinkProbed {
+            instance: server.into(),
+            reached: false,
+        });
+    }
+    domain.arrive(0);
+    domain.send_effects(0);
+    let forwarded = domain
+        .actions
+        .drain(..)
+        .find_map(|(_, effect)| match effect {
+            RelayEffect::Forward(out) => Some(out),
+            _ => None,
+        });
+    let out = forwarded.expect("the request is forwarded");
+    let node = domain.hosts[1].as_mut().expect("a running host");
+    let before = uses_r(node);
+    node.arrive(Arrival {
+        forwarded: Some(out.spent),
+        departures: out.departures,
+        ..plain_request("/once/x")
+    });
+    (before, uses_r(node))
+}
+
+/// A host that has just started reads an entry that the store's restore brought back. Guards against sending a forwarded
+/// request to a server that the forwarding host knows to have left.
+#[test]
+fn a_forwarded_request_brings_departures_along() {
+    let mut domain = beside_a_new_host();
+    assert_eq!(uses_r_around_a_forward(&mut domain), (true, false));
+}
+
+/// The server registers again, and the forwarding host has not read that. Guards against dropping a server that runs.
+#[test]
+fn a_forwarded_request_drops_no_server_that_registered_again() {
+    let mut domain = beside_a_new_host();
+    domain.store.unreachable.insert(0);
+    domain.list_again();
+    assert_eq!(uses_r_around_a_forward(&mut domain), (true, true));
+}
+
+/// Guards against headers that grow with the number of servers that left.
+#[test]
+fn a_forwarded_request_brings_the_latest_departures_only() {
+    let mut departed = Departed::default();
+    for number in 0..100 {
+        let evidence = Evidence::Answer;
+        departed.insert(
+            (number, 1),
+            evidence,
+            true,
+            Time::from_millis(number.into()),
+        );
+    }
+    let known = departed.known(Position::default()).reports;
+    assert_eq!(known.len(), 32);
+    assert!(known.iter().all(|report| report.instance >= 68));
+}
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -40,8 +40,8 @@
 use crate::core::relay::catalog::{Catalog, Engine, RetryPolicy, Route, Service};
 use crate::core::relay::customers::Credential;
 use crate::core::relay::event::{
-    Arrival, BackendEntry, Changes, Framing, KeyChange, Outgoing, PrefixBlock, Prompt, RelayEffect,
-    RelayEvent, Stage, StreamEnd,
+    Arrival, BackendEntry, Changes, Departures, Framing, KeyChange, Outgoing, PrefixBlock, Prompt,
+    RelayEffect, RelayEvent, Stage, StreamEnd,
 };
 use crate::core::{Core, Effect, Effects, Event, Time};
 use crate::error::Ran;
@@ -376,6 +376,7 @@
         credential: Credential::Absent,
         forwarded: None,
         version: None,
+        departures: Departures::default(),
     }
 }
 
--- a/src/core/relay/tests/network.rs
+++ b/src/core/relay/tests/network.rs
@@ -265,6 +265,7 @@
                     deadline: Some(out.remaining),
                     fingerprint: Fingerprint([number; 16]),
                     forwarded: Some(out.spent),
+                    departures: out.departures,
                     ..plain_request(self.path_of(number))
                 };
                 let incident = Incident::Forwarded(host, out.attempt, Box::new(arrival));
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -212,7 +212,8 @@
         bytes: body.len(),
         fingerprint: relay_fingerprint(&method, host, target, &body),
         credential: decoded.credential,
-        forwarded: origin.map(|origin| origin.spent),
+        forwarded: origin.as_ref().map(|origin| origin.spent),
+        departures: origin.map(|origin| origin.departures).unwrap_or_default(),
     };
     let prepared = Prepared {
         method,
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -16,7 +16,9 @@
 use super::{Prepared, apply};
 use crate::backend::pool::Call;
 use crate::core::effect::Refusal;
-use crate::core::relay::event::{ForwardRefusal, Forwarded, RelayEvent, Spent};
+use crate::core::relay::event::{
+    DepartureReport, Departures, ForwardRefusal, Forwarded, RelayEvent, Spent,
+};
 use crate::core::relay::versions::Version;
 use crate::error::{Kind, Ran};
 use crate::host::node::Node;
@@ -36,6 +38,10 @@
 const SPENT: &str = "chiveway-forward-spent";
 /// MAC of the other headers and of the request.
 const MAC: &str = "chiveway-forward-mac";
+/// Servers that left: the era, then instance, start and revision of each.
+const DEPARTURES: &str = "chiveway-forward-departures";
+/// MAC of the departures and of the request's MAC. Hosts of earlier versions ignore both.
+const DEPARTURES_MAC: &str = "chiveway-forward-departures-mac";
 /// Marks a refusal by the other host: code and whether the request ran.
 const REFUSED: &str = "chiveway-forward-refused";
 /// Idle connections kept to another host.
@@ -56,6 +62,8 @@
     pub version: Option<Version>,
     /// What the request has used up there.
     pub spent: Spent,
+    /// Servers that left.
+    pub departures: Departures,
 }
 
 impl Origin {
@@ -99,10 +107,42 @@
                 arrivals: count()?,
                 prefills: count()?,
             },
+            departures: match find(DEPARTURES) {
+                Some(text) => decode_departures(text)?,
+                None => Departures::default(),
+            },
         })
     }
 }
 
+fn encode_departures(departures: &Departures) -> String {
+    let reports = departures.reports.iter().map(|report| {
+        let revision = report.revision.map(|revision| revision.to_string());
+        let (instance, started) = (report.instance, report.started_ms);
+        format!(",{instance}:{started}:{}", revision.unwrap_or_default())
+    });
+    format!("{}{}", departures.era, reports.collect::<String>())
+}
+
+fn decode_departures(text: &str) -> Option<Departures> {
+    let mut parts = text.split(',');
+    let era = parts.next()?.parse().ok()?;
+    let reports = parts.map(|part| {
+        let (instance, rest) = part.split_once(':')?;
+        let (started, revision) = rest.split_once(':')?;
+        Some(DepartureReport {
+            instance: instance.parse().ok()?,
+            started_ms: started.parse().ok()?,
+            revision: match revision {
+                "" => None,
+                revision => Some(revision.parse().ok()?),
+            },
+        })
+    });
+    let reports = reports.collect::<Option<Vec<_>>>()?;
+    Some(Departures { era, reports })
+}
+
 /// Returns the MAC of a forwarded request.
 fn mac(secret: &[u8; 32], origin: &Origin, target: &str, body: &[u8]) -> blake3::Hash {
     let mut hasher = blake3::Hasher::new_keyed(secret);
@@ -115,6 +155,37 @@
     hasher.finalize()
 }
 
+/// Returns the MAC of the departures that go along with the request of a MAC.
+fn departures_mac(
+    secret: &[u8; 32],
+    departures: &Departures,
+    request: &blake3::Hash,
+) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(secret);
+    hasher.update(request.as_bytes());
+    hasher.update(encode_departures(departures).as_bytes());
+    hasher.finalize()
+}
+
+/// Returns the headers by which a host states what it knows of a request, with their MACs.
+pub(super) fn seal(
+    secret: &[u8; 32],
+    origin: &Origin,
+    target: &str,
+    body: &[u8],
+) -> Vec<(&'static str, String)> {
+    let mac = mac(secret, origin, target, body);
+    let mut headers = origin.encode();
+    headers.push((MAC, mac.to_hex().to_string()));
+    if !origin.departures.reports.is_empty() {
+        let departures = &origin.departures;
+        let own = departures_mac(secret, departures, &mac);
+        headers.push((DEPARTURES, encode_departures(departures)));
+        headers.push((DEPARTURES_MAC, own.to_hex().to_string()));
+    }
+    headers
+}
+
 /// Runs one attempt at another host until it ends or is cancelled.
 pub async fn run(node: Rc<Node>, out: Forwarded, ended: oneshot::Receiver<()>) {
     let result = exchange(&node, &out);
@@ -128,17 +199,15 @@
         resume: out.resume,
         version: out.version,
         spent: out.spent,
+        departures: out.departures.clone(),
     };
     let all = prepared.headers.iter().chain(&prepared.credentials);
     let sent = all.filter(|(name, _)| !name.starts_with(PREFIX));
     let mut headers: Vec<Header> = sent.cloned().collect();
-    let mac = mac(secret, &origin, &prepared.path, &prepared.body);
     // A server that has the host's address by now must not run the request.
     let (name, value) = header::expect_instance(&out.to);
     headers.push((name.into(), value.into_bytes().into()));
-    let mut own = origin.encode();
-    own.push((MAC, mac.to_hex().to_string()));
-    let own = own.into_iter();
+    let own = seal(secret, &origin, &prepared.path, &prepared.body).into_iter();
     headers.extend(own.map(|(name, value)| (name.into(), value.into_bytes().into())));
     Call {
         addr: out.addr,
@@ -219,9 +288,18 @@
     target: &str,
     body: &[u8],
 ) -> Option<Origin> {
-    let origin = Origin::decode(headers)?;
-    let (_, given) = headers.iter().find(|(name, _)| *name == MAC)?;
-    let given = blake3::Hash::from_hex(given).ok()?;
-    // The comparison takes constant time.
-    (mac(&secret?, &origin, target, body) == given).then_some(origin)
+    let (origin, secret) = (Origin::decode(headers)?, secret?);
+    let find = |name: &str| {
+        let (_, value) = headers.iter().find(|(other, _)| *other == name)?;
+        blake3::Hash::from_hex(value).ok()
+    };
+    // The comparisons take constant time.
+    let request = mac(&secret, &origin, target, body);
+    if request != find(MAC)? {
+        return None;
+    }
+    let is_stated = headers.iter().any(|(name, _)| *name == DEPARTURES);
+    let is_sealed =
+        || Some(departures_mac(&secret, &origin.departures, &request)) == find(DEPARTURES_MAC);
+    (!is_stated || is_sealed()).then_some(origin)
 }
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -8,10 +8,11 @@
 use super::callers::relay_fingerprint;
 use super::datagrams::{seal, verify};
 use super::events::Splitter;
+use super::forward::{self, Origin};
 use super::store::prefix_keys;
 use crate::core::relay::event::{
-    CrashReport, DepartureReport, Gossip, GossipKind, LimitReport, LoadReport, PartReport,
-    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
+    CrashReport, DepartureReport, Departures, Gossip, GossipKind, LimitReport, LoadReport,
+    PartReport, Spent, StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 use crate::store::{Compare, Op, Span, Txn};
@@ -257,3 +258,61 @@
         );
     }
 }
+
+fn origin(reports: Vec<DepartureReport>) -> Origin {
+    Origin {
+        from: "host-1".into(),
+        remaining: Duration::from_millis(700),
+        resume: Some(2),
+        version: None,
+        spent: Spent {
+            runs: 1,
+            arrivals: 2,
+            prefills: 0,
+        },
+        departures: Departures { era: 3, reports },
+    }
+}
+
+fn verify_forwarded(headers: &[(&'static str, String)]) -> Option<Origin> {
+    let headers = headers.iter();
+    let headers: Vec<(&str, &[u8])> = headers
+        .map(|(name, value)| (*name, value.as_bytes()))
+        .collect();
+    forward::verify(Some([1; 32]), &headers, "/x", b"body")
+}
+
+/// Guards against departures that change on the way to another host with a forwarded request.
+#[test]
+fn what_a_host_states_of_a_forwarded_request_arrives_unchanged() {
+    let stated = origin(gossip().departures);
+    let headers = forward::seal(&[1; 32], &stated, "/x", b"body");
+    assert_eq!(verify_forwarded(&headers), Some(stated));
+}
+
+/// Guards against a third party that has a host drop sound servers.
+#[test]
+fn departures_without_the_secret_are_rejected() {
+    let sealed = forward::seal(&[1; 32], &origin(gossip().departures), "/x", b"body");
+    for forged in [
+        "chiveway-forward-departures",
+        "chiveway-forward-departures-mac",
+    ] {
+        let mut headers = sealed.clone();
+        let header = headers.iter_mut().find(|(name, _)| *name == forged);
+        header
+            .expect("the header is sent")
+            .1
+            .replace_range(0..1, "7");
+        assert_eq!(verify_forwarded(&headers), None, "{forged}");
+    }
+}
+
+/// Hosts of an earlier version neither send nor read departures. Guards against refusing their requests.
+#[test]
+fn the_mac_of_a_forwarded_request_holds_without_departures() {
+    let mut headers = forward::seal(&[1; 32], &origin(gossip().departures), "/x", b"body");
+    headers.retain(|(name, _)| !name.starts_with("chiveway-forward-departures"));
+    let stated = verify_forwarded(&headers).expect("verified");
+    assert_eq!(stated.departures, Departures::default());
+}
