Have the soak's silences move streams

Seen: a gap target of 1000 ms puts the limit of silence at 4 s, and the soak's silences last up to 3 s, so that no stream was moved, and the soak passed with the code that cut answers. Nearly all were refused at once, which kept the other servers in pushback, and a stream is moved only to a server that admits requests.

Now pushback is 10 ms, callers pause 5 ms, six rounds run in place of two, and 0.7 of the requests are for streams that may be moved; the others are drawn as before. The checks are unchanged.

--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -38,6 +38,9 @@
 /// Delay of an answer, or of an event of a stream, at a server.
 pub const SERVER_DELAY: Duration = Duration::from_millis(5);
 
+/// Gap target of the routes in milliseconds: streams leave servers that are silent for 900 ms, the least for any route.
+const GAP_TARGET_MS: u64 = 200;
+
 /// A host's process and how often it has been started.
 pub struct Host {
     pub process: Process,
@@ -290,6 +293,9 @@
     pub fn write_version(&self) -> u64 {
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let mut config = config(version, "/short/");
+        for route in config["routes"].as_array_mut().into_iter().flatten() {
+            route["gapTargetMs"] = json!(GAP_TARGET_MS);
+        }
         let mut route = config["routes"][1].clone();
         route["prefix"] = json!(format!("/v{version}/"));
         route["name"] = route["prefix"].clone();
--- a/tests/soak/silence.rs
+++ b/tests/soak/silence.rs
@@ -16,7 +16,7 @@
 /// Separates these draws from a seed's others.
 const SILENCE_SEED_MASK: u64 = 0x51e;
 /// Series of silences in a run.
-const ROUND_COUNT: u64 = 2;
+const ROUND_COUNT: u64 = 6;
 /// Servers that are silent in one round.
 const SILENT_COUNT: usize = 2;
 /// Delay of an answer or an event: most answers at a server that falls silent have begun.
@@ -24,8 +24,12 @@
 /// Time limit in milliseconds of the requests, that of their routes.
 const DEADLINE_MS: &str = "8000";
 
-/// Seconds of pushback that servers name which refuse requests meanwhile.
-const PUSHBACK: &str = "0.1";
+/// Seconds of pushback that servers name which refuse requests meanwhile: so short that hosts mostly choose them again.
+const PUSHBACK: &str = "0.01";
+/// Pause of a caller after a request: callers that are refused at once would keep all hosts in pushback.
+const PAUSE: Duration = Duration::from_millis(5);
+/// Share of the requests for streams that may go on at another server.
+const MOVABLE_SHARE: f64 = 0.7;
 
 /// Whether the run of a seed ends with such silences.
 fn is_drawn(seed: u64) -> bool {
@@ -91,8 +95,13 @@
         while !finished.load(Ordering::SeqCst) {
             count += 1;
             let host = self.incarnation(rng.random_range(0..HOST_COUNT));
-            let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
+            let kind = if rng.random_bool(MOVABLE_SHARE) {
+                RequestKind::Short
+            } else {
+                RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())]
+            };
             self.request_within(&host, kind, &format!("{name}-{count}"), DEADLINE_MS);
+            thread::sleep(PAUSE);
         }
     }
 
