Let the core decide on each connection before it is read, and show the overload

In a model of the event loop on a small part of a core, a host that can serve 166 requests a second and is sent those of 9, 45 and 300 hosts serves 0 of 1260, 3740 and 3744 that it read from 3 s on: all move on a step at a time, and none ends before its caller leaves.

The core is told of each connection of a caller and admits it by an effect.

--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -31,6 +31,10 @@
 /// One event about relayed requests.
 #[derive(Debug, Clone)]
 pub enum RelayEvent {
+    /// A caller opened a connection, from which nothing is read before it is admitted.
+    CallerConnected,
+    /// An admitted connection of a caller ended.
+    CallerDisconnected,
     /// A caller sent a complete request.
     Arrived(Box<Arrival>),
     /// The caller closed its connection.
@@ -311,6 +315,8 @@
 /// One effect for relayed requests.
 #[derive(Debug, Clone)]
 pub enum RelayEffect {
+    /// Serve the connection that a caller just opened; without this it is closed unread.
+    AdmitConnection,
     /// The request that just arrived has this key.
     Opened(CallKey),
     /// Send the request to a backend server.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -18,6 +18,7 @@
 mod gossip;
 pub mod instance;
 pub mod instances;
+mod intake;
 pub mod limit;
 mod links;
 mod load;
@@ -265,6 +266,8 @@
     pub retry_budgets: BTreeMap<Box<str>, RetryBudget>,
     /// Other hosts.
     pub peers: peers::Peers,
+    /// Connections of callers.
+    pub intake: intake::Intake,
     /// Links to backend servers.
     pub links: links::Links,
     /// Software versions of servers and streams.
@@ -314,6 +317,8 @@
 /// Handles one event.
 pub fn step(core: &mut Core, event: RelayEvent, out: &mut Effects) {
     match event {
+        RelayEvent::CallerConnected => intake::connected(core, out),
+        RelayEvent::CallerDisconnected => intake::disconnected(core),
         RelayEvent::Arrived(arrival) => call::arrived(core, *arrival, out),
         RelayEvent::CallerLeft(key) => call::caller_left(core, key, out),
         RelayEvent::Noticed { attempt, notices } => {
--- /dev/null
+++ b/src/core/relay/tests/intake.rs
@@ -0,0 +1,214 @@
+//! Hosts to which the load balancer hands most new connections.
+//!
+//! A model of the event loop: in each turn it takes a few connections and moves each request that it has read on by a
+//! step, so that requests are served later the more of them there are.
+
+use super::*;
+
+/// Connections, with one request each, that a host gets a second when they are spread evenly.
+const USUAL_RATE: f64 = 35.0;
+/// Processor time of a request, on a small part of a core: the host can serve 166 a second.
+const REQUEST_MS: f64 = 6.0;
+/// Turns of the loop that a request takes.
+const STEPS: u32 = 8;
+/// Processor time to take a connection, or to close one.
+const ACCEPT_MS: f64 = 0.3;
+/// Connections taken in one turn.
+const ACCEPT_BATCH: usize = 8;
+/// Connections that the kernel holds for the host; it drops others unread.
+const BACKLOG: usize = 1024;
+/// Time from its connection to its answer after which a request counts as lost: its caller's deadline.
+const DEADLINE_MS: f64 = 600.0;
+/// Time after which the rule holds.
+const STABLE_MS: f64 = 3000.0;
+
+/// A request that was read.
+#[derive(Clone, Copy)]
+struct Read {
+    /// When its connection was opened.
+    opened: f64,
+    steps: u32,
+}
+
+/// What became of connections that callers opened at a time.
+#[derive(Default)]
+struct Outcome {
+    served: Vec<f64>,
+    lost: Vec<f64>,
+    unread: Vec<f64>,
+    admitted: Vec<f64>,
+}
+
+fn within(times: &[f64], span: std::ops::Range<f64>) -> usize {
+    times.iter().filter(|at| span.contains(at)).count()
+}
+
+/// A host whose event loop takes its time.
+struct Loop {
+    host: TestHost,
+    clock: f64,
+    next_arrival: f64,
+    pending: std::collections::VecDeque<f64>,
+    active: Vec<Read>,
+    outcome: Outcome,
+}
+
+impl Loop {
+    fn new(hosts: usize) -> Self {
+        let mut host = TestHost::with_engines();
+        for other in 2..=hosts {
+            let entry = format!(r#"{{"addr":"10.9.9.{}:1","domain":"z"}}"#, other % 250);
+            host.write_key(&format!("hosts/host-{other}"), Some(&entry), 3);
+        }
+        Self {
+            host,
+            clock: 0.0,
+            next_arrival: 0.0,
+            pending: std::collections::VecDeque::new(),
+            active: Vec::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Runs until a time, with so many connections opened a second.
+    fn run(&mut self, until: f64, rate: f64) {
+        while self.clock < until {
+            while self.next_arrival <= self.clock {
+                if self.pending.len() < BACKLOG {
+                    self.pending.push_back(self.next_arrival);
+                } else {
+                    self.outcome.unread.push(self.next_arrival);
+                }
+                self.next_arrival += 1000.0 / rate;
+            }
+            self.turn();
+        }
+    }
+
+    fn turn(&mut self) {
+        let begun = self.clock;
+        self.run_timers();
+        for _ in 0..ACCEPT_BATCH {
+            let Some(opened) = self.pending.pop_front() else {
+                break;
+            };
+            self.clock += ACCEPT_MS;
+            self.event(RelayEvent::CallerConnected);
+            if self
+                .host
+                .has_effect(|effect| matches!(effect, RelayEffect::AdmitConnection))
+            {
+                self.outcome.admitted.push(self.clock);
+                self.active.push(Read { opened, steps: 0 });
+            } else {
+                self.outcome.unread.push(opened);
+            }
+        }
+        for read in std::mem::take(&mut self.active) {
+            self.clock += REQUEST_MS / f64::from(STEPS);
+            self.step(read);
+        }
+        if self.clock <= begun {
+            self.clock += 1.0;
+        }
+    }
+
+    fn step(&mut self, read: Read) {
+        let steps = read.steps + 1;
+        if self.clock - read.opened > DEADLINE_MS {
+            self.outcome.lost.push(read.opened);
+        } else if steps == STEPS {
+            self.outcome.served.push(read.opened);
+        } else {
+            self.active.push(Read { steps, ..read });
+            return;
+        }
+        self.event(RelayEvent::CallerDisconnected);
+    }
+
+    fn event(&mut self, event: RelayEvent) {
+        self.set_clock();
+        self.host.event(event);
+    }
+
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "some thousand milliseconds"
+    )]
+    fn set_clock(&mut self) {
+        self.host.now = 1000 + self.clock as u64;
+    }
+
+    fn run_timers(&mut self) {
+        self.set_clock();
+        let now = self.host.now;
+        let timers = std::mem::take(&mut self.host.timers).into_iter();
+        let (due, later): (Vec<_>, Vec<_>) = timers.partition(|(at, _)| *at <= now);
+        self.host.timers = later;
+        for (_, timer) in due {
+            self.host.apply(Event::Timer(timer));
+        }
+    }
+}
+
+/// The balancer hands the connections of all hosts to one, for seconds.
+macro_rules! floods {
+    ($($name:ident: $hosts:expr,)*) => { $(
+        /// Guards against a host that reads more requests than it can serve in time, so that most of them are lost.
+        #[test]
+        fn $name() {
+            let mut site = Loop::new($hosts);
+            site.run(2000.0, USUAL_RATE);
+            site.run(10_000.0, USUAL_RATE * f64::from($hosts));
+            let flood = 2000.0 + STABLE_MS..9000.0;
+            let served = within(&site.outcome.served, flood.clone());
+            let read = served + within(&site.outcome.lost, flood.clone());
+            assert!(read > 0, "no request was read");
+            assert!(served * 4 >= read * 3, "{served} of {read} requests that were read were served");
+        }
+    )* };
+}
+
+floods! {
+    nine_hosts_connections_at_one: 9,
+    forty_five_hosts_connections_at_one: 45,
+    three_hundred_hosts_connections_at_one: 300,
+}
+
+/// A host that closes connections unread must not do so for good while it says that it is ready.
+/// Guards against one that takes none for three seconds.
+#[test]
+fn an_overloaded_host_takes_a_connection_now_and_then() {
+    let mut site = Loop::new(300);
+    site.run(2000.0, USUAL_RATE);
+    site.run(12_000.0, USUAL_RATE * 300.0);
+    for start in [2000.0, 4000.0, 6000.0, 8000.0] {
+        let taken = within(&site.outcome.admitted, start..start + STABLE_MS);
+        assert!(taken > 0, "none within 3 s of {start}");
+    }
+}
+
+/// The load is even again after a flood. Guards against a host that goes on closing connections.
+#[test]
+fn all_connections_are_taken_after_a_flood() {
+    let mut site = Loop::new(45);
+    site.run(2000.0, USUAL_RATE);
+    site.run(6000.0, USUAL_RATE * 45.0);
+    // Connections that wait in the kernel's queue belong to the flood.
+    site.run(9000.0, USUAL_RATE);
+    let before = site.outcome.unread.len();
+    site.run(12_000.0, USUAL_RATE);
+    assert_eq!(site.outcome.unread.len(), before);
+}
+
+/// The process stands still once, at its usual load. Guards against a host that takes that for overload.
+#[test]
+fn no_connection_is_closed_after_a_single_pause() {
+    let mut site = Loop::new(9);
+    site.run(2000.0, USUAL_RATE);
+    site.clock += 2000.0;
+    site.next_arrival = site.clock;
+    site.run(6000.0, USUAL_RATE);
+    assert_eq!(site.outcome.unread.len(), 0);
+}
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -11,6 +11,7 @@
 mod era;
 mod gossip;
 mod handover;
+mod intake;
 mod leaving;
 mod limit;
 mod load;
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -141,10 +141,14 @@
     node.set_close_signal(close);
     let (ended, running) = watch::channel(false);
 
-    let handler = Rc::clone(&node);
-    let serve = web::serve(callers, RELAY_GRACE, closed.clone(), move |req| {
-        relay::callers::handle(Rc::clone(&handler), req)
-    });
+    let (gate, handler) = (Rc::clone(&node), Rc::clone(&node));
+    let serve = web::serve_admitted(
+        callers,
+        RELAY_GRACE,
+        closed.clone(),
+        move || relay::admit_connection(&gate),
+        move |req| relay::callers::handle(Rc::clone(&handler), req),
+    );
     let served = Rc::clone(&node);
     ntex::rt::spawn(async move {
         serve.await;
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -122,6 +122,8 @@
     store_calls: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
     /// Numbers of calls made to the store so far.
     pub calls: Cell<CallCounts>,
+    /// Whether the core admitted the connection that a caller just opened.
+    admitted: Cell<bool>,
     open_calls: RefCell<SecondaryMap<CallKey, OpenCall>>,
     arriving: RefCell<Option<OpenCall>>,
     arrived: Cell<Option<CallKey>>,
@@ -192,6 +194,26 @@
     }
 }
 
+/// An admitted connection of a caller; reports its end to the core when dropped.
+#[derive(Debug)]
+pub struct CallerConnection {
+    node: Rc<Node>,
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        apply(&self.node, RelayEvent::CallerDisconnected);
+    }
+}
+
+/// Reports a new connection of a caller to the core; `None` if it is to be closed unread.
+pub fn admit_connection(node: &Rc<Node>) -> Option<CallerConnection> {
+    node.relay.admitted.set(false);
+    apply(node, RelayEvent::CallerConnected);
+    let node = Rc::clone(node);
+    node.relay.admitted.get().then(|| CallerConnection { node })
+}
+
 /// Passes a request received on a connection to the core; `None` if the core did not open it.
 pub fn accept_request(
     node: &Rc<Node>,
@@ -226,6 +248,7 @@
 pub fn execute(node: &Rc<Node>, effect: RelayEffect) {
     let adapters = &node.relay;
     match effect {
+        RelayEffect::AdmitConnection => adapters.admitted.set(true),
         RelayEffect::Opened(call) => {
             if let Some(open) = adapters.arriving.borrow_mut().take() {
                 adapters.open_calls.borrow_mut().insert(call, open);
--- a/src/web.rs
+++ b/src/web.rs
@@ -89,18 +89,37 @@
     TcpListener::bind(addr).await
 }
 
+/// Serves all connections of `listener`; see [`serve_admitted`].
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    grace: Duration,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response> + 'static,
+{
+    serve_admitted(listener, grace, stop, || Some(()), handler).await;
+}
+
 /// Serves connections of `listener` with `handler` until `stop` becomes true or its sender is
 /// dropped, and then until every connection is closed.
 ///
+/// A connection for which `admit` returns `None` is closed before anything is read from it, so that its caller may send
+/// any request again. What it returns otherwise is dropped when the connection ends.
+///
 /// Each connection is a task on this thread; dropping this future closes none. After the stop, new
 /// ones are refused. Those open or already accepted by the kernel are served for another `grace`,
 /// so that a request sent meanwhile is not lost, and then closed once they have no open request.
-pub async fn serve<H, F>(
+pub async fn serve_admitted<A, G, H, F>(
     listener: TcpListener,
     grace: Duration,
     mut stop: watch::Receiver<bool>,
+    admit: A,
     handler: H,
 ) where
+    A: Fn() -> Option<G>,
+    G: 'static,
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response> + 'static,
 {
@@ -137,9 +156,12 @@
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        serve_connection(&service, &cfg, stream.into_std(), open.clone());
+        if let Some(admitted) = admit() {
+            let held = (open.clone(), admitted);
+            serve_connection(&service, &cfg, stream.into_std(), held);
+        }
     }
-    serve_backlog(&service, &cfg, listener, &open);
+    serve_backlog(&service, &cfg, listener, || Some((open.clone(), admit()?)));
     drop(open);
     tokio::time::sleep(grace).await;
     service.shutdown().await;
@@ -147,14 +169,15 @@
     let _ended = closed.recv().await;
 }
 
-/// Serves one connection in a task, and drops `open` when it ends.
-fn serve_connection<S>(
+/// Serves one connection in a task, and drops `held` when it ends.
+fn serve_connection<S, G>(
     service: &Pipeline<S>,
     cfg: &SharedCfg,
     stream: io::Result<std::net::TcpStream>,
-    open: mpsc::Sender<()>,
+    held: G,
 ) where
     S: Service<Io> + 'static,
+    G: 'static,
     S::Error: std::fmt::Display,
 {
     let io = stream.and_then(|stream| {
@@ -167,7 +190,7 @@
             if let Err(err) = call.await {
                 log::debug!("connection closed: {err}");
             }
-            drop(open);
+            drop(held);
         });
     }
 }
@@ -177,21 +200,24 @@
 /// The kernel accepts a connection before the program does. Closing the listener without this step
 /// would reset the connections in the backlog, and their callers could not tell whether their
 /// requests ran.
-fn serve_backlog<S>(
+fn serve_backlog<S, G>(
     service: &Pipeline<S>,
     cfg: &SharedCfg,
     listener: TcpListener,
-    open: &mpsc::Sender<()>,
+    admit: impl Fn() -> Option<G>,
 ) where
     S: Service<Io> + 'static,
+    G: 'static,
     S::Error: std::fmt::Display,
 {
     let Ok(listener) = listener.into_std() else {
         return;
     };
     while let Ok((stream, _)) = listener.accept() {
-        let stream = stream.set_nonblocking(true).map(|()| stream);
-        serve_connection(service, cfg, stream, open.clone());
+        if let Some(held) = admit() {
+            let stream = stream.set_nonblocking(true).map(|()| stream);
+            serve_connection(service, cfg, stream, held);
+        }
     }
 }
 
