Leave file descriptors for servers when callers hold many connections

The host reads its limit of descriptors at its start. Callers' connections may take three eighths of them, as each request needs another for a server; further ones are closed unread. From three quarters of that on, answers ask callers to close. Idle connections of callers are not closed for others.

--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -31,6 +31,8 @@
 /// One event about relayed requests.
 #[derive(Debug, Clone)]
 pub enum RelayEvent {
+    /// This process may open so many file descriptors.
+    Descriptors(u64),
     /// A caller opened a connection, from which nothing is read before it is admitted.
     CallerConnected,
     /// An admitted connection of a caller ended.
--- a/src/core/relay/intake.rs
+++ b/src/core/relay/intake.rs
@@ -35,12 +35,19 @@
 const MIN_RATE: f64 = 5.0;
 /// Time for which unused admissions accumulate.
 const BURST: Duration = Duration::from_millis(50);
+/// Fraction of the file descriptors that callers' connections may take: each of their requests takes another for a
+/// server, and idle connections to servers and hosts are kept beside them.
+const CALLER_FRACTION: f64 = 0.375;
+/// Fraction of these connections from which on callers are asked to close theirs after an answer.
+const FULL_FRACTION: f64 = 0.75;
 
 /// Connections of callers, and the lag of the event loop.
 #[derive(Debug, Default)]
 pub struct Intake {
     /// Open connections.
     open: usize,
+    /// Largest number of open connections; `None` before it is known.
+    max_open: Option<usize>,
     /// When the next measurement of the lag is due.
     due: Option<Time>,
     window: Window,
@@ -105,10 +112,11 @@
 }
 
 impl Intake {
-    /// Whether connections are closed unread for lag.
+    /// Whether callers should open their next connections to other hosts.
     #[must_use]
-    pub fn is_limited(&self) -> bool {
-        self.limit.is_some()
+    pub fn is_strained(&self) -> bool {
+        let full = |max: usize| self.open as f64 >= max as f64 * FULL_FRACTION;
+        self.limit.is_some() || self.max_open.is_some_and(full)
     }
 
     /// Adjusts the limit after a window; returns a limit that was lifted.
@@ -144,16 +152,26 @@
     } else {
         f64::INFINITY
     };
-    let admitted = intake
-        .limit
-        .as_mut()
-        .is_none_or(|limit| limit.admit(max, now));
-    if admitted {
+    let has_room = intake.max_open.is_none_or(|max| intake.open < max);
+    let limit = &mut intake.limit;
+    if has_room && limit.as_mut().is_none_or(|limit| limit.admit(max, now)) {
         intake.open += 1;
         out.push(Effect::Relay(RelayEffect::AdmitConnection));
     }
 }
 
+/// Handles the number of file descriptors that this process may open.
+pub(super) fn set_descriptors(core: &mut Core, count: u64) {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "a fraction of a number of descriptors"
+    )]
+    let max = (count as f64 * CALLER_FRACTION) as usize;
+    core.relay.intake.max_open = Some(max.max(1));
+}
+
 /// Handles the end of an admitted connection.
 pub(super) fn disconnected(core: &mut Core) {
     let open = &mut core.relay.intake.open;
@@ -180,7 +198,7 @@
     if window.samples < MIN_SAMPLES || now.since(window.start) < WINDOW {
         return;
     }
-    let was_limited = intake.is_limited();
+    let was_limited = intake.limit.is_some();
     let lifted = intake.adjust(now);
     intake.window = Window {
         start: now,
@@ -188,7 +206,7 @@
     };
     if let Some(limit) = lifted {
         log_lifted(&limit, now, out);
-    } else if !was_limited && intake.is_limited() {
+    } else if !was_limited && intake.limit.is_some() {
         log_limited(intake, out);
     }
 }
--- a/src/core/relay/tests/intake.rs
+++ b/src/core/relay/tests/intake.rs
@@ -212,3 +212,19 @@
     site.run(6000.0, USUAL_RATE);
     assert_eq!(site.outcome.unread.len(), 0);
 }
+
+/// Callers hold many connections open. Guards against connections of callers that leave no descriptors for those to
+/// servers.
+#[test]
+fn connections_of_callers_leave_descriptors_for_servers() {
+    let mut host = TestHost::with_engines();
+    host.event(RelayEvent::Descriptors(80));
+    let connect = |host: &mut TestHost| {
+        host.event(RelayEvent::CallerConnected);
+        host.has_effect(|effect| matches!(effect, RelayEffect::AdmitConnection))
+    };
+    let admitted = (0..80).filter(|_| connect(&mut host)).count();
+    assert!((20..40).contains(&admitted), "{admitted} of 80");
+    host.event(RelayEvent::CallerDisconnected);
+    assert!(connect(&mut host), "a connection has ended");
+}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -26,6 +26,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rustix::process::{Resource, getrlimit};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -184,6 +185,9 @@
             reloaded.apply(Event::Relay(RelayEvent::Reloaded(Box::new(settings))));
         }
     });
+    if let Some(count) = getrlimit(Resource::Nofile).current {
+        node.apply(Event::Relay(RelayEvent::Descriptors(count)));
+    }
     node.apply(Event::Start);
     wait_for_stop(&node, &mut stop).await;
     drop(ended);
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -84,7 +84,7 @@
         Err(refused) => refused.response(sender),
     };
     // Closing the connection makes the caller send its next request to another host.
-    if node.with_core(|core| core.stop.is_stopping() || core.relay.intake.is_limited()) {
+    if node.with_core(|core| core.stop.is_stopping() || core.relay.intake.is_strained()) {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
