Take a missing file descriptor for no failure of servers or links

Cause: a connection that fails for want of a descriptor was reported like one that the server did not accept. Three of them are lost links: the host forwards what it can, and gives up what it may. The servers are avoided for a while.

The pool names this failure, the core refuses the request as not run, to be sent to another host at once, and nothing else follows from it. The probes move to a file of their own.

descriptors::a_host_without_descriptors_blames_no_server runs the program with its limit lowered. With the failure reported as before: from the first request on 503 "no backend server is reachable, nor a host that reaches one", and 503 for the request after the limit was raised again; now 200. The core's test is a_missing_descriptor_is_no_failure_of_a_server.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -50,6 +50,9 @@
         /// Description of the failure.
         reason: Box<str>,
     },
+    /// This process has no file descriptor left for a connection; no byte of the request was sent.
+    #[snafu(display("no file descriptor is left for a connection"))]
+    NoDescriptor,
     /// The connection broke after the request was handed to it.
     #[snafu(display("the connection broke: {reason}"))]
     Broken {
@@ -69,7 +72,7 @@
     #[must_use]
     pub fn ran(&self) -> Ran {
         match self {
-            Self::Connect { .. } => Ran::No,
+            Self::Connect { .. } | Self::NoDescriptor => Ran::No,
             _ => Ran::Unknown,
         }
     }
@@ -412,12 +415,23 @@
     io.any(|err| err.kind() == std::io::ErrorKind::TimedOut)
 }
 
+/// Returns whether an error means that this process, or its machine, has no file descriptor left.
+fn is_out_of_descriptors(err: &std::io::Error) -> bool {
+    let errno = rustix::io::Errno::from_io_error(err);
+    errno.is_some_and(|errno| matches!(errno, rustix::io::Errno::MFILE | rustix::io::Errno::NFILE))
+}
+
 type OpenConnection = (SendRequest<Full<Bytes>>, oneshot::Sender<Infallible>);
 
 /// Opens a connection; it is closed when the returned guard is dropped.
 async fn connect(addr: SocketAddr) -> Result<OpenConnection, PoolError> {
-    let connect_error = |err: std::io::Error| PoolError::Connect {
-        reason: err.to_string().into(),
+    let connect_error = |err: std::io::Error| {
+        if is_out_of_descriptors(&err) {
+            return PoolError::NoDescriptor;
+        }
+        PoolError::Connect {
+            reason: err.to_string().into(),
+        }
     };
     let stream = TcpStream::connect(addr).await.map_err(connect_error)?;
     stream.set_nodelay(true).map_err(connect_error)?;
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -166,6 +166,8 @@
 pub enum AttemptFailure {
     /// No connection could be opened.
     Unreachable,
+    /// This host has no file descriptor left for a connection; neither the backend server nor its link failed.
+    NoDescriptor,
     /// The backend server refused the request before it started.
     Refused,
     /// The backend server answered that the request is invalid.
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -9,8 +9,8 @@
 use super::call::{close_attempt, dispatch, end, give_up, refuse, release_prefill_work};
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
-    Attempt, KvCache, RelayTimer, RetryPolicy, duty, forward, links, load, millis, note, parts,
-    poison, retry, standby, versions, wake,
+    Attempt, KvCache, RelayTimer, RetryPolicy, call, duty, forward, links, load, millis, note,
+    parts, poison, retry, standby, versions, wake,
 };
 use crate::error::{Kind, Ran};
 
@@ -248,6 +248,10 @@
     };
     out.push(Effect::Relay(RelayEffect::Cancel(key)));
     log_failure(core, &attempt, ran, how, detail, out);
+    if how == AttemptFailure::NoDescriptor {
+        call::not_sent(core, &attempt, detail, out);
+        return;
+    }
     if let Some(host) = attempt.host {
         forward::failed(core, &attempt, host, ran, detail, out);
         return;
@@ -380,6 +384,7 @@
         AttemptFailure::Refused => instance.record_refusal(now),
         AttemptFailure::Rejected => instance.addr_reused = true,
         AttemptFailure::Unreachable => instance.record_unreachable(now),
+        AttemptFailure::NoDescriptor => {}
         AttemptFailure::Cut | AttemptFailure::Silent | AttemptFailure::Forgotten => {
             instance.record_failure(now);
         }
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -342,6 +342,25 @@
     Some(attempt)
 }
 
+/// Refuses a request that this host could not send for want of a file descriptor.
+///
+/// It is not sent to another server or host, for which a descriptor is missing as well.
+pub(super) fn not_sent(core: &mut Core, attempt: &Attempt, detail: &str, out: &mut Effects) {
+    let call = &mut core.relay.calls[attempt.call];
+    if attempt.task != Task::Prefill {
+        call.runs = call.runs.saturating_sub(1);
+        call.arrivals = call
+            .arrivals
+            .saturating_sub(u32::from(attempt.host.is_none()));
+    }
+    if call.attempt.is_some() {
+        // This one was the standby.
+        return;
+    }
+    let refusal = Refusal::new(Kind::Overloaded, detail).with_retry_after(OTHER_HOST_RETRY_AFTER);
+    refuse(core, attempt.call, refusal, out);
+}
+
 /// Removes an attempt's prefill work from its backend server, once the prompt is prefilled.
 pub(super) fn release_prefill_work(core: &mut Core, key: AttemptKey) {
     let Some(attempt) = core.relay.attempts.get_mut(key) else {
--- a/src/core/relay/tests/intake.rs
+++ b/src/core/relay/tests/intake.rs
@@ -228,3 +228,21 @@
     host.event(RelayEvent::CallerDisconnected);
     assert!(connect(&mut host), "a connection has ended");
 }
+
+/// No descriptor is left for the connections to three servers. Guards against a host that avoids them, or takes its
+/// links for lost, and against a request that is said to have run.
+#[test]
+fn a_missing_descriptor_is_no_failure_of_a_server() {
+    let mut host = TestHost::new();
+    host.register(["s", "t", "u"].map(plain_entry).into());
+    for _ in 0..6 {
+        host.arrive(plain_request("/once/x"));
+        let sent = host.sent().expect("the request is admitted");
+        host.fail_attempt(sent.attempt, Ran::No, AttemptFailure::NoDescriptor);
+        let (status, ran, _) = host.refused().expect("the request is refused");
+        assert_eq!((status, ran), (503, Ran::No));
+    }
+    assert!(!host.core.relay.links.are_lost());
+    let mut servers = host.core.relay.instances.arena.values();
+    assert!(servers.all(|server| server.failures == 0));
+}
--- a/src/core/request/failure.rs
+++ b/src/core/request/failure.rs
@@ -160,7 +160,9 @@
     let request = &mut core.requests.arena[key];
     request.avoid.push(backend);
     let kind = match cause {
-        AttemptFailure::Unreachable | AttemptFailure::Refused => Kind::ServiceDown,
+        AttemptFailure::Unreachable | AttemptFailure::NoDescriptor | AttemptFailure::Refused => {
+            Kind::ServiceDown
+        }
         AttemptFailure::Cut
         | AttemptFailure::Silent
         | AttemptFailure::Forgotten
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -16,7 +16,7 @@
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::customers::Identity;
 use crate::core::relay::event::{
-    Framing, LinkProbe, OrderResult, Outgoing, RelayEvent, StageOrder, StreamEnd, Task,
+    Framing, OrderResult, Outgoing, RelayEvent, StageOrder, StreamEnd, Task,
 };
 use crate::error::Ran;
 use crate::host::node::Node;
@@ -30,11 +30,9 @@
 /// Largest size of an answer that is not streamed.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Largest size of a refusal or of an answer to a prefill, report, order or release of a KV cache.
-const MAX_CONTROL_ANSWER_BYTES: usize = 64 * 1024;
+pub(super) const MAX_CONTROL_ANSWER_BYTES: usize = 64 * 1024;
 /// Status of an answer by another server than the one that was meant.
 pub(super) const MISDIRECTED: u16 = 421;
-/// Time limit of a probe of a link.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for calls other than callers' requests.
 const CONTROL_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an idle connection is kept if the backend server names no idle timeout.
@@ -71,6 +69,7 @@
     fn from(err: PoolError) -> Self {
         let end = match err {
             PoolError::Connect { .. } => AttemptFailure::Unreachable,
+            PoolError::NoDescriptor => AttemptFailure::NoDescriptor,
             PoolError::Timeout => AttemptFailure::Silent,
             PoolError::Broken { .. } | PoolError::TooLong => AttemptFailure::Cut,
         };
@@ -362,7 +361,7 @@
     apply_with(node, payload, RelayEvent::StreamEvent { attempt, number });
 }
 
-fn control_call(
+pub(super) fn control_call(
     addr: SocketAddr,
     method: hyper::Method,
     path: &str,
@@ -435,40 +434,6 @@
     apply(&node, RelayEvent::EngineReported { instance, report });
 }
 
-/// Probes whether a backend server answers.
-pub async fn probe_link(node: Rc<Node>, probe: LinkProbe) {
-    let reached = send_probe(&node, &probe).await.is_some();
-    let instance = probe.instance;
-    apply(&node, RelayEvent::LinkProbed { instance, reached });
-}
-
-/// Probes a server that broke a request off, and reports whether it still runs.
-pub async fn probe_server(node: Rc<Node>, probe: LinkProbe) {
-    let status = send_probe(&node, &probe).await;
-    let is_alive = status.is_some_and(|status| status != MISDIRECTED);
-    let instance = probe.instance;
-    apply(&node, RelayEvent::ServerProbed { instance, is_alive });
-}
-
-/// Sends a probe; returns the status of its answer.
-async fn send_probe(node: &Rc<Node>, probe: &LinkProbe) -> Option<u16> {
-    let path = probe.health.as_deref().unwrap_or(engine::REPORT_PATH);
-    let method = hyper::Method::GET;
-    let call = control_call(probe.addr, method, path, &probe.instance, Vec::new());
-    let answer = node
-        .relay
-        .channels
-        .call(&call, PROBE_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
-        .await;
-    match answer {
-        Ok(answer) => Some(answer.status),
-        Err(err) => {
-            log::debug!("{} did not answer a probe: {err}", probe.instance);
-            None
-        }
-    }
-}
-
 /// Sends an order, unless its authority has expired or the era of the store has changed.
 pub async fn send_order(node: Rc<Node>, order: StageOrder) {
     let call = control_call(
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod event_log;
 mod events;
 pub mod forward;
+mod probes;
 mod progress;
 pub mod store;
 #[cfg(test)]
@@ -266,10 +267,10 @@
             ntex::rt::spawn(forward::run(Rc::clone(node), *out, rx));
         }
         RelayEffect::ProbeLink(probe) => {
-            ntex::rt::spawn(backends::probe_link(Rc::clone(node), probe));
+            ntex::rt::spawn(probes::probe_link(Rc::clone(node), probe));
         }
         RelayEffect::ProbeServer(probe) => {
-            ntex::rt::spawn(backends::probe_server(Rc::clone(node), probe));
+            ntex::rt::spawn(probes::probe_server(Rc::clone(node), probe));
         }
         RelayEffect::Cancel(attempt) => adapters.attempt_ended(attempt),
         RelayEffect::ForwardEvent(call) => adapters.forward_event(call),
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -5,6 +5,7 @@
 #[path = "../fleet/support/proxy.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod cut;
+mod descriptors;
 mod duties;
 mod era;
 mod framing;
