--- a/src/core/relay/intake.rs
+++ b/src/core/relay/intake.rs
@@ -161,7 +161,7 @@
 }
 
 /// Handles the number of file descriptors that this process may open.
-pub(super) fn set_descriptors(core: &mut Core, count: u64) {
+pub(super) fn set_descriptors(core: &mut Core, count: u64, out: &mut Effects) {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -169,7 +169,13 @@
         reason = "a fraction of a number of descriptors"
     )]
     let max = (count as f64 * CALLER_FRACTION) as usize;
-    core.relay.intake.max_open = Some(max.max(1));
+    let max = max.max(1);
+    core.relay.intake.max_open = Some(max);
+    let fields = vec![
+        ("descriptors", count.to_string().into()),
+        ("callers", max.to_string().into()),
+    ];
+    note(out, log::Level::Info, "host.descriptors", fields);
 }
 
 /// Handles the end of an admitted connection.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -317,7 +317,7 @@
 /// Handles one event.
 pub fn step(core: &mut Core, event: RelayEvent, out: &mut Effects) {
     match event {
-        RelayEvent::Descriptors(count) => intake::set_descriptors(core, count),
+        RelayEvent::Descriptors(count) => intake::set_descriptors(core, count, out),
         RelayEvent::CallerConnected => intake::connected(core, out),
         RelayEvent::CallerDisconnected => intake::disconnected(core),
         RelayEvent::Arrived(arrival) => call::arrived(core, *arrival, out),
