Test orders to fleets of 3 to 3,600 engines at several loads

Cause: the number of prefill engines that an idle fleet keeps is counted by hosts, and the tests had one idle fleet only, of a size that the count suits.

--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -15,6 +15,7 @@
 mod leaving;
 mod limit;
 mod load;
+mod need;
 mod network;
 mod partition;
 mod parts;
--- a/src/core/relay/tests/planner.rs
+++ b/src/core/relay/tests/planner.rs
@@ -21,12 +21,12 @@
     site
 }
 
-fn plan(site: &mut TestHost) {
+pub fn plan(site: &mut TestHost) {
     site.apply(Event::Timer(Timer::Relay(RelayTimer::Plan)));
 }
 
 /// Has the host acquire the authority with this fencing number.
-fn acquire(site: &mut TestHost, fence: i64) {
+pub fn acquire(site: &mut TestHost, fence: i64) {
     let mut job = None;
     for _ in 0..50 {
         plan(site);
@@ -64,7 +64,7 @@
     }
 }
 
-fn requested(site: &TestHost) -> Vec<Box<str>> {
+pub fn requested(site: &TestHost) -> Vec<Box<str>> {
     let requested = site.out.iter().filter_map(|effect| match effect {
         Effect::Relay(RelayEffect::FetchReport { instance, .. }) => Some(instance.clone()),
         _ => None,
