Have the test of fencing tokens ask for an order on a fleet that needs one

Seen: the test waits for an order to one host before twelve idle engines, one or two of which prefill.

Change: the four engines drain after the restore, so that all others decode and one has to be ordered under any rule. The assertion is the same: an order comes, and the fencing token of every later one is above the highest before.

--- a/tests/relay/era.rs
+++ b/tests/relay/era.rs
@@ -129,7 +129,11 @@
     let before = fencing_tokens().len();
     site.store.restore(0);
     site.store.rewrite_lost();
-    // Too many engines decode, so that the host orders some to prefill.
+    // The engines that prefill leave, and all others decode: the host has to order one to prefill.
+    for engine in &engines {
+        let key = format!("servers/{}", engine.id);
+        site.store.put(&key, &engine.entry("draining"));
+    }
     let more: Vec<Engine> = (5..=12)
         .map(|n| Engine::model(&format!("d-{n}"), "decode"))
         .collect();
