Order changes of stages by the waiting that they save

Cause: an idle fleet kept its stages from three prefill engines a host on.

Change: an order has to save callers more waiting in the next minute than the engine is away. The waiting follows from the prompts at the prefill engines in the busiest seconds of the last minutes; no rule counts hosts. Every host keeps the average, so that the next holder of the authority has it. A host that has just started knows no traffic and expects half of the prefill engines to be busy, which needs an order below seven of them only. A service without an engine of a stage gets one in any case.

--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -32,7 +32,7 @@
 pub mod pushback;
 mod resolve;
 mod retry;
-mod stages;
+pub mod stages;
 mod standby;
 #[cfg(test)]
 mod tests;
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -14,7 +14,7 @@
 use super::authority::{Authority, Grant, Scope};
 use super::event::{Changes, EngineReport, OrderResult, RelayEffect, Stage, StageOrder};
 use super::instance::Instance;
-use super::stages::{Split, wanted_prefill};
+use super::stages::{Demand, Split, wanted_prefill};
 use super::{RelayJob, RelayTimer, note, wake};
 use super::{duty, forward};
 
@@ -40,6 +40,8 @@
     changes: BTreeMap<Box<str>, (Stage, Time)>,
     /// Number of engines, and when it last changed.
     engine_count: (usize, Time),
+    /// Prompts at the engines of each service.
+    demand: BTreeMap<Box<str>, Demand>,
 }
 
 /// Starts to plan.
@@ -81,12 +83,11 @@
 pub fn plan(core: &mut Core, out: &mut Effects) {
     let noise = core.rng.random_range(0.8..1.2);
     wake(core, PLAN_INTERVAL.mul_f64(noise), RelayTimer::Plan, out);
-    let has_engines = core.relay.catalog.as_ref().is_some_and(|catalog| {
-        catalog
-            .services
-            .values()
-            .any(|service| service.engine.is_some())
-    });
+    let services = engine_services(core);
+    let has_engines = !services.is_empty();
+    for service in &services {
+        record_demand(core, service);
+    }
     if !has_engines && !duty::has_duties(core) || core.stop.is_stopping() {
         return;
     }
@@ -98,7 +99,7 @@
     let grant = core.relay.planner.authority.poll(&scope, is_candidate, out);
     if let Some(grant) = grant {
         if has_engines {
-            request_reports(core, out);
+            request_reports(core, services, out);
         }
         duty::perform(core, &grant, out);
     }
@@ -126,23 +127,39 @@
     authority.reply(job, reply, &scope, out);
 }
 
-/// Requests the state of engines that should change, where the stages differ from the plan.
-fn request_reports(core: &mut Core, out: &mut Effects) {
-    let Some(catalog) = &core.relay.catalog else {
-        return;
-    };
-    let services: Vec<Box<str>> = catalog
-        .services
+/// Returns the services that have engines.
+fn engine_services(core: &Core) -> Vec<Box<str>> {
+    let services = core
+        .relay
+        .catalog
         .iter()
+        .flat_map(|catalog| &catalog.services);
+    services
         .filter(|(_, service)| service.engine.is_some())
         .map(|(name, _)| name.clone())
-        .collect();
+        .collect()
+}
+
+/// Records the prompts at the prefill engines of a service. Every host does, to have them when it acquires the authority.
+fn record_demand(core: &mut Core, service: &str) {
+    let engines = remaining_engines(core, service);
+    let instances = &core.relay.instances.arena;
+    let prefill = engines.iter().map(|key| &instances[*key]);
+    let prefill = prefill.filter(|instance| instance.stage == Some(Stage::Prefill));
+    let calls: Vec<u32> = prefill.map(|instance| instance.work().calls).collect();
+    let busy = calls.iter().filter(|calls| **calls > 0).count();
+    let demand = core.relay.planner.demand.entry(service.into()).or_default();
+    demand.record(calls.iter().sum(), busy, calls.len(), core.now);
+}
+
+/// Requests the state of engines that should change, where the stages differ from the plan.
+fn request_reports(core: &mut Core, services: Vec<Box<str>>, out: &mut Effects) {
     for service in services {
         let engines = remaining_engines(core, &service);
         if !is_stable(core, engines.len()) {
             continue;
         }
-        let split = split(core, &engines);
+        let split = split(core, &service, &engines);
         let have = split.prefill;
         let want = wanted_prefill(split);
         let stage = match have.cmp(&want) {
@@ -159,6 +176,9 @@
             .abs_diff(want)
             .min(max_changes)
             .saturating_sub(changing);
+        if count == 0 {
+            continue;
+        }
         let chosen = least_busy(core, &engines, stage, count);
         for key in chosen {
             let instance = &core.relay.instances.arena[key];
@@ -196,7 +216,7 @@
     let mut keys: Vec<BackendKey> = engines.iter().copied().filter(can_change).collect();
     // Prompts are kept where they are prefilled, and lost with an engine that is taken away.
     let suits = |instance: &Instance| instance.is_spot != (stage == Stage::Prefill);
-    keys.sort_by_key(|key| {
+    keys.sort_by_cached_key(|key| {
         let instance = &core.relay.instances.arena[*key];
         let calls = instance.work().calls;
         (!suits(instance), calls, instance.id.clone())
@@ -229,20 +249,23 @@
 }
 
 /// Returns the engines of a service as far as the split between the stages depends on them.
-fn split(core: &Core, engines: &[BackendKey]) -> Split {
+fn split(core: &Core, service: &str, engines: &[BackendKey]) -> Split {
     let prefill = engines.iter().filter(|key| {
         let instance = &core.relay.instances.arena[**key];
         instance.stage == Some(Stage::Prefill)
     });
-    let is_busy = |key: &&BackendKey| core.relay.instances.arena[**key].work().calls > 0;
+    let prefill = prefill.count();
+    let demand = core.relay.planner.demand.get(service);
     let relay = core.settings.relay.as_ref();
+    let catalog = core.relay.catalog.as_ref();
+    let engine = catalog.and_then(|catalog| catalog.services.get(service)?.engine.as_ref());
     Split {
         engines: engines.len(),
-        prefill: prefill.clone().count(),
-        busy: prefill.filter(is_busy).count(),
+        prefill,
+        prompts: demand.map_or(0.0, |demand| demand.prompts(prefill)),
         decode_load: decode_load(core, engines),
-        hosts: core.relay.peers.host_count(),
         fraction: relay.map_or(0.5, |relay| relay.policy.prefill_fraction),
+        switch_time: engine.map_or(Duration::ZERO, |engine| engine.switch_time),
     }
 }
 
