--- a/benches/policy/bounds.rs
+++ b/benches/policy/bounds.rs
@@ -15,31 +15,38 @@
     }
 }
 
-/// One section per case.
-const SECTION_KINDS: &[SectionKind] = &[SectionKind {
-    keyword: "case",
-    label: Label::Name,
-    keys: &[
-        key("oracle", "minimum goodput as a fraction of the oracle's"),
-        key(
-            "static",
-            "minimum goodput as a fraction of the best static split's",
-        ),
-        key("changes", "maximum number of role changes"),
-        key(
-            "kept",
-            "minimum fraction admitted of the callers that honor retry-after",
-        ),
-        key("retries", "maximum retries by hosts per try of a caller"),
-        key(
-            "fair",
-            "minimum goodput of each plan as a fraction of the best-served plan's",
-        ),
-    ],
-}];
+/// One section per case, and one per fleet.
+const SECTION_KINDS: &[SectionKind] = &[
+    SectionKind {
+        keyword: "case",
+        label: Label::Name,
+        keys: &[
+            key("oracle", "minimum goodput as a fraction of the oracle's"),
+            key(
+                "static",
+                "minimum goodput as a fraction of the best static split's",
+            ),
+            key("changes", "maximum number of role changes"),
+            key(
+                "kept",
+                "minimum fraction admitted of the callers that honor retry-after",
+            ),
+            key("retries", "maximum retries by hosts per try of a caller"),
+            key(
+                "fair",
+                "minimum goodput of each plan as a fraction of the best-served plan's",
+            ),
+        ],
+    },
+    SectionKind {
+        keyword: "fleet",
+        label: Label::Name,
+        keys: &[key("orders", "maximum number of orders")],
+    },
+];
 
 /// Returns a line for each figure that violates its bound, and for each case without bounds.
-pub fn check(text: &str, rows: &[Row]) -> Vec<String> {
+pub fn check(text: &str, rows: &[Row], orders: &[(&str, usize)]) -> Vec<String> {
     let doc = Document::parse(text, "bounds.ini", SECTION_KINDS);
     let mut violations: Vec<String> = doc.faults.iter().map(ToString::to_string).collect();
     for section in &doc.sections {
@@ -73,6 +80,17 @@
             }
         }
     }
+    for (name, count) in orders {
+        let section = doc.sections.iter().find(|section| *section.name == **name);
+        let bound = section.and_then(|section| section.get("orders").parse::<usize>().ok());
+        match bound {
+            None => violations.push(format!("{name}: no bound of orders in bounds.ini")),
+            Some(bound) if *count > bound => {
+                violations.push(format!("{name}: {count} orders, expected at most {bound}"));
+            }
+            Some(_) => {}
+        }
+    }
     if rows.len() == crate::cases::CASES.len() * POLICIES.len() {
         for case in crate::cases::CASES {
             if !doc
--- a/benches/policy/main.rs
+++ b/benches/policy/main.rs
@@ -15,6 +15,7 @@
 mod bounds;
 mod cases;
 mod engine;
+mod fleets;
 mod hosts;
 mod roles;
 mod simulation;
@@ -103,7 +104,13 @@
     });
     let rows = best_rows(&groups, &jobs, &tallies);
     table::print(&rows);
-    let violations = bounds::check(include_str!("bounds.ini"), &rows);
+    let orders: Vec<(&str, usize)> = fleets::FLEETS
+        .iter()
+        .filter(|fleet| case.is_none_or(|filter| fleet.name.contains(&**filter)))
+        .map(|fleet| (fleet.name, fleets::count_orders(fleet, SEED)))
+        .collect();
+    table::print_orders(&orders);
+    let violations = bounds::check(include_str!("bounds.ini"), &rows, &orders);
     for line in &violations {
         eprintln!("{line}");
     }
--- a/benches/policy/table.rs
+++ b/benches/policy/table.rs
@@ -85,3 +85,11 @@
         );
     }
 }
+
+/// Prints the orders to each fleet.
+pub fn print_orders(orders: &[(&str, usize)]) {
+    println!("\n{:<18} {:>6}", "fleet", "orders");
+    for (name, count) in orders {
+        println!("{name:<18} {count:>6}");
+    }
+}
