Plan all orders of a new host at once

Cause: a new host expects half of its prefill engines to be busy, and those that it orders too, but only once each has changed: of three orders one after the other the last takes its engine away as traffic comes.

Change: the plan counts the engines that it orders among those half busy.

--- a/benches/policy/fleets.rs
+++ b/benches/policy/fleets.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chiveway::core::Time;
-use chiveway::core::relay::stages::{Demand, Split, wanted_prefill};
+use chiveway::core::relay::stages::{Demand, Split, planned_prefill};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -72,14 +72,15 @@
         let prompts = draw_prompts(fleet.load * fleet.prefill as f64, &mut rng);
         let busy = prefill.min(prompts as usize);
         demand.record(prompts, busy, prefill, Time::from_millis(millis));
-        let wanted = wanted_prefill(Split {
+        let split = Split {
             engines,
             prefill,
-            prompts: demand.prompts(prefill),
+            prompts: 0.0,
             decode_load: DECODE_LOAD,
             fraction: PREFILL_FRACTION,
             switch_time: SWITCH_TIME,
-        });
+        };
+        let wanted = planned_prefill(split, demand);
         orders += wanted.abs_diff(prefill);
         prefill = wanted;
     }
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -14,7 +14,7 @@
 use super::authority::{Authority, Grant, Scope};
 use super::event::{Changes, EngineReport, OrderResult, RelayEffect, Stage, StageOrder};
 use super::instance::Instance;
-use super::stages::{Demand, Split, wanted_prefill};
+use super::stages::{Demand, Split, planned_prefill};
 use super::{RelayJob, RelayTimer, note, wake};
 use super::{duty, forward};
 
@@ -161,7 +161,8 @@
         }
         let split = split(core, &service, &engines);
         let have = split.prefill;
-        let want = wanted_prefill(split);
+        let demand = core.relay.planner.demand.get(&service);
+        let want = planned_prefill(split, demand.copied().unwrap_or_default());
         let stage = match have.cmp(&want) {
             Ordering::Less => Stage::Prefill,
             Ordering::Equal => continue,
@@ -255,14 +256,13 @@
         instance.stage == Some(Stage::Prefill)
     });
     let prefill = prefill.count();
-    let demand = core.relay.planner.demand.get(service);
     let relay = core.settings.relay.as_ref();
     let catalog = core.relay.catalog.as_ref();
     let engine = catalog.and_then(|catalog| catalog.services.get(service)?.engine.as_ref());
     Split {
         engines: engines.len(),
         prefill,
-        prompts: demand.map_or(0.0, |demand| demand.prompts(prefill)),
+        prompts: 0.0,
         decode_load: decode_load(core, engines),
         fraction: relay.map_or(0.5, |relay| relay.policy.prefill_fraction),
         switch_time: engine.map_or(Duration::ZERO, |engine| engine.switch_time),
--- a/src/core/relay/stages.rs
+++ b/src/core/relay/stages.rs
@@ -22,7 +22,7 @@
     pub engines: usize,
     /// Those that prefill for others.
     pub prefill: usize,
-    /// Prompts that are prefilled at a time, as [`Demand::prompts`] returns them.
+    /// Prompts that are prefilled at a time; [`planned_prefill`] computes them.
     pub prompts: f64,
     /// Fraction of the slots of the others that are taken.
     pub decode_load: f64,
@@ -109,6 +109,23 @@
     needed(split.prompts, kept, full, cost / HORIZON.as_secs_f64())
 }
 
+/// Returns how many engines should prefill, given the demand.
+///
+/// A host that knows no traffic expects the engines that it orders to be half busy as well: it orders all of them at once
+/// and not one after the other, as long as no traffic suffers.
+#[must_use]
+pub fn planned_prefill(split: Split, demand: Demand) -> usize {
+    let mut wanted = split.prefill;
+    loop {
+        let prompts = demand.prompts(wanted);
+        let next = wanted_prefill(Split { prompts, ..split });
+        if next <= wanted {
+            return next;
+        }
+        wanted = next;
+    }
+}
+
 /// Returns the number of engines from `from` to `to` above which another one shortens the queue by less than `gain`
 /// prompts.
 ///
--- a/src/core/relay/tests/stages.rs
+++ b/src/core/relay/tests/stages.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::core::Time;
-use crate::core::relay::stages::{Demand, Split, wanted_prefill};
+use crate::core::relay::stages::{Demand, Split, planned_prefill, wanted_prefill};
 
 /// Generates a test for each split: engines, prefill engines, prompts at a time, load of the others, and how many are
 /// wanted.
@@ -85,3 +85,23 @@
     demand.record(0, 0, 4, Time::from_millis(1_201_000));
     assert!(demand.prompts(4) < 0.001);
 }
+
+/// Guards against a new host that orders three engines one after the other, of which the last is away as traffic comes.
+#[test]
+fn a_new_host_plans_all_its_orders_at_once() {
+    let split = Split {
+        engines: 12,
+        prefill: 3,
+        prompts: 0.0,
+        decode_load: 0.0,
+        fraction: 0.5,
+        switch_time: Duration::from_secs(3),
+    };
+    assert_eq!(planned_prefill(split, Demand::default()), 6);
+    let large = Split {
+        engines: 300,
+        prefill: 100,
+        ..split
+    };
+    assert_eq!(planned_prefill(large, Demand::default()), 100);
+}
