Part the ends of requests, their data and the check for silence from longer files

Moved without a change of behaviour: the ends of requests to ending.rs, the data of requests and attempts to request.rs, the check for silence to silence.rs.

--- a/src/core/relay/choose/plain.rs
+++ b/src/core/relay/choose/plain.rs
@@ -2,7 +2,7 @@
 
 use rand::RngExt;
 
-use super::super::call::retry_after;
+use super::super::ending::retry_after;
 use super::super::event::Task;
 use super::super::instance::Work;
 use super::super::{PrefillEstimate, RetryPolicy, from_millis, load, millis};
--- a/src/core/relay/resolve.rs
+++ b/src/core/relay/resolve.rs
@@ -4,9 +4,9 @@
 
 use super::super::Core;
 use super::super::effect::Refusal;
-use super::call::RETRY_AFTER;
 use super::catalog::{Catalog, Route};
 use super::customers::{self, Denial, Identity, ViewAge};
+use super::ending::RETRY_AFTER;
 use super::event::Arrival;
 use crate::error::Kind;
 
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -12,7 +12,7 @@
 use super::super::{Core, Effects};
 use super::call::{close_attempt, dispatch};
 use super::event::{RelayEffect, Stage, Task};
-use super::{Attempt, KvCache, RelayTimer, answer, duty, links, millis, note, wake};
+use super::{Attempt, KvCache, RelayTimer, answer, duty, links, millis, note, silence, wake};
 use crate::error::{Kind, Ran};
 
 /// Time for which a silent attempt is kept after its request was last sent to another server: longer than a refusal or a connection
@@ -130,7 +130,7 @@
         instance.record_success(core.now);
     }
     log(core, key, "went-on", "", out);
-    answer::check_after(core, key, RETRY_PAUSE, out);
+    silence::check_after(core, key, RETRY_PAUSE, out);
 }
 
 /// Returns to a request's standby, if it has one, since no other server takes the request.
@@ -142,7 +142,7 @@
     call.attempt = Some(standby.attempt);
     free_cache(core, key, out);
     log(core, standby.attempt, "waits", "", out);
-    answer::check_after(core, standby.attempt, RETRY_PAUSE, out);
+    silence::check_after(core, standby.attempt, RETRY_PAUSE, out);
     true
 }
 
--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -4,7 +4,8 @@
 
 use rand::seq::IteratorRandom;
 
-use super::super::call::{dispatch, refuse};
+use super::super::call::dispatch;
+use super::super::ending::refuse;
 use super::super::event::{
     Arrival, Gossip, GossipKind, RelayEffect, StreamMessage, StreamQuery, StreamRecord, StreamReply,
 };
