--- a/src/core/relay/intake.rs
+++ b/src/core/relay/intake.rs
@@ -17,6 +17,9 @@
 const MAX_LAG: Duration = Duration::from_millis(10);
 /// Lag from which on a host only works off what it has read.
 const SEVERE_LAG: Duration = Duration::from_millis(40);
+/// Connections offered per second from which on a limit is set: with fewer, something else makes the loop lag, and closing them
+/// does not end it.
+const MIN_OFFERED: f64 = 100.0;
 /// Time over which the lag and the rate of connections are measured.
 const WINDOW: Duration = Duration::from_millis(150);
 /// Measurements of the lag in a window: few may all meet a task that takes long.
@@ -129,7 +132,9 @@
         );
         let lags = lag > MAX_LAG;
         match &mut self.limit {
-            None if lags => self.limit = Some(RateLimit::new(self.usual * START_FACTOR, now)),
+            None if lags && offered >= MIN_OFFERED => {
+                self.limit = Some(RateLimit::new(self.usual * START_FACTOR, now))
+            }
             None => self.usual += (offered - self.usual) * USUAL_WEIGHT,
             Some(limit) if lags && lag >= previous => {
                 limit.rate = (limit.rate * DECREASE).max(MIN_RATE);
