--- a/src/core/relay/intake.rs
+++ b/src/core/relay/intake.rs
@@ -133,7 +133,7 @@
         let lags = lag > MAX_LAG;
         match &mut self.limit {
             None if lags && offered >= MIN_OFFERED => {
-                self.limit = Some(RateLimit::new(self.usual * START_FACTOR, now))
+                self.limit = Some(RateLimit::new(self.usual * START_FACTOR, now));
             }
             None => self.usual += (offered - self.usual) * USUAL_WEIGHT,
             Some(limit) if lags && lag >= previous => {
