--- a/src/core/relay/tests/silence.rs
+++ b/src/core/relay/tests/silence.rs
@@ -409,33 +409,38 @@
     an_unanswered_stream_that_may_run_once: "/long/x", Unanswered, Refuse;
 }
 
+/// Has a host lose its links while a stream runs; returns the host, the attempt at the server and the one at another host.
+pub(super) fn forward_begun_stream(
+    network: &mut Network,
+) -> (&mut TestHost, AttemptKey, AttemptKey) {
+    let site = network.node(0);
+    site.arrive(plain_request("/feed/x"));
+    let attempt = site.sent().expect("a request is sent").attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    site.now += 200;
+    let mut out = Effects::new();
+    for server in ["p", "q", "r"] {
+        site.event(RelayEvent::LinkProbed {
+            instance: server.into(),
+            reached: false,
+        });
+        out.extend(site.out.iter().cloned());
+    }
+    let forwarded = out.iter().find_map(|effect| match effect {
+        Effect::Relay(RelayEffect::Forward(sent)) => Some(sent.attempt),
+        _ => None,
+    });
+    let forwarded = forwarded.expect("the stream is forwarded");
+    (site, attempt, forwarded)
+}
+
 /// The links count as lost while a stream runs at a server that goes on a moment later. Guards against giving the stream up for
 /// a host that refuses it.
 #[test]
 fn a_stream_that_no_other_host_takes_is_not_cut() {
     for refused in [true, false] {
         let mut network = Network::new(3, 1);
-        let site = network.node(0);
-        site.arrive(plain_request("/feed/x"));
-        let attempt = site.sent().expect("a request is sent").attempt;
-        site.event(RelayEvent::StreamEvent { attempt, number: 1 });
-        site.now += 200;
-        let mut forwarded = None;
-        let mut out = Effects::new();
-        for server in ["p", "q", "r"] {
-            let instance = server.into();
-            site.event(RelayEvent::LinkProbed {
-                instance,
-                reached: false,
-            });
-            out.extend(site.out.iter().cloned());
-        }
-        for effect in &out {
-            if let Effect::Relay(RelayEffect::Forward(sent)) = effect {
-                forwarded = Some(sent.attempt);
-            }
-        }
-        let forwarded = forwarded.expect("the stream is forwarded");
+        let (site, attempt, forwarded) = forward_begun_stream(&mut network);
         if refused {
             let refusal = ForwardRefusal {
                 kind: Kind::Overloaded,
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -1,6 +1,7 @@
 //! Requests whose silent attempt is kept, or was given up, while another server is asked to take them.
 
 use super::network::Network;
+use super::silence::forward_begun_stream;
 use super::*;
 use crate::core::relay::event::{ForwardRefusal, Task};
 use crate::error::Kind;
@@ -212,25 +213,7 @@
 /// The links are lost, and the host that a begun stream is forwarded to refuses it after the silent attempt was given up.
 fn late_refusal_of_a_host(kind: Kind) {
     let mut network = Network::new(3, 1);
-    let site = network.node(0);
-    site.arrive(plain_request("/feed/x"));
-    let attempt = site.sent().expect("a request is sent").attempt;
-    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
-    site.now += 200;
-    let mut out = Effects::new();
-    for server in ["p", "q", "r"] {
-        let instance = server.into();
-        site.event(RelayEvent::LinkProbed {
-            instance,
-            reached: false,
-        });
-        out.extend(site.out.iter().cloned());
-    }
-    let forwarded = out.iter().find_map(|effect| match effect {
-        Effect::Relay(RelayEffect::Forward(sent)) => Some(sent.attempt),
-        _ => None,
-    });
-    let attempt = forwarded.expect("the stream is forwarded");
+    let (site, _, attempt) = forward_begun_stream(&mut network);
     site.advance(EXPIRED_MS);
     let refusal = ForwardRefusal {
         kind,
