Name bounds and lags by the field's terms

Comments and local names alone: minimum and maximum in place of least and most, reports that reach a host in place of hosts that hear.

--- a/src/core/relay/intake.rs
+++ b/src/core/relay/intake.rs
@@ -54,7 +54,7 @@
     /// When the next measurement of the lag is due.
     due: Option<Time>,
     window: Window,
-    /// Least lag in the last window.
+    /// Shortest lag in the last window.
     lag: Duration,
     /// Connections offered per second while there was no lag.
     usual: f64,
@@ -67,8 +67,8 @@
     start: Time,
     /// Measurements of the lag.
     samples: u32,
-    /// The least of them.
-    least_lag: Duration,
+    /// The shortest of them.
+    min_lag: Duration,
     /// Connections that callers opened.
     offered: u32,
 }
@@ -101,8 +101,8 @@
     fn admit(&mut self, max: f64, now: Time) -> bool {
         let rate = self.rate.min(max);
         let gained = rate * now.since(self.refilled_at).as_secs_f64();
-        let most = (rate * BURST.as_secs_f64()).max(1.0);
-        self.tokens = (self.tokens + gained).min(most);
+        let max_tokens = (rate * BURST.as_secs_f64()).max(1.0);
+        self.tokens = (self.tokens + gained).min(max_tokens);
         self.refilled_at = now;
         let admitted = self.tokens >= 1.0;
         if admitted {
@@ -127,8 +127,8 @@
         let window = self.window;
         let offered = f64::from(window.offered) / now.since(window.start).as_secs_f64();
         let (lag, previous) = (
-            window.least_lag,
-            std::mem::replace(&mut self.lag, window.least_lag),
+            window.min_lag,
+            std::mem::replace(&mut self.lag, window.min_lag),
         );
         let lags = lag > MAX_LAG;
         match &mut self.limit {
@@ -200,10 +200,10 @@
     };
     let lag = now.since(due);
     let window = &mut intake.window;
-    window.least_lag = if window.samples == 0 {
+    window.min_lag = if window.samples == 0 {
         lag
     } else {
-        window.least_lag.min(lag)
+        window.min_lag.min(lag)
     };
     window.samples += 1;
     if window.samples < MIN_SAMPLES || now.since(window.start) < WINDOW {
--- a/src/core/relay/parts/admission.rs
+++ b/src/core/relay/parts/admission.rs
@@ -14,7 +14,7 @@
 use crate::core::{Core, Effects};
 use crate::error::Kind;
 
-/// Time in which one host may send a request with a blamed part; the other hosts hear of a crash well within it.
+/// Time in which one host may send a request with a blamed part; reports of a crash reach the other hosts well within it.
 const SLOT: Duration = Duration::from_secs(1);
 /// Part of a slot in which the request may be sent: its end must be known before the next host's turn.
 const SLOT_OPEN: Duration = Duration::from_millis(500);
--- a/src/core/relay/parts/mod.rs
+++ b/src/core/relay/parts/mod.rs
@@ -42,7 +42,7 @@
 const MAX_SERVERS: usize = 1024;
 /// Maximum number of parts of which it is kept when requests with them were answered whole.
 const MAX_SOUND_PARTS: usize = 4096;
-/// Customers of one crash that are told apart: from two on a part is refused for all.
+/// Maximum number of customers kept with a crash: from two on a part is refused for all.
 const MAX_CUSTOMERS: usize = 2;
 /// Bits of a part's id that the log of an attempt shows.
 const SHORT_ID_MASK: u64 = 0xffff_ffff;
--- a/src/core/relay/parts/reports.rs
+++ b/src/core/relay/parts/reports.rs
@@ -56,7 +56,7 @@
 
 /// Returns up to `max` reports to send in the next message to the other hosts: none of a server that is being probed.
 ///
-/// Crashes are reported even if this host's links may be at fault: each host that hears from the server takes them back,
+/// Crashes are reported even if this host's links may be at fault: each host that receives an answer of the server takes them back,
 /// and whole answers clear the parts.
 pub fn take_unpublished(core: &mut Core, max: usize) -> Vec<PartReport> {
     let now = core.now;
--- a/src/core/relay/stages.rs
+++ b/src/core/relay/stages.rs
@@ -88,19 +88,19 @@
     let Split {
         engines, prefill, ..
     } = split;
-    let most = engines.saturating_sub(1);
-    let least = usize::from(engines > 1);
+    let max = engines.saturating_sub(1);
+    let min = usize::from(engines > 1);
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "a fraction of the engines"
     )]
     let full = (engines as f64 * split.fraction).round() as usize;
-    let full = full.clamp(least, most);
+    let full = full.clamp(min, max);
     if prefill > full && split.decode_load >= FULL_FRACTION {
         return full;
     }
-    let kept = prefill.clamp(least, most);
+    let kept = prefill.clamp(min, max);
     if kept >= full {
         return kept;
     }
@@ -126,11 +126,9 @@
     }
 }
 
-/// Returns the number of engines from `from` to `to` above which another one shortens the queue by less than `gain`
-/// prompts.
+/// Returns the number of engines from `from` to `to` above which another one shortens the queue by less than `gain` prompts.
 ///
-/// By Little's law, the mean length of a queue is the time that callers wait there in each second. It is that of a queue
-/// with random arrivals before all engines (M/M/c), computed from its Erlang B formula.
+/// The mean length of the queue is that of an M/M/c queue, by the Erlang B formula.
 fn needed(prompts: f64, from: usize, to: usize, gain: f64) -> usize {
     let mut blocked = 1.0;
     let mut previous = f64::INFINITY;
--- a/src/core/relay/tests/config.rs
+++ b/src/core/relay/tests/config.rs
@@ -159,7 +159,7 @@
 /// Defines one test for each change of a time-out.
 macro_rules! changed_timeouts {
     ($($name:ident: $factor:expr;)*) => {$(
-        /// Guards against a request under way that is held to another time-out than the one its server was told.
+        /// Guards against a request under way that is held to another time-out than the one its server received.
         #[test]
         fn $name() {
             assert_eq!(end_after_change($factor), 4000);
--- a/tests/relay/descriptors.rs
+++ b/tests/relay/descriptors.rs
@@ -13,11 +13,11 @@
 const NO_MORE: u64 = 8;
 
 /// Lets a host open no more descriptors, or as many as before.
-fn limit_descriptors(site: &Site, most: Option<u64>) -> Option<u64> {
+fn limit_descriptors(site: &Site, max: Option<u64>) -> Option<u64> {
     let pid = i32::try_from(site.host.id()).ok().and_then(Pid::from_raw);
     let hard = rustix::process::getrlimit(Resource::Nofile).maximum;
     let limit = Rlimit {
-        current: most,
+        current: max,
         maximum: hard,
     };
     let old = prlimit(pid, Resource::Nofile, limit).expect("the limit can be set");
--- a/tests/soak/poison.rs
+++ b/tests/soak/poison.rs
@@ -91,7 +91,7 @@
         self.unplanned.0.fetch_sub(1, Ordering::SeqCst);
     }
 
-    /// Replaces the servers that crashed at least `after` ago; `crashed_at` tells when one did.
+    /// Replaces the servers that crashed at least `after` ago; `crashed_at` returns when one did.
     pub fn replace_crashed(&self, crashed_at: fn(&Engine) -> Option<Instant>, after: Duration) {
         let positions = self.positions.lock().expect("no panic").clone();
         for position in 0..positions.len() {
