--- a/src/core/relay/tests/intake.rs
+++ b/src/core/relay/tests/intake.rs
@@ -246,3 +246,16 @@
     let mut servers = host.core.relay.instances.arena.values();
     assert!(servers.all(|server| server.failures == 0));
 }
+
+/// Other processes take the processor from a host with few connections. Guards against a host that closes these unread, although
+/// that does not end its lag.
+#[test]
+fn a_starved_host_with_few_connections_closes_none() {
+    let mut site = Loop::new(9);
+    site.run(2000.0, USUAL_RATE);
+    while site.clock < 6000.0 {
+        site.clock += 30.0;
+        site.run(site.clock + 1.0, USUAL_RATE);
+    }
+    assert_eq!(site.outcome.unread.len(), 0);
+}
