Test a begun stream whose move uses up the retry budget

Callers' streams were cut on: an engine fell silent, the host gave its stream up for a prefill at another engine, and the run after the prefill was refused since repeats had used up their budget. The engine had finished its answer meanwhile.

--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -181,6 +181,43 @@
     assert!((KEPT_MS..MAX_BOTH_MS).contains(&after), "{after} ms");
 }
 
+/// Returns a host whose retry budget has room for so many sends in all, with a stream that has begun at a decode engine.
+fn begun_with_budget(sends: u32) -> (TestHost, Outgoing) {
+    let mut site = TestHost::new();
+    site.register(vec![
+        engine_entry("p", Stage::Prefill),
+        engine_entry("d", Stage::Decode),
+        engine_entry("e", Stage::Decode),
+    ]);
+    let relay = site.core.settings.relay.as_mut().expect("a relay");
+    // The budget uses seven tenths of its slack.
+    relay.retry_budget.slack = f64::from(sends) / 0.7;
+    relay.retry_budget.ratio = 0.0;
+    site.arrive(model_request("/short/x", (1, 60), 290));
+    let mut first = site.sent().expect("a request is sent");
+    if first.task == Task::Prefill {
+        let (attempt, handle) = (first.attempt, "k".into());
+        site.event(RelayEvent::Prefilled { attempt, handle });
+        first = site.sent().expect("the prompt is handed over");
+    }
+    let attempt = first.attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    (site, first)
+}
+
+/// The retry budget has room for a prefill of a begun stream, but not for the run that follows; the silent engine goes on.
+fn budget_for_prefill() {
+    let (mut site, first) = begun_with_budget(1);
+    if let Some(next) = next_sent(&mut site, LEFT_MS) {
+        let (attempt, handle) = (next.attempt, "l".into());
+        site.event(RelayEvent::Prefilled { attempt, handle });
+        assert!(!site.has_effect(is_cut), "the stream was cut");
+    }
+    let attempt = first.attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 2 });
+    assert!(site.has_effect(is_event), "the engine does not go on");
+}
+
 /// The next server answers that it failed while the silent one still runs the request, which may run no more.
 fn failure_beside_standby() {
     let (mut site, first) = asked(&["a", "b"], "/again/x", 0);
@@ -286,6 +323,8 @@
     a_standby_is_kept_for_each_server_asked: second_next_server();
     /// Guards against a silent attempt that is given up for a prompt that nobody decodes yet.
     a_standby_is_kept_for_a_prefill: long_prefill();
+    /// Guards against a begun stream that is cut since the retry budget has room for its prefill alone.
+    a_begun_stream_outlives_a_used_up_budget: budget_for_prefill();
     /// Guards against a failure that is passed on while a silent server still runs the request.
     a_failure_is_not_passed_on_beside_a_standby: failure_beside_standby();
     /// Guards against a request without an answer that fails with time and attempts left, since a server refuses it late.
