Log when the retry budget is used up

`budget.exhausted` names the request, what this host used in the window, and its limit. No decision changes.

--- a/src/core/relay/budget.rs
+++ b/src/core/relay/budget.rs
@@ -62,6 +62,18 @@
 
     /// Returns whether the budget allows one more retry.
     pub fn allows(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> bool {
+        let max = self.limit(now, rules, hosts);
+        ((self.retries.len() + 1) as f64) <= max
+    }
+
+    /// Returns how many retries were sent within the window that ended when this was last asked.
+    #[must_use]
+    pub fn used(&self) -> usize {
+        self.retries.len()
+    }
+
+    /// Returns how many retries this host may send within the window that ends now.
+    pub fn limit(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> f64 {
         let drop_expired = |times: &mut VecDeque<Time>| {
             while times
                 .front()
@@ -73,7 +85,6 @@
         drop_expired(&mut self.requests);
         drop_expired(&mut self.retries);
         let share = rules.slack / hosts.max(1) as f64;
-        let max = (rules.ratio * self.requests.len() as f64 + share) * USABLE_FRACTION;
-        ((self.retries.len() + 1) as f64) <= max
+        (rules.ratio * self.requests.len() as f64 + share) * USABLE_FRACTION
     }
 }
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -182,7 +182,7 @@
 }
 
 fn send(core: &mut Core, key: CallKey, choice: &Choice, out: &mut Effects) {
-    if !retry::charge_budget(core, key, &choice.task) {
+    if !retry::charge_budget(core, key, &choice.task, out) {
         let detail = "repeats use up their budget";
         let refusal = Refusal::new(Kind::Overloaded, detail).with_retry_after(RETRY_AFTER);
         refuse(core, key, refusal, out);
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -1,14 +1,14 @@
 //! Whether a request may be sent again, by the retry budget and by what could take it.
 
-use super::super::Core;
 use super::super::key::{AttemptKey, CallKey};
+use super::super::{Core, Effects};
 use super::choose::{self, Choice};
 use super::event::Task;
-use super::parts;
 use super::standby::Standby;
+use super::{note, parts};
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
-pub(super) fn charge_budget(core: &mut Core, key: CallKey, task: &Task) -> bool {
+pub(super) fn charge_budget(core: &mut Core, key: CallKey, task: &Task, out: &mut Effects) -> bool {
     let call = &core.relay.calls[key];
     let first = match task {
         Task::Prefill => call.prefills == 0 && call.arrivals == 0,
@@ -23,11 +23,38 @@
     };
     let service = call.service.clone();
     let budget = core.relay.retry_budgets.entry(service).or_default();
-    budget.try_spend(core.now, &settings.retry_budget, hosts)
+    let is_charged = budget.try_spend(core.now, &settings.retry_budget, hosts);
+    if !is_charged {
+        log_exhausted(core, key, out);
+    }
+    is_charged
+}
+
+fn log_exhausted(core: &mut Core, key: CallKey, out: &mut Effects) {
+    let call = &core.relay.calls[key];
+    let hosts = core.relay.peers.host_count();
+    let budget = core.relay.retry_budgets.get_mut(&call.service);
+    let (Some(settings), Some(budget)) = (&core.settings.relay, budget) else {
+        return;
+    };
+    let limit = budget.limit(core.now, &settings.retry_budget, hosts);
+    let fields = vec![
+        ("id", call.id.clone()),
+        ("service", call.service.clone()),
+        ("used", budget.used().to_string().into()),
+        ("limit", format!("{limit:.1}").into()),
+        ("begun", call.delivered.to_string().into()),
+    ];
+    note(out, log::Level::Info, "budget.exhausted", fields);
 }
 
 /// Chooses another backend server than that of an attempt for a request that may be sent again now; `None` if there is none.
-pub(super) fn choose_other(core: &mut Core, key: CallKey, attempt: AttemptKey) -> Option<Choice> {
+pub(super) fn choose_other(
+    core: &mut Core,
+    key: CallKey,
+    attempt: AttemptKey,
+    out: &mut Effects,
+) -> Option<Choice> {
     let call = &core.relay.calls[key];
     if core
         .relay
@@ -47,6 +74,7 @@
         .as_ref()
         .map(|relay| &relay.retry_budget);
     if !rules.is_some_and(|rules| budget.allows(core.now, rules, hosts)) {
+        log_exhausted(core, key, out);
         return None;
     }
     let call = &mut core.relay.calls[key];
--- a/src/core/relay/silence.rs
+++ b/src/core/relay/silence.rs
@@ -51,7 +51,7 @@
         may_move && forward::can_forward(core, call)
     } else if may_move && !stays {
         // A second choice could draw other candidates and find none.
-        core.relay.calls[call].next = retry::choose_other(core, call, key);
+        core.relay.calls[call].next = retry::choose_other(core, call, key, out);
         core.relay.calls[call].next.is_some()
     } else {
         false
