Reserve the run that follows a prefill in the retry budget

Callers: a begun stream at a silent engine was given up for a prefill at another engine though the retry budget had no room for the run that follows. On the stream was then cut (LOST); since, it waits for the silent engine, but the prefill is wasted, and several streams that move at once take the room from each other's runs.

Cause: a move was secured for its first send only. The class is that of cut-for-a-refusal: something that runs is given up for something that is not yet secured.

Change: a request whose prefill is a repeat reserves the run as well; without room for both it stays where it is. The reservation becomes the run's charge, or is released when the silent engine goes on, the request ends or is prefilled anew.

--- a/src/core/relay/budget.rs
+++ b/src/core/relay/budget.rs
@@ -31,6 +31,8 @@
 pub struct RetryBudget {
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
+    /// Retries that will follow those that were sent.
+    reserved: usize,
 }
 
 impl RetryBudget {
@@ -51,25 +53,43 @@
         recent.take_while(|at| now.since(**at) <= span).count()
     }
 
-    /// Counts one more retry if the budget allows it; returns whether it does.
-    pub fn try_spend(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> bool {
-        let allowed = self.allows(now, rules, hosts);
+    /// Counts one more retry, and reserves as many as will follow it, if the budget allows them all; returns whether it does.
+    pub fn try_spend(
+        &mut self,
+        now: Time,
+        rules: &BudgetRules,
+        hosts: usize,
+        follow: usize,
+    ) -> bool {
+        let allowed = self.allows(now, rules, hosts, 1 + follow);
         if allowed {
             self.retries.push_back(now);
+            self.reserved += follow;
         }
         allowed
     }
 
-    /// Returns whether the budget allows one more retry.
-    pub fn allows(&mut self, now: Time, rules: &BudgetRules, hosts: usize) -> bool {
+    /// Counts a retry that was reserved.
+    pub fn spend_reserved(&mut self, now: Time) {
+        self.release();
+        self.retries.push_back(now);
+    }
+
+    /// Releases a retry that was reserved and is not sent.
+    pub fn release(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Returns whether the budget allows this many more retries.
+    pub fn allows(&mut self, now: Time, rules: &BudgetRules, hosts: usize, sends: usize) -> bool {
         let max = self.limit(now, rules, hosts);
-        ((self.retries.len() + 1) as f64) <= max
+        ((self.used() + sends) as f64) <= max
     }
 
-    /// Returns how many retries were sent within the window that ended when this was last asked.
+    /// Returns how many retries were sent within the window that ended when the limit was last asked, or are reserved.
     #[must_use]
     pub fn used(&self) -> usize {
-        self.retries.len()
+        self.retries.len() + self.reserved
     }
 
     /// Returns how many retries this host may send within the window that ends now.
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -128,6 +128,7 @@
         cache: None,
         is_late: false,
         last_forwarded: None,
+        reserved: false,
         unreachable: 0,
         hosts_tried: Vec::new(),
         is_forwarded: arrival.forwarded.is_some(),
--- a/src/core/relay/ending.rs
+++ b/src/core/relay/ending.rs
@@ -11,7 +11,7 @@
 use super::super::{Core, Effects};
 use super::call::{age_ms, close_attempt};
 use super::event::RelayEffect;
-use super::{RelayTimer, forward, from_millis, links, millis, note, standby};
+use super::{RelayTimer, forward, from_millis, links, millis, note, retry, standby};
 use crate::error::{Kind, Ran};
 
 /// Default time to retry after: half of a burst of three seconds.
@@ -210,6 +210,7 @@
     }
     standby::release(core, key, "ended", out);
     standby::free_cache(core, key, out);
+    retry::release_reserved(core, key);
     let Some(call) = core.relay.calls.remove(key) else {
         return;
     };
--- a/src/core/relay/request.rs
+++ b/src/core/relay/request.rs
@@ -68,6 +68,8 @@
     pub is_late: bool,
     /// When the last event was forwarded.
     pub last_forwarded: Option<Time>,
+    /// Whether the retry budget has the run reserved that follows its prefill.
+    pub reserved: bool,
     /// Backend servers to which no connection was made.
     pub unreachable: u32,
     /// Hosts that it was forwarded to.
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -5,31 +5,58 @@
 use super::choose::{self, Choice};
 use super::event::Task;
 use super::standby::Standby;
-use super::{note, parts};
+use super::{Call, note, parts};
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
+///
+/// With a prefill, the run that follows is reserved: a prefill without it is wasted, and a silent server was left for it.
 pub(super) fn charge_budget(core: &mut Core, key: CallKey, task: &Task, out: &mut Effects) -> bool {
-    let call = &core.relay.calls[key];
+    let call = &mut core.relay.calls[key];
+    let was_reserved = std::mem::take(&mut call.reserved);
     let first = match task {
         Task::Prefill => call.prefills == 0 && call.arrivals == 0,
         Task::Whole | Task::Decode { .. } => call.arrivals == 0,
     };
+    let follow = following_sends(call, task);
+    let service = call.service.clone();
+    let hosts = core.relay.peers.host_count();
+    let budget = core.relay.retry_budgets.entry(service).or_default();
+    if was_reserved && *task != Task::Prefill {
+        budget.spend_reserved(core.now);
+        return true;
+    }
+    if was_reserved {
+        budget.release();
+    }
     if first {
         return true;
     }
-    let hosts = core.relay.peers.host_count();
     let Some(settings) = &core.settings.relay else {
         return false;
     };
-    let service = call.service.clone();
-    let budget = core.relay.retry_budgets.entry(service).or_default();
-    let is_charged = budget.try_spend(core.now, &settings.retry_budget, hosts);
+    let is_charged = budget.try_spend(core.now, &settings.retry_budget, hosts, follow);
+    core.relay.calls[key].reserved = is_charged && follow > 0;
     if !is_charged {
         log_exhausted(core, key, out);
     }
     is_charged
 }
 
+/// Returns how many retries follow a send until the request runs.
+fn following_sends(call: &Call, task: &Task) -> usize {
+    usize::from(*task == Task::Prefill && call.arrivals > 0)
+}
+
+/// Releases the run that was reserved with a request's prefill, since it is not sent.
+pub(super) fn release_reserved(core: &mut Core, key: CallKey) {
+    let call = &mut core.relay.calls[key];
+    if std::mem::take(&mut call.reserved)
+        && let Some(budget) = core.relay.retry_budgets.get_mut(&call.service)
+    {
+        budget.release();
+    }
+}
+
 fn log_exhausted(core: &mut Core, key: CallKey, out: &mut Effects) {
     let call = &core.relay.calls[key];
     let hosts = core.relay.peers.host_count();
@@ -65,15 +92,7 @@
     {
         return None;
     }
-    let service = call.service.clone();
-    let hosts = core.relay.peers.host_count();
-    let budget = core.relay.retry_budgets.entry(service).or_default();
-    let rules = core
-        .settings
-        .relay
-        .as_ref()
-        .map(|relay| &relay.retry_budget);
-    if !rules.is_some_and(|rules| budget.allows(core.now, rules, hosts)) {
+    if !has_room(core, key, 1) {
         log_exhausted(core, key, out);
         return None;
     }
@@ -85,5 +104,20 @@
     let call = &mut core.relay.calls[key];
     call.standby = standby;
     call.cache = cache;
-    choice.ok()
+    let choice = choice.ok()?;
+    let follow = following_sends(call, &choice.task);
+    if !has_room(core, key, 1 + follow) {
+        log_exhausted(core, key, out);
+        return None;
+    }
+    Some(choice)
+}
+
+/// Returns whether the retry budget allows a request this many more sends.
+fn has_room(core: &mut Core, key: CallKey, sends: usize) -> bool {
+    let hosts = core.relay.peers.host_count();
+    let service = core.relay.calls[key].service.clone();
+    let budget = core.relay.retry_budgets.entry(service).or_default();
+    let settings = core.settings.relay.as_ref();
+    settings.is_some_and(|settings| budget.allows(core.now, &settings.retry_budget, hosts, sends))
 }
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -12,7 +12,9 @@
 use super::super::{Core, Effects};
 use super::call::{close_attempt, dispatch};
 use super::event::{RelayEffect, Stage, Task};
-use super::{Attempt, KvCache, RelayTimer, answer, duty, links, millis, note, silence, wake};
+use super::{
+    Attempt, KvCache, RelayTimer, answer, duty, links, millis, note, retry, silence, wake,
+};
 use crate::error::{Kind, Ran};
 
 /// Time for which a silent attempt is kept after its request was last sent to another server: longer than a refusal or a connection
@@ -126,6 +128,7 @@
         core.relay.calls[call].attempt = Some(key);
     }
     free_cache(core, call, out);
+    retry::release_reserved(core, call);
     if let Some(instance) = core.relay.instances.arena.get_mut(server) {
         instance.record_success(core.now);
     }
@@ -141,6 +144,7 @@
     };
     call.attempt = Some(standby.attempt);
     free_cache(core, key, out);
+    retry::release_reserved(core, key);
     log(core, standby.attempt, "waits", "", out);
     silence::check_after(core, standby.attempt, RETRY_PAUSE, out);
     true
