Tell the core while a caller reads nothing of its stream

A caller that stopped reading for a second or more had its stream moved from a sound server, or cut: the second server could refuse the stream after the first had been given up.

While the queue of a caller is full, the adapter reads nothing from the server, and the core was not told. It took the server for silent, asked another one, gave the first up after 300 ms and counted a failure of it. The gap also went into the measured pace of the server.

The adapter now reports that the delivery is blocked, and that it was resumed. A blocked attempt is not silent; the time counts from the moment at which reading goes on, and the gap is no measure of the server.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -8,8 +8,8 @@
 use super::ending::{end, give_up, refuse};
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
-    Attempt, KvCache, RetryPolicy, call, duty, forward, links, load, millis, note, parts, poison,
-    standby, versions,
+    Attempt, Delivery, KvCache, RetryPolicy, call, duty, forward, links, load, millis, note, parts,
+    poison, standby, versions,
 };
 use crate::error::{Kind, Ran};
 
@@ -139,7 +139,10 @@
     attempt.began.get_or_insert(now);
     let gap = millis(now.since(attempt.last_received));
     attempt.last_received = now;
-    if !is_first && let Some(instance) = core.relay.instances.arena.get_mut(backend) {
+    // A gap in which the caller did not read is no measure of the server.
+    let is_measured = !is_first && attempt.delivery == Delivery::Open;
+    attempt.delivery = Delivery::Open;
+    if is_measured && let Some(instance) = core.relay.instances.arena.get_mut(backend) {
         let model = core.relay.cost_model.of_mut(&instance.service);
         model.record_event_gap(gap, &mut instance.pace);
     }
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -11,11 +11,11 @@
 use super::customers::Identity;
 use super::ending::{OTHER_HOST_RETRY_AFTER, RETRY_AFTER, refuse, store_age_ms};
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
-use super::instance::Work;
+use super::instance::{Instance, Work};
 use super::versions::{self, StreamKey};
 use super::{
-    Attempt, Call, RelayTimer, departed, forward, from_millis, gossip, note, parts, poison,
-    prefix_cache, resolve, retry, silence, standby,
+    Attempt, Call, Delivery, RelayTimer, departed, forward, from_millis, gossip, note, parts,
+    poison, prefix_cache, resolve, retry, silence, standby,
 };
 use crate::error::Kind;
 
@@ -196,8 +196,7 @@
         |age| format!("{}", age.as_millis()).into(),
     );
     let instance = &core.relay.instances.arena[choice.backend];
-    let unlisted = age_ms(core, instance.missing_since, "listed");
-    let named_leaving = age_ms(core, instance.named_leaving, "no");
+    let (unlisted, named_leaving) = ages_ms(core, instance);
     let pushback = instance.pushback.remaining(now).as_millis().to_string();
     let view_age = store_age_ms(core);
     let fetched = choice.fetch.map_or(0, |fetch| fetch.tokens);
@@ -232,6 +231,7 @@
         began: None,
         last_received: now,
         check_at: now,
+        delivery: Delivery::Open,
     });
     call.attempt = Some(attempt);
     if choice.work.tokens > 0 || matches!(choice.task, Task::Prefill) {
@@ -285,6 +285,12 @@
     }
 }
 
+/// Returns the milliseconds since a server was missing in the list, and since it was named as leaving, for the log.
+fn ages_ms(core: &Core, instance: &Instance) -> (Box<str>, Box<str>) {
+    let unlisted = age_ms(core, instance.missing_since, "listed");
+    (unlisted, age_ms(core, instance.named_leaving, "no"))
+}
+
 /// Returns the milliseconds since a time, or `none` without one, for the log.
 pub(super) fn age_ms(core: &Core, since: Option<Time>, none: &str) -> Box<str> {
     since.map_or_else(
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -3,6 +3,7 @@
 mod forward;
 mod gossip;
 mod notice;
+mod order;
 mod stream;
 mod versions;
 
@@ -16,7 +17,6 @@
 use crate::core::effect::Refusal;
 use crate::core::event::{AttemptFailure, Fingerprint};
 use crate::core::key::{AttemptKey, CallKey};
-use crate::core::time::Time;
 use crate::error::Ran;
 use crate::settings::Settings;
 pub use forward::{Departures, ForwardRefusal, Forwarded, LinkProbe, Spent};
@@ -25,6 +25,7 @@
     LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange, Updates, UptimeReport,
 };
 pub use notice::{NamedLimit, NamedPushback, Notices};
+pub use order::{EngineReport, OrderResult, StageOrder};
 pub use stream::{Framing, StreamEnd};
 pub use versions::{StreamMessage, StreamQuery, StreamRecord, StreamReply};
 
@@ -78,6 +79,10 @@
         /// Number of the event in the answer; 0 if it has none.
         number: u64,
     },
+    /// The caller does not read a streamed answer; nothing is read from the server until it does.
+    DeliveryBlocked(AttemptKey),
+    /// The caller reads again after [`RelayEvent::DeliveryBlocked`].
+    DeliveryResumed(AttemptKey),
     /// Another host refused a request that was forwarded to it.
     ForwardRefused {
         /// The attempt.
@@ -450,50 +455,3 @@
     /// On whose behalf it runs.
     pub identity: Identity,
 }
-
-/// An order to an engine to change its stage.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct StageOrder {
-    /// The engine's id.
-    pub instance: Box<str>,
-    /// Address that it listens on.
-    pub addr: SocketAddr,
-    /// Stage that it is to change to.
-    pub stage: Stage,
-    /// Name of this host, the holder of the authority.
-    pub holder: Box<str>,
-    /// Fencing number.
-    pub fence: u64,
-    /// Number of orders that the engine had accepted when this one was decided.
-    pub expected: u64,
-    /// End of the authority; checked again just before the order is written to the connection.
-    pub until: Time,
-    /// Era of the store that the authority belongs to; checked likewise.
-    pub era: u64,
-}
-
-/// State that an engine reports, some hundred milliseconds old.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EngineReport {
-    /// Current stage.
-    pub stage: Stage,
-    /// Whether it is executing an order.
-    pub busy: bool,
-    /// Number of orders that it has accepted since its start.
-    pub orders: u64,
-}
-
-/// Result of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderResult {
-    /// The engine is executing it, or already has that stage.
-    Done,
-    /// The engine is busy, or its state differs from the expected one.
-    Conflict,
-    /// The engine has seen a higher fencing number.
-    Fenced,
-    /// The engine certainly did not accept it.
-    Unsent,
-    /// The engine may have accepted it, or may still accept it.
-    Unknown,
-}
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -18,7 +18,7 @@
 use super::instance::Work;
 use super::peers::Peer;
 use super::versions::Version;
-use super::{Attempt, PrefillEstimate, departed, note, standby};
+use super::{Attempt, Delivery, PrefillEstimate, departed, note, standby};
 use crate::error::{Kind, Ran};
 
 /// Hosts that one request is forwarded to. In a large failure domain hosts do not send gossip to each other, so that a
@@ -202,6 +202,7 @@
         began: None,
         last_received: now,
         check_at: now,
+        delivery: Delivery::Open,
     });
     call.attempt = Some(attempt);
     let peer = &mut core.relay.peers.arena[host];
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -59,7 +59,7 @@
 use instances::Instances;
 use versions::Versions;
 
-pub use request::{Attempt, Call, KvCache, PrefillEstimate};
+pub use request::{Attempt, Call, Delivery, KvCache, PrefillEstimate};
 
 /// Timers of the relay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -216,6 +216,8 @@
             links::attempt_received(core, attempt, out);
             answer::stream_event(core, attempt, number, out);
         }
+        RelayEvent::DeliveryBlocked(attempt) => silence::delivery_blocked(core, attempt),
+        RelayEvent::DeliveryResumed(attempt) => silence::delivery_resumed(core, attempt),
         RelayEvent::StreamEnded { attempt, end } => answer::stream_ended(core, attempt, end, out),
         RelayEvent::AttemptFailed {
             attempt,
--- a/src/core/relay/request.rs
+++ b/src/core/relay/request.rs
@@ -124,6 +124,19 @@
     pub last_received: Time,
     /// When it is next checked for silence.
     pub check_at: Time,
+    /// Whether its answer is being read.
+    pub delivery: Delivery,
+}
+
+/// Whether an answer is read from its server, by what its caller takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// What arrives is read.
+    Open,
+    /// The caller does not read, so nothing is read from the server.
+    Blocked,
+    /// The caller reads again; nothing has arrived since.
+    Resumed,
 }
 
 /// Expected prefill work at an engine before a request's first token.
--- a/src/core/relay/silence.rs
+++ b/src/core/relay/silence.rs
@@ -5,13 +5,31 @@
 use super::super::key::AttemptKey;
 use super::super::{Core, Effects};
 use super::answer::may_move;
-use super::{RelayTimer, forward, load, millis, retry, standby, wake};
+use super::{Delivery, RelayTimer, forward, load, millis, retry, standby, wake};
 
 /// Delay of a check for silence from which on this host has stood still: timers are late by some milliseconds otherwise.
 const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
 /// Time after such a delay in which what arrived meanwhile is read: it is here already.
 const STALL_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time between two checks of an attempt whose caller does not read.
+const BLOCKED_PAUSE: Duration = Duration::from_millis(500);
+
+/// Records that the caller of an attempt does not read: nothing is read from its server either, which is no silence.
+pub(super) fn delivery_blocked(core: &mut Core, key: AttemptKey) {
+    if let Some(attempt) = core.relay.attempts.get_mut(key) {
+        attempt.delivery = Delivery::Blocked;
+    }
+}
+
+/// Records that the caller of an attempt reads again: its server may be silent from now on.
+pub(super) fn delivery_resumed(core: &mut Core, key: AttemptKey) {
+    if let Some(attempt) = core.relay.attempts.get_mut(key) {
+        attempt.delivery = Delivery::Resumed;
+        attempt.last_received = core.now;
+    }
+}
+
 /// Checks an attempt for silence after a time.
 pub(super) fn check_after(core: &mut Core, key: AttemptKey, after: Duration, out: &mut Effects) {
     if let Some(attempt) = core.relay.attempts.get_mut(key) {
@@ -35,6 +53,10 @@
         check_after(core, key, STALL_PAUSE, out);
         return;
     }
+    if attempt.delivery == Delivery::Blocked {
+        check_after(core, key, BLOCKED_PAUSE, out);
+        return;
+    }
     let call = &core.relay.calls[attempt.call];
     let instance = core.relay.instances.arena.get(attempt.backend);
     let last_answer = instance.and_then(|instance| instance.last_response);
--- a/src/core/relay/tests/request.rs
+++ b/src/core/relay/tests/request.rs
@@ -136,6 +136,22 @@
     assert_eq!(sent(&site.advance(1000)).len(), 1);
 }
 
+/// A caller does not read its stream for longer than a server may be silent, and reads on. Guards against a host that takes
+/// the server, of which it reads nothing meanwhile, for a silent one.
+#[test]
+fn a_slow_caller_is_not_a_silent_server() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b")]);
+    site.arrive(plain_request("/feed/x"));
+    let attempt = site.sent().expect("a request is sent").attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    site.event(RelayEvent::DeliveryBlocked(attempt));
+    assert!(sent(&site.advance(1500)).is_empty(), "the stream is moved");
+    site.event(RelayEvent::DeliveryResumed(attempt));
+    assert!(sent(&site.advance(800)).is_empty(), "the stream is moved");
+    assert_eq!(sent(&site.advance(500)).len(), 1, "the server is silent");
+}
+
 /// The caller closes its connection: the attempt is cancelled, as nobody would receive the answer.
 #[test]
 fn a_disconnected_caller_ends_its_attempt() {
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -324,8 +324,12 @@
         let Some(queue) = node.relay.queue(source.call) else {
             return Ok(());
         };
-        while queue.is_full() {
-            queue.wait_for_space().await;
+        if queue.is_full() {
+            apply(node, RelayEvent::DeliveryBlocked(source.attempt));
+            while queue.is_full() {
+                queue.wait_for_space().await;
+            }
+            apply(node, RelayEvent::DeliveryResumed(source.attempt));
         }
     }
     let end = StreamEnd {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -25,6 +25,7 @@
 mod pushback;
 mod refused;
 mod silence;
+mod slow_caller;
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
 mod stop;
--- a/tests/relay/silence.rs
+++ b/tests/relay/silence.rs
@@ -14,7 +14,7 @@
 const SILENCE: Duration = Duration::from_millis(1500);
 
 /// A configuration whose streams are to pause for 100 ms at most, and that have this long to end.
-fn config_with_timeout(version: u64, millis: u64) -> Value {
+pub fn config_with_timeout(version: u64, millis: u64) -> Value {
     let mut config = config(version, "/short/");
     for route in config["routes"].as_array_mut().expect("routes") {
         route["gapTargetMs"] = json!(100);
--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -52,6 +52,8 @@
     pub tears_prefills: bool,
     /// Whether its streams have no events.
     pub is_empty: bool,
+    /// Number of events of its streams and bytes of each, if not the usual ones.
+    pub large_stream: Option<(u64, usize)>,
     /// Request id of the next answer, in place of the real one.
     pub answer_id: Option<String>,
     pub held: bool,
@@ -273,6 +275,11 @@
         self.shared.0.lock().expect("the engine").is_empty = true;
     }
 
+    /// Sends streams of so many events from now on, each with so many bytes in addition.
+    pub fn send_large_streams(&self, events: u64, bytes: usize) {
+        self.shared.0.lock().expect("the engine").large_stream = Some((events, bytes));
+    }
+
     /// Cancels [`break_after`](Self::break_after).
     pub fn clear_break(&self) {
         self.shared.0.lock().expect("the engine").break_after = None;
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -155,8 +155,10 @@
     } else {
         None
     };
-    let last = if state.is_empty { EVENT_COUNT } else { last };
-    let pieces = (last + 1..=EVENT_COUNT).map(|number| events(id, number..=number));
+    let (count, padding) = state.large_stream.unwrap_or((EVENT_COUNT, 0));
+    let last = if state.is_empty { count } else { last };
+    let padding = padded(padding);
+    let pieces = (last + 1..=count).map(|number| padding.clone() + &events(id, number..=number));
     let mut answer = Answer {
         headers: format!("{headers}content-type: text/event-stream\r\n"),
         framing: state.framing.unwrap_or(Framing::Chunks),
@@ -171,7 +173,7 @@
         return crash(shared, &answer, stream);
     }
     let broken = break_after.map(|break_after| last.max(break_after) + 1);
-    if let Some(number) = broken.filter(|number| *number <= EVENT_COUNT) {
+    if let Some(number) = broken.filter(|number| *number <= count) {
         answer
             .pieces
             .truncate(usize::try_from(number - last - 1).ok()?);
@@ -181,6 +183,14 @@
     answer.write(shared, delay, stream)
 }
 
+/// Returns a comment of so many bytes before an event; none for 0.
+fn padded(bytes: usize) -> String {
+    if bytes == 0 {
+        return String::new();
+    }
+    format!(":{}\n", "x".repeat(bytes))
+}
+
 /// Ends the process after the head of an answer, unless it has ended before.
 fn crash(shared: &Shared, answer: &Answer, stream: &mut TcpStream) -> Option<()> {
     let mut state = shared.0.lock().expect("the engine");
