Test silences at each place of answers of each kind and framing

Servers that fall silent for 1.5 s before the head, inside the answer or before its end, and go on, while the configuration changes and a second server is absent, refuses or answers. Each of five kinds of requests must get a whole answer, and a request that may not repeat must run once. A request must have been offered to the second server, so that the test does not pass for want of a move.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -18,6 +18,7 @@
 mod limit;
 mod partition;
 mod parts;
+mod pauses;
 mod poison;
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -74,6 +74,8 @@
     pub framing: Option<Framing>,
     /// Where and for how long the next answer falls silent; shared by servers of which one does.
     pub pause: Arc<Mutex<Option<(Pause, Duration)>>>,
+    /// Where and for how long each of its answers to callers' requests falls silent.
+    pub pause_each: Option<(Pause, Duration)>,
     /// Open connections.
     pub connections: Vec<Weak<TcpStream>>,
     /// How often the server was started before.
@@ -389,6 +391,11 @@
         }
     }
 
+    /// Falls silent for a time in each answer to a caller's request from now on.
+    pub fn pause_each(&self, pause: Pause, duration: Duration) {
+        self.shared.0.lock().expect("the engine").pause_each = Some((pause, duration));
+    }
+
     /// Returns whether the answer of [`pause_next`](Self::pause_next) has fallen silent.
     pub fn has_paused(&self) -> bool {
         let state = self.shared.0.lock().expect("the engine");
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -101,6 +101,12 @@
     }
 }
 
+/// Returns where and for how long the next answer falls silent.
+fn next_pause(state: &EngineState) -> Option<(Pause, Duration)> {
+    let next = state.pause.lock().expect("the pause").take();
+    next.or(state.pause_each)
+}
+
 /// Answers a request whose answer is no stream.
 fn answer_call(
     shared: &Shared,
@@ -111,7 +117,7 @@
     stream: &mut TcpStream,
 ) -> Option<()> {
     let torn = state.torn.lock().expect("the break").take();
-    let pause = state.pause.lock().expect("the pause").take();
+    let pause = next_pause(&state);
     let (framing, delay) = (state.framing, state.delay);
     drop(state);
     let body = String::from_utf8_lossy(&request.body);
@@ -164,7 +170,7 @@
         framing: state.framing.unwrap_or(Framing::Chunks),
         pieces: pieces.collect(),
         is_torn: false,
-        pause: state.pause.lock().expect("the pause").take(),
+        pause: next_pause(&state),
     };
     let (delay, begins_on_bad_part) = (state.delay, state.has_bad_part(request));
     drop(state);
