Test silences of servers while their host stops, reloads or stands still

A host gets SIGTERM or SIGHUP, or stands still for 2 s, while its servers are silent for 1.5 s before the head, inside the answer or before its end. Each of five kinds of requests must get a whole answer, and one that may not repeat must run once; a stopping host must end by itself.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod era;
 mod framing;
 mod hang;
+mod host_pauses;
 #[path = "../common/http.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod http;
