Test servers that take connections or bodies late

A server that has no room for connections for a time: its only request is refused as not run, truthfully, and a later one is served once. A server that reads nothing of a body of 12 MB for 1.5 s and goes on: the answer is whole, and a request that may not repeat runs once, while a second server is absent, refuses or answers.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -15,6 +15,7 @@
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod http;
 mod keys;
+mod late_server;
 mod leaving;
 mod limit;
 mod partition;
