Test slow callers of forwarded streams and of hosts that stop

A caller reads nothing of a stream that its host has forwarded: the other host fills its queue too. The tests wait until the servers have written nothing for 2 s instead of for a fixed time, in which the buffers might not be full.

A caller reads a stream, or an answer in one piece, slowly while its host gets SIGTERM: the answer is whole and the host ends by itself. No fault was found there.

--- a/tests/relay/partition.rs
+++ b/tests/relay/partition.rs
@@ -13,7 +13,7 @@
 
 /// How the links of a host to all servers end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Cut {
+pub enum Cut {
     /// Connections, old and new, pass no data.
     Silent,
     /// Connections are reset, and new ones pass no data.
@@ -30,9 +30,9 @@
 const REQUEST_COUNT: usize = 5;
 
 /// A host with links of its own to each server.
-struct Host {
+pub struct Host {
     process: Process,
-    callers: SocketAddr,
+    pub callers: SocketAddr,
     readiness: SocketAddr,
     folder: TempDir,
     links: Vec<FaultProxy>,
@@ -84,7 +84,7 @@
         self.links.iter().for_each(FaultProxy::restore);
     }
 
-    fn log(&self) -> String {
+    pub fn log(&self) -> String {
         self.folder.read(LOG_FILE)
     }
 
@@ -99,15 +99,15 @@
 }
 
 /// Hosts before the same servers.
-struct Site {
-    store: Store,
-    hosts: Vec<Host>,
-    engines: Vec<Engine>,
+pub struct Site {
+    pub store: Store,
+    pub hosts: Vec<Host>,
+    pub engines: Vec<Engine>,
     sent: Cell<usize>,
 }
 
 impl Site {
-    fn start(host_count: usize) -> Self {
+    pub fn start(host_count: usize) -> Self {
         let engines = vec![
             Engine::plain("s-1"),
             Engine::plain("s-2"),
@@ -165,7 +165,7 @@
     }
 
     /// Returns how often servers ran a request.
-    fn runs(&self, id: &str) -> usize {
+    pub fn runs(&self, id: &str) -> usize {
         let line = format!("x-chiveway-attempt-id: {id}\n");
         let all = self.engines.iter().flat_map(Engine::requests);
         let is_run = |head: &str| head.contains(&line) && !head.contains("serving-stage: prefill");
@@ -173,7 +173,7 @@
     }
 
     /// Sends requests of all kinds to a host until it logs that its links are lost.
-    fn lose_links(&self, host: &Host, how: Cut) {
+    pub fn lose_links(&self, host: &Host, how: Cut) {
         let before = host.event_count("links.lost");
         host.cut(how);
         wait_for("the loss of the links", || {
--- a/tests/relay/slow_caller.rs
+++ b/tests/relay/slow_caller.rs
@@ -2,15 +2,29 @@
 
 use std::time::Duration;
 
+use serde_json::json;
+
+use super::partition::{self, Cut};
 use super::silence::config_with_timeout;
 use super::standin::{Engine, SHORT_PROMPT};
-use super::{Site, http, wait_for};
+use super::{Site, http, is_listed_ready, wait_for};
 
 /// Events of a stream and bytes of each: together more than the queue of a host and the buffers of two connections hold.
 const EVENTS: u64 = 640;
 const EVENT_BYTES: usize = 64 * 1024;
 /// Longer than a stream may be silent before its host looks for another server.
-const PAUSE: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Waits until servers, which are to write so many events, have written nothing for a time.
+fn wait_until_held_back(servers: &[&Engine], events: u64) {
+    let written = || servers.iter().map(|server| server.written()).sum::<u64>();
+    let mut before = written();
+    wait_for("the servers to be held back", || {
+        std::thread::sleep(PAUSE);
+        std::mem::replace(&mut before, written()) == before
+    });
+    assert!(before < events, "the buffers hold the whole stream");
+}
 
 /// A caller stops reading a stream for a time and reads on. Guards against a host that takes the server, of which it reads
 /// nothing meanwhile, for a silent one, and moves the stream from a sound server.
@@ -34,9 +48,9 @@
     let answer = answer.expect("the head of an answer");
     site.store.put("servers/d-2", &two.entry("ready"));
     wait_for("the other server in the list", || {
-        super::is_listed_ready(&site.log(), "d-2")
+        is_listed_ready(&site.log(), "d-2")
     });
-    std::thread::sleep(PAUSE);
+    wait_until_held_back(&[&one, &two], EVENTS);
     let answer = answer.rest();
     assert!(answer.complete, "{}", site.log());
     let text = answer.text();
@@ -49,3 +63,73 @@
         site.log()
     );
 }
+
+/// A caller stops reading a stream for a time that its host has forwarded to another host. Guards against that host, which
+/// reads nothing of the server meanwhile either, taking the server for a silent one.
+#[test]
+fn a_server_is_not_silent_while_the_caller_of_another_host_does_not_read() {
+    let site = partition::Site::start(2);
+    site.store.put("op/config", &config_with_timeout(2, 16_000));
+    let [near, far] = &*site.hosts else {
+        unreachable!()
+    };
+    for host in [near, far] {
+        wait_for("the configuration", || {
+            host.log().contains(r#""version":"2""#)
+        });
+    }
+    site.lose_links(near, Cut::Refused);
+    for engine in &site.engines {
+        // Two hosts hold twice as much.
+        engine.send_large_streams(2 * EVENTS, EVENT_BYTES);
+    }
+    let mut headers = vec![("x-chiveway-attempt-id", "slow")];
+    headers.extend(SHORT_PROMPT);
+    let answer = http::open(near.callers, "POST", "/short/x", &headers, b"slow");
+    let answer = answer.expect("the head of an answer");
+    let servers: Vec<&Engine> = site.engines.iter().collect();
+    wait_until_held_back(&servers, 2 * EVENTS);
+    let answer = answer.rest();
+    assert!(answer.complete, "{}\n{}", near.log(), far.log());
+    assert_eq!(site.runs("slow"), 1, "{}", far.log());
+}
+
+/// Size of an answer in one piece that the buffers of a connection do not hold.
+const ANSWER_BYTES: usize = 12 * 1024 * 1024;
+
+/// Checks that an answer that a caller reads slowly is whole although its host stops meanwhile.
+fn check_stop(server: &Engine, path: &str, body: &[u8], expected_bytes: usize) {
+    let mut site = Site::new();
+    let mut config = config_with_timeout(2, 16_000);
+    config["limits"]["maxBodyBytes"] = json!(2 * ANSWER_BYTES);
+    site.store.put("op/config", &config);
+    site.store
+        .put(&format!("servers/{}", server.id), &server.entry("ready"));
+    site.wait_ready();
+    server.send_large_streams(EVENTS, EVENT_BYTES);
+    let mut headers = vec![("x-chiveway-attempt-id", "id-1")];
+    headers.extend(SHORT_PROMPT);
+    let answer = http::open(site.callers, "POST", path, &headers, body);
+    let answer = answer.expect("the head of an answer");
+    site.host.term();
+    std::thread::sleep(PAUSE);
+    let answer = answer.rest();
+    assert!(answer.complete, "{}", site.log());
+    assert!(answer.body.len() >= expected_bytes, "{}", answer.body.len());
+    assert!(site.host.wait_for_exit().success());
+}
+
+/// A caller reads a stream slowly while its host stops. Guards against a stop that cuts it.
+#[test]
+fn a_stop_waits_for_a_stream_that_is_read_slowly() {
+    let bytes = usize::try_from(EVENTS).expect("a size") * EVENT_BYTES;
+    check_stop(&Engine::model("d-1", "decode"), "/short/x", b"body", bytes);
+}
+
+/// A caller reads an answer in one piece slowly while its host stops, which has no request under way any more. Guards against
+/// a stop that ends before its last answer is sent.
+#[test]
+fn a_stop_waits_for_an_answer_that_is_read_slowly() {
+    let body = vec![b'x'; ANSWER_BYTES];
+    check_stop(&Engine::plain("s-1"), "/once/x", &body, ANSWER_BYTES);
+}
--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -76,6 +76,8 @@
     pub pause: Arc<Mutex<Option<(Pause, Duration)>>>,
     /// Where and for how long each of its answers to callers' requests falls silent.
     pub pause_each: Option<(Pause, Duration)>,
+    /// Parts that were written of all its answers.
+    pub written: u64,
     /// Open connections.
     pub connections: Vec<Weak<TcpStream>>,
     /// How often the server was started before.
@@ -282,6 +284,11 @@
         self.shared.0.lock().expect("the engine").large_stream = Some((events, bytes));
     }
 
+    /// Returns the number of parts that it has written of all its answers.
+    pub fn written(&self) -> u64 {
+        self.shared.0.lock().expect("the engine").written
+    }
+
     /// Cancels [`break_after`](Self::break_after).
     pub fn clear_break(&self) {
         self.shared.0.lock().expect("the engine").break_after = None;
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -281,6 +281,7 @@
                 Framing::Length | Framing::Connection => piece.clone(),
             };
             stream.write_all(piece.as_bytes()).ok()?;
+            shared.0.lock().expect("the engine").written += 1;
         }
         if self.is_torn {
             return None;
