Keep a caller's connection after a long stream

A caller whose stream lasted over 10 s after it had opened the connection found the connection closed after the whole answer, without `Connection: close`. Its next request met a closing connection; one that may not repeat may then be lost to the caller.

The HTTP library starts a timer for the head of the first request, and one for the idle time after each answer, and does not stop them when a request arrives. While a handler runs it drops a timer that passes; while a streamed body is sent it keeps it, and closes the connection when it next looks for a request. The server now stops the timer with each request; the library starts it anew after the answer.

The test failed before ("the connection was closed without a word", a stream of 11 s) and passes now.

--- a/src/web.rs
+++ b/src/web.rs
@@ -142,6 +142,11 @@
         .set_keepalive_timeout(SERVER_IDLE_TIMEOUT);
     let cfg = SharedCfg::new("http").add(config).build();
     let service = HttpService::h1(fn_service(move |req: Request| {
+        // The library leaves the timer of the head or of the idle time running, and would close the connection after a
+        // streamed answer if it has passed meanwhile. It starts the timer anew after each answer.
+        if let Some(io) = req.io() {
+            io.stop_timer();
+        }
         let response = handler(req);
         async move { Ok::<_, HandlerError>(response.await) }
     }));
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -14,6 +14,7 @@
 #[path = "../common/http.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod http;
+mod kept_connection;
 mod keys;
 mod late_server;
 mod leaving;
