State for how long an idle connection is kept

An operator may let callers keep idle connections for any time; callers use them again for up to four fifths of it. A host closes them after 75 s whatever the limit, and told nobody: by a limit over 94 s a caller may send its next request while the host closes the connection.

Answers on connections that stay open now bear `Keep-Alive: timeout=70`, which callers respect. Following the operator's limit would hold descriptors for as long as it says.

The test failed before (no such header) and passes now.

--- a/src/web.rs
+++ b/src/web.rs
@@ -9,9 +9,10 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use ntex::client::{Client, Connector};
+use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{
-    HttpService, HttpServiceConfig, Request, Response, ResponseBuilder, ResponseError, StatusCode,
-    Version,
+    ConnectionType, HttpService, HttpServiceConfig, Request, Response, ResponseBuilder,
+    ResponseError, StatusCode, Version,
 };
 use ntex::io::Io;
 use ntex::service::cfg::SharedCfg;
@@ -33,6 +34,8 @@
 /// Clients in this program drop idle connections after [`CLIENT_IDLE_TIMEOUT`], which is shorter,
 /// so that they do not write a request to a connection that the server is closing.
 const SERVER_IDLE_TIMEOUT: Seconds = Seconds(75);
+/// Value of the `Keep-Alive` header: less than [`SERVER_IDLE_TIMEOUT`] by what a request may take to arrive.
+const STATED_IDLE_TIME: &str = "timeout=70";
 /// Time for which connections are still served after their listener was closed, for callers that
 /// cannot switch to another host immediately.
 pub const CONNECTION_GRACE: Duration = Duration::from_secs(1);
@@ -147,8 +150,18 @@
         if let Some(io) = req.io() {
             io.stop_timer();
         }
+        let is_kept = req.head().connection_type() == ConnectionType::KeepAlive;
         let response = handler(req);
-        async move { Ok::<_, HandlerError>(response.await) }
+        async move {
+            let mut response = response.await;
+            if is_kept && response.head().keep_alive() {
+                let stated = HeaderValue::from_static(STATED_IDLE_TIME);
+                response
+                    .headers_mut()
+                    .insert(HeaderName::from_static("keep-alive"), stated);
+            }
+            Ok::<_, HandlerError>(response)
+        }
     }));
     let Ok(service) = service.create(cfg.clone()).await else {
         return;
--- a/tests/relay/kept_connection.rs
+++ b/tests/relay/kept_connection.rs
@@ -46,6 +46,29 @@
     }
 }
 
+/// Time in seconds for which a host keeps an idle connection.
+const IDLE_SECS: u64 = 75;
+
+/// The operator lets callers keep idle connections for longer than a host does. Guards against a caller that is not told, and
+/// sends its next request while the host closes the connection.
+#[test]
+fn an_answer_states_for_how_long_its_connection_is_kept() {
+    let plain = Engine::plain("s-1");
+    let site = Site::ready(&[&plain]);
+    for path in ["/once/x", "/absent/x"] {
+        let answer = site.send(path, "id-1", &[]).expect("an answer");
+        let stated = answer.header("keep-alive").unwrap_or_default();
+        let stated = stated
+            .strip_prefix("timeout=")
+            .and_then(|secs| secs.parse::<u64>().ok());
+        assert!(
+            stated.is_some_and(|secs| secs < IDLE_SECS),
+            "{path}: {:?}",
+            answer.headers
+        );
+    }
+}
+
 /// A stream lasts longer than a caller may take to send the head of a request. Guards against a host that closes the connection
 /// after the answer without a word, so that the next request meets a closing connection.
 #[test]
