Keep requests with the two engines that their copies have just crashed

Callers: a request that crashes engines, sent in copies to several hosts at once, took three engines beside load, and with them the answers that the third was giving.

Cause: each request goes to one of two engines, the same from every host, but the two were chosen among the engines that a host could still use. A host that had lost one of them, to copies of other hosts or with a stream of another caller, chose a third while the report of the crash was on its way. RETRY_DELAY (100 ms) covers this only on an idle machine.

Change: an engine that a host has just lost stays one of the two for 500 ms. A request waits for that time if it has no other engine, and goes elsewhere if no report has come by then.

--- a/src/core/poison.rs
+++ b/src/core/poison.rs
@@ -6,18 +6,20 @@
 //! would be refused when the poison request follows them to their next engine and crashes that one too.
 //!
 //! Requests with the same fingerprint go to the same two engines from every host, so that copies sent to several hosts
-//! at the same time cannot crash one engine per host.
+//! at the same time cannot crash one engine per host. An engine that a host has just lost stays one of the two, since
+//! the report of the request that crashed it may still be on its way.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::effect::{Effect, Refusal, log_event};
 use super::event::{Fingerprint, Role};
+use super::fleet::ServingState;
 use super::key::{BackendKey, HostKey, RequestKey};
 use super::load;
 use super::message::{Message, Suspect};
 use super::route::{self, Need};
-use super::{Core, Effects};
+use super::{Core, Effects, Time};
 use crate::error::Kind;
 
 /// Number of engines that may crash while running a request before it is refused.
@@ -33,6 +35,8 @@
 /// Fraction of the target time to the first token that requests with the same fingerprint may wait for their two
 /// engines; beyond it they may go to any engine.
 const MAX_WAIT_FRACTION: f64 = 0.5;
+/// Time in which the reports of a crash arrive from the other hosts.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
 
 /// A crash of an engine while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -64,6 +68,8 @@
     records: BTreeMap<Fingerprint, CrashRecord>,
     /// Crash times, by engine, of crashes with a suspect that the engine had not begun to answer.
     unanswered_crashes: BTreeMap<Box<str>, Vec<u64>>,
+    /// When this host lost each engine that it lost lately.
+    lost: BTreeMap<Box<str>, Time>,
 }
 
 impl PoisonRequests {
@@ -81,6 +87,12 @@
         !crash.answering || !unanswered.is_some_and(|times| times.iter().any(other))
     }
 
+    /// Returns until when reports of an engine's crash may arrive, if it was lost lately.
+    fn reports_until(&self, engine: &str, now: Time) -> Option<Time> {
+        let until = self.lost.get(engine)?.after(REPORT_DELAY);
+        (until > now).then_some(until)
+    }
+
     /// Returns the crashes that count against a fingerprint.
     fn counted(&self, fingerprint: Fingerprint, wall: u64) -> Vec<&Crash> {
         let crashes = self
@@ -116,12 +128,13 @@
         .with_retry_after(SUSPICION_TTL.saturating_sub(age)))
 }
 
-/// Adds to `need` the engines that a request with this fingerprint must avoid.
+/// Adds to `need` the engines that a request with this fingerprint must avoid. Returns the time until which
+/// reports on lost engines may arrive, if it may go to one that was lost just now.
 ///
 /// A request that crashed an engine goes to a single engine, the same from every host. Other requests go to one of two
 /// engines while these are not busy: the one with the prompt's prefix and the first one by fingerprint.
-pub fn restrict_engines(core: &Core, need: &mut Need, fingerprint: Fingerprint) {
-    let available = available_engines(core, need);
+pub fn restrict_engines(core: &Core, need: &mut Need, fingerprint: Fingerprint) -> Option<Time> {
+    let candidates = candidates(core, need);
     let crashed: BTreeSet<Box<str>> = {
         let crashes = core.poison_requests.counted(fingerprint, core.wall_ms());
         crashes.iter().map(|crash| crash.engine.clone()).collect()
@@ -129,7 +142,7 @@
     let mut allowed = BTreeSet::new();
     for role in [Role::Both, Role::Prefill, Role::Decode] {
         let of_role = |key: &BackendKey| core.fleet.arena[*key].role == role;
-        let mut keys: Vec<BackendKey> = available.iter().copied().filter(of_role).collect();
+        let mut keys: Vec<BackendKey> = candidates.iter().copied().filter(of_role).collect();
         keys.retain(|key| !crashed.contains(&core.fleet.arena[*key].name));
         keys.sort_by_key(|&key| rank(fingerprint, &core.fleet.arena[key].name));
         if crashed.is_empty() {
@@ -139,15 +152,29 @@
             allowed.extend(keys.first());
         }
     }
-    need.avoid
-        .extend(available.into_iter().filter(|key| !allowed.contains(key)));
+    let lost = |key: &BackendKey| reports_until(core, *key);
+    let until = allowed.iter().filter_map(lost).min();
+    let avoid = |key: &BackendKey| !allowed.contains(key) || lost(key).is_some();
+    need.avoid.extend(candidates.into_iter().filter(avoid));
+    until
 }
 
-fn available_engines(core: &Core, need: &Need) -> Vec<BackendKey> {
+fn reports_until(core: &Core, key: BackendKey) -> Option<Time> {
+    let engine = &core.fleet.arena[key].name;
+    core.poison_requests.reports_until(engine, core.now)
+}
+
+/// Returns the engines that take requests, and those that did until they were lost just now.
+fn candidates(core: &Core, need: &Need) -> Vec<BackendKey> {
     let engines = core.fleet.serving(&need.model);
     let engines = engines.flat_map(|pool| pool.engines.iter().copied());
     engines
-        .filter(|&key| core.fleet.arena[key].is_available(core.now) && !need.avoid.contains(&key))
+        .filter(|&key| {
+            let engine = &core.fleet.arena[key];
+            let usable = engine.is_available(core.now) && !need.avoid.contains(&key);
+            let is_serving = [engine.listed, engine.routed] == [ServingState::Serving; 2];
+            usable || is_serving && reports_until(core, key).is_some()
+        })
         .collect()
 }
 
@@ -231,6 +258,19 @@
     }));
 }
 
+/// Records that an engine is gone, unless it has failed since it last answered.
+pub fn record_loss(core: &mut Core, backend: BackendKey) {
+    let Some(engine) = core.fleet.arena.get(backend) else {
+        return;
+    };
+    if engine.failures == 0 {
+        let (name, now) = (engine.name.clone(), core.now);
+        let lost = &mut core.poison_requests.lost;
+        lost.retain(|_, at| now.since(*at) < REPORT_DELAY);
+        lost.insert(name, now);
+    }
+}
+
 /// Records a suspect reported by this host or by a peer.
 pub fn receive(core: &mut Core, suspect: Suspect) {
     // A peer's clock that runs ahead must not extend the suspicion.
--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -4,7 +4,7 @@
 use super::super::event::{AttemptFailure, RequestSpec, StoredResponse, Timer};
 use super::super::key::{AttemptKey, RequestKey};
 use super::super::route::{self, Choice, Need};
-use super::super::{Core, Effects, load, once, poison, trace};
+use super::super::{Core, Effects, Time, load, once, poison, trace};
 use super::end::{close_attempt, end, give_up, reply};
 use super::failure::attempt_failed;
 use super::{Attempt, Flow, Phase, Progress, Request, millis};
@@ -19,14 +19,19 @@
         return;
     }
     let fingerprint = request.fingerprint;
+    let mut wait = None;
     let chosen = if let Some(mut need) = need(request) {
-        poison::restrict_engines(core, &mut need, fingerprint);
+        wait = poison::restrict_engines(core, &mut need, fingerprint);
         route::choose_engine(core, &need)
     } else {
         let (service, avoid) = (request.class.clone(), request.avoid.clone());
         route::choose_instance(core, &service, &avoid).map(Choice::whole)
     };
     let Some(choice) = chosen else {
+        if let Some(until) = wait {
+            pause(core, key, until, out);
+            return;
+        }
         let request = &core.requests.arena[key];
         let kind = match &request.want {
             RequestSpec::Model(_) => Kind::NoEngine,
@@ -43,6 +48,15 @@
     open_attempt(core, key, choice, None, out);
 }
 
+/// Has a request wait for reports of other hosts before it is sent.
+pub(super) fn pause(core: &mut Core, key: RequestKey, until: Time, out: &mut Effects) {
+    core.requests.arena[key].phase = Phase::Pause;
+    out.push(Effect::SetTimer {
+        at: until,
+        timer: Timer::Request(key),
+    });
+}
+
 /// Returns the requirements of a completion on an engine; `None` for a service call.
 pub(super) fn need(request: &Request) -> Option<Need> {
     let want = request.model()?;
--- a/src/core/request/failure.rs
+++ b/src/core/request/failure.rs
@@ -7,9 +7,9 @@
 use super::super::key::{AttemptKey, BackendKey, RequestKey};
 use super::super::route::Choice;
 use super::super::{Core, Effects, poison};
-use super::attempt::{dispatch, open_attempt};
+use super::attempt::{dispatch, open_attempt, pause};
 use super::end::{close_attempt, give_up, refuse};
-use super::{Flow, Phase, millis, note};
+use super::{Flow, millis, note};
 use crate::error::{Kind, Ran};
 
 /// Maximum number of attempts at one request, not counting resumed streams.
@@ -71,6 +71,10 @@
     if cause == AttemptFailure::Forgotten {
         core.fleet.record_success(backend);
     } else {
+        // What ended the engine may be a request of another host.
+        if cause == AttemptFailure::Unreachable || split && cause == AttemptFailure::Cut {
+            poison::record_loss(core, backend);
+        }
         core.fleet.record_failure(backend, core.now);
     }
     let entry = &mut core.requests.arena[request];
@@ -135,11 +139,7 @@
         if delay.is_zero() {
             dispatch(core, key, out);
         } else {
-            core.requests.arena[key].phase = Phase::Pause;
-            out.push(Effect::SetTimer {
-                at: core.now.after(delay),
-                timer: Timer::Request(key),
-            });
+            pause(core, key, core.now.after(delay), out);
         }
     } else {
         let refusal =
--- a/src/core/tests/request.rs
+++ b/src/core/tests/request.rs
@@ -1,5 +1,6 @@
 //! One streamed request in the core: late, duplicate and missing chunks, and broken streams.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::super::effect::OpenStream;
@@ -8,12 +9,16 @@
     RequestSpec, Timer,
 };
 use super::super::key::{AttemptKey, RequestKey};
-use super::super::{Core, Effect, Effects, Event, Time};
+use super::super::message::Suspect;
+use super::super::{Core, Effect, Effects, Event, Time, poison};
 use super::{CUSTOMER_KEY, Cluster};
 use crate::error::{Kind, Ran};
 use crate::lists::KeyHash;
 
 const MODEL: &str = "raadgiver";
+const FINGERPRINT: Fingerprint = Fingerprint([3; 16]);
+/// Retry delays within which a request is sent again or refused.
+const MAX_RETRY_DELAYS: u32 = 20;
 
 struct TestHost {
     core: Core,
@@ -64,7 +69,7 @@
             key_hash: KeyHash::of(CUSTOMER_KEY),
             spec: RequestSpec::Model(want),
             idempotency_key: None,
-            fingerprint: Fingerprint([3; 16]),
+            fingerprint: FINGERPRINT,
         };
         self.feed(Event::Request(RequestEvent::Arrived(Box::new(arrival))));
         let refused = self.refused();
@@ -118,6 +123,41 @@
         self.wait(Duration::from_millis(100), Timer::Request(request));
     }
 
+    /// Waits until the request is sent again or refused.
+    fn wait_until_sent(&mut self, request: RequestKey) -> Option<OpenStream> {
+        for _ in 0..MAX_RETRY_DELAYS {
+            self.wait_retry_delay(request);
+            if self.opened().is_some() || self.refused().is_some() {
+                break;
+            }
+        }
+        self.opened()
+    }
+
+    /// Delivers another host's report that the engine at `addr` crashed while running the request.
+    fn receive_crash(&mut self, addr: SocketAddr) {
+        let engines = self.core.fleet.arena.values();
+        let mut engines = engines.filter(|engine| engine.addr == addr);
+        let suspect = Suspect {
+            fingerprint: FINGERPRINT,
+            engine: engines.next().expect("the engine is listed").name.clone(),
+            at_ms: self.core.wall_ms(),
+            request: "r".into(),
+            answering: false,
+        };
+        poison::receive(&mut self.core, suspect);
+    }
+
+    /// Has two engines refuse the connections of the request; returns it and their addresses.
+    fn lose_two_engines(&mut self) -> (RequestKey, [SocketAddr; 2]) {
+        let first = self.arrive();
+        self.fail_attempt(first.attempt, AttemptFailure::Unreachable);
+        let second = self.wait_until_sent(first.request);
+        let second = second.expect("it is sent to its other engine");
+        self.fail_attempt(second.attempt, AttemptFailure::Unreachable);
+        (first.request, [first.addr, second.addr])
+    }
+
     /// Returns the sums of streams, prefill and decode tokens over all engines.
     fn total_work(&self) -> (u32, u64, u64) {
         let engines = self.core.fleet.arena.values();
@@ -240,3 +280,28 @@
     assert_eq!(host.refused(), Some(Kind::EngineKiller));
     assert_eq!(host.total_work(), (0, 0, 0));
 }
+
+/// Guards against a third engine for copies whose two engines crashed under copies of other hosts, with the reports
+/// still in flight.
+#[test]
+fn late_crash_reports_cost_no_third_engine() {
+    let mut host = TestHost::new(4);
+    let (request, engines) = host.lose_two_engines();
+    host.wait_retry_delay(request);
+    assert!(host.opened().is_none(), "sent to a third engine");
+    for engine in engines {
+        host.receive_crash(engine);
+    }
+    assert!(host.wait_until_sent(request).is_none());
+    assert_eq!(host.refused(), Some(Kind::EngineKiller));
+    assert_eq!(host.total_work(), (0, 0, 0));
+}
+
+/// Guards against requests that wait for reports although their engines ended for other reasons.
+#[test]
+fn request_whose_engines_are_gone_goes_elsewhere() {
+    let mut host = TestHost::new(4);
+    let (request, engines) = host.lose_two_engines();
+    let third = host.wait_until_sent(request).expect("it is sent elsewhere");
+    assert!(!engines.contains(&third.addr));
+}
