Send a request that crashed one of its two engines to the other

Callers: a request whose first block is cached took three engines when copies of it came at once, although each went to one of two.

Cause: the two are the engine with the prefix and the first of the others by a hash of the request. After the first crash a request went to the first of all remaining engines by that hash, which need not be one of the two: after the second of them crashed, the engine with the prefix was left out and a third taken.

Evidence: first_crash_leaves_the_other_of_the_two_engines, 12 requests at 4 engines; it failed at the third ("127.0.0.1:102, not of {127.0.0.1:101, 127.0.0.1:103}").

Change: the two engines are found among all that serve, crashed ones included, and a request with one crash goes to the other one only.

core::tests: 97 passed, with the new one.

--- a/src/core/poison.rs
+++ b/src/core/poison.rs
@@ -131,25 +131,26 @@
 /// Adds to `need` the engines that a request with this fingerprint must avoid. Returns the time until which
 /// reports on lost engines may arrive, if it may go to one that was lost just now.
 ///
-/// A request that crashed an engine goes to a single engine, the same from every host. Other requests go to one of two
-/// engines while these are not busy: the one with the prompt's prefix and the first one by fingerprint.
+/// A request goes to one of two engines while these are not busy: the one with the prompt's prefix and the first one by
+/// fingerprint, the same from every host. A request that crashed one of them goes to the other only.
 pub fn restrict_engines(core: &Core, need: &mut Need, fingerprint: Fingerprint) -> Option<Time> {
-    let candidates = candidates(core, need);
     let crashed: BTreeSet<Box<str>> = {
         let crashes = core.poison_requests.counted(fingerprint, core.wall_ms());
         crashes.iter().map(|crash| crash.engine.clone()).collect()
     };
+    let candidates = candidates(core, need, &crashed);
     let mut allowed = BTreeSet::new();
     for role in [Role::Both, Role::Prefill, Role::Decode] {
         let of_role = |key: &BackendKey| core.fleet.arena[*key].role == role;
         let mut keys: Vec<BackendKey> = candidates.iter().copied().filter(of_role).collect();
-        keys.retain(|key| !crashed.contains(&core.fleet.arena[*key].name));
         keys.sort_by_key(|&key| rank(fingerprint, &core.fleet.arena[key].name));
+        let mut pair = engine_pair(core, need, &keys);
         if crashed.is_empty() {
-            let chosen = engine_pair(core, need, &keys);
-            allowed.extend(chosen);
+            let busy = |key: &BackendKey| load::busy(core, *key, MAX_WAIT_FRACTION);
+            allowed.extend(if pair.iter().all(busy) { keys } else { pair });
         } else {
-            allowed.extend(keys.first());
+            pair.retain(|key| !crashed.contains(&core.fleet.arena[*key].name));
+            allowed.extend(pair.first());
         }
     }
     let lost = |key: &BackendKey| reports_until(core, *key);
@@ -164,8 +165,8 @@
     core.poison_requests.reports_until(engine, core.now)
 }
 
-/// Returns the engines that take requests, and those that did until they were lost just now.
-fn candidates(core: &Core, need: &Need) -> Vec<BackendKey> {
+/// Returns the engines that take requests, those that did until they were lost just now, and those that crashed.
+fn candidates(core: &Core, need: &Need, crashed: &BTreeSet<Box<str>>) -> Vec<BackendKey> {
     let engines = core.fleet.serving(&need.model);
     let engines = engines.flat_map(|pool| pool.engines.iter().copied());
     engines
@@ -173,26 +174,21 @@
             let engine = &core.fleet.arena[key];
             let usable = engine.is_available(core.now) && !need.avoid.contains(&key);
             let is_serving = [engine.listed, engine.routed] == [ServingState::Serving; 2];
-            usable || is_serving && reports_until(core, key).is_some()
+            let is_lost = reports_until(core, key).is_some() || crashed.contains(&engine.name);
+            usable || is_serving && is_lost
         })
         .collect()
 }
 
-/// Returns the two engines for a fingerprint, or all engines if these two are busy.
+/// Returns the two engines for a fingerprint, of engines in the order of their ranks.
 fn engine_pair(core: &Core, need: &Need, keys: &[BackendKey]) -> Vec<BackendKey> {
     let preferred = route::prefix_engine(core, need, keys);
     let others = keys.iter().copied().filter(|key| Some(*key) != preferred);
-    let pair: Vec<BackendKey> = preferred
+    preferred
         .into_iter()
         .chain(others)
         .take(MAX_CRASHED_ENGINES)
-        .collect();
-    let busy = |key: &BackendKey| load::busy(core, *key, MAX_WAIT_FRACTION);
-    if pair.iter().all(busy) {
-        keys.to_vec()
-    } else {
-        pair
-    }
+        .collect()
 }
 
 fn rank(fingerprint: Fingerprint, engine: &str) -> [u8; 32] {
--- a/src/core/tests/request.rs
+++ b/src/core/tests/request.rs
@@ -1,5 +1,6 @@
 //! One streamed request in the core: late, duplicate and missing chunks, and broken streams.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,6 +20,10 @@
 const FINGERPRINT: Fingerprint = Fingerprint([3; 16]);
 /// Retry delays within which a request is sent again or refused.
 const MAX_RETRY_DELAYS: u32 = 20;
+/// Requests with different first blocks.
+const PREFIX_COUNT: u8 = 12;
+/// Copies that reach both engines of a request.
+const COPY_COUNT: usize = 12;
 
 struct TestHost {
     core: Core,
@@ -58,18 +63,22 @@
     }
 
     fn arrive(&mut self) -> OpenStream {
+        self.arrive_as(FINGERPRINT, None)
+    }
+
+    fn arrive_as(&mut self, fingerprint: Fingerprint, prefix: Option<u64>) -> OpenStream {
         let want = ModelRequest {
             model: MODEL.into(),
             prompt_tokens: 10,
             max_output: 3,
-            prefix_hashes: Vec::new(),
+            prefix_hashes: prefix.into_iter().collect(),
         };
         let arrival = Arrival {
             tag: 1,
             key_hash: KeyHash::of(CUSTOMER_KEY),
             spec: RequestSpec::Model(want),
             idempotency_key: None,
-            fingerprint: FINGERPRINT,
+            fingerprint,
         };
         self.feed(Event::Request(RequestEvent::Arrived(Box::new(arrival))));
         let refused = self.refused();
@@ -135,11 +144,11 @@
     }
 
     /// Delivers another host's report that the engine at `addr` crashed while running the request.
-    fn receive_crash(&mut self, addr: SocketAddr) {
+    fn receive_crash(&mut self, fingerprint: Fingerprint, addr: SocketAddr) {
         let engines = self.core.fleet.arena.values();
         let mut engines = engines.filter(|engine| engine.addr == addr);
         let suspect = Suspect {
-            fingerprint: FINGERPRINT,
+            fingerprint,
             engine: engines.next().expect("the engine is listed").name.clone(),
             at_ms: self.core.wall_ms(),
             request: "r".into(),
@@ -290,7 +299,7 @@
     host.wait_retry_delay(request);
     assert!(host.opened().is_none(), "sent to a third engine");
     for engine in engines {
-        host.receive_crash(engine);
+        host.receive_crash(FINGERPRINT, engine);
     }
     assert!(host.wait_until_sent(request).is_none());
     assert_eq!(host.refused(), Some(Kind::EngineKiller));
@@ -305,3 +314,25 @@
     let third = host.wait_until_sent(request).expect("it is sent elsewhere");
     assert!(!engines.contains(&third.addr));
 }
+
+/// Guards against a third engine for a request whose first block is cached at one of its two engines.
+#[test]
+fn first_crash_leaves_the_other_of_the_two_engines() {
+    for number in 0..PREFIX_COUNT {
+        let fingerprint = Fingerprint([number; 16]);
+        let prefix = Some(u64::from(number) + 1);
+        let mut host = TestHost::new(4);
+        let copies = (0..COPY_COUNT).map(|_| host.arrive_as(fingerprint, prefix).addr);
+        let engines: BTreeSet<SocketAddr> = copies.collect();
+        assert_eq!(engines.len(), 2, "{engines:?}");
+        for &crashed in &engines {
+            let mut host = TestHost::new(4);
+            host.receive_crash(fingerprint, crashed);
+            let next = host.arrive_as(fingerprint, prefix).addr;
+            assert!(
+                next != crashed && engines.contains(&next),
+                "{number}: {next}, not of {engines:?}"
+            );
+        }
+    }
+}
