Print what a process does that does not exit in time

A failed wait for an exit now prints the state, the kernel function and the system call of each thread, and the longest time between two polls of the test itself: a stopped machine, a frozen process and a write that blocks look different there. The wait and its limit are unchanged.

Trial, with a host that was frozen before SIGTERM: "State: T (stopped), in do_signal_stop", longest time between two polls 64 ms.

--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -163,7 +164,9 @@
     /// Waits until the process exits by itself.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
+        let mut wait = ExitWait::new(self.id());
         wait_for("the process exits", || {
+            wait.note_poll();
             status = self.child.try_wait().expect("the process can be polled");
             status.is_some()
         });
@@ -171,6 +174,50 @@
     }
 }
 
+/// A wait for the end of a process; prints what its threads do, and for how long the test itself stood still, if it fails.
+struct ExitWait {
+    pid: u32,
+    last_poll: Instant,
+    longest_pause: Duration,
+}
+
+impl ExitWait {
+    fn new(pid: u32) -> Self {
+        Self {
+            pid,
+            last_poll: Instant::now(),
+            longest_pause: Duration::ZERO,
+        }
+    }
+
+    fn note_poll(&mut self) {
+        self.longest_pause = self.longest_pause.max(self.last_poll.elapsed());
+        self.last_poll = Instant::now();
+    }
+}
+
+impl Drop for ExitWait {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let (pid, pause) = (self.pid, self.longest_pause);
+        eprintln!("process {pid} has not exited; longest time between two polls: {pause:?}");
+        let threads = std::fs::read_dir(format!("/proc/{pid}/task"));
+        for thread in threads.into_iter().flatten().flatten() {
+            let read = |name| std::fs::read_to_string(thread.path().join(name)).unwrap_or_default();
+            let status = read("status");
+            let state = status.lines().find(|line| line.starts_with("State:"));
+            let (state, wchan, call) = (state.unwrap_or_default(), read("wchan"), read("syscall"));
+            eprintln!(
+                "{}: {state}, in {wchan}, call {}",
+                thread.path().display(),
+                call.trim()
+            );
+        }
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
