Take a host's own lag for no latency of its servers

What it measured was the time until its own event loop read the answers; the queue at the server then multiplied it.

lag_of_a_host_is_no_latency_of_its_servers shows it without a machine: an event loop with a lag of 250 ms refused (503, not run) a request with 600 ms in the turn after the first.

The lag since a request was sent, as the timer of gossip measures it, is now subtracted from the time of an answer of a plain server. Times of engines still contain it.

--- a/src/core/relay/intake.rs
+++ b/src/core/relay/intake.rs
@@ -53,6 +53,8 @@
     max_open: Option<usize>,
     /// When the next measurement of the lag is due.
     due: Option<Time>,
+    /// The newest measurement of the lag, and when it was taken.
+    newest: (Time, Duration),
     window: Window,
     /// Shortest lag in the last window.
     lag: Duration,
@@ -122,6 +124,16 @@
         self.limit.is_some() || self.max_open.is_some_and(full)
     }
 
+    /// Returns the lag of the event loop in a time until now, as far as it is known; zero if it is short.
+    #[must_use]
+    pub fn lag_since(&self, start: Time, now: Time) -> Duration {
+        let (at, newest) = self.newest;
+        let measured = if at >= start { newest } else { Duration::ZERO };
+        let overdue = self.due.map_or(Duration::ZERO, |due| now.since(due));
+        let lag = measured.max(overdue);
+        if lag > MAX_LAG { lag } else { Duration::ZERO }
+    }
+
     /// Adjusts the limit after a window; returns a limit that was lifted.
     fn adjust(&mut self, now: Time) -> Option<RateLimit> {
         let window = self.window;
@@ -199,6 +211,7 @@
         return;
     };
     let lag = now.since(due);
+    intake.newest = (now, lag);
     let window = &mut intake.window;
     window.min_lag = if window.samples == 0 {
         lag
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -17,6 +17,8 @@
 pub const DELAY_PER_STREAM_MS: f64 = 0.6;
 /// Initial latency of requests to a plain server.
 const INITIAL_LATENCY_MS: f64 = 30.0;
+/// Lowest sample of it; the lag of the event loop, which does not count, may be the longer time.
+const MIN_LATENCY_MS: f64 = 1.0;
 /// Weight of the newest sample in a plain server's latency.
 const LATENCY_WEIGHT: f64 = 0.15;
 
@@ -53,6 +55,7 @@
         return;
     };
     let (expected, prefill) = (attempt.expected_ms, attempt.prefill);
+    let lag = core.relay.intake.lag_since(attempt.sent_at, core.now);
     let task = attempt.task.clone();
     let id = core
         .relay
@@ -83,6 +86,7 @@
     );
     if instance.stage.is_none() {
         let previous = latency_ms(instance);
+        let took = (took - millis(lag)).max(MIN_LATENCY_MS);
         instance.latency_ms = previous + (took - previous) * LATENCY_WEIGHT;
     } else if let Some(stage) = instance.stage
         && matches!(task, Task::Prefill | Task::Whole)
--- a/src/core/relay/tests/intake.rs
+++ b/src/core/relay/tests/intake.rs
@@ -19,6 +19,10 @@
 const BACKLOG: usize = 256;
 /// Time from its connection to its answer after which a request counts as lost: its caller's deadline.
 const DEADLINE_MS: f64 = 600.0;
+/// Lag of an overloaded event loop.
+const LAG_MS: f64 = 250.0;
+/// Requests that it reads in a turn.
+const TURN_REQUESTS: usize = 24;
 /// Time after which the rule holds.
 const STABLE_MS: f64 = 3000.0;
 
@@ -259,3 +263,31 @@
     }
     assert_eq!(site.outcome.unread.len(), 0);
 }
+
+/// The event loop lags while servers answer at once. Guards against a host that takes its own lag for the latency of its
+/// servers, and refuses what it has read for it.
+#[test]
+fn lag_of_a_host_is_no_latency_of_its_servers() {
+    let mut site = Loop::new(1);
+    site.host.register(["s", "t"].map(plain_entry).into());
+    site.run(2000.0, USUAL_RATE);
+    for turn in 0..100 {
+        let mut sent = Vec::new();
+        for _ in 0..TURN_REQUESTS {
+            site.host.arrive(Arrival {
+                deadline: Some(Duration::from_secs_f64(DEADLINE_MS / 1000.0)),
+                ..plain_request("/once/x")
+            });
+            assert_eq!(site.host.refused(), None, "in turn {turn}");
+            sent.extend(site.host.sent());
+        }
+        site.clock += LAG_MS;
+        site.run_timers();
+        for sent in sent {
+            site.event(RelayEvent::Answered {
+                attempt: sent.attempt,
+                status: 200,
+            });
+        }
+    }
+}
