Send an idle plain server a request however slow it was

A plain server's latency is learned from its answers alone. Once all of a service had been slow for some answers, so that the latency was over seven tenths of what requests have left, each request was refused, and no answer came that would have corrected it: until a restart, or until a request with a longer deadline.

plain_servers_that_were_slow_are_used_again: after 60 answers of 550 ms with a deadline of 600 ms, 0 of 20 requests were sent to servers that answer in 10 ms again; now 20.

A server at which nobody is known to have a request gets one. While all are busy, requests are refused as before.

--- a/src/core/relay/choose/plain.rs
+++ b/src/core/relay/choose/plain.rs
@@ -21,6 +21,7 @@
     let eligible = eligible_servers(core, call, None);
     let domain = core.settings.host.domain.clone();
     let mut best: Option<(f64, f64, BackendKey)> = None;
+    let mut best_idle = best;
     for backend in eligible {
         let instance = &core.relay.instances.arena[backend];
         let calls = instance.work().calls;
@@ -34,15 +35,22 @@
         let cost =
             expected * (1.0 + utilization * 0.3) * noise + crossing + instance.failure_cost()
                 - instance.limit.recheck_bonus(core.now);
+        let candidate = Some((cost, expected, backend));
         if best.is_none_or(|(least, ..)| cost < least) {
-            best = Some((cost, expected, backend));
+            best = candidate;
+        }
+        if calls == 0 && best_idle.is_none_or(|(least, ..)| cost < least) {
+            best_idle = candidate;
         }
     }
-    let Some((_, expected, backend)) = best else {
+    let call = &core.relay.calls[key];
+    let max_wait = millis(call.deadline.since(core.now)) * MAX_WAIT_FRACTION;
+    // Only an answer corrects the latency of a server, so an idle one gets a request however slow it was.
+    let in_time = best.filter(|(_, expected, _)| *expected <= max_wait);
+    let Some((_, expected, backend)) = in_time.or(best_idle).or(best) else {
         return Err(no_server(core, key));
     };
-    let call = &core.relay.calls[key];
-    if expected > millis(call.deadline.since(core.now)) * MAX_WAIT_FRACTION {
+    if expected > max_wait && best_idle.is_none() {
         let detail = format!("an answer would take {expected:.0} ms");
         let retry = retry_after(core, expected / 2.0);
         return Err(Refusal::new(Kind::Overloaded, detail).with_retry_after(retry));
--- a/src/core/relay/tests/request.rs
+++ b/src/core/relay/tests/request.rs
@@ -228,3 +228,31 @@
     site.arrive(plain_request("/once/x"));
     assert!(site.sent().is_none());
 }
+
+/// Servers answer slowly for a while, and then as before. Guards against a host that refuses every request because of a
+/// latency that only an answer could correct.
+#[test]
+fn plain_servers_that_were_slow_are_used_again() {
+    let mut site = TestHost::new();
+    site.register(vec![plain_entry("a"), plain_entry("b")]);
+    let mut is_served = |latency_ms| {
+        site.arrive(Arrival {
+            deadline: Some(Duration::from_millis(600)),
+            ..plain_request("/once/x")
+        });
+        let sent = site.sent();
+        site.advance(latency_ms);
+        if let Some(sent) = &sent {
+            site.event(RelayEvent::Answered {
+                attempt: sent.attempt,
+                status: 200,
+            });
+        }
+        sent.is_some()
+    };
+    for _ in 0..60 {
+        is_served(550);
+    }
+    let served = (0..20).filter(|_| is_served(10)).count();
+    assert_eq!(served, 20);
+}
