Keep a silent stream of an engine open until another goes on

An answer of the product's own interface that had begun was cut although its engine was sound: it fell silent for `token-silence`, the host closed its connection and asked the engine to resume the answer, and the engine refused, as one whose connections are all in use does. With no other engine nothing was left; with another one the text was made again.

The silent attempt now stays open while its request is resumed or made elsewhere. What goes on first closes the other. If nothing takes the request, the silent stream is waited for once more as long, and is given up after that as before, so that a caller of an engine that hangs for good gets an end. The trace record names its own attempt instead of the last one.

--- a/src/core/request/arrive.rs
+++ b/src/core/request/arrive.rs
@@ -41,6 +41,7 @@
         delivered: 0,
         phase: Phase::Share,
         attempt: None,
+        standby: None,
         retryable: true,
         taken: share::Cost::default(),
         record,
--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -7,7 +7,7 @@
 use super::super::{Core, Effects, Time, load, once, poison, trace};
 use super::end::{close_attempt, end, give_up, reply};
 use super::failure::attempt_failed;
-use super::{Attempt, Flow, Phase, Progress, Request, millis};
+use super::{Attempt, Flow, Phase, Progress, Request, millis, standby};
 use crate::error::{Kind, Ran};
 
 /// Sends a request to a backend server.
@@ -102,6 +102,8 @@
         last_progress: core.now,
         has_tokens: false,
         flow: Flow::Open,
+        has_waited: false,
+        place: request.record.attempts.len(),
         prompt,
         output,
     });
@@ -200,10 +202,18 @@
     };
     attempt.last_progress = core.now;
     attempt.flow = Flow::Open;
-    let request = &mut core.requests.arena[attempt.request];
-    if request.attempt != Some(key) || offset < request.delivered || request.finished {
+    let request = &core.requests.arena[attempt.request];
+    let is_known = request.attempt != Some(key) && request.standby != Some(key);
+    if is_known || offset < request.delivered || request.finished {
         return;
     }
+    if offset == request.delivered {
+        standby::goes_on(core, key, out);
+    }
+    let Some(attempt) = core.requests.attempts.get_mut(key) else {
+        return;
+    };
+    let request = &mut core.requests.arena[attempt.request];
     if offset > request.delivered {
         let detail = format!("tokens {} to {offset} are missing", request.delivered);
         attempt_failed(core, key, Ran::Yes, AttemptFailure::Cut, &detail, out);
@@ -241,7 +251,7 @@
     request.last_token = Some(core.now);
     request.progress = Progress::Tokens;
     request.delivered += u64::from(tokens);
-    if let Some(record) = request.record.attempts.last_mut() {
+    if let Some(record) = request.record.attempts.get_mut(attempt.place) {
         record.tokens += tokens;
     }
     if let Some((backend, sent, backlog, prompt)) = prefill_done
@@ -256,6 +266,12 @@
         return;
     };
     let request = attempt.request;
+    if standby::is_standby(core, key) && core.requests.arena[request].finished {
+        standby::goes_on(core, key, out);
+    }
+    let Some(attempt) = core.requests.attempts.get(key) else {
+        return;
+    };
     if core.requests.arena[request].attempt != Some(key) {
         return;
     }
@@ -267,7 +283,7 @@
     let (backend, span) = (attempt.backend, core.now.since(attempt.first_token));
     core.fleet.record_success(backend);
     let entry = &core.requests.arena[request];
-    let record = entry.record.attempts.last();
+    let record = entry.record.attempts.get(attempt.place);
     let tokens = record.map_or(0, |record| u64::from(record.tokens));
     let max_output = entry.model().map_or(0, |want| want.max_output);
     load::learn_decode(core, backend, span, tokens, max_output);
--- a/src/core/request/end.rs
+++ b/src/core/request/end.rs
@@ -4,7 +4,7 @@
 use super::super::event::StoredResponse;
 use super::super::key::{AttemptKey, RequestKey};
 use super::super::{Core, Effects, once, share, stop};
-use super::{Phase, millis, note};
+use super::{Phase, millis, note, standby};
 use crate::error::{Kind, Ran};
 
 /// Answers a request with the response of a service.
@@ -23,8 +23,11 @@
     end(core, key, "answered", Ran::Yes, out);
 }
 
-/// Refuses a request; the end of one that is not retryable is recorded too.
+/// Refuses a request, unless a silent stream may still go on; the end of one that is not retryable is recorded too.
 pub(super) fn give_up(core: &mut Core, key: RequestKey, refusal: Refusal, out: &mut Effects) {
+    if standby::fall_back(core, key, out) {
+        return;
+    }
     if core.requests.arena[key].retryable {
         refuse(core, key, refusal, out);
     } else {
@@ -76,9 +79,10 @@
             .remove_work(attempt.backend, attempt.prompt, attempt.output);
     }
     let request = &mut core.requests.arena[attempt.request];
-    request.attempt = None;
+    request.attempt = request.attempt.filter(|current| *current != key);
+    request.standby = request.standby.filter(|standby| *standby != key);
     let ended = millis(core.now.since(request.arrived));
-    if let Some(record) = request.record.attempts.last_mut() {
+    if let Some(record) = request.record.attempts.get_mut(attempt.place) {
         record.ended = ended;
         record.end = how.into();
         record.ran = Some(ran);
@@ -96,6 +100,7 @@
     if let Some(attempt) = core.requests.arena[key].attempt {
         close_attempt(core, attempt, outcome, ran);
     }
+    standby::release(core, key, outcome, out);
     share::reconcile(core, key, out);
     let now = core.now;
     let Some(mut request) = core.requests.arena.remove(key) else {
--- a/src/core/request/failure.rs
+++ b/src/core/request/failure.rs
@@ -9,7 +9,7 @@
 use super::super::{Core, Effects, poison};
 use super::attempt::{dispatch, open_attempt, pause};
 use super::end::{close_attempt, give_up, refuse};
-use super::{Flow, millis, note};
+use super::{Flow, millis, note, standby};
 use crate::error::{Kind, Ran};
 
 /// Maximum number of attempts at one request, not counting resumed streams.
@@ -41,8 +41,18 @@
         None => (attempt.backend, false),
     };
     let (request, label) = (attempt.request, attempt.label.clone());
-    out.push(Effect::Cancel(key));
-    close_attempt(core, key, detail, ran);
+    if standby::is_standby(core, key) {
+        // The other attempt is under way.
+        out.push(Effect::Cancel(key));
+        close_attempt(core, key, detail, ran);
+        return;
+    }
+    if cause == AttemptFailure::Silent && !split && !attempt.has_waited {
+        standby::keep(core, key, out);
+    } else {
+        out.push(Effect::Cancel(key));
+        close_attempt(core, key, detail, ran);
+    }
     let entry = &mut core.requests.arena[request];
     if matches!(entry.want, RequestSpec::Service(_)) {
         core.fleet.record_failure(backend, core.now);
@@ -184,6 +194,9 @@
     let Some(attempt) = core.requests.attempts.get(key) else {
         return;
     };
+    if standby::is_standby(core, key) {
+        return;
+    }
     let limits = &core.settings.limits;
     let bound = if attempt.has_tokens {
         limits.token_gap_timeout
--- a/src/core/request/mod.rs
+++ b/src/core/request/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod end;
 mod failure;
+mod standby;
 
 use std::time::Duration;
 
@@ -61,6 +62,8 @@
     pub phase: Phase,
     /// Current attempt.
     pub attempt: Option<AttemptKey>,
+    /// The silent attempt that may still go on in place of the current one.
+    standby: Option<AttemptKey>,
     /// Whether it may run more than once.
     pub retryable: bool,
     /// What it took of its plan's share.
@@ -122,6 +125,10 @@
     /// Whether tokens of the answer have arrived.
     has_tokens: bool,
     flow: Flow,
+    /// Whether it was silent and is waited for, since nothing else took its request.
+    has_waited: bool,
+    /// Its place among the attempts of the trace record.
+    place: usize,
     /// Prompt and output tokens counted into the backlog of the backend server.
     prompt: u64,
     output: u64,
--- a/src/core/tests/request.rs
+++ b/src/core/tests/request.rs
@@ -120,6 +120,31 @@
         }));
     }
 
+    /// Sends a request whose engine falls silent after a token; returns its attempt and the one that resumes it.
+    fn fall_silent(&mut self) -> (OpenStream, OpenStream) {
+        let first = self.arrive();
+        assert!(self.stream_event(first.attempt, 0, 1));
+        self.wait(Duration::from_secs(50), Timer::Silence(first.attempt));
+        let resumed = self.opened().expect("it is resumed");
+        assert_eq!(resumed.resume_from, Some(1));
+        (first, resumed)
+    }
+
+    fn has_cancelled(&self, attempt: AttemptKey) -> bool {
+        let is_cancel = |effect: &Effect| matches!(effect, Effect::Cancel(key) if *key == attempt);
+        self.out.iter().any(is_cancel)
+    }
+
+    /// Ends an attempt as one that the engine refused and did not run.
+    fn refuse_attempt(&mut self, attempt: AttemptKey) {
+        self.feed(Event::Request(RequestEvent::AttemptFailed {
+            attempt,
+            ran: Ran::No,
+            end: AttemptFailure::Refused,
+            detail: "refused".into(),
+        }));
+    }
+
     fn refused(&self) -> Option<Kind> {
         self.out.iter().find_map(|effect| match effect {
             Effect::Refuse { refusal, .. } => Some(refusal.kind),
@@ -239,6 +264,67 @@
     assert!(host.stream_event(fresh.attempt, 0, 1));
 }
 
+/// The only engine falls silent in an answer, refuses to resume it, as one whose connections are all in use does, and goes on.
+/// Guards against an answer that is cut for a refusal.
+#[test]
+fn a_refused_resume_does_not_cut_a_silent_answer() {
+    let mut host = TestHost::new(1);
+    let (first, resumed) = host.fall_silent();
+    host.refuse_attempt(resumed.attempt);
+    assert_eq!(host.refused(), None, "the answer is cut");
+    assert!(host.stream_event(first.attempt, 1, 1), "it goes on");
+    assert!(host.stream_event(first.attempt, 2, 0));
+    assert!(host.stream_completed(first.attempt));
+    assert_eq!(host.total_work(), (0, 0, 0));
+}
+
+/// An engine falls silent in an answer, is asked to resume it and goes on first. Guards against tokens that are dropped, or
+/// forwarded twice, and against a connection that stays open.
+#[test]
+fn a_silent_answer_goes_on_while_it_is_resumed() {
+    let mut host = TestHost::new(2);
+    let (first, resumed) = host.fall_silent();
+    assert!(host.stream_event(first.attempt, 1, 1), "it goes on");
+    assert!(host.has_cancelled(resumed.attempt));
+    assert!(
+        !host.stream_event(resumed.attempt, 1, 1),
+        "a token came twice"
+    );
+    assert!(host.stream_event(first.attempt, 2, 0));
+    assert!(host.stream_completed(first.attempt));
+    assert_eq!(host.total_work(), (0, 0, 0));
+}
+
+/// An engine falls silent in an answer and resumes it on another connection. Guards against tokens of the silent one that
+/// come late.
+#[test]
+fn a_resumed_answer_closes_the_silent_connection() {
+    let mut host = TestHost::new(2);
+    let (first, resumed) = host.fall_silent();
+    assert!(host.stream_event(resumed.attempt, 1, 1), "it goes on");
+    assert!(host.has_cancelled(first.attempt));
+    assert!(
+        !host.stream_event(first.attempt, 1, 1),
+        "a token came twice"
+    );
+    assert!(host.stream_event(resumed.attempt, 2, 0));
+    assert!(host.stream_completed(resumed.attempt));
+    assert_eq!(host.total_work(), (0, 0, 0));
+}
+
+/// The only engine falls silent in an answer for good and refuses to resume it. Guards against a caller that waits for ever.
+#[test]
+fn an_answer_that_is_silent_for_good_ends() {
+    let mut host = TestHost::new(1);
+    let (first, resumed) = host.fall_silent();
+    host.refuse_attempt(resumed.attempt);
+    host.wait(Duration::from_secs(50), Timer::Silence(first.attempt));
+    let again = host.opened().expect("it is resumed");
+    host.refuse_attempt(again.attempt);
+    assert_eq!(host.refused(), Some(Kind::NoEngine));
+    assert_eq!(host.total_work(), (0, 0, 0));
+}
+
 /// A caller that does not read blocks the stream of its engine. If that counted as silence of the
 /// engine, the stream would be closed and restarted elsewhere repeatedly.
 #[test]
