Check for the room that a request needs after a silent prefill is left

Callers: a request whose first prefill fell silent was given up with 503 with time left, where the retry budget had room for one send: `choose_other` asked for one, and the send that followed for two, since the silent prefill counts as an arrival by then. And a request whose second prefill fell silent stayed there to its deadline: the room that is reserved for its own run counted against it.

Change: the check counts as the send does, with the arrival of the prefill that is left, and with what the request has reserved.

Before: both tests failed ("refused with time left", "the silent prefill is left"); after: both pass.

--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -5,7 +5,7 @@
 use super::choose::{self, Choice};
 use super::event::Task;
 use super::standby::Standby;
-use super::{Call, note, parts};
+use super::{note, parts};
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
 ///
@@ -17,7 +17,7 @@
         Task::Prefill => call.prefills == 0 && call.arrivals == 0,
         Task::Whole | Task::Decode { .. } => call.arrivals == 0,
     };
-    let follow = following_sends(call, task);
+    let follow = following_sends(call.arrivals, task);
     let service = call.service.clone();
     let hosts = core.relay.peers.host_count();
     let budget = core.relay.retry_budgets.entry(service).or_default();
@@ -42,9 +42,9 @@
     is_charged
 }
 
-/// Returns how many retries follow a send until the request runs.
-fn following_sends(call: &Call, task: &Task) -> usize {
-    usize::from(*task == Task::Prefill && call.arrivals > 0)
+/// Returns how many retries follow a send until the request runs, after so many arrivals.
+fn following_sends(arrivals: u32, task: &Task) -> usize {
+    usize::from(*task == Task::Prefill && arrivals > 0)
 }
 
 /// Releases the run that was reserved with a request's prefill, since it is not sent.
@@ -92,7 +92,13 @@
     {
         return None;
     }
-    if !has_room(core, key, 1) {
+    let Some(open) = core.relay.attempts.get(attempt) else {
+        return None;
+    };
+    // A silent prefill that is left counts as an arrival, and what is reserved for its run serves this request.
+    let arrivals = call.arrivals + u32::from(open.task == Task::Prefill);
+    let reserved = usize::from(call.reserved);
+    if !has_room(core, key, 1 - reserved) {
         log_exhausted(core, key, out);
         return None;
     }
@@ -105,8 +111,8 @@
     call.standby = standby;
     call.cache = cache;
     let choice = choice.ok()?;
-    let follow = following_sends(call, &choice.task);
-    if !has_room(core, key, 1 + follow) {
+    let follow = following_sends(arrivals, &choice.task);
+    if !has_room(core, key, 1 + follow - reserved) {
         log_exhausted(core, key, out);
         return None;
     }
@@ -119,5 +125,7 @@
     let service = core.relay.calls[key].service.clone();
     let budget = core.relay.retry_budgets.entry(service).or_default();
     let settings = core.settings.relay.as_ref();
-    settings.is_some_and(|settings| budget.allows(core.now, &settings.retry_budget, hosts, sends))
+    sends == 0
+        || settings
+            .is_some_and(|settings| budget.allows(core.now, &settings.retry_budget, hosts, sends))
 }
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -26,6 +26,7 @@
 mod register;
 mod request;
 mod sampling;
+mod secured;
 mod silence;
 mod stages;
 mod standby;
--- /dev/null
+++ b/src/core/relay/tests/secured.rs
@@ -0,0 +1,60 @@
+//! What runs or is promised, and is given up for something that is not secured yet.
+
+use super::standby::{LEFT_MS, begun_with_budget, next_sent};
+use super::*;
+use crate::core::relay::event::Task;
+
+/// Defines tests of what is given up too soon.
+macro_rules! secured_tests {
+    ($($(#[$doc:meta])+ $name:ident: $body:expr;)*) => {$(
+        $(#[$doc])+
+        #[test]
+        fn $name() {
+            $body;
+        }
+    )*};
+}
+
+/// Registers servers of another service, so that two silent engines are not taken for lost links.
+fn register_others(site: &mut TestHost) {
+    site.register(["a", "b", "c"].map(plain_entry).into());
+}
+
+fn is_refusal(effect: &RelayEffect) -> bool {
+    matches!(effect, RelayEffect::Refuse { .. })
+}
+
+/// A first prefill falls silent, and the retry budget has room for one send.
+fn silent_first_prefill() {
+    let (mut site, begun) = begun_with_budget(1);
+    site.stream_ended(begun.attempt);
+    register_others(&mut site);
+    site.register(vec![engine_entry("q", Stage::Prefill)]);
+    let mut arrival = model_request("/short/x", (2, 60), 4000);
+    arrival.id = "other".into();
+    site.arrive(arrival);
+    let first = site.sent().expect("a request is sent");
+    assert_eq!(first.task, Task::Prefill);
+    let mut out = Effects::new();
+    while sent(&out).is_empty() && !has_effect(&out, is_refusal) && site.now < 1000 + LEFT_MS {
+        out = site.advance(10);
+    }
+    assert!(!has_effect(&out, is_refusal), "refused with time left");
+}
+
+/// The prefill for a begun stream, whose run is reserved, falls silent as well; a decode engine could run the prompt itself.
+fn silent_second_prefill() {
+    let (mut site, _) = begun_with_budget(2);
+    register_others(&mut site);
+    let moved = next_sent(&mut site, LEFT_MS).expect("the stream is moved");
+    assert_eq!(moved.task, Task::Prefill);
+    let next = next_sent(&mut site, LEFT_MS).expect("the silent prefill is left");
+    assert_eq!(next.task, Task::Whole);
+}
+
+secured_tests! {
+    /// Guards against a silent prefill that is given up for one whose run the retry budget refuses.
+    a_silent_prefill_is_left_only_with_budget_for_the_run: silent_first_prefill();
+    /// Guards against a request that stays at a silent prefill since its own reservation uses the budget up.
+    a_reservation_does_not_hold_its_own_request_back: silent_second_prefill();
+}
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -7,7 +7,7 @@
 use crate::error::Kind;
 
 /// Milliseconds within which a silent server is left.
-const LEFT_MS: u64 = 3000;
+pub(super) const LEFT_MS: u64 = 3000;
 /// Milliseconds after which a standby is certainly given up.
 const EXPIRED_MS: u64 = 350;
 /// Milliseconds for which a standby is kept beside another run, at least.
@@ -31,7 +31,7 @@
 }
 
 /// Lets time pass until a request is sent.
-fn next_sent(site: &mut TestHost, millis: u64) -> Option<Outgoing> {
+pub(super) fn next_sent(site: &mut TestHost, millis: u64) -> Option<Outgoing> {
     let end = site.now + millis;
     while site.now < end {
         let out = site.advance(10);
@@ -55,7 +55,7 @@
     (site, first)
 }
 
-fn is_cut(effect: &RelayEffect) -> bool {
+pub(super) fn is_cut(effect: &RelayEffect) -> bool {
     matches!(effect, RelayEffect::AbortAnswer(_))
 }
 
@@ -182,7 +182,7 @@
 }
 
 /// Returns a host whose retry budget has room for so many sends in all, with a stream that has begun at a decode engine.
-fn begun_with_budget(sends: u32) -> (TestHost, Outgoing) {
+pub(super) fn begun_with_budget(sends: u32) -> (TestHost, Outgoing) {
     let mut site = TestHost::new();
     site.register(vec![
         engine_entry("p", Stage::Prefill),
