Leave no silent prefill for the server of its request's standby

Callers: a begun stream at a silent engine is prefilled elsewhere, and the prefill falls silent, too. The choice that replaces it took the prefill for the standby, and could send the stream to the engine that still runs it: the same request twice at one engine; by reading, its first run is then cancelled for the second after 300 ms.

Change: such a choice is no choice.

Before: a_silent_prefill_is_not_left_for_the_server_of_the_standby failed ("sent to the server that runs it"); after: it passes.

--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -5,7 +5,7 @@
 use super::choose::{self, Choice};
 use super::event::Task;
 use super::standby::Standby;
-use super::{note, parts};
+use super::{note, parts, standby};
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
 ///
@@ -96,21 +96,26 @@
         return None;
     };
     // A silent prefill that is left counts as an arrival, and what is reserved for its run serves this request.
-    let arrivals = call.arrivals + u32::from(open.task == Task::Prefill);
+    let is_prefill = open.task == Task::Prefill;
+    let arrivals = call.arrivals + u32::from(is_prefill);
     let reserved = usize::from(call.reserved);
     if !has_room(core, key, 1 - reserved) {
         log_exhausted(core, key, out);
         return None;
     }
     let call = &mut core.relay.calls[key];
-    let standby = call.standby.replace(Standby::new(attempt));
+    let kept = call.standby.replace(Standby::new(attempt));
     // The KV cache that the silent server was to fetch is given up with it.
     let cache = call.cache.take();
     let choice = choose::choose(core, key);
     let call = &mut core.relay.calls[key];
-    call.standby = standby;
+    call.standby = kept;
     call.cache = cache;
     let choice = choice.ok()?;
+    // A silent prefill was sent beside the standby, which still runs there.
+    if is_prefill && standby::server(core, kept) == Some(choice.backend) {
+        return None;
+    }
     let follow = following_sends(arrivals, &choice.task);
     if !has_room(core, key, 1 + follow - reserved) {
         log_exhausted(core, key, out);
--- a/src/core/relay/tests/secured.rs
+++ b/src/core/relay/tests/secured.rs
@@ -52,9 +52,29 @@
     assert_eq!(next.task, Task::Whole);
 }
 
+/// The prefill for a begun stream falls silent, and the only other decode engine leaves meanwhile.
+fn back_to_standby() {
+    let (mut site, first) = begun_with_budget(9);
+    register_others(&mut site);
+    let moved = next_sent(&mut site, LEFT_MS).expect("the stream is moved");
+    assert_eq!(moved.task, Task::Prefill);
+    let other = if &*first.instance == "d" { "e" } else { "d" };
+    let leaving = BackendEntry {
+        leaving: true,
+        revision: 50,
+        ..engine_entry(other, Stage::Decode)
+    };
+    site.register(vec![leaving]);
+    let next = next_sent(&mut site, LEFT_MS);
+    let again = next.filter(|next| next.instance == first.instance);
+    assert!(again.is_none(), "sent to the server that runs it");
+}
+
 secured_tests! {
     /// Guards against a silent prefill that is given up for one whose run the retry budget refuses.
     a_silent_prefill_is_left_only_with_budget_for_the_run: silent_first_prefill();
     /// Guards against a request that stays at a silent prefill since its own reservation uses the budget up.
     a_reservation_does_not_hold_its_own_request_back: silent_second_prefill();
+    /// Guards against a stream that is sent to the silent server that still runs it.
+    a_silent_prefill_is_not_left_for_the_server_of_the_standby: back_to_standby();
 }
