Release what a request has reserved when it is forwarded

A request whose run is reserved in the retry budget may be forwarded before it runs, when the links are lost. The other host charges its own budget; the reservation was kept here until the request ended, and took the room of other runs.

Before: a_forwarded_request_keeps_nothing_reserved failed (2 used, 1 expected); after: it passes.

--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -18,7 +18,7 @@
 use super::instance::Work;
 use super::peers::Peer;
 use super::versions::Version;
-use super::{Attempt, Delivery, PrefillEstimate, departed, note, standby};
+use super::{Attempt, Delivery, PrefillEstimate, departed, note, retry, standby};
 use crate::error::{Kind, Ran};
 
 /// Hosts that one request is forwarded to. In a large failure domain hosts do not send gossip to each other, so that a
@@ -174,6 +174,8 @@
 fn send(core: &mut Core, key: CallKey, host: HostKey, out: &mut Effects) {
     let now = core.now;
     let departures = departed::known(core);
+    // The other host charges its own budget.
+    retry::release_reserved(core, key);
     let call = &mut core.relay.calls[key];
     let spent = Spent {
         runs: call.runs,
--- a/src/core/relay/tests/secured.rs
+++ b/src/core/relay/tests/secured.rs
@@ -1,5 +1,6 @@
 //! What runs or is promised, and is given up for something that is not secured yet.
 
+use super::network::Network;
 use super::standby::{LEFT_MS, begun_with_budget, next_sent};
 use super::*;
 use crate::core::relay::event::Task;
@@ -70,6 +71,42 @@
     assert!(again.is_none(), "sent to the server that runs it");
 }
 
+/// The links are lost while a stream whose run is reserved is prefilled; another host takes it, and charges its own budget.
+fn forwarded_with_a_reservation() {
+    let mut network = Network::new(3, 1);
+    let site = network.node(0);
+    site.register(vec![
+        engine_entry("x", Stage::Prefill),
+        engine_entry("y", Stage::Decode),
+        engine_entry("z", Stage::Decode),
+    ]);
+    site.arrive(model_request("/short/x", (1, 60), 290));
+    let mut first = site.sent().expect("a request is sent");
+    if first.task == Task::Prefill {
+        let (attempt, handle) = (first.attempt, "k".into());
+        site.event(RelayEvent::Prefilled { attempt, handle });
+        first = site.sent().expect("the prompt is handed over");
+    }
+    let attempt = first.attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    let used = |site: &TestHost| site.core.relay.retry_budgets["model"].used();
+    site.fail_attempt(attempt, Ran::Unknown, AttemptFailure::Cut);
+    let moved = site.sent().expect("the stream is prefilled anew");
+    assert_eq!((moved.task, used(site)), (Task::Prefill, 2));
+    site.now += 200;
+    let mut out = Effects::new();
+    for server in ["p", "q", "r"] {
+        site.event(RelayEvent::LinkProbed {
+            instance: server.into(),
+            reached: false,
+        });
+        out.extend(site.out.iter().cloned());
+    }
+    let forwards = |effect: &RelayEffect| matches!(effect, RelayEffect::Forward(_));
+    assert!(has_effect(&out, forwards), "the stream is not forwarded");
+    assert_eq!(used(site), 1, "the run is still reserved");
+}
+
 secured_tests! {
     /// Guards against a silent prefill that is given up for one whose run the retry budget refuses.
     a_silent_prefill_is_left_only_with_budget_for_the_run: silent_first_prefill();
@@ -77,4 +114,6 @@
     a_reservation_does_not_hold_its_own_request_back: silent_second_prefill();
     /// Guards against a stream that is sent to the silent server that still runs it.
     a_silent_prefill_is_not_left_for_the_server_of_the_standby: back_to_standby();
+    /// Guards against room of the retry budget that stays reserved while another host runs the request.
+    a_forwarded_request_keeps_nothing_reserved: forwarded_with_a_reservation();
 }
