State of a forwarded request only the runs at this host

Callers: while the links of a host were lost, a begun stream was forwarded to another host, which sent it nowhere and refused it more than 300 ms later. It stated "may have run", since it counted the run at the first host, and the first host then cut the stream with time left. The tests of late refusals in standby.rs pass `ran: no`, which no host stated of a request that had run before.

Change: a refusal states the runs since the request arrived; the host that forwarded it knows of the others.

Before: a_host_that_sends_a_request_nowhere_did_not_run_it failed ("the stream was cut"); after: it passes.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -118,6 +118,7 @@
         standby: None,
         given_up: None,
         runs: spent.runs,
+        runs_before: spent.runs,
         arrivals: spent.arrivals,
         prefills: spent.prefills,
         tried: Vec::new(),
--- a/src/core/relay/ending.rs
+++ b/src/core/relay/ending.rs
@@ -151,7 +151,8 @@
         return;
     }
     let call = &core.relay.calls[key];
-    if call.runs > 0 || call.delivered {
+    // Runs before it was forwarded here are known to the host that forwarded it.
+    if call.runs > call.runs_before || call.delivered {
         let detail = refusal.detail.clone();
         give_up(core, key, Kind::EngineFailed, &detail, out);
     } else {
--- a/src/core/relay/request.rs
+++ b/src/core/relay/request.rs
@@ -48,6 +48,8 @@
     pub given_up: Option<BackendKey>,
     /// Number of backend servers that may have run it.
     pub runs: u32,
+    /// Those of them before another host forwarded it here.
+    pub runs_before: u32,
     /// Requests that reached backend servers, apart from the first accepted prefill.
     pub arrivals: u32,
     /// Prefills that were requested.
--- a/src/core/relay/tests/secured.rs
+++ b/src/core/relay/tests/secured.rs
@@ -1,9 +1,13 @@
 //! What runs or is promised, and is given up for something that is not secured yet.
 
 use super::network::Network;
-use super::standby::{LEFT_MS, begun_with_budget, next_sent};
+use super::silence::forward_begun_stream;
+use super::standby::{LEFT_MS, begun_with_budget, is_cut, next_sent};
 use super::*;
-use crate::core::relay::event::Task;
+use crate::core::relay::event::{ForwardRefusal, Spent, Task};
+
+/// Milliseconds after which a standby is certainly given up.
+const EXPIRED_MS: u64 = 350;
 
 /// Defines tests of what is given up too soon.
 macro_rules! secured_tests {
@@ -71,6 +75,41 @@
     assert!(again.is_none(), "sent to the server that runs it");
 }
 
+/// The links are lost, and the host that a begun stream is forwarded to has no server that takes it, after the silent attempt
+/// was given up.
+fn refusal_by_a_host_that_sent_nothing() {
+    let mut network = Network::new(3, 1);
+    let (site, _, attempt) = forward_begun_stream(&mut network);
+    let calls = site.core.relay.calls.values();
+    let spent = calls.map(|call| Spent {
+        runs: call.runs - 1,
+        arrivals: call.arrivals,
+        prefills: call.prefills,
+    });
+    let spent = spent.last().expect("a call");
+    site.advance(EXPIRED_MS);
+    let mut other = TestHost::new();
+    other.arrive(Arrival {
+        forwarded: Some(spent),
+        ..plain_request("/feed/x")
+    });
+    assert!(other.sent().is_none(), "this host knows no server");
+    let refusal = other.out.iter().find_map(|effect| match effect {
+        Effect::Relay(RelayEffect::Refuse { refusal, .. }) => Some(refusal.clone()),
+        _ => None,
+    });
+    let refusal = refusal.expect("refused");
+    let refusal = ForwardRefusal {
+        kind: refusal.kind,
+        ran: refusal.ran,
+        retry_after: refusal.retry_after,
+    };
+    network
+        .node(0)
+        .event(RelayEvent::ForwardRefused { attempt, refusal });
+    assert!(!network.node(0).has_effect(is_cut), "the stream was cut");
+}
+
 /// The links are lost while a stream whose run is reserved is prefilled; another host takes it, and charges its own budget.
 fn forwarded_with_a_reservation() {
     let mut network = Network::new(3, 1);
@@ -114,6 +153,8 @@
     a_reservation_does_not_hold_its_own_request_back: silent_second_prefill();
     /// Guards against a stream that is sent to the silent server that still runs it.
     a_silent_prefill_is_not_left_for_the_server_of_the_standby: back_to_standby();
+    /// Guards against a begun stream that is cut since a host that sent it nowhere states that it may have run.
+    a_host_that_sends_a_request_nowhere_did_not_run_it: refusal_by_a_host_that_sent_nothing();
     /// Guards against room of the retry budget that stays reserved while another host runs the request.
     a_forwarded_request_keeps_nothing_reserved: forwarded_with_a_reservation();
 }
