Test silences at each stage of a request, and of several servers

A sound server may fall silent for a second or so and go on. The tests of silence had one request, whose first server was silent. The table now has a simulation of all servers of a host: prefill engines, the engine that holds the KV cache, all servers at once or one after another, the only server of a version or at all, one that leaves, is removed or missing or is ordered to prefill, two in a row around the end of the standby, and requests that may not run again. Each has silences of 0.5 to 3 s beside changes of the configuration, which now also rename services and move routes to another host name.

Where all other servers refuse a request only after its standby was given up, and its own server takes none any more, it ends at its deadline; the tests allow that and nothing earlier.

--- a/src/core/relay/tests/silence.rs
+++ b/src/core/relay/tests/silence/mod.rs
@@ -1,11 +1,19 @@
 //! Servers that fall silent while they run a request and go on later, beside changes of the configuration.
 
+mod change;
+mod engines;
+mod pairs;
+mod servers;
+mod states;
+mod stays;
+
 use std::collections::BTreeSet;
 
 use super::network::Network;
 use super::*;
 use crate::core::relay::event::{ForwardRefusal, Task};
 use crate::error::Kind;
+use change::{CHANGES, Change};
 
 /// Milliseconds until a server answers.
 const ANSWER_MS: u64 = 5;
@@ -20,7 +28,7 @@
 /// Events of a whole stream.
 const EVENTS: u64 = 3;
 /// Milliseconds for which the first server is silent.
-const SILENCES: [u64; 4] = [500, 1000, 1500, 3000];
+const SILENCES: [u64; 6] = [500, 900, 1000, 1500, 2200, 3000];
 
 /// What the other servers do with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,29 +60,6 @@
     Unfinished,
 }
 
-/// Change of the configuration while the server is silent.
-#[derive(Debug, Clone, Copy)]
-enum Change {
-    None,
-    Weights,
-    Route,
-    Longer,
-    Shorter,
-    Storm,
-    /// Services and routes are gone.
-    Dropped,
-}
-
-const CHANGES: [Change; 7] = [
-    Change::None,
-    Change::Weights,
-    Change::Route,
-    Change::Longer,
-    Change::Shorter,
-    Change::Storm,
-    Change::Dropped,
-];
-
 /// What a caller got.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Got {
@@ -300,27 +285,7 @@
     }
 
     fn change(&mut self, change: Change) {
-        let versions = match change {
-            Change::None => 0,
-            Change::Storm => 6,
-            _ => 1,
-        };
-        for number in 0..versions {
-            let mut changed = catalog(2 + number);
-            if matches!(change, Change::Dropped) {
-                changed.services.clear();
-                changed.routes.clear();
-            }
-            for route in &mut changed.routes {
-                match change {
-                    Change::Weights => route.split.push(("other".into(), 3)),
-                    Change::Route => route.split = vec![("other".into(), 1)],
-                    Change::Longer => route.timeout *= 2,
-                    Change::Shorter => route.timeout /= 2,
-                    Change::Storm => route.timeout += Duration::from_millis(100 * number),
-                    Change::None | Change::Dropped => {}
-                }
-            }
+        for changed in change.apply(&catalog(1)) {
             self.site.configure(changed);
             let out = std::mem::take(&mut self.site.out);
             self.observe(&out);
