Let the failure rate of an avoided server fade with time

What callers saw: after sound servers of a service had been silent in turn, nearly all its streams ran at one engine. When that one then crashed or fell silent, all of them had to move at once, which used up the retry budget, and most were cut.

Cause: the fraction of failed requests of a server changed only with its next request. A server that was silent costs more than the others by that fraction, gets no requests, and so keeps it for good. The delay of a link, in the same cost, already halves with time for this reason. The fraction of KV caches that an engine loses had the same fault.

Change: both fractions halve in 5 s without requests.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -359,11 +359,12 @@
 /// An engine may lose KV caches right after the prefill, or its link may delay transfers for
 /// seconds: every engine that should fetch from it refuses, and would be avoided in turn.
 fn blames_source(core: &mut Core, source: Option<BackendKey>, how: AttemptFailure) -> bool {
+    let now = core.now;
     let source = source.and_then(|key| core.relay.instances.arena.get_mut(key));
     match source {
         Some(source) if how == AttemptFailure::Refused => {
-            source.record_kv_transfer(false);
-            source.kv_loss_rate > MAX_FAILED_HANDOVER_FRACTION
+            source.record_kv_transfer(false, now);
+            source.kv_losses.fraction(now) > MAX_FAILED_HANDOVER_FRACTION
         }
         _ => false,
     }
--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -70,7 +70,7 @@
         let cost = expected
             + batching_delay_ms(instance)
             + eviction_cost_ms(model, copied)
-            + instance.failure_cost()
+            + instance.failure_cost(core.now)
             - instance.limit.recheck_bonus(core.now)
             + crossing_cost_ms(core, call, instance, policy);
         if best.is_none_or(|(least, ..)| cost < least) {
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -359,7 +359,7 @@
     let stage_ms = base + queue + prefill.delay_ms + own;
     let crossing = crossing_cost_ms(core, call, instance, policy);
     let kv_loss = match stage {
-        Stage::Prefill => instance.kv_loss_cost(own),
+        Stage::Prefill => instance.kv_loss_cost(own, core.now),
         Stage::Decode => 0.0,
     };
     Placement {
@@ -376,7 +376,7 @@
             + load::normalized_ms(instance, own) * policy.engine_time_weight * weight
             + eviction_cost_ms(model, fetch.map_or(0, |fetch| fetch.tokens))
             + crossing
-            + instance.failure_cost()
+            + instance.failure_cost(core.now)
             + kv_loss
             - instance.limit.recheck_bonus(core.now),
     }
--- a/src/core/relay/choose/plain.rs
+++ b/src/core/relay/choose/plain.rs
@@ -32,9 +32,10 @@
         let expected = load::latency_ms(instance) * (1.0 + (utilization - 0.5).max(0.0));
         let crossing = if instance.domain == domain { 0.0 } else { 2.0 };
         let noise: f64 = core.rng.random_range(0.9..1.1);
-        let cost =
-            expected * (1.0 + utilization * 0.3) * noise + crossing + instance.failure_cost()
-                - instance.limit.recheck_bonus(core.now);
+        let cost = expected * (1.0 + utilization * 0.3) * noise
+            + crossing
+            + instance.failure_cost(core.now)
+            - instance.limit.recheck_bonus(core.now);
         let candidate = Some((cost, expected, backend));
         if best.is_none_or(|(least, ..)| cost < least) {
             best = candidate;
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -7,7 +7,7 @@
 use super::departed::{Position, ServerStart};
 use super::event::{BackendEntry, LoadReport, Stage};
 use super::limit::Limit;
-use super::model::{Link, Slowdown};
+use super::model::{FailureRate, Link, Slowdown};
 use super::prefix_cache::CachedBlock;
 use super::pushback::Pushback;
 use super::versions::Version;
@@ -85,9 +85,9 @@
     /// Delay of its network link.
     pub link: Link,
     /// Recent fraction of KV caches prefilled there that could not be transferred.
-    pub kv_loss_rate: f64,
+    pub kv_losses: FailureRate,
     /// Recent fraction of requests that failed there.
-    pub error_rate: f64,
+    pub errors: FailureRate,
     /// Milliseconds that a plain request takes there; 0 before the first.
     pub latency_ms: f64,
     /// When it last sent anything.
@@ -174,8 +174,8 @@
             retry_at: Time::default(),
             pace: Slowdown::default(),
             link: Link::default(),
-            kv_loss_rate: 0.0,
-            error_rate: 0.0,
+            kv_losses: FailureRate::default(),
+            errors: FailureRate::default(),
             latency_ms: 0.0,
             last_response: None,
             recent_fill: (0.0, Time::default()),
@@ -256,7 +256,7 @@
     pub fn record_failure(&mut self, now: Time) {
         let factor = 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
-        self.error_rate += (1.0 - self.error_rate) * ERROR_WEIGHT;
+        self.errors.record(true, now);
         if self.failures >= UNHEALTHY_FAILURES {
             self.retry_at = now.after((INITIAL_BACKOFF * factor).min(MAX_BACKOFF));
         }
@@ -278,28 +278,26 @@
     pub fn record_refusal(&mut self, now: Time) {
         let pause = REFUSAL_BACKOFF * 2_u32.pow(self.refusals.min(MAX_REFUSAL_DOUBLINGS));
         self.refusals += 1;
-        self.error_rate += (1.0 - self.error_rate) * ERROR_WEIGHT;
+        self.errors.record(true, now);
         self.retry_at = self.retry_at.max(now.after(pause));
     }
 
     /// Returns the expected cost, in milliseconds, of a request that is sent there and fails.
     #[must_use]
-    pub fn failure_cost(&self) -> f64 {
-        self.error_rate / (1.0 - self.error_rate).max(MIN_SUCCESS_FRACTION) * FAILED_SEND_COST_MS
+    pub fn failure_cost(&self, now: Time) -> f64 {
+        self.errors.odds(now) * FAILED_SEND_COST_MS
     }
 
     /// Records whether a KV cache that was prefilled there could be transferred.
-    pub fn record_kv_transfer(&mut self, transferred: bool) {
-        let lost = if transferred { 0.0 } else { 1.0 };
-        self.kv_loss_rate += (lost - self.kv_loss_rate) * ERROR_WEIGHT;
+    pub fn record_kv_transfer(&mut self, transferred: bool, now: Time) {
+        self.kv_losses.record(!transferred, now);
     }
 
     /// Returns the expected cost, in milliseconds, of a prefill there that takes `millis`: a prompt whose KV cache
     /// cannot be transferred is prefilled again elsewhere.
     #[must_use]
-    pub fn kv_loss_cost(&self, millis: f64) -> f64 {
-        self.kv_loss_rate / (1.0 - self.kv_loss_rate).max(MIN_SUCCESS_FRACTION)
-            * (FAILED_SEND_COST_MS + millis)
+    pub fn kv_loss_cost(&self, millis: f64, now: Time) -> f64 {
+        self.kv_losses.odds(now) * (FAILED_SEND_COST_MS + millis)
     }
 
     /// Records that it answered.
@@ -307,7 +305,7 @@
         self.pushback.succeeded(now);
         self.failures = 0;
         self.refusals = 0;
-        self.error_rate -= self.error_rate * ERROR_WEIGHT;
+        self.errors.record(false, now);
     }
 }
 
@@ -319,10 +317,6 @@
 const FILL_RATE_STEP: u64 = 512;
 /// Cost of a request that is sent and fails, in milliseconds; it uses up a retry as well.
 const FAILED_SEND_COST_MS: f64 = 150.0;
-/// Lower bound of the success fraction in these costs.
-const MIN_SUCCESS_FRACTION: f64 = 0.1;
-/// Weight of the newest request in the fraction that fails; the fraction adapts within about ten requests.
-const ERROR_WEIGHT: f64 = 0.1;
 
 /// Returns the short hash of an id.
 #[must_use]
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -148,7 +148,7 @@
         }
     }
     if let Some(instance) = source.and_then(|key| arena.get_mut(key)) {
-        instance.record_kv_transfer(true);
+        instance.record_kv_transfer(true, now);
     }
 }
 
--- a/src/core/relay/model/mod.rs
+++ b/src/core/relay/model/mod.rs
@@ -5,6 +5,7 @@
 //! times.
 
 mod attention;
+mod failures;
 mod link;
 #[cfg(test)]
 mod tests;
@@ -13,6 +14,7 @@
 
 use super::event::Stage;
 use attention::AttentionCost;
+pub use failures::FailureRate;
 pub use link::Link;
 
 /// Initial prefill time of a token at a prefill engine and at a decode engine: 40 tokens per
--- a/src/core/relay/tests/handover.rs
+++ b/src/core/relay/tests/handover.rs
@@ -119,6 +119,7 @@
     for id in ["d", "e"] {
         let key = site.core.relay.instances.find(id).expect("registered");
         let instance = &site.core.relay.instances.arena[key];
-        assert!(instance.error_rate < 0.5, "{id}: {}", instance.error_rate);
+        let errors = instance.errors.fraction(Time::from_millis(site.now));
+        assert!(errors < 0.5, "{id}: {errors}");
     }
 }
--- a/src/core/relay/tests/silence/engines.rs
+++ b/src/core/relay/tests/silence/engines.rs
@@ -1,6 +1,7 @@
 //! Silences of the servers that have a part in one request, at each of its stages.
 
-use super::servers::{Got, Servers};
+use super::run::Got;
+use super::servers::Servers;
 use super::*;
 
 /// Tokens of a short and of a long prompt.
--- a/src/core/relay/tests/silence/mod.rs
+++ b/src/core/relay/tests/silence/mod.rs
@@ -3,6 +3,8 @@
 mod change;
 mod engines;
 mod pairs;
+mod run;
+mod sequence;
 mod servers;
 mod states;
 mod stays;
--- a/src/core/relay/tests/silence/pairs.rs
+++ b/src/core/relay/tests/silence/pairs.rs
@@ -1,7 +1,8 @@
 //! A second server that falls silent when it gets the request of a silent one: either may go on at any time.
 
 use super::engines::{Phase, SHORT, engines, plain, play};
-use super::servers::{Got, Servers};
+use super::run::Got;
+use super::servers::Servers;
 use super::*;
 
 /// Milliseconds, from the time at which the second server gets a request, after which each goes on: before, at and after
--- a/src/core/relay/tests/silence/servers.rs
+++ b/src/core/relay/tests/silence/servers.rs
@@ -1,5 +1,6 @@
 //! Simulation of servers that fall silent at given times and go on, and of callers of a host before them.
 
+use super::run::{Caller, Got, Run};
 use super::*;
 
 /// Milliseconds of a step.
@@ -15,54 +16,6 @@
 /// Time limit of routes and callers.
 pub const DEADLINE: Duration = Duration::from_secs(10);
 
-/// What a caller got.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Got {
-    Whole,
-    Cut,
-    Refusal(Kind, Ran),
-}
-
-/// A caller of the host.
-#[derive(Debug, Default)]
-pub struct Caller {
-    pub arrived: u64,
-    /// Numbers of the events that it got.
-    pub events: Vec<u64>,
-    /// Whether a server has run its request.
-    pub has_run: bool,
-    /// What it got in the end, and when.
-    pub got: Option<(u64, Got)>,
-}
-
-/// An attempt at a server.
-#[derive(Debug, Clone)]
-pub struct Run {
-    pub sent: Outgoing,
-    /// When it was sent.
-    at: u64,
-    /// When the server does the next thing about it.
-    due: u64,
-    /// The server that holds its KV cache, until that is fetched.
-    source: Option<Box<str>>,
-    /// Number of the last event that the server has sent.
-    last: u64,
-}
-
-impl Run {
-    fn call(&self) -> CallKey {
-        self.sent.call
-    }
-
-    pub fn server(&self) -> Box<str> {
-        self.sent.instance.clone()
-    }
-
-    pub fn prefills(&self) -> bool {
-        self.sent.task == Task::Prefill
-    }
-}
-
 /// A host, its servers and its callers in virtual time.
 pub struct Servers {
     pub host: TestHost,
@@ -72,6 +25,7 @@
     silences: BTreeMap<Box<str>, Vec<(u64, u64)>>,
     /// Milliseconds after which servers refuse what they get.
     pub refusals: BTreeMap<Box<str>, u64>,
+    crashed: BTreeSet<Box<str>>,
     pub runs: BTreeMap<AttemptKey, Run>,
     probes: Vec<(u64, Box<str>, bool)>,
     pub callers: BTreeMap<CallKey, Caller>,
@@ -98,6 +52,7 @@
             entries: entries.map(|entry| (entry.id.clone(), entry)).collect(),
             silences: BTreeMap::new(),
             refusals: BTreeMap::new(),
+            crashed: BTreeSet::new(),
             runs: BTreeMap::new(),
             probes: Vec::new(),
             callers: BTreeMap::new(),
@@ -201,6 +156,16 @@
         self.take_effects();
     }
 
+    /// Ends a server for good.
+    pub fn crash(&mut self, server: &str) {
+        self.crashed.insert(server.into());
+        let broken = self.runs.iter().filter(|(_, run)| *run.server() == *server);
+        let broken: Vec<AttemptKey> = broken.map(|(attempt, _)| *attempt).collect();
+        for attempt in broken {
+            self.fail(attempt, Ran::Unknown, AttemptFailure::Cut);
+        }
+    }
+
     fn event(&mut self, event: RelayEvent) {
         self.host.event(event);
         self.take_effects();
@@ -252,7 +217,7 @@
 
     fn probed(&mut self, server: &str) {
         let now = self.now();
-        let reached = self.awake_at(server, now) == now;
+        let reached = self.awake_at(server, now) == now && !self.crashed.contains(server);
         let millis = if reached { STEP_MS } else { PROBE_MS };
         self.probes.push((now + millis, server.into(), reached));
     }
@@ -327,6 +292,10 @@
             return;
         };
         let server = run.server();
+        if self.crashed.contains(&server) {
+            self.fail(attempt, Ran::No, AttemptFailure::Unreachable);
+            return;
+        }
         let own = self.awake_at(&server, now);
         let source = run.source.as_ref();
         let awake = source.map_or(own, |source| own.max(self.awake_at(source, now)));
@@ -388,6 +357,12 @@
         }
     }
 
+    /// Returns the requests that run at a server.
+    pub fn calls_at(&self, server: &str) -> Vec<CallKey> {
+        let own = self.runs.values().filter(|run| *run.server() == *server);
+        own.map(Run::call).collect()
+    }
+
     /// Returns the attempt at a server that was sent last for a request.
     pub fn run_of(&self, call: CallKey) -> Option<&Run> {
         let own = self.runs.values().filter(|run| run.call() == call);
--- a/src/core/relay/tests/silence/states.rs
+++ b/src/core/relay/tests/silence/states.rs
@@ -1,7 +1,8 @@
 //! Silences of a server that is leaving, unlisted or moved, or that alone could run a request.
 
 use super::engines::{LONG, Phase, SHORT, engines, plain, play};
-use super::servers::{DEADLINE, Got, Servers};
+use super::run::Got;
+use super::servers::{DEADLINE, Servers};
 use super::*;
 
 /// Milliseconds after which the other servers refuse a request: at once, before and after the standby is given up.
--- a/src/core/relay/tests/silence/stays.rs
+++ b/src/core/relay/tests/silence/stays.rs
@@ -1,7 +1,8 @@
 //! Requests that may not run again: they wait for their server until their time-out.
 
 use super::engines::{Phase, SHORT, engines, plain, play};
-use super::servers::{Caller, DEADLINE, Got};
+use super::run::{Caller, Got};
+use super::servers::DEADLINE;
 use super::*;
 
 /// Milliseconds of silence: short ones, one that ends just in time, and one past the time-out.
