Test silences of all servers before one or several hosts

All servers of a service are silent for 0.8 to 2.2 s at once, before 1, 8 and 45 hosts that get plain requests and streams all the while. The hosts take their links for lost and forward requests to each other, of which none reaches a server. Requests that came before the silence get their whole answers; later ones that, or a refusal as not run.

A begun stream at a server that leaves and hangs for good keeps its server, and is cut at its deadline, not before.

--- a/src/core/relay/tests/silence/mod.rs
+++ b/src/core/relay/tests/silence/mod.rs
@@ -2,6 +2,8 @@
 
 mod change;
 mod engines;
+mod hosts;
+mod links;
 mod pairs;
 mod run;
 mod sequence;
--- a/src/core/relay/tests/silence/states.rs
+++ b/src/core/relay/tests/silence/states.rs
@@ -173,3 +173,17 @@
     an_unsafe_request_at_one_missing: plain, "/once/x", 0, Phase::Unanswered, Missing;
     a_begun_stream_that_may_run_once_at_one_leaving: engines, "/long/x", SHORT, Phase::Begun(3), Leaving;
 }
+
+/// Guards against a begun answer that is cut before its deadline at a leaving server that hangs for good.
+#[test]
+fn a_leaving_server_that_hangs_keeps_a_begun_stream() {
+    let (mut site, call) = play(engines(), "/short/x", SHORT, Phase::Begun(3));
+    let server = site.run_of(call).expect("a run").server();
+    Becomes::Leaving.apply(&mut site, &server);
+    let now = site.now();
+    site.fall_silent(&server, now, 20_000);
+    assert_eq!(site.finish(), [Got::Cut]);
+    let caller = &site.callers[&call];
+    let (at, _) = caller.got.expect("an end");
+    assert_eq!(Duration::from_millis(at - caller.arrived), DEADLINE);
+}
