Run a broken stream whole where the budget has no room for a prefill

Callers: an engine broke a begun stream off, and the retry budget had room for one send. The prefill was the cheapest choice, needed two, and was refused: the stream was cut, though a decode engine can run the prompt itself with one send.

Change: prefill engines are no candidates for a request whose prefill and run the budget does not allow. A begun stream at a silent server stays there, as before. The choice costs a decode engine a prefill at half its speed, only while the budget is short.

--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -16,7 +16,9 @@
 use super::model::ServiceModel;
 use super::prefix_cache::{Fetch, Holder};
 use super::versions::Version;
-use super::{Call, PrefillEstimate, from_millis, load, millis, parts, prefix_cache, standby};
+use super::{
+    Call, PrefillEstimate, from_millis, load, millis, parts, prefix_cache, retry, standby,
+};
 use crate::error::Kind;
 use crate::settings::relay::Policy;
 
@@ -229,6 +231,10 @@
         return Err(no_server(core, key));
     };
     let policy = policy(core);
+    let call = &core.relay.calls[key];
+    // A begun stream stays at its silent server instead.
+    let stays = call.delivered && call.standby.is_some();
+    let runs_whole = !stays && !retry::allows_prefill(core, key);
     let engines = [Stage::Prefill, Stage::Decode].map(|stage| {
         let eligible = eligible_servers(core, &core.relay.calls[key], Some(stage));
         sampling::sample(core, key, &prompt, eligible)
@@ -244,7 +250,7 @@
     let mut placements = Vec::new();
     for (stage, engines) in [Stage::Prefill, Stage::Decode].into_iter().zip(engines) {
         // A request that may crash an engine goes to one only.
-        if stage == Stage::Prefill && (handover.is_none() || is_tried) {
+        if stage == Stage::Prefill && (handover.is_none() || is_tried || runs_whole) {
             continue;
         }
         placements.extend(engines.into_iter().map(|backend| {
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -5,7 +5,7 @@
 use super::choose::{self, Choice};
 use super::event::Task;
 use super::standby::Standby;
-use super::{note, parts, standby};
+use super::{Call, note, parts, standby};
 
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
 ///
@@ -92,11 +92,8 @@
     {
         return None;
     }
-    let Some(open) = core.relay.attempts.get(attempt) else {
-        return None;
-    };
-    // A silent prefill that is left counts as an arrival, and what is reserved for its run serves this request.
-    let is_prefill = open.task == Task::Prefill;
+    // What is reserved for the run after a silent prefill serves this request.
+    let is_prefill = leaves_prefill(core, call);
     let arrivals = call.arrivals + u32::from(is_prefill);
     let reserved = usize::from(call.reserved);
     if !has_room(core, key, 1 - reserved) {
@@ -124,6 +121,20 @@
     Some(choice)
 }
 
+/// Whether a request is at a prefill, which counts as an arrival if it is left.
+fn leaves_prefill(core: &Core, call: &Call) -> bool {
+    let attempt = call.attempt.and_then(|key| core.relay.attempts.get(key));
+    attempt.is_some_and(|attempt| attempt.task == Task::Prefill)
+}
+
+/// Returns whether the retry budget allows another prefill for a request, and the run that follows.
+pub(super) fn allows_prefill(core: &mut Core, key: CallKey) -> bool {
+    let call = &core.relay.calls[key];
+    let is_first = call.arrivals == 0 && !leaves_prefill(core, call);
+    let reserved = usize::from(call.reserved);
+    is_first || has_room(core, key, 2 - reserved)
+}
+
 /// Returns whether the retry budget allows a request this many more sends.
 fn has_room(core: &mut Core, key: CallKey, sends: usize) -> bool {
     let hosts = core.relay.peers.host_count();
--- a/src/core/relay/tests/secured.rs
+++ b/src/core/relay/tests/secured.rs
@@ -75,6 +75,15 @@
     assert!(again.is_none(), "sent to the server that runs it");
 }
 
+/// An engine breaks a begun stream off, and the retry budget has room for one send.
+fn crash_with_room_for_one() {
+    let (mut site, first) = begun_with_budget(1);
+    site.fail_attempt(first.attempt, Ran::Unknown, AttemptFailure::Cut);
+    assert!(!site.has_effect(is_cut), "the stream was cut");
+    let next = site.sent().expect("the stream is moved");
+    assert_eq!(next.task, Task::Whole);
+}
+
 /// The links are lost, and the host that a begun stream is forwarded to has no server that takes it, after the silent attempt
 /// was given up.
 fn refusal_by_a_host_that_sent_nothing() {
@@ -153,6 +162,8 @@
     a_reservation_does_not_hold_its_own_request_back: silent_second_prefill();
     /// Guards against a stream that is sent to the silent server that still runs it.
     a_silent_prefill_is_not_left_for_the_server_of_the_standby: back_to_standby();
+    /// Guards against a begun stream that is cut although the retry budget has room for a run without a prefill.
+    a_broken_stream_is_run_whole_with_budget_for_one_send: crash_with_room_for_one();
     /// Guards against a begun stream that is cut since a host that sent it nowhere states that it may have run.
     a_host_that_sends_a_request_nowhere_did_not_run_it: refusal_by_a_host_that_sent_nothing();
     /// Guards against room of the retry budget that stays reserved while another host runs the request.
