Play most new connections at one host with real processes

A balancer of the stand-ins names the host for each new connection: all hosts that pass their readiness check in turn, or for a time mostly one, another once that one fails two checks in a row; all of a domain's if under half pass; another host for a retry. The caller opens the connection itself, so that it sees a full backlog or a close as it is.

Three hosts before eight servers, 6 callers and then 40 with nine of ten connections at one host. Of what is read (answered, run, or without an answer in time), three quarters as much as before must be served at the first attempt; a request closed unread does not count if its next attempt is read, and must not have run. Four cases: as it is, a host that is stopped for 9 ms of 10, a host that stops while it has the crowd, and hosts with 64 descriptors.

Counts are compared, at a fixed number of callers: rates and deadlines of 600 ms were tried first and said more of the machine than of the host, at a load of 35 on 8 cores.

--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -92,9 +92,19 @@
 
     /// Starts the program with standard output to a file, and waits for its first line there.
     pub fn start_with_stdout(args: &[&str], log: &Path) -> Self {
+        Self::start_command(Command::new(env!("CARGO_BIN_EXE_chiveway")).args(args), log)
+    }
+
+    /// Does the same with a limit on the number of file descriptors.
+    pub fn start_with_descriptors(args: &[&str], log: &Path, max: u64) -> Self {
+        let mut command = Command::new("sh");
+        command.args(["-c", "ulimit -n \"$0\" && exec \"$@\"", &max.to_string()]);
+        Self::start_command(command.arg(env!("CARGO_BIN_EXE_chiveway")).args(args), log)
+    }
+
+    fn start_command(command: &mut Command, log: &Path) -> Self {
         let file = std::fs::File::create(log).expect("the log file can be created");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_chiveway"));
-        let command = command.args(args).stdin(Stdio::null());
+        let command = command.stdin(Stdio::null());
         let child = command.stdout(file).stderr(Stdio::null()).spawn();
         let mut process = Self {
             child: child.expect("the program starts"),
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,6 +2,7 @@
 //! that implement the platform's protocol.
 
 mod broken_off;
+mod crowd;
 #[path = "../fleet/support/proxy.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod cut;
--- a/tests/relay/standin/mod.rs
+++ b/tests/relay/standin/mod.rs
@@ -3,6 +3,7 @@
 //! Each connection has a thread, and a lock guards the shared state: a test sends few requests and needs no
 //! async runtime.
 
+pub mod balancer;
 pub mod engine;
 pub mod http;
 mod serve;
