Have the soak hand most new connections to one host

Two crowds of one to four seconds are drawn into the series of each seed after all other faults, so that those of earlier seeds stay as they were; meanwhile nine of ten requests of the callers go to one host, to another once that one fails its readiness checks. Once all faults have ended each run draws one more, with 24 callers in place of 6, and the check compares how many of the requests that were read were served at the first attempt before it and in it. The regression seeds have none.

Planted: a crowd of which half is refused, one of which half is never read, and one of which half is closed and read at the next attempt, which is allowed.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -53,7 +53,9 @@
         let mut count = 0;
         while !self.finished.load(Ordering::SeqCst) {
             count += 1;
-            let incarnation = self.incarnation(rng.random_range(0..HOST_COUNT));
+            let host = rng.random_range(0..HOST_COUNT);
+            let host = self.balancer.crowded_host().unwrap_or(host);
+            let incarnation = self.incarnation(host);
             let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
             self.request(&incarnation, kind, &format!("c{number}-{count}"));
             thread::sleep(REQUEST_INTERVAL);
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -77,6 +77,12 @@
 /// Late sends that are allowed.
 const MAX_LATE_SENDS: usize = 3;
 
+/// Prefixes of the ids of requests before a crowd at one host, and in it.
+pub const BESIDE_CROWD: &str = "beside-";
+pub const IN_CROWD: &str = "crowd-";
+/// End of the id of a request's second attempt there.
+pub const SECOND_ATTEMPT: &str = "-again";
+
 /// Everything recorded in the run of one seed.
 #[derive(Debug, Clone, Default)]
 pub struct Record {
@@ -129,6 +135,7 @@
     violations.extend(late_crashes(&record.poison_crashes));
     violations.extend(late_part_sends(record));
     violations.extend(mixed_streams(record));
+    violations.extend(unserved_crowd(record));
     let unserved = record.unrecovered.iter();
     violations
         .extend(unserved.map(|what| format!("not served after all faults had ended: {what}")));
@@ -232,6 +239,43 @@
     })
 }
 
+/// Requests with ids of this prefix that were served at the first attempt, and those that were read there. One that was
+/// closed unread does not count if its next attempt was read.
+pub fn count_first_attempts(record: &Record, prefix: &str) -> (usize, usize) {
+    let runs: BTreeSet<&str> = record.runs.iter().map(|run| &*run.id).collect();
+    let with_prefix = |seen: &&Observation| seen.id.starts_with(prefix);
+    let by_id: BTreeMap<&str, &Observation> = record
+        .observations
+        .iter()
+        .filter(with_prefix)
+        .map(|seen| (&*seen.id, seen))
+        .collect();
+    let is_read = |seen: &Observation| seen.status.is_some() || runs.contains(&*seen.id);
+    let counts = |seen: &&&Observation| {
+        let second = by_id.get(&*(seen.id.clone() + SECOND_ATTEMPT));
+        let is_read_later = second.is_some_and(|second| is_read(second));
+        !seen.id.ends_with(SECOND_ATTEMPT) && (is_read(seen) || !is_read_later)
+    };
+    let read = by_id.values().filter(counts);
+    let served = read
+        .clone()
+        .filter(|seen| seen.status == Some(200) && seen.is_complete);
+    (served.count(), read.count())
+}
+
+/// Returns a violation if fewer than three quarters as many of the requests that were read in a crowd were served as before.
+fn unserved_crowd(record: &Record) -> Option<String> {
+    let before = count_first_attempts(record, BESIDE_CROWD);
+    let during = count_first_attempts(record, IN_CROWD);
+    let is_less = during.0 * before.1 * 4 < before.0 * during.1 * 3;
+    is_less.then(|| {
+        format!(
+            "{} of {} requests served that were read in a crowd at one host, {} of {} before",
+            during.0, during.1, before.0, before.1
+        )
+    })
+}
+
 /// Returns orders of one engine that share a fencing token between two holders, or whose token decreases.
 fn conflicting_orders(orders: &[Order]) -> Vec<String> {
     let mut violations = Vec::new();
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -12,11 +12,14 @@
 
 use crate::check::{self, Observation};
 use crate::cut::FaultProxy;
-use crate::faults::{series, with_hang, with_partitions, with_restores, with_torn_answers};
+use crate::faults::{
+    series, with_crowds, with_hang, with_partitions, with_restores, with_torn_answers,
+};
 use crate::partition::Links;
 use crate::poison::POISON;
 use crate::process::{Process, TempDir};
 use crate::silence::QUIET_ID_PREFIX;
+use crate::standin::balancer::{Balancer, Member};
 use crate::standin::{Engine, Store, config, settings};
 use crate::{REGRESSION_SEEDS, SEEDS_WITHOUT_HANG, SEEDS_WITHOUT_RESTORES, WAIT_TIMEOUT};
 
@@ -51,6 +54,7 @@
 #[derive(Debug, Clone)]
 pub struct Incarnation {
     pub callers: SocketAddr,
+    pub readiness: SocketAddr,
     pub name: String,
     pub started: Instant,
 }
@@ -69,6 +73,7 @@
     /// A forwarder to the store for each host.
     pub store_forwarders: Vec<FaultProxy>,
     pub hosts: Vec<Mutex<Host>>,
+    pub balancer: Balancer,
     /// Whether hosts have links of their own, which can be cut.
     pub has_links: bool,
     /// The links of each host.
@@ -123,6 +128,9 @@
     if cluster.has_links {
         faults = with_partitions(seed, faults, HOST_COUNT);
     }
+    if !REGRESSION_SEEDS.contains(&seed) {
+        faults = with_crowds(seed, faults, HOST_COUNT);
+    }
     thread::scope(|scope| {
         let cluster = &cluster;
         for number in 0..CALLER_COUNT {
@@ -150,6 +158,9 @@
     if !REGRESSION_SEEDS.contains(&seed) {
         cluster.pass_silences(seed);
     }
+    if !REGRESSION_SEEDS.contains(&seed) {
+        cluster.pass_crowd(seed);
+    }
     if let Some(part) = cluster.bad_part {
         unrecovered.extend(cluster.unserved_beside(seed, part));
     }
@@ -162,8 +173,9 @@
         .filter(|seen| seen.status == Some(200));
     let silent = record.observations.iter();
     let silent = silent.filter(|seen| seen.id.starts_with(QUIET_ID_PREFIX));
+    let (served_in_crowd, read_in_crowd) = check::count_first_attempts(&record, check::IN_CROWD);
     let summary = format!(
-        "{} requests ({} beside silences), {} served, {} runs, {} orders, {} crashes under one request, {} by a part of prompts, {} streams of which {} went on",
+        "{} requests ({} beside silences), {} served, {} runs, {} orders, {} crashes under one request, {} by a part of prompts, {} streams of which {} went on, {served_in_crowd} of {read_in_crowd} read in a crowd served",
         record.observations.len(),
         silent.count(),
         served.count(),
@@ -217,6 +229,7 @@
             store,
             store_forwarders,
             hosts: Vec::new(),
+            balancer: Balancer::start(Vec::new()),
             has_links,
             links: links.into_iter().map(Mutex::new).collect(),
             incarnations: Mutex::default(),
@@ -248,6 +261,13 @@
                 .expect("no panic")
                 .push(incarnation);
         }
+        let incarnations = cluster.incarnations.lock().expect("no panic").clone();
+        let members = incarnations.iter().map(|host| Member {
+            callers: host.callers,
+            readiness: host.readiness,
+            domain: 0,
+        });
+        cluster.balancer = Balancer::start(members.collect());
         for host in 0..HOST_COUNT {
             let unserved = cluster.unserved_within("start", host, WAIT_TIMEOUT);
             assert!(unserved.is_empty(), "not served at the start: {unserved:?}");
@@ -267,9 +287,10 @@
         let path = path.to_str().expect("a path");
         let process = Process::start_with_stdout(&["host", "-c", path], &log);
         let line: Value = serde_json::from_str(&process.first_line).expect("a JSON line");
-        let callers = line["callers"].as_str().and_then(|addr| addr.parse().ok());
+        let addr = |name: &str| line[name].as_str().and_then(|addr| addr.parse().ok());
         let incarnation = Incarnation {
-            callers: callers.expect("the callers' listener"),
+            callers: addr("callers").expect("the callers' listener"),
+            readiness: addr("readiness").expect("the readiness listener"),
             name: format!("{name}.{starts}"),
             started: Instant::now(),
         };
@@ -280,6 +301,8 @@
         host.starts += 1;
         let (process, incarnation) = self.start(index, host.starts);
         host.process = process;
+        self.balancer
+            .replace(index, incarnation.callers, incarnation.readiness);
         self.incarnations.lock().expect("no panic")[index] = incarnation;
     }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -55,6 +55,8 @@
     BreakStream(usize),
     /// Hosts, a bit for each, are partitioned from all servers.
     Partition(u8, LinkCut),
+    /// Most new connections go to a host.
+    Crowd(usize),
     /// A server breaks its next answer off.
     TearAnswer(usize, Break),
 }
@@ -79,6 +81,10 @@
 const PARTITION_SEED_MASK: u64 = 0x9a47;
 /// Partitions in a series.
 const PARTITION_COUNT: usize = 4;
+/// Separates the draws of crowds from a seed's other draws.
+const CROWD_SEED_MASK: u64 = 0xc70;
+/// Crowds in a series.
+const CROWD_COUNT: usize = 2;
 /// Number of faults in a series.
 const FAULT_COUNT: usize = 14;
 
@@ -175,6 +181,20 @@
     series
 }
 
+/// Inserts crowds at one host at random positions of a series, with their own random generator.
+pub fn with_crowds(seed: u64, mut series: Vec<Fault>, hosts: usize) -> Vec<Fault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ CROWD_SEED_MASK);
+    for _ in 0..CROWD_COUNT {
+        let fault = Fault {
+            delay: Duration::from_millis(rng.random_range(20..300)),
+            kind: FaultKind::Crowd(rng.random_range(0..hosts)),
+            duration: Duration::from_millis(rng.random_range(1000..4000)),
+        };
+        series.insert(rng.random_range(0..=series.len()), fault);
+    }
+    series
+}
+
 /// Draws how an answer is broken off.
 ///
 /// An answer that only its connection ends is never broken off between events: it is complete as soon as the
--- a/tests/soak/inject.rs
+++ b/tests/soak/inject.rs
@@ -20,6 +20,7 @@
             FaultKind::Stop(_)
                 | FaultKind::Reload(_)
                 | FaultKind::Configure
+                | FaultKind::Crowd(_)
                 | FaultKind::ServerDrain(_)
         );
         if !planned {
@@ -110,6 +111,7 @@
             FaultKind::Configure => {
                 self.configure();
             }
+            FaultKind::Crowd(host) => self.draw_crowd(host, fault.duration),
             FaultKind::Partition(hosts, how) => self.partition(hosts, how, fault.duration),
             FaultKind::TearAnswer(position, mut how) => {
                 // Nobody could see that a whole answer is torn that only its connection ends.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! connections hang, pass data one way, are delayed and reset; the store is down, hangs, drops answers or
 //! is restored from an older copy; engines crash, drain, are replaced and break answers off; the configuration
 //! changes.
-//! Hosts are partitioned from all servers, in half of the seeds and once more at the end.
+//! Hosts are partitioned from all servers, in half of the seeds and once more at the end. The balancer hands most new
+//! connections to one host, among the faults and once more at the end.
 //! Servers have two software versions, and one caller takes streams up at other hosts.
 //! Meanwhile one caller sends a request that crashes every server that runs it. Half of the seeds end with servers that
 //! fall silent for up to three seconds while nothing else is wrong. The requests recorded by callers and backend
@@ -33,6 +34,7 @@
 mod callers;
 mod check;
 mod cluster;
+mod crowd;
 mod faults;
 mod inject;
 mod partition;
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::check::{LATE_AFTER, Observation, Order, Record, RequestKind, Run, check};
+use crate::check::{
+    BESIDE_CROWD, IN_CROWD, LATE_AFTER, Observation, Order, Record, RequestKind, Run,
+    SECOND_ATTEMPT, check,
+};
 use crate::standin;
 
 fn observation(kind: RequestKind) -> Observation {
@@ -138,12 +141,49 @@
             .into(),
         ..Record::default()
     } => "several software versions";
+    a_crowd_at_one_host_that_is_not_served: crowd_record(Some(503)) => "2 of 4 requests served that were read in a crowd";
+    a_crowd_that_no_host_reads: crowd_record(None) => "2 of 4 requests served that were read in a crowd";
     a_service_that_does_not_recover: Record {
         unrecovered: vec!["host-1 /once/x".to_owned()],
         ..Record::default()
     } => "after all faults had ended";
 }
 
+/// Four requests before a crowd and four in it, half of which have this status.
+fn crowd_record(status: Option<u16>) -> Record {
+    let seen = |prefix: &str, number: usize, status| Observation {
+        id: format!("{prefix}{number}"),
+        status,
+        ..observation(RequestKind::Once)
+    };
+    let before = (0..4).map(|number| seen(BESIDE_CROWD, number, Some(200)));
+    let during = (0..4).map(|number| {
+        let status = if number < 2 { Some(200) } else { status };
+        seen(IN_CROWD, number, status)
+    });
+    Record {
+        observations: before.chain(during).collect(),
+        ..Record::default()
+    }
+}
+
+/// Hosts close requests unread, and others serve them. Guards against a check that takes these for unserved.
+#[test]
+fn requests_that_another_host_reads_may_be_closed() {
+    let mut record = crowd_record(None);
+    let unread = record.observations[6..].to_vec();
+    record
+        .observations
+        .extend(unread.into_iter().map(|seen| Observation {
+            id: seen.id + SECOND_ATTEMPT,
+            status: Some(503),
+            ..seen
+        }));
+    let violations = check(&record);
+    let is_of_crowd = |violation: &String| violation.contains("in a crowd");
+    assert!(!violations.iter().any(is_of_crowd), "{violations:?}");
+}
+
 /// Five crashes by a part, and four late sends by a host of this age, with one that is not late.
 fn part_record(host_age: Duration) -> Record {
     Record {
