Let a server read a large body late

A request with a body that the kernel of its server did not take at once was ended after 4.3 s, with a 504, although its server went on after 6.5 s and its time-out was 8 s; the server counted as failed.

The pool has the kernel close a connection after 4 s without an acknowledgement. The kernel does so too when the peer acknowledges each probe of its window and reads nothing, which a sound server may do.

Calls with a body of over 32 KiB, which a peer's kernel may not take unread, get connections of their own without this time. They close with a reset, which discards what was not taken: no request is delivered after its host has given it up. Other calls, orders among them, keep the bound. Opening connections moves to a file of its own.

--- /dev/null
+++ b/src/backend/connect.rs
@@ -0,0 +1,106 @@
+//! Opening of connections, and the times for which the kernel keeps them.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+use super::pool::PoolError;
+
+/// Time without a TCP acknowledgement after which the kernel closes a connection.
+///
+/// Four times the keep-alive interval. Without it, a request to a server that lost power or is
+/// behind a partition waits for its whole deadline. The kernel closes a connection also when the
+/// peer acknowledges but takes nothing for that time.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
+/// Interval of TCP keep-alive probes on an idle connection.
+///
+/// A middlebox that drops its state of a connection leaves it open without any traffic; failed
+/// probes close it within a few seconds.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest body that the kernel of a peer takes although the peer reads nothing: half of the window of TCP without scaling.
+const MAX_UNREAD_BYTES: usize = 32 * 1024;
+/// Maximum number of headers in a response.
+const MAX_HEADERS: usize = 128;
+
+/// For how long the kernel sends what a peer does not take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// [`UNACKED_TIMEOUT`].
+    Bounded,
+    /// Until the connection is closed, which discards the rest: a sound peer may read a large body late.
+    Open,
+}
+
+impl Patience {
+    /// Returns that of a call with a body of this size.
+    pub fn of(body_bytes: usize) -> Self {
+        if body_bytes > MAX_UNREAD_BYTES {
+            Self::Open
+        } else {
+            Self::Bounded
+        }
+    }
+}
+
+/// Returns whether an error means that this process, or its machine, has no file descriptor left.
+fn is_out_of_descriptors(err: &std::io::Error) -> bool {
+    let errno = rustix::io::Errno::from_io_error(err);
+    errno.is_some_and(|errno| matches!(errno, rustix::io::Errno::MFILE | rustix::io::Errno::NFILE))
+}
+
+/// Sender of requests, and the guard of their connection.
+pub type OpenConnection = (SendRequest<Full<Bytes>>, oneshot::Sender<Infallible>);
+
+/// Opens a connection; it is closed when the returned guard is dropped.
+pub async fn connect(addr: SocketAddr, patience: Patience) -> Result<OpenConnection, PoolError> {
+    let connect_error = |err: std::io::Error| {
+        if is_out_of_descriptors(&err) {
+            return PoolError::NoDescriptor;
+        }
+        PoolError::Connect {
+            reason: err.to_string().into(),
+        }
+    };
+    let stream = TcpStream::connect(addr).await.map_err(connect_error)?;
+    stream.set_nodelay(true).map_err(connect_error)?;
+    let socket = SockRef::from(&stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(2);
+    socket
+        .set_tcp_keepalive(&keepalive)
+        .map_err(connect_error)?;
+    match patience {
+        Patience::Bounded => socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)),
+        Patience::Open => socket.set_linger(Some(Duration::ZERO)),
+    }
+    .map_err(connect_error)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_headers(MAX_HEADERS)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|err| PoolError::Connect {
+            reason: err.to_string().into(),
+        })?;
+    let (guard, closed) = oneshot::channel();
+    ntex::rt::spawn(async move {
+        tokio::select! {
+            result = connection => {
+                if let Err(err) = result {
+                    log::debug!("connection to {addr} ended: {err}");
+                }
+            }
+            _ = closed => {}
+        }
+    });
+    Ok((sender, guard))
+}
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -4,6 +4,7 @@
 //! byte of the request was written to a socket, or if the backend server stated so.
 
 mod client;
+mod connect;
 mod engine;
 pub mod pool;
 mod single_use;
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -15,32 +15,17 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use snafu::Snafu;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
+use super::connect::{Patience, connect};
 use crate::error::Ran;
 
-/// Time without a TCP acknowledgement after which the kernel closes a connection.
-///
-/// Four times the keep-alive interval. Without it, a request to a server that lost power or is
-/// behind a partition waits for its whole deadline.
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
-/// Interval of TCP keep-alive probes on an idle connection.
-///
-/// A middlebox that drops its state of a connection leaves it open without any traffic; failed
-/// probes close it within a few seconds.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time within which a connection must be ready for its next request after a complete response.
 const READY_TIMEOUT: Duration = Duration::from_millis(2);
-/// Maximum number of headers in a response.
-const MAX_HEADERS: usize = 128;
-
 /// Why there is no response, or no complete one.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum PoolError {
@@ -81,6 +66,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     guard: oneshot::Sender<Infallible>,
+    patience: Patience,
     expires_at: Instant,
 }
 
@@ -103,6 +89,7 @@
     sender: SendRequest<Full<Bytes>>,
     guard: oneshot::Sender<Infallible>,
     addr: SocketAddr,
+    patience: Patience,
 }
 
 impl std::fmt::Debug for Answer {
@@ -182,8 +169,9 @@
     /// [`PoolError::Broken`] if the connection broke afterwards.
     pub async fn send(&self, call: &Call, connect_timeout: Duration) -> Result<Answer, PoolError> {
         let mut request = call.request()?;
+        let patience = Patience::of(call.body.len());
         // An idle connection that was closed meanwhile returns the request unsent.
-        while let Some(mut idle) = self.take_idle(call.addr) {
+        while let Some(mut idle) = self.take_idle(call.addr, patience) {
             match idle.sender.try_send_request(request).await {
                 Ok(response) => {
                     return Ok(Answer {
@@ -191,6 +179,7 @@
                         sender: idle.sender,
                         guard: idle.guard,
                         addr: call.addr,
+                        patience,
                     });
                 }
                 Err(mut err) => match err.take_message() {
@@ -199,7 +188,7 @@
                 },
             }
         }
-        let (mut sender, guard) = timeout(connect_timeout, connect(call.addr))
+        let (mut sender, guard) = timeout(connect_timeout, connect(call.addr, patience))
             .await
             .unwrap_or_else(|_elapsed| {
                 Err(PoolError::Connect {
@@ -212,6 +201,7 @@
                 sender,
                 guard,
                 addr: call.addr,
+                patience,
             }),
             Err(mut err) => Err(if err.take_message().is_some() {
                 PoolError::Connect {
@@ -274,18 +264,14 @@
         })
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<IdleConnection> {
+    fn take_idle(&self, addr: SocketAddr, patience: Patience) -> Option<IdleConnection> {
         let mut all = self.idle.borrow_mut();
         let list = all.get_mut(&addr)?;
         let now = Instant::now();
-        let mut found = None;
+        list.retain(|idle| idle.expires_at > now && idle.sender.is_ready());
         // The most recently used connection is the least likely to be closed by now.
-        while let Some(idle) = list.pop() {
-            if idle.expires_at > now && idle.sender.is_ready() {
-                found = Some(idle);
-                break;
-            }
-        }
+        let place = list.iter().rposition(|idle| idle.patience == patience);
+        let found = place.map(|place| list.remove(place));
         if list.is_empty() {
             all.remove(&addr);
         }
@@ -300,6 +286,7 @@
             mut sender,
             guard,
             addr,
+            patience,
             ..
         } = answer;
         // Bytes after the response belong to no request and close the connection here.
@@ -315,6 +302,7 @@
             list.push(IdleConnection {
                 sender,
                 guard,
+                patience,
                 expires_at: now + idle_timeout,
             });
         }
@@ -397,7 +385,7 @@
 
 /// Returns the error for a connection that broke after a request was handed to it.
 ///
-/// One that the kernel gave up, since nothing was acknowledged for [`UNACKED_TIMEOUT`], did not break at the server:
+/// One that the kernel gave up, since nothing was acknowledged for a time, did not break at the server:
 /// no packet arrived from there.
 fn connection_broken(err: &hyper::Error) -> PoolError {
     if is_timed_out(err) {
@@ -414,55 +402,3 @@
     let mut io = chain.filter_map(|err| err.downcast_ref::<std::io::Error>());
     io.any(|err| err.kind() == std::io::ErrorKind::TimedOut)
 }
-
-/// Returns whether an error means that this process, or its machine, has no file descriptor left.
-fn is_out_of_descriptors(err: &std::io::Error) -> bool {
-    let errno = rustix::io::Errno::from_io_error(err);
-    errno.is_some_and(|errno| matches!(errno, rustix::io::Errno::MFILE | rustix::io::Errno::NFILE))
-}
-
-type OpenConnection = (SendRequest<Full<Bytes>>, oneshot::Sender<Infallible>);
-
-/// Opens a connection; it is closed when the returned guard is dropped.
-async fn connect(addr: SocketAddr) -> Result<OpenConnection, PoolError> {
-    let connect_error = |err: std::io::Error| {
-        if is_out_of_descriptors(&err) {
-            return PoolError::NoDescriptor;
-        }
-        PoolError::Connect {
-            reason: err.to_string().into(),
-        }
-    };
-    let stream = TcpStream::connect(addr).await.map_err(connect_error)?;
-    stream.set_nodelay(true).map_err(connect_error)?;
-    let socket = SockRef::from(&stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
-    socket
-        .set_tcp_keepalive(&keepalive)
-        .map_err(connect_error)?;
-    socket
-        .set_tcp_user_timeout(Some(UNACKED_TIMEOUT))
-        .map_err(connect_error)?;
-    let (sender, connection) = http1::Builder::new()
-        .max_headers(MAX_HEADERS)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|err| PoolError::Connect {
-            reason: err.to_string().into(),
-        })?;
-    let (guard, closed) = oneshot::channel();
-    ntex::rt::spawn(async move {
-        tokio::select! {
-            result = connection => {
-                if let Err(err) = result {
-                    log::debug!("connection to {addr} ended: {err}");
-                }
-            }
-            _ = closed => {}
-        }
-    });
-    Ok((sender, guard))
-}
