Test engines that prefill and decode silently in turn

The engine that prefills answers nothing for 1.5 s, then the one that decodes is silent for 1.5 s inside its streams, while the configuration changes and a second pair is absent, refuses or answers. The answers must be whole, and a stream that may not be resumed must run once.

--- a/tests/relay/pauses.rs
+++ b/tests/relay/pauses.rs
@@ -179,3 +179,38 @@
     silence_inside_answers_without_framing: Connection, Events;
     silence_before_ends_of_answers_without_framing: Connection, End;
 }
+
+/// The engine that prefills is silent and goes on, and so is the one that decodes after it.
+fn check_prefill(next: Next) {
+    let engines = [
+        Engine::model("p-1", "prefill"),
+        Engine::model("d-1", "decode"),
+    ];
+    let others = [
+        Engine::model("p-2", "prefill"),
+        Engine::model("d-2", "decode"),
+    ];
+    let site = start(&[&engines[0], &engines[1]]);
+    engines[0].pause_prefills(SILENCE);
+    engines[1].pause_each(Pause::Events, SILENCE);
+    let kinds = [Kind::Decoded, Kind::Resumable];
+    let requests = send_each(site.callers, &kinds);
+    wait_for("a prompt to reach the engine that prefills", || {
+        engines[0].caller_requests() > 0
+    });
+    change(&site, next, &[&others[0], &others[1]]);
+    let case = format!("{next:?}");
+    check_whole(requests, &case, &site);
+    let all = [&engines[0], &engines[1], &others[0], &others[1]];
+    assert_eq!(runs(&all, Kind::Decoded), 1, "{case}");
+}
+
+/// Guards against a request that ends since the engine that prefills its prompt, and then the one that decodes, are silent.
+#[test]
+fn silence_of_engines_that_prefill_and_decode_in_turn() {
+    std::thread::scope(|scope| {
+        for next in NEXT {
+            scope.spawn(move || check_prefill(next));
+        }
+    });
+}
--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -76,6 +76,8 @@
     pub pause: Arc<Mutex<Option<(Pause, Duration)>>>,
     /// Where and for how long each of its answers to callers' requests falls silent.
     pub pause_each: Option<(Pause, Duration)>,
+    /// Until when it answers no prefill.
+    pub prefills_from: Option<Instant>,
     /// Parts that were written of all its answers.
     pub written: u64,
     /// Open connections.
@@ -284,6 +286,12 @@
         self.shared.0.lock().expect("the engine").large_stream = Some((events, bytes));
     }
 
+    /// Answers prefills only after this time from now.
+    pub fn pause_prefills(&self, duration: Duration) {
+        let mut state = self.shared.0.lock().expect("the engine");
+        state.prefills_from = Some(Instant::now() + duration);
+    }
+
     /// Returns the number of parts that it has written of all its answers.
     pub fn written(&self) -> u64 {
         self.shared.0.lock().expect("the engine").written
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -86,8 +86,12 @@
             state.framing.unwrap_or(Framing::Length),
             state.tears_prefills,
         );
+        let begins = state.prefills_from;
         drop(state);
         std::thread::sleep(delay);
+        if let Some(begins) = begins {
+            std::thread::sleep(begins.saturating_duration_since(Instant::now()));
+        }
         let mut body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
         if is_torn {
             body.truncate(body.len() / 2);
