Bound the requests of a property of the retry budget by its window

It counts the requests of the window now, as the property of several hosts does, and what is reserved follows within five seconds or not at all, as a request ends by then.

--- a/src/core/relay/tests/budget.rs
+++ b/src/core/relay/tests/budget.rs
@@ -1,5 +1,6 @@
 //! The retry budget across many hosts.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -13,6 +14,9 @@
     slack: 58.0,
 };
 
+/// Longest time from a retry to one that follows it: a request's deadline.
+const MAX_FOLLOW_MS: u64 = 5000;
+
 proptest! {
     /// Backend servers fail, and every host retries as much as it may. Together the hosts must not
     /// exceed the budget in any window, however requests are distributed over them.
@@ -50,38 +54,40 @@
         events in proptest::collection::vec((0_u64..60, 0_u8..5), 1..800),
     ) {
         let mut budget = RetryBudget::default();
-        let (mut now, mut requests, mut retries, mut due) = (0, 0, Vec::new(), 0_usize);
+        let (mut now, mut requests, mut retries) = (0, Vec::new(), Vec::new());
+        // When each that is still to follow was reserved.
+        let mut due: VecDeque<u64> = VecDeque::new();
         for (gap, event) in events {
             now += gap;
             let at = Time::from_millis(now);
+            while due.pop_front_if(|reserved| now - *reserved > MAX_FOLLOW_MS).is_some() {
+                budget.release();
+            }
             match event {
                 0 => {
                     budget.record_request(at);
-                    requests += 1;
+                    requests.push(now);
                 }
                 1 | 2 => {
                     let follow = usize::from(event - 1);
                     if budget.try_spend(at, &RULES, 1, follow) {
                         retries.push(now);
-                        due += follow;
+                        due.extend(std::iter::repeat_n(now, follow));
                     }
                 }
-                3 if due > 0 => {
+                3 if due.pop_front().is_some() => {
                     budget.spend_reserved(at);
                     retries.push(now);
-                    due -= 1;
-                }
-                4 if due > 0 => {
-                    budget.release();
-                    due -= 1;
                 }
+                4 if due.pop_front().is_some() => budget.release(),
                 _ => {}
             }
-            let recent = retries.iter().filter(|time| now - **time <= 10_000).count();
-            let max = RULES.ratio * f64::from(requests) + RULES.slack;
-            prop_assert!((recent + due) as f64 <= max);
+            let window = |times: &[u64]| times.iter().filter(|time| now - **time <= 10_000).count();
+            let used = window(&retries) + due.len();
+            let max = RULES.ratio * window(&requests) as f64 + RULES.slack;
+            prop_assert!(used as f64 <= max);
             budget.limit(at, &RULES, 1);
-            prop_assert_eq!(budget.used(), recent + due);
+            prop_assert_eq!(budget.used(), used);
         }
     }
 }
