Keep a stream whose caller does not read when links are lost

Callers: while nothing is read from a server since its caller does not read, a conclusion that the links are lost moved the stream to another host, and its server was given up 300 ms later, though nothing was known of it. Found by a review, by reading.

a_stream_that_its_caller_does_not_read_is_not_forwarded failed ("the stream is forwarded") and passes now; 161 tests of silence, standby, secured, partition and the budget pass.

--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -20,7 +20,7 @@
 use super::departed::ServerStart;
 use super::event::{LinkProbe, RelayEffect};
 use super::instance::Instance;
-use super::{Attempt, RelayTimer, answer, forward, note, parts, planner, standby, wake};
+use super::{Attempt, Delivery, RelayTimer, answer, forward, note, parts, planner, standby, wake};
 
 /// Servers that must fail, or both if there are two: one or two of more can be at fault themselves. A single server
 /// cannot be distinguished from the link to it.
@@ -191,7 +191,9 @@
 fn move_attempts(core: &mut Core, out: &mut Effects) {
     let attempts = core.relay.attempts.iter();
     let movable = attempts.filter(|(key, attempt)| {
-        answer::may_move(core, attempt) && !standby::is_standby(core, *key)
+        answer::may_move(core, attempt)
+            && attempt.delivery != Delivery::Blocked
+            && !standby::is_standby(core, *key)
     });
     let movable: Vec<(AttemptKey, CallKey)> =
         movable.map(|(key, attempt)| (key, attempt.call)).collect();
--- a/src/core/relay/tests/secured.rs
+++ b/src/core/relay/tests/secured.rs
@@ -119,6 +119,28 @@
     assert!(!network.node(0).has_effect(is_cut), "the stream was cut");
 }
 
+/// The links are lost while a caller does not read its stream, so that nothing is read from the server either.
+fn lost_links_and_slow_caller() {
+    let mut network = Network::new(3, 1);
+    let site = network.node(0);
+    site.arrive(plain_request("/feed/x"));
+    let attempt = site.sent().expect("a request is sent").attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    site.event(RelayEvent::DeliveryBlocked(attempt));
+    site.now += 200;
+    let mut out = Effects::new();
+    for server in ["p", "q", "r"] {
+        site.event(RelayEvent::LinkProbed {
+            instance: server.into(),
+            reached: false,
+        });
+        out.extend(site.out.iter().cloned());
+    }
+    assert!(site.core.relay.links.are_lost(), "the links are not lost");
+    let forwards = |effect: &RelayEffect| matches!(effect, RelayEffect::Forward(_));
+    assert!(!has_effect(&out, forwards), "the stream is forwarded");
+}
+
 /// The links are lost while a stream whose run is reserved is prefilled; another host takes it, and charges its own budget.
 fn forwarded_with_a_reservation() {
     let mut network = Network::new(3, 1);
@@ -166,6 +188,8 @@
     a_broken_stream_is_run_whole_with_budget_for_one_send: crash_with_room_for_one();
     /// Guards against a begun stream that is cut since a host that sent it nowhere states that it may have run.
     a_host_that_sends_a_request_nowhere_did_not_run_it: refusal_by_a_host_that_sent_nothing();
+    /// Guards against a sound stream that is given up since its caller does not read while the links are lost.
+    a_stream_that_its_caller_does_not_read_is_not_forwarded: lost_links_and_slow_caller();
     /// Guards against room of the retry budget that stays reserved while another host runs the request.
     a_forwarded_request_keeps_nothing_reserved: forwarded_with_a_reservation();
 }
