Play parts of prompts with several seeds

The cases of parts that crash servers drew from seed 1 alone, and passed by luck: with other draws sound parts are refused for ten minutes.

Each case names how many seeds it is played with, and reports all that have a fault. Two cases are added in which all of few engines end in turn, and one of two bad parts in turn at a high rate.

very_large_domains was red with seed 3 for a fault of the test: the fourth engine ended less than six seconds before the end of the run, so that no sound request was left to count, and a share of none is 0. Runs now last at least two seconds past the moment from which sound requests must be served. No bound changes; late sends are counted for longer.

--- a/src/core/relay/tests/parts/beside.rs
+++ b/src/core/relay/tests/parts/beside.rs
@@ -45,8 +45,8 @@
     }
 }
 
-/// Lets a millisecond of trouble pass.
-fn tick(site: &mut Site, case: &Case, trouble: Trouble, elapsed: u64) {
+/// Lets a millisecond of trouble pass; returns a host that refuses parts then.
+fn tick(site: &mut Site, case: &Case, trouble: Trouble, elapsed: u64) -> Option<usize> {
     match trouble {
         Trouble::Rack(count) if elapsed == 0 => crash_some(site, count),
         Trouble::AllTwice if [0, 3500].contains(&elapsed) => crash_some(site, usize::MAX),
@@ -64,9 +64,31 @@
         _ => {}
     }
     pass(site, case, 1);
-    for host in 0..case.hosts {
-        let refused = site.node(host).core.relay.parts.refused_count();
-        assert_eq!(refused, 0, "host {host} refuses parts after {elapsed} ms");
+    (0..case.hosts).find(|host| site.node(*host).core.relay.parts.refused_count() > 0)
+}
+
+/// Plays a trouble; returns what it came to, or that a host refused a part or too few requests were served.
+fn play(seed: u64, case: &Case, trouble: Trouble) -> Result<String, String> {
+    let mut site = Site::new(seed, case);
+    pass(&mut site, case, WARM_MS);
+    let start = site.now();
+    let mut refused = None;
+    for elapsed in 0..TROUBLE_MS {
+        let host = tick(&mut site, case, trouble, elapsed);
+        refused = refused.or_else(|| Some((host?, elapsed)));
+    }
+    site.loss_interval = 0;
+    pass(&mut site, case, RECOVERY_MS + 4000);
+    let since = start + TROUBLE_MS + RECOVERY_MS;
+    let served = site.served(|_| true, since);
+    let during = site.served(|_| true, start);
+    let summary = format!("{during:.3} served, {served:.3} after");
+    match refused {
+        Some((host, elapsed)) => Err(format!(
+            "host {host} refuses parts after {elapsed} ms; {summary}"
+        )),
+        None if served < SERVED_AFTER => Err(summary),
+        None => Ok(summary),
     }
 }
 
@@ -78,19 +100,7 @@
         #[test]
         fn $name() {
             let (case, trouble) = ($case, $trouble);
-            let mut site = Site::new(case.hosts, case.domains, case.prefill, case.decode);
-            pass(&mut site, &case, WARM_MS);
-            let start = site.now();
-            for elapsed in 0..TROUBLE_MS {
-                tick(&mut site, &case, trouble, elapsed);
-            }
-            site.loss_interval = 0;
-            pass(&mut site, &case, RECOVERY_MS + 4000);
-            let since = start + TROUBLE_MS + RECOVERY_MS;
-            let served = site.served(|_| true, since);
-            let during = site.served(|_| true, start);
-            eprintln!("{}: {during:.3} served, {served:.3} after", stringify!($name));
-            assert!(served >= SERVED_AFTER, "{served:.3} served afterwards");
+            assert_sound(stringify!($name), &case, |seed| play(seed, &case, trouble));
         }
     )*};
 }
@@ -100,13 +110,15 @@
     all_engines_end: Trouble::Rack(12), SOUND;
     all_engines_end_twice: Trouble::AllTwice, SOUND;
     all_of_three_engines_end_twice: Trouble::AllTwice, Case { decode: 3, ..SOUND };
-    engines_flap: Trouble::Flapping(300), SOUND;
+    engines_flap: Trouble::Flapping(300), Case { seeds: 8, ..SOUND };
     few_engines_flap: Trouble::Flapping(900), Case { decode: 3, ..SOUND };
+    three_engines_that_answer_whole_flap: Trouble::Flapping(500), Case { prefill: 0, decode: 3, seeds: 8, ..SOUND };
+    five_engines_that_answer_whole_end_in_turn: Trouble::Release(400), Case { prefill: 0, decode: 5, seeds: 8, ..SOUND };
     engines_end_in_turn: Trouble::Release(150), SOUND;
     answers_are_lost: Trouble::LostAnswers(20), SOUND;
     many_answers_are_lost: Trouble::LostAnswers(4), SOUND;
     a_host_loses_its_links: Trouble::LostLinks, SOUND;
-    a_rack_ends_at_hosts_of_large_domains: Trouble::Rack(6), Case { hosts: 45, ..SOUND };
-    all_engines_end_at_hosts_of_large_domains: Trouble::Rack(12), Case { hosts: 45, ..SOUND };
-    a_host_of_a_large_domain_loses_its_links: Trouble::LostLinks, Case { hosts: 45, ..SOUND };
+    a_rack_ends_at_hosts_of_large_domains: Trouble::Rack(6), Case { hosts: 45, seeds: 1, ..SOUND };
+    all_engines_end_at_hosts_of_large_domains: Trouble::Rack(12), Case { hosts: 45, seeds: 1, ..SOUND };
+    a_host_of_a_large_domain_loses_its_links: Trouble::LostLinks, Case { hosts: 45, seeds: 1, ..SOUND };
 }
--- a/src/core/relay/tests/parts/mod.rs
+++ b/src/core/relay/tests/parts/mod.rs
@@ -12,6 +12,8 @@
 const MIN_SERVED: f64 = 0.5;
 /// Milliseconds of sound traffic before the first bad request.
 const WARM_MS: u64 = 1500;
+/// Milliseconds for which a case is played at least once sound requests must be served.
+const MIN_STABLE_MS: u64 = 2000;
 
 /// Where the bad part stands in the prompts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,6 +71,8 @@
     /// Milliseconds between two sound requests.
     sound_interval: u64,
     seconds: u64,
+    /// Seeds that it is played with, from 1.
+    seeds: u64,
 }
 
 /// What the users recorded: eight hosts of three domains, a hundred sound requests a second, two engines for each bad one.
@@ -83,6 +87,7 @@
     first_parts: 8,
     sound_interval: 10,
     seconds: 30,
+    seeds: 2,
 };
 
 /// Lets sound and bad requests come for so many milliseconds.
@@ -103,35 +108,47 @@
     }
 }
 
-fn play(case: &Case) -> Site {
-    let mut site = Site::new(case.hosts, case.domains, case.prefill, case.decode);
+/// Plays a case with each of its seeds, and asserts that none has a fault.
+fn assert_sound(name: &str, case: &Case, fault: impl Fn(u64) -> Result<String, String>) {
+    let mut faults = Vec::new();
+    for seed in 1..=case.seeds {
+        let result = fault(seed);
+        eprintln!("{name}, seed {seed}: {result:?}");
+        faults.extend(result.err().map(|fault| format!("seed {seed}: {fault}")));
+    }
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Returns the time from which on sound requests must be served.
+fn stable_from(site: &Site) -> u64 {
+    site.stable_from(BAD).max(site.stable_from(BAD_TOO))
+}
+
+fn play(seed: u64, case: &Case) -> Site {
+    let mut site = Site::new(seed, case);
     let calm = Case {
         bad_interval: 0,
         ..*case
     };
     pass(&mut site, &calm, WARM_MS);
     pass(&mut site, case, case.seconds * 1000);
+    while site.now() < stable_from(&site) + MIN_STABLE_MS {
+        pass(&mut site, case, 100);
+    }
     site
 }
 
-/// Prints what a case came to, and asserts the users' bounds.
-fn assert_bounds(name: &str, site: &Site) {
+/// Returns what a run came to, or that it exceeds one of the users' bounds.
+fn check_bounds(site: &Site) -> Result<String, String> {
     let first = |part: u64| part == FIRST;
-    let since = site.stable_from(BAD).max(site.stable_from(BAD_TOO));
+    let since = stable_from(site);
     let served = site.served(first, since);
     let late = [BAD, BAD_TOO].map(|part| site.late_sends(part));
-    let sent = site.sends.len();
+    let reached = site.sends.len();
     let ended = site.ended.len();
-    eprintln!("{name}: {ended} ended, {sent} sends, {late:?} late, {served:.3} served");
-    assert!(ended > 0, "no engine ended");
-    assert!(
-        late.iter().all(|late| *late <= MAX_LATE),
-        "late sends: {late:?}"
-    );
-    assert!(
-        served >= MIN_SERVED,
-        "{served:.3} of the sound requests served"
-    );
+    let summary = format!("{ended} ended, {reached} sends, {late:?} late, {served:.3} served");
+    let is_kept = ended > 0 && late.iter().all(|late| *late <= MAX_LATE) && served >= MIN_SERVED;
+    if is_kept { Ok(summary) } else { Err(summary) }
 }
 
 /// Defines one test for each way in which bad requests come.
@@ -141,8 +158,8 @@
         /// that refuse sound requests with them.
         #[test]
         fn $name() {
-            let site = play(&$case);
-            assert_bounds(stringify!($name), &site);
+            let case = $case;
+            assert_sound(stringify!($name), &case, |seed| check_bounds(&play(seed, &case)));
         }
     )*};
 }
@@ -167,7 +184,8 @@
     engines_that_answer_whole: Case { prefill: 0, decode: 12, ..RECORDED };
     one_host: Case { hosts: 1, domains: 1, sound_interval: 30, ..RECORDED };
     nine_hosts_of_one_domain: Case { hosts: 9, domains: 1, ..RECORDED };
-    large_domains: Case { hosts: 45, domains: 3, ..RECORDED };
-    large_domains_at_a_high_rate: Case { hosts: 45, domains: 3, bad_interval: 50, ..RECORDED };
-    very_large_domains: Case { hosts: 300, domains: 3, bad_interval: 300, seconds: 14, ..RECORDED };
+    large_domains: Case { hosts: 45, domains: 3, seeds: 1, ..RECORDED };
+    large_domains_at_a_high_rate: Case { hosts: 45, domains: 3, bad_interval: 50, seeds: 1, ..RECORDED };
+    two_parts_in_turn_at_a_high_rate: Case { place: Place::InTurn, bad_interval: 33, decode: 3, ..RECORDED };
+    very_large_domains: Case { hosts: 300, domains: 3, bad_interval: 300, seconds: 14, seeds: 1, ..RECORDED };
 }
--- a/src/core/relay/tests/parts/site.rs
+++ b/src/core/relay/tests/parts/site.rs
@@ -8,6 +8,7 @@
 
 use super::super::domain::{TestDomain, domain_name, host_at};
 use super::super::*;
+use super::Case;
 use crate::core::relay::event::{ForwardRefusal, Forwarded, LinkProbe, Task};
 
 /// A part that crashes engines.
@@ -106,10 +107,10 @@
 }
 
 impl Site {
-    pub fn new(hosts: usize, domains: usize, prefill: usize, decode: usize) -> Self {
+    pub fn new(seed: u64, case: &Case) -> Self {
         let mut site = Self {
-            domain: TestDomain::with_domains(hosts, domains),
-            rng: SmallRng::seed_from_u64(1),
+            domain: TestDomain::with_domains(case.hosts, case.domains),
+            rng: SmallRng::seed_from_u64(seed),
             bad: [BAD, BAD_TOO].into(),
             engines: BTreeMap::new(),
             listed: Vec::new(),
@@ -127,10 +128,10 @@
             number: 0,
         };
         site.domain.fails_probes = false;
-        let stages = [(Stage::Prefill, prefill), (Stage::Decode, decode)];
+        let stages = [(Stage::Prefill, case.prefill), (Stage::Decode, case.decode)];
         for (stage, count) in stages {
             for engine in 0..count {
-                site.start_engine(stage, &domain_name(engine, domains));
+                site.start_engine(stage, &domain_name(engine, case.domains));
             }
         }
         site.domain.store.list(site.listed.clone());
