Refuse a part once the crashes under it can be no chance

Callers with a sound part were refused for ten minutes while servers ended one after the other for other reasons.

Cause: four crashed servers in two events were taken for proof if a third of the other requests broke off, or five events in any case.

The tries from the third crash on now decide: the share of this host's requests that broke off in their time, to the power of their number, must be at most 0.001. Where all tries broke off before the first event, only requests that broke off so count. A host with fewer than eight requests in that time needs five events, no crash elsewhere and few broken requests. What the store holds as refused is certain, as it was written by a host that had decided.

--- a/src/core/relay/parts/cover.rs
+++ b/src/core/relay/parts/cover.rs
@@ -9,27 +9,25 @@
 use std::time::Duration;
 
 use super::super::note;
-use super::{BLOCK_DURATION, PartCrash, PartRecord, Parts, Tally, part_text, stored};
+use super::{BLOCK_DURATION, PartCrash, Parts, Tally, evidence, part_text, stored};
 use crate::core::relay::departed::ServerStart;
 use crate::core::time::Time;
 use crate::core::{Core, Effects};
 
 /// Crashed servers from which on requests with a part are tried one at a time.
-const SERVERS_TO_TRY: usize = 3;
+pub(super) const SERVERS_TO_TRY: usize = 3;
 /// The same while servers crash again and again and nothing is answered.
 const UNCONFIRMED_SERVERS_TO_TRY: usize = 2;
 /// Crashed servers from which on requests with a part are refused.
 const SERVERS_TO_BLOCK: usize = 4;
-/// Events from which on they are refused, if most other requests were answered in between.
-const EVENTS_TO_BLOCK: usize = 2;
-/// Events from which on they are refused in any case.
-const UNCONFIRMED_EVENTS_TO_BLOCK: usize = 5;
+/// Events from which on any request may be the cause, while nothing is answered.
+const MIN_UNCONFIRMED_EVENTS: usize = 2;
 /// Requests answered for each one that broke off, from which on servers count as sound in between.
-const MIN_ANSWERED_PER_BROKEN: u64 = 2;
+pub(super) const MIN_ANSWERED_PER_BROKEN: u64 = 2;
 /// Requests answered after the last crash from which on the servers count as sound since.
 const ANSWERED_TO_TRUST: u64 = 5;
 /// Time without a crash between two events: servers may end together, or in turn, for a reason of their own.
-const EVENT_GAP: Duration = Duration::from_secs(1);
+pub(super) const EVENT_GAP: Duration = Duration::from_secs(1);
 /// Time within which crashes count as one: whole answers clear sound parts by then.
 const CLEARING_TIME: Duration = Duration::from_millis(500);
 /// Time for which a part that was answered whole here is blamed after others only.
@@ -61,7 +59,7 @@
 impl Blame {
     /// Whether servers crash again and again and nothing is answered: any request may be the cause.
     fn is_unconfirmed(&self) -> bool {
-        !self.has_contrast && !self.is_over && self.events >= EVENTS_TO_BLOCK
+        !self.has_contrast && !self.is_over && self.events >= MIN_UNCONFIRMED_EVENTS
     }
 
     /// Whether it concerns requests of a customer: not if all crashes were under requests of another one.
@@ -70,6 +68,15 @@
     }
 }
 
+/// Crashed servers that parts explain.
+#[derive(Debug, Default)]
+struct Explained {
+    /// By parts that are blamed.
+    servers: BTreeSet<ServerStart>,
+    /// By parts that are refused.
+    refused: BTreeSet<ServerStart>,
+}
+
 /// Computes anew which parts are blamed, if anything changed or enough time has passed.
 pub(super) fn update(core: &mut Core, out: &mut Effects) {
     let now = core.now;
@@ -136,7 +143,7 @@
 
 fn compute(parts: &Parts, now: Time) -> std::collections::BTreeMap<u64, Blame> {
     let mut blamed = std::collections::BTreeMap::new();
-    let mut explained: BTreeSet<ServerStart> = BTreeSet::new();
+    let mut explained = Explained::default();
     loop {
         let is_new = |part: &u64| {
             let sound = parts.sound.get(part);
@@ -144,7 +151,7 @@
         };
         let left = parts.records.iter().map(|(part, record)| {
             let left = record.crashes.iter();
-            let left = left.filter(|(server, _)| !explained.contains(server));
+            let left = left.filter(|(server, _)| !explained.servers.contains(server));
             let direct = left.clone().filter(|(_, crash)| !crash.began).count();
             (left.count(), direct, record.depth, *part)
         });
@@ -155,10 +162,7 @@
         let Some((.., part)) = best else {
             return blamed;
         };
-        let blame_of = |part, min| {
-            let record = &parts.records[part];
-            blame(record, &explained, parts.tally, min, now)
-        };
+        let blame_of = |part: &u64, min| blame(parts, *part, &explained, min, now);
         let best = blame_of(part, SERVERS_TO_TRY);
         if best.as_ref().is_some_and(Blame::is_unconfirmed) {
             let others = candidates.iter().filter_map(|(.., other)| {
@@ -166,22 +170,26 @@
             });
             blamed.extend(others.filter(|(_, blame)| !blame.is_refused));
         }
-        blamed.extend(best.map(|best| (*part, best)));
         let crashes = &parts.records[part].crashes;
-        explained.extend(crashes.keys().copied());
+        explained.servers.extend(crashes.keys().copied());
+        if best.as_ref().is_some_and(|best| best.is_refused) {
+            explained.refused.extend(crashes.keys().copied());
+        }
+        blamed.extend(best.map(|best| (*part, best)));
     }
 }
 
 /// Returns how far a part is blamed for the crashes that no other explains; `None` if these do not suffice.
 fn blame(
-    record: &PartRecord,
-    explained: &BTreeSet<ServerStart>,
-    tally: Tally,
+    parts: &Parts,
+    part: u64,
+    explained: &Explained,
     min_servers: usize,
     now: Time,
 ) -> Option<Blame> {
+    let (record, tally) = (&parts.records[&part], parts.tally);
     let left = record.crashes.iter();
-    let left = left.filter(|(server, _)| !explained.contains(server));
+    let left = left.filter(|(server, _)| !explained.servers.contains(server));
     let mut crashes: Vec<&PartCrash> = left.map(|(_, crash)| crash).collect();
     crashes.sort_unstable_by_key(|crash| crash.at);
     let (servers, events, last_event) = count(&crashes, now);
@@ -189,9 +197,9 @@
     let has_contrast = record.is_stored || is_sound_between(first.tally, last_event?.tally);
     let answered = tally.answered.saturating_sub(last.tally.answered);
     let is_over = answered >= ANSWERED_TO_TRUST && is_sound_between(last.tally, tally);
-    let enough_events =
-        (events >= EVENTS_TO_BLOCK && has_contrast) || events >= UNCONFIRMED_EVENTS_TO_BLOCK;
-    let is_blocked = servers >= SERVERS_TO_BLOCK && enough_events;
+    let elsewhere = |from, to| parts.crashed_elsewhere(record, &explained.refused, from, to);
+    let is_certain = record.is_stored || evidence::is_certain(&crashes, events, elsewhere);
+    let is_blocked = servers >= SERVERS_TO_BLOCK && is_certain;
     (servers >= min_servers).then(|| Blame {
         servers,
         events,
--- a/src/core/relay/parts/mod.rs
+++ b/src/core/relay/parts/mod.rs
@@ -4,11 +4,12 @@
 //! two and refuses nothing. Here, a crash implicates the shared parts of all requests that broke off with the server. A
 //! whole answer to a request that was sent later clears its parts, as a bad part has none. Of the parts that are left, the
 //! fewest that explain the crashes are blamed: see [`cover`]. Requests with a blamed part are first tried one at a time by
-//! all hosts together, then refused: see [`admission`]. Hosts report crashes and whole answers to each other
-//! ([`reports`]), and keep refused parts in the store ([`stored`]).
+//! all hosts together ([`admission`]), and refused once the crashes can be no chance ([`evidence`]). Hosts report crashes and
+//! whole answers to each other ([`reports`]), and keep refused parts in the store ([`stored`]).
 
 pub(super) mod admission;
 mod cover;
+mod evidence;
 pub(super) mod reports;
 pub(super) mod stored;
 
@@ -54,6 +55,8 @@
     answered: u64,
     /// Those that broke off with a server.
     broken: u64,
+    /// Of the latter, those whose answer had not begun.
+    unbegun: u64,
 }
 
 /// A crash of a server under requests with a part.
@@ -253,7 +256,9 @@
     let call = &core.relay.calls[attempt.call];
     let customer = customer_hash(call);
     let tally = core.relay.parts.tally;
-    core.relay.parts.tally.broken += 1;
+    let counts = &mut core.relay.parts.tally;
+    counts.broken += 1;
+    counts.unbegun += u64::from(attempt.began.is_none());
     let parts = shared(call.prompt.as_ref());
     for (depth, block) in (0..).zip(parts) {
         let crash = PartCrash {
