--- a/src/core/relay/tests/silence/sequence.rs
+++ b/src/core/relay/tests/silence/sequence.rs
@@ -11,8 +11,9 @@
 const ARRIVAL_MS: u64 = 40;
 /// Plain servers, and decode engines.
 const COUNT: usize = 8;
-/// Milliseconds after the last silence until a server crashes.
+/// Milliseconds after the last silence until a server crashes: when the budget has been renewed, and before that.
 const SETTLE_MS: u64 = 15_000;
+const SOON_MS: u64 = 4000;
 /// Retries of the retry budget beyond its ratio, at the only host and at one of many.
 const SLACK: f64 = 50.0;
 const SLACK_OF_ONE: f64 = 1.1;
@@ -44,7 +45,7 @@
 }
 
 /// Returns servers of which a quarter was silent every few seconds for a minute, some time later.
-fn after_silences(silence: u64, slack: f64) -> Servers {
+fn after_silences(silence: u64, slack: f64, settle: u64) -> Servers {
     let mut site = Servers::new(entries());
     site.events = 20;
     let settings = &mut site.host.core.settings.relay;
@@ -61,7 +62,7 @@
             "links count as lost"
         );
     }
-    pass(&mut site, SETTLE_MS);
+    pass(&mut site, settle);
     site
 }
 
@@ -77,25 +78,35 @@
     caller.got.is_some_and(|(_, got)| got == Got::Whole)
 }
 
-/// Defines one test for each length of silences.
+/// Crashes the busiest engine and the busiest plain server; returns how many requests get no whole answer from then on.
+fn lost_in_crash(mut site: Servers) -> usize {
+    let all = site.ids();
+    let servers = [&all[..COUNT], &all[COUNT..2 * COUNT]];
+    for server in servers.map(|servers| busiest(&site, servers)) {
+        assert!(!site.calls_at(&server).is_empty(), "{server} is idle");
+        site.crash(&server);
+    }
+    let crashed = site.now();
+    site.finish();
+    let lost = site.callers.values().filter(|caller| !is_whole(caller));
+    lost.filter(|caller| caller.got.is_some_and(|(at, _)| at >= crashed))
+        .count()
+}
+
+/// Defines one test for each length of silences, some time before a crash.
 macro_rules! silences_and_a_crash {
     ($($name:ident: $silence:expr, $slack:expr;)*) => {$(
         /// Guards against sound servers that stay avoided, so that one runs all streams, and more are lost with it.
         #[test]
         fn $name() {
-            let mut site = after_silences($silence, $slack);
+            let site = after_silences($silence, $slack, SETTLE_MS);
             let all = site.ids();
             let engines = &all[COUNT..2 * COUNT];
             let crashed = busiest(&site, engines);
             let streams: usize = engines.iter().map(|id| site.calls_at(id).len()).sum();
             let most = site.calls_at(&crashed).len();
             assert!(most > 0 && most * 2 <= streams, "{most} of {streams} streams at one engine");
-            site.crash(&crashed);
-            site.crash(&busiest(&site, &all[..COUNT]));
-            let ended = site.now();
-            site.finish();
-            let mut lost = site.callers.values().filter(|caller| !is_whole(caller));
-            assert!(lost.all(|caller| caller.got.is_some_and(|(at, _)| at < ended)), "lost with a server");
+            assert_eq!(lost_in_crash(site), 0, "requests lost with a server");
         }
     )*};
 }
@@ -112,3 +123,28 @@
     two_seconds_at_one_host: 2200, SLACK_OF_ONE;
     three_seconds_at_one_host: 3000, SLACK_OF_ONE;
 }
+
+/// Defines one test for each length of silences, shortly before a crash.
+macro_rules! silences_and_a_crash_soon {
+    ($($name:ident: $silence:expr, $slack:expr;)*) => {$(
+        /// Guards against silences that use up the retry budget, so that the requests of a crashed server are lost.
+        #[test]
+        fn $name() {
+            let lost = lost_in_crash(after_silences($silence, $slack, SOON_MS));
+            assert_eq!(lost, 0, "requests lost with a server");
+        }
+    )*};
+}
+
+silences_and_a_crash_soon! {
+    a_crash_without_silences: 1, SLACK;
+    a_crash_after_half_a_second: 500, SLACK;
+    a_crash_after_a_second: 1000, SLACK;
+    a_crash_after_two_seconds: 2200, SLACK;
+    a_crash_after_three_seconds: 3000, SLACK;
+    a_crash_without_silences_at_one_host: 1, SLACK_OF_ONE;
+    a_crash_after_half_a_second_at_one_host: 500, SLACK_OF_ONE;
+    a_crash_after_a_second_at_one_host: 1000, SLACK_OF_ONE;
+    a_crash_after_two_seconds_at_one_host: 2200, SLACK_OF_ONE;
+    a_crash_after_three_seconds_at_one_host: 3000, SLACK_OF_ONE;
+}
