Keep half of the retry budget for failures while servers are silent

Callers: a quarter of the servers fell silent every few seconds, and then one crashed: 1 to 12 of its requests were lost, none without the silences. Each request that had left a silent server, most of which went on, had spent one or two repeats, and those of the crashed server were not sent again.

Change: requests leave silent servers only up to half of the budget. A silent server may go on, and its request waits for it; one that crashed does not come back.

--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -7,6 +7,9 @@
 use super::standby::Standby;
 use super::{Call, note, parts, standby};
 
+/// Fraction of the retry budget up to which requests leave silent servers, which may go on: the rest is for failures.
+const SILENCE_FRACTION: f64 = 0.5;
+
 /// Charges the retry budget if this send is a retry; `false` if the budget is exhausted.
 ///
 /// With a prefill, the run that follows is reserved: a prefill without it is wasted, and a silent server was left for it.
@@ -96,7 +99,7 @@
     let is_prefill = leaves_prefill(core, call);
     let arrivals = call.arrivals + u32::from(is_prefill);
     let reserved = usize::from(call.reserved);
-    if !has_room(core, key, 1 - reserved) {
+    if !has_room(core, key, 1 - reserved, SILENCE_FRACTION) {
         log_exhausted(core, key, out);
         return None;
     }
@@ -114,7 +117,7 @@
         return None;
     }
     let follow = following_sends(arrivals, &choice.task);
-    if !has_room(core, key, 1 + follow - reserved) {
+    if !has_room(core, key, 1 + follow - reserved, SILENCE_FRACTION) {
         log_exhausted(core, key, out);
         return None;
     }
@@ -132,16 +135,17 @@
     let call = &core.relay.calls[key];
     let is_first = call.arrivals == 0 && !leaves_prefill(core, call);
     let reserved = usize::from(call.reserved);
-    is_first || has_room(core, key, 2 - reserved)
+    is_first || has_room(core, key, 2 - reserved, 1.0)
 }
 
-/// Returns whether the retry budget allows a request this many more sends.
-fn has_room(core: &mut Core, key: CallKey, sends: usize) -> bool {
+/// Returns whether a fraction of the retry budget allows a request this many more sends.
+fn has_room(core: &mut Core, key: CallKey, sends: usize, fraction: f64) -> bool {
     let hosts = core.relay.peers.host_count();
     let service = core.relay.calls[key].service.clone();
     let budget = core.relay.retry_budgets.entry(service).or_default();
-    let settings = core.settings.relay.as_ref();
-    sends == 0
-        || settings
-            .is_some_and(|settings| budget.allows(core.now, &settings.retry_budget, hosts, sends))
+    let Some(settings) = &core.settings.relay else {
+        return false;
+    };
+    let limit = budget.limit(core.now, &settings.retry_budget, hosts) * fraction;
+    sends == 0 || (budget.used() + sends) as f64 <= limit
 }
