--- a/src/core/relay/tests/secured.rs
+++ b/src/core/relay/tests/secured.rs
@@ -1,8 +1,8 @@
 //! What runs or is promised, and is given up for something that is not secured yet.
 
 use super::network::Network;
-use super::silence::forward_begun_stream;
-use super::standby::{LEFT_MS, begun_with_budget, is_cut, next_sent};
+use super::silence::{forward_begun_stream, lose_links};
+use super::standby::{LEFT_MS, begin_stream, begun_with_budget, is_cut, next_sent};
 use super::*;
 use crate::core::relay::event::{ForwardRefusal, Spent, Task};
 
@@ -127,15 +127,7 @@
     let attempt = site.sent().expect("a request is sent").attempt;
     site.event(RelayEvent::StreamEvent { attempt, number: 1 });
     site.event(RelayEvent::DeliveryBlocked(attempt));
-    site.now += 200;
-    let mut out = Effects::new();
-    for server in ["p", "q", "r"] {
-        site.event(RelayEvent::LinkProbed {
-            instance: server.into(),
-            reached: false,
-        });
-        out.extend(site.out.iter().cloned());
-    }
+    let out = lose_links(site);
     assert!(site.core.relay.links.are_lost(), "the links are not lost");
     let forwards = |effect: &RelayEffect| matches!(effect, RelayEffect::Forward(_));
     assert!(!has_effect(&out, forwards), "the stream is forwarded");
@@ -150,28 +142,12 @@
         engine_entry("y", Stage::Decode),
         engine_entry("z", Stage::Decode),
     ]);
-    site.arrive(model_request("/short/x", (1, 60), 290));
-    let mut first = site.sent().expect("a request is sent");
-    if first.task == Task::Prefill {
-        let (attempt, handle) = (first.attempt, "k".into());
-        site.event(RelayEvent::Prefilled { attempt, handle });
-        first = site.sent().expect("the prompt is handed over");
-    }
-    let attempt = first.attempt;
-    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    let first = begin_stream(site, model_request("/short/x", (1, 60), 290));
     let used = |site: &TestHost| site.core.relay.retry_budgets["model"].used();
-    site.fail_attempt(attempt, Ran::Unknown, AttemptFailure::Cut);
+    site.fail_attempt(first.attempt, Ran::Unknown, AttemptFailure::Cut);
     let moved = site.sent().expect("the stream is prefilled anew");
     assert_eq!((moved.task, used(site)), (Task::Prefill, 2));
-    site.now += 200;
-    let mut out = Effects::new();
-    for server in ["p", "q", "r"] {
-        site.event(RelayEvent::LinkProbed {
-            instance: server.into(),
-            reached: false,
-        });
-        out.extend(site.out.iter().cloned());
-    }
+    let out = lose_links(site);
     let forwards = |effect: &RelayEffect| matches!(effect, RelayEffect::Forward(_));
     assert!(has_effect(&out, forwards), "the stream is not forwarded");
     assert_eq!(used(site), 1, "the run is still reserved");
--- a/src/core/relay/tests/silence/mod.rs
+++ b/src/core/relay/tests/silence/mod.rs
@@ -378,14 +378,8 @@
     an_unanswered_stream_that_may_run_once: "/long/x", Unanswered, Refuse;
 }
 
-/// Has a host lose its links while a stream runs; returns the host, the attempt at the server and the one at another host.
-pub(super) fn forward_begun_stream(
-    network: &mut Network,
-) -> (&mut TestHost, AttemptKey, AttemptKey) {
-    let site = network.node(0);
-    site.arrive(plain_request("/feed/x"));
-    let attempt = site.sent().expect("a request is sent").attempt;
-    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+/// Has no server answer a host's probes; returns what it does.
+pub(super) fn lose_links(site: &mut TestHost) -> Effects {
     site.now += 200;
     let mut out = Effects::new();
     for server in ["p", "q", "r"] {
@@ -395,6 +389,18 @@
         });
         out.extend(site.out.iter().cloned());
     }
+    out
+}
+
+/// Has a host lose its links while a stream runs; returns the host, the attempt at the server and the one at another host.
+pub(super) fn forward_begun_stream(
+    network: &mut Network,
+) -> (&mut TestHost, AttemptKey, AttemptKey) {
+    let site = network.node(0);
+    site.arrive(plain_request("/feed/x"));
+    let attempt = site.sent().expect("a request is sent").attempt;
+    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    let out = lose_links(site);
     let forwarded = out.iter().find_map(|effect| match effect {
         Effect::Relay(RelayEffect::Forward(sent)) => Some(sent.attempt),
         _ => None,
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -151,15 +151,9 @@
     assert!((KEPT_MS..MAX_BOTH_MS).contains(&after), "{after} ms");
 }
 
-/// The prompt is prefilled for the next server, which takes longer than a standby is kept beside a run.
-fn long_prefill() {
-    let mut site = TestHost::new();
-    site.register(vec![
-        engine_entry("p", Stage::Prefill),
-        engine_entry("d", Stage::Decode),
-        engine_entry("e", Stage::Decode),
-    ]);
-    site.arrive(model_request("/short/x", (1, 60), 290));
+/// Has a stream of engines begin; returns its attempt at the decode engine.
+pub(super) fn begin_stream(site: &mut TestHost, arrival: Arrival) -> Outgoing {
+    site.arrive(arrival);
     let mut first = site.sent().expect("a request is sent");
     if first.task == Task::Prefill {
         let (attempt, handle) = (first.attempt, "k".into());
@@ -168,6 +162,18 @@
     }
     let attempt = first.attempt;
     site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    first
+}
+
+/// The prompt is prefilled for the next server, which takes longer than a standby is kept beside a run.
+fn long_prefill() {
+    let mut site = TestHost::new();
+    site.register(vec![
+        engine_entry("p", Stage::Prefill),
+        engine_entry("d", Stage::Decode),
+        engine_entry("e", Stage::Decode),
+    ]);
+    let first = begin_stream(&mut site, model_request("/short/x", (1, 60), 290));
     let next = next_sent(&mut site, LEFT_MS).expect("the stream is moved");
     assert_eq!(next.task, Task::Prefill);
     let out = site.advance(EXPIRED_MS);
@@ -181,7 +187,8 @@
     assert!((KEPT_MS..MAX_BOTH_MS).contains(&after), "{after} ms");
 }
 
-/// Returns a host whose retry budget has room for so many sends, half of them at silent servers, with a stream that has begun at a decode engine.
+/// Returns a host whose retry budget has room for so many sends, half of them at silent servers, with a stream that has begun
+/// at a decode engine.
 pub(super) fn begun_with_budget(sends: u32) -> (TestHost, Outgoing) {
     let mut site = TestHost::new();
     site.register(vec![
@@ -193,15 +200,7 @@
     // The budget uses seven tenths of its slack.
     relay.retry_budget.slack = (f64::from(sends) + 0.5) / 0.7;
     relay.retry_budget.ratio = 0.0;
-    site.arrive(model_request("/short/x", (1, 60), 290));
-    let mut first = site.sent().expect("a request is sent");
-    if first.task == Task::Prefill {
-        let (attempt, handle) = (first.attempt, "k".into());
-        site.event(RelayEvent::Prefilled { attempt, handle });
-        first = site.sent().expect("the prompt is handed over");
-    }
-    let attempt = first.attempt;
-    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    let first = begin_stream(&mut site, model_request("/short/x", (1, 60), 290));
     (site, first)
 }
 
@@ -238,15 +237,7 @@
     let (mut site, _) = begun_with_budget(4);
     let mut arrival = model_request("/short/x", (2, 60), 290);
     arrival.id = "other".into();
-    site.arrive(arrival);
-    let mut other = site.sent().expect("a request is sent");
-    if other.task == Task::Prefill {
-        let (attempt, handle) = (other.attempt, "m".into());
-        site.event(RelayEvent::Prefilled { attempt, handle });
-        other = site.sent().expect("the prompt is handed over");
-    }
-    let attempt = other.attempt;
-    site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+    begin_stream(&mut site, arrival);
     let moved = next_sent(&mut site, LEFT_MS).expect("a stream is moved");
     assert_eq!(moved.task, Task::Prefill);
     assert!(next_sent(&mut site, 250).is_none(), "both are moved");
