--- a/src/backend/connect.rs
+++ b/src/backend/connect.rs
@@ -16,9 +16,8 @@
 
 /// Time without a TCP acknowledgement after which the kernel closes a connection.
 ///
-/// Four times the keep-alive interval. Without it, a request to a server that lost power or is
-/// behind a partition waits for its whole deadline. The kernel closes a connection also when the
-/// peer acknowledges but takes nothing for that time.
+/// Without it, a request to a server behind a partition waits for its whole deadline. It also closes connections whose peer
+/// acknowledges and reads nothing.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
 /// Interval of TCP keep-alive probes on an idle connection.
 ///
--- a/src/core/relay/parts/evidence.rs
+++ b/src/core/relay/parts/evidence.rs
@@ -1,4 +1,4 @@
-//! Whether crashes under a part tell that it is bad, and not that servers end for reasons of their own.
+//! Whether crashes under a part show that it is bad, and not that servers end for reasons of their own.
 //!
 //! From the third crashed server on, one request with the part is tried at a time. That such a request breaks off by chance
 //! is about as likely as for the other requests of the time. The part is bad if it is too unlikely that all tried ones
@@ -13,16 +13,16 @@
 
 /// Probability up to which it is no chance that all tried requests broke off.
 const MAX_CHANCE: f64 = 0.001;
-/// Requests that must have ended here during the trials to tell how many break off by chance.
+/// Requests that must have ended here during the trials to estimate how many break off by chance.
 const MIN_ENDED: u64 = 8;
-/// Share of requests that break off by chance, as far as nothing tells otherwise.
+/// Share of requests that break off by chance, without other evidence.
 const PRIOR_BROKEN: f64 = 0.1;
 /// Events from which on a part is bad if too few requests ended here.
 const EVENTS_WITHOUT_TALLY: usize = 5;
 
-/// Whether the crashes under a part, in their order, tell that it is bad.
+/// Whether the crashes under a part, in their order, show that it is bad.
 ///
-/// `crashed_elsewhere` tells whether servers crashed in a time without a request with the part.
+/// `crashed_elsewhere` returns whether servers crashed in a time without a request with the part.
 pub(super) fn is_certain(
     crashes: &[&PartCrash],
     events: usize,
