Log and count why streamed answers are late

Cause: no log or metric stated whether the first event or a gap made an answer late, nor at which stage. Change: request.late with the cause, and chiveway_late_answers by route and cause.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -314,6 +314,13 @@
         /// Time since the token before it.
         gap: Duration,
     },
+    /// A streamed answer ended that was late.
+    Late {
+        /// Route.
+        class: Box<str>,
+        /// What made it late.
+        cause: &'static str,
+    },
     /// A request was sent to a backend server.
     Queued {
         /// Model or service.
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -8,8 +8,8 @@
 use super::ending::{end, give_up, refuse};
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
-    Attempt, Delivery, KvCache, RetryPolicy, call, duty, forward, links, load, millis, note, parts,
-    poison, standby, versions,
+    Attempt, Delivery, KvCache, RetryPolicy, call, duty, forward, lateness, links, load, millis,
+    note, parts, poison, standby, versions,
 };
 use crate::error::{Kind, Ran};
 
@@ -27,7 +27,8 @@
     let (call, engine, sent_at) = (attempt.call, attempt.backend, attempt.sent_at);
     let took = millis(now.since(sent_at));
     load::record_first_answer(core, key, took, out);
-    close_attempt(core, key);
+    let expected = close_attempt(core, key).map_or(0.0, |attempt| attempt.expected_ms);
+    core.relay.calls[call].timing.prefilled(took, expected);
     poison::server_answered(core, engine, sent_at, out);
     if let Some(instance) = core.relay.instances.arena.get_mut(engine) {
         instance.record_success(now);
@@ -133,6 +134,10 @@
         return;
     };
     let (call_key, backend, is_first) = (attempt.call, attempt.backend, attempt.began.is_none());
+    let (is_handover, expected) = (
+        matches!(attempt.task, Task::Decode { .. }),
+        attempt.expected_ms,
+    );
     let sent_at = attempt.sent_at;
     let host = attempt.host;
     let took = millis(now.since(sent_at));
@@ -171,15 +176,18 @@
         call.last_event = Some(number);
     }
     if let Some(last) = call.last_forwarded {
+        call.timing.paused(now.since(last));
         out.push(Effect::Meter(Meter::TokenGap {
             class: call.route.name.clone(),
             gap: now.since(last),
         }));
     } else {
+        let after = now.since(call.arrived);
+        call.timing.began(is_handover, expected, took, after);
         out.push(Effect::Meter(Meter::FirstToken {
             class: call.route.name.clone(),
             customer: "".into(),
-            after: now.since(call.arrived),
+            after,
         }));
     }
     call.last_forwarded = Some(now);
@@ -198,6 +206,7 @@
         attempt_failed(core, key, Ran::Yes, AttemptFailure::Cut, reason, out);
         return;
     }
+    lateness::answered(core, call, out);
     let attempt = close_attempt(core, key);
     poison::answered(core, core.relay.calls[call].fingerprint, out);
     if let Some(attempt) = attempt.filter(|attempt| attempt.host.is_none() && how.events > 0) {
@@ -271,6 +280,7 @@
         duty::usage::record(core, call, attempt.sent_at);
     }
     let entry = &mut core.relay.calls[call];
+    entry.timing.failed(millis(core.now.since(attempt.sent_at)));
     if is_standby {
         // The other attempt is under way.
         entry.runs -= u32::from(ran == Ran::No);
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -12,6 +12,7 @@
 use super::ending::{OTHER_HOST_RETRY_AFTER, RETRY_AFTER, refuse, store_age_ms};
 use super::event::{Arrival, Outgoing, RelayEffect, Task};
 use super::instance::{Instance, Work};
+use super::lateness::Timing;
 use super::versions::{self, StreamKey};
 use super::{
     Attempt, Call, Delivery, RelayTimer, departed, forward, from_millis, gossip, note, parts,
@@ -129,6 +130,7 @@
         cache: None,
         is_late: false,
         last_forwarded: None,
+        timing: Timing::default(),
         reserved: false,
         unreachable: 0,
         hosts_tried: Vec::new(),
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -20,6 +20,7 @@
 pub mod instance;
 pub mod instances;
 mod intake;
+mod lateness;
 pub mod limit;
 mod links;
 mod load;
--- a/src/core/relay/request.rs
+++ b/src/core/relay/request.rs
@@ -7,6 +7,7 @@
 use super::customers::Identity;
 use super::event::{Prompt, Task};
 use super::instance;
+use super::lateness::Timing;
 use super::standby::Standby;
 use super::versions::take_up::Lookup;
 use super::versions::{StreamKey, Version};
@@ -70,6 +71,8 @@
     pub is_late: bool,
     /// When the last event was forwarded.
     pub last_forwarded: Option<Time>,
+    /// Times of its stages.
+    pub timing: Timing,
     /// Whether the retry budget has the run reserved that follows its prefill.
     pub reserved: bool,
     /// Backend servers to which no connection was made.
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -12,6 +12,7 @@
 mod gossip;
 mod handover;
 mod intake;
+mod lateness;
 mod leaving;
 mod limit;
 mod load;
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -39,6 +39,7 @@
     token_gap: Histogram<f64>,
     queue_time: Histogram<f64>,
     request_time: Histogram<f64>,
+    late: Counter<u64>,
     retries: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
@@ -107,6 +108,10 @@
                 "chiveway_requests",
                 "Arrival to the end, by outcome",
             ),
+            late: counter(
+                "chiveway_late_answers",
+                "Streamed answers that were late, by cause",
+            ),
             retries: counter("chiveway_retries", "Attempts beyond the first"),
             orders: counter("chiveway_orders", "Orders given to engines"),
             store_calls: counter("chiveway_store_calls", "Calls of the key-value service"),
@@ -212,6 +217,9 @@
                 self.queue_time
                     .record(after.as_secs_f64(), &[label("class", class)]);
             }
+            Meter::Late { class, cause } => self
+                .late
+                .add(1, &[label("class", class), KeyValue::new("cause", *cause)]),
             Meter::TakenUp { outcome } => self.taken_up.add(1, &[label("outcome", outcome)]),
             Meter::Forwarded { class } => self.forwarded.add(1, &[label("class", class)]),
             Meter::Retried { class } => self.retries.add(1, &[label("class", class)]),
