Bound the bytes held for callers and servers that read slowly

Cause: the queue of an answer was bounded by 256 chunks of any size, and bodies by nothing but the number of connections: one caller that read nothing could hold 16 MiB of 64 KiB events, at hosts of 120 MB. Change: with [relay] memory, a quarter of it holds bodies and unread answers. A queue is bounded by bytes as well.

--- a/src/core/relay/ending.rs
+++ b/src/core/relay/ending.rs
@@ -22,7 +22,7 @@
 const MIN_RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// Time after which to retry at another host: the load balancer routes new connections to others
 /// without delay.
-pub(super) const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub const OTHER_HOST_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Time without an answer from which on an attempt counts against its server or its link: callers may leave sooner.
 const MIN_UNANSWERED_WAIT: Duration = Duration::from_millis(200);
 
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -34,6 +34,13 @@
 pub enum RelayEvent {
     /// This process may open so many file descriptors.
     Descriptors(u64),
+    /// Bytes of a request's body arrived while the host holds others.
+    BodyOffered {
+        /// Bytes that arrived.
+        bytes: usize,
+        /// Bytes held.
+        held: usize,
+    },
     /// A caller opened a connection, from which nothing is read before it is admitted.
     CallerConnected,
     /// An admitted connection of a caller ended.
@@ -322,6 +329,10 @@
 /// One effect for relayed requests.
 #[derive(Debug, Clone)]
 pub enum RelayEffect {
+    /// Keep the bytes of a body that the current event offers; without this effect they are discarded.
+    AdmitBody,
+    /// From so many bytes held on, read no more for callers that do not keep up; `None` for no bound.
+    BoundHeldBytes(Option<usize>),
     /// Serve the connection that a caller just opened; without this it is closed unread.
     AdmitConnection,
     /// The request that just arrived has this key.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -7,6 +7,7 @@
 mod answer;
 pub mod authority;
 pub mod budget;
+pub mod buffers;
 mod call;
 pub mod catalog;
 mod choose;
@@ -60,6 +61,7 @@
 use instances::Instances;
 use versions::Versions;
 
+pub use ending::OTHER_HOST_RETRY_AFTER;
 pub use request::{Attempt, Call, Delivery, KvCache, PrefillEstimate};
 
 /// Timers of the relay.
@@ -139,6 +141,8 @@
     pub peers: peers::Peers,
     /// Connections of callers.
     pub intake: intake::Intake,
+    /// Bytes held for callers and servers.
+    pub buffers: buffers::Buffers,
     /// Links to backend servers.
     pub links: links::Links,
     /// Software versions of servers and streams.
@@ -174,6 +178,7 @@
 
 /// Starts the relay, on a host whose settings have one.
 pub fn start(core: &mut Core, out: &mut Effects) {
+    buffers::apply_settings(core, out);
     view::start(core, out);
     peers::start(core, out);
     planner::start(core, out);
@@ -190,6 +195,7 @@
     match event {
         RelayEvent::Descriptors(count) => intake::set_descriptors(core, count, out),
         RelayEvent::CallerConnected => intake::connected(core, out),
+        RelayEvent::BodyOffered { bytes, held } => buffers::body_offered(core, bytes, held, out),
         RelayEvent::CallerDisconnected => intake::disconnected(core),
         RelayEvent::Arrived(arrival) => call::arrived(core, *arrival, out),
         RelayEvent::CallerLeft(key) => ending::caller_left(core, key, out),
@@ -396,6 +402,7 @@
 fn reload(core: &mut Core, settings: Settings, out: &mut Effects) {
     core.settings.relay = settings.relay;
     core.settings.limits = settings.limits;
+    buffers::apply_settings(core, out);
     note(out, log::Level::Info, "host.reloaded", Vec::new());
 }
 
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay's decisions, without a network.
 
 mod budget;
+mod buffers;
 mod config;
 mod crashes;
 
--- a/src/form.rs
+++ b/src/form.rs
@@ -50,6 +50,8 @@
     Rate(f64),
     /// A whole number within the two bounds, or `none`.
     OptionalCount(usize, usize),
+    /// A size in bytes within the two bounds, or `none`.
+    OptionalSize(usize, usize),
     /// One of the given words.
     Choice(&'static [&'static str]),
     /// Comma-separated pairs of method and path; the key may be given several times.
@@ -83,6 +85,7 @@
             Self::Size(min, max) => {
                 units::size(text).is_some_and(|size| size >= min && size <= max)
             }
+            Self::OptionalSize(min, max) => text == NO_LIMIT || Self::Size(min, max).allows(text),
             Self::Count(min, max) => within(units::count(text), min, max),
             Self::Number(min, max) => within(units::number(text), min, max),
             Self::Rate(max) => {
@@ -131,6 +134,9 @@
                 let (min, max) = (units::show_size(min), units::show_size(max));
                 format!("a size with its unit from {min} to {max}, such as {max}")
             }
+            Self::OptionalSize(min, max) => {
+                format!("{}, or none", Self::Size(min, max).description())
+            }
             Self::Count(min, max) => format!("a whole number from {min} to {max}"),
             Self::Number(min, max) => format!("a number from {min} to {max}"),
             Self::Rate(max) => {
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -54,6 +54,9 @@
     pushbacks: Gauge<u64>,
     poison_requests: Gauge<u64>,
     refused_parts: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    refused_bodies: Gauge<u64>,
+    ended_readers: Gauge<u64>,
     links_lost: Gauge<u64>,
     forwarded: Counter<u64>,
     taken_up: Counter<u64>,
@@ -165,6 +168,19 @@
                     "Parts of prompts refused since backend servers crashed under them",
                 )
                 .build(),
+            held_bytes: meter
+                .u64_gauge("chiveway_held_bytes")
+                .with_description("Bytes of bodies and unread answers that this host holds")
+                .with_unit("By")
+                .build(),
+            refused_bodies: meter
+                .u64_gauge("chiveway_refused_bodies")
+                .with_description("Bodies refused since the host held too many bytes")
+                .build(),
+            ended_readers: meter
+                .u64_gauge("chiveway_ended_readers")
+                .with_description("Answers ended since their callers did not read")
+                .build(),
             links_lost: meter
                 .u64_gauge("chiveway_links_lost")
                 .with_description("1 while this host reaches no backend server")
@@ -310,6 +326,13 @@
         self.refused_parts.record(parts, &[]);
     }
 
+    /// Sets the bytes held for callers, and how many bodies were refused and answers ended for want of memory.
+    pub fn set_held(&self, bytes: u64, refused: u64, ended: u64) {
+        self.held_bytes.record(bytes, &[]);
+        self.refused_bodies.record(refused, &[]);
+        self.ended_readers.record(ended, &[]);
+    }
+
     /// Sets whether this host reaches no backend server.
     pub fn set_links_lost(&self, lost: bool) {
         self.links_lost.record(lost.into(), &[]);
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -15,7 +15,7 @@
 use super::completion::Completion;
 use super::link::Link;
 use super::metrics::Metrics;
-use super::queue::{self, QueueReceiver, QueueSender};
+use super::queue::{self, HeldBytes, QueueReceiver, QueueSender};
 use super::relay::{self, Adapters};
 use super::store;
 use super::timer::{self, Timers};
@@ -118,6 +118,8 @@
     last_number: Cell<u64>,
     close: RefCell<Option<watch::Sender<bool>>>,
     exit: Notify,
+    /// Bytes held for callers.
+    pub held: HeldBytes,
     /// Adapters of relayed requests.
     pub relay: Adapters,
 }
@@ -162,6 +164,7 @@
             last_number: Cell::new(0),
             close: RefCell::default(),
             exit: Notify::new(),
+            held: HeldBytes::default(),
             relay: Adapters::default(),
         }))
     }
@@ -205,7 +208,10 @@
         prepared: Prepared,
         io: Option<IoRef>,
     ) -> Option<AcceptedRequest> {
-        let (queue, parts) = queue::channel(io, |part| matches!(part, AnswerPart::Chunk(_)));
+        let (queue, parts) = queue::channel(io, self.held.clone(), |part| match part {
+            AnswerPart::Chunk(data) => Some(data.len()),
+            _ => None,
+        });
         *self.arriving.borrow_mut() = Some(OpenRequest {
             queue,
             prepared: Rc::new(prepared),
@@ -415,7 +421,8 @@
             if let Prepared::Completion(completion) = &*open.prepared {
                 open.text.push_str(&completion.text_of(&data));
             }
-            open.queue.push_content(AnswerPart::Chunk(data));
+            let bytes = data.len();
+            open.queue.push_content(AnswerPart::Chunk(data), bytes);
         }
     }
 }
--- a/src/host/queue.rs
+++ b/src/host/queue.rs
@@ -1,4 +1,4 @@
-//! Bounded queue of the answer to one caller: a slow caller must not exhaust the host's memory.
+//! Bounded queue of the answer to one caller: slow callers must not exhaust the host's memory.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -8,10 +8,86 @@
 
 /// Queued chunks at which the host stops reading from the engine.
 const MAX_QUEUED_CHUNKS: usize = 256;
+/// Queued bytes at which it does so: chunks may be far larger than the usual hundred bytes.
+const MAX_QUEUED_BYTES: usize = 256 * 1024;
+
+/// Number of bytes that the host holds for all callers, and its bound.
+#[derive(Debug, Clone, Default)]
+pub struct HeldBytes {
+    shared: Rc<HeldCells>,
+}
+
+#[derive(Debug, Default)]
+struct HeldCells {
+    held: Cell<usize>,
+    /// Bound from which on callers that do not keep up get no further bytes; `None` for none.
+    max: Cell<Option<usize>>,
+}
+
+impl HeldBytes {
+    /// Returns the bytes held now.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.shared.held.get()
+    }
+
+    /// Sets the bound.
+    pub fn set_max(&self, max: Option<usize>) {
+        self.shared.max.set(max);
+    }
+
+    /// Returns whether the bound is reached.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.shared.max.get().is_some_and(|max| self.held() >= max)
+    }
+
+    /// Counts bytes until the guard is dropped.
+    #[must_use]
+    pub fn hold(&self, bytes: usize) -> HeldGuard {
+        let mut guard = HeldGuard {
+            total: self.clone(),
+            bytes: 0,
+        };
+        guard.grow_to(bytes);
+        guard
+    }
+
+    fn add(&self, bytes: usize) {
+        self.shared.held.set(self.held() + bytes);
+    }
+
+    fn subtract(&self, bytes: usize) {
+        self.shared.held.set(self.held().saturating_sub(bytes));
+    }
+}
+
+/// Bytes that are counted as held until it is dropped.
+#[derive(Debug)]
+pub struct HeldGuard {
+    total: HeldBytes,
+    bytes: usize,
+}
+
+impl HeldGuard {
+    /// Counts as many bytes in all, if these are more than before.
+    pub fn grow_to(&mut self, bytes: usize) {
+        self.total.add(bytes.saturating_sub(self.bytes));
+        self.bytes = self.bytes.max(bytes);
+    }
+}
+
+impl Drop for HeldGuard {
+    fn drop(&mut self) {
+        self.total.subtract(self.bytes);
+    }
+}
 
 #[derive(Debug)]
 struct Shared {
     queued: Cell<usize>,
+    queued_bytes: Cell<usize>,
+    total: HeldBytes,
     consumed: Cell<u64>,
     space_freed: Notify,
     io: Option<IoRef>,
@@ -29,8 +105,8 @@
 pub struct QueueReceiver<P> {
     rx: mpsc::UnboundedReceiver<P>,
     shared: Rc<Shared>,
-    /// Whether a message is content of the answer, which counts towards the bound.
-    is_content: fn(&P) -> bool,
+    /// Returns the size of a message that is content of the answer, which counts towards the bound.
+    content_len: fn(&P) -> Option<usize>,
 }
 
 impl<P> Clone for QueueSender<P> {
@@ -42,15 +118,18 @@
     }
 }
 
-/// Creates the queue of a request received on connection `io`; `is_content` returns whether a
-/// message is content of the answer.
+/// Creates the queue of a request received on connection `io`; `content_len` returns the size of a
+/// message that is content of the answer, and `total` counts these bytes.
 pub fn channel<P>(
     io: Option<IoRef>,
-    is_content: fn(&P) -> bool,
+    total: HeldBytes,
+    content_len: fn(&P) -> Option<usize>,
 ) -> (QueueSender<P>, QueueReceiver<P>) {
     let (tx, rx) = mpsc::unbounded_channel();
     let shared = Rc::new(Shared {
         queued: Cell::new(0),
+        queued_bytes: Cell::new(0),
+        total,
         consumed: Cell::new(0),
         space_freed: Notify::new(),
         io,
@@ -58,15 +137,18 @@
     let receiver = QueueReceiver {
         rx,
         shared: Rc::clone(&shared),
-        is_content,
+        content_len,
     };
     (QueueSender { tx, shared }, receiver)
 }
 
 impl<P> QueueSender<P> {
-    /// Appends content of the answer, which counts towards the bound.
-    pub fn push_content(&self, part: P) {
-        self.shared.queued.set(self.shared.queued.get() + 1);
+    /// Appends content of the answer of so many bytes, which counts towards the bound.
+    pub fn push_content(&self, part: P, bytes: usize) {
+        let shared = &self.shared;
+        shared.queued.set(shared.queued.get() + 1);
+        shared.queued_bytes.set(shared.queued_bytes.get() + bytes);
+        shared.total.add(bytes);
         self.push_control(part);
     }
 
@@ -77,9 +159,14 @@
     }
 
     /// Returns whether the host should stop reading for this caller.
+    ///
+    /// Once all callers together reach the host's bound, that is so for each caller that has anything left to read.
     #[must_use]
     pub fn is_full(&self) -> bool {
-        self.shared.queued.get() >= MAX_QUEUED_CHUNKS
+        let shared = &self.shared;
+        shared.queued.get() >= MAX_QUEUED_CHUNKS
+            || shared.queued_bytes.get() >= MAX_QUEUED_BYTES
+            || shared.queued.get() > 0 && shared.total.is_full()
     }
 
     /// Returns the number of content messages that the handler has received.
@@ -106,10 +193,12 @@
     pub fn poll(&mut self, cx: &mut std::task::Context<'_>) -> std::task::Poll<Option<P>> {
         let part = self.rx.poll_recv(cx);
         if let std::task::Poll::Ready(Some(part)) = &part
-            && (self.is_content)(part)
+            && let Some(bytes) = (self.content_len)(part)
         {
             let shared = &self.shared;
             shared.queued.set(shared.queued.get() - 1);
+            shared.queued_bytes.set(shared.queued_bytes.get() - bytes);
+            shared.total.subtract(bytes);
             shared.consumed.set(shared.consumed.get() + 1);
             shared.space_freed.notify_one();
         }
@@ -120,7 +209,9 @@
 impl<P> Drop for QueueReceiver<P> {
     fn drop(&mut self) {
         // The remaining messages are never received; a sender that waits for space must not hang.
-        self.shared.queued.set(0);
+        let shared = &self.shared;
+        shared.total.subtract(shared.queued_bytes.replace(0));
+        shared.queued.set(0);
         self.shared.space_freed.notify_one();
     }
 }
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -283,7 +283,13 @@
     head: Head,
     idle: Option<Duration>,
 ) -> Result<(), FailedAttempt> {
-    let progress = progress::throttled(|_| apply(node, RelayEvent::AnswerReceived(source.attempt)));
+    let mut held = node.held.hold(0);
+    let mut throttled =
+        progress::throttled(|_| apply(node, RelayEvent::AnswerReceived(source.attempt)));
+    let progress = |received| {
+        held.grow_to(received);
+        throttled(received);
+    };
     // The core ends attempts that are silent.
     let body =
         pool::collect_observed(&mut answer, MAX_ANSWER_BYTES, Duration::MAX, progress).await?;
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -10,15 +10,17 @@
 use ntex::http::header::{HeaderName, HeaderValue};
 use ntex::http::{ConnectionType, Request, Response, ResponseBuilder, StatusCode, Version};
 
-use super::{AcceptedCall, AnswerPart, Head, Prepared, accept_request, apply, forward};
+use super::{AcceptedCall, AnswerPart, Head, Prepared, accept_request, admit_body, apply, forward};
 use crate::core::effect::Refusal;
 use crate::core::event::Fingerprint;
 use crate::core::key::CallKey;
+use crate::core::relay::OTHER_HOST_RETRY_AFTER;
 use crate::core::relay::catalog;
 use crate::core::relay::event::{Arrival, RelayEvent};
 use crate::error::{Kind, Ran};
 use crate::host::callers::fingerprint;
 use crate::host::node::Node;
+use crate::host::queue::HeldGuard;
 use crate::host::{problem, queue};
 use crate::platform::header;
 use crate::web::{self, HandlerError};
@@ -43,6 +45,8 @@
 
 struct AnswerParts {
     queue: queue::QueueReceiver<AnswerPart>,
+    /// The request's body, which is kept until the answer is complete.
+    _body: HeldGuard,
     guard: CallerGuard,
 }
 
@@ -168,7 +172,16 @@
         let catalog = core.relay.catalog.as_ref();
         catalog.map_or_else(Default::default, |catalog| catalog.limits)
     });
-    let body = web::read_body(&mut req, limit.max_body, BODY_TIMEOUT).await;
+    let mut held = node.held.hold(0);
+    let mut offered = 0;
+    let body = web::read_admitted_body(&mut req, limit.max_body, BODY_TIMEOUT, |received| {
+        let admitted = admit_body(node, received - std::mem::replace(&mut offered, received));
+        if admitted {
+            held.grow_to(received);
+        }
+        admitted
+    });
+    let body = body.await;
     let body = body.map_err(|status| body_failure(status, &attempt_id))?;
     let Ok(method) = hyper::Method::from_bytes(req.method().as_str().as_bytes()) else {
         return Err(Refused::malformed("no such method", &attempt_id));
@@ -226,7 +239,7 @@
         let refusal = Refusal::new(Kind::Internal, "the request was lost");
         return Err(Refused::new(refusal, &attempt_id));
     };
-    answer(node, accepted, &attempt_id, req.version()).await
+    answer(node, accepted, held, &attempt_id, req.version()).await
 }
 
 /// Returns the fingerprint of a relayed request: the same for equal methods, host names, targets and bodies.
@@ -250,24 +263,33 @@
 
 fn body_failure(status: StatusCode, id: &str) -> Refused {
     let (kind, detail) = match status {
+        StatusCode::INSUFFICIENT_STORAGE => (Kind::Overloaded, "the host holds too many bytes"),
         StatusCode::PAYLOAD_TOO_LARGE => (Kind::TooLarge, "the body is too large"),
         StatusCode::REQUEST_TIMEOUT => (Kind::TooSlow, "the body did not arrive in time"),
         _ => (Kind::Malformed, "the body was cut short"),
     };
+    let refusal = Refusal::new(kind, detail);
+    let refusal = match kind {
+        // The next connection reaches another host.
+        Kind::Overloaded => refusal.with_retry_after(OTHER_HOST_RETRY_AFTER),
+        _ => refusal,
+    };
     Refused {
         closes: true,
-        ..Refused::new(Refusal::new(kind, detail), id)
+        ..Refused::new(refusal, id)
     }
 }
 
 async fn answer(
     node: &Rc<Node>,
     accepted: AcceptedCall,
+    held: HeldGuard,
     id: &str,
     version: Version,
 ) -> Result<Response, Refused> {
     let mut parts = AnswerParts {
         queue: accepted.parts,
+        _body: held,
         guard: CallerGuard {
             node: Rc::clone(node),
             call: accepted.call,
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -123,7 +123,7 @@
     store_calls: RefCell<BTreeMap<u64, oneshot::Sender<()>>>,
     /// Numbers of calls made to the store so far.
     pub calls: Cell<CallCounts>,
-    /// Whether the core admitted the connection that a caller just opened.
+    /// Whether the core admitted the connection that a caller just opened, or the bytes that it sent.
     admitted: Cell<bool>,
     open_calls: RefCell<SecondaryMap<CallKey, OpenCall>>,
     arriving: RefCell<Option<OpenCall>>,
@@ -159,7 +159,8 @@
         };
         if let Some(open) = self.open_calls.borrow().get(call) {
             open.send_head(head);
-            open.queue.push_content(AnswerPart::Event(data));
+            let bytes = data.len();
+            open.queue.push_content(AnswerPart::Event(data), bytes);
         }
     }
 
@@ -215,6 +216,14 @@
     node.relay.admitted.get().then(|| CallerConnection { node })
 }
 
+/// Offers bytes of a body to the core; returns whether it admits them.
+pub fn admit_body(node: &Rc<Node>, bytes: usize) -> bool {
+    node.relay.admitted.set(false);
+    let held = node.held.held();
+    apply(node, RelayEvent::BodyOffered { bytes, held });
+    node.relay.admitted.get()
+}
+
 /// Passes a request received on a connection to the core; `None` if the core did not open it.
 pub fn accept_request(
     node: &Rc<Node>,
@@ -222,7 +231,10 @@
     prepared: Prepared,
     io: Option<IoRef>,
 ) -> Option<AcceptedCall> {
-    let (queue, parts) = queue::channel(io, |part| matches!(part, AnswerPart::Event(_)));
+    let (queue, parts) = queue::channel(io, node.held.clone(), |part| match part {
+        AnswerPart::Event(data) => Some(data.len()),
+        _ => None,
+    });
     *node.relay.arriving.borrow_mut() = Some(OpenCall {
         queue,
         prepared: Rc::new(prepared),
@@ -249,7 +261,8 @@
 pub fn execute(node: &Rc<Node>, effect: RelayEffect) {
     let adapters = &node.relay;
     match effect {
-        RelayEffect::AdmitConnection => adapters.admitted.set(true),
+        RelayEffect::AdmitConnection | RelayEffect::AdmitBody => adapters.admitted.set(true),
+        RelayEffect::BoundHeldBytes(max) => node.held.set_max(max),
         RelayEffect::Opened(call) => {
             if let Some(open) = adapters.arriving.borrow_mut().take() {
                 adapters.open_calls.borrow_mut().insert(call, open);
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -19,6 +19,8 @@
     pub readiness: SocketAddr,
     /// Listener for metrics.
     pub metrics: SocketAddr,
+    /// Memory that the process may use; `None` if nothing bounds it.
+    pub memory: Option<usize>,
     /// Address of the store.
     pub store: SocketAddr,
     /// Minimum time to live of a lease that the store grants.
@@ -117,6 +119,12 @@
         "UDP address for gossip between hosts",
     ),
     required("metrics", Form::Address, "listener for metrics"),
+    optional(
+        "memory",
+        Form::OptionalSize(1 << 20, 1 << 40),
+        "none",
+        "memory that the process may use; a quarter of it holds bodies and unread answers",
+    ),
 ];
 
 const STORE: &[KeySpec] = &[
@@ -266,6 +274,7 @@
         relay: Some(RelaySettings {
             readiness: addr(relay, "readiness"),
             metrics: addr(relay, "metrics"),
+            memory: units::size(relay.get("memory")),
             store: addr(store, "addr"),
             min_lease: time(store, "lease-least"),
             authority_ttl: time(bounds, "lease"),
--- a/src/web.rs
+++ b/src/web.rs
@@ -325,6 +325,47 @@
 ///
 /// # Errors
 ///
+/// With each part, `admit` is told the bytes received so far; once it returns `false`, the rest is discarded.
+///
+/// # Errors
+///
+/// Returns 507 for a body that is not admitted, and otherwise the errors of [`read_body`].
+pub async fn read_admitted_body(
+    req: &mut Request,
+    limit: usize,
+    max_time: Duration,
+    mut admit: impl FnMut(usize) -> bool,
+) -> Result<Bytes, StatusCode> {
+    let mut payload = req.take_payload();
+    let read = async {
+        let mut body = BytesMut::new();
+        let (mut received, mut admitted) = (0, true);
+        while let Some(chunk) = ntex::util::stream_recv(&mut payload).await {
+            let chunk = chunk.map_err(|_truncated| StatusCode::BAD_REQUEST)?;
+            received += chunk.len();
+            if received > limit {
+                return Err(StatusCode::PAYLOAD_TOO_LARGE);
+            }
+            // A connection that is closed with unread bytes is reset, and the refusal is lost with it.
+            if admitted && !admit(received) {
+                admitted = false;
+                body = BytesMut::new();
+            }
+            if admitted {
+                body.extend_from_slice(&chunk);
+            }
+        }
+        if admitted {
+            Ok(body.freeze())
+        } else {
+            Err(StatusCode::INSUFFICIENT_STORAGE)
+        }
+    };
+    timeout(max_time, read)
+        .await
+        .unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+}
+
 /// Returns the status of the response: 413 for a body that is too large, 408 for a slow sender,
 /// 400 for a truncated body.
 pub async fn read_body(
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -85,6 +85,7 @@
     host: Process,
     callers: SocketAddr,
     readiness: SocketAddr,
+    metrics: SocketAddr,
     folder: TempDir,
 }
 
@@ -98,9 +99,14 @@
 
     /// Starts a host with this grace period for a stop.
     fn with_grace(grace: &str) -> Self {
+        Self::with_settings(|settings| settings.replace("8s", grace))
+    }
+
+    /// Starts a host with changed settings.
+    fn with_settings(change: impl Fn(String) -> String) -> Self {
         let store = Store::start();
         let folder = TempDir::new();
-        let settings = settings("host-1", store.addr).replace("8s", grace);
+        let settings = change(settings("host-1", store.addr));
         let config = folder.write("host.ini", &settings);
         let config = config.to_str().expect("a path").to_owned();
         let log = folder.write(LOG_FILE, "");
@@ -110,6 +116,7 @@
         Self {
             callers: addr("callers").expect("the callers' listener"),
             readiness: addr("readiness").expect("the readiness listener"),
+            metrics: addr("metrics").expect("the listener for metrics"),
             store,
             host,
             folder,
--- a/tests/relay/slow_caller.rs
+++ b/tests/relay/slow_caller.rs
@@ -133,3 +133,51 @@
     let body = vec![b'x'; ANSWER_BYTES];
     check_stop(&Engine::plain("s-1"), "/once/x", &body, ANSWER_BYTES);
 }
+
+/// Memory that the settings allow a host, and the bound that follows for unread answers and bodies.
+const MEMORY: usize = 16 << 20;
+const MAX_HELD: usize = MEMORY / 4;
+/// Callers that stop reading, and the events of each answer: together far more than the memory.
+const SLOW_CALLERS: usize = 24;
+const UNREAD_EVENTS: u64 = 160;
+
+/// Returns a gauge of a host.
+fn gauge(site: &Site, name: &str) -> Option<usize> {
+    let answer = http::send(site.metrics, "GET", "/metrics", &[], b"")?;
+    let text = answer.text();
+    let line = text.lines().find(|line| line.starts_with(name))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// Many callers stop reading their streams at a host with little memory. Guards against a host that holds what engines go on
+/// to send, and is ended for its memory with all its requests.
+#[test]
+fn many_slow_callers_do_not_fill_the_memory_of_a_host() {
+    let engine = Engine::model("d-1", "decode");
+    let memory = format!("memory = {}MiB\n[store]", MEMORY >> 20);
+    let site = Site::with_settings(|settings| settings.replace("[store]", &memory));
+    site.configure(&[&engine]);
+    site.store.put("op/config", &config_with_timeout(2, 30_000));
+    wait_for("the configuration", || {
+        site.log().contains(r#""version":"2""#)
+    });
+    engine.send_large_streams(UNREAD_EVENTS, EVENT_BYTES);
+    let answers = (0..SLOW_CALLERS).map(|number| {
+        let id = format!("id-{number}");
+        let mut headers = vec![("x-chiveway-attempt-id", &*id)];
+        headers.extend(SHORT_PROMPT);
+        let answer = http::open(site.callers, "POST", "/short/x", &headers, b"body");
+        answer.expect("the head of an answer")
+    });
+    let answers: Vec<http::OpenAnswer> = answers.collect();
+    wait_until_held_back(&[&engine], UNREAD_EVENTS * SLOW_CALLERS as u64);
+    let held = gauge(&site, "chiveway_held_bytes").expect("the gauge of held bytes");
+    // Each reader may have one event beyond the bound.
+    assert!(
+        held > 0 && held <= MAX_HELD + SLOW_CALLERS * 2 * EVENT_BYTES,
+        "{held} bytes"
+    );
+    for answer in answers {
+        assert!(answer.rest().complete, "{}", site.log());
+    }
+}
