Recall overdue prefills while another engine can be in time

Cause: a late short request had waited 292 ms (median) for a prefill expected to take 43 ms, with a target of 250 ms, and nothing checked on it until 3 x expected + 300 ms. Change: one check of each first prefill at the latest moment at which another engine can be in time. An overdue prefill is cancelled and sent there, charged to the retry budget with the run that follows; recalls take at most a quarter of it. The abandoned engine is expected to be as slow for 0.6 s; a KV cache whose handle arrives after the recall is freed.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -321,6 +321,13 @@
         /// What made it late.
         cause: &'static str,
     },
+    /// A prefill was recalled, or could not be.
+    Recalled {
+        /// Route.
+        class: Box<str>,
+        /// How the answer came, or why the prefill was not recalled.
+        outcome: &'static str,
+    },
     /// A request was sent to a backend server.
     Queued {
         /// Model or service.
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -9,7 +9,7 @@
 use super::event::{RelayEffect, StreamEnd, Task};
 use super::{
     Attempt, Delivery, KvCache, RetryPolicy, call, duty, forward, lateness, links, load, millis,
-    note, parts, poison, standby, versions,
+    note, parts, poison, recall, standby, versions,
 };
 use crate::error::{Kind, Ran};
 
@@ -22,6 +22,7 @@
 pub(super) fn prefilled(core: &mut Core, key: AttemptKey, handle: Box<str>, out: &mut Effects) {
     let now = core.now;
     let Some(attempt) = core.relay.attempts.get(key) else {
+        recall::answered_late(core, key, handle, out);
         return;
     };
     let (call, engine, sent_at) = (attempt.call, attempt.backend, attempt.sent_at);
--- a/src/core/relay/budget.rs
+++ b/src/core/relay/budget.rs
@@ -15,6 +15,9 @@
 /// and requests that a server counts a moment after they were sent.
 const USABLE_FRACTION: f64 = 0.7;
 
+/// Fraction of the budget that recalls of prefills may take, so that failures keep their share.
+const RECALL_FRACTION: f64 = 0.25;
+
 /// Rules of the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetRules {
@@ -33,6 +36,8 @@
     retries: VecDeque<Time>,
     /// Retries that will follow those that were sent.
     reserved: usize,
+    /// Retries that followed recalls of prefills, also those that are only reserved.
+    recalls: VecDeque<Time>,
 }
 
 impl RetryBudget {
@@ -69,6 +74,23 @@
         allowed
     }
 
+    /// Returns whether the part of the budget for recalls allows this many more retries.
+    pub fn allows_recall(
+        &mut self,
+        now: Time,
+        rules: &BudgetRules,
+        hosts: usize,
+        sends: usize,
+    ) -> bool {
+        let max = self.limit(now, rules, hosts) * RECALL_FRACTION;
+        (self.recalls.len() + sends) as f64 <= max
+    }
+
+    /// Records the retries of a recall, which are charged when they are sent.
+    pub fn record_recall(&mut self, now: Time, sends: usize) {
+        self.recalls.extend(std::iter::repeat_n(now, sends));
+    }
+
     /// Counts a retry that was reserved.
     pub fn spend_reserved(&mut self, now: Time) {
         self.release();
@@ -104,6 +126,7 @@
         };
         drop_expired(&mut self.requests);
         drop_expired(&mut self.retries);
+        drop_expired(&mut self.recalls);
         let share = rules.slack / hosts.max(1) as f64;
         (rules.ratio * self.requests.len() as f64 + share) * USABLE_FRACTION
     }
--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -16,7 +16,7 @@
 use super::versions::{self, StreamKey};
 use super::{
     Attempt, Call, Delivery, RelayTimer, departed, forward, from_millis, gossip, note, parts,
-    poison, prefix_cache, resolve, retry, silence, standby,
+    poison, prefix_cache, recall, resolve, retry, silence, standby,
 };
 use crate::error::Kind;
 
@@ -131,6 +131,7 @@
         is_late: false,
         last_forwarded: None,
         timing: Timing::default(),
+        recalled: false,
         reserved: false,
         unreachable: 0,
         hosts_tried: Vec::new(),
@@ -177,7 +178,10 @@
         None => choose::choose(core, key),
     };
     match chosen {
-        Ok(choice) => send(core, key, &choice, out),
+        Ok(choice) => {
+            send(core, key, &choice, out);
+            recall::watch(core, key, choice.outlook, out);
+        }
         Err(refusal) if unreachable > 0 || forward::others_reach_more(core, key) => {
             forward::forward_in_place_of(core, key, refusal, out);
         }
--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -101,5 +101,6 @@
         is_late: call.is_late,
         fetch: None,
         silence_timeout: Some(silence_timeout(expected)),
+        outlook: None,
     })
 }
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -15,6 +15,7 @@
 use super::instance::{Instance, Work};
 use super::model::ServiceModel;
 use super::prefix_cache::{Fetch, Holder};
+use super::recall::{self, Outlook};
 use super::versions::Version;
 use super::{
     Call, PrefillEstimate, from_millis, load, millis, parts, prefix_cache, retry, standby,
@@ -68,6 +69,8 @@
     pub fetch: Option<Fetch>,
     /// Time after which the attempt is checked for silence.
     pub silence_timeout: Option<Duration>,
+    /// Expected times of the first event, for a prompt that is not prefilled yet.
+    pub outlook: Option<Outlook>,
 }
 
 /// Chooses a backend server for a request. One that has run goes on at engines also if the configuration names them no more.
@@ -137,6 +140,7 @@
             engine_time_weight: 1.0,
             decode_engine_weight: 1.0,
             target_factor: 1.0,
+            recall: false,
         },
         |relay| relay.policy,
     )
@@ -277,6 +281,14 @@
         best = cheapest(&mut placements.iter().filter(idle)).unwrap_or(best);
     }
     let late = best.first_token_ms > target;
+    let others = placements.iter();
+    let others = others.filter(|placement| placement.backend != best.backend);
+    let outlook = Outlook {
+        first_event_ms: best.first_token_ms,
+        elsewhere_ms: others
+            .map(|placement| placement.first_token_ms)
+            .min_by(f64::total_cmp),
+    };
     let call = &core.relay.calls[key];
     let has_begun = call.version.is_some();
     if late && best.queue_ms > max_queue && !has_begun
@@ -308,6 +320,7 @@
         is_late: late,
         fetch: best.fetch,
         silence_timeout: Some(silence_timeout(best.stage_ms)),
+        outlook: Some(outlook),
     })
 }
 
@@ -363,6 +376,7 @@
     };
     let queue = load::prefill_ms(model, instance, work.tokens);
     let stage_ms = base + queue + prefill.delay_ms + own;
+    let stage_ms = recall::expected_ms(core, backend, stage_ms);
     let crossing = crossing_cost_ms(core, call, instance, policy);
     let kv_loss = match stage {
         Stage::Prefill => instance.kv_loss_cost(own, core.now),
--- a/src/core/relay/choose/plain.rs
+++ b/src/core/relay/choose/plain.rs
@@ -71,5 +71,6 @@
         is_late: false,
         fetch: None,
         silence_timeout: silence,
+        outlook: None,
     })
 }
--- a/src/core/relay/ending.rs
+++ b/src/core/relay/ending.rs
@@ -11,7 +11,7 @@
 use super::super::{Core, Effects};
 use super::call::{age_ms, close_attempt};
 use super::event::RelayEffect;
-use super::{RelayTimer, forward, from_millis, links, millis, note, retry, standby};
+use super::{RelayTimer, forward, from_millis, links, millis, note, recall, retry, standby};
 use crate::error::{Kind, Ran};
 
 /// Default time to retry after: half of a burst of three seconds.
@@ -215,6 +215,7 @@
     let Some(call) = core.relay.calls.remove(key) else {
         return;
     };
+    recall::ended(&call, out);
     let lasted = core.now.since(call.arrived);
     out.push(Effect::Meter(super::super::effect::Meter::RequestEnded {
         class: call.route.name.clone(),
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -32,6 +32,7 @@
 mod poison;
 mod prefix_cache;
 pub mod pushback;
+mod recall;
 mod request;
 mod resolve;
 mod retry;
@@ -97,6 +98,8 @@
     Standby(CallKey),
     /// Look for a server for an answer that waits for one.
     Resume(CallKey),
+    /// Another engine can be in time for the last time if the prefill of an attempt is overdue.
+    Recall(AttemptKey),
 }
 
 /// Calls of the store that the relay makes, as keys for their answers.
@@ -153,6 +156,8 @@
     pub duties: duty::Duties,
     /// Measured durations of work at engines.
     pub cost_model: model::CostModel,
+    /// Recalled prefills.
+    pub recalls: recall::Recalls,
 }
 
 impl Relay {
@@ -271,6 +276,7 @@
         RelayTimer::TakeUp(call) => versions::take_up::timed_out(core, call, out),
         RelayTimer::Standby(call) => standby::expired(core, call, out),
         RelayTimer::Resume(call) => standby::resume(core, call, out),
+        RelayTimer::Recall(attempt) => recall::check(core, attempt, out),
     }
 }
 
--- a/src/core/relay/request.rs
+++ b/src/core/relay/request.rs
@@ -73,6 +73,8 @@
     pub last_forwarded: Option<Time>,
     /// Times of its stages.
     pub timing: Timing,
+    /// Whether its prefill was recalled.
+    pub recalled: bool,
     /// Whether the retry budget has the run reserved that follows its prefill.
     pub reserved: bool,
     /// Backend servers to which no connection was made.
--- a/src/core/relay/retry.rs
+++ b/src/core/relay/retry.rs
@@ -85,6 +85,26 @@
     attempt: AttemptKey,
     out: &mut Effects,
 ) -> Option<Choice> {
+    choose_beside(core, key, attempt).unwrap_or_else(|Exhausted| {
+        log_exhausted(core, key, out);
+        None
+    })
+}
+
+/// The part of the retry budget for requests that leave servers without a failure is used up.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Exhausted;
+
+/// Chooses a server as [`choose_other`] does.
+///
+/// # Errors
+///
+/// Returns [`Exhausted`] if the budget does not allow the send.
+pub(super) fn choose_beside(
+    core: &mut Core,
+    key: CallKey,
+    attempt: AttemptKey,
+) -> Result<Option<Choice>, Exhausted> {
     let call = &core.relay.calls[key];
     if core
         .relay
@@ -93,15 +113,14 @@
         .is_some()
         || parts::admission::is_blamed(core, key)
     {
-        return None;
+        return Ok(None);
     }
     // What is reserved for the run after a silent prefill serves this request.
     let is_prefill = leaves_prefill(core, call);
     let arrivals = call.arrivals + u32::from(is_prefill);
     let reserved = usize::from(call.reserved);
     if !has_room(core, key, 1 - reserved, SILENCE_FRACTION) {
-        log_exhausted(core, key, out);
-        return None;
+        return Err(Exhausted);
     }
     let call = &mut core.relay.calls[key];
     let kept = call.standby.replace(Standby::new(attempt));
@@ -111,17 +130,36 @@
     let call = &mut core.relay.calls[key];
     call.standby = kept;
     call.cache = cache;
-    let choice = choice.ok()?;
+    let Ok(choice) = choice else {
+        return Ok(None);
+    };
     // A silent prefill was sent beside the standby, which still runs there.
     if is_prefill && standby::server(core, kept) == Some(choice.backend) {
-        return None;
+        return Ok(None);
     }
     let follow = following_sends(arrivals, &choice.task);
     if !has_room(core, key, 1 + follow - reserved, SILENCE_FRACTION) {
-        log_exhausted(core, key, out);
-        return None;
+        return Err(Exhausted);
     }
-    Some(choice)
+    Ok(Some(choice))
+}
+
+/// Returns whether the part of the retry budget for recalls allows this many more sends of a request.
+pub(super) fn allows_recall(core: &mut Core, key: CallKey, sends: usize) -> bool {
+    let hosts = core.relay.peers.host_count();
+    let service = core.relay.calls[key].service.clone();
+    let budget = core.relay.retry_budgets.entry(service).or_default();
+    let settings = core.settings.relay.as_ref();
+    settings.is_some_and(|settings| {
+        budget.allows_recall(core.now, &settings.retry_budget, hosts, sends)
+    })
+}
+
+/// Counts the sends of a recall: that of the prompt, and that of the run after another prefill.
+pub(super) fn record_recall(core: &mut Core, key: CallKey, sends: usize) {
+    let service = core.relay.calls[key].service.clone();
+    let budget = core.relay.retry_budgets.entry(service).or_default();
+    budget.record_recall(core.now, sends);
 }
 
 /// Whether a request is at a prefill, which counts as an arrival if it is left.
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -206,11 +206,16 @@
 
 /// Frees the KV cache that was prefilled for a request and is not needed any more.
 pub(super) fn free_cache(core: &mut Core, key: CallKey, out: &mut Effects) {
+    let cache = core.relay.calls[key].cache.take();
+    free(core, cache, out);
+}
+
+/// Frees a KV cache.
+pub(super) fn free(core: &Core, cache: Option<KvCache>, out: &mut Effects) {
     let in_pushback = |cache: &KvCache| {
         let instance = core.relay.instances.arena.get(cache.engine);
         instance.is_some_and(|instance| !instance.pushback.admits(core.now))
     };
-    let cache = core.relay.calls[key].cache.take();
     // The KV cache is left to expire at an engine that wants no requests.
     if let Some(cache) = cache.filter(|cache| !in_pushback(cache)) {
         out.push(Effect::Relay(RelayEffect::FreeCache {
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -24,6 +24,7 @@
 mod poison;
 mod prefix_cache;
 mod pushback;
+mod recall;
 mod register;
 mod request;
 mod sampling;
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -40,6 +40,7 @@
     queue_time: Histogram<f64>,
     request_time: Histogram<f64>,
     late: Counter<u64>,
+    recalls: Counter<u64>,
     retries: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
@@ -75,6 +76,16 @@
         .build()
 }
 
+fn counter(meter: &OtelMeter, name: &'static str, description: &'static str) -> Counter<u64> {
+    let counter = meter.u64_counter(name).with_description(description);
+    counter.build()
+}
+
+fn gauge(meter: &OtelMeter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    let gauge = meter.u64_gauge(name).with_description(description);
+    gauge.build()
+}
+
 impl Metrics {
     /// Creates the instruments.
     ///
@@ -89,12 +100,8 @@
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("chiveway");
         log::debug!("metrics of host {} created", settings.host.name);
-        let counter = |name: &'static str, description: &'static str| {
-            meter
-                .u64_counter(name)
-                .with_description(description)
-                .build()
-        };
+        let counter = |name, description| counter(&meter, name, description);
+        let gauge = |name, description| gauge(&meter, name, description);
         Ok(Self {
             first_token: seconds_histogram(
                 &meter,
@@ -112,6 +119,7 @@
                 "chiveway_late_answers",
                 "Streamed answers that were late, by cause",
             ),
+            recalls: counter("chiveway_recalls", "Overdue prefills, by outcome"),
             retries: counter("chiveway_retries", "Attempts beyond the first"),
             orders: counter("chiveway_orders", "Orders given to engines"),
             store_calls: counter("chiveway_store_calls", "Calls of the key-value service"),
@@ -153,30 +161,26 @@
                 .u64_gauge("chiveway_backends_in_pushback")
                 .with_description("Backend servers that want no requests from this host for a time")
                 .build(),
-            poison_requests: meter
-                .u64_gauge("chiveway_poison_requests")
-                .with_description(
-                    "Requests refused since backend servers crashed while running them",
-                )
-                .build(),
-            refused_parts: meter
-                .u64_gauge("chiveway_refused_parts")
-                .with_description(
-                    "Parts of prompts refused since backend servers crashed under them",
-                )
-                .build(),
-            links_lost: meter
-                .u64_gauge("chiveway_links_lost")
-                .with_description("1 while this host reaches no backend server")
-                .build(),
-            taken_up: meter
-                .u64_counter("chiveway_streams_taken_up")
-                .with_description("Streams that callers took up, by how their version was found")
-                .build(),
-            forwarded: meter
-                .u64_counter("chiveway_requests_forwarded")
-                .with_description("Requests forwarded to other hosts")
-                .build(),
+            poison_requests: gauge(
+                "chiveway_poison_requests",
+                "Requests refused since backend servers crashed while running them",
+            ),
+            refused_parts: gauge(
+                "chiveway_refused_parts",
+                "Parts of prompts refused since backend servers crashed under them",
+            ),
+            links_lost: gauge(
+                "chiveway_links_lost",
+                "1 while this host reaches no backend server",
+            ),
+            taken_up: counter(
+                "chiveway_streams_taken_up",
+                "Streams that callers took up, by how their version was found",
+            ),
+            forwarded: counter(
+                "chiveway_requests_forwarded",
+                "Requests forwarded to other hosts",
+            ),
             registry,
             _provider: provider,
             last_calls: Cell::default(),
@@ -220,6 +224,10 @@
             Meter::Late { class, cause } => self
                 .late
                 .add(1, &[label("class", class), KeyValue::new("cause", *cause)]),
+            Meter::Recalled { class, outcome } => self.recalls.add(
+                1,
+                &[label("class", class), KeyValue::new("outcome", *outcome)],
+            ),
             Meter::TakenUp { outcome } => self.taken_up.add(1, &[label("outcome", outcome)]),
             Meter::Forwarded { class } => self.forwarded.add(1, &[label("class", class)]),
             Meter::Retried { class } => self.retries.add(1, &[label("class", class)]),
