Charge prompts at decode engines for the gaps that they exceed

Cause: a decode engine that prefills a prompt pauses all streams that run there. The cost of such a placement was a fixed multiple of the prompt's own engine time, whatever the number of streams and whatever their gap targets allow.

Change: with `[policy] decode-placement = gaps` the placement costs, in addition, the time by which queue and prompt together exceed the gap budget of the running streams, less what the queue exceeds it by alone, for each stream. The budget is the shortest gap target of the service's streams less the gap expected at the engine. While no gap was measured the cost is 0.

Tests: core::relay::tests::decode. With DecodeCost::of returning None, the tests of one prompt and of a burst of short prompts fail; the others guard the default and the case without measurements.

--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -1,5 +1,6 @@
 //! Selection of a backend server for a request, and admission control.
 
+mod decode;
 mod handover;
 mod plain;
 mod sampling;
@@ -20,7 +21,8 @@
     Call, PrefillEstimate, from_millis, load, millis, parts, prefix_cache, retry, standby,
 };
 use crate::error::Kind;
-use crate::settings::relay::Policy;
+use crate::settings::relay::{DecodePlacement, Policy};
+use decode::DecodeCost;
 
 /// Urgency of requests that can no longer meet their target.
 const LATE_URGENCY: u8 = 8;
@@ -137,6 +139,7 @@
             engine_time_weight: 1.0,
             decode_engine_weight: 1.0,
             target_factor: 1.0,
+            decode_placement: DecodePlacement::Fixed,
         },
         |relay| relay.policy,
     )
@@ -225,6 +228,15 @@
     cost: f64,
 }
 
+/// What the costs of all placements of a request depend on.
+struct PlacementContext<'a> {
+    /// Engines that hold a prefix of its prompt.
+    holders: &'a [Holder],
+    policy: Policy,
+    /// Cost of placements at decode engines; `None` for the fixed costs.
+    decode: Option<DecodeCost<'a>>,
+}
+
 /// Chooses an engine for a model request whose prompt is not prefilled yet.
 fn choose_placement(core: &mut Core, key: CallKey) -> Result<Choice, Refusal> {
     let Some(prompt) = core.relay.calls[key].prompt.clone() else {
@@ -247,6 +259,11 @@
     let target = millis(call.route.target) * policy.target_factor - spent;
     let holders = prefix_cache::holders(core, call, &prompt);
     let is_tried = parts::admission::is_blamed(core, key);
+    let context = PlacementContext {
+        holders: &holders,
+        policy,
+        decode: DecodeCost::of(core, call, policy),
+    };
     let mut placements = Vec::new();
     for (stage, engines) in [Stage::Prefill, Stage::Decode].into_iter().zip(engines) {
         // A request that may crash an engine goes to one only.
@@ -256,7 +273,7 @@
         placements.extend(engines.into_iter().map(|backend| {
             let link_wait = core.relay.instances.arena[backend].link.wait_ms(core.now);
             let after = handover.unwrap_or(0.0) + transfer + link_wait;
-            evaluate(core, call, &prompt, backend, after, &holders, policy)
+            evaluate(core, call, &prompt, backend, after, &context)
         }));
     }
     let cheapest = |placements: &mut dyn Iterator<Item = &Placement>| {
@@ -332,14 +349,14 @@
     prompt: &Prompt,
     backend: BackendKey,
     handover: f64,
-    holders: &[Holder],
-    policy: Policy,
+    context: &PlacementContext<'_>,
 ) -> Placement {
+    let policy = context.policy;
     let instance = &core.relay.instances.arena[backend];
     let stage = instance.stage.unwrap_or(Stage::Decode);
     let uncached = prefix_cache::uncached_tokens(instance, prompt);
     let fetch = engine_spec(core, call).and_then(|engine| {
-        prefix_cache::best_fetch(instance, backend, uncached, prompt, holders, engine)
+        prefix_cache::best_fetch(instance, backend, uncached, prompt, context.holders, engine)
     });
     let work = instance.work();
     let prefill = PrefillEstimate {
@@ -368,6 +385,8 @@
         Stage::Prefill => instance.kv_loss_cost(own, core.now),
         Stage::Decode => 0.0,
     };
+    let decode = context.decode.as_ref().filter(|_| stage == Stage::Decode);
+    let streams = decode.map_or(0.0, |cost| cost.prefill_cost_ms(instance, queue, own));
     Placement {
         backend,
         stage,
@@ -384,6 +403,7 @@
             + crossing
             + instance.failure_cost(core.now)
             + kv_loss
+            + streams
             - instance.limit.recheck_bonus(core.now),
     }
 }
--- /dev/null
+++ b/src/core/relay/tests/decode.rs
@@ -0,0 +1,149 @@
+//! Placement at decode engines that run streams.
+//!
+//! Modelled on sites where long and short prompts alternate, decode engines run ten to twenty streams
+//! each, and a stream may pause for at most 200 ms.
+
+use super::*;
+use crate::core::relay::event::{Gossip, LoadReport, Task};
+use crate::core::relay::instance::short_hash;
+use crate::settings::relay::DecodePlacement;
+
+/// Returns a host with these engines that places by gaps.
+fn site(engines: &[(&str, Stage)]) -> TestHost {
+    let mut site = TestHost::new();
+    let settings = site.core.settings.relay.as_mut().expect("a relaying host");
+    settings.policy.decode_placement = DecodePlacement::Gaps;
+    let entries = engines.iter().map(|(id, stage)| engine_entry(id, *stage));
+    site.register(entries.collect());
+    let entry = r#"{"addr":"10.9.9.9:1","domain":"z"}"#;
+    site.write_key("hosts/host-2", Some(entry), 3);
+    site
+}
+
+/// Measures gaps of so many milliseconds at each engine.
+fn measure_gaps(site: &mut TestHost, millis: f64) {
+    let model = site.core.relay.cost_model.of_mut("model");
+    for instance in site.core.relay.instances.arena.values_mut() {
+        for _ in 0..200 {
+            model.record_event_gap(millis, &mut instance.pace);
+        }
+    }
+}
+
+/// Receives the load of another host.
+fn report(site: &mut TestHost, loads: Vec<LoadReport>) {
+    let sequence = site.now;
+    site.event(RelayEvent::Gossiped(Box::new(Gossip {
+        host: "host-2".into(),
+        incarnation: 1,
+        sequence,
+        loads,
+        ..Gossip::default()
+    })));
+}
+
+fn load(id: &str, calls: u32, tokens: u32) -> LoadReport {
+    LoadReport {
+        instance: short_hash(id),
+        calls,
+        tokens,
+        ..LoadReport::default()
+    }
+}
+
+fn use_fixed(site: &mut TestHost) {
+    let settings = site.core.settings.relay.as_mut().expect("a relaying host");
+    settings.policy.decode_placement = DecodePlacement::Fixed;
+}
+
+/// Returns the engine that a request of so many prompt tokens is sent to.
+fn place(site: &mut TestHost, path: &str, tokens: u64) -> Outgoing {
+    site.arrive(model_request(path, (tokens, 60), tokens - 60));
+    site.sent().expect("the request is admitted")
+}
+
+const DECODE_ONLY: [(&str, Stage); 2] = [("d", Stage::Decode), ("e", Stage::Decode)];
+
+/// One decode engine has a short queue and no streams, the other is free for prompts and runs 20
+/// streams. Guards against a prompt that pauses 20 streams for longer than they can bear, to have its
+/// own first token 90 ms sooner.
+#[test]
+fn a_prompt_avoids_the_engine_whose_streams_it_would_pause_for_too_long() {
+    let busy = |site: &mut TestHost| report(site, vec![load("d", 0, 1500), load("e", 20, 0)]);
+    let mut site = site(&DECODE_ONLY);
+    measure_gaps(&mut site, 60.0);
+    busy(&mut site);
+    assert_eq!(&*place(&mut site, "/long/x", 3400).instance, "d");
+}
+
+/// The same prompt is short enough for the gaps of the streams. Guards against a cost for every
+/// prompt beside streams, by which decode engines would stay unused.
+#[test]
+fn a_prompt_within_the_gap_budget_goes_to_the_engine_without_a_queue() {
+    let mut site = site(&DECODE_ONLY);
+    measure_gaps(&mut site, 60.0);
+    report(&mut site, vec![load("d", 0, 1500), load("e", 20, 0)]);
+    assert_eq!(&*place(&mut site, "/long/x", 1000).instance, "e");
+}
+
+/// Short prompts burst in at engines that run 20 streams each, while the prefill engine is busy for some
+/// time. Guards against short prompts that are within the gap budget one by one and pause
+/// all streams together.
+#[test]
+fn a_burst_of_short_prompts_stays_within_the_gap_budget_of_running_streams() {
+    let mut site = site(&[
+        ("p", Stage::Prefill),
+        ("d", Stage::Decode),
+        ("e", Stage::Decode),
+    ]);
+    measure_gaps(&mut site, 60.0);
+    report(
+        &mut site,
+        vec![load("p", 1, 7000), load("d", 20, 0), load("e", 20, 0)],
+    );
+    for own in 0..24 {
+        site.arrive(model_request("/short/x", (own, 60), 320));
+    }
+    for id in ["d", "e"] {
+        let key = site.core.relay.instances.find(id).expect("registered");
+        let instance = &site.core.relay.instances.arena[key];
+        let model = site.core.relay.cost_model.of("model");
+        let queue = model.prefill_ms(Stage::Decode, instance.pace, instance.work().tokens);
+        assert!(queue < 140.0, "{id} pauses its streams for {queue:.0} ms");
+    }
+}
+
+/// Guards against a change of placements while no gap was measured, or where the setting is off.
+#[test]
+fn without_measured_gaps_placement_is_that_of_fixed_costs() {
+    for is_measured in [false, true] {
+        let mut site = site(&DECODE_ONLY);
+        if is_measured {
+            measure_gaps(&mut site, 60.0);
+            use_fixed(&mut site);
+        }
+        report(&mut site, vec![load("d", 0, 1500), load("e", 20, 0)]);
+        let sent = place(&mut site, "/long/x", 3400);
+        assert_eq!((&*sent.instance, sent.task), ("e", Task::Whole));
+    }
+}
+
+/// Guards against a misspelt value that silently means the fixed costs, and against a default that
+/// changes placements.
+#[test]
+fn the_setting_is_off_unless_named() {
+    let parse = |text: &str| Settings::parse_relay(&format!("{SETTINGS}{text}"), "host.ini");
+    let placement = |text: &str| {
+        let settings = parse(text).expect("valid settings");
+        settings.relay.map(|relay| relay.policy.decode_placement)
+    };
+    assert_eq!(placement(""), Some(DecodePlacement::Fixed));
+    let gaps = "\n[policy]\ndecode-placement = gaps\n";
+    assert_eq!(placement(gaps), Some(DecodePlacement::Gaps));
+    let faults = parse("\n[policy]\ndecode-placement = gap\n").expect_err("a bad value");
+    let text = faults[0].to_string();
+    assert!(
+        text.contains("decode-placement") && text.contains("gaps, fixed"),
+        "{text}"
+    );
+}
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 
 mod customers;
+mod decode;
 mod departed;
 mod departure_reports;
 mod domain;
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -49,6 +49,18 @@
     pub decode_engine_weight: f64,
     /// Multiple of the target time up to which a request counts as in time.
     pub target_factor: f64,
+    /// How the cost of a placement at a decode engine is estimated.
+    pub decode_placement: DecodePlacement,
+}
+
+/// How the cost of a placement at a decode engine is estimated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum DecodePlacement {
+    /// By the gaps of the engine's streams, its context tokens and the learned duration of runs.
+    Gaps,
+    /// By a fixed delay per request and a fixed duration of runs.
+    #[default]
+    Fixed,
 }
 
 /// Sections of a relaying host's settings.
@@ -205,6 +217,12 @@
         "1",
         "multiple of the target time that counts as in time",
     ),
+    optional(
+        "decode-placement",
+        Form::Choice(&["gaps", "fixed"]),
+        "fixed",
+        "how the cost of a placement at a decode engine is estimated",
+    ),
 ];
 
 /// Returns whether the text is the settings of a relaying host.
@@ -283,6 +301,10 @@
                 engine_time_weight: number(policy, "work"),
                 decode_engine_weight: number(policy, "beside"),
                 target_factor: number(policy, "patience"),
+                decode_placement: match policy.get("decode-placement") {
+                    "gaps" => DecodePlacement::Gaps,
+                    _ => DecodePlacement::Fixed,
+                },
             },
         }),
     }
