Learn the gaps of streams by requests and context tokens of the engine

Cause: only the mean gap between two events was known, so that a decode engine with many or long contexts looked like any other, or like a slow one.

Change: with `decode-placement = gaps` each gap is recorded with the requests and the context tokens of the engine, and the expected gap is a linear regression over both (model/gaps.rs); the engine's slowdown applies to it and is learned against it. A gap during known prefills is no sample. The gap of the request itself, the time by which it exceeds its target, and the same for the streams whose gap it lengthens are costs at a decode engine, in whole runs and in handovers. A request counts with its prompt and half of its expected output, so that its count does not change while it runs. Before 100 gaps the mean is used.

Tests: model::tests (learned by load, mean before that, finite for any measurement) and tests::decode. Without the slopes three tests fail, without the recording one, and one if context tokens were released at the first event.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -365,6 +365,7 @@
     };
     let done = Work {
         calls: 0,
+        context: 0,
         ..attempt.work
     };
     attempt.work = attempt.work.minus(done);
--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -3,6 +3,7 @@
 use super::super::event::{Stage, Task};
 use super::super::instance::Work;
 use super::super::{Call, PrefillEstimate, load, prefix_cache};
+use super::decode::{self, DecodeCost};
 use super::{
     Choice, batching_delay_ms, crossing_cost_ms, eligible_servers, eviction_cost_ms, no_server,
     policy, sampling, silence_timeout, slot_wait_ms, transfer_ms,
@@ -45,6 +46,8 @@
     let policy = policy(core);
     let transfer = transfer_ms(core, call, &prompt);
     let model = core.relay.cost_model.of(&call.service);
+    let decode = DecodeCost::of(core, call, policy);
+    let context = decode::context_tokens(&prompt, policy);
     let mut best: Option<(f64, PrefillEstimate, f64, BackendKey)> = None;
     for backend in engines {
         let instance = &core.relay.instances.arena[backend];
@@ -67,8 +70,11 @@
         };
         let expected = own + prefill.delay_ms;
         let copied = prefix_cache::missing_tokens(instance, &prompt);
+        let gaps = decode
+            .as_ref()
+            .and_then(|cost| cost.gap_cost_ms(instance, context));
         let cost = expected
-            + batching_delay_ms(instance)
+            + gaps.unwrap_or_else(|| batching_delay_ms(instance))
             + eviction_cost_ms(model, copied)
             + instance.failure_cost(core.now)
             - instance.limit.recheck_bonus(core.now)
@@ -89,6 +95,7 @@
         },
         work: Work {
             calls: 1,
+            context,
             ..Work::default()
         },
         expected_ms: expected,
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -145,6 +145,11 @@
     )
 }
 
+/// Whether placements at decode engines are rated by the gaps of their streams.
+pub fn places_by_gaps(core: &Core) -> bool {
+    policy(core).decode_placement == DecodePlacement::Gaps
+}
+
 fn no_server(core: &mut Core, key: CallKey) -> Refusal {
     let call = &core.relay.calls[key];
     let service = call.service.clone();
@@ -235,6 +240,8 @@
     policy: Policy,
     /// Cost of placements at decode engines; `None` for the fixed costs.
     decode: Option<DecodeCost<'a>>,
+    /// Cost of the gaps at the best decode engine: a handover has at least this cost as well.
+    least_gap_ms: f64,
 }
 
 /// Chooses an engine for a model request whose prompt is not prefilled yet.
@@ -259,10 +266,15 @@
     let target = millis(call.route.target) * policy.target_factor - spent;
     let holders = prefix_cache::holders(core, call, &prompt);
     let is_tried = parts::admission::is_blamed(core, key);
+    let decode = DecodeCost::of(core, call, policy);
+    let least_gap_ms = decode.as_ref().map_or(0.0, |cost| {
+        cost.least_gap_cost_ms(core, &engines[1], &prompt, policy)
+    });
     let context = PlacementContext {
         holders: &holders,
         policy,
-        decode: DecodeCost::of(core, call, policy),
+        decode,
+        least_gap_ms,
     };
     let mut placements = Vec::new();
     for (stage, engines) in [Stage::Prefill, Stage::Decode].into_iter().zip(engines) {
@@ -310,6 +322,10 @@
         calls: 1,
         fill_rate: 0,
         tokens: best.tokens,
+        context: match best.stage {
+            Stage::Prefill => 0,
+            Stage::Decode => decode::context_tokens(&prompt, policy),
+        },
     };
     let task = match best.stage {
         Stage::Prefill => Task::Prefill,
@@ -386,7 +402,12 @@
         Stage::Decode => 0.0,
     };
     let decode = context.decode.as_ref().filter(|_| stage == Stage::Decode);
-    let streams = decode.map_or(0.0, |cost| cost.prefill_cost_ms(instance, queue, own));
+    let streams = decode.map_or(0.0, |cost| {
+        let own_context = decode::context_tokens(prompt, policy);
+        let gaps = cost.gap_cost_ms(instance, own_context);
+        gaps.map_or(0.0, |gaps| gaps - context.least_gap_ms)
+            + cost.prefill_cost_ms(instance, own_context, queue, own)
+    });
     Placement {
         backend,
         stage,
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -111,6 +111,8 @@
     pub fill_rate: u64,
     /// Prompt tokens to be prefilled.
     pub tokens: u64,
+    /// Context tokens of the requests that run or are to run there.
+    pub context: u64,
 }
 
 impl Work {
@@ -121,6 +123,7 @@
             calls: self.calls + other.calls,
             fill_rate: self.fill_rate + other.fill_rate,
             tokens: self.tokens + other.tokens,
+            context: self.context + other.context,
         }
     }
 
@@ -131,6 +134,7 @@
             calls: self.calls.saturating_sub(other.calls),
             fill_rate: self.fill_rate.saturating_sub(other.fill_rate),
             tokens: self.tokens.saturating_sub(other.tokens),
+            context: self.context.saturating_sub(other.context),
         }
     }
 }
@@ -141,6 +145,7 @@
             calls: message.calls,
             fill_rate: message.fill.into(),
             tokens: message.tokens.into(),
+            context: 0,
         }
     }
 }
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -9,9 +9,9 @@
 use super::super::time::Time;
 use super::super::{Core, Effects};
 use super::event::{Stage, Task};
-use super::instance::Instance;
-use super::model::{Sample, ServiceModel};
-use super::{Attempt, Call, from_millis, millis, note};
+use super::instance::{Instance, Work};
+use super::model::{GapLoad, Sample, ServiceModel};
+use super::{Attempt, Call, choose, from_millis, millis, note};
 
 /// Delay of the next token caused by each request running at an engine.
 pub const DELAY_PER_STREAM_MS: f64 = 0.6;
@@ -158,13 +158,40 @@
         return;
     };
     let is_silence = gap >= silent_gap(&core.relay.calls[attempt.call]);
+    let by_load = choose::places_by_gaps(core);
     let instance = core.relay.instances.arena.get_mut(attempt.backend);
     if let Some(instance) = instance.filter(|_| !is_silence) {
         let model = core.relay.cost_model.of_mut(&instance.service);
-        model.record_event_gap(millis(gap), &mut instance.pace);
+        if !by_load {
+            model.record_event_gap(millis(gap), &mut instance.pace);
+        } else if !prefills(model, instance) {
+            let load = gap_load(instance, instance.work());
+            model.record_loaded_gap(millis(gap), load, &mut instance.pace);
+        }
+    }
+}
+
+/// Returns the load on which the gaps of an engine's streams depend, if this is its work. Requests
+/// that wait for a slot do not lengthen the gaps of others.
+#[must_use]
+pub fn gap_load(instance: &Instance, work: Work) -> GapLoad {
+    GapLoad {
+        requests: work.calls.min(instance.slots),
+        context: work.context,
     }
 }
 
+/// Whether an engine has prompts queued that explain a good part of a gap: such a gap does not show
+/// how it depends on the running requests.
+fn prefills(model: &ServiceModel, instance: &Instance) -> bool {
+    let queue = prefill_ms(model, instance, instance.work().tokens);
+    let gap = model.event_gap_ms(instance.pace);
+    gap.is_some_and(|gap| queue > gap * MAX_PREFILL_FRACTION)
+}
+
+/// Time of queued prompts, as a fraction of the mean gap, up to which a gap is a sample.
+const MAX_PREFILL_FRACTION: f64 = 0.25;
+
 /// Returns the time without an answer after which an attempt counts as silent.
 #[must_use]
 pub fn silence_timeout(
--- a/src/core/relay/model/mod.rs
+++ b/src/core/relay/model/mod.rs
@@ -6,6 +6,7 @@
 
 mod attention;
 mod failures;
+mod gaps;
 mod link;
 #[cfg(test)]
 mod tests;
@@ -15,6 +16,8 @@
 use super::event::Stage;
 use attention::AttentionCost;
 pub use failures::FailureRate;
+pub use gaps::GapLoad;
+use gaps::GapModel;
 pub use link::Link;
 
 /// Initial prefill time of a token at a prefill engine and at a decode engine: 40 tokens per
@@ -153,6 +156,8 @@
     decode: StageModel,
     /// Time between two events of a stream.
     event_gap: Option<SharedEstimate>,
+    /// The same by the load of the engine.
+    gaps: GapModel,
     /// Time from a handover to the first token, without the transfer.
     handover: SharedEstimate,
     attention: AttentionCost,
@@ -168,6 +173,7 @@
             prefill: stage(INITIAL_TOKEN_MS.0),
             decode: stage(INITIAL_TOKEN_MS.1),
             event_gap: None,
+            gaps: GapModel::default(),
             handover: SharedEstimate::new(INITIAL_HANDOVER_MS),
             attention: AttentionCost::default(),
         }
@@ -228,6 +234,16 @@
         self.event_gap.map(|gap| gap.millis * slowdown.factor)
     }
 
+    /// Returns the same for an engine with this load; the mean gap before enough were measured at
+    /// different loads.
+    #[must_use]
+    pub fn loaded_gap_ms(&self, slowdown: Slowdown, load: GapLoad) -> Option<f64> {
+        let by_load = self.gaps.expected_ms(load);
+        by_load
+            .map(|gap| gap * slowdown.factor)
+            .or_else(|| self.event_gap_ms(slowdown))
+    }
+
     /// Records the prefill of a prompt at an engine with this slowdown.
     pub fn record_prefill(&mut self, stage: Stage, sample: &Sample, slowdown: &mut Slowdown) {
         let own = self.equivalent_tokens(sample.uncached, sample.cached);
@@ -286,6 +302,20 @@
         shared.learn(millis / slowdown.factor_if_known(), 1.0);
         slowdown.learn(millis / shared.millis, MIN_GAP_WEIGHT, 1.0);
     }
+
+    /// Records the same at an engine with this load, which does not count as slow for the gaps that
+    /// its load explains.
+    pub fn record_loaded_gap(&mut self, millis: f64, load: GapLoad, slowdown: &mut Slowdown) {
+        let normalized = millis / slowdown.factor_if_known();
+        let shared = self
+            .event_gap
+            .get_or_insert(SharedEstimate::new(millis.max(1.0)));
+        shared.learn(normalized, 1.0);
+        let mean = shared.millis;
+        self.gaps.learn(normalized, load, mean);
+        let expected = self.gaps.expected_ms(load).unwrap_or(mean);
+        slowdown.learn(millis / expected, MIN_GAP_WEIGHT, 1.0);
+    }
 }
 
 /// Cost models of all services.
--- a/src/core/relay/model/tests.rs
+++ b/src/core/relay/model/tests.rs
@@ -4,7 +4,7 @@
 use rand::{RngExt, SeedableRng};
 
 use super::super::event::Stage;
-use super::{Sample, ServiceModel, Slowdown};
+use super::{GapLoad, Sample, ServiceModel, Slowdown};
 
 /// The real speed of an engine.
 #[derive(Clone, Copy)]
@@ -177,3 +177,82 @@
         );
     }
 }
+
+/// Real gap at an engine of average speed.
+fn real_gap_ms(load: GapLoad) -> f64 {
+    30.0 + 1.5 * f64::from(load.requests) + load.context as f64 * 1.5e-4
+}
+
+/// Requests with few and with many context tokens share engines of different speed, and prefills
+/// lengthen a twentieth of the gaps five times. Guards against a gap that is estimated by the number of
+/// requests alone, and against engines that count as slow because of their load.
+#[test]
+fn gaps_are_learned_by_requests_and_context() {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut model = ServiceModel::default();
+    let speeds = [0.8, 1.0, 1.3];
+    let mut slowdowns = [Slowdown::default(); 3];
+    for sample in 0..6000 {
+        let at = rng.random_range(0..speeds.len());
+        // The slowest engine has most of the load.
+        let most = if at == 2 { 20 } else { 8 };
+        let requests = rng.random_range(1..=most);
+        let context = u64::from(requests) * rng.random_range(500..18_000);
+        let load = GapLoad { requests, context };
+        let delay = if sample % 20 == 0 { 5.0 } else { 1.0 };
+        let gap = real_gap_ms(load) * speeds[at] * delay * rng.random_range(0.9..1.1);
+        model.record_loaded_gap(gap, load, &mut slowdowns[at]);
+    }
+    for (at, speed) in speeds.into_iter().enumerate() {
+        for (requests, context) in [(2, 2000), (11, 20_000), (11, 180_000), (18, 150_000)] {
+            let load = GapLoad { requests, context };
+            let expected = model.loaded_gap_ms(slowdowns[at], load).expect("measured");
+            let error = expected / (real_gap_ms(load) * speed) - 1.0;
+            assert!(error.abs() < 0.25, "{speed} {load:?}: {error:.2}");
+        }
+    }
+}
+
+/// Before enough gaps were measured the load changes nothing.
+#[test]
+fn the_mean_gap_counts_until_enough_were_measured() {
+    let mut model = ServiceModel::default();
+    let mut slowdown = Slowdown::default();
+    let load = |requests| GapLoad {
+        requests,
+        context: u64::from(requests) * 10_000,
+    };
+    assert!(model.loaded_gap_ms(slowdown, load(1)).is_none());
+    for sample in 0..50 {
+        let requests = 1 + sample % 10;
+        model.record_loaded_gap(real_gap_ms(load(requests)), load(requests), &mut slowdown);
+    }
+    let mean = model.event_gap_ms(slowdown);
+    assert_eq!(model.loaded_gap_ms(slowdown, load(1)), mean);
+    assert_eq!(model.loaded_gap_ms(slowdown, load(20)), mean);
+}
+
+/// Whatever is measured at whatever load, expected gaps stay finite, above zero, and do not fall
+/// with the load.
+#[test]
+fn expected_gaps_stay_finite_for_any_measurement() {
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut model = ServiceModel::default();
+    let mut slowdown = Slowdown::default();
+    for _ in 0..5000 {
+        let exponent = rng.random_range(0.0..12.0_f64);
+        let load = GapLoad {
+            requests: rng.random_range(0..100),
+            context: rng.random_range(0..2_000_000),
+        };
+        let gap = rng.random_range(0.0..1.0) * exponent.exp2();
+        model.record_loaded_gap(gap, load, &mut slowdown);
+        let more = GapLoad {
+            context: load.context * 2,
+            ..load
+        };
+        let expected = [load, more].map(|load| model.loaded_gap_ms(slowdown, load));
+        let [one, two] = expected.map(|gap| gap.expect("measured"));
+        assert!(one.is_finite() && one > 0.0 && two >= one, "{one} {two}");
+    }
+}
--- a/src/core/relay/tests/decode.rs
+++ b/src/core/relay/tests/decode.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::core::relay::event::{Gossip, LoadReport, Task};
 use crate::core::relay::instance::short_hash;
+use crate::core::relay::model::GapLoad;
 use crate::settings::relay::DecodePlacement;
 
 /// Returns a host with these engines that places by gaps.
@@ -30,6 +31,20 @@
     }
 }
 
+/// Measures gaps at different loads: 20 ms, 1 ms for each request and 40 ms for 100,000 context tokens.
+fn measure_loaded_gaps(site: &mut TestHost) {
+    let model = site.core.relay.cost_model.of_mut("model");
+    for instance in site.core.relay.instances.arena.values_mut() {
+        for sample in 0..400 {
+            let requests = 1 + sample % 20;
+            let context = u64::from(requests) * [1000, 17_000][sample as usize / 20 % 2];
+            let gap = 20.0 + f64::from(requests) + context as f64 * 4e-4;
+            let load = GapLoad { requests, context };
+            model.record_loaded_gap(gap, load, &mut instance.pace);
+        }
+    }
+}
+
 /// Receives the load of another host.
 fn report(site: &mut TestHost, loads: Vec<LoadReport>) {
     let sequence = site.now;
@@ -147,3 +162,77 @@
         "{text}"
     );
 }
+
+/// Has a prompt prefilled and returns the engine that it is handed over to.
+fn hand_over(site: &mut TestHost, path: &str, tokens: u64) -> Outgoing {
+    let sent = place(site, path, tokens);
+    assert_eq!(sent.task, Task::Prefill);
+    site.now += 100;
+    site.event(RelayEvent::Prefilled {
+        attempt: sent.attempt,
+        handle: "k".into(),
+    });
+    site.sent().expect("the prompt is handed over")
+}
+
+/// Streams of long and short prompts are mixed unevenly: one engine runs three long ones, the other
+/// five short ones. Guards against a choice by the number of requests, by which the engine with more context
+/// tokens gets even more.
+#[test]
+fn a_stream_joins_the_engine_with_fewer_context_tokens() {
+    let engines = [
+        ("p", Stage::Prefill),
+        ("d", Stage::Decode),
+        ("e", Stage::Decode),
+    ];
+    for is_fixed in [false, true] {
+        let mut site = site(&engines);
+        measure_loaded_gaps(&mut site);
+        let add = |site: &mut TestHost, id: &str, calls: u32, context: u64| {
+            let key = site.core.relay.instances.find(id).expect("registered");
+            let work = &mut site.core.relay.instances.arena[key].own_work;
+            (work.calls, work.context) = (calls, context);
+        };
+        add(&mut site, "d", 3, 51_000);
+        add(&mut site, "e", 5, 2000);
+        if is_fixed {
+            use_fixed(&mut site);
+        }
+        let expected = if is_fixed { "d" } else { "e" };
+        assert_eq!(&*hand_over(&mut site, "/long/x", 9000).instance, expected);
+    }
+}
+
+/// The events of a stream that runs beside others are a measurement at that load. Guards against a
+/// model that nothing is recorded in, and against context tokens that stay counted after the stream.
+#[test]
+fn gaps_between_events_are_recorded_with_the_load_of_the_engine() {
+    let mut site = site(&[("p", Stage::Prefill), ("d", Stage::Decode)]);
+    let context = |site: &TestHost| {
+        let key = site.core.relay.instances.find("d").expect("registered");
+        site.core.relay.instances.arena[key].own_work.context
+    };
+    let run = |site: &mut TestHost, others: u32, gap: u64| {
+        report(site, vec![load("d", others, 0)]);
+        let sent = hand_over(site, "/long/x", 9000);
+        for number in 1..200 {
+            site.now += gap;
+            let attempt = sent.attempt;
+            site.event(RelayEvent::StreamEvent { attempt, number });
+        }
+        assert_eq!(context(site), 9010, "prompt and half of the output");
+        site.stream_ended(sent.attempt);
+        assert_eq!(context(site), 0);
+    };
+    run(&mut site, 1, 20);
+    run(&mut site, 15, 60);
+    let model = site.core.relay.cost_model.of("model");
+    let key = site.core.relay.instances.find("d").expect("registered");
+    let pace = site.core.relay.instances.arena[key].pace;
+    let gap = |requests| {
+        let context = 9010;
+        model.loaded_gap_ms(pace, GapLoad { requests, context })
+    };
+    let (few, many) = (gap(2).expect("measured"), gap(16).expect("measured"));
+    assert!(many > few * 1.8, "{few} {many}");
+}
