--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -1,5 +1,6 @@
 //! Selection of a backend server for a request, and admission control.
 
+mod decode;
 mod handover;
 mod plain;
 mod sampling;
@@ -21,7 +22,8 @@
     Call, PrefillEstimate, from_millis, load, millis, parts, prefix_cache, retry, standby,
 };
 use crate::error::Kind;
-use crate::settings::relay::Policy;
+use crate::settings::relay::{DecodePlacement, Policy};
+use decode::DecodeCost;
 
 /// Urgency of requests that can no longer meet their target.
 const LATE_URGENCY: u8 = 8;
@@ -141,11 +143,17 @@
             decode_engine_weight: 1.0,
             target_factor: 1.0,
             recall: false,
+            decode_placement: DecodePlacement::Fixed,
         },
         |relay| relay.policy,
     )
 }
 
+/// Whether placements at decode engines are rated by the gaps of their streams.
+pub fn places_by_gaps(core: &Core) -> bool {
+    policy(core).decode_placement == DecodePlacement::Gaps
+}
+
 fn no_server(core: &mut Core, key: CallKey) -> Refusal {
     let call = &core.relay.calls[key];
     let service = call.service.clone();
@@ -229,6 +237,17 @@
     cost: f64,
 }
 
+/// What the costs of all placements of a request depend on.
+struct PlacementContext<'a> {
+    /// Engines that hold a prefix of its prompt.
+    holders: &'a [Holder],
+    policy: Policy,
+    /// Cost of placements at decode engines; `None` for the fixed costs.
+    decode: Option<DecodeCost<'a>>,
+    /// Cost of the gaps at the best decode engine: a handover has at least this cost as well.
+    least_gap_ms: f64,
+}
+
 /// Chooses an engine for a model request whose prompt is not prefilled yet.
 fn choose_placement(core: &mut Core, key: CallKey) -> Result<Choice, Refusal> {
     let Some(prompt) = core.relay.calls[key].prompt.clone() else {
@@ -251,6 +270,16 @@
     let target = millis(call.route.target) * policy.target_factor - spent;
     let holders = prefix_cache::holders(core, call, &prompt);
     let is_tried = parts::admission::is_blamed(core, key);
+    let decode = DecodeCost::of(core, call, policy);
+    let least_gap_ms = decode.as_ref().map_or(0.0, |cost| {
+        cost.least_gap_cost_ms(core, &engines[1], &prompt, policy)
+    });
+    let context = PlacementContext {
+        holders: &holders,
+        policy,
+        decode,
+        least_gap_ms,
+    };
     let mut placements = Vec::new();
     for (stage, engines) in [Stage::Prefill, Stage::Decode].into_iter().zip(engines) {
         // A request that may crash an engine goes to one only.
@@ -260,7 +289,7 @@
         placements.extend(engines.into_iter().map(|backend| {
             let link_wait = core.relay.instances.arena[backend].link.wait_ms(core.now);
             let after = handover.unwrap_or(0.0) + transfer + link_wait;
-            evaluate(core, call, &prompt, backend, after, &holders, policy)
+            evaluate(core, call, &prompt, backend, after, &context)
         }));
     }
     let cheapest = |placements: &mut dyn Iterator<Item = &Placement>| {
@@ -305,6 +334,10 @@
         calls: 1,
         fill_rate: 0,
         tokens: best.tokens,
+        context: match best.stage {
+            Stage::Prefill => 0,
+            Stage::Decode => decode::context_tokens(&prompt, policy),
+        },
     };
     let task = match best.stage {
         Stage::Prefill => Task::Prefill,
@@ -345,14 +378,14 @@
     prompt: &Prompt,
     backend: BackendKey,
     handover: f64,
-    holders: &[Holder],
-    policy: Policy,
+    context: &PlacementContext<'_>,
 ) -> Placement {
+    let policy = context.policy;
     let instance = &core.relay.instances.arena[backend];
     let stage = instance.stage.unwrap_or(Stage::Decode);
     let uncached = prefix_cache::uncached_tokens(instance, prompt);
     let fetch = engine_spec(core, call).and_then(|engine| {
-        prefix_cache::best_fetch(instance, backend, uncached, prompt, holders, engine)
+        prefix_cache::best_fetch(instance, backend, uncached, prompt, context.holders, engine)
     });
     let work = instance.work();
     let prefill = PrefillEstimate {
@@ -382,6 +415,13 @@
         Stage::Prefill => instance.kv_loss_cost(own, core.now),
         Stage::Decode => 0.0,
     };
+    let decode = context.decode.as_ref().filter(|_| stage == Stage::Decode);
+    let streams = decode.map_or(0.0, |cost| {
+        let own_context = decode::context_tokens(prompt, policy);
+        let gaps = cost.gap_cost_ms(instance, own_context);
+        gaps.map_or(0.0, |gaps| gaps - context.least_gap_ms)
+            + cost.prefill_cost_ms(instance, own_context, queue, own)
+    });
     Placement {
         backend,
         stage,
@@ -398,6 +438,7 @@
             + crossing
             + instance.failure_cost(core.now)
             + kv_loss
+            + streams
             - instance.limit.recheck_bonus(core.now),
     }
 }
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -53,6 +53,18 @@
     pub target_factor: f64,
     /// Whether overdue prefills are recalled.
     pub recall: bool,
+    /// How the cost of a placement at a decode engine is estimated.
+    pub decode_placement: DecodePlacement,
+}
+
+/// How the cost of a placement at a decode engine is estimated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum DecodePlacement {
+    /// By the gaps of the engine's streams, its context tokens and the learned duration of runs.
+    Gaps,
+    /// By a fixed delay per request and a fixed duration of runs.
+    #[default]
+    Fixed,
 }
 
 /// Sections of a relaying host's settings.
@@ -221,6 +233,12 @@
         "off",
         "whether overdue prefills are sent to another engine in time",
     ),
+    optional(
+        "decode-placement",
+        Form::Choice(&["gaps", "fixed"]),
+        "fixed",
+        "how the cost of a placement at a decode engine is estimated",
+    ),
 ];
 
 /// Returns whether the text is the settings of a relaying host.
@@ -301,6 +319,10 @@
                 decode_engine_weight: number(policy, "beside"),
                 target_factor: number(policy, "patience"),
                 recall: policy.get("recall") == "on",
+                decode_placement: match policy.get("decode-placement") {
+                    "gaps" => DecodePlacement::Gaps,
+                    _ => DecodePlacement::Fixed,
+                },
             },
         }),
     }
