Let unread answers take half of the held bytes

Cause: unread answers alone could fill the bound, so that the requests of all others were refused. Change: at half of the bound nothing more is read for callers that do not keep up. Tests: tests/relay slow_caller, which failed before, passed.

--- a/src/core/relay/buffers.rs
+++ b/src/core/relay/buffers.rs
@@ -17,6 +17,9 @@
 /// Fraction of the memory that bodies and answers may take: connections, the views of servers and prefix blocks and the
 /// allocator need the rest.
 const HELD_FRACTION: f64 = 0.25;
+/// Part of these bytes from which on nothing more is read for callers that do not keep up: unread answers alone must not keep
+/// out the requests of others.
+const UNREAD_DIVISOR: usize = 2;
 /// Time after which a caller that reads nothing may be ended: callers give up a stream after two seconds without an event.
 const MAX_BLOCKED: Duration = Duration::from_secs(2);
 
@@ -50,7 +53,9 @@
     )]
     let max = memory.map(|memory| (memory as f64 * HELD_FRACTION) as usize);
     core.relay.buffers.max = max;
-    out.push(Effect::Relay(RelayEffect::BoundHeldBytes(max)));
+    out.push(Effect::Relay(RelayEffect::BoundHeldBytes(
+        max.map(|max| max / UNREAD_DIVISOR),
+    )));
 }
 
 /// Decides on bytes of a request's body, while so many bytes are held.
--- a/src/core/relay/tests/buffers.rs
+++ b/src/core/relay/tests/buffers.rs
@@ -93,7 +93,7 @@
     settings.relay.as_mut().expect("a relay").memory = Some(MEMORY * 2);
     host.event(RelayEvent::Reloaded(Box::new(settings)));
     assert!(host.has_effect(
-        |effect| matches!(effect, RelayEffect::BoundHeldBytes(Some(max)) if *max == MAX_HELD * 2)
+        |effect| matches!(effect, RelayEffect::BoundHeldBytes(Some(max)) if *max == MAX_HELD)
     ));
     assert!(is_admitted(&mut host, 1, MAX_HELD));
 }
--- a/tests/relay/slow_caller.rs
+++ b/tests/relay/slow_caller.rs
@@ -134,9 +134,9 @@
     check_stop(&Engine::plain("s-1"), "/once/x", &body, ANSWER_BYTES);
 }
 
-/// Memory that the settings allow a host, and the bound that follows for unread answers and bodies.
+/// Memory that the settings allow a host, and the bytes from which on it reads no more for slow callers.
 const MEMORY: usize = 16 << 20;
-const MAX_HELD: usize = MEMORY / 4;
+const MAX_UNREAD: usize = MEMORY / 8;
 /// Callers that stop reading, and the events of each answer: together far more than the memory.
 const SLOW_CALLERS: usize = 24;
 const UNREAD_EVENTS: u64 = 160;
@@ -174,7 +174,7 @@
     let held = gauge(&site, "chiveway_held_bytes").expect("the gauge of held bytes");
     // Each reader may have one event beyond the bound.
     assert!(
-        held > 0 && held <= MAX_HELD + SLOW_CALLERS * 2 * EVENT_BYTES,
+        held > 0 && held <= MAX_UNREAD + SLOW_CALLERS * 2 * EVENT_BYTES,
         "{held} bytes"
     );
     for answer in answers {
