Order workers by measured demand

Cause: the plan of workers is a function of the workers provisioned.

Change: every host counts the equivalent prompt tokens that it sends or refuses and reports their rate with its load (field 40 of Loads). `fill_rate` is no measure of them: it counts a prompt at both stages, and its output, and is rounded to 512 tokens/s per host and engine, more than a short prompt adds. Demand is the engine time of these prompts and the slots of running requests, averaged over 2 s; the highest of two minutes counts. The forecast multiplies it by the headroom, takes the trend into account and adds the square root of the demand. The plan divides it between regular and spot workers so that the loss of one domain's spot workers leaves enough for the highest demand. Lower numbers are ordered after 10 s, not while the load of a failure domain is missing, and so that engines of both stages remain. Totals name the failure domains that they include (field 40 of Word). Until 10 s of traffic are known, the fixed fractions hold.

A lost key of the workers provisioned is written again with its last known number, not with the workers present, which are fewer now.

Not yet here: the design note, and tests with whole hosts.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -15,7 +15,7 @@
 use super::lateness::Timing;
 use super::versions::{self, StreamKey};
 use super::{
-    Attempt, Call, Delivery, RelayTimer, departed, forward, from_millis, gossip, note, parts,
+    Attempt, Call, Delivery, RelayTimer, departed, duty, forward, from_millis, gossip, note, parts,
     poison, prefix_cache, resolve, retry, silence, standby,
 };
 use crate::error::Kind;
@@ -215,7 +215,7 @@
         }
     }
     call.is_late = choice.is_late;
-    instance.own_work = instance.own_work.plus(choice.work);
+    instance.add_work(choice.work);
     instance.limit.spend(now);
     instance.pushback.sent(now);
     if let Some(prompt) = &call.prompt {
@@ -326,6 +326,7 @@
 /// Removes an attempt and its work.
 pub(super) fn close_attempt(core: &mut Core, key: AttemptKey) -> Option<Attempt> {
     let attempt = core.relay.attempts.remove(key)?;
+    duty::scaling::run_ended(core, &attempt);
     if let Some(instance) = core.relay.instances.arena.get_mut(attempt.backend) {
         instance.own_work = instance.own_work.minus(attempt.work);
     }
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -291,8 +291,8 @@
     }
     let work = Work {
         calls: 1,
-        fill_rate: 0,
         tokens: best.tokens,
+        ..Work::default()
     };
     let task = match best.stage {
         Stage::Prefill => Task::Prefill,
--- a/src/core/relay/duty/scaling/mod.rs
+++ b/src/core/relay/duty/scaling/mod.rs
@@ -1,8 +1,11 @@
 //! Orders of workers: how many of each kind a service has in each failure domain.
 //!
-//! The host that holds the authority plans the workers from the number that the service was provisioned with (see
-//! [`plan`]), and orders what differs from the last order or from the list (see [`orders`]).
+//! Every host measures the demand of each service (see [`demand`]). The host that holds the authority plans the workers
+//! from it (see [`forecast`]) or from the number that the service was provisioned with (see [`plan`]), and orders what
+//! differs from the last order or from the list (see [`orders`]).
 
+pub mod demand;
+pub mod forecast;
 pub mod orders;
 pub mod plan;
 #[cfg(test)]
@@ -12,13 +15,21 @@
 use std::time::Duration;
 
 use super::super::catalog::Scaling;
-use super::super::event::Changes;
+use super::super::event::{Changes, Stage, Task};
+use super::super::gossip::domains;
+use super::super::prefix_cache;
+use super::super::request::Attempt;
 use super::super::{RelayJob, job, note};
 use super::{DutyCall, DutyResult, Order, settings};
+use crate::core::key::CallKey;
 use crate::core::relay::authority::Grant;
 use crate::core::time::Time;
 use crate::core::{Core, Effect, Effects};
+use crate::error::Kind;
+use crate::settings::duties::ScalingMode;
 use crate::store::{Compare, Op, Txn};
+use demand::{Demand, Sample};
+use forecast::Hold;
 use orders::{Orders, Subject};
 use plan::{Need, Supply, Workers};
 
@@ -37,6 +48,21 @@
 pub struct Scaler {
     fleets: BTreeMap<Box<str>, Fleet>,
     orders: Orders,
+    /// When demand was last measured.
+    measured: Option<Time>,
+}
+
+impl Scaler {
+    /// Returns, for each service whose demand is measured, the demand in engines and the workers last planned.
+    #[must_use]
+    pub fn gauges(&self) -> Vec<(&str, f64, u32)> {
+        let fleets = self.fleets.iter();
+        let gauges = fleets.map(|(service, fleet)| {
+            let planned = fleet.logged.values().map(|workers| workers.sum()).sum();
+            (&**service, fleet.demand.mean().total(), planned)
+        });
+        gauges.collect()
+    }
 }
 
 /// Which orders may be given.
@@ -59,6 +85,12 @@
     written: Option<Time>,
     /// Whether all spot workers of the plan have served at the same time.
     has_swapped: bool,
+    /// That number as last known, while the store does not have it.
+    remembered: Option<u32>,
+    /// Demand as measured by this host.
+    demand: Demand,
+    /// Numbers of workers in force.
+    hold: Hold,
     /// Targets as last logged.
     logged: BTreeMap<Box<str>, Workers>,
 }
@@ -86,7 +118,10 @@
         };
         let value = change.value.as_deref().map(String::from_utf8_lossy);
         let count = value.and_then(|value| value.parse().ok());
-        fleets.entry(service.into()).or_default().provisioned = count;
+        let fleet = fleets.entry(service.into()).or_default();
+        fleet.provisioned = count;
+        // The store may go back to a state before the number was written.
+        fleet.remembered = count.or(fleet.remembered);
     }
 }
 
@@ -146,7 +181,7 @@
     let Some(settings) = settings(core) else {
         return;
     };
-    let policy = settings.workers;
+    let (policy, mode) = (settings.workers, settings.scaling);
     let mut room = settings.rate.map_or(usize::MAX, call_room);
     // Orders from an old view could take away workers that are needed, or fill places that are taken.
     if !core.relay.view.is_fresh(core.now) || !core.relay.view.is_settled() {
@@ -166,12 +201,15 @@
                 .is_none_or(|at| now.since(at) > WRITE_INTERVAL)
         {
             fleet.written = Some(now);
-            let count = fleet.count.0;
+            let count = fleet.remembered.unwrap_or(fleet.count.0);
             record_provision(core, &service, count, out);
         }
         let fleet = &core.relay.duties.scaler.fleets[&service];
         let need = Need {
-            provisioned: fleet.provisioned.unwrap_or(fleet.count.0),
+            provisioned: fleet
+                .provisioned
+                .or(fleet.remembered)
+                .unwrap_or(fleet.count.0),
             policy,
             has_swapped: fleet.has_swapped,
         };
@@ -179,7 +217,12 @@
             Some(_) => Scope::All,
             None => Scope::MoreSpot,
         };
-        let targets = plan::targets(&scaling, need, &present);
+        let (targets, basis) = match mode {
+            ScalingMode::Demand => {
+                follow_demand(core, (&service, &scaling), need, &present, grant.fence)
+            }
+            ScalingMode::Fixed => (plan::targets(&scaling, need, &present), "fixed"),
+        };
         let due = differences(core, &service, &scaling, &targets, &present, scope);
         for order in due {
             if room > 0 {
@@ -187,7 +230,149 @@
                 give(core, order, grant, out);
             }
         }
-        note_plan(core, &service, need, targets, &present, out);
+        note_plan(core, &service, (need, basis), targets, &present, out);
+    }
+}
+
+/// Returns the workers to order by the measured demand, and what they are based on.
+fn follow_demand(
+    core: &mut Core,
+    (service, scaling): (&str, &Scaling),
+    need: Need,
+    present: &BTreeMap<Box<str>, Workers>,
+    fence: u64,
+) -> (BTreeMap<Box<str>, Workers>, &'static str) {
+    let (now, is_complete) = (core.now, !domains::is_missing(core));
+    let headroom = settings(core).map_or(1.0, |settings| settings.headroom);
+    let floor = least_servers(core, service);
+    let Some(fleet) = core.relay.duties.scaler.fleets.get_mut(service) else {
+        return (plan::targets(scaling, need, present), "fixed");
+    };
+    let forecast = forecast::forecast(&fleet.demand, headroom, scaling.boot, floor);
+    let planned = plan::demand_targets(scaling, need, forecast, present);
+    // The time for which a lower number was enough counts while the demand becomes known.
+    let mut targets = fleet
+        .hold
+        .update(fence, &planned, present, is_complete, now);
+    if !fleet.demand.is_known(now) {
+        return (plan::targets(scaling, need, present), "fixed");
+    }
+    plan::limit(&mut targets, scaling);
+    keep_stages(core, service, &mut targets, present);
+    (targets, "demand")
+}
+
+/// Returns the workers without which a service cannot serve: an engine for each stage, or one plain server.
+fn least_servers(core: &Core, service: &str) -> u32 {
+    let catalog = core.relay.catalog.as_ref();
+    let service = catalog.and_then(|catalog| catalog.services.get(service));
+    if service.is_some_and(|service| service.engine.is_some()) {
+        2
+    } else {
+        1
+    }
+}
+
+/// Limits reductions so that engines of both stages remain, whichever the platform takes.
+fn keep_stages(
+    core: &Core,
+    service: &str,
+    targets: &mut BTreeMap<Box<str>, Workers>,
+    present: &BTreeMap<Box<str>, Workers>,
+) {
+    for stage in [Stage::Prefill, Stage::Decode] {
+        let mut counts: BTreeMap<(Box<str>, Supply), u32> = BTreeMap::new();
+        for key in core.relay.instances.of(service) {
+            let instance = &core.relay.instances.arena[*key];
+            if instance.stage == Some(stage) && !instance.leaving && !instance.addr_reused {
+                let supply = if instance.is_spot {
+                    Supply::Spot
+                } else {
+                    Supply::Regular
+                };
+                let subject = (instance.domain.clone(), supply);
+                *counts.entry(subject).or_default() += 1;
+            }
+        }
+        plan::keep_some(targets, present, &counts);
+    }
+}
+
+/// Measures the demand of each service. Every host does, to have it when it acquires the authority.
+pub fn measure(core: &mut Core) {
+    let follows = settings(core).is_some_and(|settings| settings.scaling == ScalingMode::Demand);
+    let now = core.now;
+    let scaler = &mut core.relay.duties.scaler;
+    let last = scaler.measured.filter(|_| follows);
+    scaler.measured = follows.then_some(now);
+    let Some(length) = last.map(|at| now.since(at)) else {
+        // What arrived before the measurement began belongs to no period.
+        for instance in core.relay.instances.arena.values_mut() {
+            instance.arrived_tokens = 0;
+            instance.own_work.prompt_rate = 0;
+        }
+        return;
+    };
+    if length.is_zero() {
+        return;
+    }
+    for (service, _) in scaled_services(core) {
+        let instances = &mut core.relay.instances;
+        let keys = instances.of(&service).to_vec();
+        for key in &keys {
+            instances.arena[*key].end_period(length);
+        }
+        let servers = keys.iter().map(|key| &instances.arena[*key]);
+        let sample = Sample::measure(servers, core.relay.cost_model.of(&service));
+        let fleets = &mut core.relay.duties.scaler.fleets;
+        let fleet = fleets.entry(service).or_default();
+        fleet.demand.record(sample, now);
+    }
+}
+
+/// Counts the demand of a request that is refused before any server got it: its prompt, and a slot for the duration of a
+/// run. It counts as work of one server, like that of requests which are sent.
+pub fn refused(core: &mut Core, key: CallKey, kind: Kind) {
+    let call = &core.relay.calls[key];
+    let is_refused = matches!(kind, Kind::Overloaded | Kind::NoEngine);
+    if !is_refused || call.arrivals + call.prefills > 0 {
+        return;
+    }
+    let Some(fleet) = core.relay.duties.scaler.fleets.get(&call.service) else {
+        return;
+    };
+    let model = core.relay.cost_model.of(&call.service);
+    let keys = core.relay.instances.of(&call.service);
+    let servers = keys.iter().map(|key| &core.relay.instances.arena[*key]);
+    let tokens = call.prompt.as_ref().and_then(|prompt| {
+        let uncached = servers.map(|server| prefix_cache::uncached_tokens(server, prompt));
+        let uncached = uncached.min()?;
+        Some(model.equivalent_tokens(uncached, prompt.tokens.saturating_sub(uncached)))
+    });
+    let Some(first) = keys.first().copied() else {
+        return;
+    };
+    let run_ms = fleet.demand.run_ms() / f64::from(core.relay.instances.arena[first].slots);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "some thousand tokens, never below zero"
+    )]
+    let run_tokens = (run_ms / model.average_prefill_ms(1)) as u64;
+    let server = &mut core.relay.instances.arena[first];
+    server.arrived_tokens += tokens.unwrap_or(0) + run_tokens;
+}
+
+/// Records the duration of a run that ended at a server.
+pub fn run_ended(core: &mut Core, attempt: &Attempt) {
+    let is_run = !matches!(attempt.task, Task::Prefill) && attempt.began.is_some();
+    let server = core.relay.instances.arena.get(attempt.backend);
+    let Some(server) = server.filter(|_| is_run && attempt.host.is_none()) else {
+        return;
+    };
+    let fleets = &mut core.relay.duties.scaler.fleets;
+    if let Some(fleet) = fleets.get_mut(&server.service) {
+        fleet.demand.record_run(core.now.since(attempt.sent_at));
     }
 }
 
@@ -195,7 +380,7 @@
 fn note_plan(
     core: &mut Core,
     service: &str,
-    need: Need,
+    (need, basis): (Need, &'static str),
     targets: BTreeMap<Box<str>, Workers>,
     present: &BTreeMap<Box<str>, Workers>,
     out: &mut Effects,
@@ -213,6 +398,13 @@
     let mut fields = vec![
         ("service", service.into()),
         ("provisioned", need.provisioned.to_string().into()),
+        ("basis", basis.into()),
+        (
+            "prompts",
+            format!("{:.1}", fleet.demand.mean().prompts).into(),
+        ),
+        ("runs", format!("{:.1}", fleet.demand.mean().runs).into()),
+        ("peak", format!("{:.1}", fleet.demand.peak()).into()),
     ];
     for (name, supply) in [("regular", Supply::Regular), ("spot", Supply::Spot)] {
         let (target, has) = (sum(&targets, supply), sum(present, supply));
@@ -258,6 +450,8 @@
             }
         }
     }
+    // Workers that are missing go first: calls are limited.
+    due.sort_by_key(|(_, count, has)| count < has);
     due
 }
 
--- a/src/core/relay/ending.rs
+++ b/src/core/relay/ending.rs
@@ -11,7 +11,7 @@
 use super::super::{Core, Effects};
 use super::call::{age_ms, close_attempt};
 use super::event::RelayEffect;
-use super::{RelayTimer, forward, from_millis, links, millis, note, retry, standby};
+use super::{RelayTimer, duty, forward, from_millis, links, millis, note, retry, standby};
 use crate::error::{Kind, Ran};
 
 /// Default time to retry after: half of a burst of three seconds.
@@ -162,6 +162,7 @@
 
 fn send_refusal(core: &mut Core, key: CallKey, refusal: Refusal, out: &mut Effects) {
     let (kind_code, ran) = (refusal.kind.answer().code, refusal.ran);
+    duty::scaling::refused(core, key, refusal.kind);
     note(
         out,
         log::Level::Info,
--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -41,6 +41,8 @@
     pub cut_off: bool,
     /// Time for which the store has answered without a break, as far as the sender has observed.
     pub uptime: Option<UptimeReport>,
+    /// Short hashes of the failure domains whose load totals include; empty from a host of an older build.
+    pub included_domains: Vec<u32>,
 }
 
 /// Whose load a message reports, and what the receiver does with it.
@@ -127,6 +129,8 @@
     pub fill: u32,
     /// Prompt tokens to be prefilled.
     pub tokens: u32,
+    /// Equivalent prompt tokens per second that arrived in the last period; 0 from a host of an older build.
+    pub prompts: u32,
 }
 
 /// A prefix block that an engine is prefilling or holds.
--- a/src/core/relay/gossip/domains.rs
+++ b/src/core/relay/gossip/domains.rs
@@ -9,6 +9,7 @@
 use super::super::super::key::HostKey;
 use super::super::super::{Core, Effects};
 use super::super::event::{Gossip, GossipKind};
+use super::super::instance::short_hash;
 use super::super::peers::new_peer;
 use super::{is_live, neighbour_addrs, new_message, publish_effect, summed_loads};
 
@@ -72,6 +73,37 @@
     }
 }
 
+/// Returns the short hashes of the failure domains whose load this host has received lately, its own included.
+pub(super) fn known(core: &Core) -> Vec<u32> {
+    let own = &core.settings.host.domain;
+    let peers = &core.relay.peers;
+    let is_recent = |name: &str| {
+        let key = peers.domains.get(name);
+        key.is_some_and(|key| is_live(core, &peers.arena[*key]))
+    };
+    let mut known: Vec<u32> = match peers.aggregator.current() {
+        Some(_) if is_recent(own) => peers.included_domains.clone(),
+        Some(_) => Vec::new(),
+        None => {
+            let others = peers.domains.keys().filter(|name| *name != own);
+            let recent = others.filter(|name| is_recent(name));
+            recent.map(|name| short_hash(name)).collect()
+        }
+    };
+    known.push(short_hash(own));
+    known.sort_unstable();
+    known.dedup();
+    known
+}
+
+/// Returns whether the load of a failure domain with hosts is missing here.
+pub(in crate::core::relay) fn is_missing(core: &Core) -> bool {
+    let known = known(core);
+    let peers = &core.relay.peers;
+    let mut hosts = peers.names.values().map(|key| &peers.arena[*key]);
+    hosts.any(|peer| !known.contains(&short_hash(&peer.domain)))
+}
+
 /// Returns the entry that stands for a whole failure domain, and makes a host its representative.
 pub(super) fn aggregate_peer(
     core: &mut Core,
--- a/src/core/relay/gossip/gather.rs
+++ b/src/core/relay/gossip/gather.rs
@@ -161,7 +161,7 @@
 pub(super) fn receive_totals(
     core: &mut Core,
     sender: HostKey,
-    loads: &[LoadReport],
+    message: &Gossip,
     included: &[IncludedReport],
     out: &mut Effects,
 ) {
@@ -183,7 +183,8 @@
         .flat_map(|(_, loads)| loads)
         .map(|load| (load.instance, Work::from(*load)))
         .collect();
-    let others: Vec<LoadReport> = loads
+    let others: Vec<LoadReport> = message
+        .loads
         .iter()
         .map(|load| {
             let own = own_work.get(&load.instance).copied().unwrap_or_default();
@@ -196,6 +197,7 @@
     let peers = &mut core.relay.peers;
     peers.arena[totals].last_seen = Some(now);
     peers.reporter_count = included.len();
+    peers.included_domains.clone_from(&message.included_domains);
     peers.downstream.add(&Updates::default(), now);
     core.relay.instances.set_reported_work(totals, &others);
 }
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -10,7 +10,7 @@
 //! see [`domains`].
 
 mod aggregator;
-mod domains;
+pub(super) mod domains;
 mod gather;
 mod pending;
 
@@ -219,6 +219,10 @@
         _ => false,
     };
     let replicated = has_changes.then(|| core.relay.view.take_changes());
+    let included_domains = match kind {
+        GossipKind::Totals(_) => domains::known(core),
+        _ => Vec::new(),
+    };
     let probes = &mut core.relay.view.probes;
     let probe = match kind {
         // Each failure domain probes the store itself.
@@ -243,6 +247,7 @@
         departures: departed::reports(core),
         uptime: core.relay.view.uptime.report(core.now),
         cut_off: core.relay.links.are_lost(),
+        included_domains,
     }
 }
 
@@ -323,6 +328,7 @@
         calls: work.calls,
         fill: u32::try_from(work.fill_rate).unwrap_or(u32::MAX),
         tokens: u32::try_from(work.tokens).unwrap_or(u32::MAX),
+        prompts: u32::try_from(work.prompt_rate).unwrap_or(u32::MAX),
     }
 }
 
@@ -435,7 +441,7 @@
             gather::receive_report(core, key, &message);
         }
         GossipKind::Totals(included) => {
-            gather::receive_totals(core, key, &message.loads, included, out);
+            gather::receive_totals(core, key, &message, included, out);
         }
         _ if has_aggregator => {}
         _ => core.relay.instances.set_reported_work(key, &message.loads),
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -94,6 +94,8 @@
     pub last_response: Option<Time>,
     /// Tokens that this host put into its memory, decayed with age, and the time up to which they are decayed.
     recent_fill: (f64, Time),
+    /// Equivalent prompt tokens that arrived for it at this host since [`Instance::end_period`].
+    pub arrived_tokens: u64,
     /// Limit on the requests that it accepts from all hosts together.
     pub limit: Limit,
     /// Time in which it wants no requests from this host.
@@ -111,6 +113,8 @@
     pub fill_rate: u64,
     /// Prompt tokens to be prefilled.
     pub tokens: u64,
+    /// Equivalent prompt tokens per second that arrived in the last period of the measurement of demand.
+    pub prompt_rate: u64,
 }
 
 impl Work {
@@ -121,6 +125,7 @@
             calls: self.calls + other.calls,
             fill_rate: self.fill_rate + other.fill_rate,
             tokens: self.tokens + other.tokens,
+            prompt_rate: self.prompt_rate + other.prompt_rate,
         }
     }
 
@@ -131,6 +136,7 @@
             calls: self.calls.saturating_sub(other.calls),
             fill_rate: self.fill_rate.saturating_sub(other.fill_rate),
             tokens: self.tokens.saturating_sub(other.tokens),
+            prompt_rate: self.prompt_rate.saturating_sub(other.prompt_rate),
         }
     }
 }
@@ -141,6 +147,7 @@
             calls: message.calls,
             fill_rate: message.fill.into(),
             tokens: message.tokens.into(),
+            prompt_rate: message.prompts.into(),
         }
     }
 }
@@ -179,6 +186,7 @@
             latency_ms: 0.0,
             last_response: None,
             recent_fill: (0.0, Time::default()),
+            arrived_tokens: 0,
             limit: Limit::default(),
             pushback: Pushback::default(),
             blocks: BTreeMap::new(),
@@ -251,6 +259,19 @@
         self.own_work.fill_rate = units * FILL_RATE_STEP;
     }
 
+    /// Adds work that this host sends there.
+    pub fn add_work(&mut self, work: Work) {
+        self.own_work = self.own_work.plus(work);
+        self.arrived_tokens += work.tokens;
+    }
+
+    /// Ends a period of the measurement of demand: what arrived in it becomes the rate that other hosts receive.
+    pub fn end_period(&mut self, length: Duration) {
+        let millis = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+        let arrived = std::mem::take(&mut self.arrived_tokens);
+        self.own_work.prompt_rate = arrived.saturating_mul(1000) / millis;
+    }
+
     /// Records that it could not be reached or broke off a request; from `UNHEALTHY_FAILURES` on it gets no new work
     /// for the backoff.
     pub fn record_failure(&mut self, now: Time) {
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -76,6 +76,8 @@
     pub(super) sent_reports: VecDeque<(u64, Vec<LoadReport>)>,
     /// Number of hosts that report to it.
     pub(super) reporter_count: usize,
+    /// Short hashes of the failure domains whose load its totals include.
+    pub(super) included_domains: Vec<u32>,
     /// When totals were last sent to the hosts that report to this one.
     pub(super) totals_sent: Option<Time>,
     /// Updates from this host and the hosts that report to it, for the aggregator.
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -83,6 +83,7 @@
 pub fn plan(core: &mut Core, out: &mut Effects) {
     let noise = core.rng.random_range(0.8..1.2);
     wake(core, PLAN_INTERVAL.mul_f64(noise), RelayTimer::Plan, out);
+    duty::scaling::measure(core);
     let services = engine_services(core);
     let has_engines = !services.is_empty();
     for service in &services {
--- a/src/core/relay/tests/load.rs
+++ b/src/core/relay/tests/load.rs
@@ -85,8 +85,8 @@
     let busy = |id: &str| LoadReport {
         instance: short_hash(id),
         calls: 3,
-        fill: 0,
         tokens: 30_000,
+        ..LoadReport::default()
     };
     site.event(RelayEvent::Gossiped(Box::new(Gossip {
         loads: vec![busy("p"), busy("q")],
--- a/src/core/relay/tests/prefix_cache.rs
+++ b/src/core/relay/tests/prefix_cache.rs
@@ -38,8 +38,8 @@
     let loads = busy.iter().map(|id| LoadReport {
         instance: short_hash(id),
         calls: 3,
-        fill: 0,
         tokens: 12_000,
+        ..LoadReport::default()
     });
     let parts = caching.iter().map(|id| BlockReport {
         block: 1,
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -55,6 +55,7 @@
     poison_requests: Gauge<u64>,
     refused_parts: Gauge<u64>,
     links_lost: Gauge<u64>,
+    scaling: ScalingGauges,
     forwarded: Counter<u64>,
     taken_up: Counter<u64>,
     last_calls: Cell<CallCounts>,
@@ -75,6 +76,28 @@
         .build()
 }
 
+/// Gauges of the orders of workers, by service.
+#[derive(Debug)]
+struct ScalingGauges {
+    demand: Gauge<f64>,
+    workers: Gauge<u64>,
+}
+
+impl ScalingGauges {
+    fn new(meter: &OtelMeter) -> Self {
+        Self {
+            demand: meter
+                .f64_gauge("chiveway_scaling_demand")
+                .with_description("Demand of a service, in workers, as this host measures it")
+                .build(),
+            workers: meter
+                .u64_gauge("chiveway_scaling_workers")
+                .with_description("Workers of a service that this host last planned; 0 if none")
+                .build(),
+        }
+    }
+}
+
 impl Metrics {
     /// Creates the instruments.
     ///
@@ -169,6 +192,7 @@
                 .u64_gauge("chiveway_links_lost")
                 .with_description("1 while this host reaches no backend server")
                 .build(),
+            scaling: ScalingGauges::new(&meter),
             taken_up: meter
                 .u64_counter("chiveway_streams_taken_up")
                 .with_description("Streams that callers took up, by how their version was found")
@@ -315,6 +339,15 @@
         self.links_lost.record(lost.into(), &[]);
     }
 
+    /// Sets the demand of each service, and the workers planned for it.
+    pub fn set_scaling(&self, services: &[(&str, f64, u32)]) {
+        for (service, demand, workers) in services {
+            let labels = [label("service", service)];
+            self.scaling.demand.record(*demand, &labels);
+            self.scaling.workers.record((*workers).into(), &labels);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> Option<String> {
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -237,6 +237,10 @@
         node.metrics.set_refused_parts(refused);
         let lost = node.with_core(|core| core.relay.links.are_lost());
         node.metrics.set_links_lost(lost);
+        node.with_core(|core| {
+            let gauges = core.relay.duties.scaler.gauges();
+            node.metrics.set_scaling(&gauges);
+        });
     }
     match node.metrics.encode() {
         Some(body) => text(StatusCode::OK, &body),
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -29,7 +29,9 @@
             calls: 2,
             fill: 3,
             tokens: 4,
+            prompts: 5,
         }],
+        included_domains: vec![9],
         limits: vec![
             LimitReport {
                 instance: 1,
--- a/src/settings/duties.rs
+++ b/src/settings/duties.rs
@@ -26,6 +26,20 @@
     pub due_within: Duration,
     /// How many workers are ordered.
     pub workers: WorkerPolicy,
+    /// What that follows.
+    pub scaling: ScalingMode,
+    /// Multiple of the highest demand that is ordered for bursts.
+    pub headroom: f64,
+}
+
+/// What the number of ordered workers follows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ScalingMode {
+    /// Fixed fractions of the workers that a service was provisioned with.
+    #[default]
+    Fixed,
+    /// The measured demand, once it is known.
+    Demand,
 }
 
 /// How many workers are ordered, as fractions of those that a service was provisioned with.
@@ -84,6 +98,18 @@
         "0.8",
         "fraction of the workers provisioned below which regular ones fill in for spot workers",
     ),
+    optional(
+        "scaling",
+        Form::Choice(&["demand", "fixed"]),
+        "fixed",
+        "what the number of workers follows: the measured demand, or the fractions above",
+    ),
+    optional(
+        "headroom",
+        Form::Number(1.0, 10.0),
+        "2.5",
+        "multiple of the highest demand of the last minutes that is ordered for bursts",
+    ),
 ];
 
 /// Returns the duties; `None` if there are none.
@@ -108,5 +134,10 @@
             spot: section.read("spot", units::number),
             least: section.read("least", units::number),
         },
+        scaling: match section.get("scaling") {
+            "demand" => ScalingMode::Demand,
+            _ => ScalingMode::Fixed,
+        },
+        headroom: section.read("headroom", units::number),
     })
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -486,6 +486,9 @@
     pub addr: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "24")]
     pub part_reports: ::prost::alloc::vec::Vec<PartReport>,
+    /// Short hashes of the failure domains whose work totals include.
+    #[prost(fixed32, repeated, tag = "40")]
+    pub included_domains: ::prost::alloc::vec::Vec<u32>,
 }
 /// A backend server that died under requests with a part of their prompts, or a whole answer to one.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -654,6 +657,9 @@
     /// Prompt tokens to be prefilled.
     #[prost(uint32, repeated, tag = "4")]
     pub tokens: ::prost::alloc::vec::Vec<u32>,
+    /// Equivalent prompt tokens that arrived in the last period, a second; absent where there were none.
+    #[prost(uint32, repeated, tag = "40")]
+    pub prompts: ::prost::alloc::vec::Vec<u32>,
 }
 /// A prompt part that an engine reads or has read.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -43,6 +43,7 @@
             .addr
             .map_or_else(String::new, |addr| addr.to_string()),
         part_reports: message.parts.iter().map(to_part).collect(),
+        included_domains: message.included_domains.clone(),
     };
     out.reserve(message.encoded_len());
     // Encoding fails only when the buffer is full, and `BytesMut` grows.
@@ -82,6 +83,7 @@
         departures: message.departures.iter().map(from_departure).collect(),
         era: message.era,
         cut_off: message.cut_off,
+        included_domains: message.included_domains,
         probe: (message.newest > 0).then(|| ProbeReport {
             revision: message.newest,
             age: Duration::from_millis(message.newest_age.into()),
@@ -360,6 +362,17 @@
         calls: loads.iter().map(|load| load.calls).collect(),
         fill: loads.iter().map(|load| load.fill).collect(),
         tokens: loads.iter().map(|load| load.tokens).collect(),
+        prompts: optional_column(loads.iter().map(|load| load.prompts)),
+    }
+}
+
+/// Returns a column of the loads, which is left out where it holds only zeros.
+fn optional_column(values: impl Iterator<Item = u32> + Clone) -> Vec<u32> {
+    let is_empty = values.clone().all(|value| value == 0);
+    if is_empty {
+        Vec::new()
+    } else {
+        values.collect()
     }
 }
 
@@ -371,14 +384,22 @@
     {
         return Err(WireError::Field { field: "loads" });
     }
+    // A host of an older build sends no such column.
+    if !loads.prompts.is_empty() && loads.prompts.len() != loads.instances.len() {
+        return Err(WireError::Field { field: "loads" });
+    }
+    let prompts = loads.prompts.iter().copied().chain(std::iter::repeat(0));
     let rows = loads.instances.iter().zip(&loads.calls).zip(&loads.fill);
-    let rows = rows.zip(&loads.tokens);
-    let loads = rows.map(|(((instance, calls), fill), tokens)| LoadReport {
-        instance: *instance,
-        calls: *calls,
-        fill: *fill,
-        tokens: *tokens,
-    });
+    let rows = rows.zip(&loads.tokens).zip(prompts);
+    let loads = rows.map(
+        |((((instance, calls), fill), tokens), prompts)| LoadReport {
+            instance: *instance,
+            calls: *calls,
+            fill: *fill,
+            tokens: *tokens,
+            prompts,
+        },
+    );
     Ok(loads.collect())
 }
 
