--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -332,12 +332,12 @@
     }
     let work = Work {
         calls: 1,
-        fill_rate: 0,
         tokens: best.tokens,
         context: match best.stage {
             Stage::Prefill => 0,
             Stage::Decode => decode::context_tokens(&prompt, policy),
         },
+        ..Work::default()
     };
     let task = match best.stage {
         Stage::Prefill => Task::Prefill,
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -94,6 +94,8 @@
     pub last_response: Option<Time>,
     /// Tokens that this host put into its memory, decayed with age, and the time up to which they are decayed.
     recent_fill: (f64, Time),
+    /// Equivalent prompt tokens that arrived for it at this host since [`Instance::end_period`].
+    pub arrived_tokens: u64,
     /// Limit on the requests that it accepts from all hosts together.
     pub limit: Limit,
     /// Time in which it wants no requests from this host.
@@ -113,6 +115,8 @@
     pub tokens: u64,
     /// Context tokens of the requests that run or are to run there.
     pub context: u64,
+    /// Equivalent prompt tokens per second that arrived in the last period of the measurement of demand.
+    pub prompt_rate: u64,
 }
 
 impl Work {
@@ -124,6 +128,7 @@
             fill_rate: self.fill_rate + other.fill_rate,
             tokens: self.tokens + other.tokens,
             context: self.context + other.context,
+            prompt_rate: self.prompt_rate + other.prompt_rate,
         }
     }
 
@@ -135,6 +140,7 @@
             fill_rate: self.fill_rate.saturating_sub(other.fill_rate),
             tokens: self.tokens.saturating_sub(other.tokens),
             context: self.context.saturating_sub(other.context),
+            prompt_rate: self.prompt_rate.saturating_sub(other.prompt_rate),
         }
     }
 }
@@ -146,6 +152,7 @@
             fill_rate: message.fill.into(),
             tokens: message.tokens.into(),
             context: 0,
+            prompt_rate: message.prompts.into(),
         }
     }
 }
@@ -184,6 +191,7 @@
             latency_ms: 0.0,
             last_response: None,
             recent_fill: (0.0, Time::default()),
+            arrived_tokens: 0,
             limit: Limit::default(),
             pushback: Pushback::default(),
             blocks: BTreeMap::new(),
@@ -256,6 +264,19 @@
         self.own_work.fill_rate = units * FILL_RATE_STEP;
     }
 
+    /// Adds work that this host sends there.
+    pub fn add_work(&mut self, work: Work) {
+        self.own_work = self.own_work.plus(work);
+        self.arrived_tokens += work.tokens;
+    }
+
+    /// Ends a period of the measurement of demand: what arrived in it becomes the rate that other hosts receive.
+    pub fn end_period(&mut self, length: Duration) {
+        let millis = u64::try_from(length.as_millis()).unwrap_or(u64::MAX).max(1);
+        let arrived = std::mem::take(&mut self.arrived_tokens);
+        self.own_work.prompt_rate = arrived.saturating_mul(1000) / millis;
+    }
+
     /// Records that it could not be reached or broke off a request; from `UNHEALTHY_FAILURES` on it gets no new work
     /// for the backoff.
     pub fn record_failure(&mut self, now: Time) {
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -59,6 +59,7 @@
     refused_bodies: Gauge<u64>,
     ended_readers: Gauge<u64>,
     links_lost: Gauge<u64>,
+    scaling: ScalingGauges,
     forwarded: Counter<u64>,
     taken_up: Counter<u64>,
     last_calls: Cell<CallCounts>,
@@ -89,6 +90,28 @@
     gauge.build()
 }
 
+/// Gauges of the orders of workers, by service.
+#[derive(Debug)]
+struct ScalingGauges {
+    demand: Gauge<f64>,
+    workers: Gauge<u64>,
+}
+
+impl ScalingGauges {
+    fn new(meter: &OtelMeter) -> Self {
+        Self {
+            demand: meter
+                .f64_gauge("chiveway_scaling_demand")
+                .with_description("Demand of a service, in workers, as this host measures it")
+                .build(),
+            workers: meter
+                .u64_gauge("chiveway_scaling_workers")
+                .with_description("Workers of a service that this host last planned; 0 if none")
+                .build(),
+        }
+    }
+}
+
 impl Metrics {
     /// Creates the instruments.
     ///
@@ -184,6 +207,7 @@
                 "chiveway_ended_readers",
                 "Answers ended since their callers did not read",
             ),
+            scaling: ScalingGauges::new(&meter),
             links_lost: gauge(
                 "chiveway_links_lost",
                 "1 while this host reaches no backend server",
@@ -345,6 +369,15 @@
         self.links_lost.record(lost.into(), &[]);
     }
 
+    /// Sets the demand of each service, and the workers planned for it.
+    pub fn set_scaling(&self, services: &[(&str, f64, u32)]) {
+        for (service, demand, workers) in services {
+            let labels = [label("service", service)];
+            self.scaling.demand.record(*demand, &labels);
+            self.scaling.workers.record((*workers).into(), &labels);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> Option<String> {
