Announce changes of engines' stages before they are ordered

Cause: an engine refuses requests from an order on until it has changed, and each host learned that by a refusal of its own. Change: the holder announces a change in gossip and orders after two propagation delays; the other hosts send nothing new to the engine until its entry shows the new stage, for four seconds at most. [policy] announce-changes, off by default.

--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -143,6 +143,7 @@
             decode_engine_weight: 1.0,
             target_factor: 1.0,
             recall: false,
+            announce_changes: false,
             decode_placement: DecodePlacement::Fixed,
         },
         |relay| relay.policy,
--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -35,6 +35,8 @@
     pub replicated: Option<ReplicatedChanges>,
     /// Rate limits that backend servers name, or stopped naming lately.
     pub limits: Vec<LimitReport>,
+    /// Engines that are about to change their stage.
+    pub changes: Vec<ChangeReport>,
     /// Backend servers that left lately.
     pub departures: Vec<DepartureReport>,
     /// Whether the sender reaches no backend server.
@@ -217,3 +219,14 @@
     /// The changes, in order.
     pub events: Vec<StoreChange>,
 }
+
+/// An engine that is about to change its stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChangeReport {
+    /// Short hash of its id.
+    pub instance: u32,
+    /// The stage that it is to have.
+    pub to: Stage,
+    /// Time for which it gets no new work.
+    pub remaining: Duration,
+}
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -28,7 +28,7 @@
 use super::instance::Work;
 use super::peers::Peer;
 use super::{
-    RelayTimer, departed, duty, from_millis, intake, limit, links, load, parts, peers, poison,
+    RelayTimer, changing, departed, duty, from_millis, intake, limit, links, load, parts, peers, poison,
     prefix_cache, versions, view, wake,
 };
 
@@ -161,7 +161,9 @@
     let departures = departed::changed_since(core, core.relay.peers.last_publish);
     let links = core.relay.peers.last_publish;
     let links = links.is_some_and(|last| core.relay.links.changed_since(last));
-    let changed = changed || limits || departures || links;
+    let stages = core.relay.peers.last_publish;
+    let stages = stages.is_some_and(|last| changing::changed_since(core, last));
+    let changed = changed || limits || departures || links || stages;
     let changed = changed
         || view.probes.has_unsent()
         || (view.history.has_unsent() && replicates_changes(core));
@@ -244,6 +246,7 @@
         probe,
         replicated,
         limits: limit::reports(core),
+        changes: changing::reports(core),
         departures: departed::reports(core),
         uptime: core.relay.view.uptime.report(core.now),
         cut_off: core.relay.links.are_lost(),
@@ -401,6 +404,7 @@
         peers::moved(core, sender, addr, out);
     }
     limit::reported(core, &message.host, &message.limits, out);
+    changing::reported(core, &message.changes, out);
     view::era::observe(core, message.era, &message.host, out);
     if message.era < core.relay.view.era() {
         // The sender is still in an earlier era of the store: its revisions do not compare with those here.
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::changing::StageChange;
 use super::departed::{Position, ServerStart};
 use super::event::{BackendEntry, LoadReport, Stage};
 use super::limit::Limit;
@@ -52,6 +53,8 @@
     pub leaving: bool,
     /// Its stage, if it is an engine.
     pub stage: Option<Stage>,
+    /// The change of its stage that was announced last.
+    pub change: Option<StageChange>,
     /// Whether the platform may take it away at short notice.
     pub is_spot: bool,
     /// Version of its software; `None` if its entry names none.
@@ -170,6 +173,7 @@
             slots: entry.slots.max(1),
             leaving: entry.leaving,
             stage: entry.stage,
+            change: None,
             is_spot: entry.is_spot,
             version_key: Version::of(entry.version.as_deref()),
             version: entry.version,
@@ -215,7 +219,10 @@
         let missed = self
             .missing_since
             .is_some_and(|at| now.since(at) > MISSING_GRACE);
-        !self.leaving && !self.addr_reused && !missed && self.pushback.admits(now)
+        let changes = self
+            .change
+            .is_some_and(|change| change.withholds(self.stage, now));
+        !self.leaving && !self.addr_reused && !missed && !changes && self.pushback.admits(now)
     }
 
     /// Returns the time until a server that stays may get work again; `None` for one that is gone.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod buffers;
 mod call;
 pub mod catalog;
+mod changing;
 mod choose;
 pub mod customers;
 mod departed;
@@ -86,6 +87,8 @@
     StoreTimeout,
     /// Check whether engines should change their stage.
     Plan,
+    /// Request the state of an engine whose change of stage was announced.
+    ChangeStage(BackendKey),
     /// Renew the authority to give orders.
     Authority,
     /// Compare poison requests with the store.
@@ -275,6 +278,7 @@
         RelayTimer::Probe => view::probe::probe(core, out),
         RelayTimer::StoreTimeout => view::probe::overdue(core, out),
         RelayTimer::Plan => planner::plan(core, out),
+        RelayTimer::ChangeStage(key) => planner::change_announced(core, key, out),
         RelayTimer::Authority => planner::renew(core, out),
         RelayTimer::SyncPoison => poison::stored::sync(core, out),
         RelayTimer::ProbeLinks => links::probe(core, out),
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -16,7 +17,7 @@
 use super::instance::Instance;
 use super::stages::{Demand, Split, planned_prefill};
 use super::{RelayJob, RelayTimer, note, wake};
-use super::{duty, forward};
+use super::{changing, duty, forward};
 
 /// Time between two plans.
 pub const PLAN_INTERVAL: Duration = Duration::from_millis(500);
@@ -199,14 +200,29 @@
             );
             let change = (stage, core.now);
             core.relay.planner.changes.insert(id.clone(), change);
-            out.push(Effect::Relay(RelayEffect::FetchReport {
-                instance: id,
-                addr,
-            }));
+            let delay = changing::announce(core, key, stage, out);
+            if delay.is_zero() {
+                request_report(id, addr, out);
+            } else {
+                wake(core, delay, RelayTimer::ChangeStage(key), out);
+            }
         }
     }
 }
 
+/// Requests the state of an engine whose change all hosts know.
+pub fn change_announced(core: &Core, key: BackendKey, out: &mut Effects) {
+    if let Some(instance) = core.relay.instances.arena.get(key)
+        && core.relay.planner.changes.contains_key(&instance.id)
+    {
+        request_report(instance.id.clone(), instance.addr, out);
+    }
+}
+
+fn request_report(instance: Box<str>, addr: SocketAddr, out: &mut Effects) {
+    out.push(Effect::Relay(RelayEffect::FetchReport { instance, addr }));
+}
+
 /// Returns up to `count` engines that can change to a stage: to prefill, regular ones first, and to decode, spot ones;
 /// of these the ones with the fewest requests.
 fn least_busy(core: &Core, engines: &[BackendKey], stage: Stage, count: usize) -> Vec<BackendKey> {
@@ -340,6 +356,12 @@
             ("result", format!("{result:?}").into()),
         ],
     );
+    if matches!(
+        result,
+        OrderResult::Fenced | OrderResult::Unsent | OrderResult::Refused
+    ) {
+        changing::withdraw(core, id);
+    }
     let planner = &mut core.relay.planner;
     match result {
         // Another host holds the authority.
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -53,6 +53,8 @@
     pub target_factor: f64,
     /// Whether overdue prefills are recalled.
     pub recall: bool,
+    /// Whether hosts announce changes of engines' stages to each other.
+    pub announce_changes: bool,
     /// How the cost of a placement at a decode engine is estimated.
     pub decode_placement: DecodePlacement,
 }
@@ -233,6 +235,12 @@
         "off",
         "whether overdue prefills are sent to another engine in time",
     ),
+    optional(
+        "announce-changes",
+        Form::Choice(&["on", "off"]),
+        "off",
+        "whether hosts send engines no work that are about to change their stage",
+    ),
     optional(
         "decode-placement",
         Form::Choice(&["gaps", "fixed"]),
@@ -319,6 +327,7 @@
                 decode_engine_weight: number(policy, "beside"),
                 target_factor: number(policy, "patience"),
                 recall: policy.get("recall") == "on",
+                announce_changes: policy.get("announce-changes") == "on",
                 decode_placement: match policy.get("decode-placement") {
                     "gaps" => DecodePlacement::Gaps,
                     _ => DecodePlacement::Fixed,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -489,6 +489,9 @@
     /// Short hashes of the failure domains whose work totals include.
     #[prost(fixed32, repeated, tag = "40")]
     pub included_domains: ::prost::alloc::vec::Vec<u32>,
+    /// Engines that are about to change their stage.
+    #[prost(message, repeated, tag = "70")]
+    pub changes: ::prost::alloc::vec::Vec<Change>,
 }
 /// A backend server that died under requests with a part of their prompts, or a whole answer to one.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -591,6 +594,18 @@
     #[prost(int64, optional, tag = "3")]
     pub revision: ::core::option::Option<i64>,
 }
+/// An engine that is about to change its stage.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Change {
+    #[prost(fixed32, tag = "1")]
+    pub instance: u32,
+    /// To prefill; to decode otherwise.
+    #[prost(bool, tag = "2")]
+    pub to_prefill: bool,
+    /// Milliseconds for which it gets no new work.
+    #[prost(uint32, tag = "3")]
+    pub remaining: u32,
+}
 /// Requests that a backend server takes from all hosts together.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct Limit {
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -9,9 +9,9 @@
 use super::{WireError, generated as wire};
 use crate::core::relay::duty::usage::ledger::{Process, Row, UsageReport};
 use crate::core::relay::event::{
-    BlockReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
+    BlockReport, ChangeReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
     LimitReport, LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange,
-    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
+    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport, Stage,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 
@@ -35,6 +35,7 @@
         passage: message.replicated.as_ref().map(to_replicated),
         uptime: message.uptime.map(to_uptime),
         limits: message.limits.iter().map(to_limit).collect(),
+        changes: message.changes.iter().map(to_change).collect(),
         departures: message.departures.iter().map(to_departure).collect(),
         usage: to_usage(&message.kind),
         cut_off: message.cut_off,
@@ -80,6 +81,7 @@
             .iter()
             .map(from_limit)
             .collect::<Result<_, _>>()?,
+        changes: message.changes.iter().filter_map(from_change).collect(),
         departures: message.departures.iter().map(from_departure).collect(),
         era: message.era,
         cut_off: message.cut_off,
@@ -277,6 +279,26 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
+fn to_change(report: &ChangeReport) -> wire::Change {
+    wire::Change {
+        instance: report.instance,
+        to_prefill: report.to == Stage::Prefill,
+        remaining: millis(report.remaining),
+    }
+}
+
+fn from_change(change: &wire::Change) -> Option<ChangeReport> {
+    (change.remaining > 0).then(|| ChangeReport {
+        instance: change.instance,
+        to: if change.to_prefill {
+            Stage::Prefill
+        } else {
+            Stage::Decode
+        },
+        remaining: Duration::from_millis(change.remaining.into()),
+    })
+}
+
 fn to_limit(report: &LimitReport) -> wire::Limit {
     wire::Limit {
         instance: report.instance,
