Report context tokens of running requests between hosts

Cause: most streams of a decode engine belong to other hosts, and a host knew the context tokens of its own only.

Change: a load report has the context tokens of its requests, as a column of its own in units of 256 tokens. The count of a request does not change while it runs, so that there are no more messages than before. A host with `decode-placement = fixed` counts none, and a message without any has no column. The loads of a host of an older build have none and count by their requests; a column of another length than the others is rejected. Loss of reports, totals of aggregators and restarts of engines are handled as for the other columns.

Tests: tests::decode and wire::tests. One test each fails if the reported tokens are ignored, if the loads of silent hosts are kept, if a host counts them with the setting off, and if a column of zeros is sent.

--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -127,8 +127,14 @@
     pub fill: u32,
     /// Prompt tokens to be prefilled.
     pub tokens: u32,
+    /// Context tokens of the requests, a multiple of [`CONTEXT_UNIT`]; 0 if none are known.
+    pub context: u32,
 }
 
+/// Unit of context tokens in messages: reports have an entry for each backend server and are sent
+/// many times a second, and the gaps of streams do not depend on a few hundred tokens.
+pub const CONTEXT_UNIT: u32 = 256;
+
 /// A prefix block that an engine is prefilling or holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BlockReport {
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -24,7 +24,9 @@
 use super::super::effect::Effect;
 use super::super::key::HostKey;
 use super::super::{Core, Effects};
-use super::event::{BlockReport, Gossip, GossipKind, LoadReport, RelayEffect, Updates};
+use super::event::{
+    BlockReport, CONTEXT_UNIT, Gossip, GossipKind, LoadReport, RelayEffect, Updates,
+};
 use super::instance::Work;
 use super::peers::Peer;
 use super::{
@@ -323,9 +325,16 @@
         calls: work.calls,
         fill: u32::try_from(work.fill_rate).unwrap_or(u32::MAX),
         tokens: u32::try_from(work.tokens).unwrap_or(u32::MAX),
+        context: context_units(work.context).saturating_mul(CONTEXT_UNIT),
     }
 }
 
+/// Returns a number of context tokens in the unit of messages, rounded to the nearest.
+fn context_units(tokens: u64) -> u32 {
+    let units = (tokens + u64::from(CONTEXT_UNIT) / 2) / u64::from(CONTEXT_UNIT);
+    u32::try_from(units).unwrap_or(u32::MAX)
+}
+
 /// Drops the load reports of hosts that sent nothing for [`PEER_TIMEOUT`].
 fn expire_peers(core: &mut Core) {
     let expired: Vec<HostKey> = core
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -145,7 +145,7 @@
             calls: message.calls,
             fill_rate: message.fill.into(),
             tokens: message.tokens.into(),
-            context: 0,
+            context: message.context.into(),
         }
     }
 }
--- a/src/core/relay/tests/decode.rs
+++ b/src/core/relay/tests/decode.rs
@@ -18,6 +18,7 @@
     site.register(entries.collect());
     let entry = r#"{"addr":"10.9.9.9:1","domain":"z"}"#;
     site.write_key("hosts/host-2", Some(entry), 3);
+    site.write_key("hosts/host-3", Some(entry), 4);
     site
 }
 
@@ -47,9 +48,13 @@
 
 /// Receives the load of another host.
 fn report(site: &mut TestHost, loads: Vec<LoadReport>) {
+    report_from(site, "host-2", loads);
+}
+
+fn report_from(site: &mut TestHost, host: &str, loads: Vec<LoadReport>) {
     let sequence = site.now;
     site.event(RelayEvent::Gossiped(Box::new(Gossip {
-        host: "host-2".into(),
+        host: host.into(),
         incarnation: 1,
         sequence,
         loads,
@@ -236,3 +241,75 @@
     let (few, many) = (gap(2).expect("measured"), gap(16).expect("measured"));
     assert!(many > few * 1.8, "{few} {many}");
 }
+
+const HANDOVER: [(&str, Stage); 3] = [
+    ("p", Stage::Prefill),
+    ("d", Stage::Decode),
+    ("e", Stage::Decode),
+];
+
+/// Returns the load with so many context tokens.
+fn with_context(load: LoadReport, context: u32) -> LoadReport {
+    LoadReport { context, ..load }
+}
+
+/// Returns the context tokens of an engine in the last report of the host.
+fn reported_context(out: &Effects, id: &str) -> Option<u32> {
+    let messages = out.iter().filter_map(|effect| match effect {
+        Effect::Relay(RelayEffect::Publish { message, .. }) => Some(message),
+        _ => None,
+    });
+    let loads = messages.flat_map(|message| &message.loads);
+    let mut loads = loads.filter(|load| load.instance == short_hash(id));
+    loads.next_back().map(|load| load.context)
+}
+
+/// Nearly all streams of an engine belong to other hosts. Guards against a choice by this host's own
+/// streams, and against context tokens that are not reported, or reported where the setting is off.
+#[test]
+fn context_tokens_of_other_hosts_count() {
+    let mut site = site(&HANDOVER);
+    measure_loaded_gaps(&mut site);
+    let long = with_context(load("d", 3, 0), 51_200);
+    let short = with_context(load("e", 5, 0), 2048);
+    report(&mut site, vec![long, short]);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    assert_eq!(&*sent.instance, "e");
+    let out = site.advance(500);
+    assert_eq!(reported_context(&out, "e"), Some(8960), "9010, rounded");
+    use_fixed(&mut site);
+    site.stream_ended(sent.attempt);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    let out = site.advance(500);
+    assert_eq!(reported_context(&out, &sent.instance), Some(0));
+}
+
+/// Reports of a host get lost from some time on, and a host of an older build reports no context
+/// tokens. Guards against context tokens that are counted for ever, and against an engine that counts as idle
+/// because the context of its requests is not known.
+#[test]
+fn lost_reports_and_reports_without_context_are_dropped_and_counted_by_requests() {
+    let mut site = site(&HANDOVER);
+    measure_loaded_gaps(&mut site);
+    report(&mut site, vec![with_context(load("d", 3, 0), 51_200)]);
+    site.advance(3000);
+    report_from(&mut site, "host-3", vec![load("e", 20, 0)]);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    assert_eq!(&*sent.instance, "d");
+}
+
+/// An engine ends and starts again under its id. Guards against context tokens of requests that
+/// ended with its last process.
+#[test]
+fn context_tokens_end_with_the_requests_of_an_engine_that_restarts() {
+    let mut site = site(&[("p", Stage::Prefill), ("d", Stage::Decode)]);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    site.register(vec![BackendEntry {
+        started_ms: 2,
+        ..engine_entry("d", Stage::Decode)
+    }]);
+    site.fail_attempt(sent.attempt, Ran::Yes, AttemptFailure::Cut);
+    let key = site.core.relay.instances.find("d").expect("registered");
+    let work = site.core.relay.instances.arena[key].own_work;
+    assert_eq!((work.calls, work.context), (0, 0));
+}
--- a/src/core/relay/tests/load.rs
+++ b/src/core/relay/tests/load.rs
@@ -87,6 +87,7 @@
         calls: 3,
         fill: 0,
         tokens: 30_000,
+        context: 0,
     };
     site.event(RelayEvent::Gossiped(Box::new(Gossip {
         loads: vec![busy("p"), busy("q")],
--- a/src/core/relay/tests/prefix_cache.rs
+++ b/src/core/relay/tests/prefix_cache.rs
@@ -40,6 +40,7 @@
         calls: 3,
         fill: 0,
         tokens: 12_000,
+        context: 0,
     });
     let parts = caching.iter().map(|id| BlockReport {
         block: 1,
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -29,6 +29,7 @@
             calls: 2,
             fill: 3,
             tokens: 4,
+            context: 512,
         }],
         limits: vec![
             LimitReport {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -654,6 +654,9 @@
     /// Prompt tokens to be prefilled.
     #[prost(uint32, repeated, tag = "4")]
     pub tokens: ::prost::alloc::vec::Vec<u32>,
+    /// Context tokens of the requests, in units of 256; empty where none are known.
+    #[prost(uint32, repeated, tag = "5")]
+    pub context: ::prost::alloc::vec::Vec<u32>,
 }
 /// A prompt part that an engine reads or has read.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -9,9 +9,9 @@
 use super::{WireError, generated as wire};
 use crate::core::relay::duty::usage::ledger::{Process, Row, UsageReport};
 use crate::core::relay::event::{
-    BlockReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
-    LimitReport, LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange,
-    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
+    BlockReport, CONTEXT_UNIT, Changes, CrashReport, DepartureReport, Gossip, GossipKind,
+    IncludedReport, LimitReport, LoadReport, PartReport, ProbeReport, ReplicatedChanges,
+    StoreChange, StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 
@@ -360,6 +360,18 @@
         calls: loads.iter().map(|load| load.calls).collect(),
         fill: loads.iter().map(|load| load.fill).collect(),
         tokens: loads.iter().map(|load| load.tokens).collect(),
+        context: to_context(loads),
+    }
+}
+
+/// Returns the context tokens of each load; nothing if there are none.
+fn to_context(loads: &[LoadReport]) -> Vec<u32> {
+    let is_known = loads.iter().any(|load| load.context > 0);
+    let units = loads.iter().map(|load| load.context / CONTEXT_UNIT);
+    if is_known {
+        units.collect()
+    } else {
+        Vec::new()
     }
 }
 
@@ -371,14 +383,22 @@
     {
         return Err(WireError::Field { field: "loads" });
     }
+    // A host of a build before this column sends none.
+    if !loads.context.is_empty() && loads.context.len() != loads.instances.len() {
+        return Err(WireError::Field { field: "loads" });
+    }
+    let context = loads.context.iter().copied().chain(std::iter::repeat(0));
     let rows = loads.instances.iter().zip(&loads.calls).zip(&loads.fill);
-    let rows = rows.zip(&loads.tokens);
-    let loads = rows.map(|(((instance, calls), fill), tokens)| LoadReport {
-        instance: *instance,
-        calls: *calls,
-        fill: *fill,
-        tokens: *tokens,
-    });
+    let rows = rows.zip(&loads.tokens).zip(context);
+    let loads = rows.map(
+        |((((instance, calls), fill), tokens), context)| LoadReport {
+            instance: *instance,
+            calls: *calls,
+            fill: *fill,
+            tokens: *tokens,
+            context: context.saturating_mul(CONTEXT_UNIT),
+        },
+    );
     Ok(loads.collect())
 }
 
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -3,10 +3,17 @@
 use bytes::BytesMut;
 use proptest::prelude::*;
 
-use super::{Frame, Hello, PROTOCOL_VERSION, decode, decode_shard, encode, encode_shard};
+use prost::Message as _;
+
+use super::generated::Word;
+use super::gossip::{decode_gossip, encode_gossip};
+use super::{
+    Frame, Hello, PROTOCOL_VERSION, WireError, decode, decode_shard, encode, encode_shard,
+};
 use crate::core::event::{Fingerprint, StoredResponse};
 use crate::core::message::{Begin, BeginState, Done, DoneState, Lend, Loan, Message};
 use crate::core::once::{Call, CallState, Calls};
+use crate::core::relay::event::{Gossip, LoadReport};
 use crate::core::trace::{Attempt, Note, Record};
 use crate::error::Ran;
 
@@ -131,3 +138,42 @@
         drop(decode_shard(&bytes));
     }
 }
+
+fn gossip_with_context(context: u32) -> Gossip {
+    Gossip {
+        host: "host-1".into(),
+        loads: [1, 2]
+            .map(|instance| LoadReport {
+                instance,
+                calls: 3,
+                context: context * instance,
+                ..LoadReport::default()
+            })
+            .into(),
+        ..Gossip::default()
+    }
+}
+
+/// Hosts of an older build send no column of context tokens, and hosts without the setting need none.
+/// Guards against a host that rejects their loads, or sends bytes that say nothing.
+#[test]
+fn loads_without_context_tokens_have_no_column_for_them() {
+    let message = gossip_with_context(0);
+    let mut bytes = BytesMut::new();
+    encode_gossip(&message, &mut bytes);
+    let word = Word::decode(&*bytes).expect("encoded");
+    assert!(word.loads.expect("two loads").context.is_empty());
+    assert_eq!(decode_gossip(&bytes), Ok(message));
+}
+
+/// Guards against context tokens that are taken for those of another server.
+#[test]
+fn a_column_of_context_tokens_of_another_length_is_rejected() {
+    let mut bytes = BytesMut::new();
+    encode_gossip(&gossip_with_context(512), &mut bytes);
+    assert_eq!(decode_gossip(&bytes), Ok(gossip_with_context(512)));
+    let mut word = Word::decode(&*bytes).expect("encoded");
+    word.loads.as_mut().expect("two loads").context.pop();
+    let rejected = decode_gossip(&word.encode_to_vec());
+    assert_eq!(rejected, Err(WireError::Field { field: "loads" }));
+}
