Estimate the wait for a slot by the learned duration of runs

Cause: the wait was estimated by a fixed 250 ms for a stream, and as zero up to the last slot.

Change: the time from the first event of a stream to its end is learned per service. With `decode-placement = gaps` the expected wait is the mean number of requests that must end first, times that duration over the slots. Requests of other hosts that are not reported yet are expected at each engine in proportion to its slots, as a Poisson distribution, so that the wait begins below the last slot. Before eight streams have ended the fixed estimate holds.

Tests: tests::decode and choose::decode::tests. Without ended streams, with `fixed`, and without the unreported requests the placements are the previous ones, which the tests show or were seen to fail for.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -207,6 +207,7 @@
         return;
     }
     lateness::answered(core, call, out);
+    load::record_run(core, key);
     let attempt = close_attempt(core, key);
     poison::answered(core, core.relay.calls[call].fingerprint, out);
     if let Some(attempt) = attempt.filter(|attempt| attempt.host.is_none() && how.events > 0) {
--- a/src/core/relay/choose/decode.rs
+++ b/src/core/relay/choose/decode.rs
@@ -2,11 +2,11 @@
 //! streams that run there.
 
 use super::super::super::Core;
-use super::super::event::Prompt;
+use super::super::event::{Prompt, Stage};
 use super::super::instance::{Instance, Work};
 use super::super::model::ServiceModel;
 use super::super::{Call, load, millis};
-use super::Policy;
+use super::{Policy, sampling};
 use crate::core::key::BackendKey;
 use crate::settings::relay::DecodePlacement;
 
@@ -17,6 +17,8 @@
     own_target: f64,
     /// Shortest gap target of the service's streams, in milliseconds.
     shortest_target: f64,
+    /// Requests of other hosts that are not reported yet, for each slot of a decode engine.
+    unreported_per_slot: f64,
 }
 
 impl<'a> DecodeCost<'a> {
@@ -31,6 +33,7 @@
                 millis(own)
             },
             shortest_target: shortest_gap_target(core, call),
+            unreported_per_slot: unreported_per_slot(core, call),
         })
     }
 
@@ -80,6 +83,17 @@
         streams(instance) * (excess(queue + own) - excess(queue))
     }
 
+    /// Returns the expected wait for a slot of an engine; `None` while the duration of runs is not
+    /// known.
+    pub(super) fn slot_wait_ms(&self, instance: &Instance) -> Option<f64> {
+        let run = self.model.run_ms(instance.pace)?;
+        let slots = f64::from(instance.slots);
+        let unreported = self.unreported_per_slot * slots;
+        let ahead = expected_ahead(instance.work().calls, instance.slots, unreported);
+        // One of the slots becomes free each time that this fraction of a run has passed.
+        Some(ahead * run / slots)
+    }
+
     /// Returns the gap expected at an engine that also runs a request with so many context tokens.
     fn gap_with_ms(&self, instance: &Instance, context: u64) -> Option<f64> {
         let request = Work {
@@ -128,3 +142,65 @@
     let shortest = targets.filter(|target| !target.is_zero()).min();
     shortest.map_or(f64::INFINITY, millis)
 }
+
+/// Returns the requests of other hosts that are not reported yet, for each slot of the decode engines
+/// of a request's service.
+fn unreported_per_slot(core: &Core, call: &Call) -> f64 {
+    let all = core.relay.instances.of(&call.service).iter();
+    let all = all.map(|key| &core.relay.instances.arena[*key]);
+    let decode = all.filter(|instance| {
+        instance.stage == Some(Stage::Decode) && instance.is_available(core.now)
+    });
+    let slots: u32 = decode.map(|instance| instance.slots).sum();
+    if slots == 0 {
+        return 0.0;
+    }
+    sampling::unreported_requests(core, call) / f64::from(slots)
+}
+
+/// Returns how many requests must end before the next one gets a slot, on average, if `unreported`
+/// requests are expected in addition to the known ones, each independently of the others.
+fn expected_ahead(known: u32, slots: u32, unreported: f64) -> f64 {
+    let taken = f64::from(known) + 1.0 + unreported - f64::from(slots);
+    if known >= slots {
+        return taken;
+    }
+    // Where fewer arrive than there are free slots (by a Poisson distribution), none waits.
+    let free = slots - known - 1;
+    let mut probability = (-unreported).exp();
+    let mut unused = 0.0;
+    for count in 0..=free {
+        unused += f64::from(free - count) * probability;
+        probability *= unreported / f64::from(count + 1);
+    }
+    (taken + unused).max(0.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::expected_ahead;
+
+    /// Guards against a wait that jumps at the last slot, and against one for requests that are
+    /// hardly to be expected.
+    #[test]
+    fn the_wait_for_a_slot_grows_with_known_and_expected_requests() {
+        let close = |one: f64, two: f64| (one - two).abs() < 1e-6;
+        for (known, unreported, ahead) in [
+            (0, 0.0, 0.0),
+            (11, 0.0, 0.0),
+            (12, 0.0, 1.0),
+            (20, 3.0, 12.0),
+            (11, 1.5, 1.5),
+            (10, 1.0, (-1.0_f64).exp()),
+        ] {
+            let expected = expected_ahead(known, 12, unreported);
+            assert!(close(expected, ahead), "{known} {unreported}: {expected}");
+        }
+        assert!(expected_ahead(2, 12, 1.0) < 1e-4);
+        let waits: Vec<f64> = (0..30)
+            .map(|known| expected_ahead(known, 12, 2.0))
+            .collect();
+        assert!(waits.is_sorted(), "{waits:?}");
+        assert!(close(expected_ahead(0, 12, 2000.0), 1989.0));
+    }
+}
--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -20,12 +20,16 @@
 
 /// Returns the expected time from the end of the prefill to the first token, without the transfer;
 /// `None` if there is no decode engine.
-pub(super) fn expected_ms(core: &Core, call: &Call) -> Option<f64> {
+pub(super) fn expected_ms(
+    core: &Core,
+    call: &Call,
+    decode: Option<&DecodeCost<'_>>,
+) -> Option<f64> {
     let eligible = eligible_servers(core, call, Some(Stage::Decode));
     let model = core.relay.cost_model.of(&call.service);
     let times = eligible.iter().map(|key| {
         let instance = &core.relay.instances.arena[*key];
-        model.handover_ms(instance.pace) + slot_wait_ms(instance)
+        model.handover_ms(instance.pace) + slot_wait_ms(instance, decode)
     });
     times.min_by(f64::total_cmp)
 }
@@ -60,7 +64,7 @@
         let link_wait = source_wait.max(instance.link.wait_ms(core.now));
         let prefill_wait =
             load::prefill_ms(model, instance, instance.work().tokens) * PREFILL_WAIT_FRACTION;
-        let queue = prefill_wait + slot_wait_ms(instance);
+        let queue = prefill_wait + slot_wait_ms(instance, decode.as_ref());
         let own = model.handover_ms(instance.pace);
         let prefill = PrefillEstimate {
             delay_ms: transfer + link_wait + queue,
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -259,14 +259,14 @@
         sampling::sample(core, key, &prompt, eligible)
     });
     let call = &core.relay.calls[key];
-    let handover = handover::expected_ms(core, call);
+    let decode = DecodeCost::of(core, call, policy);
+    let handover = handover::expected_ms(core, call, decode.as_ref());
     let transfer = transfer_ms(core, call, &prompt);
     let left = millis(call.deadline.since(core.now));
     let spent = millis(core.now.since(call.arrived));
     let target = millis(call.route.target) * policy.target_factor - spent;
     let holders = prefix_cache::holders(core, call, &prompt);
     let is_tried = parts::admission::is_blamed(core, key);
-    let decode = DecodeCost::of(core, call, policy);
     let least_gap_ms = decode.as_ref().map_or(0.0, |cost| {
         cost.least_gap_cost_ms(core, &engines[1], &prompt, policy)
     });
@@ -389,7 +389,7 @@
     let (base, after, weight) = match stage {
         Stage::Prefill => (base, handover, 1.0),
         Stage::Decode => (
-            base + slot_wait_ms(instance) + batching_delay_ms(instance),
+            base + slot_wait_ms(instance, context.decode.as_ref()) + batching_delay_ms(instance),
             0.0,
             policy.decode_engine_weight,
         ),
@@ -463,8 +463,12 @@
     }
 }
 
-/// Returns the expected wait for a slot.
-fn slot_wait_ms(instance: &Instance) -> f64 {
+/// Returns the expected wait for a slot; by a fixed duration of streams without a cost function for
+/// decode engines, or before it has learned the duration.
+fn slot_wait_ms(instance: &Instance, decode: Option<&DecodeCost<'_>>) -> f64 {
+    if let Some(wait) = decode.and_then(|cost| cost.slot_wait_ms(instance)) {
+        return wait;
+    }
     let over = (instance.work().calls + 1).saturating_sub(instance.slots);
     f64::from(over) / f64::from(instance.slots) * STREAM_DURATION_MS
 }
--- a/src/core/relay/choose/sampling.rs
+++ b/src/core/relay/choose/sampling.rs
@@ -60,7 +60,7 @@
 
 /// Returns the estimated requests of other hosts to the service that are not reported here yet: for
 /// each host as many as arrived at this one.
-fn unreported_requests(core: &Core, call: &Call) -> f64 {
+pub(super) fn unreported_requests(core: &Core, call: &Call) -> f64 {
     let budget = core.relay.retry_budgets.get(&call.service);
     let own = budget.map_or(0, |budget| budget.requests_within(core.now, ARRIVAL_WINDOW));
     let others = core.relay.peers.host_count().saturating_sub(1);
--- a/src/core/relay/load.rs
+++ b/src/core/relay/load.rs
@@ -171,6 +171,20 @@
     }
 }
 
+/// Records how long a stream that has ended held its slot. The time before its first event does not
+/// count: it contains the wait for a slot, which would grow with its own estimate.
+pub fn record_run(core: &mut Core, key: AttemptKey) {
+    let Some(attempt) = core.relay.attempts.get(key) else {
+        return;
+    };
+    let instance = core.relay.instances.arena.get(attempt.backend);
+    let engine = instance.filter(|instance| instance.stage.is_some());
+    if let Some((instance, began)) = engine.zip(attempt.began) {
+        let model = core.relay.cost_model.of_mut(&instance.service);
+        model.record_run(millis(core.now.since(began)), instance.pace);
+    }
+}
+
 /// Returns the load on which the gaps of an engine's streams depend, if this is its work. Requests
 /// that wait for a slot do not lengthen the gaps of others.
 #[must_use]
--- a/src/core/relay/model/mod.rs
+++ b/src/core/relay/model/mod.rs
@@ -47,6 +47,9 @@
 const MIN_GAP_WEIGHT: f64 = 0.01;
 /// Fraction of the base time by which any measured time may vary without a cause.
 const BASE_VARIATION_FRACTION: f64 = 0.5;
+/// Streams that have ended from which on the duration of runs is used: it varies several times with
+/// the length of answers.
+const MIN_RUNS: u32 = 8;
 /// Queued work, as a fraction of a prompt's own, up to which its sample updates the attention cost.
 const MAX_QUEUED_FRACTION: f64 = 0.5;
 
@@ -160,6 +163,8 @@
     gaps: GapModel,
     /// Time from a handover to the first token, without the transfer.
     handover: SharedEstimate,
+    /// Time from the first event of a stream to its end.
+    run: Option<SharedEstimate>,
     attention: AttentionCost,
 }
 
@@ -175,6 +180,7 @@
             event_gap: None,
             gaps: GapModel::default(),
             handover: SharedEstimate::new(INITIAL_HANDOVER_MS),
+            run: None,
             attention: AttentionCost::default(),
         }
     }
@@ -294,6 +300,21 @@
             .learn(millis / slowdown.factor_if_known(), 1.0);
     }
 
+    /// Returns the time for which a stream runs at an engine with this slowdown; `None` before
+    /// enough have ended.
+    #[must_use]
+    pub fn run_ms(&self, slowdown: Slowdown) -> Option<f64> {
+        let run = self.run.filter(|run| run.samples >= MIN_RUNS);
+        run.map(|run| run.millis * slowdown.factor)
+    }
+
+    /// Records the time from the first event of a stream to its end.
+    pub fn record_run(&mut self, millis: f64, slowdown: Slowdown) {
+        let normalized = millis.max(1.0) / slowdown.factor_if_known();
+        let run = self.run.get_or_insert(SharedEstimate::new(normalized));
+        run.learn(normalized, 1.0);
+    }
+
     /// Records the time between two events of a stream at an engine with this slowdown.
     pub fn record_event_gap(&mut self, millis: f64, slowdown: &mut Slowdown) {
         let shared = self
--- a/src/core/relay/tests/decode.rs
+++ b/src/core/relay/tests/decode.rs
@@ -6,7 +6,7 @@
 use super::*;
 use crate::core::relay::event::{Gossip, LoadReport, Task};
 use crate::core::relay::instance::short_hash;
-use crate::core::relay::model::GapLoad;
+use crate::core::relay::model::{GapLoad, Slowdown};
 use crate::settings::relay::DecodePlacement;
 
 /// Returns a host with these engines that places by gaps.
@@ -313,3 +313,63 @@
     let work = site.core.relay.instances.arena[key].own_work;
     assert_eq!((work.calls, work.context), (0, 0));
 }
+
+/// Returns the entry of a decode engine with 12 slots.
+fn small_engine(id: &str) -> BackendEntry {
+    BackendEntry {
+        slots: 12,
+        ..engine_entry(id, Stage::Decode)
+    }
+}
+
+/// Returns a host with two decode engines of 12 slots at which streams of so many milliseconds have
+/// ended, and at which ten requests arrive in a second.
+fn site_with_slots(run: u64) -> TestHost {
+    let mut site = site(&[]);
+    site.register(vec![small_engine("d"), small_engine("e")]);
+    for own in 0..if run > 0 { 20 } else { 0 } {
+        let attempt = place(&mut site, "/short/x", 380 + own).attempt;
+        site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+        site.now += run;
+        site.stream_ended(attempt);
+    }
+    for own in 0..20 {
+        site.now += 100;
+        let call = place(&mut site, "/short/x", 420 + own).call;
+        site.event(RelayEvent::CallerLeft(call));
+    }
+    // Both engines have the same speed.
+    for instance in site.core.relay.instances.arena.values_mut() {
+        instance.pace = Slowdown::default();
+    }
+    site
+}
+
+/// All slots of an engine are taken, and streams run for two seconds. Guards against a wait that is
+/// estimated by a fixed quarter of a second, by which the request comes late; without ended streams
+/// that estimate stays.
+#[test]
+fn the_wait_for_a_slot_follows_from_the_duration_of_runs() {
+    for (run, expected) in [(0, "d"), (2000, "e")] {
+        let mut site = site_with_slots(run);
+        report(&mut site, vec![load("d", 12, 0), load("e", 0, 1500)]);
+        let sent = place(&mut site, "/long/x", 700);
+        assert_eq!(&*sent.instance, expected, "runs of {run} ms");
+    }
+}
+
+/// An engine has one free slot by reports that are 200 ms old, in which other hosts have sent two requests
+/// to two engines. Guards against many hosts that send a request to the same last slot.
+#[test]
+fn the_last_slot_counts_as_taken_by_requests_that_are_not_reported_yet() {
+    for is_fixed in [false, true] {
+        let mut site = site_with_slots(1200);
+        report(&mut site, vec![load("d", 11, 0), load("e", 4, 700)]);
+        site.now += 200;
+        if is_fixed {
+            use_fixed(&mut site);
+        }
+        let sent = place(&mut site, "/long/x", 700);
+        assert_eq!(&*sent.instance, if is_fixed { "d" } else { "e" });
+    }
+}
