Leave out decode engines whose KV cache a request does not fit

Change: with `decode-placement = gaps` a decode engine is no candidate if the context tokens of its known requests and of this one exceed its KV cache, for whole runs and handovers, as long as another engine has room.

Tests: the new test of tests::decode fails if no engine is left out.

--- a/src/core/relay/choose/decode.rs
+++ b/src/core/relay/choose/decode.rs
@@ -6,7 +6,7 @@
 use super::super::instance::{Instance, Work};
 use super::super::model::ServiceModel;
 use super::super::{Call, load, millis};
-use super::{Policy, sampling};
+use super::{Policy, engine_spec, sampling};
 use crate::core::key::BackendKey;
 use crate::settings::relay::DecodePlacement;
 
@@ -143,6 +143,30 @@
     shortest.map_or(f64::INFINITY, millis)
 }
 
+/// Drops the engines whose KV cache the context tokens of the known requests and of this one exceed,
+/// as long as another engine has room: an engine without room preempts a request, and prefills it
+/// again later.
+pub(super) fn retain_with_room(
+    core: &Core,
+    call: &Call,
+    prompt: &Prompt,
+    policy: Policy,
+    engines: &mut Vec<BackendKey>,
+) {
+    let capacity = engine_spec(core, call).map_or(0, |engine| engine.kv_capacity);
+    if policy.decode_placement == DecodePlacement::Fixed || capacity == 0 {
+        return;
+    }
+    let own = context_tokens(prompt, policy);
+    let has_room = |key: &BackendKey| {
+        let context = core.relay.instances.arena[*key].work().context;
+        context.saturating_add(own) <= capacity
+    };
+    if engines.iter().any(has_room) {
+        engines.retain(has_room);
+    }
+}
+
 /// Returns the requests of other hosts that are not reported yet, for each slot of the decode engines
 /// of a request's service.
 fn unreported_per_slot(core: &Core, call: &Call) -> f64 {
--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -41,13 +41,14 @@
         return Err(no_server(core, key));
     };
     let prompt = call.prompt.clone().unwrap_or_default();
-    let engines = eligible_servers(core, call, Some(Stage::Decode));
+    let policy = policy(core);
+    let mut engines = eligible_servers(core, call, Some(Stage::Decode));
+    decode::retain_with_room(core, call, &prompt, policy, &mut engines);
     let engines = sampling::sample(core, key, &prompt, engines);
     let call = &core.relay.calls[key];
     let source = core.relay.instances.arena.get(cache.engine);
     let source_wait = source.map_or(0.0, |instance| instance.link.wait_ms(core.now));
     let source = source.map(|instance| instance.domain.clone());
-    let policy = policy(core);
     let transfer = transfer_ms(core, call, &prompt);
     let model = core.relay.cost_model.of(&call.service);
     let decode = DecodeCost::of(core, call, policy);
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -255,7 +255,11 @@
     let stays = call.delivered && call.standby.is_some();
     let runs_whole = !stays && !retry::allows_prefill(core, key);
     let engines = [Stage::Prefill, Stage::Decode].map(|stage| {
-        let eligible = eligible_servers(core, &core.relay.calls[key], Some(stage));
+        let call = &core.relay.calls[key];
+        let mut eligible = eligible_servers(core, call, Some(stage));
+        if stage == Stage::Decode {
+            decode::retain_with_room(core, call, &prompt, policy, &mut eligible);
+        }
         sampling::sample(core, key, &prompt, eligible)
     });
     let call = &core.relay.calls[key];
--- a/src/core/relay/tests/decode.rs
+++ b/src/core/relay/tests/decode.rs
@@ -373,3 +373,24 @@
         assert_eq!(&*sent.instance, if is_fixed { "d" } else { "e" });
     }
 }
+
+/// Long streams fill the KV cache of an engine that has the fewest requests. Guards against a request by which the
+/// engine must preempt another, while a second engine has room; without any room it is still served.
+#[test]
+fn a_request_avoids_an_engine_whose_kv_cache_it_does_not_fit() {
+    let full = with_context(load("d", 2, 0), 499_968);
+    let free = with_context(load("e", 15, 0), 300_032);
+    let both = [("d", 15), ("e", 2)].map(|(id, calls)| with_context(load(id, calls, 0), 499_968));
+    for (loads, expected) in [(vec![full, free], "e"), (both.to_vec(), "e")] {
+        let mut handed = site(&HANDOVER);
+        report(&mut handed, loads.clone());
+        assert_eq!(&*hand_over(&mut handed, "/long/x", 9000).instance, expected);
+        let mut whole = site(&DECODE_ONLY);
+        report(&mut whole, loads);
+        assert_eq!(&*place(&mut whole, "/long/x", 900).instance, expected);
+    }
+    let mut fixed = site(&HANDOVER);
+    use_fixed(&mut fixed);
+    report(&mut fixed, vec![full, free]);
+    assert_eq!(&*hand_over(&mut fixed, "/long/x", 9000).instance, "d");
+}
