--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -154,8 +154,8 @@
             calls: message.calls,
             fill_rate: message.fill.into(),
             tokens: message.tokens.into(),
-            context: 0,
             prompt_rate: message.prompts.into(),
+            context: message.context.into(),
         }
     }
 }
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -358,7 +358,7 @@
     );
     if matches!(
         result,
-        OrderResult::Fenced | OrderResult::Unsent | OrderResult::Refused
+        OrderResult::Conflict | OrderResult::Fenced | OrderResult::Unsent
     ) {
         changing::withdraw(core, id);
     }
--- a/src/core/relay/tests/decode.rs
+++ b/src/core/relay/tests/decode.rs
@@ -6,7 +6,7 @@
 use super::*;
 use crate::core::relay::event::{Gossip, LoadReport, Task};
 use crate::core::relay::instance::short_hash;
-use crate::core::relay::model::GapLoad;
+use crate::core::relay::model::{GapLoad, Slowdown};
 use crate::settings::relay::DecodePlacement;
 
 /// Returns a host with these engines that places by gaps.
@@ -18,6 +18,7 @@
     site.register(entries.collect());
     let entry = r#"{"addr":"10.9.9.9:1","domain":"z"}"#;
     site.write_key("hosts/host-2", Some(entry), 3);
+    site.write_key("hosts/host-3", Some(entry), 4);
     site
 }
 
@@ -47,9 +48,13 @@
 
 /// Receives the load of another host.
 fn report(site: &mut TestHost, loads: Vec<LoadReport>) {
+    report_from(site, "host-2", loads);
+}
+
+fn report_from(site: &mut TestHost, host: &str, loads: Vec<LoadReport>) {
     let sequence = site.now;
     site.event(RelayEvent::Gossiped(Box::new(Gossip {
-        host: "host-2".into(),
+        host: host.into(),
         incarnation: 1,
         sequence,
         loads,
@@ -236,3 +241,156 @@
     let (few, many) = (gap(2).expect("measured"), gap(16).expect("measured"));
     assert!(many > few * 1.8, "{few} {many}");
 }
+
+const HANDOVER: [(&str, Stage); 3] = [
+    ("p", Stage::Prefill),
+    ("d", Stage::Decode),
+    ("e", Stage::Decode),
+];
+
+/// Returns the load with so many context tokens.
+fn with_context(load: LoadReport, context: u32) -> LoadReport {
+    LoadReport { context, ..load }
+}
+
+/// Returns the context tokens of an engine in the last report of the host.
+fn reported_context(out: &Effects, id: &str) -> Option<u32> {
+    let messages = out.iter().filter_map(|effect| match effect {
+        Effect::Relay(RelayEffect::Publish { message, .. }) => Some(message),
+        _ => None,
+    });
+    let loads = messages.flat_map(|message| &message.loads);
+    let mut loads = loads.filter(|load| load.instance == short_hash(id));
+    loads.next_back().map(|load| load.context)
+}
+
+/// Nearly all streams of an engine belong to other hosts. Guards against a choice by this host's own
+/// streams, and against context tokens that are not reported, or reported where the setting is off.
+#[test]
+fn context_tokens_of_other_hosts_count() {
+    let mut site = site(&HANDOVER);
+    measure_loaded_gaps(&mut site);
+    let long = with_context(load("d", 3, 0), 51_200);
+    let short = with_context(load("e", 5, 0), 2048);
+    report(&mut site, vec![long, short]);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    assert_eq!(&*sent.instance, "e");
+    let out = site.advance(500);
+    assert_eq!(reported_context(&out, "e"), Some(8960), "9010, rounded");
+    use_fixed(&mut site);
+    site.stream_ended(sent.attempt);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    let out = site.advance(500);
+    assert_eq!(reported_context(&out, &sent.instance), Some(0));
+}
+
+/// Reports of a host get lost from some time on, and a host of an older build reports no context
+/// tokens. Guards against context tokens that are counted for ever, and against an engine that counts as idle
+/// because the context of its requests is not known.
+#[test]
+fn lost_reports_and_reports_without_context_are_dropped_and_counted_by_requests() {
+    let mut site = site(&HANDOVER);
+    measure_loaded_gaps(&mut site);
+    report(&mut site, vec![with_context(load("d", 3, 0), 51_200)]);
+    site.advance(3000);
+    report_from(&mut site, "host-3", vec![load("e", 20, 0)]);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    assert_eq!(&*sent.instance, "d");
+}
+
+/// An engine ends and starts again under its id. Guards against context tokens of requests that
+/// ended with its last process.
+#[test]
+fn context_tokens_end_with_the_requests_of_an_engine_that_restarts() {
+    let mut site = site(&[("p", Stage::Prefill), ("d", Stage::Decode)]);
+    let sent = hand_over(&mut site, "/long/x", 9000);
+    site.register(vec![BackendEntry {
+        started_ms: 2,
+        ..engine_entry("d", Stage::Decode)
+    }]);
+    site.fail_attempt(sent.attempt, Ran::Yes, AttemptFailure::Cut);
+    let key = site.core.relay.instances.find("d").expect("registered");
+    let work = site.core.relay.instances.arena[key].own_work;
+    assert_eq!((work.calls, work.context), (0, 0));
+}
+
+/// Returns the entry of a decode engine with 12 slots.
+fn small_engine(id: &str) -> BackendEntry {
+    BackendEntry {
+        slots: 12,
+        ..engine_entry(id, Stage::Decode)
+    }
+}
+
+/// Returns a host with two decode engines of 12 slots at which streams of so many milliseconds have
+/// ended, and at which ten requests arrive in a second.
+fn site_with_slots(run: u64) -> TestHost {
+    let mut site = site(&[]);
+    site.register(vec![small_engine("d"), small_engine("e")]);
+    for own in 0..if run > 0 { 20 } else { 0 } {
+        let attempt = place(&mut site, "/short/x", 380 + own).attempt;
+        site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+        site.now += run;
+        site.stream_ended(attempt);
+    }
+    for own in 0..20 {
+        site.now += 100;
+        let call = place(&mut site, "/short/x", 420 + own).call;
+        site.event(RelayEvent::CallerLeft(call));
+    }
+    // Both engines have the same speed.
+    for instance in site.core.relay.instances.arena.values_mut() {
+        instance.pace = Slowdown::default();
+    }
+    site
+}
+
+/// All slots of an engine are taken, and streams run for two seconds. Guards against a wait that is
+/// estimated by a fixed quarter of a second, by which the request comes late; without ended streams
+/// that estimate stays.
+#[test]
+fn the_wait_for_a_slot_follows_from_the_duration_of_runs() {
+    for (run, expected) in [(0, "d"), (2000, "e")] {
+        let mut site = site_with_slots(run);
+        report(&mut site, vec![load("d", 12, 0), load("e", 0, 1500)]);
+        let sent = place(&mut site, "/long/x", 700);
+        assert_eq!(&*sent.instance, expected, "runs of {run} ms");
+    }
+}
+
+/// An engine has one free slot by reports that are 200 ms old, in which other hosts have sent two requests
+/// to two engines. Guards against many hosts that send a request to the same last slot.
+#[test]
+fn the_last_slot_counts_as_taken_by_requests_that_are_not_reported_yet() {
+    for is_fixed in [false, true] {
+        let mut site = site_with_slots(1200);
+        report(&mut site, vec![load("d", 11, 0), load("e", 4, 700)]);
+        site.now += 200;
+        if is_fixed {
+            use_fixed(&mut site);
+        }
+        let sent = place(&mut site, "/long/x", 700);
+        assert_eq!(&*sent.instance, if is_fixed { "d" } else { "e" });
+    }
+}
+
+/// Long streams fill the KV cache of an engine that has the fewest requests. Guards against a request by which the
+/// engine must preempt another, while a second engine has room; without any room it is still served.
+#[test]
+fn a_request_avoids_an_engine_whose_kv_cache_it_does_not_fit() {
+    let full = with_context(load("d", 2, 0), 499_968);
+    let free = with_context(load("e", 15, 0), 300_032);
+    let both = [("d", 15), ("e", 2)].map(|(id, calls)| with_context(load(id, calls, 0), 499_968));
+    for (loads, expected) in [(vec![full, free], "e"), (both.to_vec(), "e")] {
+        let mut handed = site(&HANDOVER);
+        report(&mut handed, loads.clone());
+        assert_eq!(&*hand_over(&mut handed, "/long/x", 9000).instance, expected);
+        let mut whole = site(&DECODE_ONLY);
+        report(&mut whole, loads);
+        assert_eq!(&*place(&mut whole, "/long/x", 900).instance, expected);
+    }
+    let mut fixed = site(&HANDOVER);
+    use_fixed(&mut fixed);
+    report(&mut fixed, vec![full, free]);
+    assert_eq!(&*hand_over(&mut fixed, "/long/x", 9000).instance, "d");
+}
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -30,6 +30,7 @@
             fill: 3,
             tokens: 4,
             prompts: 5,
+            context: 512,
         }],
         included_domains: vec![9],
         limits: vec![
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -672,6 +672,9 @@
     /// Prompt tokens to be prefilled.
     #[prost(uint32, repeated, tag = "4")]
     pub tokens: ::prost::alloc::vec::Vec<u32>,
+    /// Context tokens of the requests, in units of 256; empty where none are known.
+    #[prost(uint32, repeated, tag = "5")]
+    pub context: ::prost::alloc::vec::Vec<u32>,
     /// Equivalent prompt tokens that arrived in the last period, a second; absent where there were none.
     #[prost(uint32, repeated, tag = "40")]
     pub prompts: ::prost::alloc::vec::Vec<u32>,
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -9,9 +9,10 @@
 use super::{WireError, generated as wire};
 use crate::core::relay::duty::usage::ledger::{Process, Row, UsageReport};
 use crate::core::relay::event::{
-    BlockReport, ChangeReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
-    LimitReport, LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange,
-    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport, Stage,
+    BlockReport, CONTEXT_UNIT, ChangeReport, Changes, CrashReport, DepartureReport, Gossip,
+    GossipKind, IncludedReport, LimitReport, LoadReport, PartReport, ProbeReport,
+    ReplicatedChanges, Stage, StoreChange, StreamMessage, StreamQuery, StreamRecord, StreamReply,
+    UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 
@@ -385,6 +386,7 @@
         fill: loads.iter().map(|load| load.fill).collect(),
         tokens: loads.iter().map(|load| load.tokens).collect(),
         prompts: optional_column(loads.iter().map(|load| load.prompts)),
+        context: optional_column(loads.iter().map(|load| load.context / CONTEXT_UNIT)),
     }
 }
 
@@ -406,20 +408,24 @@
     {
         return Err(WireError::Field { field: "loads" });
     }
-    // A host of an older build sends no such column.
-    if !loads.prompts.is_empty() && loads.prompts.len() != loads.instances.len() {
-        return Err(WireError::Field { field: "loads" });
+    // A host of an older build sends no such columns.
+    for column in [&loads.prompts, &loads.context] {
+        if !column.is_empty() && column.len() != loads.instances.len() {
+            return Err(WireError::Field { field: "loads" });
+        }
     }
     let prompts = loads.prompts.iter().copied().chain(std::iter::repeat(0));
+    let context = loads.context.iter().copied().chain(std::iter::repeat(0));
     let rows = loads.instances.iter().zip(&loads.calls).zip(&loads.fill);
-    let rows = rows.zip(&loads.tokens).zip(prompts);
+    let rows = rows.zip(&loads.tokens).zip(prompts).zip(context);
     let loads = rows.map(
-        |((((instance, calls), fill), tokens), prompts)| LoadReport {
+        |(((((instance, calls), fill), tokens), prompts), context)| LoadReport {
             instance: *instance,
             calls: *calls,
             fill: *fill,
             tokens: *tokens,
             prompts,
+            context: context.saturating_mul(CONTEXT_UNIT),
         },
     );
     Ok(loads.collect())
