--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{Changes, StreamMessage};
+use super::{Changes, Stage, StreamMessage};
 use crate::core::relay::duty::usage::ledger::UsageReport;
 
 /// One gossip message.
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -21,9 +21,9 @@
 use crate::settings::Settings;
 pub use forward::{Departures, ForwardRefusal, Forwarded, LinkProbe, Spent};
 pub use gossip::{
-    BlockReport, CONTEXT_UNIT, CrashReport, DepartureReport, Gossip, GossipKind, IncludedReport,
-    LimitReport, LoadReport, PartReport, ProbeReport, ReplicatedChanges, StoreChange, Updates,
-    UptimeReport,
+    BlockReport, CONTEXT_UNIT, ChangeReport, CrashReport, DepartureReport, Gossip, GossipKind,
+    IncludedReport, LimitReport, LoadReport, PartReport, ProbeReport, ReplicatedChanges,
+    StoreChange, Updates, UptimeReport,
 };
 pub use notice::{NamedLimit, NamedPushback, Notices};
 pub use order::{EngineReport, OrderResult, StageOrder};
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -53,7 +53,7 @@
 
 use super::effect::{Effect, LogFields};
 use super::event::{Job, StoreReply, Timer};
-use super::key::{AttemptKey, CallKey};
+use super::key::{AttemptKey, BackendKey, CallKey};
 use super::time::Time;
 use super::{Core, Effects};
 use crate::settings::Settings;
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod buffers;
+mod changing;
 mod config;
 mod crashes;
 
