Take over from the fixed fractions without more workers

Cause: a holder that orders by the fixed fractions, until the demand is known, orders by demand from the workers that were present at its first plan: it gave back spot workers and ordered regular ones again, for up to 10 s. Change: the fixed numbers are the ones in force until the demand is known; the time for which a lower number is enough counts from the first plan.

--- a/src/core/relay/duty/scaling/forecast.rs
+++ b/src/core/relay/duty/scaling/forecast.rs
@@ -75,18 +75,18 @@
 }
 
 impl Hold {
-    /// Returns the workers to order for a plan.
+    /// Records a plan: higher numbers are in force at once, lower ones not before [`Hold::reduced`].
     ///
-    /// A new holder of the authority, which has another fencing number, starts with the workers present. No number is
-    /// reduced while `is_complete` is false: the demand of some hosts is not known.
-    pub fn update(
+    /// A new holder of the authority, which has another fencing number, starts with the workers present. Time does not
+    /// count while `is_complete` is false: the demand of some hosts is not known.
+    pub fn record(
         &mut self,
         fence: u64,
         plan: &BTreeMap<Box<str>, Workers>,
         present: &BTreeMap<Box<str>, Workers>,
         is_complete: bool,
         now: Time,
-    ) -> BTreeMap<Box<str>, Workers> {
+    ) {
         if self.fence != fence {
             *self = Self {
                 fence,
@@ -100,31 +100,55 @@
             Duration::ZERO
         };
         self.at = now;
-        let mut follow = |domain: &str, supply, planned: u32| {
+        for (domain, planned, supply) in subjects(plan) {
             let initial = present.get(domain).map_or(0, |workers| workers.of(supply));
-            let held = self.held.entry((domain.into(), supply)).or_insert(Held {
+            let held = self.held.entry((domain.clone(), supply)).or_insert(Held {
                 count: initial,
                 lower: 0,
                 lower_for: Duration::ZERO,
             });
             if planned >= held.count {
                 (held.count, held.lower, held.lower_for) = (planned, 0, Duration::ZERO);
-                return planned;
+            } else {
+                held.lower = held.lower.max(planned);
+                held.lower_for += step;
             }
-            held.lower = held.lower.max(planned);
-            held.lower_for += step;
+        }
+    }
+
+    /// Puts other numbers in force, while the demand is not known.
+    pub fn replace(&mut self, targets: &BTreeMap<Box<str>, Workers>) {
+        for (domain, count, supply) in subjects(targets) {
+            if let Some(held) = self.held.get_mut(&(domain.clone(), supply)) {
+                held.count = count;
+            }
+        }
+    }
+
+    /// Returns the numbers in force, of which those are reduced that have been too high for long enough.
+    pub fn reduced(&mut self, is_complete: bool) -> BTreeMap<Box<str>, Workers> {
+        let mut targets: BTreeMap<Box<str>, Workers> = BTreeMap::new();
+        for ((domain, supply), held) in &mut self.held {
             if is_complete && held.lower_for >= REDUCE_AFTER {
-                (held.count, held.lower, held.lower_for) = (held.lower, 0, Duration::ZERO);
+                let count = held.count.min(held.lower);
+                (held.count, held.lower, held.lower_for) = (count, 0, Duration::ZERO);
             }
-            held.count
-        };
-        let domains = plan.iter().map(|(domain, workers)| {
-            let workers = Workers {
-                regular: follow(domain, Supply::Regular, workers.regular),
-                spot: follow(domain, Supply::Spot, workers.spot),
-            };
-            (domain.clone(), workers)
-        });
-        domains.collect()
+            let workers = targets.entry(domain.clone()).or_default();
+            match supply {
+                Supply::Regular => workers.regular = held.count,
+                Supply::Spot => workers.spot = held.count,
+            }
+        }
+        targets
     }
 }
+
+/// Returns the number of workers of each kind in each failure domain.
+fn subjects(
+    workers: &BTreeMap<Box<str>, Workers>,
+) -> impl Iterator<Item = (&Box<str>, u32, Supply)> {
+    let kinds = [Supply::Regular, Supply::Spot];
+    workers
+        .iter()
+        .flat_map(move |(domain, workers)| kinds.map(|supply| (domain, workers.of(supply), supply)))
+}
--- a/src/core/relay/duty/scaling/mod.rs
+++ b/src/core/relay/duty/scaling/mod.rs
@@ -251,12 +251,15 @@
     let forecast = forecast::forecast(&fleet.demand, headroom, scaling.boot, floor);
     let planned = plan::demand_targets(scaling, need, forecast, present);
     // The time for which a lower number was enough counts while the demand becomes known.
-    let mut targets = fleet
+    fleet
         .hold
-        .update(fence, &planned, present, is_complete, now);
+        .record(fence, &planned, present, is_complete, now);
     if !fleet.demand.is_known(now) {
-        return (plan::targets(scaling, need, present), "fixed");
+        let targets = plan::targets(scaling, need, present);
+        fleet.hold.replace(&targets);
+        return (targets, "fixed");
     }
+    let mut targets = fleet.hold.reduced(is_complete);
     plan::limit(&mut targets, scaling);
     keep_stages(core, service, &mut targets, present);
     (targets, "demand")
--- a/src/core/relay/duty/scaling/tests.rs
+++ b/src/core/relay/duty/scaling/tests.rs
@@ -350,6 +350,19 @@
     );
 }
 
+/// Records a plan, and returns the numbers in force.
+fn update(
+    hold: &mut Hold,
+    fence: u64,
+    plan: &Plan,
+    present: &Plan,
+    is_complete: bool,
+    now: Time,
+) -> Plan {
+    hold.record(fence, plan, present, is_complete, now);
+    hold.reduced(is_complete)
+}
+
 /// Guards against reductions between two bursts, and against one that takes several orders.
 #[test]
 fn workers_are_added_at_once_and_reduced_once_after_ten_seconds() {
@@ -361,14 +374,15 @@
         let planned = if burst { 30 } else { 10 - tick / 40 };
         let now = Time::from_millis(1000 + 500 * u64::from(tick));
         let present = everywhere(0, *counts.last().unwrap_or(&0));
-        let plan = hold.update(1, &everywhere(0, planned), &present, true, now);
+        let plan = update(&mut hold, 1, &everywhere(0, planned), &present, true, now);
         counts.push(plan["a"].spot);
     }
     assert!(counts[..133].iter().all(|count| *count == 30), "{counts:?}");
     let mut levels = counts.clone();
     levels.dedup();
     assert_eq!(levels, [30, 8, 7, 6], "{counts:?}");
-    let plan = hold.update(
+    let plan = update(
+        &mut hold,
         1,
         &everywhere(0, 31),
         &everywhere(0, 6),
@@ -386,7 +400,14 @@
     for tick in 0..200_u64 {
         let is_complete = tick >= 100;
         let now = Time::from_millis(1000 + tick * 500);
-        let plan = hold.update(1, &everywhere(2, 5), &everywhere(9, 20), is_complete, now);
+        let plan = update(
+            &mut hold,
+            1,
+            &everywhere(2, 5),
+            &everywhere(9, 20),
+            is_complete,
+            now,
+        );
         assert_eq!(
             plan == everywhere(9, 20),
             tick < 119,
@@ -401,8 +422,22 @@
 fn a_new_holder_starts_with_the_workers_present() {
     let mut hold = Hold::default();
     let at = |secs: u64| Time::from_millis(secs * 1000);
-    hold.update(1, &everywhere(30, 30), &everywhere(30, 0), true, at(1));
-    let plan = hold.update(5, &everywhere(3, 20), &everywhere(9, 18), true, at(60));
+    update(
+        &mut hold,
+        1,
+        &everywhere(30, 30),
+        &everywhere(30, 0),
+        true,
+        at(1),
+    );
+    let plan = update(
+        &mut hold,
+        5,
+        &everywhere(3, 20),
+        &everywhere(9, 18),
+        true,
+        at(60),
+    );
     assert_eq!(plan, everywhere(9, 20));
 }
 
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -27,6 +27,7 @@
 mod register;
 mod request;
 mod sampling;
+mod scaling;
 mod secured;
 mod silence;
 mod stages;
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hyper::Method;
 use proptest::prelude::*;
+use prost::Message as _;
 
 use super::callers::relay_fingerprint;
 use super::datagrams::{seal, verify};
@@ -114,6 +116,45 @@
     }
 }
 
+/// Loads as a host of an older build reads and sends them.
+#[derive(Clone, PartialEq, prost::Message)]
+struct OldLoads {
+    #[prost(fixed32, repeated, tag = "1")]
+    instances: Vec<u32>,
+    #[prost(uint32, repeated, tag = "2")]
+    calls: Vec<u32>,
+    #[prost(uint32, repeated, tag = "3")]
+    fill: Vec<u32>,
+    #[prost(uint32, repeated, tag = "4")]
+    tokens: Vec<u32>,
+}
+
+/// A message with such loads.
+#[derive(Clone, PartialEq, prost::Message)]
+struct OldWord {
+    #[prost(string, tag = "1")]
+    host: String,
+    #[prost(message, optional, tag = "15")]
+    loads: Option<OldLoads>,
+}
+
+/// Guards against builds that drop each other's messages during an upgrade.
+#[test]
+fn hosts_of_older_builds_exchange_loads_with_this_one() {
+    let mut bytes = BytesMut::new();
+    wire::encode_gossip(&gossip(), &mut bytes);
+    let old = OldWord::decode(&*bytes).expect("an older build reads it");
+    let loads = old.loads.clone().expect("loads");
+    assert_eq!((loads.instances, loads.tokens), (vec![1], vec![4]));
+    let message = wire::decode_gossip(&old.encode_to_vec()).expect("this build reads it");
+    let expected = LoadReport {
+        prompts: 0,
+        ..gossip().loads[0]
+    };
+    assert_eq!(message.loads, [expected]);
+    assert!(message.included_domains.is_empty());
+}
+
 /// A third party can reach the port. Gossip accepted from it could make a host refuse its callers
 /// because of load that does not exist.
 #[test]
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 
+use super::duties::ScalingMode;
 use super::{Fencing, LogFormat, Settings};
 
 /// Minimal settings without a fault.
@@ -170,3 +171,56 @@
         }
     }
 }
+
+/// Settings of a relaying host, with these lines among its duties.
+fn with_duties(lines: &str) -> Result<Settings, Box<str>> {
+    let text = format!(
+        "[relay]\nname = a\nregion = r\ndomain = z\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n\
+         peers = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n[store]\naddr = 127.0.0.1:5\n\
+         [duties]\naddr = 127.0.0.1:6\n{lines}"
+    );
+    let settings = Settings::parse_relay(&text, "host.ini");
+    settings.map_err(|faults| {
+        let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        faults.join("\n").into()
+    })
+}
+
+/// Guards against orders by demand that nobody has switched on.
+#[test]
+fn workers_follow_fixed_fractions_by_default() {
+    let duties = |lines| {
+        let settings = with_duties(lines).expect("valid settings");
+        settings
+            .relay
+            .and_then(|relay| relay.duties)
+            .expect("duties")
+    };
+    let default = duties("");
+    assert_eq!(default.scaling, ScalingMode::Fixed);
+    assert!((default.headroom - 2.5).abs() < f64::EPSILON);
+    let given = duties("scaling = demand\nheadroom = 1\n");
+    assert_eq!(given.scaling, ScalingMode::Demand);
+    assert!((given.headroom - 1.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn wrong_orders_of_workers_are_named() {
+    for (line, allowed) in [
+        (
+            "headroom = 0.9",
+            "headroom given \"0.9\", allowed a number from 1 to 10",
+        ),
+        (
+            "headroom = 11",
+            "headroom given \"11\", allowed a number from 1 to 10",
+        ),
+        (
+            "scaling = load",
+            "scaling given \"load\", allowed one of demand, fixed",
+        ),
+    ] {
+        let faults = with_duties(line).expect_err("a fault");
+        assert!(faults.contains(allowed), "{faults}");
+    }
+}
