--- a/src/core/relay/duty/scaling/forecast.rs
+++ b/src/core/relay/duty/scaling/forecast.rs
@@ -100,6 +100,7 @@
             Duration::ZERO
         };
         self.at = now;
+        self.held.retain(|(domain, _), _| plan.contains_key(domain));
         for (domain, planned, supply) in subjects(plan) {
             let initial = present.get(domain).map_or(0, |workers| workers.of(supply));
             let held = self.held.entry((domain.clone(), supply)).or_insert(Held {
--- a/src/core/relay/duty/scaling/mod.rs
+++ b/src/core/relay/duty/scaling/mod.rs
@@ -53,6 +53,13 @@
 }
 
 impl Scaler {
+    /// Forgets the numbers of workers in force by demand, after the setting has changed.
+    fn forget(&mut self, service: &str) {
+        if let Some(fleet) = self.fleets.get_mut(service) {
+            fleet.hold = Hold::default();
+        }
+    }
+
     /// Returns, for each service whose demand is measured, the demand in engines and the workers last planned.
     #[must_use]
     pub fn gauges(&self) -> Vec<(&str, f64, u32)> {
@@ -85,8 +92,6 @@
     written: Option<Time>,
     /// Whether all spot workers of the plan have served at the same time.
     has_swapped: bool,
-    /// That number as last known, while the store does not have it.
-    remembered: Option<u32>,
     /// Demand as measured by this host.
     demand: Demand,
     /// Numbers of workers in force.
@@ -118,10 +123,7 @@
         };
         let value = change.value.as_deref().map(String::from_utf8_lossy);
         let count = value.and_then(|value| value.parse().ok());
-        let fleet = fleets.entry(service.into()).or_default();
-        fleet.provisioned = count;
-        // The store may go back to a state before the number was written.
-        fleet.remembered = count.or(fleet.remembered);
+        fleets.entry(service.into()).or_default().provisioned = count;
     }
 }
 
@@ -201,15 +203,12 @@
                 .is_none_or(|at| now.since(at) > WRITE_INTERVAL)
         {
             fleet.written = Some(now);
-            let count = fleet.remembered.unwrap_or(fleet.count.0);
+            let count = fleet.count.0;
             record_provision(core, &service, count, out);
         }
         let fleet = &core.relay.duties.scaler.fleets[&service];
         let need = Need {
-            provisioned: fleet
-                .provisioned
-                .or(fleet.remembered)
-                .unwrap_or(fleet.count.0),
+            provisioned: fleet.provisioned.unwrap_or(fleet.count.0),
             policy,
             has_swapped: fleet.has_swapped,
         };
@@ -221,7 +220,10 @@
             ScalingMode::Demand => {
                 follow_demand(core, (&service, &scaling), need, &present, grant.fence)
             }
-            ScalingMode::Fixed => (plan::targets(&scaling, need, &present), "fixed"),
+            ScalingMode::Fixed => {
+                core.relay.duties.scaler.forget(&service);
+                (plan::targets(&scaling, need, &present), "fixed")
+            }
         };
         let due = differences(core, &service, &scaling, &targets, &present, scope);
         for order in due {
