Subtract the target of a late answer without a panic

Cause: the linter refuses the unchecked subtraction of durations in lateness.rs. Change: a saturating subtraction; the first event is past the target there, so that the result is the same.

--- a/src/core/relay/lateness.rs
+++ b/src/core/relay/lateness.rs
@@ -91,6 +91,12 @@
         self.first_event = Some(after);
     }
 
+    /// Returns the time from arrival to the first event, once it has arrived.
+    #[must_use]
+    pub fn first_event(&self) -> Option<Duration> {
+        self.first_event
+    }
+
     /// Records the time between two events that the caller received.
     pub fn paused(&mut self, gap: Duration) {
         self.longest_gap = self.longest_gap.max(gap);
@@ -118,7 +124,7 @@
             (self.prefill.excess(), Cause::Prefill),
             (self.first.excess(), run),
         ];
-        let missed = millis(first - target);
+        let missed = millis(first.saturating_sub(target));
         let (worst, cause) = stages
             .into_iter()
             .max_by(|one, two| one.0.total_cmp(&two.0))?;
