Begin the estimate of a shortage anew when other hosts are heard or lost

Cause: a shortage begins with the counts of one host. Its estimate of what is served stayed in force when the reports of all hosts arrived, so that their customers would have divided what one host serves; and the reverse when the reports ended. Change: the estimate begins anew, and follows what is used for a second.

--- a/src/core/relay/shares/mod.rs
+++ b/src/core/relay/shares/mod.rs
@@ -272,7 +272,8 @@
     let Some(service) = core.relay.shares.services.get(&hash) else {
         return;
     };
-    let engines = engines_ms(core, &service.name);
+    let hears_others = core.relay.shares.exchange.hears_others(now);
+    let engines = engines_ms(core, &service.name, hears_others);
     let demand = |rank, time: EngineTime, customers| Demand {
         rank,
         used: time.used / f64::from(customers),
@@ -292,17 +293,17 @@
     });
     service.others = others.filter(|(_, time)| time.demand() > 0.0).collect();
     if let Some(shortage) = &mut service.shortage {
-        shortage.divide(&mut demands, engines, now);
+        shortage.divide(&mut demands, engines, hears_others, now);
     }
 }
 
 /// Returns the time of a service's engines in a window; this host's part of it if it hears of no usage at others.
-fn engines_ms(core: &Core, service: &str) -> f64 {
+fn engines_ms(core: &Core, service: &str, hears_others: bool) -> f64 {
     let all = core.relay.instances.of(service).iter();
     let all = all.map(|key| &core.relay.instances.arena[*key]);
     let available = all.filter(|instance: &&Instance| instance.is_available(core.now));
     let engines = available.count() as f64;
-    let hosts = if core.relay.shares.exchange.hears_others(core.now) {
+    let hosts = if hears_others {
         1
     } else {
         core.relay.peers.host_count()
--- a/src/core/relay/shares/shortage.rs
+++ b/src/core/relay/shares/shortage.rs
@@ -13,6 +13,8 @@
 /// Time for which requests are refused for fairness after some customers last had more than their shares and others
 /// less: some changes of the estimate, so that it approaches what the service serves before they end.
 const CONTENTION: Duration = Duration::from_secs(6);
+/// Time in which the estimate follows what is used: the reports of all hosts arrive within it.
+const SETTLING: Duration = Duration::from_secs(1);
 /// Time between two changes of the estimate: usage reported by the other hosts arrives within it.
 const ADJUST_INTERVAL: Duration = Duration::from_millis(400);
 /// Time by which a reported sign must be newer than the last one. A smaller difference is the time in which a report of
@@ -55,6 +57,8 @@
     capacity: Option<f64>,
     /// When that was last changed.
     adjusted: Time,
+    /// Whether it includes other hosts, and since when.
+    hears_others: (bool, Time),
     /// Most engine time used in a window, decayed.
     peak: f64,
     /// When some customers last had more than their shares and others less.
@@ -74,6 +78,7 @@
             last_sign: sign,
             capacity: None,
             adjusted: now,
+            hears_others: (false, now),
             peak: 0.0,
             unfair_at: None,
             division: None,
@@ -105,18 +110,27 @@
         has_ended(self.sign_age(now))
     }
 
-    /// Divides the service between customers that use and want so much, given the time of its engines in a window.
-    pub fn divide(&mut self, demands: &mut [Demand], engines: f64, now: Time) {
+    /// Divides the service between customers that use and want so much, given the time of its engines in a window, and
+    /// whether both include other hosts.
+    pub fn divide(&mut self, demands: &mut [Demand], engines: f64, hears_others: bool, now: Time) {
+        if self.hears_others.0 != hears_others {
+            // What was estimated for one host states nothing about all of them, and the reverse.
+            self.hears_others = (hears_others, now);
+            self.capacity = None;
+            self.peak = 0.0;
+        }
         let used = demands
             .iter()
             .map(|demand| demand.used * f64::from(demand.customers));
         let used: f64 = used.sum();
         let first = used.max(engines * FIRST_FRACTION);
-        // While no customer is refused for fairness, all that is used is served.
-        let capacity = self
-            .capacity
-            .filter(|_| self.is_contended(now))
-            .unwrap_or(first);
+        let is_settled = now.since(self.hears_others.1) >= SETTLING;
+        let capacity = match self.capacity {
+            Some(capacity) if self.is_contended(now) && is_settled => capacity,
+            Some(capacity) if self.is_contended(now) => capacity.max(first),
+            // While no customer is refused for fairness, all that is used is served.
+            _ => first,
+        };
         let capacity = capacity.max(engines * MIN_FRACTION);
         let division = Division::of(capacity, demands);
         let withheld = division.map_or(0.0, |division| division.withheld(demands));
--- a/src/core/relay/shares/tests.rs
+++ b/src/core/relay/shares/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the division and of the window, without requests.
 
 use super::division::{Demand, Division};
+use super::shortage::Shortage;
 use super::window::{EngineTime, UsageWindow};
 use crate::core::time::Time;
 
@@ -75,3 +76,33 @@
         assert!(window.len() <= 2251, "{}", window.len());
     }
 }
+
+/// A shortage begins at one host, and the reports of 39 others arrive a moment later. Guards against the division of
+/// what one host serves between the customers of all hosts, and of what all serve at a host that no longer hears them.
+#[test]
+fn the_estimate_follows_the_hosts_that_are_heard() {
+    let demands = |hosts: f64| {
+        let demand = |used, wanted| Demand {
+            rank: 0,
+            used: used * hosts,
+            wanted: wanted * hosts,
+            customers: 1,
+        };
+        [demand(90.0, 900.0), demand(10.0, 20.0)]
+    };
+    let now = |millis| Time::from_millis(millis);
+    let mut shortage = Shortage::new(now(0), now(0));
+    let mut share = |hosts: f64, millis| {
+        shortage.divide(&mut demands(hosts), 100.0 * hosts, hosts > 1.0, now(millis));
+        let division = shortage.division.expect("a division");
+        division.share(0) / hosts
+    };
+    let alone = share(1.0, 0);
+    for (hosts, millis) in [(40.0, 100), (40.0, 300), (1.0, 4000), (1.0, 4100)] {
+        let share = share(hosts, millis);
+        assert!(
+            (share - alone).abs() < alone * 0.2,
+            "{share} of {alone} at {hosts}"
+        );
+    }
+}
--- a/src/core/relay/tests/shares.rs
+++ b/src/core/relay/tests/shares.rs
@@ -271,13 +271,31 @@
 #[test]
 fn a_host_that_starts_refuses_nobody_for_fairness() {
     let mut load = Load::new(site(true));
-    load.pass(990, &rates(800));
+    let all = SMALL.map(|name| (name, 40));
+    let rates: Vec<_> = all.into_iter().chain([(BIG, 800)]).collect();
+    load.pass(990, &rates);
     let (small, big) = load.take();
     assert_eq!((small.over_share, big.over_share), (0, 0));
-    load.pass(3000, &rates(800));
+    load.pass(3000, &rates);
     assert!(load.take().1.over_share > 0);
 }
 
+/// Other hosts report, and stop. Guards against a flood that this host does not notice because it counts on what they
+/// served.
+#[test]
+fn a_host_that_hears_no_others_uses_its_own_counts() {
+    let mut site = site(true);
+    for host in ["host-2", "host-3", "host-4"] {
+        report(&mut site, host, 1, 10, OVER_SHARE);
+    }
+    let mut load = Load::new(site);
+    load.pass(6000, &rates(800));
+    load.take();
+    load.pass(10_000, &rates(800));
+    let (small, _) = load.take();
+    assert!(small.in_time * 100 >= small.arrived * 90, "{small:?}");
+}
+
 /// Usage of customers in milliseconds, and what was refused to them.
 type Usage = [(&'static str, u32, u32)];
 
@@ -414,6 +432,7 @@
     site.arrive(short_request(BIG));
     let first = site.sent().expect("a request is sent");
     report(&mut site, "host-2", 1, 10, OVER_SHARE);
+    assert_eq!(outcome(&mut site, BIG), Some(429));
     site.fail_attempt(first.attempt, Ran::No, AttemptFailure::Refused);
     assert!(site.sent().is_some());
 }
@@ -428,7 +447,14 @@
         ..model_request("/long/x", (7, 13_000), 4000)
     });
     let attempt = site.sent().expect("a prefill").attempt;
-    report(&mut site, "host-2", 1, 10, OVER_SHARE);
+    report(
+        &mut site,
+        "host-2",
+        1,
+        10,
+        &[(BIG, 6000, 0), ("one", 0, 500)],
+    );
+    assert_eq!(outcome(&mut site, BIG), Some(429));
     let handle = "h".into();
     site.event(RelayEvent::Prefilled { attempt, handle });
     assert!(site.sent().is_some());
@@ -439,6 +465,7 @@
 fn a_stream_that_is_taken_up_is_not_refused_for_fairness() {
     let mut site = site(true);
     report(&mut site, "host-2", 1, 10, OVER_SHARE);
+    assert_eq!(outcome(&mut site, BIG), Some(429));
     site.arrive(Arrival {
         resume: Some(3),
         resumes: Some("first".into()),
