--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -328,6 +328,11 @@
         /// How the answer came, or why the prefill was not recalled.
         outcome: &'static str,
     },
+    /// A request was refused because its customer had used up its share of a short service.
+    OverShare {
+        /// Route.
+        class: Box<str>,
+    },
     /// A request was sent to a backend server.
     Queued {
         /// Model or service.
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -145,6 +145,7 @@
             recall: false,
             announce_changes: false,
             decode_placement: DecodePlacement::Fixed,
+            fair_shares: false,
         },
         |relay| relay.policy,
     )
--- a/src/core/relay/duty/scaling/demand.rs
+++ b/src/core/relay/duty/scaling/demand.rs
@@ -55,7 +55,7 @@
             }
         }
         Self {
-            prompts: model.average_prefill_ms(tokens) / 1000.0,
+            prompts: model.unqueued_prefill_ms(tokens) / 1000.0,
             runs,
         }
     }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -38,6 +38,7 @@
 mod request;
 mod resolve;
 mod retry;
+mod shares;
 mod silence;
 pub mod stages;
 mod standby;
@@ -165,6 +166,8 @@
     pub cost_model: model::CostModel,
     /// Recalled prefills.
     pub recalls: recall::Recalls,
+    /// Division of services that are short between customers.
+    pub shares: shares::FairShares,
 }
 
 impl Relay {
@@ -190,6 +193,7 @@
     view::start(core, out);
     peers::start(core, out);
     planner::start(core, out);
+    shares::start(core);
     note(
         out,
         log::Level::Info,
--- a/src/core/relay/model/mod.rs
+++ b/src/core/relay/model/mod.rs
@@ -33,6 +33,9 @@
 /// Weight of a sample above and below the estimated base time: queueing can lengthen a sample,
 /// nothing shortens it.
 const BASE_WEIGHTS: (f64, f64) = (0.01, 0.2);
+/// Weight of a sample above and below the time of a token without a queue: work that a host does not know of lengthens a
+/// sample, and nothing shortens it.
+const UNQUEUED_WEIGHTS: (f64, f64) = (0.02, 0.1);
 /// Tokens from which a sample updates the prefill speed; smaller ones update the base time. Ten
 /// times what an engine prefills in 1 ms, the resolution of measured times.
 const MIN_SPEED_TOKENS: u64 = 1000;
@@ -137,6 +140,8 @@
     token: SharedEstimate,
     /// Milliseconds that any prefill takes at least.
     base: Option<f64>,
+    /// Time for each equivalent token where nothing is queued, known or not.
+    unqueued: Option<f64>,
 }
 
 /// The measured prefill of one prompt.
@@ -173,6 +178,7 @@
         let stage = |token| StageModel {
             token: SharedEstimate::new(token),
             base: None,
+            unqueued: None,
         };
         Self {
             prefill: stage(INITIAL_TOKEN_MS.0),
@@ -227,6 +233,14 @@
         tokens as f64 * self.prefill.token.millis
     }
 
+    /// Returns the time that so many equivalent tokens take at an average prefill engine, without any queue.
+    ///
+    /// The average time contains waits behind work that the host did not know of, so it grows with the load.
+    #[must_use]
+    pub fn unqueued_prefill_ms(&self, tokens: u64) -> f64 {
+        tokens as f64 * self.prefill.unqueued.unwrap_or(self.prefill.token.millis)
+    }
+
     /// Returns the time in which an idle engine prefills the shortest prompt.
     #[must_use]
     pub fn base_ms(&self, stage: Stage) -> f64 {
@@ -280,7 +294,16 @@
         // The base time varies as well, and makes up most of the time of a short prompt.
         let expected = self.prefill_ms(stage, *slowdown, total);
         let confidence = expected / (expected + base.max(0.0) * BASE_VARIATION_FRACTION);
-        let shared = &mut self.of_mut(stage).token;
+        let model = self.of_mut(stage);
+        let normal = token / slowdown.factor_if_known();
+        let unqueued = model.unqueued.get_or_insert(normal);
+        let weight = if normal > *unqueued {
+            UNQUEUED_WEIGHTS.0
+        } else {
+            UNQUEUED_WEIGHTS.1
+        };
+        *unqueued += (normal - *unqueued) * weight;
+        let shared = &mut model.token;
         shared.learn(token / slowdown.factor_if_known(), confidence);
         let factor = token / shared.millis;
         slowdown.learn(factor, SLOWDOWN_WEIGHT, confidence);
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -33,6 +33,7 @@
 mod sampling;
 mod scaling;
 mod secured;
+mod shares;
 mod silence;
 mod stages;
 mod standby;
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -60,6 +60,7 @@
     ended_readers: Gauge<u64>,
     links_lost: Gauge<u64>,
     scaling: ScalingGauges,
+    fair_shares: FairShareMetrics,
     forwarded: Counter<u64>,
     taken_up: Counter<u64>,
     last_calls: Cell<CallCounts>,
@@ -67,6 +68,28 @@
     named_customers: RefCell<Vec<Box<str>>>,
 }
 
+/// Metric instruments of fair shares.
+#[derive(Debug)]
+struct FairShareMetrics {
+    refused: Counter<u64>,
+    short_services: Gauge<u64>,
+}
+
+impl FairShareMetrics {
+    fn new(meter: &OtelMeter) -> Self {
+        let refused = meter.u64_counter("chiveway_over_share");
+        let short_services = meter.u64_gauge("chiveway_short_services");
+        Self {
+            refused: refused
+                .with_description("Requests whose customers had used up their shares")
+                .build(),
+            short_services: short_services
+                .with_description("Services that are divided between customers by fair shares")
+                .build(),
+        }
+    }
+}
+
 fn seconds_histogram(
     meter: &OtelMeter,
     name: &'static str,
@@ -158,10 +181,7 @@
                 .with_description("Time since all that the key-value service held was known")
                 .with_unit("s")
                 .build(),
-            store_era: meter
-                .u64_gauge("chiveway_store_era")
-                .with_description("Era of the key-value service")
-                .build(),
+            store_era: gauge("chiveway_store_era", "Era of the key-value service"),
             unlisted: meter
                 .u64_gauge("chiveway_backends_unlisted")
                 .with_description("Backend servers that get work while their entries are missing")
@@ -208,6 +228,7 @@
                 "Answers ended since their callers did not read",
             ),
             scaling: ScalingGauges::new(&meter),
+            fair_shares: FairShareMetrics::new(&meter),
             links_lost: gauge(
                 "chiveway_links_lost",
                 "1 while this host reaches no backend server",
@@ -267,6 +288,9 @@
                 1,
                 &[label("class", class), KeyValue::new("outcome", *outcome)],
             ),
+            Meter::OverShare { class } => {
+                self.fair_shares.refused.add(1, &[label("class", class)]);
+            }
             Meter::TakenUp { outcome } => self.taken_up.add(1, &[label("outcome", outcome)]),
             Meter::Forwarded { class } => self.forwarded.add(1, &[label("class", class)]),
             Meter::Retried { class } => self.retries.add(1, &[label("class", class)]),
@@ -378,6 +402,12 @@
         }
     }
 
+    /// Sets the number of services that are short.
+    pub fn set_short_services(&self, services: usize) {
+        let services = u64::try_from(services).unwrap_or(u64::MAX);
+        self.fair_shares.short_services.record(services, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     #[must_use]
     pub fn encode(&self) -> Option<String> {
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -244,6 +244,8 @@
             let gauges = core.relay.duties.scaler.gauges();
             node.metrics.set_scaling(&gauges);
         });
+        let short = node.with_core(|core| core.relay.shares.short_services());
+        node.metrics.set_short_services(short);
     }
     match node.metrics.encode() {
         Some(body) => text(StatusCode::OK, &body),
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -57,6 +57,8 @@
     pub announce_changes: bool,
     /// How the cost of a placement at a decode engine is estimated.
     pub decode_placement: DecodePlacement,
+    /// Whether customers share a service that is short fairly.
+    pub fair_shares: bool,
 }
 
 /// How the cost of a placement at a decode engine is estimated.
@@ -247,6 +249,12 @@
         "fixed",
         "how the cost of a placement at a decode engine is estimated",
     ),
+    optional(
+        "fair-shares",
+        Form::Choice(&["on", "off"]),
+        "off",
+        "whether customers share a service that is short fairly",
+    ),
 ];
 
 /// Returns whether the text is the settings of a relaying host.
@@ -332,6 +340,7 @@
                     "gaps" => DecodePlacement::Gaps,
                     _ => DecodePlacement::Fixed,
                 },
+                fair_shares: policy.get("fair-shares") == "on",
             },
         }),
     }
