Give each start of a host in the soak a loopback address of its own

Callers of the soak got 404 "no such path", or 200 with the page of the metrics, for valid requests: only the readiness and metrics listeners answer so. All hosts of all test processes listened on 127.0.0.1, and callers go on sending to the former address of a host that was killed or stops; the kernel may give that port to another listener meanwhile.

Evidence: the collision was not caught in a soak. With the ports given by hand, a request to the former port of callers gets exactly these answers from a second process that has its readiness or its metrics listener there. The test of the addresses failed before (one address for six starts). A real deployment has fixed ports, so that the product is left as it is.

With an address for each start, nothing else can listen at a former one: the fleet tests have had this for each deployment since, and the function moves to tests/common. The routes' host no longer is the address, so the callers name it.

--- a/tests/common/http.rs
+++ b/tests/common/http.rs
@@ -50,7 +50,7 @@
     remaining: Option<usize>,
 }
 
-/// Sends a request and reads the answer's head; `None` if there is none.
+/// Sends a request and reads the answer's head; `None` if there is none. It names the address as its host if `headers` name none.
 pub fn open(
     addr: SocketAddr,
     method: &str,
@@ -61,7 +61,10 @@
     let mut stream = TcpStream::connect_timeout(&addr, IO_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(IO_TIMEOUT)).ok()?;
     stream.set_write_timeout(Some(IO_TIMEOUT)).ok()?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {addr}\r\n");
+    let mut head = format!("{method} {path} HTTP/1.1\r\n");
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        write!(head, "host: {addr}\r\n").ok()?;
+    }
     for (name, value) in headers {
         write!(head, "{name}: {value}\r\n").ok()?;
     }
--- a/tests/fleet/support/mod.rs
+++ b/tests/fleet/support/mod.rs
@@ -2,17 +2,19 @@
 
 pub mod account;
 pub mod http;
+#[path = "../../common/loopback.rs"]
+mod loopback;
 pub mod process;
 pub mod proxy;
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
 use http::{Answer, send};
+use loopback::own_loopback_addr;
 use process::{Process, TempDir};
 
 /// Timeout of any wait; far above what a test waits for.
@@ -36,20 +38,6 @@
     }
 }
 
-/// Returns a loopback address of which no other deployment is given a port: a caller that goes on sending to a host that
-/// was killed must not reach a process of another test.
-fn own_loopback_addr() -> Ipv4Addr {
-    static COUNT: AtomicU8 = AtomicU8::new(0);
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let test = COUNT.fetch_add(1, Ordering::Relaxed);
-    Ipv4Addr::new(
-        127,
-        128 | (high << 6) | (middle >> 2),
-        (middle << 6) | (low >> 2),
-        (low << 6) | (test & 0x3f),
-    )
-}
-
 /// Sizes and settings of a deployment.
 #[derive(Debug, Clone)]
 pub struct FleetConfig {
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -16,6 +16,8 @@
 const MAX_RENEWALS: u32 = 2;
 /// Time limit in milliseconds of a request.
 pub const DEADLINE_MS: &str = "2500";
+/// Host that the routes have, whatever the address of a host.
+pub const HOST_HEADER: (&str, &str) = ("host", "127.0.0.1");
 /// Time between two requests of a caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 
@@ -198,6 +200,7 @@
     body: &[u8],
 ) -> Option<http::Answer> {
     let mut headers = vec![
+        HOST_HEADER,
         ("x-chiveway-attempt-id", id),
         ("x-chiveway-deadline-ms", deadline_ms),
     ];
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -15,6 +15,7 @@
 use crate::faults::{
     series, with_crowds, with_hang, with_partitions, with_restores, with_torn_answers,
 };
+use crate::loopback::own_loopback_addr;
 use crate::partition::Links;
 use crate::poison::POISON;
 use crate::process::{Process, TempDir};
@@ -198,7 +199,7 @@
 }
 
 impl Cluster {
-    fn new(seed: u64, bad_part: Option<&'static str>) -> Self {
+    pub fn new(seed: u64, bad_part: Option<&'static str>) -> Self {
         // Another soak of the same tree may run the same seed and remove its folder at the end.
         let name = format!(
             "soak-{seed}{}-{}",
@@ -278,7 +279,11 @@
     /// Starts a host's process.
     fn start(&self, host: usize, starts: u32) -> (Process, Incarnation) {
         let name = format!("host-{host}");
-        let mut text = settings(&name, self.store_forwarders[host].addr);
+        // Callers, other hosts and the balancer go on sending to the former addresses of a host that has ended. With an
+        // address for all, the kernel may give one of its ports to the readiness or metrics listener of another process.
+        let ip = own_loopback_addr();
+        let text = settings(&name, self.store_forwarders[host].addr);
+        let mut text = text.replace("127.0.0.1:0", &format!("{ip}:0"));
         if self.has_links {
             text = text.replace("domain = z", &format!("domain = z{host}"));
         }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -22,6 +22,8 @@
 #[path = "../common/http.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod http;
+#[path = "../common/loopback.rs"]
+mod loopback;
 #[path = "../fleet/support/process.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
 mod process;
@@ -46,6 +48,8 @@
 mod silence;
 mod streams;
 
+use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -137,3 +141,23 @@
     let failed = run_seeds(&drawn.collect::<Vec<_>>(), Some(parts::BAD_PART));
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards against callers that reach the readiness or metrics listener of another process at the former address of a host that
+/// has ended, and get its 404 or its page for a valid request.
+#[test]
+fn every_start_of_a_host_has_an_address_of_its_own() {
+    let cluster = cluster::Cluster::new(1, None);
+    let mut incarnations = cluster.incarnations.lock().expect("no panic").clone();
+    for host in 0..cluster::HOST_COUNT {
+        let mut stopped = cluster.hosts[host].lock().expect("no panic");
+        stopped.process.kill();
+        cluster.restart(host, &mut stopped);
+        incarnations.push(cluster.incarnation(host));
+    }
+    let addresses = incarnations.iter().map(|host| host.callers.ip());
+    let addresses: BTreeSet<IpAddr> = addresses.collect();
+    assert_eq!(addresses.len(), incarnations.len(), "{incarnations:?}");
+    for host in incarnations {
+        assert_eq!(host.callers.ip(), host.readiness.ip());
+    }
+}
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::callers::HOST_HEADER;
 use crate::check::RequestKind;
 use crate::cluster::{Cluster, HOST_COUNT, Incarnation};
 use crate::http;
@@ -57,6 +58,7 @@
 ) -> Vec<String> {
     let last = received.to_string();
     let mut headers = vec![
+        HOST_HEADER,
         ("x-chiveway-attempt-id", id),
         ("x-chiveway-deadline-ms", "2500"),
     ];
