Add tests of hosts that start again while a part of prompts is tried

The soak with a bad part has 6 to 13 late sends (3 allowed) in some runs. Its logs show hosts that all start again after six crashes under the part, know none of them, and let as many more servers crash.

No mend lands.

--- a/src/core/relay/parts/mod.rs
+++ b/src/core/relay/parts/mod.rs
@@ -173,6 +173,14 @@
         refused.count() as u64
     }
 
+    /// Whether requests with a part are tried one at a time.
+    #[cfg(test)]
+    pub fn is_tried(&self, part: u64) -> bool {
+        self.blamed
+            .get(&part)
+            .is_some_and(|blame| !blame.is_refused)
+    }
+
     /// Records a crash under requests with a part; returns whether it is a new one.
     fn record_crash(
         &mut self,
--- a/src/core/relay/tests/parts/mod.rs
+++ b/src/core/relay/tests/parts/mod.rs
@@ -1,6 +1,7 @@
 //! Parts of prompts that crash the engines that begin to write an answer on them.
 
 mod beside;
+mod restarts;
 mod site;
 mod tally;
 
