--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -316,14 +316,7 @@
         best = cheapest(&mut placements.iter().filter(idle)).unwrap_or(best);
     }
     let late = best.first_token_ms > target;
-    let others = placements.iter();
-    let others = others.filter(|placement| placement.backend != best.backend);
-    let outlook = Outlook {
-        first_event_ms: best.first_token_ms,
-        elsewhere_ms: others
-            .map(|placement| placement.first_token_ms)
-            .min_by(f64::total_cmp),
-    };
+    let outlook = outlook(&best, &placements);
     let call = &core.relay.calls[key];
     let has_begun = call.version.is_some();
     if late && best.queue_ms > max_queue && !has_begun
@@ -336,23 +329,19 @@
         let retry = retry_after(core, best.queue_ms);
         return Err(Refusal::new(Kind::Overloaded, detail).with_retry_after(retry));
     }
-    let work = Work {
-        calls: 1,
-        tokens: best.tokens,
-        context: match best.stage {
-            Stage::Prefill => 0,
-            Stage::Decode => decode::context_tokens(&prompt, policy),
-        },
-        ..Work::default()
-    };
-    let task = match best.stage {
-        Stage::Prefill => Task::Prefill,
-        Stage::Decode => Task::Whole,
+    let (task, context) = match best.stage {
+        Stage::Prefill => (Task::Prefill, 0),
+        Stage::Decode => (Task::Whole, decode::context_tokens(&prompt, policy)),
     };
     Ok(Choice {
         backend: best.backend,
         task,
-        work,
+        work: Work {
+            calls: 1,
+            tokens: best.tokens,
+            context,
+            ..Work::default()
+        },
         expected_ms: best.stage_ms,
         prefill: best.prefill,
         urgency: Some(urgency(call, late)),
@@ -363,6 +352,18 @@
     })
 }
 
+/// Returns the expected times of the first event at the engine that was chosen and at the best other one.
+fn outlook(best: &Placement, placements: &[Placement]) -> Outlook {
+    let others = placements.iter();
+    let others = others.filter(|placement| placement.backend != best.backend);
+    Outlook {
+        first_event_ms: best.first_token_ms,
+        elsewhere_ms: others
+            .map(|placement| placement.first_token_ms)
+            .min_by(f64::total_cmp),
+    }
+}
+
 fn urgency(call: &Call, late: bool) -> u8 {
     if call.version.is_some() {
         BEGUN_URGENCY
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -55,9 +55,7 @@
     pushbacks: Gauge<u64>,
     poison_requests: Gauge<u64>,
     refused_parts: Gauge<u64>,
-    held_bytes: Gauge<u64>,
-    refused_bodies: Gauge<u64>,
-    ended_readers: Gauge<u64>,
+    buffers: BufferGauges,
     links_lost: Gauge<u64>,
     scaling: ScalingGauges,
     fair_shares: FairShareMetrics,
@@ -113,6 +111,36 @@
     gauge.build()
 }
 
+/// Gauges of the bytes held for callers, and what their bound has caused.
+#[derive(Debug)]
+struct BufferGauges {
+    held_bytes: Gauge<u64>,
+    refused_bodies: Gauge<u64>,
+    ended_readers: Gauge<u64>,
+}
+
+impl BufferGauges {
+    fn new(meter: &OtelMeter) -> Self {
+        Self {
+            held_bytes: gauge(
+                meter,
+                "chiveway_held_bytes",
+                "Bytes of bodies and unread answers that this host holds",
+            ),
+            refused_bodies: gauge(
+                meter,
+                "chiveway_refused_bodies",
+                "Bodies refused since the host held too many bytes",
+            ),
+            ended_readers: gauge(
+                meter,
+                "chiveway_ended_readers",
+                "Answers ended since their callers did not read",
+            ),
+        }
+    }
+}
+
 /// Gauges of the orders of workers, by service.
 #[derive(Debug)]
 struct ScalingGauges {
@@ -215,18 +243,7 @@
                 "chiveway_refused_parts",
                 "Parts of prompts refused since backend servers crashed under them",
             ),
-            held_bytes: gauge(
-                "chiveway_held_bytes",
-                "Bytes of bodies and unread answers that this host holds",
-            ),
-            refused_bodies: gauge(
-                "chiveway_refused_bodies",
-                "Bodies refused since the host held too many bytes",
-            ),
-            ended_readers: gauge(
-                "chiveway_ended_readers",
-                "Answers ended since their callers did not read",
-            ),
+            buffers: BufferGauges::new(&meter),
             scaling: ScalingGauges::new(&meter),
             fair_shares: FairShareMetrics::new(&meter),
             links_lost: gauge(
@@ -383,9 +400,9 @@
 
     /// Sets the bytes held for callers, and how many bodies were refused and answers ended for want of memory.
     pub fn set_held(&self, bytes: u64, refused: u64, ended: u64) {
-        self.held_bytes.record(bytes, &[]);
-        self.refused_bodies.record(refused, &[]);
-        self.ended_readers.record(ended, &[]);
+        self.buffers.held_bytes.record(bytes, &[]);
+        self.buffers.refused_bodies.record(refused, &[]);
+        self.buffers.ended_readers.record(ended, &[]);
     }
 
     /// Sets whether this host reaches no backend server.
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -283,11 +283,11 @@
     head: Head,
     idle: Option<Duration>,
 ) -> Result<(), FailedAttempt> {
-    let mut held = node.held.hold(0);
+    let mut guard = node.held.hold(0);
     let mut throttled =
         progress::throttled(|_| apply(node, RelayEvent::AnswerReceived(source.attempt)));
     let progress = |received| {
-        held.grow_to(received);
+        guard.grow_to(received);
         throttled(received);
     };
     // The core ends attempts that are silent.
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -283,13 +283,13 @@
 async fn answer(
     node: &Rc<Node>,
     accepted: AcceptedCall,
-    held: HeldGuard,
+    body: HeldGuard,
     id: &str,
     version: Version,
 ) -> Result<Response, Refused> {
     let mut parts = AnswerParts {
         queue: accepted.parts,
-        _body: held,
+        _body: body,
         guard: CallerGuard {
             node: Rc::clone(node),
             call: accepted.call,
--- a/src/web.rs
+++ b/src/web.rs
@@ -325,7 +325,18 @@
 ///
 /// # Errors
 ///
-/// With each part, `admit` is told the bytes received so far; once it returns `false`, the rest is discarded.
+/// Returns the status of the response: 413 for a body that is too large, 408 for a slow sender,
+/// 400 for a truncated body.
+pub async fn read_body(
+    req: &mut Request,
+    limit: usize,
+    max_time: Duration,
+) -> Result<Bytes, StatusCode> {
+    read_admitted_body(req, limit, max_time, |_received| true).await
+}
+
+/// Reads a request body as [`read_body`] does. With each part, `admit` is given the bytes received so far; once it returns
+/// `false`, the rest is discarded.
 ///
 /// # Errors
 ///
@@ -365,27 +376,3 @@
         .await
         .unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
 }
-
-/// Returns the status of the response: 413 for a body that is too large, 408 for a slow sender,
-/// 400 for a truncated body.
-pub async fn read_body(
-    req: &mut Request,
-    limit: usize,
-    max_time: Duration,
-) -> Result<Bytes, StatusCode> {
-    let mut payload = req.take_payload();
-    let read = async {
-        let mut body = BytesMut::new();
-        while let Some(chunk) = ntex::util::stream_recv(&mut payload).await {
-            let chunk = chunk.map_err(|_truncated| StatusCode::BAD_REQUEST)?;
-            if body.len() + chunk.len() > limit {
-                return Err(StatusCode::PAYLOAD_TOO_LARGE);
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(body.freeze())
-    };
-    timeout(max_time, read)
-        .await
-        .unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
-}
