--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -1,6 +1,5 @@
 //! Gossip between hosts: unfinished work, cached prefix blocks, crashes, rate limits, changes of stages, departures of
-//! backend servers,
-//! store changes.
+//! backend servers, store changes.
 //!
 //! Each host sees only its share of the requests. Without reports from the others, all hosts would
 //! pick the same seemingly idle engine, and prefill the same prefix at different engines.
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -13,9 +13,9 @@
 use super::forward::{self, Origin};
 use super::store::prefix_keys;
 use crate::core::relay::event::{
-    CrashReport, CustomerTime, DepartureReport, Departures, EngineTimeReport, Gossip, GossipKind,
-    LimitReport, LoadReport, PartReport, RestTime, Spent, StreamMessage, StreamQuery, StreamRecord,
-    StreamReply, UptimeReport,
+    ChangeReport, CrashReport, CustomerTime, DepartureReport, Departures, EngineTimeReport, Gossip,
+    GossipKind, LimitReport, LoadReport, PartReport, RestTime, Spent, Stage, StreamMessage,
+    StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 use crate::store::{Compare, Op, Span, Txn};
@@ -36,6 +36,11 @@
             context: 512,
         }],
         included_domains: vec![9],
+        changes: vec![ChangeReport {
+            instance: 12,
+            to: Stage::Prefill,
+            remaining: Duration::from_millis(3900),
+        }],
         limits: vec![
             LimitReport {
                 instance: 1,
@@ -170,6 +175,7 @@
     let message = wire::decode_gossip(&old.encode_to_vec()).expect("this build reads it");
     let expected = LoadReport {
         prompts: 0,
+        context: 0,
         ..gossip().loads[0]
     };
     assert_eq!(message.loads, [expected]);
