Use the field's terms in the fair shares

Cause: a refusal or a late placement was called a sign, and hosts that receive no reports were said to hear no others. Change: names and comments only; the name of a field of messages, not its number.

--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -128,7 +128,7 @@
     /// Short hash of the service.
     pub service: u32,
     /// Time since a request was last refused or placed late.
-    pub sign_age: Duration,
+    pub overload_age: Duration,
     /// Customers with the most.
     pub customers: Vec<CustomerTime>,
     /// All others.
--- a/src/core/relay/shares/admission.rs
+++ b/src/core/relay/shares/admission.rs
@@ -61,7 +61,7 @@
     let service = core.relay.calls[key].service.clone();
     if let Some(shortage) = &mut core.relay.shares.service(&service).shortage {
         shortage.refused += 1;
-        shortage.signed(now);
+        shortage.record_overload(now);
     }
     out.push(Effect::Meter(Meter::OverShare { class }));
     let detail = format!(
@@ -78,7 +78,7 @@
 fn knows_usage(core: &Core) -> bool {
     let shares = &core.relay.shares;
     let counts = |started| core.now.since(started) >= START_DELAY;
-    shares.exchange.hears_others(core.now) || shares.started.is_none_or(counts)
+    shares.exchange.receives_reports(core.now) || shares.started.is_none_or(counts)
 }
 
 /// Returns the time after which a share has room again, and the time over which the refused callers should return then.
@@ -97,7 +97,7 @@
 /// Records where a new request was placed: one that is late makes its service short.
 pub(in super::super) fn placed(core: &mut Core, key: CallKey, choice: &Choice, out: &mut Effects) {
     if choice.is_late && is_enabled(core) && is_new(&core.relay.calls[key]) {
-        sign(core, key, out);
+        record_overload(core, key, out);
     }
 }
 
@@ -112,7 +112,7 @@
     let lacks_engines = matches!(refusal.kind, Kind::Overloaded | Kind::NoEngine);
     if lacks_engines && is_enabled(core) && is_new(&core.relay.calls[key]) {
         record_unmet(core, key);
-        sign(core, key, out);
+        record_overload(core, key, out);
     }
 }
 
@@ -130,11 +130,11 @@
     service.own.record(customer, rank, time, core.now);
 }
 
-fn sign(core: &mut Core, key: CallKey, out: &mut Effects) {
+fn record_overload(core: &mut Core, key: CallKey, out: &mut Effects) {
     let now = core.now;
     let name = core.relay.calls[key].service.clone();
     match &mut core.relay.shares.service(&name).shortage {
-        Some(shortage) => shortage.signed(now),
+        Some(shortage) => shortage.record_overload(now),
         None => begin_shortage(core, short_hash(&name), now, out),
     }
 }
--- a/src/core/relay/shares/exchange.rs
+++ b/src/core/relay/shares/exchange.rs
@@ -83,7 +83,7 @@
 
     /// Whether there are reports of other hosts.
     #[must_use]
-    pub fn hears_others(&self, now: Time) -> bool {
+    pub fn receives_reports(&self, now: Time) -> bool {
         let mut all = self.received.values();
         all.any(|report| now.since(report.at) < EXPIRY)
     }
@@ -172,15 +172,15 @@
     let short = core.relay.shares.services.iter();
     let short = short.filter_map(|(hash, service)| {
         let shortage = service.shortage.as_ref()?;
-        (!shortage.is_over(now)).then(|| (*hash, shortage.sign_age(now)))
+        (!shortage.is_over(now)).then(|| (*hash, shortage.overload_age(now)))
     });
     let short: Vec<(u32, Duration)> = short.collect();
     if short.is_empty() || !is_enabled(core) || !core.relay.shares.exchange.is_due(audience, now) {
         return Vec::new();
     }
-    let reports = short.into_iter().map(|(hash, sign_age)| {
+    let reports = short.into_iter().map(|(hash, overload_age)| {
         let (rows, rest) = known_usage(core, hash, scope);
-        report(hash, sign_age, rows, rest)
+        report(hash, overload_age, rows, rest)
     });
     let reports: Vec<EngineTimeReport> = reports.collect();
     if audience == Audience::Aggregator {
@@ -194,7 +194,7 @@
 }
 
 /// Returns the report of usage: the customers with the most by themselves, the others as one sum.
-fn report(service: u32, sign_age: Duration, rows: Rows, mut rest: Rest) -> EngineTimeReport {
+fn report(service: u32, overload_age: Duration, rows: Rows, mut rest: Rest) -> EngineTimeReport {
     let mut rows: Vec<(u64, (u8, EngineTime))> = rows.into_iter().collect();
     let used = |(_, (_, time)): &(u64, (u8, EngineTime))| Reverse(micros(time.demand()));
     rows.sort_by_key(used);
@@ -213,7 +213,7 @@
         });
     EngineTimeReport {
         service,
-        sign_age,
+        overload_age,
         customers: customers.collect(),
         rest: RestTime {
             customers: rest.customers,
@@ -250,9 +250,9 @@
         _ => return,
     };
     let now = core.now;
-    let signs: Vec<(u32, Duration)> = reports
+    let overloads: Vec<(u32, Duration)> = reports
         .iter()
-        .map(|report| (report.service, report.sign_age))
+        .map(|report| (report.service, report.overload_age))
         .collect();
     let received = &mut core.relay.shares.exchange.received;
     if source == Source::Totals {
@@ -267,8 +267,8 @@
             reports,
         },
     );
-    for (service, age) in signs {
-        signed(core, service, age, out);
+    for (service, age) in overloads {
+        record_overload(core, service, age, out);
     }
 }
 
@@ -300,11 +300,11 @@
 }
 
 /// Records that another host refused a request to a service or placed it late.
-fn signed(core: &mut Core, hash: u32, age: Duration, out: &mut Effects) {
+fn record_overload(core: &mut Core, hash: u32, age: Duration, out: &mut Effects) {
     if shortage::has_ended(age) {
         return;
     }
-    let sign = core.now.before(age);
+    let overload = core.now.before(age);
     let names = core.relay.catalog.as_ref().into_iter();
     let mut names = names.flat_map(|catalog| catalog.services.keys());
     let shares = &mut core.relay.shares;
@@ -313,7 +313,7 @@
         .get_mut(&hash)
         .and_then(|s| s.shortage.as_mut())
     {
-        shortage.reported(sign);
+        shortage.reported(overload);
         return;
     }
     // A host without requests to the service passes on the usage of others.
@@ -321,7 +321,7 @@
         let name = name.clone();
         let service = shares.services.entry(hash);
         service.or_insert_with(|| ServiceUsage::new(&name));
-        begin_shortage(core, hash, sign, out);
+        begin_shortage(core, hash, overload, out);
     }
 }
 
--- a/src/core/relay/shares/mod.rs
+++ b/src/core/relay/shares/mod.rs
@@ -241,12 +241,12 @@
 }
 
 /// Begins a shortage, or goes on with it: a request was refused or placed late at this time, here or at another host.
-fn begin_shortage(core: &mut Core, hash: u32, sign: Time, out: &mut Effects) {
+fn begin_shortage(core: &mut Core, hash: u32, overload: Time, out: &mut Effects) {
     let now = core.now;
     let Some(service) = core.relay.shares.services.get_mut(&hash) else {
         return;
     };
-    service.shortage = Some(Shortage::new(sign, now));
+    service.shortage = Some(Shortage::new(overload, now));
     let fields = vec![
         ("service", service.name.clone()),
         ("customers", service.own.len().to_string().into()),
@@ -272,8 +272,8 @@
     let Some(service) = core.relay.shares.services.get(&hash) else {
         return;
     };
-    let hears_others = core.relay.shares.exchange.hears_others(now);
-    let engines = engines_ms(core, &service.name, hears_others);
+    let receives_reports = core.relay.shares.exchange.receives_reports(now);
+    let engines = engines_ms(core, &service.name, receives_reports);
     let demand = |rank, time: EngineTime, customers| Demand {
         rank,
         used: time.used / f64::from(customers),
@@ -293,17 +293,17 @@
     });
     service.others = others.filter(|(_, time)| time.demand() > 0.0).collect();
     if let Some(shortage) = &mut service.shortage {
-        shortage.divide(&mut demands, engines, hears_others, now);
+        shortage.divide(&mut demands, engines, receives_reports, now);
     }
 }
 
-/// Returns the time of a service's engines in a window; this host's part of it if it hears of no usage at others.
-fn engines_ms(core: &Core, service: &str, hears_others: bool) -> f64 {
+/// Returns the time of a service's engines in a window; this host's part of it if it receives no usage of others.
+fn engines_ms(core: &Core, service: &str, receives_reports: bool) -> f64 {
     let all = core.relay.instances.of(service).iter();
     let all = all.map(|key| &core.relay.instances.arena[*key]);
     let available = all.filter(|instance: &&Instance| instance.is_available(core.now));
     let engines = available.count() as f64;
-    let hosts = if hears_others {
+    let hosts = if receives_reports {
         1
     } else {
         core.relay.peers.host_count()
--- a/src/core/relay/shares/shortage.rs
+++ b/src/core/relay/shares/shortage.rs
@@ -17,9 +17,9 @@
 const SETTLING: Duration = Duration::from_secs(1);
 /// Time between two changes of the estimate: usage reported by the other hosts arrives within it.
 const ADJUST_INTERVAL: Duration = Duration::from_millis(400);
-/// Time by which a reported sign must be newer than the last one. A smaller difference is the time in which a report of
-/// the same sign came back from other hosts.
-const MIN_SIGN_ADVANCE: Duration = Duration::from_millis(50);
+/// Time by which a reported overload must be newer than the last one. A smaller difference is the time in which a report of
+/// the same overload came back from other hosts.
+const MIN_OVERLOAD_ADVANCE: Duration = Duration::from_millis(50);
 /// Fraction of the time of a service's engines that it always serves in time. While customers use less, a shortage has
 /// other causes than them, for instance slow engines, and nobody is refused.
 const MIN_FRACTION: f64 = 0.25;
@@ -52,13 +52,13 @@
     /// When it began.
     pub since: Time,
     /// When a request was last refused or placed late.
-    last_sign: Time,
+    last_overload: Time,
     /// Milliseconds of engine time that the service can serve in a window; `None` before the first estimate.
     capacity: Option<f64>,
     /// When that was last changed.
     adjusted: Time,
     /// Whether it includes other hosts, and since when.
-    hears_others: (bool, Time),
+    receives_reports: (bool, Time),
     /// Most engine time used in a window, decayed.
     peak: f64,
     /// When some customers last had more than their shares and others less.
@@ -72,13 +72,13 @@
 impl Shortage {
     /// Returns a shortage that began with a request that was refused or placed late at a time.
     #[must_use]
-    pub fn new(sign: Time, now: Time) -> Self {
+    pub fn new(overload: Time, now: Time) -> Self {
         Self {
             since: now,
-            last_sign: sign,
+            last_overload: overload,
             capacity: None,
             adjusted: now,
-            hears_others: (false, now),
+            receives_reports: (false, now),
             peak: 0.0,
             unfair_at: None,
             division: None,
@@ -87,35 +87,41 @@
     }
 
     /// Records that this host refused a request or placed it late.
-    pub fn signed(&mut self, now: Time) {
-        self.last_sign = now;
+    pub fn record_overload(&mut self, now: Time) {
+        self.last_overload = now;
     }
 
     /// Records that another host did so at a time.
-    pub fn reported(&mut self, sign: Time) {
-        if sign > self.last_sign.after(MIN_SIGN_ADVANCE) {
-            self.last_sign = sign;
+    pub fn reported(&mut self, overload: Time) {
+        if overload > self.last_overload.after(MIN_OVERLOAD_ADVANCE) {
+            self.last_overload = overload;
         }
     }
 
     /// Returns the time since a request was last refused or placed late.
     #[must_use]
-    pub fn sign_age(&self, now: Time) -> Duration {
-        now.since(self.last_sign)
+    pub fn overload_age(&self, now: Time) -> Duration {
+        now.since(self.last_overload)
     }
 
     /// Whether it has ended.
     #[must_use]
     pub fn is_over(&self, now: Time) -> bool {
-        has_ended(self.sign_age(now))
+        has_ended(self.overload_age(now))
     }
 
     /// Divides the service between customers that use and want so much, given the time of its engines in a window, and
     /// whether both include other hosts.
-    pub fn divide(&mut self, demands: &mut [Demand], engines: f64, hears_others: bool, now: Time) {
-        if self.hears_others.0 != hears_others {
+    pub fn divide(
+        &mut self,
+        demands: &mut [Demand],
+        engines: f64,
+        receives_reports: bool,
+        now: Time,
+    ) {
+        if self.receives_reports.0 != receives_reports {
             // What was estimated for one host states nothing about all of them, and the reverse.
-            self.hears_others = (hears_others, now);
+            self.receives_reports = (receives_reports, now);
             self.capacity = None;
             self.peak = 0.0;
         }
@@ -124,7 +130,7 @@
             .map(|demand| demand.used * f64::from(demand.customers));
         let used: f64 = used.sum();
         let first = used.max(engines * FIRST_FRACTION);
-        let is_settled = now.since(self.hears_others.1) >= SETTLING;
+        let is_settled = now.since(self.receives_reports.1) >= SETTLING;
         let capacity = match self.capacity {
             Some(capacity) if self.is_contended(now) && is_settled => capacity,
             Some(capacity) if self.is_contended(now) => capacity.max(first),
@@ -177,8 +183,8 @@
     }
 }
 
-/// Whether a shortage has ended whose last sign has this age.
+/// Whether a shortage has ended whose last overload has this age.
 #[must_use]
-pub fn has_ended(sign_age: Duration) -> bool {
-    sign_age > SHORTAGE
+pub fn has_ended(overload_age: Duration) -> bool {
+    overload_age > SHORTAGE
 }
--- a/src/core/relay/shares/tests.rs
+++ b/src/core/relay/shares/tests.rs
@@ -78,9 +78,9 @@
 }
 
 /// A shortage begins at one host, and the reports of 39 others arrive a moment later. Guards against the division of
-/// what one host serves between the customers of all hosts, and of what all serve at a host that no longer hears them.
+/// what one host serves between the customers of all hosts, and of what all serve at a host that no longer receives theirs.
 #[test]
-fn the_estimate_follows_the_hosts_that_are_heard() {
+fn the_estimate_follows_the_hosts_that_report() {
     let demands = |hosts: f64| {
         let demand = |used, wanted| Demand {
             rank: 0,
--- a/src/core/relay/tests/shares.rs
+++ b/src/core/relay/tests/shares.rs
@@ -283,7 +283,7 @@
 /// Other hosts report, and stop. Guards against a flood that this host does not notice because it counts on what they
 /// served.
 #[test]
-fn a_host_that_hears_no_others_uses_its_own_counts() {
+fn a_host_without_reports_uses_its_own_counts() {
     let mut site = site(true);
     for host in ["host-2", "host-3", "host-4"] {
         report(&mut site, host, 1, 10, OVER_SHARE);
@@ -300,7 +300,7 @@
 type Usage = [(&'static str, u32, u32)];
 
 /// A report of another host whose last refusal is so many milliseconds old.
-fn report(site: &mut TestHost, host: &str, sequence: u64, sign_ms: u64, usage: &Usage) {
+fn report(site: &mut TestHost, host: &str, sequence: u64, overload_ms: u64, usage: &Usage) {
     let entry = r#"{"addr":"10.9.9.9:1","domain":"z"}"#;
     site.write_key(&format!("hosts/{host}"), Some(entry), 3);
     let rows = usage.iter().map(|(name, used, unmet)| CustomerTime {
@@ -311,7 +311,7 @@
     });
     let engine_time = EngineTimeReport {
         service: short_hash("model"),
-        sign_age: Duration::from_millis(sign_ms),
+        overload_age: Duration::from_millis(overload_ms),
         customers: rows.collect(),
         rest: RestTime::default(),
     };
@@ -570,7 +570,7 @@
                 node.now = all.now;
                 let entry = format!(r#"{{"addr":"{}","domain":"far"}}"#, addr(0));
                 node.write_key("hosts/far-1", Some(&entry), 4);
-                node.event(RelayEvent::Gossiped(Box::new(sign("far-1", sequence))));
+                node.event(RelayEvent::Gossiped(Box::new(overload("far-1", sequence))));
             }
             all.pass(300);
             // Four hops take up to 180 ms each, and the next division 100 ms.
@@ -586,7 +586,7 @@
 }
 
 /// A message of another failure domain: a request to the plain service was refused there just now.
-fn sign(host: &str, sequence: u64) -> Gossip {
+fn overload(host: &str, sequence: u64) -> Gossip {
     Gossip {
         host: host.into(),
         incarnation: 1,
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -92,7 +92,7 @@
         }),
         engine_times: vec![EngineTimeReport {
             service: 11,
-            sign_age: Duration::from_millis(250),
+            overload_age: Duration::from_millis(250),
             customers: vec![
                 CustomerTime {
                     customer: u64::MAX,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -504,7 +504,7 @@
     pub service: u32,
     /// Milliseconds since a request was last refused or placed late.
     #[prost(uint32, tag = "2")]
-    pub sign_age: u32,
+    pub overload_age: u32,
     /// Hashes of the customers' names; 0 for callers without a customer.
     #[prost(fixed64, repeated, tag = "3")]
     pub customers: ::prost::alloc::vec::Vec<u64>,
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -500,7 +500,7 @@
     let rows = &report.customers;
     wire::EngineTime {
         service: report.service,
-        sign_age: millis(report.sign_age),
+        overload_age: millis(report.overload_age),
         customers: rows.iter().map(|row| row.customer).collect(),
         ranks: rows.iter().map(|row| row.rank.into()).collect(),
         used: rows.iter().map(|row| row.used_us).collect(),
@@ -533,7 +533,7 @@
     });
     Ok(EngineTimeReport {
         service: report.service,
-        sign_age: Duration::from_millis(report.sign_age.into()),
+        overload_age: Duration::from_millis(report.overload_age.into()),
         customers: customers.collect(),
         rest: RestTime {
             customers: report.rest_customers,
