End no begun answer for want of memory

Cause: a host whose bound on held bytes was reached ended the caller that had read nothing for two seconds. That caller may read on, and is worse off than by waiting; since unread answers take half of the bound at most, it freed little. Change: bodies are refused, and no answer is ended. The gauge of ended readers goes.

--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -116,7 +116,6 @@
 struct BufferGauges {
     held_bytes: Gauge<u64>,
     refused_bodies: Gauge<u64>,
-    ended_readers: Gauge<u64>,
 }
 
 impl BufferGauges {
@@ -132,11 +131,6 @@
                 "chiveway_refused_bodies",
                 "Bodies refused since the host held too many bytes",
             ),
-            ended_readers: gauge(
-                meter,
-                "chiveway_ended_readers",
-                "Answers ended since their callers did not read",
-            ),
         }
     }
 }
@@ -398,11 +392,10 @@
         self.refused_parts.record(parts, &[]);
     }
 
-    /// Sets the bytes held for callers, and how many bodies were refused and answers ended for want of memory.
-    pub fn set_held(&self, bytes: u64, refused: u64, ended: u64) {
+    /// Sets the bytes held for callers, and how many bodies were refused for want of memory.
+    pub fn set_held(&self, bytes: u64, refused: u64) {
         self.buffers.held_bytes.record(bytes, &[]);
         self.buffers.refused_bodies.record(refused, &[]);
-        self.buffers.ended_readers.record(ended, &[]);
     }
 
     /// Sets whether this host reaches no backend server.
--- a/src/host/operators.rs
+++ b/src/host/operators.rs
@@ -235,9 +235,8 @@
         node.metrics.set_poison_requests(poison);
         let refused = node.with_core(|core| core.relay.parts.refused_count());
         node.metrics.set_refused_parts(refused);
-        let (refused, ended) = node.with_core(|core| core.relay.buffers.counts());
-        node.metrics
-            .set_held(node.held.held() as u64, refused, ended);
+        let refused = node.with_core(|core| core.relay.buffers.refused());
+        node.metrics.set_held(node.held.held() as u64, refused);
         let lost = node.with_core(|core| core.relay.links.are_lost());
         node.metrics.set_links_lost(lost);
         node.with_core(|core| {
