--- a/src/core/relay/choose/decode.rs
+++ b/src/core/relay/choose/decode.rs
@@ -38,10 +38,8 @@
     }
 
     /// Returns the cost of the gaps at an engine that also runs a request with so many context
-    /// tokens; `None` while no gap was measured.
-    ///
-    /// It consists of the request's own gap, the time by which that exceeds its target, and the
-    /// same for each running stream as far as the request lengthens its gap.
+    /// tokens: its own gap and what exceeds its target, and what it adds beyond the targets of the
+    /// running streams; `None` while no gap was measured.
     pub(super) fn gap_cost_ms(&self, instance: &Instance, context: u64) -> Option<f64> {
         let before = self.gap_ms(instance, Work::default())?;
         let after = self.gap_with_ms(instance, context)?;
@@ -64,11 +62,9 @@
         costs.min_by(f64::total_cmp).unwrap_or(0.0)
     }
 
-    /// Returns the time by which the streams at an engine exceed their gap target because of a
-    /// prompt with so many context tokens that it prefills in `own` milliseconds after `queue`
-    /// milliseconds of other prompts, summed over the streams; 0 while no gap was measured.
-    ///
-    /// The part by which they exceed it without the prompt is not its cost.
+    /// Returns the time that a prompt adds to what the streams at an engine exceed their gap target
+    /// by, summed over the streams: it is prefilled in `own` milliseconds after `queue` milliseconds
+    /// of other prompts. The result is 0 while no gap was measured.
     pub(super) fn prefill_cost_ms(
         &self,
         instance: &Instance,
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -352,7 +352,7 @@
     })
 }
 
-/// Returns the expected times of the first event at the engine that was chosen and at the best other one.
+/// Returns when the first event is expected from the chosen engine and from the best other one.
 fn outlook(best: &Placement, placements: &[Placement]) -> Outlook {
     let others = placements.iter();
     let others = others.filter(|placement| placement.backend != best.backend);
--- a/src/core/relay/model/gaps.rs
+++ b/src/core/relay/model/gaps.rs
@@ -25,7 +25,7 @@
 const PRIOR_WEIGHT: f64 = 1.0;
 /// Ratio of a gap to the expected one above which it is cut: prefills lengthen single gaps.
 const MAX_RATIO: f64 = 3.0;
-/// Lowest expected gap, as a fraction of the mean: loads below all measured ones are extrapolated.
+/// Lowest expected gap, as a fraction of the mean: a line through few loads may reach zero at an idle engine.
 const MIN_FRACTION: f64 = 0.3;
 
 /// Weighted sums over gaps for the regression, at an engine of average speed.
--- a/src/core/relay/recall.rs
+++ b/src/core/relay/recall.rs
@@ -21,11 +21,9 @@
 /// Fraction of the target, in addition to the margin, by which the check comes before the last moment at which the other engine
 /// could be in time: its queue may have grown since the prompt was sent.
 const CHECK_AHEAD_FRACTION: f64 = 0.1;
-/// Expected rest of an overdue prefill, as a multiple of the time by which it is overdue. Late short prompts had waited 292 ms
-/// (median) in place of 43, and are checked some 120 ms after they were sent: the rest is 2.2 times what they are overdue then.
+/// Expected rest of an overdue prefill, as a multiple of the time by which it is overdue. With less, prompts that miss their targets
+/// are left where they are; with more, prompts that are about to end are recalled.
 const OVERDUE_FACTOR: f64 = 2.0;
-/// Time for which the abandoned engine is expected to be as slow as it was: slow phases of engines last about as long.
-const PENALTY_TIME: Duration = Duration::from_millis(600);
 /// Time for which the answer of an abandoned engine may still be under way.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
 
@@ -148,11 +146,13 @@
     let recalls = &mut core.relay.recalls;
     recalls.penalties.retain(|_, penalty| penalty.until > now);
     recalls.abandoned.retain(|_, attempt| attempt.until > now);
+    let waited = now.since(attempt.sent_at);
     recalls.penalties.insert(
         attempt.backend,
         Penalty {
-            waited_ms: millis(now.since(attempt.sent_at)),
-            until: now.after(PENALTY_TIME),
+            waited_ms: millis(waited),
+            // What held the prompt up for so long is not over sooner.
+            until: now.after(waited),
         },
     );
     recalls.abandoned.insert(
