Order an announced change soon, and give up one that fails

Cause, found by a review: the wait between announcement and order grew with the age of reports to four seconds, as long as the announcement holds; the engine was asked although it had begun to leave; a report that did not come withdrew nothing, so that an engine that its holder alone cannot reach was announced again and again and got no work from any host; and a second announcement within two seconds after the first was taken for its echo. Change: the wait is 500 ms at most, leaving and authority are checked again, a failed change is withdrawn and tried again after 24 s, announcements have numbers (fencing number and count), and an engine with an announced change takes no stream back. Tests: changing::{a_second_announcement_of_the_same_change_counts, an_engine_that_leaves_meanwhile_is_not_asked, an_engine_that_cannot_be_ordered_gets_work_meanwhile}; the first fails with the former rule put back.

--- a/src/core/relay/changing.rs
+++ b/src/core/relay/changing.rs
@@ -15,16 +15,22 @@
 /// Time after an announcement in which the engine gets no new work: what it runs ends, and it changes. An order that is
 /// not carried out takes the engine away for no longer.
 const MAX_ABSENCE: Duration = Duration::from_secs(4);
-/// Time after that in which the same change is not taken up again from a host that learned of it later.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
-/// Messages that an announcement needs to reach all hosts: up and down the tree of a failure domain, and across.
-const HOPS: u32 = 2;
+/// Propagation delays between an announcement and the order: one within the failure domain, one to the others.
+const DELAYS: u32 = 2;
+/// Longest time between the two. The propagation delay grows while reports of a host are missing, and must not take up the time in
+/// which the engine changes.
+const MAX_WAIT: Duration = Duration::from_millis(500);
+
+/// Order of announcements: a later holder of the authority has a higher fencing number, and counts its announcements.
+pub type ChangeNumber = (u64, u32);
 
 /// An announced change of an engine's stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StageChange {
     /// The stage that it is to have.
     to: Stage,
+    /// Number of the announcement. A lower one that arrives later is not taken up again.
+    number: ChangeNumber,
     /// When this host learned of it.
     known_at: Time,
     /// Until when the engine gets no new work.
@@ -37,11 +43,6 @@
     pub fn withholds(&self, stage: Option<Stage>, now: Time) -> bool {
         stage != Some(self.to) && now < self.until
     }
-
-    /// Whether another announcement of a change to a stage states nothing new.
-    fn covers(&self, to: Stage, now: Time) -> bool {
-        self.to == to && now < self.until.after(SETTLE_TIME)
-    }
 }
 
 /// Whether changes are announced.
@@ -50,22 +51,40 @@
     relay.is_some_and(|relay| relay.policy.announce_changes)
 }
 
-/// Announces that an engine is to change to a stage; returns the time after which all hosts know it.
-pub(super) fn announce(core: &mut Core, key: BackendKey, to: Stage, out: &mut Effects) -> Duration {
+/// Announces that an engine is to change to a stage; returns the time after which the other hosts know it.
+pub(super) fn announce(
+    core: &mut Core,
+    key: BackendKey,
+    to: Stage,
+    fence: u64,
+    out: &mut Effects,
+) -> Duration {
     if !is_enabled(core) || core.relay.peers.host_count() <= 1 {
         return Duration::ZERO;
     }
-    learn(core, key, to, MAX_ABSENCE, out);
-    gossip::propagation_delay(core) * HOPS
+    let announced = &mut core.relay.planner.announced;
+    *announced = announced.wrapping_add(1);
+    let report = ChangeReport {
+        instance: core.relay.instances.arena[key].short_hash,
+        to,
+        number: (fence, *announced),
+        remaining: MAX_ABSENCE,
+    };
+    learn(core, key, &report, out);
+    (gossip::propagation_delay(core) * DELAYS).min(MAX_WAIT)
 }
 
-/// Ends an announced change that will not be made.
-pub(super) fn withdraw(core: &mut Core, id: &str) {
-    if let Some(key) = core.relay.instances.find(id)
-        && let Some(change) = &mut core.relay.instances.arena[key].change
-    {
-        change.until = core.now;
-    }
+/// Ends an announced change that will not be made; returns whether there is one.
+pub(super) fn withdraw(core: &mut Core, id: &str) -> bool {
+    let now = core.now;
+    let key = core.relay.instances.find(id);
+    let instance = key.and_then(|key| core.relay.instances.arena.get_mut(key));
+    let change = instance.and_then(|instance| instance.change.as_mut());
+    let Some(change) = change.filter(|change| now < change.until) else {
+        return false;
+    };
+    change.until = now;
+    true
 }
 
 /// Returns the announced changes that hold, for other hosts.
@@ -77,6 +96,7 @@
         holds.then(|| ChangeReport {
             instance: instance.short_hash,
             to: change.to,
+            number: change.number,
             remaining: change.until.since(core.now),
         })
     });
@@ -91,35 +111,34 @@
 
 /// Handles the changes that another host announces.
 pub(super) fn reported(core: &mut Core, reports: &[ChangeReport], out: &mut Effects) {
-    if reports.is_empty() || !is_enabled(core) {
+    if !is_enabled(core) {
         return;
     }
-    let now = core.now;
     for report in reports {
-        let instances = core.relay.instances.arena.iter();
-        let found = instances
-            .filter(|(_, instance)| instance.short_hash == report.instance)
-            .find(|(_, instance)| {
-                let known = instance.change;
-                !known.is_some_and(|change| change.covers(report.to, now))
-            });
-        if let Some(key) = found.map(|(key, _)| key) {
-            learn(core, key, report.to, report.remaining.min(MAX_ABSENCE), out);
+        let key = core.relay.instances.by_short_hash(report.instance);
+        let known = key.and_then(|key| core.relay.instances.arena.get(key)?.change);
+        let is_new = known.is_none_or(|known| known.number < report.number);
+        if let Some(key) = key.filter(|_| is_new) {
+            learn(core, key, report, out);
         }
     }
 }
 
-fn learn(core: &mut Core, key: BackendKey, to: Stage, remaining: Duration, out: &mut Effects) {
+fn learn(core: &mut Core, key: BackendKey, report: &ChangeReport, out: &mut Effects) {
     let now = core.now;
-    let instance = &mut core.relay.instances.arena[key];
+    let Some(instance) = core.relay.instances.arena.get_mut(key) else {
+        return;
+    };
+    let remaining = report.remaining.min(MAX_ABSENCE);
     instance.change = Some(StageChange {
-        to,
+        to: report.to,
+        number: report.number,
         known_at: now,
         until: now.after(remaining),
     });
     let fields = vec![
         ("backend", instance.id.clone()),
-        ("stage", format!("{to:?}").into()),
+        ("stage", format!("{:?}", report.to).into()),
         ("remaining_ms", remaining.as_millis().to_string().into()),
     ];
     note(out, log::Level::Info, "engine.changing", fields);
--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::{Changes, Stage, StreamMessage};
+use crate::core::relay::changing::ChangeNumber;
 use crate::core::relay::duty::usage::ledger::UsageReport;
 
 /// One gossip message.
@@ -274,6 +275,8 @@
     pub instance: u32,
     /// The stage that it is to have.
     pub to: Stage,
+    /// Number of the announcement.
+    pub number: ChangeNumber,
     /// Time for which it gets no new work.
     pub remaining: Duration,
 }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -10,7 +10,7 @@
 pub mod buffers;
 mod call;
 pub mod catalog;
-mod changing;
+pub mod changing;
 mod choose;
 pub mod customers;
 mod departed;
--- a/src/core/relay/planner.rs
+++ b/src/core/relay/planner.rs
@@ -28,6 +28,9 @@
 const EXPECTED_CANDIDATES: usize = 3;
 /// Time after an order in which the engine gets no other one: the first may be carried out late.
 const ORDER_COOLDOWN: Duration = Duration::from_secs(4);
+/// Time in addition to that after an announced change that was not made. Hosts send the engine nothing from each announcement on, so
+/// that one which cannot be ordered would stay idle for most of the time.
+const FAILED_CHANGE_PAUSE: Duration = Duration::from_secs(20);
 
 /// Time without a change of the number of engines after which they are planned for.
 const STABLE_PERIOD: Duration = Duration::from_millis(1500);
@@ -41,6 +44,8 @@
     changes: BTreeMap<Box<str>, (Stage, Time)>,
     /// Number of engines, and when it last changed.
     engine_count: (usize, Time),
+    /// Changes that this process has announced.
+    pub announced: u32,
     /// Prompts at the engines of each service.
     demand: BTreeMap<Box<str>, Demand>,
 }
@@ -101,7 +106,7 @@
     let grant = core.relay.planner.authority.poll(&scope, is_candidate, out);
     if let Some(grant) = grant {
         if has_engines {
-            request_reports(core, services, out);
+            request_reports(core, services, &grant, out);
         }
         duty::perform(core, &grant, out);
     }
@@ -155,7 +160,7 @@
 }
 
 /// Requests the state of engines that should change, where the stages differ from the plan.
-fn request_reports(core: &mut Core, services: Vec<Box<str>>, out: &mut Effects) {
+fn request_reports(core: &mut Core, services: Vec<Box<str>>, grant: &Grant, out: &mut Effects) {
     for service in services {
         let engines = remaining_engines(core, &service);
         if !is_stable(core, engines.len()) {
@@ -200,7 +205,7 @@
             );
             let change = (stage, core.now);
             core.relay.planner.changes.insert(id.clone(), change);
-            let delay = changing::announce(core, key, stage, out);
+            let delay = changing::announce(core, key, stage, grant.fence, out);
             if delay.is_zero() {
                 request_report(id, addr, out);
             } else {
@@ -210,13 +215,37 @@
     }
 }
 
-/// Requests the state of an engine whose change all hosts know.
-pub fn change_announced(core: &Core, key: BackendKey, out: &mut Effects) {
-    if let Some(instance) = core.relay.instances.arena.get(key)
-        && core.relay.planner.changes.contains_key(&instance.id)
-    {
-        request_report(instance.id.clone(), instance.addr, out);
+/// Requests the state of an engine whose change all hosts know, if it may still be ordered.
+pub fn change_announced(core: &mut Core, key: BackendKey, out: &mut Effects) {
+    let Some(instance) = core.relay.instances.arena.get(key) else {
+        return;
+    };
+    let (id, addr) = (instance.id.clone(), instance.addr);
+    let may_order = stays(instance, core.now) && instance.missing_since.is_none();
+    if !core.relay.planner.changes.contains_key(&id) {
+        return;
+    }
+    if may_order && core.relay.planner.authority.grant(core.now).is_some() {
+        request_report(id, addr, out);
+    } else {
+        change_failed(core, &id);
+    }
+}
+
+/// Whether an engine takes orders.
+fn stays(instance: &Instance, now: Time) -> bool {
+    !instance.leaving && !instance.addr_reused && instance.pushback.admits(now)
+}
+
+/// Ends an announced change that is not made, and chooses the engine again only after a while.
+///
+/// Returns whether there was one.
+fn change_failed(core: &mut Core, id: &str) -> bool {
+    let was_announced = changing::withdraw(core, id);
+    if was_announced && let Some((_, at)) = core.relay.planner.changes.get_mut(id) {
+        *at = core.now.after(FAILED_CHANGE_PAUSE);
     }
+    was_announced
 }
 
 fn request_report(instance: Box<str>, addr: SocketAddr, out: &mut Effects) {
@@ -229,7 +258,10 @@
     let can_change = |key: &BackendKey| {
         let instance = &core.relay.instances.arena[*key];
         let differs = instance.stage.is_some() && instance.stage != Some(stage);
-        differs && instance.pushback.admits(core.now) && !recently_ordered(core, *key)
+        let changes = instance
+            .change
+            .is_some_and(|change| change.withholds(instance.stage, core.now));
+        differs && !changes && instance.pushback.admits(core.now) && !recently_ordered(core, *key)
     };
     let mut keys: Vec<BackendKey> = engines.iter().copied().filter(can_change).collect();
     // Prompts are kept where they are prefilled, and lost with an engine that is taken away.
@@ -312,12 +344,16 @@
     let grant = planner.authority.grant(core.now);
     let key = core.relay.instances.find(id);
     let (Some(report), Some(key), Some(grant)) = (report, key, grant) else {
+        change_failed(core, id);
         return;
     };
     let Grant { fence, until, .. } = grant;
     let instance = &core.relay.instances.arena[key];
-    let stays = !instance.leaving && instance.pushback.admits(core.now);
-    if report.busy || report.stage == stage || !stays {
+    if report.stage == stage {
+        return;
+    }
+    if report.busy || !stays(instance, core.now) {
+        change_failed(core, id);
         return;
     }
     let order = StageOrder {
@@ -356,17 +392,16 @@
             ("result", format!("{result:?}").into()),
         ],
     );
-    if matches!(
+    let failed = matches!(
         result,
         OrderResult::Conflict | OrderResult::Fenced | OrderResult::Unsent
-    ) {
-        changing::withdraw(core, id);
-    }
+    );
+    let was_announced = failed && change_failed(core, id);
     let planner = &mut core.relay.planner;
     match result {
         // Another host holds the authority.
         OrderResult::Fenced => planner.authority.resign(fence),
-        OrderResult::Unsent => {
+        OrderResult::Unsent if !was_announced => {
             planner.changes.remove(id);
         }
         _ => {}
--- a/src/core/relay/standby.rs
+++ b/src/core/relay/standby.rs
@@ -64,6 +64,9 @@
     runs && server.is_some_and(|server| {
         server.leaving && !server.addr_reused
             || server.stage == Some(Stage::Prefill)
+            || server
+                .change
+                .is_some_and(|change| change.withholds(server.stage, core.now))
             || server.pushback.remaining(core.now) >= call.deadline.since(core.now)
     })
 }
--- a/src/core/relay/tests/changing.rs
+++ b/src/core/relay/tests/changing.rs
@@ -44,10 +44,12 @@
     })));
 }
 
-fn change(id: &str, to: Stage, millis: u64) -> ChangeReport {
+/// The announcement with this number of the holder with fencing number 7.
+fn change(count: u32, id: &str, to: Stage, millis: u64) -> ChangeReport {
     ChangeReport {
         instance: short_hash(id),
         to,
+        number: (7, count),
         remaining: Duration::from_millis(millis),
     }
 }
@@ -68,7 +70,7 @@
 fn other_hosts_send_nothing_to_an_engine_that_is_about_to_change() {
     let mut host = host(true);
     assert!(prefilled_at(&mut host, 0).contains("p"));
-    receive(&mut host, 1, vec![change("p", Stage::Decode, 4000)]);
+    receive(&mut host, 1, vec![change(1, "p", Stage::Decode, 4000)]);
     assert!(!prefilled_at(&mut host, 100).contains("p"));
 }
 
@@ -76,7 +78,7 @@
 #[test]
 fn without_the_setting_announcements_have_no_effect() {
     let mut host = host(false);
-    receive(&mut host, 1, vec![change("p", Stage::Decode, 4000)]);
+    receive(&mut host, 1, vec![change(1, "p", Stage::Decode, 4000)]);
     assert!(prefilled_at(&mut host, 0).contains("p"));
 }
 
@@ -85,17 +87,31 @@
 #[test]
 fn an_engine_that_does_not_change_is_used_again() {
     let mut host = host(true);
-    receive(&mut host, 1, vec![change("p", Stage::Decode, 4000)]);
+    receive(&mut host, 1, vec![change(1, "p", Stage::Decode, 4000)]);
     host.advance(4100);
-    receive(&mut host, 2, vec![change("p", Stage::Decode, 50)]);
+    receive(&mut host, 2, vec![change(1, "p", Stage::Decode, 50)]);
     assert!(prefilled_at(&mut host, 0).contains("p"));
 }
 
+/// The first try fails, and the holder announces the same change again. Guards against hosts that take this for the first
+/// announcement, and are refused once each.
+#[test]
+fn a_second_announcement_of_the_same_change_counts() {
+    let mut host = host(true);
+    receive(&mut host, 1, vec![change(1, "p", Stage::Decode, 4000)]);
+    host.advance(4300);
+    receive(&mut host, 2, vec![change(2, "p", Stage::Decode, 4000)]);
+    assert!(!prefilled_at(&mut host, 0).contains("p"));
+    // An older one that arrives late changes nothing.
+    receive(&mut host, 3, vec![change(1, "p", Stage::Prefill, 4000)]);
+    assert!(!prefilled_at(&mut host, 100).contains("p"));
+}
+
 /// Guards against hosts that wait for the end of an announcement after the engine has changed.
 #[test]
 fn an_engine_that_has_changed_is_used_at_once() {
     let mut host = host(true);
-    receive(&mut host, 1, vec![change("p", Stage::Decode, 4000)]);
+    receive(&mut host, 1, vec![change(1, "p", Stage::Decode, 4000)]);
     host.register(vec![engine_entry("p", Stage::Decode)]);
     let key = host.core.relay.instances.find("p").expect("registered");
     assert!(host.core.relay.instances.arena[key].is_available(host.core.now));
@@ -105,7 +121,7 @@
 #[test]
 fn an_announcement_is_passed_on() {
     let mut host = host(true);
-    receive(&mut host, 1, vec![change("p", Stage::Decode, 4000)]);
+    receive(&mut host, 1, vec![change(1, "p", Stage::Decode, 4000)]);
     let effects = host.advance(500);
     let mut messages = effects.iter().filter_map(|effect| match effect {
         Effect::Relay(RelayEffect::Publish { message, .. }) => Some(&message.changes),
@@ -114,9 +130,8 @@
     assert!(messages.any(|changes| changes.iter().any(|change| change.to == Stage::Decode)));
 }
 
-/// Guards against an order that is carried out before the other hosts know of it.
-#[test]
-fn an_order_waits_until_it_is_announced() {
+/// A holder of the authority that has announced changes of these engines.
+fn holder() -> (TestHost, Vec<Box<str>>) {
     let mut host = host(true);
     host.register(
         ["f", "g", "h", "i"]
@@ -127,9 +142,7 @@
     plan(&mut host);
     for _ in 0..4 {
         host.now += 500;
-        let job = crate::core::relay::RelayJob::AuthorityLease(Time::from_millis(host.now));
-        let job = crate::core::event::Job::Relay(job, 0);
-        host.store_reply(job, StoreResult::Lease(9));
+        renew(&mut host);
     }
     plan(&mut host);
     assert!(requested(&host).is_empty(), "asked before the announcement");
@@ -137,17 +150,71 @@
     let changing = changing.filter(|instance| instance.change.is_some());
     let ids: Vec<Box<str>> = changing.map(|instance| instance.id.clone()).collect();
     assert!(!ids.is_empty());
-    let effects = host.advance(200);
-    let asked = effects.iter().filter(|effect| {
-        matches!(effect, Effect::Relay(RelayEffect::FetchReport { instance, .. }) if ids.contains(instance))
+    (host, ids)
+}
+
+fn renew(host: &mut TestHost) {
+    let job = crate::core::relay::RelayJob::AuthorityLease(Time::from_millis(host.now));
+    let job = crate::core::event::Job::Relay(job, 0);
+    host.store_reply(job, StoreResult::Lease(9));
+}
+
+/// Returns the engines whose state is requested within 600 ms.
+fn asked(host: &mut TestHost) -> Vec<Box<str>> {
+    let effects = host.advance(600);
+    let asked = effects.iter().filter_map(|effect| match effect {
+        Effect::Relay(RelayEffect::FetchReport { instance, .. }) => Some(instance.clone()),
+        _ => None,
     });
-    assert_eq!(asked.count(), ids.len());
+    asked.collect()
+}
+
+fn is_available(host: &TestHost, id: &str) -> bool {
+    let key = host.core.relay.instances.find(id).expect("registered");
+    host.core.relay.instances.arena[key].is_available(host.core.now)
+}
+
+/// Guards against an order that is carried out before the other hosts know of it.
+#[test]
+fn an_order_waits_until_it_is_announced() {
+    let (mut host, ids) = holder();
+    let asked = asked(&mut host);
+    assert!(ids.iter().all(|id| asked.contains(id)), "{asked:?}");
     // The order did not reach the engine.
     host.event(RelayEvent::OrderAnswered {
         instance: ids[0].clone(),
         fence: 7,
         result: OrderResult::Unsent,
     });
-    let key = host.core.relay.instances.find(&ids[0]).expect("registered");
-    assert!(host.core.relay.instances.arena[key].is_available(host.core.now));
+    assert!(is_available(&host, &ids[0]));
+}
+
+/// Guards against a request to an engine that has begun to leave since its change was announced.
+#[test]
+fn an_engine_that_leaves_meanwhile_is_not_asked() {
+    let (mut host, ids) = holder();
+    host.register(vec![BackendEntry {
+        leaving: true,
+        ..engine_entry(&ids[0], Stage::Decode)
+    }]);
+    let asked = asked(&mut host);
+    assert!(!asked.contains(&ids[0]), "{asked:?}");
+}
+
+/// The holder alone does not reach an engine. Guards against announcing its change again and again, so that it gets no work from
+/// any host.
+#[test]
+fn an_engine_that_cannot_be_ordered_gets_work_meanwhile() {
+    let (mut host, ids) = holder();
+    asked(&mut host);
+    host.event(RelayEvent::EngineReported {
+        instance: ids[0].clone(),
+        report: None,
+    });
+    assert!(is_available(&host, &ids[0]));
+    for _ in 0..30 {
+        renew(&mut host);
+        host.advance(500);
+        assert!(is_available(&host, &ids[0]));
+    }
 }
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -39,6 +39,7 @@
         changes: vec![ChangeReport {
             instance: 12,
             to: Stage::Prefill,
+            number: (1 << 40, 7),
             remaining: Duration::from_millis(3900),
         }],
         limits: vec![
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -639,6 +639,11 @@
     /// Milliseconds for which it gets no new work.
     #[prost(uint32, tag = "3")]
     pub remaining: u32,
+    /// Fencing number of the holder that announces it, and number of its announcement: higher ones replace lower ones.
+    #[prost(uint64, tag = "4")]
+    pub fence: u64,
+    #[prost(uint32, tag = "5")]
+    pub count: u32,
 }
 /// Requests that a backend server takes from all hosts together.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -290,6 +290,8 @@
     wire::Change {
         instance: report.instance,
         to_prefill: report.to == Stage::Prefill,
+        fence: report.number.0,
+        count: report.number.1,
         remaining: millis(report.remaining),
     }
 }
@@ -302,6 +304,7 @@
         } else {
             Stage::Decode
         },
+        number: (change.fence, change.count),
         remaining: Duration::from_millis(change.remaining.into()),
     })
 }
--- a/src/wire/tests.rs
+++ b/src/wire/tests.rs
@@ -161,8 +161,8 @@
     let message = gossip_with_context(0);
     let mut bytes = BytesMut::new();
     encode_gossip(&message, &mut bytes);
-    let message = Word::decode(&*bytes).expect("encoded");
-    assert!(message.loads.expect("two loads").context.is_empty());
+    let encoded = Word::decode(&*bytes).expect("encoded");
+    assert!(encoded.loads.expect("two loads").context.is_empty());
     assert_eq!(decode_gossip(&bytes), Ok(message));
 }
 
@@ -172,8 +172,8 @@
     let mut bytes = BytesMut::new();
     encode_gossip(&gossip_with_context(512), &mut bytes);
     assert_eq!(decode_gossip(&bytes), Ok(gossip_with_context(512)));
-    let mut message = Word::decode(&*bytes).expect("encoded");
-    message.loads.as_mut().expect("two loads").context.pop();
-    let rejected = decode_gossip(&message.encode_to_vec());
+    let mut encoded = Word::decode(&*bytes).expect("encoded");
+    encoded.loads.as_mut().expect("two loads").context.pop();
+    let rejected = decode_gossip(&encoded.encode_to_vec());
     assert_eq!(rejected, Err(WireError::Field { field: "loads" }));
 }
