Fetch no prefix from the engine of an overdue prefill

Attempts that failed after a late first event were named as its cause, and answers that are no stream were counted as unanswered. Change: the server of a silent or overdue attempt holds no prefix; only streams are recalled. Tests: the_second_engine_fetches_nothing_from_the_first, which fails without the rule; a_failure_after_the_first_event_is_not_its_cause.

--- a/src/core/relay/lateness.rs
+++ b/src/core/relay/lateness.rs
@@ -79,9 +79,11 @@
         self.prefill = Stage { took, expected };
     }
 
-    /// Records an attempt that ended without a result after `took` milliseconds.
+    /// Records an attempt that ended without a result after `took` milliseconds. Once the answer has begun, it lengthens a gap.
     pub fn failed(&mut self, took: f64) {
-        self.failed += took;
+        if self.first_event.is_none() {
+            self.failed += took;
+        }
     }
 
     /// Records the first event of an answer, `took` milliseconds after its request was last sent.
--- a/src/core/relay/prefix_cache.rs
+++ b/src/core/relay/prefix_cache.rs
@@ -11,10 +11,10 @@
 use super::super::Core;
 use super::super::key::BackendKey;
 use super::super::time::Time;
-use super::Call;
 use super::catalog::Engine;
 use super::event::{PrefixBlock, Prompt};
 use super::instance::Instance;
+use super::{Call, standby};
 
 /// Blocks with fewer tokens are not tracked: prefilling them again costs less than reporting them.
 ///
@@ -104,11 +104,14 @@
 }
 
 /// Returns the engine of each failure domain that has most of a prompt cached now.
+///
+/// The server of a silent or overdue attempt is none: what was expected to be cached there by now is not.
 pub fn holders(core: &Core, call: &Call, prompt: &Prompt) -> Vec<Holder> {
     let mut best_by_domain: BTreeMap<&str, Holder> = BTreeMap::new();
+    let left = standby::server(core, call.standby);
     for key in core.relay.instances.of(&call.service) {
         let instance = &core.relay.instances.arena[*key];
-        if !instance.is_available(core.now) || call.tried.contains(key) {
+        if !instance.is_available(core.now) || call.tried.contains(key) || left == Some(*key) {
             continue;
         }
         let tokens = cached_tokens(instance, prompt, Some(core.now));
--- a/src/core/relay/recall.rs
+++ b/src/core/relay/recall.rs
@@ -208,6 +208,7 @@
     let settings = core.settings.relay.as_ref();
     settings.is_some_and(|settings| settings.policy.recall)
         && attempt.task == Task::Prefill
+        && call.route.streaming
         && call.attempt == Some(key)
         && call.standby.is_none()
         && !call.recalled
--- a/src/core/relay/tests/lateness.rs
+++ b/src/core/relay/tests/lateness.rs
@@ -46,3 +46,13 @@
     timing.paused(Duration::from_secs(3));
     assert_eq!(timing.cause(TARGET, Duration::ZERO), None);
 }
+
+/// The stream breaks after its late first event, and goes on elsewhere. Guards against a cause that came after the delay.
+#[test]
+fn a_failure_after_the_first_event_is_not_its_cause() {
+    let mut timing = Timing::default();
+    timing.prefilled(290.0, 40.0);
+    timing.began(true, 20.0, 20.0, Duration::from_millis(310));
+    timing.failed(3000.0);
+    assert_eq!(timing.cause(TARGET, GAP_TARGET), Some(Cause::Prefill));
+}
--- a/src/core/relay/tests/recall.rs
+++ b/src/core/relay/tests/recall.rs
@@ -109,6 +109,15 @@
     others.for_each(|(_, instance)| instance.own_work.tokens += tokens);
 }
 
+/// Only the first engine was to prefill the shared prefix, and is overdue with it. Guards against a second engine that fetches the
+/// prefix from there in place of prefilling it, by which the recall looked to be in time.
+#[test]
+fn the_second_engine_fetches_nothing_from_the_first() {
+    let (_, _, first, second) = recalled();
+    assert_ne!(first.instance, second.instance);
+    assert_eq!(second.fetch_from, None);
+}
+
 /// The answer comes after the recall from both engines. Guards against a second run of a request that is not idempotent,
 /// and against a KV cache that takes up memory until it expires.
 #[test]
