Refuse bodies that never fit, and log relief once

Cause, found by a review: a body larger than the bound got 503 and came back for good; near the bound each body logged a change. Tests: core::relay::tests::buffers.

--- a/src/core/relay/buffers.rs
+++ b/src/core/relay/buffers.rs
@@ -17,6 +17,10 @@
 /// out the requests of others.
 const UNREAD_DIVISOR: usize = 2;
 
+/// Part of the bytes up to which a host counts as relieved. Near the bound small bodies fit and large ones do not, and each would
+/// log a change.
+const RELIEVED_DIVISOR: usize = 2;
+
 /// The bound on held bytes, and what it has caused.
 #[derive(Debug, Default)]
 pub struct Buffers {
@@ -55,7 +59,8 @@
 pub(super) fn body_offered(core: &mut Core, bytes: usize, held: usize, out: &mut Effects) {
     let buffers = &mut core.relay.buffers;
     if buffers.max.is_none_or(|max| held + bytes <= max) {
-        if let Some(since) = buffers.full_since.take() {
+        let is_relieved = buffers.max.is_none_or(|max| held <= max / RELIEVED_DIVISOR);
+        if is_relieved && let Some(since) = buffers.full_since.take() {
             log_relieved(core, since, out);
         }
         out.push(Effect::Relay(RelayEffect::AdmitBody));
--- a/src/host/queue.rs
+++ b/src/host/queue.rs
@@ -36,6 +36,12 @@
         self.shared.max.set(max);
     }
 
+    /// Returns the size of a body up to which it may fit beside the unread answers; a larger one never does.
+    #[must_use]
+    pub fn max_body(&self) -> usize {
+        self.shared.max.get().unwrap_or(usize::MAX)
+    }
+
     /// Returns whether the bound is reached.
     #[must_use]
     pub fn is_full(&self) -> bool {
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -172,9 +172,10 @@
         let catalog = core.relay.catalog.as_ref();
         catalog.map_or_else(Default::default, |catalog| catalog.limits)
     });
+    let max_body = limit.max_body.min(node.held.max_body());
     let mut held = node.held.hold(0);
     let mut offered = 0;
-    let body = web::read_admitted_body(&mut req, limit.max_body, BODY_TIMEOUT, |received| {
+    let body = web::read_admitted_body(&mut req, max_body, BODY_TIMEOUT, |received| {
         let admitted = admit_body(node, received - std::mem::replace(&mut offered, received));
         if admitted {
             held.grow_to(received);
