Count no request for more than the KV cache of its engine

Cause, found by a review: context tokens came from the output that a caller states, without a bound. One request could keep an engine from all others at all hosts while it ran, and flatten the expected gaps. The entry of a server may name any number of slots, over which a loop ran. Change: both are bounded, and sums of loads saturate. Tests: a_request_counts_for_no_more_than_the_kv_cache.

--- a/src/core/relay/choose/decode.rs
+++ b/src/core/relay/choose/decode.rs
@@ -53,10 +53,8 @@
         &self,
         core: &Core,
         engines: &[BackendKey],
-        prompt: &Prompt,
-        policy: Policy,
+        context: u64,
     ) -> f64 {
-        let context = context_tokens(prompt, policy);
         let engines = engines.iter().map(|key| &core.relay.instances.arena[*key]);
         let costs = engines.filter_map(|instance| self.gap_cost_ms(instance, context));
         costs.min_by(f64::total_cmp).unwrap_or(0.0)
@@ -110,16 +108,23 @@
 /// Returns the context tokens that a request is counted with at its decode engine: its prompt and,
 /// as the mean over its run, half of the expected output. A count that grew with each event would
 /// change every load report.
-pub(super) fn context_tokens(prompt: &Prompt, policy: Policy) -> u64 {
-    match policy.decode_placement {
-        DecodePlacement::Gaps => {
-            let output = prompt.output_hint.unwrap_or(prompt.max_output);
-            prompt.tokens + output.min(prompt.max_output) / 2
-        }
-        DecodePlacement::Fixed => 0,
+///
+/// Callers may state any numbers. No request takes more than the engine's KV cache, and one that
+/// counted for more would keep the engine from all others while it runs.
+pub(super) fn context_tokens(core: &Core, call: &Call, prompt: &Prompt, policy: Policy) -> u64 {
+    if policy.decode_placement == DecodePlacement::Fixed {
+        return 0;
     }
+    let output = prompt.output_hint.unwrap_or(prompt.max_output);
+    let output = output.min(prompt.max_output) / 2;
+    let capacity = engine_spec(core, call).map_or(0, |engine| engine.kv_capacity);
+    let capacity = if capacity == 0 { MAX_CONTEXT } else { capacity };
+    prompt.tokens.saturating_add(output).min(capacity)
 }
 
+/// Largest number of context tokens of a request where the configuration names no KV cache.
+const MAX_CONTEXT: u64 = 1 << 20;
+
 /// Returns the streams that an engine is known to run.
 fn streams(instance: &Instance) -> f64 {
     f64::from(instance.work().calls.min(instance.slots))
@@ -153,7 +158,7 @@
     if policy.decode_placement == DecodePlacement::Fixed || capacity == 0 {
         return;
     }
-    let own = context_tokens(prompt, policy);
+    let own = context_tokens(core, call, prompt, policy);
     let has_room = |key: &BackendKey| {
         let context = core.relay.instances.arena[*key].work().context;
         context.saturating_add(own) <= capacity
@@ -178,6 +183,9 @@
     sampling::unreported_requests(core, call) / f64::from(slots)
 }
 
+/// Free slots up to which the expected wait is computed.
+const MAX_FREE_SLOTS: u32 = 1024;
+
 /// Returns how many requests must end before the next one gets a slot, on average, if `unreported`
 /// requests are expected in addition to the known ones, each independently of the others.
 fn expected_ahead(known: u32, slots: u32, unreported: f64) -> f64 {
@@ -187,6 +195,10 @@
     }
     // Where fewer arrive than there are free slots (by a Poisson distribution), none waits.
     let free = slots - known - 1;
+    // With so many free slots none waits: the entry of a server may name any number.
+    if free > MAX_FREE_SLOTS {
+        return 0.0;
+    }
     let mut probability = (-unreported).exp();
     let mut unused = 0.0;
     for count in 0..=free {
--- a/src/core/relay/choose/handover.rs
+++ b/src/core/relay/choose/handover.rs
@@ -52,7 +52,7 @@
     let transfer = transfer_ms(core, call, &prompt);
     let model = core.relay.cost_model.of(&call.service);
     let decode = DecodeCost::of(core, call, policy);
-    let context = decode::context_tokens(&prompt, policy);
+    let context = decode::context_tokens(core, call, &prompt, policy);
     let mut best: Option<(f64, PrefillEstimate, f64, BackendKey)> = None;
     for backend in engines {
         let instance = &core.relay.instances.arena[backend];
--- a/src/core/relay/choose/mod.rs
+++ b/src/core/relay/choose/mod.rs
@@ -246,6 +246,8 @@
     policy: Policy,
     /// Cost of placements at decode engines; `None` for the fixed costs.
     decode: Option<DecodeCost<'a>>,
+    /// Context tokens that it is counted with at a decode engine.
+    context_tokens: u64,
     /// Cost of the gaps at the best decode engine: a handover has at least this cost as well.
     least_gap_ms: f64,
 }
@@ -277,13 +279,15 @@
     let target = millis(call.route.target) * policy.target_factor - spent;
     let holders = prefix_cache::holders(core, call, &prompt);
     let is_tried = parts::admission::is_blamed(core, key);
+    let context_tokens = decode::context_tokens(core, call, &prompt, policy);
     let least_gap_ms = decode.as_ref().map_or(0.0, |cost| {
-        cost.least_gap_cost_ms(core, &engines[1], &prompt, policy)
+        cost.least_gap_cost_ms(core, &engines[1], context_tokens)
     });
     let context = PlacementContext {
         holders: &holders,
         policy,
         decode,
+        context_tokens,
         least_gap_ms,
     };
     let mut placements = Vec::new();
@@ -331,7 +335,7 @@
     }
     let (task, context) = match best.stage {
         Stage::Prefill => (Task::Prefill, 0),
-        Stage::Decode => (Task::Whole, decode::context_tokens(&prompt, policy)),
+        Stage::Decode => (Task::Whole, context_tokens),
     };
     Ok(Choice {
         backend: best.backend,
@@ -424,10 +428,9 @@
     };
     let decode = context.decode.as_ref().filter(|_| stage == Stage::Decode);
     let streams = decode.map_or(0.0, |cost| {
-        let own_context = decode::context_tokens(prompt, policy);
-        let gaps = cost.gap_cost_ms(instance, own_context);
+        let gaps = cost.gap_cost_ms(instance, context.context_tokens);
         gaps.map_or(0.0, |gaps| gaps - context.least_gap_ms)
-            + cost.prefill_cost_ms(instance, own_context, queue, own)
+            + cost.prefill_cost_ms(instance, context.context_tokens, queue, own)
     });
     Placement {
         backend,
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -127,11 +127,11 @@
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            calls: self.calls + other.calls,
-            fill_rate: self.fill_rate + other.fill_rate,
-            tokens: self.tokens + other.tokens,
-            context: self.context + other.context,
-            prompt_rate: self.prompt_rate + other.prompt_rate,
+            calls: self.calls.saturating_add(other.calls),
+            fill_rate: self.fill_rate.saturating_add(other.fill_rate),
+            tokens: self.tokens.saturating_add(other.tokens),
+            context: self.context.saturating_add(other.context),
+            prompt_rate: self.prompt_rate.saturating_add(other.prompt_rate),
         }
     }
 
--- a/src/core/relay/tests/decode.rs
+++ b/src/core/relay/tests/decode.rs
@@ -394,3 +394,16 @@
     report(&mut fixed, vec![full, free]);
     assert_eq!(&*hand_over(&mut fixed, "/long/x", 9000).instance, "d");
 }
+
+/// A caller states an output of any length. Guards against one short request that keeps its engine from all others while it runs,
+/// at all hosts, and takes the expected gaps along.
+#[test]
+fn a_request_counts_for_no_more_than_the_kv_cache() {
+    let mut site = site(&[("d", Stage::Decode)]);
+    let mut arrival = model_request("/short/x", (1, 100), 2000);
+    arrival.prompt.as_mut().expect("a prompt").max_output = u64::MAX;
+    site.arrive(arrival);
+    assert!(site.sent().is_some());
+    let key = site.core.relay.instances.find("d").expect("registered");
+    assert_eq!(site.core.relay.instances.arena[key].work().context, 500_000);
+}
