Measure no demand where workers do not follow it

Cause, found by a review: with fixed fractions each refusal still looked through all engines, and totals named failure domains. Change: both only with [duties] scaling = demand. Tests: those of scaling.

--- a/src/core/relay/duty/scaling/mod.rs
+++ b/src/core/relay/duty/scaling/mod.rs
@@ -303,9 +303,15 @@
     }
 }
 
+/// Whether workers follow demand.
+#[must_use]
+pub fn follows_demand(core: &Core) -> bool {
+    settings(core).is_some_and(|settings| settings.scaling == ScalingMode::Demand)
+}
+
 /// Measures the demand of each service. Every host does, to have it when it acquires the authority.
 pub fn measure(core: &mut Core) {
-    let follows = settings(core).is_some_and(|settings| settings.scaling == ScalingMode::Demand);
+    let follows = follows_demand(core);
     let now = core.now;
     let scaler = &mut core.relay.duties.scaler;
     let last = scaler.measured.filter(|_| follows);
@@ -340,7 +346,7 @@
 pub fn refused(core: &mut Core, key: CallKey, kind: Kind) {
     let call = &core.relay.calls[key];
     let is_refused = matches!(kind, Kind::Overloaded | Kind::NoEngine);
-    if !is_refused || call.arrivals + call.prefills > 0 {
+    if !follows_demand(core) || !is_refused || call.arrivals + call.prefills > 0 {
         return;
     }
     let Some(fleet) = core.relay.duties.scaler.fleets.get(&call.service) else {
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -227,7 +227,7 @@
     };
     let replicated = has_changes.then(|| core.relay.view.take_changes());
     let included_domains = match kind {
-        GossipKind::Totals(_) => domains::known(core),
+        GossipKind::Totals(_) if duty::scaling::follows_demand(core) => domains::known(core),
         _ => Vec::new(),
     };
     let probes = &mut core.relay.view.probes;
