Count slot time of a customer within the window only

Cause, found by a review: a long stream counted with its whole duration at its end, so that a customer below its share could be refused for it. Change: at most the window's part counts. Tests: those of shares.

--- a/src/core/relay/shares/mod.rs
+++ b/src/core/relay/shares/mod.rs
@@ -190,7 +190,9 @@
         Some(_) => attempt.began.unwrap_or(core.now),
         None => attempt.sent_at,
     };
-    let used = millis(core.now.since(since)) / f64::from(instance.slots);
+    // What was used before the window began is no usage of it.
+    let held = core.now.since(since).min(WINDOW);
+    let used = millis(held) / f64::from(instance.slots);
     let (customer, rank) = customer(call);
     let service = core.relay.shares.service(&call.service);
     service.slot_ms += (used - service.slot_ms) * MEAN_WEIGHT;
