--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -6,13 +6,13 @@
 use bytes::BytesMut;
 use prost::Message as _;
 
+use super::load::{from_engine_time, from_loads, to_engine_time, to_loads};
 use super::{WireError, generated as wire};
 use crate::core::relay::duty::usage::ledger::{Process, Row, UsageReport};
 use crate::core::relay::event::{
-    BlockReport, CONTEXT_UNIT, ChangeReport, Changes, CrashReport, CustomerTime, DepartureReport,
-    EngineTimeReport, Gossip, GossipKind, IncludedReport, LimitReport, LoadReport, PartReport,
-    ProbeReport, ReplicatedChanges, RestTime, Stage, StoreChange, StreamMessage, StreamQuery,
-    StreamRecord, StreamReply, UptimeReport,
+    BlockReport, ChangeReport, Changes, CrashReport, DepartureReport, Gossip, GossipKind,
+    IncludedReport, LimitReport, PartReport, ProbeReport, ReplicatedChanges, Stage, StoreChange,
+    StreamMessage, StreamQuery, StreamRecord, StreamReply, UptimeReport,
 };
 use crate::core::relay::versions::{InUse, StreamKey, Version};
 
@@ -282,7 +282,7 @@
     }
 }
 
-fn millis(duration: Duration) -> u32 {
+pub(super) fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -388,58 +388,6 @@
     }
 }
 
-fn to_loads(loads: &[LoadReport]) -> wire::Loads {
-    wire::Loads {
-        instances: loads.iter().map(|load| load.instance).collect(),
-        calls: loads.iter().map(|load| load.calls).collect(),
-        fill: loads.iter().map(|load| load.fill).collect(),
-        tokens: loads.iter().map(|load| load.tokens).collect(),
-        prompts: optional_column(loads.iter().map(|load| load.prompts)),
-        context: optional_column(loads.iter().map(|load| load.context / CONTEXT_UNIT)),
-    }
-}
-
-/// Returns a column of the loads, which is left out where it holds only zeros.
-fn optional_column(values: impl Iterator<Item = u32> + Clone) -> Vec<u32> {
-    let is_empty = values.clone().all(|value| value == 0);
-    if is_empty {
-        Vec::new()
-    } else {
-        values.collect()
-    }
-}
-
-fn from_loads(loads: &wire::Loads) -> Result<Vec<LoadReport>, WireError> {
-    let columns = [&loads.calls, &loads.fill, &loads.tokens];
-    if columns
-        .iter()
-        .any(|column| column.len() != loads.instances.len())
-    {
-        return Err(WireError::Field { field: "loads" });
-    }
-    // A host of an older build sends no such columns.
-    for column in [&loads.prompts, &loads.context] {
-        if !column.is_empty() && column.len() != loads.instances.len() {
-            return Err(WireError::Field { field: "loads" });
-        }
-    }
-    let prompts = loads.prompts.iter().copied().chain(std::iter::repeat(0));
-    let context = loads.context.iter().copied().chain(std::iter::repeat(0));
-    let rows = loads.instances.iter().zip(&loads.calls).zip(&loads.fill);
-    let rows = rows.zip(&loads.tokens).zip(prompts).zip(context);
-    let loads = rows.map(
-        |(((((instance, calls), fill), tokens), prompts), context)| LoadReport {
-            instance: *instance,
-            calls: *calls,
-            fill: *fill,
-            tokens: *tokens,
-            prompts,
-            context: context.saturating_mul(CONTEXT_UNIT),
-        },
-    );
-    Ok(loads.collect())
-}
-
 fn to_block(block: &BlockReport) -> wire::PartWord {
     wire::PartWord {
         part: block.block,
@@ -498,51 +446,3 @@
         age: Duration::from_millis(report.age.into()),
     }
 }
-
-fn to_engine_time(report: &EngineTimeReport) -> wire::EngineTime {
-    let rows = &report.customers;
-    wire::EngineTime {
-        service: report.service,
-        overload_age: millis(report.overload_age),
-        customers: rows.iter().map(|row| row.customer).collect(),
-        ranks: rows.iter().map(|row| row.rank.into()).collect(),
-        used: rows.iter().map(|row| row.used_us).collect(),
-        unmet: rows.iter().map(|row| row.unmet_us).collect(),
-        rest_customers: report.rest.customers,
-        rest_rank: report.rest.rank.into(),
-        rest_used: report.rest.used_us,
-        rest_unmet: report.rest.unmet_us,
-    }
-}
-
-fn from_engine_time(report: &wire::EngineTime) -> Result<EngineTimeReport, WireError> {
-    let columns = [&report.ranks, &report.used, &report.unmet];
-    if columns
-        .iter()
-        .any(|column| column.len() != report.customers.len())
-    {
-        return Err(WireError::Field {
-            field: "engine_times",
-        });
-    }
-    let rank = |rank: u32| u8::try_from(rank).unwrap_or(u8::MAX);
-    let rows = report.customers.iter().zip(&report.ranks);
-    let rows = rows.zip(&report.used).zip(&report.unmet);
-    let customers = rows.map(|(((customer, ranked), used), unmet)| CustomerTime {
-        customer: *customer,
-        rank: rank(*ranked),
-        used_us: *used,
-        unmet_us: *unmet,
-    });
-    Ok(EngineTimeReport {
-        service: report.service,
-        overload_age: Duration::from_millis(report.overload_age.into()),
-        customers: customers.collect(),
-        rest: RestTime {
-            customers: report.rest_customers,
-            rank: rank(report.rest_rank),
-            used_us: report.rest_used,
-            unmet_us: report.rest_unmet,
-        },
-    })
-}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,6 +11,7 @@
 )]
 mod generated;
 mod gossip;
+mod load;
 mod shard;
 #[cfg(test)]
 mod tests;
