Count and log responses that belong to another request

Cause: an answer with the id of another request failed its attempt with the same log line as any broken answer, and a refusal with such an id left no trace at all. A late copy and a truthful refusal looked alike.

Change: `response.foreign` names both ids, the sender and the status, and `chiveway_foreign_responses_total` counts them by reader. What a host does with such a response is unchanged.

--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -345,6 +345,11 @@
         /// Model or service.
         class: Box<str>,
     },
+    /// A response arrived that belongs to another request than the one under way on its connection.
+    ForeignResponse {
+        /// Kind of the call under way.
+        reader: &'static str,
+    },
     /// A read or watch of the store was abandoned as lost.
     StoreCallLost,
     /// An order was sent to an engine.
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -1,5 +1,6 @@
 //! Events and effects of relayed requests, as data.
 
+mod foreign;
 mod forward;
 mod gossip;
 mod notice;
@@ -19,6 +20,7 @@
 use crate::core::key::{AttemptKey, CallKey};
 use crate::error::Ran;
 use crate::settings::Settings;
+pub use foreign::{ForeignResponse, Reader};
 pub use forward::{Departures, ForwardRefusal, Forwarded, LinkProbe, Spent};
 pub use gossip::{
     BlockReport, CONTEXT_UNIT, ChangeReport, CrashReport, CustomerTime, DepartureReport,
@@ -57,6 +59,8 @@
         /// Handle by which another engine fetches the KV cache.
         handle: Box<str>,
     },
+    /// A response arrived that belongs to another request than the one under way on its connection.
+    ForeignResponse(Box<ForeignResponse>),
     /// The head of an answer from the backend server itself arrived.
     Noticed {
         /// The attempt.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -17,6 +17,7 @@
 pub mod duty;
 mod ending;
 pub mod event;
+mod foreign;
 mod forward;
 mod gossip;
 pub mod instance;
@@ -211,6 +212,7 @@
         RelayEvent::CallerDisconnected => intake::disconnected(core),
         RelayEvent::Arrived(arrival) => call::arrived(core, *arrival, out),
         RelayEvent::CallerLeft(key) => ending::caller_left(core, key, out),
+        RelayEvent::ForeignResponse(response) => foreign::received(&response, out),
         RelayEvent::Noticed { attempt, notices } => {
             links::attempt_received(core, attempt, out);
             notice::answered(core, attempt, notices, out);
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -59,6 +59,7 @@
     links_lost: Gauge<u64>,
     scaling: ScalingGauges,
     fair_shares: FairShareMetrics,
+    foreign_responses: Counter<u64>,
     forwarded: Counter<u64>,
     taken_up: Counter<u64>,
     last_calls: Cell<CallCounts>,
@@ -252,6 +253,10 @@
                 "chiveway_requests_forwarded",
                 "Requests forwarded to other hosts",
             ),
+            foreign_responses: counter(
+                "chiveway_foreign_responses",
+                "Responses that belong to another request than the one under way on their connection",
+            ),
             registry,
             _provider: provider,
             last_calls: Cell::default(),
@@ -305,6 +310,9 @@
             Meter::TakenUp { outcome } => self.taken_up.add(1, &[label("outcome", outcome)]),
             Meter::Forwarded { class } => self.forwarded.add(1, &[label("class", class)]),
             Meter::Retried { class } => self.retries.add(1, &[label("class", class)]),
+            Meter::ForeignResponse { reader } => self
+                .foreign_responses
+                .add(1, &[KeyValue::new("reader", *reader)]),
             Meter::StoreCallLost => self.calls_lost.add(1, &[]),
             Meter::OrderSent { pool } => self.orders.add(1, &[label("pool", pool)]),
         }
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -16,7 +16,8 @@
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::customers::Identity;
 use crate::core::relay::event::{
-    Framing, OrderResult, Outgoing, RelayEvent, StageOrder, StreamEnd, Task,
+    ForeignResponse, Framing, OrderResult, Outgoing, Reader, RelayEvent, StageOrder, StreamEnd,
+    Task,
 };
 use crate::error::Ran;
 use crate::host::node::Node;
@@ -152,6 +153,16 @@
     let headers = as_bytes(answer.response.headers());
     let reply = header::decode_answer(status, &headers);
     let echoed = is_echoed(&prepared, &reply);
+    if !echoed {
+        let response = ForeignResponse {
+            reader: Reader::Request,
+            sender: out.instance.clone(),
+            expected: request_id(&prepared),
+            received: reply.attempt_id.clone().unwrap_or_default(),
+            status,
+        };
+        apply(node, RelayEvent::ForeignResponse(Box::new(response)));
+    }
     if status != MISDIRECTED && (reply.not_run || echoed) {
         apply(
             node,
@@ -193,6 +204,13 @@
     }
 }
 
+/// Returns the id of a request; empty if it has none.
+fn request_id(prepared: &Prepared) -> Box<str> {
+    let mut headers = prepared.headers.iter();
+    let id = headers.find(|(name, _)| header::is_attempt(name));
+    id.map_or_else(Box::default, |(_, id)| String::from_utf8_lossy(id).into())
+}
+
 /// Returns the failure for an answer that belongs to an earlier request on its connection.
 pub(super) fn foreign_answer() -> FailedAttempt {
     let detail = "the answer is not for this request";
