Compare the id of a response before anything it states

Cause: a refusal was believed before its id was compared with that of the request. A late copy of the refusal of an earlier request on the same connection so became the refusal of the next one, which was sent to a second worker while the first ran it. Its limit, pushback and departure, and the reuse of an address by 421, were believed as well.

A stand-in that sends the copy shows two runs and 503 for one request.

Why it works: a response is believed only if it names the request under way. A refusal without an id is believed as the first response on its connection, where nothing of an earlier request can arrive; so no caller loses a truthful refusal. The connection of any other response is closed.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -63,10 +63,29 @@
     }
 }
 
-struct IdleConnection {
+/// An open connection.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    guard: oneshot::Sender<Infallible>,
+    _guard: oneshot::Sender<Infallible>,
     patience: Patience,
+    /// Number of calls sent on it.
+    calls: u64,
+}
+
+impl Connection {
+    /// Returns the answer to a call whose response head arrived on this connection.
+    fn answered(mut self, response: Response<Incoming>, call: &Call) -> Answer {
+        self.calls += 1;
+        Answer {
+            response,
+            connection: self,
+            addr: call.addr,
+        }
+    }
+}
+
+struct IdleConnection {
+    connection: Connection,
     expires_at: Instant,
 }
 
@@ -86,10 +105,16 @@
 pub struct Answer {
     /// Response with the body still to be read.
     pub response: Response<Incoming>,
-    sender: SendRequest<Full<Bytes>>,
-    guard: oneshot::Sender<Infallible>,
+    connection: Connection,
     addr: SocketAddr,
-    patience: Patience,
+}
+
+impl Answer {
+    /// Returns whether it is the first response on its connection.
+    #[must_use]
+    pub fn is_first(&self) -> bool {
+        self.connection.calls == 1
+    }
 }
 
 impl std::fmt::Debug for Answer {
@@ -171,38 +196,30 @@
         let mut request = call.request()?;
         let patience = Patience::of(call.body.len());
         // An idle connection that was closed meanwhile returns the request unsent.
-        while let Some(mut idle) = self.take_idle(call.addr, patience) {
-            match idle.sender.try_send_request(request).await {
-                Ok(response) => {
-                    return Ok(Answer {
-                        response,
-                        sender: idle.sender,
-                        guard: idle.guard,
-                        addr: call.addr,
-                        patience,
-                    });
-                }
+        while let Some(mut connection) = self.take_idle(call.addr, patience) {
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok(connection.answered(response, call)),
                 Err(mut err) => match err.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(connection_broken(&err.into_error())),
                 },
             }
         }
-        let (mut sender, guard) = timeout(connect_timeout, connect(call.addr, patience))
+        let (sender, guard) = timeout(connect_timeout, connect(call.addr, patience))
             .await
             .unwrap_or_else(|_elapsed| {
                 Err(PoolError::Connect {
                     reason: "the other side does not answer".into(),
                 })
             })?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(Answer {
-                response,
-                sender,
-                guard,
-                addr: call.addr,
-                patience,
-            }),
+        let mut connection = Connection {
+            sender,
+            _guard: guard,
+            patience,
+            calls: 0,
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(connection.answered(response, call)),
             Err(mut err) => Err(if err.take_message().is_some() {
                 PoolError::Connect {
                     reason: "the connection closed before the request was handed to it".into(),
@@ -264,14 +281,16 @@
         })
     }
 
-    fn take_idle(&self, addr: SocketAddr, patience: Patience) -> Option<IdleConnection> {
+    fn take_idle(&self, addr: SocketAddr, patience: Patience) -> Option<Connection> {
         let mut all = self.idle.borrow_mut();
         let list = all.get_mut(&addr)?;
         let now = Instant::now();
-        list.retain(|idle| idle.expires_at > now && idle.sender.is_ready());
+        list.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
         // The most recently used connection is the least likely to be closed by now.
-        let place = list.iter().rposition(|idle| idle.patience == patience);
-        let found = place.map(|place| list.remove(place));
+        let place = list
+            .iter()
+            .rposition(|idle| idle.connection.patience == patience);
+        let found = place.map(|place| list.remove(place).connection);
         if list.is_empty() {
             all.remove(&addr);
         }
@@ -283,26 +302,22 @@
     /// It is kept for `idle_timeout`, unless `max_idle` connections to its address are idle.
     pub async fn put_back(&self, answer: Answer, idle_timeout: Duration, max_idle: usize) {
         let Answer {
-            mut sender,
-            guard,
+            mut connection,
             addr,
-            patience,
             ..
         } = answer;
         // Bytes after the response belong to no request and close the connection here.
-        let ready = timeout(READY_TIMEOUT, sender.ready()).await;
+        let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
         if !matches!(ready, Ok(Ok(()))) {
             return;
         }
         let now = Instant::now();
         let mut all = self.idle.borrow_mut();
         let list = all.entry(addr).or_default();
-        list.retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+        list.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
         if list.len() < max_idle {
             list.push(IdleConnection {
-                sender,
-                guard,
-                patience,
+                connection,
                 expires_at: now + idle_timeout,
             });
         }
@@ -317,7 +332,7 @@
     pub fn close_expired(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|idle| idle.expires_at > now && !idle.sender.is_closed());
+            list.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
             !list.is_empty()
         });
     }
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -152,18 +152,18 @@
     let status = answer.response.status().as_u16();
     let headers = as_bytes(answer.response.headers());
     let reply = header::decode_answer(status, &headers);
-    let echoed = is_echoed(&prepared, &reply);
-    if !echoed {
+    if !is_own(&prepared, &reply, answer.is_first()) {
         let response = ForeignResponse {
             reader: Reader::Request,
             sender: out.instance.clone(),
             expected: request_id(&prepared),
-            received: reply.attempt_id.clone().unwrap_or_default(),
+            received: reply.attempt_id.unwrap_or_default(),
             status,
         };
         apply(node, RelayEvent::ForeignResponse(Box::new(response)));
+        return Err(foreign_answer());
     }
-    if status != MISDIRECTED && (reply.not_run || echoed) {
+    if status != MISDIRECTED {
         apply(
             node,
             RelayEvent::Noticed {
@@ -185,23 +185,24 @@
             format!("refused with {status}"),
         ));
     }
-    if !echoed {
-        return Err(foreign_answer());
-    }
     if matches!(out.task, Task::Prefill) {
         return read_prefill_answer(node, source, answer, status, reply.keep_alive).await;
     }
     read_reply(node, source, answer, reply, out.streaming).await
 }
 
+/// Returns whether an answer belongs to a request.
+///
+/// A refusal without an id is believed only as the first answer on its connection, where no answer to an earlier request
+/// can arrive.
+fn is_own(prepared: &Prepared, reply: &AnswerHead, is_first: bool) -> bool {
+    is_echoed(prepared, reply) || reply.attempt_id.is_none() && reply.not_run && is_first
+}
+
 /// Returns whether an answer names the request that it belongs to.
 pub(super) fn is_echoed(prepared: &Prepared, reply: &AnswerHead) -> bool {
-    let mut headers = prepared.headers.iter();
-    let id = headers.find(|(name, _)| header::is_attempt(name));
-    match (&reply.attempt_id, id) {
-        (Some(echo), Some((_, sent))) => echo.as_bytes() == &**sent,
-        _ => false,
-    }
+    let id = request_id(prepared);
+    !id.is_empty() && reply.attempt_id.as_ref() == Some(&id)
 }
 
 /// Returns the id of a request; empty if it has none.
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -291,7 +291,7 @@
     for &(name, value) in headers {
         let text = std::str::from_utf8(value).unwrap_or_default().trim();
         match name {
-            ATTEMPT_ID => head.attempt_id = Some(text.into()),
+            ATTEMPT_ID => head.attempt_id = (!text.is_empty()).then(|| text.into()),
             SERVER_STAMP => head.has_stamp = true,
             NOT_EXECUTED => head.not_run = true,
             KEEP_ALIVE => head.keep_alive = keep_alive_timeout(text),
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod http;
 mod kept_connection;
 mod keys;
+mod late_copies;
 mod late_server;
 mod leaving;
 mod limit;
@@ -29,6 +30,7 @@
 mod process;
 mod pushback;
 mod refused;
+mod script;
 mod silence;
 mod slow_caller;
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
--- /dev/null
+++ b/tests/relay/script.rs
@@ -0,0 +1,148 @@
+//! A server that writes what a script says, byte by byte.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use serde_json::{Value, json};
+
+use super::standin::engine::HEALTH_PATH;
+use super::standin::http::{Request, listen_each, write};
+
+/// One request at a scripted server.
+pub struct Turn<'a> {
+    /// Id of the request.
+    pub id: String,
+    /// Number of the request on its connection, from 0 on.
+    pub number: usize,
+    pub stream: &'a mut TcpStream,
+    log: &'a Mutex<Log>,
+}
+
+impl Turn<'_> {
+    /// Records that the server runs the request.
+    pub fn run(&self) {
+        let mut log = self.log.lock().expect("the log");
+        *log.runs.entry(self.id.clone()).or_default() += 1;
+    }
+
+    /// Writes bytes; `None` if the connection is closed.
+    pub fn send(&mut self, bytes: impl AsRef<[u8]>) -> Option<()> {
+        self.stream.write_all(bytes.as_ref()).ok()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Log {
+    /// Heads of the requests, in the order of their arrival.
+    heads: Vec<String>,
+    /// Number of runs by request.
+    runs: BTreeMap<String, usize>,
+}
+
+/// A scripted server.
+pub struct Scripted {
+    pub id: String,
+    addr: SocketAddr,
+    stage: Option<&'static str>,
+    log: Arc<Mutex<Log>>,
+}
+
+impl Scripted {
+    /// Starts a plain server.
+    pub fn plain(
+        id: &str,
+        script: impl Fn(&mut Turn<'_>) -> Option<()> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start(id, None, script)
+    }
+
+    /// Starts an engine.
+    pub fn model(
+        id: &str,
+        stage: &'static str,
+        script: impl Fn(&mut Turn<'_>) -> Option<()> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start(id, Some(stage), script)
+    }
+
+    fn start(
+        id: &str,
+        stage: Option<&'static str>,
+        script: impl Fn(&mut Turn<'_>) -> Option<()> + Send + Sync + 'static,
+    ) -> Self {
+        let log = Arc::new(Mutex::new(Log::default()));
+        let (shared, script) = (Arc::clone(&log), Arc::new(script));
+        let addr = listen_each(move |_| {
+            let (log, script) = (Arc::clone(&shared), Arc::clone(&script));
+            let count = AtomicUsize::new(0);
+            Some(move |request: &Request, stream: &mut TcpStream| {
+                if let Some(answer) = own_answer(request, stage) {
+                    return write(stream, 200, "", &answer);
+                }
+                let id = request.header("x-chiveway-attempt-id").unwrap_or_default();
+                log.lock()
+                    .expect("the log")
+                    .heads
+                    .push(request.head.clone());
+                script(&mut Turn {
+                    id: id.to_owned(),
+                    number: count.fetch_add(1, Ordering::Relaxed),
+                    stream,
+                    log: &log,
+                })
+            })
+        });
+        Self {
+            id: id.to_owned(),
+            addr,
+            stage,
+            log,
+        }
+    }
+
+    /// Returns its entry in the store.
+    pub fn entry(&self) -> Value {
+        let service = self.stage.map_or("plain", |_| "model");
+        json!({"service": service, "address": self.addr.to_string(), "zone": "z", "version": "v1",
+            "slots": 8, "state": "ready", "coldRemainingMs": 0, "stage": self.stage, "sequence": 1,
+            "born": 1})
+    }
+
+    /// Returns how often it ran a request.
+    pub fn runs(&self, id: &str) -> usize {
+        let log = self.log.lock().expect("the log");
+        log.runs.get(id).copied().unwrap_or_default()
+    }
+
+    /// Returns the heads of all requests that it received.
+    pub fn heads(&self) -> Vec<String> {
+        self.log.lock().expect("the log").heads.clone()
+    }
+}
+
+/// Returns the body of the answer to a call that is no caller's request.
+fn own_answer(request: &Request, stage: Option<&str>) -> Option<String> {
+    match request.path.as_str() {
+        HEALTH_PATH => Some(String::new()),
+        "/v1/report" => Some(json!({"stage": stage, "busy": false, "sequence": 0}).to_string()),
+        "/v1/order" => Some("{}".to_owned()),
+        _ => None,
+    }
+}
+
+/// Returns a response of a server to a request, with further header lines.
+pub fn response(status: u16, id: &str, more: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} x\r\nx-chiveway-attempt-id: {id}\r\nx-chiveway-server-stamp: s\r\n\
+         keep-alive: timeout=5\r\n{more}content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Returns a refusal of a request.
+pub fn refusal(status: u16, id: &str) -> String {
+    response(status, id, "x-chiveway-not-executed: 1\r\n", "")
+}
