Carry no id twice on a connection

What callers would see: a request that a worker refused, and that returns to it on the same connection, is answered as not run though it runs (REFUSED), or runs at a second worker (TWICE). Shown by a stand-in.

Cause: a late copy of the refusal bears the id of the request itself, so that the comparison of ids cannot tell it from the answer.

Evidence: a server that sends the copy gets one run for a request that the caller is told did not run; without it, none.

Why it works: a connection remembers the hashes of its last 16 ids and carries none of them again. A late response arrives where the next one is expected, so that an older id cannot come up.

Test: late_copies::a_request_returns_to_a_server_on_another_connection, red before ((503, 1 run) for (503, none)).

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -6,8 +6,9 @@
 //! is reported as not run only if no byte of it was handed to a connection. HTTP itself is hyper's.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::convert::Infallible;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,8 @@
 use super::connect::{Patience, connect};
 use crate::error::Ran;
 
+/// Ids that a connection remembers: a late response arrives where the next one is expected.
+const MAX_RECENT_IDS: usize = 16;
 /// Time within which a connection must be ready for its next request after a complete response.
 const READY_TIMEOUT: Duration = Duration::from_millis(2);
 /// Why there is no response, or no complete one.
@@ -70,12 +73,18 @@
     patience: Patience,
     /// Number of calls sent on it.
     calls: u64,
+    /// Ids of the last calls sent on it, as hashes.
+    recent_ids: VecDeque<u64>,
 }
 
 impl Connection {
     /// Returns the answer to a call whose response head arrived on this connection.
     fn answered(mut self, response: Response<Incoming>, call: &Call) -> Answer {
         self.calls += 1;
+        if let Some(id) = &call.id {
+            self.recent_ids.truncate(MAX_RECENT_IDS - 1);
+            self.recent_ids.push_front(hash(id));
+        }
         Answer {
             response,
             connection: self,
@@ -84,6 +93,13 @@
     }
 }
 
+/// Returns the hash of a call's id.
+fn hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 struct IdleConnection {
     connection: Connection,
     expires_at: Instant,
@@ -145,6 +161,8 @@
     pub method: hyper::Method,
     /// Encoded path with query.
     pub path: Box<str>,
+    /// Id that responses to it name, if they name one.
+    pub id: Option<Box<str>>,
     /// Header names and values.
     pub headers: Vec<(Box<str>, Box<[u8]>)>,
     /// Request body; may be empty.
@@ -196,7 +214,7 @@
         let mut request = call.request()?;
         let patience = Patience::of(call.body.len());
         // An idle connection that was closed meanwhile returns the request unsent.
-        while let Some(mut connection) = self.take_idle(call.addr, patience) {
+        while let Some(mut connection) = self.take_idle(call, patience) {
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(connection.answered(response, call)),
                 Err(mut err) => match err.take_message() {
@@ -217,6 +235,7 @@
             _guard: guard,
             patience,
             calls: 0,
+            recent_ids: VecDeque::new(),
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(connection.answered(response, call)),
@@ -281,18 +300,24 @@
         })
     }
 
-    fn take_idle(&self, addr: SocketAddr, patience: Patience) -> Option<Connection> {
+    /// Returns an idle connection for a call.
+    ///
+    /// A late response to an earlier call with the same id could not be told from the response to this one.
+    fn take_idle(&self, call: &Call, patience: Patience) -> Option<Connection> {
+        let id = call.id.as_deref().map(hash);
+        let accepts = |connection: &Connection| {
+            let carried = id.is_some_and(|id| connection.recent_ids.contains(&id));
+            connection.patience == patience && !carried
+        };
         let mut all = self.idle.borrow_mut();
-        let list = all.get_mut(&addr)?;
+        let list = all.get_mut(&call.addr)?;
         let now = Instant::now();
         list.retain(|idle| idle.expires_at > now && idle.connection.sender.is_ready());
         // The most recently used connection is the least likely to be closed by now.
-        let place = list
-            .iter()
-            .rposition(|idle| idle.connection.patience == patience);
+        let place = list.iter().rposition(|idle| accepts(&idle.connection));
         let found = place.map(|place| list.remove(place).connection);
         if list.is_empty() {
-            all.remove(&addr);
+            all.remove(&call.addr);
         }
         found
     }
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -132,6 +132,7 @@
         addr: out.addr,
         method: prepared.method.clone(),
         path: prepared.path.clone(),
+        id: request_id(prepared),
         headers,
         body: prepared.body.clone(),
     }
@@ -156,7 +157,7 @@
         let response = ForeignResponse {
             reader: Reader::Request,
             sender: out.instance.clone(),
-            expected: request_id(&prepared),
+            expected: request_id(&prepared).unwrap_or_default(),
             received: reply.attempt_id.unwrap_or_default(),
             status,
         };
@@ -201,15 +202,14 @@
 
 /// Returns whether an answer names the request that it belongs to.
 pub(super) fn is_echoed(prepared: &Prepared, reply: &AnswerHead) -> bool {
-    let id = request_id(prepared);
-    !id.is_empty() && reply.attempt_id.as_ref() == Some(&id)
+    reply.attempt_id.is_some() && reply.attempt_id == request_id(prepared)
 }
 
-/// Returns the id of a request; empty if it has none.
-fn request_id(prepared: &Prepared) -> Box<str> {
+/// Returns the id of a request.
+pub(super) fn request_id(prepared: &Prepared) -> Option<Box<str>> {
     let mut headers = prepared.headers.iter();
-    let id = headers.find(|(name, _)| header::is_attempt(name));
-    id.map_or_else(Box::default, |(_, id)| String::from_utf8_lossy(id).into())
+    let (_, id) = headers.find(|(name, _)| header::is_attempt(name))?;
+    Some(String::from_utf8_lossy(id).into())
 }
 
 /// Returns the failure for an answer that belongs to an earlier request on its connection.
@@ -406,6 +406,7 @@
         addr,
         method,
         path: path.into(),
+        id: None,
         headers,
         body: body.into(),
     }
--- a/src/host/relay/duties.rs
+++ b/src/host/relay/duties.rs
@@ -38,6 +38,7 @@
         addr,
         method: hyper::Method::POST,
         path: path.into(),
+        id: None,
         headers,
         body: body.into(),
     };
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -11,7 +11,7 @@
 
 use super::backends::{
     CONNECT_TIMEOUT, FailedAttempt, MISDIRECTED, Source, as_bytes, drain_and_release,
-    foreign_answer, is_echoed, read_reply, run_until,
+    foreign_answer, is_echoed, read_reply, request_id, run_until,
 };
 use super::{Prepared, apply};
 use crate::backend::pool::Call;
@@ -213,6 +213,7 @@
         addr: out.addr,
         method: prepared.method.clone(),
         path: prepared.path.clone(),
+        id: request_id(prepared),
         headers,
         body: prepared.body.clone(),
     }
--- a/src/host/relay/store.rs
+++ b/src/host/relay/store.rs
@@ -141,6 +141,7 @@
         addr,
         method: hyper::Method::from_bytes(call.method.as_bytes()).unwrap_or_default(),
         path: call.path.into(),
+        id: None,
         headers,
         body: call.body.into(),
     };
--- a/src/operate/refused.rs
+++ b/src/operate/refused.rs
@@ -210,6 +210,7 @@
             addr: self.addr,
             method: hyper::Method::from_bytes(call.method.as_bytes()).unwrap_or_default(),
             path: call.path.into(),
+            id: None,
             headers: (!call.body.is_empty())
                 .then_some(json)
                 .into_iter()
--- a/tests/relay/late_copies.rs
+++ b/tests/relay/late_copies.rs
@@ -79,6 +79,19 @@
     assert_eq!(count(&site, "chiveway_foreign_responses_total"), 1);
 }
 
+/// The same request comes back to the server that refused it. Guards against a connection on which its id cannot tell the late
+/// copy of the refusal from the answer.
+#[test]
+fn a_request_returns_to_a_server_on_another_connection() {
+    let server = Scripted::plain("s-1", refuse_first);
+    let site = site(&[&server]);
+    wait_for("the request at the server for a third time", || {
+        let answer = site.send("/once/x", "id-1", &[]).expect("an answer");
+        assert_eq!((answer.status, server.runs("id-1")), (503, 0));
+        server.heads().len() == 3
+    });
+}
+
 /// Returns a site and a plain server that sends an extra response with the id `id-1` before its answer to the second request on
 /// each connection.
 fn site_with_extra(extra: String) -> (Site, Scripted) {
