Believe nothing of a head that is made of two responses

What callers would see: a request that ran is answered 503, 404 or sent to a second worker after a 421 (REFUSED, TWICE). Shown by a stand-in.

Cause: a late response that is cut inside its head and the true response after it parse as one head: the status of the first, the id of the second. The last id counted, so that the id check accepted it.

Evidence: of 12 places at which a stand-in cuts the head, 6 gave the caller the status of the other response; all get 502 now.

Why it works: every such place leaves a trace: a header twice that one response has once, or a status line inside a value or the reason. The remaining places are no HTTP or name the other request.

--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::body::Body;
+use hyper::ext::ReasonPhrase;
 use hyper::header::TRANSFER_ENCODING;
 use tokio::sync::oneshot;
 
@@ -153,7 +154,7 @@
     let status = answer.response.status().as_u16();
     let headers = as_bytes(answer.response.headers());
     let reply = header::decode_answer(status, &headers);
-    if !is_own(&prepared, &reply, answer.is_first()) {
+    if !is_own(&prepared, &answer, &reply) {
         let response = ForeignResponse {
             reader: Reader::Request,
             sender: out.instance.clone(),
@@ -196,8 +197,16 @@
 ///
 /// A refusal without an id is believed only as the first answer on its connection, where no answer to an earlier request
 /// can arrive.
-fn is_own(prepared: &Prepared, reply: &AnswerHead, is_first: bool) -> bool {
-    is_echoed(prepared, reply) || reply.attempt_id.is_none() && reply.not_run && is_first
+fn is_own(prepared: &Prepared, answer: &Answer, reply: &AnswerHead) -> bool {
+    let is_unnamed = reply.attempt_id.is_none() && reply.not_run && answer.is_first();
+    !is_merged(answer) && (is_echoed(prepared, reply) || is_unnamed)
+}
+
+/// Returns whether the head of an answer is made of two, of which the first was cut off.
+fn is_merged(answer: &Answer) -> bool {
+    let reason = answer.response.extensions().get::<ReasonPhrase>();
+    let reason = reason.map_or(&b""[..], ReasonPhrase::as_bytes);
+    header::is_merged(reason, &as_bytes(answer.response.headers()))
 }
 
 /// Returns whether an answer names the request that it belongs to.
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -37,6 +37,8 @@
 const NOT_EXECUTED: &str = "x-chiveway-not-executed";
 /// Signature of the backend server that sent the response.
 const SERVER_STAMP: &str = "x-chiveway-server-stamp";
+/// Id of the backend server that sent the response.
+const INSTANCE_ID: &str = "x-chiveway-instance-id";
 /// Requests per second that the backend server accepts from all hosts together.
 const SERVER_LIMIT: &str = "server-limit";
 /// Set to `1` by a backend server that is leaving.
@@ -68,7 +70,7 @@
     REQUEST_PRIORITY,
     NOT_EXECUTED,
     SERVER_STAMP,
-    "x-chiveway-instance-id",
+    INSTANCE_ID,
     "x-chiveway-weight-versions",
     "x-chiveway-expect-version",
     "x-chiveway-pin-ms",
@@ -306,6 +308,39 @@
     head
 }
 
+/// Headers that one response has once.
+const SINGLE_HEADERS: [&str; 5] = [
+    ATTEMPT_ID,
+    SERVER_STAMP,
+    INSTANCE_ID,
+    NOT_EXECUTED,
+    "content-length",
+];
+/// Number of digits of a status.
+const STATUS_DIGITS: usize = 3;
+/// Start of a status line, before its status.
+const STATUS_LINES: [&[u8]; 2] = [b"HTTP/1.0 ", b"HTTP/1.1 "];
+
+/// Returns whether a response head is made of two, of which the first was cut off; headers are given with lower-case names.
+///
+/// The status is then that of the first response, and the rest of the head in part that of the second.
+#[must_use]
+pub fn is_merged(reason: &[u8], headers: &[(&str, &[u8])]) -> bool {
+    let count = |name: &&str| headers.iter().filter(|(other, _)| other == name).count();
+    contains_status_line(reason)
+        || headers.iter().any(|(_, value)| contains_status_line(value))
+        || SINGLE_HEADERS.iter().any(|name| count(name) > 1)
+}
+
+/// Returns whether a text contains the start of a status line.
+fn contains_status_line(text: &[u8]) -> bool {
+    let mut starts = text.windows(STATUS_LINES[0].len() + STATUS_DIGITS);
+    starts.any(|start| {
+        let (version, status) = start.split_at(STATUS_LINES[0].len());
+        STATUS_LINES.contains(&version) && status.iter().all(u8::is_ascii_digit)
+    })
+}
+
 /// Decodes what a backend server states about itself in the headers of any response, given with lower-case names.
 #[must_use]
 pub fn decode_notices(status: u16, headers: &[(&str, &[u8])]) -> Notices {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -220,6 +220,27 @@
     a_stamped_answer_ran: 200, [("x-chiveway-server-stamp", &b"s"[..])] => false;
 }
 
+/// Generates a test for each reason and list of headers: whether they are made of two responses.
+macro_rules! heads {
+    ($($name:ident: $reason:literal, [$($header:expr),*] => $merged:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let headers: Vec<(&str, &[u8])> = vec![$($header),*];
+            assert_eq!(header::is_merged($reason, &headers), $merged);
+        }
+    )*};
+}
+
+heads! {
+    a_plain_head_is_one: b"OK", [("via", &b"HTTP/1.1 gateway"[..]), ("x-chiveway-attempt-id", b"a")] => false;
+    a_head_with_two_pushbacks_is_one: b"", [("retry-after", &b"1"[..]), ("retry-after", b"2")] => false;
+    a_head_with_two_ids_is_merged: b"", [("x-chiveway-attempt-id", &b"a"[..]), ("x-chiveway-attempt-id", b"a")] => true;
+    a_head_with_two_stamps_is_merged: b"", [("x-chiveway-server-stamp", &b"a"[..]), ("x-chiveway-server-stamp", b"b")] => true;
+    a_head_with_two_lengths_is_merged: b"", [("content-length", &b"1"[..]), ("content-length", b"1")] => true;
+    a_status_line_in_a_value_is_merged: b"", [("server", &b"woHTTP/1.1 200 OK"[..])] => true;
+    a_status_line_in_the_reason_is_merged: b"HTTP/1.0 200", [] => true;
+}
+
 #[test]
 fn the_keep_alive_timeout_is_decoded() {
     let idle =
--- a/tests/relay/late_copies.rs
+++ b/tests/relay/late_copies.rs
@@ -147,6 +147,37 @@
     a_late_response_without_an_id: response(503, "", "x-chiveway-not-executed: 1\r\n", "");
 }
 
+/// Defines a test for each late head that is cut off, so that the true one continues it, and for the number of foreign responses
+/// that are counted: none for a head that is no HTTP.
+macro_rules! merged_heads {
+    ($($name:ident: $head:expr => $count:expr;)*) => {$(
+        /// Guards against a status of one response that is taken for that of another.
+        #[test]
+        fn $name() {
+            let (site, server) = site_with_extra($head.to_owned());
+            assert_eq!(site.send("/once/x", "id-1", &[]).map(|answer| answer.status), Some(200));
+            let second = site.send("/once/x", "id-2", &[]).expect("an answer");
+            assert_eq!((second.status, server.runs("id-2")), (502, 1), "{}", second.text());
+            assert_eq!(count(&site, "chiveway_foreign_responses_total"), $count);
+        }
+    )*};
+}
+
+merged_heads! {
+    a_head_cut_in_its_status_line: "HTTP/1.1 50" => 0;
+    a_head_cut_after_its_status: "HTTP/1.1 503" => 0;
+    a_head_cut_before_its_reason: "HTTP/1.1 404 " => 1;
+    a_head_cut_in_its_reason: "HTTP/1.1 421 Mis" => 1;
+    a_head_cut_in_the_name_of_a_header: "HTTP/1.1 503 x\r\nx-chiveway-not-exe" => 0;
+    a_head_cut_before_the_value_of_a_header: "HTTP/1.1 503 x\r\nx-chiveway-not-executed:" => 1;
+    a_head_cut_in_a_value: "HTTP/1.1 503 x\r\nx-chiveway-not-executed: 1\r\nserver: wor" => 1;
+    a_head_cut_after_its_id: "HTTP/1.1 503 x\r\nx-chiveway-not-executed: 1\r\nx-chiveway-attempt-id: id-1\r\nserver: " => 1;
+    a_head_cut_in_its_id: "HTTP/1.1 503 x\r\nx-chiveway-not-executed: 1\r\nx-chiveway-attempt-id: id" => 1;
+    a_head_cut_before_a_line: "HTTP/1.1 503 x\r\nx-chiveway-not-executed: 1\r\n" => 0;
+    a_head_cut_before_its_end: "HTTP/1.1 503 x\r\nx-chiveway-attempt-id: id-1\r\ncontent-length: 0\r\n" => 0;
+    a_body_cut: "HTTP/1.1 503 x\r\nx-chiveway-attempt-id: id-1\r\nx-chiveway-not-executed: 1\r\ncontent-length: 9\r\n\r\nabc" => 1;
+}
+
 /// Guards against an informational response to an earlier request that fails the next one, whose answer follows.
 #[test]
 fn a_late_informational_response_is_skipped() {
