Answer 502 where a server refuses without stating that nothing ran

What callers would see: 408, 429 or 503 for a request that a worker may have run (REFUSED): they read these as a promise and send it again.

Evidence: a stand-in that runs requests and answers 408, 429 or 503: its status reached the caller in 3 of 3 cases.

Why it works: such an answer is a failure of its attempt. A request that may repeat goes to another worker; any other gets 502.

--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -15,6 +15,8 @@
 
 /// Lowest HTTP status that counts as a failure of the backend server.
 const MIN_FAILURE_STATUS: u16 = 500;
+/// HTTP statuses that tell a caller that its request did not run and never will.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Lowest HTTP status of an answer without a result.
 const MIN_UNSERVED_STATUS: u16 = 300;
 
@@ -70,7 +72,9 @@
     load::record_first_answer(core, key, took, out);
     close_attempt(core, key);
     poison::server_answered(core, backend, attempt_sent, out);
-    let failed = status >= MIN_FAILURE_STATUS;
+    // The server did not state that the request did not run: its refusals are failures of attempts.
+    let is_unstated = NOT_RUN_STATUSES.contains(&status);
+    let failed = status >= MIN_FAILURE_STATUS || is_unstated;
     match host {
         Some(host) => forward::answered(core, host),
         None => duty::usage::record(core, call, attempt_sent),
@@ -106,6 +110,11 @@
         give_up(core, call, Kind::EngineFailed, detail, out);
         return;
     }
+    if is_unstated {
+        let detail = format!("answered {status} without a statement that it did not run");
+        give_up(core, call, Kind::ServiceFailed, &detail, out);
+        return;
+    }
     if !failed {
         poison::answered(core, core.relay.calls[call].fingerprint, out);
     }
--- a/tests/relay/late_copies.rs
+++ b/tests/relay/late_copies.rs
@@ -5,7 +5,7 @@
 use super::{Site, http, is_listed_ready, wait_for};
 
 /// Starts a host that has these servers listed.
-fn site(servers: &[&Scripted]) -> Site {
+pub fn site(servers: &[&Scripted]) -> Site {
     let site = Site::new();
     site.store.put("op/config", &config(1, "/short/"));
     for server in servers {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -36,6 +36,7 @@
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
 mod stop;
+mod unstated;
 mod versions;
 mod watcher;
 
--- /dev/null
+++ b/tests/relay/unstated.rs
@@ -0,0 +1,74 @@
+//! Statuses of servers that would tell a caller that its request did not run, without a statement that it did not.
+
+use super::late_copies::site;
+use super::script::{Scripted, response};
+
+/// Defines a test for each status.
+macro_rules! statuses {
+    ($($name:ident: $status:literal;)*) => {$(
+        /// Guards against a caller that is told that its request did not run, by a server that has run it.
+        #[test]
+        fn $name() {
+            let servers = ["s-1", "s-2"].map(|id| {
+                Scripted::plain(id, |turn| {
+                    turn.run();
+                    let answer = response($status, &turn.id, "", "own");
+                    turn.send(answer)
+                })
+            });
+            let site = site(&servers.each_ref());
+            let runs = |id: &str| servers.iter().map(|server| server.runs(id)).sum::<usize>();
+            for (path, id, most) in [("/once/x", "id-1", 1), ("/again/x", "id-2", 2)] {
+                let answer = site.send(path, id, &[]).expect("an answer");
+                assert_eq!((answer.status, runs(id)), (502, most), "{path}: {}", answer.text());
+                assert_eq!(answer.header("x-chiveway-server-stamp"), None);
+            }
+        }
+    )*};
+}
+
+statuses! {
+    an_unstated_timeout_is_no_promise: 408;
+    an_unstated_rate_limit_is_no_promise: 429;
+    an_unstated_refusal_is_no_promise: 503;
+}
+
+/// Guards against a failure of a server that its caller does not get as the server sent it.
+#[test]
+fn other_failures_are_passed_on_with_their_stamp() {
+    for status in [400, 404, 500, 502, 504] {
+        let server = Scripted::plain("s-1", move |turn| {
+            turn.run();
+            let answer = response(status, &turn.id, "", "own");
+            turn.send(answer)
+        });
+        let site = site(&[&server]);
+        let answer = site.send("/once/x", "id-1", &[]).expect("an answer");
+        assert_eq!((answer.status, answer.text()), (status, "own".to_owned()));
+        assert_eq!(answer.header("x-chiveway-server-stamp"), Some("s"));
+    }
+}
+
+/// Guards against a request that is refused though another server would have served it.
+#[test]
+fn a_request_that_may_repeat_goes_to_another_server_after_an_unstated_refusal() {
+    let shedding = Scripted::plain("s-1", |turn| {
+        turn.run();
+        let answer = response(503, &turn.id, "", "");
+        turn.send(answer)
+    });
+    let sound = Scripted::plain("s-2", |turn| {
+        turn.run();
+        let answer = response(200, &turn.id, "", "done");
+        turn.send(answer)
+    });
+    let site = site(&[&shedding, &sound]);
+    for number in 0..6 {
+        let id = format!("id-{number}");
+        assert_eq!(
+            site.send("/again/x", &id, &[]).map(|answer| answer.status),
+            Some(200)
+        );
+    }
+    assert!(!shedding.heads().is_empty());
+}
