--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -1,6 +1,5 @@
 //! Sends relayed requests to backend servers and reads their answers.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,17 +11,15 @@
 
 use super::events::Splitter;
 use super::{EventPayload, Head, Prepared, apply, apply_with, progress};
-use crate::backend::pool::{self, Answer, Call, ConnectionPool, FullAnswer, PoolError};
+use crate::backend::pool::{self, Answer, Call, ConnectionPool, PoolError};
 use crate::core::event::AttemptFailure;
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::customers::Identity;
 use crate::core::relay::event::{
-    ForeignResponse, Framing, OrderResult, Outgoing, Reader, RelayEvent, StageOrder, StreamEnd,
-    Task,
+    ForeignResponse, Framing, Outgoing, Reader, RelayEvent, StreamEnd, Task,
 };
 use crate::error::Ran;
 use crate::host::node::Node;
-use crate::host::timer;
 use crate::platform::header::AnswerHead;
 use crate::platform::{engine, header};
 
@@ -35,8 +32,6 @@
 pub(super) const MAX_CONTROL_ANSWER_BYTES: usize = 64 * 1024;
 /// Status of an answer by another server than the one that was meant.
 pub(super) const MISDIRECTED: u16 = 421;
-/// Time limit for calls other than callers' requests.
-const CONTROL_CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which an idle connection is kept if the backend server names no idle timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(400);
 /// Margin subtracted from the named idle timeout, so that no request is sent while the server
@@ -399,28 +394,6 @@
     apply_with(node, payload, RelayEvent::StreamEvent { attempt, number });
 }
 
-pub(super) fn control_call(
-    addr: SocketAddr,
-    method: hyper::Method,
-    path: &str,
-    instance: &str,
-    body: Vec<u8>,
-) -> Call {
-    let (name, value) = header::expect_instance(instance);
-    let mut headers: Vec<header::Header> = vec![(name.into(), value.into_bytes().into())];
-    if !body.is_empty() {
-        headers.push(("content-type".into(), (*b"application/json").into()));
-    }
-    Call {
-        addr,
-        method,
-        path: path.into(),
-        id: None,
-        headers,
-        body: body.into(),
-    }
-}
-
 /// Returns headers as names and bytes.
 pub(super) fn as_bytes(headers: &hyper::HeaderMap) -> Vec<(&str, &[u8])> {
     let headers = headers.iter();
@@ -428,77 +401,3 @@
         .map(|(name, value)| (name.as_str(), value.as_bytes()))
         .collect()
 }
-
-/// Makes a call other than a caller's request, and reports what the answer states about the server.
-async fn control(node: &Rc<Node>, instance: &str, call: &Call) -> Result<FullAnswer, PoolError> {
-    let answer = node
-        .relay
-        .channels
-        .call(call, CONTROL_CALL_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
-        .await?;
-    // 421: another instance serves at this address.
-    if answer.status != 421 {
-        let notices = header::decode_notices(answer.status, &as_bytes(&answer.headers));
-        let instance = instance.into();
-        apply(node, RelayEvent::ControlNoticed { instance, notices });
-    }
-    Ok(answer)
-}
-
-/// Releases a KV cache that will not be used.
-pub async fn free_cache(node: Rc<Node>, instance: Box<str>, addr: SocketAddr, handle: Box<str>) {
-    let path = engine::handle_path(&handle);
-    let call = control_call(addr, hyper::Method::DELETE, &path, &instance, Vec::new());
-    if let Err(err) = control(&node, &instance, &call).await {
-        log::debug!("cannot release a KV cache at {instance}, it will expire: {err}");
-    }
-}
-
-/// Fetches the state of an engine.
-pub async fn fetch_report(node: Rc<Node>, instance: Box<str>, addr: SocketAddr) {
-    let path = engine::REPORT_PATH;
-    let call = control_call(addr, hyper::Method::GET, path, &instance, Vec::new());
-    let report = match control(&node, &instance, &call).await {
-        Ok(answer) if answer.status == 200 => engine::decode_report(&answer.body),
-        Ok(answer) => {
-            let status = answer.status;
-            log::debug!("{instance} answered the request for its state with status {status}");
-            None
-        }
-        Err(err) => {
-            log::debug!("cannot fetch the state of {instance}: {err}");
-            None
-        }
-    };
-    apply(&node, RelayEvent::EngineReported { instance, report });
-}
-
-/// Sends an order, unless its authority has expired or the era of the store has changed.
-pub async fn send_order(node: Rc<Node>, order: StageOrder) {
-    let call = control_call(
-        order.addr,
-        hyper::Method::POST,
-        engine::ORDER_PATH,
-        &order.instance,
-        engine::encode_order(&order),
-    );
-    // The process may have been suspended since the decision.
-    let era = node.with_core(|core| core.relay.view.era());
-    let result = if timer::now() >= order.until || era != order.era {
-        OrderResult::Unsent
-    } else {
-        match control(&node, &order.instance, &call).await {
-            Ok(answer) => engine::order_result(answer.status),
-            Err(err) if err.ran() == Ran::No => OrderResult::Unsent,
-            Err(_) => OrderResult::Unknown,
-        }
-    };
-    apply(
-        &node,
-        RelayEvent::OrderAnswered {
-            instance: order.instance,
-            fence: order.fence,
-            result,
-        },
-    );
-}
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -2,6 +2,7 @@
 
 mod backends;
 pub mod callers;
+mod control;
 pub mod datagrams;
 mod duties;
 pub mod event_log;
@@ -298,18 +299,13 @@
             addr,
             handle,
         } => {
-            ntex::rt::spawn(backends::free_cache(
-                Rc::clone(node),
-                instance,
-                addr,
-                handle,
-            ));
+            ntex::rt::spawn(control::free_cache(Rc::clone(node), instance, addr, handle));
         }
         RelayEffect::FetchReport { instance, addr } => {
-            ntex::rt::spawn(backends::fetch_report(Rc::clone(node), instance, addr));
+            ntex::rt::spawn(control::fetch_report(Rc::clone(node), instance, addr));
         }
         RelayEffect::Order(order) => {
-            ntex::rt::spawn(backends::send_order(Rc::clone(node), order));
+            ntex::rt::spawn(control::send_order(Rc::clone(node), order));
         }
         RelayEffect::CallDuty(call) => {
             ntex::rt::spawn(duties::run(Rc::clone(node), call));
--- a/src/host/relay/probes.rs
+++ b/src/host/relay/probes.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::apply;
-use super::backends::{MAX_CONTROL_ANSWER_BYTES, MISDIRECTED, control_call};
+use super::backends::{MAX_CONTROL_ANSWER_BYTES, MISDIRECTED};
+use super::control::control_call;
 use crate::backend::pool::PoolError;
 use crate::core::relay::event::{LinkProbe, RelayEvent};
 use crate::host::node::Node;
