Keep the host's own calls off the connections of requests

What operators would see: an engine taken to be leaving, or an order counted as given that the engine never took, after a late response to a caller's request. Shown by a stand-in.

Cause: reports, orders, probes and releases of KV caches shared the connections of callers' requests. Their responses name no request, so that a late one cannot be told from the true one.

Evidence: engines that send a late response with a departure before the answer to a call were taken to be leaving; orders went out on kept connections.

Why it works: on connections of their own, a response that names a request is foreign. Each order opens a connection, where nothing earlier can arrive; a probe with a foreign response concludes nothing.

Tests: late_copies::a_late_response_to_a_request_answers_no_call and late_copies::an_order_goes_on_a_connection_of_its_own, both red before.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -53,6 +53,9 @@
     /// The response body exceeds the size limit.
     #[snafu(display("the answer is too long"))]
     TooLong,
+    /// The response belongs to another call.
+    #[snafu(display("the answer is not for this request"))]
+    Foreign,
 }
 
 impl PoolError {
@@ -180,6 +183,18 @@
     pub body: Duration,
 }
 
+impl CallLimits {
+    /// Returns one limit for the head, each pause and the whole body.
+    #[must_use]
+    pub fn all(limit: Duration) -> Self {
+        Self {
+            head: limit,
+            silence: limit,
+            body: limit,
+        }
+    }
+}
+
 impl Call {
     /// Builds the request, with a `Host` header if the call has none.
     fn request(&self) -> Result<Request<Full<Bytes>>, PoolError> {
@@ -261,11 +276,7 @@
         time_limit: Duration,
         max_bytes: usize,
     ) -> Result<FullAnswer, PoolError> {
-        let limits = CallLimits {
-            head: time_limit,
-            silence: time_limit,
-            body: time_limit,
-        };
+        let limits = CallLimits::all(time_limit);
         let answer = self.call_observed(call, limits, max_bytes, |_| {});
         let answer = timeout(time_limit, answer).await;
         answer.unwrap_or(Err(PoolError::Timeout))
@@ -285,7 +296,23 @@
         progress: impl FnMut(usize),
     ) -> Result<FullAnswer, PoolError> {
         let answer = timeout(limits.head, self.send(call, limits.head / 2)).await;
-        let mut answer = answer.unwrap_or(Err(PoolError::Timeout))?;
+        let answer = answer.unwrap_or(Err(PoolError::Timeout))?;
+        self.finish(answer, limits, max_bytes, progress).await
+    }
+
+    /// Collects the rest of a response, of at most `max_bytes` bytes, and keeps its connection; passes the number of bytes
+    /// received so far to `progress` with each part of the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the response is not complete.
+    pub async fn finish(
+        &self,
+        mut answer: Answer,
+        limits: CallLimits,
+        max_bytes: usize,
+        progress: impl FnMut(usize),
+    ) -> Result<FullAnswer, PoolError> {
         let status = answer.response.status().as_u16();
         let headers = std::mem::take(answer.response.headers_mut());
         let body = collect_observed(&mut answer, max_bytes, limits.silence, progress);
--- a/src/core/relay/event/foreign.rs
+++ b/src/core/relay/event/foreign.rs
@@ -20,6 +20,8 @@
 pub enum Reader {
     /// A caller's request at a backend server.
     Request,
+    /// Another call to a backend server.
+    Call,
 }
 
 impl Reader {
@@ -28,6 +30,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Request => "request",
+            Self::Call => "call",
         }
     }
 }
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -68,7 +68,9 @@
             PoolError::Connect { .. } => AttemptFailure::Unreachable,
             PoolError::NoDescriptor => AttemptFailure::NoDescriptor,
             PoolError::Timeout => AttemptFailure::Silent,
-            PoolError::Broken { .. } | PoolError::TooLong => AttemptFailure::Cut,
+            PoolError::Broken { .. } | PoolError::TooLong | PoolError::Foreign => {
+                AttemptFailure::Cut
+            }
         };
         Self::new(err.ran(), end, err.to_string())
     }
@@ -158,7 +160,7 @@
             status,
         };
         apply(node, RelayEvent::ForeignResponse(Box::new(response)));
-        return Err(foreign_answer());
+        return Err(PoolError::Foreign.into());
     }
     if status != MISDIRECTED {
         apply(
@@ -198,7 +200,7 @@
 }
 
 /// Returns whether the head of an answer is made of two, of which the first was cut off.
-fn is_merged(answer: &Answer) -> bool {
+pub(super) fn is_merged(answer: &Answer) -> bool {
     let reason = answer.response.extensions().get::<ReasonPhrase>();
     let reason = reason.map_or(&b""[..], ReasonPhrase::as_bytes);
     header::is_merged(reason, &as_bytes(answer.response.headers()))
@@ -216,12 +218,6 @@
     Some(String::from_utf8_lossy(id).into())
 }
 
-/// Returns the failure for an answer that belongs to an earlier request on its connection.
-pub(super) fn foreign_answer() -> FailedAttempt {
-    let detail = "the answer is not for this request";
-    FailedAttempt::new(Ran::Unknown, AttemptFailure::Cut, detail)
-}
-
 /// Reads an answer of a backend server to a caller's request.
 pub(super) async fn read_reply(
     node: &Rc<Node>,
--- a/src/host/relay/control.rs
+++ b/src/host/relay/control.rs
@@ -4,10 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::timeout;
+
 use super::apply;
-use super::backends::{MAX_CONTROL_ANSWER_BYTES, as_bytes};
-use crate::backend::pool::{Call, FullAnswer, PoolError};
-use crate::core::relay::event::{OrderResult, RelayEvent, StageOrder};
+use super::backends::{MAX_CONTROL_ANSWER_BYTES, MISDIRECTED, as_bytes, is_merged};
+use crate::backend::pool::{Answer, Call, CallLimits, ConnectionPool, FullAnswer, PoolError};
+use crate::core::relay::event::{ForeignResponse, OrderResult, Reader, RelayEvent, StageOrder};
 use crate::error::Ran;
 use crate::host::node::Node;
 use crate::host::timer;
@@ -39,27 +41,66 @@
     }
 }
 
-/// Makes a call other than a caller's request, and reports what the answer states about the server.
-async fn control(node: &Rc<Node>, instance: &str, call: &Call) -> Result<FullAnswer, PoolError> {
-    let answer = node
-        .relay
-        .channels
-        .call(call, CONTROL_CALL_TIMEOUT, MAX_CONTROL_ANSWER_BYTES)
-        .await?;
-    // 421: another instance serves at this address.
-    if answer.status != 421 {
-        let notices = header::decode_notices(answer.status, &as_bytes(&answer.headers));
-        let instance = instance.into();
-        apply(node, RelayEvent::ControlNoticed { instance, notices });
+/// Sends a call and returns the head of its response.
+///
+/// Responses to such calls name no request: one that does belongs to a request.
+///
+/// # Errors
+///
+/// Returns why there is no response to this call.
+pub(super) async fn open(
+    node: &Rc<Node>,
+    pool: &ConnectionPool,
+    instance: &str,
+    call: &Call,
+) -> Result<Answer, PoolError> {
+    let answer = pool.send(call, CONTROL_CALL_TIMEOUT / 2).await?;
+    let status = answer.response.status().as_u16();
+    let headers = as_bytes(answer.response.headers());
+    let received = header::decode_answer(status, &headers).attempt_id;
+    if received.is_none() && !is_merged(&answer) {
+        return Ok(answer);
     }
-    Ok(answer)
+    let response = ForeignResponse {
+        reader: Reader::Call,
+        sender: instance.into(),
+        expected: "".into(),
+        received: received.unwrap_or_default(),
+        status,
+    };
+    apply(node, RelayEvent::ForeignResponse(Box::new(response)));
+    Err(PoolError::Foreign)
+}
+
+/// Makes a call other than a caller's request, and reports what the answer states about the server.
+async fn control(
+    node: &Rc<Node>,
+    pool: &ConnectionPool,
+    instance: &str,
+    call: &Call,
+) -> Result<FullAnswer, PoolError> {
+    let exchange = async {
+        let answer = open(node, pool, instance, call).await?;
+        let status = answer.response.status().as_u16();
+        if status != MISDIRECTED {
+            let headers = as_bytes(answer.response.headers());
+            let notices = header::decode_notices(status, &headers);
+            let instance = instance.into();
+            apply(node, RelayEvent::ControlNoticed { instance, notices });
+        }
+        let limits = CallLimits::all(CONTROL_CALL_TIMEOUT);
+        pool.finish(answer, limits, MAX_CONTROL_ANSWER_BYTES, |_| {})
+            .await
+    };
+    let answer = timeout(CONTROL_CALL_TIMEOUT, exchange).await;
+    answer.unwrap_or(Err(PoolError::Timeout))
 }
 
 /// Releases a KV cache that will not be used.
 pub async fn free_cache(node: Rc<Node>, instance: Box<str>, addr: SocketAddr, handle: Box<str>) {
     let path = engine::handle_path(&handle);
     let call = control_call(addr, hyper::Method::DELETE, &path, &instance, Vec::new());
-    if let Err(err) = control(&node, &instance, &call).await {
+    if let Err(err) = control(&node, &node.relay.control, &instance, &call).await {
         log::debug!("cannot release a KV cache at {instance}, it will expire: {err}");
     }
 }
@@ -68,7 +109,7 @@
 pub async fn fetch_report(node: Rc<Node>, instance: Box<str>, addr: SocketAddr) {
     let path = engine::REPORT_PATH;
     let call = control_call(addr, hyper::Method::GET, path, &instance, Vec::new());
-    let report = match control(&node, &instance, &call).await {
+    let report = match control(&node, &node.relay.control, &instance, &call).await {
         Ok(answer) if answer.status == 200 => engine::decode_report(&answer.body),
         Ok(answer) => {
             let status = answer.status;
@@ -97,7 +138,9 @@
     let result = if timer::now() >= order.until || era != order.era {
         OrderResult::Unsent
     } else {
-        match control(&node, &order.instance, &call).await {
+        // On a connection of its own no response to an earlier call can arrive.
+        let pool = ConnectionPool::default();
+        match control(&node, &pool, &order.instance, &call).await {
             Ok(answer) => engine::order_result(answer.status),
             Err(err) if err.ran() == Ran::No => OrderResult::Unsent,
             Err(_) => OrderResult::Unknown,
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -10,11 +10,11 @@
 use tokio::sync::oneshot;
 
 use super::backends::{
-    CONNECT_TIMEOUT, FailedAttempt, MISDIRECTED, Source, as_bytes, drain_and_release,
-    foreign_answer, is_echoed, read_reply, request_id, run_until,
+    CONNECT_TIMEOUT, FailedAttempt, MISDIRECTED, Source, as_bytes, drain_and_release, is_echoed,
+    read_reply, request_id, run_until,
 };
 use super::{Prepared, apply};
-use crate::backend::pool::Call;
+use crate::backend::pool::{Call, PoolError};
 use crate::core::effect::Refusal;
 use crate::core::relay::event::{
     DepartureReport, Departures, ForwardRefusal, Forwarded, RelayEvent, Spent,
@@ -251,7 +251,7 @@
         return Err(FailedAttempt::unsent(&detail));
     }
     if !is_echoed(&prepared, &reply) {
-        return Err(foreign_answer());
+        return Err(PoolError::Foreign.into());
     }
     read_reply(node, source, answer, reply, out.streaming).await
 }
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -111,8 +111,10 @@
 /// State of the adapters.
 #[derive(Debug, Default)]
 pub struct Adapters {
-    /// Connections to backend servers.
+    /// Connections to backend servers for callers' requests.
     pub channels: ConnectionPool,
+    /// Connections to backend servers for other calls, whose responses name no request.
+    pub control: ConnectionPool,
     /// Connections to the store.
     pub store: ConnectionPool,
     /// Connections to the address that takes calls of duties.
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -10,7 +10,7 @@
 use crate::lists::KeyHash;
 
 /// Id of a caller's attempt; backend servers echo it.
-const ATTEMPT_ID: &str = "x-chiveway-attempt-id";
+pub const ATTEMPT_ID: &str = "x-chiveway-attempt-id";
 /// Time limit of the caller in milliseconds; towards a backend server, the remaining time.
 const DEADLINE_MS: &str = "x-chiveway-deadline-ms";
 /// Number of prompt tokens and maximum number of tokens to generate.
--- a/tests/relay/late_copies.rs
+++ b/tests/relay/late_copies.rs
@@ -298,3 +298,65 @@
         assert_eq!(count(&site, "chiveway_foreign_responses_total"), 1);
     }
 }
+
+/// Answers a stream or a call of the host's own; on a connection that carried a request, an extra response to that comes before
+/// the answer to a call.
+fn answer_with_extra(turn: &mut Turn<'_>) -> Option<()> {
+    let Some(body) = turn.own_body() else {
+        return stream(turn);
+    };
+    if turn.number > 0 {
+        let extra = response(200, "id-0", NOTICES, &body);
+        turn.send(extra)?;
+    }
+    turn.send(format!(
+        "HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+/// All engines decode, so that the host asks them for their state and orders some to prefill. Guards against a late response to a
+/// request that is taken for the answer to such a call.
+#[test]
+fn a_late_response_to_a_request_answers_no_call() {
+    let engines: Vec<Scripted> = (0..4)
+        .map(|number| {
+            Scripted::model_with_calls(&format!("d-{number}"), "decode", answer_with_extra)
+        })
+        .collect();
+    let site = site(&engines.iter().collect::<Vec<_>>());
+    wait_for("an order", || {
+        let answer = site
+            .send("/short/x", "id-0", &SHORT_PROMPT)
+            .expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        site.log().contains("engine.order_answered")
+    });
+    assert!(!site.log().contains("backend.named_leaving"));
+    assert!(!site.log().contains("response.foreign"));
+}
+
+/// The responses to calls of the host's own name no request. Guards against a late response to one that is taken for the answer to
+/// an order.
+#[test]
+fn an_order_goes_on_a_connection_of_its_own() {
+    let engines: Vec<Scripted> = (0..4)
+        .map(|number| {
+            Scripted::model_with_calls(&format!("d-{number}"), "decode", |turn| {
+                if turn.path == "/v1/order" && turn.number == 0 {
+                    turn.run();
+                }
+                let body = turn.own_body().unwrap_or_default();
+                turn.send(format!(
+                    "HTTP/1.1 200 x\r\ncontent-length: {}\r\n\r\n{body}",
+                    body.len()
+                ))
+            })
+        })
+        .collect();
+    let site = site(&engines.iter().collect::<Vec<_>>());
+    wait_for("an order", || site.log().contains("engine.order_answered"));
+    let orders = site.log().matches("engine.order_answered").count();
+    let on_new: usize = engines.iter().map(|engine| engine.runs("")).sum();
+    assert!(on_new >= orders, "{on_new} of {orders}");
+}
--- a/tests/relay/script.rs
+++ b/tests/relay/script.rs
@@ -13,15 +13,30 @@
 
 /// One request at a scripted server.
 pub struct Turn<'a> {
-    /// Id of the request.
+    /// Path of the request.
+    pub path: &'a str,
+    /// Id of the request; empty for a call of the host's own.
     pub id: String,
     /// Number of the request on its connection, from 0 on.
     pub number: usize,
     pub stream: &'a mut TcpStream,
+    stage: Option<&'static str>,
     log: &'a Mutex<Log>,
 }
 
 impl Turn<'_> {
+    /// Returns the body of the answer to a call of the host's own.
+    pub fn own_body(&self) -> Option<String> {
+        match self.path {
+            "/v1/report" => {
+                let report = json!({"stage": self.stage, "busy": false, "sequence": 0});
+                Some(report.to_string())
+            }
+            HEALTH_PATH | "/v1/order" => Some("{}".to_owned()),
+            _ => None,
+        }
+    }
+
     /// Records that the server runs the request.
     pub fn run(&self) {
         let mut log = self.log.lock().expect("the log");
@@ -42,6 +57,15 @@
     runs: BTreeMap<String, usize>,
 }
 
+/// What a script answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    /// Callers' requests.
+    Requests,
+    /// Callers' requests and the host's own calls.
+    All,
+}
+
 /// A scripted server.
 pub struct Scripted {
     pub id: String,
@@ -56,7 +80,7 @@
         id: &str,
         script: impl Fn(&mut Turn<'_>) -> Option<()> + Send + Sync + 'static,
     ) -> Self {
-        Self::start(id, None, script)
+        Self::start(id, None, Scope::Requests, script)
     }
 
     /// Starts an engine.
@@ -65,12 +89,22 @@
         stage: &'static str,
         script: impl Fn(&mut Turn<'_>) -> Option<()> + Send + Sync + 'static,
     ) -> Self {
-        Self::start(id, Some(stage), script)
+        Self::start(id, Some(stage), Scope::Requests, script)
+    }
+
+    /// Starts an engine whose script also answers the calls of the host's own.
+    pub fn model_with_calls(
+        id: &str,
+        stage: &'static str,
+        script: impl Fn(&mut Turn<'_>) -> Option<()> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start(id, Some(stage), Scope::All, script)
     }
 
     fn start(
         id: &str,
         stage: Option<&'static str>,
+        scope: Scope,
         script: impl Fn(&mut Turn<'_>) -> Option<()> + Send + Sync + 'static,
     ) -> Self {
         let log = Arc::new(Mutex::new(Log::default()));
@@ -79,20 +113,25 @@
             let (log, script) = (Arc::clone(&shared), Arc::clone(&script));
             let count = AtomicUsize::new(0);
             Some(move |request: &Request, stream: &mut TcpStream| {
-                if let Some(answer) = own_answer(request, stage) {
-                    return write(stream, 200, "", &answer);
-                }
                 let id = request.header("x-chiveway-attempt-id").unwrap_or_default();
+                let mut turn = Turn {
+                    path: &request.path,
+                    id: id.to_owned(),
+                    number: count.load(Ordering::Relaxed),
+                    stream,
+                    stage,
+                    log: &log,
+                };
+                let own_body = turn.own_body();
+                if let Some(body) = own_body.filter(|_| scope == Scope::Requests) {
+                    return write(turn.stream, 200, "", &body);
+                }
+                count.fetch_add(1, Ordering::Relaxed);
                 log.lock()
                     .expect("the log")
                     .heads
                     .push(request.head.clone());
-                script(&mut Turn {
-                    id: id.to_owned(),
-                    number: count.fetch_add(1, Ordering::Relaxed),
-                    stream,
-                    log: &log,
-                })
+                script(&mut turn)
             })
         });
         Self {
@@ -123,16 +162,6 @@
     }
 }
 
-/// Returns the body of the answer to a call that is no caller's request.
-fn own_answer(request: &Request, stage: Option<&str>) -> Option<String> {
-    match request.path.as_str() {
-        HEALTH_PATH => Some(String::new()),
-        "/v1/report" => Some(json!({"stage": stage, "busy": false, "sequence": 0}).to_string()),
-        "/v1/order" => Some("{}".to_owned()),
-        _ => None,
-    }
-}
-
 /// Returns a response of a server to a request, with further header lines.
 pub fn response(status: u16, id: &str, more: &str, body: &str) -> String {
     let length = body.len();
