Let prefills of one prompt share a connection

Cause: a connection carried no id twice, whatever the calls. A host that gets no new connections to servers, while open ones go on, could not send a prompt to its only prefill engine again after a decode engine failed: the new connection was closed, which counted as a second crash under the request, and the request was refused as poison.

Change: a prefill may take a connection that carried only prefills of its id. It is no run, and a late response to another one costs a handle at most. Runs keep the rule.

The server that refuses is now whichever gets the first request.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -25,8 +25,8 @@
 use super::connect::{Patience, connect};
 use crate::error::Ran;
 
-/// Ids that a connection remembers: a late response arrives where the next one is expected.
-const MAX_RECENT_IDS: usize = 16;
+/// Calls that a connection remembers: a late response arrives where the next one is expected.
+const MAX_RECENT_CALLS: usize = 16;
 /// Time within which a connection must be ready for its next request after a complete response.
 const READY_TIMEOUT: Duration = Duration::from_millis(2);
 /// Why there is no response, or no complete one.
@@ -76,8 +76,8 @@
     patience: Patience,
     /// Number of calls sent on it.
     calls: u64,
-    /// Ids of the last calls sent on it, as hashes.
-    recent_ids: VecDeque<u64>,
+    /// The last calls with an id sent on it: hash of the id, and whether late responses to it do no harm.
+    recent: VecDeque<(u64, bool)>,
 }
 
 impl Connection {
@@ -85,8 +85,8 @@
     fn answered(mut self, response: Response<Incoming>, call: &Call) -> Answer {
         self.calls += 1;
         if let Some(id) = &call.id {
-            self.recent_ids.truncate(MAX_RECENT_IDS - 1);
-            self.recent_ids.push_front(hash(id));
+            self.recent.truncate(MAX_RECENT_CALLS - 1);
+            self.recent.push_front((hash(id), call.may_repeat));
         }
         Answer {
             response,
@@ -166,6 +166,8 @@
     pub path: Box<str>,
     /// Id that responses to it name, if they name one.
     pub id: Option<Box<str>>,
+    /// Whether a late response to an earlier such call with the same id does no harm.
+    pub may_repeat: bool,
     /// Header names and values.
     pub headers: Vec<(Box<str>, Box<[u8]>)>,
     /// Request body; may be empty.
@@ -250,7 +252,7 @@
             _guard: guard,
             patience,
             calls: 0,
-            recent_ids: VecDeque::new(),
+            recent: VecDeque::new(),
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(connection.answered(response, call)),
@@ -333,8 +335,12 @@
     fn take_idle(&self, call: &Call, patience: Patience) -> Option<Connection> {
         let id = call.id.as_deref().map(hash);
         let accepts = |connection: &Connection| {
-            let carried = id.is_some_and(|id| connection.recent_ids.contains(&id));
-            connection.patience == patience && !carried
+            let mut same = connection
+                .recent
+                .iter()
+                .filter(|(other, _)| Some(*other) == id);
+            connection.patience == patience
+                && same.all(|(_, may_repeat)| *may_repeat && call.may_repeat)
         };
         let mut all = self.idle.borrow_mut();
         let list = all.get_mut(&call.addr)?;
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -131,6 +131,8 @@
         method: prepared.method.clone(),
         path: prepared.path.clone(),
         id: request_id(prepared),
+        // A late response to another prefill of the prompt costs a handle at most.
+        may_repeat: matches!(out.task, Task::Prefill),
         headers,
         body: prepared.body.clone(),
     }
--- a/src/host/relay/control.rs
+++ b/src/host/relay/control.rs
@@ -36,6 +36,7 @@
         method,
         path: path.into(),
         id: None,
+        may_repeat: true,
         headers,
         body: body.into(),
     }
--- a/src/host/relay/duties.rs
+++ b/src/host/relay/duties.rs
@@ -39,6 +39,7 @@
         method: hyper::Method::POST,
         path: path.into(),
         id: None,
+        may_repeat: true,
         headers,
         body: body.into(),
     };
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -214,6 +214,7 @@
         method: prepared.method.clone(),
         path: prepared.path.clone(),
         id: request_id(prepared),
+        may_repeat: false,
         headers,
         body: prepared.body.clone(),
     }
--- a/src/host/relay/store.rs
+++ b/src/host/relay/store.rs
@@ -142,6 +142,7 @@
         method: hyper::Method::from_bytes(call.method.as_bytes()).unwrap_or_default(),
         path: call.path.into(),
         id: None,
+        may_repeat: true,
         headers,
         body: call.body.into(),
     };
--- a/src/operate/refused.rs
+++ b/src/operate/refused.rs
@@ -211,6 +211,7 @@
             method: hyper::Method::from_bytes(call.method.as_bytes()).unwrap_or_default(),
             path: call.path.into(),
             id: None,
+            may_repeat: true,
             headers: (!call.body.is_empty())
                 .then_some(json)
                 .into_iter()
--- a/tests/relay/unstated.rs
+++ b/tests/relay/unstated.rs
@@ -1,5 +1,8 @@
 //! Statuses of servers that would tell a caller that its request did not run, without a statement that it did not.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use super::late_copies::site;
 use super::script::{Scripted, response};
 
@@ -52,23 +55,22 @@
 /// Guards against a request that is refused though another server would have served it.
 #[test]
 fn a_request_that_may_repeat_goes_to_another_server_after_an_unstated_refusal() {
-    let shedding = Scripted::plain("s-1", |turn| {
-        turn.run();
-        let answer = response(503, &turn.id, "", "");
-        turn.send(answer)
-    });
-    let sound = Scripted::plain("s-2", |turn| {
-        turn.run();
-        let answer = response(200, &turn.id, "", "done");
-        turn.send(answer)
+    let refused = Arc::new(AtomicBool::new(false));
+    let servers = ["s-1", "s-2"].map(|id| {
+        let refused = Arc::clone(&refused);
+        Scripted::plain(id, move |turn| {
+            turn.run();
+            let status = if refused.swap(true, Ordering::Relaxed) {
+                200
+            } else {
+                503
+            };
+            let answer = response(status, &turn.id, "", "");
+            turn.send(answer)
+        })
     });
-    let site = site(&[&shedding, &sound]);
-    for number in 0..6 {
-        let id = format!("id-{number}");
-        assert_eq!(
-            site.send("/again/x", &id, &[]).map(|answer| answer.status),
-            Some(200)
-        );
-    }
-    assert!(!shedding.heads().is_empty());
+    let site = site(&servers.each_ref());
+    let answer = site.send("/again/x", "id-1", &[]);
+    assert_eq!(answer.map(|answer| answer.status), Some(200));
+    assert_eq!(servers.each_ref().map(|server| server.runs("id-1")), [1, 1]);
 }
