Compare ids before believing a refusal of another host

What callers would see: a forwarded request is answered as not run, or goes to a third host, though the second host runs it (REFUSED, TWICE). Shown by a stand-in of a host.

Cause: the mark of a refusal was read before the id was compared, and hosts' refusals named no request.

Evidence: a stand-in that sends a refusal once more before its answer to the next request: 503 for a request that it ran.

Why it works: refusals name their request, and one of another request is foreign. Marked refusals without an id are believed, as hosts of earlier builds send them.

Test: partition::a_late_refusal_of_a_host_refuses_no_other_request, red before.

--- a/src/core/relay/event/foreign.rs
+++ b/src/core/relay/event/foreign.rs
@@ -22,6 +22,8 @@
     Request,
     /// Another call to a backend server.
     Call,
+    /// A request forwarded to another host.
+    Host,
 }
 
 impl Reader {
@@ -31,6 +33,7 @@
         match self {
             Self::Request => "request",
             Self::Call => "call",
+            Self::Host => "host",
         }
     }
 }
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -152,6 +152,9 @@
         if sender == Sender::Host {
             let (name, value) = forward::refusal_header(refusal);
             response.header(name, value);
+            if !self.id.is_empty() {
+                response.header(header::ATTEMPT_ID, &*self.id);
+            }
         }
         let mut response = response.body(problem::document(refusal, &self.id));
         if self.closes {
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -11,13 +11,14 @@
 
 use super::backends::{
     CONNECT_TIMEOUT, FailedAttempt, MISDIRECTED, Source, as_bytes, drain_and_release, is_echoed,
-    read_reply, request_id, run_until,
+    is_merged, read_reply, request_id, run_until,
 };
 use super::{Prepared, apply};
 use crate::backend::pool::{Call, PoolError};
 use crate::core::effect::Refusal;
 use crate::core::relay::event::{
-    DepartureReport, Departures, ForwardRefusal, Forwarded, RelayEvent, Spent,
+    DepartureReport, Departures, ForeignResponse, ForwardRefusal, Forwarded, Reader, RelayEvent,
+    Spent,
 };
 use crate::core::relay::versions::Version;
 use crate::error::{Kind, Ran};
@@ -240,7 +241,22 @@
     let headers = as_bytes(answer.response.headers());
     let mut reply = header::decode_answer(status, &headers);
     reply.keep_alive = Some(IDLE_TIME);
-    if let Some(refusal) = decode_refusal(&headers) {
+    let refusal = decode_refusal(&headers);
+    // Hosts of earlier builds name no request in their refusals.
+    let may_be_unnamed = refusal.is_some() || status == MISDIRECTED && answer.is_first();
+    let is_unnamed = reply.attempt_id.is_none() && may_be_unnamed;
+    if is_merged(&answer) || !is_unnamed && !is_echoed(&prepared, &reply) {
+        let response = ForeignResponse {
+            reader: Reader::Host,
+            sender: out.to.clone(),
+            expected: request_id(&prepared).unwrap_or_default(),
+            received: reply.attempt_id.unwrap_or_default(),
+            status,
+        };
+        apply(node, RelayEvent::ForeignResponse(Box::new(response)));
+        return Err(PoolError::Foreign.into());
+    }
+    if let Some(refusal) = refusal {
         drain_and_release(answer, source, reply.keep_alive).await;
         let attempt = out.attempt;
         apply(node, RelayEvent::ForwardRefused { attempt, refusal });
@@ -251,9 +267,6 @@
         let detail = format!("another server has the address of host {}", out.to);
         return Err(FailedAttempt::unsent(&detail));
     }
-    if !is_echoed(&prepared, &reply) {
-        return Err(PoolError::Foreign.into());
-    }
     read_reply(node, source, answer, reply, out.streaming).await
 }
 
--- a/tests/relay/partition.rs
+++ b/tests/relay/partition.rs
@@ -8,6 +8,7 @@
 
 use super::cut::FaultProxy;
 use super::process::{Process, TempDir};
+use super::script::{Scripted, response};
 use super::standin::{Engine, LONG_PROMPT, SHORT_PROMPT, Store, config, settings};
 use super::{LOG_FILE, http, is_listed_ready, wait_for};
 
@@ -364,6 +365,7 @@
     ];
     let answer = http::send(peers, "POST", "/once/x", &forged, b"forged").expect("an answer");
     assert_ne!(answer.status, 200);
+    assert_eq!(answer.header("x-chiveway-attempt-id"), Some("forged"));
     assert_eq!(site.runs("forged"), 0);
 }
 
@@ -388,3 +390,68 @@
     }
     assert!(foreign.requests().is_empty(), "{:?}", foreign.requests());
 }
+
+/// A host refuses a forwarded request, and an extra copy of that comes before its answer to the next one. Guards against a
+/// request that is refused as not run though the other host runs it.
+#[test]
+fn a_late_refusal_of_a_host_refuses_no_other_request() {
+    let site = Site::start(1);
+    let other = Scripted::plain("host-9", |turn| {
+        let refused = |id: &str| refusal_of_host("overloaded", id);
+        let id = turn.id.clone();
+        if turn.number == 0 {
+            return turn.send(refused(&id));
+        }
+        turn.run();
+        turn.send(refused("other") + &response(200, &id, "", "done"))
+    });
+    let entry = json!({"addr": other.addr().to_string(), "domain": "z9"});
+    site.store.put("chiveway/hosts/host-9", &entry);
+    let host = &site.hosts[0];
+    wait_for("the other host", || {
+        host.log().lines().any(|line| line.contains("host.joined"))
+    });
+    site.lose_links(host, Cut::Refused);
+    wait_for("a request that the other host runs", || {
+        let (id, answer) = site.send(host, "/once/x", "8000");
+        let answer = answer.expect("an answer");
+        let runs = other.runs(&id);
+        assert_eq!(answer.status, if runs == 0 { 503 } else { 502 });
+        runs == 1
+    });
+    assert!(host.log().contains(r#""reader":"host""#));
+}
+
+/// Returns the refusal of a request by a host, as one that did not run.
+fn refusal_of_host(code: &str, id: &str) -> String {
+    response(
+        503,
+        id,
+        &format!("chiveway-forward-refused: {code},no\r\n"),
+        "{}",
+    )
+}
+
+/// Guards against a host of an earlier build whose refusals, which name no request, are not believed: callers would lose
+/// truthful answers while hosts are replaced.
+#[test]
+fn a_refusal_of_a_host_of_an_earlier_build_is_believed() {
+    let site = Site::start(1);
+    let other = Scripted::plain("host-9", |turn| {
+        turn.send(refusal_of_host("overloaded", ""))
+    });
+    let entry = json!({"addr": other.addr().to_string(), "domain": "z9"});
+    site.store.put("chiveway/hosts/host-9", &entry);
+    let host = &site.hosts[0];
+    wait_for("the other host", || {
+        host.log().lines().any(|line| line.contains("host.joined"))
+    });
+    site.lose_links(host, Cut::Refused);
+    let before = other.heads().len();
+    for _ in 0..3 {
+        let (_, answer) = site.send(host, "/once/x", "8000");
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 503, "{}", answer.text());
+    }
+    assert_eq!(other.heads().len(), before + 3);
+}
--- a/tests/relay/script.rs
+++ b/tests/relay/script.rs
@@ -150,6 +150,11 @@
             "born": 1})
     }
 
+    /// Returns its address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Returns how often it ran a request.
     pub fn runs(&self, id: &str) -> usize {
         let log = self.log.lock().expect("the log");
