Take no late response for a crash

What callers would see: a harmless request that meets late responses at two workers is refused at all hosts as one that crashes workers. Shown by stand-ins.

Cause: a foreign response ended its attempt as a broken connection does, which counts as a crash under the request and its parts, and against the link.

Evidence: one late response at each of two workers: request.suspect was logged for a request that crashed nothing.

Why it works: it is an outcome of its own, which counts against the worker alone. A response arrived, so that the link is sound.

Test: late_copies::late_responses_are_no_crashes, red before.

--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -174,6 +174,8 @@
     Rejected,
     /// The connection ended before the end marker.
     Cut,
+    /// The response belongs to another request.
+    Foreign,
     /// The connection stayed open and delivered nothing for too long.
     Silent,
     /// The backend server has no attempt with the label that was to be resumed.
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -281,7 +281,9 @@
         parts::attempt_broke(core, &attempt, out);
     }
     match how {
-        AttemptFailure::Refused | AttemptFailure::Rejected => links::received(core, out),
+        AttemptFailure::Refused | AttemptFailure::Rejected | AttemptFailure::Foreign => {
+            links::received(core, out);
+        }
         _ => links::attempt_failed(core, backend, out),
     }
     if !core.relay.links.are_lost() && !blames_source(core, source, how) {
@@ -403,9 +405,10 @@
         AttemptFailure::Rejected => instance.addr_reused = true,
         AttemptFailure::Unreachable => instance.record_unreachable(now),
         AttemptFailure::NoDescriptor => {}
-        AttemptFailure::Cut | AttemptFailure::Silent | AttemptFailure::Forgotten => {
-            instance.record_failure(now);
-        }
+        AttemptFailure::Cut
+        | AttemptFailure::Foreign
+        | AttemptFailure::Silent
+        | AttemptFailure::Forgotten => instance.record_failure(now),
     }
     if how == AttemptFailure::Rejected
         || !instance.is_available(now) && how != AttemptFailure::Refused
--- a/src/core/request/failure.rs
+++ b/src/core/request/failure.rs
@@ -174,6 +174,7 @@
             Kind::ServiceDown
         }
         AttemptFailure::Cut
+        | AttemptFailure::Foreign
         | AttemptFailure::Silent
         | AttemptFailure::Forgotten
         | AttemptFailure::Rejected => Kind::ServiceFailed,
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -68,9 +68,8 @@
             PoolError::Connect { .. } => AttemptFailure::Unreachable,
             PoolError::NoDescriptor => AttemptFailure::NoDescriptor,
             PoolError::Timeout => AttemptFailure::Silent,
-            PoolError::Broken { .. } | PoolError::TooLong | PoolError::Foreign => {
-                AttemptFailure::Cut
-            }
+            PoolError::Foreign => AttemptFailure::Foreign,
+            PoolError::Broken { .. } | PoolError::TooLong => AttemptFailure::Cut,
         };
         Self::new(err.ran(), end, err.to_string())
     }
--- a/tests/relay/late_copies.rs
+++ b/tests/relay/late_copies.rs
@@ -147,6 +147,39 @@
     a_late_response_without_an_id: response(503, "", "x-chiveway-not-executed: 1\r\n", "");
 }
 
+/// The same request meets a late response at two servers. Guards against taking these for crashes under the request, which would be
+/// refused as one that crashes servers.
+#[test]
+fn late_responses_are_no_crashes() {
+    let servers = ["s-1", "s-2"].map(|id| {
+        Scripted::plain(id, |turn| {
+            if turn.number == 1 {
+                turn.send(response(200, "earlier", "", "stale"))?;
+            }
+            let answer = response(200, &turn.id, "", "done");
+            turn.send(answer)
+        })
+    });
+    let site = site(&servers.each_ref());
+    let mut sent = 0;
+    wait_for("late responses of both servers", || {
+        sent += 1;
+        site.send("/once/x", &format!("id-{sent}"), &[]);
+        let log = site.log();
+        let foreign = |id| {
+            log.lines()
+                .any(|line| line.contains("response.foreign") && line.contains(id))
+        };
+        foreign("s-1") && foreign("s-2")
+    });
+    assert!(!site.log().contains("request.suspect"));
+    wait_for("an answer", || {
+        sent += 1;
+        let answer = site.send("/once/x", &format!("id-{sent}"), &[]);
+        answer.is_some_and(|answer| answer.status == 200)
+    });
+}
+
 /// Defines a test for each late head that is cut off, so that the true one continues it, and for the number of foreign responses
 /// that are counted: none for a head that is no HTTP.
 macro_rules! merged_heads {
