End a refused attempt at the head of its refusal

What callers would see: 504 at their time limit, in place of 503 at once or an answer of another worker, where the body of a refusal has no end.

Cause: a refusal was read to its end, so that its connection could be kept, before its attempt ended, without a bound in time. A slow drip keeps idle timers from firing.

Why it works: the attempt ends at the head. The rest is dropped in the background, within 64 KiB and 100 ms; else the connection is closed. A failed prefill closes its connection at the head.

--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -414,6 +414,22 @@
     collect_observed(answer, max_bytes, Duration::MAX, |_| {}).await
 }
 
+/// Reads the rest of a response's body and keeps nothing of it.
+///
+/// # Errors
+///
+/// Returns the errors of [`collect`].
+pub async fn discard(answer: &mut Answer, max_bytes: usize) -> Result<(), PoolError> {
+    let mut received = 0;
+    while let Some(chunk) = next_chunk(answer).await {
+        received += chunk?.len();
+        if received > max_bytes {
+            return Err(PoolError::TooLong);
+        }
+    }
+    Ok(())
+}
+
 /// Does the same as [`collect`], with a limit on the time between two parts; passes the number of bytes received so far
 /// to `progress` with each part.
 ///
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -8,6 +8,7 @@
 use hyper::ext::ReasonPhrase;
 use hyper::header::TRANSFER_ENCODING;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use super::events::Splitter;
 use super::{EventPayload, Head, Prepared, apply, apply_with, progress};
@@ -32,6 +33,8 @@
 pub(super) const MAX_CONTROL_ANSWER_BYTES: usize = 64 * 1024;
 /// Status of an answer by another server than the one that was meant.
 pub(super) const MISDIRECTED: u16 = 421;
+/// Time limit for the rest of an answer that is not used, which usually arrives with its head.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which an idle connection is kept if the backend server names no idle timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(400);
 /// Margin subtracted from the named idle timeout, so that no request is sent while the server
@@ -173,7 +176,7 @@
         );
     }
     if reply.not_run {
-        drain_and_release(answer, source, reply.keep_alive).await;
+        drain_and_release(answer, source, reply.keep_alive);
         let end = if status == MISDIRECTED {
             AttemptFailure::Rejected
         } else {
@@ -247,24 +250,25 @@
     }
 }
 
-/// Reads an answer to its end, then keeps its connection for reuse.
-pub(super) async fn drain_and_release(
-    mut answer: Answer,
-    source: Source<'_>,
-    idle: Option<Duration>,
-) {
-    if pool::collect(&mut answer, MAX_CONTROL_ANSWER_BYTES)
-        .await
-        .is_ok()
-    {
-        release(answer, source, idle).await;
-    }
+/// Reads the rest of an answer in the background, then keeps its connection for reuse; closes it if the rest is long or late.
+pub(super) fn drain_and_release(mut answer: Answer, source: Source<'_>, idle: Option<Duration>) {
+    let (pool, max_idle) = (source.pool.clone(), source.max_idle);
+    ntex::rt::spawn(async move {
+        let rest = pool::discard(&mut answer, MAX_CONTROL_ANSWER_BYTES);
+        if let Ok(Ok(())) = timeout(DRAIN_TIMEOUT, rest).await {
+            put_back(&pool, answer, max_idle, idle).await;
+        }
+    });
 }
 
 async fn release(answer: Answer, source: Source<'_>, idle: Option<Duration>) {
+    put_back(source.pool, answer, source.max_idle, idle).await;
+}
+
+async fn put_back(pool: &ConnectionPool, answer: Answer, max: usize, idle: Option<Duration>) {
     let idle = idle.map_or(DEFAULT_IDLE_TIME, |idle| idle.saturating_sub(IDLE_MARGIN));
     if !idle.is_zero() {
-        source.pool.put_back(answer, idle, source.max_idle).await;
+        pool.put_back(answer, idle, max).await;
     }
 }
 
@@ -275,16 +279,15 @@
     status: u16,
     idle: Option<Duration>,
 ) -> Result<(), FailedAttempt> {
-    let body = pool::collect(&mut answer, MAX_CONTROL_ANSWER_BYTES).await?;
-    let handle = engine::decode_kv_handle(&body).filter(|_| status == 200);
-    let Some(handle) = handle else {
+    let failed = || {
         let detail = format!("answered {status} to a prefill");
-        return Err(FailedAttempt::new(
-            Ran::Unknown,
-            AttemptFailure::Cut,
-            detail,
-        ));
+        FailedAttempt::new(Ran::Unknown, AttemptFailure::Cut, detail)
     };
+    if status != 200 {
+        return Err(failed());
+    }
+    let body = pool::collect(&mut answer, MAX_CONTROL_ANSWER_BYTES).await?;
+    let handle = engine::decode_kv_handle(&body).ok_or_else(failed)?;
     apply(
         node,
         RelayEvent::Prefilled {
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -257,13 +257,13 @@
         return Err(PoolError::Foreign.into());
     }
     if let Some(refusal) = refusal {
-        drain_and_release(answer, source, reply.keep_alive).await;
+        drain_and_release(answer, source, reply.keep_alive);
         let attempt = out.attempt;
         apply(node, RelayEvent::ForwardRefused { attempt, refusal });
         return Ok(());
     }
     if status == MISDIRECTED {
-        drain_and_release(answer, source, reply.keep_alive).await;
+        drain_and_release(answer, source, reply.keep_alive);
         let detail = format!("another server has the address of host {}", out.to);
         return Err(FailedAttempt::unsent(&detail));
     }
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod cut;
 mod descriptors;
 mod duties;
+mod endless;
 mod era;
 mod framing;
 mod hang;
--- a/tests/relay/script.rs
+++ b/tests/relay/script.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -43,6 +44,22 @@
         *log.runs.entry(self.id.clone()).or_default() += 1;
     }
 
+    /// Writes bytes, then others again and again, until the host closes the connection.
+    pub fn send_without_end(
+        &mut self,
+        bytes: impl AsRef<[u8]>,
+        more: &[u8],
+        pause: Duration,
+    ) -> Option<()> {
+        let mut open = self.send(bytes);
+        while open.is_some() {
+            std::thread::sleep(pause);
+            open = self.send(more);
+        }
+        self.log.lock().expect("the log").closed += 1;
+        None
+    }
+
     /// Writes bytes; `None` if the connection is closed.
     pub fn send(&mut self, bytes: impl AsRef<[u8]>) -> Option<()> {
         self.stream.write_all(bytes.as_ref()).ok()
@@ -55,6 +72,8 @@
     heads: Vec<String>,
     /// Number of runs by request.
     runs: BTreeMap<String, usize>,
+    /// Responses without an end that the host has closed.
+    closed: usize,
 }
 
 /// What a script answers.
@@ -161,6 +180,11 @@
         log.runs.get(id).copied().unwrap_or_default()
     }
 
+    /// Returns how many responses without an end the host has closed.
+    pub fn closed(&self) -> usize {
+        self.log.lock().expect("the log").closed
+    }
+
     /// Returns the heads of all requests that it received.
     pub fn heads(&self) -> Vec<String> {
         self.log.lock().expect("the log").heads.clone()
