Read large whole answers in turn at the bound on held bytes

What callers would see: refusals by a host that servers flood with answers without end, or the end of a host for its memory with all its requests.

Cause: whole answers were counted in the held bytes, but unlike streams they were read on whatever the sum: 16 MiB each.

Evidence: with 24 such answers at a host of 256 MiB, requests of other callers were refused as the host held too many bytes.

Why it works: beyond 256 KiB an answer is read on only below the bound, or one at a time, so that the sum is bounded and sound large answers do not wait for each other until their deadlines.

Test: endless::many_answers_without_end_do_not_fill_the_memory_of_a_host, red before.

--- a/src/host/queue.rs
+++ b/src/host/queue.rs
@@ -4,12 +4,12 @@
 use std::rc::Rc;
 
 use ntex::io::IoRef;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Mutex, MutexGuard, Notify, mpsc};
 
 /// Queued chunks at which the host stops reading from the engine.
 const MAX_QUEUED_CHUNKS: usize = 256;
 /// Queued bytes at which it does so: chunks may be far larger than the usual hundred bytes.
-const MAX_QUEUED_BYTES: usize = 256 * 1024;
+pub const MAX_QUEUED_BYTES: usize = 256 * 1024;
 
 /// Number of bytes that the host holds for all callers, and its bound.
 #[derive(Debug, Clone, Default)]
@@ -22,6 +22,10 @@
     held: Cell<usize>,
     /// Bound from which on callers that do not keep up get no further bytes; `None` for none.
     max: Cell<Option<usize>>,
+    /// Wakes readers that wait for room.
+    relieved: Notify,
+    /// The turn of the one reader that goes on while there is no room.
+    turn: Mutex<()>,
 }
 
 impl HeldBytes {
@@ -48,6 +52,22 @@
         self.shared.max.get().is_some_and(|max| self.held() >= max)
     }
 
+    /// Waits until the bound is not reached or it is this reader's turn to go on nevertheless, for as long as it keeps the guard.
+    ///
+    /// Without turns, readers that together reach the bound would all wait for each other.
+    pub async fn wait_for_room(&self) -> Option<MutexGuard<'_, ()>> {
+        loop {
+            let relieved = self.shared.relieved.notified();
+            if !self.is_full() {
+                return None;
+            }
+            tokio::select! {
+                turn = self.shared.turn.lock() => return Some(turn),
+                () = relieved => {}
+            }
+        }
+    }
+
     /// Counts bytes until the guard is dropped.
     #[must_use]
     pub fn hold(&self, bytes: usize) -> HeldGuard {
@@ -65,6 +85,9 @@
 
     fn subtract(&self, bytes: usize) {
         self.shared.held.set(self.held().saturating_sub(bytes));
+        if !self.is_full() {
+            self.shared.relieved.notify_waiters();
+        }
     }
 }
 
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hyper::body::Body;
 use hyper::ext::ReasonPhrase;
 use hyper::header::TRANSFER_ENCODING;
@@ -21,6 +21,7 @@
 };
 use crate::error::Ran;
 use crate::host::node::Node;
+use crate::host::queue::MAX_QUEUED_BYTES;
 use crate::platform::header::AnswerHead;
 use crate::platform::{engine, header};
 
@@ -306,25 +307,28 @@
     head: Head,
     idle: Option<Duration>,
 ) -> Result<(), FailedAttempt> {
-    let mut guard = node.held.hold(0);
-    let mut throttled =
-        progress::throttled(|_| apply(node, RelayEvent::AnswerReceived(source.attempt)));
-    let progress = |received| {
-        guard.grow_to(received);
-        throttled(received);
-    };
+    let (total, attempt) = (&node.held, source.attempt);
+    let mut guard = total.hold(0);
+    let mut progress = progress::throttled(|_| apply(node, RelayEvent::AnswerReceived(attempt)));
+    let mut body = BytesMut::new();
+    let mut turn = None;
     // The core ends attempts that are silent.
-    let body =
-        pool::collect_observed(&mut answer, MAX_ANSWER_BYTES, Duration::MAX, progress).await?;
-    let status = head.status;
-    apply_with(
-        node,
-        EventPayload::Answer(head, body),
-        RelayEvent::Answered {
-            attempt: source.attempt,
-            status,
-        },
-    );
+    while let Some(chunk) = pool::next_chunk(&mut answer).await {
+        body.extend_from_slice(&chunk?);
+        if body.len() > MAX_ANSWER_BYTES {
+            return Err(PoolError::TooLong.into());
+        }
+        guard.grow_to(body.len());
+        progress(body.len());
+        if turn.is_none() && body.len() > MAX_QUEUED_BYTES && total.is_full() {
+            apply(node, RelayEvent::DeliveryBlocked(attempt));
+            turn = total.wait_for_room().await;
+            apply(node, RelayEvent::DeliveryResumed(attempt));
+        }
+    }
+    let (status, body) = (head.status, body.freeze());
+    let payload = EventPayload::Answer(head, body);
+    apply_with(node, payload, RelayEvent::Answered { attempt, status });
     release(answer, source, idle).await;
     Ok(())
 }
--- a/tests/relay/endless.rs
+++ b/tests/relay/endless.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use super::late_copies::site;
+use super::late_copies::{site, site_with};
 use super::script::{Scripted, Turn, response};
+use super::slow_caller::gauge;
 use super::standin::{LONG_PROMPT, SHORT_PROMPT};
 use super::{Site, http, wait_for};
 
@@ -209,3 +210,53 @@
         assert_eq!(send(&site, "/short/x", "id-1"), 200);
     }
 }
+
+/// Memory that the settings allow a host; an eighth may be held by unread answers.
+const MEMORY: usize = 256 << 20;
+/// Callers whose answers have no end.
+const CALLERS: usize = 24;
+/// Largest whole answer, and the bytes of one that are read in any case.
+const MAX_ANSWER: usize = 16 << 20;
+const MAX_READ: usize = 256 << 10;
+/// Bytes of one chunk of an answer.
+const CHUNK: usize = 64 << 10;
+
+/// Guards against a host that reads many answers without end at once, and is ended for its memory with all its requests.
+#[test]
+fn many_answers_without_end_do_not_fill_the_memory_of_a_host() {
+    let server = Scripted::plain("s-1", |turn| {
+        let head = start(200, &turn.id, CONNECTION);
+        turn.send_without_end(head, &vec![b'x'; CHUNK], Duration::ZERO)
+    });
+    let memory = format!("memory = {}MiB\n[store]", MEMORY >> 20);
+    let engine = Scripted::model("d-1", "decode", events);
+    let site = site_with(&[&server, &engine], |settings| {
+        settings.replace("[store]", &memory)
+    });
+    let highest = std::thread::scope(|scope| {
+        let site = &site;
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|number| scope.spawn(move || send(site, "/once/x", &format!("endless-{number}"))))
+            .collect();
+        let mut highest = 0;
+        wait_for("the answers to all callers", || {
+            let held = gauge(site, "chiveway_held_bytes").unwrap_or_default();
+            highest = highest.max(held);
+            assert_eq!(send(site, "/short/x", "small"), 200);
+            callers
+                .iter()
+                .all(std::thread::ScopedJoinHandle::is_finished)
+        });
+        for caller in callers {
+            let status = caller.join().expect("a caller");
+            assert!([502, 504].contains(&status), "{status}");
+        }
+        highest
+    });
+    let bound = MEMORY / 8 + MAX_ANSWER + CALLERS * (MAX_READ + CHUNK);
+    assert!(
+        highest > 0 && highest <= bound,
+        "{highest} of {bound} bytes"
+    );
+    wait_for("the end of each connection", || server.closed() == CALLERS);
+}
--- a/tests/relay/late_copies.rs
+++ b/tests/relay/late_copies.rs
@@ -6,7 +6,12 @@
 
 /// Starts a host that has these servers listed.
 pub fn site(servers: &[&Scripted]) -> Site {
-    let site = Site::new();
+    site_with(servers, |settings| settings)
+}
+
+/// Starts a host with changed settings that has these servers listed.
+pub fn site_with(servers: &[&Scripted], change: impl Fn(String) -> String) -> Site {
+    let site = Site::with_settings(change);
     site.store.put("op/config", &config(1, "/short/"));
     for server in servers {
         let key = format!("servers/{}", server.id);
--- a/tests/relay/slow_caller.rs
+++ b/tests/relay/slow_caller.rs
@@ -142,7 +142,7 @@
 const UNREAD_EVENTS: u64 = 160;
 
 /// Returns a gauge of a host.
-fn gauge(site: &Site, name: &str) -> Option<usize> {
+pub fn gauge(site: &Site, name: &str) -> Option<usize> {
     let answer = http::send(site.metrics, "GET", "/metrics", &[], b"")?;
     let text = answer.text();
     let line = text.lines().find(|line| line.starts_with(name))?;
