Count an order refused without a statement as possibly carried out

What operators would see: a second engine ordered while the first order is still carried out.

Cause: 429 and 503 to an order counted as not carried out, though only a worker's statement shows that.

Evidence: by reading. The cases for 429 and 503 without the statement fail with the earlier rule put back, which does not look at it.

Why it works: such an order is treated as one without an answer, whose state the next report shows.

Tests: the 10 cases of `orders` in platform::tests.

--- a/src/host/relay/control.rs
+++ b/src/host/relay/control.rs
@@ -142,7 +142,11 @@
         // On a connection of its own no response to an earlier call can arrive.
         let pool = ConnectionPool::default();
         match control(&node, &pool, &order.instance, &call).await {
-            Ok(answer) => engine::order_result(answer.status),
+            Ok(answer) => {
+                let not_run =
+                    header::decode_answer(answer.status, &as_bytes(&answer.headers)).not_run;
+                engine::order_result(answer.status, not_run)
+            }
             Err(err) if err.ran() == Ran::No => OrderResult::Unsent,
             Err(_) => OrderResult::Unknown,
         }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -5,6 +5,8 @@
 use super::{entry, whole_number};
 use crate::core::relay::event::{EngineReport, OrderResult, StageOrder};
 
+/// Status of another instance at the address.
+const MISDIRECTED: u16 = 421;
 /// Path for orders.
 pub const ORDER_PATH: &str = "/v1/order";
 /// Path of KV cache handles.
@@ -39,15 +41,16 @@
     .into_bytes()
 }
 
-/// Returns the result of an order from the status of its response.
+/// Returns the result of an order from the status of its response, and whether that states that nothing ran.
 #[must_use]
-pub fn order_result(status: u16) -> OrderResult {
+pub fn order_result(status: u16, not_run: bool) -> OrderResult {
     match status {
+        _ if not_run && status != MISDIRECTED => OrderResult::Unsent,
         200 | 202 => OrderResult::Done,
         412 => OrderResult::Fenced,
         // The engine is busy, in another state, or another instance serves at the address.
-        409 | 421 => OrderResult::Conflict,
-        400 | 404 | 429 | 503 => OrderResult::Unsent,
+        409 | MISDIRECTED => OrderResult::Conflict,
+        400 | 404 => OrderResult::Unsent,
         _ => OrderResult::Unknown,
     }
 }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -11,7 +11,7 @@
 use crate::core::relay::catalog::RetryPolicy;
 use crate::core::relay::customers::{Credential, Customer, Identity};
 use crate::core::relay::event::{
-    Changes, NamedLimit, NamedPushback, Outgoing, Stage, StageOrder, Task,
+    Changes, NamedLimit, NamedPushback, OrderResult, Outgoing, Stage, StageOrder, Task,
 };
 use crate::core::time::Time;
 use crate::lists::KeyHash;
@@ -220,6 +220,30 @@
     a_stamped_answer_ran: 200, [("x-chiveway-server-stamp", &b"s"[..])] => false;
 }
 
+/// Generates a test for each response to an order: its status and whether it states that nothing ran.
+macro_rules! orders {
+    ($($name:ident: $status:literal, $not_run:literal => $result:ident;)*) => {$(
+        /// Guards against an order that is given again though the engine may carry out the first.
+        #[test]
+        fn $name() {
+            assert_eq!(engine::order_result($status, $not_run), OrderResult::$result);
+        }
+    )*};
+}
+
+orders! {
+    an_accepted_order_is_done: 202, false => Done;
+    an_order_that_holds_is_done: 200, false => Done;
+    an_order_with_an_old_token_is_fenced: 412, false => Fenced;
+    an_order_beside_another_conflicts: 409, false => Conflict;
+    an_order_at_another_instance_conflicts: 421, true => Conflict;
+    an_invalid_order_is_not_carried_out: 400, false => Unsent;
+    a_refused_order_is_not_carried_out: 503, true => Unsent;
+    an_order_refused_without_a_statement_may_be_carried_out: 503, false => Unknown;
+    an_order_limited_without_a_statement_may_be_carried_out: 429, false => Unknown;
+    an_order_that_failed_may_be_carried_out: 500, false => Unknown;
+}
+
 /// Generates a test for each reason and list of headers: whether they are made of two responses.
 macro_rules! heads {
     ($($name:ident: $reason:literal, [$($header:expr),*] => $merged:literal;)*) => {$(
