Search each byte of a long line once

What callers could see: slow answers at a host to which a worker sends a line without end in small parts.

Cause: the search for the end of a line began at the start of the line with each part, on the thread that serves everything.

Evidence: by reading; the time was not measured.

Why it works: the splitter keeps how far it searched.

Test: host::relay::tests::a_long_line_is_searched_once, red without that.

--- a/src/host/relay/events.rs
+++ b/src/host/relay/events.rs
@@ -30,6 +30,8 @@
     buffer: BytesMut,
     /// Start of the first line in the buffer that is not complete.
     line_start: usize,
+    /// Bytes of that line that were searched for its end: a line may arrive byte by byte.
+    searched: usize,
     /// Whether the current event has a line that is not empty.
     has_line: bool,
     /// The last line ended with a carriage return, so a line feed that follows belongs to it.
@@ -60,6 +62,12 @@
         })
     }
 
+    /// Returns the position in the buffer from which on the next search for a line end begins.
+    #[cfg(test)]
+    pub fn search_start(&self) -> usize {
+        self.line_start + self.searched
+    }
+
     /// Returns the number of events with data returned so far.
     #[must_use]
     pub fn event_count(&self) -> usize {
@@ -82,6 +90,7 @@
     /// Removes and returns the bytes after the last complete event.
     pub fn rest(&mut self) -> Bytes {
         self.line_start = 0;
+        self.searched = 0;
         self.has_line = false;
         self.buffer.split().freeze()
     }
@@ -98,7 +107,12 @@
                     continue;
                 }
             }
-            let length = bytes.iter().position(|byte| is_line_end(*byte))?;
+            let mut unsearched = bytes.iter().skip(self.searched);
+            let Some(length) = unsearched.position(|byte| is_line_end(*byte)) else {
+                self.searched = bytes.len();
+                return None;
+            };
+            let length = self.searched + length;
             let is_empty = length == 0;
             let line_end = match &bytes[length..] {
                 [b'\r', b'\n', ..] => 2,
@@ -109,6 +123,7 @@
             self.is_crlf = line_end == 2;
             self.after_cr = bytes[length..] == *b"\r";
             self.line_start += length + line_end;
+            self.searched = 0;
             if is_empty && self.has_line {
                 return Some(self.line_start);
             }
--- a/src/host/relay/tests.rs
+++ b/src/host/relay/tests.rs
@@ -321,6 +321,22 @@
     an_empty_stream: "" => vec![], 0;
 }
 
+/// Guards against a long line that arrives in small parts and is searched from its start with each of them.
+#[test]
+fn a_long_line_is_searched_once() {
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 1\ndata: a\n\n").expect("a short event");
+    assert!(splitter.next().is_some());
+    for received in 1..=10 {
+        splitter.push(&[b'x'; 100]).expect("a short event");
+        assert_eq!(splitter.next(), None);
+        assert_eq!(splitter.search_start(), received * 100);
+    }
+    splitter.push(b"\ndata: b\n\n").expect("a short event");
+    assert!(splitter.next().is_some());
+    assert_eq!(splitter.search_start(), 0);
+}
+
 /// Guards against an answer to one request that clears the crashes under another one.
 #[test]
 fn requests_that_differ_have_other_fingerprints() {
