--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -5,20 +5,17 @@
 
 use bytes::{Bytes, BytesMut};
 use hyper::body::Body;
-use hyper::ext::ReasonPhrase;
 use hyper::header::TRANSFER_ENCODING;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::events::Splitter;
-use super::{EventPayload, Head, Prepared, apply, apply_with, progress};
+use super::{EventPayload, Head, Prepared, apply, apply_with, identity, progress};
 use crate::backend::pool::{self, Answer, Call, ConnectionPool, PoolError};
 use crate::core::event::AttemptFailure;
 use crate::core::key::{AttemptKey, CallKey};
 use crate::core::relay::customers::Identity;
-use crate::core::relay::event::{
-    ForeignResponse, Framing, Outgoing, Reader, RelayEvent, StreamEnd, Task,
-};
+use crate::core::relay::event::{Framing, Outgoing, Reader, RelayEvent, StreamEnd, Task};
 use crate::error::Ran;
 use crate::host::node::Node;
 use crate::host::queue::MAX_QUEUED_BYTES;
@@ -133,7 +130,7 @@
         addr: out.addr,
         method: prepared.method.clone(),
         path: prepared.path.clone(),
-        id: request_id(prepared),
+        id: identity::request_id(prepared),
         // A late response to another prefill of the prompt costs a handle at most.
         may_repeat: matches!(out.task, Task::Prefill),
         headers,
@@ -156,16 +153,19 @@
     let status = answer.response.status().as_u16();
     let headers = as_bytes(answer.response.headers());
     let reply = header::decode_answer(status, &headers);
-    if !is_own(&prepared, &answer, &reply) {
-        let response = ForeignResponse {
-            reader: Reader::Request,
-            sender: out.instance.clone(),
-            expected: request_id(&prepared).unwrap_or_default(),
-            received: reply.attempt_id.unwrap_or_default(),
+    // On a new connection no answer to an earlier request can arrive.
+    let is_unnamed = reply.attempt_id.is_none() && reply.not_run && answer.is_first();
+    if !is_unnamed && !identity::names(&reply, &prepared) || identity::is_merged(&answer) {
+        let expected = identity::request_id(&prepared);
+        let foreign = identity::report(
+            node,
+            Reader::Request,
+            &out.instance,
+            expected,
+            &reply,
             status,
-        };
-        apply(node, RelayEvent::ForeignResponse(Box::new(response)));
-        return Err(PoolError::Foreign.into());
+        );
+        return Err(foreign.into());
     }
     if status != MISDIRECTED {
         apply(
@@ -195,34 +195,6 @@
     read_reply(node, source, answer, reply, out.streaming).await
 }
 
-/// Returns whether an answer belongs to a request.
-///
-/// A refusal without an id is believed only as the first answer on its connection, where no answer to an earlier request
-/// can arrive.
-fn is_own(prepared: &Prepared, answer: &Answer, reply: &AnswerHead) -> bool {
-    let is_unnamed = reply.attempt_id.is_none() && reply.not_run && answer.is_first();
-    !is_merged(answer) && (is_echoed(prepared, reply) || is_unnamed)
-}
-
-/// Returns whether the head of an answer is made of two, of which the first was cut off.
-pub(super) fn is_merged(answer: &Answer) -> bool {
-    let reason = answer.response.extensions().get::<ReasonPhrase>();
-    let reason = reason.map_or(&b""[..], ReasonPhrase::as_bytes);
-    header::is_merged(reason, &as_bytes(answer.response.headers()))
-}
-
-/// Returns whether an answer names the request that it belongs to.
-pub(super) fn is_echoed(prepared: &Prepared, reply: &AnswerHead) -> bool {
-    reply.attempt_id.is_some() && reply.attempt_id == request_id(prepared)
-}
-
-/// Returns the id of a request.
-pub(super) fn request_id(prepared: &Prepared) -> Option<Box<str>> {
-    let mut headers = prepared.headers.iter();
-    let (_, id) = headers.find(|(name, _)| header::is_attempt(name))?;
-    Some(String::from_utf8_lossy(id).into())
-}
-
 /// Reads an answer of a backend server to a caller's request.
 pub(super) async fn read_reply(
     node: &Rc<Node>,
--- a/src/host/relay/control.rs
+++ b/src/host/relay/control.rs
@@ -6,10 +6,10 @@
 
 use tokio::time::timeout;
 
-use super::apply;
-use super::backends::{MAX_CONTROL_ANSWER_BYTES, MISDIRECTED, as_bytes, is_merged};
+use super::backends::{MAX_CONTROL_ANSWER_BYTES, MISDIRECTED, as_bytes};
+use super::{apply, identity};
 use crate::backend::pool::{Answer, Call, CallLimits, ConnectionPool, FullAnswer, PoolError};
-use crate::core::relay::event::{ForeignResponse, OrderResult, Reader, RelayEvent, StageOrder};
+use crate::core::relay::event::{OrderResult, Reader, RelayEvent, StageOrder};
 use crate::error::Ran;
 use crate::host::node::Node;
 use crate::host::timer;
@@ -58,19 +58,18 @@
     let answer = pool.send(call, CONTROL_CALL_TIMEOUT / 2).await?;
     let status = answer.response.status().as_u16();
     let headers = as_bytes(answer.response.headers());
-    let received = header::decode_answer(status, &headers).attempt_id;
-    if received.is_none() && !is_merged(&answer) {
+    let reply = header::decode_answer(status, &headers);
+    if reply.attempt_id.is_none() && !identity::is_merged(&answer) {
         return Ok(answer);
     }
-    let response = ForeignResponse {
-        reader: Reader::Call,
-        sender: instance.into(),
-        expected: "".into(),
-        received: received.unwrap_or_default(),
+    Err(identity::report(
+        node,
+        Reader::Call,
+        instance,
+        None,
+        &reply,
         status,
-    };
-    apply(node, RelayEvent::ForeignResponse(Box::new(response)));
-    Err(PoolError::Foreign)
+    ))
 }
 
 /// Makes a call other than a caller's request, and reports what the answer states about the server.
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -10,15 +10,14 @@
 use tokio::sync::oneshot;
 
 use super::backends::{
-    CONNECT_TIMEOUT, FailedAttempt, MISDIRECTED, Source, as_bytes, drain_and_release, is_echoed,
-    is_merged, read_reply, request_id, run_until,
+    CONNECT_TIMEOUT, FailedAttempt, MISDIRECTED, Source, as_bytes, drain_and_release, read_reply,
+    run_until,
 };
-use super::{Prepared, apply};
-use crate::backend::pool::{Call, PoolError};
+use super::{Prepared, apply, identity};
+use crate::backend::pool::Call;
 use crate::core::effect::Refusal;
 use crate::core::relay::event::{
-    DepartureReport, Departures, ForeignResponse, ForwardRefusal, Forwarded, Reader, RelayEvent,
-    Spent,
+    DepartureReport, Departures, ForwardRefusal, Forwarded, Reader, RelayEvent, Spent,
 };
 use crate::core::relay::versions::Version;
 use crate::error::{Kind, Ran};
@@ -214,7 +213,7 @@
         addr: out.addr,
         method: prepared.method.clone(),
         path: prepared.path.clone(),
-        id: request_id(prepared),
+        id: identity::request_id(prepared),
         may_repeat: false,
         headers,
         body: prepared.body.clone(),
@@ -245,16 +244,10 @@
     // Hosts of earlier builds name no request in their refusals.
     let may_be_unnamed = refusal.is_some() || status == MISDIRECTED && answer.is_first();
     let is_unnamed = reply.attempt_id.is_none() && may_be_unnamed;
-    if is_merged(&answer) || !is_unnamed && !is_echoed(&prepared, &reply) {
-        let response = ForeignResponse {
-            reader: Reader::Host,
-            sender: out.to.clone(),
-            expected: request_id(&prepared).unwrap_or_default(),
-            received: reply.attempt_id.unwrap_or_default(),
-            status,
-        };
-        apply(node, RelayEvent::ForeignResponse(Box::new(response)));
-        return Err(PoolError::Foreign.into());
+    if !is_unnamed && !identity::names(&reply, &prepared) || identity::is_merged(&answer) {
+        let expected = identity::request_id(&prepared);
+        let foreign = identity::report(node, Reader::Host, &out.to, expected, &reply, status);
+        return Err(foreign.into());
     }
     if let Some(refusal) = refusal {
         drain_and_release(answer, source, reply.keep_alive);
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -8,6 +8,7 @@
 pub mod event_log;
 mod events;
 pub mod forward;
+mod identity;
 mod probes;
 mod progress;
 pub mod store;
