Pass no change of protocols on to callers

Shown by a stand-in.

Cause: the HTTP library skips the other informational responses, but returns 101 as the response, and its status was passed on.

Evidence: a stand-in that answers 101: the caller got 101.

Why it works: a status below 200 ends no request, and its attempt fails.

Test: unstated::a_change_of_protocols_is_no_answer, red before.

--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -31,6 +31,8 @@
 pub(super) const MAX_CONTROL_ANSWER_BYTES: usize = 64 * 1024;
 /// Status of an answer by another server than the one that was meant.
 pub(super) const MISDIRECTED: u16 = 421;
+/// Lowest status of a final answer; of the others the HTTP library passes on a change of protocols only.
+const MIN_FINAL_STATUS: u16 = 200;
 /// Time limit for the rest of an answer that is not used, which usually arrives with its head.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which an idle connection is kept if the backend server names no idle timeout.
@@ -204,6 +206,14 @@
     streaming: bool,
 ) -> Result<(), FailedAttempt> {
     let status = answer.response.status().as_u16();
+    if status < MIN_FINAL_STATUS {
+        let detail = format!("answered {status}, which ends no request");
+        return Err(FailedAttempt::new(
+            Ran::Unknown,
+            AttemptFailure::Cut,
+            detail,
+        ));
+    }
     if (200..300).contains(&status) && (!reply.has_stamp || header::is_encoded(&reply.forwarded)) {
         let detail = "the answer is not the backend server's own";
         return Err(FailedAttempt::new(
--- a/tests/relay/unstated.rs
+++ b/tests/relay/unstated.rs
@@ -36,6 +36,22 @@
     an_unstated_refusal_is_no_promise: 503;
 }
 
+/// Guards against a caller that gets a change of protocols for a request that asked for none.
+#[test]
+fn a_change_of_protocols_is_no_answer() {
+    let server = Scripted::plain("s-1", |turn| {
+        turn.run();
+        let head = format!(
+            "HTTP/1.1 101 x\r\nx-chiveway-attempt-id: {}\r\nupgrade: other\r\nconnection: upgrade\r\n\r\n",
+            turn.id
+        );
+        turn.send(head)
+    });
+    let site = site(&[&server]);
+    let answer = site.send("/once/x", "id-1", &[]).expect("an answer");
+    assert_eq!((answer.status, server.runs("id-1")), (502, 1));
+}
+
 /// Guards against a failure of a server that its caller does not get as the server sent it.
 #[test]
 fn other_failures_are_passed_on_with_their_stamp() {
