Refuse requests with an empty id at once

What callers would see: 502 for a request that no worker runs.

Cause: only a request without X-Chiveway-Attempt-Id was refused by the host. One with an empty value went to a worker, whose refusal can name no id and is not believed on a kept connection.

Evidence: a stand-in got the request, and the caller 502.

Why it works: an empty id is none, and gets 400 like a missing one.

Test: unstated::a_request_with_an_empty_id_is_refused_at_once, red before.

--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -129,7 +129,7 @@
     for &(name, value) in headers {
         let text = std::str::from_utf8(value).unwrap_or_default().trim();
         match name {
-            ATTEMPT_ID => head.attempt_id = Some(text.into()),
+            ATTEMPT_ID => head.attempt_id = (!text.is_empty()).then(|| text.into()),
             DEADLINE_MS => head.deadline = millis(text),
             TOKEN_USAGE => usage = token_usage(text),
             PROMPT_PREFIX => blocks = prefix_blocks(text),
--- a/tests/relay/unstated.rs
+++ b/tests/relay/unstated.rs
@@ -52,6 +52,17 @@
     assert_eq!((answer.status, server.runs("id-1")), (502, 1));
 }
 
+/// Guards against a request that reaches a server which must refuse it, without an id by which the refusal could be told.
+#[test]
+fn a_request_with_an_empty_id_is_refused_at_once() {
+    let server = Scripted::plain("s-1", |turn| {
+        turn.send(response(200, &turn.id.clone(), "", ""))
+    });
+    let site = site(&[&server]);
+    let answer = site.send("/once/x", "", &[]).expect("an answer");
+    assert_eq!((answer.status, server.heads().len()), (400, 0));
+}
+
 /// Guards against a failure of a server that its caller does not get as the server sent it.
 #[test]
 fn other_failures_are_passed_on_with_their_stamp() {
