--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -76,8 +76,17 @@
     patience: Patience,
     /// Number of calls sent on it.
     calls: u64,
-    /// The last calls with an id sent on it: hash of the id, and whether late responses to it do no harm.
-    recent: VecDeque<(u64, bool)>,
+    /// The last calls with an id that were sent on it.
+    recent: VecDeque<SentCall>,
+}
+
+/// A call that a connection has carried.
+#[derive(Debug, Clone, Copy)]
+struct SentCall {
+    /// Hash of its id.
+    id: u64,
+    /// Whether a late response to it does no harm to a call like it.
+    may_repeat: bool,
 }
 
 impl Connection {
@@ -86,7 +95,10 @@
         self.calls += 1;
         if let Some(id) = &call.id {
             self.recent.truncate(MAX_RECENT_CALLS - 1);
-            self.recent.push_front((hash(id), call.may_repeat));
+            self.recent.push_front(SentCall {
+                id: hash(id),
+                may_repeat: call.may_repeat,
+            });
         }
         Answer {
             response,
@@ -335,12 +347,9 @@
     fn take_idle(&self, call: &Call, patience: Patience) -> Option<Connection> {
         let id = call.id.as_deref().map(hash);
         let accepts = |connection: &Connection| {
-            let mut same = connection
-                .recent
-                .iter()
-                .filter(|(other, _)| Some(*other) == id);
-            connection.patience == patience
-                && same.all(|(_, may_repeat)| *may_repeat && call.may_repeat)
+            let sent = connection.recent.iter();
+            let mut same = sent.filter(|sent| Some(sent.id) == id);
+            connection.patience == patience && same.all(|sent| sent.may_repeat && call.may_repeat)
         };
         let mut all = self.idle.borrow_mut();
         let list = all.get_mut(&call.addr)?;
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -72,7 +72,7 @@
     load::record_first_answer(core, key, took, out);
     close_attempt(core, key);
     poison::server_answered(core, backend, attempt_sent, out);
-    // The server did not state that the request did not run: its refusals are failures of attempts.
+    // A refusal that states that the request did not run ends its attempt as failed.
     let is_unstated = NOT_RUN_STATUSES.contains(&status);
     let failed = status >= MIN_FAILURE_STATUS || is_unstated;
     match host {
