Share the set-up of the tests beside another host

No check changes: three tests register a host at an address and cut the first one off, now by one function. Endless tests name what they import.

--- a/tests/relay/endless.rs
+++ b/tests/relay/endless.rs
@@ -1,5 +1,8 @@
 //! Bytes of a server that come without end, until the host closes the connection.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, ScopedJoinHandle};
 use std::time::Duration;
 
 use super::late_copies::{site, site_with};
@@ -28,9 +31,9 @@
 
 /// Returns a plain server whose first answer has no end.
 fn endless(id: &str, pace: Duration, head: fn(&str) -> String, more: &'static [u8]) -> Scripted {
-    let is_first = std::sync::atomic::AtomicBool::new(true);
+    let is_first = AtomicBool::new(true);
     Scripted::plain(id, move |turn| {
-        if is_first.swap(false, std::sync::atomic::Ordering::Relaxed) {
+        if is_first.swap(false, Ordering::Relaxed) {
             let head = head(&turn.id);
             return turn.send_without_end(head, more, pace);
         }
@@ -97,11 +100,11 @@
 #[test]
 fn a_refused_request_goes_on_before_the_end_of_the_refusal() {
     for pace in PACES {
-        let refused = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let refused = Arc::new(AtomicBool::new(false));
         let servers = ["s-1", "s-2"].map(|id| {
-            let refused = std::sync::Arc::clone(&refused);
+            let refused = Arc::clone(&refused);
             Scripted::plain(id, move |turn| {
-                if refused.swap(true, std::sync::atomic::Ordering::Relaxed) {
+                if refused.swap(true, Ordering::Relaxed) {
                     return answer(turn);
                 }
                 let head = start(503, &turn.id, &format!("{NOT_RUN}{CHUNKS}"));
@@ -233,7 +236,7 @@
     let site = site_with(&[&server, &engine], |settings| {
         settings.replace("[store]", &memory)
     });
-    let highest = std::thread::scope(|scope| {
+    let highest = thread::scope(|scope| {
         let site = &site;
         let callers: Vec<_> = (0..CALLERS)
             .map(|number| scope.spawn(move || send(site, "/once/x", &format!("endless-{number}"))))
@@ -243,9 +246,7 @@
             let held = gauge(site, "chiveway_held_bytes").unwrap_or_default();
             highest = highest.max(held);
             assert_eq!(send(site, "/short/x", "small"), 200);
-            callers
-                .iter()
-                .all(std::thread::ScopedJoinHandle::is_finished)
+            callers.iter().all(ScopedJoinHandle::is_finished)
         });
         for caller in callers {
             let status = caller.join().expect("a caller");
--- a/tests/relay/partition.rs
+++ b/tests/relay/partition.rs
@@ -369,19 +369,26 @@
     assert_eq!(site.runs("forged"), 0);
 }
 
-/// A host has ended without a trace in the store, and a server of another service has its address. Guards against a server
-/// that runs a forwarded request, and whose answer the caller gets.
-#[test]
-fn a_server_at_the_address_of_a_host_runs_no_forwarded_request() {
+/// Starts a host, registers another one at this address, and cuts the first off from all servers.
+fn site_beside(addr: SocketAddr) -> Site {
     let site = Site::start(1);
-    let foreign = Engine::plain("foreign");
-    let entry = json!({"addr": foreign.addr().to_string(), "domain": "z9"});
+    let entry = json!({"addr": addr.to_string(), "domain": "z9"});
     site.store.put("chiveway/hosts/host-9", &entry);
     let host = &site.hosts[0];
-    wait_for("the host that has ended", || {
+    wait_for("the other host", || {
         host.log().lines().any(|line| line.contains("host.joined"))
     });
     site.lose_links(host, Cut::Refused);
+    site
+}
+
+/// A host has ended without a trace in the store, and a server of another service has its address. Guards against a server
+/// that runs a forwarded request, and whose answer the caller gets.
+#[test]
+fn a_server_at_the_address_of_a_host_runs_no_forwarded_request() {
+    let foreign = Engine::plain("foreign");
+    let site = site_beside(foreign.addr());
+    let host = &site.hosts[0];
     for path in PATHS {
         let (id, answer) = site.send(host, path, "8000");
         let answer = answer.expect("an answer");
@@ -395,7 +402,6 @@
 /// request that is refused as not run though the other host runs it.
 #[test]
 fn a_late_refusal_of_a_host_refuses_no_other_request() {
-    let site = Site::start(1);
     let other = Scripted::plain("host-9", |turn| {
         let refused = |id: &str| refusal_of_host("overloaded", id);
         let id = turn.id.clone();
@@ -405,13 +411,8 @@
         turn.run();
         turn.send(refused("other") + &response(200, &id, "", "done"))
     });
-    let entry = json!({"addr": other.addr().to_string(), "domain": "z9"});
-    site.store.put("chiveway/hosts/host-9", &entry);
+    let site = site_beside(other.addr());
     let host = &site.hosts[0];
-    wait_for("the other host", || {
-        host.log().lines().any(|line| line.contains("host.joined"))
-    });
-    site.lose_links(host, Cut::Refused);
     wait_for("a request that the other host runs", || {
         let (id, answer) = site.send(host, "/once/x", "8000");
         let answer = answer.expect("an answer");
@@ -436,17 +437,11 @@
 /// truthful answers while hosts are replaced.
 #[test]
 fn a_refusal_of_a_host_of_an_earlier_build_is_believed() {
-    let site = Site::start(1);
     let other = Scripted::plain("host-9", |turn| {
         turn.send(refusal_of_host("overloaded", ""))
     });
-    let entry = json!({"addr": other.addr().to_string(), "domain": "z9"});
-    site.store.put("chiveway/hosts/host-9", &entry);
+    let site = site_beside(other.addr());
     let host = &site.hosts[0];
-    wait_for("the other host", || {
-        host.log().lines().any(|line| line.contains("host.joined"))
-    });
-    site.lose_links(host, Cut::Refused);
     let before = other.heads().len();
     for _ in 0..3 {
         let (_, answer) = site.send(host, "/once/x", "8000");
