--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -343,7 +343,7 @@
 
     /// Returns an idle connection for a call.
     ///
-    /// A late response to an earlier call with the same id could not be told from the response to this one.
+    /// A late response to an earlier call with the same id looks like the response to this one.
     fn take_idle(&self, call: &Call, patience: Patience) -> Option<Connection> {
         let id = call.id.as_deref().map(hash);
         let accepts = |connection: &Connection| {
--- a/src/core/relay/answer.rs
+++ b/src/core/relay/answer.rs
@@ -15,7 +15,7 @@
 
 /// Lowest HTTP status that counts as a failure of the backend server.
 const MIN_FAILURE_STATUS: u16 = 500;
-/// HTTP statuses that tell a caller that its request did not run and never will.
+/// HTTP statuses that callers read as "did not run".
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Lowest HTTP status of an answer without a result.
 const MIN_UNSERVED_STATUS: u16 = 300;
--- a/tests/relay/late_copies.rs
+++ b/tests/relay/late_copies.rs
@@ -84,7 +84,7 @@
     assert_eq!(count(&site, "chiveway_foreign_responses_total"), 1);
 }
 
-/// The same request comes back to the server that refused it. Guards against a connection on which its id cannot tell the late
+/// The same request comes back to the server that refused it. Guards against a connection on which its id does not distinguish the late
 /// copy of the refusal from the answer.
 #[test]
 fn a_request_returns_to_a_server_on_another_connection() {
@@ -114,7 +114,7 @@
 /// Defines a test for each kind of extra response.
 macro_rules! extra_responses {
     ($($name:ident: $extra:expr;)*) => {$(
-        /// Guards against a late response to another request that tells a caller that its request did not run, that is passed on to it,
+        /// Guards against a late response to another request that refuses a request as not run, that is passed on to its caller,
         /// or that keeps its server out of use.
         #[test]
         fn $name() {
--- a/tests/relay/unstated.rs
+++ b/tests/relay/unstated.rs
@@ -1,4 +1,4 @@
-//! Statuses of servers that would tell a caller that its request did not run, without a statement that it did not.
+//! Statuses by which callers take a request as not run, from servers that do not state so.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,7 +9,7 @@
 /// Defines a test for each status.
 macro_rules! statuses {
     ($($name:ident: $status:literal;)*) => {$(
-        /// Guards against a caller that is told that its request did not run, by a server that has run it.
+        /// Guards against a request that is refused as not run although a server has run it.
         #[test]
         fn $name() {
             let servers = ["s-1", "s-2"].map(|id| {
@@ -52,7 +52,7 @@
     assert_eq!((answer.status, server.runs("id-1")), (502, 1));
 }
 
-/// Guards against a request that reaches a server which must refuse it, without an id by which the refusal could be told.
+/// Guards against a request that reaches a server which must refuse it, without an id that the refusal could name.
 #[test]
 fn a_request_with_an_empty_id_is_refused_at_once() {
     let server = Scripted::plain("s-1", |turn| {
