--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -138,6 +138,7 @@
         self.changed = asyncio.Event()
         self.down = False
         self.restores = 0
+        self.shown = None
 
     async def start(self):
         await super().start()
@@ -181,6 +182,10 @@
             self.history.append((key, None, self.revision, 0, 0))
             self._notify()
 
+    def expire_later(self, key):
+        """Removes the entry of a worker that writes nothing any more."""
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self.remove, key)
+
     def copy(self):
         """Keeps a copy of what the store holds, for `restore`."""
         return (self.revision, dict(self.items), list(self.history), dict(self.leases), self.last_lease)
@@ -201,8 +206,11 @@
     def come_back(self):
         self.down = False
 
-    @staticmethod
-    def _item(key, value, revision, created, lease):
+    def _item(self, key, value, revision, created, lease):
+        if self.shown and key.startswith("servers/"):
+            entry = json.loads(value)
+            entry["address"] = self.shown.get(entry["address"], entry["address"])
+            value = json.dumps(entry).encode()
         text = base64.b64encode(value).decode()
         return {"key": key, "value": text, "revision": revision, "created": created, "lease": lease}
 
@@ -212,19 +220,25 @@
             headers.append(("Store-Era", str(self.era)))
         return encode(status, headers, json.dumps(value).encode())
 
-    async def serve(self, first, _headers, body, _writer):
+    async def serve(self, first, headers, body, writer, shown=None):
         if self.down:
             return None
         await asyncio.sleep(0.004)
         method, target, _ = first.split(" ", 2)
-        url = urlsplit(target)
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        query = {name: values[0] for name, values in parse_qs(urlsplit(target).query).items()}
+        if target.startswith("/v1/kv-watch"):
+            return await self._watch(query, shown)
+        self.shown = shown
+        try:
+            return self._call(method, urlsplit(target), query, body)
+        finally:
+            self.shown = None
+
+    def _call(self, method, url, query, body):
         if (method, url.path) == ("GET", "/v1/kv-range"):
             prefix = query.get("prefix", "")
             items = [self._item(k, *item) for k, item in sorted(self.items.items()) if k.startswith(prefix)]
             return self._answer(200, {"items": items, "hasMore": False, "at": self.revision})
-        if (method, url.path) == ("GET", "/v1/kv-watch"):
-            return await self._watch(query)
         if (method, url.path) == ("POST", "/v1/kv-txn"):
             return self._txn(json.loads(body))
         if (method, url.path) == ("POST", "/v1/kv-lease"):
@@ -245,7 +259,7 @@
             return self._answer(200, {})
         return self._answer(404, {})
 
-    async def _watch(self, query):
+    async def _watch(self, query, shown):
         prefix, after = query.get("prefix", ""), int(query["after"])
         end = time.monotonic() + int(query["waitMs"]) / 1000
         if after > self.revision:
@@ -262,9 +276,11 @@
                 pass
             if self.down or self.restores != restores:
                 return None
+        self.shown = shown
         events = [
             {"key": h[0], "revision": h[2], "deleted": True} if h[1] is None else self._item(*h) for h in found
         ]
+        self.shown = None
         return self._answer(200, {"events": events, "at": self.revision})
 
     def _txn(self, txn):
@@ -283,6 +299,68 @@
         return self._answer(200, {"revision": self.revision})
 
 
+class View(Server):
+    """Another address of the store, at which entries name other addresses of workers: the way of one host to them."""
+
+    def __init__(self, store, shown):
+        super().__init__()
+        self.store, self.shown = store, shown
+
+    async def serve(self, first, headers, body, writer):
+        return await self.store.serve(first, headers, body, writer, self.shown)
+
+
+class Link:
+    """A host's way to one worker: passes bytes on, until it is cut."""
+
+    def __init__(self, target):
+        self.target = target
+        self.pairs = set()
+        self.is_cut = False
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.addr = f"127.0.0.1:{self.port}"
+        return self
+
+    async def _connection(self, reader, writer):
+        if self.is_cut:
+            writer.transport.abort()
+            return
+        ip, port = self.target.rsplit(":", 1)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, far_writer)
+        self.pairs.add(pair)
+
+        async def copy(source, sink):
+            try:
+                while data := await source.read(65536):
+                    sink.write(data)
+                    await sink.drain()
+            except (ConnectionError, OSError):
+                pass
+            finally:
+                sink.close()
+
+        await asyncio.gather(copy(reader, far_writer), copy(far_reader, writer), return_exceptions=True)
+        self.pairs.discard(pair)
+
+    def cut(self):
+        """Resets the open connections, and each new one."""
+        self.is_cut = True
+        for pair in list(self.pairs):
+            for writer in pair:
+                writer.transport.abort()
+
+    def heal(self):
+        self.is_cut = False
+
+
 class Worker(Server):
     """A worker of a plain service: it answers each request with its own body after `work_s`, and reports to the store.
 
@@ -310,6 +388,13 @@
         self.beat = asyncio.create_task(self._beat())
         return self
 
+    def crash(self):
+        """Ends like a killed process: its connections break, nothing listens, and nothing is written any more."""
+        self.server.close()
+        self.close_connections()
+        self.beat.cancel()
+        self.store.expire_later(f"servers/{self.name}")
+
     def entry(self):
         self.sequence += 1
         entry = {
@@ -548,6 +633,7 @@
     """Runs `case(bed)`, which returns whether the rule was broken; exits with 1, 0, or 2 if the case could not run."""
 
     async def run():
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         bed = Bed(case_folder)
         bed.record.say(f"trouble: {'on' if bed.trouble else 'off'}")
         try:
