--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -350,6 +350,11 @@
         await asyncio.gather(copy(reader, far_writer), copy(far_reader, writer), return_exceptions=True)
         self.pairs.discard(pair)
 
+    def refuse_new(self):
+        """Refuses each new connection; those that are open live on."""
+        self.is_cut = True
+        self.server.close()
+
     def cut(self):
         """Resets the open connections, and each new one."""
         self.is_cut = True
