--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -462,6 +462,96 @@
         return []
 
 
+class Engine(Worker):
+    """A model worker. It crashes when it begins to write an answer on a prompt with the part `bad_part`."""
+
+    bad_part = None
+    read_s, begin_s, pause_s, pieces = 0.03, 0.1, 0.05, 4
+    switch_s = 3.0
+    on_crash = None
+
+    def __init__(self, record, store, name, stage, **more):
+        super().__init__(record, store, name, "model", **more)
+        self.extra = {"stage": stage, "models": [{"name": "m", "version": 1, "adapters": []}]}
+        self.orders, self.switching = 0, False
+        self.crashed = False
+
+    async def serve(self, first, headers, body, writer):
+        if self.crashed:
+            return None
+        _, path, _ = first.split(" ", 2)
+        common = [("X-Chiveway-Instance-Id", self.name), ("Keep-Alive", "timeout=15")]
+        if headers.get("x-chiveway-expect-instance") in (None, self.name):
+            if path == "/v1/report":
+                report = {
+                    "stage": self.extra["stage"], "models": self.extra["models"], "busy": self.switching,
+                    "sequence": self.orders, "waiting": 0, "running": self.active, "kvUsed": 0, "kvTotal": 400000,
+                    "kvHandles": 0, "born": self.born,
+                }
+                return encode(200, common, json.dumps(report).encode())
+            if path == "/v1/order":
+                order = json.loads(body)
+                if order.get("stage") == self.extra["stage"]:
+                    return encode(200, common)
+                if self.switching or order.get("expectedRevision", self.orders) != self.orders:
+                    return encode(409, common)
+                self.record(f"{self.name}: order to {order.get('stage')} of {order.get('holder')}")
+                self.orders += 1
+                self.switching = True
+                asyncio.get_running_loop().call_later(self.switch_s, self._switch, order["stage"])
+                return encode(202, common)
+            if path.startswith("/v1/kv-handle/"):
+                return encode(200, common)
+        return await super().serve(first, headers, body, writer)
+
+    def _switch(self, stage):
+        self.switching = False
+        if not self.crashed:
+            self.extra["stage"] = stage
+            self.write_entry()
+
+    async def run(self, method, path, headers, body, writer, common):
+        ident = headers["x-chiveway-attempt-id"]
+        host = headers.get("x-from-host", "?")
+        named = common + [("X-Chiveway-Attempt-Id", ident)]
+        prefill = headers.get("x-chiveway-serving-stage") == "prefill"
+        parts = [part.split(":")[0] for part in headers.get("x-chiveway-prompt-prefix", "").split(",")]
+        if self.switching:
+            return encode(503, named + [("X-Chiveway-Not-Executed", "1")])
+        if prefill != (self.extra["stage"] == "prefill"):
+            return encode(421, named)
+        is_bad = self.bad_part in parts
+        self.arrivals.append((now(), ident, host, "prefill" if prefill else "run", is_bad))
+        if is_bad:
+            self.record(f"{self.name}: {'prefill' if prefill else 'run'} of {ident} with the bad part, of {host}")
+        self.active += 1
+        try:
+            if prefill:
+                await asyncio.sleep(self.read_s)
+                answer = {"kvHandle": os.urandom(6).hex(), "tokenCount": 300, "version": 1}
+                return encode(200, named + [("Content-Type", "application/json")], json.dumps(answer).encode())
+            await asyncio.sleep(self.begin_s)
+            if is_bad:
+                if not self.crashed:
+                    self.crashed = True
+                    self.record(f"{self.name} crashes on {ident}")
+                    self.crash()
+                    self.on_crash(self)
+                return None
+            head = [f"{n}: {v}" for n, v in named + [
+                ("X-Chiveway-Server-Stamp", f"{self.name}.{ident}"), ("X-Chiveway-Weight-Versions", "1"),
+                ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]]
+            writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(head) + "\r\n\r\n").encode())
+            for piece in range(1, self.pieces + 1):
+                event = f"id: {piece}\ndata: {self.name} {ident}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                if piece < self.pieces:
+                    await asyncio.sleep(self.pause_s)
+            return b"0\r\n\r\n"
+        finally:
+            self.active -= 1
+
 # Hosts of the project.
 
 
