--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -739,7 +739,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(run())
-    except (CannotRun, asyncio.TimeoutError, OSError) as err:
+    except Exception as err:
         print(f"cannot run: {err!r}", flush=True)
         sys.exit(2)
     sys.exit(1 if broken else 0)
