Log what is under way for a caller that leaves

request.ended said that a caller left, not what its server was doing for it by then, whether anything had come in answer, or how far the event loop lagged.

caller.left names the task, the times since it was sent and since anything was received, the standby, and the lag.

--- a/src/core/relay/ending.rs
+++ b/src/core/relay/ending.rs
@@ -9,9 +9,11 @@
 use super::super::key::{BackendKey, CallKey, HostKey};
 use super::super::time::Time;
 use super::super::{Core, Effects};
-use super::call::{age_ms, close_attempt};
+use super::call::{age_ms, close_attempt, task_name};
 use super::event::RelayEffect;
-use super::{RelayTimer, duty, forward, from_millis, links, millis, note, recall, retry, standby};
+use super::{
+    Attempt, RelayTimer, duty, forward, from_millis, links, millis, note, recall, retry, standby,
+};
 use crate::error::{Kind, Ran};
 
 /// Default time to retry after: half of a burst of three seconds.
@@ -30,11 +32,37 @@
 pub(super) fn caller_left(core: &mut Core, key: CallKey, out: &mut Effects) {
     let unanswered = unanswered_attempt(core, key);
     if core.relay.calls.contains_key(key) {
+        log_left(core, key, out);
         end(core, key, "caller-left", Ran::Unknown, out);
     }
     record_unanswered(core, unanswered, out);
 }
 
+/// Logs what is under way for a caller that left, and whether this host may have noticed late.
+fn log_left(core: &Core, key: CallKey, out: &mut Effects) {
+    let call = &core.relay.calls[key];
+    let attempt = call.attempt.and_then(|key| core.relay.attempts.get(key));
+    let lag = core.relay.intake.lag_since(call.arrived, core.now);
+    let since = |at: fn(&Attempt) -> Time| age_ms(core, attempt.map(at), "unsent");
+    note(
+        out,
+        log::Level::Info,
+        "caller.left",
+        vec![
+            ("id", call.id.clone()),
+            (
+                "task",
+                attempt.map_or("none", |a| task_name(&a.task)).into(),
+            ),
+            ("sent_ms", since(|attempt| attempt.sent_at)),
+            ("received_ms", since(|attempt| attempt.last_received)),
+            ("standby", call.standby.is_some().to_string().into()),
+            ("forwarded", call.is_forwarded.to_string().into()),
+            ("lag_ms", lag.as_millis().to_string().into()),
+        ],
+    );
+}
+
 /// Returns the current attempt of a request, if nothing came in answer to it for a while: server, host and time.
 fn unanswered_attempt(core: &Core, key: CallKey) -> Option<(BackendKey, Option<HostKey>, Time)> {
     let call = core.relay.calls.get(key)?;
--- a/src/core/relay/tests/standby.rs
+++ b/src/core/relay/tests/standby.rs
@@ -362,7 +362,22 @@
     assert!(next_sent(&mut site, LEFT_MS).is_some(), "nothing is moved");
 }
 
+/// The caller leaves while a silent attempt is kept beside another one.
+fn caller_left() {
+    let (mut site, first) = asked(&["a", "b"], "/feed/x", 1);
+    let second = next_sent(&mut site, LEFT_MS).expect("the stream is moved");
+    site.event(RelayEvent::CallerLeft(first.call));
+    for attempt in [first.attempt, second.attempt] {
+        let cancelled =
+            |effect: &RelayEffect| matches!(effect, RelayEffect::Cancel(key) if *key == attempt);
+        assert!(site.has_effect(cancelled), "{attempt:?} goes on");
+    }
+    assert!(site.core.relay.attempts.is_empty());
+}
+
 standby_tests! {
+    /// Guards against a silent attempt, or the one beside it, that goes on for a caller that has left.
+    neither_attempt_goes_on_for_a_caller_that_left: caller_left();
     /// Guards against a silent server that takes a begun stream back without an event.
     a_standby_goes_on_only_with_an_event: part_without_event();
     /// Guards against a silent server that is given up for an event that the caller has.
