Withdraw an unanswered request when its connection is given up

Callers that left: their requests reached servers seconds later, and ran.

Cause: the end of a connection was the regular one, after which the kernel goes on sending what the peer has not taken, for up to 4 s.

A connection whose request is given up before its answer begins is reset, and the task that writes it checks for that first. Once an answer has begun the server has the request; the regular end is used, since the kernel repeats it if it is lost, and a reset is not. The same holds for prefills, forwarded requests, standbys, recalls, orders, calls of duties and of the store, which share the pool.

--- a/src/backend/connect.rs
+++ b/src/backend/connect.rs
@@ -1,7 +1,9 @@
 //! Opening of connections, and the times for which the kernel keeps them.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,7 +58,27 @@
 }
 
 /// Sender of requests, and the guard of their connection.
-pub type OpenConnection = (SendRequest<Full<Bytes>>, oneshot::Sender<Infallible>);
+pub type OpenConnection = (SendRequest<Full<Bytes>>, ConnectionGuard);
+
+/// Closes its connection when dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    /// Whether a request was sent of whose answer nothing has arrived.
+    unanswered: Rc<Cell<bool>>,
+    _open: oneshot::Sender<Infallible>,
+}
+
+impl ConnectionGuard {
+    /// Records that a request is sent. Until its answer begins, closing the connection withdraws what the peer has not taken of it.
+    pub fn request_sent(&self) {
+        self.unanswered.set(true);
+    }
+
+    /// Records that the answer to the request has begun.
+    pub fn answer_begun(&self) {
+        self.unanswered.set(false);
+    }
+}
 
 /// Opens a connection; it is closed when the returned guard is dropped.
 pub async fn connect(addr: SocketAddr, patience: Patience) -> Result<OpenConnection, PoolError> {
@@ -83,23 +105,45 @@
         Patience::Open => socket.set_linger(Some(Duration::ZERO)),
     }
     .map_err(connect_error)?;
-    let (sender, connection) = http1::Builder::new()
+    let (sender, mut connection) = http1::Builder::new()
         .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|err| PoolError::Connect {
             reason: err.to_string().into(),
         })?;
-    let (guard, closed) = oneshot::channel();
+    let (open, closed) = oneshot::channel();
+    let unanswered = Rc::new(Cell::new(false));
+    let guard = ConnectionGuard {
+        unanswered: Rc::clone(&unanswered),
+        _open: open,
+    };
     ntex::rt::spawn(async move {
         tokio::select! {
-            result = connection => {
+            // A request that is given up is not written any more.
+            biased;
+            _ = closed => {
+                if unanswered.get() {
+                    reset(addr, &connection.into_parts().io.into_inner());
+                }
+            }
+            result = &mut connection => {
                 if let Err(err) = result {
                     log::debug!("connection to {addr} ended: {err}");
                 }
             }
-            _ = closed => {}
         }
     });
     Ok((sender, guard))
 }
+
+/// Has the kernel discard what it has not delivered of a connection, once that is closed, and reset it.
+///
+/// Otherwise it goes on sending to a peer that reads late, until [`UNACKED_TIMEOUT`], and a request is delivered that nobody waits
+/// for. A reset is not sent again if it is lost, unlike the regular end of a connection.
+fn reset(addr: SocketAddr, stream: &TcpStream) {
+    log::debug!("connection to {addr} is reset: its request was given up unanswered");
+    if let Err(err) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!("cannot discard what was sent to {addr}: {err}");
+    }
+}
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -7,7 +7,6 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::convert::Infallible;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,10 +18,9 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
 use snafu::Snafu;
-use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-use super::connect::{Patience, connect};
+use super::connect::{ConnectionGuard, Patience, connect};
 use crate::error::Ran;
 
 /// Calls that a connection remembers: a late response arrives where the next one is expected.
@@ -72,7 +70,7 @@
 /// An open connection.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    _guard: oneshot::Sender<Infallible>,
+    guard: ConnectionGuard,
     patience: Patience,
     /// Number of calls sent on it.
     calls: u64,
@@ -92,6 +90,7 @@
 impl Connection {
     /// Returns the answer to a call whose response head arrived on this connection.
     fn answered(mut self, response: Response<Incoming>, call: &Call) -> Answer {
+        self.guard.answer_begun();
         self.calls += 1;
         if let Some(id) = &call.id {
             self.recent.truncate(MAX_RECENT_CALLS - 1);
@@ -244,6 +243,7 @@
         let patience = Patience::of(call.body.len());
         // An idle connection that was closed meanwhile returns the request unsent.
         while let Some(mut connection) = self.take_idle(call, patience) {
+            connection.guard.request_sent();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(connection.answered(response, call)),
                 Err(mut err) => match err.take_message() {
@@ -261,11 +261,12 @@
             })?;
         let mut connection = Connection {
             sender,
-            _guard: guard,
+            guard,
             patience,
             calls: 0,
             recent: VecDeque::new(),
         };
+        connection.guard.request_sent();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(connection.answered(response, call)),
             Err(mut err) => Err(if err.take_message().is_some() {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -21,6 +21,7 @@
 mod late_copies;
 mod late_server;
 mod leaving;
+mod left_callers;
 mod limit;
 mod partition;
 mod parts;
