Notice a closed connection while a streamed answer is silent

Cause: the task of a connection is woken once for its end or for new bytes, and the HTTP library does not register it again while a response body has nothing to send. The same happens once a slow caller has read what was held back.

A handler that waits for content checks four times a second whether its connection is closed, on both interfaces.

--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -81,12 +81,13 @@
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<AnswerPart> {
+        let lost = || AnswerPart::Refused(Refusal::new(Kind::Internal, "the request was lost"));
         let part = match self.queue.poll(cx) {
             Poll::Ready(part) => part,
-            Poll::Pending => return Poll::Pending,
+            // The guard reports that the caller left.
+            Poll::Pending => return self.queue.poll_closed(cx).map(|()| lost()),
         };
         // The core ends every request with a final message; a channel closed without one is a bug.
-        let lost = || AnswerPart::Refused(Refusal::new(Kind::Internal, "the request was lost"));
         let part = part.unwrap_or_else(lost);
         self.guard.ended |= !matches!(part, AnswerPart::Chunk(_));
         Poll::Ready(part)
--- a/src/host/queue.rs
+++ b/src/host/queue.rs
@@ -1,13 +1,19 @@
 //! Bounded queue of the answer to one caller: slow callers must not exhaust the host's memory.
 
 use std::cell::Cell;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
 
 use ntex::io::IoRef;
 use tokio::sync::{Mutex, MutexGuard, Notify, mpsc};
+use tokio::time::{Instant, Sleep, sleep};
 
 /// Queued chunks at which the host stops reading from the engine.
 const MAX_QUEUED_CHUNKS: usize = 256;
+/// Time between two checks of whether the caller has closed its connection, while it waits for content.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Queued bytes at which it does so: chunks may be far larger than the usual hundred bytes.
 pub const MAX_QUEUED_BYTES: usize = 256 * 1024;
 
@@ -136,6 +142,7 @@
     shared: Rc<Shared>,
     /// Returns the size of a message that is content of the answer, which counts towards the bound.
     content_len: fn(&P) -> Option<usize>,
+    close_check: Pin<Box<Sleep>>,
 }
 
 impl<P> Clone for QueueSender<P> {
@@ -167,6 +174,7 @@
         rx,
         shared: Rc::clone(&shared),
         content_len,
+        close_check: Box::pin(sleep(CLOSE_CHECK_INTERVAL)),
     };
     (QueueSender { tx, shared }, receiver)
 }
@@ -219,9 +227,9 @@
 
 impl<P> QueueReceiver<P> {
     /// Receives the next message.
-    pub fn poll(&mut self, cx: &mut std::task::Context<'_>) -> std::task::Poll<Option<P>> {
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<P>> {
         let part = self.rx.poll_recv(cx);
-        if let std::task::Poll::Ready(Some(part)) = &part
+        if let Poll::Ready(Some(part)) = &part
             && let Some(bytes) = (self.content_len)(part)
         {
             let shared = &self.shared;
@@ -233,6 +241,19 @@
         }
         part
     }
+
+    /// Becomes ready once the caller has closed its connection.
+    ///
+    /// The HTTP library does not wake the task of a streamed answer for that if bytes of the next request arrived meanwhile.
+    pub fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let io = self.shared.io.as_ref();
+        while !io.is_some_and(IoRef::is_closed) {
+            std::task::ready!(self.close_check.as_mut().poll(cx));
+            let next = Instant::now() + CLOSE_CHECK_INTERVAL;
+            self.close_check.as_mut().reset(next);
+        }
+        Poll::Ready(())
+    }
 }
 
 impl<P> Drop for QueueReceiver<P> {
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -54,7 +54,8 @@
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<AnswerPart> {
         let part = match self.queue.poll(cx) {
             Poll::Ready(part) => part,
-            Poll::Pending => return Poll::Pending,
+            // The guard reports that the caller left.
+            Poll::Pending => return self.queue.poll_closed(cx).map(|()| AnswerPart::Aborted),
         };
         // The core ends every request with a final message; a channel closed without one is a bug.
         let part = part.unwrap_or(AnswerPart::Aborted);
--- a/tests/relay/left_callers.rs
+++ b/tests/relay/left_callers.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
 
 use serde_json::{Value, json};
 use socket2::{Domain, Socket, Type};
@@ -203,6 +204,29 @@
     an_untaken_stream_is_withdrawn: Some("decode"), "/short/x", &SHORT_PROMPT, BODY_BYTES;
 }
 
+/// A caller sends its next request while a stream runs, and leaves while the engine is silent. Guards against a host that learns
+/// of the close with the next event only.
+#[test]
+fn a_close_behind_a_pipelined_request_ends_a_silent_stream() {
+    let engine = Engine::model("d-1", "decode");
+    engine.hold_streams();
+    let site = site(&[("d-1", engine.entry("ready"))]);
+    let mut caller = request(&site, "/short/x", "id-1", &SHORT_PROMPT, 4);
+    let mut first = [0; 64];
+    caller
+        .read_exact(&mut first)
+        .expect("the head of an answer");
+    wait_for("all events of the stream", || engine.written() == 4);
+    let next = "GET /again/y HTTP/1.1\r\nhost: 127.0.0.1\r\nx-chiveway-attempt-id: id-2\r\n\r\n";
+    caller
+        .write_all(next.as_bytes())
+        .expect("a request is sent");
+    // The host has read it before it can read the end of the connection.
+    std::thread::sleep(Duration::from_millis(100));
+    drop(caller);
+    assert_eq!(outcome(&site, "id-1"), "caller-left");
+}
+
 /// The caller of a request leaves that its host has forwarded. Guards against a second host that goes on with it.
 #[test]
 fn a_forwarded_stream_ends_when_its_caller_leaves() {
