Check in the soak that no work goes on for callers that left

At most three may arrive, and at most a quarter be worked on, half a second later.

Planted records fail both halves of the check.

--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -23,6 +23,19 @@
     End,
 }
 
+/// Prefix of the ids of requests that a server holds, without an answer, until their connections end.
+pub const HELD_ID_PREFIX: &str = "held-run-";
+/// Prefix of those whose prefills it holds as well.
+pub const HELD_PREFILL_ID_PREFIX: &str = "held-prefill-";
+
+/// A request that a server held until its connection ended.
+#[derive(Debug, Clone)]
+pub struct HeldRequest {
+    pub id: String,
+    pub arrived: Instant,
+    pub ended: Instant,
+}
+
 /// State of a process, and what wakes those that wait for a change of it.
 pub type Shared = Arc<(Mutex<EngineState>, Condvar)>;
 
@@ -70,6 +83,8 @@
     pub part_crash: Option<Instant>,
     /// Requests with that part, prefills too: when they arrived, and their ids.
     pub part_requests: Vec<(Instant, String)>,
+    /// Requests that were held until their connections ended.
+    pub held_requests: Vec<HeldRequest>,
     /// Framing of its answers, if not the usual one.
     pub framing: Option<Framing>,
     /// Where and for how long the next answer falls silent; shared by servers of which one does.
@@ -393,6 +408,12 @@
         state.part_requests.clone()
     }
 
+    /// Returns the requests that were held until their connections ended.
+    pub fn held_requests(&self) -> Vec<HeldRequest> {
+        let state = self.shared.0.lock().expect("the engine");
+        state.held_requests.clone()
+    }
+
     /// Frames each answer from now on in this way.
     pub fn set_framing(&self, framing: Framing) {
         self.shared.0.lock().expect("the engine").framing = Some(framing);
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -1,14 +1,17 @@
 //! Answers of an engine or of a plain server.
 
 use std::fmt::Write as _;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::MutexGuard;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
-use super::engine::{EVENT_COUNT, EngineState, HEALTH_PATH, Pause, Shared, events};
+use super::engine::{
+    EVENT_COUNT, EngineState, HEALTH_PATH, HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX, HeldRequest,
+    Pause, Shared, events,
+};
 use super::http::{Request, write};
 use super::torn::Framing;
 
@@ -73,6 +76,12 @@
         return write(stream, 503, &headers, "");
     }
     let is_prefill = request.header("x-chiveway-serving-stage") == Some("prefill");
+    let is_held = attempt.starts_with(HELD_PREFILL_ID_PREFIX)
+        || attempt.starts_with(HELD_ID_PREFIX) && !is_prefill;
+    if is_held {
+        drop(state);
+        return hold(shared, attempt, stream);
+    }
     let is_poison = state.poison.as_ref() == Some(&request.body);
     if is_poison && !is_prefill {
         state.crashed = true;
@@ -105,6 +114,25 @@
     }
 }
 
+/// Longest time for which a request is held.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(30);
+
+/// Answers nothing to a request until its connection ends.
+fn hold(shared: &Shared, id: String, stream: &mut TcpStream) -> Option<()> {
+    let arrived = Instant::now();
+    stream.set_read_timeout(Some(MAX_HOLD_TIME)).ok()?;
+    // A connection that is reset has ended as well.
+    let _ended = stream.read(&mut [0]);
+    let held = HeldRequest {
+        id,
+        arrived,
+        ended: Instant::now(),
+    };
+    let mut state = shared.0.lock().expect("the engine");
+    state.held_requests.push(held);
+    None
+}
+
 /// Returns where and for how long the next answer falls silent.
 fn next_pause(state: &EngineState) -> Option<(Pause, Duration)> {
     let next = state.pause.lock().expect("the pause").take();
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -69,6 +69,21 @@
     pub fence: u64,
 }
 
+/// A request that a server held although its caller left.
+#[derive(Debug, Clone)]
+pub struct Departure {
+    pub id: String,
+    /// Time from the end of the caller's connection until the request arrived; zero if it arrived before.
+    pub arrived_after: Duration,
+    /// Time from then until the host ended the server's connection.
+    pub worked_for: Duration,
+}
+
+/// Time after the end of a caller's connection from which on work for it counts.
+const GONE_AFTER: Duration = Duration::from_millis(500);
+/// Requests that may arrive later than that.
+const MAX_LATE_ARRIVALS: usize = 3;
+
 /// Crashes by one part of prompts after which no host sends requests with it on.
 pub const CRASHES_TO_REFUSE: usize = 5;
 /// Time after the third crash under one request, or the last one that counts by a part of prompts, from which sends count as
@@ -101,6 +116,8 @@
     pub part_sends: Vec<(Duration, Duration)>,
     /// Servers that sent the events of each stream, over all attempts of its caller.
     pub streams: Vec<Vec<String>>,
+    /// Requests of callers that left.
+    pub departures: Vec<Departure>,
     /// Software version of each server.
     pub software: BTreeMap<String, String>,
     /// Services and versions that were missing after all faults had ended.
@@ -136,6 +153,7 @@
     violations.extend(late_part_sends(record));
     violations.extend(mixed_streams(record));
     violations.extend(unserved_crowd(record));
+    violations.extend(work_for_nobody(&record.departures));
     let unserved = record.unrecovered.iter();
     violations
         .extend(unserved.map(|what| format!("not served after all faults had ended: {what}")));
@@ -276,6 +294,31 @@
     })
 }
 
+/// Returns a violation if servers got requests of callers that had left, or worked on for more than a quarter of those.
+fn work_for_nobody(departures: &[Departure]) -> Vec<String> {
+    let late = departures.iter();
+    let late = late.filter(|departure| departure.arrived_after > GONE_AFTER);
+    let late: Vec<_> = late.map(|departure| &*departure.id).collect();
+    let at_work = departures.iter();
+    let at_work = at_work.filter(|departure| departure.arrived_after.is_zero());
+    let total = at_work.clone().count();
+    let longer: Vec<_> = at_work
+        .filter(|departure| departure.worked_for > GONE_AFTER)
+        .map(|departure| (&*departure.id, departure.worked_for))
+        .collect();
+    let mut violations = Vec::new();
+    if late.len() > MAX_LATE_ARRIVALS {
+        violations.push(format!("sent late for callers that had left: {late:?}"));
+    }
+    if longer.len() * 4 > total {
+        violations.push(format!(
+            "worked on for {} of {total} callers that had left: {longer:?}",
+            longer.len()
+        ));
+    }
+    violations
+}
+
 /// Returns orders of one engine that share a fencing token between two holders, or whose token decreases.
 fn conflicting_orders(orders: &[Order]) -> Vec<String> {
     let mut violations = Vec::new();
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -100,6 +100,8 @@
     pub part_senders: Mutex<BTreeMap<String, Instant>>,
     /// Servers that sent the events of each stream, over all attempts of its caller.
     pub streams: Mutex<Vec<Vec<String>>>,
+    /// Requests whose callers left, and when.
+    pub departures: Mutex<Vec<(String, Instant)>>,
     pub finished: AtomicBool,
     pub started: Instant,
 }
@@ -156,6 +158,7 @@
         });
     });
     let mut unrecovered = cluster.unrecovered();
+    cluster.pass_departures(seed);
     if !REGRESSION_SEEDS.contains(&seed) {
         cluster.pass_silences(seed);
     }
@@ -176,7 +179,7 @@
     let silent = silent.filter(|seen| seen.id.starts_with(QUIET_ID_PREFIX));
     let (served_in_crowd, read_in_crowd) = check::count_first_attempts(&record, check::IN_CROWD);
     let summary = format!(
-        "{} requests ({} beside silences), {} served, {} runs, {} orders, {} crashes under one request, {} by a part of prompts, {} streams of which {} went on, {served_in_crowd} of {read_in_crowd} read in a crowd served",
+        "{} requests ({} beside silences), {} served, {} runs, {} orders, {} crashes under one request, {} by a part of prompts, {} streams of which {} went on, {served_in_crowd} of {read_in_crowd} read in a crowd served, {} held for callers that left",
         record.observations.len(),
         silent.count(),
         served.count(),
@@ -189,7 +192,8 @@
             .streams
             .iter()
             .filter(|events| events.len() > 1)
-            .count()
+            .count(),
+        record.departures.len()
     );
     let violations = check::check(&record);
     if violations.is_empty() {
@@ -245,6 +249,7 @@
             bad_part,
             part_senders: Mutex::default(),
             streams: Mutex::default(),
+            departures: Mutex::default(),
             finished: AtomicBool::new(false),
             started: Instant::now(),
         };
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! Hosts are partitioned from all servers, in half of the seeds and once more at the end. The balancer hands most new
 //! connections to one host, among the faults and once more at the end.
 //! Servers have two software versions, and one caller takes streams up at other hosts.
+//! Then callers leave whose requests servers hold.
 //! Meanwhile one caller sends a request that crashes every server that runs it. Half of the seeds end with servers that
 //! fall silent for up to three seconds while nothing else is wrong. The requests recorded by callers and backend
 //! servers are then checked against the guarantees (`check`). Half of the seeds are run once more with a caller of
@@ -38,6 +39,7 @@
 mod check;
 mod cluster;
 mod crowd;
+mod departures;
 mod faults;
 mod inject;
 mod partition;
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::check::{
-    BESIDE_CROWD, IN_CROWD, LATE_AFTER, Observation, Order, Record, RequestKind, Run,
+    BESIDE_CROWD, Departure, IN_CROWD, LATE_AFTER, Observation, Order, Record, RequestKind, Run,
     SECOND_ATTEMPT, check,
 };
 use crate::standin;
@@ -48,6 +48,15 @@
     }
 }
 
+/// A request that arrived and was worked on for so many milliseconds after its caller had left.
+fn departure(arrived_after: u64, worked_for: u64) -> Departure {
+    Departure {
+        id: "id-1".to_owned(),
+        arrived_after: Duration::from_millis(arrived_after),
+        worked_for: Duration::from_millis(worked_for),
+    }
+}
+
 /// Defines one test for each case: a record, and a part of the violation that the checker must report.
 macro_rules! planted {
     ($($name:ident: $record:expr => $message:expr;)*) => {$(
@@ -127,6 +136,14 @@
         after_drain: vec!["id-1 at s-1".to_owned()],
         ..Record::default()
     } => "draining server";
+    requests_that_arrive_for_callers_that_left: Record {
+        departures: vec![departure(600, 600); 4],
+        ..Record::default()
+    } => "sent late for callers that had left";
+    work_that_goes_on_for_callers_that_left: Record {
+        departures: [vec![departure(0, 600); 3], vec![departure(0, 100); 7]].concat(),
+        ..Record::default()
+    } => "worked on for 3 of 10 callers";
     a_request_that_goes_on_crashing_servers: Record {
         poison_crashes: [0, 1, 2, 6, 7, 8, 9]
             .map(|at| (Duration::from_secs(at), LATE_AFTER))
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -9,6 +9,7 @@
 use crate::cluster::{Cluster, Server};
 use crate::parts::PART_ID_PREFIX;
 use crate::poison::POISON_ID_PREFIX;
+use crate::standin::engine::{HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX};
 use crate::streams::STREAM_ID_PREFIX;
 
 impl Cluster {
@@ -34,6 +35,7 @@
                 .iter()
                 .map(|at| *at - self.started)
                 .collect(),
+            departures: self.departures(),
             part_sends: self.part_sends().iter().map(since_start).collect(),
             ..Record::default()
         };
@@ -71,7 +73,14 @@
     let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
     let id = id.unwrap_or_default().to_owned();
     let is_prefill = head.contains("x-chiveway-serving-stage: prefill");
-    let unobserved = ["probe-", POISON_ID_PREFIX, PART_ID_PREFIX, STREAM_ID_PREFIX];
+    let unobserved = [
+        "probe-",
+        POISON_ID_PREFIX,
+        PART_ID_PREFIX,
+        STREAM_ID_PREFIX,
+        HELD_ID_PREFIX,
+        HELD_PREFILL_ID_PREFIX,
+    ];
     let is_observed = !unobserved.iter().any(|prefix| id.starts_with(prefix));
     if is_prefill || !is_observed || path.starts_with("/v1/") {
         return;
