Walk through kills of all hosts while two software versions serve

A system like ours joined texts of two versions when all its hosts were killed while two versions were in use, or the old one had just left.

--- a/src/core/relay/tests/versions/mod.rs
+++ b/src/core/relay/tests/versions/mod.rs
@@ -1,5 +1,6 @@
 //! Streams of a service whose servers have several software versions.
 
+mod kills;
 mod site;
 
 use super::*;
