Withdraw calls of the product's own interface when they are given up

Its connections discard what is not delivered when they are closed, orders with a connection of their own included: until now these bounded the time for which the kernel repeats them, and a late one could still arrive within it.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -171,7 +171,7 @@
     /// Returns the library's error if the connector cannot be built.
     pub async fn new(opts: Options) -> Result<Self, ntex::client::error::ClientBuilderError> {
         let age = u16::try_from(opts.max_age.as_secs().max(1)).unwrap_or(u16::MAX);
-        let connector = Connector::new()
+        let connector = single_use::withdrawing_connector(opts.connect_timeout)
             .limit(MAX_CONNECTIONS)
             .keep_alive(CLIENT_IDLE_TIMEOUT)
             .lifetime(Seconds(age));
--- a/src/backend/tests.rs
+++ b/src/backend/tests.rs
@@ -1,10 +1,13 @@
-//! Tests of the server-sent event parser, and of errors of connections.
+//! Tests of the server-sent event parser, of errors of connections, and of calls that are given up.
 
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
 
 use proptest::prelude::*;
 use snafu::Snafu;
 
+use super::client::{Call, Client, Options};
 use super::pool::is_timed_out;
 use super::sse::{Event, Parser, SseError};
 
@@ -101,3 +104,39 @@
     assert!(is_timed_out(&broken(ErrorKind::TimedOut)));
     assert!(!is_timed_out(&broken(ErrorKind::ConnectionReset)));
 }
+
+/// Size of a body that a server does not take while it reads nothing.
+const BODY_BYTES: usize = 1 << 20;
+
+/// A caller leaves while a server reads nothing. Guards against a request that reaches the server later, since the kernel goes on
+/// sending it.
+#[ntex::test]
+async fn a_call_that_is_given_up_is_withdrawn() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("a socket");
+    socket.set_recv_buffer_size(2048).expect("a small buffer");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a free port");
+    socket.listen(8).expect("a listener");
+    let listener = TcpListener::from(socket);
+    let addr = listener.local_addr().expect("an address");
+    let client = Client::new(Options::default()).await.expect("a client");
+    let call = Call {
+        method: "POST",
+        addr,
+        path: "/x",
+        headers: &[],
+        body: vec![0; BODY_BYTES].into(),
+    };
+    let given_up = tokio::time::timeout(Duration::from_millis(100), client.call(call)).await;
+    assert!(given_up.is_err(), "answered: {given_up:?}");
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let mut received = Vec::new();
+    let reader = tokio::task::spawn_blocking(move || {
+        // A connection that is reset has ended as well.
+        let _ended = stream.read_to_end(&mut received);
+        received.len()
+    });
+    let received = reader.await.expect("the bytes received");
+    assert!(received < BODY_BYTES, "{received} bytes arrived");
+}
