--- a/src/core/relay/ending.rs
+++ b/src/core/relay/ending.rs
@@ -43,6 +43,7 @@
     let call = &core.relay.calls[key];
     let attempt = call.attempt.and_then(|key| core.relay.attempts.get(key));
     let lag = core.relay.intake.lag_since(call.arrived, core.now);
+    let task = attempt.map_or("none", |attempt| task_name(&attempt.task));
     let since = |at: fn(&Attempt) -> Time| age_ms(core, attempt.map(at), "unsent");
     note(
         out,
@@ -50,10 +51,7 @@
         "caller.left",
         vec![
             ("id", call.id.clone()),
-            (
-                "task",
-                attempt.map_or("none", |a| task_name(&a.task)).into(),
-            ),
+            ("task", task.into()),
             ("sent_ms", since(|attempt| attempt.sent_at)),
             ("received_ms", since(|attempt| attempt.last_received)),
             ("standby", call.standby.is_some().to_string().into()),
--- a/src/host/queue.rs
+++ b/src/host/queue.rs
@@ -12,10 +12,10 @@
 
 /// Queued chunks at which the host stops reading from the engine.
 const MAX_QUEUED_CHUNKS: usize = 256;
-/// Time between two checks of whether the caller has closed its connection, while it waits for content.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Queued bytes at which it does so: chunks may be far larger than the usual hundred bytes.
 pub const MAX_QUEUED_BYTES: usize = 256 * 1024;
+/// Time between two checks of whether the caller has closed its connection, while it waits for content.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Number of bytes that the host holds for all callers, and its bound.
 #[derive(Debug, Clone, Default)]
@@ -142,6 +142,7 @@
     shared: Rc<Shared>,
     /// Returns the size of a message that is content of the answer, which counts towards the bound.
     content_len: fn(&P) -> Option<usize>,
+    /// Timer of the next check of the caller's connection.
     close_check: Pin<Box<Sleep>>,
 }
 
