Compare each promise to a caller with the bytes that were written

Callers take 408, 421, 429 and 503 as a promise: the request did not run, and never will. The core makes it by a count of runs that is taken back in five places, when an attempt is reported as not run. Nothing compared that count with what was written to connections, and a refusal in the log did not say what it rested on, so that a wrong count could not be told from a server's unstated refusal.

The pool now counts the connections that a request was handed to, and takes one off when the HTTP library gives the request back unwritten; the adapters count the sends that were refused with a statement, after the response is known to be the request's own. A refusal that promises "not run" while a send is without such a statement is answered 502, logged as `refusal.unproven` with both counts, and counted in `chiveway_unproven_refusals_total`. Prefills are no runs and are not counted.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -7,6 +7,7 @@
 mod connect;
 mod engine;
 pub mod pool;
+mod sends;
 mod single_use;
 mod sse;
 mod stream;
@@ -18,6 +19,7 @@
     Action, CacheEvent, CacheOp, EngineLoad, OrderError, PrefillResult, fetch_cache_events,
     fetch_load, prefill, send_order,
 };
+pub use sends::SendCount;
 pub use single_use::{SendCheck, SingleUse};
 pub use sse::{Event, Parser, SseError};
 pub use stream::{Chunk, ReadError, Stream, open};
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -20,6 +20,7 @@
 use snafu::Snafu;
 use tokio::time::{Instant, timeout};
 
+use super::SendCount;
 use super::connect::{ConnectionGuard, Patience, connect};
 use crate::error::Ran;
 
@@ -239,15 +240,34 @@
     /// Returns [`PoolError::Connect`] if no byte of the call was handed to a connection, and
     /// [`PoolError::Broken`] if the connection broke afterwards.
     pub async fn send(&self, call: &Call, connect_timeout: Duration) -> Result<Answer, PoolError> {
+        self.send_counted(call, connect_timeout, &SendCount::default())
+            .await
+    }
+
+    /// Does the same, and counts the connections that the call is handed to.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::send`].
+    pub async fn send_counted(
+        &self,
+        call: &Call,
+        connect_timeout: Duration,
+        sends: &SendCount,
+    ) -> Result<Answer, PoolError> {
         let mut request = call.request()?;
         let patience = Patience::of(call.body.len());
         // An idle connection that was closed meanwhile returns the request unsent.
         while let Some(mut connection) = self.take_idle(call, patience) {
             connection.guard.request_sent();
+            sends.handed();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(connection.answered(response, call)),
                 Err(mut err) => match err.take_message() {
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        sends.returned();
+                        request = unsent;
+                    }
                     None => return Err(connection_broken(&err.into_error())),
                 },
             }
@@ -267,9 +287,11 @@
             recent: VecDeque::new(),
         };
         connection.guard.request_sent();
+        sends.handed();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(connection.answered(response, call)),
             Err(mut err) => Err(if err.take_message().is_some() {
+                sends.returned();
                 PoolError::Connect {
                     reason: "the connection closed before the request was handed to it".into(),
                 }
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -350,6 +350,8 @@
         /// Kind of the call under way.
         reader: &'static str,
     },
+    /// A refusal promised that a request did not run, although sends of it may have run.
+    UnprovenRefusal,
     /// A read or watch of the store was abandoned as lost.
     StoreCallLost,
     /// An order was sent to an engine.
--- a/src/core/relay/event/mod.rs
+++ b/src/core/relay/event/mod.rs
@@ -6,6 +6,7 @@
 mod notice;
 mod order;
 mod stream;
+mod unproven;
 mod versions;
 
 use std::net::SocketAddr;
@@ -30,6 +31,7 @@
 pub use notice::{NamedLimit, NamedPushback, Notices};
 pub use order::{EngineReport, OrderResult, StageOrder};
 pub use stream::{Framing, StreamEnd};
+pub use unproven::UnprovenRefusal;
 pub use versions::{StreamMessage, StreamQuery, StreamRecord, StreamReply};
 
 /// One event about relayed requests.
@@ -61,6 +63,8 @@
     },
     /// A response arrived that belongs to another request than the one under way on its connection.
     ForeignResponse(Box<ForeignResponse>),
+    /// A caller was not told that its request did not run, since sends of it may have run.
+    UnprovenRefusal(Box<UnprovenRefusal>),
     /// The head of an answer from the backend server itself arrived.
     Noticed {
         /// The attempt.
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -45,6 +45,7 @@
 mod standby;
 #[cfg(test)]
 mod tests;
+mod unproven;
 pub mod versions;
 mod view;
 
@@ -213,6 +214,7 @@
         RelayEvent::Arrived(arrival) => call::arrived(core, *arrival, out),
         RelayEvent::CallerLeft(key) => ending::caller_left(core, key, out),
         RelayEvent::ForeignResponse(response) => foreign::received(&response, out),
+        RelayEvent::UnprovenRefusal(refusal) => unproven::withheld(&refusal, out),
         RelayEvent::Noticed { attempt, notices } => {
             links::attempt_received(core, attempt, out);
             notice::answered(core, attempt, notices, out);
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -59,7 +59,7 @@
     links_lost: Gauge<u64>,
     scaling: ScalingGauges,
     fair_shares: FairShareMetrics,
-    foreign_responses: Counter<u64>,
+    responses: ResponseMetrics,
     forwarded: Counter<u64>,
     taken_up: Counter<u64>,
     last_calls: Cell<CallCounts>,
@@ -67,6 +67,32 @@
     named_customers: RefCell<Vec<Box<str>>>,
 }
 
+/// Metric instruments of what is believed of responses.
+#[derive(Debug)]
+struct ResponseMetrics {
+    foreign: Counter<u64>,
+    unproven: Counter<u64>,
+}
+
+impl ResponseMetrics {
+    fn new(meter: &OtelMeter) -> Self {
+        let foreign = meter.u64_counter("chiveway_foreign_responses");
+        let unproven = meter.u64_counter("chiveway_unproven_refusals");
+        Self {
+            foreign: foreign
+                .with_description(
+                    "Responses that belong to another request than the one under way on their connection",
+                )
+                .build(),
+            unproven: unproven
+                .with_description(
+                    "Refusals that were not passed on as not run, since the request may have run",
+                )
+                .build(),
+        }
+    }
+}
+
 /// Metric instruments of fair shares.
 #[derive(Debug)]
 struct FairShareMetrics {
@@ -253,10 +279,7 @@
                 "chiveway_requests_forwarded",
                 "Requests forwarded to other hosts",
             ),
-            foreign_responses: counter(
-                "chiveway_foreign_responses",
-                "Responses that belong to another request than the one under way on their connection",
-            ),
+            responses: ResponseMetrics::new(&meter),
             registry,
             _provider: provider,
             last_calls: Cell::default(),
@@ -311,8 +334,10 @@
             Meter::Forwarded { class } => self.forwarded.add(1, &[label("class", class)]),
             Meter::Retried { class } => self.retries.add(1, &[label("class", class)]),
             Meter::ForeignResponse { reader } => self
-                .foreign_responses
+                .responses
+                .foreign
                 .add(1, &[KeyValue::new("reader", *reader)]),
+            Meter::UnprovenRefusal => self.responses.unproven.add(1, &[]),
             Meter::StoreCallLost => self.calls_lost.add(1, &[]),
             Meter::OrderSent { pool } => self.orders.add(1, &[label("pool", pool)]),
         }
--- a/src/host/relay/backends.rs
+++ b/src/host/relay/backends.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use super::events::Splitter;
+use super::evidence::Evidence;
 use super::{EventPayload, Head, Prepared, apply, apply_with, identity, progress};
 use crate::backend::pool::{self, Answer, Call, ConnectionPool, PoolError};
 use crate::core::event::AttemptFailure;
@@ -140,10 +141,21 @@
     }
 }
 
+/// Returns the record of a request's sends; `None` if the request has ended. A prefill is no run and has a record of its own.
+fn evidence(node: &Rc<Node>, out: &Outgoing) -> Option<Rc<Evidence>> {
+    match out.task {
+        Task::Prefill => Some(Rc::default()),
+        Task::Whole | Task::Decode { .. } => node.relay.evidence(out.call),
+    }
+}
+
 async fn exchange(node: &Rc<Node>, out: &Outgoing) -> Result<(), FailedAttempt> {
     let Some(prepared) = node.relay.prepared(out.call) else {
         return Ok(());
     };
+    let Some(evidence) = evidence(node, out) else {
+        return Ok(());
+    };
     let call = build_call(&prepared, out);
     let source = Source {
         call: out.call,
@@ -151,7 +163,11 @@
         max_idle: out.max_idle,
         pool: &node.relay.channels,
     };
-    let answer = node.relay.channels.send(&call, CONNECT_TIMEOUT).await?;
+    let sends = &evidence.sends;
+    let answer = source
+        .pool
+        .send_counted(&call, CONNECT_TIMEOUT, sends)
+        .await?;
     let status = answer.response.status().as_u16();
     let headers = as_bytes(answer.response.headers());
     let reply = header::decode_answer(status, &headers);
@@ -179,6 +195,7 @@
         );
     }
     if reply.not_run {
+        evidence.not_run();
         drain_and_release(answer, source, reply.keep_alive);
         let end = if status == MISDIRECTED {
             AttemptFailure::Rejected
--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -224,6 +224,9 @@
     let Some(prepared) = node.relay.prepared(out.call) else {
         return Ok(());
     };
+    let Some(evidence) = node.relay.evidence(out.call) else {
+        return Ok(());
+    };
     let Some(secret) = node.relay.secret.get() else {
         let detail = "the secret of the hosts is not known";
         return Err(FailedAttempt::unsent(detail));
@@ -235,7 +238,11 @@
         pool: &node.relay.hosts,
     };
     let call = build_call(&prepared, out, &secret);
-    let answer = source.pool.send(&call, CONNECT_TIMEOUT).await?;
+    let sends = &evidence.sends;
+    let answer = source
+        .pool
+        .send_counted(&call, CONNECT_TIMEOUT, sends)
+        .await?;
     let status = answer.response.status().as_u16();
     let headers = as_bytes(answer.response.headers());
     let mut reply = header::decode_answer(status, &headers);
@@ -250,12 +257,16 @@
         return Err(foreign.into());
     }
     if let Some(refusal) = refusal {
+        if refusal.ran == Ran::No {
+            evidence.not_run();
+        }
         drain_and_release(answer, source, reply.keep_alive);
         let attempt = out.attempt;
         apply(node, RelayEvent::ForwardRefused { attempt, refusal });
         return Ok(());
     }
     if status == MISDIRECTED {
+        evidence.not_run();
         drain_and_release(answer, source, reply.keep_alive);
         let detail = format!("another server has the address of host {}", out.to);
         return Err(FailedAttempt::unsent(&detail));
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -7,6 +7,7 @@
 mod duties;
 pub mod event_log;
 mod events;
+mod evidence;
 pub mod forward;
 mod identity;
 mod probes;
@@ -34,6 +35,7 @@
 use crate::core::relay::event::{Arrival, RelayEffect, RelayEvent};
 use crate::platform::header::Header;
 use crate::store::CallCounts;
+use evidence::Evidence;
 
 /// A request as it is sent to backend servers.
 #[derive(Debug, Clone)]
@@ -88,6 +90,7 @@
 struct OpenCall {
     queue: QueueSender<AnswerPart>,
     prepared: Rc<Prepared>,
+    evidence: Rc<Evidence>,
     head_sent: Cell<bool>,
 }
 
@@ -146,6 +149,11 @@
         calls.get(call).map(|open| Rc::clone(&open.prepared))
     }
 
+    fn evidence(&self, call: CallKey) -> Option<Rc<Evidence>> {
+        let calls = self.open_calls.borrow();
+        calls.get(call).map(|open| Rc::clone(&open.evidence))
+    }
+
     fn queue(&self, call: CallKey) -> Option<QueueSender<AnswerPart>> {
         let calls = self.open_calls.borrow();
         calls.get(call).map(|open| open.queue.clone())
@@ -242,6 +250,7 @@
     *node.relay.arriving.borrow_mut() = Some(OpenCall {
         queue,
         prepared: Rc::new(prepared),
+        evidence: Rc::default(),
         head_sent: Cell::new(false),
     });
     apply(node, RelayEvent::Arrived(Box::new(arrival)));
@@ -295,6 +304,7 @@
         RelayEffect::Finish(call) => adapters.finish_stream(call),
         RelayEffect::AbortAnswer(call) => adapters.abort_answer(call),
         RelayEffect::Refuse { call, refusal } => {
+            let refusal = evidence::checked(node, call, refusal);
             adapters.finish(call, AnswerPart::Refused(refusal));
         }
         RelayEffect::FreeCache {
