Walk through random outcomes of sends, and check each promise

The core promises that a request did not run by a count of runs. Its tests hold single cases; none combined refusals, lost connections, silences, standbys, forwarded requests, lost links, servers that start again and a stop, and compared what callers are told with what became of each send.

`no_promise_without_proof` keeps its own record of the sends that may have run, for one host with plain servers, engines and three other hosts. It fails if a refusal says "not run" while one is left, if a request that may not repeat is sent beside one, or if an answer with a status that callers read as "did not run" is passed on.

--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -26,6 +26,7 @@
 mod planner;
 mod poison;
 mod prefix_cache;
+mod promises;
 mod pushback;
 mod recall;
 mod register;
