Release an unreading server once its connections are reset

The cause is the test: it let the server read as soon as `caller.left` was in the log, and the host resets the connection some microseconds later. A server that was quicker got the last request whole.

The test now waits until the kernel of the server has seen the reset of each connection, and counts the requests that arrive whole as before.

--- a/tests/relay/left_callers.rs
+++ b/tests/relay/left_callers.rs
@@ -29,6 +29,8 @@
     stage: Option<&'static str>,
     released: Arc<(Mutex<bool>, Condvar)>,
     received: Received,
+    /// Connections that the host has not reset.
+    open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Unreading {
@@ -44,9 +46,13 @@
         let addr = listener.local_addr().expect("an address");
         let released = Arc::new((Mutex::new(false), Condvar::new()));
         let received = Received::default();
+        let open = Arc::<Mutex<Vec<TcpStream>>>::default();
         let (gate, seen) = (Arc::clone(&released), Arc::clone(&received));
+        let accepted = Arc::clone(&open);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                let copy = stream.try_clone().expect("a descriptor");
+                accepted.lock().expect("the connections").push(copy);
                 let (gate, seen) = (Arc::clone(&gate), Arc::clone(&seen));
                 std::thread::spawn(move || read_later(stream, &gate, &seen));
             }
@@ -56,6 +62,7 @@
             stage,
             released,
             received,
+            open,
         }
     }
 
@@ -66,6 +73,18 @@
             "born": 1})
     }
 
+    /// Waits until the host has made so many connections and reset them.
+    fn wait_for_resets(&self, count: usize) {
+        let mut resets = 0;
+        wait_for("the host to reset its connections", || {
+            let mut open = self.open.lock().expect("the connections");
+            let before = open.len();
+            open.retain(|stream| !matches!(stream.take_error(), Ok(Some(_))));
+            resets += before - open.len();
+            resets >= count
+        });
+    }
+
     fn release(&self) {
         *self.released.0.lock().expect("the gate") = true;
         self.released.1.notify_all();
@@ -180,6 +199,8 @@
         drop(caller);
         assert_eq!(outcome(&site, id), "caller-left");
     }
+    // The host resets a connection a moment after it has logged that the caller left.
+    server.wait_for_resets(3);
     server.release();
     wait_for("the ends of the connections", || server.ended() >= 3);
     server.whole_requests()
