--- a/src/core/relay/tests/promises.rs
+++ b/src/core/relay/tests/promises.rs
@@ -66,10 +66,12 @@
     requests: BTreeMap<CallKey, Request>,
     sends: BTreeMap<AttemptKey, Send>,
     counts: Counts,
+    /// What is reported of connections that break: `Ran::No` is false.
+    broken: Ran,
 }
 
 impl Walk {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, broken: Ran) -> Self {
         let mut site = TestHost::with_engines();
         site.register(["a", "b", "c"].map(plain_entry).to_vec());
         for (number, host) in (1..).zip(HOSTS) {
@@ -82,6 +84,7 @@
             requests: BTreeMap::new(),
             sends: BTreeMap::new(),
             counts: Counts::default(),
+            broken,
         }
     }
 
@@ -216,7 +219,7 @@
                 ];
                 let how = ends[self.rng.random_range(0..ends.len())];
                 self.sends.remove(&attempt);
-                self.site.fail_attempt(attempt, Ran::Unknown, how);
+                self.site.fail_attempt(attempt, self.broken, how);
             }
             _ if send.target == Target::Prefill => {
                 self.sends.remove(&attempt);
@@ -359,7 +362,7 @@
     let seeds = std::env::var("PROMISE_SEEDS").ok();
     let seeds = seeds.and_then(|seeds| seeds.parse().ok());
     for seed in 1..=seeds.unwrap_or(DEFAULT_SEEDS) {
-        let counts = Walk::new(seed).run();
+        let counts = Walk::new(seed, Ran::Unknown).run();
         let least = [
             counts.refused_after_sends,
             counts.unknown,
@@ -371,3 +374,10 @@
         assert!(is_covered, "seed {seed}: {counts:?}");
     }
 }
+
+/// Guards against a check that cannot fail: broken connections are reported as not run.
+#[test]
+#[should_panic(expected = "unproven: 1")]
+fn a_false_report_is_noticed() {
+    Walk::new(1, Ran::No).run();
+}
