Write answers to other hosts before a stopping host exits

A host that has lost its links to servers forwards its callers' requests to another host. When that host was stopped in a planned way, the caller of the first one got 502 for a request that had run to a good end, or a stream without its last bytes. Neither retry nor refusal helps such a caller: the request may not be repeated.

The process ended once its own callers' connections were closed and the core had no request left. The core's request ends when the answer is handed to the connection, not when it is written; for callers the wait for closed connections covers that gap, but connections of hosts were not waited for.

The stop now counts as idle when both listeners have closed their last connection. Idle connections of hosts are closed after the same grace as callers', so the wait has no end of its own.

Evidence: a_stop_writes_the_last_forwarded_answer failed before with 502, "error reading a body from connection", 4.2 s after the request was sent; the answer of 12 MiB is larger than the buffers of a connection.

--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -466,6 +466,6 @@
 pub enum StopEvent {
     /// The stop was requested.
     Begin,
-    /// Every connection of a caller is closed.
+    /// Every connection of a caller, or of a host that forwards requests, is closed.
     Idle,
 }
--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -34,7 +34,7 @@
 #[derive(Debug, Default)]
 pub struct Stop {
     started: Option<Time>,
-    /// Whether every connection of a caller is closed.
+    /// Whether every connection of a caller, or of a host that forwards requests, is closed.
     idle: bool,
     phase: Phase,
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -141,16 +141,21 @@
     let (ended, running) = watch::channel(false);
 
     let (gate, handler) = (Rc::clone(&node), Rc::clone(&node));
-    let serve = web::serve_admitted(
+    let serve_callers = web::serve_admitted(
         callers,
         RELAY_GRACE,
         closed.clone(),
         move || relay::admit_connection(&gate),
         move |req| relay::callers::handle(Rc::clone(&handler), req),
     );
+    let handler = Rc::clone(&node);
+    let serve_hosts = web::serve(forwards, RELAY_GRACE, closed, move |req| {
+        relay::callers::handle_forwarded(Rc::clone(&handler), req)
+    });
     let served = Rc::clone(&node);
     ntex::rt::spawn(async move {
-        serve.await;
+        // The core's last request ends before its answer is written, to a caller as to another host.
+        tokio::join!(serve_callers, serve_hosts);
         served.apply(Event::Stop(StopEvent::Idle));
     });
     let handler = Rc::clone(&node);
@@ -174,10 +179,6 @@
         },
     ));
     ntex::rt::spawn(relay::datagrams::receive(Rc::clone(&node), Rc::new(socket)));
-    let handler = Rc::clone(&node);
-    ntex::rt::spawn(web::serve(forwards, RELAY_GRACE, closed, move |req| {
-        relay::callers::handle_forwarded(Rc::clone(&handler), req)
-    }));
     ntex::rt::spawn(timer::run(Rc::clone(&node)));
     let reloaded = Rc::clone(&node);
     ntex::rt::spawn(async move {
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -38,6 +38,7 @@
 #[expect(dead_code, reason = "shared with the soak, which uses all of it")]
 mod standin;
 mod stop;
+mod stop_forwarded;
 mod unstated;
 mod versions;
 mod watcher;
--- a/tests/relay/partition.rs
+++ b/tests/relay/partition.rs
@@ -1,7 +1,7 @@
 //! Hosts that are partitioned from all servers, while callers, the store and the other hosts reach them.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use serde_json::{Value, json};
@@ -32,7 +32,7 @@
 
 /// A host with links of its own to each server.
 pub struct Host {
-    process: Process,
+    pub process: Process,
     pub callers: SocketAddr,
     readiness: SocketAddr,
     folder: TempDir,
@@ -104,7 +104,7 @@
     pub store: Store,
     pub hosts: Vec<Host>,
     pub engines: Vec<Engine>,
-    sent: Cell<usize>,
+    sent: AtomicUsize,
 }
 
 impl Site {
@@ -127,7 +127,7 @@
             store,
             hosts,
             engines,
-            sent: Cell::new(0),
+            sent: AtomicUsize::new(0),
         };
         for host in &site.hosts {
             wait_for("every server and host at each host", || {
@@ -144,9 +144,14 @@
     }
 
     /// Sends a request with an id and a body of its own; returns its id and its answer.
-    fn send(&self, host: &Host, path: &str, deadline_ms: &str) -> (String, Option<http::Answer>) {
-        self.sent.set(self.sent.get() + 1);
-        let id = format!("id-{}", self.sent.get());
+    pub fn send(
+        &self,
+        host: &Host,
+        path: &str,
+        deadline_ms: &str,
+    ) -> (String, Option<http::Answer>) {
+        let number = self.sent.fetch_add(1, Ordering::Relaxed) + 1;
+        let id = format!("id-{number}");
         let mut headers = vec![
             ("x-chiveway-attempt-id", &*id),
             ("x-chiveway-deadline-ms", deadline_ms),
