Count a stop's time from the signal across pauses

A host that stands still around its SIGTERM (it is frozen, starved, or its machine swaps) went on taking requests that the platform, which counts from the signal, would cut when it killed the host: with no answer, and with no line in the host's log.

Two causes, both a clock read at the wrong moment. Whether new requests are refused depended on the phase that a timer sets, and after a pause requests can be handled before that timer. And the stop began when the signal was handled, which after a pause may be seconds after it was sent.

Requests are now refused by the clock. The stop begins at the earliest moment at which the signal may have been sent: where the event loop has just lagged, the begin of the lag. An eighth of the time is left in any case.

Evidence: the three tests in relay/tests/stop.rs failed before with "the request was sent".

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -55,7 +55,7 @@
         refuse(core, key, Refusal::new(Kind::Overloaded, detail), out);
         return;
     }
-    if core.stop.is_closed() {
+    if core.stop.is_closed(core.now) {
         let detail = "this host is shutting down";
         let refusal = Refusal::new(Kind::Stopping, detail).with_retry_after(OTHER_HOST_RETRY_AFTER);
         refuse(core, key, refusal, out);
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -38,6 +38,7 @@
 mod silence;
 mod stages;
 mod standby;
+mod stop;
 mod stream;
 mod versions;
 mod view;
--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -30,10 +30,20 @@
 /// Time to write final answers after requests were abandoned.
 const FINAL_WRITE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time after a pause of the process within which a signal may have arrived during the pause: what
+/// arrived meanwhile is handled in any order.
+const PAUSE_WINDOW: Duration = Duration::from_millis(100);
+
+/// Divisor that gives the part of the stop's time that is left after any pause: the platform would
+/// have killed a host that has used all of it.
+const MIN_LEFT_DIVISOR: u32 = 8;
+
 /// Progress of a planned stop.
 #[derive(Debug, Default)]
 pub struct Stop {
     started: Option<Time>,
+    /// When the listeners close.
+    closes_at: Option<Time>,
     /// Whether every connection of a caller, or of a host that forwards requests, is closed.
     idle: bool,
     phase: Phase,
@@ -60,10 +70,11 @@
         self.started.is_some()
     }
 
-    /// Returns whether the listeners are closed.
+    /// Returns whether the time for new requests is over. The listeners may still be open: after a
+    /// pause of the process, requests are handled before the timer.
     #[must_use]
-    pub fn is_closed(&self) -> bool {
-        self.phase >= Phase::Closed
+    pub fn is_closed(&self, now: Time) -> bool {
+        self.closes_at.is_some_and(|at| at <= now)
     }
 }
 
@@ -80,7 +91,8 @@
 }
 
 fn begin(core: &mut Core, out: &mut Effects) {
-    core.stop.started = Some(core.now);
+    let since = signalled_at(core);
+    core.stop.started = Some(since);
     let running = running(core);
     log_step(
         core,
@@ -95,9 +107,10 @@
     } else {
         DRAIN_NOTICE
     };
-    let notice = notice.min(core.settings.limits.stop_timeout / 3);
+    let closes_at = since.after(notice.min(core.settings.limits.stop_timeout / 3));
+    core.stop.closes_at = Some(closes_at);
     out.push(Effect::SetTimer {
-        at: core.now.after(notice),
+        at: closes_at,
         timer: Timer::Stop,
     });
     // From here on peers skip this host; its shards and loans move while it still answers.
@@ -108,6 +121,17 @@
     finish_if_idle(core, out);
 }
 
+/// Returns the earliest time at which the signal may have been sent.
+///
+/// The platform counts from then, also while the process stands still.
+fn signalled_at(core: &Core) -> Time {
+    let stop = core.settings.limits.stop_timeout;
+    let recent = core.now.before(PAUSE_WINDOW);
+    let pause = core.relay.intake.lag_since(recent, core.now);
+    core.now
+        .before(pause.min(stop.saturating_sub(stop / MIN_LEFT_DIVISOR)))
+}
+
 /// Returns the number of requests that this host is serving.
 fn running(core: &Core) -> usize {
     core.requests.arena.len() + core.relay.calls.len()
