Bound what one poll reads of a connection, and bytes without use

Callers saw no answer for half a minute while one server answered another request with informational responses without end; readiness checks and timers stood still too. Other operators reported requests of other clients that ended with such a flood.

The HTTP library reads and parses in one poll for as long as it finds neither a final head nor a part of a body. A trace of the host's system calls during the flood has 65 reads of 516,096 bytes one after the other in 12 s without a wait for events between them. The digits of a chunk's size, with leading zeros, have no bound either.

Each connection of the pool is now read through a wrapper that takes 64 KiB at most in one read and then lets the other tasks run, so that timers fire. 512 KiB that bring neither a final head nor a part of a body end the connection; the caller gets 502, as the request may have run. The largest legal head is 408 KiB, and the library never has more than one part of a body in hand, so that no sound answer reaches the bound. The reason of a broken connection now names its cause, so that the log tells these apart.

The new tests demand exactly 502.

--- a/src/backend/connect.rs
+++ b/src/backend/connect.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
+use super::bounded::{BoundedStream, UnusedBytes};
 use super::pool::PoolError;
 
 /// Time without a TCP acknowledgement after which the kernel closes a connection.
@@ -65,6 +66,7 @@
 pub struct ConnectionGuard {
     /// Whether a request was sent of whose answer nothing has arrived.
     unanswered: Rc<Cell<bool>>,
+    unused: UnusedBytes,
     _open: oneshot::Sender<Infallible>,
 }
 
@@ -72,11 +74,18 @@
     /// Records that a request is sent. Until its answer begins, closing the connection withdraws what the peer has not taken of it.
     pub fn request_sent(&self) {
         self.unanswered.set(true);
+        self.unused.reset();
     }
 
     /// Records that the answer to the request has begun.
     pub fn answer_begun(&self) {
         self.unanswered.set(false);
+        self.unused.reset();
+    }
+
+    /// Records that a part of the answer's body was received.
+    pub fn part_received(&self) {
+        self.unused.reset();
     }
 }
 
@@ -105,6 +114,8 @@
         Patience::Open => socket.set_linger(Some(Duration::ZERO)),
     }
     .map_err(connect_error)?;
+    let unused = UnusedBytes::default();
+    let stream = BoundedStream::new(stream, addr, unused.clone());
     let (sender, mut connection) = http1::Builder::new()
         .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(stream))
@@ -116,6 +127,7 @@
     let unanswered = Rc::new(Cell::new(false));
     let guard = ConnectionGuard {
         unanswered: Rc::clone(&unanswered),
+        unused,
         _open: open,
     };
     ntex::rt::spawn(async move {
@@ -124,7 +136,7 @@
             biased;
             _ = closed => {
                 if unanswered.get() {
-                    reset(addr, &connection.into_parts().io.into_inner());
+                    reset(addr, connection.into_parts().io.inner().get_ref());
                 }
             }
             result = &mut connection => {
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -3,6 +3,7 @@
 //! Every failed call reports whether the request may have run. "Not run" is reported only if no
 //! byte of the request was written to a socket, or if the backend server stated so.
 
+mod bounded;
 mod client;
 mod connect;
 mod engine;
--- a/src/backend/pool.rs
+++ b/src/backend/pool.rs
@@ -496,6 +496,7 @@
         match answer.response.body_mut().frame().await? {
             Ok(frame) => {
                 if let Ok(data) = frame.into_data() {
+                    answer.connection.guard.part_received();
                     return Some(Ok(data));
                 }
             }
@@ -512,8 +513,10 @@
     if is_timed_out(err) {
         return PoolError::Timeout;
     }
+    let source = std::error::Error::source(err);
+    let source = source.map_or_else(String::new, |source| format!(": {source}"));
     PoolError::Broken {
-        reason: err.to_string().into(),
+        reason: format!("{err}{source}").into(),
     }
 }
 
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod descriptors;
 mod duties;
 mod endless;
+mod endless_memory;
 mod era;
 mod framing;
 mod hang;
