Log what a stream that is taken up was decided by

The log named the source of the version alone: it did not show how old the host's view of the store was, nor whether any other host had answered, so that a host that went by its old view could not be told from one that was told wrong. `stream.version` now has the age of the view and the numbers of hosts asked and answered, and is logged for take-ups that are refused as well.

--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -5,7 +5,7 @@
 use rand::seq::IteratorRandom;
 
 use super::super::call::dispatch;
-use super::super::ending::refuse;
+use super::super::ending::{refuse, store_age_ms};
 use super::super::event::{
     Arrival, Gossip, GossipKind, RelayEffect, StreamMessage, StreamQuery, StreamRecord, StreamReply,
 };
@@ -24,8 +24,12 @@
 /// A query of other hosts for the version of a stream.
 #[derive(Debug, Clone, Default)]
 pub struct Lookup {
+    /// Number of hosts that were asked.
+    asked: usize,
     /// Hosts that have not answered.
     waiting: Vec<HostKey>,
+    /// Whether the time for their answers has passed.
+    is_over: bool,
     /// What those that have answered know of the versions in use.
     in_use: Vec<InUse>,
 }
@@ -81,8 +85,9 @@
     };
     send(core, &hosts, message, out);
     core.relay.calls[key].lookup = Some(Lookup {
+        asked: hosts.len(),
         waiting: hosts,
-        in_use: Vec::new(),
+        ..Lookup::default()
     });
     core.relay.versions.pending.push(key);
     wake(core, LOOKUP_TIMEOUT, RelayTimer::TakeUp(key), out);
@@ -96,7 +101,7 @@
     if let Some(call) = core.relay.calls.get_mut(key)
         && let Some(lookup) = &mut call.lookup
     {
-        lookup.waiting.clear();
+        lookup.is_over = true;
         decide_if_complete(core, key, out);
     }
 }
@@ -104,12 +109,13 @@
 /// Sets the version of a stream from its record; returns whether the request is to be sent. If it is not, it has ended.
 fn found(core: &mut Core, key: CallKey, record: StreamRecord, out: &mut Effects) -> bool {
     let call = &mut core.relay.calls[key];
+    let lookup = call.lookup.take().unwrap_or_default();
     if short_hash(&call.service) != record.service {
         // The weights of the route may have led to another service.
         let split = call.route.split.iter();
         let mut services = split.map(|(service, _)| service.clone());
         let Some(service) = services.find(|service| short_hash(service) == record.service) else {
-            refuse_unknown(core, key, "another service began the stream", out);
+            refuse_unknown(core, key, &lookup, "another service began the stream", out);
             return false;
         };
         let before = std::mem::replace(&mut call.service, service.clone());
@@ -120,48 +126,67 @@
         let budget = budgets.entry(service).or_default();
         budget.record_request(core.now);
     }
-    set_version(core, key, record.version, Source::Record, out);
+    set_version(core, key, record.version, Source::Record, &lookup, out);
     true
 }
 
-fn set_version(core: &mut Core, key: CallKey, version: Version, source: Source, out: &mut Effects) {
-    let call = &mut core.relay.calls[key];
-    call.version = Some(version);
-    let fields = vec![
-        ("id", call.id.clone()),
-        ("source", source.name().into()),
-        ("version", version.0.to_string().into()),
-    ];
-    note(out, log::Level::Info, "stream.version", fields);
+fn set_version(
+    core: &mut Core,
+    key: CallKey,
+    version: Version,
+    source: Source,
+    lookup: &Lookup,
+    out: &mut Effects,
+) {
+    core.relay.calls[key].version = Some(version);
+    log_version(core, key, source.name(), lookup, out);
     out.push(Effect::Meter(Meter::TakenUp {
         outcome: source.name(),
     }));
 }
 
-fn refuse_unknown(core: &mut Core, key: CallKey, detail: &str, out: &mut Effects) {
+fn refuse_unknown(core: &mut Core, key: CallKey, lookup: &Lookup, detail: &str, out: &mut Effects) {
+    log_version(core, key, "unknown", lookup, out);
     let outcome = "refused";
     out.push(Effect::Meter(Meter::TakenUp { outcome }));
     refuse(core, key, Refusal::new(Kind::NoVersion, detail), out);
 }
 
+/// Logs what a take-up was decided by.
+fn log_version(core: &Core, key: CallKey, source: &str, lookup: &Lookup, out: &mut Effects) {
+    let call = &core.relay.calls[key];
+    let version = call.version.unwrap_or(Version::UNKNOWN);
+    let answered = lookup.asked - lookup.waiting.len();
+    let fields = vec![
+        ("id", call.id.clone()),
+        ("source", source.into()),
+        ("version", version.0.to_string().into()),
+        ("heard_ms", store_age_ms(core)),
+        ("asked", lookup.asked.to_string().into()),
+        ("answered", answered.to_string().into()),
+    ];
+    note(out, log::Level::Info, "stream.version", fields);
+}
+
 /// Decides a take-up once all hosts that were asked have answered or had the time to.
 fn decide_if_complete(core: &mut Core, key: CallKey, out: &mut Effects) {
     let Some(call) = core.relay.calls.get_mut(key) else {
         return;
     };
-    let Some(lookup) = call.lookup.take_if(|lookup| lookup.waiting.is_empty()) else {
+    let is_complete = |lookup: &mut Lookup| lookup.is_over || lookup.waiting.is_empty();
+    let Some(lookup) = call.lookup.take_if(is_complete) else {
         return;
     };
     let service = call.service.clone();
     core.relay.versions.pending.retain(|other| *other != key);
     let own = in_use(core, &service);
     let recent = core.relay.versions.recent(&service, core.now);
-    match only_version(own, &lookup.in_use, &recent) {
-        Some(version) => {
-            set_version(core, key, version, Source::OnlyVersion, out);
-            dispatch(core, key, out);
-        }
-        None => refuse_unknown(core, key, "no host knows the version of the stream", out),
+    if let Some(version) = only_version(own, &lookup.in_use, &recent) {
+        set_version(core, key, version, Source::OnlyVersion, &lookup, out);
+        dispatch(core, key, out);
+    } else {
+        let detail = "no host knows the version of the stream";
+        refuse_unknown(core, key, &lookup, detail, out);
     }
 }
 
@@ -226,14 +251,15 @@
     let pending = core.relay.versions.pending.iter();
     let waiting: Vec<CallKey> = pending.filter(|key| waits(core, key)).copied().collect();
     for key in waiting {
+        if let Some(lookup) = &mut core.relay.calls[key].lookup {
+            lookup.waiting.retain(|host| *host != sender);
+        }
         if let Some(record) = reply.record {
-            core.relay.calls[key].lookup = None;
             core.relay.versions.pending.retain(|other| *other != key);
             if found(core, key, record, out) {
                 dispatch(core, key, out);
             }
         } else if let Some(lookup) = &mut core.relay.calls[key].lookup {
-            lookup.waiting.retain(|host| *host != sender);
             lookup.in_use.push(reply.in_use);
             decide_if_complete(core, key, out);
         }
