Take streams up by a list of servers that is newer than the take-up

Other operators saw streams that had begun at servers of a new version go on at one of the old version, at a host that was out of step while the new servers joined. A host without a record of a stream went on at the only version that it knew, if its view was at most 1.5 s old and no host that answered knew another. A host that was cut off from the others, or had stood still, had no answer, and learned of the new version only after streams had begun there through the other hosts.

The test has a host cut off from the others, from the store, from both, or standing still while servers of a second version join; streams begin there through the other hosts, break, and are taken up at that host.

Such a take-up now waits until this host has read the store's changes since the request arrived: a watch from the known revision that the store answers at once, in place of the pending one. The stream began before its caller took it up, so a list that is newer than the take-up holds the version at which it began. Where the store has not answered within 250 ms, has not been up for as long as expired entries take to be written again, or the view is stale, the stream is refused as not run.

--- a/src/core/relay/tests/versions/mod.rs
+++ b/src/core/relay/tests/versions/mod.rs
@@ -1,6 +1,7 @@
 //! Streams of a service whose servers have several software versions.
 
 mod kills;
+mod out_of_step;
 mod site;
 
 use super::*;
--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -10,10 +10,11 @@
     Arrival, Gossip, GossipKind, RelayEffect, StreamMessage, StreamQuery, StreamRecord, StreamReply,
 };
 use super::super::instance::short_hash;
-use super::super::{RelayTimer, note, wake};
+use super::super::{RelayTimer, note, view, wake};
 use super::{InUse, RETENTION, StreamKey, Version, holders, in_use};
 use crate::core::effect::{Effect, Meter, Refusal};
 use crate::core::key::{CallKey, HostKey};
+use crate::core::time::Time;
 use crate::core::{Core, Effects};
 use crate::error::Kind;
 
@@ -21,15 +22,23 @@
 /// pause that callers accept.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// Time for which a take-up without a record waits for a read of the store, which takes some milliseconds; a store that
+/// takes longer is disturbed, and callers had better hear so.
+const READ_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A query of other hosts for the version of a stream.
 #[derive(Debug, Clone, Default)]
 pub struct Lookup {
+    /// When the caller's request arrived.
+    since: Time,
     /// Number of hosts that were asked.
     asked: usize,
     /// Hosts that have not answered.
     waiting: Vec<HostKey>,
     /// Whether the time for their answers has passed.
     is_over: bool,
+    /// Whether a read of the store may decide it.
+    awaits_read: bool,
     /// What those that have answered know of the versions in use.
     in_use: Vec<InUse>,
 }
@@ -84,25 +93,52 @@
         ..StreamMessage::default()
     };
     send(core, &hosts, message, out);
+    let versions = &core.relay.versions;
+    let service = &core.relay.calls[key].service;
+    let awaits_read = core.relay.view.may_be_confirmed(core.now)
+        && versions.in_use(service, core.now) != InUse::Several;
     core.relay.calls[key].lookup = Some(Lookup {
+        since: core.now,
         asked: hosts.len(),
         waiting: hosts,
+        awaits_read,
         ..Lookup::default()
     });
     core.relay.versions.pending.push(key);
     wake(core, LOOKUP_TIMEOUT, RelayTimer::TakeUp(key), out);
+    if awaits_read {
+        wake(core, READ_TIMEOUT, RelayTimer::TakeUp(key), out);
+        view::confirm::request_read(core, core.now, out);
+    }
     decide_if_complete(core, key, out);
     true
 }
 
-/// Handles the end of the time for which a take-up waits.
+/// Handles the end of the time for which a take-up waits for other hosts or for the store.
 pub(in super::super) fn timed_out(core: &mut Core, key: CallKey, out: &mut Effects) {
-    core.relay.versions.pending.retain(|other| *other != key);
-    if let Some(call) = core.relay.calls.get_mut(key)
-        && let Some(lookup) = &mut call.lookup
-    {
+    let call = core.relay.calls.get_mut(key);
+    if let Some(lookup) = call.and_then(|call| call.lookup.as_mut()) {
         lookup.is_over = true;
         decide_if_complete(core, key, out);
+    } else {
+        core.relay.versions.pending.retain(|other| *other != key);
+    }
+}
+
+/// Decides the take-ups that waited for a read of the store that has ended; has those that arrived after it began wait for
+/// another one.
+pub(in super::super) fn view_read(core: &mut Core, out: &mut Effects) {
+    let pending = core.relay.versions.pending.clone();
+    for key in pending {
+        decide_if_complete(core, key, out);
+    }
+    let calls = &core.relay.calls;
+    let pending = core.relay.versions.pending.iter();
+    let lookups = pending.filter_map(|key| calls.get(*key)?.lookup.as_ref());
+    let lookups = lookups.filter(|lookup| lookup.awaits_read);
+    let newest = lookups.map(|lookup| lookup.since).max();
+    if let Some(since) = newest.filter(|since| !core.relay.view.is_confirmed(*since)) {
+        view::confirm::request_read(core, since, out);
     }
 }
 
@@ -168,25 +204,44 @@
     note(out, log::Level::Info, "stream.version", fields);
 }
 
-/// Decides a take-up once all hosts that were asked have answered or had the time to.
+/// Decides a take-up once all hosts that were asked have answered or had the time to, and the store was read since.
+///
+/// A host that lists one version may not have learned yet of another one, at which the stream began through a third
+/// host. Only a list that is newer than the take-up shows that there is none, however fresh the view was.
 fn decide_if_complete(core: &mut Core, key: CallKey, out: &mut Effects) {
-    let Some(call) = core.relay.calls.get_mut(key) else {
+    let Some(call) = core.relay.calls.get(key) else {
         return;
     };
-    let is_complete = |lookup: &mut Lookup| lookup.is_over || lookup.waiting.is_empty();
-    let Some(lookup) = call.lookup.take_if(is_complete) else {
+    let Some(lookup) = &call.lookup else {
         return;
     };
-    let service = call.service.clone();
+    if !lookup.is_over && !lookup.waiting.is_empty() {
+        return;
+    }
+    let (now, versions) = (core.now, &core.relay.versions);
+    let own = versions.in_use(&call.service, now);
+    let recent = versions.recent(&call.service, now);
+    let only = only_version(own, &lookup.in_use, &recent);
+    let is_confirmed = core.relay.view.is_confirmed(lookup.since);
+    let waits = lookup.awaits_read && only.is_some() && !is_confirmed;
+    if waits && now.since(lookup.since) < READ_TIMEOUT {
+        return;
+    }
+    let lookup = core.relay.calls[key].lookup.take().unwrap_or_default();
     core.relay.versions.pending.retain(|other| *other != key);
-    let own = in_use(core, &service);
-    let recent = core.relay.versions.recent(&service, core.now);
-    if let Some(version) = only_version(own, &lookup.in_use, &recent) {
-        set_version(core, key, version, Source::OnlyVersion, &lookup, out);
-        dispatch(core, key, out);
-    } else {
-        let detail = "no host knows the version of the stream";
-        refuse_unknown(core, key, &lookup, detail, out);
+    match only {
+        Some(version) if is_confirmed => {
+            set_version(core, key, version, Source::OnlyVersion, &lookup, out);
+            dispatch(core, key, out);
+        }
+        Some(_) => {
+            let detail = "the versions in use could not be read from the store";
+            refuse_unknown(core, key, &lookup, detail, out);
+        }
+        None => {
+            let detail = "no host knows the version of the stream";
+            refuse_unknown(core, key, &lookup, detail, out);
+        }
     }
 }
 
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -12,6 +12,7 @@
 //! cost of a read. A call of which nothing arrived since an answered probe was sent is abandoned, and every key is read
 //! again: within a second of the store's return, whichever call was lost.
 
+pub mod confirm;
 pub mod era;
 mod history;
 pub mod pending;
@@ -106,6 +107,8 @@
     pub(super) history: history::History,
     /// Latest time as of which this view held the whole content of the store.
     fresh_at: Option<Time>,
+    /// Beginning of the latest read that returned everything up to then.
+    confirmed_at: Option<Time>,
     started: Time,
     /// Availability of the store as last logged.
     logged: Option<LoggedState>,
@@ -206,6 +209,7 @@
         self.refused = false;
         self.probes = probe::Probes::default();
         self.uptime = uptime::Uptime::default();
+        self.confirmed_at = None;
         self.history.reset(0);
         self.start_full_read();
         self.pending.take().map(|call| call.number)
@@ -228,18 +232,24 @@
 
 /// Requests the next page, or watches for changes after a full read.
 fn request_next(core: &mut Core, out: &mut Effects) {
+    request(core, WATCH_TIMEOUT, out);
+}
+
+/// Requests the next page, or the changes after a full read once there are any or this time has passed.
+fn request(core: &mut Core, wait: Duration, out: &mut Effects) {
     let view = &mut core.relay.view;
     view.standby = false;
     let number = view.next_number();
     view.last_call = number;
-    view.pending = Some(PendingCall::new(number, core.now));
+    let is_short = wait < WATCH_TIMEOUT;
+    view.pending = Some(PendingCall::new(number, core.now, is_short));
     let ask = match &view.full_read {
         Some(pages) => StoreCall::Page {
             after: pages.after.clone(),
         },
         None => StoreCall::Watch {
             after: view.revision,
-            wait: WATCH_TIMEOUT,
+            wait,
         },
     };
     out.push(Effect::Relay(RelayEffect::CallStore { number, call: ask }));
@@ -381,13 +391,14 @@
     view.revision = revision;
     view.set_source(STORE_SOURCE, out);
     view.history.reset(revision);
-    view.mark_fresh(since);
+    view.mark_read(since);
     view.uptime.answered(since);
     pages.changes.is_snapshot = true;
     super::apply_changes(core, pages.changes, out);
     drop_missing(core, out);
     log_availability(core, out);
     continue_reading(core, out);
+    confirm::read_ended(core, out);
 }
 
 /// Applies the changes that a watch returned, and watches again.
@@ -406,7 +417,7 @@
     };
     let view = &mut core.relay.view;
     view.probes.losses = 0;
-    view.mark_fresh(call.sent);
+    view.mark_read(call.sent);
     let advanced = at > view.revision;
     view.revision = view.revision.max(at);
     super::apply_changes(core, changes, out);
@@ -415,6 +426,7 @@
     } else {
         continue_reading(core, out);
     }
+    confirm::read_ended(core, out);
 }
 
 /// Handles another host's report of how long the store has answered.
--- a/src/core/relay/view/pending.rs
+++ b/src/core/relay/view/pending.rs
@@ -15,6 +15,8 @@
     pub number: u64,
     /// When it was sent.
     pub sent: Time,
+    /// Whether the store answers it even without a change.
+    pub(super) is_short: bool,
     /// Bytes of the answer received so far.
     received: u64,
     /// When the last of them arrived; when the call was sent before the first.
@@ -24,15 +26,22 @@
 impl PendingCall {
     /// Returns a call that is sent now.
     #[must_use]
-    pub fn new(number: u64, now: Time) -> Self {
+    pub fn new(number: u64, now: Time, is_short: bool) -> Self {
         Self {
             number,
             sent: now,
+            is_short,
             received: 0,
             active_at: now,
         }
     }
 
+    /// Whether a part of the answer has arrived.
+    #[must_use]
+    pub(super) fn has_received(&self) -> bool {
+        self.received > 0
+    }
+
     /// Whether nothing of the answer arrived since a probe was sent whose result is known.
     ///
     /// A large answer takes seconds over a narrow link, while probes take milliseconds.
--- a/src/core/relay/view/replicated.rs
+++ b/src/core/relay/view/replicated.rs
@@ -2,7 +2,7 @@
 
 use super::super::event::{Changes, RelayEffect, ReplicatedChanges, StoreChange};
 use super::super::{apply_changes, note};
-use super::request_next;
+use super::{confirm, request_next};
 use crate::core::effect::Effect;
 use crate::core::{Core, Effects};
 
@@ -42,6 +42,7 @@
         apply_changes(core, changes, out);
     }
     core.relay.view.revision = batch.revision;
+    confirm::read_ended(core, out);
 }
 
 /// Logs the first received changes that cannot be applied because earlier ones are not known.
