Test a take-up at a process that is out of step while a version joins

The core's test shows the decision, not the store's answers and timers of a process. Two hosts as processes, each its own failure domain; the second reaches the store through a proxy that falls silent, and the first no longer lists it, so that no record is sent. Engines of a second version join, streams begin there through the first host and are taken up at the second. Before the last change the second went on with the first of them at the old version: its log had `source` only-version, `heard_ms` 1023, `asked` 1, `answered` 0. Now it refuses.

--- a/tests/relay/versions.rs
+++ b/tests/relay/versions.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 
+use super::cut::FaultProxy;
 use super::standin::{Engine, SHORT_PROMPT, senders};
 use super::watcher::SecondHost;
-use super::{Site, http};
+use super::{LOG_FILE, Site, http, is_listed_ready, wait_for};
 
 /// Streams of each test.
 const STREAM_COUNT: usize = 24;
@@ -123,3 +124,56 @@
         );
     }
 }
+
+/// Waits until a host knows that its engines have had one version for long: it then goes on with a stream of an attempt that
+/// no host knows.
+fn wait_only_version(callers: SocketAddr) {
+    let mut number = 0;
+    let mut goes_on = || {
+        number += 1;
+        !take_up(callers, &format!("probe-{number}"), "none").is_empty()
+    };
+    // Hosts remember versions for as long as one wait may take.
+    let is_known = (0..600).any(|_| {
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        goes_on()
+    });
+    assert!(is_known, "the host knows no only version");
+}
+
+/// A host is cut off from the store and from the other one while engines of a new version join, at which streams begin through
+/// the other host. Guards against a host that takes a view for current since it is a second old.
+#[test]
+fn a_host_out_of_step_mixes_no_versions() {
+    let old: Vec<Engine> = engines().into_iter().take(3).collect();
+    let site = Site::ready(&old.iter().collect::<Vec<_>>());
+    let link = FaultProxy::start(site.store.addr);
+    let second = SecondHost::start_in("z2", link.addr);
+    second.wait_joined(&site, &old);
+    wait_only_version(second.callers);
+
+    link.silence();
+    site.store.remove("chiveway/hosts/host-2");
+    let new: Vec<Engine> = engines().into_iter().skip(3).collect();
+    for engine in &new {
+        let key = format!("servers/{}", engine.id);
+        site.store.put(&key, &engine.entry("ready"));
+    }
+    wait_for("the first host to list the new engines alone", || {
+        let log = site.log();
+        new.iter().all(|engine| is_listed_ready(&log, &engine.id)) && log.contains("host.left")
+    });
+    let streams = begin_all(site.callers);
+    let new_streams = streams.iter().filter(|(_, first)| first.starts_with("v2"));
+    let mut taken_up = 0;
+    for (id, first) in new_streams {
+        let others = take_up(second.callers, &format!("again-{id}"), id);
+        assert!(
+            others.iter().all(|other| other.starts_with("v2")),
+            "{first}, then {others:?}: {}",
+            second.folder.read(LOG_FILE)
+        );
+        taken_up += 1;
+    }
+    assert!(taken_up > 0, "{streams:?}");
+}
--- a/tests/relay/watcher.rs
+++ b/tests/relay/watcher.rs
@@ -26,8 +26,15 @@
 
 impl SecondHost {
     pub fn start(site: &Site) -> Self {
+        Self::start_in("z", site.store.addr)
+    }
+
+    /// Starts it in a failure domain, with an address of the store of its own.
+    pub fn start_in(domain: &str, store: SocketAddr) -> Self {
         let folder = TempDir::new();
-        let config = folder.write("host.ini", &settings("host-2", site.store.addr));
+        let settings = settings("host-2", store);
+        let settings = settings.replace("domain = z", &format!("domain = {domain}"));
+        let config = folder.write("host.ini", &settings);
         let config = config.to_str().expect("a path").to_owned();
         let log = folder.write(LOG_FILE, "");
         let host = Process::start_with_stdout(&["host", "-c", &config], &log);
