--- a/tests/fleet/support/process.rs
+++ b/tests/fleet/support/process.rs
@@ -52,6 +52,12 @@
     }
 }
 
+/// Returns the path of the program: the one that `CHIVEWAY_BIN` names, so that tests run with another build, or the built one.
+fn program() -> String {
+    let built = env!("CARGO_BIN_EXE_chiveway");
+    std::env::var("CHIVEWAY_BIN").unwrap_or_else(|_unset| built.to_owned())
+}
+
 /// A child process, killed on drop.
 #[derive(Debug)]
 pub struct Process {
@@ -64,7 +70,7 @@
     /// Starts the program and waits for its first line, which gives its addresses. Standard error
     /// goes to the file `log` if there is one.
     pub fn start(args: &[&str], log: Option<&Path>) -> Self {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_chiveway"));
+        let mut command = Command::new(program());
         command
             .args(args)
             .stdin(Stdio::null())
@@ -92,14 +98,14 @@
 
     /// Starts the program with standard output to a file, and waits for its first line there.
     pub fn start_with_stdout(args: &[&str], log: &Path) -> Self {
-        Self::start_command(Command::new(env!("CARGO_BIN_EXE_chiveway")).args(args), log)
+        Self::start_command(Command::new(program()).args(args), log)
     }
 
     /// Does the same with a limit on the number of file descriptors.
     pub fn start_with_descriptors(args: &[&str], log: &Path, max: u64) -> Self {
         let mut command = Command::new("sh");
         command.args(["-c", "ulimit -n \"$0\" && exec \"$@\"", &max.to_string()]);
-        Self::start_command(command.arg(env!("CARGO_BIN_EXE_chiveway")).args(args), log)
+        Self::start_command(command.arg(program()).args(args), log)
     }
 
     fn start_command(command: &mut Command, log: &Path) -> Self {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,7 +15,7 @@
 //!
 //! Two seeds run by default, besides the regression seeds.
 //! `SOAK_SEEDS=50 SOAK_FROM=1 cargo test --release --test soak seeds` runs fifty, `SOAK_JOBS` of them at a
-//! time; every failed seed is printed with its violations.
+//! time; every failed seed is printed with its violations. `CHIVEWAY_BIN` names the program, if it is not the built one.
 
 #[path = "../fleet/support/proxy.rs"]
 #[expect(dead_code, reason = "shared with the fleet tests, which use all of it")]
