Check the soak's refusals whatever stamp they bear

Callers read 408, 421, 429 and 503 as a promise that the request did not run and never will. The soak's check exempted an answer with a server's stamp, which is exactly how a server's 503 without a statement was passed on for a request that had run.

No exemption is needed: a request that a server refuses with a statement is not among its runs, and whatever else ran must not be refused, whoever the status comes from. An answer with another status than 200 that names another request was not looked at either; now no answer may name another request than the caller's.

The two planted records, a stamped 503 for a request that ran and a refusal with another id, passed the former check unseen.

--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -164,8 +164,7 @@
     if !observation.kind.is_retryable() && ran.len() > 1 {
         return Some("ran twice");
     }
-    let says_not_run = matches!(observation.status, Some(408 | 421 | 429 | 503))
-        && observation.server_stamp.is_none();
+    let says_not_run = matches!(observation.status, Some(408 | 421 | 429 | 503));
     if says_not_run && !observation.kind.is_retryable() && !ran.is_empty() {
         return Some("refused as not run, but ran");
     }
@@ -175,10 +174,12 @@
     ) {
         return Some("a valid request was rejected");
     }
+    let answered_id = observation.answered_id.as_deref();
+    if answered_id.is_some_and(|answered| answered != observation.id) {
+        return Some("an answer to another request");
+    }
     if observation.status == Some(200) {
-        if observation.answered_id.as_deref() != Some(&*observation.id)
-            || observation.server_stamp.is_none()
-        {
+        if answered_id.is_none() || observation.server_stamp.is_none() {
             return Some("an answer to another request");
         }
         if observation.is_complete && !matches_server_answer(observation, ran) {
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -92,6 +92,15 @@
         server_stamp: None,
         ..observation(RequestKind::Long)
     }, &["s-1"]) => "refused as not run";
+    a_false_not_run_refusal_with_the_stamp_of_a_server: record(Observation {
+        status: Some(503),
+        ..observation(RequestKind::Once)
+    }, &["s-1"]) => "refused as not run";
+    a_refusal_of_another_request: record(Observation {
+        status: Some(503),
+        answered_id: Some("id-2".to_owned()),
+        ..observation(RequestKind::Again)
+    }, &[]) => "an answer to another";
     an_answer_to_another_request: record(Observation {
         answered_id: Some("id-2".to_owned()),
         ..observation(RequestKind::Again)
