Fail the soak on refusals that hosts themselves cannot prove

A host logs `refusal.unproven` where a refusal that promises "not run" contradicts the bytes that it wrote to a server. The request need not have run in the soak for this to be a fault, as the server may have dropped it: the record of runs alone does not show it.

The planted log has one.

--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -118,6 +118,8 @@
     pub streams: Vec<Vec<String>>,
     /// Requests of callers that left.
     pub departures: Vec<Departure>,
+    /// Lines in which hosts state that a request may have run which they refused as not run.
+    pub unproven: Vec<String>,
     /// Software version of each server.
     pub software: BTreeMap<String, String>,
     /// Services and versions that were missing after all faults had ended.
@@ -149,6 +151,8 @@
     }
     let late = record.after_drain.iter();
     violations.extend(late.map(|run| format!("sent to a draining server: {run}")));
+    let unproven = record.unproven.iter();
+    violations.extend(unproven.map(|line| format!("a refusal without proof: {line}")));
     violations.extend(late_crashes(&record.poison_crashes));
     violations.extend(late_part_sends(record));
     violations.extend(mixed_streams(record));
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -6,6 +6,7 @@
     BESIDE_CROWD, Departure, IN_CROWD, LATE_AFTER, Observation, Order, Record, RequestKind, Run,
     SECOND_ATTEMPT, check,
 };
+use crate::record::unproven_lines;
 use crate::standin;
 
 fn observation(kind: RequestKind) -> Observation {
@@ -101,6 +102,10 @@
         answered_id: Some("id-2".to_owned()),
         ..observation(RequestKind::Again)
     }, &[]) => "an answer to another";
+    a_refusal_that_a_host_cannot_prove: Record {
+        unproven: unproven_lines("{\"event\":\"request.sent\"}\n{\"event\":\"refusal.unproven\",\"id\":\"id-1\"}\n"),
+        ..Record::default()
+    } => r#"a refusal without proof: {"event":"refusal.unproven","id":"id-1"}"#;
     an_answer_to_another_request: record(Observation {
         answered_id: Some("id-2".to_owned()),
         ..observation(RequestKind::Again)
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -12,6 +12,9 @@
 use crate::standin::engine::{HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX};
 use crate::streams::STREAM_ID_PREFIX;
 
+/// Event that a host logs where a refusal as not run contradicts the bytes that it sent to a server.
+const UNPROVEN_EVENT: &str = r#""event":"refusal.unproven""#;
+
 impl Cluster {
     /// Returns the record of callers and servers.
     pub fn record(&self, unrecovered: Vec<String>) -> Record {
@@ -37,6 +40,7 @@
                 .collect(),
             departures: self.departures(),
             part_sends: self.part_sends().iter().map(since_start).collect(),
+            unproven: self.unproven_refusals(),
             ..Record::default()
         };
         for server in &*self.servers.lock().expect("no panic") {
@@ -48,6 +52,23 @@
         }
         record
     }
+
+    /// Returns the lines of the hosts' logs in which a refusal contradicts what was sent to servers.
+    fn unproven_refusals(&self) -> Vec<String> {
+        let logs = std::fs::read_dir(&self.logs).expect("the folder of logs");
+        let paths = logs.flatten().map(|entry| entry.path());
+        let texts = paths.map(|path| std::fs::read(path).expect("a log"));
+        texts
+            .flat_map(|text| unproven_lines(&String::from_utf8_lossy(&text)))
+            .collect()
+    }
+}
+
+/// Returns the lines of a log in which a refusal contradicts what was sent to servers.
+pub fn unproven_lines(log: &str) -> Vec<String> {
+    let lines = log.lines();
+    let unproven = lines.filter(|line| line.contains(UNPROVEN_EVENT));
+    unproven.map(str::to_owned).collect()
 }
 
 /// Adds one request received by a server to the record.
