--- a/tests/common/http.rs
+++ b/tests/common/http.rs
@@ -58,9 +58,7 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> Option<OpenAnswer> {
-    let mut stream = TcpStream::connect_timeout(&addr, IO_TIMEOUT).ok()?;
-    stream.set_read_timeout(Some(IO_TIMEOUT)).ok()?;
-    stream.set_write_timeout(Some(IO_TIMEOUT)).ok()?;
+    let mut stream = connect(addr)?;
     let mut head = format!("{method} {path} HTTP/1.1\r\n");
     if !headers.iter().any(|(name, _)| *name == "host") {
         write!(head, "host: {addr}\r\n").ok()?;
@@ -71,7 +69,19 @@
     write!(head, "content-length: {}\r\n\r\n", body.len()).ok()?;
     stream.write_all(head.as_bytes()).ok()?;
     stream.write_all(body).ok()?;
-    let mut reader = BufReader::new(stream);
+    read_head(BufReader::new(stream))
+}
+
+/// Opens a connection.
+pub fn connect(addr: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&addr, IO_TIMEOUT).ok()?;
+    stream.set_read_timeout(Some(IO_TIMEOUT)).ok()?;
+    stream.set_write_timeout(Some(IO_TIMEOUT)).ok()?;
+    Some(stream)
+}
+
+/// Reads the head of an answer; `None` if there is none.
+pub fn read_head(mut reader: BufReader<TcpStream>) -> Option<OpenAnswer> {
     let status_line = read_line(&mut reader)?;
     let status = status_line.split(' ').nth(1)?.parse().ok()?;
     let mut headers = Vec::new();
@@ -119,7 +129,12 @@
     }
 
     /// Reads the rest of the body.
-    pub fn rest(mut self) -> Answer {
+    pub fn rest(self) -> Answer {
+        self.rest_and_connection().0
+    }
+
+    /// Does the same; also returns the connection, for the next request on it.
+    pub fn rest_and_connection(mut self) -> (Answer, BufReader<TcpStream>) {
         let mut body = Vec::new();
         let complete = loop {
             match self.next_chunk() {
@@ -128,12 +143,13 @@
                 Err(()) => break false,
             }
         };
-        Answer {
+        let answer = Answer {
             status: self.status,
             headers: self.headers,
             body,
             complete,
-        }
+        };
+        (answer, self.reader)
     }
 }
 
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -76,6 +76,18 @@
         kind: RequestKind,
         id: &str,
         deadline_ms: &str,
+    ) -> bool {
+        let send = || send(incarnation, kind, id, deadline_ms, id.as_bytes());
+        self.observe(incarnation, kind, id, send)
+    }
+
+    /// Records the answer to a request that `send` sends; returns whether it was served completely.
+    pub fn observe(
+        &self,
+        incarnation: &Incarnation,
+        kind: RequestKind,
+        id: &str,
+        send: impl FnOnce() -> Option<http::Answer>,
     ) -> bool {
         let load = |count: &AtomicU64| count.load(Ordering::SeqCst);
         let versions = self.served_versions.lock().expect("no panic");
@@ -85,7 +97,7 @@
             .copied();
         drop(versions);
         let before = (load(&self.unplanned.0), load(&self.unplanned.1));
-        let answer = send(incarnation, kind, id, deadline_ms, id.as_bytes());
+        let answer = send();
         let after = (load(&self.unplanned.0), load(&self.unplanned.1));
         let header = |name: &str| Some(answer.as_ref()?.header(name)?.to_owned());
         let observation = Observation {
@@ -176,12 +188,17 @@
     deadline_ms: &str,
     body: &[u8],
 ) -> Option<http::Answer> {
-    let prompt: &[(&str, &str)] = match kind {
+    let prompt = prompt(kind);
+    send_to(incarnation, kind.path(), id, deadline_ms, prompt, body)
+}
+
+/// Returns the headers that describe the prompt of a request.
+pub fn prompt(kind: RequestKind) -> &'static [(&'static str, &'static str)] {
+    match kind {
         RequestKind::Once | RequestKind::Again => &[],
         RequestKind::Long => &LONG_PROMPT,
         RequestKind::Short => &SHORT_PROMPT,
-    };
-    send_to(incarnation, kind.path(), id, deadline_ms, prompt, body)
+    }
 }
 
 /// Probes whether a host serves a path.
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -15,6 +15,7 @@
 use crate::faults::{
     series, with_crowds, with_hang, with_partitions, with_restores, with_torn_answers,
 };
+use crate::kept::KEPT_CALLER_COUNT;
 use crate::loopback::own_loopback_addr;
 use crate::partition::Links;
 use crate::poison::POISON;
@@ -139,6 +140,9 @@
         for number in 0..CALLER_COUNT {
             scope.spawn(move || cluster.send_requests(seed, number));
         }
+        for number in 0..KEPT_CALLER_COUNT {
+            scope.spawn(move || cluster.send_on_kept_connections(seed, number));
+        }
         for host in 0..HOST_COUNT {
             scope.spawn(move || cluster.probe_versions(host));
         }
--- a/tests/soak/departures.rs
+++ b/tests/soak/departures.rs
@@ -9,11 +9,10 @@
 use rand::{RngExt, SeedableRng};
 use socket2::SockRef;
 
-use crate::callers::DEADLINE_MS;
+use crate::callers::{DEADLINE_MS, prompt};
 use crate::check::{Departure, LATE_AFTER, RequestKind};
 use crate::cluster::{CALLER_COUNT, Cluster, HOST_COUNT};
 use crate::standin::engine::{HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX};
-use crate::standin::{LONG_PROMPT, SHORT_PROMPT};
 
 /// Separates these draws from a seed's others.
 const DEPARTURE_SEED_MASK: u64 = 0x60e;
@@ -92,12 +91,7 @@
 
 /// Returns a request in the form that callers send.
 fn request(kind: RequestKind, id: &str, body_bytes: usize) -> String {
-    let prompt: &[(&str, &str)] = match kind {
-        RequestKind::Once | RequestKind::Again => &[],
-        RequestKind::Long => &LONG_PROMPT,
-        RequestKind::Short => &SHORT_PROMPT,
-    };
-    let prompt = prompt
+    let prompt = prompt(kind)
         .iter()
         .map(|(name, value)| format!("{name}: {value}\r\n"));
     format!(
