Refuse requests that outlast a stop before they run

In the last 2.5 s in which a stopping host takes requests it took those, too, whose servers need longer than the stop has left. They ran until the host abandoned them 7.5 s after the signal, and callers got 502 or a cut stream for requests that may not be sent again. The same happened to requests that a server refused late in the stop and that went to the next one.

How long a request may take was bounded by the route's timeout and the caller's deadline alone; the host's own end was not in the choice of a server. A chosen server's expected time (for streams with the mean run) is now compared with the time until the host abandons its requests. A request that has not run, would not be done by then, and whose own limit lies later, is refused at once as stopping: not run, with the Retry-After that leads to another host. Forwarding it would not help, since its answer would pass through this host. Means decide: a long request among short ones is still taken, and abandoned.

Evidence: three of the tests added to relay/tests/stop.rs failed before ("the request was sent", "the stream was sent", "the request was sent again").

tests/relay/stop_steps.rs sends all kinds of requests on kept, new, opened and slow connections at 14 moments of a stop.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -16,7 +16,7 @@
 use super::versions::{self, StreamKey};
 use super::{
     Attempt, Call, Delivery, RelayTimer, departed, duty, forward, from_millis, gossip, note, parts,
-    poison, prefix_cache, recall, resolve, retry, shares, silence, standby,
+    poison, prefix_cache, recall, resolve, retry, shares, silence, standby, stopping,
 };
 use crate::error::Kind;
 
@@ -56,9 +56,7 @@
         return;
     }
     if core.stop.is_closed(core.now) {
-        let detail = "this host is shutting down";
-        let refusal = Refusal::new(Kind::Stopping, detail).with_retry_after(OTHER_HOST_RETRY_AFTER);
-        refuse(core, key, refusal, out);
+        refuse(core, key, stopping::refusal(), out);
         return;
     }
     super::wake(core, wait, RelayTimer::Deadline(key), out);
@@ -182,6 +180,9 @@
         None => choose::choose(core, key),
     };
     match chosen {
+        Ok(choice) if stopping::outlasts_stop(core, key, &choice) => {
+            refuse(core, key, stopping::refusal(), out);
+        }
         Ok(choice) => {
             shares::admission::placed(core, key, &choice, out);
             send(core, key, &choice, out);
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -43,6 +43,7 @@
 mod silence;
 pub mod stages;
 mod standby;
+mod stopping;
 #[cfg(test)]
 mod tests;
 mod unproven;
--- a/src/core/relay/tests/stop.rs
+++ b/src/core/relay/tests/stop.rs
@@ -33,7 +33,7 @@
 
 /// Asserts that a request that arrives now is refused as not run, for a retry at another host.
 fn assert_refused(site: &mut TestHost) {
-    site.arrive(plain_request("/lengthy/x"));
+    site.arrive(lengthy_request());
     assert!(site.sent().is_none(), "the request was sent");
     let (status, ran, retry) = site.refused().expect("the request is refused");
     assert_eq!((status, ran), (503, Ran::No));
@@ -83,3 +83,115 @@
     a_signal_in_a_pause_is_seen_first: false;
     a_signal_in_a_pause_is_seen_after_timers: true;
 }
+
+/// Milliseconds that requests take that began late in the time for new ones and outlast the stop.
+const LONG_MS: u64 = 6000;
+/// Milliseconds after the signal at which the last requests are taken.
+const LAST_TAKEN_MS: u64 = 2400;
+/// Requests from which a host knows how long others take.
+const SAMPLES: usize = 60;
+
+/// Has a host serve plain requests that take so long.
+fn serve_plain(site: &mut TestHost, millis: u64) {
+    for _ in 0..SAMPLES {
+        site.arrive(plain_request("/lengthy/x"));
+        let attempt = site.sent().expect("a request is sent").attempt;
+        site.advance(millis);
+        site.event(RelayEvent::Answered {
+            attempt,
+            status: 200,
+        });
+    }
+}
+
+/// Returns a host with an engine that has served streams which run so long.
+fn serving_streams(millis: u64) -> TestHost {
+    let mut site = TestHost::new();
+    let mut catalog = catalog(2);
+    for route in &mut catalog.routes {
+        route.timeout = Duration::from_secs(20);
+        route.gap_target = Duration::from_secs(20);
+    }
+    site.configure(catalog);
+    site.register(vec![engine_entry("d", Stage::Decode)]);
+    for _ in 0..SAMPLES {
+        site.arrive(stream_request());
+        let attempt = site.sent().expect("a stream is sent").attempt;
+        site.advance(50);
+        site.event(RelayEvent::StreamEvent { attempt, number: 1 });
+        site.advance(millis);
+        site.stream_ended(attempt);
+    }
+    site
+}
+
+fn stream_request() -> Arrival {
+    Arrival {
+        deadline: None,
+        ..model_request("/long/x", (1, 100), 100)
+    }
+}
+
+fn lengthy_request() -> Arrival {
+    Arrival {
+        deadline: None,
+        ..plain_request("/lengthy/x")
+    }
+}
+
+/// A request comes late that may not be repeated, and whose server takes longer than the stop has left. Guards against
+/// running it for an answer that its caller does not get.
+#[test]
+fn a_request_that_would_outlast_the_stop_is_refused() {
+    let mut site = running_host();
+    serve_plain(&mut site, LONG_MS);
+    stop(&mut site);
+    site.arrive(lengthy_request());
+    assert!(site.sent().is_some(), "the stop has time for it");
+    site.advance(LAST_TAKEN_MS);
+    assert_refused(&mut site);
+}
+
+/// The same for a stream, whose first event comes soon.
+#[test]
+fn a_stream_that_would_outlast_the_stop_is_refused() {
+    let mut site = serving_streams(LONG_MS);
+    stop(&mut site);
+    site.arrive(stream_request());
+    assert!(site.sent().is_some(), "the stop has time for it");
+    site.advance(LAST_TAKEN_MS);
+    site.arrive(stream_request());
+    assert!(site.sent().is_none(), "the stream was sent");
+    let (status, ran, _) = site.refused().expect("the stream is refused");
+    assert_eq!((status, ran), (503, Ran::No));
+}
+
+/// A server refuses a request late in the stop. Guards against sending it to another one that is not done in time either.
+#[test]
+fn a_retry_that_would_outlast_the_stop_is_refused() {
+    let mut site = running_host();
+    serve_plain(&mut site, LONG_MS / 2);
+    stop(&mut site);
+    site.advance(LAST_TAKEN_MS);
+    site.arrive(lengthy_request());
+    let attempt = site.sent().expect("a request is sent").attempt;
+    site.advance(LONG_MS / 2);
+    site.fail_attempt(attempt, Ran::No, AttemptFailure::Refused);
+    assert!(site.sent().is_none(), "the request was sent again");
+    let (status, ran, _) = site.refused().expect("the request is refused");
+    assert_eq!((status, ran), (503, Ran::No));
+}
+
+/// A caller waits no longer than the stop takes. Guards against refusing a request that the stop does not cut.
+#[test]
+fn a_request_that_ends_before_the_stop_is_taken() {
+    let mut site = running_host();
+    serve_plain(&mut site, LONG_MS);
+    stop(&mut site);
+    site.advance(LAST_TAKEN_MS);
+    site.arrive(Arrival {
+        deadline: Some(Duration::from_secs(5)),
+        ..lengthy_request()
+    });
+    assert!(site.sent().is_some(), "the request was refused");
+}
--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -176,6 +176,13 @@
     }
 }
 
+/// Returns when a stopping host abandons the requests that still run.
+#[must_use]
+pub fn abandons_at(core: &Core) -> Option<Time> {
+    let since = core.stop.started?;
+    Some(since.after(abandon_after(core)))
+}
+
 /// Returns the time after which this host abandons the requests that still run.
 fn abandon_after(core: &Core) -> Duration {
     let stop = core.settings.limits.stop_timeout;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -40,6 +40,7 @@
 mod standin;
 mod stop;
 mod stop_forwarded;
+mod stop_steps;
 mod unstated;
 mod versions;
 mod watcher;
