Take no stream up by the only version of another service

Callers would have got answers with events of two services: a stream began at a service with one version, its connection broke, and the configuration moved the route, or the route was split between two services and the take-up drew the other one. With one version in each service nobody had a record of the stream, and the host went on at the only version of the service that it looked at.

A stream whose route leads, or has led, to several services is recorded, as it is while several versions are in use, and is taken up by its record alone; a configuration that splits or moves a route has the streams under way recorded. The configuration is that of the read that decides the take-up, so that a host out of step does not go by an old one. Without the change all three tests fail: a stream of version a goes on at version b.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -105,6 +105,7 @@
     let engines = settings.is_some_and(|settings| settings.engine.is_some());
     let key = core.relay.calls.insert(Call {
         id: arrival.id,
+        path: arrival.path,
         service,
         engines,
         identity: Identity::default(),
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -393,6 +393,7 @@
     );
     let before = core.relay.catalog.replace(catalog);
     log_timeouts(core, before.as_ref(), out);
+    versions::routes::changed(core, before.as_ref(), out);
 }
 
 /// Logs the routes whose time-out a configuration has changed.
--- a/src/core/relay/request.rs
+++ b/src/core/relay/request.rs
@@ -23,6 +23,8 @@
     pub id: Box<str>,
     /// Its route.
     pub route: Route,
+    /// Its path, which a later configuration may lead elsewhere.
+    pub path: Box<str>,
     /// Version of the configuration at its arrival.
     pub config: u64,
     /// Service that it is routed to.
--- a/src/core/relay/tests/versions/mod.rs
+++ b/src/core/relay/tests/versions/mod.rs
@@ -2,6 +2,7 @@
 
 mod kills;
 mod out_of_step;
+mod routes;
 mod site;
 
 use super::*;
--- a/src/core/relay/versions/mod.rs
+++ b/src/core/relay/versions/mod.rs
@@ -6,12 +6,14 @@
 //! hosts send the version of each stream to a few others while more than one version may be in use, and ask these at a
 //! take-up (`take_up.rs`).
 
+pub(super) mod routes;
 mod streams;
 pub(super) mod take_up;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use routes::FormerServices;
 pub use streams::StreamRecords;
 pub(super) use streams::holders;
 
@@ -88,6 +90,8 @@
     listed: BTreeMap<Box<str>, Listed>,
     /// Streams that began here, or of which other hosts sent the version.
     pub(super) streams: StreamRecords,
+    /// Services that routes no longer lead to.
+    former: FormerServices,
     /// Requests that wait for the answers of other hosts.
     pending: Vec<CallKey>,
     updated: Option<Time>,
@@ -184,6 +188,7 @@
     }
     versions.updated = Some(now);
     versions.streams.drop_expired(now);
+    versions.former.drop_expired(now);
     record_listed(core);
     let is_fresh = core.relay.view.is_fresh(now);
     let versions = &mut core.relay.versions;
@@ -209,13 +214,18 @@
     let call = &mut core.relay.calls[key];
     call.version.get_or_insert(version);
     let is_resumable = call.route.resumable;
-    let service = call.service.clone();
-    // With a single version in use a take-up needs no record.
-    if is_resumable && !matches!(in_use(core, &service), InUse::Only(_)) {
+    if is_resumable && needs_record(core, key) {
         record_stream(core, key, out);
     }
 }
 
+/// Whether a take-up needs the record of a stream: not with a single version in use, at the only service of the route.
+fn needs_record(core: &Core, key: CallKey) -> bool {
+    let call = &core.relay.calls[key];
+    !matches!(in_use(core, &call.service), InUse::Only(_))
+        || !routes::is_only_service(core, &call.route, &call.path, &call.service)
+}
+
 /// Records the version of a stream under way, here and at the hosts that hold it.
 fn record_stream(core: &mut Core, key: CallKey, out: &mut Effects) {
     let call = &core.relay.calls[key];
--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -11,7 +11,7 @@
 };
 use super::super::instance::short_hash;
 use super::super::{RelayTimer, note, view, wake};
-use super::{InUse, RETENTION, StreamKey, Version, holders, in_use};
+use super::{InUse, RETENTION, StreamKey, Version, holders, in_use, routes};
 use crate::core::effect::{Effect, Meter, Refusal};
 use crate::core::key::{CallKey, HostKey};
 use crate::core::time::Time;
@@ -221,7 +221,9 @@
     let (now, versions) = (core.now, &core.relay.versions);
     let own = versions.in_use(&call.service, now);
     let recent = versions.recent(&call.service, now);
-    let only = only_version(own, &lookup.in_use, &recent);
+    // A read of the store may have changed the route, too.
+    let is_only_service = routes::is_only_service(core, &call.route, &call.path, &call.service);
+    let only = only_version(own, &lookup.in_use, &recent).filter(|_| is_only_service);
     let is_confirmed = core.relay.view.is_confirmed(lookup.since);
     let waits = lookup.awaits_read && only.is_some() && !is_confirmed;
     if waits && now.since(lookup.since) < READ_TIMEOUT {
