Act on a refusal of a product engine at its head

On the product's own interface, a server that refuses a request and then goes on with the body of its refusal kept the request for up to 30 s before it could go to another server; beyond 8 MiB the refusal was lost and the request counted as one that ran.

The client collected the body of a refusal like that of an answer. The body is now read for 100 ms and up to 64 KiB, and left out beyond that, as for relayed requests. a_refusal_takes_effect_at_its_head failed before with `Unreadable`.

The other tests of tests/engine/endless.rs play each place of a response as a flood and as a drip, collected and streamed; they pass without the change. An answer that the library takes for whole, though more follows, leaves its connection in the pool; the next call finds the bytes and closes it.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -33,6 +33,8 @@
 const MAX_CONNECTIONS: usize = 65_536;
 /// Maximum size kept of the body of a non-200 response to a streamed call.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+/// Time limit for the body of a refusal, which takes effect at its head; it usually arrives with that.
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Timeouts and limits of a [`Client`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -228,6 +230,8 @@
         let (status, ran) = (response.status().as_u16(), ran(&response));
         let body = if is_head || !may_have_body(response.status()) {
             Bytes::new()
+        } else if ran == Ran::No {
+            collect_refusal(response, self.opts.body_timeout.min(REFUSAL_BODY_TIMEOUT)).await
         } else {
             let body = collect(response, self.opts.max_body_bytes);
             let body = timeout(self.opts.body_timeout, body).await;
@@ -337,15 +341,24 @@
         .header(RETRY_AFTER)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .map(Duration::from_secs);
-    let body = timeout(time_limit, collect(response, MAX_REFUSAL_BYTES)).await;
+    let time_limit = match ran {
+        Ran::No => time_limit.min(REFUSAL_BODY_TIMEOUT),
+        Ran::Yes | Ran::Unknown => time_limit,
+    };
     CallError::Status {
         status,
         ran,
         retry_after,
-        body: body.map_or(Bytes::new(), Result::unwrap_or_default),
+        body: collect_refusal(response, time_limit).await,
     }
 }
 
+/// Collects a body that matters less than its head; empty if it is late, long or cannot be read.
+async fn collect_refusal(response: ClientResponse, time_limit: Duration) -> Bytes {
+    let body = timeout(time_limit, collect(response, MAX_REFUSAL_BYTES)).await;
+    body.map_or(Bytes::new(), Result::unwrap_or_default)
+}
+
 async fn collect(mut response: ClientResponse, max_bytes: usize) -> Result<Bytes, CallError> {
     if is_unmarked(&response) {
         return Err(CallError::Unreadable);
