Play bytes without end at the readers that had no test for them

Calls of the host's own (reports, probes, orders, the store, duties), prefills and the heads and bodies of callers were bounded by reading of the code only, or by bodies in chunks alone.

--- a/tests/relay/duties.rs
+++ b/tests/relay/duties.rs
@@ -6,6 +6,7 @@
 
 use serde_json::json;
 
+use super::endless_calls::{DRIPS, FLOODS, Flooded};
 use super::*;
 use standin::{Answering, Duties};
 
@@ -75,7 +76,11 @@
 
 impl Deployment {
     fn new() -> Self {
-        let (store, duties, plain) = (Store::start(), Duties::start(), Engine::plain("s-1"));
+        Self::with_duties(Duties::start())
+    }
+
+    fn with_duties(duties: Duties) -> Self {
+        let (store, plain) = (Store::start(), Engine::plain("s-1"));
         let mut config = config(1, "/short/");
         config["tenants"] = json!([
             {"name": "one", "apiKeys": ["k1"]},
@@ -132,6 +137,23 @@
         .sum()
 }
 
+/// Guards against a call of a duty that does not end, and counts that are lost or sent twice with it.
+#[test]
+fn answers_without_end_lose_no_report() {
+    for (pace, places) in [FLOODS, DRIPS] {
+        let mut duties = Duties::start();
+        let flooded = Flooded::start(duties.addr, "/usage", places, pace);
+        duties.addr = flooded.addr;
+        let site = Deployment::with_duties(duties);
+        let served = site.send();
+        flooded.wait_closed(places);
+        wait_for("all requests to be reported", || {
+            total(&site.duties.accepted()) >= served
+        });
+        assert_eq!(total(&site.duties.accepted()), served);
+    }
+}
+
 #[test]
 fn every_request_is_reported_once() {
     let site = Deployment::new();
--- a/tests/relay/endless.rs
+++ b/tests/relay/endless.rs
@@ -12,7 +12,7 @@
 use super::{Site, http, wait_for};
 
 /// Pauses between the bytes of a flood and of a slow drip, which never lets a connection become idle.
-const PACES: [Duration; 2] = [Duration::ZERO, Duration::from_millis(5)];
+pub const PACES: [Duration; 2] = [Duration::ZERO, Duration::from_millis(5)];
 
 /// Sends a request that its caller waits one second for; returns the status.
 fn send(site: &Site, path: &str, id: &str) -> u16 {
@@ -41,7 +41,7 @@
     })
 }
 
-fn answer(turn: &mut Turn<'_>) -> Option<()> {
+pub fn answer(turn: &mut Turn<'_>) -> Option<()> {
     let answer = response(200, &turn.id, "", "done");
     turn.send(answer)
 }
@@ -179,7 +179,7 @@
 
 /// Defines a test for each answer of a prefill engine that has no end.
 macro_rules! endless_prefills {
-    ($($name:ident: $head:expr;)*) => {$(
+    ($($name:ident: $head:expr, $more:expr;)*) => {$(
         /// Guards against a prompt that waits for the end of such an answer, while a decode engine could prefill it.
         #[test]
         fn $name() {
@@ -187,7 +187,7 @@
                 let prefill = Scripted::model("p-1", "prefill", move |turn| {
                     let head: fn(&str) -> String = $head;
                     let head = head(&turn.id);
-                    turn.send_without_end(head, b"4\r\nxxxx\r\n", pace)
+                    turn.send_without_end(head, $more, pace)
                 });
                 let decode = Scripted::model("d-1", "decode", events);
                 let site = site(&[&prefill, &decode]);
@@ -201,8 +201,12 @@
 }
 
 endless_prefills! {
-    a_prefilled_prompt: |id| start(200, id, CHUNKS);
-    a_refused_prompt: |id| start(503, id, &format!("{NOT_RUN}{CHUNKS}"));
+    a_prefilled_prompt: |id| start(200, id, CHUNKS), b"4\r\nxxxx\r\n";
+    a_refused_prompt: |id| start(503, id, &format!("{NOT_RUN}{CHUNKS}")), b"4\r\nxxxx\r\n";
+    informational_responses_to_a_prefill: |_| String::new(), b"HTTP/1.1 102 x\r\n\r\n";
+    headers_of_a_prefill: |id| start(200, id, ""), b"x-a: b\r\n";
+    a_chunk_size_of_a_prefill: |id| start(200, id, CHUNKS), b"0000000000000000";
+    trailers_of_a_prefill: |id| start(200, id, &format!("{CHUNKS}0\r\n")), b"x-a: b\r\n";
 }
 
 /// Defines a test for each stream without an end.
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -9,6 +9,8 @@
 mod descriptors;
 mod duties;
 mod endless;
+mod endless_callers;
+mod endless_calls;
 mod endless_memory;
 mod era;
 mod framing;
