Let servers of the soak refuse and answer at the wrong time

Callers of a deployment got 503 and 429 for requests that had run, and some requests that may run once ran twice.

For a while servers now answer some requests in one of five ways, drawn with a generator of their own among all other faults and after them among signals to the hosts: they send refusals or successes a second time, whole or halved, at once or with the next request; answer 408, 429 or 503 without a statement once a request has run; refuse a request before its body is read, and keep, close or reset the connection; hold a request for one to two and a half seconds and run it then, with or without its connection; or refuse as full. A server that answers 421 is replaced afterwards, since hosts keep it out of use.

The record knows what ran: a refused request did not, a late run did once it began. Tests send requests to a server in each trouble and compare its record. Where another body than the request's own reaches a server, also after its early answer, the check reports it.

--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -8,9 +8,10 @@
 
 use serde_json::{Value, json};
 
-use super::http::{Request, listen_each};
+use super::http::{Request, listen_early};
 use super::serve::serve_engine;
 use super::torn::{Break, Framing, WIDE_CHAR};
+use super::trouble::{PendingCopy, Troubles, refuse_early};
 
 /// Where a server falls silent in an answer before it goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,6 +96,7 @@
     pub prefills_from: Option<Instant>,
     /// Parts that were written of all its answers.
     pub written: u64,
+    pub troubles: Troubles,
     /// Open connections.
     pub connections: Vec<Weak<TcpStream>>,
     /// How often the server was started before.
@@ -109,7 +111,7 @@
 pub struct Engine {
     pub id: String,
     addr: SocketAddr,
-    shared: Shared,
+    pub(super) shared: Shared,
     /// Id and state of the process that new connections reach.
     current: Arc<Mutex<(String, Shared)>>,
 }
@@ -154,16 +156,22 @@
 
 /// Serves each connection by the process that is current when it is opened.
 fn serve_processes(current: Arc<Mutex<(String, Shared)>>) -> SocketAddr {
-    listen_each(move |connection| {
+    listen_early(move |connection| {
         let (id, shared) = current.lock().expect("the process").clone();
         let mut state = shared.0.lock().expect("the engine");
         state.connections.retain(|open| open.strong_count() > 0);
         state.connections.push(connection);
         let crashed = state.crashed;
         drop(state);
-        (!crashed).then_some(move |request: &Request, stream: &mut TcpStream| {
-            serve_engine(&shared, &id, request, stream)
-        })
+        let (early_id, early_shared) = (id.clone(), Arc::clone(&shared));
+        let early = move |head: &Request, stream: &mut TcpStream| {
+            refuse_early(&early_shared, &early_id, head, stream)
+        };
+        let pending = PendingCopy::default();
+        let serve = move |request: &Request, stream: &mut TcpStream| {
+            serve_engine(&shared, &id, &pending, request, stream)
+        };
+        (!crashed).then_some((early, serve))
     })
 }
 
--- a/tests/relay/standin/http.rs
+++ b/tests/relay/standin/http.rs
@@ -14,9 +14,27 @@
     pub path: String,
     pub head: String,
     pub body: Vec<u8>,
+    /// Whether it was answered before its body was read.
+    pub is_answered: bool,
+}
+
+/// What follows once the head of a request was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Early {
+    /// The body is read, and the request is served.
+    Read,
+    /// The request has its answer; its body is read.
+    Answered,
+    /// The connection is closed.
+    End,
 }
 
 impl Request {
+    /// Returns its id; empty for a call of the host's own.
+    pub fn id(&self) -> &str {
+        self.header("x-chiveway-attempt-id").unwrap_or_default()
+    }
+
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.head.lines();
         lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
@@ -31,7 +49,10 @@
     }
 }
 
-fn read(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+fn read(
+    reader: &mut BufReader<TcpStream>,
+    early: impl FnOnce(&Request) -> Early,
+) -> Option<Request> {
     let mut first = String::new();
     reader.read_line(&mut first).ok().filter(|read| *read > 0)?;
     let mut fields = first.split_whitespace();
@@ -51,19 +72,31 @@
         }
         writeln!(head, "{name}: {value}").ok()?;
     }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some(Request {
+    let mut request = Request {
         method,
         path,
         head,
-        body,
-    })
+        body: Vec::new(),
+        is_answered: false,
+    };
+    match early(&request) {
+        Early::Read => {}
+        Early::Answered => request.is_answered = true,
+        Early::End => return None,
+    }
+    request.body.resize(length, 0);
+    reader.read_exact(&mut request.body).ok()?;
+    Some(request)
 }
 
-pub fn write(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> Option<()> {
+/// Returns the text of a response.
+pub fn response(status: u16, headers: &str, body: &str) -> String {
     let length = body.len();
-    let text = format!("HTTP/1.1 {status} x\r\n{headers}content-length: {length}\r\n\r\n{body}");
+    format!("HTTP/1.1 {status} x\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+pub fn write(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> Option<()> {
+    let text = response(status, headers, body);
     stream.write_all(text.as_bytes()).ok()
 }
 
@@ -102,20 +135,32 @@
 pub fn listen_each<S>(accept: impl Fn(Weak<TcpStream>) -> Option<S> + Send + 'static) -> SocketAddr
 where
     S: Fn(&Request, &mut TcpStream) -> Option<()> + Send + 'static,
+{
+    let read_all = |_: &Request, _: &mut TcpStream| Early::Read;
+    listen_early(move |connection| Some((read_all, accept(connection)?)))
+}
+
+/// Does the same, with a function that gets the head of each request before its body is read.
+pub fn listen_early<E, S>(
+    accept: impl Fn(Weak<TcpStream>) -> Option<(E, S)> + Send + 'static,
+) -> SocketAddr
+where
+    E: Fn(&Request, &mut TcpStream) -> Early + Send + 'static,
+    S: Fn(&Request, &mut TcpStream) -> Option<()> + Send + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let addr = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handle = Arc::new(stream.try_clone().expect("a second handle"));
-            let Some(serve) = accept(Arc::downgrade(&handle)) else {
+            let Some((early, serve)) = accept(Arc::downgrade(&handle)) else {
                 continue;
             };
             std::thread::spawn(move || {
                 let _handle = handle;
                 let mut out = stream.try_clone().expect("a second handle");
                 let mut reader = BufReader::new(stream);
-                while let Some(request) = read(&mut reader) {
+                while let Some(request) = read(&mut reader, |head| early(head, &mut out)) {
                     if serve(&request, &mut out).is_none() {
                         break;
                     }
--- a/tests/relay/standin/mod.rs
+++ b/tests/relay/standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod store;
 mod store_state;
 pub mod torn;
+pub mod trouble;
 
 use std::net::SocketAddr;
 
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -12,15 +12,22 @@
     EVENT_COUNT, EngineState, HEALTH_PATH, HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX, HeldRequest,
     Pause, Shared, events,
 };
-use super::http::{Request, write};
+use super::http::{Request, response, write};
 use super::torn::Framing;
+use super::trouble::{PendingCopy, Trouble, note_late_body, refusal, send_again, send_pending};
 
 pub fn serve_engine(
     shared: &Shared,
     id: &str,
+    pending: &PendingCopy,
     request: &Request,
     stream: &mut TcpStream,
 ) -> Option<()> {
+    if request.is_answered {
+        note_late_body(shared, request);
+        return Some(());
+    }
+    send_pending(shared, pending, request, stream)?;
     let mut state = shared.0.lock().expect("the engine");
     if state.crashed {
         return None;
@@ -36,7 +43,6 @@
         drop(state);
         return write(stream, 200, "", "");
     }
-    let delay = state.delay;
     let received = (
         request.path.clone(),
         request.head.clone(),
@@ -51,16 +57,7 @@
         state.part_requests.push((Instant::now(), own.clone()));
     }
     let attempt = state.answer_id.take().unwrap_or(own);
-    let mut headers = format!(
-        "x-chiveway-attempt-id: {attempt}\r\nx-chiveway-server-stamp: {id}\r\nkeep-alive: timeout=5\r\n"
-    );
-    if let Some(rate) = &state.limit {
-        // Writing to a string does not fail.
-        let _ = write!(headers, "server-limit: {rate}\r\n");
-    }
-    if state.leaving {
-        headers.push_str("server-leaving: 1\r\n");
-    }
+    let headers = answer_headers(&state, id, &attempt);
     match request.path.as_str() {
         "/v1/report" => {
             let body = json!({"stage": state.stage, "busy": false, "sequence": state.orders});
@@ -70,18 +67,121 @@
         _ => {}
     }
     if let Some(pushback) = &state.pushback {
-        let index = state.requests.len() - 1;
         let headers = format!("{headers}x-chiveway-not-executed: 1\r\nretry-after: {pushback}\r\n");
-        state.refused.insert(index);
+        refuse(&mut state);
         return write(stream, 503, &headers, "");
     }
-    let is_prefill = request.header("x-chiveway-serving-stage") == Some("prefill");
     let is_held = attempt.starts_with(HELD_PREFILL_ID_PREFIX)
-        || attempt.starts_with(HELD_ID_PREFIX) && !is_prefill;
+        || attempt.starts_with(HELD_ID_PREFIX) && !is_prefill(request);
     if is_held {
         drop(state);
         return hold(shared, attempt, stream);
     }
+    match state.next_trouble(request) {
+        None => answer(shared, state, id, headers, request, stream),
+        Some(Trouble::Full(status)) => {
+            refuse(&mut state);
+            drop(state);
+            stream.write_all(&refusal(status, &headers)).ok()
+        }
+        Some(Trouble::UnstatedRefusals(status)) => {
+            let delay = state.delay;
+            drop(state);
+            std::thread::sleep(delay);
+            write(stream, status, &headers, "")
+        }
+        Some(Trouble::LateRuns(hold)) => {
+            let received = state.requests.pop()?;
+            drop(state);
+            std::thread::sleep(hold);
+            let mut state = shared.0.lock().expect("the engine");
+            if state.crashed {
+                return None;
+            }
+            state.requests.push(received);
+            answer(shared, state, id, headers, request, stream)
+        }
+        Some(Trouble::LateCopies {
+            refusal: status,
+            arrival,
+            is_whole,
+        }) => {
+            let copy = if let Some(status) = status {
+                refuse(&mut state);
+                drop(state);
+                let refused = refusal(status, &headers);
+                stream.write_all(&refused).ok()?;
+                refused
+            } else {
+                let copy = success(&state, id, &headers, request);
+                answer(shared, state, id, headers, request, stream)?;
+                copy
+            };
+            send_again(arrival, is_whole, copy, pending, stream)
+        }
+        // Such a request is not served.
+        Some(Trouble::EarlyRefusals(_)) => None,
+    }
+}
+
+/// Returns the headers of each answer to a caller's request.
+fn answer_headers(state: &EngineState, id: &str, attempt: &str) -> String {
+    let mut headers = format!(
+        "x-chiveway-attempt-id: {attempt}\r\nx-chiveway-server-stamp: {id}\r\nkeep-alive: timeout=5\r\n"
+    );
+    if let Some(rate) = &state.limit {
+        // Writing to a string does not fail.
+        let _ = write!(headers, "server-limit: {rate}\r\n");
+    }
+    if state.leaving {
+        headers.push_str("server-leaving: 1\r\n");
+    }
+    headers
+}
+
+/// Records that the last request is refused.
+fn refuse(state: &mut EngineState) {
+    let index = state.requests.len() - 1;
+    state.refused.insert(index);
+}
+
+/// Returns an answer with success in one piece.
+fn success(state: &EngineState, id: &str, headers: &str, request: &Request) -> Vec<u8> {
+    let text = if is_prefill(request) {
+        response(200, headers, &prefill_body())
+    } else if state.stage.is_none() {
+        response(200, headers, &call_body(id, request))
+    } else {
+        let headers = format!("{headers}content-type: text/event-stream\r\n");
+        response(200, &headers, &events(id, 1..=EVENT_COUNT))
+    };
+    text.into_bytes()
+}
+
+fn is_prefill(request: &Request) -> bool {
+    request.header("x-chiveway-serving-stage") == Some("prefill")
+}
+
+fn prefill_body() -> String {
+    json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string()
+}
+
+/// Returns the body of an answer that is no stream.
+fn call_body(id: &str, request: &Request) -> String {
+    let body = String::from_utf8_lossy(&request.body);
+    format!("{id} {} {body}", request.path)
+}
+
+/// Runs a request, or reads its prompt, and answers it.
+fn answer(
+    shared: &Shared,
+    mut state: MutexGuard<'_, EngineState>,
+    id: &str,
+    headers: String,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> Option<()> {
+    let (delay, is_prefill) = (state.delay, is_prefill(request));
     let is_poison = state.poison.as_ref() == Some(&request.body);
     if is_poison && !is_prefill {
         state.crashed = true;
@@ -101,7 +201,7 @@
         if let Some(begins) = begins {
             std::thread::sleep(begins.saturating_duration_since(Instant::now()));
         }
-        let mut body = json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string();
+        let mut body = prefill_body();
         if is_torn {
             body.truncate(body.len() / 2);
         }
@@ -152,8 +252,7 @@
     let pause = next_pause(&state);
     let (framing, delay) = (state.framing, state.delay);
     drop(state);
-    let body = String::from_utf8_lossy(&request.body);
-    let body = format!("{id} {} {body}", request.path);
+    let body = call_body(id, request);
     if let Some(torn) = torn {
         return torn.write(&headers, &body, stream);
     }
--- a/tests/relay/standin/torn.rs
+++ b/tests/relay/standin/torn.rs
@@ -61,7 +61,7 @@
 /// Character of two bytes in each event.
 pub const WIDE_CHAR: char = 'ö';
 /// Time in which what was written arrives before the connection ends.
-const ARRIVAL_TIME: Duration = Duration::from_millis(20);
+pub const ARRIVAL_TIME: Duration = Duration::from_millis(20);
 
 impl Break {
     /// Returns the number of bytes of the body that are written.
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -118,6 +118,10 @@
     pub streams: Vec<Vec<String>>,
     /// Requests of callers that left.
     pub departures: Vec<Departure>,
+    /// Troubles that requests met, by their ids: each with its server.
+    pub troubles: BTreeMap<String, Vec<String>>,
+    /// Requests whose bodies reached servers changed.
+    pub altered: Vec<String>,
     /// Lines in which hosts state that a request may have run which they refused as not run.
     pub unproven: Vec<String>,
     /// Software version of each server.
@@ -135,9 +139,11 @@
     let mut violations = Vec::new();
     for observation in &record.observations {
         let ran = runs.get(&*observation.id).map_or(&[][..], Vec::as_slice);
+        let met = record.troubles.get(&*observation.id);
         violations.extend(
-            check_request(observation, ran)
-                .map(|violation| format!("{violation}: {observation:?}, ran at {ran:?}")),
+            check_request(observation, ran).map(|violation| {
+                format!("{violation}: {observation:?}, ran at {ran:?}, met {met:?}")
+            }),
         );
     }
     violations.extend(unrequested_runs(record));
@@ -151,6 +157,8 @@
     }
     let late = record.after_drain.iter();
     violations.extend(late.map(|run| format!("sent to a draining server: {run}")));
+    let altered = record.altered.iter();
+    violations.extend(altered.map(|what| format!("a changed body reached a server: {what}")));
     let unproven = record.unproven.iter();
     violations.extend(unproven.map(|line| format!("a refusal without proof: {line}")));
     violations.extend(late_crashes(&record.poison_crashes));
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -14,6 +14,7 @@
 use crate::cut::FaultProxy;
 use crate::faults::{
     series, with_crowds, with_hang, with_partitions, with_restores, with_torn_answers,
+    with_troubles,
 };
 use crate::kept::KEPT_CALLER_COUNT;
 use crate::loopback::own_loopback_addr;
@@ -134,6 +135,7 @@
     }
     if !REGRESSION_SEEDS.contains(&seed) {
         faults = with_crowds(seed, faults, HOST_COUNT);
+        faults = with_troubles(seed, faults, HOST_COUNT, SERVER_STAGES.len());
     }
     thread::scope(|scope| {
         let cluster = &cluster;
@@ -183,7 +185,7 @@
     let silent = silent.filter(|seen| seen.id.starts_with(QUIET_ID_PREFIX));
     let (served_in_crowd, read_in_crowd) = check::count_first_attempts(&record, check::IN_CROWD);
     let summary = format!(
-        "{} requests ({} beside silences), {} served, {} runs, {} orders, {} crashes under one request, {} by a part of prompts, {} streams of which {} went on, {served_in_crowd} of {read_in_crowd} read in a crowd served, {} held for callers that left",
+        "{} requests ({} beside silences), {} served, {} runs, {} orders, {} crashes under one request, {} by a part of prompts, {} streams of which {} went on, {served_in_crowd} of {read_in_crowd} read in a crowd served, {} held for callers that left, met troubles: {:?}",
         record.observations.len(),
         silent.count(),
         served.count(),
@@ -197,7 +199,8 @@
             .iter()
             .filter(|events| events.len() > 1)
             .count(),
-        record.departures.len()
+        record.departures.len(),
+        cluster.count_troubles()
     );
     let violations = check::check(&record);
     if violations.is_empty() {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -7,6 +7,7 @@
 
 use crate::partition::LinkCut;
 use crate::standin::torn::{Break, End, Framing, Place};
+use crate::standin::trouble::{Arrival, Trouble, Unread};
 
 /// A kind of fault; the number is the index of a host or of a server's position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,6 +60,8 @@
     Crowd(usize),
     /// A server breaks its next answer off.
     TearAnswer(usize, Break),
+    /// A server answers some requests in a way that hosts may mistake.
+    Trouble(usize, Trouble),
 }
 
 /// One fault of a series.
@@ -85,6 +88,13 @@
 const CROWD_SEED_MASK: u64 = 0xc70;
 /// Crowds in a series.
 const CROWD_COUNT: usize = 2;
+/// Separates the draws of servers' troubles from a seed's other draws.
+const TROUBLE_SEED_MASK: u64 = 0x70b1e;
+/// Troubles of servers among the other faults of a series.
+const TROUBLE_COUNT: usize = 10;
+/// Troubles of servers after them, and how many of these come with one signal.
+const FINAL_TROUBLE_COUNT: usize = 16;
+const TROUBLES_PER_SIGNAL: usize = 4;
 /// Number of faults in a series.
 const FAULT_COUNT: usize = 14;
 
@@ -195,6 +205,66 @@
     series
 }
 
+/// Inserts troubles of servers at random positions of a series, with their own random generator, and appends others, among
+/// which hosts get signals.
+pub fn with_troubles(
+    seed: u64,
+    mut series: Vec<Fault>,
+    hosts: usize,
+    servers: usize,
+) -> Vec<Fault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ TROUBLE_SEED_MASK);
+    for _ in 0..TROUBLE_COUNT {
+        let fault = draw_trouble_of(&mut rng, servers);
+        series.insert(rng.random_range(0..=series.len()), fault);
+    }
+    for number in 0..FINAL_TROUBLE_COUNT {
+        series.push(draw_trouble_of(&mut rng, servers));
+        if number % TROUBLES_PER_SIGNAL == 0 {
+            let host = rng.random_range(0..hosts);
+            let signals = [FaultKind::Stop, FaultKind::Reload, FaultKind::Freeze];
+            series.push(Fault {
+                delay: Duration::from_millis(rng.random_range(20..300)),
+                kind: signals[rng.random_range(0..signals.len())](host),
+                duration: Duration::from_millis(rng.random_range(200..1000)),
+            });
+        }
+    }
+    series
+}
+
+/// Draws a trouble and its server, more often one of the first two, which are plain.
+fn draw_trouble_of(rng: &mut StdRng, servers: usize) -> Fault {
+    let trouble = draw_trouble(rng);
+    Fault {
+        delay: Duration::from_millis(rng.random_range(20..250)),
+        kind: FaultKind::Trouble(rng.random_range(0..servers + 2) % servers, trouble),
+        duration: Duration::from_millis(rng.random_range(1000..4000)),
+    }
+}
+
+/// Draws in which way a server answers some requests; more often with late copies than in each other way.
+fn draw_trouble(rng: &mut StdRng) -> Trouble {
+    let refusals = [Some(503), Some(503), Some(429), Some(421), None];
+    let unread = [
+        Unread::ReadLater,
+        Unread::NeverRead,
+        Unread::Closed,
+        Unread::Reset,
+    ];
+    match rng.random_range(0..7) {
+        0..=2 => Trouble::LateCopies {
+            refusal: refusals[rng.random_range(0..refusals.len())],
+            arrival: [Arrival::AtOnce, Arrival::WithNext][rng.random_range(0..2)],
+            is_whole: rng.random_bool(0.7),
+        },
+        3 => Trouble::UnstatedRefusals([408, 429, 503][rng.random_range(0..3)]),
+        4 => Trouble::EarlyRefusals(unread[rng.random_range(0..unread.len())]),
+        5 => Trouble::LateRuns(Duration::from_millis(rng.random_range(800..2500))),
+        _ => Trouble::Full([429, 503][rng.random_range(0..2)]),
+    }
+}
+
 /// Draws how an answer is broken off.
 ///
 /// An answer that only its connection ends is never broken off between events: it is complete as soon as the
--- a/tests/soak/inject.rs
+++ b/tests/soak/inject.rs
@@ -2,12 +2,14 @@
 
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 use crate::cluster::{Cluster, HOST_COUNT, SERVER_STAGES, entry};
 use crate::cut::FaultProxy;
 use crate::faults::{Fault, FaultKind};
 use crate::standin::Engine;
 use crate::standin::torn::Framing;
+use crate::standin::trouble::Trouble;
 
 /// Writes without an answer in one [`FaultKind::StoreDropsReplies`].
 const DROPPED_REPLIES: u32 = 3;
@@ -124,6 +126,9 @@
                     server.engine.clear_tear();
                 }
             }
+            FaultKind::Trouble(position, trouble) => {
+                self.pass_trouble(position, trouble, fault.duration);
+            }
             FaultKind::BreakStream(position) => {
                 self.with_server(position, |server| server.engine.break_after(2));
                 thread::sleep(fault.duration);
@@ -135,6 +140,26 @@
         }
     }
 
+    /// Has the server of a position answer some requests in a way for a time.
+    fn pass_trouble(&self, position: usize, trouble: Trouble, duration: Duration) {
+        let index = self.positions.lock().expect("no panic")[position];
+        let with_engine = |act: &dyn Fn(&Engine)| {
+            act(&self.servers.lock().expect("no panic")[index].engine);
+        };
+        with_engine(&|engine| engine.begin_trouble(trouble));
+        thread::sleep(duration);
+        with_engine(&|engine| engine.end_trouble(trouble));
+        let is_current = self.positions.lock().expect("no panic")[position] == index;
+        if trouble.ends_use() && is_current {
+            let id = self.servers.lock().expect("no panic")[index]
+                .engine
+                .id
+                .clone();
+            self.remove_entry(&id);
+            self.replace(position);
+        }
+    }
+
     fn kill(&self, indices: &[usize]) {
         let mut hosts: Vec<_> = indices
             .iter()
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,7 +7,8 @@
 //! Hosts are partitioned from all servers, in half of the seeds and once more at the end. The balancer hands most new
 //! connections to one host, among the faults and once more at the end.
 //! Servers have two software versions, and one caller takes streams up at other hosts.
-//! Some callers keep their connections, and send bodies in chunks and segments.
+//! Servers send responses twice or before the requests are read, refuse requests that ran, and run requests late. Some callers
+//! keep their connections, and send bodies in chunks and segments.
 //! Then callers leave whose requests servers hold.
 //! Meanwhile one caller sends a request that crashes every server that runs it. Half of the seeds end with servers that
 //! fall silent for up to three seconds while nothing else is wrong. The requests recorded by callers and backend
@@ -51,6 +52,7 @@
 mod record;
 mod silence;
 mod streams;
+mod troubled;
 
 use std::collections::BTreeSet;
 use std::net::IpAddr;
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -102,6 +102,10 @@
         answered_id: Some("id-2".to_owned()),
         ..observation(RequestKind::Again)
     }, &[]) => "an answer to another";
+    a_changed_body: Record {
+        altered: vec!["id-1 at s-1: \"id-2\"".to_owned()],
+        ..Record::default()
+    } => "a changed body reached a server: id-1";
     a_refusal_that_a_host_cannot_prove: Record {
         unproven: unproven_lines("{\"event\":\"request.sent\"}\n{\"event\":\"refusal.unproven\",\"id\":\"id-1\"}\n"),
         ..Record::default()
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -10,6 +10,7 @@
 use crate::parts::PART_ID_PREFIX;
 use crate::poison::POISON_ID_PREFIX;
 use crate::standin::engine::{HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX};
+use crate::standin::trouble::Trouble;
 use crate::streams::STREAM_ID_PREFIX;
 
 /// Event that a host logs where a refusal as not run contradicts the bytes that it sent to a server.
@@ -49,10 +50,28 @@
             for (path, head, body) in server.engine.executed_requests() {
                 add_request(&mut record, server, &path, &head, &body, &known_versions);
             }
+            for (id, trouble) in engine.troubled_requests() {
+                let met = format!("{trouble} at {}", engine.id);
+                record.troubles.entry(id).or_default().push(met);
+            }
+            for (id, body) in engine.late_bodies() {
+                add_altered(&mut record, &engine.id, &id, &body);
+            }
         }
         record
     }
 
+    /// Returns how many requests met each trouble.
+    pub fn count_troubles(&self) -> BTreeMap<&'static str, usize> {
+        let mut counts: BTreeMap<_, _> = Trouble::ALL_NAMES.map(|name| (name, 0)).into();
+        for server in &*self.servers.lock().expect("no panic") {
+            for (_, trouble) in server.engine.troubled_requests() {
+                *counts.entry(trouble).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// Returns the lines of the hosts' logs in which a refusal contradicts what was sent to servers.
     fn unproven_refusals(&self) -> Vec<String> {
         let logs = std::fs::read_dir(&self.logs).expect("the folder of logs");
@@ -71,6 +90,27 @@
     unproven.map(str::to_owned).collect()
 }
 
+/// Records that a body which is not the request's own reached a server.
+fn add_altered(record: &mut Record, server: &str, id: &str, body: &[u8]) {
+    if is_observed(id) && body != id.as_bytes() {
+        let body = String::from_utf8_lossy(body);
+        record.altered.push(format!("{id} at {server}: {body:?}"));
+    }
+}
+
+/// Returns whether the answer to a request is recorded; such a request has its id as its body.
+fn is_observed(id: &str) -> bool {
+    let unobserved = [
+        "probe-",
+        POISON_ID_PREFIX,
+        PART_ID_PREFIX,
+        STREAM_ID_PREFIX,
+        HELD_ID_PREFIX,
+        HELD_PREFILL_ID_PREFIX,
+    ];
+    !unobserved.iter().any(|prefix| id.starts_with(prefix))
+}
+
 /// Adds one request received by a server to the record.
 fn add_request(
     record: &mut Record,
@@ -94,18 +134,10 @@
     let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
     let id = id.unwrap_or_default().to_owned();
     let is_prefill = head.contains("x-chiveway-serving-stage: prefill");
-    let unobserved = [
-        "probe-",
-        POISON_ID_PREFIX,
-        PART_ID_PREFIX,
-        STREAM_ID_PREFIX,
-        HELD_ID_PREFIX,
-        HELD_PREFILL_ID_PREFIX,
-    ];
-    let is_observed = !unobserved.iter().any(|prefix| id.starts_with(prefix));
-    if is_prefill || !is_observed || path.starts_with("/v1/") {
+    if is_prefill || !is_observed(&id) || path.starts_with("/v1/") {
         return;
     }
+    add_altered(record, &name, &id, body);
     let version = known_versions.get(&id).copied().unwrap_or(0);
     if server
         .drain_version
