Name late copies that were sent at once in the soak's violations

A response that a server sent a second time at once meets the next request on the connection, but only copies that were held back for that request were noted.

--- a/tests/relay/standin/trouble.rs
+++ b/tests/relay/standin/trouble.rs
@@ -124,7 +124,7 @@
     }
 }
 
-/// The second copy of a response that is sent when the next request arrives on its connection.
+/// The second copy of a response that is sent when the next request arrives on its connection; empty if it was sent before.
 pub type PendingCopy = RefCell<Option<Vec<u8>>>;
 
 /// Returns a response that states that the request did not run.
@@ -162,7 +162,8 @@
         copy.truncate(copy.len() / 2);
     }
     if arrival == Arrival::AtOnce {
-        return stream.write_all(&copy).ok();
+        stream.write_all(&copy).ok()?;
+        copy.clear();
     }
     pending.replace(Some(copy));
     Some(())
