Check in the soak that requests go on from their own prefills

A second copy of a prefill's response, or any response taken for that of another request, would hand its handle to the wrong request. All prefills of the stand-ins had the same handle, so that no check could see it. A handle now names its request, and a request that goes on from another one's is a violation; a planted one is reported.

--- a/tests/relay/standin/engine.rs
+++ b/tests/relay/standin/engine.rs
@@ -134,6 +134,8 @@
     }
 }
 
+/// Prefix of the handles of prefills, before the id of the request.
+pub const HANDLE_PREFIX: &str = "h-";
 /// Path of the health check.
 pub const HEALTH_PATH: &str = "/healthz";
 /// Number of events of a stream.
--- a/tests/relay/standin/serve.rs
+++ b/tests/relay/standin/serve.rs
@@ -9,8 +9,8 @@
 use serde_json::{Value, json};
 
 use super::engine::{
-    EVENT_COUNT, EngineState, HEALTH_PATH, HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX, HeldRequest,
-    Pause, Shared, events,
+    EVENT_COUNT, EngineState, HANDLE_PREFIX, HEALTH_PATH, HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX,
+    HeldRequest, Pause, Shared, events,
 };
 use super::http::{Request, response, write};
 use super::torn::Framing;
@@ -148,7 +148,7 @@
 /// Returns an answer with success in one piece.
 fn success(state: &EngineState, id: &str, headers: &str, request: &Request) -> Vec<u8> {
     let text = if is_prefill(request) {
-        response(200, headers, &prefill_body())
+        response(200, headers, &prefill_body(request))
     } else if state.stage.is_none() {
         response(200, headers, &call_body(id, request))
     } else {
@@ -162,8 +162,9 @@
     request.header("x-chiveway-serving-stage") == Some("prefill")
 }
 
-fn prefill_body() -> String {
-    json!({"kvHandle": "h1", "tokenCount": 1, "version": 1}).to_string()
+fn prefill_body(request: &Request) -> String {
+    let handle = format!("{HANDLE_PREFIX}{}", request.id());
+    json!({"kvHandle": handle, "tokenCount": 1, "version": 1}).to_string()
 }
 
 /// Returns the body of an answer that is no stream.
@@ -201,7 +202,7 @@
         if let Some(begins) = begins {
             std::thread::sleep(begins.saturating_duration_since(Instant::now()));
         }
-        let mut body = prefill_body();
+        let mut body = prefill_body(request);
         if is_torn {
             body.truncate(body.len() / 2);
         }
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -122,6 +122,8 @@
     pub troubles: BTreeMap<String, Vec<String>>,
     /// Requests whose bodies reached servers changed.
     pub altered: Vec<String>,
+    /// Requests that went on from prefills of others.
+    pub crossed: Vec<String>,
     /// Lines in which hosts state that a request may have run which they refused as not run.
     pub unproven: Vec<String>,
     /// Software version of each server.
@@ -159,6 +161,8 @@
     violations.extend(late.map(|run| format!("sent to a draining server: {run}")));
     let altered = record.altered.iter();
     violations.extend(altered.map(|what| format!("a changed body reached a server: {what}")));
+    let crossed = record.crossed.iter();
+    violations.extend(crossed.map(|what| format!("went on from another prefill: {what}")));
     let unproven = record.unproven.iter();
     violations.extend(unproven.map(|line| format!("a refusal without proof: {line}")));
     violations.extend(late_crashes(&record.poison_crashes));
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -6,7 +6,7 @@
     BESIDE_CROWD, Departure, IN_CROWD, LATE_AFTER, Observation, Order, Record, RequestKind, Run,
     SECOND_ATTEMPT, check,
 };
-use crate::record::unproven_lines;
+use crate::record::{crossed_handle, unproven_lines};
 use crate::standin;
 
 fn observation(kind: RequestKind) -> Observation {
@@ -106,6 +106,13 @@
         altered: vec!["id-1 at s-1: \"id-2\"".to_owned()],
         ..Record::default()
     } => "a changed body reached a server: id-1";
+    a_request_that_goes_on_from_the_prefill_of_another: Record {
+        crossed: crossed_handle("x-chiveway-kv-source: 127.0.0.1:80/h-id-2\n", "id-1")
+            .map(str::to_owned)
+            .into_iter()
+            .collect(),
+        ..Record::default()
+    } => "went on from another prefill: h-id-2";
     a_refusal_that_a_host_cannot_prove: Record {
         unproven: unproven_lines("{\"event\":\"request.sent\"}\n{\"event\":\"refusal.unproven\",\"id\":\"id-1\"}\n"),
         ..Record::default()
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -9,7 +9,7 @@
 use crate::cluster::{Cluster, Server};
 use crate::parts::PART_ID_PREFIX;
 use crate::poison::POISON_ID_PREFIX;
-use crate::standin::engine::{HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX};
+use crate::standin::engine::{HANDLE_PREFIX, HELD_ID_PREFIX, HELD_PREFILL_ID_PREFIX};
 use crate::standin::trouble::Trouble;
 use crate::streams::STREAM_ID_PREFIX;
 
@@ -90,6 +90,15 @@
     unproven.map(str::to_owned).collect()
 }
 
+/// Returns the handle from which a request goes on, if it is that of another request's prefill.
+pub fn crossed_handle<'a>(head: &'a str, id: &str) -> Option<&'a str> {
+    let mut lines = head.lines();
+    let source = lines.find_map(|line| line.strip_prefix("x-chiveway-kv-source: "))?;
+    let (_, handle) = source.split_once('/')?;
+    let of_prefill = handle.strip_prefix(HANDLE_PREFIX)?;
+    (of_prefill != id).then_some(handle)
+}
+
 /// Records that a body which is not the request's own reached a server.
 fn add_altered(record: &mut Record, server: &str, id: &str, body: &[u8]) {
     if is_observed(id) && body != id.as_bytes() {
@@ -133,6 +142,11 @@
     let mut lines = head.lines();
     let id = lines.find_map(|line| line.strip_prefix("x-chiveway-attempt-id: "));
     let id = id.unwrap_or_default().to_owned();
+    if let Some(handle) = crossed_handle(head, &id) {
+        record
+            .crossed
+            .push(format!("{id} at {name}, from {handle}"));
+    }
     let is_prefill = head.contains("x-chiveway-serving-stage: prefill");
     if is_prefill || !is_observed(&id) || path.starts_with("/v1/") {
         return;
