Walk through stops, notices and silent servers when promises are checked

The walk of promises left out orders of events that hosts produce. No request was under way when a stop ended: the bound of a stop was longer than any request. Attempts were seldom kept as standbys, so that with six seeds no check met one that refused, went on or was fallen back to. Nothing named a limit, pushback or departure, no configuration changed, no request came twice, no prefill was recalled, no caller stopped reading, and timers were never late.

A send that was given up stays unproven whatever becomes of it, as nothing is read in answer to it any more: the check is stricter there.

--- a/src/core/relay/tests/promises.rs
+++ b/src/core/relay/tests/promises.rs
@@ -5,7 +5,7 @@
 
 use super::*;
 use crate::core::event::StopEvent;
-use crate::core::relay::event::{ForwardRefusal, Spent, Task};
+use crate::core::relay::event::{ForwardRefusal, NamedLimit, NamedPushback, Notices, Spent, Task};
 use crate::error::Kind;
 
 /// Statuses that callers read as "did not run".
@@ -58,6 +58,8 @@
     sent_again: usize,
     forwards: usize,
     answers: usize,
+    /// Requests that a stop ended although they may have run.
+    stopped: usize,
 }
 
 struct Walk {
@@ -66,6 +68,11 @@
     requests: BTreeMap<CallKey, Request>,
     sends: BTreeMap<AttemptKey, Send>,
     counts: Counts,
+    is_stopping: bool,
+    /// Percentage of the steps up to which something becomes of a send; time passes in most others.
+    busy: u32,
+    /// Version of the configuration in force.
+    version: u64,
     /// What is reported of connections that break: `Ran::No` is false.
     broken: Ran,
 }
@@ -73,6 +80,14 @@
 impl Walk {
     fn new(seed: u64, broken: Ran) -> Self {
         let mut site = TestHost::with_engines();
+        let settings = &mut site.core.settings;
+        // Requests are under way when it has passed.
+        settings.limits.stop_timeout = Duration::from_secs(2);
+        let relay = settings
+            .relay
+            .as_mut()
+            .expect("settings of a relaying host");
+        relay.policy.recall = true;
         site.register(["a", "b", "c"].map(plain_entry).to_vec());
         for (number, host) in (1..).zip(HOSTS) {
             let entry = format!(r#"{{"addr":"10.9.0.{number}:1","domain":"z"}}"#);
@@ -84,12 +99,18 @@
             requests: BTreeMap::new(),
             sends: BTreeMap::new(),
             counts: Counts::default(),
+            is_stopping: false,
+            // Where little happens, servers are silent, and their attempts kept while others are asked.
+            busy: if seed.is_multiple_of(2) { 55 } else { 84 },
+            version: 1,
             broken,
         }
     }
 
     fn arrive(&mut self) {
-        let paths = ["/once/x", "/again/x", "/feed/x", "/long/x", "/short/x"];
+        let paths = [
+            "/once/x", "/again/x", "/feed/x", "/long/x", "/short/x", "/short/x",
+        ];
         let path = paths[self.rng.random_range(0..paths.len())];
         let prompt = (
             self.rng.random_range(1..4),
@@ -100,9 +121,15 @@
             _ => plain_request(path),
         };
         let resumed = matches!(path, "/feed/x" | "/short/x") && self.rng.random_bool(0.2);
+        // Some requests are equal, and crash the servers that run them.
+        let fingerprint = if self.rng.random_bool(0.1) {
+            Fingerprint([self.rng.random_range(0..10); 16])
+        } else {
+            Fingerprint(self.rng.random())
+        };
         let request = Arrival {
             deadline: Some(Duration::from_millis(self.rng.random_range(100..6000))),
-            fingerprint: Fingerprint(self.rng.random()),
+            fingerprint,
             forwarded: self.rng.random_bool(0.2).then(|| Spent {
                 runs: self.rng.random_range(0..2),
                 ..Spent::default()
@@ -148,6 +175,7 @@
                 }
                 Effect::Relay(RelayEffect::Refuse { call, refusal }) => {
                     let request = self.requests.remove(call).expect("an open request");
+                    self.counts.stopped += usize::from(self.is_stopping && request.unproven > 0);
                     if refusal.ran == Ran::No {
                         assert_eq!(request.unproven, 0, "{refusal:?} of {request:?}");
                         self.counts.refused_after_sends += usize::from(request.sends > 0);
@@ -189,10 +217,11 @@
         self.sends.insert(attempt, send);
     }
 
-    /// Ends a send as one that did not run.
+    /// Ends a send as one that did not run. Nothing is read in answer to one that was given up.
     fn not_run(&mut self, attempt: AttemptKey, send: Send) {
         self.sends.remove(&attempt);
         if send.target != Target::Prefill
+            && !send.given_up
             && let Some(request) = self.requests.get_mut(&send.call)
         {
             request.unproven -= 1;
@@ -209,6 +238,9 @@
         let (attempt, send) = self.sends.iter().nth(index).expect("a send");
         let (attempt, send) = (*attempt, *send);
         let mut status = None;
+        if self.rng.random_bool(0.04) {
+            self.notice(attempt);
+        }
         match self.rng.random_range(0..10) {
             0..=2 if send.events == 0 => return self.refuse(attempt, send),
             3 => {
@@ -237,6 +269,12 @@
                 self.sends.remove(&attempt);
                 self.site.stream_ended(attempt);
             }
+            7 if self.rng.random_bool(0.5) => {
+                self.site.event(RelayEvent::DeliveryBlocked(attempt));
+                self.check(None);
+                self.pass();
+                self.site.event(RelayEvent::DeliveryResumed(attempt));
+            }
             7 => self.site.event(RelayEvent::AnswerReceived(attempt)),
             _ => {
                 let number = send.events + 1;
@@ -249,6 +287,57 @@
         self.check(status);
     }
 
+    /// Has the head of an answer keep requests from its server for a time.
+    fn notice(&mut self, attempt: AttemptKey) {
+        let notices = Notices {
+            limit: match self.rng.random_range(0..8) {
+                0 => NamedLimit::Rate(0.0),
+                1 => NamedLimit::Rate(5.0),
+                _ => NamedLimit::None,
+            },
+            leaving: self.rng.random_bool(0.05),
+            pushback: if self.rng.random_bool(0.3) {
+                NamedPushback::For(Duration::from_millis(400))
+            } else {
+                NamedPushback::None
+            },
+        };
+        self.site.event(RelayEvent::Noticed { attempt, notices });
+        self.check(None);
+    }
+
+    /// Has the host stand still: what arrived meanwhile is handled before the timers that are due.
+    fn stall(&mut self) {
+        self.site.now += [300, 1500, 7000][self.rng.random_range(0..3)];
+        for _ in 0..3 {
+            self.happen();
+        }
+    }
+
+    /// Has a probe find a server that broke a request off, or not.
+    fn probe_server(&mut self) {
+        let instance = SERVERS[self.rng.random_range(0..SERVERS.len())].into();
+        let is_alive = self.rng.random_bool(0.7);
+        self.site
+            .event(RelayEvent::ServerProbed { instance, is_alive });
+        self.check(None);
+    }
+
+    /// Puts another configuration in force, by which some requests have no route any more.
+    fn configure(&mut self) {
+        self.version += 1;
+        let mut catalog = catalog(self.version);
+        if self.rng.random_bool(0.3) {
+            let dropped = self.rng.random_range(0..catalog.routes.len());
+            catalog.routes.remove(dropped);
+        }
+        if self.rng.random_bool(0.2) {
+            catalog.services.remove("model");
+        }
+        self.site.configure(catalog);
+        self.check(None);
+    }
+
     /// Has a server or host state that it did not run a request, or nothing be sent.
     fn refuse(&mut self, attempt: AttemptKey, send: Send) {
         if send.target == Target::Host && self.rng.random_bool(0.7) {
@@ -332,15 +421,21 @@
 
     fn run(mut self) -> Counts {
         for step in 0..STEPS {
-            match self.rng.random_range(0..100) {
+            match self.rng.random_range(0..100_u32) {
                 0..=29 if self.requests.len() < MAX_OPEN => self.arrive(),
-                0..=84 => self.happen(),
-                85..=93 => self.pass(),
+                draw if draw <= self.busy => self.happen(),
+                0..=93 => self.pass(),
                 94..=96 => self.leave(),
-                97 => self.probe(),
+                97 => match self.rng.random_range(0..4) {
+                    0 => self.probe(),
+                    1 => self.probe_server(),
+                    2 => self.configure(),
+                    _ => self.stall(),
+                },
                 _ => self.list(),
             }
             if step == STEPS - 100 {
+                self.is_stopping = true;
                 self.site.apply(Event::Stop(StopEvent::Begin));
                 self.check(None);
             }
@@ -353,7 +448,7 @@
 }
 
 /// Seeds that run by default; `PROMISE_SEEDS` sets another number.
-const DEFAULT_SEEDS: u64 = 6;
+const DEFAULT_SEEDS: u64 = 40;
 
 /// Guards against a request that is refused as not run although a send of it may have run, and against a second run of one that
 /// may not repeat.
@@ -361,6 +456,7 @@
 fn no_promise_without_proof() {
     let seeds = std::env::var("PROMISE_SEEDS").ok();
     let seeds = seeds.and_then(|seeds| seeds.parse().ok());
+    let mut stopped = 0;
     for seed in 1..=seeds.unwrap_or(DEFAULT_SEEDS) {
         let counts = Walk::new(seed, Ran::Unknown).run();
         let least = [
@@ -372,7 +468,9 @@
         ];
         let is_covered = least.iter().all(|count| *count > 0);
         assert!(is_covered, "seed {seed}: {counts:?}");
+        stopped += counts.stopped;
     }
+    assert!(stopped > 0, "no stop met a request that may have run");
 }
 
 /// Guards against a check that cannot fail: broken connections are reported as not run.
