Test what callers send beside a request that is under way

The HTTP library answers some requests by itself: 408 for a head that stays away, 400 for bytes that it cannot parse. Callers take 408 as "did not run", so that none may arrive while an earlier request of the connection runs, and no rest of a body may be read as a request.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod cut;
 mod descriptors;
 mod duties;
+mod early_bytes;
 mod endless;
 mod endless_callers;
 mod endless_calls;
