Compare responses of the product's own interface with their calls

Callers of the product's own interface would have been told that a call did not run (503, `ran` no) while the service ran it, or the call would have gone to a second instance, or a caller would have got the answer to another one.

A response was believed whatever it belonged to. A server that sends a refusal a second time has it read as the response to the next call on the same connection, together with its statement that nothing ran. Only events of streams named their attempt. The HTTP library also returns an informational response as the answer, and two heads, of which the first is cut off, as one.

Each call now has an id of its own, `X-Attempt-Id`, as streams had before; calls of services get it too. A server that repeats the id in its responses keeps its connections, and a response with another id, with none, or with a head made of two fails the call as one that may have run and closes its connection. A server that doesn't repeat it, such as one of an earlier version, gets a new connection for each call, on which the first response can only be its own. Such responses are logged as `response.foreign` and counted.

--- a/src/backend/client.rs
+++ b/src/backend/client.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
+use super::identity::{ATTEMPT_HEADER, Carrier, NamingServers};
 use super::single_use::{self, SingleUse};
 use crate::error::Ran;
 use crate::web::CLIENT_IDLE_TIMEOUT;
@@ -90,6 +91,9 @@
     /// No complete response arrived in time.
     #[snafu(display("no answer came in time"))]
     Timeout,
+    /// The response belongs to another call.
+    #[snafu(display("the answer is not for this request"))]
+    Foreign,
     /// The response exceeds the size limit, violates the protocol, or has no mark of its end that the HTTP library
     /// can read.
     #[snafu(display("the answer cannot be read"))]
@@ -114,7 +118,7 @@
     pub fn ran(&self) -> Ran {
         match self {
             Self::Invalid | Self::Connect => Ran::No,
-            Self::Lost | Self::Timeout => Ran::Unknown,
+            Self::Lost | Self::Timeout | Self::Foreign => Ran::Unknown,
             Self::Unreadable => Ran::Yes,
             Self::Status { ran, .. } => *ran,
         }
@@ -145,6 +149,17 @@
     pub body: Bytes,
 }
 
+impl Call<'_> {
+    /// Returns the id that responses to it name, if it has one.
+    #[must_use]
+    pub fn id(&self) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers
+            .find(|(name, _)| *name == ATTEMPT_HEADER)
+            .map(|(_, id)| *id)
+    }
+}
+
 /// A complete response of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -161,7 +176,11 @@
 /// HTTP client with a pool of connections to backend servers; belongs to one thread.
 #[derive(Debug, Clone)]
 pub struct Client {
-    http: ntex::client::Client,
+    /// Reuses connections, unless the options rule it out.
+    pooled: ntex::client::Client,
+    /// Opens a connection for each call.
+    fresh: ntex::client::Client,
+    naming: NamingServers,
     opts: Options,
 }
 
@@ -173,11 +192,18 @@
     /// Returns the library's error if the connector cannot be built.
     pub async fn new(opts: Options) -> Result<Self, ntex::client::error::ClientBuilderError> {
         let age = u16::try_from(opts.max_age.as_secs().max(1)).unwrap_or(u16::MAX);
-        let connector = single_use::withdrawing_connector(opts.connect_timeout)
-            .limit(MAX_CONNECTIONS)
-            .keep_alive(CLIENT_IDLE_TIMEOUT)
-            .lifetime(Seconds(age));
-        Self::with_connector(opts, connector).await
+        let connector = || {
+            single_use::withdrawing_connector(opts.connect_timeout)
+                .limit(MAX_CONNECTIONS)
+                .keep_alive(CLIENT_IDLE_TIMEOUT)
+                .lifetime(Seconds(age))
+        };
+        Ok(Self {
+            pooled: http(&opts, connector()).await?,
+            fresh: http(&opts, connector()).await?,
+            naming: NamingServers::default(),
+            opts,
+        })
     }
 
     /// Builds a client for one call on a new connection.
@@ -189,29 +215,14 @@
         opts: Options,
         single_use: SingleUse,
     ) -> Result<Self, ntex::client::error::ClientBuilderError> {
-        Self::with_connector(
+        let connector = single_use::connector(single_use, opts.connect_timeout);
+        let http = http(&opts, connector).await?;
+        Ok(Self {
+            pooled: http.clone(),
+            fresh: http,
+            naming: NamingServers::default(),
             opts,
-            single_use::connector(single_use, opts.connect_timeout),
-        )
-        .await
-    }
-
-    async fn with_connector(
-        opts: Options,
-        connector: Connector,
-    ) -> Result<Self, ntex::client::error::ClientBuilderError> {
-        let io = IoConfig::new().set_connect_timeout(millis(opts.connect_timeout));
-        let http = ntex::client::Client::builder()
-            .connector::<()>(connector)
-            .disable_redirects()
-            .no_default_headers()
-            // Timeouts are enforced in `send` and `call`, on timers finer than the library's.
-            .disable_timeout()
-            .response_payload_limit(opts.max_body_bytes)
-            .response_payload_timeout(Millis::ZERO)
-            .build(SharedCfg::new("backend").add(io).build())
-            .await?;
-        Ok(Self { http, opts })
+        })
     }
 
     /// Sends a call and collects its response, whatever its status.
@@ -247,14 +258,33 @@
 
     /// Sends a call and returns the response head with the body still to be read.
     pub(super) async fn send(&self, call: Call<'_>) -> Result<ClientResponse, CallError> {
+        let (addr, id) = (call.addr, call.id().map(Box::<str>::from));
+        let carrier = match self.opts.reuse {
+            Reuse::Pooled => self.naming.carrier(&call),
+            Reuse::Never => Carrier::New,
+        };
+        let result = self.send_on(call, carrier).await;
+        if matches!(result, Err(CallError::Connect)) {
+            self.naming.forget(addr);
+        }
+        let response = result?;
+        if self.naming.is_own(addr, id.as_deref(), carrier, &response) {
+            Ok(response)
+        } else {
+            Err(CallError::Foreign)
+        }
+    }
+
+    async fn send_on(&self, call: Call<'_>, carrier: Carrier) -> Result<ClientResponse, CallError> {
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
             return Err(CallError::Invalid);
         };
         let url = format!("http://{}{}", call.addr, call.path);
-        let mut request = self.http.request(method, url).address(call.addr);
-        if self.opts.reuse == Reuse::Never {
-            request = request.force_close();
+        let mut request = match carrier {
+            Carrier::Kept => self.pooled.request(method, url),
+            Carrier::New => self.fresh.request(method, url).force_close(),
         }
+        .address(call.addr);
         for (name, value) in call.headers {
             request = request.header(*name, *value);
         }
@@ -291,6 +321,24 @@
     }
 }
 
+/// Builds the library's client.
+async fn http(
+    opts: &Options,
+    connector: Connector,
+) -> Result<ntex::client::Client, ntex::client::error::ClientBuilderError> {
+    let io = IoConfig::new().set_connect_timeout(millis(opts.connect_timeout));
+    ntex::client::Client::builder()
+        .connector::<()>(connector)
+        .disable_redirects()
+        .no_default_headers()
+        // Timeouts are enforced in `send` and `call`, on timers finer than the library's.
+        .disable_timeout()
+        .response_payload_limit(opts.max_body_bytes)
+        .response_payload_timeout(Millis::ZERO)
+        .build(SharedCfg::new("backend").add(io).build())
+        .await
+}
+
 /// A body that records when the library assigns the request to a connection.
 ///
 /// The library reports a connection lost before the response with the same error as a failed
--- a/src/backend/engine.rs
+++ b/src/backend/engine.rs
@@ -8,7 +8,7 @@
 use snafu::Snafu;
 
 use super::client::{Answer, Call, CallError, Client};
-use super::stream::ATTEMPT_HEADER;
+use super::identity::ATTEMPT_HEADER;
 use crate::error::Ran;
 
 /// An engine's report of its load.
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -7,6 +7,7 @@
 mod client;
 mod connect;
 mod engine;
+mod identity;
 pub mod pool;
 mod sends;
 mod single_use;
@@ -20,6 +21,7 @@
     Action, CacheEvent, CacheOp, EngineLoad, OrderError, PrefillResult, fetch_cache_events,
     fetch_load, prefill, send_order,
 };
+pub use identity::ATTEMPT_HEADER;
 pub use sends::SendCount;
 pub use single_use::{SendCheck, SingleUse};
 pub use sse::{Event, Parser, SseError};
--- a/src/backend/stream.rs
+++ b/src/backend/stream.rs
@@ -13,10 +13,9 @@
 use tokio::time::timeout;
 
 use super::client::{Call, CallError, Client, status_error};
+use super::identity::ATTEMPT_HEADER;
 use super::sse::{Event, Parser, SseError};
 
-/// Header with the attempt id.
-pub(super) const ATTEMPT_HEADER: &str = "x-attempt-id";
 /// Header with the token offset to resume from.
 const RESUME_HEADER: &str = "last-event-id";
 /// Header with the priority; it takes precedence over the `priority` field of the body.
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -34,6 +34,8 @@
         attempt: AttemptKey,
         /// Address that the service listens on.
         addr: SocketAddr,
+        /// Name of the attempt at the service.
+        label: Box<str>,
         /// Time limit of the call.
         timeout: Duration,
     },
--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -145,6 +145,7 @@
                 request: key,
                 attempt,
                 addr,
+                label,
                 timeout: settings.timeout,
             });
         }
--- a/src/core/request/failure.rs
+++ b/src/core/request/failure.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::super::effect::{Effect, Meter, Refusal};
+use super::super::effect::{Effect, Meter, Refusal, log_event};
 use super::super::event::{AttemptFailure, RequestSpec, Timer};
 use super::super::key::{AttemptKey, BackendKey, RequestKey};
 use super::super::route::Choice;
@@ -41,6 +41,9 @@
         None => (attempt.backend, false),
     };
     let (request, label) = (attempt.request, attempt.label.clone());
+    if cause == AttemptFailure::Foreign {
+        note_foreign(core, request, backend, &label, out);
+    }
     if standby::is_standby(core, key) {
         // The other attempt is under way.
         out.push(Effect::Cancel(key));
@@ -113,6 +116,25 @@
     retry(core, request, detail, Kind::EngineFailed, delay, out);
 }
 
+/// Logs and counts a response that belongs to another request.
+fn note_foreign(
+    core: &Core,
+    request: RequestKey,
+    backend: BackendKey,
+    label: &str,
+    out: &mut Effects,
+) {
+    let reader = match core.requests.arena[request].want {
+        RequestSpec::Model(_) => "engine",
+        RequestSpec::Service(_) => "service",
+    };
+    out.push(Effect::Meter(Meter::ForeignResponse { reader }));
+    let backend = core.fleet.arena.get(backend);
+    let name = backend.map(|backend| &*backend.name).unwrap_or_default();
+    let text = format!("{label}: the response of {name} belongs to another request");
+    out.push(log_event(log::Level::Warn, "response.foreign", text));
+}
+
 pub(super) fn resume(
     core: &mut Core,
     request: RequestKey,
--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -238,32 +238,42 @@
         _ if ran == Ran::No && err.status().is_some() => AttemptFailure::Refused,
         (CallError::Connect | CallError::Invalid, _) => AttemptFailure::Unreachable,
         (CallError::Timeout, _) => AttemptFailure::Silent,
+        (CallError::Foreign, _) => AttemptFailure::Foreign,
         _ => AttemptFailure::Cut,
     };
     attempt_failed(attempt, ran, end, &err.to_string())
 }
 
+/// An attempt at a service call.
+#[derive(Debug)]
+pub struct ServiceAttempt {
+    /// The request.
+    pub request: RequestKey,
+    /// The attempt.
+    pub attempt: AttemptKey,
+    /// Address that the service listens on.
+    pub addr: SocketAddr,
+    /// Name of the attempt at the service.
+    pub label: Box<str>,
+    /// Time limit of the call.
+    pub timeout: Duration,
+}
+
 /// Calls a service and reports its answer, unless `ended` closes first.
-pub async fn call_service(
-    node: Rc<Node>,
-    request: RequestKey,
-    attempt: AttemptKey,
-    addr: SocketAddr,
-    time: Duration,
-    ended: oneshot::Receiver<()>,
-) {
-    let Some(prepared) = node.prepared(request) else {
+pub async fn call_service(node: Rc<Node>, sent: ServiceAttempt, ended: oneshot::Receiver<()>) {
+    let ServiceAttempt { attempt, addr, .. } = sent;
+    let Some(prepared) = node.prepared(sent.request) else {
         return;
     };
     let Prepared::Call(call) = &*prepared else {
         return;
     };
-    let headers: Vec<(&str, &str)> = call
-        .headers
-        .iter()
-        .map(|(name, value)| (&**name, &**value))
+    let callers = call.headers.iter();
+    let callers = callers.map(|(name, value)| (&**name, &**value));
+    let headers: Vec<(&str, &str)> = callers
+        .chain([(backend::ATTEMPT_HEADER, &*sent.label)])
         .collect();
-    let sent = node.backends.call(backend::Call {
+    let answer = node.backends.call(backend::Call {
         method: &call.method,
         addr,
         path: &call.path,
@@ -273,7 +283,7 @@
     let event = tokio::select! {
         biased;
         _ = ended => return,
-        answer = timeout(time, sent) => match answer {
+        answer = timeout(sent.timeout, answer) => match answer {
             Ok(Ok(answer)) => service_answered(attempt, &answer),
             Ok(Err(err)) => service_failed(attempt, &err),
             Err(_late) => attempt_failed(attempt, Ran::Unknown, AttemptFailure::Cut, "no answer in time"),
@@ -301,9 +311,10 @@
 }
 
 fn service_failed(attempt: AttemptKey, err: &CallError) -> RequestEvent {
-    let end = match err.ran() {
-        Ran::No => AttemptFailure::Unreachable,
-        Ran::Yes | Ran::Unknown => AttemptFailure::Cut,
+    let end = match (err, err.ran()) {
+        (CallError::Foreign, _) => AttemptFailure::Foreign,
+        (_, Ran::No) => AttemptFailure::Unreachable,
+        (_, Ran::Yes | Ran::Unknown) => AttemptFailure::Cut,
     };
     attempt_failed(attempt, err.ran(), end, &err.to_string())
 }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -334,12 +334,18 @@
                 request,
                 attempt,
                 addr,
+                label,
                 timeout,
             } => {
                 let ended = self.start_attempt(attempt);
-                let call =
-                    backends::call_service(Rc::clone(self), request, attempt, addr, timeout, ended);
-                ntex::rt::spawn(call);
+                let sent = backends::ServiceAttempt {
+                    request,
+                    attempt,
+                    addr,
+                    label,
+                    timeout,
+                };
+                ntex::rt::spawn(backends::call_service(Rc::clone(self), sent, ended));
             }
             Effect::Cancel(attempt) => {
                 self.attempts.borrow_mut().remove(attempt);
--- a/src/standin/engine/routes.rs
+++ b/src/standin/engine/routes.rs
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
+use super::super::name_call;
 use super::Shared;
 use super::batch::AttemptKey;
 use super::options::{Faults, Role};
@@ -37,7 +38,7 @@
         Ok(body) => body,
         Err(status) => return Response::new(status),
     };
-    match (req.method(), req.path()) {
+    let mut response = match (req.method(), req.path()) {
         (&Method::POST, "/v1/completions") => {
             handle_completion(&shared, &req, &body, AnswerFormat::Text).await
         }
@@ -54,7 +55,9 @@
         (&Method::POST, "/fault") => set_faults(&shared, &body),
         (&Method::GET, path) if path.starts_with("/kv/") => export_prompt(&shared, path),
         _ => error_response(StatusCode::NOT_FOUND, "path"),
-    }
+    };
+    name_call(&req, &mut response);
+    response
 }
 
 /// Registers the connection of a request; returns whether the fault `silent` has silenced it.
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use super::name_call;
 use crate::web;
 
 /// Maximum size of a request body.
@@ -112,7 +113,7 @@
         Ok(body) => body,
         Err(status) => return Response::new(status),
     };
-    match (req.method(), req.path()) {
+    let mut response = match (req.method(), req.path()) {
         (&Method::GET, "/counts") => Response::Ok().json(&state.borrow().counts),
         (&Method::POST, "/fault") => match serde_json::from_slice(&body) {
             Ok(faults) => {
@@ -122,7 +123,9 @@
             Err(err) => Response::BadRequest().json(&json!({"error": err.to_string()})),
         },
         _ => handle_call(&state, &req, &body).await,
-    }
+    };
+    name_call(&req, &mut response);
+    response
 }
 
 async fn handle_call(state: &RefCell<State>, req: &Request, body: &[u8]) -> Response {
--- a/tests/engine/main.rs
+++ b/tests/engine/main.rs
@@ -29,6 +29,7 @@
 mod answers;
 mod calls;
 mod endless;
+mod identity;
 
 /// Time limit of any wait in a test; far above what it needs.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
