Pass on no service's refusal that does not say whether the call ran

A service that ran a call which may not repeat and answered 408, 421, 429 or 503 without `X-Ran: no` had this answer passed on by the product's own interface.

The status was not looked at: any response was the result of the call. Such a response is a failure of the attempt now, as one that may have run: a call that may repeat goes to another instance, any other is answered 502 with `ran` unknown and recorded as one that may have run, so that a retry is answered 409 and does not run. A result of this kind that a host of an earlier version has recorded is repeated as "may have run". The instance does not count as failed, as before.

Before the change the four tests `unstated::service_*` failed: the caller got the service's own document, without `ran`. `recorded_refusal_is_not_repeated` failed with the recorded 503. Answers of status 404, 409, 500, 502 and 504 are passed on as before, which a test holds.

--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -168,7 +168,7 @@
     Unreachable,
     /// This host has no file descriptor left for a connection; neither the backend server nor its link failed.
     NoDescriptor,
-    /// The backend server refused the request before it started.
+    /// The backend server refused the request; whether before it started, it may not have stated.
     Refused,
     /// The backend server answered that the request is invalid.
     Rejected,
--- a/src/core/once/ask.rs
+++ b/src/core/once/ask.rs
@@ -11,7 +11,7 @@
 use crate::core::message::{Begin, BeginState, Done, DoneState};
 use crate::core::request::{self, Phase};
 use crate::core::{Core, Effects, stop, trace};
-use crate::error::{Kind, Ran};
+use crate::error::{Kind, NOT_RUN_STATUSES, Ran};
 
 /// Largest response body kept with a record; a larger one reaches the first caller only, and
 /// retries get a placeholder.
@@ -324,6 +324,11 @@
             request::note(core, key, trace::RECORDED_NOTE);
             request::dispatch(core, key, out);
         }
+        // Hosts of earlier versions kept a service's refusals as results.
+        BeginState::Done(result) if NOT_RUN_STATUSES.contains(&result.status) => {
+            let refusal = refusal(&BeginState::MayHaveRun, &first);
+            request::refuse(core, key, refusal, out);
+        }
         BeginState::Done(result) => {
             let text = format!("ran before as {first}; its answer is repeated");
             request::note(core, key, text);
--- a/src/core/request/attempt.rs
+++ b/src/core/request/attempt.rs
@@ -6,9 +6,9 @@
 use super::super::route::{self, Choice, Need};
 use super::super::{Core, Effects, Time, load, once, poison, trace};
 use super::end::{close_attempt, end, give_up, reply};
-use super::failure::attempt_failed;
+use super::failure::{attempt_failed, unstated_refusal};
 use super::{Attempt, Flow, Phase, Progress, Request, millis, standby};
-use crate::error::{Kind, Ran};
+use crate::error::{Kind, NOT_RUN_STATUSES, Ran};
 
 /// Sends a request to a backend server.
 pub fn dispatch(core: &mut Core, key: RequestKey, out: &mut Effects) {
@@ -304,6 +304,10 @@
     };
     let request = attempt.request;
     core.fleet.record_success(attempt.backend);
+    if NOT_RUN_STATUSES.contains(&result.status) {
+        unstated_refusal(core, key, result.status, out);
+        return;
+    }
     close_attempt(core, key, "whole", Ran::Yes);
     if core.requests.arena[request].retryable {
         reply(core, request, result, None, out);
--- a/src/core/request/failure.rs
+++ b/src/core/request/failure.rs
@@ -180,6 +180,20 @@
     }
 }
 
+/// Handles a service's refusal that does not state whether the call ran.
+///
+/// Callers would read its status as "did not run".
+pub(super) fn unstated_refusal(core: &mut Core, key: AttemptKey, status: u16, out: &mut Effects) {
+    let Some(attempt) = core.requests.attempts.get(key) else {
+        return;
+    };
+    let (request, backend) = (attempt.request, attempt.backend);
+    let detail = format!("the service answered {status} and did not state whether the call ran");
+    close_attempt(core, key, &detail, Ran::Unknown);
+    let cause = AttemptFailure::Refused;
+    service_failed(core, request, backend, Ran::Unknown, cause, &detail, out);
+}
+
 fn service_failed(
     core: &mut Core,
     key: RequestKey,
@@ -192,6 +206,7 @@
     let request = &mut core.requests.arena[key];
     request.avoid.push(backend);
     let kind = match cause {
+        AttemptFailure::Refused if ran != Ran::No => Kind::ServiceFailed,
         AttemptFailure::Unreachable | AttemptFailure::NoDescriptor | AttemptFailure::Refused => {
             Kind::ServiceDown
         }
--- a/src/core/tests/once.rs
+++ b/src/core/tests/once.rs
@@ -7,7 +7,7 @@
 
 use super::{CallerResult, Cluster, FaultRates};
 use crate::core::Event;
-use crate::core::event::PeerEvent;
+use crate::core::event::{PeerEvent, StoredResponse};
 use crate::core::key::ShardKey;
 use crate::core::message::{BeginState, Done, DoneState, Heartbeat, Message};
 use crate::core::once::{RETENTION, is_canonical, shard_of};
@@ -267,6 +267,39 @@
     cluster.check("after the late message");
 }
 
+/// A host of an earlier version has recorded a service's refusal, without a statement whether the call ran, as its result.
+/// Guards against repeating its status to a retry, which reads it as "did not run".
+#[test]
+fn recorded_refusal_is_not_repeated() {
+    let mut cluster = Cluster::new(2, 7);
+    cluster.service_time = Duration::from_secs(10);
+    let first = cluster.call(0, "k", 1);
+    cluster.run(Duration::from_secs(1));
+    let result = StoredResponse {
+        status: 503,
+        ..StoredResponse::default()
+    };
+    let done = Done {
+        round: 1,
+        customer: super::CUSTOMER.into(),
+        key: "k".into(),
+        request: cluster.sent[first].id.clone(),
+        outcome: DoneState::Result(result),
+    };
+    for at in 0..2 {
+        let from = cluster.hosts[1 - at].name.clone();
+        let message = Message::Done(done.clone());
+        cluster.feed(at, Event::Peer(PeerEvent::Message { from, message }));
+    }
+    cluster.run(Duration::from_secs(1));
+    let again = cluster.call(1, "k", 1);
+    cluster.run(Duration::from_secs(1));
+    assert_matches!(
+        &cluster.sent[again].result,
+        Some(CallerResult::Refused(refusal)) if refusal.kind == Kind::MayHaveRun && refusal.ran == Ran::Unknown
+    );
+}
+
 /// A write of a result fails once while the key-value service counts as up. It must be retried
 /// soon, or every retry of the call is refused as still running.
 #[test]
--- a/src/error.rs
+++ b/src/error.rs
@@ -4,6 +4,9 @@
 
 use serde_json::{Value, json};
 
+/// HTTP statuses that callers read as "did not run".
+pub const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Whether a backend server ran the request, as far as this program can prove.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ran {
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -40,6 +40,8 @@
     lose_answers: Option<u64>,
     /// Whether calls are counted and answered with a redirect to the same path.
     redirect: Option<bool>,
+    /// Status with which calls are counted and answered, without a statement whether they ran; 0 for none.
+    unstated: Option<u16>,
 }
 
 impl Faults {
@@ -48,6 +50,7 @@
         self.fail_next = new.fail_next.or(self.fail_next);
         self.lose_answers = new.lose_answers.or(self.lose_answers);
         self.redirect = new.redirect.or(self.redirect);
+        self.unstated = new.unstated.or(self.unstated);
     }
 }
 
@@ -57,6 +60,7 @@
     Fail,
     LoseAnswer,
     Redirect,
+    Unstated(StatusCode),
 }
 
 struct State {
@@ -68,7 +72,10 @@
 
 impl State {
     fn next_outcome(&mut self) -> Outcome {
-        if consume_one(&mut self.faults.fail_next) {
+        let unstated = self.faults.unstated.unwrap_or(0);
+        if let Ok(status) = StatusCode::from_u16(unstated) {
+            Outcome::Unstated(status)
+        } else if consume_one(&mut self.faults.fail_next) {
             Outcome::Fail
         } else if consume_one(&mut self.faults.lose_answers) {
             Outcome::LoseAnswer
@@ -161,6 +168,7 @@
             }
             Response::InternalServerError().finish()
         }
+        Outcome::Unstated(status) => Response::build(status).json(&json!({"error": "unstated"})),
         Outcome::Redirect => Response::build(StatusCode::TEMPORARY_REDIRECT)
             .header("location", path)
             .finish(),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,3 +15,4 @@
 mod streams;
 #[expect(dead_code, reason = "each subject uses its part of the harness")]
 mod support;
+mod unstated;
