Give no status of a promise to a request that may have run

A completion that two engines had refused without a statement whether it ran, while no other engine took it, was answered 503 `no-engine` with `ran` unknown. Callers read the status, and a 503 means "did not run" to them.

The status came from the kind of the refusal alone, whatever `ran` says. The relayed path has its own function for this; the product's own interface had none. Status and problem document now come from kind and `ran` together: 408, 421, 429 and 503 become 502 unless the request did not run.

--- a/src/error.rs
+++ b/src/error.rs
@@ -7,6 +7,9 @@
 /// HTTP statuses that callers read as "did not run".
 pub const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// HTTP status of a request that may have run.
+const BAD_GATEWAY: u16 = 502;
+
 /// Whether a backend server ran the request, as far as this program can prove.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ran {
@@ -385,6 +388,17 @@
         ANSWERS[self as usize].1
     }
 
+    /// Returns the HTTP status of a refusal; a request that may have run gets none that callers read as "did not run".
+    #[must_use]
+    pub fn status(self, ran: Ran) -> u16 {
+        let own = self.answer().status;
+        if ran != Ran::No && NOT_RUN_STATUSES.contains(&own) {
+            BAD_GATEWAY
+        } else {
+            own
+        }
+    }
+
     /// Returns the kind with this code.
     #[must_use]
     pub fn from_code(code: &str) -> Option<Self> {
@@ -409,7 +423,7 @@
     let mut body = json!({
         "type": format!("urn:chiveway:{}", answer.code),
         "title": answer.title,
-        "status": answer.status,
+        "status": kind.status(ran),
         "detail": detail,
         "ran": ran.name(),
         "request_id": id,
--- a/src/host/problem.rs
+++ b/src/host/problem.rs
@@ -14,7 +14,7 @@
 
 /// Returns the response for a refusal; `id` is the request's id, empty if it has none.
 pub fn answer(refusal: &Refusal, id: &str) -> Response {
-    let status = StatusCode::from_u16(refusal.kind.answer().status)
+    let status = StatusCode::from_u16(refusal.kind.status(refusal.ran))
         .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = Response::build(status);
     response.content_type(MEDIA_TYPE);
--- a/src/host/tests.rs
+++ b/src/host/tests.rs
@@ -6,7 +6,10 @@
 
 use super::backends::ReorderBuffer;
 use super::completion::{Endpoint, parse};
+use super::problem;
 use crate::backend::Chunk;
+use crate::core::effect::Refusal;
+use crate::error::{Kind, NOT_RUN_STATUSES, Ran};
 
 /// Defines a test for each body: whether it is accepted, and the error that the caller gets if not.
 macro_rules! bodies {
@@ -129,3 +132,27 @@
     assert!(inserted.count() < 100);
     assert!(reorder.pop().is_none());
 }
+
+/// A request was sent to engines that did not state whether it ran, and no other engine takes it. Guards against 408, 421,
+/// 429 and 503 for a request that may have run: callers read them as "did not run".
+#[test]
+fn a_request_that_may_have_run_gets_no_status_of_one_that_did_not() {
+    for kind in Kind::ALL {
+        for ran in [Ran::Yes, Ran::Unknown] {
+            let refusal = Refusal::new(kind, "").with_ran(ran);
+            let answer = problem::answer(&refusal, "");
+            let status = answer.status().as_u16();
+            assert!(!NOT_RUN_STATUSES.contains(&status), "{kind:?}: {status}");
+            let document = problem::document(&refusal, "");
+            assert!(
+                document.contains(&format!("\"status\":{status},")),
+                "{document}"
+            );
+        }
+        let refusal = Refusal::new(kind, "").with_ran(Ran::No);
+        assert_eq!(
+            problem::answer(&refusal, "").status().as_u16(),
+            kind.answer().status
+        );
+    }
+}
