Send a completion to another engine when one refuses it without a statement

An engine that answered a completion with 503 and did not state that it had not run it was taken to have broken off its stream: the host asked it to resume, was answered 404, since the engine knew no such attempt, and counted the engine as crashed by the request. Two engines that were merely full, and the caller got 422 `engine-killer`: "change it before you send it again"; the same completion was refused for ten minutes. A 408, 421 or 429 without the statement was passed on as 400 `malformed`, though another engine was idle.

These four statuses are refusals, whether or not the engine states that it did not run the request. The completion goes to another engine, without a crash on record; if none takes it, the caller gets 502 with `ran` unknown.

Before the change the four `unstated::engine_*` failed: with 400 at the first of two engines (408, 421, 429), with 422 `engine-killer` once both refused (503).

--- a/src/host/backends.rs
+++ b/src/host/backends.rs
@@ -18,7 +18,7 @@
 };
 use crate::core::key::{AttemptKey, RequestKey};
 use crate::core::{Event, Time};
-use crate::error::Ran;
+use crate::error::{NOT_RUN_STATUSES, Ran};
 use crate::store::{ListEntryKind, ListEntryState};
 
 /// Time limit for reading a load report.
@@ -229,6 +229,9 @@
     let ran = err.ran();
     let end = match (err, err.status()) {
         (_, Some(404)) if resume.is_some() => AttemptFailure::Forgotten,
+        // Another engine may take it, whether or not this one states that it did not run the request. A resumed stream would
+        // be refused again, and look as if the engine had crashed.
+        (_, Some(status)) if NOT_RUN_STATUSES.contains(&status) => AttemptFailure::Refused,
         // Every engine would answer the same: retried elsewhere, one invalid request would make
         // all engines suspects.
         (_, Some(400 | 413 | 422)) => AttemptFailure::Rejected,
--- a/src/standin/engine/options.rs
+++ b/src/standin/engine/options.rs
@@ -157,6 +157,8 @@
     pub speed: Option<f64>,
     /// New work is refused with 503.
     pub refuse: Option<bool>,
+    /// Status with which new work is answered, without a statement whether it ran; 0 for none.
+    pub unstated: Option<u16>,
     /// The next stream that has sent this many tokens is closed, once; 0 for none.
     pub drop_after: Option<u64>,
     /// Every chunk is sent twice.
@@ -174,6 +176,7 @@
         self.silent = new.silent.or(self.silent);
         self.speed = new.speed.or(self.speed);
         self.refuse = new.refuse.or(self.refuse);
+        self.unstated = new.unstated.or(self.unstated);
         self.drop_after = new.drop_after.or(self.drop_after);
         self.repeat_chunk = new.repeat_chunk.or(self.repeat_chunk);
         self.reorder_chunks = new.reorder_chunks.or(self.reorder_chunks);
--- a/src/standin/engine/routes.rs
+++ b/src/standin/engine/routes.rs
@@ -197,6 +197,10 @@
     kind: JobKind,
 ) -> Result<String, Response> {
     let mut state = shared.state.borrow_mut();
+    let unstated = state.faults.unstated.unwrap_or(0);
+    if let Ok(status) = StatusCode::from_u16(unstated) {
+        return Err(error_response(status, "unstated"));
+    }
     if body.model.as_ref().is_some_and(|name| *name != state.model) {
         return Err(not_run_response(404, "model"));
     }
--- a/tests/fleet/unstated.rs
+++ b/tests/fleet/unstated.rs
@@ -3,7 +3,9 @@
 use serde_json::{Value, json};
 
 use crate::support::http::Answer;
-use crate::support::{Fleet, FleetConfig, call_service, inject_fault, service_runs, wait_for};
+use crate::support::{
+    Fleet, FleetConfig, call_service, complete, inject_fault, service_runs, wait_for,
+};
 
 /// Checks an error: its kind, its status, and that the request may have run.
 fn check_unknown(answer: &Answer, code: &str) {
@@ -68,6 +70,39 @@
     });
 }
 
+/// Engines answer a completion with this status, first one of two, then both. The sound one must serve it; without one the
+/// caller must not be told that it did not run. It must not count as a request that crashes engines.
+fn check_engine(status: u16) {
+    let fleet = Fleet::start(FleetConfig {
+        hosts: 1,
+        engines: 2,
+        services: 1,
+        ..FleetConfig::default()
+    });
+    let host = fleet.hosts[0].callers;
+    let first = fleet.engines().next().expect("an engine").addr;
+    inject_fault(first, &json!({"unstated": status}));
+    for turn in 0..4 {
+        let answer =
+            complete(host, &format!("one of two {turn}"), 5, false).expect("the host answers");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+    inject_into(&fleet, "engine", &json!({"unstated": status}));
+    let answer = complete(host, "none", 5, false).expect("the host answers");
+    assert_eq!(
+        (answer.status, &answer.json()["ran"]),
+        (502, &json!("unknown")),
+        "{}",
+        answer.text()
+    );
+    inject_into(&fleet, "engine", &json!({"unstated": 0}));
+    wait_for("the same completion is served", || {
+        let answer = complete(host, "none", 5, false).expect("the host answers");
+        assert_ne!(answer.status, 422, "{}", answer.text());
+        answer.status == 200
+    });
+}
+
 /// Makes one test of each case. Guards against a status that callers read as "did not run", passed on from a server that
 /// did not state it.
 macro_rules! statuses {
@@ -84,6 +119,10 @@
     service_misdirection_is_no_promise: check_service 421;
     service_limit_is_no_promise: check_service 429;
     service_overload_is_no_promise: check_service 503;
+    engine_timeout_is_no_promise: check_engine 408;
+    engine_misdirection_is_no_promise: check_engine 421;
+    engine_limit_is_no_promise: check_engine 429;
+    engine_overload_is_no_promise: check_engine 503;
 }
 
 /// Other failures of a service are its own answers. Guards against a refusal in place of the answer of a call that ran.
