Close a connection after a refusal that names no request

What callers would see while hosts of an earlier build are replaced: a request that another host runs is answered 503, after a late copy of a refusal of an earlier request.

Cause: the promise rests on whose refusal it is, which a refusal without an id does not say. It is believed on any connection between hosts, since hosts of earlier builds name none, and the connection was kept afterwards, so that a copy could be taken for the refusal of the next request. The check of promises did not see it, as it counts the copy as a statement.

The connection is closed after such a refusal. A copy of it can then arrive on no connection that carries another request, and the refusals of earlier builds are still believed. They cost a new connection each while hosts are replaced; hosts of this build name the request and are not affected. No host is known to send a copy.

Evidence: `a_late_refusal_of_a_host_of_an_earlier_build_refuses_no_other_request` failed before ("left: (Some(503), 1), right: (Some(503), 0)"), and passes; the 15 tests of its file pass.

--- a/src/host/relay/forward.rs
+++ b/src/host/relay/forward.rs
@@ -260,7 +260,10 @@
         if refusal.ran == Ran::No {
             evidence.not_run();
         }
-        drain_and_release(answer, source, reply.keep_alive);
+        // A late copy of a refusal without an id would be believed as that of the next request.
+        if !is_unnamed {
+            drain_and_release(answer, source, reply.keep_alive);
+        }
         let attempt = out.attempt;
         apply(node, RelayEvent::ForwardRefused { attempt, refusal });
         return Ok(());
--- a/tests/relay/partition.rs
+++ b/tests/relay/partition.rs
@@ -455,3 +455,24 @@
     }
     assert_eq!(other.heads().len(), before + 3);
 }
+
+/// A host of an earlier build refuses a forwarded request, and sends a copy of that before its answer to the next one on the
+/// connection. Guards against a request that is refused as not run though the other host runs it.
+#[test]
+fn a_late_refusal_of_a_host_of_an_earlier_build_refuses_no_other_request() {
+    let other = Scripted::plain("host-9", |turn| {
+        let refused = refusal_of_host("overloaded", "");
+        if turn.number == 0 {
+            return turn.send(refused);
+        }
+        turn.run();
+        turn.send(refused + &response(200, &turn.id, "", "done"))
+    });
+    let site = site_beside(other.addr());
+    let host = &site.hosts[0];
+    for _ in 0..4 {
+        let (id, answer) = site.send(host, "/once/x", "8000");
+        let status = answer.map(|answer| answer.status);
+        assert_eq!((status, other.runs(&id)), (Some(503), 0));
+    }
+}
