Walk through hosts out of step at random while versions and routes change

The tests of hosts out of step and of routes each hold one fault at a time. The walk puts them together: a host drawn at random is cut off from the others, from the store or from both, or stands still, while servers of two services change their versions, start again under their ids with another version or their route moves or is split; streams begin, break and are taken up while the host is out of step, after it, and in touch.

--- a/src/core/relay/tests/versions/mod.rs
+++ b/src/core/relay/tests/versions/mod.rs
@@ -4,10 +4,11 @@
 mod out_of_step;
 mod routes;
 mod site;
+mod walks;
 
 use super::*;
 use crate::core::relay::event::ForwardRefusal;
-use site::{LISTING_MS, Outcome, Site, Stream, TAKE_UP_MS};
+use site::{LISTING_MS, Outcome, RETENTION_MS, Site, Stream, TAKE_UP_MS};
 
 /// Has each server that a stream of version `a` goes on at refuse it; asserts that the answer is truncated in the end.
 fn assert_ends(site: &mut Site, mut next: (Outcome, AttemptKey)) {
--- a/src/core/relay/tests/versions/out_of_step.rs
+++ b/src/core/relay/tests/versions/out_of_step.rs
@@ -1,11 +1,10 @@
 //! Streams that are taken up at a host that is out of step with the others while servers of a new version join.
 
 use super::*;
-use crate::core::relay::tests::versions::site::RETENTION_MS;
 
 /// How a host is out of step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
+pub enum Fault {
     /// Datagrams between it and the other hosts are lost.
     CutFromHosts,
     /// It does not reach the store, and no host sends it changes.
@@ -19,7 +18,7 @@
 }
 
 impl Fault {
-    fn begin(self, site: &mut Site, host: usize) {
+    pub fn begin(self, site: &mut Site, host: usize) {
         match self {
             Self::CutFromHosts => site.cut_from_hosts(host),
             Self::CutFromStore => {
@@ -33,7 +32,7 @@
     }
 
     /// Has a frozen host go on.
-    fn wake(self, site: &mut Site, host: usize) {
+    pub fn wake(self, site: &mut Site, host: usize) {
         site.hosts.frozen.remove(&host);
         if self == Self::FrozenThenCutOff {
             site.hosts.cut_off(host);
--- a/src/core/relay/tests/versions/routes.rs
+++ b/src/core/relay/tests/versions/routes.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Has the route of streams lead to these services at all hosts.
-fn lead_to(site: &mut Site, version: u64, services: &[&str]) {
+pub fn lead_to(site: &mut Site, version: u64, services: &[&str]) {
     let mut catalog = catalog(version);
     for route in &mut catalog.routes {
         let services = services.iter();
@@ -33,7 +33,7 @@
         ..plain_entry(id)
     });
     site.hosts.store.list(entries.to_vec());
-    site.hosts.pass(site::RETENTION_MS + LISTING_MS);
+    site.hosts.pass(RETENTION_MS + LISTING_MS);
     site
 }
 
@@ -72,7 +72,7 @@
     lead_to(&mut site, 1001, &["other"]);
     assert_eq!(take_up_all(&mut site, &streams), 0);
     // Long after the move only streams of the new service come.
-    site.hosts.pass(site::RETENTION_MS + LISTING_MS);
+    site.hosts.pass(RETENTION_MS + LISTING_MS);
     let streams = begin_and_leave(&mut site, 4);
     assert_eq!(take_up_all(&mut site, &streams), 8);
 }
