Let a repeated SIGTERM cut nothing on a relaying host

A second SIGTERM ended a host at once, with 130, in the middle of the streams that it was finishing. That suits an operator at a terminal. A platform ends a host with SIGKILL when its time is over, and may signal a stop twice: when a removal overlaps a roll, or a supervisor and an operator both ask for it.

A relaying host now logs a repeated SIGTERM as host.stop_repeated and goes on with its stop. A second SIGINT, and SIGINT after SIGTERM, still end it at once; hosts that do not relay behave as before.

Evidence: a_repeated_signal_cuts_no_stream, which also sends SIGHUP in between, failed before: the stream ended incomplete as the process exited.

--- a/src/core/stop.rs
+++ b/src/core/stop.rs
@@ -82,7 +82,12 @@
 pub fn step(core: &mut Core, event: StopEvent, out: &mut Effects) {
     match event {
         StopEvent::Begin if !core.stop.is_stopping() => begin(core, out),
-        StopEvent::Begin => {}
+        StopEvent::Begin => {
+            let running = running(core);
+            let why = "the stop was requested again";
+            let level = log::Level::Info;
+            log_step(core, level, "host.stop_repeated", why, running, out);
+        }
         StopEvent::Idle => {
             core.stop.idle = true;
             finish_if_idle(core, out);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -236,16 +236,16 @@
     let exit = node.wait_for_exit();
     tokio::pin!(exit);
     loop {
-        tokio::select! {
-            () = &mut exit => break,
-            changed = stop.changed() => {
-                let begin = changed.is_err() || *stop.borrow();
-                if begin {
-                    node.apply(Event::Stop(StopEvent::Begin));
-                    exit.await;
-                    break;
-                }
-            }
+        let changed = tokio::select! {
+            () = &mut exit => return,
+            changed = stop.changed() => changed,
+        };
+        if changed.is_err() || *stop.borrow() {
+            node.apply(Event::Stop(StopEvent::Begin));
+        }
+        if changed.is_err() {
+            exit.await;
+            return;
         }
     }
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -181,7 +181,12 @@
         let mut settings = read_settings(&path)?;
         logs::init(&settings.log)?;
         let (stop, stopped) = watch::channel(false);
-        ntex::rt::spawn(handle_stop_signals(term, int, stop));
+        let repeated = if settings.relay.is_some() {
+            RepeatedTerm::Ignored
+        } else {
+            RepeatedTerm::Ends
+        };
+        ntex::rt::spawn(handle_stop_signals(term, int, stop, repeated));
         if settings.relay.is_some() {
             let (tx, reloads) = mpsc::channel(1);
             ntex::rt::spawn(reload_settings(path, hup, tx));
@@ -230,18 +235,32 @@
     }
 }
 
-/// Begins a planned stop at the first signal and ends the process at the second.
-async fn handle_stop_signals(mut term: Signal, mut int: Signal, stop: watch::Sender<bool>) {
-    let mut count = 0;
+/// What SIGTERM does to a host that is stopping.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RepeatedTerm {
+    /// It ends the process.
+    Ends,
+    /// Nothing: the platform ends a relaying host with SIGKILL, and may signal a stop more than once.
+    Ignored,
+}
+
+/// Begins a planned stop at the first signal; a second one ends the process, unless it is a SIGTERM that is ignored.
+async fn handle_stop_signals(
+    mut term: Signal,
+    mut int: Signal,
+    stop: watch::Sender<bool>,
+    repeated: RepeatedTerm,
+) {
+    let mut is_stopping = false;
     loop {
-        tokio::select! {
-            _ = term.recv() => {}
-            _ = int.recv() => {}
-        }
-        count += 1;
-        if count > 1 {
+        let ends = tokio::select! {
+            _ = term.recv() => repeated == RepeatedTerm::Ends,
+            _ = int.recv() => true,
+        };
+        if is_stopping && ends {
             std::process::exit(EXIT_SECOND_SIGNAL);
         }
+        is_stopping = true;
         stop.send_replace(true);
     }
 }
--- a/tests/relay/stop.rs
+++ b/tests/relay/stop.rs
@@ -140,6 +140,28 @@
     );
 }
 
+/// The platform signals a stop again, while it changes its settings. Guards against a process that ends at once, and cuts the
+/// stream that it was given time for.
+#[test]
+fn a_repeated_signal_cuts_no_stream() {
+    let decode = Engine::model("d-1", "decode");
+    let mut site = Site::ready(&[&decode]);
+    decode.hold_streams();
+    let running = site.stream("running", &decode);
+    site.host.term();
+    wait_until_refusing(&site);
+    site.host.hup();
+    site.host.term();
+    site.host.term();
+    wait_for("the signals to be handled", || {
+        !events(&site, "host.stop_repeated").is_empty() || site.host.has_exited()
+    });
+    decode.release_streams();
+    let answer = running.join().expect("a caller").expect("an answer");
+    assert!(answer.complete && answer.status == 200);
+    assert!(site.host.wait_for_exit().success());
+}
+
 /// A stream lasts longer than the grace period. Guards against a host that is killed while it waits, which
 /// would leave no log of the running request; it ends by itself and logs the request.
 #[test]
