Tell other hosts when a stopping host closes

A host without links that had forwarded nothing for a while sent its next request to a host whose stop had closed its listeners: by a connection that was about to be closed as idle. A request that crosses that close may have run, so its caller would get 502; one that does not is refused, and costs a hop and a third host's time.

Gossip named a host as no target only when it had lost its links. It now does so, at once, when the host closes in its stop, 0.2 s before it closes idle connections. Until then it serves forwarded requests as before. Hosts of earlier builds read the same field.

The crossing itself was not seen in a test with processes.

--- a/src/core/relay/event/gossip.rs
+++ b/src/core/relay/event/gossip.rs
@@ -40,7 +40,7 @@
     pub changes: Vec<ChangeReport>,
     /// Backend servers that left lately.
     pub departures: Vec<DepartureReport>,
-    /// Whether the sender reaches no backend server.
+    /// Whether the sender reaches no backend server, or has closed in a planned stop.
     pub cut_off: bool,
     /// Time for which the store has answered without a break, as far as the sender has observed.
     pub uptime: Option<UptimeReport>,
--- a/src/core/relay/gossip/mod.rs
+++ b/src/core/relay/gossip/mod.rs
@@ -167,7 +167,10 @@
     let links = links.is_some_and(|last| core.relay.links.changed_since(last));
     let stages = core.relay.peers.last_publish;
     let stages = stages.is_some_and(|last| changing::changed_since(core, last));
-    let changed = changed || limits || departures || links || stages;
+    let closed = core.relay.peers.last_publish;
+    let closed =
+        closed.is_some_and(|last| core.stop.is_closed(core.now) && !core.stop.is_closed(last));
+    let changed = changed || limits || departures || links || stages || closed;
     let changed = changed
         || view.probes.has_unsent()
         || (view.history.has_unsent() && replicates_changes(core));
@@ -254,7 +257,7 @@
         changes: changing::reports(core),
         departures: departed::reports(core),
         uptime: core.relay.view.uptime.report(core.now),
-        cut_off: core.relay.links.are_lost(),
+        cut_off: core.relay.links.are_lost() || core.stop.is_closed(core.now),
         included_domains,
         engine_times,
     }
--- a/src/core/relay/peers.rs
+++ b/src/core/relay/peers.rs
@@ -51,7 +51,7 @@
     pub(super) sequence: u64,
     /// Whether it sends reports to this host, which answers with totals.
     pub(super) is_reporter: bool,
-    /// Whether it reaches no backend server, by its last message.
+    /// Whether it reaches no backend server or has closed, by its last message.
     pub(super) is_cut_off: bool,
     /// Requests forwarded to it that have not ended.
     pub(super) forwards: u32,
--- a/src/core/relay/tests/stop.rs
+++ b/src/core/relay/tests/stop.rs
@@ -1,5 +1,6 @@
 //! Requests at a host whose planned stop has begun.
 
+use super::network::{Cut, Network};
 use super::*;
 use crate::core::event::StopEvent;
 
@@ -195,3 +196,34 @@
     });
     assert!(site.sent().is_some(), "the request was refused");
 }
+
+/// Milliseconds after the signal at which a host closes, and in which the others learn of it.
+const CLOSE_MS: u64 = 2500 + 100;
+/// Interval of requests without any.
+const NEVER: u64 = 1_000_000;
+
+/// The host that requests are forwarded to closes its idle connections. Guards against a request that crosses the close: it
+/// may have run, so that its caller gets an error.
+#[test]
+fn a_host_that_closes_gets_no_forwarded_request() {
+    let mut network = Network::new(3, 1);
+    network.pass(1000, 20);
+    network.cut([0], Cut::Unreachable);
+    network.pass(3000, 20);
+    network.pass(1000, NEVER);
+    stop(network.node(2));
+    network.site.send_effects(2);
+    let stopping = network.node(2).core.settings.host.name.clone();
+    let is_sent_there = |network: &mut Network| {
+        for _ in 0..20 {
+            network.send(0);
+        }
+        let relay = &network.node(0).core.relay;
+        let host = relay.peers.names.get(&stopping).copied();
+        let mut attempts = relay.attempts.values();
+        attempts.any(|attempt| attempt.host.is_some() && attempt.host == host)
+    };
+    assert!(is_sent_there(&mut network), "it serves until it closes");
+    network.pass(CLOSE_MS, NEVER);
+    assert!(!is_sent_there(&mut network), "it has closed");
+}
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -475,7 +475,7 @@
     /// Requests that began at processes of hosts; only in words of this kind.
     #[prost(message, repeated, tag = "20")]
     pub usage: ::prost::alloc::vec::Vec<Usage>,
-    /// The sender reaches no backend server.
+    /// The sender reaches no backend server, or has closed in a planned stop.
     #[prost(bool, tag = "21")]
     pub cut_off: bool,
     /// Versions of streams; only in words of this kind.
