--- a/src/core/relay/tests/versions/walks.rs
+++ b/src/core/relay/tests/versions/walks.rs
@@ -15,9 +15,9 @@
 /// Milliseconds for which callers take a stream up, with their repeats.
 const TAKE_UP_WINDOW_MS: u64 = 20_000;
 /// Versions of the servers of a service in turn.
-const VERSIONS: [&str; 6] = ["1111", "1112", "1222", "2222", "3333", "3344"];
+const VERSIONS: [&str; 6] = ["1111", "2222", "3333", "4444", "1222", "3344"];
 /// Services that the route leads to.
-const ROUTES: [&[&str]; 3] = [&["plain"], &["other"], &["plain", "other"]];
+const ROUTES: [&[&str]; 4] = [&["plain"], &["other"], &["plain"], &["plain", "other"]];
 const FAULTS: [Fault; 5] = [
     Fault::CutFromHosts,
     Fault::CutFromStore,
@@ -46,6 +46,8 @@
     site: Site,
     rng: SmallRng,
     servers: BTreeMap<Box<str>, Server>,
+    /// Servers that are no longer listed, which hosts out of step still use.
+    unlisted: BTreeMap<Box<str>, Server>,
     streams: Vec<Broken>,
     catalog: u64,
     went_on: usize,
@@ -57,6 +59,7 @@
             site: Site::new(hosts, domains, "1"),
             rng: SmallRng::seed_from_u64(seed),
             servers: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             streams: Vec::new(),
             catalog: 1_000_000,
             went_on: 0,
@@ -79,7 +82,10 @@
 
     /// Has new servers of these versions take the place of all those of a service.
     fn list(&mut self, service: &'static str, versions: &str) {
-        self.servers.retain(|_, server| server.service != service);
+        let gone = self
+            .servers
+            .extract_if(.., |_, server| server.service == service);
+        self.unlisted.extend(gone);
         for (number, version) in versions.chars().enumerate() {
             // Versions of both services differ.
             let version = format!("{service}-{version}");
@@ -128,7 +134,8 @@
     /// Returns service and version of a server, unless the host takes them for others: that a server has started again under
     /// its id is not known until its entry is read.
     fn known(&mut self, host: usize, id: &str) -> Option<(&'static str, Box<str>)> {
-        let server = self.servers.get(id)?.clone();
+        let server = self.servers.get(id).or_else(|| self.unlisted.get(id));
+        let server = server?.clone();
         let instances = &self.site.host(host).core.relay.instances;
         let instance = &instances.arena[instances.find(id)?];
         let is_known = instance.version.as_ref() == Some(&server.version);
@@ -182,7 +189,7 @@
     }
 
     fn step(&mut self) {
-        if self.rng.random_bool(0.3) {
+        if self.rng.random_bool(0.6) {
             // Long enough for hosts to know that one version is the only one.
             self.site.hosts.pass(RETENTION_MS + LISTING_MS);
             self.begin(None);
