Run no request behind an answer that closes the connection

A caller that sends its next requests before the first is answered, on a connection to a host that stops or is strained, was told `Connection: close` with the first answer, and the host went on to run the others. By HTTP such a caller takes them for not run: it sends them again elsewhere, also those that may not be repeated, and reads no further answers. In a stop the host kept on in this way until it closed, and cut the request that it was at.

The library closes a connection after such an answer only once no further bytes have arrived on it; otherwise it hands the next request to the handler.

The server now remembers the connections whose answer has announced the close, by the library's handle, and closes one in place of running another request on it. The answer before is still written: the close is the graceful one. Without requests sent ahead nothing changes.

--- a/src/web.rs
+++ b/src/web.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server shared by all listeners: accept loop, limits and graceful stop.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,7 +15,7 @@
     ConnectionType, HttpService, HttpServiceConfig, Request, Response, ResponseBuilder,
     ResponseError, StatusCode, Version,
 };
-use ntex::io::Io;
+use ntex::io::{Io, IoRef};
 use ntex::service::cfg::SharedCfg;
 use ntex::service::{Pipeline, Service, ServiceFactory, fn_service};
 use ntex::time::Seconds;
@@ -88,6 +89,24 @@
     }
 }
 
+/// Connections that an answer has announced to close.
+///
+/// The library closes such a connection only once no more bytes have arrived on it, and would
+/// run requests that the caller sent ahead and, by the announcement, takes for not run. Its ids of
+/// connections are not unique, and its handles have no order.
+#[derive(Debug, Clone, Default)]
+struct ClosingConnections(Rc<RefCell<HashSet<IoRef>>>);
+
+/// On drop, forgets a connection.
+#[derive(Debug)]
+struct ClosingGuard(ClosingConnections, IoRef);
+
+impl Drop for ClosingGuard {
+    fn drop(&mut self) {
+        self.0.0.borrow_mut().remove(&self.1);
+    }
+}
+
 /// Opens a listener on `addr`; with port 0 the kernel chooses the port.
 ///
 /// # Errors
@@ -144,6 +163,8 @@
         .set_client_timeout(HEAD_TIMEOUT)
         .set_keepalive_timeout(SERVER_IDLE_TIMEOUT);
     let cfg = SharedCfg::new("http").add(config).build();
+    let closing = ClosingConnections::default();
+    let announced = closing.clone();
     let service = HttpService::h1(fn_service(move |req: Request| {
         // The library leaves the timer of the head or of the idle time running, and would close the connection after a
         // streamed answer if it has passed meanwhile. It starts the timer anew after each answer.
@@ -151,14 +172,26 @@
             io.stop_timer();
         }
         let is_kept = req.head().connection_type() == ConnectionType::KeepAlive;
-        let response = handler(req);
+        let io = req.io().cloned();
+        let closed = io.clone().filter(|io| announced.0.borrow().contains(io));
+        let response = closed.is_none().then(|| handler(req));
+        let announced = announced.clone();
         async move {
+            if let Some(io) = closed {
+                io.close();
+                io.on_disconnect().await;
+            }
+            let Some(response) = response else {
+                return Err(HandlerError);
+            };
             let mut response = response.await;
             if is_kept && response.head().keep_alive() {
                 let stated = HeaderValue::from_static(STATED_IDLE_TIME);
                 response
                     .headers_mut()
                     .insert(HeaderName::from_static("keep-alive"), stated);
+            } else if let Some(io) = io {
+                announced.0.borrow_mut().insert(io);
             }
             Ok::<_, HandlerError>(response)
         }
@@ -189,14 +222,15 @@
         };
         if let Some(admitted) = admit() {
             let held = (open.clone(), admitted);
-            serve_connection(&service, &cfg, stream.into_std(), held);
+            serve_connection(&service, &cfg, stream.into_std(), &closing, held);
         }
         accepted_count = (accepted_count + 1) % ACCEPT_BATCH;
         if accepted_count == 0 {
             tokio::task::yield_now().await;
         }
     }
-    serve_backlog(&service, &cfg, listener, || Some((open.clone(), admit()?)));
+    let admit = || Some((open.clone(), admit()?));
+    serve_backlog(&service, &cfg, listener, &closing, admit);
     drop(open);
     tokio::time::sleep(grace).await;
     service.shutdown().await;
@@ -209,6 +243,7 @@
     service: &Pipeline<S>,
     cfg: &SharedCfg,
     stream: io::Result<std::net::TcpStream>,
+    closing: &ClosingConnections,
     held: G,
 ) where
     S: Service<Io> + 'static,
@@ -220,12 +255,13 @@
         ntex::rt::from_tcp_stream(stream, cfg.clone())
     });
     if let Ok(io) = io {
+        let guard = ClosingGuard(closing.clone(), io.get_ref());
         let call = service.call_static(io);
         ntex::rt::spawn(async move {
             if let Err(err) = call.await {
                 log::debug!("connection closed: {err}");
             }
-            drop(held);
+            drop((guard, held));
         });
     }
 }
@@ -239,6 +275,7 @@
     service: &Pipeline<S>,
     cfg: &SharedCfg,
     listener: TcpListener,
+    closing: &ClosingConnections,
     admit: impl Fn() -> Option<G>,
 ) where
     S: Service<Io> + 'static,
@@ -251,7 +288,7 @@
     while let Ok((stream, _)) = listener.accept() {
         if let Some(held) = admit() {
             let stream = stream.set_nonblocking(true).map(|()| stream);
-            serve_connection(service, cfg, stream, held);
+            serve_connection(service, cfg, stream, closing, held);
         }
     }
 }
--- a/tests/relay/stop.rs
+++ b/tests/relay/stop.rs
@@ -2,12 +2,18 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 use serde_json::Value;
 
 use super::standin::{Engine, SHORT_PROMPT};
 use super::{Site, WAIT_TIMEOUT, http, wait_for};
 
+/// Time that a server takes for a request.
+const RUN_TIME: Duration = Duration::from_secs(1);
+/// Requests on one connection, of more bytes than the host reads ahead.
+const PIPELINED: usize = 500;
+
 /// A caller's keep-alive connection.
 struct Connection {
     reader: BufReader<TcpStream>,
@@ -140,6 +146,28 @@
     );
 }
 
+/// A caller sends its next requests before the first is answered. Guards against running those that follow the answer which
+/// closes the connection, and against a reset by their unread bytes that overtakes that answer.
+#[test]
+fn pipelined_requests_are_answered_up_to_the_close() {
+    let plain = Engine::plain("s-1");
+    let mut site = Site::ready(&[&plain]);
+    let mut connection = Connection::open(&site);
+    plain.set_delay(RUN_TIME);
+    for number in 0..PIPELINED {
+        connection.write_request(&format!("pipelined-{number}"));
+    }
+    wait_for("the first request at the server", || {
+        plain.request_heads("/once/x").len() == 2
+    });
+    site.host.term();
+    let response = connection.read_answer().expect("an answer");
+    assert_eq!((response.status, response.closes), (200, true));
+    assert!(connection.closes_without_data(), "another answer");
+    assert!(site.host.wait_for_exit().success());
+    assert_eq!(plain.request_heads("/once/x").len(), 2, "another one ran");
+}
+
 /// The platform signals a stop again, while it changes its settings. Guards against a process that ends at once, and cuts the
 /// stream that it was given time for.
 #[test]
