--- a/tests/relay/standin/trouble.rs
+++ b/tests/relay/standin/trouble.rs
@@ -52,7 +52,7 @@
 
 impl Trouble {
     pub const ALL_NAMES: [&str; 5] = [
-        "late copies",
+        LATE_COPIES,
         "unstated refusals",
         "early refusals",
         "late runs",
@@ -60,9 +60,9 @@
     ];
 
     pub fn name(self) -> &'static str {
-        let [copies, unstated, early, late, full] = Self::ALL_NAMES;
+        let [_, unstated, early, late, full] = Self::ALL_NAMES;
         match self {
-            Self::LateCopies { .. } => copies,
+            Self::LateCopies { .. } => LATE_COPIES,
             Self::UnstatedRefusals(_) => unstated,
             Self::EarlyRefusals(_) => early,
             Self::LateRuns(_) => late,
@@ -72,11 +72,18 @@
 
     /// Whether hosts keep the server out of use from then on.
     pub fn ends_use(self) -> bool {
-        let refusal = Some(421);
-        matches!(self, Self::LateCopies { refusal: status, .. } if status == refusal)
+        matches!(
+            self,
+            Self::LateCopies {
+                refusal: Some(421),
+                ..
+            }
+        )
     }
 }
 
+/// Name of [`Trouble::LateCopies`], which a request meets that arrives after the copied response.
+const LATE_COPIES: &str = "late copies";
 /// One in so many requests meets a trouble.
 const INTERVAL: usize = 3;
 /// Time for which a connection is kept whose request is never read.
@@ -143,9 +150,9 @@
     let Some(copy) = pending.take() else {
         return Some(());
     };
-    let name = Trouble::ALL_NAMES[0];
+    let met = (request.id().to_owned(), LATE_COPIES);
     let mut state = shared.0.lock().expect("the engine");
-    state.troubles.met.push((request.id().to_owned(), name));
+    state.troubles.met.push(met);
     drop(state);
     stream.write_all(&copy).ok()
 }
