--- a/src/core/relay/versions/take_up.rs
+++ b/src/core/relay/versions/take_up.rs
@@ -23,7 +23,7 @@
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Time for which a take-up without a record waits for a read of the store, which takes some milliseconds; a store that
-/// takes longer is disturbed, and callers had better hear so.
+/// takes longer is disturbed, and a refusal at once serves callers better.
 const READ_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// A query of other hosts for the version of a stream.
