Begin all streams of a test at the new version

The cause is the test, which left to chance that some stream begins at a new engine; the prefix cache of the old ones draws them all there at times. No stream went on at another version.

The old engines now leave the list before the streams begin, while the host out of step still lists them, and each stream must begin at the new version.

--- a/tests/relay/versions.rs
+++ b/tests/relay/versions.rs
@@ -5,7 +5,7 @@
 use super::cut::FaultProxy;
 use super::standin::{Engine, SHORT_PROMPT, senders};
 use super::watcher::SecondHost;
-use super::{LOG_FILE, Site, http, is_listed_ready, wait_for};
+use super::{LOG_FILE, Site, http, is_listed_as, is_listed_ready, wait_for};
 
 /// Streams of each test.
 const STREAM_COUNT: usize = 24;
@@ -159,21 +159,26 @@
         let key = format!("servers/{}", engine.id);
         site.store.put(&key, &engine.entry("ready"));
     }
-    wait_for("the first host to list the new engines alone", || {
+    wait_for("the first host to list the new engines", || {
         let log = site.log();
         new.iter().all(|engine| is_listed_ready(&log, &engine.id)) && log.contains("host.left")
     });
-    let streams = begin_all(site.callers);
-    let new_streams = streams.iter().filter(|(_, first)| first.starts_with("v2"));
-    let mut taken_up = 0;
-    for (id, first) in new_streams {
-        let others = take_up(second.callers, &format!("again-{id}"), id);
+    // The prefix cache of the old engines would draw all streams to them.
+    for engine in &old {
+        site.store.remove(&format!("servers/{}", engine.id));
+    }
+    wait_for("the first host to list the new engines alone", || {
+        let log = site.log();
+        old.iter()
+            .all(|engine| is_listed_as(&log, &engine.id, "gone"))
+    });
+    for (id, first) in begin_all(site.callers) {
+        assert!(first.starts_with("v2"), "{id} began at {first}");
+        let others = take_up(second.callers, &format!("again-{id}"), &id);
         assert!(
             others.iter().all(|other| other.starts_with("v2")),
             "{first}, then {others:?}: {}",
             second.folder.read(LOG_FILE)
         );
-        taken_up += 1;
     }
-    assert!(taken_up > 0, "{streams:?}");
 }
