Read a store again whose eras begin at 0

Hosts on standby kept their view when a store that counts its eras from 0 came back from an older copy: what was written at revisions below theirs was lost for good.

Cause: era 0 stood for "none named", so that the step from 0 to 1 counted as the first era that a host sees. The era is an Option now: an answer of the store names 0, a message of another host names none by 0, and changes that another host passes on are of era 0 unless another one is known.

--- a/src/core/relay/tests/era.rs
+++ b/src/core/relay/tests/era.rs
@@ -231,6 +231,58 @@
     }
 }
 
+/// A server leaves after a restore, at a revision below those of the ended era. Guards against hosts that keep their
+/// view because the eras are counted from 0, and then miss what is written at these revisions.
+fn a_removal_after_a_restore_is_known(hosts: usize, first_era: u64) {
+    let mut domain = TestDomain::with_hosts(hosts);
+    domain.store.era = first_era;
+    domain.pass(3000);
+    for _ in 0..30 {
+        domain.change(&[]);
+    }
+    domain.restore(20);
+    domain.pass(MAX_CATCH_UP_MS + 3000);
+    domain.remove("r");
+    domain.pass(MAX_CATCH_UP_MS + 400);
+    for host in 0..hosts {
+        let site = domain.hosts[host].as_ref().expect("a host that runs");
+        let instances = &site.core.relay.instances;
+        let key = instances.find("r");
+        let used = key.is_some_and(|key| instances.arena[key].is_available(site.core.now));
+        assert!(!used, "host {host}");
+    }
+}
+
+macro_rules! removals_after_a_restore {
+    ($($name:ident: $hosts:expr, $first_era:expr;)*) => {
+        $(#[test] fn $name() {
+            a_removal_after_a_restore_is_known($hosts, $first_era);
+        })*
+    };
+}
+
+removals_after_a_restore! {
+    a_removal_is_known_where_eras_begin_at_zero: 5, 0;
+    a_removal_is_known_where_eras_begin_at_one: 5, 1;
+    a_removal_is_known_in_a_large_domain_where_eras_begin_at_zero: 30, 0;
+}
+
+/// A host that has called the store in no era yet got its view from another host. Guards against keeping that view in
+/// the next era.
+#[test]
+fn a_replicated_view_of_era_zero_ends_with_that_era() {
+    let mut site = TestHost::blank();
+    site.write_key(
+        "hosts/host-0",
+        Some(r#"{"addr":"127.0.0.1:9","domain":"z"}"#),
+        3,
+    );
+    site.event(RelayEvent::Gossiped(Box::new(gossip(1, 0, 50))));
+    site.event(RelayEvent::Gossiped(Box::new(gossip(2, 1, 5))));
+    let out = site.advance(MAX_CATCH_UP_MS);
+    assert!(store_calls(&out).contains(&StoreCall::Page { after: None }));
+}
+
 /// Entries missing from the copy are written again within two seconds. Guards against dropping their servers meanwhile.
 #[test]
 fn servers_that_the_copy_lacks_are_used_until_they_are_written_again() {
--- a/src/core/relay/view/era.rs
+++ b/src/core/relay/view/era.rs
@@ -33,16 +33,19 @@
     (era << REVISION_BITS) | u64::try_from(revision).unwrap_or(0)
 }
 
-/// Handles the era named by an answer of the store or by another host; 0 if none was named.
+/// Handles the era named by an answer of the store or by another host. Another host sends 0 also if it knows none.
 pub fn observe(core: &mut Core, era: u64, source: &str, out: &mut Effects) {
-    let before = core.relay.view.era;
-    if era <= before {
+    let view = &mut core.relay.view;
+    let Some(before) = view.era else {
+        if era > 0 || source == STORE_SOURCE {
+            view.era = Some(era);
+        }
         return;
-    }
-    core.relay.view.era = era;
-    if before == 0 {
+    };
+    if era <= before {
         return;
     }
+    view.era = Some(era);
     let fields = vec![
         ("era", era.to_string().into()),
         ("before", before.to_string().into()),
--- a/src/core/relay/view/mod.rs
+++ b/src/core/relay/view/mod.rs
@@ -75,8 +75,8 @@
 /// This host's view of the store.
 #[derive(Debug, Default)]
 pub struct View {
-    /// Era of the store to which all revisions here belong; 0 until one is named.
-    pub(super) era: u64,
+    /// Era of the store to which all revisions here belong; `None` until one is known. A store may count from 0.
+    era: Option<u64>,
     /// Number of eras that ended since this host's start.
     ended_eras: u32,
     /// Revision up to which all changes are known.
@@ -176,10 +176,10 @@
         self.number
     }
 
-    /// Returns the era of the store to which the view belongs; 0 until one is named.
+    /// Returns the era of the store to which the view belongs; 0 until one is known.
     #[must_use]
     pub fn era(&self) -> u64 {
-        self.era
+        self.era.unwrap_or(0)
     }
 
     /// Returns the revision up to which all changes are known.
--- a/src/core/relay/view/replicated.rs
+++ b/src/core/relay/view/replicated.rs
@@ -22,6 +22,8 @@
         return;
     }
     let known = view.revision;
+    // Changes of another era are not passed on to here.
+    view.era.get_or_insert(0);
     view.set_source(from, out);
     let events = batch.events.into_iter();
     let new: Vec<StoreChange> = events.filter(|event| event.revision > known).collect();
