Keep limits and pushbacks of servers whose entries are missing

Cause: both belonged to the record of the listed server, which is dropped when its entry expires; the record made for the next entry began without them, although id and start show that it is the same process. They are now kept by start for the rest of the pushback and five minutes, and the host's share of a limit is computed again when the server is back.

--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -8,6 +8,7 @@
 use super::event::{BackendEntry, Changes, LoadReport};
 use super::instance::{Instance, MISSING_GRACE, Work};
 use super::limit::Limit;
+use super::restrictions::Restrictions;
 use super::versions::Version;
 use crate::core::key::{BackendKey, HostKey};
 use crate::core::time::Time;
@@ -23,6 +24,8 @@
     reported: BTreeMap<HostKey, Vec<BackendKey>>,
     by_service: BTreeMap<Box<str>, Vec<BackendKey>>,
     departed: Departed,
+    /// Restrictions named by servers that are not listed at present.
+    restrictions: Restrictions,
 }
 
 /// A change of a backend server's state, for the log.
@@ -125,6 +128,7 @@
     ) -> Vec<StateChange> {
         let mut state_changes = Vec::new();
         self.departed.sweep(now);
+        self.restrictions.sweep(now);
         if changes.is_snapshot {
             let listed = |id: &str| changes.instances.iter().any(|entry| *entry.id == *id);
             for instance in self.arena.values_mut() {
@@ -237,6 +241,8 @@
         instance.listed_at = listed_at;
         if restarted {
             instance.limit = Limit::since(now);
+        } else {
+            self.restrictions.restore(&mut instance);
         }
         let short = instance.short_hash;
         let key = self.arena.insert(instance);
@@ -261,6 +267,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in ended {
+            self.restrictions.keep(&self.arena[key], now);
             self.remove(key);
         }
     }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -38,6 +38,7 @@
 mod recall;
 mod request;
 mod resolve;
+mod restrictions;
 mod retry;
 mod shares;
 mod silence;
@@ -340,6 +341,9 @@
         .relay
         .instances
         .apply_changes(&mut changes, at, settled, core.now);
+    if !listings.is_empty() {
+        limit::update_shares(core);
+    }
     log_listings(listings, view::STORE_SOURCE, out);
     links::servers_changed(core, out);
     poison::proof::servers_changed(core);
--- a/src/core/relay/tests/limit.rs
+++ b/src/core/relay/tests/limit.rs
@@ -323,6 +323,36 @@
     assert_eq!(rate(&site), None);
 }
 
+/// A limited server does not reach the store for a time. Guards against a limit that ends with its entry, and against a
+/// share that counts only the hosts of before.
+#[test]
+fn a_limit_outlasts_a_missing_entry() {
+    let (mut site, sent) = alone();
+    site.event(RelayEvent::Noticed {
+        attempt: sent.attempt,
+        notices: limited(NamedLimit::Rate(0.5)),
+    });
+    site.event(RelayEvent::Answered {
+        attempt: sent.attempt,
+        status: 200,
+    });
+    site.unregister("a");
+    assert!(site.core.relay.instances.find("a").is_none());
+    for other in 0..20 {
+        let value = format!(r#"{{"addr":"127.0.0.1:9","domain":"z{other}"}}"#);
+        site.write_key(&format!("hosts/other-{other}"), Some(&value), 41);
+    }
+    site.register(vec![BackendEntry {
+        revision: 42,
+        ..plain_entry("a")
+    }]);
+    assert_eq!(rate(&site), Some(0.5));
+    let instances = &site.core.relay.instances;
+    let key = instances.find("a").expect("known");
+    let wait = instances.arena[key].limit.wait(site.core.now);
+    assert_eq!(wait, None, "this host has a share");
+}
+
 /// Guards against a value that is not a number starting, changing or ending a limit.
 #[test]
 fn an_unreadable_limit_changes_nothing() {
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -194,6 +194,13 @@
         });
     }
 
+    fn unregister(&mut self, id: &str) {
+        self.apply_changes(Changes {
+            removed: vec![id.into()],
+            ..Changes::default()
+        });
+    }
+
     fn write_key(&mut self, key: &str, value: Option<&str>, revision: i64) {
         let value = value.map(|value| value.as_bytes().into());
         self.apply_changes(Changes {
--- a/src/core/relay/tests/pushback.rs
+++ b/src/core/relay/tests/pushback.rs
@@ -225,6 +225,43 @@
     assert!(is_used(&host, "a"));
 }
 
+/// A server that pushes back does not reach the store for a time. Guards against a pushback that ends with its entry.
+#[test]
+fn a_pushback_outlasts_a_missing_entry() {
+    let mut host = TestHost::new();
+    host.register(vec![plain_entry("a")]);
+    host.arrive(plain_request("/once/x"));
+    let sent = host.sent().expect("a request is sent");
+    refuse_with(&mut host, sent.attempt, pushback_of(9000));
+    host.unregister("a");
+    assert!(host.core.relay.instances.find("a").is_none());
+    host.now += 5000;
+    host.register(vec![BackendEntry {
+        revision: 41,
+        ..plain_entry("a")
+    }]);
+    assert!(!is_used(&host, "a"));
+    host.now += 7000;
+    assert!(is_used(&host, "a"));
+}
+
+/// Guards against a pushback that is kept after its server restarted without an entry.
+#[test]
+fn a_restart_without_an_entry_ends_a_pushback() {
+    let mut host = TestHost::new();
+    host.register(vec![plain_entry("a")]);
+    host.arrive(plain_request("/once/x"));
+    let sent = host.sent().expect("a request is sent");
+    refuse_with(&mut host, sent.attempt, pushback_of(9000));
+    host.unregister("a");
+    host.register(vec![BackendEntry {
+        revision: 41,
+        started_ms: 2,
+        ..plain_entry("a")
+    }]);
+    assert!(is_used(&host, "a"));
+}
+
 /// Guards against a pushback that an entry of the server, written anew, ends.
 #[test]
 fn an_entry_does_not_end_a_pushback() {
