Forward where no server of a service can be connected to

Cause: a refused connection puts a server into a backoff, and an answer on an open connection clears its failures but not the backoff. With every server in a backoff nothing can be chosen, and the request was forwarded only if it had met an unreachable server itself, or if two servers had failures since their last answer. The links now record when a server answered on an open connection although this host could make no new one to it: servers that have ended do not. For three seconds after that, a request for which nothing can be chosen is forwarded if all servers of its service are avoided for failed connections.

Ruled out: to forward without such an answer.

Most requests of such a host are forwarded, although its open connections could carry some.

--- a/src/core/relay/call.rs
+++ b/src/core/relay/call.rs
@@ -190,7 +190,7 @@
             shares::sent(core, key, &choice);
             recall::watch(core, key, choice.outlook, out);
         }
-        Err(refusal) if unreachable > 0 || forward::others_reach_more(core, key) => {
+        Err(refusal) if unreachable > 0 || forward::others_may_reach_more(core, key) => {
             forward::forward_in_place_of(core, key, refusal, out);
         }
         Err(refusal) => {
--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -90,17 +90,26 @@
     refused
 }
 
-/// Returns whether other hosts have requests in progress at several servers of a request's service that this host avoids:
-/// the servers are sound, and this host's links to them broken.
-pub(super) fn others_reach_more(core: &Core, key: CallKey) -> bool {
+/// Returns whether other hosts may reach servers of a request's service that this host avoids: others have requests in
+/// progress at several, or this host could connect to none while servers answer on open connections.
+pub(super) fn others_may_reach_more(core: &Core, key: CallKey) -> bool {
+    let now = core.now;
     let servers = core.relay.instances.of(&core.relay.calls[key].service);
     let servers = servers
         .iter()
-        .map(|server| &core.relay.instances.arena[*server]);
-    let reached = servers.filter(|server| {
-        server.failures > 0 && core.now < server.retry_at && server.peer_total.calls > 0
+        .map(|server| &core.relay.instances.arena[*server])
+        .filter(|server| !server.leaving);
+    let avoided = servers.clone().filter(|server| {
+        server.is_unreachable(now) || server.failures > 0 && now < server.retry_at
     });
-    reached.count() >= MIN_REACHED_BY_OTHERS
+    let reached = avoided.filter(|server| server.peer_total.calls > 0);
+    if reached.count() >= MIN_REACHED_BY_OTHERS {
+        return true;
+    }
+    let mut unreachable = servers.clone().map(|server| server.is_unreachable(now));
+    core.relay.links.are_one_sided(now)
+        && servers.count() > 0
+        && unreachable.all(|is_unreachable| is_unreachable)
 }
 
 /// Returns whether requests can be forwarded to any host.
--- a/src/core/relay/instance.rs
+++ b/src/core/relay/instance.rs
@@ -83,6 +83,8 @@
     pub refusals: u32,
     /// It gets no new work before this time.
     pub retry_at: Time,
+    /// End of the backoff after a failed connection. Answers on open connections do not end it.
+    unreachable_until: Time,
     /// Its speed relative to the other engines of its service.
     pub pace: Slowdown,
     /// Delay of its network link.
@@ -188,6 +190,7 @@
             failures: 0,
             refusals: 0,
             retry_at: Time::default(),
+            unreachable_until: Time::default(),
             pace: Slowdown::default(),
             link: Link::default(),
             kv_losses: FailureRate::default(),
@@ -299,12 +302,20 @@
     pub fn forget_failures(&mut self) {
         self.failures = 0;
         self.retry_at = Time::default();
+        self.unreachable_until = Time::default();
     }
 
     /// Records that nothing listens or answers at its address; it gets no new work for the backoff.
     pub fn record_unreachable(&mut self, now: Time) {
         self.failures = self.failures.max(UNHEALTHY_FAILURES - 1);
         self.record_failure(now);
+        self.unreachable_until = self.retry_at;
+    }
+
+    /// Whether it is in a backoff because this host could not connect to it.
+    #[must_use]
+    pub fn is_unreachable(&self, now: Time) -> bool {
+        now < self.unreachable_until
     }
 
     /// Records that it refused a request; it gets no new work for the backoff.
--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -49,6 +49,8 @@
     changed_at: Time,
     /// When links were last probed.
     probed_at: Time,
+    /// When a server last sent something on an open connection although this host could make no new one to it.
+    one_sided_at: Option<Time>,
 }
 
 impl Links {
@@ -70,6 +72,13 @@
         self.failures.len() >= known.clamp(*FAILED_SERVERS.start(), *FAILED_SERVERS.end())
     }
 
+    /// Whether open connections to servers live on while new ones fail.
+    #[must_use]
+    pub(super) fn are_one_sided(&self, now: Time) -> bool {
+        self.one_sided_at
+            .is_some_and(|at| now.since(at) < FAILURE_WINDOW)
+    }
+
     /// Records a failure of one of `known` servers; returns whether the links count as lost from now on.
     fn record_failure(
         &mut self,
@@ -208,9 +217,14 @@
 /// Handles a part of the answer to an attempt.
 pub(super) fn attempt_received(core: &mut Core, attempt: AttemptKey, out: &mut Effects) {
     let attempt = core.relay.attempts.get(attempt);
-    if attempt.is_some_and(|attempt| attempt.host.is_none()) {
-        received(core, out);
+    let Some(attempt) = attempt.filter(|attempt| attempt.host.is_none()) else {
+        return;
+    };
+    let instance = core.relay.instances.arena.get(attempt.backend);
+    if instance.is_some_and(|instance| instance.is_unreachable(core.now)) {
+        core.relay.links.one_sided_at = Some(core.now);
     }
+    received(core, out);
 }
 
 /// Handles bytes from a server.
--- a/src/core/relay/tests/network.rs
+++ b/src/core/relay/tests/network.rs
@@ -17,6 +17,8 @@
 const CRASH_MS: u64 = 5;
 /// Milliseconds after a crash in which another server takes the place of the crashed one.
 const REPLACEMENT_MS: u64 = 3000;
+/// Open connections of a host to each server while new ones are refused.
+const OPEN_CONNECTIONS: usize = 1;
 /// Answers that are lost in a row: both attempts of a request that is retried, and more.
 const LOST_IN_A_ROW: usize = 6;
 /// Fingerprint of the request that crashes servers; the other requests have lower ones.
@@ -35,6 +37,8 @@
     Silent,
     /// Running requests break, and no new connection is made.
     Reset,
+    /// Open connections live on, and new ones are refused.
+    NewRefused,
 }
 
 /// Something that is about to happen to an attempt or a probe of a host.
@@ -125,6 +129,9 @@
     pub fn cut(&mut self, hosts: impl IntoIterator<Item = usize>, how: Cut) {
         for host in hosts {
             self.cut.insert(host, how);
+            if how == Cut::NewRefused {
+                continue;
+            }
             // Answers on their way are lost.
             let running = self.running.keys().filter(|(at, _)| *at == host);
             let running: Vec<AttemptKey> = running.map(|(_, attempt)| *attempt).collect();
@@ -220,10 +227,17 @@
 
     fn carry_out(&mut self, host: usize, effect: RelayEffect) {
         match effect {
-            RelayEffect::Send(out) => match self.cut.get(&host) {
+            RelayEffect::Send(out) => match self.cut.get(&host).copied() {
                 Some(Cut::Silent) => {
                     self.running.insert((host, out.attempt), out.instance);
                 }
+                Some(Cut::NewRefused) if self.has_idle_connection(host, &out.instance) => {
+                    self.run(host, *out);
+                }
+                Some(Cut::NewRefused) => {
+                    let (ran, how) = (Ran::No, AttemptFailure::Unreachable);
+                    self.after(HOP_MS, host, Incident::Failed(out.attempt, ran, how));
+                }
                 Some(_) => {
                     let (ran, how) = (Ran::No, AttemptFailure::Unreachable);
                     self.after(CONNECT_MS, host, Incident::Failed(out.attempt, ran, how));
@@ -232,23 +246,7 @@
                     let (ran, how) = (Ran::No, AttemptFailure::Unreachable);
                     self.after(HOP_MS, host, Incident::Failed(out.attempt, ran, how));
                 }
-                None => {
-                    let number = self.fingerprint(host, out.call);
-                    *self.runs.entry(number).or_default() += 1;
-                    let server = out.instance.clone();
-                    self.running.insert((host, out.attempt), out.instance);
-                    self.sends += 1;
-                    if number == POISON {
-                        self.crash(server);
-                    } else if self.loss_interval > 0
-                        && self.sends % self.loss_interval < LOST_IN_A_ROW
-                    {
-                        let (ran, how) = (Ran::Unknown, AttemptFailure::Cut);
-                        self.after(SERVER_MS, host, Incident::Failed(out.attempt, ran, how));
-                    } else {
-                        self.after(SERVER_MS, host, Incident::Answered(out.attempt));
-                    }
-                }
+                None => self.run(host, *out),
             },
             RelayEffect::Forward(out) => {
                 self.forwards += 1;
@@ -273,7 +271,12 @@
             }
             RelayEffect::ProbeLink(probe) => {
                 self.probes += 1;
-                let reached = !self.cut.contains_key(&host) && !self.dead.contains(&probe.instance);
+                let has_link = match self.cut.get(&host) {
+                    None => true,
+                    Some(Cut::NewRefused) => self.has_idle_connection(host, &probe.instance),
+                    Some(_) => false,
+                };
+                let reached = has_link && !self.dead.contains(&probe.instance);
                 let millis = if reached { HOP_MS } else { PROBE_MS };
                 self.after(millis, host, Incident::Probed(probe.instance, reached));
             }
@@ -300,6 +303,30 @@
         }
     }
 
+    /// Whether a host has an idle connection to a server while new ones are refused.
+    fn has_idle_connection(&self, host: usize, server: &str) -> bool {
+        let running = self.running.iter();
+        let running = running.filter(|((from, _), to)| *from == host && ***to == *server);
+        running.count() < OPEN_CONNECTIONS
+    }
+
+    /// Has a server run a request.
+    fn run(&mut self, host: usize, out: Outgoing) {
+        let number = self.fingerprint(host, out.call);
+        *self.runs.entry(number).or_default() += 1;
+        let server = out.instance.clone();
+        self.running.insert((host, out.attempt), out.instance);
+        self.sends += 1;
+        if number == POISON {
+            self.crash(server);
+        } else if self.loss_interval > 0 && self.sends % self.loss_interval < LOST_IN_A_ROW {
+            let (ran, how) = (Ran::Unknown, AttemptFailure::Cut);
+            self.after(SERVER_MS, host, Incident::Failed(out.attempt, ran, how));
+        } else {
+            self.after(SERVER_MS, host, Incident::Answered(out.attempt));
+        }
+    }
+
     fn count_crashes(&mut self, message: &Gossip) {
         self.crash_reports += message.crashes.len();
     }
--- a/src/core/relay/tests/partition.rs
+++ b/src/core/relay/tests/partition.rs
@@ -80,9 +80,12 @@
     one_host_of_three: 3, 1, [0], Unreachable, 20;
     one_host_of_three_whose_requests_hang: 3, 1, [0], Silent, 20;
     one_host_of_three_whose_connections_are_reset: 3, 1, [0], Reset, 20;
+    one_host_of_three_whose_new_connections_are_refused: 3, 1, [0], NewRefused, 5;
+    one_host_of_three_whose_new_connections_are_refused_with_few_requests: 3, 1, [0], NewRefused, 200;
     five_hosts_of_eight: 8, 1, 0..5, Unreachable, 40;
     five_hosts_of_eight_whose_requests_hang: 8, 1, 0..5, Silent, 40;
     five_hosts_of_eight_whose_connections_are_reset: 8, 1, 0..5, Reset, 40;
+    five_hosts_of_eight_whose_new_connections_are_refused: 8, 1, 0..5, NewRefused, 5;
     five_hosts_of_eight_with_few_requests: 8, 1, 0..5, Unreachable, 500;
     five_hosts_of_eight_in_three_domains: 8, 3, 0..5, Unreachable, 40;
     all_hosts_of_a_domain: 9, 3, [0, 3, 6], Reset, 40;
