Write what precedes the end of an aborted answer

A caller whose streamed answer was broken off by its server, with the end arriving together with the first bytes, got no answer at all: its connection was closed without a head, though the request had run.

Cause: events are queued for the handler that writes the answer, and the end of an answer closed the caller's connection at once, past the queue. Where the host reads events and end in one go, the handler has written nothing by then. The handler closes the connection now, once it has passed on what is queued and that has been written; a caller that does not read it within two seconds is cut off. Answers over HTTP/1.0, which are collected, get the 502 that was meant for them.

--- a/src/host/queue.rs
+++ b/src/host/queue.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ntex::io::IoRef;
+use ntex::util::BytePages;
 use tokio::sync::{Mutex, MutexGuard, Notify, mpsc};
 use tokio::time::{Instant, Sleep, sleep};
 
@@ -17,6 +18,11 @@
 /// Time between two checks of whether the caller has closed its connection, while it waits for content.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time between two checks of whether what was handed to the HTTP library has been written.
+const WRITTEN_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Time in which a caller may read what precedes the end of an aborted answer.
+const ABORT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Number of bytes that the host holds for all callers, and its bound.
 #[derive(Debug, Clone, Default)]
 pub struct HeldBytes {
@@ -224,6 +230,18 @@
             io.terminate();
         }
     }
+
+    /// Closes the caller's connection if the handler has not passed on the queued messages in time.
+    pub fn close_connection_in_time(&self) {
+        let shared = Rc::downgrade(&self.shared);
+        ntex::rt::spawn(async move {
+            sleep(ABORT_TIMEOUT).await;
+            let shared = shared.upgrade();
+            if let Some(io) = shared.as_ref().and_then(|shared| shared.io.as_ref()) {
+                io.terminate();
+            }
+        });
+    }
 }
 
 impl<P> QueueReceiver<P> {
@@ -243,6 +261,22 @@
         part
     }
 
+    /// Closes the caller's connection once what was handed to the HTTP library has been written.
+    pub fn poll_close_written(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let io = self.shared.io.clone();
+        let Some(io) = io.filter(|io| !io.is_closed()) else {
+            return Poll::Ready(());
+        };
+        let is_empty = |pages: &mut BytePages| pages.is_empty();
+        while !(io.with_write_buf(is_empty).unwrap_or(true) && io.with_write_dst_buf(is_empty)) {
+            let next = Instant::now() + WRITTEN_CHECK_INTERVAL;
+            self.close_check.as_mut().reset(next);
+            std::task::ready!(self.close_check.as_mut().poll(cx));
+        }
+        io.terminate();
+        Poll::Ready(())
+    }
+
     /// Becomes ready once the caller has closed its connection.
     ///
     /// The HTTP library does not wake the task of a streamed answer for that if bytes of the next request arrived meanwhile.
--- a/src/host/relay/callers.rs
+++ b/src/host/relay/callers.rs
@@ -308,6 +308,8 @@
         AnswerPart::Head(head) => {
             let events = EventStream {
                 parts,
+                is_direct: version >= Version::HTTP_11,
+                is_aborted: false,
                 ended: false,
             };
             let response = web::stream_body(version, &mut response_head(head), events).await;
@@ -352,6 +354,9 @@
 /// A streamed answer.
 struct EventStream {
     parts: AnswerParts,
+    /// Whether its parts are written as they arrive.
+    is_direct: bool,
+    is_aborted: bool,
     ended: bool,
 }
 
@@ -363,22 +368,25 @@
         if this.ended {
             return Poll::Ready(None);
         }
-        let part = match this.parts.poll(cx) {
-            Poll::Ready(part) => part,
-            Poll::Pending => return Poll::Pending,
-        };
-        match part {
-            AnswerPart::Event(data) => Poll::Ready(Some(Ok(to_ntex_bytes(&data)))),
-            AnswerPart::Completed => {
-                this.ended = true;
-                Poll::Ready(None)
-            }
-            // The error closes the connection without the end of the body.
-            _ => {
-                this.ended = true;
-                Poll::Ready(Some(Err(HandlerError)))
+        if !this.is_aborted {
+            match std::task::ready!(this.parts.poll(cx)) {
+                AnswerPart::Event(data) => {
+                    return Poll::Ready(Some(Ok(to_ntex_bytes(&data))));
+                }
+                AnswerPart::Completed => {
+                    this.ended = true;
+                    return Poll::Ready(None);
+                }
+                _ => this.is_aborted = true,
             }
         }
+        // The HTTP library ends a failed body by writing a response of its own into it, which callers cannot parse: the
+        // connection is closed before.
+        if this.is_direct {
+            std::task::ready!(this.parts.queue.poll_close_written(cx));
+        }
+        this.ended = true;
+        Poll::Ready(Some(Err(HandlerError)))
     }
 }
 
--- a/src/host/relay/mod.rs
+++ b/src/host/relay/mod.rs
@@ -188,11 +188,10 @@
 
     /// Ends an answer that cannot be completed so that the caller sees it as truncated.
     ///
-    /// The HTTP library ends a failed body by writing a response of its own into it, which callers
-    /// cannot parse. The connection is closed first, so nothing more is written.
+    /// The handler closes the connection once it has passed on what precedes the end: it may not have read any of it yet.
     fn abort_answer(&self, call: CallKey) {
         if let Some(queue) = self.queue(call) {
-            queue.close_connection();
+            queue.close_connection_in_time();
         }
         self.finish(call, AnswerPart::Aborted);
     }
--- a/tests/relay/broken_off.rs
+++ b/tests/relay/broken_off.rs
@@ -78,10 +78,10 @@
     match how.framing {
         Framing::Length => how.place == Place::AfterLast,
         Framing::Chunks => false,
-        Framing::Connection if how.end == End::Close && kind.is_stream() => {
+        Framing::Connection if how.is_closed() && kind.is_stream() => {
             matches!(how.place, Place::Between | Place::AfterLast)
         }
-        Framing::Connection => how.end == End::Close && how.place != Place::Head,
+        Framing::Connection => how.is_closed() && how.place != Place::Head,
     }
 }
 
@@ -166,8 +166,8 @@
 /// Defines one test for each kind of request, framing and end of the connection.
 macro_rules! broken_off {
     ($($name:ident: $kind:ident, $framing:ident, $end:ident;)*) => {$(
-        /// Guards against an answer that was broken off and reaches its caller as complete, one that is complete and does
-        /// not, and a resumed one with an event missing, torn or twice.
+        /// Guards against an answer that was broken off and reaches its caller as complete or not at all, one that is complete
+        /// and does not, and a resumed one with an event missing, torn or twice.
         #[test]
         fn $name() {
             check_places(Kind::$kind, Framing::$framing, End::$end);
@@ -203,6 +203,10 @@
     a_closed_stream_without_framing: Stream, Connection, Close;
     a_reset_stream_without_framing: Stream, Connection, Reset;
     a_silent_stream_without_framing: Stream, Connection, Silence;
+    a_stream_with_length_that_is_closed_at_once: Stream, Length, CloseAtOnce;
+    a_stream_in_chunks_that_is_closed_at_once: Stream, Chunks, CloseAtOnce;
+    a_stream_without_framing_that_is_closed_at_once: Stream, Connection, CloseAtOnce;
+    a_decoded_stream_in_chunks_that_is_closed_at_once: Decoded, Chunks, CloseAtOnce;
     a_closed_decoded_stream_with_length: Decoded, Length, Close;
     a_reset_decoded_stream_with_length: Decoded, Length, Reset;
     a_silent_decoded_stream_with_length: Decoded, Length, Silence;
@@ -267,9 +271,8 @@
         Engine::tear_next(&[&engine], how);
         let answer = send_old(site.callers, Kind::Stream, &format!("{how:?}"));
         assert!(engine.has_torn(), "the engine did not get the request");
-        if let Some((head, body)) = answer {
-            assert!(!head.contains(" 200 "), "{how:?}: {head} {body}");
-        }
+        let (head, body) = answer.unwrap_or_else(|| panic!("{how:?}: no answer"));
+        assert!(head.contains(" 502 "), "{how:?}: {head} {body}");
     }
 }
 
--- a/tests/relay/standin/torn.rs
+++ b/tests/relay/standin/torn.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
     Close,
+    /// It is closed at once, so that its end may arrive together with the answer.
+    CloseAtOnce,
     Reset,
     /// It stays open without data.
     Silence,
@@ -64,6 +66,11 @@
 pub const ARRIVAL_TIME: Duration = Duration::from_millis(20);
 
 impl Break {
+    /// Whether the connection is closed, and not reset or kept.
+    pub fn is_closed(self) -> bool {
+        matches!(self.end, End::Close | End::CloseAtOnce)
+    }
+
     /// Returns the number of bytes of the body that are written.
     fn written(self, body: &str) -> usize {
         let ends = body.match_indices("\n\n").map(|(at, end)| at + end.len());
@@ -102,9 +109,12 @@
             }
         }
         stream.write_all(&bytes).ok()?;
+        if self.end == End::CloseAtOnce {
+            return None;
+        }
         std::thread::sleep(ARRIVAL_TIME);
         match self.end {
-            End::Close => {}
+            End::Close | End::CloseAtOnce => {}
             End::Reset => {
                 let reset = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
                 reset.expect("a reset on close");
