Keep pushbacks alone, and tell hosts again that a limit has ended

The cause is older: a host that gets no messages while a limit ends kept it without any entry missing.

Pushbacks, which end by themselves, are kept for the same start at the same address. A host that knows of the end of a limit reports it again when another host, which knows the server as of an earlier time, still keeps to it.

--- a/src/core/relay/instances.rs
+++ b/src/core/relay/instances.rs
@@ -7,8 +7,8 @@
 use super::departed::{Departed, Evidence, Position, ServerStart, start_of};
 use super::event::{BackendEntry, Changes, LoadReport};
 use super::instance::{Instance, MISSING_GRACE, Work};
+use super::kept_pushbacks::KeptPushbacks;
 use super::limit::Limit;
-use super::restrictions::Restrictions;
 use super::versions::Version;
 use crate::core::key::{BackendKey, HostKey};
 use crate::core::time::Time;
@@ -24,8 +24,7 @@
     reported: BTreeMap<HostKey, Vec<BackendKey>>,
     by_service: BTreeMap<Box<str>, Vec<BackendKey>>,
     departed: Departed,
-    /// Restrictions named by servers that are not listed at present.
-    restrictions: Restrictions,
+    kept_pushbacks: KeptPushbacks,
 }
 
 /// A change of a backend server's state, for the log.
@@ -128,7 +127,7 @@
     ) -> Vec<StateChange> {
         let mut state_changes = Vec::new();
         self.departed.sweep(now);
-        self.restrictions.sweep(now);
+        self.kept_pushbacks.sweep(now);
         if changes.is_snapshot {
             let listed = |id: &str| changes.instances.iter().any(|entry| *entry.id == *id);
             for instance in self.arena.values_mut() {
@@ -242,7 +241,7 @@
         if restarted {
             instance.limit = Limit::since(now);
         } else {
-            self.restrictions.restore(&mut instance);
+            self.kept_pushbacks.restore(&mut instance);
         }
         let short = instance.short_hash;
         let key = self.arena.insert(instance);
@@ -267,7 +266,7 @@
             .map(|(key, _)| key)
             .collect();
         for key in ended {
-            self.restrictions.keep(&self.arena[key], now);
+            self.kept_pushbacks.keep(&self.arena[key], now);
             self.remove(key);
         }
     }
--- a/src/core/relay/limit.rs
+++ b/src/core/relay/limit.rs
@@ -133,6 +133,17 @@
         true
     }
 
+    /// Reports the end of a limit again if another host, which knows the server as of an earlier time, still keeps to it.
+    fn correct(&mut self, rate: Option<f64>, known: Time, now: Time) {
+        let is_outdated = known.after(MAX_REPORT_SKEW) < self.known_at;
+        let is_reported = self
+            .changed_at
+            .is_some_and(|at| now.since(at) < ENDED_REPORT_TIME);
+        if rate.is_some() && self.rate.is_none() && is_outdated && !is_reported {
+            self.changed_at = Some(now);
+        }
+    }
+
     fn report(&self, instance: u32, now: Time) -> Option<LimitReport> {
         let ended = self
             .changed_at
@@ -180,8 +191,11 @@
             continue;
         };
         let limit = &mut core.relay.instances.arena[key].limit;
-        if limit.update(report.rate, now.before(report.age), now) {
+        let known = now.before(report.age);
+        if limit.update(report.rate, known, now) {
             apply_change(core, key, from, out);
+        } else {
+            limit.correct(report.rate, known, now);
         }
     }
 }
--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -23,6 +23,7 @@
 pub mod instance;
 pub mod instances;
 mod intake;
+mod kept_pushbacks;
 mod lateness;
 pub mod limit;
 mod links;
@@ -38,7 +39,6 @@
 mod recall;
 mod request;
 mod resolve;
-mod restrictions;
 mod retry;
 mod shares;
 mod silence;
@@ -341,9 +341,6 @@
         .relay
         .instances
         .apply_changes(&mut changes, at, settled, core.now);
-    if !listings.is_empty() {
-        limit::update_shares(core);
-    }
     log_listings(listings, view::STORE_SOURCE, out);
     links::servers_changed(core, out);
     poison::proof::servers_changed(core);
--- a/src/core/relay/tests/limit.rs
+++ b/src/core/relay/tests/limit.rs
@@ -2,7 +2,8 @@
 
 use super::domain::TestDomain;
 use super::*;
-use crate::core::relay::event::{NamedLimit, Notices};
+use crate::core::relay::event::{Gossip, LimitReport, NamedLimit, Notices};
+use crate::core::relay::instance::short_hash;
 
 /// Time after a host's first answer with a limit from which on its requests are counted.
 const LIMIT_GRACE_MS: u64 = 500;
@@ -353,6 +354,72 @@
     assert_eq!(wait, None, "this host has a share");
 }
 
+/// A limit ends while the entry of its server is missing, as another host reports. Guards against keeping it for good at a
+/// host without a share, which sends the server nothing.
+#[test]
+fn a_limit_that_ended_while_the_entry_was_missing_binds_no_host() {
+    let (mut site, sent) = alone();
+    site.event(RelayEvent::Noticed {
+        attempt: sent.attempt,
+        notices: limited(NamedLimit::Rate(0.5)),
+    });
+    site.event(RelayEvent::Answered {
+        attempt: sent.attempt,
+        status: 200,
+    });
+    for other in 0..20 {
+        let value = format!(r#"{{"addr":"127.0.0.1:9","domain":"z{other}"}}"#);
+        site.write_key(&format!("hosts/other-{other}"), Some(&value), 41);
+    }
+    site.unregister("a");
+    site.now += 3000;
+    for sequence in 1..=30 {
+        let ended = LimitReport {
+            instance: short_hash("a"),
+            rate: None,
+            age: Duration::from_millis(sequence * 100),
+        };
+        site.event(RelayEvent::Gossiped(Box::new(Gossip {
+            host: "other-0".into(),
+            incarnation: 1,
+            sequence,
+            limits: vec![ended],
+            ..Gossip::default()
+        })));
+        site.now += 100;
+    }
+    site.register(vec![BackendEntry {
+        revision: 42,
+        ..plain_entry("a")
+    }]);
+    assert_eq!(rate(&site), None);
+}
+
+/// A limit ends while a host without a share gets no messages. Guards against keeping it for good.
+#[test]
+fn a_limit_that_ended_in_a_partition_binds_no_host() {
+    let mut load = Load::new(5, 10);
+    load.name("r", 0.5);
+    load.pass(6000);
+    let has_share = |host: &usize| {
+        let site = load.domain.hosts[*host].as_ref().expect("a host that runs");
+        let instances = &site.core.relay.instances;
+        let key = instances.find("r").expect("known");
+        let limit = &instances.arena[key].limit;
+        limit.wait(site.core.now).is_some()
+    };
+    let cut = (0..5).find(|host| !has_share(host));
+    let cut = cut.expect("a host without a share");
+    for other in (0..5).filter(|other| *other != cut) {
+        load.domain.cuts.extend([(cut, other), (other, cut)]);
+    }
+    load.named.clear();
+    load.pass(9000);
+    load.domain.cuts.clear();
+    load.pass(60_000);
+    assert_eq!(load.limited("r"), 0);
+}
+
 /// Guards against a value that is not a number starting, changing or ending a limit.
 #[test]
 fn an_unreadable_limit_changes_nothing() {
--- a/src/core/relay/tests/pushback.rs
+++ b/src/core/relay/tests/pushback.rs
@@ -245,6 +245,23 @@
     assert!(is_used(&host, "a"));
 }
 
+/// Guards against a pushback that is applied to another process under the same id.
+#[test]
+fn a_new_address_without_an_entry_ends_a_pushback() {
+    let mut host = TestHost::new();
+    host.register(vec![plain_entry("a")]);
+    host.arrive(plain_request("/once/x"));
+    let sent = host.sent().expect("a request is sent");
+    refuse_with(&mut host, sent.attempt, pushback_of(9000));
+    host.unregister("a");
+    host.register(vec![BackendEntry {
+        revision: 41,
+        addr: ([10, 0, 0, 97], 81).into(),
+        ..plain_entry("a")
+    }]);
+    assert!(is_used(&host, "a"));
+}
+
 /// Guards against a pushback that is kept after its server restarted without an entry.
 #[test]
 fn a_restart_without_an_entry_ends_a_pushback() {
