Bound what is forwarded for one-sided links

A server out of use for another reason (in a pushback, limited, at another address) hinders the forwarding altogether. Full servers, two of which refuse new connections, made a host forward, which the design does not take for lost links.

Cause: the condition could not tell this host's links from those of all, counted servers that would take nothing anyway, and had widened the rule about servers in use by others.

--- a/src/core/relay/forward.rs
+++ b/src/core/relay/forward.rs
@@ -97,19 +97,19 @@
     let servers = core.relay.instances.of(&core.relay.calls[key].service);
     let servers = servers
         .iter()
-        .map(|server| &core.relay.instances.arena[*server])
-        .filter(|server| !server.leaving);
-    let avoided = servers.clone().filter(|server| {
-        server.is_unreachable(now) || server.failures > 0 && now < server.retry_at
+        .map(|server| &core.relay.instances.arena[*server]);
+    let reached = servers.clone().filter(|server| {
+        server.failures > 0 && now < server.retry_at && server.peer_total.calls > 0
     });
-    let reached = avoided.filter(|server| server.peer_total.calls > 0);
     if reached.count() >= MIN_REACHED_BY_OTHERS {
         return true;
     }
-    let mut unreachable = servers.clone().map(|server| server.is_unreachable(now));
+    let mut usable = servers
+        .filter(|server| server.admits_in_backoff(now))
+        .peekable();
     core.relay.links.are_one_sided(now)
-        && servers.count() > 0
-        && unreachable.all(|is_unreachable| is_unreachable)
+        && usable.peek().is_some()
+        && usable.all(|server| server.is_unreachable(now))
 }
 
 /// Returns whether requests can be forwarded to any host.
@@ -259,6 +259,7 @@
 /// Handles an answer of a server that a host passed on.
 pub(super) fn answered(core: &mut Core, host: HostKey) {
     let now = core.now;
+    core.relay.links.forward_answered();
     if let Some(peer) = core.relay.peers.arena.get_mut(host) {
         peer.served_at = Some(now);
     }
@@ -330,6 +331,9 @@
     }
     // These hold at each host; the others state something about the host alone.
     let kind = refusal.kind;
+    if matches!(kind, Kind::CutOff | Kind::NoEngine) {
+        core.relay.links.forward_refused(core.now);
+    }
     if matches!(
         kind,
         Kind::Overloaded | Kind::OverShare | Kind::NoEngine | Kind::NoVersion | Kind::EngineKiller
--- a/src/core/relay/links.rs
+++ b/src/core/relay/links.rs
@@ -33,6 +33,9 @@
 /// Time after the loss or the return of the links within which sound servers show by their answers that they did not
 /// crash.
 const PROOF_TIME: Duration = Duration::from_secs(1);
+/// Forwarded requests that other hosts refuse in a row before no more are forwarded for one-sided links: if most hosts are
+/// cut off, one of so many meets one that is not.
+const MAX_REFUSED_FORWARDS: u32 = 12;
 /// Time between two probes of lost links.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -49,8 +52,18 @@
     changed_at: Time,
     /// When links were last probed.
     probed_at: Time,
-    /// When a server last sent something on an open connection although this host could make no new one to it.
-    one_sided_at: Option<Time>,
+    one_sided: OneSided,
+}
+
+/// Open connections to servers that live on while new ones fail.
+#[derive(Debug, Default)]
+struct OneSided {
+    /// When a server last sent something on one although this host could make no new one to it.
+    seen_at: Option<Time>,
+    /// Forwarded requests that other hosts refused in a row, as they reach no server either.
+    refused: u32,
+    /// Time before which no request is forwarded for this reason.
+    barred_until: Time,
 }
 
 impl Links {
@@ -72,11 +85,28 @@
         self.failures.len() >= known.clamp(*FAILED_SERVERS.start(), *FAILED_SERVERS.end())
     }
 
-    /// Whether open connections to servers live on while new ones fail.
+    /// Whether open connections to servers live on while new ones fail, at this host and, as far as known, not at others.
     #[must_use]
     pub(super) fn are_one_sided(&self, now: Time) -> bool {
-        self.one_sided_at
-            .is_some_and(|at| now.since(at) < FAILURE_WINDOW)
+        let seen = self.one_sided.seen_at;
+        seen.is_some_and(|at| now.since(at) < FAILURE_WINDOW) && now >= self.one_sided.barred_until
+    }
+
+    /// Records that another host refused a forwarded request because it reaches no server either.
+    pub(super) fn forward_refused(&mut self, now: Time) {
+        if !self.are_one_sided(now) {
+            return;
+        }
+        self.one_sided.refused += 1;
+        if self.one_sided.refused >= MAX_REFUSED_FORWARDS {
+            self.one_sided.refused = 0;
+            self.one_sided.barred_until = now.after(FAILURE_WINDOW);
+        }
+    }
+
+    /// Records that another host answered a forwarded request.
+    pub(super) fn forward_answered(&mut self) {
+        self.one_sided.refused = 0;
     }
 
     /// Records a failure of one of `known` servers; returns whether the links count as lost from now on.
@@ -222,7 +252,7 @@
     };
     let instance = core.relay.instances.arena.get(attempt.backend);
     if instance.is_some_and(|instance| instance.is_unreachable(core.now)) {
-        core.relay.links.one_sided_at = Some(core.now);
+        core.relay.links.one_sided.seen_at = Some(core.now);
     }
     received(core, out);
 }
--- a/src/core/relay/tests/partition.rs
+++ b/src/core/relay/tests/partition.rs
@@ -2,7 +2,7 @@
 
 use super::network::{Cut, Got, HOP_MS, Incident, Network};
 use super::*;
-use crate::core::relay::event::{Gossip, Spent};
+use crate::core::relay::event::{Gossip, NamedLimit, NamedPushback, Notices, Spent};
 use crate::error::Kind;
 
 /// Milliseconds after the loss of the links from which callers must be served.
@@ -320,3 +320,85 @@
     });
     assert_eq!(to, Some(moved));
 }
+
+/// Returns whether the host has forwarded a request.
+fn has_forwarded(site: &TestHost) -> bool {
+    site.has_effect(|effect| matches!(effect, RelayEffect::Forward(_)))
+}
+
+/// Returns a host beside others that cannot connect to servers `a` and `b`, which answer on open connections; a third server
+/// answered its first request as given.
+fn one_sided(site: &mut TestHost, third: impl Fn(&mut TestHost, AttemptKey)) {
+    site.register(["a", "b", "c"].map(plain_entry).to_vec());
+    for other in 2..30 {
+        let value = format!(r#"{{"addr":"10.9.0.2:{other}","domain":"z"}}"#);
+        site.write_key(&format!("hosts/host-{other}"), Some(&value), 4);
+    }
+    let mut open = BTreeMap::new();
+    while open.len() < 3 {
+        site.arrive(plain_request("/once/x"));
+        let sent = site.sent().expect("a request is sent");
+        open.insert(sent.instance, sent.attempt);
+    }
+    third(site, open["c"]);
+    let (instance, reached) = ("a".into(), true);
+    site.event(RelayEvent::LinkProbed { instance, reached });
+    site.now += 10;
+    for _ in 0..30 {
+        site.arrive(plain_request("/once/x"));
+        if let Some(sent) = site.sent() {
+            site.fail_attempt(sent.attempt, Ran::No, AttemptFailure::Unreachable);
+        }
+    }
+    for id in ["a", "b"] {
+        let (attempt, status) = (open[id], 200);
+        site.event(RelayEvent::Answered { attempt, status });
+    }
+}
+
+macro_rules! servers_out_of_use {
+    ($($name:ident: $third:expr;)*) => {$(
+        /// Guards against a host whose new connections are refused and that forwards nothing because of a server which takes
+        /// no requests for another reason.
+        #[test]
+        fn $name() {
+            let mut site = TestHost::new();
+            one_sided(&mut site, $third);
+            site.arrive(plain_request("/once/x"));
+            assert!(has_forwarded(&site), "{:?}", site.refused());
+        }
+    )*};
+}
+
+servers_out_of_use! {
+    a_server_in_a_pushback_hinders_no_forwarding: |site, attempt| {
+        let pushback = NamedPushback::For(Duration::from_secs(20));
+        let notices = Notices { pushback, ..Notices::default() };
+        site.event(RelayEvent::Noticed { attempt, notices });
+        site.fail_attempt(attempt, Ran::No, AttemptFailure::Refused);
+    };
+    a_limited_server_hinders_no_forwarding: |site, attempt| {
+        let limit = NamedLimit::Rate(0.5);
+        let notices = Notices { limit, ..Notices::default() };
+        site.event(RelayEvent::Noticed { attempt, notices });
+    };
+    a_server_at_another_address_hinders_no_forwarding: |site, attempt| {
+        site.fail_attempt(attempt, Ran::No, AttemptFailure::Rejected);
+    };
+}
+
+/// Guards against hosts that forward most requests to each other while none of them can connect to a server.
+#[test]
+fn hosts_that_all_connect_to_no_server_forward_little() {
+    let (hosts, interval) = (30, 5);
+    let mut network = Network::new(hosts, 1);
+    network.pass(1000, interval);
+    network.cut(0..hosts, Cut::NewRefused);
+    network.pass(DETECTION_MS, interval);
+    let (begin, before) = (network.site.now, network.forwards);
+    network.pass(3000, interval);
+    let requests = network.results.iter().filter(|(_, at, ..)| *at >= begin);
+    let (requests, forwards) = (requests.count(), network.forwards - before);
+    assert!(forwards <= requests / 10, "{forwards} of {requests}");
+    network.assert_ran_once();
+}
