--- a/src/core/relay/mod.rs
+++ b/src/core/relay/mod.rs
@@ -46,7 +46,7 @@
 mod standby;
 mod stopping;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod unproven;
 pub mod versions;
 mod view;
--- a/src/core/relay/tests/mod.rs
+++ b/src/core/relay/tests/mod.rs
@@ -60,7 +60,7 @@
 use crate::settings::Settings;
 
 /// Settings of a relaying host.
-const SETTINGS: &str = "\
+pub(crate) const SETTINGS: &str = "\
 [relay]
 name = host-1
 region = r
--- a/src/host/relay/evidence/tests.rs
+++ b/src/host/relay/evidence/tests.rs
@@ -14,24 +14,12 @@
 use crate::core::effect::Refusal;
 use crate::core::key::CallKey;
 use crate::core::relay::event::RelayEffect;
+use crate::core::relay::tests::SETTINGS;
 use crate::error::{Kind, Ran};
 use crate::host::node::Node;
 use crate::host::queue::{self, QueueReceiver};
 use crate::settings::Settings;
 
-const SETTINGS: &str = "\
-[relay]
-name = host-1
-region = r
-domain = z
-callers = 127.0.0.1:1
-readiness = 127.0.0.1:2
-peers = 127.0.0.1:3
-metrics = 127.0.0.1:4
-
-[store]
-addr = 127.0.0.1:5
-";
 const TIME_LIMIT: Duration = Duration::from_secs(10);
 const REFUSAL: &[u8] = b"HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n";
 
